--- /dev/null
+++ b/crates/cli/src/bin/flamingoctl.rs
@@ -0,0 +1,3 @@
+//! Program entry.
+
+fn main() {}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shared parts of the two programs.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,11 @@
+//! Decisions of the router as plain functions.
+//!
+//! Nothing in this crate reads a clock, opens a socket or starts a thread. Each
+//! decision takes its state, an input, the current time and, where chance is
+//! involved, a seed, and returns a value that says what to do next.
+
+pub mod ids;
+pub mod manifest;
+pub mod prefix;
+pub mod prelude;
+pub mod rendezvous;
--- /dev/null
+++ b/crates/core/src/prelude.rs
@@ -0,0 +1,7 @@
+//! Types that nearly every module needs.
+
+pub use crate::ids::{
+    EngineId, Incarnation, InstanceId, KindName, Millis, ModelName, Offset, RequestId, ServiceName,
+    WeightsVersion, WorkspaceId, Zone,
+};
+pub use crate::prefix::{BlockHash, PrefixChain, PrefixSeed};
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
