standins: thin platform, engine, service and proxy

A router needs something to talk to over real sockets before it can be tested as a whole. The engine batches, prefills serially, caches prefixes by salted block hashes and streams each token as it is produced; its answers are a function of the prompt, so that a client can check them token by token. Fault injection is limited to crash, freeze, silence and cut of the engine so far.

--- /dev/null
+++ b/crates/standins/src/batch.rs
@@ -0,0 +1,363 @@
+//! Continuous batching: a waiting line, a serial prefill and shared decode steps.
+//!
+//! [`Batch::step`] reads no clock: it takes the time and says when to be called
+//! next.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use flamingolock_core::prelude::*;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::answer::ExpectedAnswer;
+
+/// Number of a stream within one engine process.
+pub(crate) type StreamKey = u64;
+
+/// Longest time between two looks at streams that may be forgotten.
+const HOUSEKEEPING: Duration = Duration::from_millis(200);
+
+/// A request that the engine has accepted.
+pub(crate) struct Job {
+    pub(crate) request_id: String,
+    pub(crate) answer: ExpectedAnswer,
+    pub(crate) salt: PrefixSeed,
+    /// Blocks of the prompt and the answer so far.
+    pub(crate) chain: PrefixChain,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) priority: u8,
+    /// Index of the first token to generate.
+    pub(crate) first: u32,
+    /// Number of tokens in the whole answer.
+    pub(crate) count: u32,
+}
+
+/// How a stream stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    Running,
+    Finished,
+    Cancelled,
+    Cut,
+}
+
+/// What readers of a stream see.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Progress {
+    pub(crate) phase: Phase,
+    /// Index of the next token to be generated.
+    pub(crate) next: u32,
+    pub(crate) cached_tokens: u32,
+}
+
+struct Stream {
+    job: Arc<Job>,
+    progress: watch::Sender<Progress>,
+    readers: u32,
+    /// When the last reader left, or the stream ended.
+    idle_since: Instant,
+}
+
+/// Fixed properties of the batching.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BatchLimits {
+    pub(crate) slots: usize,
+    pub(crate) max_waiting: usize,
+    pub(crate) prefill_rate: f64,
+    pub(crate) decode: Duration,
+    /// How long a stream lives without a reader.
+    pub(crate) remember: Duration,
+}
+
+/// What the batch asks of the cache.
+pub(crate) enum Prefill {
+    /// Prefill starts; the answer is the number of cached tokens.
+    Begin,
+    /// Prefill is over and the blocks are there.
+    End,
+}
+
+/// Why a request was not accepted.
+pub(crate) struct LineFull;
+
+/// All streams of an engine and where they are in the pipeline.
+pub(crate) struct Batch {
+    limits: BatchLimits,
+    streams: BTreeMap<StreamKey, Stream>,
+    by_id: BTreeMap<String, StreamKey>,
+    waiting: BTreeSet<(Reverse<u8>, StreamKey)>,
+    admitted: VecDeque<StreamKey>,
+    prefilling: Option<(StreamKey, Instant)>,
+    /// When the accelerator last finished a prefill.
+    prefill_free: Instant,
+    decoding: BTreeSet<StreamKey>,
+    next_decode: Instant,
+    last_key: StreamKey,
+}
+
+impl Batch {
+    pub(crate) fn new(limits: BatchLimits, now: Instant) -> Self {
+        Self {
+            limits,
+            streams: BTreeMap::new(),
+            by_id: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            admitted: VecDeque::new(),
+            prefilling: None,
+            prefill_free: now,
+            decoding: BTreeSet::new(),
+            next_decode: now,
+            last_key: 0,
+        }
+    }
+
+    /// Requests that hold a slot.
+    pub(crate) fn running(&self) -> usize {
+        self.admitted.len() + usize::from(self.prefilling.is_some()) + self.decoding.len()
+    }
+
+    /// Requests without a slot.
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Prompt tokens of the requests whose prefill is not over.
+    pub(crate) fn queued_tokens(&self) -> u64 {
+        let waiting = self.waiting.iter().map(|(_, key)| key);
+        let prefilling = self.prefilling.iter().map(|(key, _)| key);
+        let keys = waiting.chain(&self.admitted).chain(prefilling);
+        keys.filter_map(|key| self.streams.get(key))
+            .map(|stream| u64::from(stream.job.chain.tokens))
+            .sum()
+    }
+
+    /// Puts a request into the waiting line.
+    pub(crate) fn submit(&mut self, job: Job, now: Instant) -> Result<StreamKey, LineFull> {
+        if self.waiting.len() >= self.limits.max_waiting {
+            return Err(LineFull);
+        }
+        self.last_key += 1;
+        let key = self.last_key;
+        let progress = Progress {
+            phase: Phase::Running,
+            next: job.first,
+            cached_tokens: 0,
+        };
+        self.waiting.insert((Reverse(job.priority), key));
+        self.by_id.insert(job.request_id.clone(), key);
+        let stream = Stream {
+            job: Arc::new(job),
+            progress: watch::Sender::new(progress),
+            readers: 0,
+            idle_since: now,
+        };
+        self.streams.insert(key, stream);
+        Ok(key)
+    }
+
+    /// The latest stream of a request id.
+    pub(crate) fn find(&self, request_id: &str) -> Option<StreamKey> {
+        self.by_id.get(request_id).copied()
+    }
+
+    pub(crate) fn job(&self, key: StreamKey) -> Option<&Arc<Job>> {
+        self.streams.get(&key).map(|stream| &stream.job)
+    }
+
+    /// Adds a reader, who must call [`Batch::leave`] in the end.
+    pub(crate) fn join(&mut self, key: StreamKey) -> Option<watch::Receiver<Progress>> {
+        let stream = self.streams.get_mut(&key)?;
+        stream.readers += 1;
+        Some(stream.progress.subscribe())
+    }
+
+    /// Takes a reader away.
+    pub(crate) fn leave(&mut self, key: StreamKey, now: Instant) {
+        if let Some(stream) = self.streams.get_mut(&key) {
+            stream.readers -= 1;
+            stream.idle_since = now;
+        }
+    }
+
+    /// Ends a running stream and frees its slot; false when it had ended before.
+    pub(crate) fn end(&mut self, key: StreamKey, phase: Phase, now: Instant) -> bool {
+        let Some(stream) = self.streams.get_mut(&key) else {
+            return false;
+        };
+        if stream.progress.borrow().phase != Phase::Running {
+            return false;
+        }
+        stream.progress.send_modify(|p| p.phase = phase);
+        stream.idle_since = now;
+        self.waiting.remove(&(Reverse(stream.job.priority), key));
+        self.admitted.retain(|k| *k != key);
+        self.decoding.remove(&key);
+        if self.prefilling.is_some_and(|(k, _)| k == key) {
+            self.prefilling = None;
+            self.prefill_free = now;
+        }
+        true
+    }
+
+    /// Ends all running streams; returns how many.
+    pub(crate) fn cut_all(&mut self, now: Instant) -> u64 {
+        let keys: Vec<StreamKey> = self.streams.keys().copied().collect();
+        let cut = keys.into_iter().filter(|k| self.end(*k, Phase::Cut, now));
+        cut.count() as u64
+    }
+
+    /// Moves all work that is due later by `span`.
+    pub(crate) fn delay(&mut self, span: Duration) {
+        self.next_decode += span;
+        if let Some((_, due)) = &mut self.prefilling {
+            *due += span;
+        }
+    }
+
+    /// Forgets every stream.
+    pub(crate) fn clear(&mut self) {
+        self.streams.clear();
+        self.by_id.clear();
+    }
+
+    /// Does all that is due at `now`. Returns when to be called next, and the
+    /// phases of the streams that ended.
+    pub(crate) fn step(
+        &mut self,
+        now: Instant,
+        mut prefill: impl FnMut(Prefill, &Job) -> u32,
+    ) -> (Option<Instant>, Vec<Phase>) {
+        let mut ended = Vec::new();
+        self.forget(now, &mut ended);
+        loop {
+            self.admit();
+            self.begin_prefill(now, &mut prefill);
+            let prefilled = self.end_prefill(now, &mut prefill, &mut ended);
+            let decoded = self.decode(now, &mut ended);
+            if !prefilled && !decoded {
+                return (self.next_step(now), ended);
+            }
+        }
+    }
+
+    fn admit(&mut self) {
+        while self.running() < self.limits.slots {
+            let Some((_, key)) = self.waiting.pop_first() else {
+                return;
+            };
+            self.admitted.push_back(key);
+        }
+    }
+
+    fn begin_prefill(&mut self, now: Instant, prefill: &mut impl FnMut(Prefill, &Job) -> u32) {
+        if self.prefilling.is_some() {
+            return;
+        }
+        let Some(key) = self.admitted.pop_front() else {
+            return;
+        };
+        let stream = self.stream_mut(key);
+        let cached = prefill(Prefill::Begin, &stream.job);
+        stream.progress.send_modify(|p| p.cached_tokens = cached);
+        // The last token is always computed, since it gives the first output.
+        let missing = stream.job.chain.tokens.saturating_sub(cached).max(1);
+        let cost = Duration::from_secs_f64(f64::from(missing) / self.limits.prefill_rate);
+        // A timer that fires late must not slow the accelerator down for good,
+        // so a prefill that was already waiting starts when the last one ended.
+        let lag = now.saturating_duration_since(self.prefill_free);
+        let begin = if lag < TIMER_LAG {
+            self.prefill_free
+        } else {
+            now
+        };
+        self.prefilling = Some((key, begin + cost));
+    }
+
+    fn end_prefill(
+        &mut self,
+        now: Instant,
+        prefill: &mut impl FnMut(Prefill, &Job) -> u32,
+        ended: &mut Vec<Phase>,
+    ) -> bool {
+        let Some((key, due)) = self.prefilling.filter(|(_, due)| *due <= now) else {
+            return false;
+        };
+        self.prefilling = None;
+        self.prefill_free = due;
+        prefill(Prefill::End, &self.stream_mut(key).job);
+        if self.decoding.is_empty() {
+            self.next_decode = due + self.limits.decode;
+        }
+        self.decoding.insert(key);
+        self.produce(key, now, ended);
+        true
+    }
+
+    fn decode(&mut self, now: Instant, ended: &mut Vec<Phase>) -> bool {
+        if self.decoding.is_empty() || self.next_decode > now {
+            return false;
+        }
+        self.next_decode += self.limits.decode.max(MIN_DECODE);
+        let keys: Vec<StreamKey> = self.decoding.iter().copied().collect();
+        for key in keys {
+            self.produce(key, now, ended);
+        }
+        true
+    }
+
+    fn produce(&mut self, key: StreamKey, now: Instant, ended: &mut Vec<Phase>) {
+        let stream = self.stream_mut(key);
+        let count = stream.job.count;
+        stream
+            .progress
+            .send_modify(|p| p.next = count.min(p.next + 1));
+        if stream.progress.borrow().next == count && self.end(key, Phase::Finished, now) {
+            ended.push(Phase::Finished);
+        }
+    }
+
+    fn forget(&mut self, now: Instant, ended: &mut Vec<Phase>) {
+        let remember = self.limits.remember;
+        let idle = |stream: &Stream| stream.readers == 0 && now - stream.idle_since >= remember;
+        let streams = self.streams.iter();
+        let idle: Vec<StreamKey> = streams.filter(|(_, s)| idle(s)).map(|(k, _)| *k).collect();
+        for key in idle {
+            if self.end(key, Phase::Cancelled, now) {
+                ended.push(Phase::Cancelled);
+            }
+            if let Some(stream) = self.streams.remove(&key)
+                && self.by_id.get(&stream.job.request_id) == Some(&key)
+            {
+                self.by_id.remove(&stream.job.request_id);
+            }
+        }
+    }
+
+    fn next_step(&self, now: Instant) -> Option<Instant> {
+        if self.streams.is_empty() {
+            return None;
+        }
+        let mut next = now + HOUSEKEEPING;
+        if let Some((_, due)) = self.prefilling {
+            next = next.min(due);
+        }
+        if !self.decoding.is_empty() {
+            next = next.min(self.next_decode);
+        }
+        Some(next)
+    }
+
+    fn stream_mut(&mut self, key: StreamKey) -> &mut Stream {
+        let stream = self.streams.get_mut(&key);
+        stream.expect("a stream in the pipeline is remembered")
+    }
+}
+
+/// Lateness that is put down to the timer and not to an idle accelerator.
+const TIMER_LAG: Duration = Duration::from_millis(3);
+
+/// Shortest decode step, so that a step always moves time on.
+const MIN_DECODE: Duration = Duration::from_micros(10);
--- /dev/null
+++ b/crates/standins/src/error.rs
@@ -0,0 +1,19 @@
+//! Failures of starting or steering a stand-in.
+
+use std::io;
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+/// Why a stand-in could not be started.
+#[derive(Debug, Error)]
+pub enum StandinError {
+    /// The address could not be bound.
+    #[error("cannot listen on {addr}")]
+    Listen {
+        /// Address that was asked for.
+        addr: SocketAddr,
+        /// What the system answered.
+        source: io::Error,
+    },
+}
--- /dev/null
+++ b/crates/standins/src/http.rs
@@ -0,0 +1,107 @@
+//! Requests and responses as the stand-ins use them.
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{Request, Response, StatusCode, Uri};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use thiserror::Error;
+
+/// Ends a connection without the rest of the answer.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("connection closed on purpose")]
+pub(crate) struct Aborted;
+
+pub(crate) type Body = UnsyncBoxBody<Bytes, Aborted>;
+
+/// An answer, or the order to close the connection without one.
+pub(crate) type Reply = Result<Response<Body>, Aborted>;
+
+/// A whole body.
+pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// An empty answer.
+pub(crate) fn empty(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(full(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// A JSON answer.
+pub(crate) fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(value).expect("answers hold only plain JSON types");
+    let mut response = Response::new(full(text));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// A JSON answer with status 200.
+pub(crate) fn ok(value: &impl Serialize) -> Response<Body> {
+    json_response(StatusCode::OK, value)
+}
+
+/// An error in the shape that all outside systems share.
+pub(crate) fn error(status: StatusCode, code: &str, message: &str) -> Response<Body> {
+    let value = json!({ "error": { "code": code, "message": message } });
+    json_response(status, &value)
+}
+
+/// An error that asks the caller to come back in a second.
+pub(crate) fn retry_later(status: StatusCode, code: &str, message: &str) -> Response<Body> {
+    let mut response = error(status, code, message);
+    response
+        .headers_mut()
+        .insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    response
+}
+
+/// A body whose pieces are sent as they are produced.
+pub(crate) fn streamed<S>(pieces: S) -> Body
+where
+    S: Stream<Item = Result<Bytes, Aborted>> + Send + 'static,
+{
+    use futures_util::StreamExt;
+    StreamBody::new(pieces.map(|piece| piece.map(Frame::data))).boxed_unsync()
+}
+
+/// Reads a whole request body.
+pub(crate) async fn read_body(request: Request<Incoming>) -> Result<Bytes, Aborted> {
+    let body = request.into_body().collect().await;
+    Ok(body.map_err(|_| Aborted)?.to_bytes())
+}
+
+/// Parses a JSON body, or says in a 400 what is wrong with it.
+pub(crate) fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Box<Response<Body>>> {
+    serde_json::from_slice(body).map_err(|e| {
+        let response = error(StatusCode::BAD_REQUEST, "invalid_json", &e.to_string());
+        Box::new(response)
+    })
+}
+
+/// The raw value of one query parameter.
+pub(crate) fn query<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let pairs = uri.query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
+}
+
+/// A number from the query; absent or unreadable gives `default`.
+pub(crate) fn query_u64(uri: &Uri, name: &str, default: u64) -> u64 {
+    query(uri, name)
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(default)
+}
--- /dev/null
+++ b/crates/standins/src/server.rs
@@ -0,0 +1,286 @@
+//! HTTP/1.1 server whose connections can be cut, silenced and frozen.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use crate::error::StandinError;
+use crate::http::Reply;
+
+/// Pause between attempts to bind the address again after a crash.
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
+
+/// Locks a mutex whose data stays valid even if a holder panicked.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Stops the bytes of some connections while it is shut.
+#[derive(Default)]
+struct Gate {
+    state: Mutex<GateState>,
+}
+
+#[derive(Default)]
+struct GateState {
+    shut: bool,
+    wakers: Vec<Waker>,
+}
+
+impl Gate {
+    fn shut(&self) {
+        lock(&self.state).shut = true;
+    }
+
+    fn open(&self) {
+        let mut state = lock(&self.state);
+        state.shut = false;
+        state.wakers.drain(..).for_each(Waker::wake);
+    }
+
+    fn poll_open(&self, cx: &Context<'_>) -> Poll<()> {
+        let mut state = lock(&self.state);
+        if !state.shut {
+            return Poll::Ready(());
+        }
+        if !state.wakers.iter().any(|w| w.will_wake(cx.waker())) {
+            state.wakers.push(cx.waker().clone());
+        }
+        Poll::Pending
+    }
+}
+
+/// A connection whose bytes pass only while both gates are open.
+struct GatedStream {
+    tcp: TcpStream,
+    silence: Arc<Gate>,
+    freeze: Arc<Gate>,
+}
+
+impl GatedStream {
+    fn poll_open(&self, cx: &Context<'_>) -> Poll<()> {
+        match self.silence.poll_open(cx) {
+            Poll::Ready(()) => self.freeze.poll_open(cx),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for GatedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.poll_open(cx).is_pending() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.tcp).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for GatedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.poll_open(cx).is_pending() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.tcp).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.poll_open(cx).is_pending() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+}
+
+/// Controls of all connections of one server.
+#[derive(Clone, Default)]
+pub(crate) struct Connections {
+    stop: CancellationToken,
+    freeze: Arc<Gate>,
+    state: Arc<Mutex<ConnectionState>>,
+}
+
+#[derive(Default)]
+struct ConnectionState {
+    cut: CancellationToken,
+    silence: Arc<Gate>,
+    /// How long the listener stays away after the cut that is under way.
+    downtime: Option<Duration>,
+}
+
+impl Connections {
+    /// Resolves when the server stops for good.
+    pub(crate) fn stop_token(&self) -> CancellationToken {
+        self.stop.clone()
+    }
+
+    /// Closes all connections; new ones are accepted at once.
+    pub(crate) fn cut(&self) {
+        Self::cut_locked(&mut lock(&self.state));
+    }
+
+    /// Closes all connections and refuses new ones for `downtime`.
+    pub(crate) fn cut_for(&self, downtime: Duration) {
+        let mut state = lock(&self.state);
+        state.downtime = Some(downtime);
+        Self::cut_locked(&mut state);
+    }
+
+    fn cut_locked(state: &mut ConnectionState) {
+        state.cut.cancel();
+        state.cut = CancellationToken::new();
+    }
+
+    /// Keeps all present connections open with nothing passing for good.
+    pub(crate) fn silence(&self) {
+        let mut state = lock(&self.state);
+        state.silence.shut();
+        state.silence = Arc::default();
+    }
+
+    /// Lets nothing pass on present and new connections for `span`.
+    pub(crate) fn freeze_for(&self, span: Duration) {
+        self.freeze.shut();
+        let freeze = self.freeze.clone();
+        tokio::spawn(async move {
+            sleep(span).await;
+            freeze.open();
+        });
+    }
+}
+
+/// A listening server; dropping it closes the socket and all connections.
+pub(crate) struct Server {
+    addr: SocketAddr,
+    connections: Connections,
+}
+
+impl Server {
+    /// Listens and answers requests with `handler` on tasks of its own.
+    pub(crate) async fn start<H, F>(
+        listen: SocketAddr,
+        connections: Connections,
+        handler: H,
+    ) -> Result<Self, StandinError>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Reply> + Send + 'static,
+    {
+        let listen_error = |source| StandinError::Listen {
+            addr: listen,
+            source,
+        };
+        let listener = TcpListener::bind(listen).await.map_err(listen_error)?;
+        let addr = listener.local_addr().map_err(listen_error)?;
+        tokio::spawn(accept(listener, addr, connections.clone(), handler));
+        Ok(Self { addr, connections })
+    }
+
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.connections.stop.cancel();
+    }
+}
+
+async fn accept<H, F>(
+    mut listener: TcpListener,
+    addr: SocketAddr,
+    connections: Connections,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    loop {
+        let cut = lock(&connections.state).cut.clone();
+        let downtime = lock(&connections.state).downtime.take();
+        if let Some(downtime) = downtime {
+            drop(listener);
+            sleep(downtime).await;
+            let Some(bound) = rebind(addr, &connections.stop).await else {
+                return;
+            };
+            listener = bound;
+        }
+        let accepted = tokio::select! {
+            () = connections.stop.cancelled() => return,
+            () = cut.cancelled() => continue,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((tcp, _)) => spawn_connection(tcp, cut, &connections, handler.clone()),
+            // Out of descriptors or an aborted handshake: the next accept may succeed.
+            Err(_) => sleep(REBIND_PAUSE).await,
+        }
+    }
+}
+
+async fn rebind(addr: SocketAddr, stop: &CancellationToken) -> Option<TcpListener> {
+    while !stop.is_cancelled() {
+        if let Ok(listener) = TcpListener::bind(addr).await {
+            return Some(listener);
+        }
+        sleep(REBIND_PAUSE).await;
+    }
+    None
+}
+
+fn spawn_connection<H, F>(
+    tcp: TcpStream,
+    cut: CancellationToken,
+    connections: &Connections,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    // Failing to switch off Nagle's algorithm only delays small writes.
+    let _ = tcp.set_nodelay(true);
+    let stream = GatedStream {
+        tcp,
+        silence: lock(&connections.state).silence.clone(),
+        freeze: connections.freeze.clone(),
+    };
+    let stop = connections.stop.clone();
+    tokio::spawn(async move {
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(stream), service_fn(handler));
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = cut.cancelled() => {}
+            // A connection's failure concerns only its client, who sees it too.
+            _ = connection => {}
+        }
+    });
+}
