--- /dev/null
+++ b/crates/standins/src/engine_sse.rs
@@ -0,0 +1,114 @@
+//! Answers of an engine: streams of events and whole texts.
+
+use std::fmt::Write;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::Response;
+use http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderName, HeaderValue};
+use serde_json::{Value, json};
+
+use crate::batch::{Job, Phase, Progress};
+use crate::engine_state::Reader;
+use crate::http::{Aborted, Body, Reply, ok, streamed};
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+const ENGINE_INCARNATION: HeaderName = HeaderName::from_static("x-engine-incarnation");
+
+fn with_stream_headers(mut response: Response<Body>, reader: &Reader) -> Response<Body> {
+    let headers = response.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(&reader.job.request_id) {
+        headers.insert(REQUEST_ID, id);
+    }
+    headers.insert(ENGINE_INCARNATION, HeaderValue::from(reader.incarnation.0));
+    response
+}
+
+fn usage(job: &Job, progress: Progress) -> Value {
+    json!({
+        "prompt_tokens": job.prompt_tokens,
+        "completion_tokens": job.count,
+        "cached_tokens": progress.cached_tokens,
+    })
+}
+
+/// The whole answer, once it is there.
+pub(crate) async fn whole_response(mut reader: Reader) -> Reply {
+    let outcome = reader.progress.wait_for(|p| p.phase != Phase::Running);
+    let progress = *outcome.await.map_err(|_| Aborted)?;
+    if progress.phase != Phase::Finished {
+        return Err(Aborted);
+    }
+    let job = &reader.job;
+    let text: String = (job.first..job.count)
+        .map(|i| job.answer.token(i))
+        .collect();
+    let response = ok(&json!({
+        "id": job.request_id,
+        "text": text,
+        "count": job.count,
+        "finish": "length",
+        "usage": usage(job, progress),
+    }));
+    Ok(with_stream_headers(response, &reader))
+}
+
+/// The events of a stream from `from` on, each as it is produced.
+pub(crate) fn stream_response(reader: Reader, from: u32) -> Response<Body> {
+    let mut response = Response::new(Body::default());
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    let response = with_stream_headers(response, &reader);
+    let cursor = Cursor {
+        next: from.max(reader.job.first),
+        reader,
+    };
+    response.map(|_| streamed(stream::unfold(Some(cursor), next_events)))
+}
+
+/// Where a reader stands in its stream.
+struct Cursor {
+    reader: Reader,
+    next: u32,
+}
+
+/// Waits for events that the reader has not seen and writes them out.
+async fn next_events(cursor: Option<Cursor>) -> Option<(Result<Bytes, Aborted>, Option<Cursor>)> {
+    let mut cursor = cursor?;
+    let next = cursor.next;
+    let seen = |p: &Progress| p.next > next || p.phase != Phase::Running;
+    let progress = match cursor.reader.progress.wait_for(seen).await {
+        Ok(progress) => *progress,
+        Err(_) => return Some((Err(Aborted), None)),
+    };
+    if matches!(progress.phase, Phase::Cancelled | Phase::Cut) {
+        return Some((Err(Aborted), None));
+    }
+    let mut text = String::new();
+    for index in cursor.next..progress.next {
+        write_token(&mut text, &cursor.reader.job, index);
+    }
+    cursor.next = cursor.next.max(progress.next);
+    if progress.phase == Phase::Running {
+        return Some((Ok(text.into()), Some(cursor)));
+    }
+    write_end(&mut text, &cursor.reader.job, progress);
+    Some((Ok(text.into()), None))
+}
+
+fn write_token(text: &mut String, job: &Job, index: u32) {
+    let token = job.answer.token(index);
+    let data = json!({ "id": job.request_id, "index": index, "text": token });
+    write!(text, "id: {index}\ndata: {data}\n\n").expect("writing to a string succeeds");
+}
+
+fn write_end(text: &mut String, job: &Job, progress: Progress) {
+    let data = json!({
+        "id": job.request_id,
+        "finish": "length",
+        "count": job.count,
+        "usage": usage(job, progress),
+    });
+    write!(text, "data: {data}\n\ndata: [DONE]\n\n").expect("writing to a string succeeds");
+}
--- /dev/null
+++ b/crates/standins/src/engine_state.rs
@@ -0,0 +1,366 @@
+//! The state of an engine and what requests, faults and orders do to it.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use flamingolock_core::prelude::*;
+use serde_json::{Value, json};
+use tokio::sync::{Mutex as AsyncMutex, Notify, watch};
+use tokio::time::{Instant, sleep_until};
+
+use crate::batch::{Batch, BatchLimits, Job, Phase, Prefill, Progress, StreamKey};
+use crate::cache::PrefixCache;
+use crate::engine::EngineOptions;
+use crate::events::{EventLimits, EventLog, EventPage};
+use crate::memory::Memory;
+use crate::oracle::OracleReport;
+use crate::orders::Role;
+use crate::server::{Connections, lock};
+use crate::status::StatusHistory;
+
+pub(crate) struct State {
+    pub(crate) memory: Memory,
+    pub(crate) adapters: Vec<String>,
+    pub(crate) role: Role,
+    /// Whether new weights are being loaded.
+    loading: bool,
+    /// Largest fencing number of the orders carried out.
+    pub(crate) fencing: u64,
+    pub(crate) batch: Batch,
+    history: StatusHistory,
+    /// When the accelerator goes on after a freeze.
+    frozen_until: Option<Instant>,
+}
+
+/// An engine, shared by its connections and the task that drives it.
+pub(crate) struct Engine {
+    pub(crate) options: EngineOptions,
+    pub(crate) state: Mutex<State>,
+    pub(crate) connections: Connections,
+    /// Wakes the task that drives the batch.
+    pub(crate) work: Notify,
+    /// Rises with every step, for readers that wait for cache events.
+    stepped: watch::Sender<u64>,
+    /// Held by the order that is being carried out.
+    pub(crate) order_turn: AsyncMutex<()>,
+}
+
+/// Why a request was not accepted.
+pub(crate) enum Refusal {
+    LineFull,
+    Loading,
+    Draining,
+}
+
+impl Engine {
+    pub(crate) fn new(options: EngineOptions, connections: Connections) -> Self {
+        let now = Instant::now();
+        let limits = BatchLimits {
+            slots: options.slots,
+            max_waiting: options.max_waiting,
+            prefill_rate: options.prefill_tokens_per_s,
+            decode: Duration::from_secs_f64(options.decode_ms / 1000.0),
+            remember: Duration::from_millis(options.remember_ms),
+        };
+        let event_limits = EventLimits {
+            delay: Duration::from_millis(options.event_delay_ms),
+            gap: options.event_gap,
+            ring: options.event_ring,
+        };
+        let ttl = Duration::from_millis(options.block_ttl_ms);
+        let ttl = (!ttl.is_zero()).then_some(ttl);
+        let memory = Memory {
+            cache: PrefixCache::new(options.capacity_blocks, ttl),
+            events: EventLog::new(event_limits, options.seed),
+            report: OracleReport::default(),
+            fleet: options.fleet.clone().unwrap_or_default(),
+            incarnation: Incarnation(unix_millis()),
+            weights: options.weights.clone(),
+        };
+        let state = State {
+            memory,
+            adapters: options.adapters.clone(),
+            role: Role::Serve,
+            loading: false,
+            fencing: 0,
+            batch: Batch::new(limits, now),
+            history: StatusHistory::default(),
+            frozen_until: None,
+        };
+        Self {
+            options,
+            state: Mutex::new(state),
+            connections,
+            work: Notify::new(),
+            stepped: watch::Sender::new(0),
+            order_turn: AsyncMutex::new(()),
+        }
+    }
+
+    /// Does all work that is due and returns when to be called next.
+    pub(crate) fn step(&self, now: Instant) -> Option<Instant> {
+        let mut guard = lock(&self.state);
+        let state = &mut *guard;
+        if let Some(until) = state.frozen_until {
+            if now < until {
+                return Some(until);
+            }
+            state.frozen_until = None;
+        }
+        let memory = &mut state.memory;
+        memory.evict(now);
+        let (next, ended) = state.batch.step(now, |prefill, job| match prefill {
+            Prefill::Begin => memory.begin(job, now),
+            Prefill::End => {
+                memory.end(job, now);
+                0
+            }
+        });
+        for phase in ended {
+            count_end(&mut state.memory.report, phase);
+        }
+        self.record_status(state, now);
+        let expiry = state.memory.cache.next_expiry();
+        drop(guard);
+        self.stepped.send_modify(|n| *n += 1);
+        next.into_iter().chain(expiry).min()
+    }
+
+    /// Takes a request in and joins it as its first reader.
+    pub(crate) fn submit(self: &Arc<Self>, job: Job) -> Result<Reader, Refusal> {
+        let id = job.request_id.clone();
+        let mut state = lock(&self.state);
+        if state.loading {
+            return Err(Refusal::Loading);
+        }
+        if state.role == Role::Drain {
+            return Err(Refusal::Draining);
+        }
+        let key = state.batch.submit(job, Instant::now());
+        let key = key.map_err(|_| Refusal::LineFull)?;
+        state.memory.report.started += 1;
+        *state.memory.report.executions.entry(id).or_default() += 1;
+        let joined = self.join(&mut state, key);
+        drop(state);
+        self.work.notify_one();
+        Ok(joined.expect("a stream is remembered right after its start"))
+    }
+
+    /// Joins the latest stream of a request id.
+    pub(crate) fn resume(self: &Arc<Self>, request_id: &str) -> Option<Reader> {
+        let mut state = lock(&self.state);
+        let key = state.batch.find(request_id)?;
+        self.join(&mut state, key)
+    }
+
+    fn join(self: &Arc<Self>, state: &mut State, key: StreamKey) -> Option<Reader> {
+        let job = state.batch.job(key)?.clone();
+        let progress = state.batch.join(key)?;
+        let guard = ReaderGuard {
+            engine: self.clone(),
+            key,
+        };
+        Some(Reader {
+            job,
+            progress,
+            incarnation: state.memory.incarnation,
+            _guard: guard,
+        })
+    }
+
+    /// Cancels the latest stream of a request id; false when there is none.
+    pub(crate) fn cancel(&self, request_id: &str) -> bool {
+        let mut state = lock(&self.state);
+        let Some(key) = state.batch.find(request_id) else {
+            return false;
+        };
+        if state.batch.end(key, Phase::Cancelled, Instant::now()) {
+            count_end(&mut state.memory.report, Phase::Cancelled);
+        }
+        drop(state);
+        self.work.notify_one();
+        true
+    }
+
+    /// Ends everything and comes back as a larger incarnation.
+    pub(crate) fn crash(&self) {
+        let mut state = lock(&self.state);
+        let cut = state.batch.cut_all(Instant::now());
+        state.memory.report.cut += cut;
+        state.batch.clear();
+        state.memory.cache.clear();
+        state.memory.events.restart();
+        state.history.clear();
+        state.loading = false;
+        state.role = Role::Serve;
+        state.adapters.clone_from(&self.options.adapters);
+        if self.options.forgets_weights {
+            state.memory.weights.clone_from(&self.options.weights);
+        }
+        state.frozen_until = None;
+        let next = state.memory.incarnation.0 + 1;
+        state.memory.incarnation = Incarnation(unix_millis().max(next));
+        drop(state);
+        let downtime = Duration::from_millis(self.options.cold_start_ms);
+        self.connections.cut_for(downtime);
+        self.work.notify_one();
+    }
+
+    /// Stops all progress and all bytes for `span`.
+    pub(crate) fn freeze(&self, span: Duration) {
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        let end = now + span;
+        let begin = state.frozen_until.map_or(now, |until| until.max(now));
+        state.batch.delay(end.saturating_duration_since(begin));
+        state.frozen_until = Some(end.max(begin));
+        drop(state);
+        self.work.notify_one();
+        self.connections.freeze_for(span);
+    }
+
+    /// Resolves when the engine is not frozen.
+    pub(crate) async fn thawed(&self) {
+        loop {
+            let until = lock(&self.state).frozen_until;
+            match until {
+                Some(until) if Instant::now() < until => sleep_until(until).await,
+                _ => return,
+            }
+        }
+    }
+
+    /// Whether the engine has not crashed since it had this incarnation.
+    pub(crate) fn is_alive(&self, incarnation: Incarnation) -> bool {
+        lock(&self.state).memory.incarnation == incarnation
+    }
+
+    /// Stops serving for a load of weights; returns how many requests that cut.
+    pub(crate) fn begin_load(&self) -> u64 {
+        let mut state = lock(&self.state);
+        state.loading = true;
+        let cut = state.batch.cut_all(Instant::now());
+        state.memory.report.cut += cut;
+        cut
+    }
+
+    /// Serves again, with an empty cache when the weights are new.
+    pub(crate) fn end_load(&self, loaded: Option<WeightsVersion>) {
+        let mut state = lock(&self.state);
+        state.loading = false;
+        if let Some(weights) = loaded {
+            state.memory.weights = weights;
+            state.memory.clear(Instant::now());
+        }
+    }
+
+    /// Cache events after `after`, once there are some or at `until`.
+    pub(crate) async fn events(&self, after: u64, until: Instant) -> Value {
+        let mut stepped = self.stepped.subscribe();
+        loop {
+            let now = Instant::now();
+            let (incarnation, page) = self.read_events(after, now);
+            if !page.events.is_empty() || now >= until {
+                return json!({
+                    "incarnation": incarnation,
+                    "events": page.events,
+                    "last_seq": page.last_seq,
+                });
+            }
+            let wake = page
+                .next_visible
+                .map_or(until, |visible| visible.min(until));
+            tokio::select! {
+                () = sleep_until(wake) => {}
+                // The sender lives as long as the engine.
+                _ = stepped.changed() => {}
+            }
+        }
+    }
+
+    fn read_events(&self, after: u64, now: Instant) -> (Incarnation, EventPage) {
+        let state = lock(&self.state);
+        (
+            state.memory.incarnation,
+            state.memory.events.read(after, now),
+        )
+    }
+
+    /// The status as it was some time ago.
+    pub(crate) fn status(&self) -> Value {
+        let now = Instant::now();
+        let mut state = lock(&self.state);
+        if self.options.status_lag_ms == 0 {
+            return self.status_of(&state);
+        }
+        self.record_status(&mut state, now);
+        let seen = state.history.seen(now, self.status_lag());
+        seen.cloned().expect("a status was just recorded")
+    }
+
+    fn status_lag(&self) -> Duration {
+        Duration::from_millis(self.options.status_lag_ms)
+    }
+
+    fn record_status(&self, state: &mut State, now: Instant) {
+        if self.options.status_lag_ms > 0 {
+            let status = self.status_of(state);
+            state.history.record(status, now, self.status_lag());
+        }
+    }
+
+    fn status_of(&self, state: &State) -> Value {
+        let options = &self.options;
+        json!({
+            "engine": options.engine,
+            "incarnation": state.memory.incarnation,
+            "model": options.model,
+            "weights": state.memory.weights,
+            "adapters": state.adapters,
+            "role": state.role,
+            "slots": options.slots,
+            "running": state.batch.running(),
+            "waiting": state.batch.waiting(),
+            "queued_tokens": state.batch.queued_tokens(),
+            "cached_blocks": state.memory.cache.len(),
+            "capacity_blocks": options.capacity_blocks,
+            "prefill_tokens_per_s": options.prefill_tokens_per_s,
+            "fencing": options.checks_fencing,
+        })
+    }
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
+
+fn count_end(report: &mut OracleReport, phase: Phase) {
+    match phase {
+        Phase::Running => {}
+        Phase::Finished => report.finished += 1,
+        Phase::Cancelled => report.cancelled += 1,
+        Phase::Cut => report.cut += 1,
+    }
+}
+
+/// A reader of one stream.
+pub(crate) struct Reader {
+    pub(crate) job: Arc<Job>,
+    pub(crate) progress: watch::Receiver<Progress>,
+    pub(crate) incarnation: Incarnation,
+    _guard: ReaderGuard,
+}
+
+/// Takes the reader away from the stream when dropped.
+struct ReaderGuard {
+    engine: Arc<Engine>,
+    key: StreamKey,
+}
+
+impl Drop for ReaderGuard {
+    fn drop(&mut self) {
+        let mut state = lock(&self.engine.state);
+        state.batch.leave(self.key, Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/standins/src/instances.rs
@@ -0,0 +1,101 @@
+//! The instance list, shown with a lag.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flamingolock_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// What an instance is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceKind {
+    /// Runs a node of the router.
+    Entry,
+    /// Runs a model engine.
+    Engine,
+    /// Runs a plain service.
+    Service,
+}
+
+/// Whether an instance takes work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceState {
+    /// Takes work.
+    #[default]
+    Live,
+    /// Gets no new work and goes away.
+    Leaving,
+}
+
+/// One line of the instance list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Unique name; the path of a `PUT` fills it in.
+    #[serde(default)]
+    pub name: String,
+    /// What the instance is for.
+    pub kind: InstanceKind,
+    /// Where callers or nodes reach it.
+    pub address: SocketAddr,
+    /// Where other nodes reach it.
+    #[serde(default)]
+    pub peer_address: Option<SocketAddr>,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Whether it takes work.
+    #[serde(default)]
+    pub state: InstanceState,
+}
+
+type Snapshot = BTreeMap<String, Instance>;
+
+/// All instances, with the older lists that readers may still be shown.
+#[derive(Default)]
+pub(crate) struct InstanceList {
+    current: Snapshot,
+    /// Lists with the time from which they held, oldest first.
+    history: VecDeque<(Instant, Snapshot)>,
+}
+
+impl InstanceList {
+    pub(crate) fn put(&mut self, instance: Instance, now: Instant) {
+        self.current.insert(instance.name.clone(), instance);
+        self.record(now);
+    }
+
+    pub(crate) fn remove(&mut self, name: &str, now: Instant) {
+        self.current.remove(name);
+        self.record(now);
+    }
+
+    /// Changes the state of one instance; false when there is none of this name.
+    pub(crate) fn set_state(&mut self, name: &str, state: InstanceState, now: Instant) -> bool {
+        let Some(instance) = self.current.get_mut(name) else {
+            return false;
+        };
+        instance.state = state;
+        self.record(now);
+        true
+    }
+
+    fn record(&mut self, now: Instant) {
+        self.history.push_back((now, self.current.clone()));
+    }
+
+    /// The list as it was `lag` ago; empty before the first change.
+    pub(crate) fn shown(&mut self, now: Instant, lag: Duration) -> Vec<&Instance> {
+        while self
+            .history
+            .get(1)
+            .is_some_and(|(time, _)| *time + lag <= now)
+        {
+            self.history.pop_front();
+        }
+        let shown = self.history.front().filter(|(time, _)| *time + lag <= now);
+        shown.map_or_else(Vec::new, |(_, list)| list.values().collect())
+    }
+}
--- /dev/null
+++ b/crates/standins/src/log_service.rs
@@ -0,0 +1,207 @@
+//! The platform's log service: streams, append limits, retention, lost answers.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use flamingolock_core::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+use crate::log_stream::{LogRecord, LogStream, NewRecord, ReadOutcome};
+use crate::rate_limit::RateLimit;
+use crate::server::lock;
+
+/// What the log has seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogReport {
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Records that were written.
+    pub records: u64,
+    /// Appends that were refused for the rate.
+    pub refused: u64,
+    /// Appends that took effect without an answer.
+    pub lost_answers: u64,
+}
+
+/// Fixed properties of the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LogLimits {
+    pub(crate) appends_per_s: f64,
+    pub(crate) records_per_s: f64,
+    pub(crate) max_records: usize,
+    pub(crate) max_age: Millis,
+}
+
+/// How an append ended.
+pub(crate) enum AppendOutcome {
+    Done {
+        first: Offset,
+        count: usize,
+    },
+    /// It took effect, but the writer must not hear of it.
+    AnswerLost,
+    RateExceeded,
+}
+
+/// One page of a stream.
+pub(crate) struct LogPage {
+    pub(crate) start: Offset,
+    pub(crate) end: Offset,
+    /// Absent when the asked offset has been trimmed.
+    pub(crate) records: Option<Vec<LogRecord>>,
+}
+
+struct State {
+    streams: BTreeMap<String, LogStream>,
+    appends: RateLimit,
+    records: RateLimit,
+    rng: ChaCha8Rng,
+    /// Number of coming appends whose answers are lost.
+    lose_next: u64,
+    lose_probability: f64,
+    report: LogReport,
+}
+
+/// All streams of the log.
+pub(crate) struct LogService {
+    limits: LogLimits,
+    state: Mutex<State>,
+    /// Rises with every append, for readers that wait.
+    appended: watch::Sender<u64>,
+}
+
+impl LogService {
+    pub(crate) fn new(limits: LogLimits, lose_probability: f64, seed: u64) -> Self {
+        let now = Instant::now();
+        let state = State {
+            streams: BTreeMap::new(),
+            appends: RateLimit::new(limits.appends_per_s, now),
+            records: RateLimit::new(limits.records_per_s, now),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            lose_next: 0,
+            lose_probability,
+            report: LogReport::default(),
+        };
+        Self {
+            limits,
+            state: Mutex::new(state),
+            appended: watch::Sender::new(0),
+        }
+    }
+
+    pub(crate) fn report(&self) -> LogReport {
+        lock(&self.state).report
+    }
+
+    /// Loses the answers of the next `count` appends.
+    pub(crate) fn lose_next(&self, count: u64) {
+        lock(&self.state).lose_next = count;
+    }
+
+    /// Loses the answer of each append with this probability.
+    pub(crate) fn lose_with(&self, probability: f64) {
+        lock(&self.state).lose_probability = probability.clamp(0.0, 1.0);
+    }
+
+    /// Writes records within the rate.
+    pub(crate) fn append(&self, stream: &str, records: Vec<NewRecord>) -> AppendOutcome {
+        let now = Instant::now();
+        let count = records.len();
+        let mut state = lock(&self.state);
+        let fits = state.appends.fits(1.0, now) && state.records.fits(count as f64, now);
+        if !fits {
+            state.report.refused += 1;
+            return AppendOutcome::RateExceeded;
+        }
+        state.appends.take(1.0);
+        state.records.take(count as f64);
+        let first = self.write(&mut state, stream, records);
+        if state.loses_answer() {
+            state.report.lost_answers += 1;
+            return AppendOutcome::AnswerLost;
+        }
+        AppendOutcome::Done { first, count }
+    }
+
+    /// Writes a record past all limits.
+    pub(crate) fn inject(&self, stream: &str, record: NewRecord) -> Offset {
+        self.write(&mut lock(&self.state), stream, vec![record])
+    }
+
+    fn write(&self, state: &mut State, stream: &str, records: Vec<NewRecord>) -> Offset {
+        state.report.appends += 1;
+        state.report.records += records.len() as u64;
+        let log = state.streams.entry(stream.to_owned()).or_default();
+        let first = log.append(records, unix_now());
+        self.trim(log);
+        self.appended.send_modify(|n| *n += 1);
+        first
+    }
+
+    fn trim(&self, log: &mut LogStream) {
+        let oldest = unix_now() - self.limits.max_age;
+        log.trim(self.limits.max_records, oldest);
+    }
+
+    /// Reads a page; waits until there is something on it or `until`.
+    pub(crate) async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max: usize,
+        until: Instant,
+    ) -> LogPage {
+        let mut appended = self.appended.subscribe();
+        loop {
+            let page = self.page(stream, from, max);
+            let found = page.records.as_ref().is_none_or(|list| !list.is_empty());
+            if found || Instant::now() >= until {
+                return page;
+            }
+            // The sender lives as long as the log, and the next look ends a wait
+            // that has timed out.
+            let _ = timeout_at(until, appended.changed()).await;
+        }
+    }
+
+    fn page(&self, stream: &str, from: Offset, max: usize) -> LogPage {
+        let mut state = lock(&self.state);
+        let log = state.streams.entry(stream.to_owned()).or_default();
+        self.trim(log);
+        let records = match log.read(from, max) {
+            ReadOutcome::Records(records) => Some(records),
+            ReadOutcome::Trimmed => None,
+        };
+        LogPage {
+            start: log.start(),
+            end: log.end(),
+            records,
+        }
+    }
+}
+
+impl State {
+    fn loses_answer(&mut self) -> bool {
+        if self.lose_next > 0 {
+            self.lose_next -= 1;
+            return true;
+        }
+        self.rng.random_bool(self.lose_probability)
+    }
+}
+
+/// The time of day, as the log stamps records.
+fn unix_now() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Millis(since.unwrap_or_default().as_millis() as u64)
+}
+
+/// A time to wait from now.
+pub(crate) fn wait_until(wait_ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(wait_ms)
+}
--- /dev/null
+++ b/crates/standins/src/orders.rs
@@ -0,0 +1,184 @@
+//! Orders to an engine: weights, adapters and role.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use flamingolock_core::prelude::*;
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::client::call;
+use crate::engine_state::Engine;
+use crate::server::lock;
+
+/// Number of orders that the oracle keeps.
+const KEPT_ORDERS: usize = 1000;
+
+/// Whether an engine takes new requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Takes requests.
+    #[default]
+    Serve,
+    /// Finishes what it has and refuses the rest.
+    Drain,
+}
+
+/// What an order asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum Order {
+    /// Replace the weights.
+    LoadWeights {
+        /// Version to load.
+        version: WeightsVersion,
+    },
+    /// Hold one more adapter.
+    LoadAdapter {
+        /// Name of the adapter.
+        name: String,
+    },
+    /// Change the role.
+    SetRole {
+        /// Role from now on.
+        role: Role,
+    },
+}
+
+/// An order with its identity.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderRequest {
+    /// Unique id of the order.
+    pub id: String,
+    /// Larger for a later holder of the lease.
+    pub fencing: u64,
+    /// What to do.
+    pub order: Order,
+}
+
+/// An order that was carried out, as the oracle remembers it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderRecord {
+    /// The order.
+    pub request: OrderRequest,
+    /// True when an order with a larger number had been carried out before.
+    pub stale: bool,
+    /// Requests that it ended because the engine had not been drained.
+    pub cut: u64,
+}
+
+/// How an order ended.
+pub(crate) enum OrderOutcome {
+    Done,
+    StaleFencing,
+    StoreBusy,
+    StoreFailed,
+    /// The engine crashed meanwhile and never answers.
+    Lost,
+}
+
+/// Carries one order out; orders run one after the other.
+pub(crate) async fn carry_out(engine: Arc<Engine>, request: OrderRequest) -> OrderOutcome {
+    let incarnation = lock(&engine.state).memory.incarnation;
+    let _turn = engine.order_turn.lock().await;
+    if !engine.is_alive(incarnation) {
+        return OrderOutcome::Lost;
+    }
+    let Some(record) = accept(&engine, &request) else {
+        return OrderOutcome::StaleFencing;
+    };
+    match request.order {
+        Order::SetRole { role } => {
+            lock(&engine.state).role = role;
+            finish(&engine, record);
+            OrderOutcome::Done
+        }
+        Order::LoadAdapter { name } => load_adapter(&engine, record, incarnation, name).await,
+        Order::LoadWeights { version } => load_weights(&engine, record, incarnation, version).await,
+    }
+}
+
+fn accept(engine: &Engine, request: &OrderRequest) -> Option<OrderRecord> {
+    let mut state = lock(&engine.state);
+    let is_stale = request.fencing < state.fencing;
+    if is_stale && engine.options.checks_fencing {
+        return None;
+    }
+    state.fencing = state.fencing.max(request.fencing);
+    Some(OrderRecord {
+        request: request.clone(),
+        stale: is_stale,
+        cut: 0,
+    })
+}
+
+fn finish(engine: &Engine, record: OrderRecord) {
+    let mut state = lock(&engine.state);
+    if state.memory.report.orders.len() < KEPT_ORDERS {
+        state.memory.report.orders.push(record);
+    }
+    drop(state);
+    engine.work.notify_one();
+}
+
+async fn load_adapter(
+    engine: &Engine,
+    record: OrderRecord,
+    incarnation: Incarnation,
+    name: String,
+) -> OrderOutcome {
+    sleep(Duration::from_millis(engine.options.load_ms)).await;
+    engine.thawed().await;
+    if !engine.is_alive(incarnation) {
+        return OrderOutcome::Lost;
+    }
+    let mut state = lock(&engine.state);
+    if !state.adapters.contains(&name) {
+        state.adapters.push(name);
+    }
+    drop(state);
+    finish(engine, record);
+    OrderOutcome::Done
+}
+
+async fn load_weights(
+    engine: &Engine,
+    mut record: OrderRecord,
+    incarnation: Incarnation,
+    version: WeightsVersion,
+) -> OrderOutcome {
+    if lock(&engine.state).memory.weights == version {
+        finish(engine, record);
+        return OrderOutcome::Done;
+    }
+    record.cut = engine.begin_load();
+    let fetched = fetch(engine, &version).await;
+    engine.thawed().await;
+    if !engine.is_alive(incarnation) {
+        return OrderOutcome::Lost;
+    }
+    if let OrderOutcome::Done = fetched {
+        engine.end_load(Some(version));
+        finish(engine, record);
+    } else {
+        engine.end_load(None);
+    }
+    fetched
+}
+
+/// Loads weights from the store, which takes the time that a load takes.
+async fn fetch(engine: &Engine, version: &WeightsVersion) -> OrderOutcome {
+    let Some(store) = &engine.options.weight_store else {
+        sleep(Duration::from_millis(engine.options.load_ms)).await;
+        return OrderOutcome::Done;
+    };
+    let url = format!("{store}/weights/{version}");
+    match call(Method::GET, &url, Bytes::new()).await {
+        Ok((StatusCode::OK, _)) => OrderOutcome::Done,
+        Ok((StatusCode::TOO_MANY_REQUESTS, _)) => OrderOutcome::StoreBusy,
+        Ok(_) | Err(_) => OrderOutcome::StoreFailed,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/status.rs
@@ -0,0 +1,47 @@
+//! Status reports that lag behind the truth.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::time::Instant;
+
+/// Samples closer than this are merged, which bounds their number.
+const SAMPLE_GAP: Duration = Duration::from_millis(10);
+
+/// Recent states of an engine, oldest first.
+#[derive(Default)]
+pub(crate) struct StatusHistory {
+    samples: VecDeque<(Instant, Value)>,
+}
+
+impl StatusHistory {
+    /// Records the state at `now` and drops what no reader with `lag` can see.
+    pub(crate) fn record(&mut self, value: Value, now: Instant, lag: Duration) {
+        match self.samples.back_mut() {
+            Some((time, last)) if now.duration_since(*time) < SAMPLE_GAP => *last = value,
+            _ => self.samples.push_back((now, value)),
+        }
+        while self
+            .samples
+            .get(1)
+            .is_some_and(|(time, _)| *time + lag <= now)
+        {
+            self.samples.pop_front();
+        }
+    }
+
+    /// The state as it was `lag` ago, or the oldest known one.
+    pub(crate) fn seen(&self, now: Instant, lag: Duration) -> Option<&Value> {
+        let old = self
+            .samples
+            .iter()
+            .rev()
+            .find(|(time, _)| *time + lag <= now);
+        old.or(self.samples.front()).map(|(_, value)| value)
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.samples.clear();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/stores.rs
@@ -0,0 +1,127 @@
+//! The weight store with its limits, and the store of kept KV cache.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::http::{Body, empty, error, full, ok, retry_later};
+use crate::server::lock;
+
+/// Loads at once that the weight store serves at full speed.
+const FULL_SPEED_LOADS: u32 = 2;
+
+/// What the weight store has seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightsReport {
+    /// Loads that were served.
+    pub loads: u64,
+    /// Loads that were refused for the limit.
+    pub refused: u64,
+    /// Loads under way.
+    pub loading: u32,
+    /// Largest number of loads at once.
+    pub peak: u32,
+}
+
+/// Serves loads of weights, slower when more than two run at once.
+pub(crate) struct WeightStore {
+    load: Duration,
+    max_loads: u32,
+    report: Mutex<WeightsReport>,
+}
+
+impl WeightStore {
+    pub(crate) fn new(load: Duration, max_loads: u32) -> Self {
+        Self {
+            load,
+            max_loads,
+            report: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn report(&self) -> WeightsReport {
+        *lock(&self.report)
+    }
+
+    /// Serves one load, which takes as long as the load itself.
+    pub(crate) async fn load(self: &Arc<Self>, version: &str) -> Response<Body> {
+        let Some(slot) = self.begin() else {
+            let message = "too many loads at once";
+            return retry_later(StatusCode::TOO_MANY_REQUESTS, "load_limit", message);
+        };
+        sleep(self.load * slot.loading.max(FULL_SPEED_LOADS) / FULL_SPEED_LOADS).await;
+        ok(&json!({ "version": version, "loading": slot.loading }))
+    }
+
+    fn begin(self: &Arc<Self>) -> Option<LoadSlot> {
+        let mut report = lock(&self.report);
+        if report.loading >= self.max_loads {
+            report.refused += 1;
+            return None;
+        }
+        report.loads += 1;
+        report.loading += 1;
+        report.peak = report.peak.max(report.loading);
+        Some(LoadSlot {
+            store: self.clone(),
+            loading: report.loading,
+        })
+    }
+}
+
+/// One load under way; its drop makes room for another.
+struct LoadSlot {
+    store: Arc<WeightStore>,
+    /// Loads under way when this one began, itself included.
+    loading: u32,
+}
+
+impl Drop for LoadSlot {
+    fn drop(&mut self) {
+        lock(&self.store.report).loading -= 1;
+    }
+}
+
+/// Kept KV cache by key.
+#[derive(Default)]
+pub(crate) struct KvStore {
+    kept: Mutex<BTreeMap<String, Bytes>>,
+}
+
+impl KvStore {
+    /// Answers one call; an empty key asks for the list of keys.
+    pub(crate) fn answer(&self, method: &Method, key: &str, body: Bytes) -> Response<Body> {
+        let mut kept = lock(&self.kept);
+        match (method, key) {
+            (&Method::GET, "") => list(&kept),
+            (&Method::GET, _) => match kept.get(key) {
+                Some(bytes) => Response::new(full(bytes.clone())),
+                None => error(StatusCode::NOT_FOUND, "not_found", "no such key"),
+            },
+            (_, "") => error(StatusCode::BAD_REQUEST, "no_key", "the key is empty"),
+            (&Method::PUT, _) => {
+                kept.insert(key.to_owned(), body);
+                empty(StatusCode::NO_CONTENT)
+            }
+            (&Method::DELETE, _) => {
+                kept.remove(key);
+                empty(StatusCode::NO_CONTENT)
+            }
+            _ => empty(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+}
+
+fn list(kept: &BTreeMap<String, Bytes>) -> Response<Body> {
+    let keys = kept.iter();
+    let keys: Vec<_> = keys
+        .map(|(key, bytes)| json!({ "key": key, "bytes": bytes.len() }))
+        .collect();
+    ok(&json!({ "keys": keys }))
+}
--- /dev/null
+++ b/crates/standins/src/transfer.rs
@@ -0,0 +1,132 @@
+//! Export and import of cached blocks through the store of kept KV cache.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use flamingolock_core::prelude::*;
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep};
+
+use crate::cache::Origin;
+use crate::client::call;
+use crate::engine_state::Engine;
+use crate::events::{block_from_hex, block_hex};
+use crate::server::lock;
+
+/// Body of an export call.
+#[derive(Deserialize)]
+pub(crate) struct ExportRequest {
+    cache_salt: String,
+    blocks: Vec<String>,
+    url: String,
+}
+
+/// Body of an import call.
+#[derive(Deserialize)]
+pub(crate) struct ImportRequest {
+    cache_salt: String,
+    url: String,
+}
+
+/// What the store holds for a set of blocks.
+#[derive(Serialize, Deserialize)]
+struct KeptBlocks {
+    cache_salt: String,
+    weights: WeightsVersion,
+    blocks: Vec<String>,
+}
+
+/// Why blocks were not transferred.
+pub(crate) enum TransferError {
+    BadSalt,
+    BadBlock,
+    /// The kept blocks belong to another salt.
+    OtherSalt,
+    /// The store has no such key.
+    Missing,
+    /// The store does not answer as it should.
+    Store,
+    /// The engine crashed meanwhile and never answers.
+    Lost,
+}
+
+/// Puts those of the named blocks that are cached into the store.
+pub(crate) async fn export(
+    engine: &Engine,
+    request: ExportRequest,
+) -> Result<usize, TransferError> {
+    let salt = PrefixSeed::from_hex(&request.cache_salt).ok_or(TransferError::BadSalt)?;
+    let blocks = request.blocks.iter().map(|text| block_from_hex(text));
+    let blocks: Option<Vec<BlockHash>> = blocks.collect();
+    let mut blocks = blocks.ok_or(TransferError::BadBlock)?;
+    let (incarnation, weights) = {
+        let state = lock(&engine.state);
+        let held = |block: &BlockHash| {
+            state
+                .memory
+                .cache
+                .get(*block)
+                .is_some_and(|o| o.salt == salt)
+        };
+        blocks.retain(held);
+        (state.memory.incarnation, state.memory.weights.clone())
+    };
+    let kept = KeptBlocks {
+        cache_salt: salt.to_hex(),
+        weights,
+        blocks: blocks.iter().copied().map(block_hex).collect(),
+    };
+    sleep(transfer_time(engine, blocks.len())).await;
+    let text = serde_json::to_vec(&kept).expect("kept blocks hold only plain JSON types");
+    let answer = call(Method::PUT, &request.url, Bytes::from(text)).await;
+    engine.thawed().await;
+    if !engine.is_alive(incarnation) {
+        return Err(TransferError::Lost);
+    }
+    match answer {
+        Ok((status, _)) if status.is_success() => Ok(blocks.len()),
+        Ok(_) | Err(_) => Err(TransferError::Store),
+    }
+}
+
+/// Takes blocks from the store into the cache.
+pub(crate) async fn import(
+    engine: &Engine,
+    request: ImportRequest,
+) -> Result<usize, TransferError> {
+    let salt = PrefixSeed::from_hex(&request.cache_salt).ok_or(TransferError::BadSalt)?;
+    let incarnation = lock(&engine.state).memory.incarnation;
+    let text = match call(Method::GET, &request.url, Bytes::new()).await {
+        Ok((StatusCode::OK, text)) => text,
+        Ok((StatusCode::NOT_FOUND, _)) => return Err(TransferError::Missing),
+        Ok(_) | Err(_) => return Err(TransferError::Store),
+    };
+    let kept: KeptBlocks = serde_json::from_slice(&text).map_err(|_| TransferError::Store)?;
+    if kept.cache_salt != salt.to_hex() {
+        return Err(TransferError::OtherSalt);
+    }
+    let blocks = kept.blocks.iter().map(|text| block_from_hex(text));
+    let blocks: Option<Vec<BlockHash>> = blocks.collect();
+    let blocks = blocks.ok_or(TransferError::BadBlock)?;
+    sleep(transfer_time(engine, blocks.len())).await;
+    engine.thawed().await;
+    if !engine.is_alive(incarnation) {
+        return Err(TransferError::Lost);
+    }
+    let origin = Origin {
+        salt,
+        incarnation,
+        // The weights that the blocks were computed with, whatever is loaded now,
+        // so that the oracle notices a hit on blocks of other weights.
+        weights: kept.weights,
+    };
+    let now = Instant::now();
+    let stored = lock(&engine.state).memory.store(&blocks, &origin, now);
+    engine.work.notify_one();
+    Ok(stored)
+}
+
+fn transfer_time(engine: &Engine, blocks: usize) -> Duration {
+    Duration::from_secs_f64(engine.options.block_ms * blocks as f64 / 1000.0)
+}
