--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,206 @@
+//! A model engine: continuous batching, a prefix cache, orders and an oracle.
+//!
+//! Beside the engine's own paths it serves `GET /standin/oracle` and, as `POST`
+//! below `/standin/`, `crash`, `freeze?ms=`, `silence` and `cut`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flamingolock_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep_until};
+
+use crate::engine_http::handle;
+use crate::engine_state::Engine;
+use crate::error::StandinError;
+use crate::oracle::{FleetOracle, OracleReport};
+pub use crate::orders::{Order, OrderRecord, OrderRequest, Role};
+use crate::server::{Connections, Server, lock};
+
+/// How an engine behaves.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineOptions {
+    /// Name, as in the instance list.
+    pub engine: EngineId,
+    /// Model that it serves.
+    pub model: ModelName,
+    /// Weights that it holds at the start.
+    pub weights: WeightsVersion,
+    /// Adapters that it holds at the start.
+    pub adapters: Vec<String>,
+    /// Requests that are in the batch at once.
+    pub slots: usize,
+    /// Requests that may wait for a slot.
+    pub max_waiting: usize,
+    /// Prefill speed.
+    pub prefill_tokens_per_s: f64,
+    /// Time of one decode step.
+    pub decode_ms: f64,
+    /// Blocks that the prefix cache holds.
+    pub capacity_blocks: usize,
+    /// Time that an unused block stays cached; 0 means as long as it fits.
+    pub block_ttl_ms: u64,
+    /// Time to export or import one block.
+    pub block_ms: f64,
+    /// Time that a stream goes on, or is remembered, without a reader.
+    pub remember_ms: u64,
+    /// Age of what status reports tell.
+    pub status_lag_ms: u64,
+    /// Time from a change of the cache until its event can be read.
+    pub event_delay_ms: u64,
+    /// Probability that a cache event is never seen.
+    pub event_gap: f64,
+    /// Number of recent cache events that are kept.
+    pub event_ring: usize,
+    /// Time from a crash until the engine accepts connections again.
+    pub cold_start_ms: u64,
+    /// Whether a crash brings back the weights of the start.
+    pub forgets_weights: bool,
+    /// Base URL of the platform that holds the weights; absent means none.
+    pub weight_store: Option<String>,
+    /// Time to load an adapter, or weights when there is no store.
+    pub load_ms: u64,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// Seed of all chance.
+    pub seed: u64,
+    /// Blocks computed by all engines that share it.
+    #[serde(skip)]
+    pub fleet: Option<Arc<FleetOracle>>,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            engine: "engine-1".into(),
+            model: "model".into(),
+            weights: "w1".into(),
+            adapters: Vec::new(),
+            slots: 8,
+            max_waiting: 64,
+            prefill_tokens_per_s: 20_000.0,
+            decode_ms: 10.0,
+            capacity_blocks: 4096,
+            block_ttl_ms: 0,
+            block_ms: 0.1,
+            remember_ms: 10_000,
+            status_lag_ms: 100,
+            event_delay_ms: 50,
+            event_gap: 0.0,
+            event_ring: 4096,
+            cold_start_ms: 500,
+            forgets_weights: false,
+            weight_store: None,
+            load_ms: 300,
+            checks_fencing: true,
+            seed: 0,
+            fleet: None,
+        }
+    }
+}
+
+impl EngineOptions {
+    fn check(&self) -> Result<(), StandinError> {
+        let positive = |number: f64| number.is_finite() && number > 0.0;
+        let checks = [
+            ("slots", self.slots > 0),
+            ("prefill_tokens_per_s", positive(self.prefill_tokens_per_s)),
+            ("decode_ms", positive(self.decode_ms)),
+            ("block_ms", self.block_ms == 0.0 || positive(self.block_ms)),
+            ("event_gap", (0.0..=1.0).contains(&self.event_gap)),
+        ];
+        match checks.into_iter().find(|(_, fits)| !fits) {
+            Some((name, _)) => Err(StandinError::Option { name }),
+            None => Ok(()),
+        }
+    }
+}
+
+/// A running engine; dropping it stops the engine.
+pub struct Handle {
+    server: Server,
+    engine: Arc<Engine>,
+}
+
+impl Handle {
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// What truly happened so far.
+    pub fn oracle(&self) -> OracleReport {
+        lock(&self.engine.state).memory.report.clone()
+    }
+
+    /// The present incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        lock(&self.engine.state).memory.incarnation
+    }
+
+    /// The weights that are loaded.
+    pub fn weights(&self) -> WeightsVersion {
+        lock(&self.engine.state).memory.weights.clone()
+    }
+
+    /// Crashes: cuts all connections, loses the cache, and comes back as a larger
+    /// incarnation after the cold start.
+    pub fn crash(&self) {
+        self.engine.crash();
+    }
+
+    /// Stops computing and answering for `span`; connections stay open.
+    pub fn freeze(&self, span: Duration) {
+        self.engine.freeze(span);
+    }
+
+    /// Keeps present connections open with nothing passing for good.
+    pub fn silence_connections(&self) {
+        self.engine.connections.silence();
+    }
+
+    /// Closes all present connections.
+    pub fn cut_connections(&self) {
+        self.engine.connections.cut();
+    }
+}
+
+/// Starts an engine on `listen`.
+///
+/// # Errors
+///
+/// Fails when `listen` cannot be bound or an option is out of its range.
+pub async fn start(options: EngineOptions, listen: SocketAddr) -> Result<Handle, StandinError> {
+    options.check()?;
+    let connections = Connections::default();
+    let engine = Arc::new(Engine::new(options, connections.clone()));
+    let shared = engine.clone();
+    let handler = move |request| handle(shared.clone(), request);
+    let stop = connections.stop_token();
+    let server = Server::start(listen, connections, handler).await?;
+    let driven = engine.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = drive(&driven) => {}
+        }
+    });
+    Ok(Handle { server, engine })
+}
+
+/// Runs the batch for as long as the engine lives.
+async fn drive(engine: &Engine) {
+    loop {
+        let next = engine.step(Instant::now());
+        let work = engine.work.notified();
+        match next {
+            None => work.await,
+            Some(due) => tokio::select! {
+                () = work => {}
+                () = sleep_until(due) => {}
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine_http.rs
@@ -0,0 +1,228 @@
+//! The engine's HTTP paths.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use flamingolock_core::prelude::*;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::answer::ExpectedAnswer;
+use crate::batch::Job;
+use crate::engine_sse::{stream_response, whole_response};
+use crate::engine_state::{Engine, Refusal};
+use crate::http::{
+    Aborted, Body, Reply, control_connections, empty, error, ok, parse_json, query_u64, read_body,
+    retry_later,
+};
+use crate::orders::{OrderOutcome, OrderRequest, carry_out};
+use crate::server::lock;
+use crate::transfer::{TransferError, export, import};
+
+#[derive(Deserialize)]
+struct CompletionRequest {
+    model: ModelName,
+    prompt: String,
+    max_tokens: u32,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    priority: u8,
+    cache_salt: String,
+    request_id: String,
+    #[serde(default)]
+    start_index: u32,
+    #[serde(default)]
+    answer_so_far: String,
+}
+
+/// Answers one request.
+pub(crate) async fn handle(engine: Arc<Engine>, request: Request<Incoming>) -> Reply {
+    let method = request.method().clone();
+    let uri = request.uri().clone();
+    let body = read_body(request).await?;
+    let path: Vec<&str> = uri.path().trim_start_matches('/').split('/').collect();
+    match (method, path.as_slice()) {
+        (Method::GET, ["v1", "status"]) => Ok(ok(&engine.status())),
+        (Method::POST, ["v1", "completions"]) => complete(&engine, &body).await,
+        (Method::GET, ["v1", "streams", id]) => {
+            let from = query_u64(&uri, "from", 0) as u32;
+            Ok(match engine.resume(id) {
+                Some(reader) => stream_response(reader, from),
+                None => unknown_stream(),
+            })
+        }
+        (Method::DELETE, ["v1", "streams", id]) => Ok(if engine.cancel(id) {
+            empty(StatusCode::NO_CONTENT)
+        } else {
+            unknown_stream()
+        }),
+        (Method::GET, ["v1", "events"]) => {
+            let after = query_u64(&uri, "after", 0);
+            let wait = Duration::from_millis(query_u64(&uri, "wait_ms", 0));
+            Ok(ok(&engine.events(after, Instant::now() + wait).await))
+        }
+        (Method::POST, ["v1", "orders"]) => obey(engine, &body).await,
+        (Method::POST, ["v1", "kv", direction]) => transfer(engine, direction, &body).await,
+        (Method::GET, ["standin", "oracle"]) => Ok(ok(&lock(&engine.state).memory.report)),
+        (Method::POST, ["standin", action]) => {
+            let span = Duration::from_millis(query_u64(&uri, "ms", 0));
+            Ok(control(&engine, action, span))
+        }
+        _ => Ok(error(StatusCode::NOT_FOUND, "not_found", "no such path")),
+    }
+}
+
+fn control(engine: &Engine, action: &str, span: Duration) -> Response<Body> {
+    match action {
+        "crash" => engine.crash(),
+        "freeze" => engine.freeze(span),
+        _ => return control_connections(&engine.connections, action, span),
+    }
+    empty(StatusCode::NO_CONTENT)
+}
+
+async fn obey(engine: Arc<Engine>, body: &[u8]) -> Reply {
+    let request: OrderRequest = match parse_json(body) {
+        Ok(request) => request,
+        Err(response) => return Ok(*response),
+    };
+    // An order runs to its end even when its caller leaves.
+    let outcome = tokio::spawn(carry_out(engine, request));
+    match outcome.await.map_err(|_| Aborted)? {
+        OrderOutcome::Done => Ok(ok(&json!({ "done": true }))),
+        OrderOutcome::StaleFencing => {
+            let message = "an order with a larger fencing number came before";
+            Ok(error(StatusCode::CONFLICT, "stale_fencing", message))
+        }
+        OrderOutcome::StoreBusy => {
+            let message = "the weight store limits its rate";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Ok(retry_later(status, "weight_store_busy", message))
+        }
+        OrderOutcome::StoreFailed => {
+            let message = "the weight store does not answer";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Ok(retry_later(status, "weight_store_failed", message))
+        }
+        OrderOutcome::Lost => Err(Aborted),
+    }
+}
+
+async fn transfer(engine: Arc<Engine>, direction: &str, body: &[u8]) -> Reply {
+    let (count, label) = match direction {
+        "export" => match parse_json(body) {
+            Ok(request) => (export(&engine, request).await, "exported"),
+            Err(response) => return Ok(*response),
+        },
+        "import" => match parse_json(body) {
+            Ok(request) => (import(&engine, request).await, "imported"),
+            Err(response) => return Ok(*response),
+        },
+        _ => return Ok(error(StatusCode::NOT_FOUND, "not_found", "no such path")),
+    };
+    match count {
+        Ok(count) => Ok(ok(&json!({ label: count }))),
+        Err(TransferError::BadSalt) => Ok(bad_salt()),
+        Err(TransferError::BadBlock) => {
+            let message = "a block is not 16 hexadecimal digits";
+            Ok(bad_request("bad_block", message))
+        }
+        Err(TransferError::OtherSalt) => {
+            let message = "the kept blocks belong to another salt";
+            Ok(bad_request("other_salt", message))
+        }
+        Err(TransferError::Missing) => {
+            let message = "the store has no such key";
+            Ok(error(StatusCode::NOT_FOUND, "not_found", message))
+        }
+        Err(TransferError::Store) => {
+            let message = "the store does not answer as it should";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            Ok(retry_later(status, "store_failed", message))
+        }
+        Err(TransferError::Lost) => Err(Aborted),
+    }
+}
+
+fn bad_salt() -> Response<Body> {
+    bad_request("bad_salt", "cache_salt is not 32 hexadecimal digits")
+}
+
+fn unknown_stream() -> Response<Body> {
+    error(StatusCode::NOT_FOUND, "unknown_stream", "no such stream")
+}
+
+fn bad_request(code: &str, message: &str) -> Response<Body> {
+    error(StatusCode::BAD_REQUEST, code, message)
+}
+
+async fn complete(engine: &Arc<Engine>, body: &[u8]) -> Reply {
+    let request: CompletionRequest = match parse_json(body) {
+        Ok(request) => request,
+        Err(response) => return Ok(*response),
+    };
+    let streams = request.stream;
+    let job = match job_of(engine, request) {
+        Ok(job) => job,
+        Err(response) => return Ok(*response),
+    };
+    let first = job.first;
+    let reader = match engine.submit(job) {
+        Ok(reader) => reader,
+        Err(refusal) => return Ok(refused(&refusal)),
+    };
+    if streams {
+        return Ok(stream_response(reader, first));
+    }
+    whole_response(reader).await
+}
+
+fn refused(refusal: &Refusal) -> Response<Body> {
+    match refusal {
+        Refusal::LineFull => {
+            let message = "the waiting line is full";
+            retry_later(StatusCode::TOO_MANY_REQUESTS, "line_full", message)
+        }
+        Refusal::Loading => {
+            let message = "the weights are being loaded";
+            error(StatusCode::CONFLICT, "weights_not_loaded", message)
+        }
+        Refusal::Draining => {
+            let message = "the engine finishes what it has";
+            error(StatusCode::CONFLICT, "draining", message)
+        }
+    }
+}
+
+fn job_of(engine: &Engine, request: CompletionRequest) -> Result<Job, Box<Response<Body>>> {
+    let refuse = |code, message| Err(Box::new(bad_request(code, message)));
+    if request.model != engine.options.model {
+        return refuse("unknown_model", "this engine does not serve the model");
+    }
+    let Some(salt) = PrefixSeed::from_hex(&request.cache_salt) else {
+        return Err(Box::new(bad_salt()));
+    };
+    if request.max_tokens <= request.start_index {
+        return refuse("bad_length", "max_tokens does not exceed start_index");
+    }
+    let answer = ExpectedAnswer::new(request.prompt.as_bytes());
+    if answer.text(request.start_index) != request.answer_so_far {
+        return refuse("bad_answer", "answer_so_far does not belong to the prompt");
+    }
+    let prompt_tokens = PrefixChain::new(salt, request.prompt.as_bytes()).tokens;
+    let prefix = request.prompt + &request.answer_so_far;
+    Ok(Job {
+        request_id: request.request_id,
+        answer,
+        salt,
+        chain: PrefixChain::new(salt, prefix.as_bytes()),
+        prompt_tokens,
+        priority: request.priority,
+        first: request.start_index,
+        count: request.max_tokens,
+    })
+}
