--- a/crates/cli/src/bin/flamingoctl.rs
+++ b/crates/cli/src/bin/flamingoctl.rs
@@ -1,3 +1,56 @@
-//! Program entry.
+//! The operators' and experimenters' tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use clap_complete::Shell;
+use flamingolock_cli::commands::{demo, load, standin};
+use flamingolock_cli::exit::{self, CommandError};
+use flamingolock_cli::logging;
+use log::LevelFilter;
+
+/// Publishes manifests, shows the state of a fleet, and runs experiments.
+#[derive(Debug, Parser)]
+#[command(name = "flamingoctl", version)]
+struct Arguments {
+    /// Least severe log lines to write.
+    #[arg(long, value_name = "LEVEL", default_value = "warn", global = true)]
+    log: LevelFilter,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs a whole fleet in one process under a mixed load.
+    Demo(demo::DemoArguments),
+    /// Sends load to a fleet that runs already.
+    Load(load::LoadArguments),
+    /// Runs a stand-in of an outside system.
+    #[command(subcommand)]
+    Standin(standin::StandinCommand),
+    /// Prints a completion script for a shell.
+    Completions {
+        /// Shell to write for.
+        shell: Shell,
+    },
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let logging = logging::start(arguments.log, None);
+    exit::finish(logging.and_then(|()| run(arguments.command)))
+}
+
+fn run(command: Command) -> Result<(), CommandError> {
+    match command {
+        Command::Demo(arguments) => demo::run(&arguments),
+        Command::Load(arguments) => load::run(&arguments),
+        Command::Standin(command) => standin::run(command),
+        Command::Completions { shell } => {
+            let mut command = Arguments::command();
+            clap_complete::generate(shell, &mut command, "flamingoctl", &mut std::io::stdout());
+            Ok(())
+        }
+    }
+}
--- a/crates/cli/src/bin/flamingolock.rs
+++ b/crates/cli/src/bin/flamingolock.rs
@@ -1,3 +1,98 @@
-//! Program entry.
+//! The node: one entry instance between callers and endpoints.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use flamingolock_cli::exit::{self, CommandError};
+use flamingolock_cli::logging;
+use flamingolock_node::node::Node;
+use flamingolock_node::settings::{self, Settings};
+use log::LevelFilter;
+
+/// Runs one node. Settings: defaults, then --config, then `FLAMINGOLOCK_SECTION__KEY`
+/// variables, then --set.
+#[derive(Debug, Parser)]
+#[command(name = "flamingolock", version)]
+struct Arguments {
+    /// Settings file in TOML.
+    #[arg(long, value_name = "FILE", global = true)]
+    config: Option<PathBuf>,
+    /// Sets one key, as in `--set node.name=entry-1`; may be repeated.
+    #[arg(long, value_name = "KEY=VALUE", global = true)]
+    set: Vec<String>,
+    /// Least severe log lines to write.
+    #[arg(long, value_name = "LEVEL", default_value = "info", global = true)]
+    log: LevelFilter,
+    /// Writes the log to this file in place of standard error.
+    #[arg(long, value_name = "FILE", global = true)]
+    log_file: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Action>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Action {
+    /// Serves until SIGTERM, then finishes what is in progress (the default).
+    Run,
+    /// Checks the settings and prints them as they would be used.
+    Check,
+}
+
+fn main() -> ExitCode {
+    exit::finish(run(&Arguments::parse()))
+}
+
+fn run(arguments: &Arguments) -> Result<(), CommandError> {
+    let settings = settings::load(
+        arguments.config.as_deref(),
+        std::env::vars(),
+        &arguments.set,
+    )
+    .map_err(|error| CommandError::Usage(error.to_string()))?;
+    match arguments.command {
+        Some(Action::Check) => print_settings(settings),
+        Some(Action::Run) | None => serve(arguments, settings),
+    }
+}
+
+fn print_settings(mut settings: Settings) -> Result<(), CommandError> {
+    // Secrets stay out of terminals and logs.
+    "(set)".clone_into(&mut settings.fleet.key);
+    if !settings.operators.token.is_empty() {
+        "(set)".clone_into(&mut settings.operators.token);
+    }
+    let text =
+        toml::to_string(&settings).map_err(|error| CommandError::Usage(error.to_string()))?;
+    print!("{text}");
+    Ok(())
+}
+
+fn serve(arguments: &Arguments, settings: Settings) -> Result<(), CommandError> {
+    logging::start(arguments.log, arguments.log_file.as_deref())?;
+    let node = Node::start(settings).map_err(|error| CommandError::Usage(error.to_string()))?;
+    println!("listening on {}", node.address());
+    wait_for_signal()?;
+    log::info!("shutting down");
+    node.shutdown();
+    Ok(())
+}
+
+/// Blocks until SIGTERM or SIGINT.
+fn wait_for_signal() -> Result<(), CommandError> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let failed = |error: std::io::Error| CommandError::Usage(format!("signals: {error}"));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(failed)?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/cli/src/commands.rs
@@ -0,0 +1,5 @@
+//! One module for each subcommand of `flamingoctl`.
+
+pub mod demo;
+pub mod load;
+pub mod standin;
--- /dev/null
+++ b/crates/cli/src/commands/standin.rs
@@ -0,0 +1,119 @@
+//! `flamingoctl standin`: stand-ins of outside systems as plain processes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use clap::{Args, Subcommand};
+use flamingolock_standins::{engine, platform, proxy, service};
+use serde::de::DeserializeOwned;
+use tokio::runtime::Runtime;
+
+use crate::exit::CommandError;
+
+/// Which stand-in to run.
+#[derive(Debug, Subcommand)]
+pub enum StandinCommand {
+    /// Log service, instance list, weight store and store of kept KV cache.
+    Platform(StandinArguments),
+    /// A model engine.
+    Engine(StandinArguments),
+    /// A plain service.
+    Service(StandinArguments),
+    /// A fault-injecting TCP proxy.
+    Proxy(ProxyArguments),
+}
+
+/// Arguments of most stand-ins.
+#[derive(Debug, Args)]
+pub struct StandinArguments {
+    /// Address to listen on; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// File in TOML with the stand-in's options.
+    #[arg(long, value_name = "FILE")]
+    options: Option<PathBuf>,
+    /// Sets one option, as in `--set slots=4`; may be repeated.
+    #[arg(long, value_name = "KEY=VALUE")]
+    set: Vec<String>,
+}
+
+/// Arguments of the proxy.
+#[derive(Debug, Args)]
+pub struct ProxyArguments {
+    /// Address to listen on; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Address to pass connections on to.
+    #[arg(long)]
+    target: SocketAddr,
+}
+
+/// Runs a stand-in until the process is ended.
+///
+/// # Errors
+///
+/// When options cannot be used or the port is taken.
+pub fn run(command: StandinCommand) -> Result<(), CommandError> {
+    let runtime =
+        Runtime::new().map_err(|error| CommandError::Usage(format!("threads: {error}")))?;
+    match command {
+        StandinCommand::Platform(arguments) => {
+            let started = platform::start(options(&arguments)?, arguments.listen);
+            let handle = runtime.block_on(started).map_err(start_error)?;
+            serve(&runtime, handle.addr());
+        }
+        StandinCommand::Engine(arguments) => {
+            let started = engine::start(options(&arguments)?, arguments.listen);
+            let handle = runtime.block_on(started).map_err(start_error)?;
+            serve(&runtime, handle.addr());
+        }
+        StandinCommand::Service(arguments) => {
+            let started = service::start(options(&arguments)?, arguments.listen);
+            let handle = runtime.block_on(started).map_err(start_error)?;
+            serve(&runtime, handle.addr());
+        }
+        StandinCommand::Proxy(arguments) => {
+            let started = proxy::start(arguments.listen, arguments.target);
+            let handle = runtime.block_on(started).map_err(start_error)?;
+            serve(&runtime, handle.addr());
+        }
+    }
+    Ok(())
+}
+
+fn serve(runtime: &Runtime, address: SocketAddr) {
+    println!("listening on {address}");
+    runtime.block_on(std::future::pending::<()>());
+}
+
+fn start_error(error: impl std::fmt::Display) -> CommandError {
+    CommandError::Usage(error.to_string())
+}
+
+/// Reads options from the file, then from `--set`.
+fn options<T: DeserializeOwned>(arguments: &StandinArguments) -> Result<T, CommandError> {
+    let mut text = match &arguments.options {
+        Some(path) => std::fs::read_to_string(path)
+            .map_err(|error| CommandError::Usage(format!("{}: {error}", path.display())))?,
+        None => String::new(),
+    };
+    for set in &arguments.set {
+        let Some((key, value)) = set.split_once('=') else {
+            return Err(CommandError::Usage(format!("--set {set}: write KEY=VALUE")));
+        };
+        let bare = toml::from_str::<toml::Table>(&format!("{key} = {value}")).is_err();
+        let line = if bare {
+            format!("{key} = \"{value}\"\n")
+        } else {
+            format!("{key} = {value}\n")
+        };
+        text = format!("{line}{text}");
+    }
+    toml::from_str(&text).map_err(|error| {
+        let origin = arguments
+            .options
+            .as_ref()
+            .map_or_else(|| "--set".to_owned(), |path| path.display().to_string());
+        CommandError::Usage(format!("{origin}: {error}"))
+    })
+}
--- a/crates/core/src/manifest.rs
+++ b/crates/core/src/manifest.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{KindName, Millis, ModelName, ServiceName, WeightsVersion, WorkspaceId};
+use crate::ids::{EngineId, KindName, Millis, ModelName, ServiceName, WeightsVersion, WorkspaceId};
 
 /// A customer: share, limits and the keys that its callers present.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -87,6 +87,10 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
+    /// Instances that run the service, by their names in the platform's list;
+    /// empty means every instance of kind `service`.
+    #[serde(default)]
+    pub endpoints: Vec<String>,
     /// Path of a look-up by call id at the service, with `{id}` in it.
     #[serde(default)]
     pub lookup_path: Option<String>,
@@ -114,5 +118,5 @@
     /// Services by name.
     pub services: BTreeMap<ServiceName, Service>,
     /// Engine policies by engine name; an absent engine does not check fencing.
-    pub engines: BTreeMap<crate::ids::EngineId, EnginePolicy>,
+    pub engines: BTreeMap<EngineId, EnginePolicy>,
 }
--- /dev/null
+++ b/crates/experiment/src/caller.rs
@@ -0,0 +1,370 @@
+//! A caller: asks the system for its entries, keeps the answer for its lifetime,
+//! connects there, and checks every answer.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use flamingolock_core::prelude::*;
+use flamingolock_node::sse::SseReader;
+use flamingolock_standins::answer::ExpectedAnswer;
+use flamingolock_standins::service::expected_reply;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Deserialize;
+
+use crate::outcome::{End, Outcome};
+use crate::workload::{Arrival, MODEL, Work, workspace_key};
+
+/// Entries that a caller tries before it counts a request as lost.
+const MAX_TRIES: usize = 4;
+
+/// Longest silence that a caller accepts.
+const PATIENCE: Duration = Duration::from_mins(1);
+
+/// Callers of all workspaces, with one connection pool.
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    seeds: Vec<SocketAddr>,
+    entries: Mutex<std::collections::BTreeMap<WorkspaceId, Known>>,
+}
+
+#[derive(Clone)]
+struct Known {
+    addresses: Vec<SocketAddr>,
+    until: Instant,
+    token: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct EntriesBody {
+    entries: Vec<SocketAddr>,
+    lifetime_ms: u64,
+    #[serde(default)]
+    token: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ChunkBody {
+    #[serde(default)]
+    choices: Vec<ChunkChoice>,
+    #[serde(default)]
+    usage: Option<ChunkUsage>,
+    #[serde(default)]
+    error: Option<ErrorBody>,
+}
+
+#[derive(Deserialize)]
+struct ChunkChoice {
+    #[serde(default)]
+    text: String,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ChunkUsage {
+    prompt_tokens: u32,
+    #[serde(default)]
+    prompt_tokens_details: PromptDetails,
+}
+
+#[derive(Default, Deserialize)]
+struct PromptDetails {
+    #[serde(default)]
+    cached_tokens: u32,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    #[serde(default)]
+    code: String,
+    #[serde(default)]
+    outcome: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct ErrorEnvelope {
+    error: ErrorBody,
+}
+
+impl Caller {
+    /// Callers that learn their entries from any of `seeds`.
+    pub fn new(seeds: Vec<SocketAddr>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_secs(1)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(5))
+            .build(connector);
+        Self {
+            client,
+            seeds,
+            entries: Mutex::default(),
+        }
+    }
+
+    /// Makes one request and follows it to its end.
+    pub async fn run(&self, arrival: &Arrival) -> Outcome {
+        let mut outcome = Outcome {
+            number: arrival.number,
+            at: arrival.at,
+            workspace: arrival.workspace.clone(),
+            kind: arrival.kind.clone(),
+            end: End::Lost,
+            first_us: 0,
+            gap_us: 0,
+            prompt_tokens: 0,
+            cached_tokens: 0,
+            once_body: None,
+        };
+        match &arrival.work {
+            Work::Completion { prompt, answer } => {
+                self.complete(arrival, prompt, *answer, &mut outcome).await;
+            }
+            Work::Call { body, once } => self.call(arrival, body, *once, &mut outcome).await,
+        }
+        outcome
+    }
+
+    async fn complete(&self, arrival: &Arrival, prompt: &str, answer: u32, outcome: &mut Outcome) {
+        let body = serde_json::json!({
+            "model": MODEL, "prompt": prompt, "max_tokens": answer, "stream": true,
+        })
+        .to_string();
+        let started = Instant::now();
+        for place in 0..MAX_TRIES {
+            let Some((entry, _)) = self.entry(&arrival.workspace, place).await else {
+                continue;
+            };
+            let request = Request::post(format!("http://{entry}/v1/completions"))
+                .header(header::AUTHORIZATION, bearer(&arrival.workspace))
+                .header(header::CONTENT_TYPE, "application/json")
+                .header("x-request-kind", arrival.kind.as_str())
+                .body(Full::new(Bytes::from(body.clone())));
+            let Ok(request) = request else { return };
+            let Some(response) = self.send(request).await else {
+                self.forget(&arrival.workspace);
+                continue;
+            };
+            if response.status() != StatusCode::OK {
+                outcome.end = refused(response).await;
+                return;
+            }
+            outcome.end = follow(response, prompt, answer, started, outcome).await;
+            return;
+        }
+    }
+
+    async fn call(&self, arrival: &Arrival, body: &str, once: bool, outcome: &mut Outcome) {
+        outcome.once_body = once.then(|| body.to_owned());
+        let started = Instant::now();
+        let mut key = None;
+        for place in 0..MAX_TRIES {
+            let Some((entry, token)) = self.entry(&arrival.workspace, place).await else {
+                continue;
+            };
+            let key = key.get_or_insert_with(|| {
+                // The number makes one token serve many keys.
+                token.map_or_else(
+                    || format!("plain-{}-{}", arrival.workspace, hash(body)),
+                    |token| format!("{token}.{}", hash(body)),
+                )
+            });
+            let uri = format!("http://{entry}/v1/calls/{}", arrival.kind);
+            let mut request = Request::post(uri)
+                .header(header::AUTHORIZATION, bearer(&arrival.workspace))
+                .header(header::CONTENT_TYPE, "application/json");
+            if once {
+                request = request.header("idempotency-key", key.as_str());
+            }
+            let Ok(request) = request.body(Full::new(Bytes::from(body.to_owned()))) else {
+                return;
+            };
+            let Some(response) = self.send(request).await else {
+                self.forget(&arrival.workspace);
+                continue;
+            };
+            outcome.end = judge_call(response, body).await;
+            outcome.first_us = started.elapsed().as_micros() as u64;
+            return;
+        }
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Option<Response<Incoming>> {
+        let answer = tokio::time::timeout(PATIENCE, self.client.request(request)).await;
+        answer.ok()?.ok()
+    }
+
+    /// The entry at `place` of the workspace's list, and the token that came with it.
+    async fn entry(
+        &self,
+        workspace: &WorkspaceId,
+        place: usize,
+    ) -> Option<(SocketAddr, Option<String>)> {
+        let known = match self.known(workspace) {
+            Some(known) => known,
+            None => self.learn(workspace, place).await?,
+        };
+        let address = *known.addresses.get(place % known.addresses.len().max(1))?;
+        Some((address, known.token))
+    }
+
+    fn known(&self, workspace: &WorkspaceId) -> Option<Known> {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries
+            .get(workspace)
+            .filter(|known| known.until > Instant::now())
+            .cloned()
+    }
+
+    fn forget(&self, workspace: &WorkspaceId) {
+        self.entries
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(workspace);
+    }
+
+    async fn learn(&self, workspace: &WorkspaceId, place: usize) -> Option<Known> {
+        for turn in 0..self.seeds.len() {
+            let spread = flamingolock_core::rendezvous::key(workspace.as_str()) as usize;
+            let seed = self.seeds[(spread + place + turn) % self.seeds.len()];
+            let request = Request::get(format!("http://{seed}/v1/entries"))
+                .header(header::AUTHORIZATION, bearer(workspace))
+                .body(Full::default())
+                .ok()?;
+            let asked = tokio::time::timeout(Duration::from_secs(1), self.client.request(request));
+            let Ok(Ok(response)) = asked.await else {
+                continue;
+            };
+            let Ok(body) = response.into_body().collect().await else {
+                continue;
+            };
+            let Ok(body) = serde_json::from_slice::<EntriesBody>(&body.to_bytes()) else {
+                continue;
+            };
+            if body.entries.is_empty() {
+                continue;
+            }
+            let known = Known {
+                addresses: body.entries,
+                until: Instant::now() + Duration::from_millis(body.lifetime_ms),
+                token: body.token,
+            };
+            let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+            entries.insert(workspace.clone(), known.clone());
+            return Some(known);
+        }
+        None
+    }
+}
+
+fn bearer(workspace: &WorkspaceId) -> String {
+    format!("Bearer {}", workspace_key(workspace))
+}
+
+fn hash(body: &str) -> String {
+    format!("{:016x}", flamingolock_core::rendezvous::key(body))
+}
+
+async fn refused(response: Response<Incoming>) -> End {
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await;
+    let bytes = body
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
+    let Ok(envelope) = serde_json::from_slice::<ErrorEnvelope>(&bytes) else {
+        return End::Refused {
+            status,
+            code: String::new(),
+        };
+    };
+    let code = envelope.error.code;
+    match envelope.error.outcome.as_deref() {
+        Some("not_run") => End::NotRun { code },
+        Some("unknown") => End::Unknown { code },
+        _ => End::Refused { status, code },
+    }
+}
+
+async fn judge_call(response: Response<Incoming>, body: &str) -> End {
+    if response.status() != StatusCode::OK {
+        return refused(response).await;
+    }
+    let id = response
+        .headers()
+        .get("x-call-id")
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let Ok(answer) = response.into_body().collect().await else {
+        return End::Incomplete;
+    };
+    if answer.to_bytes() == expected_reply(&id, body.as_bytes()).as_bytes() {
+        End::Answered
+    } else {
+        End::Mixed
+    }
+}
+
+/// Reads a stream to its end and compares every piece with the one expected.
+async fn follow(
+    response: Response<Incoming>,
+    prompt: &str,
+    answer: u32,
+    started: Instant,
+    outcome: &mut Outcome,
+) -> End {
+    let expected = ExpectedAnswer::new(prompt.as_bytes());
+    let mut reader = SseReader::new(response.into_body());
+    let mut index = 0;
+    let mut finished = false;
+    let mut last = started;
+    loop {
+        let data = match tokio::time::timeout(PATIENCE, reader.next()).await {
+            Err(_) | Ok(Err(_) | Ok(None)) => return End::Incomplete,
+            Ok(Ok(Some(data))) => data,
+        };
+        if data == "[DONE]" {
+            let whole = finished && index == answer;
+            return if whole {
+                End::Answered
+            } else {
+                End::Incomplete
+            };
+        }
+        let Ok(chunk) = serde_json::from_str::<ChunkBody>(&data) else {
+            return End::Mixed;
+        };
+        if let Some(error) = chunk.error {
+            return End::Failed { code: error.code };
+        }
+        if let Some(usage) = chunk.usage {
+            outcome.prompt_tokens = usage.prompt_tokens;
+            outcome.cached_tokens = usage.prompt_tokens_details.cached_tokens;
+        }
+        for choice in chunk.choices {
+            if choice.finish_reason.is_some() {
+                finished = true;
+                continue;
+            }
+            if choice.text != expected.token(index) {
+                return End::Mixed;
+            }
+            let now = Instant::now();
+            if index == 0 {
+                outcome.first_us = (now - started).as_micros() as u64;
+            } else {
+                outcome.gap_us = outcome.gap_us.max((now - last).as_micros() as u64);
+            }
+            last = now;
+            index += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/demo.rs
@@ -0,0 +1,50 @@
+//! The main job: a fleet, a mixed load, and figures.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use crate::caller::Caller;
+use crate::fleet::{Fleet, FleetError, FleetOptions};
+use crate::load;
+use crate::report::{Row, Summary, rows};
+use crate::workload::Profile;
+
+/// Size of a demo.
+#[derive(Clone, Debug)]
+pub struct DemoOptions {
+    /// Length of the load.
+    pub seconds: f64,
+    /// Requests a second.
+    pub rate: f64,
+    /// Seed of the load.
+    pub seed: u64,
+}
+
+/// Figures of a demo.
+#[derive(Clone, Debug)]
+pub struct DemoReport {
+    /// By workspace and request kind.
+    pub rows: Vec<Row>,
+    /// Over all.
+    pub summary: Summary,
+}
+
+/// Runs a fleet under a mixed load. `progress` counts ended requests.
+///
+/// # Errors
+///
+/// When the fleet cannot start.
+pub fn run(options: &DemoOptions, progress: &Arc<AtomicU64>) -> Result<DemoReport, FleetError> {
+    let profile = Profile::mixed(options.rate);
+    let fleet = Fleet::start(FleetOptions::default())?;
+    fleet.publish(&profile.manifest())?;
+    let caller = Arc::new(Caller::new(fleet.entries()));
+    let arrivals = profile.arrivals(options.seconds, options.seed);
+    let sending = load::send(caller, arrivals, Arc::clone(progress));
+    let outcomes = fleet.runtime().block_on(sending);
+    let summary = Summary::new(&outcomes, &fleet.counts());
+    Ok(DemoReport {
+        rows: rows(&outcomes),
+        summary,
+    })
+}
--- /dev/null
+++ b/crates/experiment/src/fleet.rs
@@ -0,0 +1,278 @@
+//! A whole fleet in one process, on loopback ports.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use flamingolock_core::manifest::Manifest;
+use flamingolock_core::prelude::*;
+use flamingolock_node::node::{Node, NodeError};
+use flamingolock_node::settings::{RoutingSettings, Settings};
+use flamingolock_standins::engine::{self, EngineOptions};
+use flamingolock_standins::error::StandinError;
+use flamingolock_standins::oracle::FleetOracle;
+use flamingolock_standins::platform::{
+    self, Instance, InstanceKind, InstanceState, PlatformOptions,
+};
+use flamingolock_standins::service::{self, ServiceOptions};
+use thiserror::Error;
+use tokio::runtime::Runtime;
+
+use crate::report::EndpointCounts;
+use crate::workload::{MODEL, WEIGHTS};
+
+/// Secret of fleets that live in one process.
+const FLEET_KEY: &str = "fleet-key-for-one-process";
+
+/// Token of the operators' port.
+const OPERATOR_TOKEN: &str = "operator-token-for-one-process";
+
+/// Why a fleet could not start.
+#[derive(Debug, Error)]
+pub enum FleetError {
+    /// A stand-in could not start.
+    #[error("stand-in: {0}")]
+    Standin(#[from] StandinError),
+    /// A node could not start.
+    #[error("node: {0}")]
+    Node(#[from] NodeError),
+    /// The system gave no thread.
+    #[error("thread: {0}")]
+    Thread(#[from] std::io::Error),
+    /// The manifest could not be published.
+    #[error("publishing the manifest: {0}")]
+    Publish(Box<ureq::Error>),
+    /// Nodes did not come into service in time.
+    #[error("the nodes were not ready within {ms} ms")]
+    NotReady {
+        /// Time allowed.
+        ms: u64,
+    },
+}
+
+/// Size and behaviour of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Number of model engines.
+    pub engines: usize,
+    /// Number of service instances.
+    pub services: usize,
+    /// Availability zones over which all are spread.
+    pub zones: usize,
+    /// Behaviour of each engine; the name is set for each.
+    pub engine: EngineOptions,
+    /// Behaviour of the services.
+    pub service: ServiceOptions,
+    /// Behaviour of the platform.
+    pub platform: PlatformOptions,
+    /// Routing policy of the nodes.
+    pub routing: RoutingSettings,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        let engine = EngineOptions {
+            model: ModelName::from(MODEL),
+            weights: WeightsVersion::from(WEIGHTS),
+            ..EngineOptions::default()
+        };
+        Self {
+            nodes: 3,
+            engines: 3,
+            services: 1,
+            zones: 3,
+            engine,
+            service: ServiceOptions::default(),
+            platform: PlatformOptions::default(),
+            routing: RoutingSettings::default(),
+        }
+    }
+}
+
+/// A running fleet. Dropping it stops all parts.
+pub struct Fleet {
+    /// Nodes by name.
+    pub nodes: BTreeMap<String, Node>,
+    /// Engines by name.
+    pub engines: BTreeMap<String, engine::Handle>,
+    /// Services by name.
+    pub services: BTreeMap<String, service::Handle>,
+    /// The platform.
+    pub platform: platform::Handle,
+    options: FleetOptions,
+    runtime: Runtime,
+}
+
+impl Fleet {
+    /// Starts platform, engines, services and nodes, and lists them.
+    ///
+    /// # Errors
+    ///
+    /// When a part cannot start.
+    pub fn start(options: FleetOptions) -> Result<Self, FleetError> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(3)
+            .thread_name("standins")
+            .enable_all()
+            .build()?;
+        let platform = runtime.block_on(platform::start(options.platform.clone(), loopback()))?;
+        let mut fleet = Self {
+            nodes: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            platform,
+            options,
+            runtime,
+        };
+        fleet.start_engines()?;
+        fleet.start_services()?;
+        for place in 0..fleet.options.nodes {
+            fleet.start_node(&format!("entry-{}", place + 1), place)?;
+        }
+        Ok(fleet)
+    }
+
+    fn start_engines(&mut self) -> Result<(), FleetError> {
+        let oracle = FleetOracle::shared();
+        for place in 0..self.options.engines {
+            let name = format!("engine-{}", place + 1);
+            let options = EngineOptions {
+                engine: EngineId::from(name.as_str()),
+                fleet: Some(Arc::clone(&oracle)),
+                ..self.options.engine.clone()
+            };
+            let handle = self.runtime.block_on(engine::start(options, loopback()))?;
+            self.list(&name, InstanceKind::Engine, handle.addr(), None, place);
+            self.engines.insert(name, handle);
+        }
+        Ok(())
+    }
+
+    fn start_services(&mut self) -> Result<(), FleetError> {
+        for place in 0..self.options.services {
+            let name = format!("service-{}", place + 1);
+            let options = self.options.service.clone();
+            let handle = self.runtime.block_on(service::start(options, loopback()))?;
+            self.list(&name, InstanceKind::Service, handle.addr(), None, place);
+            self.services.insert(name, handle);
+        }
+        Ok(())
+    }
+
+    /// Starts one node and lists it.
+    ///
+    /// # Errors
+    ///
+    /// When the node cannot start.
+    pub fn start_node(&mut self, name: &str, place: usize) -> Result<(), FleetError> {
+        let node = Node::start(self.settings(name, place))?;
+        self.list(
+            name,
+            InstanceKind::Entry,
+            node.address(),
+            Some(node.peer_address()),
+            place,
+        );
+        self.nodes.insert(name.to_owned(), node);
+        Ok(())
+    }
+
+    fn settings(&self, name: &str, place: usize) -> Settings {
+        let mut settings = Settings::default();
+        settings.node.name = InstanceId::from(name);
+        settings.node.zone = self.zone(place);
+        settings.node.listen = loopback();
+        settings.node.peer_listen = loopback();
+        settings.platform.url = format!("http://{}", self.platform.addr());
+        FLEET_KEY.clone_into(&mut settings.fleet.key);
+        settings.operators.listen = Some(loopback());
+        OPERATOR_TOKEN.clone_into(&mut settings.operators.token);
+        settings.routing = self.options.routing.clone();
+        settings
+    }
+
+    fn zone(&self, place: usize) -> Zone {
+        Zone::from(format!("zone-{}", place % self.options.zones.max(1) + 1))
+    }
+
+    fn list(
+        &self,
+        name: &str,
+        kind: InstanceKind,
+        address: SocketAddr,
+        peer_address: Option<SocketAddr>,
+        place: usize,
+    ) {
+        self.platform.put_instance(Instance {
+            name: name.to_owned(),
+            kind,
+            address,
+            peer_address,
+            zone: self.zone(place),
+            state: InstanceState::Live,
+        });
+    }
+
+    /// Addresses of the nodes' callers' ports.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.nodes.values().map(Node::address).collect()
+    }
+
+    /// Publishes a manifest and waits until every node serves under it.
+    ///
+    /// # Errors
+    ///
+    /// When the platform refuses, or the nodes are late.
+    pub fn publish(&self, manifest: &Manifest) -> Result<(), FleetError> {
+        let url = format!("http://{}/log/control", self.platform.addr());
+        let id = ulid::Ulid::new().to_string();
+        let body = serde_json::json!({ "records": [{ "id": id, "body": manifest }] });
+        ureq::post(&url)
+            .send_json(body)
+            .map_err(|error| FleetError::Publish(Box::new(error)))?;
+        self.wait_ready()
+    }
+
+    fn wait_ready(&self) -> Result<(), FleetError> {
+        const READY_MS: u64 = 10_000;
+        const STEP_MS: u64 = 20;
+        for _ in 0..READY_MS / STEP_MS {
+            if self
+                .nodes
+                .values()
+                .all(|node| node.ready(self.options.engines))
+            {
+                return Ok(());
+            }
+            std::thread::sleep(std::time::Duration::from_millis(STEP_MS));
+        }
+        Err(FleetError::NotReady { ms: READY_MS })
+    }
+
+    /// What the endpoints counted so far.
+    pub fn counts(&self) -> EndpointCounts {
+        let mut counts = EndpointCounts::default();
+        for service in self.services.values() {
+            for (body, runs) in service.bodies() {
+                *counts.executions.entry(body).or_default() += runs;
+            }
+        }
+        for engine in self.engines.values() {
+            let report = engine.oracle();
+            counts.recomputed_tokens += report.recomputed_tokens;
+            counts.bad_hits += report.bad_hits;
+        }
+        counts
+    }
+
+    /// Runtime of the stand-ins, for driving a load.
+    pub fn runtime(&self) -> &Runtime {
+        &self.runtime
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- /dev/null
+++ b/crates/experiment/src/report.rs
@@ -0,0 +1,277 @@
+//! Figures of a run, as tables and JSON.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use flamingolock_core::prelude::*;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::outcome::{End, Outcome};
+
+/// Percentiles of a time, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Percentiles {
+    /// Median.
+    pub p50: f64,
+    /// 95 in 100 are at most this.
+    pub p95: f64,
+    /// 99 in 100 are at most this.
+    pub p99: f64,
+}
+
+impl Percentiles {
+    /// Percentiles of times in microseconds.
+    pub fn of(times: impl IntoIterator<Item = u64>) -> Self {
+        let Ok(mut histogram) = Histogram::<u64>::new(3) else {
+            return Self::default();
+        };
+        for time in times {
+            // The histogram grows by itself, so no time is out of range.
+            let _ = histogram.record(time);
+        }
+        if histogram.is_empty() {
+            return Self::default();
+        }
+        let at = |percentile| histogram.value_at_percentile(percentile) as f64 / 1000.0;
+        Self {
+            p50: at(50.0),
+            p95: at(95.0),
+            p99: at(99.0),
+        }
+    }
+}
+
+/// Figures of one workspace and request kind.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Row {
+    /// Workspace.
+    pub workspace: WorkspaceId,
+    /// Request kind.
+    pub kind: KindName,
+    /// Requests made.
+    pub requests: u64,
+    /// Requests answered.
+    pub answered: u64,
+    /// Time to the first token, or to the answer of a call.
+    pub ttft_ms: Percentiles,
+    /// Part of prompt tokens that came from a cache.
+    pub prefix_hit_rate: f64,
+}
+
+/// Figures of a whole run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Summary {
+    /// Requests made.
+    pub requests: u64,
+    /// Requests answered.
+    pub answered: u64,
+    /// Requests refused, with an outcome.
+    pub refused: u64,
+    /// Calls whose outcome is unknown.
+    pub unknown: u64,
+    /// Streams that ended in an explicit error.
+    pub failed: u64,
+    /// Time to the first token of completions.
+    pub ttft_ms: Percentiles,
+    /// Time to the answer of calls.
+    pub call_ms: Percentiles,
+    /// Part of prompt tokens that came from a cache.
+    pub prefix_hit_rate: f64,
+    /// Prompt tokens that some engine had computed before.
+    pub recomputed_tokens: u64,
+    /// Requests without any outcome.
+    pub lost: u64,
+    /// Calls that ran more than once.
+    pub doubled: u64,
+    /// Answers that belong to another request.
+    pub mixed: u64,
+    /// Answers that ended short without an error.
+    pub incomplete: u64,
+    /// Calls reported as not run that did run.
+    pub false_not_run: u64,
+    /// Cache hits from another workspace, older weights or a dead engine.
+    pub bad_hits: u64,
+}
+
+/// What the endpoints counted, beyond what callers can see.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointCounts {
+    /// Executions by body of a call.
+    pub executions: BTreeMap<String, u64>,
+    /// Prompt tokens that some engine had computed before.
+    pub recomputed_tokens: u64,
+    /// Cache hits that must not happen.
+    pub bad_hits: u64,
+}
+
+impl Summary {
+    /// Figures of `outcomes`, judged against what the endpoints counted.
+    pub fn new(outcomes: &[Outcome], counts: &EndpointCounts) -> Self {
+        let mut summary = Self {
+            requests: outcomes.len() as u64,
+            recomputed_tokens: counts.recomputed_tokens,
+            bad_hits: counts.bad_hits,
+            ttft_ms: Percentiles::of(first_times(outcomes, false)),
+            call_ms: Percentiles::of(first_times(outcomes, true)),
+            prefix_hit_rate: hit_rate(outcomes),
+            ..Self::default()
+        };
+        for outcome in outcomes {
+            summary.count_end(&outcome.end);
+            summary.judge_call(outcome, counts);
+        }
+        summary
+    }
+
+    fn count_end(&mut self, end: &End) {
+        let counter = match end {
+            End::Answered => &mut self.answered,
+            End::Refused { .. } | End::NotRun { .. } => &mut self.refused,
+            End::Unknown { .. } => &mut self.unknown,
+            End::Failed { .. } => &mut self.failed,
+            End::Mixed => &mut self.mixed,
+            End::Incomplete => &mut self.incomplete,
+            End::Lost => &mut self.lost,
+        };
+        *counter += 1;
+    }
+
+    fn judge_call(&mut self, outcome: &Outcome, counts: &EndpointCounts) {
+        let Some(body) = &outcome.once_body else {
+            return;
+        };
+        let runs = counts.executions.get(body).copied().unwrap_or_default();
+        if runs > 1 {
+            self.doubled += 1;
+        }
+        if runs > 0 && matches!(outcome.end, End::NotRun { .. }) {
+            self.false_not_run += 1;
+        }
+        if runs == 0 && outcome.end == End::Answered {
+            self.mixed += 1;
+        }
+    }
+
+    /// True when every promise held.
+    pub fn promises_held(&self) -> bool {
+        let broken = self.lost
+            + self.doubled
+            + self.mixed
+            + self.incomplete
+            + self.false_not_run
+            + self.bad_hits;
+        broken == 0
+    }
+}
+
+/// Figures by workspace and request kind.
+pub fn rows(outcomes: &[Outcome]) -> Vec<Row> {
+    let mut groups: BTreeMap<(&WorkspaceId, &KindName), Vec<&Outcome>> = BTreeMap::new();
+    for outcome in outcomes {
+        groups
+            .entry((&outcome.workspace, &outcome.kind))
+            .or_default()
+            .push(outcome);
+    }
+    groups
+        .into_iter()
+        .map(|((workspace, kind), group)| Row {
+            workspace: workspace.clone(),
+            kind: kind.clone(),
+            requests: group.len() as u64,
+            answered: group
+                .iter()
+                .filter(|outcome| outcome.end == End::Answered)
+                .count() as u64,
+            ttft_ms: Percentiles::of(
+                group
+                    .iter()
+                    .filter(|outcome| outcome.end == End::Answered)
+                    .map(|outcome| outcome.first_us),
+            ),
+            prefix_hit_rate: hit_rate(group.iter().copied()),
+        })
+        .collect()
+}
+
+/// The rows as a table for a terminal.
+pub fn table(rows: &[Row], summary: &Summary) -> String {
+    let mut text = String::new();
+    let header = [
+        "workspace",
+        "kind",
+        "requests",
+        "answered",
+        "p50 ms",
+        "p95 ms",
+        "p99 ms",
+        "hits",
+    ];
+    let _ = writeln!(
+        text,
+        "{:<14} {:<16} {:>8} {:>8} {:>9} {:>9} {:>9} {:>6}",
+        header[0], header[1], header[2], header[3], header[4], header[5], header[6], header[7],
+    );
+    for row in rows {
+        let _ = writeln!(
+            text,
+            "{:<14} {:<16} {:>8} {:>8} {:>9.1} {:>9.1} {:>9.1} {:>6.2}",
+            row.workspace.as_str(),
+            row.kind.as_str(),
+            row.requests,
+            row.answered,
+            row.ttft_ms.p50,
+            row.ttft_ms.p95,
+            row.ttft_ms.p99,
+            row.prefix_hit_rate,
+        );
+    }
+    let _ = writeln!(
+        text,
+        "\nfirst token p50/p95/p99: {:.1} / {:.1} / {:.1} ms; prefix hit rate {:.3}; recomputed tokens {}",
+        summary.ttft_ms.p50,
+        summary.ttft_ms.p95,
+        summary.ttft_ms.p99,
+        summary.prefix_hit_rate,
+        summary.recomputed_tokens,
+    );
+    let _ = writeln!(
+        text,
+        "requests {}, answered {}, refused {}, unknown {}, failed {}; \
+         lost {}, doubled {}, mixed {}, incomplete {}, false not-run {}, bad hits {}",
+        summary.requests,
+        summary.answered,
+        summary.refused,
+        summary.unknown,
+        summary.failed,
+        summary.lost,
+        summary.doubled,
+        summary.mixed,
+        summary.incomplete,
+        summary.false_not_run,
+        summary.bad_hits,
+    );
+    text
+}
+
+fn first_times(outcomes: &[Outcome], calls: bool) -> impl Iterator<Item = u64> {
+    outcomes
+        .iter()
+        .filter(move |outcome| (outcome.prompt_tokens == 0) == calls)
+        .filter(|outcome| outcome.end == End::Answered)
+        .map(|outcome| outcome.first_us)
+}
+
+fn hit_rate<'a>(outcomes: impl IntoIterator<Item = &'a Outcome>) -> f64 {
+    let (mut cached, mut all) = (0_u64, 0_u64);
+    for outcome in outcomes {
+        cached += u64::from(outcome.cached_tokens);
+        all += u64::from(outcome.prompt_tokens);
+    }
+    if all == 0 {
+        0.0
+    } else {
+        cached as f64 / all as f64
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/workload.rs
@@ -0,0 +1,303 @@
+//! Seeded load: who asks what, and when.
+
+use flamingolock_core::manifest::{Manifest, Model, RequestKind, Service, Target, Workspace};
+use flamingolock_core::prefix::BYTES_PER_TOKEN;
+use flamingolock_core::prelude::*;
+use flamingolock_node::filters::authenticate::key_hash;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Model that all workloads use.
+pub const MODEL: &str = "planner";
+
+/// Service that bookings and look-ups go to.
+pub const SERVICE: &str = "orders";
+
+/// Weights that engines hold at the start.
+pub const WEIGHTS: &str = "v1";
+
+/// Load of one workspace.
+#[derive(Clone, Debug)]
+pub struct WorkspaceLoad {
+    /// Name.
+    pub id: WorkspaceId,
+    /// Share of engine time.
+    pub weight: f64,
+    /// Requests a second.
+    pub rate: f64,
+    /// Tenant documents, the second level of prompts.
+    pub documents: usize,
+    /// Surveys or tooling sheets under each document, the third level.
+    pub sheets: usize,
+    /// Part of the requests that goes to the first sheet of the first document.
+    pub hot: f64,
+}
+
+/// Load of one request kind.
+#[derive(Clone, Debug)]
+pub struct KindLoad {
+    /// Name.
+    pub name: KindName,
+    /// Treatment, as published.
+    pub kind: RequestKind,
+    /// Part of all requests.
+    pub share: f64,
+    /// Tokens of common preamble, document, sheet and question.
+    pub levels: [usize; 4],
+    /// Tokens of the answer.
+    pub answer: u32,
+}
+
+/// A whole load: workspaces, kinds and how they mix.
+#[derive(Clone, Debug)]
+pub struct Profile {
+    /// Workspaces.
+    pub workspaces: Vec<WorkspaceLoad>,
+    /// Request kinds.
+    pub kinds: Vec<KindLoad>,
+    /// Extra cost of a recomputed token.
+    pub recompute_price: f64,
+}
+
+/// What one request asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// A completion.
+    Completion {
+        /// Text to complete.
+        prompt: String,
+        /// Tokens of the answer.
+        answer: u32,
+    },
+    /// A call of a service.
+    Call {
+        /// Unique body.
+        body: String,
+        /// True when it may run at most once.
+        once: bool,
+    },
+}
+
+/// One request of a load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Time from the start of the load.
+    pub at: Millis,
+    /// Number within the load.
+    pub number: u64,
+    /// Workspace that asks.
+    pub workspace: WorkspaceId,
+    /// Request kind.
+    pub kind: KindName,
+    /// What is asked for.
+    pub work: Work,
+}
+
+/// Key that the callers of a workspace present.
+pub fn workspace_key(workspace: &WorkspaceId) -> String {
+    format!("key-{workspace}")
+}
+
+impl Profile {
+    /// Both users' request kinds at small size, for the demo.
+    pub fn mixed(rate: f64) -> Self {
+        let mut workspaces = Vec::new();
+        let shares = [0.30, 0.22, 0.14, 0.10, 0.08, 0.07, 0.05, 0.04];
+        for (place, share) in shares.iter().enumerate() {
+            workspaces.push(WorkspaceLoad {
+                id: WorkspaceId::from(format!("workspace-{}", place + 1)),
+                weight: 1.0,
+                rate: rate * share,
+                documents: 3,
+                sheets: 4,
+                hot: 0.3,
+            });
+        }
+        let kinds = vec![
+            completion_kind("survey-review", 5, 0.35, [256, 768, 512, 48], 24, 20_000),
+            completion_kind("press-schedule", 5, 0.20, [256, 1024, 512, 48], 32, 20_000),
+            completion_kind("part-tag", 8, 0.20, [256, 256, 0, 32], 4, 10_000),
+            call_kind("order-booking", false, 0.15),
+            call_kind("job-lookup", true, 0.10),
+        ];
+        Self {
+            workspaces,
+            kinds,
+            recompute_price: 0.5,
+        }
+    }
+
+    /// The manifest that fits this load.
+    pub fn manifest(&self) -> Manifest {
+        let mut manifest = Manifest::default();
+        for load in &self.workspaces {
+            let workspace = Workspace {
+                weight: load.weight,
+                key_hashes: vec![key_hash(&workspace_key(&load.id))],
+                request_rate: None,
+                max_inflight: None,
+            };
+            manifest.workspaces.insert(load.id.clone(), workspace);
+        }
+        for load in &self.kinds {
+            manifest.kinds.insert(load.name.clone(), load.kind.clone());
+        }
+        let model = Model {
+            weights: WeightsVersion::from(WEIGHTS),
+            adapters: Vec::new(),
+            recompute_price: self.recompute_price,
+        };
+        manifest.models.insert(ModelName::from(MODEL), model);
+        manifest
+            .services
+            .insert(ServiceName::from(SERVICE), Service::default());
+        manifest
+    }
+
+    /// All requests of `seconds`, in order of time. The same seed gives the same load.
+    pub fn arrivals(&self, seconds: f64, seed: u64) -> Vec<Arrival> {
+        let mut arrivals = Vec::new();
+        for (place, load) in self.workspaces.iter().enumerate() {
+            let mut random = ChaCha8Rng::seed_from_u64(seed ^ ((place as u64 + 1) << 32));
+            let mut at = 0.0;
+            loop {
+                // Exponential gaps make a Poisson process.
+                at += -(1.0 - random.random::<f64>()).ln() / load.rate.max(1e-9);
+                if at >= seconds {
+                    break;
+                }
+                arrivals.push(self.arrival(load, Millis((at * 1000.0) as u64), &mut random));
+            }
+        }
+        arrivals.sort_by(|a, b| (a.at, &a.workspace).cmp(&(b.at, &b.workspace)));
+        for (number, arrival) in arrivals.iter_mut().enumerate() {
+            arrival.number = number as u64;
+        }
+        arrivals
+    }
+
+    fn arrival(&self, load: &WorkspaceLoad, at: Millis, random: &mut ChaCha8Rng) -> Arrival {
+        let kind = self.pick_kind(random);
+        let nonce: u64 = random.random();
+        let work = match &kind.kind.target {
+            Target::Service(_) => Work::Call {
+                body: format!("{{\"order\":\"{}-{nonce:016x}\"}}", load.id),
+                once: !kind.kind.repeatable,
+            },
+            Target::Model(_) => {
+                let (document, sheet) = pick_sheet(load, random);
+                let prompt = prompt(&load.id, kind, document, sheet, nonce);
+                Work::Completion {
+                    prompt,
+                    answer: kind.answer,
+                }
+            }
+        };
+        Arrival {
+            at,
+            number: 0,
+            workspace: load.id.clone(),
+            kind: kind.name.clone(),
+            work,
+        }
+    }
+
+    fn pick_kind(&self, random: &mut ChaCha8Rng) -> &KindLoad {
+        let total: f64 = self.kinds.iter().map(|kind| kind.share).sum();
+        let mut rest = random.random::<f64>() * total;
+        for kind in &self.kinds {
+            rest -= kind.share;
+            if rest < 0.0 {
+                return kind;
+            }
+        }
+        &self.kinds[self.kinds.len() - 1]
+    }
+}
+
+/// A request kind whose requests go to the model.
+pub fn completion_kind(
+    name: &str,
+    priority: u8,
+    share: f64,
+    levels: [usize; 4],
+    answer: u32,
+    deadline_ms: u64,
+) -> KindLoad {
+    let kind = RequestKind {
+        target: Target::Model(ModelName::from(MODEL)),
+        priority,
+        deadline_ms,
+        repeatable: true,
+    };
+    KindLoad {
+        name: KindName::from(name),
+        kind,
+        share,
+        levels,
+        answer,
+    }
+}
+
+/// A request kind whose requests go to the service.
+pub fn call_kind(name: &str, repeatable: bool, share: f64) -> KindLoad {
+    let kind = RequestKind {
+        target: Target::Service(ServiceName::from(SERVICE)),
+        priority: 5,
+        deadline_ms: 5_000,
+        repeatable,
+    };
+    KindLoad {
+        name: KindName::from(name),
+        kind,
+        share,
+        levels: [0; 4],
+        answer: 0,
+    }
+}
+
+fn pick_sheet(load: &WorkspaceLoad, random: &mut ChaCha8Rng) -> (usize, usize) {
+    if random.random::<f64>() < load.hot {
+        return (0, 0);
+    }
+    let document = random.random_range(0..load.documents.max(1));
+    let sheet = random.random_range(0..load.sheets.max(1));
+    (document, sheet)
+}
+
+fn prompt(
+    workspace: &WorkspaceId,
+    kind: &KindLoad,
+    document: usize,
+    sheet: usize,
+    nonce: u64,
+) -> String {
+    let [preamble, tenant, leaf, question] = kind.levels;
+    let mut text = String::new();
+    fill(&mut text, &format!("preamble of {}", kind.name), preamble);
+    fill(
+        &mut text,
+        &format!("{workspace} document {document}"),
+        tenant,
+    );
+    fill(
+        &mut text,
+        &format!("{workspace} document {document} sheet {sheet}"),
+        leaf,
+    );
+    fill(&mut text, &format!("question {nonce:016x}"), question);
+    text
+}
+
+/// Appends `tokens` tokens of text that only this `label` produces.
+fn fill(text: &mut String, label: &str, tokens: usize) {
+    let mut rest = tokens * BYTES_PER_TOKEN;
+    let mut line = 0;
+    while rest > 0 {
+        let piece = format!("{label}, line {line}. ");
+        let take = piece.len().min(rest);
+        text.push_str(&piece[..take]);
+        rest -= take;
+        line += 1;
+    }
+}
--- /dev/null
+++ b/crates/node/src/endpoint_http.rs
@@ -0,0 +1,197 @@
+//! HTTP towards engines and services.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+/// Largest whole answer that is read from an endpoint.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Longest time that an unused connection is kept.
+const IDLE_MS: u64 = 5_000;
+
+/// Why an endpoint gave no usable answer.
+#[derive(Debug, Error)]
+pub enum EndpointError {
+    /// No connection came about, so nothing was sent.
+    #[error("cannot connect to {address}: {source}")]
+    Connect {
+        /// Address that was tried.
+        address: String,
+        /// What the connector said.
+        source: hyper_util::client::legacy::Error,
+    },
+    /// The connection failed after the request may have left.
+    #[error("connection to {address} failed: {source}")]
+    Broken {
+        /// Address of the endpoint.
+        address: String,
+        /// What the client said.
+        source: hyper_util::client::legacy::Error,
+    },
+    /// Nothing came within the time allowed.
+    #[error("no answer from {address} within {ms} ms")]
+    Timeout {
+        /// Address of the endpoint.
+        address: String,
+        /// Time allowed.
+        ms: u64,
+    },
+    /// The body of the answer cannot be read.
+    #[error("unreadable answer from {address}: {source}")]
+    Body {
+        /// Address of the endpoint.
+        address: String,
+        /// What the reader said.
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+    /// The request cannot be formed.
+    #[error("cannot form a request: {0}")]
+    Form(#[from] http::Error),
+}
+
+impl EndpointError {
+    /// True when the request provably never left this process.
+    pub fn never_sent(&self) -> bool {
+        matches!(self, EndpointError::Connect { .. } | EndpointError::Form(_))
+    }
+}
+
+/// Client for engines, with kept-alive connections, and for calls that may run
+/// at most once, with a fresh connection each.
+#[derive(Clone)]
+pub struct EndpointHttp {
+    pooled: Client<HttpConnector, Full<Bytes>>,
+    fresh: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Which connection carries a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connection {
+    /// One that may have carried requests before.
+    Pooled,
+    /// A new one for this request alone.
+    Fresh,
+}
+
+impl EndpointHttp {
+    /// A client whose connections come about within `connect_ms`.
+    pub fn new(connect_ms: u64) -> Self {
+        let build = |idle_connections| {
+            let mut connector = HttpConnector::new();
+            connector.set_connect_timeout(Some(Duration::from_millis(connect_ms)));
+            connector.set_nodelay(true);
+            Client::builder(TokioExecutor::new())
+                .pool_timer(TokioTimer::new())
+                .pool_idle_timeout(Duration::from_millis(IDLE_MS))
+                .pool_max_idle_per_host(idle_connections)
+                // A resend would run a call twice that may run once.
+                .retry_canceled_requests(false)
+                .build(connector)
+        };
+        Self {
+            pooled: build(64),
+            fresh: build(0),
+        }
+    }
+
+    /// Sends a request and waits at most `wait_ms` for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`EndpointError::never_sent`] tells whether the request may have left.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        connection: Connection,
+        wait_ms: u64,
+    ) -> Result<Response<Incoming>, EndpointError> {
+        let address = request
+            .uri()
+            .authority()
+            .map_or_else(String::new, ToString::to_string);
+        let client = match connection {
+            Connection::Pooled => &self.pooled,
+            Connection::Fresh => &self.fresh,
+        };
+        let answer = client.request(request);
+        match tokio::time::timeout(Duration::from_millis(wait_ms), answer).await {
+            Err(_) => Err(EndpointError::Timeout {
+                address,
+                ms: wait_ms,
+            }),
+            Ok(Err(source)) if source.is_connect() => {
+                Err(EndpointError::Connect { address, source })
+            }
+            Ok(Err(source)) => Err(EndpointError::Broken { address, source }),
+            Ok(Ok(response)) => Ok(response),
+        }
+    }
+
+    /// Reads a whole body within `wait_ms`.
+    ///
+    /// # Errors
+    ///
+    /// When the body is cut off, too large or late.
+    pub async fn read(
+        address: &str,
+        response: Response<Incoming>,
+        wait_ms: u64,
+    ) -> Result<Bytes, EndpointError> {
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
+        match tokio::time::timeout(Duration::from_millis(wait_ms), body).await {
+            Err(_) => Err(EndpointError::Timeout {
+                address: address.to_owned(),
+                ms: wait_ms,
+            }),
+            Ok(Err(source)) => Err(EndpointError::Body {
+                address: address.to_owned(),
+                source,
+            }),
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+        }
+    }
+
+    /// Reads a JSON document with `GET`.
+    ///
+    /// # Errors
+    ///
+    /// When no answer comes within `wait_ms` or it has another shape.
+    pub async fn get_json<T: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        wait_ms: u64,
+    ) -> Result<T, EndpointError> {
+        let request = Request::get(format!("http://{address}{path}")).body(Full::default())?;
+        let response = self.send(request, Connection::Pooled, wait_ms).await?;
+        let body = Self::read(address, response, wait_ms).await?;
+        serde_json::from_slice(&body).map_err(|source| EndpointError::Body {
+            address: address.to_owned(),
+            source: Box::new(source),
+        })
+    }
+}
+
+/// A `POST` of a JSON body.
+///
+/// # Errors
+///
+/// When the address or path cannot stand in a URL.
+pub fn post_json(
+    address: &str,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    Request::post(format!("http://{address}{path}"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+}
--- /dev/null
+++ b/crates/node/src/filters.rs
@@ -0,0 +1,34 @@
+//! The filter chain of a request: authenticate, classify, admit, relay.
+//!
+//! Each filter takes what the one before it found out and returns either the
+//! input of the next or the final error.
+
+pub mod authenticate;
+pub mod classify;
+pub mod completion;
+pub mod service_call;
+
+use std::sync::Arc;
+
+use crossbeam::channel::Sender;
+
+use crate::control::Event;
+use crate::decisions::DecisionLog;
+use crate::endpoint_http::EndpointHttp;
+use crate::settings::Settings;
+use crate::view::SharedView;
+
+/// What every request needs; cheap to clone.
+#[derive(Clone)]
+pub struct Traffic {
+    /// Settings of the node.
+    pub settings: Arc<Settings>,
+    /// Newest published view.
+    pub view: SharedView,
+    /// Client for engines and services.
+    pub http: EndpointHttp,
+    /// Way to the control thread.
+    pub events: Sender<Event>,
+    /// Where decisions are recorded.
+    pub decisions: Arc<DecisionLog>,
+}
--- /dev/null
+++ b/crates/node/src/filters/authenticate.rs
@@ -0,0 +1,51 @@
+//! Finds the workspace of the key that a caller presents.
+
+use flamingolock_core::prelude::*;
+use http::{HeaderMap, StatusCode, header};
+use sha2::{Digest, Sha256};
+
+use crate::api::{ApiError, ErrorKind};
+use crate::view::View;
+
+/// Hash under which the manifest keeps a key.
+pub fn key_hash(key: &str) -> String {
+    hex::encode(Sha256::digest(key.as_bytes()))
+}
+
+/// The workspace whose key the `Authorization` header carries.
+///
+/// # Errors
+///
+/// 401 without a known key, 503 while no manifest has been read.
+pub fn authenticate(view: &View, headers: &HeaderMap) -> Result<WorkspaceId, ApiError> {
+    let key = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.strip_prefix("Bearer "));
+    let Some(key) = key else {
+        return Err(refuse(
+            "missing_key",
+            "send an API key as `Authorization: Bearer KEY`",
+        ));
+    };
+    if !view.ready {
+        return Err(ApiError::unavailable(
+            "starting",
+            "no manifest has been read yet",
+            1000,
+        ));
+    }
+    view.keys
+        .get(&key_hash(key.trim()))
+        .cloned()
+        .ok_or_else(|| refuse("unknown_key", "the API key is not known"))
+}
+
+fn refuse(code: &'static str, message: &str) -> ApiError {
+    ApiError::new(
+        StatusCode::UNAUTHORIZED,
+        ErrorKind::Authentication,
+        code,
+        message,
+    )
+}
--- /dev/null
+++ b/crates/node/src/filters/completion.rs
@@ -0,0 +1,104 @@
+//! Completions and chat completions: parse, admit, relay.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use flamingolock_core::prelude::*;
+use http::{HeaderMap, HeaderValue};
+
+use crate::api::{
+    Answer, ApiError, ChatRequest, CompletionRequest, DEFAULT_MAX_TOKENS, json_answer,
+};
+use crate::control::{self, Ask};
+use crate::filters::Traffic;
+use crate::filters::authenticate::authenticate;
+use crate::filters::classify::{Classified, classify_completion};
+use crate::relay::{self, Job, Shape};
+
+/// Largest answer that a caller may ask for, in tokens.
+const MAX_ANSWER_TOKENS: u32 = 32_768;
+
+/// Serves `POST /v1/completions` and `POST /v1/chat/completions`.
+///
+/// # Errors
+///
+/// The final error of the request.
+pub async fn serve(
+    traffic: &Traffic,
+    request: RequestId,
+    headers: &HeaderMap,
+    body: &Bytes,
+    shape: Shape,
+) -> Result<Answer, ApiError> {
+    let started = control::now();
+    let view = traffic.view.load_full();
+    let workspace = authenticate(&view, headers)?;
+    let parsed = parse(shape, body)?;
+    let classified = classify_completion(&view, headers, &parsed.model)?;
+    let job = job(request, workspace, &parsed, &classified, shape, started);
+    let mut answer = if parsed.stream {
+        relay::stream(traffic, job).await?
+    } else {
+        json_answer(http::StatusCode::OK, relay::whole(traffic, job).await?)
+    };
+    answer
+        .headers_mut()
+        .insert("x-request-kind", header_value(classified.name.as_str()));
+    Ok(answer)
+}
+
+fn header_value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("unprintable"))
+}
+
+fn job(
+    request: RequestId,
+    workspace: WorkspaceId,
+    parsed: &CompletionRequest,
+    classified: &Classified,
+    shape: Shape,
+    started: Millis,
+) -> Job {
+    let answer_tokens = parsed.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    let ask = Ask {
+        request,
+        workspace,
+        model: ModelName::from(parsed.model.as_str()),
+        priority: classified.kind.priority,
+        prompt: Arc::from(parsed.prompt.as_bytes()),
+        answer_tokens,
+        deadline: started + classified.kind.deadline(),
+        avoid: Vec::new(),
+    };
+    Job {
+        ask,
+        shape,
+        started,
+    }
+}
+
+fn parse(shape: Shape, body: &Bytes) -> Result<CompletionRequest, ApiError> {
+    let request = match shape {
+        Shape::Text => serde_json::from_slice(body).map_err(|error| bad_json(&error))?,
+        Shape::Chat => {
+            let chat: ChatRequest =
+                serde_json::from_slice(body).map_err(|error| bad_json(&error))?;
+            CompletionRequest {
+                prompt: chat.prompt(),
+                max_tokens: chat.max_completion_tokens.or(chat.max_tokens),
+                model: chat.model,
+                stream: chat.stream,
+            }
+        }
+    };
+    let tokens = request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    if tokens == 0 || tokens > MAX_ANSWER_TOKENS {
+        let message = format!("max_tokens must lie between 1 and {MAX_ANSWER_TOKENS}");
+        return Err(ApiError::invalid("bad_max_tokens", message));
+    }
+    Ok(request)
+}
+
+fn bad_json(error: &serde_json::Error) -> ApiError {
+    ApiError::invalid("bad_json", format!("the body cannot be read: {error}"))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,19 @@
-//! Placeholder.
+//! The node: one entry instance between callers and endpoints.
+//!
+//! One control thread owns all state that nodes share and runs the controllers.
+//! Traffic threads run the filter chain of each request and ask the control
+//! thread over channels, or read the view that it publishes.
+
+pub mod api;
+pub mod control;
+pub mod decisions;
+pub mod endpoint_http;
+pub mod engine_poll;
+pub mod filters;
+pub mod node;
+pub mod platform;
+pub mod relay;
+pub mod server;
+pub mod settings;
+pub mod sse;
+pub mod view;
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,146 @@
+//! Starts and stops the parts of a node.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::control::{ControlHandle, Event};
+use crate::decisions::DecisionLog;
+use crate::endpoint_http::EndpointHttp;
+use crate::engine_poll::poll_engines;
+use crate::filters::Traffic;
+use crate::platform::PlatformReaders;
+use crate::server;
+use crate::settings::Settings;
+use crate::view::{SharedView, View};
+
+/// Why a node could not start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// A port cannot be listened on.
+    #[error("cannot listen on {address}: {source}; choose a free address in `{key}`")]
+    Listen {
+        /// Key of the settings.
+        key: &'static str,
+        /// Address that was asked for.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The system gives no further thread.
+    #[error("cannot start a thread: {0}")]
+    Thread(#[from] std::io::Error),
+}
+
+/// A running node. Dropping it stops it at once; see [`Node::shutdown`].
+pub struct Node {
+    address: SocketAddr,
+    settings: Arc<Settings>,
+    view: SharedView,
+    stop: watch::Sender<bool>,
+    server: Option<JoinHandle<()>>,
+    control: ControlHandle,
+    _readers: PlatformReaders,
+    runtime: Option<Runtime>,
+}
+
+impl Node {
+    /// Starts a node with settings that have been checked.
+    ///
+    /// # Errors
+    ///
+    /// When a port is taken or no thread can be had.
+    pub fn start(settings: Settings) -> Result<Self, NodeError> {
+        let settings = Arc::new(settings);
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(settings.node.threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()?;
+        let listen = settings.node.listen;
+        let listener = runtime
+            .block_on(TcpListener::bind(listen))
+            .map_err(|source| NodeError::Listen {
+                key: "node.listen",
+                address: listen,
+                source,
+            })?;
+        let address = listener.local_addr()?;
+        let view = Arc::new(ArcSwap::from_pointee(View::default()));
+        let decisions = Arc::new(DecisionLog::new(settings.node.name.clone()));
+        let control = ControlHandle::start(&settings, Arc::clone(&view), Arc::clone(&decisions))?;
+        let readers = PlatformReaders::start(&settings.platform, &control.events)?;
+        let http = EndpointHttp::new(settings.timing.connect_ms);
+        let traffic = Traffic {
+            settings: Arc::clone(&settings),
+            view: Arc::clone(&view),
+            http: http.clone(),
+            events: control.events.clone(),
+            decisions,
+        };
+        let (stop, stopping) = watch::channel(false);
+        let server = runtime.spawn(server::serve(listener, traffic, stopping));
+        runtime.spawn(poll_engines(
+            Arc::clone(&view),
+            http,
+            settings.timing.clone(),
+            control.events.clone(),
+        ));
+        log::info!("node {} serves callers on {address}", settings.node.name);
+        Ok(Self {
+            address,
+            settings,
+            view,
+            stop,
+            server: Some(server),
+            control,
+            _readers: readers,
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Address of the callers' port.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Address of the port for other nodes.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.settings.node.peer_listen
+    }
+
+    /// True once a manifest is in force and `engines` engines are known.
+    pub fn ready(&self, engines: usize) -> bool {
+        let view = self.view.load();
+        view.ready && view.answering >= engines
+    }
+
+    /// Stops listing the node, finishes what is in progress, then stops.
+    pub fn shutdown(mut self) {
+        let _ = self.control.events.send(Event::Leaving);
+        let _ = self.stop.send(true);
+        let Some(runtime) = self.runtime.take() else {
+            return;
+        };
+        if let Some(server) = self.server.take() {
+            let limit = Duration::from_millis(self.settings.timing.drain_ms);
+            let _ = runtime.block_on(async { tokio::time::timeout(limit, server).await });
+        }
+        runtime.shutdown_timeout(Duration::from_millis(200));
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/relay.rs
@@ -0,0 +1,583 @@
+//! Carries answers of engines to callers, complete and in order.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use flamingolock_core::answer_stream::{Recovery, StreamCursor, StreamInput, StreamStep};
+use flamingolock_core::prelude::*;
+use futures_util::stream;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::api::{Answer, ApiError, ErrorKind, Usage};
+use crate::control::{self, Admission, Ask, Event, Permit, PermitOutcome, Refusal};
+use crate::endpoint_http::{Connection, EndpointError, EndpointHttp, post_json};
+use crate::filters::Traffic;
+use crate::sse::{self, SseReader};
+
+/// Header with the life of the engine that answers.
+pub const INCARNATION_HEADER: &str = "x-engine-incarnation";
+
+/// Pieces that wait for a slow caller before the engine is no longer read.
+const CALLER_BUFFER: usize = 64;
+
+/// Longest time that a caller may leave the buffer full.
+const CALLER_STALL_MS: u64 = 30_000;
+
+/// Engines that are tried before the first token.
+const MAX_STARTS: usize = 3;
+
+/// Shape of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// Text completion.
+    Text,
+    /// Chat completion.
+    Chat,
+}
+
+/// One request on its way to an engine.
+#[derive(Debug)]
+pub struct Job {
+    /// What the control thread is asked for.
+    pub ask: Ask,
+    /// Shape of the answer.
+    pub shape: Shape,
+    /// When the request arrived.
+    pub started: Millis,
+}
+
+/// One event of an engine's stream: a piece, or the end.
+#[derive(Debug, Deserialize)]
+struct EngineEvent {
+    id: String,
+    #[serde(default)]
+    index: u32,
+    #[serde(default)]
+    text: String,
+    #[serde(default)]
+    finish: Option<String>,
+    #[serde(default)]
+    count: u32,
+    #[serde(default)]
+    usage: Usage,
+}
+
+/// A stream that an engine has begun.
+struct Running {
+    permit: Permit,
+    cursor: StreamCursor,
+    reader: SseReader,
+    sent_at: Millis,
+}
+
+/// The end of a complete answer.
+struct Finish {
+    reason: String,
+    usage: Usage,
+}
+
+/// Where the pieces go.
+enum Sink {
+    Caller(mpsc::Sender<Bytes>),
+    Memory,
+}
+
+/// What the relay does after an event or a break.
+enum Next {
+    Piece(String),
+    Nothing,
+    Done(Finish),
+    Broken(&'static str),
+}
+
+/// Streams the answer to a job.
+///
+/// # Errors
+///
+/// When no engine begins the answer. Later errors are events of the stream.
+pub async fn stream(traffic: &Traffic, job: Job) -> Result<Answer, ApiError> {
+    let mut relay = Relay::new(traffic.clone(), job);
+    let running = relay.start().await?;
+    let (sender, receiver) = mpsc::channel(CALLER_BUFFER);
+    tokio::spawn(async move { relay.run_stream(running, sender).await });
+    let frames = stream::unfold(receiver, |mut receiver| async move {
+        let bytes = receiver.recv().await?;
+        Some((Ok::<_, Infallible>(Frame::data(bytes)), receiver))
+    });
+    let body = StreamBody::new(frames)
+        .map_err(|never| match never {})
+        .boxed();
+    let mut answer = Response::new(body);
+    let headers = answer.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/event-stream"),
+    );
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    Ok(answer)
+}
+
+/// Collects the answer to a job into one JSON body.
+///
+/// # Errors
+///
+/// When no engine gives a complete answer.
+pub async fn whole(traffic: &Traffic, job: Job) -> Result<Vec<u8>, ApiError> {
+    let mut relay = Relay::new(traffic.clone(), job);
+    let running = relay.start().await?;
+    let finish = relay.run(running, &Sink::Memory).await?;
+    Ok(relay.whole_body(&finish))
+}
+
+struct Relay {
+    traffic: Traffic,
+    job: Job,
+    answer: String,
+    attempts: u32,
+    first_token: Option<Millis>,
+}
+
+impl Relay {
+    fn new(traffic: Traffic, job: Job) -> Self {
+        Self {
+            traffic,
+            job,
+            answer: String::new(),
+            attempts: 0,
+            first_token: None,
+        }
+    }
+
+    /// Begins the answer on some engine.
+    async fn start(&mut self) -> Result<Running, ApiError> {
+        let mut last = None;
+        for _ in 0..MAX_STARTS {
+            let permit = self.admit().await?;
+            let engine = permit.engine.clone();
+            match self.send(permit, 0).await {
+                Ok(running) => return Ok(running),
+                Err(error) => {
+                    self.decide("retry", engine.as_str(), &error.to_string());
+                    self.job.ask.avoid.push(engine);
+                    last = Some(error);
+                }
+            }
+        }
+        let message = last.map_or_else(String::new, |error| error.to_string());
+        Err(ApiError::unavailable("no_engine_answers", message, 1000))
+    }
+
+    async fn admit(&self) -> Result<Permit, ApiError> {
+        let (reply, admission) = oneshot::channel();
+        let ask = clone_ask(&self.job.ask);
+        let stopped = || ApiError::unavailable("stopping", "the node is stopping", 1000);
+        self.traffic
+            .events
+            .send(Event::Admit(ask, reply))
+            .map_err(|_| stopped())?;
+        match admission.await {
+            Ok(Admission::Granted(permit)) => Ok(permit),
+            Ok(Admission::Refused(refusal)) => Err(refused(&refusal)),
+            Err(_) => Err(stopped()),
+        }
+    }
+
+    /// Sends the request to the permit's engine, from `index` on.
+    async fn send(&mut self, permit: Permit, index: u32) -> Result<Running, EndpointError> {
+        self.attempts += 1;
+        let attempt = format!("{}.{}", self.job.ask.request, self.attempts);
+        let body = json!({
+            "model": self.job.ask.model,
+            "prompt": String::from_utf8_lossy(&self.job.ask.prompt),
+            "max_tokens": self.job.ask.answer_tokens,
+            "stream": true,
+            "priority": self.job.ask.priority,
+            "cache_salt": permit.seed.to_hex(),
+            "request_id": attempt,
+            "start_index": index,
+            "answer_so_far": self.answer,
+        });
+        let address = permit.address.to_string();
+        let request = post_json(&address, "/v1/completions", body.to_string().into_bytes())?;
+        let wait = self.job.ask.deadline.since(control::now()).0.max(1);
+        let sent_at = control::now();
+        let sent = self
+            .traffic
+            .http
+            .send(request, Connection::Pooled, wait)
+            .await;
+        let response = match sent {
+            Ok(response) => check_status(&address, response).await,
+            Err(error) => Err(error),
+        };
+        match response {
+            Ok(response) => {
+                let incarnation = incarnation_of(&response).unwrap_or(permit.incarnation);
+                Ok(Running {
+                    cursor: StreamCursor::new(attempt, incarnation, index),
+                    reader: SseReader::new(response.into_body()),
+                    permit,
+                    sent_at,
+                })
+            }
+            Err(error) => {
+                let mut permit = permit;
+                permit.observe(PermitOutcome {
+                    failed: true,
+                    ..PermitOutcome::default()
+                });
+                Err(error)
+            }
+        }
+    }
+
+    async fn run_stream(&mut self, running: Running, sender: mpsc::Sender<Bytes>) {
+        let sink = Sink::Caller(sender);
+        match self.run(running, &sink).await {
+            Ok(finish) => {
+                let _ = self.emit(&sink, self.finish_event(&finish)).await;
+                let _ = self.emit(&sink, sse::event(None, "[DONE]")).await;
+            }
+            Err(error) => {
+                self.decide("stream-error", "", &error.message);
+                let text = String::from_utf8_lossy(&error.body()).into_owned();
+                let _ = self.emit(&sink, sse::event(None, &text)).await;
+            }
+        }
+    }
+
+    /// Relays until the answer is complete, the caller has left, or nothing helps.
+    async fn run(&mut self, mut running: Running, sink: &Sink) -> Result<Finish, ApiError> {
+        loop {
+            match self.next(&mut running).await {
+                Next::Nothing => {}
+                Next::Piece(text) => {
+                    self.note_first_token(&mut running);
+                    self.answer.push_str(&text);
+                    let event = self.piece_event(&running.cursor, &text);
+                    if self.emit(sink, event).await.is_err() {
+                        self.cancel(&running).await;
+                        return Err(caller_left());
+                    }
+                }
+                Next::Done(finish) => {
+                    self.note_finish(&mut running, &finish);
+                    return Ok(finish);
+                }
+                Next::Broken(reason) => running = self.recover(running, reason).await?,
+            }
+        }
+    }
+
+    async fn next(&self, running: &mut Running) -> Next {
+        let wait = Duration::from_millis(self.stall_ms());
+        let read = tokio::time::timeout(wait, running.reader.next()).await;
+        let data = match read {
+            Err(_) => return Next::Broken("silent"),
+            Ok(Err(_)) => return Next::Broken("connection failed"),
+            Ok(Ok(None)) => return Next::Broken("ended early"),
+            Ok(Ok(Some(data))) => data,
+        };
+        let Ok(event) = serde_json::from_str::<EngineEvent>(&data) else {
+            return Next::Broken("unreadable event");
+        };
+        let input = match event.finish {
+            None => StreamInput::Piece {
+                id: &event.id,
+                index: event.index,
+            },
+            Some(_) => StreamInput::End {
+                id: &event.id,
+                count: event.count,
+            },
+        };
+        match running.cursor.accept(input) {
+            StreamStep::Deliver => Next::Piece(event.text),
+            StreamStep::Skip => Next::Nothing,
+            StreamStep::Finish => Next::Done(Finish {
+                reason: event.finish.unwrap_or_default(),
+                usage: event.usage,
+            }),
+            StreamStep::Reject(_) => Next::Broken("foreign or missing event"),
+        }
+    }
+
+    /// Before the first token the engine may still queue or prefill; after it,
+    /// silence means a broken connection.
+    fn stall_ms(&self) -> u64 {
+        let stall = self.traffic.settings.timing.stall_ms;
+        if self.first_token.is_some() {
+            return stall;
+        }
+        self.job.ask.deadline.since(control::now()).0.max(stall)
+    }
+
+    async fn recover(&mut self, mut running: Running, reason: &str) -> Result<Running, ApiError> {
+        self.decide("break", running.permit.engine.as_str(), reason);
+        let incarnation = running.cursor.incarnation();
+        if let Recovery::Resume { from } = running.cursor.recover(Some(incarnation))
+            && let Some(reader) = self.resume(&running, from).await
+        {
+            self.decide("resume", running.permit.engine.as_str(), reason);
+            running.reader = reader;
+            return Ok(running);
+        }
+        match running.cursor.recover(None) {
+            Recovery::Continue { from } => self.continue_elsewhere(running, from).await,
+            Recovery::Resume { .. } | Recovery::GiveUp => Err(broken(reason)),
+        }
+    }
+
+    /// Asks the same engine for the rest, over another connection.
+    async fn resume(&self, running: &Running, from: u32) -> Option<SseReader> {
+        let address = running.permit.address;
+        let attempt = running.cursor.attempt();
+        let uri = format!("http://{address}/v1/streams/{attempt}?from={from}");
+        let request = Request::get(uri).body(Full::default()).ok()?;
+        let wait = self.traffic.settings.timing.connect_ms;
+        let response = self
+            .traffic
+            .http
+            .send(request, Connection::Fresh, wait)
+            .await
+            .ok()?;
+        let same = incarnation_of(&response) == Some(running.cursor.incarnation());
+        (response.status() == StatusCode::OK && same).then(|| SseReader::new(response.into_body()))
+    }
+
+    async fn continue_elsewhere(
+        &mut self,
+        mut running: Running,
+        from: u32,
+    ) -> Result<Running, ApiError> {
+        let engine = running.permit.engine.clone();
+        running.permit.observe(PermitOutcome {
+            failed: true,
+            ..PermitOutcome::default()
+        });
+        self.job.ask.avoid.push(engine);
+        let mut cursor = running.cursor;
+        drop(running.permit);
+        let deadline = self.job.ask.deadline.max(control::now() + Millis(5_000));
+        self.job.ask.deadline = deadline;
+        let permit = self.admit().await?;
+        self.decide(
+            "continue",
+            permit.engine.as_str(),
+            "the engine before is gone",
+        );
+        let next = self.send(permit, from).await;
+        let next = next.map_err(|error| broken(&error.to_string()))?;
+        cursor.rebind(next.cursor.attempt().to_owned(), next.cursor.incarnation());
+        Ok(Running { cursor, ..next })
+    }
+
+    /// Frees the engine's slot after the caller has left.
+    async fn cancel(&self, running: &Running) {
+        self.decide("cancel", running.permit.engine.as_str(), "the caller left");
+        let uri = format!(
+            "http://{}/v1/streams/{}",
+            running.permit.address,
+            running.cursor.attempt()
+        );
+        let Ok(request) = Request::delete(uri).body(Full::default()) else {
+            return;
+        };
+        let wait = self.traffic.settings.timing.connect_ms;
+        let _ = self
+            .traffic
+            .http
+            .send(request, Connection::Pooled, wait)
+            .await;
+    }
+
+    fn note_first_token(&mut self, running: &mut Running) {
+        if self.first_token.is_some() {
+            return;
+        }
+        let now = control::now();
+        self.first_token = Some(now.since(self.job.started));
+        let outcome = PermitOutcome {
+            first_token: Some(now.since(running.sent_at)),
+            ..PermitOutcome::default()
+        };
+        running.permit.observe(outcome);
+    }
+
+    fn note_finish(&self, running: &mut Running, finish: &Finish) {
+        let outcome = PermitOutcome {
+            first_token: self.first_token,
+            cached_tokens: Some(finish.usage.cached_tokens),
+            failed: false,
+        };
+        running.permit.observe(outcome);
+    }
+
+    async fn emit(&self, sink: &Sink, event: Bytes) -> Result<(), ()> {
+        let Sink::Caller(sender) = sink else {
+            return Ok(());
+        };
+        let wait = Duration::from_millis(CALLER_STALL_MS);
+        match tokio::time::timeout(wait, sender.send(event)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(()),
+        }
+    }
+
+    fn piece_event(&self, cursor: &StreamCursor, text: &str) -> Bytes {
+        let index = cursor.next_index() - 1;
+        let choice = match self.job.shape {
+            Shape::Text => json!({ "index": 0, "text": text, "finish_reason": null }),
+            Shape::Chat => {
+                json!({ "index": 0, "delta": { "content": text }, "finish_reason": null })
+            }
+        };
+        let id = format!("{}:{index}", self.job.ask.request);
+        sse::event(Some(&id), &self.chunk(&choice, None, None).to_string())
+    }
+
+    fn finish_event(&self, finish: &Finish) -> Bytes {
+        let choice = match self.job.shape {
+            Shape::Text => json!({ "index": 0, "text": "", "finish_reason": finish.reason }),
+            Shape::Chat => json!({ "index": 0, "delta": {}, "finish_reason": finish.reason }),
+        };
+        let count = Some(finish.usage.completion_tokens);
+        sse::event(
+            None,
+            &self.chunk(&choice, Some(finish.usage), count).to_string(),
+        )
+    }
+
+    fn chunk(
+        &self,
+        choice: &serde_json::Value,
+        usage: Option<Usage>,
+        count: Option<u32>,
+    ) -> serde_json::Value {
+        let object = match self.job.shape {
+            Shape::Text => "text_completion",
+            Shape::Chat => "chat.completion.chunk",
+        };
+        json!({
+            "id": self.job.ask.request,
+            "object": object,
+            "created": self.job.started.0 / 1000,
+            "model": self.job.ask.model,
+            "choices": [choice],
+            "usage": usage.map(usage_body),
+            "count": count,
+        })
+    }
+
+    fn whole_body(&self, finish: &Finish) -> Vec<u8> {
+        let (object, choice) = match self.job.shape {
+            Shape::Text => (
+                "text_completion",
+                json!({ "index": 0, "text": self.answer, "finish_reason": finish.reason }),
+            ),
+            Shape::Chat => (
+                "chat.completion",
+                json!({
+                    "index": 0,
+                    "message": { "role": "assistant", "content": self.answer },
+                    "finish_reason": finish.reason,
+                }),
+            ),
+        };
+        json!({
+            "id": self.job.ask.request,
+            "object": object,
+            "created": self.job.started.0 / 1000,
+            "model": self.job.ask.model,
+            "choices": [choice],
+            "usage": usage_body(finish.usage),
+        })
+        .to_string()
+        .into_bytes()
+    }
+
+    fn decide(&self, action: &str, chosen: &str, reason: &str) {
+        let candidates = serde_json::Value::Null;
+        self.traffic.decisions.record(
+            control::now(),
+            &self.job.ask.request,
+            action,
+            chosen,
+            reason,
+            candidates,
+        );
+    }
+}
+
+fn usage_body(usage: Usage) -> serde_json::Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": { "cached_tokens": usage.cached_tokens },
+    })
+}
+
+fn clone_ask(ask: &Ask) -> Ask {
+    Ask {
+        request: ask.request.clone(),
+        workspace: ask.workspace.clone(),
+        model: ask.model.clone(),
+        priority: ask.priority,
+        prompt: ask.prompt.clone(),
+        answer_tokens: ask.answer_tokens,
+        deadline: ask.deadline,
+        avoid: ask.avoid.clone(),
+    }
+}
+
+fn incarnation_of(response: &Response<Incoming>) -> Option<Incarnation> {
+    let text = response.headers().get(INCARNATION_HEADER)?.to_str().ok()?;
+    text.parse().ok().map(Incarnation)
+}
+
+async fn check_status(
+    address: &str,
+    response: Response<Incoming>,
+) -> Result<Response<Incoming>, EndpointError> {
+    if response.status() == StatusCode::OK {
+        return Ok(response);
+    }
+    let status = response.status();
+    let body = EndpointHttp::read(address, response, 1_000).await?;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    Err(EndpointError::Body {
+        address: address.to_owned(),
+        source: format!("status {status}: {text}").into(),
+    })
+}
+
+fn refused(refusal: &Refusal) -> ApiError {
+    let message = format!("the request cannot be served now: {}", refusal.code);
+    ApiError::unavailable(refusal.code, message, refusal.retry_after.0)
+}
+
+fn broken(reason: &str) -> ApiError {
+    let message = format!("the answer cannot be completed: {reason}");
+    ApiError::new(
+        StatusCode::BAD_GATEWAY,
+        ErrorKind::Upstream,
+        "stream_broken",
+        message,
+    )
+}
+
+fn caller_left() -> ApiError {
+    ApiError::new(
+        StatusCode::BAD_REQUEST,
+        ErrorKind::InvalidRequest,
+        "caller_left",
+        "",
+    )
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,456 @@
+//! Settings of a node: defaults, then the file, then the environment, then flags.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use flamingolock_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use toml::{Table, Value};
+
+/// Prefix of environment variables that set a key, as in
+/// `FLAMINGOLOCK_NODE__NAME` for `node.name`.
+pub const ENV_PREFIX: &str = "FLAMINGOLOCK_";
+
+/// Shortest accepted fleet key, in bytes.
+const MIN_FLEET_KEY: usize = 16;
+
+/// Why settings cannot be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("{}: cannot be read ({source}); give a readable file with --config", path.display())]
+    Read {
+        /// File that was asked for.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The file is no TOML, or holds an unknown key or a value of the wrong type.
+    #[error("{}: {source}\nremedy: correct the key, or remove it to use its default", path.display())]
+    File {
+        /// File that holds the error.
+        path: PathBuf,
+        /// Position and kind of the error.
+        source: Box<toml::de::Error>,
+    },
+    /// An environment variable or flag does not fit.
+    #[error("{origin}: key {key}: {source}\nremedy: correct the value, or leave it unset")]
+    Override {
+        /// `environment` or `--set`.
+        origin: &'static str,
+        /// Key in dotted form.
+        key: String,
+        /// What does not fit.
+        source: Box<toml::de::Error>,
+    },
+    /// A `--set` argument is not of the form `key=value`.
+    #[error("--set {text}: not of the form key=value; write for instance --set node.name=entry-1")]
+    Form {
+        /// The argument.
+        text: String,
+    },
+    /// Values that are each well-formed cannot be used together.
+    #[error("{file}: key {key}: {problem}\nremedy: {remedy}")]
+    Check {
+        /// File that the settings came from.
+        file: String,
+        /// Key in dotted form.
+        key: &'static str,
+        /// What is wrong.
+        problem: String,
+        /// What to do.
+        remedy: &'static str,
+    },
+}
+
+/// Everything that a node is told at its start.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Name and addresses.
+    pub node: NodeSettings,
+    /// Where the platform answers.
+    pub platform: PlatformSettings,
+    /// What all nodes share.
+    pub fleet: FleetSettings,
+    /// The operators' port.
+    pub operators: OperatorSettings,
+    /// Bounds on callers.
+    pub limits: LimitSettings,
+    /// Timeouts and periods.
+    pub timing: TimingSettings,
+    /// Which mechanisms of routing are in use.
+    pub routing: RoutingSettings,
+}
+
+/// Name and addresses of the node.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name in the platform's instance list.
+    pub name: InstanceId,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Address of the callers' port.
+    pub listen: SocketAddr,
+    /// Address of the port for other nodes.
+    pub peer_listen: SocketAddr,
+    /// Traffic threads.
+    pub threads: usize,
+}
+
+impl Default for NodeSettings {
+    fn default() -> Self {
+        Self {
+            name: InstanceId::default(),
+            zone: Zone::default(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 8080)),
+            peer_listen: SocketAddr::from(([127, 0, 0, 1], 8081)),
+            threads: 2,
+        }
+    }
+}
+
+/// Where the platform answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Base URL of log service, instance list and stores.
+    pub url: String,
+    /// Period of reading the instance list, in milliseconds.
+    pub list_ms: u64,
+    /// Appends a second that this node may use of the log's budget.
+    pub append_rate: f64,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            url: "http://127.0.0.1:9000".to_owned(),
+            list_ms: 500,
+            append_rate: 20.0,
+        }
+    }
+}
+
+/// What all nodes share.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetSettings {
+    /// Secret that nodes prove to each other and sign tokens with.
+    pub key: String,
+}
+
+/// The operators' port.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OperatorSettings {
+    /// Address of the port; absent means that there is none.
+    pub listen: Option<SocketAddr>,
+    /// Bearer token that operators present.
+    pub token: String,
+}
+
+/// Bounds on callers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LimitSettings {
+    /// Largest request body in bytes.
+    pub body_bytes: usize,
+    /// Open caller connections.
+    pub connections: usize,
+    /// Requests in progress.
+    pub inflight: usize,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            body_bytes: 2 << 20,
+            connections: 4096,
+            inflight: 2048,
+        }
+    }
+}
+
+/// Timeouts and periods, in milliseconds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TimingSettings {
+    /// Longest time for the head of a request to arrive.
+    pub head_ms: u64,
+    /// Longest time for the body of a request to arrive.
+    pub body_ms: u64,
+    /// Longest time to connect to an endpoint.
+    pub connect_ms: u64,
+    /// Longest silence within a stream before a fresh connection is tried.
+    pub stall_ms: u64,
+    /// Lifetime of an entries answer.
+    pub entries_ms: u64,
+    /// Longest time that a graceful shutdown waits for streams.
+    pub drain_ms: u64,
+    /// Period of asking engines for their load.
+    pub status_ms: u64,
+    /// Longest wait for probe answers.
+    pub probe_ms: u64,
+    /// Longest wait for a home to acknowledge a permit request.
+    pub home_ms: u64,
+}
+
+impl Default for TimingSettings {
+    fn default() -> Self {
+        Self {
+            head_ms: 10_000,
+            body_ms: 20_000,
+            connect_ms: 1_000,
+            stall_ms: 2_000,
+            entries_ms: 3_000,
+            drain_ms: 120_000,
+            status_ms: 250,
+            probe_ms: 5,
+            home_ms: 20,
+        }
+    }
+}
+
+/// Which policy chooses engines, and which of its mechanisms are off.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RoutingSettings {
+    /// How engines are chosen.
+    pub policy: Policy,
+    /// Mechanisms that are switched off, for comparison.
+    pub without: BTreeSet<Mechanism>,
+}
+
+impl RoutingSettings {
+    /// True unless `mechanism` is switched off.
+    pub fn uses(&self, mechanism: Mechanism) -> bool {
+        self.policy == Policy::Flamingolock && !self.without.contains(&mechanism)
+    }
+}
+
+/// A part of routing that can be switched off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mechanism {
+    /// Ask homes for their exact state before choosing.
+    Probes,
+    /// Let homes queue requests and grant permits.
+    Permits,
+    /// Wait for a running prefill of the same prefix.
+    SharedPrefill,
+    /// Spread hot prefixes over several engines.
+    Replicas,
+    /// Export hot prefixes to the store of kept KV cache.
+    KeptCache,
+}
+
+/// How engines are chosen. All but the first are baselines for comparison.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// Shortlist by prefix, then probes to the engines' homes.
+    #[default]
+    Flamingolock,
+    /// Engines in turn.
+    RoundRobin,
+    /// The engine with the fewest requests of this node.
+    LeastLoaded,
+    /// Rendezvous hash of the first prefix level.
+    PrefixHash,
+}
+
+/// Reads settings from an optional file, environment pairs and `key=value` flags.
+///
+/// # Errors
+///
+/// Names the file or source, the key and the remedy.
+pub fn load<I>(
+    file: Option<&Path>,
+    environment: I,
+    flags: &[String],
+) -> Result<Settings, SettingsError>
+where
+    I: IntoIterator<Item = (String, String)>,
+{
+    let mut table = match file {
+        Some(path) => read_file(path)?,
+        None => Table::new(),
+    };
+    for (name, text) in environment {
+        if let Some(key) = environment_key(&name) {
+            set(&mut table, "environment", &key, &text)?;
+        }
+    }
+    for flag in flags {
+        let Some((key, text)) = flag.split_once('=') else {
+            return Err(SettingsError::Form { text: flag.clone() });
+        };
+        set(&mut table, "--set", key.trim(), text.trim())?;
+    }
+    let settings: Settings = table
+        .try_into()
+        .map_err(|source| override_error("settings", "(merged)", source))?;
+    let origin = file.map_or("settings".to_owned(), |path| path.display().to_string());
+    settings.check(&origin)?;
+    Ok(settings)
+}
+
+fn read_file(path: &Path) -> Result<Table, SettingsError> {
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    let refuse = |source| SettingsError::File {
+        path: path.to_owned(),
+        source: Box::new(source),
+    };
+    // Reading the whole shape here keeps line and column in the message.
+    toml::from_str::<Settings>(&text).map_err(refuse)?;
+    toml::from_str(&text).map_err(refuse)
+}
+
+fn environment_key(name: &str) -> Option<String> {
+    let rest = name.strip_prefix(ENV_PREFIX)?;
+    let (section, key) = rest.split_once("__")?;
+    Some(format!("{}.{}", section.to_lowercase(), key.to_lowercase()))
+}
+
+/// Sets one dotted key, and checks that the result still fits the settings.
+fn set(
+    table: &mut Table,
+    origin: &'static str,
+    key: &str,
+    text: &str,
+) -> Result<(), SettingsError> {
+    let mut changed = table.clone();
+    let (section, name) = key.split_once('.').unwrap_or((key, ""));
+    let inner = changed
+        .entry(section)
+        .or_insert_with(|| Value::Table(Table::new()));
+    if let Value::Table(inner) = inner {
+        inner.insert(name.to_owned(), parse_value(text));
+    }
+    match changed.clone().try_into::<Settings>() {
+        Ok(_) => {}
+        Err(first) => {
+            // Text that reads as a number may be meant as text, as in a name "7".
+            if let Some(Value::Table(inner)) = changed.get_mut(section) {
+                inner.insert(name.to_owned(), Value::String(text.to_owned()));
+            }
+            if changed.clone().try_into::<Settings>().is_err() {
+                return Err(override_error(origin, key, first));
+            }
+        }
+    }
+    *table = changed;
+    Ok(())
+}
+
+fn parse_value(text: &str) -> Value {
+    toml::from_str::<Table>(&format!("value = {text}"))
+        .ok()
+        .and_then(|mut table| table.remove("value"))
+        .unwrap_or_else(|| Value::String(text.to_owned()))
+}
+
+fn override_error(origin: &'static str, key: &str, source: toml::de::Error) -> SettingsError {
+    SettingsError::Override {
+        origin,
+        key: key.to_owned(),
+        source: Box::new(source),
+    }
+}
+
+impl Settings {
+    /// Checks what the types cannot express.
+    ///
+    /// # Errors
+    ///
+    /// Names the first key that cannot be used, and the remedy.
+    pub fn check(&self, file: &str) -> Result<(), SettingsError> {
+        let refuse = |key, problem: String, remedy| {
+            Err(SettingsError::Check {
+                file: file.to_owned(),
+                key,
+                problem,
+                remedy,
+            })
+        };
+        if self.node.name.as_str().is_empty() {
+            return refuse(
+                "node.name",
+                "is empty".to_owned(),
+                "set the name that the platform's instance list shows",
+            );
+        }
+        if self.node.zone.as_str().is_empty() {
+            return refuse(
+                "node.zone",
+                "is empty".to_owned(),
+                "set the availability zone of this instance",
+            );
+        }
+        if self.node.threads == 0 {
+            return refuse(
+                "node.threads",
+                "is 0".to_owned(),
+                "set at least 1 traffic thread",
+            );
+        }
+        if self.node.listen == self.node.peer_listen && self.node.listen.port() != 0 {
+            return refuse(
+                "node.peer_listen",
+                format!("equals node.listen ({})", self.node.listen),
+                "give callers and nodes different ports",
+            );
+        }
+        if !self.platform.url.starts_with("http://") {
+            return refuse(
+                "platform.url",
+                format!("`{}` is no http:// address", self.platform.url),
+                "write it as http://IP:PORT",
+            );
+        }
+        if self.fleet.key.len() < MIN_FLEET_KEY {
+            return refuse(
+                "fleet.key",
+                format!(
+                    "has {} bytes, fewer than {MIN_FLEET_KEY}",
+                    self.fleet.key.len()
+                ),
+                "set the same long random key on every node, best by FLAMINGOLOCK_FLEET__KEY",
+            );
+        }
+        if self.operators.listen.is_some() && self.operators.token.is_empty() {
+            return refuse(
+                "operators.token",
+                "is empty while operators.listen is set".to_owned(),
+                "set a token, or remove operators.listen",
+            );
+        }
+        let periods = [
+            ("timing.entries_ms", self.timing.entries_ms),
+            ("timing.stall_ms", self.timing.stall_ms),
+            ("timing.connect_ms", self.timing.connect_ms),
+            ("timing.status_ms", self.timing.status_ms),
+            ("platform.list_ms", self.platform.list_ms),
+        ];
+        for (key, value) in periods {
+            if value == 0 {
+                return refuse(key, "is 0".to_owned(), "set at least 1 millisecond");
+            }
+        }
+        if self.limits.body_bytes < 1024 {
+            return refuse(
+                "limits.body_bytes",
+                format!("is {}", self.limits.body_bytes),
+                "allow at least 1024 bytes",
+            );
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/view.rs
@@ -0,0 +1,89 @@
+//! What the control thread publishes for traffic threads to read.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use flamingolock_core::manifest::Manifest;
+use flamingolock_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// What an instance of the platform's list does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ListedKind {
+    /// Runs a node.
+    Entry,
+    /// Runs a model engine.
+    Engine,
+    /// Runs a plain service.
+    Service,
+}
+
+/// State of an instance in the platform's list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ListedState {
+    /// In service.
+    Live,
+    /// About to go.
+    Leaving,
+}
+
+/// One instance of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Name of the instance.
+    pub name: String,
+    /// What it does.
+    pub kind: ListedKind,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Address for other nodes; only entries have one.
+    #[serde(default)]
+    pub peer_address: Option<SocketAddr>,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Whether it is about to go.
+    pub state: ListedState,
+}
+
+/// Immutable picture of what the control thread knows.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Manifest in force.
+    pub manifest: Arc<Manifest>,
+    /// Workspace of each key hash.
+    pub keys: Arc<BTreeMap<String, WorkspaceId>>,
+    /// Instances by name.
+    pub instances: Arc<BTreeMap<String, Listed>>,
+    /// Engines that answered when last asked.
+    pub answering: usize,
+    /// True once a manifest has been read.
+    pub ready: bool,
+    /// True while the node is shutting down.
+    pub leaving: bool,
+}
+
+impl View {
+    /// Services' instances that take new work, in order of name.
+    pub fn service_instances(&self, service: &ServiceName) -> Vec<&Listed> {
+        let named = self
+            .manifest
+            .services
+            .get(service)
+            .map(|service| &service.endpoints);
+        self.instances
+            .values()
+            .filter(|listed| listed.kind == ListedKind::Service)
+            .filter(|listed| listed.state == ListedState::Live)
+            .filter(|listed| {
+                named.is_none_or(|names| names.is_empty() || names.contains(&listed.name))
+            })
+            .collect()
+    }
+}
+
+/// The newest view; cheap to read from any thread.
+pub type SharedView = Arc<ArcSwap<View>>;
--- a/crates/standins/src/cache.rs
+++ b/crates/standins/src/cache.rs
@@ -1,10 +1,8 @@
 //! The prefix cache of an engine: bounded blocks, least recently used first out.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use flamingolock_core::prelude::*;
-use tokio::time::Instant;
 
 /// What a cached block was computed under.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,29 +14,24 @@
 
 struct Entry {
     origin: Origin,
-    /// Key in the order of use.
-    turn: u64,
-    used: Instant,
+    used: u64,
 }
 
 /// Cached blocks in the order of their use.
 pub(crate) struct PrefixCache {
     capacity: usize,
-    /// How long a block stays without being used; absent means as long as it fits.
-    ttl: Option<Duration>,
     entries: BTreeMap<BlockHash, Entry>,
     by_use: BTreeMap<u64, BlockHash>,
-    last_turn: u64,
+    clock: u64,
 }
 
 impl PrefixCache {
-    pub(crate) fn new(capacity: usize, ttl: Option<Duration>) -> Self {
+    pub(crate) fn new(capacity: usize) -> Self {
         Self {
             capacity,
-            ttl,
             entries: BTreeMap::new(),
             by_use: BTreeMap::new(),
-            last_turn: 0,
+            clock: 0,
         }
     }
 
@@ -46,49 +39,52 @@
         self.entries.len()
     }
 
-    pub(crate) fn get(&self, block: BlockHash) -> Option<&Origin> {
-        self.entries.get(&block).map(|entry| &entry.origin)
+    /// The origins of the leading blocks that are cached.
+    pub(crate) fn matching<'a>(
+        &'a self,
+        blocks: &'a [BlockHash],
+    ) -> impl Iterator<Item = &'a Origin> {
+        blocks
+            .iter()
+            .map_while(|block| self.entries.get(block))
+            .map(|entry| &entry.origin)
     }
 
-    /// The origins of the leading blocks that are cached.
-    pub(crate) fn matching(&self, blocks: &[BlockHash]) -> impl Iterator<Item = &Origin> {
-        blocks.iter().map_while(|block| self.get(*block))
+    pub(crate) fn contains(&self, block: BlockHash) -> bool {
+        self.entries.contains_key(&block)
     }
 
     /// Marks the blocks as just used. The first block counts as the most recent
     /// one, since the later blocks are useless without it.
-    pub(crate) fn touch(&mut self, blocks: &[BlockHash], now: Instant) {
+    pub(crate) fn touch(&mut self, blocks: &[BlockHash]) {
         for block in blocks.iter().rev() {
             if let Some(entry) = self.entries.get_mut(block) {
-                self.by_use.remove(&entry.turn);
-                self.last_turn += 1;
-                entry.turn = self.last_turn;
-                entry.used = now;
-                self.by_use.insert(self.last_turn, *block);
+                self.by_use.remove(&entry.used);
+                self.clock += 1;
+                entry.used = self.clock;
+                self.by_use.insert(self.clock, *block);
             }
         }
     }
 
-    /// Adds a block; false when it was there.
-    pub(crate) fn insert(&mut self, block: BlockHash, origin: &Origin, now: Instant) -> bool {
-        if self.entries.contains_key(&block) {
-            return false;
+    /// Adds a block unless it is there.
+    pub(crate) fn insert(&mut self, block: BlockHash, origin: &Origin) {
+        if self.contains(block) {
+            return;
         }
-        self.last_turn += 1;
+        self.clock += 1;
         let entry = Entry {
             origin: origin.clone(),
-            turn: self.last_turn,
-            used: now,
+            used: self.clock,
         };
         self.entries.insert(block, entry);
-        self.by_use.insert(self.last_turn, block);
-        true
+        self.by_use.insert(self.clock, block);
     }
 
-    /// Drops blocks beyond the capacity and those that have outlived their use.
-    pub(crate) fn evict(&mut self, now: Instant) -> Vec<BlockHash> {
+    /// Drops blocks beyond the capacity and returns them.
+    pub(crate) fn shrink(&mut self) -> Vec<BlockHash> {
         let mut evicted = Vec::new();
-        while self.entries.len() > self.capacity || self.next_expiry().is_some_and(|e| e <= now) {
+        while self.entries.len() > self.capacity {
             let Some((_, block)) = self.by_use.pop_first() else {
                 break;
             };
@@ -98,12 +94,6 @@
         evicted
     }
 
-    /// When the least recently used block expires.
-    pub(crate) fn next_expiry(&self) -> Option<Instant> {
-        let (_, block) = self.by_use.first_key_value()?;
-        Some(self.entries.get(block)?.used + self.ttl?)
-    }
-
     pub(crate) fn clear(&mut self) {
         self.entries.clear();
         self.by_use.clear();
--- a/crates/standins/src/engine_http.rs
+++ b/crates/standins/src/engine_http.rs
@@ -1,26 +1,28 @@
 //! The engine's HTTP paths.
 
+use std::fmt::Write;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use flamingolock_core::prelude::*;
+use futures_util::stream;
+use http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderName, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Deserialize;
-use serde_json::json;
-use tokio::time::Instant;
+use serde_json::{Value, json};
 
 use crate::answer::ExpectedAnswer;
-use crate::batch::Job;
-use crate::engine_sse::{stream_response, whole_response};
-use crate::engine_state::{Engine, Refusal};
+use crate::batch::{Job, Phase, Progress};
+use crate::engine::{Engine, Reader};
 use crate::http::{
-    Aborted, Body, Reply, control_connections, empty, error, ok, parse_json, query_u64, read_body,
-    retry_later,
+    Aborted, Body, Reply, empty, error, ok, parse_json, query_u64, read_body, retry_later, streamed,
 };
-use crate::orders::{OrderOutcome, OrderRequest, carry_out};
 use crate::server::lock;
-use crate::transfer::{TransferError, export, import};
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+const ENGINE_INCARNATION: HeaderName = HeaderName::from_static("x-engine-incarnation");
 
 #[derive(Deserialize)]
 struct CompletionRequest {
@@ -60,14 +62,7 @@
         } else {
             unknown_stream()
         }),
-        (Method::GET, ["v1", "events"]) => {
-            let after = query_u64(&uri, "after", 0);
-            let wait = Duration::from_millis(query_u64(&uri, "wait_ms", 0));
-            Ok(ok(&engine.events(after, Instant::now() + wait).await))
-        }
-        (Method::POST, ["v1", "orders"]) => obey(engine, &body).await,
-        (Method::POST, ["v1", "kv", direction]) => transfer(engine, direction, &body).await,
-        (Method::GET, ["standin", "oracle"]) => Ok(ok(&lock(&engine.state).memory.report)),
+        (Method::GET, ["standin", "oracle"]) => Ok(ok(&lock(&engine.state).report)),
         (Method::POST, ["standin", action]) => {
             let span = Duration::from_millis(query_u64(&uri, "ms", 0));
             Ok(control(&engine, action, span))
@@ -80,78 +75,13 @@
     match action {
         "crash" => engine.crash(),
         "freeze" => engine.freeze(span),
-        _ => return control_connections(&engine.connections, action, span),
+        "silence" => engine.connections.silence(),
+        "cut" => engine.connections.cut(),
+        _ => return error(StatusCode::NOT_FOUND, "not_found", "no such control"),
     }
     empty(StatusCode::NO_CONTENT)
 }
 
-async fn obey(engine: Arc<Engine>, body: &[u8]) -> Reply {
-    let request: OrderRequest = match parse_json(body) {
-        Ok(request) => request,
-        Err(response) => return Ok(*response),
-    };
-    // An order runs to its end even when its caller leaves.
-    let outcome = tokio::spawn(carry_out(engine, request));
-    match outcome.await.map_err(|_| Aborted)? {
-        OrderOutcome::Done => Ok(ok(&json!({ "done": true }))),
-        OrderOutcome::StaleFencing => {
-            let message = "an order with a larger fencing number came before";
-            Ok(error(StatusCode::CONFLICT, "stale_fencing", message))
-        }
-        OrderOutcome::StoreBusy => {
-            let message = "the weight store limits its rate";
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            Ok(retry_later(status, "weight_store_busy", message))
-        }
-        OrderOutcome::StoreFailed => {
-            let message = "the weight store does not answer";
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            Ok(retry_later(status, "weight_store_failed", message))
-        }
-        OrderOutcome::Lost => Err(Aborted),
-    }
-}
-
-async fn transfer(engine: Arc<Engine>, direction: &str, body: &[u8]) -> Reply {
-    let (count, label) = match direction {
-        "export" => match parse_json(body) {
-            Ok(request) => (export(&engine, request).await, "exported"),
-            Err(response) => return Ok(*response),
-        },
-        "import" => match parse_json(body) {
-            Ok(request) => (import(&engine, request).await, "imported"),
-            Err(response) => return Ok(*response),
-        },
-        _ => return Ok(error(StatusCode::NOT_FOUND, "not_found", "no such path")),
-    };
-    match count {
-        Ok(count) => Ok(ok(&json!({ label: count }))),
-        Err(TransferError::BadSalt) => Ok(bad_salt()),
-        Err(TransferError::BadBlock) => {
-            let message = "a block is not 16 hexadecimal digits";
-            Ok(bad_request("bad_block", message))
-        }
-        Err(TransferError::OtherSalt) => {
-            let message = "the kept blocks belong to another salt";
-            Ok(bad_request("other_salt", message))
-        }
-        Err(TransferError::Missing) => {
-            let message = "the store has no such key";
-            Ok(error(StatusCode::NOT_FOUND, "not_found", message))
-        }
-        Err(TransferError::Store) => {
-            let message = "the store does not answer as it should";
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            Ok(retry_later(status, "store_failed", message))
-        }
-        Err(TransferError::Lost) => Err(Aborted),
-    }
-}
-
-fn bad_salt() -> Response<Body> {
-    bad_request("bad_salt", "cache_salt is not 32 hexadecimal digits")
-}
-
 fn unknown_stream() -> Response<Body> {
     error(StatusCode::NOT_FOUND, "unknown_stream", "no such stream")
 }
@@ -171,9 +101,10 @@
         Err(response) => return Ok(*response),
     };
     let first = job.first;
-    let reader = match engine.submit(job) {
-        Ok(reader) => reader,
-        Err(refusal) => return Ok(refused(&refusal)),
+    let Ok(reader) = engine.submit(job) else {
+        let message = "the waiting line is full";
+        let status = StatusCode::TOO_MANY_REQUESTS;
+        return Ok(retry_later(status, "line_full", message));
     };
     if streams {
         return Ok(stream_response(reader, first));
@@ -181,30 +112,13 @@
     whole_response(reader).await
 }
 
-fn refused(refusal: &Refusal) -> Response<Body> {
-    match refusal {
-        Refusal::LineFull => {
-            let message = "the waiting line is full";
-            retry_later(StatusCode::TOO_MANY_REQUESTS, "line_full", message)
-        }
-        Refusal::Loading => {
-            let message = "the weights are being loaded";
-            error(StatusCode::CONFLICT, "weights_not_loaded", message)
-        }
-        Refusal::Draining => {
-            let message = "the engine finishes what it has";
-            error(StatusCode::CONFLICT, "draining", message)
-        }
-    }
-}
-
 fn job_of(engine: &Engine, request: CompletionRequest) -> Result<Job, Box<Response<Body>>> {
     let refuse = |code, message| Err(Box::new(bad_request(code, message)));
     if request.model != engine.options.model {
         return refuse("unknown_model", "this engine does not serve the model");
     }
     let Some(salt) = PrefixSeed::from_hex(&request.cache_salt) else {
-        return Err(Box::new(bad_salt()));
+        return refuse("bad_salt", "cache_salt is not 32 hexadecimal digits");
     };
     if request.max_tokens <= request.start_index {
         return refuse("bad_length", "max_tokens does not exceed start_index");
@@ -226,3 +140,122 @@
         count: request.max_tokens,
     })
 }
+
+fn with_stream_headers(mut response: Response<Body>, reader: &Reader) -> Response<Body> {
+    let headers = response.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(&reader.job.request_id) {
+        headers.insert(REQUEST_ID, id);
+    }
+    headers.insert(ENGINE_INCARNATION, HeaderValue::from(reader.incarnation.0));
+    response
+}
+
+fn usage(job: &Job, progress: Progress) -> Value {
+    json!({
+        "prompt_tokens": job.prompt_tokens,
+        "completion_tokens": job.count,
+        "cached_tokens": progress.cached_tokens,
+    })
+}
+
+async fn whole_response(mut reader: Reader) -> Reply {
+    let outcome = reader.progress.wait_for(|p| p.phase != Phase::Running);
+    let progress = *outcome.await.map_err(|_| Aborted)?;
+    if progress.phase != Phase::Finished {
+        return Err(Aborted);
+    }
+    let job = &reader.job;
+    let text: String = (job.first..job.count)
+        .map(|i| job.answer.token(i))
+        .collect();
+    let response = ok(&json!({
+        "id": job.request_id,
+        "text": text,
+        "count": job.count,
+        "finish": "length",
+        "usage": usage(job, progress),
+    }));
+    Ok(with_stream_headers(response, &reader))
+}
+
+fn stream_response(reader: Reader, from: u32) -> Response<Body> {
+    let mut response = Response::new(Body::default());
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    let response = with_stream_headers(response, &reader);
+    let cursor = Cursor {
+        next: from.max(reader.job.first),
+        reader,
+    };
+    response.map(|_| streamed(stream::unfold(Some(cursor), next_events)))
+}
+
+/// Where a reader stands in its stream.
+struct Cursor {
+    reader: Reader,
+    next: u32,
+}
+
+/// Waits for events that the reader has not seen and writes them out.
+async fn next_events(cursor: Option<Cursor>) -> Option<(Result<Bytes, Aborted>, Option<Cursor>)> {
+    let mut cursor = cursor?;
+    let next = cursor.next;
+    let seen = |p: &Progress| p.next > next || p.phase != Phase::Running;
+    let progress = match cursor.reader.progress.wait_for(seen).await {
+        Ok(progress) => *progress,
+        Err(_) => return Some((Err(Aborted), None)),
+    };
+    if matches!(progress.phase, Phase::Cancelled | Phase::Cut) {
+        return Some((Err(Aborted), None));
+    }
+    let mut text = String::new();
+    for index in cursor.next..progress.next {
+        write_token(&mut text, &cursor.reader.job, index);
+    }
+    cursor.next = cursor.next.max(progress.next);
+    if progress.phase == Phase::Running {
+        return Some((Ok(text.into()), Some(cursor)));
+    }
+    write_end(&mut text, &cursor.reader.job, progress);
+    Some((Ok(text.into()), None))
+}
+
+fn write_token(text: &mut String, job: &Job, index: u32) {
+    let token = job.answer.token(index);
+    let data = json!({ "id": job.request_id, "index": index, "text": token });
+    write!(text, "id: {index}\ndata: {data}\n\n").expect("writing to a string succeeds");
+}
+
+fn write_end(text: &mut String, job: &Job, progress: Progress) {
+    let data = json!({
+        "id": job.request_id,
+        "finish": "length",
+        "count": job.count,
+        "usage": usage(job, progress),
+    });
+    write!(text, "data: {data}\n\ndata: [DONE]\n\n").expect("writing to a string succeeds");
+}
+
+impl Engine {
+    fn status(&self) -> Value {
+        let options = &self.options;
+        let state = lock(&self.state);
+        json!({
+            "engine": options.engine,
+            "incarnation": state.incarnation,
+            "model": options.model,
+            "weights": state.weights,
+            "adapters": options.adapters,
+            "role": "serve",
+            "slots": options.slots,
+            "running": state.batch.running(),
+            "waiting": state.batch.waiting(),
+            "queued_tokens": state.batch.queued_tokens(),
+            "cached_blocks": state.cache.len(),
+            "capacity_blocks": options.capacity_blocks,
+            "prefill_tokens_per_s": options.prefill_tokens_per_s,
+            "fencing": options.checks_fencing,
+        })
+    }
+}
--- a/crates/standins/src/error.rs
+++ b/crates/standins/src/error.rs
@@ -16,10 +16,4 @@
         /// What the system answered.
         source: io::Error,
     },
-    /// An option is out of its range.
-    #[error("option {name} is out of its range")]
-    Option {
-        /// Name of the option.
-        name: &'static str,
-    },
 }
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -1,7 +1,5 @@
 //! Requests and responses as the stand-ins use them.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use futures_util::Stream;
 use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -14,8 +12,6 @@
 use serde_json::json;
 use thiserror::Error;
 
-use crate::server::Connections;
-
 /// Ends a connection without the rest of the answer.
 #[derive(Clone, Copy, Debug, Error)]
 #[error("connection closed on purpose")]
@@ -109,18 +105,3 @@
         .and_then(|value| value.parse().ok())
         .unwrap_or(default)
 }
-
-/// Carries out a control of connections that all stand-ins share.
-pub(crate) fn control_connections(
-    connections: &Connections,
-    action: &str,
-    span: Duration,
-) -> Response<Body> {
-    match action {
-        "silence" => connections.silence(),
-        "cut" => connections.cut(),
-        "freeze" => connections.freeze_for(span),
-        _ => return error(StatusCode::NOT_FOUND, "not_found", "no such control"),
-    }
-    empty(StatusCode::NO_CONTENT)
-}
--- a/crates/standins/src/memory.rs
+++ b/crates/standins/src/memory.rs
@@ -1,37 +1,33 @@
 //! What prefill does to the prefix cache, and how the oracle counts it.
 
-use std::sync::Arc;
-
 use flamingolock_core::prefix::BLOCK_TOKENS;
 use flamingolock_core::prelude::*;
-use tokio::time::Instant;
 
 use crate::batch::Job;
 use crate::cache::{Origin, PrefixCache};
-use crate::events::{EventKind, EventLog};
 use crate::oracle::{FleetOracle, OracleReport};
 
-/// The cache of an engine with all that a change of it touches.
-pub(crate) struct Memory {
-    pub(crate) cache: PrefixCache,
-    pub(crate) events: EventLog,
-    pub(crate) report: OracleReport,
-    pub(crate) fleet: Arc<FleetOracle>,
+/// The parts of an engine that a prefill changes.
+pub(crate) struct Memory<'a> {
+    pub(crate) cache: &'a mut PrefixCache,
+    pub(crate) report: &'a mut OracleReport,
+    pub(crate) fleet: &'a FleetOracle,
     pub(crate) incarnation: Incarnation,
-    pub(crate) weights: WeightsVersion,
+    pub(crate) weights: &'a WeightsVersion,
 }
 
-impl Memory {
+impl Memory<'_> {
     /// Looks the prefix up and returns the number of cached tokens.
-    pub(crate) fn begin(&mut self, job: &Job, now: Instant) -> u32 {
-        let origin = self.origin(job.salt);
+    pub(crate) fn begin(&mut self, job: &Job) -> u32 {
+        let origin = self.origin(job);
         let (mut hits, mut bad) = (0, 0);
         for found in self.cache.matching(&job.chain.blocks) {
             hits += 1;
             bad += u64::from(*found != origin);
         }
-        self.cache.touch(&job.chain.blocks[..hits], now);
+        self.cache.touch(&job.chain.blocks[..hits]);
         let cached = (hits * BLOCK_TOKENS) as u32;
+        let missing = job.chain.missing_tokens(hits);
         if hits > 0 {
             let salt = job.salt.to_hex();
             *self.report.hits.entry(salt).or_default() += hits as u64;
@@ -39,7 +35,7 @@
         self.report.bad_hits += bad;
         self.report.prompt_tokens += u64::from(job.chain.tokens);
         self.report.cached_tokens += u64::from(cached);
-        self.report.computed_tokens += u64::from(job.chain.missing_tokens(hits));
+        self.report.computed_tokens += u64::from(missing);
         for block in &job.chain.blocks[hits..] {
             if self.fleet.record(*block) {
                 self.report.recomputed_tokens += BLOCK_TOKENS as u64;
@@ -49,42 +45,19 @@
     }
 
     /// Stores the blocks of a prefilled prefix.
-    pub(crate) fn end(&mut self, job: &Job, now: Instant) {
-        let origin = self.origin(job.salt);
-        self.store(&job.chain.blocks, &origin, now);
-    }
-
-    /// Stores blocks; returns how many were not there before.
-    pub(crate) fn store(&mut self, blocks: &[BlockHash], origin: &Origin, now: Instant) -> usize {
-        let mut stored = Vec::new();
-        for block in blocks {
-            if self.cache.insert(*block, origin, now) {
-                stored.push(*block);
-            }
+    pub(crate) fn end(&mut self, job: &Job) -> u32 {
+        let origin = self.origin(job);
+        for block in &job.chain.blocks {
+            self.cache.insert(*block, &origin);
         }
-        self.cache.touch(blocks, now);
-        let count = stored.len();
-        self.events.push(EventKind::Stored, stored, now);
-        self.evict(now);
-        count
-    }
-
-    /// Drops the blocks that are over the capacity or too old.
-    pub(crate) fn evict(&mut self, now: Instant) {
-        let evicted = self.cache.evict(now);
-        self.report.evicted += evicted.len() as u64;
-        self.events.push(EventKind::Evicted, evicted, now);
-    }
-
-    /// Drops all blocks, as a change of weights does.
-    pub(crate) fn clear(&mut self, now: Instant) {
-        self.cache.clear();
-        self.events.push(EventKind::Cleared, Vec::new(), now);
+        self.cache.touch(&job.chain.blocks);
+        self.report.evicted += self.cache.shrink().len() as u64;
+        job.chain.tokens
     }
 
-    fn origin(&self, salt: PrefixSeed) -> Origin {
+    fn origin(&self, job: &Job) -> Origin {
         Origin {
-            salt,
+            salt: job.salt,
             incarnation: self.incarnation,
             weights: self.weights.clone(),
         }
--- a/crates/standins/src/oracle.rs
+++ b/crates/standins/src/oracle.rs
@@ -6,7 +6,6 @@
 use flamingolock_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::orders::OrderRecord;
 use crate::server::lock;
 
 /// Counters of one engine over all its incarnations.
@@ -37,8 +36,6 @@
     pub cut: u64,
     /// How often each request id was started.
     pub executions: BTreeMap<String, u64>,
-    /// Orders that were carried out, in their order.
-    pub orders: Vec<OrderRecord>,
 }
 
 /// Blocks that any engine of a fleet has computed, shared by those in a process.
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,145 +1,109 @@
 //! The platform: log service, instance list, weight store and KV store.
-//!
-//! Beside the platform's own paths it serves, below `/standin/`:
-//!
-//! - `PUT` and `DELETE instances/{name}`, `POST instances/{name}/live|leaving`,
-//!   `POST list_lag?ms=`
-//! - `POST outage?ms=&mode=refuse|hang&part=log|instances|weights|kv|all` and
-//!   `POST slow?ms=&part=`; both concern the log when no part is named
-//! - `POST lose?next=&probability=` for answers of appends that took effect
-//! - `POST log/{stream}` with one record, past all limits and outages
-//! - `GET report`, and `POST silence`, `cut` and `freeze?ms=` for connections
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use bytes::Bytes;
 use flamingolock_core::prelude::*;
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::error::StandinError;
-use crate::instances::InstanceList;
-pub use crate::instances::{Instance, InstanceKind, InstanceState};
-pub use crate::log_service::LogReport;
-use crate::log_service::{LogLimits, LogService};
+use crate::http::{Reply, empty, error, full, ok, parse_json, query_u64, read_body};
 pub use crate::log_stream::{LogRecord, NewRecord};
-use crate::outage::Outages;
-pub use crate::outage::{OutageMode, Part};
-use crate::platform_http::handle;
+use crate::log_stream::{LogStream, ReadOutcome};
 use crate::server::{Connections, Server, lock};
-pub use crate::stores::WeightsReport;
-use crate::stores::{KvStore, WeightStore};
+
+/// Records that one read returns when the reader names no limit.
+const DEFAULT_READ_MAX: u64 = 1000;
 
 /// How a platform behaves.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlatformOptions {
-    /// Appends that the log takes in a second.
-    pub appends_per_s: f64,
-    /// Records that the log takes in a second.
-    pub records_per_s: f64,
-    /// Time that a call to the log takes.
-    pub log_ms: u64,
     /// Records that a stream keeps.
     pub max_records: usize,
     /// Time that a stream keeps a record.
     pub max_age_ms: u64,
-    /// Probability that the answer to an append is lost.
-    pub lose_probability: f64,
-    /// Age of what the instance list shows.
-    pub list_lag_ms: u64,
-    /// Time that one load of weights takes when at most two run at once.
+    /// Time that one load of weights takes.
     pub load_ms: u64,
-    /// Loads of weights at once; more are refused.
-    pub max_loads: u32,
-    /// Seed of all chance.
-    pub seed: u64,
 }
 
 impl Default for PlatformOptions {
     fn default() -> Self {
         Self {
-            appends_per_s: 500.0,
-            records_per_s: 50_000.0,
-            log_ms: 0,
             max_records: 1_000_000,
             max_age_ms: 3_600_000,
-            lose_probability: 0.0,
-            list_lag_ms: 0,
             load_ms: 300,
-            max_loads: 8,
-            seed: 0,
         }
     }
 }
 
-impl PlatformOptions {
-    fn check(&self) -> Result<(), StandinError> {
-        let positive = |number: f64| number.is_finite() && number > 0.0;
-        let checks = [
-            ("appends_per_s", positive(self.appends_per_s)),
-            ("records_per_s", positive(self.records_per_s)),
-            (
-                "lose_probability",
-                (0.0..=1.0).contains(&self.lose_probability),
-            ),
-        ];
-        match checks.into_iter().find(|(_, fits)| !fits) {
-            Some((name, _)) => Err(StandinError::Option { name }),
-            None => Ok(()),
-        }
-    }
+/// What an instance is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceKind {
+    /// Runs a node of the router.
+    Entry,
+    /// Runs a model engine.
+    Engine,
+    /// Runs a plain service.
+    Service,
 }
 
-/// What truly happened at a platform.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlatformReport {
-    /// What the log has seen.
-    pub log: LogReport,
-    /// What the weight store has seen.
-    pub weights: WeightsReport,
+/// Whether an instance takes work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum InstanceState {
+    /// Takes work.
+    #[default]
+    Live,
+    /// Gets no new work and goes away.
+    Leaving,
 }
 
-/// A platform, shared by its connections.
-pub(crate) struct Platform {
-    pub(crate) log: LogService,
-    pub(crate) instances: Mutex<InstanceList>,
-    pub(crate) list_lag: Mutex<Duration>,
-    pub(crate) weights: Arc<WeightStore>,
-    pub(crate) kv: KvStore,
-    pub(crate) outages: Mutex<Outages>,
-    pub(crate) connections: Connections,
+/// One line of the instance list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Unique name; the path of a `PUT` fills it in.
+    #[serde(default)]
+    pub name: String,
+    /// What the instance is for.
+    pub kind: InstanceKind,
+    /// Where callers or nodes reach it.
+    pub address: SocketAddr,
+    /// Where other nodes reach it.
+    #[serde(default)]
+    pub peer_address: Option<SocketAddr>,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Whether it takes work.
+    #[serde(default)]
+    pub state: InstanceState,
 }
 
-impl Platform {
-    fn new(options: &PlatformOptions, connections: Connections) -> Self {
-        let limits = LogLimits {
-            appends_per_s: options.appends_per_s,
-            records_per_s: options.records_per_s,
-            max_records: options.max_records,
-            max_age: Millis(options.max_age_ms),
-        };
-        let load = Duration::from_millis(options.load_ms);
-        let mut outages = Outages::default();
-        outages.set_delay(Part::Log, Duration::from_millis(options.log_ms));
-        Self {
-            log: LogService::new(limits, options.lose_probability, options.seed),
-            instances: Mutex::default(),
-            list_lag: Mutex::new(Duration::from_millis(options.list_lag_ms)),
-            weights: Arc::new(WeightStore::new(load, options.max_loads)),
-            kv: KvStore::default(),
-            outages: Mutex::new(outages),
-            connections,
-        }
-    }
+#[derive(Deserialize)]
+struct AppendRequest {
+    records: Vec<NewRecord>,
+}
 
-    pub(crate) fn report(&self) -> PlatformReport {
-        PlatformReport {
-            log: self.log.report(),
-            weights: self.weights.report(),
-        }
-    }
+struct State {
+    streams: BTreeMap<String, LogStream>,
+    instances: BTreeMap<String, Instance>,
+    kept: BTreeMap<String, Bytes>,
+}
+
+struct Platform {
+    options: PlatformOptions,
+    state: Mutex<State>,
+    /// Rises with every append, for readers that wait.
+    appended: watch::Sender<u64>,
 }
 
 /// A running platform; dropping it stops the platform.
@@ -156,76 +120,162 @@
 
     /// Adds an instance to the list, or replaces the one of the same name.
     pub fn put_instance(&self, instance: Instance) {
-        lock(&self.platform.instances).put(instance, Instant::now());
+        self.platform.put_instance(instance);
     }
 
     /// Takes an instance off the list.
     pub fn remove_instance(&self, name: &str) {
-        lock(&self.platform.instances).remove(name, Instant::now());
-    }
-
-    /// Changes the state of an instance; false when there is none of this name.
-    pub fn set_state(&self, name: &str, state: InstanceState) -> bool {
-        lock(&self.platform.instances).set_state(name, state, Instant::now())
+        self.platform.remove_instance(name);
     }
+}
 
-    /// Changes the age of what the instance list shows.
-    pub fn set_list_lag(&self, lag: Duration) {
-        *lock(&self.platform.list_lag) = lag;
-    }
+/// Starts a platform on `listen`.
+///
+/// # Errors
+///
+/// Fails when `listen` cannot be bound.
+pub async fn start(options: PlatformOptions, listen: SocketAddr) -> Result<Handle, StandinError> {
+    let platform = Arc::new(Platform {
+        options,
+        state: Mutex::new(State {
+            streams: BTreeMap::new(),
+            instances: BTreeMap::new(),
+            kept: BTreeMap::new(),
+        }),
+        appended: watch::Sender::new(0),
+    });
+    let shared = platform.clone();
+    let handler = move |request| handle(shared.clone(), request);
+    let server = Server::start(listen, Connections::default(), handler).await?;
+    Ok(Handle { server, platform })
+}
 
-    /// Takes a part out of service for `span`; zero ends an outage.
-    pub fn begin_outage(&self, part: Part, mode: OutageMode, span: Duration) {
-        lock(&self.platform.outages).begin(part, mode, Instant::now() + span);
+async fn handle(platform: Arc<Platform>, request: Request<Incoming>) -> Reply {
+    let method = request.method().clone();
+    let uri = request.uri().clone();
+    let body = read_body(request).await?;
+    let path: Vec<&str> = uri.path().trim_start_matches('/').split('/').collect();
+    match (method, path.as_slice()) {
+        (Method::POST, ["log", stream]) => Ok(platform.append(stream, &body)),
+        (Method::GET, ["log", stream]) => Ok(platform.read(stream, &uri).await),
+        (Method::GET, ["instances"]) => Ok(platform.list()),
+        (Method::GET, ["weights", version]) => Ok(platform.weights(version).await),
+        (method, ["kv", key @ ..]) => Ok(platform.kept(&method, &key.join("/"), body)),
+        (Method::PUT, ["standin", "instances", name]) => Ok(match parse_json::<Instance>(&body) {
+            Ok(mut instance) => {
+                (*name).clone_into(&mut instance.name);
+                platform.put_instance(instance);
+                empty(StatusCode::NO_CONTENT)
+            }
+            Err(response) => *response,
+        }),
+        (Method::DELETE, ["standin", "instances", name]) => {
+            platform.remove_instance(name);
+            Ok(empty(StatusCode::NO_CONTENT))
+        }
+        _ => Ok(error(StatusCode::NOT_FOUND, "not_found", "no such path")),
     }
+}
 
-    /// Makes every call to a part take this much longer.
-    pub fn set_delay(&self, part: Part, delay: Duration) {
-        lock(&self.platform.outages).set_delay(part, delay);
+impl Platform {
+    fn put_instance(&self, instance: Instance) {
+        let mut state = lock(&self.state);
+        state.instances.insert(instance.name.clone(), instance);
     }
 
-    /// Loses the answers of the next `count` appends, which still take effect.
-    pub fn lose_next(&self, count: u64) {
-        self.platform.log.lose_next(count);
+    fn remove_instance(&self, name: &str) {
+        lock(&self.state).instances.remove(name);
     }
 
-    /// Loses the answer of each append with this probability.
-    pub fn lose_with(&self, probability: f64) {
-        self.platform.log.lose_with(probability);
+    fn append(&self, stream: &str, body: &[u8]) -> http::Response<crate::http::Body> {
+        let request: AppendRequest = match parse_json(body) {
+            Ok(request) => request,
+            Err(response) => return *response,
+        };
+        let count = request.records.len();
+        let mut state = lock(&self.state);
+        let log = state.streams.entry(stream.to_owned()).or_default();
+        let now = unix_now();
+        let first = log.append(request.records, now);
+        log.trim(
+            self.options.max_records,
+            now - Millis(self.options.max_age_ms),
+        );
+        drop(state);
+        self.appended.send_modify(|n| *n += 1);
+        ok(&json!({ "first_offset": first, "count": count }))
     }
 
-    /// Writes a record past all limits and outages.
-    pub fn inject(&self, stream: &str, record: NewRecord) -> Offset {
-        self.platform.log.inject(stream, record)
+    async fn read(&self, stream: &str, uri: &http::Uri) -> http::Response<crate::http::Body> {
+        let from = Offset(query_u64(uri, "from", 0));
+        let max = query_u64(uri, "max", DEFAULT_READ_MAX) as usize;
+        let wait = Duration::from_millis(query_u64(uri, "wait_ms", 0));
+        let until = Instant::now() + wait;
+        let mut appended = self.appended.subscribe();
+        loop {
+            let (start, end, outcome) = {
+                let mut state = lock(&self.state);
+                let log = state.streams.entry(stream.to_owned()).or_default();
+                (log.start(), log.end(), log.read(from, max))
+            };
+            match outcome {
+                ReadOutcome::Trimmed => {
+                    let bounds = json!({ "start": start, "end": end });
+                    return crate::http::json_response(StatusCode::GONE, &bounds);
+                }
+                ReadOutcome::Records(records) => {
+                    let waits = records.is_empty() && Instant::now() < until;
+                    if !waits {
+                        let page = json!({ "start": start, "end": end, "records": records });
+                        return ok(&page);
+                    }
+                }
+            }
+            // The sender lives as long as the platform, and a timeout ends the
+            // wait at the next look.
+            let _ = timeout_at(until, appended.changed()).await;
+        }
     }
 
-    /// What truly happened so far.
-    pub fn report(&self) -> PlatformReport {
-        self.platform.report()
+    fn list(&self) -> http::Response<crate::http::Body> {
+        let state = lock(&self.state);
+        let instances: Vec<&Instance> = state.instances.values().collect();
+        ok(&json!({ "instances": instances }))
     }
 
-    /// Keeps present connections open with nothing passing for good.
-    pub fn silence_connections(&self) {
-        self.platform.connections.silence();
+    async fn weights(&self, version: &str) -> http::Response<crate::http::Body> {
+        sleep(Duration::from_millis(self.options.load_ms)).await;
+        ok(&json!({ "version": version }))
     }
 
-    /// Closes all present connections.
-    pub fn cut_connections(&self) {
-        self.platform.connections.cut();
+    fn kept(&self, method: &Method, key: &str, body: Bytes) -> http::Response<crate::http::Body> {
+        let mut state = lock(&self.state);
+        if key.is_empty() {
+            let keys = state.kept.iter();
+            let keys: Vec<_> = keys
+                .map(|(key, bytes)| json!({ "key": key, "bytes": bytes.len() }))
+                .collect();
+            return ok(&json!({ "keys": keys }));
+        }
+        match *method {
+            Method::PUT => {
+                state.kept.insert(key.to_owned(), body);
+                empty(StatusCode::NO_CONTENT)
+            }
+            Method::DELETE => {
+                state.kept.remove(key);
+                empty(StatusCode::NO_CONTENT)
+            }
+            _ => match state.kept.get(key) {
+                Some(bytes) => http::Response::new(full(bytes.clone())),
+                None => error(StatusCode::NOT_FOUND, "not_found", "no such key"),
+            },
+        }
     }
 }
 
-/// Starts a platform on `listen`.
-///
-/// # Errors
-///
-/// Fails when `listen` cannot be bound or an option is out of its range.
-pub async fn start(options: PlatformOptions, listen: SocketAddr) -> Result<Handle, StandinError> {
-    options.check()?;
-    let connections = Connections::default();
-    let platform = Arc::new(Platform::new(&options, connections.clone()));
-    let shared = platform.clone();
-    let handler = move |request| handle(shared.clone(), request);
-    let server = Server::start(listen, connections, handler).await?;
-    Ok(Handle { server, platform })
+/// The time of day, as the log stamps records.
+fn unix_now() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Millis(since.unwrap_or_default().as_millis() as u64)
 }
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -1,43 +1,16 @@
 //! TCP proxy that injects faults between two ends.
-//!
-//! [`start`] forwards one route. [`start_control`] serves many routes from one
-//! process, over HTTP:
-//!
-//! - `POST /standin/routes` with `{"listen","target"}` answers `{"listen"}`, and
-//!   `GET /standin/routes` lists all routes
-//! - `PUT /standin/routes/{listen}/faults` replaces the [`Faults`] of a route
-//! - `POST /standin/routes/{listen}/silence` and `…/cut` concern the connections
-//!   that are open
-//! - `DELETE /standin/routes/{listen}`
 
-use std::future::pending;
 use std::net::SocketAddr;
-use std::sync::Arc;
 
-use bytes::Bytes;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::error::StandinError;
-use crate::faults::{ConnectionFaults, PieceAction, RouteFaults};
-pub use crate::faults::{Direction, DirectionFaults, Faults, NewConnections};
-pub use crate::proxy_control::{ControlHandle, start_control};
 
-/// Bytes that one read takes at most.
-const PIECE_BYTES: usize = 64 * 1024;
-
-/// Pieces that one direction holds back at most.
-const HELD_PIECES: usize = 256;
-
-/// A running route; dropping it closes the socket and all connections.
+/// A running proxy; dropping it closes the socket and all connections.
 pub struct Handle {
     addr: SocketAddr,
-    target: SocketAddr,
-    route: Arc<RouteFaults>,
     stop: CancellationToken,
 }
 
@@ -46,41 +19,6 @@
     pub fn addr(&self) -> SocketAddr {
         self.addr
     }
-
-    /// Where it forwards to.
-    pub fn target(&self) -> SocketAddr {
-        self.target
-    }
-
-    /// Connections that were accepted so far.
-    pub fn accepted(&self) -> u64 {
-        self.route.accepted()
-    }
-
-    /// The faults in force.
-    pub fn faults(&self) -> Faults {
-        self.route.faults()
-    }
-
-    /// Replaces all faults; the default is none.
-    pub fn set_faults(&self, faults: Faults) {
-        self.route.set(faults);
-    }
-
-    /// Changes the faults in place.
-    pub fn change_faults(&self, change: impl FnOnce(&mut Faults)) {
-        self.route.change(change);
-    }
-
-    /// Keeps present connections open with nothing passing for good.
-    pub fn silence_existing(&self) {
-        self.route.silence_existing();
-    }
-
-    /// Closes present connections.
-    pub fn cut_existing(&self) {
-        self.route.cut_existing();
-    }
 }
 
 impl Drop for Handle {
@@ -102,140 +40,32 @@
     let listener = TcpListener::bind(listen).await.map_err(listen_error)?;
     let addr = listener.local_addr().map_err(listen_error)?;
     let stop = CancellationToken::new();
-    let route = Arc::new(RouteFaults::new());
-    tokio::spawn(accept(listener, target, route.clone(), stop.clone()));
-    Ok(Handle {
-        addr,
-        target,
-        route,
-        stop,
-    })
+    tokio::spawn(accept(listener, target, stop.clone()));
+    Ok(Handle { addr, stop })
 }
 
-async fn accept(
-    listener: TcpListener,
-    target: SocketAddr,
-    route: Arc<RouteFaults>,
-    stop: CancellationToken,
-) {
+async fn accept(listener: TcpListener, target: SocketAddr, stop: CancellationToken) {
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((client, _)) = accepted else {
-            continue;
-        };
-        if let Some(faults) = route.admit() {
-            let (route, stop) = (route.clone(), stop.clone());
-            tokio::spawn(async move {
-                tokio::select! {
-                    () = stop.cancelled() => {}
-                    () = faults.cut.cancelled() => {}
-                    () = forward(client, target, &route, &faults) => {}
-                }
-            });
+        if let Ok((client, _)) = accepted {
+            tokio::spawn(forward(client, target, stop.clone()));
         }
     }
 }
 
-async fn forward(
-    client: TcpStream,
-    target: SocketAddr,
-    route: &RouteFaults,
-    faults: &ConnectionFaults,
-) {
-    let Ok(upstream) = TcpStream::connect(target).await else {
+async fn forward(mut client: TcpStream, target: SocketAddr, stop: CancellationToken) {
+    let Ok(mut upstream) = TcpStream::connect(target).await else {
         return;
     };
     // Failing to switch off Nagle's algorithm only delays small writes.
     let _ = client.set_nodelay(true);
     let _ = upstream.set_nodelay(true);
-    let (client_read, client_write) = client.into_split();
-    let (target_read, target_write) = upstream.into_split();
-    let pump = |direction| Pump {
-        direction,
-        route,
-        silence: faults.silence.clone(),
-    };
-    let (up, down) = (pump(Direction::Up), pump(Direction::Down));
-    let up = up.run(client_read, target_write);
-    let down = down.run(target_read, client_write);
-    // An error of either direction closes both, a plain end only its own.
-    let _ = tokio::try_join!(up, down);
-}
-
-/// Ends a connection in both directions.
-struct Closed;
-
-/// Carries one direction of a connection.
-struct Pump<'a> {
-    direction: Direction,
-    route: &'a RouteFaults,
-    silence: watch::Receiver<bool>,
-}
-
-impl Pump<'_> {
-    async fn run(&self, from: OwnedReadHalf, to: OwnedWriteHalf) -> Result<(), Closed> {
-        let (sender, receiver) = mpsc::channel(HELD_PIECES);
-        tokio::try_join!(self.receive(from, sender), self.send(receiver, to))?;
-        Ok(())
-    }
-
-    /// Reads pieces and stamps them with the time when they may be sent.
-    async fn receive(
-        &self,
-        mut from: OwnedReadHalf,
-        pieces: mpsc::Sender<(Instant, Bytes)>,
-    ) -> Result<(), Closed> {
-        let mut buffer = vec![0; PIECE_BYTES];
-        loop {
-            let len = from.read(&mut buffer).await;
-            self.hold_if_silent().await;
-            let len = len.map_err(|_| Closed)?;
-            if len == 0 {
-                return Ok(());
-            }
-            let due = Instant::now() + self.route.delay(self.direction);
-            let piece = Bytes::copy_from_slice(&buffer[..len]);
-            pieces.send((due, piece)).await.map_err(|_| Closed)?;
-        }
-    }
-
-    /// Sends pieces when they are due, until there are no more.
-    async fn send(
-        &self,
-        mut pieces: mpsc::Receiver<(Instant, Bytes)>,
-        mut to: OwnedWriteHalf,
-    ) -> Result<(), Closed> {
-        let mut passed = 0;
-        while let Some((due, piece)) = pieces.recv().await {
-            sleep_until(due).await;
-            self.hold_if_silent().await;
-            let len = piece.len() as u64;
-            let (bytes, cut) = match self.route.decide(self.direction, piece, passed) {
-                PieceAction::Send(bytes) => (bytes, false),
-                PieceAction::SendAndCut(bytes) => (bytes, true),
-                PieceAction::Await(arrival) => (arrival.await.map_err(|_| Closed)?, false),
-            };
-            self.hold_if_silent().await;
-            let written = to.write_all(&bytes).await;
-            self.hold_if_silent().await;
-            written.map_err(|_| Closed)?;
-            if cut {
-                return Err(Closed);
-            }
-            passed += len;
-        }
-        self.hold_if_silent().await;
-        to.shutdown().await.map_err(|_| Closed)
-    }
-
-    /// Never returns on a silent connection, so that its sockets stay open and
-    /// neither end learns that the other one is gone.
-    async fn hold_if_silent(&self) {
-        if *self.silence.borrow() {
-            pending::<()>().await;
-        }
+    tokio::select! {
+        () = stop.cancelled() => {}
+        // A failure of either end closes both, which is what the ends see too.
+        _ = copy_bidirectional(&mut client, &mut upstream) => {}
     }
 }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::error::StandinError;
@@ -131,8 +131,6 @@
     silence: Arc<Gate>,
     /// How long the listener stays away after the cut that is under way.
     downtime: Option<Duration>,
-    /// When the longest freeze ends.
-    frozen_until: Option<Instant>,
 }
 
 impl Connections {
@@ -150,8 +148,6 @@
     pub(crate) fn cut_for(&self, downtime: Duration) {
         let mut state = lock(&self.state);
         state.downtime = Some(downtime);
-        state.frozen_until = None;
-        self.freeze.open();
         Self::cut_locked(&mut state);
     }
 
@@ -169,26 +165,13 @@
 
     /// Lets nothing pass on present and new connections for `span`.
     pub(crate) fn freeze_for(&self, span: Duration) {
-        let until = Instant::now() + span;
-        let mut state = lock(&self.state);
-        state.frozen_until = state.frozen_until.max(Some(until));
         self.freeze.shut();
-        drop(state);
-        let connections = self.clone();
+        let freeze = self.freeze.clone();
         tokio::spawn(async move {
-            sleep_until(until).await;
-            connections.thaw(until);
+            sleep(span).await;
+            freeze.open();
         });
     }
-
-    /// Ends the freeze unless a longer one has begun.
-    fn thaw(&self, until: Instant) {
-        let mut state = lock(&self.state);
-        if state.frozen_until == Some(until) {
-            state.frozen_until = None;
-            self.freeze.open();
-        }
-    }
 }
 
 /// A listening server; dropping it closes the socket and all connections.
@@ -243,10 +226,7 @@
         let downtime = lock(&connections.state).downtime.take();
         if let Some(downtime) = downtime {
             drop(listener);
-            tokio::select! {
-                () = connections.stop.cancelled() => return,
-                () = sleep(downtime) => {}
-            }
+            sleep(downtime).await;
             let Some(bound) = rebind(addr, &connections.stop).await else {
                 return;
             };
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -1,8 +1,4 @@
 //! A plain service that counts how often each call truly ran.
-//!
-//! Below `/standin/` it serves `GET executions` and, as `POST`, `delay?ms=`,
-//! `lose?next=` for answers of calls that ran, `silence`, `cut`, `freeze?ms=` and
-//! `crash?ms=`, which cuts all connections and refuses new ones for a time.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,7 +7,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue};
-use http::{Method, Request, Response, StatusCode, Uri};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -19,9 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::error::StandinError;
-use crate::http::{
-    Aborted, Body, Reply, control_connections, empty, error, full, ok, query_u64, read_body,
-};
+use crate::http::{Aborted, Body, Reply, error, full, ok, read_body};
 use crate::server::{Connections, Server, lock};
 
 /// Header that names a call and that the answer repeats.
@@ -48,17 +42,14 @@
 
 #[derive(Default)]
 struct State {
-    delay: Duration,
-    /// Number of coming calls whose answers are lost.
-    lose_next: u64,
     executions: BTreeMap<String, u64>,
+    bodies: BTreeMap<String, u64>,
     replies: BTreeMap<String, String>,
 }
 
 struct Service {
-    lookup_path: Option<String>,
+    options: ServiceOptions,
     state: Mutex<State>,
-    connections: Connections,
 }
 
 /// A running service; dropping it stops the service.
@@ -78,29 +69,9 @@
         lock(&self.service.state).executions.clone()
     }
 
-    /// Changes the time from the start of a call to its answer.
-    pub fn set_delay(&self, delay: Duration) {
-        lock(&self.service.state).delay = delay;
-    }
-
-    /// Loses the answers of the next `count` calls, which still run.
-    pub fn lose_next(&self, count: u64) {
-        lock(&self.service.state).lose_next = count;
-    }
-
-    /// Cuts all connections and refuses new ones for `downtime`.
-    pub fn crash(&self, downtime: Duration) {
-        self.service.connections.cut_for(downtime);
-    }
-
-    /// Keeps present connections open with nothing passing for good.
-    pub fn silence_connections(&self) {
-        self.service.connections.silence();
-    }
-
-    /// Closes all present connections.
-    pub fn cut_connections(&self) {
-        self.service.connections.cut();
+    /// How often each body has run, under whatever call id.
+    pub fn bodies(&self) -> BTreeMap<String, u64> {
+        lock(&self.service.state).bodies.clone()
     }
 }
 
@@ -119,26 +90,23 @@
 ///
 /// Fails when `listen` cannot be bound.
 pub async fn start(options: ServiceOptions, listen: SocketAddr) -> Result<Handle, StandinError> {
-    let connections = Connections::default();
-    let state = State {
-        delay: Duration::from_millis(options.delay_ms),
-        ..State::default()
-    };
     let service = Arc::new(Service {
-        lookup_path: options.lookup_path,
-        state: Mutex::new(state),
-        connections: connections.clone(),
+        options,
+        state: Mutex::default(),
     });
     let shared = service.clone();
     let handler = move |request| handle(shared.clone(), request);
-    let server = Server::start(listen, connections, handler).await?;
+    let server = Server::start(listen, Connections::default(), handler).await?;
     Ok(Handle { server, service })
 }
 
 async fn handle(service: Arc<Service>, request: Request<Incoming>) -> Reply {
     let path = request.uri().path();
-    if let Some(action) = path.strip_prefix("/standin/") {
-        return Ok(service.control(action, request.uri()));
+    if path == "/standin/executions" {
+        return Ok(ok(&lock(&service.state).executions));
+    }
+    if path == "/standin/bodies" {
+        return Ok(ok(&lock(&service.state).bodies));
     }
     if request.method() == Method::GET
         && let Some(id) = service.lookup_id(path)
@@ -153,11 +121,9 @@
     let body = read_body(request).await?;
     let id = String::from_utf8_lossy(header.as_bytes()).into_owned();
     // A call runs to its end even when its caller leaves.
-    let outcome = tokio::spawn(execute(service, id, body));
-    match outcome.await.map_err(|_| Aborted)? {
-        Some(reply) => Ok(call_response(header, reply)),
-        None => Err(Aborted),
-    }
+    let reply = tokio::spawn(execute(service, id, body));
+    let reply = reply.await.map_err(|_| Aborted)?;
+    Ok(call_response(header, reply))
 }
 
 fn call_response(header: HeaderValue, reply: String) -> Response<Body> {
@@ -168,41 +134,24 @@
     response
 }
 
-/// Runs a call; no reply means that the caller must not hear of it.
-async fn execute(service: Arc<Service>, id: String, body: Bytes) -> Option<String> {
-    let delay = service.begin(&id);
-    sleep(delay).await;
+async fn execute(service: Arc<Service>, id: String, body: Bytes) -> String {
+    service.count(&id, &body);
+    sleep(Duration::from_millis(service.options.delay_ms)).await;
     let reply = expected_reply(&id, &body);
-    let mut state = lock(&service.state);
-    state.replies.insert(id, reply.clone());
-    if state.lose_next > 0 {
-        state.lose_next -= 1;
-        return None;
-    }
-    Some(reply)
+    lock(&service.state).replies.insert(id, reply.clone());
+    reply
 }
 
 impl Service {
-    fn begin(&self, id: &str) -> Duration {
+    fn count(&self, id: &str, body: &[u8]) {
+        let text = String::from_utf8_lossy(body).into_owned();
         let mut state = lock(&self.state);
         *state.executions.entry(id.to_owned()).or_default() += 1;
-        state.delay
-    }
-
-    fn control(&self, action: &str, uri: &Uri) -> Response<Body> {
-        let span = Duration::from_millis(query_u64(uri, "ms", 0));
-        match action {
-            "executions" => return ok(&lock(&self.state).executions),
-            "delay" => lock(&self.state).delay = span,
-            "lose" => lock(&self.state).lose_next = query_u64(uri, "next", 0),
-            "crash" => self.connections.cut_for(span),
-            _ => return control_connections(&self.connections, action, span),
-        }
-        empty(StatusCode::NO_CONTENT)
+        *state.bodies.entry(text).or_default() += 1;
     }
 
     fn lookup_id<'a>(&self, path: &'a str) -> Option<&'a str> {
-        let pattern = self.lookup_path.as_deref()?;
+        let pattern = self.options.lookup_path.as_deref()?;
         let (head, tail) = pattern.split_once("{id}")?;
         path.strip_prefix(head)?.strip_suffix(tail)
     }
--- /dev/null
+++ b/crates/testutils/src/fleet.rs
@@ -0,0 +1,181 @@
+//! A fleet of real processes on loopback ports.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::process::Process;
+use crate::wait;
+
+/// Paths of the two programs.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// The node.
+    pub node: PathBuf,
+    /// The operators' tool, which also runs stand-ins.
+    pub tool: PathBuf,
+}
+
+/// A fleet of processes; dropping it ends them all.
+pub struct ProcessFleet {
+    /// Paths of the programs.
+    pub programs: Programs,
+    /// The platform.
+    pub platform: Process,
+    /// Engines by name.
+    pub engines: BTreeMap<String, Process>,
+    /// Services by name.
+    pub services: BTreeMap<String, Process>,
+    /// Nodes by name.
+    pub nodes: BTreeMap<String, Process>,
+    peers: BTreeMap<String, SocketAddr>,
+}
+
+impl ProcessFleet {
+    /// Starts a platform alone; the rest is added one by one.
+    pub fn start(programs: Programs) -> Self {
+        let platform = Process::start(&programs.tool, &["standin", "platform"]);
+        Self {
+            programs,
+            platform,
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Starts an engine and lists it.
+    pub fn add_engine(&mut self, name: &str, options: &[&str]) {
+        let named = format!("engine=\"{name}\"");
+        let mut arguments = vec!["standin", "engine", "--set", &named];
+        for option in options {
+            arguments.extend(["--set", option]);
+        }
+        let process = Process::start(&self.programs.tool, &arguments);
+        self.list(name, "engine", process.address, None);
+        self.engines.insert(name.to_owned(), process);
+    }
+
+    /// Starts a service and lists it.
+    pub fn add_service(&mut self, name: &str, options: &[&str]) {
+        let mut arguments = vec!["standin", "service"];
+        for option in options {
+            arguments.extend(["--set", option]);
+        }
+        let process = Process::start(&self.programs.tool, &arguments);
+        self.list(name, "service", process.address, None);
+        self.services.insert(name.to_owned(), process);
+    }
+
+    /// Starts a node and lists it. `settings` are `key=value` pairs.
+    pub fn add_node(&mut self, name: &str, settings: &[&str]) {
+        let process = self.start_node(name, settings);
+        let peer = self.peers[name];
+        self.list(name, "entry", process.address, Some(peer));
+        self.nodes.insert(name.to_owned(), process);
+    }
+
+    fn start_node(&mut self, name: &str, settings: &[&str]) -> Process {
+        let peer = free_address();
+        self.peers.insert(name.to_owned(), peer);
+        let mut pairs = vec![
+            format!("node.name={name}"),
+            "node.zone=zone-1".to_owned(),
+            "node.listen=127.0.0.1:0".to_owned(),
+            format!("node.peer_listen={peer}"),
+            format!("platform.url=http://{}", self.platform.address),
+            "fleet.key=a-fleet-key-for-process-tests".to_owned(),
+        ];
+        pairs.extend(settings.iter().map(ToString::to_string));
+        let mut arguments = vec!["--log".to_owned(), "warn".to_owned()];
+        for pair in pairs {
+            arguments.extend(["--set".to_owned(), pair]);
+        }
+        Process::start(&self.programs.node, &arguments)
+    }
+
+    /// Puts an instance on the platform's list.
+    ///
+    /// # Panics
+    ///
+    /// When the platform refuses.
+    pub fn list(&self, name: &str, kind: &str, address: SocketAddr, peer: Option<SocketAddr>) {
+        self.list_as(name, kind, address, peer, "live");
+    }
+
+    /// Puts an instance on the platform's list in a given state.
+    ///
+    /// # Panics
+    ///
+    /// When the platform refuses.
+    pub fn list_as(
+        &self,
+        name: &str,
+        kind: &str,
+        address: SocketAddr,
+        peer: Option<SocketAddr>,
+        state: &str,
+    ) {
+        let url = format!("http://{}/standin/instances/{name}", self.platform.address);
+        let body = json!({
+            "name": name, "kind": kind, "address": address, "peer_address": peer,
+            "zone": "zone-1", "state": state,
+        });
+        ureq::put(&url)
+            .send_json(body)
+            .expect("the platform lists the instance");
+    }
+
+    /// Appends one record to the control stream of the log.
+    ///
+    /// # Panics
+    ///
+    /// When the platform refuses.
+    pub fn append(&self, id: &str, body: &Value) {
+        let url = format!("http://{}/log/control", self.platform.address);
+        let records = json!({ "records": [{ "id": id, "body": body }] });
+        ureq::post(&url)
+            .send_json(records)
+            .expect("the platform appends the record");
+    }
+
+    /// Waits until a node answers a completion with `key`.
+    ///
+    /// # Panics
+    ///
+    /// When it does not within ten seconds.
+    pub fn wait_serving(&self, node: &str, key: &str, model: &str) {
+        let url = format!("http://{}/v1/completions", self.nodes[node].address);
+        let body = json!({ "model": model, "prompt": "ready?", "max_tokens": 1 });
+        wait::until("the node serves", Duration::from_secs(10), || {
+            ureq::post(&url)
+                .header("authorization", format!("Bearer {key}"))
+                .send_json(&body)
+                .is_ok()
+        });
+    }
+}
+
+impl Programs {
+    /// Programs at the paths that the build gives to tests.
+    pub fn new(node: impl AsRef<Path>, tool: impl AsRef<Path>) -> Self {
+        Self {
+            node: node.as_ref().to_owned(),
+            tool: tool.as_ref().to_owned(),
+        }
+    }
+}
+
+/// An address on loopback that was free a moment ago.
+///
+/// # Panics
+///
+/// When no port can be had.
+pub fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("the port has an address")
+}
--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Helpers shared by integration tests: processes, fleets of them, and HTTP.
+
+pub mod fleet;
+pub mod process;
+pub mod wait;
