core: add log records, leases and manifest checks

Manifest changes, leases, claims, closings and checkpoint parts are typed records of two log streams. An entry carries its name and value in one variant, so that a key cannot disagree with its value. A body that cannot be read becomes a value of its own, since every fold has to count its offset.

Checks report every problem with its path and remedy. A change is checked against an index of key hashes and targets, so its cost follows its own size.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,11 @@
 //! involved, a seed, and returns a value that says what to do next.
 
 pub mod ids;
+pub mod lease;
 pub mod manifest;
+pub mod manifest_check;
+pub mod manifest_fault;
 pub mod prefix;
 pub mod prelude;
+pub mod record;
 pub mod rendezvous;
