--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! decision takes its state, an input, the current time and, where chance is
 //! involved, a seed, and returns a value that says what to do next.
 
+pub mod append;
 pub mod checkpoint;
 pub mod fold;
 pub mod ids;
