core: add entry tokens and idempotency keys

A key names who may send its call and when it was made. The time bounds how long every node has to remember the key. Plain keys therefore have to show it as well (ULID, version 7 UUID or a leading time); an undated key is refused everywhere and so never runs.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,9 @@
 //! involved, a seed, and returns a value that says what to do next.
 
 pub mod append;
+pub mod call_key;
 pub mod checkpoint;
+pub mod entry_token;
 pub mod fold;
 pub mod ids;
 pub mod lease;
