--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod append;
 pub mod call_key;
 pub mod checkpoint;
+pub mod claim_fold;
 pub mod entry_token;
 pub mod fold;
 pub mod ids;
