core: add the holder side of leases

The holder counts from before its append and stops a margin early, so that it needs no agreement between its clock and the clock of the log.

--- /dev/null
+++ b/crates/core/src/lease_holder.rs
@@ -0,0 +1,171 @@
+//! The holder's own view of a lease.
+//!
+//! The log judges a lease by the time of its records. The holder counts from the
+//! moment before it appended the grant or the renewal, which is never later than
+//! the record's time, and stops a margin early. Both spans run at the same speed
+//! but for the drift that the margin covers, so a holder that was paused finds
+//! itself lapsed no later than the log does, whatever the two clocks show.
+
+use std::collections::BTreeMap;
+
+use crate::lease::{Lease, LeaseVerdict};
+use crate::prelude::*;
+use crate::record::{LeaseGrant, LeaseRelease, LeaseRenew, NodeIncarnation, Record, RecordId};
+
+/// Requests whose verdicts are awaited at once.
+const MAX_ASKED: usize = 8;
+
+/// Durations of one lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseTerms {
+    /// What the lease covers.
+    pub name: String,
+    /// How long a grant or a renewal lasts.
+    pub duration: Millis,
+    /// How much earlier the holder stops.
+    pub margin: Millis,
+    /// Longest time that an order to an engine may be under way.
+    pub longest_order: Millis,
+}
+
+/// Proof that its bearer may give orders, for a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Licence {
+    /// Fencing number that the order carries.
+    pub fencing: Offset,
+    /// An order that has not left by then must not leave.
+    pub until: Millis,
+}
+
+/// Whether an order may be given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MayAct {
+    /// Now.
+    Yes(Licence),
+    /// Not before this time: an order of the previous holder may be under way.
+    WaitUntil(Millis),
+    /// The lease is not held, or no longer.
+    No,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Held {
+    fencing: Offset,
+    until: Millis,
+    quiet_at: Millis,
+}
+
+/// One node's view of one lease. All times are of the node's monotonic clock.
+#[derive(Clone, Debug)]
+pub struct LeaseHolder {
+    terms: LeaseTerms,
+    me: NodeIncarnation,
+    held: Option<Held>,
+    asked: BTreeMap<RecordId, Millis>,
+    next_ask: Millis,
+}
+
+impl LeaseHolder {
+    /// A node that holds nothing yet.
+    pub fn new(me: NodeIncarnation, terms: LeaseTerms) -> Self {
+        Self {
+            terms,
+            me,
+            held: None,
+            asked: BTreeMap::new(),
+            next_ask: Millis(0),
+        }
+    }
+
+    /// Whether an order may be given now. It is asked right before each order.
+    pub fn may_act(&self, now: Millis, checks_fencing: bool) -> MayAct {
+        let Some(held) = self.held.filter(|held| now < held.until) else {
+            return MayAct::No;
+        };
+        if !checks_fencing && now < held.quiet_at {
+            return MayAct::WaitUntil(held.quiet_at);
+        }
+        MayAct::Yes(Licence {
+            fencing: held.fencing,
+            until: held.until,
+        })
+    }
+
+    /// The record to append now under this unique id, if one is due: a grant
+    /// while nothing is held, and a renewal when a third of the time is over.
+    pub fn ask(&mut self, now: Millis, id: &RecordId) -> Option<Record> {
+        if now < self.next_ask {
+            return None;
+        }
+        let third = Millis(self.terms.duration.0 / 3);
+        self.next_ask = now + third;
+        if self.asked.len() >= MAX_ASKED {
+            self.asked.pop_first();
+        }
+        self.asked.insert(id.clone(), now);
+        let name = self.terms.name.clone();
+        let duration = self.terms.duration;
+        Some(match self.held.filter(|held| now < held.until) {
+            Some(held) => Record::LeaseRenew(LeaseRenew {
+                name,
+                fencing: held.fencing,
+                duration,
+            }),
+            None => Record::LeaseGrant(LeaseGrant {
+                name,
+                holder: self.me.clone(),
+                duration,
+            }),
+        })
+    }
+
+    /// The fold judged the record with this id. `lease` is the lease after it.
+    pub fn judged(&mut self, now: Millis, id: &RecordId, verdict: &LeaseVerdict, lease: &Lease) {
+        // The span counts from before the append, so a verdict on a record that
+        // is no longer known extends nothing.
+        let Some(asked_at) = self.asked.remove(id) else {
+            return;
+        };
+        let until = (asked_at + self.terms.duration) - self.terms.margin;
+        match verdict {
+            LeaseVerdict::Granted(fencing) => {
+                self.held = Some(Held {
+                    fencing: *fencing,
+                    until,
+                    quiet_at: self.quiet_at(now, lease),
+                });
+            }
+            LeaseVerdict::Renewed(fencing) => {
+                let held = self.held.as_mut();
+                if let Some(held) = held.filter(|held| held.fencing == *fencing) {
+                    held.until = held.until.max(until);
+                }
+            }
+            LeaseVerdict::Lapsed(fencing) | LeaseVerdict::Released(fencing) => {
+                self.drop_held(*fencing);
+            }
+            LeaseVerdict::Held(_) => {}
+        }
+    }
+
+    /// Gives the lease back. The node has no order under way and gives no more.
+    pub fn release(&mut self) -> Option<Record> {
+        let held = self.held.take()?;
+        Some(Record::LeaseRelease(LeaseRelease {
+            name: self.terms.name.clone(),
+            fencing: held.fencing,
+        }))
+    }
+
+    /// When the previous holder's last order is over. The verdict is seen after
+    /// the grant, so a span of log time that counts from the grant is long enough
+    /// when it counts from now.
+    fn quiet_at(&self, now: Millis, lease: &Lease) -> Millis {
+        let granted_at = lease.until - self.terms.duration;
+        now + lease.quiet_from(self.terms.longest_order).since(granted_at)
+    }
+
+    fn drop_held(&mut self, fencing: Offset) {
+        self.held = self.held.filter(|held| held.fencing != fencing);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fold;
 pub mod ids;
 pub mod lease;
+pub mod lease_holder;
 pub mod manifest;
 pub mod manifest_check;
 pub mod manifest_fault;
--- /dev/null
+++ b/crates/core/tests/test_lease_holder.rs
@@ -0,0 +1,158 @@
+//! The holder's view of a lease against the log's.
+
+mod common;
+
+use common::node;
+use flamingolock_core::lease::{LeaseTable, LeaseVerdict};
+use flamingolock_core::lease_holder::{LeaseHolder, LeaseTerms, MayAct};
+use flamingolock_core::prelude::*;
+use flamingolock_core::record::{LeaseGrant, Record, RecordId};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn terms() -> LeaseTerms {
+    LeaseTerms {
+        name: "placement".into(),
+        duration: Millis(900),
+        margin: Millis(100),
+        longest_order: Millis(50),
+    }
+}
+
+/// Applies a record of the holder to the table at one log time.
+fn apply(table: &mut LeaseTable, offset: u64, at: u64, record: &Record) -> LeaseVerdict {
+    let (offset, at) = (Offset(offset), Millis(at));
+    match record {
+        Record::LeaseGrant(grant) => table.grant(offset, at, grant),
+        Record::LeaseRenew(renew) => table.renew(at, renew),
+        Record::LeaseRelease(release) => table.release(at, release),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Asks at `sent`, is judged at log time `logged` and learns of it at `seen`.
+fn ask(holder: &mut LeaseHolder, table: &mut LeaseTable, sent: u64, logged: u64, seen: u64) {
+    let id = RecordId(format!("r{sent:08}"));
+    let record = holder.ask(Millis(sent), &id).expect("a request is due");
+    let verdict = apply(table, sent, logged, &record);
+    let lease = table.get("placement").unwrap();
+    holder.judged(Millis(seen), &id, &verdict, lease);
+}
+
+fn acts(holder: &LeaseHolder, now: u64) -> bool {
+    matches!(holder.may_act(Millis(now), true), MayAct::Yes(_))
+}
+
+#[test]
+fn the_holder_stops_before_the_log_does() {
+    let mut table = LeaseTable::default();
+    let mut holder = LeaseHolder::new(node("a", 1), terms());
+    assert!(!acts(&holder, 0));
+    // The append took long: the span counts from before it.
+    ask(&mut holder, &mut table, 1000, 1400, 1500);
+    assert!(acts(&holder, 1799));
+    assert!(!acts(&holder, 1800));
+}
+
+#[test]
+fn a_paused_holder_finds_itself_lapsed() {
+    let mut table = LeaseTable::default();
+    let mut holder = LeaseHolder::new(node("a", 1), terms());
+    ask(&mut holder, &mut table, 1000, 1000, 1000);
+    assert!(acts(&holder, 1001));
+    let rival = LeaseGrant {
+        name: "placement".into(),
+        holder: node("b", 1),
+        duration: Millis(900),
+    };
+    let granted = table.grant(Offset(5000), Millis(1900), &rival);
+    assert_eq!(granted, LeaseVerdict::Granted(Offset(5000)));
+    assert!(
+        !acts(&holder, 9000),
+        "nothing was heard, and yet it is over"
+    );
+}
+
+#[test]
+fn renewals_extend_and_late_verdicts_on_unknown_records_do_not() {
+    let mut table = LeaseTable::default();
+    let mut holder = LeaseHolder::new(node("a", 1), terms());
+    ask(&mut holder, &mut table, 1000, 1000, 1000);
+    assert_eq!(holder.ask(Millis(1299), &RecordId::from("early")), None);
+    ask(&mut holder, &mut table, 1300, 1310, 1320);
+    assert!(acts(&holder, 2099));
+    let lease = table.get("placement").unwrap().clone();
+    let renewed = LeaseVerdict::Renewed(Offset(1000));
+    holder.judged(Millis(2050), &RecordId::from("other"), &renewed, &lease);
+    assert!(!acts(&holder, 2100));
+}
+
+#[test]
+fn a_new_holder_waits_out_the_previous_ones_orders() {
+    let mut table = LeaseTable::default();
+    let mut old = LeaseHolder::new(node("a", 1), terms());
+    ask(&mut old, &mut table, 1000, 1000, 1000);
+    let mut new = LeaseHolder::new(node("b", 1), terms());
+    ask(&mut new, &mut table, 1895, 1900, 1910);
+    // The old lease ended at 1900 and an order takes 50 at most.
+    let wait = new.may_act(Millis(1911), false);
+    assert_eq!(wait, MayAct::WaitUntil(Millis(1960)));
+    assert!(
+        acts(&new, 1911),
+        "an engine that checks the number needs no wait"
+    );
+    assert!(matches!(new.may_act(Millis(1960), false), MayAct::Yes(_)));
+}
+
+#[test]
+fn a_release_frees_the_lease_at_once() {
+    let mut table = LeaseTable::default();
+    let mut old = LeaseHolder::new(node("a", 1), terms());
+    ask(&mut old, &mut table, 1000, 1000, 1000);
+    let release = old.release().unwrap();
+    assert!(!acts(&old, 1001));
+    apply(&mut table, 1, 1100, &release);
+    let mut new = LeaseHolder::new(node("b", 1), terms());
+    ask(&mut new, &mut table, 1100, 1100, 1100);
+    assert!(matches!(new.may_act(Millis(1100), false), MayAct::Yes(_)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(12),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Two nodes with clocks of their own ask at any times, with any delays and
+    /// pauses: they never believe to hold the lease at the same true time.
+    #[test]
+    fn no_two_holders_act_at_once(
+        steps in prop::collection::vec((0..2_usize, 1..700_u64, 0..200_u64, 0..400_u64), 1..60),
+        offsets in (0..100_000_u64, 0..100_000_u64),
+    ) {
+        let clocks = [offsets.0, offsets.1];
+        let mut table = LeaseTable::default();
+        let mut holders = [
+            LeaseHolder::new(node("a", 1), terms()),
+            LeaseHolder::new(node("b", 1), terms()),
+        ];
+        let mut now = 0;
+        for (step, (who, pause, to_log, to_node)) in steps.into_iter().enumerate() {
+            now += pause;
+            let id = RecordId(format!("r{step:04}"));
+            let Some(record) = holders[who].ask(Millis(now + clocks[who]), &id) else {
+                continue;
+            };
+            now += to_log;
+            let verdict = apply(&mut table, step as u64, now, &record);
+            now += to_node;
+            if let Some(lease) = table.get("placement") {
+                holders[who].judged(Millis(now + clocks[who]), &id, &verdict, lease);
+            }
+            let both = (0..2).all(|n| acts(&holders[n], now + clocks[n]));
+            prop_assert!(!both, "both hold the lease at {now}");
+        }
+    }
+}
