core: add the desk of calls that may run at most once

A plain state machine: submit, claim verdicts, answers and failures in; claims, sends, forwards, look-ups and outcomes out. Nothing is called not run unless this node alone could have sent it and never will, or a closing makes sure of it. A plain key that cannot be claimed is unknown rather than not run, since an earlier attempt at another node may have claimed it before the log went down; the reason says that this attempt sent nothing.

--- /dev/null
+++ b/crates/core/src/call_attempts.rs
@@ -0,0 +1,103 @@
+//! Attempts of callers that wait at this node for an outcome.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::call_message::{Submit, Ticket};
+use crate::call_outcome::UnknownReason;
+use crate::prelude::*;
+use crate::record::{CallId, NodeIncarnation};
+
+/// Where an attempt waits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// For a call of this node.
+    Local,
+    /// For the node that it was passed on to.
+    Forwarded,
+    /// For the closing of this incarnation.
+    Closing(NodeIncarnation),
+    /// For a look-up of another node's call; the reason holds if it finds nothing.
+    LookingUp(UnknownReason),
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    submit: Submit,
+    stage: Stage,
+}
+
+/// All attempts that wait, by ticket and by deadline.
+#[derive(Clone, Debug, Default)]
+pub struct Attempts {
+    by_ticket: BTreeMap<Ticket, Attempt>,
+    deadlines: BTreeSet<(Millis, Ticket)>,
+}
+
+impl Attempts {
+    /// Lets an attempt wait for a call of this node.
+    pub fn insert(&mut self, submit: &Submit) {
+        self.deadlines.insert((submit.deadline, submit.ticket));
+        let attempt = Attempt {
+            submit: submit.clone(),
+            stage: Stage::Local,
+        };
+        self.by_ticket.insert(submit.ticket, attempt);
+    }
+
+    /// Ends the wait; false when the attempt does not wait.
+    pub fn remove(&mut self, ticket: Ticket) -> bool {
+        let Some(attempt) = self.by_ticket.remove(&ticket) else {
+            return false;
+        };
+        self.deadlines.remove(&(attempt.submit.deadline, ticket));
+        true
+    }
+
+    /// What the caller submitted.
+    pub fn submit(&self, ticket: Ticket) -> Option<&Submit> {
+        self.by_ticket.get(&ticket).map(|attempt| &attempt.submit)
+    }
+
+    /// Where the attempt waits.
+    pub fn stage(&self, ticket: Ticket) -> Option<&Stage> {
+        self.by_ticket.get(&ticket).map(|attempt| &attempt.stage)
+    }
+
+    /// Lets the attempt wait elsewhere.
+    pub fn set_stage(&mut self, ticket: Ticket, stage: Stage) {
+        if let Some(attempt) = self.by_ticket.get_mut(&ticket) {
+            attempt.stage = stage;
+        }
+    }
+
+    /// What waits at `stage`.
+    pub fn at_stage(&self, stage: &Stage) -> Vec<Submit> {
+        let there = self.by_ticket.values().filter(|a| a.stage == *stage);
+        there.map(|attempt| attempt.submit.clone()).collect()
+    }
+
+    /// Attempts that wait for this very look-up, and their reasons.
+    pub fn looking_up(&self, call: &CallId, digest: &str) -> Vec<(Ticket, UnknownReason)> {
+        let reason = |attempt: &Attempt| match attempt.stage {
+            Stage::LookingUp(reason) => {
+                let submit = &attempt.submit;
+                let same = submit.key.id == *call && submit.digest == digest;
+                same.then_some((submit.ticket, reason))
+            }
+            _ => None,
+        };
+        self.by_ticket.values().filter_map(reason).collect()
+    }
+
+    /// The earliest deadline.
+    pub fn next_deadline(&self) -> Option<Millis> {
+        self.deadlines.first().map(|(at, _)| *at)
+    }
+
+    /// An attempt whose deadline has come, with its stage.
+    pub fn overdue(&self, clock: Millis) -> Option<(Submit, Stage)> {
+        let (_, ticket) = self.deadlines.first().filter(|(at, _)| *at <= clock)?;
+        let attempt = self.by_ticket.get(ticket)?;
+        Some((attempt.submit.clone(), attempt.stage.clone()))
+    }
+}
--- /dev/null
+++ b/crates/core/src/call_elsewhere.rs
@@ -0,0 +1,137 @@
+//! Calls that another node may send, as the desk handles them.
+
+use std::sync::Arc;
+
+use crate::call_attempts::Stage;
+use crate::call_desk::CallDesk;
+use crate::call_key::KeyKind;
+use crate::call_message::{DeskOutput, Submit, Ticket, View};
+use crate::call_outcome::{CallAnswer, NotRunReason, Outcome, UnknownReason};
+use crate::claim_fold::{HeldClaim, LostCall};
+use crate::record::{CallId, NodeIncarnation};
+
+impl CallDesk {
+    /// Passes an attempt on to the incarnation that claimed its call.
+    pub(crate) fn follow(&mut self, submit: &Submit, held: &HeldClaim, view: &View<'_>) {
+        if held.digest != submit.digest {
+            self.answer(submit.ticket, Outcome::Conflict);
+        } else if !self.forward(submit, &held.owner, view) {
+            self.look_up(submit, UnknownReason::ClaimantLost);
+        }
+    }
+
+    /// Passes an attempt on if its owner lives; false when it was not passed on.
+    pub(crate) fn forward(
+        &mut self,
+        submit: &Submit,
+        to: &NodeIncarnation,
+        view: &View<'_>,
+    ) -> bool {
+        if submit.forwarded || *to == self.me || !(view.is_live)(to) {
+            return false;
+        }
+        self.attempts.set_stage(submit.ticket, Stage::Forwarded);
+        self.outputs.push(DeskOutput::Forward {
+            ticket: submit.ticket,
+            to: to.clone(),
+        });
+        true
+    }
+
+    pub(crate) fn forward_answered(&mut self, ticket: Ticket, outcome: Outcome) {
+        if self.attempts.stage(ticket) == Some(&Stage::Forwarded) {
+            self.answer(ticket, outcome);
+        }
+    }
+
+    pub(crate) fn forward_failed(&mut self, ticket: Ticket, view: &View<'_>) {
+        if self.attempts.stage(ticket) != Some(&Stage::Forwarded) {
+            return;
+        }
+        let Some(submit) = self.attempts.submit(ticket).cloned() else {
+            return;
+        };
+        match &submit.key.kind {
+            KeyKind::Journalled { owner } if !(view.is_live)(owner) => {
+                self.judge_lost(&submit, owner, view);
+            }
+            _ => self.look_up(&submit, UnknownReason::OwnerSilent),
+        }
+    }
+
+    /// A journalled call of an incarnation that is lost.
+    pub(crate) fn judge_lost(&mut self, submit: &Submit, owner: &NodeIncarnation, view: &View<'_>) {
+        let ticket = submit.ticket;
+        match view.fold.lost_call(&submit.key, owner) {
+            LostCall::Claimed(held) if held.digest != submit.digest => {
+                self.answer(ticket, Outcome::Conflict);
+            }
+            LostCall::Claimed(_) => self.look_up(submit, UnknownReason::ClaimantLost),
+            LostCall::NeverRun => {
+                let reason = NotRunReason::OwnerClosed;
+                let retry_after = None;
+                let outcome = Outcome::NotRun {
+                    reason,
+                    retry_after,
+                };
+                self.answer(ticket, outcome);
+            }
+            LostCall::NeedsClosing if submit.forwarded => {
+                self.unknown(ticket, UnknownReason::OwnerLost);
+            }
+            LostCall::NeedsClosing => self.wait_closing(submit, owner),
+            LostCall::Expired => self.unknown(ticket, UnknownReason::Expired),
+            LostCall::Unsettled => self.unknown(ticket, UnknownReason::Unsettled),
+        }
+    }
+
+    fn wait_closing(&mut self, submit: &Submit, owner: &NodeIncarnation) {
+        let stage = Stage::Closing(owner.clone());
+        let asked = !self.attempts.at_stage(&stage).is_empty();
+        self.attempts.set_stage(submit.ticket, stage);
+        if !asked {
+            self.outputs.push(DeskOutput::Close(owner.clone()));
+        }
+    }
+
+    pub(crate) fn closed(&mut self, node: &NodeIncarnation, view: &View<'_>) {
+        for submit in self.attempts.at_stage(&Stage::Closing(node.clone())) {
+            self.attempts.set_stage(submit.ticket, Stage::Local);
+            self.judge_lost(&submit, node, view);
+        }
+    }
+
+    /// Asks the service for a call that another node may have sent.
+    pub(crate) fn look_up(&mut self, submit: &Submit, reason: UnknownReason) {
+        if submit.lookup && !submit.forwarded {
+            let stage = Stage::LookingUp(reason);
+            self.attempts.set_stage(submit.ticket, stage);
+            self.push_lookup(submit);
+        } else {
+            self.unknown(submit.ticket, reason);
+        }
+    }
+
+    pub(crate) fn push_lookup(&mut self, submit: &Submit) {
+        self.outputs.push(DeskOutput::Lookup {
+            call: submit.key.id.clone(),
+            ticket: submit.ticket,
+            digest: submit.digest.clone(),
+        });
+    }
+
+    pub(crate) fn looked_up_elsewhere(
+        &mut self,
+        call: &CallId,
+        digest: &str,
+        found: Option<&Arc<CallAnswer>>,
+    ) {
+        for (ticket, reason) in self.attempts.looking_up(call, digest) {
+            let outcome = match found {
+                Some(answer) => Outcome::Answered(Arc::clone(answer)),
+                None => Outcome::Unknown(reason),
+            };
+            self.answer(ticket, outcome);
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,13 @@
 //! involved, a seed, and returns a value that says what to do next.
 
 pub mod append;
+pub mod call_attempts;
+pub mod call_desk;
+pub mod call_elsewhere;
 pub mod call_key;
+pub mod call_message;
+pub mod call_outcome;
+pub mod call_table;
 pub mod checkpoint;
 pub mod claim_fold;
 pub mod entry_token;
