core: engine homes, fair queue, prefix model, shortlist and choice

A node's control thread can now drive an engine's home with given time: probes, permits in fair order over workspaces, shared prefill, early refusals, leases by entry incarnation and rebuilding by a new home. Traffic threads get a shortlist from digests and a choice from probe answers.

Virtual time is kept while prefills are in progress. Ending the busy period whenever the queue ran empty was ruled out: a newcomer then waited behind the flooding workspace's next request, as the test of the flood showed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,8 +4,23 @@
 //! decision takes its state, an input, the current time and, where chance is
 //! involved, a seed, and returns a value that says what to do next.
 
+pub mod choice;
+pub mod claims;
+pub mod digest;
+pub mod engine_state;
+pub mod fair_queue;
+pub mod fleet;
+pub mod home;
+pub mod home_message;
 pub mod ids;
+pub mod levels;
 pub mod manifest;
+pub mod permit;
+pub mod permit_table;
+pub mod prefill_rate;
+pub mod prefills;
 pub mod prefix;
+pub mod prefix_model;
 pub mod prelude;
 pub mod rendezvous;
+pub mod shortlist;
