wire: add messages, framing and handshake between nodes

Nodes need one protocol for heartbeats, probes, permits, log records and forwarded calls. Messages are prost derives with documented, stable field numbers; value 0 of each enumeration is the weakest claim, so an unknown value never says more than the sender did.

The handshake proves the fleet key on both sides over both hellos. The proof covers the prover's role: without it a stranger could send the acceptor's own proof back. Ruled out: encryption or a tag on each frame, since fleets run on a private network.

--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,112 @@
+//! Framing of [`PeerFrame`] values: a length of four bytes, then the message.
+
+use std::io;
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use thiserror::Error;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::message::PeerFrame;
+
+/// Longest message in bytes, without the length before it.
+pub const MAX_FRAME_BYTES: usize = 1024 * 1024;
+
+/// Bytes of the length before each message.
+pub const LENGTH_BYTES: usize = 4;
+
+/// Why a frame could not be read or written. The connection is of no use
+/// afterwards, since the position of the next frame is unknown.
+#[derive(Debug, Error)]
+pub enum CodecError {
+    /// The connection failed.
+    #[error("peer connection failed")]
+    Io(#[from] io::Error),
+    /// The frame is longer than [`MAX_FRAME_BYTES`].
+    #[error("frame exceeds {MAX_FRAME_BYTES} bytes")]
+    TooLarge,
+    /// The connection ended within a frame.
+    #[error("connection ended within a frame")]
+    Truncated,
+    /// The frame is not a valid message.
+    #[error("frame is not a valid message")]
+    Malformed(#[source] prost::DecodeError),
+}
+
+/// Reads and writes [`PeerFrame`] values.
+#[derive(Debug)]
+pub struct PeerCodec {
+    frames: LengthDelimitedCodec,
+    /// True after a length was read whose message is not complete.
+    inside: bool,
+}
+
+impl PeerCodec {
+    /// A codec at the start of a frame.
+    pub fn new() -> Self {
+        let frames = LengthDelimitedCodec::builder()
+            .length_field_length(LENGTH_BYTES)
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self {
+            frames,
+            inside: false,
+        }
+    }
+}
+
+impl Default for PeerCodec {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Decoder for PeerCodec {
+    type Item = PeerFrame;
+    type Error = CodecError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<PeerFrame>, CodecError> {
+        let before = src.len();
+        let Some(frame) = self.frames.decode(src).map_err(length_error)? else {
+            self.inside |= src.len() < before;
+            return Ok(None);
+        };
+        self.inside = false;
+        PeerFrame::decode(frame.freeze())
+            .map(Some)
+            .map_err(CodecError::Malformed)
+    }
+
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<PeerFrame>, CodecError> {
+        match self.decode(src)? {
+            Some(frame) => Ok(Some(frame)),
+            None if src.is_empty() && !self.inside => Ok(None),
+            None => Err(CodecError::Truncated),
+        }
+    }
+}
+
+impl Encoder<PeerFrame> for PeerCodec {
+    type Error = CodecError;
+
+    fn encode(&mut self, frame: PeerFrame, dst: &mut BytesMut) -> Result<(), CodecError> {
+        self.encode(&frame, dst)
+    }
+}
+
+impl Encoder<&PeerFrame> for PeerCodec {
+    type Error = CodecError;
+
+    fn encode(&mut self, frame: &PeerFrame, dst: &mut BytesMut) -> Result<(), CodecError> {
+        let bytes = Bytes::from(frame.encode_to_vec());
+        self.frames.encode(bytes, dst).map_err(length_error)
+    }
+}
+
+fn length_error(error: io::Error) -> CodecError {
+    if error.kind() == io::ErrorKind::InvalidData || error.kind() == io::ErrorKind::InvalidInput {
+        CodecError::TooLarge
+    } else {
+        CodecError::Io(error)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/handshake.rs
@@ -0,0 +1,375 @@
+//! Mutual proof of the fleet key at the start of a connection.
+//!
+//! Both sides send a fresh random nonce, then a keyed hash over both hellos. The
+//! acceptor proves first, so a dialer never sends a proof to a stranger. The hash
+//! covers the prover's role, so a proof cannot be reflected to its sender, and both
+//! nonces, so a recorded handshake cannot be replayed. Frames after the handshake
+//! are not authenticated one by one.
+
+use std::fmt;
+use std::io;
+
+use flamingolock_core::ids::{Incarnation, InstanceId};
+use hmac::{Hmac, Mac};
+use prost::{Enumeration, Message, Oneof};
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Version of the protocol between nodes; both sides must speak the same.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// Shortest fleet key in bytes.
+pub const MIN_KEY_BYTES: usize = 16;
+
+/// Bytes of a nonce.
+const NONCE_BYTES: usize = 32;
+
+/// Longest handshake message in bytes; strangers may send these.
+const MAX_HANDSHAKE_BYTES: usize = 1024;
+
+/// Why a handshake failed.
+#[derive(Debug, Error)]
+pub enum HandshakeError {
+    /// The connection failed or ended.
+    #[error("connection failed during the handshake")]
+    Io(#[from] io::Error),
+    /// The peer sent a message above the limit.
+    #[error("handshake message of {0} bytes exceeds {MAX_HANDSHAKE_BYTES}")]
+    TooLarge(usize),
+    /// The peer sent bytes that are no handshake message.
+    #[error("handshake message is malformed")]
+    Malformed(#[from] prost::DecodeError),
+    /// The peer sent a valid message at the wrong time, or an empty one.
+    #[error("handshake message out of order")]
+    OutOfOrder,
+    /// The peer speaks another protocol version.
+    #[error("peer speaks protocol version {theirs}, this node speaks {PROTOCOL_VERSION}")]
+    Version {
+        /// The peer's version.
+        theirs: u32,
+    },
+    /// The peer's nonce has the wrong length.
+    #[error("nonce has {0} bytes instead of {NONCE_BYTES}")]
+    Nonce(usize),
+    /// The peer named itself with an empty name.
+    #[error("peer has no name")]
+    Unnamed,
+    /// The peer sent this node's own nonce back.
+    #[error("peer reflected this node's nonce")]
+    Reflected,
+    /// The peer's proof does not match: its fleet key differs, or the handshake is
+    /// a replay.
+    #[error("peer could not prove the fleet key")]
+    WrongKey,
+    /// The peer refused this node.
+    #[error("peer refused the handshake: {0}")]
+    Refused(Refusal),
+}
+
+/// Why a peer refuses a handshake.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Enumeration)]
+#[repr(i32)]
+pub enum Refusal {
+    /// A reason that the reader does not know.
+    Unspecified = 0,
+    /// The protocol versions differ.
+    Version = 1,
+    /// The proof does not match.
+    WrongKey = 2,
+    /// The hello is invalid.
+    BadHello = 3,
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Refusal::Unspecified => "unspecified reason",
+            Refusal::Version => "protocol versions differ",
+            Refusal::WrongKey => "fleet keys differ",
+            Refusal::BadHello => "hello is invalid",
+        })
+    }
+}
+
+/// The key that all nodes of a fleet share.
+#[derive(Clone)]
+pub struct FleetKey(Vec<u8>);
+
+/// The fleet key is too short to protect anything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("fleet key has {0} bytes, at least {MIN_KEY_BYTES} are needed")]
+pub struct KeyTooShort(pub usize);
+
+impl FleetKey {
+    /// Takes a key.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a key of fewer than [`MIN_KEY_BYTES`] bytes.
+    pub fn new(bytes: &[u8]) -> Result<Self, KeyTooShort> {
+        if bytes.len() < MIN_KEY_BYTES {
+            return Err(KeyTooShort(bytes.len()));
+        }
+        Ok(Self(bytes.to_vec()))
+    }
+}
+
+impl fmt::Debug for FleetKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FleetKey(..)")
+    }
+}
+
+/// Which side of the connection this node is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// This node opened the connection.
+    Dialer,
+    /// This node accepted the connection.
+    Acceptor,
+}
+
+impl Role {
+    fn label(self) -> &'static [u8] {
+        match self {
+            Role::Dialer => b"flamingolock dialer",
+            Role::Acceptor => b"flamingolock acceptor",
+        }
+    }
+
+    fn other(self) -> Self {
+        match self {
+            Role::Dialer => Role::Acceptor,
+            Role::Acceptor => Role::Dialer,
+        }
+    }
+}
+
+/// Who this node is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Its name in the instance list.
+    pub name: InstanceId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
+/// Who the other side proved to be. Any holder of the fleet key may use any name;
+/// a dialer compares the name with the one that it meant to reach.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name in the instance list.
+    pub name: InstanceId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Frame {
+    #[prost(oneof = "Step", tags = "1, 2, 3, 4")]
+    step: Option<Step>,
+}
+
+#[derive(Clone, PartialEq, Oneof)]
+enum Step {
+    #[prost(message, tag = "1")]
+    Hello(Hello),
+    #[prost(bytes = "vec", tag = "2")]
+    Proof(Vec<u8>),
+    #[prost(bool, tag = "3")]
+    Accepted(bool),
+    #[prost(enumeration = "Refusal", tag = "4")]
+    Refused(i32),
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct Hello {
+    #[prost(uint32, tag = "1")]
+    version: u32,
+    #[prost(string, tag = "2")]
+    name: String,
+    #[prost(uint64, tag = "3")]
+    incarnation: u64,
+    #[prost(bytes = "vec", tag = "4")]
+    nonce: Vec<u8>,
+}
+
+/// Runs the handshake on a new connection. Reads exactly the bytes of the
+/// handshake, so the stream can be framed afterwards. The caller bounds the time.
+///
+/// # Errors
+///
+/// Fails when the connection does, or when either side refuses the other.
+pub async fn handshake<S>(
+    stream: &mut S,
+    role: Role,
+    identity: &Identity,
+    key: &FleetKey,
+) -> Result<Peer, HandshakeError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let result = exchange(stream, role, identity, key).await;
+    if let Err(error) = &result
+        && let Some(refusal) = refusal(error)
+    {
+        // The peer may be gone already; the error below says what matters.
+        let _ = send(stream, Step::Refused(refusal as i32)).await;
+    }
+    result
+}
+
+async fn exchange<S>(
+    stream: &mut S,
+    role: Role,
+    identity: &Identity,
+    key: &FleetKey,
+) -> Result<Peer, HandshakeError>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let ours = Hello {
+        version: PROTOCOL_VERSION,
+        name: identity.name.to_string(),
+        incarnation: identity.incarnation.0,
+        nonce: rand::random::<[u8; NONCE_BYTES]>().to_vec(),
+    };
+    send(stream, Step::Hello(ours.clone())).await?;
+    let Step::Hello(theirs) = receive(stream).await? else {
+        return Err(HandshakeError::OutOfOrder);
+    };
+    check_hello(&ours, &theirs)?;
+    let proofs = Proofs::new(role, &ours, &theirs);
+    match role {
+        Role::Acceptor => {
+            send(stream, Step::Proof(proofs.prove(key, role))).await?;
+            check_proof(stream, &proofs, key, role.other()).await?;
+            send(stream, Step::Accepted(true)).await?;
+        }
+        Role::Dialer => {
+            check_proof(stream, &proofs, key, role.other()).await?;
+            send(stream, Step::Proof(proofs.prove(key, role))).await?;
+            match receive(stream).await? {
+                Step::Accepted(true) => {}
+                _ => return Err(HandshakeError::OutOfOrder),
+            }
+        }
+    }
+    Ok(Peer {
+        name: theirs.name.into(),
+        incarnation: Incarnation(theirs.incarnation),
+    })
+}
+
+fn check_hello(ours: &Hello, theirs: &Hello) -> Result<(), HandshakeError> {
+    if theirs.version != PROTOCOL_VERSION {
+        return Err(HandshakeError::Version {
+            theirs: theirs.version,
+        });
+    }
+    if theirs.nonce.len() != NONCE_BYTES {
+        return Err(HandshakeError::Nonce(theirs.nonce.len()));
+    }
+    if theirs.name.is_empty() {
+        return Err(HandshakeError::Unnamed);
+    }
+    if theirs.nonce == ours.nonce {
+        return Err(HandshakeError::Reflected);
+    }
+    Ok(())
+}
+
+async fn check_proof<S>(
+    stream: &mut S,
+    proofs: &Proofs<'_>,
+    key: &FleetKey,
+    prover: Role,
+) -> Result<(), HandshakeError>
+where
+    S: AsyncRead + Unpin,
+{
+    let Step::Proof(proof) = receive(stream).await? else {
+        return Err(HandshakeError::OutOfOrder);
+    };
+    let expected = proofs.prove(key, prover);
+    if bool::from(expected.ct_eq(&proof)) {
+        Ok(())
+    } else {
+        Err(HandshakeError::WrongKey)
+    }
+}
+
+/// The two hellos in an order on which both sides agree.
+struct Proofs<'a> {
+    dialer: &'a Hello,
+    acceptor: &'a Hello,
+}
+
+impl<'a> Proofs<'a> {
+    fn new(role: Role, ours: &'a Hello, theirs: &'a Hello) -> Self {
+        let (dialer, acceptor) = match role {
+            Role::Dialer => (ours, theirs),
+            Role::Acceptor => (theirs, ours),
+        };
+        Self { dialer, acceptor }
+    }
+
+    fn prove(&self, key: &FleetKey, prover: Role) -> Vec<u8> {
+        let mut mac =
+            Hmac::<Sha256>::new_from_slice(&key.0).expect("HMAC takes keys of any length");
+        mac.update(prover.label());
+        for hello in [self.dialer, self.acceptor] {
+            mac.update(&hello.version.to_be_bytes());
+            // The length keeps the name apart from what follows it.
+            mac.update(&(hello.name.len() as u64).to_be_bytes());
+            mac.update(hello.name.as_bytes());
+            mac.update(&hello.incarnation.to_be_bytes());
+            mac.update(&hello.nonce);
+        }
+        mac.finalize().into_bytes().to_vec()
+    }
+}
+
+/// What to tell the peer about an error, if it can still be told.
+fn refusal(error: &HandshakeError) -> Option<Refusal> {
+    match error {
+        HandshakeError::Io(_) | HandshakeError::Refused(_) => None,
+        HandshakeError::Version { .. } => Some(Refusal::Version),
+        HandshakeError::WrongKey => Some(Refusal::WrongKey),
+        _ => Some(Refusal::BadHello),
+    }
+}
+
+async fn send<S>(stream: &mut S, step: Step) -> Result<(), HandshakeError>
+where
+    S: AsyncWrite + Unpin,
+{
+    let body = Frame { step: Some(step) }.encode_to_vec();
+    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+    bytes.extend_from_slice(&body);
+    stream.write_all(&bytes).await?;
+    stream.flush().await?;
+    Ok(())
+}
+
+async fn receive<S>(stream: &mut S) -> Result<Step, HandshakeError>
+where
+    S: AsyncRead + Unpin,
+{
+    let length = stream.read_u32().await? as usize;
+    if length > MAX_HANDSHAKE_BYTES {
+        return Err(HandshakeError::TooLarge(length));
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await?;
+    match Frame::decode(&body[..])?.step {
+        None => Err(HandshakeError::OutOfOrder),
+        Some(Step::Refused(reason)) => {
+            let reason = Refusal::try_from(reason).unwrap_or(Refusal::Unspecified);
+            Err(HandshakeError::Refused(reason))
+        }
+        Some(step) => Ok(step),
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! Messages, framing and handshake between nodes.
+//!
+//! A connection between two nodes starts with [`handshake::handshake`], which
+//! proves on both sides that the other holds the fleet key. After it, each side
+//! sends [`message::PeerFrame`] values through [`codec::PeerCodec`].
+
+pub mod codec;
+pub mod convert;
+pub mod handshake;
+pub mod message;
