node: place requests through engine homes, probes and permits

The control thread keeps a home for each engine: fair queue, permits in flight and prefix model. An entry shortlists engines by prefix level, probes their homes, chooses by expected first token and price, and asks the winner for a permit.

--- a/crates/core/src/engine_state.rs
+++ b/crates/core/src/engine_state.rs
@@ -1,6 +1,8 @@
 //! What an engine's home knows exactly about the engine: permits in flight and
 //! prefills in progress, with the estimate of its cache and the learnt prefill rate.
 
+use std::collections::BTreeSet;
+
 use crate::home_message::{Ask, EngineLoad, Grant, Prompt};
 use crate::permit::{EntryRef, LivePermit, Observed, PermitId, PermitIds};
 use crate::permit_table::{Permit, PermitTable};
@@ -23,6 +25,9 @@
 /// Permit duration that is assumed before any has ended, in milliseconds.
 const INITIAL_DURATION_MS: f64 = 1000.0;
 
+/// Age from which a permit has to appear in its node's reports.
+const REPORT_AGE_MS: u64 = 2_000;
+
 /// Whether the engine takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Service {
@@ -286,8 +291,10 @@
         }
     }
 
-    /// Adds permits that a node holds from an earlier home or from its reserve.
+    /// Adds permits that a node holds from an earlier home or from its reserve, and
+    /// drops those that it no longer reports: their release was lost.
     pub fn adopt(&mut self, entry: &EntryRef, permits: &[LivePermit], now: Millis) {
+        self.drop_unreported(entry, permits, now);
         let incarnation = self.incarnation();
         for live in permits
             .iter()
@@ -303,6 +310,19 @@
         }
     }
 
+    fn drop_unreported(&mut self, entry: &EntryRef, permits: &[LivePermit], now: Millis) {
+        let reported: BTreeSet<PermitId> = permits.iter().map(|live| live.permit).collect();
+        // A younger permit may have been on its way when the report was made.
+        let unreported = self
+            .permits
+            .older_than(entry, now - Millis(REPORT_AGE_MS))
+            .into_iter()
+            .filter(|permit| !reported.contains(permit));
+        for permit in unreported {
+            self.release(permit, None, now);
+        }
+    }
+
     /// Stops waiting for prefills whose first token is long overdue. Their
     /// prefixes are taken as computed.
     pub fn expire(&mut self, now: Millis) {
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -374,7 +374,7 @@
     }
 
     fn expire(&mut self, now: Millis, out: &mut Vec<Output>) {
-                self.state.expire(now);
+        self.state.expire(now);
         if self.state.prefills().is_empty() {
             self.queue.end_busy_period();
         }
--- a/crates/core/src/permit_table.rs
+++ b/crates/core/src/permit_table.rs
@@ -79,6 +79,15 @@
         lost
     }
 
+    /// Permits of one life of a node that were granted before `limit`.
+    pub fn older_than(&self, entry: &EntryRef, limit: Millis) -> Vec<PermitId> {
+        self.permits
+            .iter()
+            .filter(|(_, permit)| permit.entry == *entry && permit.since < limit)
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
     /// Removes all permits.
     pub fn clear(&mut self) {
         self.permits.clear();
--- /dev/null
+++ b/crates/node/src/control/admission.rs
@@ -0,0 +1,138 @@
+//! One request between its arrival and its permit.
+
+use std::collections::BTreeMap;
+
+use flamingolock_core::choice::Scored;
+use flamingolock_core::home_message::{Ask, ProbeAnswer, Prompt};
+use flamingolock_core::levels;
+use flamingolock_core::permit::EntryRef;
+use flamingolock_core::prefix_tree::PrefixTree;
+use flamingolock_core::prelude::*;
+use flamingolock_core::shortlist::Candidate;
+
+use crate::control::messages::Ticket;
+use crate::control::permit::{Reply, RouteAsk};
+
+/// Rounds of choosing before a request is refused.
+pub const MAX_ROUNDS: u32 = 3;
+
+/// Where an admission stands.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Stage {
+    /// Probes are out until this time.
+    Probing {
+        /// When the choice is made with the answers that came.
+        until: Millis,
+    },
+    /// A home has been asked for a permit.
+    Asked {
+        /// The engine.
+        engine: EngineId,
+        /// The home that was asked.
+        home: InstanceId,
+        /// When the home counts as silent; none once it answered.
+        silent_at: Option<Millis>,
+    },
+}
+
+/// A request that waits for its permit.
+#[derive(Debug)]
+pub struct Waiting {
+    /// What was asked for.
+    pub ask: RouteAsk,
+    /// Where the admission goes.
+    pub reply: Reply,
+    /// Number of the request at this node.
+    pub ticket: Ticket,
+    /// Share of the workspace.
+    pub weight: f64,
+    /// Price of recomputation.
+    pub price: f64,
+    /// Engines worth a probe.
+    pub candidates: Vec<Candidate>,
+    /// Answers to probes so far.
+    pub answers: BTreeMap<EngineId, ProbeAnswer>,
+    /// Candidates as scored, best first; those that refused are taken out.
+    pub scored: Vec<Scored>,
+    /// Where it stands.
+    pub stage: Stage,
+    /// Rounds of choosing so far.
+    pub rounds: u32,
+    /// Levels of the prompt by the weights that engines serve.
+    pub prompts: Prompts,
+}
+
+impl Waiting {
+    /// The question to the home of an engine with these weights.
+    pub fn home_ask(&mut self, entry: &EntryRef, weights: &WeightsVersion, now: Millis) -> Ask {
+        Ask {
+            entry: entry.clone(),
+            request: self.ticket.request(&entry.instance),
+            workspace: self.ask.workspace.clone(),
+            weight: self.weight,
+            priority: self.ask.priority,
+            prompt: self.prompts.get(&self.ask, weights),
+            answer_tokens: self.ask.answer_tokens,
+            within: self.ask.deadline.since(now),
+        }
+    }
+
+    /// True when every probe has been answered.
+    pub fn is_answered(&self) -> bool {
+        self.answers.len() >= self.candidates.len()
+    }
+}
+
+/// The levels of one prompt under each version of the weights.
+#[derive(Debug, Default)]
+pub struct Prompts {
+    known: BTreeMap<WeightsVersion, Prompt>,
+}
+
+impl Prompts {
+    /// Finds the levels at which prompts like this one branch, and counts its heat.
+    pub fn record(
+        &mut self,
+        tree: &mut PrefixTree,
+        ask: &RouteAsk,
+        weights: &WeightsVersion,
+        cost_ms: f64,
+        now: Millis,
+    ) -> Vec<flamingolock_core::prefix_tree::HeatLevel> {
+        let seed = PrefixSeed::new(&ask.workspace, &ask.model, weights, None);
+        let chain = PrefixChain::new(seed, &ask.prompt);
+        let heat = tree.record(&chain, cost_ms, now);
+        let levels = heat.iter().map(|heat| heat.level).collect();
+        self.known.insert(
+            weights.clone(),
+            Prompt {
+                levels,
+                tokens: chain.tokens,
+            },
+        );
+        heat
+    }
+
+    /// Levels under other weights stand at the same blocks.
+    fn get(&mut self, ask: &RouteAsk, weights: &WeightsVersion) -> Prompt {
+        if let Some(prompt) = self.known.get(weights) {
+            return prompt.clone();
+        }
+        let seed = PrefixSeed::new(&ask.workspace, &ask.model, weights, None);
+        let chain = PrefixChain::new(seed, &ask.prompt);
+        let levels = match self.known.values().next() {
+            Some(known) => known
+                .levels
+                .iter()
+                .filter_map(|level| levels::at(&chain, level.blocks))
+                .collect(),
+            None => levels::geometric(&chain),
+        };
+        let prompt = Prompt {
+            levels,
+            tokens: chain.tokens,
+        };
+        self.known.insert(weights.clone(), prompt.clone());
+        prompt
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/context.rs
@@ -0,0 +1,50 @@
+//! What controllers are given, and what they ask for.
+
+use std::sync::Arc;
+
+use flamingolock_core::prelude::*;
+use flamingolock_wire::message::Payload;
+
+use crate::decisions::DecisionLog;
+use crate::view::{SharedView, View};
+
+/// Something for the I/O side to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a message to another node.
+    Send {
+        /// The node.
+        to: InstanceId,
+        /// The message.
+        payload: Payload,
+    },
+}
+
+/// Surroundings of a controller during one step.
+pub struct Context<'a> {
+    /// Time of the step.
+    pub now: Millis,
+    /// What controllers want done, in order.
+    pub effects: &'a mut Vec<Effect>,
+    /// Where decisions are recorded.
+    pub decisions: &'a DecisionLog,
+    /// The published view.
+    pub view: &'a SharedView,
+}
+
+impl Context<'_> {
+    /// Asks for a message to be sent.
+    pub fn send(&mut self, to: &InstanceId, payload: Payload) {
+        self.effects.push(Effect::Send {
+            to: to.clone(),
+            payload,
+        });
+    }
+
+    /// Publishes a changed view.
+    pub fn publish(&self, change: impl FnOnce(&mut View)) {
+        let mut view = View::clone(&self.view.load());
+        change(&mut view);
+        self.view.store(Arc::new(view));
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/messages.rs
@@ -0,0 +1,290 @@
+//! Conversions between what homes and entries tell each other and the messages
+//! that carry it between nodes.
+
+use flamingolock_core::digest::Digest;
+use flamingolock_core::home_message::{Ask, Output, ProbeAnswer, Prompt, Reason};
+use flamingolock_core::levels::Level;
+use flamingolock_core::permit::{EntryRef, LivePermit, Observed, PermitId};
+use flamingolock_core::prelude::*;
+use flamingolock_wire::message::{self as wire, Payload};
+
+/// Largest expected time; stands for an engine that takes no work.
+const UNAVAILABLE_MS: u32 = u32::MAX;
+
+/// Number of a request at its entry node, which is short on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u32);
+
+impl Ticket {
+    /// Name of the request at the homes that it asks.
+    pub fn request(self, entry: &InstanceId) -> RequestId {
+        RequestId::from(format!("{entry}/{}", self.0))
+    }
+
+    /// Reads the ticket from a name that [`Ticket::request`] made.
+    pub fn of_request(request: &RequestId) -> Option<Self> {
+        let (_, number) = request.as_str().rsplit_once('/')?;
+        number.parse().ok().map(Ticket)
+    }
+}
+
+fn lengths(prompt: &Prompt) -> Vec<u32> {
+    prompt.levels.iter().map(|level| level.blocks).collect()
+}
+
+fn hashes(prompt: &Prompt) -> Vec<u64> {
+    prompt.levels.iter().map(|level| level.hash.0).collect()
+}
+
+fn prompt(lengths: &[u32], hashes: &[u64], tokens: u32) -> Prompt {
+    let levels = lengths
+        .iter()
+        .zip(hashes)
+        .map(|(&blocks, &hash)| Level {
+            blocks,
+            hash: BlockHash(hash),
+        })
+        .collect();
+    Prompt { levels, tokens }
+}
+
+/// The message that probes `engine`.
+pub fn probe(ticket: Ticket, engine: &EngineId, ask: &Ask) -> wire::Probe {
+    wire::Probe {
+        id: ticket.0,
+        engine: engine.to_string(),
+        workspace: ask.workspace.to_string(),
+        priority: u32::from(ask.priority),
+        tokens: ask.prompt.tokens,
+        blocks: hashes(&ask.prompt),
+        lengths: lengths(&ask.prompt),
+        cost: ask.answer_tokens,
+    }
+}
+
+/// The probe as its home takes it. `weight` is the workspace's in the manifest.
+pub fn probe_ask(from: &EntryRef, probe: &wire::Probe, weight: f64) -> Ask {
+    Ask {
+        entry: from.clone(),
+        request: Ticket(probe.id).request(&from.instance),
+        workspace: WorkspaceId::from(probe.workspace.as_str()),
+        weight,
+        priority: u8::try_from(probe.priority).unwrap_or(u8::MAX),
+        prompt: prompt(&probe.lengths, &probe.blocks, probe.tokens),
+        answer_tokens: probe.cost,
+        within: Millis(u64::from(u32::MAX)),
+    }
+}
+
+/// The message that answers a probe.
+pub fn probe_answer(ticket: Ticket, answer: ProbeAnswer) -> wire::ProbeAnswer {
+    let expected_ms = if answer.available {
+        answer.expected_ms
+    } else {
+        UNAVAILABLE_MS
+    };
+    wire::ProbeAnswer {
+        id: ticket.0,
+        wait_ms: answer.wait_ms,
+        missing_tokens: answer.missing_tokens,
+        expected_ms,
+        incarnation: 0,
+    }
+}
+
+/// The answer in a message.
+pub fn read_probe_answer(answer: &wire::ProbeAnswer) -> ProbeAnswer {
+    ProbeAnswer {
+        available: answer.expected_ms != UNAVAILABLE_MS,
+        wait_ms: answer.wait_ms,
+        missing_tokens: answer.missing_tokens,
+        expected_ms: answer.expected_ms,
+    }
+}
+
+/// The message that asks for a permit.
+pub fn permit_ask(
+    ticket: Ticket,
+    engine: &EngineId,
+    incarnation: Incarnation,
+    ask: &Ask,
+) -> Payload {
+    Payload::PermitAsk(wire::PermitAsk {
+        request: ticket.0.to_string(),
+        engine: engine.to_string(),
+        engine_incarnation: incarnation.0,
+        workspace: ask.workspace.to_string(),
+        weight: ask.weight,
+        priority: u32::from(ask.priority),
+        prompt_tokens: ask.prompt.tokens,
+        blocks: hashes(&ask.prompt),
+        answer_tokens: ask.answer_tokens,
+        deadline_ms: ask.within.0,
+        lengths: lengths(&ask.prompt),
+    })
+}
+
+/// The permit request in a message; none when its number cannot be read.
+pub fn read_permit_ask(from: &EntryRef, ask: &wire::PermitAsk) -> Option<Ask> {
+    let ticket = Ticket(ask.request.parse().ok()?);
+    Some(Ask {
+        entry: from.clone(),
+        request: ticket.request(&from.instance),
+        workspace: WorkspaceId::from(ask.workspace.as_str()),
+        weight: ask.weight,
+        priority: u8::try_from(ask.priority).unwrap_or(u8::MAX),
+        prompt: prompt(&ask.lengths, &ask.blocks, ask.prompt_tokens),
+        answer_tokens: ask.answer_tokens,
+        within: Millis(ask.deadline_ms),
+    })
+}
+
+/// The message for what a home answers, and the node that it goes to.
+pub fn output(engine: &EngineId, output: &Output) -> Option<(InstanceId, Payload)> {
+    match output {
+        Output::Probe {
+            entry,
+            request,
+            answer,
+        } => {
+            let answer = probe_answer(Ticket::of_request(request)?, *answer);
+            let answers = wire::ProbeAnswers {
+                engine: engine.to_string(),
+                answers: vec![answer],
+            };
+            Some((entry.instance.clone(), Payload::ProbeAnswers(answers)))
+        }
+        Output::Grant(grant) => {
+            let message = wire::PermitGrant {
+                request: Ticket::of_request(&grant.request)?.0.to_string(),
+                permit: grant.permit.0,
+                cached_tokens: grant.cached_tokens,
+                engine_incarnation: grant.incarnation.0,
+                engine: engine.to_string(),
+            };
+            Some((grant.entry.instance.clone(), Payload::PermitGrant(message)))
+        }
+        Output::Refuse(refusal) => {
+            let message = wire::PermitRefuse {
+                request: Ticket::of_request(&refusal.request)?.0.to_string(),
+                reason: refuse_reason(refusal.reason) as i32,
+                retry_after_ms: refusal.retry_after.0,
+                engine: engine.to_string(),
+            };
+            Some((
+                refusal.entry.instance.clone(),
+                Payload::PermitRefuse(message),
+            ))
+        }
+    }
+}
+
+fn refuse_reason(reason: Reason) -> wire::RefuseReason {
+    match reason {
+        Reason::Deadline => wire::RefuseReason::Deadline,
+        Reason::Full => wire::RefuseReason::QueueFull,
+        Reason::Leaving | Reason::Gone => wire::RefuseReason::EngineGone,
+        Reason::Duplicate | Reason::OldEntry => wire::RefuseReason::Unspecified,
+    }
+}
+
+/// The reason in a message.
+pub fn read_reason(reason: i32) -> Reason {
+    match wire::RefuseReason::try_from(reason) {
+        Ok(wire::RefuseReason::Deadline) => Reason::Deadline,
+        Ok(wire::RefuseReason::QueueFull | wire::RefuseReason::WorkspaceLimit) => Reason::Full,
+        Ok(wire::RefuseReason::Unspecified) => Reason::Duplicate,
+        Ok(
+            wire::RefuseReason::NotHome
+            | wire::RefuseReason::EngineRestarted
+            | wire::RefuseReason::EngineGone,
+        )
+        | Err(_) => Reason::Gone,
+    }
+}
+
+/// The message that reports permits in use on `engine`.
+pub fn permits_live(engine: &EngineId, permits: &[(Ticket, LivePermit)]) -> Payload {
+    let permits = permits
+        .iter()
+        .map(|(ticket, live)| wire::LivePermit {
+            request: ticket.0.to_string(),
+            permit: live.permit.0,
+            engine_incarnation: live.incarnation.0,
+            ..wire::LivePermit::default()
+        })
+        .collect();
+    Payload::PermitsLive(wire::PermitsLive {
+        engine: engine.to_string(),
+        permits,
+    })
+}
+
+/// The permits in a report.
+pub fn read_permits_live(from: &EntryRef, report: &wire::PermitsLive) -> Vec<LivePermit> {
+    report
+        .permits
+        .iter()
+        .filter_map(|live| {
+            Some(LivePermit {
+                permit: PermitId(live.permit),
+                request: Ticket(live.request.parse().ok()?).request(&from.instance),
+                incarnation: Incarnation(live.engine_incarnation),
+            })
+        })
+        .collect()
+}
+
+/// The message that reports a first token.
+pub fn permit_first(engine: &EngineId, permit: PermitId, observed: Observed) -> Payload {
+    Payload::PermitFirst(wire::PermitFirst {
+        permit: permit.0,
+        engine: engine.to_string(),
+        prompt_tokens: observed.prompt_tokens,
+        cached_tokens: observed.cached_tokens,
+        first_token_ms: u32::try_from(observed.first_token.0).unwrap_or(u32::MAX),
+    })
+}
+
+/// What a request met, from a message.
+pub fn read_observed(first: &wire::PermitFirst) -> Observed {
+    Observed {
+        prompt_tokens: first.prompt_tokens,
+        cached_tokens: first.cached_tokens,
+        first_token: Millis(u64::from(first.first_token_ms)),
+    }
+}
+
+/// The message that spreads digests.
+pub fn digests(digests: &[Digest]) -> Payload {
+    let engines = digests
+        .iter()
+        .map(|digest| wire::EngineLoad {
+            engine: digest.engine.to_string(),
+            incarnation: digest.incarnation.0,
+            wait_ms: digest.wait_ms,
+            prefill_tokens_per_s: digest.prefill_rate as u32,
+            serving: digest.serving,
+            free: digest.free_slots,
+            ..wire::EngineLoad::default()
+        })
+        .collect();
+    Payload::EngineDigest(wire::EngineDigest { engines })
+}
+
+/// The digests in a message that arrived at `now`.
+pub fn read_digests(message: &wire::EngineDigest, now: Millis) -> Vec<Digest> {
+    message
+        .engines
+        .iter()
+        .map(|load| Digest {
+            engine: EngineId::from(load.engine.as_str()),
+            incarnation: Incarnation(load.incarnation),
+            serving: load.serving,
+            wait_ms: load.wait_ms,
+            prefill_rate: load.prefill_tokens_per_s as f32,
+            free_slots: load.free,
+            made_at: now,
+        })
+        .collect()
+}
--- a/crates/node/src/engine_poll.rs
+++ b/crates/node/src/engine_poll.rs
@@ -7,7 +7,8 @@
 use flamingolock_core::prelude::*;
 use tokio::task::JoinHandle;
 
-use crate::control::{EngineStatus, Event};
+use crate::control::Event;
+use crate::control::engines::EngineStatus;
 use crate::endpoint_http::EndpointHttp;
 use crate::settings::TimingSettings;
 use crate::view::{Listed, ListedKind, SharedView};
--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -6,6 +6,7 @@
 pub mod authenticate;
 pub mod classify;
 pub mod completion;
+pub mod limit;
 pub mod service_call;
 
 use std::sync::Arc;
--- a/crates/node/src/filters/completion.rs
+++ b/crates/node/src/filters/completion.rs
@@ -9,10 +9,12 @@
 use crate::api::{
     Answer, ApiError, ChatRequest, CompletionRequest, DEFAULT_MAX_TOKENS, json_answer,
 };
-use crate::control::{self, Ask};
+use crate::control;
+use crate::control::permit::RouteAsk;
 use crate::filters::Traffic;
 use crate::filters::authenticate::authenticate;
 use crate::filters::classify::{Classified, classify_completion};
+use crate::filters::limit::enter;
 use crate::relay::{self, Job, Shape};
 
 /// Largest answer that a caller may ask for, in tokens.
@@ -35,7 +37,14 @@
     let workspace = authenticate(&view, headers)?;
     let parsed = parse(shape, body)?;
     let classified = classify_completion(&view, headers, &parsed.model)?;
-    let job = job(request, workspace, &parsed, &classified, shape, started);
+    let presence = enter(traffic, &workspace).await?;
+    let ask = ask(request, workspace, &parsed, &classified, started);
+    let job = Job {
+        ask,
+        shape,
+        started,
+        presence,
+    };
     let mut answer = if parsed.stream {
         relay::stream(traffic, job).await?
     } else {
@@ -51,29 +60,22 @@
     HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("unprintable"))
 }
 
-fn job(
+fn ask(
     request: RequestId,
     workspace: WorkspaceId,
     parsed: &CompletionRequest,
     classified: &Classified,
-    shape: Shape,
     started: Millis,
-) -> Job {
-    let answer_tokens = parsed.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
-    let ask = Ask {
+) -> RouteAsk {
+    RouteAsk {
         request,
         workspace,
         model: ModelName::from(parsed.model.as_str()),
         priority: classified.kind.priority,
         prompt: Arc::from(parsed.prompt.as_bytes()),
-        answer_tokens,
+        answer_tokens: parsed.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
         deadline: started + classified.kind.deadline(),
         avoid: Vec::new(),
-    };
-    Job {
-        ask,
-        shape,
-        started,
     }
 }
 
--- /dev/null
+++ b/crates/node/src/filters/limit.rs
@@ -0,0 +1,32 @@
+//! Counts requests against the limits of their workspaces.
+
+use flamingolock_core::prelude::*;
+use http::StatusCode;
+use tokio::sync::oneshot;
+
+use crate::api::{ApiError, ErrorKind};
+use crate::control::Event;
+use crate::control::permit::Presence;
+use crate::filters::Traffic;
+
+/// Takes a request of `workspace` in until the returned guard is dropped.
+///
+/// # Errors
+///
+/// 429 with the time to come back when a limit is reached.
+pub async fn enter(traffic: &Traffic, workspace: &WorkspaceId) -> Result<Presence, ApiError> {
+    let (reply, presence) = oneshot::channel();
+    let stopped = || ApiError::unavailable("stopping", "the node is stopping", 1000);
+    let event = Event::Enter(workspace.clone(), reply);
+    traffic.events.send(event).map_err(|_| stopped())?;
+    let presence = presence.await.map_err(|_| stopped())?;
+    presence.map_err(|refusal| ApiError {
+        retry_after: Some(refusal.retry_after.0),
+        ..ApiError::new(
+            StatusCode::TOO_MANY_REQUESTS,
+            ErrorKind::RateLimit,
+            refusal.code,
+            "a limit of the workspace is reached",
+        )
+    })
+}
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use flamingolock_core::answer_stream::{Recovery, StreamCursor, StreamInput, StreamStep};
+use flamingolock_core::permit::Observed;
 use flamingolock_core::prelude::*;
 use futures_util::stream;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -15,7 +16,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::api::{Answer, ApiError, ErrorKind, Usage};
-use crate::control::{self, Admission, Ask, Event, Permit, PermitOutcome, Refusal};
+use crate::control::permit::{AbandonGuard, Admission, Permit, Presence, Refusal, RouteAsk};
+use crate::control::{self, Event};
 use crate::endpoint_http::{Connection, EndpointError, EndpointHttp, post_json};
 use crate::filters::Traffic;
 use crate::sse::{self, SseReader};
@@ -45,11 +47,13 @@
 #[derive(Debug)]
 pub struct Job {
     /// What the control thread is asked for.
-    pub ask: Ask,
+    pub ask: RouteAsk,
     /// Shape of the answer.
     pub shape: Shape,
     /// When the request arrived.
     pub started: Millis,
+    /// Counts the request against the limits of its workspace.
+    pub presence: Presence,
 }
 
 /// One event of an engine's stream: a piece, or the end.
@@ -90,7 +94,7 @@
 
 /// What the relay does after an event or a break.
 enum Next {
-    Piece(String),
+    Piece(String, Usage),
     Nothing,
     Done(Finish),
     Broken(&'static str),
@@ -175,13 +179,16 @@
 
     async fn admit(&self) -> Result<Permit, ApiError> {
         let (reply, admission) = oneshot::channel();
-        let ask = clone_ask(&self.job.ask);
+        let ask = self.job.ask.clone();
+        let mut abandon = AbandonGuard::new(self.traffic.events.clone(), ask.request.clone());
         let stopped = || ApiError::unavailable("stopping", "the node is stopping", 1000);
         self.traffic
             .events
             .send(Event::Admit(ask, reply))
             .map_err(|_| stopped())?;
-        match admission.await {
+        let admission = admission.await;
+        abandon.disarm();
+        match admission {
             Ok(Admission::Granted(permit)) => Ok(permit),
             Ok(Admission::Refused(refusal)) => Err(refused(&refusal)),
             Err(_) => Err(stopped()),
@@ -228,10 +235,7 @@
             }
             Err(error) => {
                 let mut permit = permit;
-                permit.observe(PermitOutcome {
-                    failed: true,
-                    ..PermitOutcome::default()
-                });
+                permit.fail();
                 Err(error)
             }
         }
@@ -257,8 +261,8 @@
         loop {
             match self.next(&mut running).await {
                 Next::Nothing => {}
-                Next::Piece(text) => {
-                    self.note_first_token(&mut running);
+                Next::Piece(text, usage) => {
+                    self.note_first_token(&running, usage);
                     self.answer.push_str(&text);
                     let event = self.piece_event(&running.cursor, &text);
                     if self.emit(sink, event).await.is_err() {
@@ -267,7 +271,6 @@
                     }
                 }
                 Next::Done(finish) => {
-                    self.note_finish(&mut running, &finish);
                     return Ok(finish);
                 }
                 Next::Broken(reason) => running = self.recover(running, reason).await?,
@@ -298,7 +301,7 @@
             },
         };
         match running.cursor.accept(input) {
-            StreamStep::Deliver => Next::Piece(event.text),
+            StreamStep::Deliver => Next::Piece(event.text, event.usage),
             StreamStep::Skip => Next::Nothing,
             StreamStep::Finish => Next::Done(Finish {
                 reason: event.finish.unwrap_or_default(),
@@ -357,10 +360,7 @@
         from: u32,
     ) -> Result<Running, ApiError> {
         let engine = running.permit.engine.clone();
-        running.permit.observe(PermitOutcome {
-            failed: true,
-            ..PermitOutcome::default()
-        });
+        running.permit.fail();
         self.job.ask.avoid.push(engine);
         let mut cursor = running.cursor;
         drop(running.permit);
@@ -397,26 +397,17 @@
             .await;
     }
 
-    fn note_first_token(&mut self, running: &mut Running) {
+    fn note_first_token(&mut self, running: &Running, usage: Usage) {
         if self.first_token.is_some() {
             return;
         }
         let now = control::now();
         self.first_token = Some(now.since(self.job.started));
-        let outcome = PermitOutcome {
-            first_token: Some(now.since(running.sent_at)),
-            ..PermitOutcome::default()
-        };
-        running.permit.observe(outcome);
-    }
-
-    fn note_finish(&self, running: &mut Running, finish: &Finish) {
-        let outcome = PermitOutcome {
-            first_token: self.first_token,
-            cached_tokens: Some(finish.usage.cached_tokens),
-            failed: false,
-        };
-        running.permit.observe(outcome);
+        running.permit.first_token(Observed {
+            prompt_tokens: usage.prompt_tokens,
+            cached_tokens: usage.cached_tokens,
+            first_token: now.since(running.sent_at),
+        });
     }
 
     async fn emit(&self, sink: &Sink, event: Bytes) -> Result<(), ()> {
@@ -524,19 +515,6 @@
     })
 }
 
-fn clone_ask(ask: &Ask) -> Ask {
-    Ask {
-        request: ask.request.clone(),
-        workspace: ask.workspace.clone(),
-        model: ask.model.clone(),
-        priority: ask.priority,
-        prompt: ask.prompt.clone(),
-        answer_tokens: ask.answer_tokens,
-        deadline: ask.deadline,
-        avoid: ask.avoid.clone(),
-    }
-}
-
 fn incarnation_of(response: &Response<Incoming>) -> Option<Incarnation> {
     let text = response.headers().get(INCARNATION_HEADER)?.to_str().ok()?;
     text.parse().ok().map(Incarnation)
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -19,7 +19,7 @@
     /// The message; absent when the sender speaks a newer protocol.
     #[prost(
         oneof = "Payload",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub payload: Option<Payload>,
 }
@@ -88,6 +88,12 @@
     /// The instances that the sender knows.
     #[prost(message, tag = "21")]
     Instances(Instances),
+    /// A permit request has arrived and waits.
+    #[prost(message, tag = "22")]
+    PermitQueued(PermitQueued),
+    /// The first token of a request that runs under a permit.
+    #[prost(message, tag = "23")]
+    PermitFirst(PermitFirst),
 }
 
 /// Liveness of the sender, what it holds, and what it heard of others.
@@ -204,6 +210,9 @@
     /// The answers; a probe about an engine that the sender is not home of has none.
     #[prost(message, repeated, tag = "1")]
     pub answers: Vec<ProbeAnswer>,
+    /// The engine that all of them are about.
+    #[prost(string, tag = "2")]
+    pub engine: String,
 }
 
 /// Answer to one probe.
@@ -259,6 +268,38 @@
     /// Time left until the request's deadline.
     #[prost(uint64, tag = "10")]
     pub deadline_ms: u64,
+    /// Number of the block that each of `blocks` ends, counted from 1; empty when
+    /// `blocks` is the whole chain.
+    #[prost(uint32, repeated, tag = "11")]
+    pub lengths: Vec<u32>,
+}
+
+/// The home has the permit request and will answer it.
+#[derive(Clone, PartialEq, Message)]
+pub struct PermitQueued {
+    /// The request.
+    #[prost(string, tag = "1")]
+    pub request: String,
+}
+
+/// What a request met at its engine, known with its first token.
+#[derive(Clone, PartialEq, Message)]
+pub struct PermitFirst {
+    /// The permit.
+    #[prost(uint64, tag = "1")]
+    pub permit: u64,
+    /// The engine.
+    #[prost(string, tag = "2")]
+    pub engine: String,
+    /// Tokens of the prompt.
+    #[prost(uint32, tag = "3")]
+    pub prompt_tokens: u32,
+    /// Prompt tokens that the engine found in its cache.
+    #[prost(uint32, tag = "4")]
+    pub cached_tokens: u32,
+    /// Time from dispatch to the first token.
+    #[prost(uint32, tag = "5")]
+    pub first_token_ms: u32,
 }
 
 /// The engine has room for the request.
@@ -276,6 +317,9 @@
     /// Incarnation of the engine.
     #[prost(uint64, tag = "4")]
     pub engine_incarnation: u64,
+    /// The engine.
+    #[prost(string, tag = "5")]
+    pub engine: String,
 }
 
 /// The home gives no permit.
@@ -290,6 +334,9 @@
     /// Earliest sensible time of another attempt.
     #[prost(uint64, tag = "3")]
     pub retry_after_ms: u64,
+    /// The engine.
+    #[prost(string, tag = "4")]
+    pub engine: String,
 }
 
 /// Why a home gives no permit.
@@ -429,6 +476,12 @@
     /// Requests that it can run at once.
     #[prost(uint32, tag = "7")]
     pub slots: u32,
+    /// Whether it takes new work.
+    #[prost(bool, tag = "8")]
+    pub serving: bool,
+    /// Slots without a request.
+    #[prost(uint32, tag = "9")]
+    pub free: u32,
 }
 
 /// Asks for log records.
