standins: check each behaviour and fault at the socket

Each test asserts one promise of the outside systems through HTTP or plain TCP. Writing them showed two faults, mended here: a freeze through the handle panicked outside the runtime (the timer now runs on the server's runtime), and raising the lag of the instance list emptied it (it now keeps what it showed).

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -174,7 +174,7 @@
 /// Fails when `listen` cannot be bound or an option is out of its range.
 pub async fn start(options: EngineOptions, listen: SocketAddr) -> Result<Handle, StandinError> {
     options.check()?;
-    let connections = Connections::default();
+    let connections = Connections::new();
     let engine = Arc::new(Engine::new(options, connections.clone()));
     let shared = engine.clone();
     let handler = move |request| handle(shared.clone(), request);
--- a/crates/standins/src/instances.rs
+++ b/crates/standins/src/instances.rs
@@ -54,14 +54,20 @@
 type Snapshot = BTreeMap<String, Instance>;
 
 /// All instances, with the older lists that readers may still be shown.
-#[derive(Default)]
 pub(crate) struct InstanceList {
     current: Snapshot,
-    /// Lists with the time from which they held, oldest first.
+    /// Lists with the time from which they held, oldest first; never empty.
     history: VecDeque<(Instant, Snapshot)>,
 }
 
 impl InstanceList {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self {
+            current: Snapshot::new(),
+            history: VecDeque::from([(now, Snapshot::new())]),
+        }
+    }
+
     pub(crate) fn put(&mut self, instance: Instance, now: Instant) {
         self.current.insert(instance.name.clone(), instance);
         self.record(now);
@@ -86,7 +92,8 @@
         self.history.push_back((now, self.current.clone()));
     }
 
-    /// The list as it was `lag` ago; empty before the first change.
+    /// The list as it was `lag` ago. A list that was shown once is not followed
+    /// by an older one, even if the lag grows.
     pub(crate) fn shown(&mut self, now: Instant, lag: Duration) -> Vec<&Instance> {
         while self
             .history
@@ -95,7 +102,7 @@
         {
             self.history.pop_front();
         }
-        let shown = self.history.front().filter(|(time, _)| *time + lag <= now);
+        let shown = self.history.front();
         shown.map_or_else(Vec::new, |(_, list)| list.values().collect())
     }
 }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -125,7 +125,7 @@
         outages.set_delay(Part::Log, Duration::from_millis(options.log_ms));
         Self {
             log: LogService::new(limits, options.lose_probability, options.seed),
-            instances: Mutex::default(),
+            instances: Mutex::new(InstanceList::new(Instant::now())),
             list_lag: Mutex::new(Duration::from_millis(options.list_lag_ms)),
             weights: Arc::new(WeightStore::new(load, options.max_loads)),
             kv: KvStore::default(),
@@ -222,7 +222,7 @@
 /// Fails when `listen` cannot be bound or an option is out of its range.
 pub async fn start(options: PlatformOptions, listen: SocketAddr) -> Result<Handle, StandinError> {
     options.check()?;
-    let connections = Connections::default();
+    let connections = Connections::new();
     let platform = Arc::new(Platform::new(&options, connections.clone()));
     let shared = platform.clone();
     let handler = move |request| handle(shared.clone(), request);
--- a/crates/standins/src/proxy_control.rs
+++ b/crates/standins/src/proxy_control.rs
@@ -63,7 +63,7 @@
     let routes = Arc::new(Routes::default());
     let shared = routes.clone();
     let handler = move |request| handle(shared.clone(), request);
-    let server = Server::start(listen, Connections::default(), handler).await?;
+    let server = Server::start(listen, Connections::new(), handler).await?;
     Ok(ControlHandle { server, routes })
 }
 
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
@@ -118,8 +119,10 @@
 }
 
 /// Controls of all connections of one server.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Connections {
+    /// Runs the timers of controls, which may come from any thread.
+    runtime: Handle,
     stop: CancellationToken,
     freeze: Arc<Gate>,
     state: Arc<Mutex<ConnectionState>>,
@@ -136,6 +139,16 @@
 }
 
 impl Connections {
+    /// Controls of a server that will run on the present runtime.
+    pub(crate) fn new() -> Self {
+        Self {
+            runtime: Handle::current(),
+            stop: CancellationToken::new(),
+            freeze: Arc::default(),
+            state: Arc::default(),
+        }
+    }
+
     /// Resolves when the server stops for good.
     pub(crate) fn stop_token(&self) -> CancellationToken {
         self.stop.clone()
@@ -175,7 +188,7 @@
         self.freeze.shut();
         drop(state);
         let connections = self.clone();
-        tokio::spawn(async move {
+        self.runtime.spawn(async move {
             sleep_until(until).await;
             connections.thaw(until);
         });
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -119,7 +119,7 @@
 ///
 /// Fails when `listen` cannot be bound.
 pub async fn start(options: ServiceOptions, listen: SocketAddr) -> Result<Handle, StandinError> {
-    let connections = Connections::default();
+    let connections = Connections::new();
     let state = State {
         delay: Duration::from_millis(options.delay_ms),
         ..State::default()
--- /dev/null
+++ b/crates/standins/tests/common/mod.rs
@@ -0,0 +1,170 @@
+//! Calls and checks that the tests of several stand-ins share.
+#![allow(dead_code)] // Each test binary uses its own part.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use flamingolock_core::prelude::*;
+use serde_json::{Value, json};
+use ureq::http::{Request, Response};
+use ureq::{Agent, Body};
+
+/// A port of the system's choice on the loopback interface.
+pub const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// An agent that opens a connection for each call and takes any status.
+pub fn agent() -> Agent {
+    let config = Agent::config_builder()
+        .max_idle_connections(0)
+        .http_status_as_error(false)
+        .timeout_global(Some(Duration::from_secs(10)));
+    config.build().new_agent()
+}
+
+/// Sends a call and returns the response before its body.
+pub fn send(
+    method: &str,
+    addr: SocketAddr,
+    path: &str,
+    body: &Value,
+) -> Result<Response<Body>, ureq::Error> {
+    let url = format!("http://{addr}{path}");
+    let text = if body.is_null() {
+        String::new()
+    } else {
+        body.to_string()
+    };
+    let request = Request::builder().method(method).uri(url);
+    agent().run(request.header("x-call-id", "test").body(text).unwrap())
+}
+
+/// Sends a call and reads its JSON answer, null when that is empty.
+pub fn call(method: &str, addr: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
+    let mut response = send(method, addr, path, body).unwrap();
+    let text = response.body_mut().read_to_string().unwrap();
+    let value = serde_json::from_str(&text).unwrap_or_default();
+    (response.status().as_u16(), value)
+}
+
+/// Gets a JSON answer.
+pub fn get(addr: SocketAddr, path: &str) -> Value {
+    let (status, value) = call("GET", addr, path, &Value::Null);
+    assert_eq!(status, 200, "{path}: {value}");
+    value
+}
+
+/// Posts JSON and returns status and JSON answer.
+pub fn post(addr: SocketAddr, path: &str, body: &Value) -> (u16, Value) {
+    call("POST", addr, path, body)
+}
+
+/// Carries out a control without a body.
+pub fn control(addr: SocketAddr, path: &str) {
+    let (status, value) = post(addr, path, &Value::Null);
+    assert_eq!(status, 204, "{path}: {value}");
+}
+
+/// The salt of a workspace on the first weights.
+pub fn salt(workspace: &str) -> PrefixSeed {
+    PrefixSeed::new(&workspace.into(), &"model".into(), &"w1".into(), None)
+}
+
+/// Body of a completion call.
+pub fn completion(id: &str, prompt: &str, max_tokens: u32, stream: bool) -> Value {
+    json!({
+        "model": "model",
+        "prompt": prompt,
+        "max_tokens": max_tokens,
+        "stream": stream,
+        "cache_salt": salt("qasr").to_hex(),
+        "request_id": id,
+    })
+}
+
+/// Completes without streaming.
+pub fn complete(addr: SocketAddr, id: &str, prompt: &str, max_tokens: u32) -> Value {
+    let body = completion(id, prompt, max_tokens, false);
+    let (status, value) = post(addr, "/v1/completions", &body);
+    assert_eq!(status, 200, "{value}");
+    value
+}
+
+/// A stream of events that is being read.
+pub struct Events {
+    reader: BufReader<ureq::BodyReader<'static>>,
+}
+
+impl Events {
+    /// Starts a streamed completion.
+    pub fn start(addr: SocketAddr, id: &str, prompt: &str, max_tokens: u32) -> Self {
+        let body = completion(id, prompt, max_tokens, true);
+        let response = send("POST", addr, "/v1/completions", &body).unwrap();
+        assert_eq!(response.status(), 200);
+        Self::of(response)
+    }
+
+    /// Reads the events of a response.
+    pub fn of(response: Response<Body>) -> Self {
+        let reader = BufReader::new(response.into_body().into_reader());
+        Self { reader }
+    }
+
+    /// The data of the next event; none at the end or when the stream breaks.
+    pub fn next(&mut self) -> Option<String> {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            if self.reader.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            if let Some(data) = line.trim_end().strip_prefix("data: ") {
+                return Some(data.to_owned());
+            }
+        }
+    }
+
+    /// The data of all further events.
+    pub fn rest(mut self) -> Vec<String> {
+        std::iter::from_fn(|| self.next()).collect()
+    }
+}
+
+/// Waits until a condition holds.
+pub fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + Duration::from_secs(5);
+    while !holds() {
+        assert!(Instant::now() < deadline, "never: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// One HTTP connection that stays open over several calls.
+pub struct Kept {
+    tcp: TcpStream,
+}
+
+impl Kept {
+    pub fn open(addr: SocketAddr) -> Self {
+        let tcp = TcpStream::connect(addr).unwrap();
+        tcp.set_read_timeout(Some(Duration::from_millis(300)))
+            .unwrap();
+        Self { tcp }
+    }
+
+    /// Sends a `GET` on the connection.
+    pub fn send(&mut self, path: &str) {
+        let request = format!("GET {path} HTTP/1.1\r\nhost: test\r\nx-call-id: test\r\n\r\n");
+        self.tcp.write_all(request.as_bytes()).unwrap();
+    }
+
+    /// What arrives next: none on silence, no bytes when the connection is closed.
+    pub fn receive(&mut self) -> Option<Vec<u8>> {
+        let mut buffer = vec![0; 4096];
+        match self.tcp.read(&mut buffer) {
+            Ok(len) => Some(buffer[..len].to_vec()),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => Some(Vec::new()),
+            Err(_) => None,
+        }
+    }
+}
