--- a/crates/standins/src/outage.rs
+++ b/crates/standins/src/outage.rs
@@ -24,15 +24,16 @@
     /// All parts.
     pub const ALL: [Part; 4] = [Part::Log, Part::Instances, Part::Weights, Part::Kv];
 
-    /// The part of this name; anything else means all parts.
-    pub(crate) fn from_name(name: &str) -> Vec<Part> {
-        match name {
-            "log" => vec![Part::Log],
-            "instances" => vec![Part::Instances],
-            "weights" => vec![Part::Weights],
-            "kv" => vec![Part::Kv],
-            _ => Part::ALL.to_vec(),
-        }
+    /// The parts that a name stands for.
+    pub(crate) fn from_name(name: &str) -> Option<&'static [Part]> {
+        Some(match name {
+            "log" => &[Part::Log],
+            "instances" => &[Part::Instances],
+            "weights" => &[Part::Weights],
+            "kv" => &[Part::Kv],
+            "all" => &Part::ALL,
+            _ => return None,
+        })
     }
 }
 
@@ -46,6 +47,17 @@
     Hang,
 }
 
+impl OutageMode {
+    /// The mode of this name.
+    pub(crate) fn from_name(name: &str) -> Option<Self> {
+        match name {
+            "refuse" => Some(Self::Refuse),
+            "hang" => Some(Self::Hang),
+            _ => None,
+        }
+    }
+}
+
 /// What to do with a call to a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Admission {
