node: link nodes to each other

Each node opens one connection of its own to every peer that it has something to tell, after a keyed handshake on both sides, so homes are shared out over all listed nodes. Messages that cannot be delivered are dropped: probes have their digests, permits their reports.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -19,9 +19,10 @@
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use flamingolock_core::limits::{self, Limits, Share};
 use flamingolock_core::manifest::Manifest;
-use flamingolock_core::permit::{Observed, PermitId};
+use flamingolock_core::permit::{EntryRef, Observed, PermitId};
 use flamingolock_core::prefix_model::CacheEvent;
 use flamingolock_core::prelude::*;
+use flamingolock_wire::message::PeerFrame;
 use tokio::sync::oneshot;
 
 use crate::control::context::{Context, Effect};
@@ -29,6 +30,7 @@
 use crate::control::permit::{Presence, Refusal, Reply, RouteAsk};
 use crate::control::router::Router;
 use crate::decisions::DecisionLog;
+use crate::peers::{self, PeerCommand, PeerSender};
 use crate::settings::Settings;
 use crate::view::{Listed, ListedKind, ListedState, SharedView, View};
 
@@ -79,6 +81,20 @@
         /// The changes.
         events: Vec<CacheEvent>,
     },
+    /// Another node sent a message.
+    Peer {
+        /// The node, as it proved itself to be.
+        from: EntryRef,
+        /// The message.
+        frame: Box<PeerFrame>,
+    },
+    /// The connection to another node came about, or failed.
+    PeerLink {
+        /// The node.
+        to: InstanceId,
+        /// True when messages can be sent.
+        up: bool,
+    },
     /// The node is shutting down.
     Leaving,
     /// End the thread.
@@ -108,11 +124,23 @@
     /// When the system gives no further thread.
     pub fn start(
         settings: &Settings,
+        incarnation: Incarnation,
         view: SharedView,
         decisions: Arc<DecisionLog>,
+        peers: PeerSender,
     ) -> std::io::Result<Self> {
         let (events, inbox) = crossbeam::channel::unbounded();
-        let mut control = Control::new(settings, view, decisions, events.clone());
+        let mut control = Control {
+            me: settings.node.name.clone(),
+            view,
+            decisions,
+            router: Router::new(settings, incarnation, events.clone()),
+            events: events.clone(),
+            limits: Limits::default(),
+            effects: Vec::new(),
+            peers,
+            leaving: false,
+        };
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || control.run(&inbox))?;
@@ -140,27 +168,11 @@
     router: Router,
     limits: Limits,
     effects: Vec<Effect>,
+    peers: PeerSender,
+    leaving: bool,
 }
 
 impl Control {
-    fn new(
-        settings: &Settings,
-        view: SharedView,
-        decisions: Arc<DecisionLog>,
-        events: Sender<Event>,
-    ) -> Self {
-        let incarnation = Incarnation(now().0);
-        Self {
-            me: settings.node.name.clone(),
-            view,
-            decisions,
-            router: Router::new(settings, incarnation, events.clone()),
-            events,
-            limits: Limits::default(),
-            effects: Vec::new(),
-        }
-    }
-
     fn run(&mut self, inbox: &Receiver<Event>) {
         loop {
             let wait = self.wait();
@@ -225,7 +237,12 @@
                     router.cache_events(ctx, &engine, incarnation, events);
                 });
             }
-            Event::Leaving => self.publish(|view| view.leaving = true),
+            Event::Peer { from, frame } => self.peer(&from, &frame),
+            Event::PeerLink { to, up } => log::debug!("link to {to}: {up}"),
+            Event::Leaving => {
+                self.leaving = true;
+                self.publish(|view| view.leaving = true);
+            }
             Event::Stop => {}
         }
     }
@@ -241,7 +258,23 @@
     }
 
     fn perform(&mut self) {
-        self.effects.clear();
+        for effect in self.effects.drain(..) {
+            let command = match effect {
+                Effect::Send { to, payload } => PeerCommand::Send {
+                    to,
+                    frame: peers::frame(payload, self.leaving),
+                },
+            };
+            // The links are gone only when the node stops.
+            let _ = self.peers.send(command);
+        }
+    }
+
+    fn peer(&mut self, from: &EntryRef, frame: &PeerFrame) {
+        let Some(payload) = &frame.payload else {
+            return;
+        };
+        self.with_context(|router, ctx| router.peer(ctx, from, payload));
     }
 
     fn enter(&mut self, id: WorkspaceId) -> Result<Presence, Refusal> {
@@ -284,8 +317,14 @@
             .map(|listed| InstanceId::from(listed.name.as_str()))
             .collect();
         nodes.insert(self.me.clone());
-        // Without links to peers every node is home of all engines for itself.
-        nodes.retain(|node| *node == self.me);
+        let addresses = instances
+            .values()
+            .filter_map(|listed| {
+                Some((InstanceId::from(listed.name.as_str()), listed.peer_address?))
+            })
+            .filter(|(name, _)| *name != self.me)
+            .collect();
+        let _ = self.peers.send(PeerCommand::Addresses(addresses));
         self.with_context(|router, ctx| {
             router.listed(ctx, &instances);
             router.set_nodes(ctx, nodes);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine_poll;
 pub mod filters;
 pub mod node;
+pub mod peers;
 pub mod platform;
 pub mod relay;
 pub mod server;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,17 +5,20 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use flamingolock_core::prelude::*;
+use flamingolock_wire::handshake::{FleetKey, Identity, KeyTooShort};
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
-use crate::control::{ControlHandle, Event};
+use crate::control::{self, ControlHandle, Event};
 use crate::decisions::DecisionLog;
 use crate::endpoint_http::EndpointHttp;
 use crate::engine_poll::poll_engines;
 use crate::filters::Traffic;
+use crate::peers::{self, LinkIdentity};
 use crate::platform::PlatformReaders;
 use crate::server;
 use crate::settings::Settings;
@@ -34,6 +37,9 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The fleet key protects nothing.
+    #[error("fleet.key: {0}; set a longer one")]
+    Key(#[from] KeyTooShort),
     /// The system gives no further thread.
     #[error("cannot start a thread: {0}")]
     Thread(#[from] std::io::Error),
@@ -42,6 +48,7 @@
 /// A running node. Dropping it stops it at once; see [`Node::shutdown`].
 pub struct Node {
     address: SocketAddr,
+    peer_address: SocketAddr,
     settings: Arc<Settings>,
     view: SharedView,
     stop: watch::Sender<bool>,
@@ -64,18 +71,33 @@
             .thread_name("traffic")
             .enable_all()
             .build()?;
-        let listen = settings.node.listen;
-        let listener = runtime
-            .block_on(TcpListener::bind(listen))
-            .map_err(|source| NodeError::Listen {
-                key: "node.listen",
-                address: listen,
-                source,
-            })?;
-        let address = listener.local_addr()?;
+        let (listener, address) = listen(&runtime, "node.listen", settings.node.listen)?;
+        let (peer_listener, peer_address) =
+            listen(&runtime, "node.peer_listen", settings.node.peer_listen)?;
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let decisions = Arc::new(DecisionLog::new(settings.node.name.clone()));
-        let control = ControlHandle::start(&settings, Arc::clone(&view), Arc::clone(&decisions))?;
+        let incarnation = Incarnation(control::now().0);
+        let (peers, commands) = mpsc::unbounded_channel();
+        let control = ControlHandle::start(
+            &settings,
+            incarnation,
+            Arc::clone(&view),
+            Arc::clone(&decisions),
+            peers,
+        )?;
+        let me = Arc::new(LinkIdentity {
+            identity: Identity {
+                name: settings.node.name.clone(),
+                incarnation,
+            },
+            key: FleetKey::new(settings.fleet.key.as_bytes())?,
+        });
+        runtime.spawn(peers::accept(
+            peer_listener,
+            Arc::clone(&me),
+            control.events.clone(),
+        ));
+        runtime.spawn(peers::run(commands, me, control.events.clone()));
         let readers = PlatformReaders::start(&settings.platform, &control.events)?;
         let http = EndpointHttp::new(settings.timing.connect_ms);
         let traffic = Traffic {
@@ -96,6 +118,7 @@
         log::info!("node {} serves callers on {address}", settings.node.name);
         Ok(Self {
             address,
+            peer_address,
             settings,
             view,
             stop,
@@ -113,7 +136,7 @@
 
     /// Address of the port for other nodes.
     pub fn peer_address(&self) -> SocketAddr {
-        self.settings.node.peer_listen
+        self.peer_address
     }
 
     /// True once a manifest is in force and `engines` engines are known.
@@ -144,3 +167,20 @@
         }
     }
 }
+
+fn listen(
+    runtime: &Runtime,
+    key: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), NodeError> {
+    let refuse = |source| NodeError::Listen {
+        key,
+        address,
+        source,
+    };
+    let listener = runtime
+        .block_on(TcpListener::bind(address))
+        .map_err(refuse)?;
+    let bound = listener.local_addr().map_err(refuse)?;
+    Ok((listener, bound))
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,311 @@
+//! Links to other nodes.
+//!
+//! Each node keeps one connection of its own to every peer that it has something
+//! to tell, and reads what peers tell on the connections that they opened. A
+//! message that cannot be delivered now is dropped: everything that must arrive
+//! is repeated by the controllers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::Sender;
+use flamingolock_core::permit::EntryRef;
+use flamingolock_core::prelude::*;
+use flamingolock_wire::codec::PeerCodec;
+use flamingolock_wire::handshake::{FleetKey, HandshakeError, Identity, Role, handshake};
+use flamingolock_wire::message::{Payload, PeerFrame};
+use futures_util::{SinkExt, StreamExt};
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use crate::control::Event;
+
+/// Longest time for a connection and its handshake.
+const CONNECT_MS: u64 = 1_000;
+
+/// Messages that wait for one peer.
+const QUEUE: usize = 4_096;
+
+/// Messages that are written together.
+const BATCH: usize = 64;
+
+/// Pause after a failed accept, which most often means too many open files.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// Why a peer could not be reached.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// No connection came about.
+    #[error("connecting: {0}")]
+    Connect(#[from] std::io::Error),
+    /// One side refused the other.
+    #[error("handshake: {0}")]
+    Handshake(#[from] HandshakeError),
+    /// It took too long.
+    #[error("no handshake within {CONNECT_MS} ms")]
+    Timeout,
+    /// Another node answered at the address.
+    #[error("`{found}` answered in place of `{expected}`")]
+    OtherNode {
+        /// Node that was meant.
+        expected: InstanceId,
+        /// Node that answered.
+        found: InstanceId,
+    },
+}
+
+/// What the control thread asks of the links.
+#[derive(Clone, Debug)]
+pub enum PeerCommand {
+    /// Deliver a message.
+    Send {
+        /// The peer.
+        to: InstanceId,
+        /// The message.
+        frame: Box<PeerFrame>,
+    },
+    /// Peers are found at these addresses from now on.
+    Addresses(BTreeMap<InstanceId, SocketAddr>),
+    /// Replace the connection to a peer by a fresh one.
+    Reconnect(InstanceId),
+}
+
+/// Way to the links; cheap to clone.
+pub type PeerSender = mpsc::UnboundedSender<PeerCommand>;
+
+/// Who this node is to its peers.
+#[derive(Clone)]
+pub struct LinkIdentity {
+    /// Name and incarnation.
+    pub identity: Identity,
+    /// Key of the fleet.
+    pub key: FleetKey,
+}
+
+/// Accepts peers and reads what they tell.
+pub async fn accept(listener: TcpListener, me: Arc<LinkIdentity>, events: Sender<Event>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            continue;
+        };
+        let (me, events) = (Arc::clone(&me), events.clone());
+        tokio::spawn(async move {
+            if let Err(error) = read_peer(stream, &me, &events).await {
+                log::debug!("peer connection refused: {error}");
+            }
+        });
+    }
+}
+
+async fn read_peer(
+    mut stream: TcpStream,
+    me: &LinkIdentity,
+    events: &Sender<Event>,
+) -> Result<(), LinkError> {
+    stream.set_nodelay(true)?;
+    let shaken = handshake(&mut stream, Role::Acceptor, &me.identity, &me.key);
+    let peer = timeout(Duration::from_millis(CONNECT_MS), shaken)
+        .await
+        .map_err(|_| LinkError::Timeout)??;
+    let from = EntryRef {
+        instance: peer.name,
+        incarnation: peer.incarnation,
+    };
+    let mut frames = Framed::new(stream, PeerCodec::new());
+    while let Some(frame) = frames.next().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(error) => {
+                log::debug!("peer {}: {error}", from.instance);
+                return Ok(());
+            }
+        };
+        let event = Event::Peer {
+            from: from.clone(),
+            frame: Box::new(frame),
+        };
+        if events.send(event).is_err() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// Carries out commands until the control thread is gone.
+pub async fn run(
+    mut commands: mpsc::UnboundedReceiver<PeerCommand>,
+    me: Arc<LinkIdentity>,
+    events: Sender<Event>,
+) {
+    let mut links: BTreeMap<InstanceId, Link> = BTreeMap::new();
+    let mut addresses: BTreeMap<InstanceId, SocketAddr> = BTreeMap::new();
+    while let Some(command) = commands.recv().await {
+        match command {
+            PeerCommand::Addresses(now) => {
+                links.retain(|name, link| now.get(name) == Some(&link.address));
+                addresses = now;
+            }
+            PeerCommand::Reconnect(to) => {
+                links.remove(&to);
+                if let Some(address) = addresses.get(&to) {
+                    let link = Link::open(&to, *address, Arc::clone(&me), events.clone());
+                    links.insert(to, link);
+                }
+            }
+            PeerCommand::Send { to, frame } => {
+                let Some(address) = addresses.get(&to) else {
+                    continue;
+                };
+                let link = links
+                    .entry(to.clone())
+                    .or_insert_with(|| Link::open(&to, *address, Arc::clone(&me), events.clone()));
+                // A full queue belongs to a peer that does not read; the message
+                // is as good as lost.
+                let _ = link.queue.try_send(*frame);
+            }
+        }
+    }
+}
+
+/// A connection to one peer, made again as often as it breaks.
+struct Link {
+    address: SocketAddr,
+    queue: mpsc::Sender<PeerFrame>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Link {
+    fn open(
+        to: &InstanceId,
+        address: SocketAddr,
+        me: Arc<LinkIdentity>,
+        events: Sender<Event>,
+    ) -> Self {
+        let (queue, frames) = mpsc::channel(QUEUE);
+        let task = tokio::spawn(keep(to.clone(), address, me, frames, events));
+        Self {
+            address,
+            queue,
+            task,
+        }
+    }
+}
+
+/// Delivers queued messages; what was queued for a failed connection is dropped.
+async fn keep(
+    to: InstanceId,
+    address: SocketAddr,
+    me: Arc<LinkIdentity>,
+    mut frames: mpsc::Receiver<PeerFrame>,
+    events: Sender<Event>,
+) {
+    let mut first = None;
+    loop {
+        let up = match connect(&to, address, &me).await {
+            Ok(mut stream) => {
+                let _ = events.send(Event::PeerLink {
+                    to: to.clone(),
+                    up: true,
+                });
+                if write_all(&mut stream, &mut frames, first.take())
+                    .await
+                    .is_none()
+                {
+                    return;
+                }
+                true
+            }
+            Err(error) => {
+                log::debug!("peer {to} at {address}: {error}");
+                false
+            }
+        };
+        let _ = events.send(Event::PeerLink {
+            to: to.clone(),
+            up: false,
+        });
+        if !up {
+            while frames.try_recv().is_ok() {}
+        }
+        // The next message makes the next attempt.
+        first = frames.recv().await;
+        if first.is_none() {
+            return;
+        }
+    }
+}
+
+/// Writes messages until the connection fails; none when there are no more senders.
+async fn write_all(
+    stream: &mut Framed<TcpStream, PeerCodec>,
+    frames: &mut mpsc::Receiver<PeerFrame>,
+    first: Option<PeerFrame>,
+) -> Option<()> {
+    if let Some(frame) = first
+        && stream.send(&frame).await.is_err()
+    {
+        return Some(());
+    }
+    loop {
+        let mut batch = Vec::new();
+        tokio::select! {
+            // The peer never sends on this connection; anything read is its end.
+            _ = stream.next() => return Some(()),
+            count = frames.recv_many(&mut batch, BATCH) => {
+                if count == 0 {
+                    return None;
+                }
+            }
+        }
+        for frame in &batch {
+            if stream.feed(frame).await.is_err() {
+                return Some(());
+            }
+        }
+        if SinkExt::<&PeerFrame>::flush(stream).await.is_err() {
+            return Some(());
+        }
+    }
+}
+
+async fn connect(
+    to: &InstanceId,
+    address: SocketAddr,
+    me: &LinkIdentity,
+) -> Result<Framed<TcpStream, PeerCodec>, LinkError> {
+    let connecting = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let peer = handshake(&mut stream, Role::Dialer, &me.identity, &me.key).await?;
+        if peer.name != *to {
+            return Err(LinkError::OtherNode {
+                expected: to.clone(),
+                found: peer.name,
+            });
+        }
+        Ok(Framed::new(stream, PeerCodec::new()))
+    };
+    timeout(Duration::from_millis(CONNECT_MS), connecting)
+        .await
+        .map_err(|_| LinkError::Timeout)?
+}
+
+/// A message with the flag that travels on every frame.
+pub fn frame(payload: Payload, leaving: bool) -> Box<PeerFrame> {
+    Box::new(PeerFrame {
+        leaving,
+        payload: Some(payload),
+    })
+}
