node: keep the manifest as a fold of the log

Nodes read both streams of the log, fold them, append under a budget and write checkpoints before records age out; a reader whose offset was trimmed starts from a checkpoint. flamingoctl checks, publishes and shows manifests; a change counts as accepted only after its record was read back, and a refusal names the change that won.

--- a/crates/cli/src/bin/flamingoctl.rs
+++ b/crates/cli/src/bin/flamingoctl.rs
@@ -4,7 +4,7 @@
 
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use flamingolock_cli::commands::{demo, load, standin};
+use flamingolock_cli::commands::{demo, load, manifest, standin};
 use flamingolock_cli::exit::{self, CommandError};
 use flamingolock_cli::logging;
 use log::LevelFilter;
@@ -26,6 +26,9 @@
     Demo(demo::DemoArguments),
     /// Sends load to a fleet that runs already.
     Load(load::LoadArguments),
+    /// Checks, publishes and shows manifests.
+    #[command(subcommand)]
+    Manifest(manifest::ManifestCommand),
     /// Runs a stand-in of an outside system.
     #[command(subcommand)]
     Standin(standin::StandinCommand),
@@ -46,6 +49,7 @@
     match command {
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Load(arguments) => load::run(&arguments),
+        Command::Manifest(command) => manifest::run(command),
         Command::Standin(command) => standin::run(command),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -2,4 +2,5 @@
 
 pub mod demo;
 pub mod load;
+pub mod manifest;
 pub mod standin;
--- a/crates/cli/tests/test_whole_path.rs
+++ b/crates/cli/tests/test_whole_path.rs
@@ -4,7 +4,7 @@
 
 use flamingolock_experiment::workload::{MODEL, Profile, WEIGHTS, workspace_key};
 use flamingolock_testutils::fleet::{ProcessFleet, Programs};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 fn programs() -> Programs {
     Programs::new(
@@ -28,7 +28,11 @@
         fleet.add_node(name, &[]);
     }
     let profile = Profile::mixed(40.0);
-    fleet.append("manifest-1", &json!(profile.manifest()));
+    let directory = tempfile::tempdir().expect("a directory");
+    let file = directory.path().join("manifest.toml");
+    let text = toml::to_string(&profile.manifest()).expect("manifests are TOML");
+    std::fs::write(&file, text).expect("the file can be written");
+    fleet.publish(&file);
     let key = workspace_key(&profile.workspaces[0].id);
     for name in ["entry-1", "entry-2", "entry-3"] {
         fleet.wait_serving(name, &key, MODEL);
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use flamingolock_core::manifest::Manifest;
 use flamingolock_core::prelude::*;
+use flamingolock_node::log_client::LogClient;
 use flamingolock_node::node::{Node, NodeError};
+use flamingolock_node::publish::{self, PublishError};
 use flamingolock_node::settings::{RoutingSettings, Settings};
 use flamingolock_standins::engine::{self, EngineOptions};
 use flamingolock_standins::error::StandinError;
@@ -27,6 +30,9 @@
 /// Token of the operators' port.
 const OPERATOR_TOKEN: &str = "operator-token-for-one-process";
 
+/// Longest time for a manifest to be accepted.
+const PUBLISH_PATIENCE: Duration = Duration::from_secs(5);
+
 /// Why a fleet could not start.
 #[derive(Debug, Error)]
 pub enum FleetError {
@@ -41,7 +47,7 @@
     Thread(#[from] std::io::Error),
     /// The manifest could not be published.
     #[error("publishing the manifest: {0}")]
-    Publish(Box<ureq::Error>),
+    Publish(#[from] PublishError),
     /// Nodes did not come into service in time.
     #[error("the nodes were not ready within {ms} ms")]
     NotReady {
@@ -226,12 +232,8 @@
     ///
     /// When the platform refuses, or the nodes are late.
     pub fn publish(&self, manifest: &Manifest) -> Result<(), FleetError> {
-        let url = format!("http://{}/log/control", self.platform.addr());
-        let id = ulid::Ulid::new().to_string();
-        let body = serde_json::json!({ "records": [{ "id": id, "body": manifest }] });
-        ureq::post(&url)
-            .send_json(body)
-            .map_err(|error| FleetError::Publish(Box::new(error)))?;
+        let client = LogClient::new(&format!("http://{}", self.platform.addr()));
+        publish::publish(&client, manifest, "experiment", PUBLISH_PATIENCE)?;
         self.wait_ready()
     }
 
@@ -246,7 +248,7 @@
             {
                 return Ok(());
             }
-            std::thread::sleep(std::time::Duration::from_millis(STEP_MS));
+            std::thread::sleep(Duration::from_millis(STEP_MS));
         }
         Err(FleetError::NotReady { ms: READY_MS })
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,6 +7,7 @@
 pub mod context;
 pub mod engines;
 pub mod homes;
+pub mod ledger;
 pub mod messages;
 pub mod permit;
 pub mod router;
@@ -18,19 +19,21 @@
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use flamingolock_core::limits::{self, Limits, Share};
-use flamingolock_core::manifest::Manifest;
 use flamingolock_core::permit::{EntryRef, Observed, PermitId};
 use flamingolock_core::prefix_model::CacheEvent;
 use flamingolock_core::prelude::*;
+use flamingolock_core::record::NodeIncarnation;
 use flamingolock_wire::message::PeerFrame;
 use tokio::sync::oneshot;
 
 use crate::control::context::{Context, Effect};
 use crate::control::engines::EngineStatus;
+use crate::control::ledger::{Ledger, LogCursors, LogEvent};
 use crate::control::permit::{Presence, Refusal, Reply, RouteAsk};
 use crate::control::router::Router;
 use crate::decisions::DecisionLog;
 use crate::peers::{self, PeerCommand, PeerSender};
+use crate::platform::AppendJob;
 use crate::settings::Settings;
 use crate::view::{Listed, ListedKind, ListedState, SharedView, View};
 
@@ -68,8 +71,8 @@
     },
     /// The platform's list was read.
     Listed(Vec<Listed>),
-    /// A manifest came into force.
-    Manifest(Box<Manifest>),
+    /// The threads at the platform report.
+    Log(LogEvent),
     /// An engine reported, or did not answer.
     Status(EngineId, Option<EngineStatus>),
     /// An engine reported changes of its cache.
@@ -109,6 +112,16 @@
     Millis(since.as_millis() as u64)
 }
 
+/// Ways from the control thread to the I/O side.
+pub struct Wiring {
+    /// Links to other nodes.
+    pub peers: PeerSender,
+    /// Writers of the log.
+    pub appends: Sender<AppendJob>,
+    /// Where readers of the log go on.
+    pub cursors: Arc<LogCursors>,
+}
+
 /// Handle to the control thread.
 pub struct ControlHandle {
     /// Where events go.
@@ -127,18 +140,26 @@
         incarnation: Incarnation,
         view: SharedView,
         decisions: Arc<DecisionLog>,
-        peers: PeerSender,
+        wiring: Wiring,
     ) -> std::io::Result<Self> {
+        let me = NodeIncarnation {
+            instance: settings.node.name.clone(),
+            incarnation,
+        };
         let (events, inbox) = crossbeam::channel::unbounded();
         let mut control = Control {
             me: settings.node.name.clone(),
             view,
             decisions,
-            router: Router::new(settings, incarnation, events.clone()),
+            controllers: Controllers {
+                router: Router::new(settings, incarnation, events.clone()),
+                ledger: Ledger::new(me, &settings.platform, wiring.cursors, now()),
+                limits: Limits::default(),
+            },
             events: events.clone(),
-            limits: Limits::default(),
             effects: Vec::new(),
-            peers,
+            peers: wiring.peers,
+            appends: wiring.appends,
             leaving: false,
         };
         let thread = std::thread::Builder::new()
@@ -165,13 +186,20 @@
     view: SharedView,
     decisions: Arc<DecisionLog>,
     events: Sender<Event>,
-    router: Router,
-    limits: Limits,
+    controllers: Controllers,
     effects: Vec<Effect>,
     peers: PeerSender,
+    appends: Sender<AppendJob>,
     leaving: bool,
 }
 
+/// State of the control thread, by what it is about.
+struct Controllers {
+    router: Router,
+    ledger: Ledger,
+    limits: Limits,
+}
+
 impl Control {
     fn run(&mut self, inbox: &Receiver<Event>) {
         loop {
@@ -181,7 +209,11 @@
                 Ok(event) => self.handle(event),
                 Err(RecvTimeoutError::Timeout) => {}
             }
-            self.with_context(Router::tick);
+            self.step(|all, ctx| {
+                all.router.tick(ctx);
+                all.ledger.tick(ctx);
+                all.ledger.take_news();
+            });
             self.perform();
         }
     }
@@ -189,6 +221,7 @@
     fn wait(&self) -> Duration {
         let now = now();
         let due = self
+            .controllers
             .router
             .next_tick(now)
             .map_or(Millis(TICK_MS), |at| at.since(now));
@@ -202,39 +235,39 @@
                 // The drop of an undelivered presence takes it back.
                 let _ = reply.send(presence);
             }
-            Event::Leave(workspace) => self.limits.finish(&workspace),
+            Event::Leave(workspace) => self.controllers.limits.finish(&workspace),
             Event::Admit(ask, reply) => {
-                self.with_context(|router, ctx| router.admit(ctx, ask, reply));
+                self.step(|all, ctx| all.router.admit(ctx, ask, reply));
             }
             Event::Abandon(request) => {
-                self.with_context(|router, ctx| router.abandon(ctx, &request));
+                self.step(|all, ctx| all.router.abandon(ctx, &request));
             }
             Event::FirstToken {
                 engine,
                 permit,
                 observed,
             } => {
-                self.with_context(|router, ctx| router.first_token(ctx, &engine, permit, observed));
+                self.step(|all, ctx| all.router.first_token(ctx, &engine, permit, observed));
             }
             Event::Release {
                 engine,
                 permit,
                 failed,
             } => {
-                self.with_context(|router, ctx| router.release(ctx, &engine, permit, failed));
+                self.step(|all, ctx| all.router.release(ctx, &engine, permit, failed));
             }
             Event::Listed(listed) => self.listed(listed),
-            Event::Manifest(manifest) => self.publish_manifest(*manifest),
+            Event::Log(event) => self.step(|all, ctx| all.ledger.handle(ctx, event)),
             Event::Status(engine, status) => {
-                self.with_context(|router, ctx| router.status(ctx, &engine, status));
+                self.step(|all, ctx| all.router.status(ctx, &engine, status));
             }
             Event::Cache {
                 engine,
                 incarnation,
                 events,
             } => {
-                self.with_context(|router, ctx| {
-                    router.cache_events(ctx, &engine, incarnation, events);
+                self.step(|all, ctx| {
+                    all.router.cache_events(ctx, &engine, incarnation, events);
                 });
             }
             Event::Peer { from, frame } => self.peer(&from, &frame),
@@ -247,26 +280,36 @@
         }
     }
 
-    fn with_context(&mut self, step: impl FnOnce(&mut Router, &mut Context<'_>)) {
+    fn step<T>(&mut self, step: impl FnOnce(&mut Controllers, &mut Context<'_>) -> T) -> T {
         let mut ctx = Context {
             now: now(),
             effects: &mut self.effects,
             decisions: &self.decisions,
             view: &self.view,
         };
-        step(&mut self.router, &mut ctx);
+        step(&mut self.controllers, &mut ctx)
     }
 
     fn perform(&mut self) {
         for effect in self.effects.drain(..) {
-            let command = match effect {
-                Effect::Send { to, payload } => PeerCommand::Send {
-                    to,
-                    frame: peers::frame(payload, self.leaving),
-                },
-            };
-            // The links are gone only when the node stops.
-            let _ = self.peers.send(command);
+            // The links and writers are gone only when the node stops.
+            match effect {
+                Effect::Send { to, payload } => {
+                    let frame = peers::frame(payload, self.leaving);
+                    let _ = self.peers.send(PeerCommand::Send { to, frame });
+                }
+                Effect::Append {
+                    stream,
+                    batch,
+                    records,
+                } => {
+                    let _ = self.appends.send(AppendJob {
+                        stream,
+                        batch,
+                        records,
+                    });
+                }
+            }
         }
     }
 
@@ -274,7 +317,7 @@
         let Some(payload) = &frame.payload else {
             return;
         };
-        self.with_context(|router, ctx| router.peer(ctx, from, payload));
+        self.step(|all, ctx| all.router.peer(ctx, from, payload));
     }
 
     fn enter(&mut self, id: WorkspaceId) -> Result<Presence, Refusal> {
@@ -289,7 +332,7 @@
             entries: 1,
             position: 0,
         };
-        match self.limits.admit(&id, workspace, share, now()) {
+        match self.controllers.limits.admit(&id, workspace, share, now()) {
             limits::Admission::Admitted => Ok(Presence {
                 workspace: id,
                 events: self.events.clone(),
@@ -325,27 +368,13 @@
             .filter(|(name, _)| *name != self.me)
             .collect();
         let _ = self.peers.send(PeerCommand::Addresses(addresses));
-        self.with_context(|router, ctx| {
-            router.listed(ctx, &instances);
-            router.set_nodes(ctx, nodes);
+        self.step(|all, ctx| {
+            all.router.listed(ctx, &instances);
+            all.router.set_nodes(ctx, nodes);
         });
         self.publish(|view| view.instances = Arc::new(instances));
     }
 
-    fn publish_manifest(&self, manifest: Manifest) {
-        let mut keys = BTreeMap::new();
-        for (name, workspace) in &manifest.workspaces {
-            for hash in &workspace.key_hashes {
-                keys.insert(hash.clone(), name.clone());
-            }
-        }
-        self.publish(|view| {
-            view.manifest = Arc::new(manifest);
-            view.keys = Arc::new(keys);
-            view.ready = true;
-        });
-    }
-
     fn publish(&self, change: impl FnOnce(&mut View)) {
         let mut view = View::clone(&self.view.load());
         change(&mut view);
--- a/crates/node/src/control/context.rs
+++ b/crates/node/src/control/context.rs
@@ -2,9 +2,12 @@
 
 use std::sync::Arc;
 
+use flamingolock_core::append::BatchId;
 use flamingolock_core::prelude::*;
+use flamingolock_core::record::{Record, RecordId};
 use flamingolock_wire::message::Payload;
 
+use crate::control::ledger::Stream;
 use crate::decisions::DecisionLog;
 use crate::view::{SharedView, View};
 
@@ -18,6 +21,15 @@
         /// The message.
         payload: Payload,
     },
+    /// Append records to a stream of the log.
+    Append {
+        /// The stream.
+        stream: Stream,
+        /// The append.
+        batch: BatchId,
+        /// Its records.
+        records: Vec<(RecordId, Record)>,
+    },
 }
 
 /// Surroundings of a controller during one step.
--- /dev/null
+++ b/crates/node/src/control/ledger.rs
@@ -0,0 +1,507 @@
+//! What the nodes agree on: the folds of the log's streams, and appends to them.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use flamingolock_core::append::{
+    AppendInput, AppendOutcome, AppendOutput, AppendSettings, Appender, BatchId,
+};
+use flamingolock_core::checkpoint::{
+    self, Assembled, Assembly, CheckpointWatch, Due, PART_BYTES, Retention,
+};
+use flamingolock_core::claim_fold::{ClaimFold, ClaimRules, ClaimsApplied, Judged};
+use flamingolock_core::fold::{Applied, ControlFold};
+use flamingolock_core::prelude::*;
+use flamingolock_core::record::{
+    CLAIMS_STREAM, CONTROL_STREAM, LogEntry, NodeIncarnation, Record, RecordId,
+};
+
+use crate::control::context::{Context, Effect};
+use crate::log_client::{Page, ReadAnswer};
+use crate::settings::PlatformSettings;
+
+/// Longest time that a checkpoint waits to be appended.
+const CHECKPOINT_PATIENCE: Millis = Millis(60_000);
+
+/// Records of the control stream that are kept for peers.
+pub const KEPT_RECORDS: usize = 5_000;
+
+/// A stream of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stream {
+    /// Manifest changes, leases and checkpoints.
+    Control,
+    /// Claims and closings.
+    Claims,
+}
+
+impl Stream {
+    /// Name of the stream at the platform.
+    pub fn name(self) -> &'static str {
+        match self {
+            Stream::Control => CONTROL_STREAM,
+            Stream::Claims => CLAIMS_STREAM,
+        }
+    }
+
+    /// The stream of this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        [Stream::Control, Stream::Claims]
+            .into_iter()
+            .find(|stream| stream.name() == name)
+    }
+}
+
+/// What the threads at the platform report.
+#[derive(Debug)]
+pub enum LogEvent {
+    /// A stream was read.
+    Read {
+        /// The stream.
+        stream: Stream,
+        /// When the read began.
+        began: Millis,
+        /// What it returned.
+        answer: ReadAnswer,
+    },
+    /// An append took effect.
+    Taken {
+        /// The stream.
+        stream: Stream,
+        /// The append.
+        batch: BatchId,
+        /// Offset of its first record.
+        first: Offset,
+    },
+    /// An append was refused before it took effect.
+    Refused {
+        /// The stream.
+        stream: Stream,
+        /// The append.
+        batch: BatchId,
+        /// How long to wait.
+        retry_after: Millis,
+    },
+    /// An append may have taken effect.
+    Lost {
+        /// The stream.
+        stream: Stream,
+        /// The append.
+        batch: BatchId,
+    },
+}
+
+/// Next offsets that the readers of the log need; shared with their threads.
+#[derive(Debug, Default)]
+pub struct LogCursors {
+    control: AtomicU64,
+    claims: AtomicU64,
+}
+
+impl LogCursors {
+    fn of(&self, stream: Stream) -> &AtomicU64 {
+        match stream {
+            Stream::Control => &self.control,
+            Stream::Claims => &self.claims,
+        }
+    }
+
+    /// The next offset that is needed of a stream.
+    pub fn get(&self, stream: Stream) -> Offset {
+        Offset(self.of(stream).load(Ordering::Relaxed))
+    }
+
+    fn set(&self, stream: Stream, offset: Offset) {
+        self.of(stream).store(offset.0, Ordering::Relaxed);
+    }
+}
+
+/// What other controllers want to know of the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LedgerNews {
+    /// A record of this node came to its end.
+    Settled {
+        /// The record.
+        id: RecordId,
+        /// How it ended.
+        outcome: AppendOutcome,
+    },
+    /// A lease record of the control stream was judged.
+    Lease {
+        /// The record.
+        id: RecordId,
+        /// The verdict.
+        verdict: flamingolock_core::lease::LeaseVerdict,
+    },
+    /// Claims of this incarnation were judged.
+    Judged(Vec<Judged>),
+    /// An incarnation was closed.
+    Closed(NodeIncarnation),
+}
+
+/// The folds and appenders of one node.
+pub struct Ledger {
+    me: NodeIncarnation,
+    control: ControlFold,
+    claims: ClaimFold,
+    recent: VecDeque<LogEntry>,
+    /// Records read since the start of a trimmed stream, until a checkpoint is whole.
+    passed: Vec<LogEntry>,
+    assembly: Assembly,
+    watch: CheckpointWatch,
+    retention: Retention,
+    appenders: BTreeMap<Stream, Appender>,
+    cursors: Arc<LogCursors>,
+    claims_trimmed: bool,
+    published: Option<Offset>,
+    checkpoints: u64,
+    news: Vec<LedgerNews>,
+}
+
+impl Ledger {
+    /// A ledger that has read nothing.
+    pub fn new(
+        me: NodeIncarnation,
+        settings: &PlatformSettings,
+        cursors: Arc<LogCursors>,
+        now: Millis,
+    ) -> Self {
+        let retention = Retention {
+            age: Millis(settings.retention_ms),
+            records: settings.retention_records,
+        };
+        let append = AppendSettings {
+            rate: settings.append_rate,
+            ..AppendSettings::default()
+        };
+        let appenders = [Stream::Control, Stream::Claims]
+            .into_iter()
+            .map(|stream| (stream, Appender::new(append, now)))
+            .collect();
+        Self {
+            watch: CheckpointWatch::new(me.instance.as_str(), retention),
+            me,
+            control: ControlFold::default(),
+            claims: ClaimFold::new(ClaimRules::default()),
+            recent: VecDeque::new(),
+            passed: Vec::new(),
+            assembly: Assembly::default(),
+            retention,
+            appenders,
+            cursors,
+            claims_trimmed: false,
+            published: None,
+            checkpoints: 0,
+            news: Vec::new(),
+        }
+    }
+
+    /// Fold of the control stream.
+    pub fn control(&self) -> &ControlFold {
+        &self.control
+    }
+
+    /// Fold of the claims stream.
+    pub fn claims(&self) -> &ClaimFold {
+        &self.claims
+    }
+
+    /// Newest records of the control stream, oldest first.
+    pub fn recent(&self) -> &VecDeque<LogEntry> {
+        &self.recent
+    }
+
+    /// Takes what other controllers have to know.
+    pub fn take_news(&mut self) -> Vec<LedgerNews> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Appends a record; its end is told as [`LedgerNews::Settled`].
+    pub fn append(
+        &mut self,
+        ctx: &mut Context<'_>,
+        stream: Stream,
+        id: RecordId,
+        record: Record,
+        give_up: Millis,
+    ) {
+        let input = AppendInput::Submit {
+            id,
+            record: Box::new(record),
+            give_up,
+        };
+        self.step_appender(ctx, stream, input);
+    }
+
+    /// Takes in what the threads at the platform report.
+    pub fn handle(&mut self, ctx: &mut Context<'_>, event: LogEvent) {
+        match event {
+            LogEvent::Read {
+                stream,
+                began,
+                answer,
+            } => self.read(ctx, stream, began, answer),
+            LogEvent::Taken {
+                stream,
+                batch,
+                first,
+            } => {
+                self.step_appender(ctx, stream, AppendInput::Taken { batch, first });
+            }
+            LogEvent::Refused {
+                stream,
+                batch,
+                retry_after,
+            } => {
+                self.step_appender(ctx, stream, AppendInput::Refused { batch, retry_after });
+            }
+            LogEvent::Lost { stream, batch } => {
+                self.step_appender(ctx, stream, AppendInput::Lost { batch });
+            }
+        }
+    }
+
+    /// Time passed.
+    pub fn tick(&mut self, ctx: &mut Context<'_>) {
+        self.step_appender(ctx, Stream::Control, AppendInput::Tick);
+        self.step_appender(ctx, Stream::Claims, AppendInput::Tick);
+        if self.watch.due(ctx.now, self.control.next()) == Due::Now {
+            self.append_checkpoint(ctx);
+        }
+    }
+
+    /// Takes in records that a peer handed on, in order. Returns true when the
+    /// fold moved.
+    pub fn from_peer(&mut self, ctx: &mut Context<'_>, entries: &[LogEntry]) -> bool {
+        let before = self.control.next();
+        for entry in entries {
+            self.apply_control(ctx, entry);
+        }
+        self.publish(ctx);
+        self.control.next() > before
+    }
+
+    /// Takes over a copy of the control fold that a peer handed on.
+    pub fn adopt(&mut self, ctx: &mut Context<'_>, copy: ControlFold) -> bool {
+        let covers = copy.next();
+        if !self.control.adopt(copy) {
+            return false;
+        }
+        self.recent.clear();
+        self.watch.adopted(covers, ctx.now);
+        self.cursors.set(Stream::Control, self.control.next());
+        self.publish(ctx);
+        true
+    }
+
+    fn read(&mut self, ctx: &mut Context<'_>, stream: Stream, began: Millis, answer: ReadAnswer) {
+        match (stream, answer) {
+            (Stream::Control, ReadAnswer::Trimmed { start }) => {
+                log::warn!("control stream is trimmed up to {start}; looking for a checkpoint");
+                self.passed.clear();
+                self.assembly = Assembly::default();
+                self.cursors.set(stream, start);
+            }
+            (Stream::Claims, ReadAnswer::Trimmed { start }) => {
+                self.claims_trimmed = true;
+                self.cursors.set(stream, start);
+            }
+            (Stream::Control, ReadAnswer::Page(page)) => {
+                self.read_control(ctx, &page);
+                self.note_read(ctx, stream, began, &page);
+            }
+            (Stream::Claims, ReadAnswer::Page(page)) => {
+                self.read_claims(ctx.now, &page);
+                self.note_read(ctx, stream, began, &page);
+            }
+        }
+    }
+
+    /// Tells the appender which of its records stand in the log.
+    fn note_read(&mut self, ctx: &mut Context<'_>, stream: Stream, began: Millis, page: &Page) {
+        for entry in &page.entries {
+            let input = AppendInput::Saw {
+                offset: entry.offset,
+                id: entry.id.clone(),
+            };
+            self.step_appender(ctx, stream, input);
+        }
+        if self.cursors.get(stream) >= page.end {
+            self.step_appender(ctx, stream, AppendInput::CaughtUp { began });
+        }
+    }
+
+    fn read_control(&mut self, ctx: &mut Context<'_>, page: &Page) {
+        for entry in &page.entries {
+            if entry.offset <= self.control.next() {
+                self.apply_control(ctx, entry);
+                continue;
+            }
+            self.pass(ctx, entry, page.start);
+        }
+        let read = page.entries.last().map(|entry| entry.offset.next());
+        let next = read.unwrap_or_default().max(self.control.next());
+        if next > self.cursors.get(Stream::Control) {
+            self.cursors.set(Stream::Control, next);
+        }
+        self.publish(ctx);
+    }
+
+    /// A record behind a gap: it counts once a checkpoint closes the gap.
+    fn pass(&mut self, ctx: &mut Context<'_>, entry: &LogEntry, start: Offset) {
+        self.passed.push(entry.clone());
+        match self.assembly.add(entry, start) {
+            Assembled::Waiting | Assembled::Trimmed => {}
+            Assembled::Broken(error) => log::warn!("checkpoint cannot be used: {error}"),
+            Assembled::Complete(fold) => {
+                let covers = fold.next();
+                if self.control.adopt(*fold) {
+                    self.watch.adopted(covers, entry.time);
+                }
+                for passed in std::mem::take(&mut self.passed) {
+                    if passed.offset >= self.control.next() {
+                        self.apply_control(ctx, &passed);
+                    }
+                }
+            }
+        }
+    }
+
+    fn apply_control(&mut self, ctx: &mut Context<'_>, entry: &LogEntry) {
+        let applied = self.control.apply(entry);
+        match &applied {
+            Applied::Old | Applied::Gap { .. } => return,
+            Applied::Changed(keys) => {
+                let keys: Vec<String> = keys.iter().map(ToString::to_string).collect();
+                log::info!(
+                    "manifest change {} at {}: {}",
+                    entry.id,
+                    entry.offset,
+                    keys.join(", ")
+                );
+            }
+            Applied::Lease(verdict) => {
+                let news = LedgerNews::Lease {
+                    id: entry.id.clone(),
+                    verdict: verdict.clone(),
+                };
+                self.news.push(news);
+            }
+            Applied::Duplicate | Applied::Checkpoint => {}
+            Applied::Refused(_)
+            | Applied::Invalid(_)
+            | Applied::Untimely { .. }
+            | Applied::Misplaced
+            | Applied::Unreadable(_) => {
+                log::warn!(
+                    "record {} at {} changes nothing: {applied:?}",
+                    entry.id,
+                    entry.offset
+                );
+            }
+        }
+        self.watch.saw(entry);
+        self.recent.push_back(entry.clone());
+        if self.recent.len() > KEPT_RECORDS {
+            self.recent.pop_front();
+        }
+        self.cursors.set(Stream::Control, self.control.next());
+        let input = AppendInput::Saw {
+            offset: entry.offset,
+            id: entry.id.clone(),
+        };
+        self.step_appender(ctx, Stream::Control, input);
+    }
+
+    fn read_claims(&mut self, now: Millis, page: &Page) {
+        if self.claims_trimmed && self.claims.next() < page.start {
+            let oldest = page.entries.first().map_or(now, |entry| entry.time);
+            let since = oldest.min(now - self.retention.age);
+            let rules = *self.claims.rules();
+            self.claims = ClaimFold::starting_at(rules, page.start, since);
+        }
+        self.claims_trimmed = false;
+        for entry in &page.entries {
+            match self.claims.apply(entry) {
+                ClaimsApplied::Judged(judged) => {
+                    let own: Vec<Judged> = judged
+                        .into_iter()
+                        .filter(|judged| judged.owner == self.me)
+                        .collect();
+                    if !own.is_empty() {
+                        self.news.push(LedgerNews::Judged(own));
+                    }
+                }
+                ClaimsApplied::Closed(node) => self.news.push(LedgerNews::Closed(node)),
+                ClaimsApplied::Misplaced | ClaimsApplied::Unreadable(_) => {
+                    log::warn!("claims record {} changes nothing", entry.offset);
+                }
+                ClaimsApplied::Old | ClaimsApplied::Gap { .. } => {}
+            }
+        }
+        self.cursors.set(Stream::Claims, self.claims.next());
+    }
+
+    fn step_appender(&mut self, ctx: &mut Context<'_>, stream: Stream, input: AppendInput) {
+        let Some(appender) = self.appenders.get_mut(&stream) else {
+            return;
+        };
+        for output in appender.step(ctx.now, input) {
+            match output {
+                AppendOutput::Send { batch, records } => {
+                    ctx.effects.push(Effect::Append {
+                        stream,
+                        batch,
+                        records,
+                    });
+                }
+                AppendOutput::Looking(id) => log::info!("append of {id}: answer lost, looking"),
+                AppendOutput::Settled { id, outcome } => {
+                    self.news.push(LedgerNews::Settled { id, outcome });
+                }
+            }
+        }
+    }
+
+    fn append_checkpoint(&mut self, ctx: &mut Context<'_>) {
+        // One at a time: until the parts are seen, the watch stays due.
+        let busy = self
+            .appenders
+            .get(&Stream::Control)
+            .is_some_and(|a| a.pending() > 0);
+        if busy || self.control.next() == Offset(0) {
+            return;
+        }
+        self.checkpoints += 1;
+        let set = format!("checkpoint-{}-{}", self.me, self.checkpoints);
+        let give_up = ctx.now + CHECKPOINT_PATIENCE;
+        for part in checkpoint::encode(&self.control, &set, PART_BYTES) {
+            let id = RecordId(format!("{set}-{}", part.part));
+            self.append(ctx, Stream::Control, id, Record::Checkpoint(part), give_up);
+        }
+    }
+
+    /// Publishes the manifest when the fold has moved.
+    fn publish(&mut self, ctx: &Context<'_>) {
+        let next = self.control.next();
+        if self.published == Some(next) {
+            return;
+        }
+        self.published = Some(next);
+        let changed = ctx.view.load().manifest.as_ref() != self.control.manifest();
+        let manifest = changed.then(|| Arc::new(self.control.manifest().clone()));
+        let index = changed.then(|| Arc::new(self.control.index().clone()));
+        let ready = !self.control.manifest().workspaces.is_empty();
+        ctx.publish(|view| {
+            if let Some(manifest) = manifest {
+                view.manifest = manifest;
+            }
+            if let Some(index) = index {
+                view.index = index;
+            }
+            view.offset = next;
+            view.ready = ready;
+        });
+    }
+}
--- a/crates/node/src/filters/authenticate.rs
+++ b/crates/node/src/filters/authenticate.rs
@@ -35,8 +35,8 @@
             1000,
         ));
     }
-    view.keys
-        .get(&key_hash(key.trim()))
+    view.index
+        .hash_owner(&key_hash(key.trim()))
         .cloned()
         .ok_or_else(|| refuse("unknown_key", "the API key is not known"))
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,13 +13,14 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
-use crate::control::{self, ControlHandle, Event};
+use crate::control::ledger::LogCursors;
+use crate::control::{self, ControlHandle, Event, Wiring};
 use crate::decisions::DecisionLog;
 use crate::endpoint_http::EndpointHttp;
 use crate::engine_poll::poll_engines;
 use crate::filters::Traffic;
 use crate::peers::{self, LinkIdentity};
-use crate::platform::PlatformReaders;
+use crate::platform::PlatformThreads;
 use crate::server;
 use crate::settings::Settings;
 use crate::view::{SharedView, View};
@@ -54,7 +55,7 @@
     stop: watch::Sender<bool>,
     server: Option<JoinHandle<()>>,
     control: ControlHandle,
-    _readers: PlatformReaders,
+    _threads: PlatformThreads,
     runtime: Option<Runtime>,
 }
 
@@ -78,12 +79,18 @@
         let decisions = Arc::new(DecisionLog::new(settings.node.name.clone()));
         let incarnation = Incarnation(control::now().0);
         let (peers, commands) = mpsc::unbounded_channel();
+        let (appends, jobs) = crossbeam::channel::unbounded();
+        let cursors = Arc::new(LogCursors::default());
         let control = ControlHandle::start(
             &settings,
             incarnation,
             Arc::clone(&view),
             Arc::clone(&decisions),
-            peers,
+            Wiring {
+                peers,
+                appends,
+                cursors: Arc::clone(&cursors),
+            },
         )?;
         let me = Arc::new(LinkIdentity {
             identity: Identity {
@@ -98,7 +105,7 @@
             control.events.clone(),
         ));
         runtime.spawn(peers::run(commands, me, control.events.clone()));
-        let readers = PlatformReaders::start(&settings.platform, &control.events)?;
+        let threads = PlatformThreads::start(&settings.platform, &control.events, &cursors, &jobs)?;
         let http = EndpointHttp::new(settings.timing.connect_ms);
         let traffic = Traffic {
             settings: Arc::clone(&settings),
@@ -124,7 +131,7 @@
             stop,
             server: Some(server),
             control,
-            _readers: readers,
+            _threads: threads,
             runtime: Some(runtime),
         })
     }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -1,38 +1,47 @@
-//! Threads that read the platform: the log's tail and the instance list.
+//! Threads that call the platform: readers of the log and of the instance list,
+//! and the writers of the log.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use crossbeam::channel::Sender;
-use flamingolock_core::manifest::Manifest;
+use crossbeam::channel::{Receiver, Sender};
+use flamingolock_core::append::BatchId;
+use flamingolock_core::prelude::*;
+use flamingolock_core::record::{Record, RecordId};
 use serde::Deserialize;
-use serde::de::DeserializeOwned;
-use thiserror::Error;
 
-use crate::control::Event;
+use crate::control::ledger::{LogCursors, LogEvent, Stream};
+use crate::control::{Event, now};
+use crate::log_client::{LogClient, LogError};
 use crate::settings::PlatformSettings;
 use crate::view::Listed;
 
 /// Longest time that one read of the log waits for records.
-const TAIL_WAIT_MS: u64 = 1_000;
+const TAIL_WAIT: Millis = Millis(1_000);
+
+/// Records that one read returns at most.
+const TAIL_MAX: u32 = 500;
 
 /// Pause after a failed call.
 const RETRY_MS: u64 = 200;
 
-/// Why the platform could not be read.
-#[derive(Debug, Error)]
-pub enum PlatformError {
-    /// The call failed, or its answer has another shape.
-    #[error("platform call failed: {0}")]
-    Call(Box<ureq::Error>),
-}
-
-impl From<ureq::Error> for PlatformError {
-    fn from(error: ureq::Error) -> Self {
-        Self::Call(Box::new(error))
-    }
+/// Longest time of one read of the instance list.
+const LIST_TIMEOUT_MS: u64 = 2_000;
+
+/// Writers for each stream; a slow append does not hold up the next.
+const WRITERS: usize = 2;
+
+/// An append for a writer thread.
+#[derive(Debug)]
+pub struct AppendJob {
+    /// The stream.
+    pub stream: Stream,
+    /// The append.
+    pub batch: BatchId,
+    /// Its records.
+    pub records: Vec<(RecordId, Record)>,
 }
 
 #[derive(Deserialize)]
@@ -40,51 +49,49 @@
     instances: Vec<Listed>,
 }
 
-#[derive(Deserialize)]
-struct Tail {
-    records: Vec<TailRecord>,
-}
-
-#[derive(Deserialize)]
-struct TailRecord {
-    offset: u64,
-    body: serde_json::Value,
-}
-
-/// Reader threads; dropping them ends the threads at their next pause.
-pub struct PlatformReaders {
+/// Threads at the platform; dropping them ends the threads at their next pause.
+pub struct PlatformThreads {
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
 }
 
-impl PlatformReaders {
+impl PlatformThreads {
     /// Starts the threads.
     ///
     /// # Errors
     ///
     /// When the system gives no further thread.
-    pub fn start(settings: &PlatformSettings, events: &Sender<Event>) -> std::io::Result<Self> {
+    pub fn start(
+        settings: &PlatformSettings,
+        events: &Sender<Event>,
+        cursors: &Arc<LogCursors>,
+        jobs: &Receiver<AppendJob>,
+    ) -> std::io::Result<Self> {
         let stop = Arc::new(AtomicBool::new(false));
-        let list = {
+        let client = LogClient::new(&settings.url);
+        let mut threads = Vec::new();
+        {
             let (settings, events, stop) = (settings.clone(), events.clone(), Arc::clone(&stop));
-            spawn("instance-list", move || {
+            threads.push(spawn("instance-list", move || {
                 read_list(&settings, &events, &stop);
-            })?
-        };
-        let tail = {
-            let (settings, events, stop) = (settings.clone(), events.clone(), Arc::clone(&stop));
-            spawn("log-tail", move || {
-                read_log(&settings, &events, &stop);
-            })?
-        };
-        Ok(Self {
-            stop,
-            threads: vec![list, tail],
-        })
+            })?);
+        }
+        for stream in [Stream::Control, Stream::Claims] {
+            let (client, events) = (client.clone(), events.clone());
+            let (cursors, stop) = (Arc::clone(cursors), Arc::clone(&stop));
+            let tail = move || read_log(&client, stream, &events, &cursors, &stop);
+            threads.push(spawn("log-tail", tail)?);
+        }
+        for _ in 0..WRITERS {
+            let (client, events, jobs) = (client.clone(), events.clone(), jobs.clone());
+            // Writers end when the control thread drops its end of the channel.
+            spawn("log-writer", move || write_log(&client, &events, &jobs))?;
+        }
+        Ok(Self { stop, threads })
     }
 }
 
-impl Drop for PlatformReaders {
+impl Drop for PlatformThreads {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
         for thread in self.threads.drain(..) {
@@ -97,22 +104,18 @@
     std::thread::Builder::new().name(name.to_owned()).spawn(run)
 }
 
-fn agent(wait_ms: u64) -> ureq::Agent {
-    ureq::Agent::config_builder()
-        .timeout_global(Some(Duration::from_millis(wait_ms)))
-        .build()
-        .new_agent()
-}
-
-fn get<T: DeserializeOwned>(agent: &ureq::Agent, url: &str) -> Result<T, PlatformError> {
-    Ok(agent.get(url).call()?.body_mut().read_json()?)
-}
-
 fn read_list(settings: &PlatformSettings, events: &Sender<Event>, stop: &AtomicBool) {
-    let agent = agent(2_000);
+    let agent = ureq::Agent::config_builder()
+        .timeout_global(Some(Duration::from_millis(LIST_TIMEOUT_MS)))
+        .build()
+        .new_agent();
     let url = format!("{}/instances", settings.url);
     while !stop.load(Ordering::Relaxed) {
-        match get::<Instances>(&agent, &url) {
+        let list = agent
+            .get(&url)
+            .call()
+            .and_then(|mut answer| answer.body_mut().read_json::<Instances>());
+        match list {
             Ok(list) => {
                 let _ = events.send(Event::Listed(list.instances));
             }
@@ -122,27 +125,68 @@
     }
 }
 
-fn read_log(settings: &PlatformSettings, events: &Sender<Event>, stop: &AtomicBool) {
-    let agent = agent(TAIL_WAIT_MS + 2_000);
-    let mut from = 0;
+fn read_log(
+    client: &LogClient,
+    stream: Stream,
+    events: &Sender<Event>,
+    cursors: &LogCursors,
+    stop: &AtomicBool,
+) {
+    let mut last = None;
     while !stop.load(Ordering::Relaxed) {
-        let url = format!(
-            "{}/log/control?from={from}&max=500&wait_ms={TAIL_WAIT_MS}",
-            settings.url
-        );
-        match get::<Tail>(&agent, &url) {
-            Ok(tail) => {
-                for record in tail.records {
-                    from = record.offset + 1;
-                    if let Ok(manifest) = serde_json::from_value::<Manifest>(record.body) {
-                        let _ = events.send(Event::Manifest(Box::new(manifest)));
-                    }
+        let from = cursors.get(stream);
+        if last == Some(from) {
+            // The control thread has not taken in the last page yet.
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        let began = now();
+        match client.read(stream.name(), from, TAIL_MAX, TAIL_WAIT) {
+            Ok(answer) => {
+                last = Some(from);
+                let event = LogEvent::Read {
+                    stream,
+                    began,
+                    answer,
+                };
+                if events.send(Event::Log(event)).is_err() {
+                    return;
                 }
             }
             Err(error) => {
-                log::debug!("log tail: {error}");
+                log::debug!("log tail {}: {error}", stream.name());
                 std::thread::sleep(Duration::from_millis(RETRY_MS));
             }
         }
     }
 }
+
+fn write_log(client: &LogClient, events: &Sender<Event>, jobs: &Receiver<AppendJob>) {
+    for job in jobs {
+        let AppendJob {
+            stream,
+            batch,
+            records,
+        } = job;
+        let event = match client.append(stream.name(), &records) {
+            Ok(first) => LogEvent::Taken {
+                stream,
+                batch,
+                first,
+            },
+            Err(LogError::Refused { retry_after, .. }) => LogEvent::Refused {
+                stream,
+                batch,
+                retry_after,
+            },
+            Err(LogError::Unreachable { .. }) => LogEvent::Refused {
+                stream,
+                batch,
+                retry_after: Millis(RETRY_MS),
+            },
+            Err(LogError::Lost { .. }) => LogEvent::Lost { stream, batch },
+        };
+        if events.send(Event::Log(event)).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -123,6 +123,10 @@
     pub list_ms: u64,
     /// Appends a second that this node may use of the log's budget.
     pub append_rate: f64,
+    /// Time that the log keeps records, in milliseconds.
+    pub retention_ms: u64,
+    /// Records that the log keeps in one stream.
+    pub retention_records: u64,
 }
 
 impl Default for PlatformSettings {
@@ -131,6 +135,8 @@
             url: "http://127.0.0.1:9000".to_owned(),
             list_ms: 500,
             append_rate: 20.0,
+            retention_ms: 3_600_000,
+            retention_records: 1_000_000,
         }
     }
 }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use flamingolock_core::manifest::Manifest;
+use flamingolock_core::manifest_check::ManifestIndex;
 use flamingolock_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -54,8 +55,10 @@
 pub struct View {
     /// Manifest in force.
     pub manifest: Arc<Manifest>,
-    /// Workspace of each key hash.
-    pub keys: Arc<BTreeMap<String, WorkspaceId>>,
+    /// What the manifest refers to, among it the workspace of each key hash.
+    pub index: Arc<ManifestIndex>,
+    /// Next offset of the control stream; all before it is in force.
+    pub offset: Offset,
     /// Instances by name.
     pub instances: Arc<BTreeMap<String, Listed>>,
     /// Engines that answered when last asked.
--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
 use std::time::Duration;
 
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::process::Process;
 use crate::wait;
@@ -130,17 +131,29 @@
             .expect("the platform lists the instance");
     }
 
-    /// Appends one record to the control stream of the log.
+    /// Publishes the manifest in `file` with the operators' tool.
     ///
     /// # Panics
     ///
-    /// When the platform refuses.
-    pub fn append(&self, id: &str, body: &Value) {
-        let url = format!("http://{}/log/control", self.platform.address);
-        let records = json!({ "records": [{ "id": id, "body": body }] });
-        ureq::post(&url)
-            .send_json(records)
-            .expect("the platform appends the record");
+    /// When it is not accepted.
+    pub fn publish(&self, file: &Path) {
+        let output = self.try_publish(file, "test");
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "publishing failed: {error}");
+    }
+
+    /// Publishes the manifest in `file` and returns what the tool said.
+    ///
+    /// # Panics
+    ///
+    /// When the tool cannot be run.
+    pub fn try_publish(&self, file: &Path, author: &str) -> Output {
+        Command::new(&self.programs.tool)
+            .args(["manifest", "publish", "--author", author, "--platform"])
+            .arg(format!("http://{}", self.platform.address))
+            .arg(file)
+            .output()
+            .expect("the tool can be run")
     }
 
     /// Waits until a node answers a completion with `key`.
