core: search histories of at-most-once calls at random

Three desks with a log, a service and a network of which every step is chosen: lost and late appends, crashes, pauses between check and send, wrong views of who lives, clocks that jump, trimmed logs, crossed and repeated messages.

The first search found a call that ran twice: a repeated report of a failed connect was taken for one on a later attempt, as the numbers of attempts started again once nobody waited. They go on counting now.

--- a/crates/core/src/call_desk.rs
+++ b/crates/core/src/call_desk.rs
@@ -153,9 +153,9 @@
                 self.calls.add_waiter(id, submit.ticket);
                 self.claim(&submit.key, &submit.digest);
             }
-            State::Reserved => {
+            State::Reserved { attempt } => {
                 self.calls.add_waiter(id, submit.ticket);
-                self.send(id, 0);
+                self.send(id, attempt);
             }
         }
     }
@@ -212,7 +212,7 @@
                 send_by,
             });
         } else if call.is_plain() {
-            self.calls.set_state(id, State::Reserved);
+            self.calls.set_state(id, State::Reserved { attempt });
         } else {
             self.not_run(id, NotRunReason::Deadline);
         }
--- a/crates/core/src/call_outcome.rs
+++ b/crates/core/src/call_outcome.rs
@@ -113,7 +113,7 @@
     },
     /// Nobody knows whether the call ran or still will.
     Unknown(UnknownReason),
-    /// Another body came under the same key before. This body did not run.
+    /// Another body came under the same key. This attempt ran nothing.
     Conflict,
 }
 
--- a/crates/core/src/call_table.rs
+++ b/crates/core/src/call_table.rs
@@ -20,7 +20,11 @@
     /// A claim was or is under way and nobody waits any more. Nothing was sent.
     Doubtful,
     /// The claim is won, nobody waits and nothing was sent.
-    Reserved,
+    Reserved {
+        /// Number of the next attempt to connect. It goes on counting, so that
+        /// an old report is never taken for one on a new attempt.
+        attempt: u32,
+    },
     /// The call is with its service, or may be.
     Sending {
         /// The attempt whose body was sent.
--- a/crates/core/src/claim_fold.rs
+++ b/crates/core/src/claim_fold.rs
@@ -159,8 +159,9 @@
 
     /// A fold that starts in the middle of the stream. `since` is a time after
     /// which no record before `start` was written: the time of the oldest kept
-    /// record or, when that is earlier, the time now less the log's retention.
-    /// The latter keeps a log that was idle for long from looking incomplete.
+    /// record or, when that is earlier, the time now by the log's own clock less
+    /// its retention. The latter keeps a log that was idle for long from looking
+    /// incomplete. A node's clock will not do, since it may be behind.
     pub fn starting_at(rules: ClaimRules, start: Offset, since: Millis) -> Self {
         Self {
             next: start,
--- /dev/null
+++ b/crates/core/tests/claims_model/mod.rs
@@ -0,0 +1,865 @@
+//! A small fleet of desks with a log, a service and a network whose every step
+//! is chosen from outside, and an oracle that counts true executions.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use flamingolock_core::append::{
+    AppendInput, AppendOutcome, AppendOutput, AppendSettings, Appender, BatchId,
+};
+use flamingolock_core::call_desk::CallDesk;
+use flamingolock_core::call_key::{CallKey, KeyKind};
+use flamingolock_core::call_message::{DeskInput, DeskOutput, DeskSettings, Submit, Ticket, View};
+use flamingolock_core::call_outcome::{CallAnswer, Outcome, SendFailure};
+use flamingolock_core::claim_fold::{ClaimFold, ClaimRules, ClaimsApplied};
+use flamingolock_core::prelude::*;
+use flamingolock_core::record::{
+    CallId, ClaimBatch, Closing, LogEntry, NodeIncarnation, Record, RecordId,
+};
+
+pub const NODES: usize = 3;
+pub const RULES: ClaimRules = ClaimRules {
+    window: Millis(1000),
+    skew: Millis(100),
+};
+/// The log keeps records for longer than the horizon of the rules (2400 ms).
+const RETENTION: u64 = 2500;
+/// Log time may step back by up to this.
+const LOG_JITTER: u64 = 60;
+
+/// What becomes of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendFate {
+    Taken,
+    Refused,
+    /// It takes effect, and its answer is lost.
+    LostAnswer,
+    /// It never takes effect, and nobody is told.
+    LostRequest,
+    /// It takes effect much later, and its answer is lost.
+    Late,
+}
+
+/// What becomes of a message to the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WireFate {
+    Arrives,
+    /// The connection breaks before the request arrives.
+    Dropped,
+    /// The connection breaks, and the request arrives all the same, later.
+    Straggles,
+}
+
+/// One step of the fleet. Positions count modulo what is there.
+#[derive(Clone, Copy, Debug)]
+pub enum Step {
+    NewKey {
+        kind: u8,
+        owner: usize,
+    },
+    Submit {
+        node: usize,
+        key: usize,
+        body: u8,
+        lookup: bool,
+        patience: u64,
+    },
+    Append {
+        node: usize,
+        fate: AppendFate,
+    },
+    Straggler {
+        at: usize,
+    },
+    Tail {
+        node: usize,
+        count: usize,
+    },
+    Check {
+        node: usize,
+        refuse: bool,
+    },
+    Transmit {
+        node: usize,
+    },
+    Wire {
+        at: usize,
+        fate: WireFate,
+    },
+    Reply {
+        at: usize,
+        lost: bool,
+    },
+    StaleFailure {
+        at: usize,
+    },
+    LookUp {
+        node: usize,
+        lost: bool,
+    },
+    Forward {
+        at: usize,
+        lost: bool,
+        twice: bool,
+    },
+    ForwardReply {
+        at: usize,
+        lost: bool,
+    },
+    Suspect {
+        node: usize,
+        other: usize,
+        view: u8,
+    },
+    Crash {
+        node: usize,
+    },
+    ClockJump {
+        node: usize,
+        delta: i64,
+    },
+    Advance {
+        millis: u64,
+    },
+    Trim,
+    Settle,
+}
+
+/// How one node sees another.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Sight {
+    True,
+    Suspected,
+    /// Every incarnation seems to live.
+    Stale,
+}
+
+#[derive(Clone)]
+struct SendOrder {
+    call: CallId,
+    digest: String,
+    attempt: u32,
+    send_by: Millis,
+}
+
+struct Node {
+    life: NodeIncarnation,
+    drift: i64,
+    desk: CallDesk,
+    fold: ClaimFold,
+    appender: Appender,
+    batches: VecDeque<(BatchId, Vec<(RecordId, Record)>)>,
+    claims: BTreeMap<RecordId, CallId>,
+    outbox: VecDeque<SendOrder>,
+    checked: VecDeque<SendOrder>,
+    lookups: VecDeque<(CallId, String)>,
+}
+
+struct Request {
+    from: NodeIncarnation,
+    order: SendOrder,
+    /// The sender was told that the connection broke.
+    abandoned: bool,
+}
+
+struct Passed {
+    from: NodeIncarnation,
+    ticket: Ticket,
+    to: NodeIncarnation,
+    submit: Submit,
+}
+
+struct Attempt {
+    key: usize,
+    digest: String,
+    answers: u32,
+}
+
+/// How often the run saw what, so that a test can demand it of a whole run.
+#[derive(Clone, Debug, Default)]
+pub struct Counts(pub BTreeMap<String, u64>);
+
+impl Counts {
+    pub fn add(&mut self, what: impl Into<String>) {
+        *self.0.entry(what.into()).or_default() += 1;
+    }
+}
+
+/// The whole fleet and the oracle.
+pub struct Fleet {
+    now: u64,
+    nodes: Vec<Node>,
+    sights: [[Sight; NODES]; NODES],
+    log: Vec<LogEntry>,
+    log_start: usize,
+    stragglers: Vec<(RecordId, Record)>,
+    wire: Vec<Request>,
+    replies: Vec<(NodeIncarnation, CallId, u32, Arc<CallAnswer>)>,
+    failures: Vec<(NodeIncarnation, CallId, u32)>,
+    forwards: Vec<Passed>,
+    forward_replies: Vec<(NodeIncarnation, Ticket, Outcome)>,
+    relays: BTreeMap<Ticket, (NodeIncarnation, Ticket)>,
+    keys: Vec<CallKey>,
+    attempts: BTreeMap<Ticket, Attempt>,
+    homes: BTreeMap<Ticket, NodeIncarnation>,
+    executed: BTreeMap<CallId, (String, Arc<CallAnswer>)>,
+    not_run: BTreeSet<CallId>,
+    next_name: u64,
+    pub counts: Counts,
+}
+
+fn settings() -> AppendSettings {
+    AppendSettings {
+        batch_records: 4,
+        gather: Millis(0),
+        rate: 1000.0,
+        burst: 100.0,
+        inflight: 2,
+        settle: Millis(30),
+    }
+}
+
+fn call_of(key: usize) -> CallId {
+    CallId(format!("call{key}"))
+}
+
+impl Fleet {
+    pub fn new() -> Self {
+        let mut fleet = Self {
+            now: 1_000_000,
+            nodes: Vec::new(),
+            sights: [[Sight::True; NODES]; NODES],
+            log: Vec::new(),
+            log_start: 0,
+            stragglers: Vec::new(),
+            wire: Vec::new(),
+            replies: Vec::new(),
+            failures: Vec::new(),
+            forwards: Vec::new(),
+            forward_replies: Vec::new(),
+            relays: BTreeMap::new(),
+            keys: Vec::new(),
+            attempts: BTreeMap::new(),
+            homes: BTreeMap::new(),
+            executed: BTreeMap::new(),
+            not_run: BTreeSet::new(),
+            next_name: 0,
+            counts: Counts::default(),
+        };
+        for n in 0..NODES {
+            let node = fleet.start(n, 1, [-40, 0, 40][n]);
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    fn start(&self, n: usize, incarnation: u64, drift: i64) -> Node {
+        let life = NodeIncarnation {
+            instance: InstanceId::from(format!("node{n}")),
+            incarnation: Incarnation(incarnation),
+        };
+        let settings_of_desk = DeskSettings {
+            max_calls: 30,
+            max_active: 3,
+            answer_bytes: 800,
+            max_attempts: 3,
+            retry_after: Millis(10),
+        };
+        let oldest = self.log.get(self.log_start).map(|entry| entry.time);
+        // One node goes by the records alone, and so is not settled for a while.
+        let since = match oldest {
+            Some(oldest) if n == 0 => oldest,
+            _ => Millis(self.now - RETENTION),
+        };
+        Node {
+            drift,
+            desk: CallDesk::new(life.clone(), RULES, settings_of_desk),
+            fold: ClaimFold::starting_at(RULES, Offset(self.log_start as u64), since),
+            appender: Appender::new(settings(), Millis(0)),
+            batches: VecDeque::new(),
+            claims: BTreeMap::new(),
+            outbox: VecDeque::new(),
+            checked: VecDeque::new(),
+            lookups: VecDeque::new(),
+            life,
+        }
+    }
+
+    fn clock(&self, n: usize) -> Millis {
+        Millis(self.now.saturating_add_signed(self.nodes[n].drift))
+    }
+
+    fn name(&mut self) -> u64 {
+        self.next_name += 1;
+        self.next_name
+    }
+
+    /// The node that runs this very incarnation.
+    fn running(&self, life: &NodeIncarnation) -> Option<usize> {
+        self.nodes.iter().position(|node| node.life == *life)
+    }
+
+    pub fn apply(&mut self, step: Step) {
+        match step {
+            Step::NewKey { kind, owner } => self.new_key(kind, owner),
+            Step::Submit {
+                node,
+                key,
+                body,
+                lookup,
+                patience,
+            } => {
+                self.submit(node, key, body, lookup, patience);
+            }
+            Step::Append { node, fate } => self.append(node, fate),
+            Step::Straggler { at } => {
+                if let Some((id, record)) = take(&mut self.stragglers, at) {
+                    self.write(id, record);
+                }
+            }
+            Step::Tail { node, count } => self.tail(node, count),
+            Step::Check { node, refuse } => self.check(node, refuse),
+            Step::Transmit { node } => self.transmit(node),
+            Step::Wire { at, fate } => self.deliver(at, fate),
+            Step::Reply { at, lost } => self.reply(at, lost),
+            Step::StaleFailure { at } => self.stale_failure(at),
+            Step::LookUp { node, lost } => self.look_up(node, lost),
+            Step::Forward { at, lost, twice } => self.forward(at, lost, twice),
+            Step::ForwardReply { at, lost } => self.forward_reply(at, lost),
+            Step::Suspect { node, other, view } => {
+                let sight = [Sight::True, Sight::Suspected, Sight::Stale][usize::from(view % 3)];
+                self.sights[node][other] = sight;
+            }
+            Step::Crash { node } => self.crash(node),
+            Step::ClockJump { node, delta } => {
+                self.nodes[node].drift = delta;
+                self.feed(node, DeskInput::Tick);
+            }
+            Step::Advance { millis } => self.advance(millis),
+            Step::Trim => self.trim(),
+            Step::Settle => self.settle(),
+        }
+    }
+
+    fn new_key(&mut self, kind: u8, owner: usize) {
+        let owner_life = self.nodes[owner].life.clone();
+        let made_at = self.clock(owner);
+        let kind = match kind % 3 {
+            0 => KeyKind::Entry { owner: owner_life },
+            1 => KeyKind::Journalled { owner: owner_life },
+            _ => KeyKind::Plain,
+        };
+        let id = call_of(self.keys.len());
+        self.keys.push(CallKey { id, kind, made_at });
+    }
+
+    fn submit(&mut self, node: usize, key: usize, body: u8, lookup: bool, patience: u64) {
+        if self.keys.is_empty() {
+            self.new_key(body, node);
+        }
+        // Recent keys are the ones that are still in use.
+        let key = self.keys.len() - 1 - key % self.keys.len().min(4);
+        let submit = Submit {
+            ticket: Ticket(self.name()),
+            key: self.keys[key].clone(),
+            digest: format!("body{body}"),
+            deadline: self.clock(node) + Millis(patience),
+            lookup,
+            forwarded: false,
+        };
+        self.take_in(node, key, submit);
+    }
+
+    fn take_in(&mut self, node: usize, key: usize, submit: Submit) {
+        let attempt = Attempt {
+            key,
+            digest: submit.digest.clone(),
+            answers: 0,
+        };
+        self.attempts.insert(submit.ticket, attempt);
+        self.homes
+            .insert(submit.ticket, self.nodes[node].life.clone());
+        self.feed(node, DeskInput::Submit(Box::new(submit)));
+    }
+
+    /// Gives an input to a desk and carries out what it asks for.
+    fn feed(&mut self, n: usize, input: DeskInput) {
+        let now = self.clock(n);
+        let lives: Vec<NodeIncarnation> = self.nodes.iter().map(|x| x.life.clone()).collect();
+        let sights = self.sights[n];
+        let is_live = |life: &NodeIncarnation| {
+            let same = |x: &NodeIncarnation| x.instance == life.instance;
+            let Some(other) = lives.iter().position(same) else {
+                return false;
+            };
+            match sights[other] {
+                Sight::True => lives[other] == *life,
+                Sight::Suspected => false,
+                Sight::Stale => true,
+            }
+        };
+        let node = &mut self.nodes[n];
+        let view = View {
+            fold: &node.fold,
+            is_live: &is_live,
+        };
+        for output in node.desk.step(now, input, &view) {
+            self.carry_out(n, output);
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, output: DeskOutput) {
+        match output {
+            DeskOutput::Claim(claim) => {
+                let call = claim.call.clone();
+                let owner = self.nodes[n].life.clone();
+                let claims = vec![claim];
+                let id = self.submit_record(n, Record::Claims(ClaimBatch { owner, claims }));
+                self.nodes[n].claims.insert(id, call);
+            }
+            DeskOutput::Close(node) => {
+                let by = self.nodes[n].life.clone();
+                self.submit_record(n, Record::Closing(Closing { node, by }));
+            }
+            DeskOutput::Send {
+                call,
+                digest,
+                attempt,
+                send_by,
+                ..
+            } => {
+                let order = SendOrder {
+                    call,
+                    digest,
+                    attempt,
+                    send_by,
+                };
+                self.nodes[n].outbox.push_back(order);
+            }
+            DeskOutput::Forward { ticket, to } => {
+                let key = self.attempts[&ticket].key;
+                let submit = Submit {
+                    ticket,
+                    key: self.keys[key].clone(),
+                    digest: self.attempts[&ticket].digest.clone(),
+                    deadline: Millis(0),
+                    lookup: false,
+                    forwarded: true,
+                };
+                let from = self.nodes[n].life.clone();
+                self.forwards.push(Passed {
+                    from,
+                    ticket,
+                    to,
+                    submit,
+                });
+            }
+            DeskOutput::Lookup { call, digest, .. } => {
+                self.nodes[n].lookups.push_back((call, digest));
+            }
+            DeskOutput::Answer { ticket, outcome } => self.told(ticket, outcome),
+        }
+    }
+
+    /// The oracle on what a caller is told.
+    fn told(&mut self, ticket: Ticket, outcome: Outcome) {
+        let attempt = self.attempts.get_mut(&ticket).expect("tickets are known");
+        attempt.answers += 1;
+        assert_eq!(attempt.answers, 1, "{ticket:?} is told twice");
+        let call = call_of(attempt.key);
+        match &outcome {
+            Outcome::Answered(answer) => {
+                let (digest, truth) = self.executed.get(&call).expect("it ran");
+                assert_eq!(answer, truth, "the answer to another call");
+                assert_eq!(*digest, attempt.digest, "the answer to another body");
+                self.counts.add("answered");
+            }
+            Outcome::NotRun { reason, .. } => {
+                assert!(!self.executed.contains_key(&call), "{call} ran: {reason:?}");
+                self.counts.add(format!("not run: {reason:?}"));
+                self.not_run.insert(call);
+            }
+            Outcome::Unknown(reason) => self.counts.add(format!("unknown: {reason:?}")),
+            Outcome::Conflict => self.counts.add("conflict"),
+        }
+        if let Some((home, origin)) = self.relays.remove(&ticket) {
+            self.forward_replies.push((home, origin, outcome));
+        }
+    }
+
+    /// The service runs whatever arrives, and the oracle counts.
+    fn execute(&mut self, order: &SendOrder) -> Arc<CallAnswer> {
+        let call = &order.call;
+        assert!(
+            !self.not_run.contains(call),
+            "{call} runs after it was called not run"
+        );
+        let answer = Arc::new(CallAnswer {
+            status: 200,
+            content_type: "text/plain".into(),
+            body: format!("{call} {} {}", order.digest, self.counts.0.len()).into_bytes(),
+        });
+        let record = (order.digest.clone(), Arc::clone(&answer));
+        let earlier = self.executed.insert(call.clone(), record);
+        assert!(earlier.is_none(), "{call} runs twice");
+        self.counts.add("executed");
+        answer
+    }
+
+    fn submit_record(&mut self, n: usize, record: Record) -> RecordId {
+        let id = RecordId(format!("{:06}", self.name()));
+        let input = AppendInput::Submit {
+            id: id.clone(),
+            record: Box::new(record),
+            give_up: self.clock(n) + Millis(200),
+        };
+        self.feed_appender(n, input);
+        id
+    }
+
+    fn feed_appender(&mut self, n: usize, input: AppendInput) {
+        let now = self.clock(n);
+        for output in self.nodes[n].appender.step(now, input) {
+            match output {
+                AppendOutput::Send { batch, records } => {
+                    self.nodes[n].batches.push_back((batch, records));
+                }
+                AppendOutput::Looking(_) => self.counts.add("looking"),
+                AppendOutput::Settled { id, outcome } => self.settled(n, &id, outcome),
+            }
+        }
+    }
+
+    fn settled(&mut self, n: usize, id: &RecordId, outcome: AppendOutcome) {
+        let Some(call) = self.nodes[n].claims.remove(id) else {
+            return;
+        };
+        match outcome {
+            AppendOutcome::Accepted(_) => {}
+            AppendOutcome::NotAppended => self.feed(n, DeskInput::ClaimRefused { call }),
+            AppendOutcome::Unknown => self.feed(n, DeskInput::ClaimInDoubt { call }),
+        }
+    }
+
+    fn append(&mut self, n: usize, fate: AppendFate) {
+        let Some((batch, records)) = self.nodes[n].batches.pop_front() else {
+            self.feed_appender(n, AppendInput::Tick);
+            return;
+        };
+        let first = Offset(self.log.len() as u64);
+        let input = match fate {
+            AppendFate::Taken => AppendInput::Taken { batch, first },
+            AppendFate::Refused => AppendInput::Refused {
+                batch,
+                retry_after: Millis(20),
+            },
+            _ => AppendInput::Lost { batch },
+        };
+        for (id, record) in records {
+            match fate {
+                AppendFate::Taken | AppendFate::LostAnswer => self.write(id, record),
+                AppendFate::Late => self.stragglers.push((id, record)),
+                AppendFate::Refused | AppendFate::LostRequest => {}
+            }
+        }
+        self.feed_appender(n, input);
+    }
+
+    fn write(&mut self, id: RecordId, record: Record) {
+        let offset = Offset(self.log.len() as u64);
+        let jitter = offset.0 * 37 % LOG_JITTER;
+        let time = Millis(self.now - jitter);
+        self.log.push(LogEntry {
+            offset,
+            time,
+            id,
+            record,
+        });
+    }
+
+    fn tail(&mut self, n: usize, count: usize) {
+        for _ in 0..count {
+            let next = self.nodes[n].fold.next().0 as usize;
+            if next < self.log_start {
+                // What it missed cannot be read any more: it starts anew.
+                self.crash(n);
+                return;
+            }
+            let Some(entry) = self.log.get(next).cloned() else {
+                let began = self.clock(n);
+                self.feed_appender(n, AppendInput::CaughtUp { began });
+                return;
+            };
+            let (offset, id) = (entry.offset, entry.id.clone());
+            self.feed_appender(n, AppendInput::Saw { offset, id });
+            match self.nodes[n].fold.apply(&entry) {
+                ClaimsApplied::Judged(judged) => {
+                    let me = self.nodes[n].life.clone();
+                    for item in judged.into_iter().filter(|j| j.owner == me) {
+                        let verdict = format!("{:?}", item.verdict);
+                        let word = verdict.split('(').next().unwrap_or_default();
+                        self.counts.add(format!("verdict: {word}"));
+                        let (call, verdict) = (item.call, item.verdict);
+                        self.feed(n, DeskInput::Judged { call, verdict });
+                    }
+                }
+                ClaimsApplied::Closed(node) => self.feed(n, DeskInput::Closed { node }),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+
+    /// The last look at the clock before the first byte.
+    fn check(&mut self, n: usize, refuse: bool) {
+        let Some(order) = self.nodes[n].outbox.pop_front() else {
+            return;
+        };
+        if refuse || self.clock(n) >= order.send_by {
+            let SendOrder { call, attempt, .. } = order;
+            let failure = SendFailure::NeverSent;
+            let life = self.nodes[n].life.clone();
+            self.failures.push((life, call.clone(), attempt));
+            self.feed(
+                n,
+                DeskInput::SendFailed {
+                    call,
+                    attempt,
+                    failure,
+                },
+            );
+        } else {
+            self.nodes[n].checked.push_back(order);
+        }
+    }
+
+    /// The first byte, any time after the check.
+    fn transmit(&mut self, n: usize) {
+        if let Some(order) = self.nodes[n].checked.pop_front() {
+            let from = self.nodes[n].life.clone();
+            let abandoned = false;
+            self.wire.push(Request {
+                from,
+                order,
+                abandoned,
+            });
+        }
+    }
+
+    fn deliver(&mut self, at: usize, fate: WireFate) {
+        let Some(mut request) = take(&mut self.wire, at) else {
+            return;
+        };
+        let SendOrder { call, attempt, .. } = request.order.clone();
+        if fate == WireFate::Arrives {
+            let answer = self.execute(&request.order);
+            self.replies.push((request.from, call, attempt, answer));
+            return;
+        }
+        let from = request.from.clone();
+        if fate == WireFate::Straggles && !request.abandoned {
+            request.abandoned = true;
+            self.wire.push(request);
+        }
+        if let Some(n) = self.running(&from) {
+            let failure = SendFailure::Unknown;
+            self.feed(
+                n,
+                DeskInput::SendFailed {
+                    call,
+                    attempt,
+                    failure,
+                },
+            );
+        }
+    }
+
+    fn reply(&mut self, at: usize, lost: bool) {
+        let Some((to, call, attempt, answer)) = take(&mut self.replies, at) else {
+            return;
+        };
+        let Some(n) = self.running(&to) else {
+            return;
+        };
+        if lost {
+            let failure = SendFailure::Unknown;
+            self.feed(
+                n,
+                DeskInput::SendFailed {
+                    call,
+                    attempt,
+                    failure,
+                },
+            );
+        } else {
+            self.feed(n, DeskInput::Answered { call, answer });
+        }
+    }
+
+    /// An old report of a failure comes again.
+    fn stale_failure(&mut self, at: usize) {
+        let Some((life, call, attempt)) = take(&mut self.failures, at) else {
+            return;
+        };
+        if let Some(n) = self.running(&life) {
+            let failure = SendFailure::NeverSent;
+            self.feed(
+                n,
+                DeskInput::SendFailed {
+                    call,
+                    attempt,
+                    failure,
+                },
+            );
+        }
+    }
+
+    fn look_up(&mut self, n: usize, lost: bool) {
+        let Some((call, digest)) = self.nodes[n].lookups.pop_front() else {
+            return;
+        };
+        let ran = self.executed.get(&call).filter(|(body, _)| *body == digest);
+        let found = ran.filter(|_| !lost).map(|(_, answer)| Arc::clone(answer));
+        self.counts.add(format!("looked up: {}", found.is_some()));
+        self.feed(
+            n,
+            DeskInput::LookedUp {
+                call,
+                digest,
+                found,
+            },
+        );
+    }
+
+    fn forward(&mut self, at: usize, lost: bool, twice: bool) {
+        let Some(passed) = take(&mut self.forwards, at) else {
+            return;
+        };
+        // It reaches whatever runs at that address now.
+        let same = |node: &Node| node.life.instance == passed.to.instance;
+        let there = self.nodes.iter().position(same).filter(|_| !lost);
+        let Some(n) = there else {
+            self.forward_failed(&passed.from, passed.ticket);
+            return;
+        };
+        let key = self.attempts[&passed.ticket].key;
+        for _ in 0..=usize::from(twice) {
+            let ticket = Ticket(self.name());
+            self.relays
+                .insert(ticket, (passed.from.clone(), passed.ticket));
+            let mut submit = passed.submit.clone();
+            submit.ticket = ticket;
+            submit.deadline = self.clock(n) + Millis(300);
+            self.take_in(n, key, submit);
+        }
+    }
+
+    fn forward_reply(&mut self, at: usize, lost: bool) {
+        let Some((home, ticket, outcome)) = take(&mut self.forward_replies, at) else {
+            return;
+        };
+        if lost {
+            self.forward_failed(&home, ticket);
+        } else if let Some(n) = self.running(&home) {
+            self.feed(n, DeskInput::ForwardAnswered { ticket, outcome });
+        }
+    }
+
+    fn forward_failed(&mut self, home: &NodeIncarnation, ticket: Ticket) {
+        if let Some(n) = self.running(home) {
+            self.feed(n, DeskInput::ForwardFailed { ticket });
+        }
+    }
+
+    fn crash(&mut self, n: usize) {
+        let old = &self.nodes[n];
+        let incarnation = old.life.incarnation.0 + 1;
+        self.nodes[n] = self.start(n, incarnation, old.drift);
+        self.counts.add("crashed");
+    }
+
+    fn advance(&mut self, millis: u64) {
+        self.now += millis;
+    }
+
+    fn trim(&mut self) {
+        let oldest = Millis(self.now - RETENTION);
+        while self
+            .log
+            .get(self.log_start)
+            .is_some_and(|entry| entry.time < oldest)
+        {
+            self.log_start += 1;
+            self.counts.add("trimmed");
+        }
+    }
+
+    /// Everything that is under way goes well.
+    fn settle(&mut self) {
+        for _ in 0..3 {
+            for n in 0..NODES {
+                self.feed(n, DeskInput::Tick);
+                self.append(n, AppendFate::Taken);
+                self.tail(n, usize::MAX);
+                while !self.nodes[n].outbox.is_empty() {
+                    self.check(n, false);
+                }
+                while !self.nodes[n].checked.is_empty() {
+                    self.transmit(n);
+                }
+                while !self.nodes[n].lookups.is_empty() {
+                    self.look_up(n, false);
+                }
+            }
+            while !self.wire.is_empty() {
+                self.deliver(0, WireFate::Arrives);
+            }
+            while !self.replies.is_empty() {
+                self.reply(0, false);
+            }
+            self.forward(0, false, false);
+            self.forward_reply(0, false);
+        }
+    }
+
+    /// Every attempt ends in an outcome, and memory is given back.
+    pub fn finish(&mut self) {
+        self.advance(100_000);
+        for n in 0..NODES {
+            self.nodes[n].drift = 0;
+            self.feed(n, DeskInput::Tick);
+            self.feed_appender(n, AppendInput::Tick);
+        }
+        for (ticket, attempt) in &self.attempts {
+            let home = &self.homes[ticket];
+            let lives = self.nodes.iter().any(|node| node.life == *home);
+            assert!(attempt.answers == 1 || !lives, "{ticket:?} is never told");
+        }
+        // Late messages of that time change nothing any more.
+        self.settle();
+        self.settle();
+        self.advance(100_000);
+        let by = self.nodes[0].life.clone();
+        let node = by.clone();
+        self.write(
+            RecordId::from("last"),
+            Record::Closing(Closing { node, by }),
+        );
+        self.settle();
+        self.advance(1000);
+        for n in 0..NODES {
+            self.feed(n, DeskInput::Tick);
+            assert!(self.nodes[n].desk.calls().is_empty(), "calls are forgotten");
+            assert_eq!(self.nodes[n].appender.pending(), 0);
+            assert!(self.nodes[n].fold.len() <= 1, "claims are forgotten");
+        }
+    }
+}
+
+/// Takes one item out of a list, by a position modulo its length.
+fn take<T>(items: &mut Vec<T>, at: usize) -> Option<T> {
+    if items.is_empty() {
+        return None;
+    }
+    let at = at % items.len();
+    Some(items.remove(at))
+}
