--- a/crates/core/src/fair_queue.rs
+++ b/crates/core/src/fair_queue.rs
@@ -104,7 +104,8 @@
     flows: BTreeMap<WorkspaceId, Flow>,
     /// Backlogged workspaces by their turn.
     turns: BTreeMap<Turn, WorkspaceId>,
-    /// Workspaces without backlog whose tag is still ahead of virtual time.
+    /// Workspaces without backlog whose tag is still ahead of virtual time. The
+    /// others are forgotten and start from virtual time again.
     idle: BTreeSet<(Tag, WorkspaceId)>,
     places: BTreeMap<RequestId, (WorkspaceId, Rank)>,
     deadlines: BTreeSet<(Millis, RequestId)>,
@@ -317,7 +318,6 @@
         flow.weight = item.weight.max(MIN_WEIGHT);
         if flow.items.is_empty() {
             self.idle.remove(&(flow.tag, item.workspace.clone()));
-            flow.tag = flow.tag.max(virtual_time);
             flow.arrival = arrival;
             self.turns.insert(flow.turn(), item.workspace.clone());
         }
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,240 @@
+//! Orders that bring engines to the weights and adapters that the manifest wants.
+//!
+//! An engine is drained before its weights change and serves again afterwards. At
+//! most two engines load weights at once, and the last engine that serves a model
+//! keeps serving. The caller holds the lease; its fencing number goes into every
+//! order. A new holder starts without memory: it must first wait until no order of
+//! an earlier holder can still run, and read the state of the engines again.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::manifest::Model;
+use crate::prelude::*;
+
+/// Most engines that load weights at once; the weight store slows down beyond.
+pub const MAX_LOADS: usize = 2;
+
+/// Reported states may be older by this than the time at which they were read.
+const STATUS_LAG: Millis = Millis(500);
+
+/// Time after which an order without an answer is given again. Orders are
+/// idempotent.
+const ORDER_TIMEOUT: Millis = Millis(10_000);
+
+/// Whether an engine takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// It does.
+    Serve,
+    /// It finishes those that it has.
+    Drain,
+}
+
+/// What an engine reported of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineStatus {
+    /// Model that it holds.
+    pub model: ModelName,
+    /// Life of the engine.
+    pub incarnation: Incarnation,
+    /// Weights that it holds.
+    pub weights: WeightsVersion,
+    /// Adapters that it holds.
+    pub adapters: BTreeSet<String>,
+    /// Whether it takes requests.
+    pub role: Role,
+    /// Requests that run or wait on it.
+    pub requests: u32,
+    /// True when the instance list says that it is leaving.
+    pub leaving: bool,
+    /// When the state was read.
+    pub read_at: Millis,
+}
+
+/// A change of one engine.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Load this version of the weights.
+    LoadWeights(WeightsVersion),
+    /// Load this adapter.
+    LoadAdapter(String),
+    /// Take requests, or no more.
+    SetRole(Role),
+}
+
+/// An order to one engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// The engine.
+    pub engine: EngineId,
+    /// Life of the engine that the order is meant for.
+    pub incarnation: Incarnation,
+    /// Fencing number of the lease under which the order is given.
+    pub fencing: Offset,
+    /// The change.
+    pub change: Change,
+}
+
+/// An order that may not be visible in the engine's reported state yet.
+#[derive(Clone, Debug)]
+struct Issued {
+    incarnation: Incarnation,
+    change: Change,
+    at: Millis,
+    /// When the engine confirmed it.
+    done: Option<Millis>,
+}
+
+/// Orders given so far under one lease.
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    issued: BTreeMap<EngineId, Issued>,
+}
+
+impl Placement {
+    /// No orders given yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the orders to give now: at most one for each engine, and none for an
+    /// engine whose last order is not settled. `engines` holds those that answer.
+    pub fn next_orders(
+        &mut self,
+        models: &BTreeMap<ModelName, Model>,
+        engines: &BTreeMap<EngineId, EngineStatus>,
+        fencing: Offset,
+        now: Millis,
+    ) -> Vec<Order> {
+        self.issued
+            .retain(|engine, issued| issued.is_open(engines.get(engine), now));
+        let mut orders = Vec::new();
+        for (engine, status) in engines {
+            let Some(model) = models.get(&status.model) else {
+                continue;
+            };
+            if status.leaving || self.issued.contains_key(engine) {
+                continue;
+            }
+            let Some(change) = next_change(status, model) else {
+                continue;
+            };
+            if !self.is_allowed(&change, engine, status, engines) {
+                continue;
+            }
+            self.issue(engine, status, &change, now);
+            orders.push(Order {
+                engine: engine.clone(),
+                incarnation: status.incarnation,
+                fencing,
+                change,
+            });
+        }
+        orders
+    }
+
+    /// Takes in that the engine confirmed its last order.
+    pub fn confirm(&mut self, engine: &EngineId, now: Millis) {
+        if let Some(issued) = self.issued.get_mut(engine) {
+            issued.done = Some(now);
+        }
+    }
+
+    /// Takes in that the engine refused its last order, which had no effect.
+    pub fn refuse(&mut self, engine: &EngineId) {
+        self.issued.remove(engine);
+    }
+
+    fn issue(&mut self, engine: &EngineId, status: &EngineStatus, change: &Change, now: Millis) {
+        let issued = Issued {
+            incarnation: status.incarnation,
+            change: change.clone(),
+            at: now,
+            done: None,
+        };
+        self.issued.insert(engine.clone(), issued);
+    }
+
+    fn is_allowed(
+        &self,
+        change: &Change,
+        engine: &EngineId,
+        status: &EngineStatus,
+        engines: &BTreeMap<EngineId, EngineStatus>,
+    ) -> bool {
+        match change {
+            Change::LoadWeights(_) => self.loads() < MAX_LOADS,
+            Change::SetRole(Role::Drain) => {
+                let others = engines.iter().filter(|(other, _)| *other != engine);
+                let serving = others
+                    .clone()
+                    .any(|(other, s)| s.model == status.model && self.is_serving(other, s));
+                let draining = others
+                    .filter(|(other, s)| self.is_draining(other, s))
+                    .count();
+                // Draining more engines than can load at once only idles them.
+                serving && draining < MAX_LOADS
+            }
+            Change::LoadAdapter(_) | Change::SetRole(Role::Serve) => true,
+        }
+    }
+
+    /// Weight loads that may be running.
+    fn loads(&self) -> usize {
+        self.issued
+            .values()
+            .filter(|issued| matches!(issued.change, Change::LoadWeights(_)))
+            .filter(|issued| issued.done.is_none())
+            .count()
+    }
+
+    /// True when the engine surely takes requests, whatever its open order does.
+    fn is_serving(&self, engine: &EngineId, status: &EngineStatus) -> bool {
+        let open = self.issued.get(engine).map(|issued| &issued.change);
+        let stays = !matches!(open, Some(Change::SetRole(_) | Change::LoadWeights(_)));
+        status.role == Role::Serve && !status.leaving && stays
+    }
+
+    /// True when the engine may be out of service for a change.
+    fn is_draining(&self, engine: &EngineId, status: &EngineStatus) -> bool {
+        !status.leaving && !self.is_serving(engine, status)
+    }
+}
+
+impl Issued {
+    /// True while the reported state may be older than the order's effect.
+    fn is_open(&self, status: Option<&EngineStatus>, now: Millis) -> bool {
+        let restarted = status.is_some_and(|status| status.incarnation != self.incarnation);
+        if restarted {
+            return false;
+        }
+        match (self.done, status) {
+            (Some(done), Some(status)) => status.read_at < done + STATUS_LAG,
+            // An engine that does not answer may still be loading.
+            _ => now.since(self.at) < ORDER_TIMEOUT,
+        }
+    }
+}
+
+/// The next step of one engine towards what is wanted, if it is not there yet.
+fn next_change(status: &EngineStatus, model: &Model) -> Option<Change> {
+    if status.weights != model.weights {
+        return match status.role {
+            Role::Serve => Some(Change::SetRole(Role::Drain)),
+            Role::Drain if status.requests > 0 => None,
+            Role::Drain => Some(Change::LoadWeights(model.weights.clone())),
+        };
+    }
+    let missing = model
+        .adapters
+        .iter()
+        .find(|adapter| !status.adapters.contains(*adapter));
+    if let Some(adapter) = missing {
+        return Some(Change::LoadAdapter(adapter.clone()));
+    }
+    (status.role == Role::Drain).then_some(Change::SetRole(Role::Serve))
+}
