--- a/crates/core/tests/test_fair_queue.rs
+++ b/crates/core/tests/test_fair_queue.rs
@@ -214,11 +214,12 @@
 fn estimate_leaves_out_workspaces_with_later_turns() {
     let mut queue = FairQueue::new();
     for number in 0..6 {
-        queue.push(item(number, number % 3, 1.0, 0, 100.0));
+        let cost = if number < 3 { 100.0 } else { 150.0 };
+        queue.push(item(number, number % 3, 1.0, 0, cost));
     }
     (0..3).for_each(|_| drop(queue.pop()));
     let newcomer = queue.ahead(&"small".into(), 1.0, 0);
     assert_eq!((newcomer.cost, newcomer.requests), (0.0, 0.0));
     let third = queue.ahead(&"w2".into(), 1.0, 0);
-    assert_eq!((third.cost, third.requests), (300.0, 3.0));
+    assert_eq!((third.cost, third.requests), (450.0, 3.0));
 }
--- a/crates/core/tests/test_home.rs
+++ b/crates/core/tests/test_home.rs
@@ -387,6 +387,29 @@
     assert_eq!(wait(1, 0), 0);
     assert_eq!(wait(2, 1), 100);
     assert_eq!(wait(3, 10), 0);
+    home.step(Input::Ask(ask(3, 3)), Millis(10));
+    let next = home.estimate(&ask(4, 4), Millis(10));
+    assert_eq!(
+        next.wait_ms as u32, 100,
+        "a granted request claims nothing besides"
+    );
+}
+
+#[test]
+fn cancelled_request_delays_nobody() {
+    let mut home = home(Millis(0));
+    for number in 0..4 {
+        home.step(Input::Ask(ask(number, number)), Millis(0));
+    }
+    assert_eq!(home.estimate(&ask(9, 9), Millis(0)).wait_ms as u32, 400);
+    for request in ["r1", "r3"] {
+        let cancel = Input::Cancel {
+            entry: entry(0, 1),
+            request: request.into(),
+        };
+        home.step(cancel, Millis(0));
+    }
+    assert_eq!(home.estimate(&ask(9, 9), Millis(0)).wait_ms as u32, 200);
 }
 
 #[test]
