membership: decide who is live, suspected or leaving

A node that cannot reach a peer which everybody else can would accuse it again and again. It now keeps the suspicion to itself after the first refutation and asks another node to try. A fixed time without accusations was ruled out: the fuzz run found a peer that died within that time and that nobody else watched.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,8 +4,14 @@
 //! decision takes its state, an input, the current time and, where chance is
 //! involved, a seed, and returns a value that says what to do next.
 
+pub mod heartbeat;
 pub mod ids;
 pub mod manifest;
+pub mod members;
+pub mod membership;
+pub mod news;
 pub mod prefix;
 pub mod prelude;
 pub mod rendezvous;
+pub mod ring;
+pub mod view;
--- /dev/null
+++ b/crates/core/src/ring.rs
@@ -0,0 +1,63 @@
+//! Which peers a node sends heartbeats to.
+//!
+//! Nodes sit on a ring by the hash of their names. Each watches its successor, so
+//! that every node is watched by somebody, and a few chords to points that its
+//! name alone decides. Chords make news reach everybody in a number of steps that
+//! grows with the logarithm of the fleet, and an instance that comes or goes moves
+//! only the neighbours next to it, also where the views of two nodes differ.
+
+use std::collections::BTreeSet;
+
+use crate::prelude::*;
+use crate::rendezvous;
+
+/// Neighbours besides the successor.
+pub const CHORDS: u64 = 2;
+
+/// Nodes by their positions on the ring.
+#[derive(Clone, Debug, Default)]
+pub struct Ring {
+    places: BTreeSet<(u64, InstanceId)>,
+}
+
+impl Ring {
+    /// Adds a node.
+    pub fn insert(&mut self, name: &InstanceId) {
+        self.places.insert(place(name));
+    }
+
+    /// Removes a node.
+    pub fn remove(&mut self, name: &InstanceId) {
+        self.places.remove(&place(name));
+    }
+
+    /// The neighbours of `name`, which need not be on the ring: its successor and
+    /// the first nodes after its chord points, none twice.
+    pub fn neighbours(&self, name: &InstanceId) -> BTreeSet<InstanceId> {
+        let chords = (1..=CHORDS).map(|chord| rendezvous::weight(chord, name.as_str()));
+        let points = std::iter::once(rendezvous::key(name.as_str())).chain(chords);
+        let mut chosen = BTreeSet::new();
+        for point in points {
+            if let Some(next) = self.next(point, |other| other != name && !chosen.contains(other)) {
+                chosen.insert(next.clone());
+            }
+        }
+        chosen
+    }
+
+    fn next<F>(&self, point: u64, wanted: F) -> Option<&InstanceId>
+    where
+        F: Fn(&InstanceId) -> bool,
+    {
+        let start = (point, InstanceId::default());
+        let tail = self.places.range(&start..);
+        let head = self.places.range(..&start);
+        tail.chain(head)
+            .map(|(_, name)| name)
+            .find(|name| wanted(name))
+    }
+}
+
+fn place(name: &InstanceId) -> (u64, InstanceId) {
+    (rendezvous::key(name.as_str()), name.clone())
+}
--- /dev/null
+++ b/crates/core/src/view.rs
@@ -0,0 +1,163 @@
+//! The views of one node: which instances are live, suspected or leaving.
+
+use std::collections::BTreeSet;
+use std::ops::Bound::{Excluded, Unbounded};
+
+use crate::members::{Class, Instance, Member, MemberState, Members, Transition};
+use crate::prelude::*;
+use crate::rendezvous;
+use crate::ring::Ring;
+
+/// All known instances with indexes over them.
+#[derive(Clone, Debug)]
+pub struct View {
+    me: InstanceId,
+    members: Members,
+    ring: Ring,
+    live: BTreeSet<InstanceId>,
+    suspected: BTreeSet<InstanceId>,
+}
+
+impl View {
+    /// A view without instances, as seen by `me`.
+    pub fn new(me: &InstanceId) -> Self {
+        Self {
+            me: me.clone(),
+            members: Members::default(),
+            ring: Ring::default(),
+            live: BTreeSet::new(),
+            suspected: BTreeSet::new(),
+        }
+    }
+
+    /// Takes a row of the instance list.
+    pub(crate) fn set_row(&mut self, row: &Instance, now: Millis) -> Transition {
+        let transition = self.members.set_row(row, now);
+        self.index(&row.name, transition);
+        transition
+    }
+
+    /// Changes one instance, which is added if it is new.
+    pub(crate) fn edit<F>(&mut self, name: &InstanceId, now: Millis, edit: F) -> Transition
+    where
+        F: FnOnce(&mut Member),
+    {
+        let transition = self.members.change(name, now, edit);
+        self.index(name, transition);
+        transition
+    }
+
+    pub(crate) fn forget_old(&mut self, now: Millis) {
+        self.members.forget_old(now);
+    }
+
+    fn index(&mut self, name: &InstanceId, transition: Transition) {
+        if transition.before == transition.after {
+            return;
+        }
+        match transition.before {
+            Class::Live => {
+                self.live.remove(name);
+                self.ring.remove(name);
+            }
+            Class::Suspected => {
+                self.suspected.remove(name);
+            }
+            Class::Leaving | Class::Unlisted => {}
+        }
+        match transition.after {
+            Class::Live => {
+                self.live.insert(name.clone());
+                self.ring.insert(name);
+            }
+            Class::Suspected => {
+                self.suspected.insert(name.clone());
+            }
+            Class::Leaving | Class::Unlisted => {}
+        }
+    }
+
+    /// The peers to exchange heartbeats with.
+    pub(crate) fn neighbours(&self) -> BTreeSet<InstanceId> {
+        self.ring.neighbours(&self.me)
+    }
+
+    /// The next suspected instance after `name`, round in the order of the names.
+    pub(crate) fn suspected_after(&self, name: &InstanceId) -> Option<&InstanceId> {
+        self.suspected
+            .range::<InstanceId, _>((Excluded(name), Unbounded))
+            .next()
+            .or_else(|| self.suspected.first())
+    }
+
+    /// The next live instance after `name` that is none of `others`, round in the
+    /// order of the names.
+    pub(crate) fn live_after(
+        &self,
+        name: &InstanceId,
+        others: &[&InstanceId],
+    ) -> Option<&InstanceId> {
+        let tail = self
+            .live
+            .range::<InstanceId, _>((Excluded(name), Unbounded));
+        tail.chain(self.live.iter())
+            .find(|live| !others.contains(live))
+    }
+
+    /// All known instances.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Instances that take new work.
+    pub fn live(&self) -> impl Iterator<Item = &InstanceId> {
+        self.live.iter()
+    }
+
+    /// Instances that are silent, or out of this node's reach.
+    pub fn suspected(&self) -> impl Iterator<Item = &InstanceId> {
+        self.suspected.iter()
+    }
+
+    /// Instances in shutdown.
+    pub fn leaving(&self) -> impl Iterator<Item = &InstanceId> {
+        self.members
+            .iter()
+            .filter(|(_, member)| member.class() == Class::Leaving)
+            .map(|(name, _)| name)
+    }
+
+    /// Rows of the live instances.
+    pub fn live_rows(&self) -> impl Iterator<Item = &Instance> {
+        self.live
+            .iter()
+            .filter_map(|name| self.members.get(name)?.row.as_ref())
+    }
+
+    /// Rows of all listed instances, for a peer that asks.
+    pub fn rows(&self) -> impl Iterator<Item = &Instance> {
+        self.members
+            .iter()
+            .filter_map(|(_, member)| member.row.as_ref())
+    }
+
+    /// Row of one instance.
+    pub fn row(&self, name: &InstanceId) -> Option<&Instance> {
+        self.members.get(name)?.row.as_ref()
+    }
+
+    /// State of one instance as relayed.
+    pub fn state(&self, name: &InstanceId) -> Option<MemberState> {
+        self.members.get(name).map(|member| member.state)
+    }
+
+    /// The node that holds the state of an engine: the first by rendezvous hash of
+    /// the live ones, or this node if there is none.
+    pub fn home_of(&self, engine: &EngineId) -> &InstanceId {
+        let key = rendezvous::key(engine.as_str());
+        self.live
+            .iter()
+            .max_by_key(|name| (rendezvous::weight(key, name.as_str()), *name))
+            .unwrap_or(&self.me)
+    }
+}
