--- a/crates/node/src/control/router.rs
+++ b/crates/node/src/control/router.rs
@@ -637,26 +637,20 @@
         price: f64,
         now: Millis,
     ) -> Vec<Candidate> {
-        let replicas = self.routing.uses(Mechanism::Replicas);
-        let count = |level: &flamingolock_core::levels::Level| {
-            let found = heat.iter().find(|heat| heat.level == *level);
-            found
-                .filter(|_| replicas)
-                .map_or(1, |heat| heat.replicas as usize)
-        };
-        let levels = heat.iter().map(|heat| heat.level).collect();
+        let mut levels = heat.to_vec();
+        if !self.routing.uses(Mechanism::Replicas) {
+            for level in &mut levels {
+                level.replicas = level.replicas.min(1);
+            }
+        }
         let tokens = ask
             .prompt
             .len()
-            .div_ceil(flamingolock_core::prefix::BYTES_PER_TOKEN);
-        let prompt = flamingolock_core::home_message::Prompt {
-            levels,
-            tokens: tokens as u32,
-        };
+            .div_ceil(flamingolock_core::prefix::BYTES_PER_TOKEN) as u32;
         let seed = rendezvous::key(ask.request.as_str()) ^ now.0;
         let fleet = self.engines.fleet(&ask.model, now);
         let wanted = PROBES + ask.avoid.len();
-        let mut found = shortlist::shortlist(fleet, &prompt, count, price, wanted, seed, now);
+        let mut found = shortlist::shortlist(fleet, tokens, &levels, price, wanted, seed, now);
         found.retain(|candidate| !ask.avoid.contains(&candidate.engine));
         found.truncate(PROBES);
         found
