node: send calls that may not be repeated at most once

Calls go through the desk: entry-token keys are sent only by the node that minted the token, journalled and plain keys only after a claim was read back. Another node's keys are handed on to it once. Each send uses a connection of its own; a request counts as never sent only before its first byte.

--- a/crates/experiment/src/caller.rs
+++ b/crates/experiment/src/caller.rs
@@ -173,8 +173,8 @@
             let key = key.get_or_insert_with(|| {
                 // The number makes one token serve many keys.
                 token.map_or_else(
-                    || format!("plain-{}-{}", arrival.workspace, hash(body)),
-                    |token| format!("{token}.{}", hash(body)),
+                    || ulid::Ulid::new().to_string(),
+                    |token| format!("e.{token}.{}", hash(body)),
                 )
             });
             let uri = format!("http://{entry}/v1/calls/{}", arrival.kind);
--- /dev/null
+++ b/crates/node/src/call_task.rs
@@ -0,0 +1,367 @@
+//! Carries out the steps of one call that may run at most once.
+//!
+//! The task goes on when its caller leaves: a call that was sent must have its
+//! answer recorded, so that a retry gets it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use flamingolock_core::call_key::{body_digest, parse_key, service_call_id};
+use flamingolock_core::call_message::{DeskInput, Submit, Ticket};
+use flamingolock_core::call_outcome::{CallAnswer, Outcome, SendFailure};
+use flamingolock_core::prelude::*;
+use flamingolock_core::record::CallId;
+use flamingolock_core::rendezvous;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+use crate::api::{ApiError, CallOutcome};
+use crate::control::calls::{CallEvent, CallRequest, CallStep, ForwardedCall};
+use crate::control::{Event, now};
+use crate::filters::Traffic;
+use crate::filters::classify::classify_call;
+use crate::filters::service_call::CALL_ID_HEADER;
+
+/// Largest answer of a service that is read.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// Longest wait for the answer to a call that was sent. It may be longer than any
+/// caller waits: the answer is kept for retries.
+const ANSWER_MS: u64 = 30_000;
+
+/// Where the calls of a kind go.
+#[derive(Clone, Debug)]
+pub struct CallTarget {
+    /// The service.
+    pub service: ServiceName,
+    /// Path of its look-up, if it has one.
+    pub lookup: Option<String>,
+    /// When the caller stops waiting.
+    pub deadline: Millis,
+}
+
+/// Submits a call and waits for its end.
+///
+/// # Errors
+///
+/// When the key is not accepted, or the node is stopping.
+pub async fn run(
+    traffic: &Traffic,
+    request: CallRequest,
+    target: CallTarget,
+    forwarded: bool,
+) -> Result<(CallId, Outcome), ApiError> {
+    let key = parse_key(&traffic.keys, &request.workspace, &request.key).map_err(|error| {
+        ApiError::invalid("bad_idempotency_key", error.to_string())
+            .with_outcome(CallOutcome::NotRun)
+    })?;
+    let call = key.id.clone();
+    let submit = Submit {
+        ticket: Ticket(0),
+        key,
+        digest: body_digest(&request.body),
+        deadline: target.deadline,
+        lookup: target.lookup.is_some(),
+        forwarded,
+    };
+    let (steps, inbox) = mpsc::unbounded_channel();
+    let (reply, outcome) = oneshot::channel();
+    let task = Task {
+        traffic: traffic.clone(),
+        request: request.clone(),
+        target,
+    };
+    let event = CallEvent::Submit {
+        submit: Box::new(submit),
+        request: Box::new(request),
+        steps,
+    };
+    let stopped = || {
+        ApiError::unavailable("stopping", "the node is stopping", 1000)
+            .with_outcome(CallOutcome::NotRun)
+    };
+    traffic
+        .events
+        .send(Event::Call(event))
+        .map_err(|_| stopped())?;
+    tokio::spawn(follow(Arc::new(task), inbox, reply));
+    match outcome.await {
+        Ok(outcome) => Ok((call, outcome)),
+        Err(_) => Err(ApiError {
+            outcome: Some(CallOutcome::Unknown),
+            ..ApiError::unavailable("stopping", "the node is stopping", 1000)
+        }),
+    }
+}
+
+/// Runs calls that peers handed on.
+pub async fn serve_forwarded(traffic: Traffic, mut calls: mpsc::UnboundedReceiver<ForwardedCall>) {
+    while let Some(call) = calls.recv().await {
+        let traffic = traffic.clone();
+        tokio::spawn(async move {
+            let outcome = run_forwarded(&traffic, call.request, call.within).await;
+            let event = CallEvent::Forwarded {
+                to: call.from,
+                call: call.call,
+                outcome,
+            };
+            let _ = traffic.events.send(Event::Call(event));
+        });
+    }
+}
+
+async fn run_forwarded(traffic: &Traffic, request: CallRequest, within: Millis) -> Outcome {
+    let view = traffic.view.load_full();
+    let unknown = Outcome::Unknown(flamingolock_core::call_outcome::UnknownReason::OwnerSilent);
+    let kind = request.path.split('/').next().unwrap_or_default();
+    let Ok((_, service)) = classify_call(&view, &http::HeaderMap::new(), kind) else {
+        return unknown;
+    };
+    let lookup = view
+        .manifest
+        .services
+        .get(&service)
+        .and_then(|s| s.lookup_path.clone());
+    let target = CallTarget {
+        service,
+        lookup,
+        deadline: now() + within,
+    };
+    match run(traffic, request, target, true).await {
+        Ok((_, outcome)) => outcome,
+        Err(_) => unknown,
+    }
+}
+
+struct Task {
+    traffic: Traffic,
+    request: CallRequest,
+    target: CallTarget,
+}
+
+async fn follow(
+    task: Arc<Task>,
+    mut steps: mpsc::UnboundedReceiver<CallStep>,
+    reply: oneshot::Sender<Outcome>,
+) {
+    while let Some(step) = steps.recv().await {
+        match step {
+            CallStep::Send {
+                call,
+                digest,
+                attempt,
+                send_by,
+            } => {
+                let task = Arc::clone(&task);
+                // The send outlives the attempt: its answer is kept for retries.
+                tokio::spawn(async move {
+                    task.send(call, &digest, attempt, send_by).await;
+                });
+            }
+            CallStep::Lookup { call, digest } => {
+                let task = Arc::clone(&task);
+                tokio::spawn(async move { task.look_up(call, digest).await });
+            }
+            CallStep::Answer(outcome) => {
+                let _ = reply.send(outcome);
+                return;
+            }
+        }
+    }
+}
+
+/// Why a call got no answer.
+enum Failure {
+    NeverSent(String),
+    Unknown(String),
+}
+
+impl Task {
+    async fn send(&self, call: CallId, digest: &str, attempt: u32, send_by: Millis) {
+        let id = service_call_id(&call, digest);
+        let sent = self.exchange(&id, attempt, send_by).await;
+        let (reason, chosen) = match &sent {
+            Ok((answer, address)) => (format!("status {}", answer.status), address.clone()),
+            Err(Failure::NeverSent(reason)) => (format!("never sent: {reason}"), String::new()),
+            Err(Failure::Unknown(reason)) => (format!("unknown: {reason}"), String::new()),
+        };
+        self.traffic.decisions.record(
+            now(),
+            &RequestId::from(id),
+            "call",
+            &chosen,
+            &reason,
+            serde_json::Value::Null,
+        );
+        let input = match sent {
+            Ok((answer, _)) => DeskInput::Answered {
+                call,
+                answer: Arc::new(answer),
+            },
+            Err(Failure::NeverSent(_)) => DeskInput::SendFailed {
+                call,
+                attempt,
+                failure: SendFailure::NeverSent,
+            },
+            Err(Failure::Unknown(_)) => DeskInput::SendFailed {
+                call,
+                attempt,
+                failure: SendFailure::Unknown,
+            },
+        };
+        let _ = self
+            .traffic
+            .events
+            .send(Event::Call(CallEvent::Desk(Box::new(input))));
+    }
+
+    /// Sends the call on a connection of its own and reads the answer.
+    async fn exchange(
+        &self,
+        id: &str,
+        attempt: u32,
+        send_by: Millis,
+    ) -> Result<(CallAnswer, String), Failure> {
+        let address = self.address(id, attempt).ok_or_else(|| {
+            Failure::NeverSent(format!("no instance of {} is live", self.target.service))
+        })?;
+        let connect = Duration::from_millis(self.traffic.settings.timing.connect_ms);
+        let never = |error: &dyn std::fmt::Display| Failure::NeverSent(error.to_string());
+        let stream = timeout(connect, TcpStream::connect(&address))
+            .await
+            .map_err(|error| never(&error))?
+            .map_err(|error| never(&error))?;
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+                .await
+                .map_err(|error| never(&error))?;
+        let connection = tokio::spawn(connection);
+        let request = Request::builder()
+            .method(self.request.method.as_str())
+            .uri(format!("/{}", self.request.path))
+            .header(header::HOST, &address)
+            .header(header::CONTENT_TYPE, "application/json")
+            .header(CALL_ID_HEADER, id)
+            .body(Full::new(self.request.body.clone()))
+            .map_err(|error| never(&error))?;
+        // A process that was paused since the decision must not send any more.
+        if now() > send_by {
+            return Err(Failure::NeverSent("too late to send".to_owned()));
+        }
+        let exchange = async {
+            let response = sender
+                .send_request(request)
+                .await
+                .map_err(|error| Failure::Unknown(error.to_string()))?;
+            read_answer(id, response).await
+        };
+        let answer = timeout(Duration::from_millis(ANSWER_MS), exchange)
+            .await
+            .map_err(|_| Failure::Unknown("no answer in time".to_owned()))?;
+        connection.abort();
+        Ok((answer?, address))
+    }
+
+    /// Attempts go round the live instances, beginning at one that depends on the
+    /// call.
+    fn address(&self, id: &str, attempt: u32) -> Option<String> {
+        let view = self.traffic.view.load();
+        let instances = view.service_instances(&self.target.service);
+        let names = instances.iter().map(|listed| listed.name.as_str());
+        let ranked = rendezvous::top(rendezvous::key(id), names, instances.len());
+        let place = attempt as usize % ranked.len().max(1);
+        let name = ranked.get(place)?;
+        view.instances
+            .get(*name)
+            .map(|listed| listed.address.to_string())
+    }
+
+    async fn look_up(&self, call: CallId, digest: String) {
+        let id = service_call_id(&call, &digest);
+        let mut found = None;
+        if let Some(path) = &self.target.lookup {
+            let path = path.replace("{id}", &id);
+            found = self.look_up_everywhere(&id, &path).await;
+        }
+        let input = DeskInput::LookedUp {
+            call,
+            digest,
+            found: found.map(Arc::new),
+        };
+        let _ = self
+            .traffic
+            .events
+            .send(Event::Call(CallEvent::Desk(Box::new(input))));
+    }
+
+    /// Any instance may have run the call.
+    async fn look_up_everywhere(&self, id: &str, path: &str) -> Option<CallAnswer> {
+        let addresses: Vec<String> = {
+            let view = self.traffic.view.load();
+            let instances = view.service_instances(&self.target.service);
+            instances
+                .iter()
+                .map(|listed| listed.address.to_string())
+                .collect()
+        };
+        let wait = self.traffic.settings.timing.connect_ms;
+        for address in addresses {
+            let found: Result<LookedUp, _> = self.traffic.http.get_json(&address, path, wait).await;
+            if let Ok(found) = found
+                && found.call_id == id
+            {
+                return Some(CallAnswer {
+                    status: 200,
+                    content_type: "application/json".to_owned(),
+                    body: found.answer.get().as_bytes().to_vec(),
+                });
+            }
+        }
+        None
+    }
+}
+
+#[derive(serde::Deserialize)]
+struct LookedUp {
+    call_id: String,
+    answer: Box<serde_json::value::RawValue>,
+}
+
+async fn read_answer(
+    id: &str,
+    response: http::Response<hyper::body::Incoming>,
+) -> Result<CallAnswer, Failure> {
+    let named = response
+        .headers()
+        .get(CALL_ID_HEADER)
+        .map(|value| value.as_bytes().to_vec());
+    if named.as_deref() != Some(id.as_bytes()) {
+        return Err(Failure::Unknown(
+            "the answer belongs to another call".to_owned(),
+        ));
+    }
+    let status = response.status();
+    if status.is_server_error() && status != StatusCode::NOT_IMPLEMENTED {
+        return Err(Failure::Unknown(format!("the service answered {status}")));
+    }
+    let content_type = response
+        .headers()
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/json")
+        .to_owned();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|error| Failure::Unknown(error.to_string()))?;
+    Ok(CallAnswer {
+        status: status.as_u16(),
+        content_type,
+        body: body.to_bytes().to_vec(),
+    })
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -4,6 +4,7 @@
 //! holds the events, the thread and its loop.
 
 pub mod admission;
+pub mod calls;
 pub mod context;
 pub mod engines;
 pub mod homes;
@@ -23,9 +24,10 @@
 use flamingolock_core::prefix_model::CacheEvent;
 use flamingolock_core::prelude::*;
 use flamingolock_core::record::NodeIncarnation;
-use flamingolock_wire::message::PeerFrame;
-use tokio::sync::oneshot;
+use flamingolock_wire::message::{Payload, PeerFrame};
+use tokio::sync::{mpsc, oneshot};
 
+use crate::control::calls::{CallEvent, Calls, ForwardedCall};
 use crate::control::context::{Context, Effect};
 use crate::control::engines::EngineStatus;
 use crate::control::ledger::{Ledger, LogCursors, LogEvent};
@@ -71,6 +73,8 @@
     },
     /// The platform's list was read.
     Listed(Vec<Listed>),
+    /// Traffic threads report about calls that may run at most once.
+    Call(CallEvent),
     /// The threads at the platform report.
     Log(LogEvent),
     /// An engine reported, or did not answer.
@@ -116,6 +120,8 @@
 pub struct Wiring {
     /// Links to other nodes.
     pub peers: PeerSender,
+    /// Traffic threads that run calls which peers handed on.
+    pub forwarded: mpsc::UnboundedSender<ForwardedCall>,
     /// Writers of the log.
     pub appends: Sender<AppendJob>,
     /// Where readers of the log go on.
@@ -153,6 +159,8 @@
             decisions,
             controllers: Controllers {
                 router: Router::new(settings, incarnation, events.clone()),
+                calls: Calls::new(me.clone()),
+                heard: BTreeMap::new(),
                 ledger: Ledger::new(me, &settings.platform, wiring.cursors, now()),
                 limits: Limits::default(),
             },
@@ -160,6 +168,7 @@
             effects: Vec::new(),
             peers: wiring.peers,
             appends: wiring.appends,
+            forwarded: wiring.forwarded,
             leaving: false,
         };
         let thread = std::thread::Builder::new()
@@ -190,6 +199,7 @@
     effects: Vec<Effect>,
     peers: PeerSender,
     appends: Sender<AppendJob>,
+    forwarded: mpsc::UnboundedSender<ForwardedCall>,
     leaving: bool,
 }
 
@@ -197,6 +207,8 @@
 struct Controllers {
     router: Router,
     ledger: Ledger,
+    calls: Calls,
+    heard: BTreeMap<InstanceId, Incarnation>,
     limits: Limits,
 }
 
@@ -212,7 +224,7 @@
             self.step(|all, ctx| {
                 all.router.tick(ctx);
                 all.ledger.tick(ctx);
-                all.ledger.take_news();
+                all.tick_calls(ctx);
             });
             self.perform();
         }
@@ -257,6 +269,7 @@
                 self.step(|all, ctx| all.router.release(ctx, &engine, permit, failed));
             }
             Event::Listed(listed) => self.listed(listed),
+            Event::Call(event) => self.step(|all, ctx| all.call(ctx, event)),
             Event::Log(event) => self.step(|all, ctx| all.ledger.handle(ctx, event)),
             Event::Status(engine, status) => {
                 self.step(|all, ctx| all.router.status(ctx, &engine, status));
@@ -271,7 +284,7 @@
                 });
             }
             Event::Peer { from, frame } => self.peer(&from, &frame),
-            Event::PeerLink { to, up } => log::debug!("link to {to}: {up}"),
+            Event::PeerLink { to, up } => self.step(|all, ctx| all.link(ctx, &to, up)),
             Event::Leaving => {
                 self.leaving = true;
                 self.publish(|view| view.leaving = true);
@@ -298,6 +311,9 @@
                     let frame = peers::frame(payload, self.leaving);
                     let _ = self.peers.send(PeerCommand::Send { to, frame });
                 }
+                Effect::Forwarded(call) => {
+                    let _ = self.forwarded.send(*call);
+                }
                 Effect::Append {
                     stream,
                     batch,
@@ -317,7 +333,7 @@
         let Some(payload) = &frame.payload else {
             return;
         };
-        self.step(|all, ctx| all.router.peer(ctx, from, payload));
+        self.step(|all, ctx| all.peer(ctx, from, payload));
     }
 
     fn enter(&mut self, id: WorkspaceId) -> Result<Presence, Refusal> {
@@ -381,3 +397,52 @@
         self.view.store(Arc::new(view));
     }
 }
+
+impl Controllers {
+    fn peer(&mut self, ctx: &mut Context<'_>, from: &EntryRef, payload: &Payload) {
+        let newest = self.heard.entry(from.instance.clone()).or_default();
+        *newest = from.incarnation.max(*newest);
+        match payload {
+            Payload::CallForward(_) | Payload::CallAnswer(_) => {
+                let heard = &self.heard;
+                let is_live = |node: &NodeIncarnation| is_live(heard, node);
+                self.calls
+                    .peer(ctx, self.ledger.claims(), &is_live, from, payload);
+            }
+            _ => self.router.peer(ctx, from, payload),
+        }
+    }
+
+    fn link(&mut self, ctx: &mut Context<'_>, to: &InstanceId, up: bool) {
+        if up {
+            return;
+        }
+        let heard = &self.heard;
+        let is_live = |node: &NodeIncarnation| is_live(heard, node);
+        self.calls
+            .link_down(ctx, self.ledger.claims(), &is_live, to);
+    }
+
+    fn call(&mut self, ctx: &mut Context<'_>, event: CallEvent) {
+        let heard = &self.heard;
+        let is_live = |node: &NodeIncarnation| is_live(heard, node);
+        self.calls
+            .handle(ctx, self.ledger.claims(), &is_live, event);
+    }
+
+    fn tick_calls(&mut self, ctx: &mut Context<'_>) {
+        let heard = &self.heard;
+        let is_live = |node: &NodeIncarnation| is_live(heard, node);
+        for news in self.ledger.take_news() {
+            self.calls.news(ctx, self.ledger.claims(), &is_live, &news);
+        }
+        self.calls.tick(ctx, &mut self.ledger, &is_live);
+    }
+}
+
+/// A life of a node counts as live until a later one was heard of.
+fn is_live(heard: &BTreeMap<InstanceId, Incarnation>, node: &NodeIncarnation) -> bool {
+    heard
+        .get(&node.instance)
+        .is_none_or(|newest| *newest <= node.incarnation)
+}
--- /dev/null
+++ b/crates/node/src/control/calls.rs
@@ -0,0 +1,464 @@
+//! Drives the desk of calls that may run at most once.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use flamingolock_core::append::AppendOutcome;
+use flamingolock_core::call_desk::CallDesk;
+use flamingolock_core::call_message::{DeskInput, DeskOutput, DeskSettings, Submit, Ticket, View};
+use flamingolock_core::call_outcome::{CallAnswer, Outcome};
+use flamingolock_core::claim_fold::{ClaimFold, ClaimRules, Judged};
+use flamingolock_core::permit::EntryRef;
+use flamingolock_core::prelude::*;
+use flamingolock_core::record::{
+    CallId, Claim, ClaimBatch, Closing, NodeIncarnation, Record, RecordId,
+};
+use flamingolock_wire::message::{self as wire, Payload};
+use tokio::sync::mpsc;
+
+use crate::control::context::{Context, Effect};
+use crate::control::ledger::{Ledger, LedgerNews, Stream};
+
+/// Longest time that a claim is tried to be appended.
+const CLAIM_PATIENCE: Millis = Millis(5_000);
+
+/// Longest time that a closing is tried to be appended.
+const CLOSING_PATIENCE: Millis = Millis(60_000);
+
+/// Time between two closings of the same incarnation.
+const CLOSING_GAP: Millis = Millis(2_000);
+
+/// Claims in one record.
+const CLAIMS_PER_RECORD: usize = 512;
+
+/// What the task of one attempt does next.
+#[derive(Debug)]
+pub enum CallStep {
+    /// Send the call.
+    Send {
+        /// The call.
+        call: CallId,
+        /// Digest of the body.
+        digest: String,
+        /// Number of the attempt to connect.
+        attempt: u32,
+        /// Last moment to send it.
+        send_by: Millis,
+    },
+    /// Ask the service for the call.
+    Lookup {
+        /// The call.
+        call: CallId,
+        /// Digest of the body.
+        digest: String,
+    },
+    /// Tell the caller.
+    Answer(Outcome),
+}
+
+/// Where the steps of an attempt go.
+pub type CallSteps = mpsc::UnboundedSender<CallStep>;
+
+/// A call as its caller made it, for handing it on to another node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallRequest {
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
+    /// Key as the caller wrote it.
+    pub key: String,
+    /// HTTP method.
+    pub method: String,
+    /// Request kind and the rest of the path.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// What traffic threads report about calls.
+#[derive(Debug)]
+pub enum CallEvent {
+    /// A caller submits a call. The ticket in it is chosen by the control thread.
+    Submit {
+        /// The call for the desk.
+        submit: Box<Submit>,
+        /// The call as it was made.
+        request: Box<CallRequest>,
+        /// Where the steps go.
+        steps: CallSteps,
+    },
+    /// Something that the desk has to know.
+    Desk(Box<DeskInput>),
+    /// A call that a peer handed on came to its end.
+    Forwarded {
+        /// The peer.
+        to: InstanceId,
+        /// Number of the attempt at the peer.
+        call: String,
+        /// The end.
+        outcome: Outcome,
+    },
+}
+
+/// A call that a peer handed on, for a traffic thread.
+#[derive(Debug)]
+pub struct ForwardedCall {
+    /// The peer.
+    pub from: InstanceId,
+    /// Number of the attempt at the peer.
+    pub call: String,
+    /// The call.
+    pub request: CallRequest,
+    /// Time left.
+    pub within: Millis,
+}
+
+struct Attempt {
+    steps: CallSteps,
+    request: CallRequest,
+    deadline: Millis,
+}
+
+/// The calls of one node.
+pub struct Calls {
+    me: NodeIncarnation,
+    desk: CallDesk,
+    attempts: BTreeMap<Ticket, Attempt>,
+    forwarded: BTreeMap<Ticket, InstanceId>,
+    claims: Vec<Claim>,
+    records: BTreeMap<RecordId, Vec<CallId>>,
+    closings: BTreeMap<NodeIncarnation, Millis>,
+    next: u64,
+}
+
+impl Calls {
+    /// A node without calls.
+    pub fn new(me: NodeIncarnation) -> Self {
+        let desk = CallDesk::new(me.clone(), ClaimRules::default(), DeskSettings::default());
+        Self {
+            me,
+            desk,
+            attempts: BTreeMap::new(),
+            forwarded: BTreeMap::new(),
+            claims: Vec::new(),
+            records: BTreeMap::new(),
+            closings: BTreeMap::new(),
+            next: 0,
+        }
+    }
+
+    /// Takes in what traffic threads report.
+    pub fn handle(
+        &mut self,
+        ctx: &mut Context<'_>,
+        fold: &ClaimFold,
+        is_live: &dyn Fn(&NodeIncarnation) -> bool,
+        event: CallEvent,
+    ) {
+        match event {
+            CallEvent::Submit {
+                mut submit,
+                request,
+                steps,
+            } => {
+                self.next += 1;
+                submit.ticket = Ticket(self.next);
+                let attempt = Attempt {
+                    steps,
+                    request: *request,
+                    deadline: submit.deadline,
+                };
+                self.attempts.insert(submit.ticket, attempt);
+                self.step(ctx, fold, is_live, DeskInput::Submit(submit));
+            }
+            CallEvent::Desk(input) => self.step(ctx, fold, is_live, *input),
+            CallEvent::Forwarded { to, call, outcome } => {
+                ctx.send(&to, answer_message(call, &outcome));
+            }
+        }
+    }
+
+    /// Takes in news of the log.
+    pub fn news(
+        &mut self,
+        ctx: &mut Context<'_>,
+        fold: &ClaimFold,
+        is_live: &dyn Fn(&NodeIncarnation) -> bool,
+        news: &LedgerNews,
+    ) {
+        match news {
+            LedgerNews::Judged(judged) => {
+                for Judged { call, verdict, .. } in judged {
+                    let (call, verdict) = (call.clone(), verdict.clone());
+                    self.step(ctx, fold, is_live, DeskInput::Judged { call, verdict });
+                }
+            }
+            LedgerNews::Closed(node) => {
+                self.step(ctx, fold, is_live, DeskInput::Closed { node: node.clone() });
+            }
+            LedgerNews::Settled { id, outcome } => {
+                for call in self.records.remove(id).unwrap_or_default() {
+                    let input = match outcome {
+                        // The verdict comes from the fold.
+                        AppendOutcome::Accepted(_) => continue,
+                        AppendOutcome::NotAppended => DeskInput::ClaimRefused { call },
+                        AppendOutcome::Unknown => DeskInput::ClaimInDoubt { call },
+                    };
+                    self.step(ctx, fold, is_live, input);
+                }
+            }
+            LedgerNews::Lease { .. } => {}
+        }
+    }
+
+    /// Time passed. Gathered claims leave in one record.
+    pub fn tick(
+        &mut self,
+        ctx: &mut Context<'_>,
+        ledger: &mut Ledger,
+        is_live: &dyn Fn(&NodeIncarnation) -> bool,
+    ) {
+        if self.desk.next_tick().is_some_and(|at| at <= ctx.now) {
+            self.step(ctx, ledger.claims(), is_live, DeskInput::Tick);
+        }
+        while !self.claims.is_empty() {
+            let count = self.claims.len().min(CLAIMS_PER_RECORD);
+            let claims: Vec<Claim> = self.claims.drain(..count).collect();
+            self.next += 1;
+            let id = RecordId(format!("claims-{}-{}", self.me, self.next));
+            let calls = claims.iter().map(|claim| claim.call.clone()).collect();
+            self.records.insert(id.clone(), calls);
+            let record = Record::Claims(ClaimBatch {
+                owner: self.me.clone(),
+                claims,
+            });
+            ledger.append(ctx, Stream::Claims, id, record, ctx.now + CLAIM_PATIENCE);
+        }
+        let due: Vec<NodeIncarnation> = self
+            .closings
+            .iter()
+            .filter(|(_, at)| **at == Millis(0))
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in due {
+            self.next += 1;
+            let id = RecordId(format!("closing-{}-{}", self.me, self.next));
+            let record = Record::Closing(Closing {
+                node: node.clone(),
+                by: self.me.clone(),
+            });
+            ledger.append(ctx, Stream::Claims, id, record, ctx.now + CLOSING_PATIENCE);
+            self.closings.insert(node, ctx.now);
+        }
+        self.closings
+            .retain(|_, at| ctx.now.since(*at) < CLOSING_GAP);
+    }
+
+    /// When [`Calls::tick`] is due if nothing else happens.
+    pub fn next_tick(&self) -> Option<Millis> {
+        self.desk.next_tick()
+    }
+
+    /// A message about calls came from another node.
+    pub fn peer(
+        &mut self,
+        ctx: &mut Context<'_>,
+        fold: &ClaimFold,
+        is_live: &dyn Fn(&NodeIncarnation) -> bool,
+        from: &EntryRef,
+        payload: &Payload,
+    ) {
+        match payload {
+            Payload::CallForward(forward) => self.take_forward(ctx, from, forward),
+            Payload::CallAnswer(answer) => {
+                let Ok(number) = answer.call.parse() else {
+                    return;
+                };
+                let ticket = Ticket(number);
+                if self.forwarded.get(&ticket) != Some(&from.instance) {
+                    return;
+                }
+                self.forwarded.remove(&ticket);
+                let input = match read_answer(answer) {
+                    Some(outcome) => DeskInput::ForwardAnswered { ticket, outcome },
+                    None => DeskInput::ForwardFailed { ticket },
+                };
+                self.step(ctx, fold, is_live, input);
+            }
+            _ => {}
+        }
+    }
+
+    /// The link to a node failed: what was handed on there gets no answer.
+    pub fn link_down(
+        &mut self,
+        ctx: &mut Context<'_>,
+        fold: &ClaimFold,
+        is_live: &dyn Fn(&NodeIncarnation) -> bool,
+        to: &InstanceId,
+    ) {
+        let failed: Vec<Ticket> = self
+            .forwarded
+            .iter()
+            .filter(|(_, node)| *node == to)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in failed {
+            self.forwarded.remove(&ticket);
+            self.step(ctx, fold, is_live, DeskInput::ForwardFailed { ticket });
+        }
+    }
+
+    fn take_forward(
+        &mut self,
+        ctx: &mut Context<'_>,
+        from: &EntryRef,
+        forward: &wire::CallForward,
+    ) {
+        if forward.incarnation != self.me.incarnation.0 {
+            let refusal = wire::CallAnswer {
+                call: forward.call.clone(),
+                refused: true,
+                ..wire::CallAnswer::default()
+            };
+            ctx.send(&from.instance, Payload::CallAnswer(refusal));
+            return;
+        }
+        ctx.effects.push(Effect::Forwarded(Box::new(ForwardedCall {
+            from: from.instance.clone(),
+            call: forward.call.clone(),
+            request: CallRequest {
+                workspace: WorkspaceId::from(forward.workspace.as_str()),
+                key: forward.key.clone(),
+                method: forward.method.clone(),
+                path: forward.path.clone(),
+                body: forward.body.clone(),
+            },
+            within: Millis(forward.deadline_ms),
+        })));
+    }
+
+    fn step(
+        &mut self,
+        ctx: &mut Context<'_>,
+        fold: &ClaimFold,
+        is_live: &dyn Fn(&NodeIncarnation) -> bool,
+        input: DeskInput,
+    ) {
+        let view = View { fold, is_live };
+        for output in self.desk.step(ctx.now, input, &view) {
+            self.carry_out(ctx, output);
+        }
+    }
+
+    fn carry_out(&mut self, ctx: &mut Context<'_>, output: DeskOutput) {
+        match output {
+            DeskOutput::Claim(claim) => self.claims.push(claim),
+            DeskOutput::Close(node) => {
+                self.closings.entry(node).or_insert(Millis(0));
+            }
+            DeskOutput::Send {
+                call,
+                ticket,
+                digest,
+                attempt,
+                send_by,
+            } => {
+                self.tell(
+                    ticket,
+                    CallStep::Send {
+                        call,
+                        digest,
+                        attempt,
+                        send_by,
+                    },
+                );
+            }
+            DeskOutput::Lookup {
+                call,
+                ticket,
+                digest,
+            } => {
+                self.tell(ticket, CallStep::Lookup { call, digest });
+            }
+            DeskOutput::Forward { ticket, to } => self.forward(ctx, ticket, &to),
+            DeskOutput::Answer { ticket, outcome } => {
+                self.tell(ticket, CallStep::Answer(outcome));
+                self.attempts.remove(&ticket);
+                self.forwarded.remove(&ticket);
+            }
+        }
+    }
+
+    fn tell(&self, ticket: Ticket, step: CallStep) {
+        if let Some(attempt) = self.attempts.get(&ticket) {
+            // The task outlives its caller, so it is there until it is answered.
+            let _ = attempt.steps.send(step);
+        }
+    }
+
+    fn forward(&mut self, ctx: &mut Context<'_>, ticket: Ticket, to: &NodeIncarnation) {
+        let Some(attempt) = self.attempts.get(&ticket) else {
+            return;
+        };
+        let message = wire::CallForward {
+            call: ticket.0.to_string(),
+            workspace: attempt.request.workspace.to_string(),
+            key: attempt.request.key.clone(),
+            method: attempt.request.method.clone(),
+            path: attempt.request.path.clone(),
+            headers: Vec::new(),
+            body: attempt.request.body.clone(),
+            deadline_ms: attempt.deadline.since(ctx.now).0,
+            incarnation: to.incarnation.0,
+        };
+        self.forwarded.insert(ticket, to.instance.clone());
+        ctx.send(&to.instance, Payload::CallForward(message));
+    }
+}
+
+fn answer_message(call: String, outcome: &Outcome) -> Payload {
+    let message = match outcome {
+        Outcome::Answered(answer) => wire::CallAnswer {
+            call,
+            status: u32::from(answer.status),
+            headers: vec![wire::Header {
+                name: "content-type".to_owned(),
+                value: Bytes::copy_from_slice(answer.content_type.as_bytes()),
+            }],
+            body: Bytes::copy_from_slice(&answer.body),
+            outcome: wire::CallOutcome::Answered as i32,
+            refused: false,
+        },
+        Outcome::NotRun { .. } | Outcome::Unknown(_) | Outcome::Conflict => wire::CallAnswer {
+            call,
+            outcome: match outcome {
+                Outcome::NotRun { .. } => wire::CallOutcome::NotRun as i32,
+                _ => wire::CallOutcome::Unknown as i32,
+            },
+            body: serde_json::to_vec(outcome).unwrap_or_default().into(),
+            ..wire::CallAnswer::default()
+        },
+    };
+    Payload::CallAnswer(message)
+}
+
+/// The outcome in a message; none when the other node did not take the call.
+fn read_answer(message: &wire::CallAnswer) -> Option<Outcome> {
+    if message.refused {
+        return None;
+    }
+    if message.outcome() != wire::CallOutcome::Answered {
+        return serde_json::from_slice(&message.body).ok();
+    }
+    let content_type = message
+        .headers
+        .iter()
+        .find(|header| header.name == "content-type")
+        .map(|header| String::from_utf8_lossy(&header.value).into_owned())
+        .unwrap_or_default();
+    Some(Outcome::Answered(std::sync::Arc::new(CallAnswer {
+        status: u16::try_from(message.status).unwrap_or(502),
+        content_type,
+        body: message.body.to_vec(),
+    })))
+}
--- a/crates/node/src/control/context.rs
+++ b/crates/node/src/control/context.rs
@@ -7,12 +7,13 @@
 use flamingolock_core::record::{Record, RecordId};
 use flamingolock_wire::message::Payload;
 
+use crate::control::calls::ForwardedCall;
 use crate::control::ledger::Stream;
 use crate::decisions::DecisionLog;
 use crate::view::{SharedView, View};
 
 /// Something for the I/O side to do.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug)]
 pub enum Effect {
     /// Send a message to another node.
     Send {
@@ -21,6 +22,8 @@
         /// The message.
         payload: Payload,
     },
+    /// Run a call that a peer handed on.
+    Forwarded(Box<ForwardedCall>),
     /// Append records to a stream of the log.
     Append {
         /// The stream.
--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -12,6 +12,8 @@
 use std::sync::Arc;
 
 use crossbeam::channel::Sender;
+use flamingolock_core::entry_token::FleetKeys;
+use flamingolock_core::record::NodeIncarnation;
 
 use crate::control::Event;
 use crate::decisions::DecisionLog;
@@ -30,6 +32,10 @@
     pub http: EndpointHttp,
     /// Way to the control thread.
     pub events: Sender<Event>,
+    /// This life of the node.
+    pub me: NodeIncarnation,
+    /// Keys that sign entry tokens.
+    pub keys: Arc<FleetKeys>,
     /// Where decisions are recorded.
     pub decisions: Arc<DecisionLog>,
 }
--- a/crates/node/src/filters/service_call.rs
+++ b/crates/node/src/filters/service_call.rs
@@ -1,101 +1,233 @@
 //! Calls of plain services.
 
 use bytes::Bytes;
+use flamingolock_core::call_key::{body_digest, service_call_id};
+use flamingolock_core::call_outcome::{NotRunReason, Outcome, UnknownReason};
+use flamingolock_core::entry_token::EntryToken;
 use flamingolock_core::prelude::*;
+use flamingolock_core::record::CallId;
 use flamingolock_core::rendezvous;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
 
 use crate::api::{Answer, ApiError, CallOutcome, ErrorKind, json_answer};
+use crate::call_task::{self, CallTarget};
+use crate::control::calls::CallRequest;
+use crate::control::now;
 use crate::endpoint_http::{Connection, EndpointError, EndpointHttp};
 use crate::filters::Traffic;
 use crate::filters::authenticate::authenticate;
-use crate::filters::classify::classify_call;
+use crate::filters::classify::{Classified, classify_call};
+use crate::filters::limit::enter;
+use crate::view::View;
 
 /// Header that carries the call id to the service and back.
 pub const CALL_ID_HEADER: &str = "x-call-id";
 
+/// Header with the caller's key.
+pub const KEY_HEADER: &str = "idempotency-key";
+
+/// A call as it arrived.
+pub struct Incoming {
+    /// Identifier of the request.
+    pub id: RequestId,
+    /// HTTP method.
+    pub method: Method,
+    /// Request kind and the rest of the path.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
 /// Serves `/v1/calls/{kind}[/rest]`.
 ///
 /// # Errors
 ///
 /// The final error of the call, with its outcome.
-pub async fn serve(
+pub async fn serve(traffic: &Traffic, incoming: Incoming) -> Result<Answer, ApiError> {
+    let view = traffic.view.load_full();
+    let workspace = authenticate(&view, &incoming.headers).map_err(not_run)?;
+    let _presence = enter(traffic, &workspace).await.map_err(not_run)?;
+    let name = incoming.path.split('/').next().unwrap_or_default();
+    let (classified, service) = classify_call(&view, &incoming.headers, name).map_err(not_run)?;
+    if classified.kind.repeatable {
+        return serve_repeatable(traffic, &view, &incoming, &classified, &service).await;
+    }
+    let key = match incoming.headers.get(KEY_HEADER) {
+        Some(value) => value.to_str().unwrap_or_default().to_owned(),
+        None => own_key(traffic)?,
+    };
+    let lookup = view
+        .manifest
+        .services
+        .get(&service)
+        .and_then(|s| s.lookup_path.clone());
+    let deadline = now() + classified.kind.deadline();
+    let target = CallTarget {
+        service,
+        lookup,
+        deadline,
+    };
+    let request = CallRequest {
+        workspace,
+        key,
+        method: incoming.method.to_string(),
+        path: incoming.path.clone(),
+        body: incoming.body.clone(),
+    };
+    let (call, outcome) = call_task::run(traffic, request, target, false).await?;
+    answer(&call, &incoming.body, outcome)
+}
+
+/// A key for a caller that sent none. It cannot repeat the call, but the call is
+/// still sent once at most.
+fn own_key(traffic: &Traffic) -> Result<String, ApiError> {
+    let token = EntryToken {
+        owner: traffic.me.clone(),
+        made_at: now(),
+        nonce: rand::random(),
+    };
+    let minted = traffic
+        .keys
+        .mint(&token)
+        .map_err(|error| not_run(ApiError::unavailable("no_token", error.to_string(), 1000)))?;
+    Ok(format!("e.{minted}.own"))
+}
+
+fn answer(call: &CallId, body: &[u8], outcome: Outcome) -> Result<Answer, ApiError> {
+    match outcome {
+        Outcome::Answered(answered) => {
+            let status = StatusCode::from_u16(answered.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            let mut answer = json_answer(status, answered.body.clone());
+            let headers = answer.headers_mut();
+            if let Ok(value) = HeaderValue::from_str(&answered.content_type) {
+                headers.insert(header::CONTENT_TYPE, value);
+            }
+            let label = HeaderValue::from_static(CallOutcome::Answered.label());
+            headers.insert("x-call-outcome", label);
+            let id = service_call_id(call, &body_digest(body));
+            if let Ok(value) = HeaderValue::from_str(&id) {
+                headers.insert(CALL_ID_HEADER, value);
+            }
+            Ok(answer)
+        }
+        Outcome::NotRun {
+            reason,
+            retry_after,
+        } => {
+            let wait = retry_after.map_or(1_000, |wait| wait.0);
+            let message = format!("the call did not run: {reason}");
+            Err(not_run(ApiError::unavailable(
+                not_run_code(reason),
+                message,
+                wait,
+            )))
+        }
+        Outcome::Unknown(reason) => {
+            let message = format!("nobody knows whether the call ran: {reason}");
+            let code = if reason == UnknownReason::Expired {
+                "key_expired"
+            } else {
+                "unknown"
+            };
+            let error = ApiError::new(StatusCode::BAD_GATEWAY, ErrorKind::Upstream, code, message);
+            Err(error.with_outcome(CallOutcome::Unknown))
+        }
+        Outcome::Conflict => {
+            let message = "another body came under this idempotency key before";
+            let error = ApiError::new(
+                StatusCode::CONFLICT,
+                ErrorKind::InvalidRequest,
+                "idempotency_conflict",
+                message,
+            );
+            Err(not_run(error))
+        }
+    }
+}
+
+fn not_run_code(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::Busy => "overloaded",
+        NotRunReason::Deadline => "deadline",
+        NotRunReason::LogDown => "log_down",
+        NotRunReason::ClaimVoid => "claim_void",
+        NotRunReason::OwnerClosed => "owner_closed",
+        NotRunReason::Unsent => "not_sent",
+    }
+}
+
+/// Serves a call that may be repeated: another instance is tried when one fails.
+async fn serve_repeatable(
     traffic: &Traffic,
-    request: RequestId,
-    method: Method,
-    path: &str,
-    headers: &HeaderMap,
-    body: Bytes,
+    view: &View,
+    incoming: &Incoming,
+    classified: &Classified,
+    service: &ServiceName,
 ) -> Result<Answer, ApiError> {
-    let view = traffic.view.load_full();
-    authenticate(&view, headers).map_err(not_run)?;
-    let name = path.split('/').next().unwrap_or_default();
-    let (classified, service) = classify_call(&view, headers, name).map_err(not_run)?;
-    let instances = view.service_instances(&service);
+    let instances = view.service_instances(service);
     let names = instances.iter().map(|listed| listed.name.as_str());
-    let key = rendezvous::key(request.as_str());
-    let chosen = rendezvous::top(key, names, 1).first().copied();
-    let Some(listed) = chosen.and_then(|name| view.instances.get(name)) else {
-        let message = format!("no instance of the service `{service}` is live");
-        return Err(not_run(ApiError::unavailable("no_endpoint", message, 1000)));
-    };
-    let address = listed.address.to_string();
+    let ranked = rendezvous::top(
+        rendezvous::key(incoming.id.as_str()),
+        names,
+        instances.len(),
+    );
+    let deadline = now() + classified.kind.deadline();
+    let mut last = ApiError::unavailable(
+        "no_endpoint",
+        format!("no instance of the service `{service}` is live"),
+        1000,
+    );
+    for name in ranked
+        .into_iter()
+        .filter_map(|name| view.instances.get(name))
+    {
+        let wait = deadline.since(now()).0;
+        if wait == 0 {
+            break;
+        }
+        match try_once(traffic, incoming, &name.address.to_string(), wait).await {
+            Ok(answer) => return Ok(answer),
+            Err(error) => last = ApiError::unavailable("endpoint_failed", error.to_string(), 1000),
+        }
+    }
+    Err(last)
+}
+
+async fn try_once(
+    traffic: &Traffic,
+    incoming: &Incoming,
+    address: &str,
+    wait: u64,
+) -> Result<Answer, EndpointError> {
     let outgoing = Request::builder()
-        .method(method)
-        .uri(format!("http://{address}/{path}"))
-        .header(CALL_ID_HEADER, request.as_str())
+        .method(incoming.method.clone())
+        .uri(format!("http://{address}/{}", incoming.path))
+        .header(CALL_ID_HEADER, incoming.id.as_str())
         .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(body))
-        .map_err(|error| not_run(ApiError::invalid("bad_path", error.to_string())))?;
-    let wait = classified.kind.deadline_ms;
-    let response = traffic
-        .http
-        .send(outgoing, Connection::Fresh, wait)
-        .await
-        .map_err(|error| failed(&error))?;
+        .body(Full::new(incoming.body.clone()))?;
+    let response = traffic.http.send(outgoing, Connection::Fresh, wait).await?;
     let status = response.status();
-    let matches = response
+    let named = response
         .headers()
         .get(CALL_ID_HEADER)
-        .is_some_and(|value| value.as_bytes() == request.as_str().as_bytes());
-    if !matches {
-        let message = "the service answered another call";
-        return Err(unknown(ApiError::new(
-            StatusCode::BAD_GATEWAY,
-            ErrorKind::Upstream,
-            "crossed_answer",
-            message,
-        )));
+        .map(HeaderValue::as_bytes);
+    if named != Some(incoming.id.as_str().as_bytes()) {
+        return Err(EndpointError::Body {
+            address: address.to_owned(),
+            source: "the answer belongs to another call".into(),
+        });
     }
-    let body = EndpointHttp::read(&address, response, wait)
-        .await
-        .map_err(|error| failed(&error))?;
+    let body = EndpointHttp::read(address, response, wait).await?;
     let mut answer = json_answer(status, body);
-    let label = HeaderValue::from_static(CallOutcome::Answered.label());
-    answer.headers_mut().insert("x-call-outcome", label);
-    if let Ok(id) = HeaderValue::from_str(request.as_str()) {
+    if let Ok(id) = HeaderValue::from_str(incoming.id.as_str()) {
         answer.headers_mut().insert(CALL_ID_HEADER, id);
     }
     Ok(answer)
 }
 
-fn failed(error: &EndpointError) -> ApiError {
-    if error.never_sent() {
-        return not_run(ApiError::unavailable("not_sent", error.to_string(), 1000));
-    }
-    unknown(ApiError::new(
-        StatusCode::BAD_GATEWAY,
-        ErrorKind::Upstream,
-        "outcome_unknown",
-        error.to_string(),
-    ))
-}
-
 fn not_run(error: ApiError) -> ApiError {
     error.with_outcome(CallOutcome::NotRun)
 }
-
-fn unknown(error: ApiError) -> ApiError {
-    error.with_outcome(CallOutcome::Unknown)
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! thread over channels, or read the view that it publishes.
 
 pub mod api;
+pub mod call_task;
 pub mod control;
 pub mod decisions;
 pub mod endpoint_http;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use flamingolock_core::entry_token::{FleetKeys, TokenError};
 use flamingolock_core::prelude::*;
+use flamingolock_core::record::NodeIncarnation;
 use flamingolock_wire::handshake::{FleetKey, Identity, KeyTooShort};
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -13,6 +15,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
+use crate::call_task;
 use crate::control::ledger::LogCursors;
 use crate::control::{self, ControlHandle, Event, Wiring};
 use crate::decisions::DecisionLog;
@@ -41,6 +44,9 @@
     /// The fleet key protects nothing.
     #[error("fleet.key: {0}; set a longer one")]
     Key(#[from] KeyTooShort),
+    /// The fleet key cannot sign tokens.
+    #[error("fleet.key: {0}; set a longer one")]
+    Token(#[from] TokenError),
     /// The system gives no further thread.
     #[error("cannot start a thread: {0}")]
     Thread(#[from] std::io::Error),
@@ -79,6 +85,7 @@
         let decisions = Arc::new(DecisionLog::new(settings.node.name.clone()));
         let incarnation = Incarnation(control::now().0);
         let (peers, commands) = mpsc::unbounded_channel();
+        let (forwarded, forwarded_calls) = mpsc::unbounded_channel();
         let (appends, jobs) = crossbeam::channel::unbounded();
         let cursors = Arc::new(LogCursors::default());
         let control = ControlHandle::start(
@@ -88,6 +95,7 @@
             Arc::clone(&decisions),
             Wiring {
                 peers,
+                forwarded,
                 appends,
                 cursors: Arc::clone(&cursors),
             },
@@ -112,9 +120,17 @@
             view: Arc::clone(&view),
             http: http.clone(),
             events: control.events.clone(),
+            me: NodeIncarnation {
+                instance: settings.node.name.clone(),
+                incarnation,
+            },
+            keys: Arc::new(FleetKeys::new(vec![
+                settings.fleet.key.clone().into_bytes(),
+            ])?),
             decisions,
         };
         let (stop, stopping) = watch::channel(false);
+        runtime.spawn(call_task::serve_forwarded(traffic.clone(), forwarded_calls));
         let server = runtime.spawn(server::serve(listener, traffic, stopping));
         runtime.spawn(poll_engines(
             Arc::clone(&view),
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use flamingolock_core::entry_token::EntryToken;
 use flamingolock_core::prelude::*;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -16,6 +17,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::api::{Answer, ApiError, ErrorKind, json_answer};
+use crate::control::now;
 use crate::filters::{Traffic, completion, service_call};
 use crate::relay::Shape;
 
@@ -110,7 +112,14 @@
                 return Err(no_such_path(path));
             };
             let body = read_body(traffic, &parts.headers, body).await?;
-            service_call::serve(traffic, id, method.clone(), rest, &parts.headers, body).await
+            let incoming = service_call::Incoming {
+                id,
+                method: method.clone(),
+                path: rest.to_owned(),
+                headers: parts.headers.clone(),
+                body,
+            };
+            service_call::serve(traffic, incoming).await
         }
         (_, path) => Err(no_such_path(path)),
     }
@@ -171,7 +180,13 @@
         .map(|listed| listed.address)
         .collect();
     let lifetime = traffic.settings.timing.entries_ms;
-    let body = serde_json::json!({ "entries": entries, "lifetime_ms": lifetime });
+    let token = EntryToken {
+        owner: traffic.me.clone(),
+        made_at: now(),
+        nonce: rand::random(),
+    };
+    let token = traffic.keys.mint(&token).ok();
+    let body = serde_json::json!({ "entries": entries, "lifetime_ms": lifetime, "token": token });
     json_answer(StatusCode::OK, body.to_string())
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -596,6 +596,9 @@
     /// Time left until the call's deadline.
     #[prost(uint64, tag = "8")]
     pub deadline_ms: u64,
+    /// Incarnation of the receiver that the call is meant for.
+    #[prost(uint64, tag = "9")]
+    pub incarnation: u64,
 }
 
 /// One HTTP header.
@@ -627,6 +630,10 @@
     /// What became of the call.
     #[prost(enumeration = "CallOutcome", tag = "5")]
     pub outcome: i32,
+    /// True when the sender did not take the call, because it was meant for another
+    /// incarnation.
+    #[prost(bool, tag = "6")]
+    pub refused: bool,
 }
 
 /// What became of a call.
--- a/crates/wire/tests/test_codec.rs
+++ b/crates/wire/tests/test_codec.rs
@@ -122,6 +122,7 @@
                 }],
                 body: Bytes::from(body),
                 outcome,
+                refused: status % 2 == 0,
             })
         })
 }
