node: go on when homes disagree about who is home

Ruled out: engines without status (all answered). Nodes read the instance list at different times and so shared out homes differently; a home that was not one refused, and the request ran out of candidates. A request now uses the node's own reserve there, and draws a new shortlist before it gives up.

--- a/crates/node/src/control/admission.rs
+++ b/crates/node/src/control/admission.rs
@@ -6,7 +6,7 @@
 use flamingolock_core::home_message::{Ask, ProbeAnswer, Prompt};
 use flamingolock_core::levels;
 use flamingolock_core::permit::EntryRef;
-use flamingolock_core::prefix_tree::PrefixTree;
+use flamingolock_core::prefix_tree::{HeatLevel, PrefixTree};
 use flamingolock_core::prelude::*;
 use flamingolock_core::shortlist::Candidate;
 
@@ -58,6 +58,8 @@
     pub stage: Stage,
     /// Rounds of choosing so far.
     pub rounds: u32,
+    /// Levels of the prompt with their heat.
+    pub heat: Vec<HeatLevel>,
     /// Levels of the prompt by the weights that engines serve.
     pub prompts: Prompts,
 }
@@ -98,7 +100,7 @@
         weights: &WeightsVersion,
         cost_ms: f64,
         now: Millis,
-    ) -> Vec<flamingolock_core::prefix_tree::HeatLevel> {
+    ) -> Vec<HeatLevel> {
         let seed = PrefixSeed::new(&ask.workspace, &ask.model, weights, None);
         let chain = PrefixChain::new(seed, &ask.prompt);
         let heat = tree.record(&chain, cost_ms, now);
--- a/crates/node/src/control/router.rs
+++ b/crates/node/src/control/router.rs
@@ -66,6 +66,10 @@
         ticket: Ticket,
         from: InstanceId,
     },
+    NotHome {
+        ticket: Ticket,
+        engine: EngineId,
+    },
     Grant {
         ticket: Ticket,
         engine: EngineId,
@@ -170,6 +174,7 @@
                 until: ctx.now + Millis(self.timing.probe_ms),
             },
             rounds: 0,
+            heat,
             prompts,
         };
         self.waiting.insert(ticket, waiting);
@@ -500,14 +505,22 @@
                 }
             }
             Payload::PermitRefuse(refusal) => {
-                if let Ok(number) = refusal.request.parse() {
-                    self.to_entry.push_back(ToEntry::Refuse {
-                        ticket: Ticket(number),
-                        engine: EngineId::from(refusal.engine.as_str()),
-                        reason: messages::read_reason(refusal.reason),
-                        retry_after: Millis(refusal.retry_after_ms),
-                    });
+                let Ok(number) = refusal.request.parse() else {
+                    return;
+                };
+                let ticket = Ticket(number);
+                let engine = EngineId::from(refusal.engine.as_str());
+                // The other node shares out homes by an older or newer list.
+                if refusal.reason() == wire::RefuseReason::NotHome {
+                    self.to_entry.push_back(ToEntry::NotHome { ticket, engine });
+                    return;
                 }
+                self.to_entry.push_back(ToEntry::Refuse {
+                    ticket,
+                    engine,
+                    reason: messages::read_reason(refusal.reason),
+                    retry_after: Millis(refusal.retry_after_ms),
+                });
             }
             _ => {}
         }
@@ -808,13 +821,31 @@
             .candidates
             .retain(|candidate| candidate.engine != *failed);
         waiting.rounds += 1;
-        let next = waiting.scored.first().map(|scored| scored.engine.clone());
-        match next {
-            Some(engine) if waiting.rounds < MAX_ROUNDS => self.ask_home(ctx, ticket, &engine),
-            _ => self.refuse(ctx, ticket, code, retry_after),
+        if waiting.rounds >= MAX_ROUNDS {
+            self.refuse(ctx, ticket, code, retry_after);
+            return;
+        }
+        match waiting.scored.first().map(|scored| scored.engine.clone()) {
+            Some(engine) => self.ask_home(ctx, ticket, &engine),
+            None => self.start_over(ctx, ticket),
         }
     }
 
+    /// Draws a new shortlist: what is known of the engines has changed meanwhile.
+    fn start_over(&mut self, ctx: &mut Context<'_>, ticket: Ticket) {
+        let Some(mut waiting) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        let heat = waiting.heat.clone();
+        waiting.candidates = self.candidates(&waiting.ask, &heat, waiting.price, ctx.now);
+        waiting.answers.clear();
+        waiting.stage = Stage::Probing {
+            until: ctx.now + Millis(self.timing.probe_ms),
+        };
+        self.waiting.insert(ticket, waiting);
+        self.begin_round(ctx, ticket);
+    }
+
     /// Withdraws what a home was asked for.
     fn take_back(&mut self, ctx: &mut Context<'_>, ticket: Ticket) {
         let Some(Stage::Asked { engine, home, .. }) = self
@@ -868,6 +899,11 @@
                 } => {
                     self.probed(ctx, ticket, engine, answer);
                 }
+                ToEntry::NotHome { ticket, engine } => {
+                    if self.has_asked(ticket, &engine) {
+                        self.use_reserve(ctx, ticket, &engine);
+                    }
+                }
                 ToEntry::Queued { ticket, from } => self.queued(ticket, &from),
                 ToEntry::Grant {
                     ticket,
@@ -927,9 +963,7 @@
         permit: PermitId,
         incarnation: Incarnation,
     ) {
-        let expected = self.waiting.get(&ticket).is_some_and(
-            |waiting| matches!(&waiting.stage, Stage::Asked { engine: asked, .. } if asked == engine),
-        );
+        let expected = self.has_asked(ticket, engine);
         let known = self
             .engines
             .get(engine)
@@ -953,9 +987,7 @@
         reason: Reason,
         retry_after: Millis,
     ) {
-        let asked = self.waiting.get(&ticket).is_some_and(
-            |waiting| matches!(&waiting.stage, Stage::Asked { engine: asked, .. } if asked == engine),
-        );
+        let asked = self.has_asked(ticket, engine);
         if !asked {
             return;
         }
@@ -968,6 +1000,13 @@
         }
     }
 
+    /// True while the request waits for a permit on `engine`.
+    fn has_asked(&self, ticket: Ticket, engine: &EngineId) -> bool {
+        self.waiting.get(&ticket).is_some_and(
+            |waiting| matches!(&waiting.stage, Stage::Asked { engine: asked, .. } if asked == engine),
+        )
+    }
+
     /// Gives the request its permit.
     fn grant_own(
         &mut self,
