--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -13,7 +13,7 @@
 
 use crate::engine_http::handle;
 use crate::engine_state::Engine;
-use crate::error::StandinError;
+use crate::error::{StandinError, check_options, is_positive};
 use crate::oracle::{FleetOracle, OracleReport};
 pub use crate::orders::{Order, OrderRecord, OrderRequest, Role};
 use crate::server::{Connections, Server, lock};
@@ -103,18 +103,19 @@
 
 impl EngineOptions {
     fn check(&self) -> Result<(), StandinError> {
-        let positive = |number: f64| number.is_finite() && number > 0.0;
-        let checks = [
+        check_options(&[
             ("slots", self.slots > 0),
-            ("prefill_tokens_per_s", positive(self.prefill_tokens_per_s)),
-            ("decode_ms", positive(self.decode_ms)),
-            ("block_ms", self.block_ms == 0.0 || positive(self.block_ms)),
+            (
+                "prefill_tokens_per_s",
+                is_positive(self.prefill_tokens_per_s),
+            ),
+            ("decode_ms", is_positive(self.decode_ms)),
+            (
+                "block_ms",
+                self.block_ms == 0.0 || is_positive(self.block_ms),
+            ),
             ("event_gap", (0.0..=1.0).contains(&self.event_gap)),
-        ];
-        match checks.into_iter().find(|(_, fits)| !fits) {
-            Some((name, _)) => Err(StandinError::Option { name }),
-            None => Ok(()),
-        }
+        ])
     }
 }
 
--- a/crates/standins/src/engine_state.rs
+++ b/crates/standins/src/engine_state.rs
@@ -1,7 +1,7 @@
 //! The state of an engine and what requests, faults and orders do to it.
 
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use flamingolock_core::prelude::*;
 use serde_json::{Value, json};
@@ -10,6 +10,7 @@
 
 use crate::batch::{Batch, BatchLimits, Job, Phase, Prefill, Progress, StreamKey};
 use crate::cache::PrefixCache;
+use crate::clock::unix_now;
 use crate::engine::EngineOptions;
 use crate::events::{EventLimits, EventLog, EventPage};
 use crate::memory::Memory;
@@ -74,7 +75,7 @@
             events: EventLog::new(event_limits, options.seed),
             report: OracleReport::default(),
             fleet: options.fleet.clone().unwrap_or_default(),
-            incarnation: Incarnation(unix_millis()),
+            incarnation: Incarnation(unix_now().0),
             weights: options.weights.clone(),
         };
         let state = State {
@@ -199,7 +200,7 @@
         }
         state.frozen_until = None;
         let next = state.memory.incarnation.0 + 1;
-        state.memory.incarnation = Incarnation(unix_millis().max(next));
+        state.memory.incarnation = Incarnation(unix_now().0.max(next));
         drop(state);
         let downtime = Duration::from_millis(self.options.cold_start_ms);
         self.connections.cut_for(downtime);
@@ -330,11 +331,6 @@
     }
 }
 
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.unwrap_or_default().as_millis() as u64
-}
-
 fn count_end(report: &mut OracleReport, phase: Phase) {
     match phase {
         Phase::Running => {}
--- a/crates/standins/src/error.rs
+++ b/crates/standins/src/error.rs
@@ -23,3 +23,16 @@
         name: &'static str,
     },
 }
+
+/// Fails with the first option whose check does not hold.
+pub(crate) fn check_options(checks: &[(&'static str, bool)]) -> Result<(), StandinError> {
+    match checks.iter().find(|(_, holds)| !holds) {
+        Some((name, _)) => Err(StandinError::Option { name }),
+        None => Ok(()),
+    }
+}
+
+/// Whether a rate or span is usable as a divisor.
+pub(crate) fn is_positive(number: f64) -> bool {
+    number.is_finite() && number > 0.0
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 mod batch;
 mod cache;
 mod client;
+mod clock;
 pub mod engine;
 mod engine_http;
 mod engine_sse;
--- a/crates/standins/src/log_service.rs
+++ b/crates/standins/src/log_service.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use flamingolock_core::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
+use crate::clock::unix_now;
 use crate::log_stream::{LogRecord, LogStream, NewRecord, ReadOutcome};
 use crate::rate_limit::RateLimit;
 use crate::server::lock;
@@ -195,12 +196,6 @@
     }
 }
 
-/// The time of day, as the log stamps records.
-fn unix_now() -> Millis {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    Millis(since.unwrap_or_default().as_millis() as u64)
-}
-
 /// A time to wait from now.
 pub(crate) fn wait_until(wait_ms: u64) -> Instant {
     Instant::now() + Duration::from_millis(wait_ms)
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::error::StandinError;
+use crate::error::{StandinError, check_options, is_positive};
 use crate::instances::InstanceList;
 pub use crate::instances::{Instance, InstanceKind, InstanceState};
 pub use crate::log_service::LogReport;
@@ -76,19 +76,14 @@
 
 impl PlatformOptions {
     fn check(&self) -> Result<(), StandinError> {
-        let positive = |number: f64| number.is_finite() && number > 0.0;
-        let checks = [
-            ("appends_per_s", positive(self.appends_per_s)),
-            ("records_per_s", positive(self.records_per_s)),
+        check_options(&[
+            ("appends_per_s", is_positive(self.appends_per_s)),
+            ("records_per_s", is_positive(self.records_per_s)),
             (
                 "lose_probability",
                 (0.0..=1.0).contains(&self.lose_probability),
             ),
-        ];
-        match checks.into_iter().find(|(_, fits)| !fits) {
-            Some((name, _)) => Err(StandinError::Option { name }),
-            None => Ok(()),
-        }
+        ])
     }
 }
 
--- a/crates/standins/tests/test_engine_faults.rs
+++ b/crates/standins/tests/test_engine_faults.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use common::{Events, Kept, LOOPBACK, call, complete, completion, eventually, get, post, salt};
+use common::{Events, Kept, LOOPBACK, complete, completion, eventually, get, post, salt};
 use flamingolock_core::prelude::*;
 use flamingolock_standins::engine::{self, EngineOptions, Handle};
 use flamingolock_standins::platform::{self, PlatformOptions};
@@ -61,12 +61,12 @@
 }
 
 #[test]
-fn frozen_engine_accepts_connections_and_answers_later() {
+fn frozen_engine_accepts_connections_but_neither_answers_nor_computes() {
     let runtime = Runtime::new().unwrap();
     let handle = start(&runtime, EngineOptions::default());
-    let mut stream = Events::start(handle.addr(), "r1", "a survey", 1000);
-    stream.next().unwrap();
     let begin = Instant::now();
+    let mut stream = Events::start(handle.addr(), "r1", "a survey", 60);
+    stream.next().unwrap();
     handle.freeze(Duration::from_millis(700));
     let mut kept = Kept::open(handle.addr());
     kept.send("/v1/status");
@@ -74,9 +74,26 @@
     get(handle.addr(), "/v1/status");
     let frozen = begin.elapsed();
     assert!(frozen >= Duration::from_millis(700), "{frozen:?}");
-    drop(stream);
-    let (status, _) = call("DELETE", handle.addr(), "/v1/streams/r1", &Value::Null);
-    assert_eq!(status, 204);
+    assert_eq!(stream.rest().last().unwrap(), "[DONE]");
+    let whole = begin.elapsed();
+    assert!(whole >= Duration::from_millis(1250), "{whole:?}");
+}
+
+#[test]
+fn crash_may_bring_back_the_weights_of_the_start() {
+    let runtime = Runtime::new().unwrap();
+    for forgets in [true, false] {
+        let options = EngineOptions {
+            forgets_weights: forgets,
+            load_ms: 1,
+            ..EngineOptions::default()
+        };
+        let handle = start(&runtime, options);
+        assert_eq!(order(handle.addr(), 1, &load("w2")).0, 200);
+        handle.crash();
+        let expected = if forgets { "w1" } else { "w2" };
+        assert_eq!(handle.weights().as_str(), expected);
+    }
 }
 
 #[test]
