standins: keep the port of a crashed server reserved

While a crashed stand-in refused connections its port was free, and a listener of another process took it: the caller then reached a stranger. Seen once in 12 runs of the service tests, 24 test processes at once (crash_refuses_connections_for_a_time: answer without x-call-id). The server now holds the port with a bound socket that does not listen, which refuses connections as before.

--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::runtime::Handle;
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
@@ -25,6 +25,9 @@
 /// Pause between attempts to bind the address again after a crash.
 const REBIND_PAUSE: Duration = Duration::from_millis(5);
 
+/// Connections that wait to be accepted after a crash.
+const BACKLOG: u32 = 1024;
+
 /// Locks a mutex whose data stays valid even if a holder panicked.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -256,11 +259,7 @@
         let downtime = lock(&connections.state).downtime.take();
         if let Some(downtime) = downtime {
             drop(listener);
-            tokio::select! {
-                () = connections.stop.cancelled() => return,
-                () = sleep(downtime) => {}
-            }
-            let Some(bound) = rebind(addr, &connections.stop).await else {
+            let Some(bound) = go_down(addr, downtime, &connections.stop).await else {
                 return;
             };
             listener = bound;
@@ -278,16 +277,42 @@
     }
 }
 
-async fn rebind(addr: SocketAddr, stop: &CancellationToken) -> Option<TcpListener> {
+/// Refuses connections for `downtime`, then listens again; none when the server
+/// stops meanwhile.
+async fn go_down(
+    addr: SocketAddr,
+    downtime: Duration,
+    stop: &CancellationToken,
+) -> Option<TcpListener> {
+    let up = Instant::now() + downtime;
     while !stop.is_cancelled() {
-        if let Ok(listener) = TcpListener::bind(addr).await {
-            return Some(listener);
+        // A bound socket that does not listen refuses connections and keeps the
+        // port from going to another process.
+        if let Ok(reserved) = reserve(addr) {
+            tokio::select! {
+                () = stop.cancelled() => return None,
+                () = sleep_until(up) => {}
+            }
+            if let Ok(listener) = reserved.listen(BACKLOG) {
+                return Some(listener);
+            }
         }
         sleep(REBIND_PAUSE).await;
     }
     None
 }
 
+fn reserve(addr: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // Connections of the last listener may linger on the port.
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    Ok(socket)
+}
+
 fn spawn_connection<H, F>(
     tcp: TcpStream,
     cut: CancellationToken,
