wire, membership: convert messages, bound relays, measure traffic

A node that hears a state which it already relays now counts that as a relay, and news keeps its order in a set: before, each heartbeat sorted all news, and a fleet of 340 relayed its incarnations for minutes after a common start. The neighbours and the accusations of a node move to their own modules.

Not reached in a trial: equal digests within 120 s after a common start of 340.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! decision takes its state, an input, the current time and, where chance is
 //! involved, a seed, and returns a value that says what to do next.
 
+pub mod accusations;
 pub mod drain;
 pub mod entries;
 pub mod heartbeat;
@@ -11,6 +12,7 @@
 pub mod manifest;
 pub mod members;
 pub mod membership;
+pub mod neighbours;
 pub mod news;
 pub mod prefix;
 pub mod prelude;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -8,8 +8,10 @@
 
 use std::collections::BTreeMap;
 
+use crate::accusations::Accusations;
 pub use crate::heartbeat::{Heartbeat, Input, Output};
 use crate::members::{Class, Instance, Member, MemberState, Report, Standing, Transition};
+use crate::neighbours::Neighbours;
 use crate::news::{MAX_REPORTS, News};
 use crate::prelude::*;
 use crate::rendezvous;
@@ -18,9 +20,6 @@
 /// Time between heartbeats to one neighbour.
 pub const HEARTBEAT_EVERY: Millis = Millis(1000);
 
-/// Silence after which a fresh connection is tried.
-pub const SILENT_AFTER: Millis = Millis(2500);
-
 /// Time after which an unreported attempt at a fresh connection is made again. The
 /// caller's own timeout has to be shorter.
 pub const FRESH_LIMIT: Millis = Millis(3000);
@@ -31,9 +30,6 @@
 /// Least time between two bursts of urgent heartbeats.
 pub const URGENT_GAP: Millis = Millis(500);
 
-/// Most disputed instances that are tried at a time.
-const MAX_DISPUTED: usize = 4;
-
 /// Time between two inputs after which this node assumes that it was paused itself
 /// and that the silence of others means nothing.
 pub const PAUSED_AFTER: Millis = Millis(2000);
@@ -41,23 +37,19 @@
 /// Time between requests for the instances that a peer knows.
 pub const ASK_EVERY: Millis = Millis(5000);
 
-/// State of the exchange with one neighbour.
-#[derive(Clone, Copy, Debug, Default)]
-struct Neighbour {
-    /// When the first heartbeat without an answer was sent.
-    asked: Option<Millis>,
-    /// The neighbour's last digest.
-    digest: Option<u64>,
-}
-
-/// A suspicion that this node raised.
+/// Why a heartbeat is sent.
 #[derive(Clone, Copy, Debug)]
-struct Accusation {
-    state: MemberState,
-    /// True once the instance has refuted it, while this node still cannot reach
-    /// it: then only the way between the two is known to be broken, and another
-    /// node is asked before the suspicion is raised again.
-    refuted: bool,
+enum Reason<'a> {
+    /// The regular one to a neighbour.
+    Regular,
+    /// To a neighbour, at once.
+    Urgent,
+    /// On a fresh connection.
+    Greeting,
+    /// Answer to a peer with this digest.
+    Answer(u64),
+    /// Request to try to reach another instance.
+    Check(&'a InstanceId),
 }
 
 /// Membership as one node sees it.
@@ -65,9 +57,9 @@
 pub struct Membership {
     me: InstanceId,
     view: View,
-    neighbours: BTreeMap<InstanceId, Neighbour>,
+    neighbours: Neighbours,
     fresh: BTreeMap<InstanceId, Millis>,
-    accused: BTreeMap<InstanceId, Accusation>,
+    accusations: Accusations,
     news: News,
     urgent: bool,
     last_input: Millis,
@@ -90,9 +82,9 @@
         let mut this = Self {
             me: me.name.clone(),
             view: View::new(&me.name),
-            neighbours: BTreeMap::new(),
+            neighbours: Neighbours::default(),
             fresh: BTreeMap::new(),
-            accused: BTreeMap::new(),
+            accusations: Accusations::default(),
             news: News::new(&me.name),
             urgent: false,
             last_input: now,
@@ -115,7 +107,7 @@
         this.edit(&name, now, |member| {
             member.merge(state);
         });
-        this.news.add(&name);
+        this.news.add(&name, Standing::Live);
         this.outputs.clear();
         this
     }
@@ -147,9 +139,7 @@
     fn notice_pause(&mut self, now: Millis) {
         if now.since(self.last_input) >= PAUSED_AFTER {
             self.fresh.clear();
-            for neighbour in self.neighbours.values_mut() {
-                neighbour.asked = None;
-            }
+            self.neighbours.restart_clocks();
         }
         self.last_input = self.last_input.max(now);
     }
@@ -169,7 +159,7 @@
             if name != self.me {
                 self.edit(&name, now, |member| member.row = None);
                 self.news.remove(&name);
-                self.accused.remove(&name);
+                self.accusations.drop_for(&name);
             }
         }
         self.view.forget_old(now);
@@ -188,9 +178,7 @@
         if *peer == self.me || !self.hear(peer, heartbeat.state, now) {
             return;
         }
-        if let Some(neighbour) = self.neighbours.get_mut(peer) {
-            neighbour.digest = Some(heartbeat.digest);
-        }
+        self.neighbours.set_digest(peer, heartbeat.digest);
         for report in heartbeat.reports.iter().take(MAX_REPORTS) {
             self.learn(report, now);
         }
@@ -198,8 +186,7 @@
             self.open_fresh(other, now);
         }
         if heartbeat.wants_answer {
-            let differs = heartbeat.digest != self.view.members().digest();
-            self.send(peer, false, differs, None);
+            self.send(peer, Reason::Answer(heartbeat.digest));
         }
     }
 
@@ -226,7 +213,7 @@
         };
         if *peer != self.me && self.hear(peer, state, now) {
             // Carries what is held against the peer, so that it can refute it.
-            self.send(peer, true, false, None);
+            self.send(peer, Reason::Greeting);
         }
     }
 
@@ -243,10 +230,8 @@
         };
         self.learn(&report, now);
         self.fresh.remove(peer);
-        self.accused.remove(peer);
-        if let Some(neighbour) = self.neighbours.get_mut(peer) {
-            neighbour.asked = None;
-        }
+        self.accusations.drop_for(peer);
+        self.neighbours.hear(peer);
         if !self.has_list && now >= self.next_ask {
             self.next_ask = now + ASK_EVERY;
             self.outputs.push(Output::AskInstances(peer.clone()));
@@ -269,29 +254,19 @@
         if state.standing == Standing::Leaving {
             return;
         }
-        if self.is_disputed(peer) {
+        if self.accusations.is_disputed(peer) {
             self.ask_second_opinion(peer);
             return;
         }
         state.standing = Standing::Suspected;
-        let accusation = Accusation {
-            state,
-            refuted: false,
-        };
-        self.accused.insert(peer.clone(), accusation);
         let report = Report {
             instance: peer.clone(),
             state,
         };
+        self.accusations.raise(&report);
         self.learn(&report, now);
     }
 
-    fn is_disputed(&self, peer: &InstanceId) -> bool {
-        self.accused
-            .get(peer)
-            .is_some_and(|accusation| accusation.refuted)
-    }
-
     /// Asks one live node after another to try the instance for itself.
     fn ask_second_opinion(&mut self, peer: &InstanceId) {
         let Some(witness) = self.view.live_after(&self.check_cursor, &[&self.me, peer]) else {
@@ -299,7 +274,7 @@
         };
         let witness = witness.clone();
         self.check_cursor = witness.clone();
-        self.send(&witness, false, false, Some(peer));
+        self.send(&witness, Reason::Check(peer));
     }
 
     fn learn(&mut self, report: &Report, now: Millis) {
@@ -310,24 +285,21 @@
         let Some(member) = self.view.members().get(&report.instance) else {
             return;
         };
-        let before = member.state;
-        if report.state <= before {
+        if member.state == report.state {
+            self.news.count(&report.instance);
             return;
         }
+        let before = member.state.standing;
+        let mut newer = false;
         self.edit(&report.instance, now, |member| {
-            member.merge(report.state);
+            newer = member.merge(report.state);
         });
-        self.news.add(&report.instance);
-        self.urgent |= before.standing != report.state.standing;
-        self.note_refutation(report, now);
-    }
-
-    fn note_refutation(&mut self, report: &Report, now: Millis) {
-        let Some(accusation) = self.accused.get_mut(&report.instance) else {
+        if !newer {
             return;
-        };
-        if report.state > accusation.state && !accusation.refuted {
-            accusation.refuted = true;
+        }
+        self.news.add(&report.instance, report.state.standing);
+        self.urgent |= before != report.state.standing;
+        if self.accusations.refuted_by(report) {
             self.open_fresh(&report.instance, now);
         }
     }
@@ -344,7 +316,7 @@
             let counter = heard.counter.saturating_add(1);
             self.edit(&me, now, |member| member.state.counter = counter);
         }
-        self.news.add(&me);
+        self.news.add(&me, own.standing);
         self.urgent |= heard.standing == Standing::Suspected;
     }
 
@@ -353,7 +325,7 @@
         self.edit(&me, now, |member| {
             member.state.standing = Standing::Leaving;
         });
-        self.news.add(&me);
+        self.news.add(&me, Standing::Leaving);
         self.urgent = true;
         self.last_burst = Millis(0);
     }
@@ -361,7 +333,7 @@
     fn tick(&mut self, now: Millis) {
         self.fresh
             .retain(|_, started| now.since(*started) < FRESH_LIMIT);
-        for name in self.silent_neighbours(now) {
+        for name in self.neighbours.silent(now) {
             self.open_fresh(&name, now);
         }
         if now >= self.next_retry {
@@ -370,23 +342,10 @@
         }
         if now >= self.next_beat {
             self.next_beat = now + HEARTBEAT_EVERY;
-            self.send_all(true, now);
+            self.send_all(Reason::Regular, now);
         }
     }
 
-    fn silent_neighbours(&self, now: Millis) -> Vec<InstanceId> {
-        let silent = |neighbour: &Neighbour| {
-            neighbour
-                .asked
-                .is_some_and(|asked| now.since(asked) >= SILENT_AFTER)
-        };
-        self.neighbours
-            .iter()
-            .filter(|(_, neighbour)| silent(neighbour))
-            .map(|(name, _)| name.clone())
-            .collect()
-    }
-
     /// Tries one suspected instance after another, since after a partition the two
     /// sides watch nobody of the other side, and all disputed ones.
     fn retry_suspected(&mut self, now: Millis) {
@@ -394,14 +353,7 @@
             self.retry_cursor = name.clone();
             self.open_fresh(&name, now);
         }
-        let disputed: Vec<InstanceId> = self
-            .accused
-            .iter()
-            .filter(|(_, accusation)| accusation.refuted)
-            .map(|(name, _)| name.clone())
-            .take(MAX_DISPUTED)
-            .collect();
-        for name in disputed {
+        for name in self.accusations.disputed() {
             self.open_fresh(&name, now);
         }
     }
@@ -422,39 +374,37 @@
         if self.urgent && now.since(self.last_burst) >= URGENT_GAP {
             self.urgent = false;
             self.last_burst = now;
-            self.send_all(false, now);
+            self.send_all(Reason::Urgent, now);
         }
     }
 
-    fn send_all(&mut self, wants_answer: bool, now: Millis) {
-        let names: Vec<InstanceId> = self.neighbours.keys().cloned().collect();
+    fn send_all(&mut self, reason: Reason<'_>, now: Millis) {
+        let names: Vec<InstanceId> = self.neighbours.names().cloned().collect();
         for name in names {
-            let Some(neighbour) = self.neighbours.get_mut(&name) else {
-                continue;
-            };
-            if wants_answer {
-                neighbour.asked.get_or_insert(now);
+            if matches!(reason, Reason::Regular) {
+                self.neighbours.ask(&name, now);
             }
-            let digest = neighbour.digest;
-            let differs = digest.is_some_and(|digest| digest != self.view.members().digest());
-            self.send(&name, wants_answer, differs, None);
+            self.send(&name, reason);
         }
     }
 
-    fn send(
-        &mut self,
-        to: &InstanceId,
-        wants_answer: bool,
-        differs: bool,
-        check: Option<&InstanceId>,
-    ) {
+    fn send(&mut self, to: &InstanceId, reason: Reason<'_>) {
         let members = self.view.members();
+        let digest = members.digest();
+        let theirs = match reason {
+            Reason::Answer(theirs) => Some(theirs),
+            _ => self.neighbours.digest(to),
+        };
+        let differs = theirs.is_some_and(|theirs| theirs != digest);
         let heartbeat = Heartbeat {
             state: self.own_state(),
-            digest: members.digest(),
+            digest,
             reports: self.news.reports(members, to, differs),
-            wants_answer,
-            check: check.cloned(),
+            wants_answer: matches!(reason, Reason::Regular | Reason::Greeting),
+            check: match reason {
+                Reason::Check(other) => Some(other.clone()),
+                _ => None,
+            },
         };
         self.outputs.push(Output::SendHeartbeat {
             to: to.clone(),
@@ -485,20 +435,7 @@
         } else if transition.before == Class::Suspected {
             self.outputs.push(Output::Clear(name.clone()));
         }
-        self.choose_neighbours();
-    }
-
-    fn choose_neighbours(&mut self) {
-        let mut old = std::mem::take(&mut self.neighbours);
-        self.neighbours = self
-            .view
-            .neighbours()
-            .into_iter()
-            .map(|name| {
-                let neighbour = old.remove(&name).unwrap_or_default();
-                (name, neighbour)
-            })
-            .collect();
+        self.neighbours.choose(self.view.neighbours());
     }
 
     fn own_state(&self) -> MemberState {
@@ -512,6 +449,6 @@
 
     /// The peers that this node sends heartbeats to.
     pub fn neighbours(&self) -> impl Iterator<Item = &InstanceId> {
-        self.neighbours.keys()
+        self.neighbours.names()
     }
 }
--- a/crates/core/src/news.rs
+++ b/crates/core/src/news.rs
@@ -1,9 +1,10 @@
 //! Which reports a node still has to relay.
 //!
-//! A changed state is relayed a fixed number of times. Suspicions and shutdowns go
+//! A changed state is relayed a fixed number of times, less those in which a peer
+//! relays the same first. Suspicions and shutdowns go
 //! before anything else, and what was relayed least goes first.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::members::{MemberState, Members, Report, Standing};
 use crate::prelude::*;
@@ -15,32 +16,52 @@
 /// Most reports in one heartbeat.
 pub const MAX_REPORTS: usize = 4;
 
-/// Changes that are being relayed, with the number of relays so far.
+/// Changes that are being relayed.
 #[derive(Clone, Debug)]
 pub struct News {
-    sent: BTreeMap<InstanceId, u32>,
+    due: BTreeMap<InstanceId, Due>,
+    order: BTreeSet<(Due, InstanceId)>,
     /// The last instance that was reported in turn.
     cursor: InstanceId,
 }
 
+/// How soon a change is relayed; the smallest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Due {
+    /// Whether the instance is live, which can wait.
+    live: bool,
+    /// Relays so far.
+    sent: u32,
+}
+
 impl News {
     /// No changes; reports in turn start after `me`.
     pub fn new(me: &InstanceId) -> Self {
         Self {
-            sent: BTreeMap::new(),
+            due: BTreeMap::new(),
+            order: BTreeSet::new(),
             cursor: me.clone(),
         }
     }
 
     /// Starts relaying the state of an instance, from the beginning if it changed
     /// again.
-    pub fn add(&mut self, name: &InstanceId) {
-        self.sent.insert(name.clone(), 0);
+    pub fn add(&mut self, name: &InstanceId, standing: Standing) {
+        let live = standing == Standing::Live;
+        self.set(name, Due { live, sent: 0 });
+    }
+
+    fn set(&mut self, name: &InstanceId, due: Due) {
+        self.remove(name);
+        self.due.insert(name.clone(), due);
+        self.order.insert((due, name.clone()));
     }
 
     /// Stops relaying the state of an instance.
     pub fn remove(&mut self, name: &InstanceId) {
-        self.sent.remove(name);
+        if let Some(due) = self.due.remove(name) {
+            self.order.remove(&(due, name.clone()));
+        }
     }
 
     /// What to report to one peer: a suspicion against itself first, then changes,
@@ -50,7 +71,7 @@
         if is_suspected(members, to) {
             names.push(to.clone());
         }
-        for name in self.take(members, MAX_REPORTS - names.len()) {
+        for name in self.take(MAX_REPORTS - names.len()) {
             if !names.contains(&name) {
                 names.push(name);
             }
@@ -82,31 +103,25 @@
     }
 
     /// Takes up to `count` instances to relay now and counts the relay.
-    fn take(&mut self, members: &Members, count: usize) -> Vec<InstanceId> {
-        let mut due: Vec<(bool, u32, &InstanceId)> = self
-            .sent
-            .iter()
-            .map(|(name, sent)| (is_live(members, name), *sent, name))
-            .collect();
-        due.sort_unstable();
-        let names: Vec<InstanceId> = due
-            .into_iter()
-            .take(count)
-            .map(|(_, _, name)| name.clone())
-            .collect();
+    fn take(&mut self, count: usize) -> Vec<InstanceId> {
+        let first = self.order.iter().take(count);
+        let names: Vec<InstanceId> = first.map(|(_, name)| name.clone()).collect();
         for name in &names {
             self.count(name);
         }
         names
     }
 
-    fn count(&mut self, name: &InstanceId) {
-        let Some(sent) = self.sent.get_mut(name) else {
+    /// Counts a relay, or a peer that already knows, which saves one.
+    pub fn count(&mut self, name: &InstanceId) {
+        let Some(due) = self.due.get(name).copied() else {
             return;
         };
-        *sent += 1;
-        if *sent >= RELAYS {
-            self.sent.remove(name);
+        let sent = due.sent + 1;
+        if sent >= RELAYS {
+            self.remove(name);
+        } else {
+            self.set(name, Due { sent, ..due });
         }
     }
 }
@@ -116,9 +131,3 @@
         .get(name)
         .is_some_and(|member| member.state.standing == Standing::Suspected)
 }
-
-fn is_live(members: &Members, name: &InstanceId) -> bool {
-    members
-        .get(name)
-        .is_some_and(|member| member.state.standing == Standing::Live)
-}
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use flamingolock_core::heartbeat::{Heartbeat, Input, Output};
-use flamingolock_core::members::{Instance, Standing};
+use flamingolock_core::members::{Instance, MemberState, Standing};
 use flamingolock_core::membership::Membership;
 use flamingolock_core::prelude::*;
 
@@ -96,6 +96,31 @@
         fleet
     }
 
+    /// Lets every node know the state of every other, as if it had run for long.
+    pub fn acquaint(&mut self) {
+        let state = |node: &Node| MemberState {
+            incarnation: node.incarnation,
+            ..MemberState::default()
+        };
+        let states: Vec<MemberState> = self.nodes.iter().map(state).collect();
+        for node in &mut self.nodes {
+            let Some(machine) = &mut node.machine else {
+                continue;
+            };
+            for (index, state) in states.iter().enumerate() {
+                let heartbeat = Heartbeat {
+                    state: *state,
+                    digest: 0,
+                    reports: Vec::new(),
+                    wants_answer: false,
+                    check: None,
+                };
+                let peer = name(index);
+                machine.step(Input::PeerSaid { peer, heartbeat }, self.now);
+            }
+        }
+    }
+
     pub fn start(&mut self, index: usize) {
         let mut machine = Membership::new(&row(index), Incarnation(self.now.0), self.now);
         if !self.list_down {
--- a/crates/core/tests/test_membership.rs
+++ b/crates/core/tests/test_membership.rs
@@ -284,3 +284,36 @@
     machine.step(said(heartbeat(8, 0, Standing::Live, reports)), Millis(1100));
     assert_eq!(machine.view().suspected().count(), 4);
 }
+
+#[test]
+fn a_failure_from_before_a_pause_is_no_suspicion() {
+    let mut machine = two_nodes();
+    machine.step(Input::ConnectionSilent(name(1)), Millis(1100));
+    let outputs = machine.step(Input::FreshConnectionFailed(name(1)), Millis(31_100));
+    assert_eq!(outputs, vec![]);
+    assert_eq!(machine.view().live().count(), 2);
+}
+
+#[test]
+fn a_suspected_peer_that_speaks_is_told_first_what_it_has_to_refute() {
+    let mut machine = two_nodes();
+    let rows: Vec<_> = (0..50).map(row).collect();
+    machine.step(Input::InstanceList(rows), Millis(1000));
+    machine.step(Input::ConnectionSilent(name(1)), Millis(1100));
+    machine.step(Input::FreshConnectionFailed(name(1)), Millis(1200));
+    // More urgent news than one heartbeat holds, relayed less often than the
+    // suspicion of the peer.
+    for index in 2..50 {
+        let failed = name(index);
+        machine.step(Input::ConnectionSilent(failed.clone()), Millis(1300));
+        machine.step(Input::FreshConnectionFailed(failed), Millis(1300));
+    }
+    let input = said(heartbeat(0, 0, Standing::Live, vec![]));
+    let outputs = machine.step(input, Millis(1400));
+    let Some(Output::SendHeartbeat { to, heartbeat }) = outputs.last() else {
+        panic!("{outputs:?}");
+    };
+    assert_eq!(*to, name(1));
+    assert_eq!(heartbeat.reports[0].instance, name(1));
+    assert_eq!(heartbeat.reports[0].state.standing, Standing::Suspected);
+}
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -1,8 +1,38 @@
 //! Conversions between wire messages and core types.
 
+use std::net::AddrParseError;
+use std::str::Utf8Error;
+
+use bytes::Bytes;
+use flamingolock_core::heartbeat;
+use flamingolock_core::members::{self, Instance, MemberState};
 use flamingolock_core::prelude::*;
+use flamingolock_core::tail::Record;
+use thiserror::Error;
+
+use crate::message::{
+    Heartbeat, InstanceRow, LogRecord, MemberReport, Payload, PeerFrame, Standing,
+};
 
-use crate::message::{Payload, PeerFrame};
+/// Why a message has no meaning in the core.
+#[derive(Debug, Error)]
+pub enum ConvertError {
+    /// An address is not `ip:port`.
+    #[error("address is not ip:port")]
+    Address(#[from] AddrParseError),
+    /// The body of a record is not text.
+    #[error("record body is not text")]
+    NotText(#[from] Utf8Error),
+}
+
+/// The next offsets that a node needs, as heartbeats carry them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Offsets {
+    /// Of the control stream.
+    pub control: Offset,
+    /// Of the claims stream.
+    pub claims: Offset,
+}
 
 /// Block hashes as they travel.
 pub fn hash_words(blocks: &[BlockHash]) -> Vec<u64> {
@@ -35,3 +65,132 @@
         }
     }
 }
+
+/// The message of a heartbeat, with the sender's offsets.
+pub fn heartbeat_message(heartbeat: &heartbeat::Heartbeat, offsets: Offsets) -> Heartbeat {
+    let state = heartbeat.state;
+    Heartbeat {
+        incarnation: state.incarnation.0,
+        counter: state.counter,
+        leaving: state.standing == members::Standing::Leaving,
+        digest: heartbeat.digest,
+        control_offset: offsets.control.0,
+        claims_offset: offsets.claims.0,
+        reports: heartbeat.reports.iter().map(MemberReport::from).collect(),
+        wants_answer: heartbeat.wants_answer,
+        check: heartbeat
+            .check
+            .as_ref()
+            .map(InstanceId::to_string)
+            .unwrap_or_default(),
+    }
+}
+
+/// The heartbeat in a message, and the sender's offsets.
+pub fn heartbeat_parts(message: Heartbeat) -> (heartbeat::Heartbeat, Offsets) {
+    let offsets = Offsets {
+        control: Offset(message.control_offset),
+        claims: Offset(message.claims_offset),
+    };
+    let standing = if message.leaving {
+        members::Standing::Leaving
+    } else {
+        members::Standing::Live
+    };
+    let heartbeat = heartbeat::Heartbeat {
+        state: MemberState {
+            incarnation: Incarnation(message.incarnation),
+            counter: message.counter,
+            standing,
+        },
+        digest: message.digest,
+        reports: message.reports.into_iter().map(Into::into).collect(),
+        wants_answer: message.wants_answer,
+        check: (!message.check.is_empty()).then(|| message.check.into()),
+    };
+    (heartbeat, offsets)
+}
+
+impl From<&members::Report> for MemberReport {
+    fn from(report: &members::Report) -> Self {
+        let standing = match report.state.standing {
+            members::Standing::Live => Standing::Live,
+            members::Standing::Suspected => Standing::Suspected,
+            members::Standing::Leaving => Standing::Leaving,
+        };
+        Self {
+            instance: report.instance.to_string(),
+            incarnation: report.state.incarnation.0,
+            counter: report.state.counter,
+            standing: standing as i32,
+        }
+    }
+}
+
+impl From<MemberReport> for members::Report {
+    fn from(message: MemberReport) -> Self {
+        let standing = match message.standing() {
+            Standing::Live => members::Standing::Live,
+            Standing::Suspected => members::Standing::Suspected,
+            Standing::Leaving => members::Standing::Leaving,
+        };
+        Self {
+            state: MemberState {
+                incarnation: Incarnation(message.incarnation),
+                counter: message.counter,
+                standing,
+            },
+            instance: message.instance.into(),
+        }
+    }
+}
+
+impl From<&Record> for LogRecord {
+    fn from(record: &Record) -> Self {
+        Self {
+            offset: record.offset.0,
+            id: record.id.to_string(),
+            time_ms: record.time.0,
+            body: Bytes::copy_from_slice(record.body.as_bytes()),
+        }
+    }
+}
+
+impl TryFrom<LogRecord> for Record {
+    type Error = ConvertError;
+
+    fn try_from(message: LogRecord) -> Result<Self, ConvertError> {
+        Ok(Self {
+            offset: Offset(message.offset),
+            time: Millis(message.time_ms),
+            id: message.id.into(),
+            body: std::str::from_utf8(&message.body)?.into(),
+        })
+    }
+}
+
+impl From<&Instance> for InstanceRow {
+    fn from(instance: &Instance) -> Self {
+        Self {
+            name: instance.name.to_string(),
+            address: instance.address.to_string(),
+            peer_address: instance.peer_address.to_string(),
+            zone: instance.zone.to_string(),
+            leaving: instance.leaving,
+        }
+    }
+}
+
+impl TryFrom<InstanceRow> for Instance {
+    type Error = ConvertError;
+
+    fn try_from(message: InstanceRow) -> Result<Self, ConvertError> {
+        Ok(Self {
+            address: message.address.parse()?,
+            peer_address: message.peer_address.parse()?,
+            name: message.name.into(),
+            zone: message.zone.into(),
+            leaving: message.leaving,
+        })
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod convert;
 pub mod handshake;
 pub mod message;
+pub mod snapshot;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -117,6 +117,9 @@
     /// True when the receiver should answer with a heartbeat.
     #[prost(bool, tag = "8")]
     pub wants_answer: bool,
+    /// An instance that the receiver should try to reach; empty for none.
+    #[prost(string, tag = "9")]
+    pub check: String,
 }
 
 /// What is known of one instance; the order of two reports is by incarnation,
@@ -616,4 +619,7 @@
     /// Its availability zone.
     #[prost(string, tag = "4")]
     pub zone: String,
+    /// Whether the list shows it as leaving.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
 }
--- a/crates/wire/tests/test_codec.rs
+++ b/crates/wire/tests/test_codec.rs
@@ -53,6 +53,7 @@
                 claims_offset: incarnation / 2,
                 reports,
                 wants_answer: !leaving,
+                check: String::new(),
             })
         })
 }
--- /dev/null
+++ b/crates/wire/tests/test_traffic.rs
@@ -0,0 +1,141 @@
+//! Bytes that membership costs a node, which must not grow with the fleet.
+
+#[path = "../../core/tests/fleet/mod.rs"]
+mod fleet;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use flamingolock_core::heartbeat;
+use flamingolock_core::prelude::*;
+use flamingolock_wire::codec::LENGTH_BYTES;
+use flamingolock_wire::convert::{Offsets, heartbeat_message};
+use flamingolock_wire::message::{
+    Payload, PeerFrame, Probe, ProbeAnswer, ProbeAnswers, ProbeBatch,
+};
+use fleet::Fleet;
+use prost::Message;
+
+/// Bytes a second that one node may send for all control traffic.
+const BUDGET: f64 = 3000.0;
+
+fn frame_bytes(payload: Payload) -> usize {
+    LENGTH_BYTES + PeerFrame::from(payload).encoded_len()
+}
+
+fn heartbeat_bytes(heartbeat: &heartbeat::Heartbeat) -> usize {
+    let mut heartbeat = heartbeat.clone();
+    // Start times of today take six bytes; the simulation's are shorter.
+    heartbeat.state.incarnation.0 += 1_700_000_000_000;
+    for report in &mut heartbeat.reports {
+        report.state.incarnation.0 += 1_700_000_000_000;
+        report.instance = format!("amman-a-{}", report.instance).into();
+    }
+    let offsets = Offsets {
+        control: Offset(3_000_000),
+        claims: Offset(300_000_000),
+    };
+    frame_bytes(Payload::Heartbeat(heartbeat_message(&heartbeat, offsets)))
+}
+
+/// Sent bytes a second: of the average node and of the busiest one.
+fn rates<F>(fleet: &mut Fleet, span: Millis, run: F) -> (f64, f64)
+where
+    F: FnOnce(&mut Fleet),
+{
+    let sent = Rc::new(RefCell::new(vec![0; fleet.nodes.len()]));
+    let counts = Rc::clone(&sent);
+    fleet.observe = Box::new(move |from, heartbeat| {
+        counts.borrow_mut()[from] += heartbeat_bytes(heartbeat);
+    });
+    run(fleet);
+    fleet.run(span);
+    let sent = sent.borrow();
+    let total: usize = sent.iter().sum();
+    let most = sent.iter().max().copied().unwrap_or(0);
+    let seconds = span.as_secs_f64();
+    (
+        total as f64 / sent.len() as f64 / seconds,
+        most as f64 / seconds,
+    )
+}
+
+#[test]
+fn heartbeats_cost_a_node_the_same_at_any_size() {
+    for count in [9, 100, 340] {
+        let mut fleet = Fleet::new(count);
+        fleet.acquaint();
+        // Until everything has been relayed often enough.
+        fleet.run(Millis(150_000));
+        let (average, most) = rates(&mut fleet, Millis(20_000), |_| {});
+        println!("{count} nodes, quiet: {average:.0} B/s on average, {most:.0} B/s at most");
+        assert!((200.0..300.0).contains(&average), "{average} B/s");
+        assert!(most < 700.0, "{most} B/s");
+
+        let (average, most) = rates(&mut fleet, Millis(10_000), |fleet| {
+            fleet.leave(1);
+            fleet.kill(2);
+        });
+        println!("{count} nodes, one leaves, one dies: {average:.0} B/s, {most:.0} B/s at most");
+        assert!(average < 500.0, "{average} B/s");
+        assert!(most < 1000.0, "{most} B/s");
+    }
+}
+
+/// Nodes of a herd learn each other's incarnations in the background.
+#[test]
+fn a_common_start_stays_within_the_budget() {
+    for count in [9, 100, 340] {
+        let mut fleet = Fleet::new(count);
+        let (average, most) = rates(&mut fleet, Millis(30_000), |_| {});
+        println!("{count} nodes, common start: {average:.0} B/s, {most:.0} B/s at most");
+        assert!(most < BUDGET, "{most} B/s");
+    }
+}
+
+#[test]
+fn a_storm_stays_within_the_budget() {
+    let mut fleet = Fleet::new(100);
+    fleet.run(Millis(40_000));
+    let (average, most) = rates(&mut fleet, Millis(15_000), |fleet| {
+        for index in 0..50 {
+            fleet.kill(index * 2);
+        }
+    });
+    println!("half of 100 nodes die: {average:.0} B/s on average, {most:.0} B/s at most");
+    assert!(most < BUDGET, "{most} B/s");
+}
+
+#[test]
+fn probes_of_the_largest_fleet_fit_the_budget() {
+    let probe = Probe {
+        id: 20_000,
+        engine: "engine-07".to_owned(),
+        workspace: "qasr-amman".to_owned(),
+        priority: 3,
+        tokens: 12_000,
+        blocks: vec![u64::MAX; 3],
+        lengths: vec![20, 300, 750],
+        cost: 3000,
+    };
+    let answer = ProbeAnswer {
+        id: 20_000,
+        wait_ms: 150,
+        missing_tokens: 2000,
+        expected_ms: 250,
+        incarnation: 1_700_000_000_000,
+    };
+    let question = frame_bytes(Payload::ProbeBatch(ProbeBatch {
+        probes: vec![probe],
+    }));
+    let reply = frame_bytes(Payload::ProbeAnswers(ProbeAnswers {
+        answers: vec![answer],
+    }));
+    for probes in [3.0, 4.0] {
+        let rate = 2700.0 * probes / 340.0;
+        let bytes = rate * (question + reply) as f64;
+        println!("{probes} probes a request, {question} + {reply} bytes unbatched: {bytes:.0} B/s");
+    }
+    let bytes = 2700.0 * 3.0 / 340.0 * (question + reply) as f64;
+    assert!(bytes + 300.0 < BUDGET, "{bytes} B/s");
+}
