--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! decision takes its state, an input, the current time and, where chance is
 //! involved, a seed, and returns a value that says what to do next.
 
+pub mod accusations;
 pub mod answer_stream;
 pub mod append;
 pub mod call_attempts;
@@ -40,6 +41,7 @@
 pub mod manifest_fault;
 pub mod members;
 pub mod membership;
+pub mod neighbours;
 pub mod news;
 pub mod permit;
 pub mod permit_table;
