--- a/crates/experiment/src/caller.rs
+++ b/crates/experiment/src/caller.rs
@@ -43,12 +43,17 @@
 
 #[derive(Deserialize)]
 struct EntriesBody {
-    entries: Vec<SocketAddr>,
+    entries: Vec<EntryBody>,
     lifetime_ms: u64,
     #[serde(default)]
     token: Option<String>,
 }
 
+#[derive(Deserialize)]
+struct EntryBody {
+    address: SocketAddr,
+}
+
 #[derive(Deserialize)]
 struct ChunkBody {
     #[serde(default)]
@@ -253,7 +258,7 @@
                 continue;
             }
             let known = Known {
-                addresses: body.entries,
+                addresses: body.entries.iter().map(|entry| entry.address).collect(),
                 until: Instant::now() + Duration::from_millis(body.lifetime_ms),
                 token: body.token,
             };
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,38 +6,38 @@
 pub mod admission;
 pub mod calls;
 pub mod context;
+pub mod controllers;
 pub mod engines;
 pub mod homes;
 pub mod ledger;
+pub mod members;
 pub mod messages;
 pub mod permit;
 pub mod router;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
-use flamingolock_core::limits::{self, Limits, Share};
 use flamingolock_core::permit::{EntryRef, Observed, PermitId};
 use flamingolock_core::prefix_model::CacheEvent;
 use flamingolock_core::prelude::*;
-use flamingolock_core::record::NodeIncarnation;
-use flamingolock_wire::message::{Payload, PeerFrame};
+use flamingolock_wire::message::PeerFrame;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::control::calls::{CallEvent, Calls, ForwardedCall};
+use crate::control::calls::{CallEvent, ForwardedCall};
 use crate::control::context::{Context, Effect};
+use crate::control::controllers::{Controllers, Me};
 use crate::control::engines::EngineStatus;
-use crate::control::ledger::{Ledger, LogCursors, LogEvent};
+use crate::control::ledger::{LogCursors, LogEvent};
 use crate::control::permit::{Presence, Refusal, Reply, RouteAsk};
-use crate::control::router::Router;
 use crate::decisions::DecisionLog;
-use crate::peers::{self, PeerCommand, PeerSender};
+use crate::peers::{self, LinkState, PeerCommand, PeerSender};
 use crate::platform::AppendJob;
 use crate::settings::Settings;
-use crate::view::{Listed, ListedKind, ListedState, SharedView, View};
+use crate::view::{Listed, SharedView};
 
 /// Longest sleep of the control thread without an event.
 const TICK_MS: u64 = 10;
@@ -99,8 +99,15 @@
     PeerLink {
         /// The node.
         to: InstanceId,
-        /// True when messages can be sent.
-        up: bool,
+        /// State of the connection.
+        state: LinkState,
+    },
+    /// A node answered at an address from the settings.
+    Seed {
+        /// The node.
+        name: InstanceId,
+        /// Its address for other nodes.
+        address: SocketAddr,
     },
     /// The node is shutting down.
     Leaving,
@@ -143,33 +150,19 @@
     /// When the system gives no further thread.
     pub fn start(
         settings: &Settings,
-        incarnation: Incarnation,
+        me: Me,
         view: SharedView,
         decisions: Arc<DecisionLog>,
         wiring: Wiring,
     ) -> std::io::Result<Self> {
-        let me = NodeIncarnation {
-            instance: settings.node.name.clone(),
-            incarnation,
-        };
         let (events, inbox) = crossbeam::channel::unbounded();
+        let cursors = Arc::clone(&wiring.cursors);
         let mut control = Control {
-            me: settings.node.name.clone(),
+            controllers: Controllers::new(settings, me, cursors, events.clone(), now()),
             view,
             decisions,
-            controllers: Controllers {
-                router: Router::new(settings, incarnation, events.clone()),
-                calls: Calls::new(me.clone()),
-                heard: BTreeMap::new(),
-                ledger: Ledger::new(me, &settings.platform, wiring.cursors, now()),
-                limits: Limits::default(),
-            },
-            events: events.clone(),
             effects: Vec::new(),
-            peers: wiring.peers,
-            appends: wiring.appends,
-            forwarded: wiring.forwarded,
-            leaving: false,
+            wiring,
         };
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
@@ -191,41 +184,22 @@
 }
 
 struct Control {
-    me: InstanceId,
+    controllers: Controllers,
     view: SharedView,
     decisions: Arc<DecisionLog>,
-    events: Sender<Event>,
-    controllers: Controllers,
     effects: Vec<Effect>,
-    peers: PeerSender,
-    appends: Sender<AppendJob>,
-    forwarded: mpsc::UnboundedSender<ForwardedCall>,
-    leaving: bool,
-}
-
-/// State of the control thread, by what it is about.
-struct Controllers {
-    router: Router,
-    ledger: Ledger,
-    calls: Calls,
-    heard: BTreeMap<InstanceId, Incarnation>,
-    limits: Limits,
+    wiring: Wiring,
 }
 
 impl Control {
     fn run(&mut self, inbox: &Receiver<Event>) {
         loop {
-            let wait = self.wait();
-            match inbox.recv_timeout(wait) {
+            match inbox.recv_timeout(self.wait()) {
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-                Ok(event) => self.handle(event),
+                Ok(event) => self.step(|all, ctx| handle(all, ctx, event)),
                 Err(RecvTimeoutError::Timeout) => {}
             }
-            self.step(|all, ctx| {
-                all.router.tick(ctx);
-                all.ledger.tick(ctx);
-                all.tick_calls(ctx);
-            });
+            self.step(Controllers::tick);
             self.perform();
         }
     }
@@ -234,92 +208,45 @@
         let now = now();
         let due = self
             .controllers
-            .router
             .next_tick(now)
             .map_or(Millis(TICK_MS), |at| at.since(now));
         Duration::from_millis(due.0.clamp(1, TICK_MS))
     }
 
-    fn handle(&mut self, event: Event) {
-        match event {
-            Event::Enter(workspace, reply) => {
-                let presence = self.enter(workspace);
-                // The drop of an undelivered presence takes it back.
-                let _ = reply.send(presence);
-            }
-            Event::Leave(workspace) => self.controllers.limits.finish(&workspace),
-            Event::Admit(ask, reply) => {
-                self.step(|all, ctx| all.router.admit(ctx, ask, reply));
-            }
-            Event::Abandon(request) => {
-                self.step(|all, ctx| all.router.abandon(ctx, &request));
-            }
-            Event::FirstToken {
-                engine,
-                permit,
-                observed,
-            } => {
-                self.step(|all, ctx| all.router.first_token(ctx, &engine, permit, observed));
-            }
-            Event::Release {
-                engine,
-                permit,
-                failed,
-            } => {
-                self.step(|all, ctx| all.router.release(ctx, &engine, permit, failed));
-            }
-            Event::Listed(listed) => self.listed(listed),
-            Event::Call(event) => self.step(|all, ctx| all.call(ctx, event)),
-            Event::Log(event) => self.step(|all, ctx| all.ledger.handle(ctx, event)),
-            Event::Status(engine, status) => {
-                self.step(|all, ctx| all.router.status(ctx, &engine, status));
-            }
-            Event::Cache {
-                engine,
-                incarnation,
-                events,
-            } => {
-                self.step(|all, ctx| {
-                    all.router.cache_events(ctx, &engine, incarnation, events);
-                });
-            }
-            Event::Peer { from, frame } => self.peer(&from, &frame),
-            Event::PeerLink { to, up } => self.step(|all, ctx| all.link(ctx, &to, up)),
-            Event::Leaving => {
-                self.leaving = true;
-                self.publish(|view| view.leaving = true);
-            }
-            Event::Stop => {}
-        }
-    }
-
-    fn step<T>(&mut self, step: impl FnOnce(&mut Controllers, &mut Context<'_>) -> T) -> T {
+    fn step(&mut self, step: impl FnOnce(&mut Controllers, &mut Context<'_>)) {
         let mut ctx = Context {
             now: now(),
             effects: &mut self.effects,
             decisions: &self.decisions,
             view: &self.view,
         };
-        step(&mut self.controllers, &mut ctx)
+        step(&mut self.controllers, &mut ctx);
     }
 
     fn perform(&mut self) {
+        let leaving = self.controllers.is_leaving();
         for effect in self.effects.drain(..) {
-            // The links and writers are gone only when the node stops.
+            // The I/O side is gone only when the node stops.
             match effect {
                 Effect::Send { to, payload } => {
-                    let frame = peers::frame(payload, self.leaving);
-                    let _ = self.peers.send(PeerCommand::Send { to, frame });
+                    let frame = peers::frame(payload, leaving);
+                    let _ = self.wiring.peers.send(PeerCommand::Send { to, frame });
+                }
+                Effect::Addresses(addresses) => {
+                    let _ = self.wiring.peers.send(PeerCommand::Addresses(addresses));
+                }
+                Effect::Reconnect(to) => {
+                    let _ = self.wiring.peers.send(PeerCommand::Reconnect(to));
                 }
                 Effect::Forwarded(call) => {
-                    let _ = self.forwarded.send(*call);
+                    let _ = self.wiring.forwarded.send(*call);
                 }
                 Effect::Append {
                     stream,
                     batch,
                     records,
                 } => {
-                    let _ = self.appends.send(AppendJob {
+                    let _ = self.wiring.appends.send(AppendJob {
                         stream,
                         batch,
                         records,
@@ -328,121 +255,51 @@
             }
         }
     }
-
-    fn peer(&mut self, from: &EntryRef, frame: &PeerFrame) {
-        let Some(payload) = &frame.payload else {
-            return;
-        };
-        self.step(|all, ctx| all.peer(ctx, from, payload));
-    }
-
-    fn enter(&mut self, id: WorkspaceId) -> Result<Presence, Refusal> {
-        let view = self.view.load();
-        let Some(workspace) = view.manifest.workspaces.get(&id) else {
-            return Err(Refusal {
-                code: "unknown_workspace",
-                retry_after: Millis(1000),
-            });
-        };
-        let share = Share {
-            entries: 1,
-            position: 0,
-        };
-        match self.controllers.limits.admit(&id, workspace, share, now()) {
-            limits::Admission::Admitted => Ok(Presence {
-                workspace: id,
-                events: self.events.clone(),
-            }),
-            limits::Admission::RateExceeded { retry_after } => Err(Refusal {
-                code: "rate_limit",
-                retry_after,
-            }),
-            limits::Admission::InflightExceeded { retry_after } => Err(Refusal {
-                code: "inflight_limit",
-                retry_after,
-            }),
-        }
-    }
-
-    fn listed(&mut self, listed: Vec<Listed>) {
-        let instances: BTreeMap<String, Listed> = listed
-            .into_iter()
-            .map(|listed| (listed.name.clone(), listed))
-            .collect();
-        let mut nodes: BTreeSet<InstanceId> = instances
-            .values()
-            .filter(|listed| listed.kind == ListedKind::Entry)
-            .filter(|listed| listed.state == ListedState::Live)
-            .map(|listed| InstanceId::from(listed.name.as_str()))
-            .collect();
-        nodes.insert(self.me.clone());
-        let addresses = instances
-            .values()
-            .filter_map(|listed| {
-                Some((InstanceId::from(listed.name.as_str()), listed.peer_address?))
-            })
-            .filter(|(name, _)| *name != self.me)
-            .collect();
-        let _ = self.peers.send(PeerCommand::Addresses(addresses));
-        self.step(|all, ctx| {
-            all.router.listed(ctx, &instances);
-            all.router.set_nodes(ctx, nodes);
-        });
-        self.publish(|view| view.instances = Arc::new(instances));
-    }
-
-    fn publish(&self, change: impl FnOnce(&mut View)) {
-        let mut view = View::clone(&self.view.load());
-        change(&mut view);
-        self.view.store(Arc::new(view));
-    }
 }
 
-impl Controllers {
-    fn peer(&mut self, ctx: &mut Context<'_>, from: &EntryRef, payload: &Payload) {
-        let newest = self.heard.entry(from.instance.clone()).or_default();
-        *newest = from.incarnation.max(*newest);
-        match payload {
-            Payload::CallForward(_) | Payload::CallAnswer(_) => {
-                let heard = &self.heard;
-                let is_live = |node: &NodeIncarnation| is_live(heard, node);
-                self.calls
-                    .peer(ctx, self.ledger.claims(), &is_live, from, payload);
-            }
-            _ => self.router.peer(ctx, from, payload),
+fn handle(all: &mut Controllers, ctx: &mut Context<'_>, event: Event) {
+    match event {
+        Event::Enter(workspace, reply) => {
+            let presence = all.enter(ctx, workspace);
+            // The drop of an undelivered presence takes it back.
+            let _ = reply.send(presence);
         }
-    }
-
-    fn link(&mut self, ctx: &mut Context<'_>, to: &InstanceId, up: bool) {
-        if up {
-            return;
+        Event::Leave(workspace) => all.leave(ctx, &workspace),
+        Event::Admit(ask, reply) => all.router.admit(ctx, ask, reply),
+        Event::Abandon(request) => all.router.abandon(ctx, &request),
+        Event::FirstToken {
+            engine,
+            permit,
+            observed,
+        } => {
+            all.router.first_token(ctx, &engine, permit, observed);
         }
-        let heard = &self.heard;
-        let is_live = |node: &NodeIncarnation| is_live(heard, node);
-        self.calls
-            .link_down(ctx, self.ledger.claims(), &is_live, to);
-    }
-
-    fn call(&mut self, ctx: &mut Context<'_>, event: CallEvent) {
-        let heard = &self.heard;
-        let is_live = |node: &NodeIncarnation| is_live(heard, node);
-        self.calls
-            .handle(ctx, self.ledger.claims(), &is_live, event);
-    }
-
-    fn tick_calls(&mut self, ctx: &mut Context<'_>) {
-        let heard = &self.heard;
-        let is_live = |node: &NodeIncarnation| is_live(heard, node);
-        for news in self.ledger.take_news() {
-            self.calls.news(ctx, self.ledger.claims(), &is_live, &news);
+        Event::Release {
+            engine,
+            permit,
+            failed,
+        } => {
+            all.router.release(ctx, &engine, permit, failed);
+        }
+        Event::Listed(listed) => all.listed(ctx, &listed, true),
+        Event::Call(event) => all.call(ctx, event),
+        Event::Log(event) => all.log(ctx, event),
+        Event::Status(engine, status) => all.router.status(ctx, &engine, status),
+        Event::Cache {
+            engine,
+            incarnation,
+            events,
+        } => {
+            all.router.cache_events(ctx, &engine, incarnation, events);
+        }
+        Event::Peer { from, frame } => {
+            if let Some(payload) = &frame.payload {
+                all.peer(ctx, &from, frame.leaving, payload);
+            }
         }
-        self.calls.tick(ctx, &mut self.ledger, &is_live);
+        Event::PeerLink { to, state } => all.link(ctx, &to, state),
+        Event::Seed { name, address } => all.seed(ctx, &name, address),
+        Event::Leaving => all.begin_shutdown(ctx),
+        Event::Stop => {}
     }
 }
-
-/// A life of a node counts as live until a later one was heard of.
-fn is_live(heard: &BTreeMap<InstanceId, Incarnation>, node: &NodeIncarnation) -> bool {
-    heard
-        .get(&node.instance)
-        .is_none_or(|newest| *newest <= node.incarnation)
-}
--- a/crates/node/src/control/admission.rs
+++ b/crates/node/src/control/admission.rs
@@ -50,6 +50,8 @@
     pub price: f64,
     /// Engines worth a probe.
     pub candidates: Vec<Candidate>,
+    /// Engines that were probed, by the places in their probes' numbers.
+    pub probed: Vec<EngineId>,
     /// Answers to probes so far.
     pub answers: BTreeMap<EngineId, ProbeAnswer>,
     /// Candidates as scored, best first; those that refused are taken out.
--- a/crates/node/src/control/context.rs
+++ b/crates/node/src/control/context.rs
@@ -1,5 +1,7 @@
 //! What controllers are given, and what they ask for.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use flamingolock_core::append::BatchId;
@@ -22,6 +24,10 @@
         /// The message.
         payload: Payload,
     },
+    /// Peers are found at these addresses.
+    Addresses(BTreeMap<InstanceId, SocketAddr>),
+    /// Make a fresh connection to a peer.
+    Reconnect(InstanceId),
     /// Run a call that a peer handed on.
     Forwarded(Box<ForwardedCall>),
     /// Append records to a stream of the log.
--- /dev/null
+++ b/crates/node/src/control/controllers.rs
@@ -0,0 +1,354 @@
+//! The controllers together: what one learns, the others are told.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crossbeam::channel::Sender;
+use flamingolock_core::drain::{self, Drain, DrainLimits};
+use flamingolock_core::entries::{self, Caller};
+use flamingolock_core::limits::{self, Limits, Share};
+use flamingolock_core::members::Instance;
+use flamingolock_core::permit::EntryRef;
+use flamingolock_core::prelude::*;
+use flamingolock_core::record::NodeIncarnation;
+use flamingolock_wire::message::Payload;
+
+use crate::control::Event;
+use crate::control::calls::{CallEvent, Calls};
+use crate::control::context::Context;
+use crate::control::ledger::{Ledger, LogCursors, LogEvent, Stream};
+use crate::control::members::{self, Members};
+use crate::control::permit::{Presence, Refusal};
+use crate::control::router::Router;
+use crate::log_client::ReadAnswer;
+use crate::peers::LinkState;
+use crate::settings::Settings;
+use crate::view::{DrainPhase, Listed};
+
+/// Time that peers and callers may take to learn that a node is leaving, beyond
+/// the lifetime of the entries that callers keep.
+const UNLIST_SLACK: Millis = Millis(500);
+
+/// Time after which an idle workspace's use of its limits is forgotten.
+const IDLE_WORKSPACE: Millis = Millis(600_000);
+
+/// Who this node is.
+#[derive(Clone, Debug)]
+pub struct Me {
+    /// Its row, as the platform lists it.
+    pub row: Instance,
+    /// Its present life.
+    pub incarnation: Incarnation,
+}
+
+impl Me {
+    /// This life of the node, as records of the log name it.
+    pub fn node(&self) -> NodeIncarnation {
+        NodeIncarnation {
+            instance: self.row.name.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
+/// State of the control thread, by what it is about.
+pub struct Controllers {
+    me: Me,
+    /// Engines, homes and permits.
+    pub router: Router,
+    ledger: Ledger,
+    calls: Calls,
+    members: Members,
+    limits: Limits,
+    drain: Drain,
+    inflight: usize,
+    instances: BTreeMap<String, Listed>,
+    events: Sender<Event>,
+    forget_at: Millis,
+}
+
+impl Controllers {
+    /// A node that has just started.
+    pub fn new(
+        settings: &Settings,
+        me: Me,
+        cursors: Arc<LogCursors>,
+        events: Sender<Event>,
+        now: Millis,
+    ) -> Self {
+        let limits = DrainLimits {
+            serve_for: Millis(settings.timing.entries_ms) + UNLIST_SLACK,
+            finish_within: Millis(settings.timing.drain_ms),
+        };
+        Self {
+            router: Router::new(settings, me.incarnation, events.clone()),
+            ledger: Ledger::new(me.node(), &settings.platform, cursors, now),
+            calls: Calls::new(me.node()),
+            members: Members::new(&me.row, me.incarnation, now),
+            limits: Limits::default(),
+            drain: Drain::new(limits),
+            inflight: 0,
+            instances: BTreeMap::new(),
+            events,
+            forget_at: now + IDLE_WORKSPACE,
+            me,
+        }
+    }
+
+    /// A request of a workspace arrived.
+    ///
+    /// # Errors
+    ///
+    /// When a limit is reached or the node is going.
+    pub fn enter(&mut self, ctx: &mut Context<'_>, id: WorkspaceId) -> Result<Presence, Refusal> {
+        if !self.drain.accepts() {
+            return Err(Refusal {
+                code: "leaving",
+                retry_after: Millis(0),
+            });
+        }
+        let view = ctx.view.load();
+        let Some(workspace) = view.manifest.workspaces.get(&id) else {
+            return Err(Refusal {
+                code: "unknown_workspace",
+                retry_after: Millis(1000),
+            });
+        };
+        let share = self.share(&view.manifest, &id);
+        match self.limits.admit(&id, workspace, share, ctx.now) {
+            limits::Admission::Admitted => {
+                self.count_inflight(ctx, 1);
+                Ok(Presence {
+                    workspace: id,
+                    events: self.events.clone(),
+                })
+            }
+            limits::Admission::RateExceeded { retry_after } => Err(Refusal {
+                code: "rate_limit",
+                retry_after,
+            }),
+            limits::Admission::InflightExceeded { retry_after } => Err(Refusal {
+                code: "inflight_limit",
+                retry_after,
+            }),
+        }
+    }
+
+    /// A request of a workspace ended.
+    pub fn leave(&mut self, ctx: &mut Context<'_>, workspace: &WorkspaceId) {
+        self.limits.finish(workspace);
+        self.count_inflight(ctx, -1);
+    }
+
+    fn count_inflight(&mut self, ctx: &mut Context<'_>, change: isize) {
+        self.inflight = self.inflight.saturating_add_signed(change);
+        let input = drain::Input::InflightChanged(self.inflight);
+        self.step_drain(ctx, input);
+    }
+
+    /// This node's part of the workspace's limits: callers spread over the entries
+    /// that they are given.
+    fn share(
+        &self,
+        manifest: &flamingolock_core::manifest::Manifest,
+        workspace: &WorkspaceId,
+    ) -> Share {
+        let caller = Caller {
+            workspace,
+            share: workspace_share(manifest, workspace),
+            zone: &self.me.row.zone,
+            salt: 0,
+        };
+        let rows = self.members.live_rows();
+        let mut names: Vec<InstanceId> = entries::choose(&rows, &caller)
+            .into_iter()
+            .map(|entry| entry.name)
+            .collect();
+        names.sort();
+        let position = names.iter().position(|name| *name == self.me.row.name);
+        Share {
+            entries: names.len().max(1) as u32,
+            position: position.unwrap_or_default() as u32,
+        }
+    }
+
+    /// The platform's list was read, or a peer passed its copy on.
+    pub fn listed(&mut self, ctx: &mut Context<'_>, listed: &[Listed], from_platform: bool) {
+        self.members.listed(ctx, listed, from_platform);
+        self.instances = listed
+            .iter()
+            .map(|listed| (listed.name.clone(), listed.clone()))
+            .collect();
+        self.router.listed(ctx, &self.instances);
+        let instances = Arc::new(self.instances.clone());
+        ctx.publish(|view| view.instances = instances);
+        self.spread_news(ctx);
+    }
+
+    /// The connection to another node changed its state.
+    pub fn link(&mut self, ctx: &mut Context<'_>, to: &InstanceId, state: LinkState) {
+        self.members.link(ctx, to, state);
+        if !matches!(state, LinkState::Up(_)) {
+            let members = &self.members;
+            let is_live = |node: &NodeIncarnation| members.is_live(node);
+            self.calls
+                .link_down(ctx, self.ledger.claims(), &is_live, to);
+        }
+        self.spread_news(ctx);
+    }
+
+    /// A node answered at an address from the settings.
+    pub fn seed(&mut self, ctx: &mut Context<'_>, name: &InstanceId, address: SocketAddr) {
+        self.members.seed(ctx, name, address);
+    }
+
+    /// Another node sent a message.
+    pub fn peer(
+        &mut self,
+        ctx: &mut Context<'_>,
+        from: &EntryRef,
+        leaving: bool,
+        payload: &Payload,
+    ) {
+        if leaving {
+            self.members.peer_leaving(ctx, from);
+        }
+        match payload {
+            Payload::CallForward(_) | Payload::CallAnswer(_) => {
+                let members = &self.members;
+                let is_live = |node: &NodeIncarnation| members.is_live(node);
+                self.calls
+                    .peer(ctx, self.ledger.claims(), &is_live, from, payload);
+            }
+            Payload::Heartbeat(_)
+            | Payload::Leaving(_)
+            | Payload::RecordsWanted(_)
+            | Payload::Records(_)
+            | Payload::RecordsBusy(_)
+            | Payload::SnapshotWanted(_)
+            | Payload::Snapshot(_)
+            | Payload::InstancesWanted(_)
+            | Payload::Instances(_) => {
+                self.members.peer(ctx, &mut self.ledger, from, payload);
+            }
+            _ => self.router.peer(ctx, from, payload),
+        }
+        self.spread_news(ctx);
+    }
+
+    /// Traffic threads report about calls.
+    pub fn call(&mut self, ctx: &mut Context<'_>, event: CallEvent) {
+        let members = &self.members;
+        let is_live = |node: &NodeIncarnation| members.is_live(node);
+        self.calls
+            .handle(ctx, self.ledger.claims(), &is_live, event);
+    }
+
+    /// The threads at the platform report.
+    pub fn log(&mut self, ctx: &mut Context<'_>, event: LogEvent) {
+        let records = match &event {
+            LogEvent::Read {
+                stream: Stream::Control,
+                answer: ReadAnswer::Page(page),
+                ..
+            } => Some(page.records.clone()),
+            _ => None,
+        };
+        self.ledger.handle(ctx, event);
+        if let Some(records) = records {
+            self.members.read(ctx, &mut self.ledger, records);
+        }
+    }
+
+    /// The process was told to stop.
+    pub fn begin_shutdown(&mut self, ctx: &mut Context<'_>) {
+        self.step_drain(ctx, drain::Input::Signal);
+    }
+
+    /// True once this node has begun to leave.
+    pub fn is_leaving(&self) -> bool {
+        self.drain.phase() != drain::Phase::Running
+    }
+
+    /// Time passed.
+    pub fn tick(&mut self, ctx: &mut Context<'_>) {
+        self.router.tick(ctx);
+        self.ledger.tick(ctx);
+        self.members.tick(ctx);
+        self.members.tick_spread(ctx, &mut self.ledger);
+        self.tick_calls(ctx);
+        self.step_drain(ctx, drain::Input::Tick);
+        self.spread_news(ctx);
+        if ctx.now >= self.forget_at {
+            self.forget_at = ctx.now + IDLE_WORKSPACE;
+            self.limits.forget_idle(IDLE_WORKSPACE, ctx.now);
+        }
+    }
+
+    /// When [`Controllers::tick`] is due if nothing else happens.
+    pub fn next_tick(&self, now: Millis) -> Option<Millis> {
+        [self.router.next_tick(now), self.calls.next_tick()]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    fn tick_calls(&mut self, ctx: &mut Context<'_>) {
+        let members = &self.members;
+        let is_live = |node: &NodeIncarnation| members.is_live(node);
+        for news in self.ledger.take_news() {
+            self.calls.news(ctx, self.ledger.claims(), &is_live, &news);
+        }
+        self.calls.tick(ctx, &mut self.ledger, &is_live);
+    }
+
+    /// Tells the other controllers what became of the members.
+    fn spread_news(&mut self, ctx: &mut Context<'_>) {
+        let news = self.members.take_news();
+        if let Some(listed) = news.listed {
+            self.listed(ctx, &listed, false);
+        }
+        for entry in &news.ended {
+            self.router.entry_gone(ctx, entry);
+        }
+        if news.changed {
+            members::publish(ctx, &self.members);
+            self.router.set_nodes(ctx, self.members.live());
+        }
+    }
+
+    fn step_drain(&mut self, ctx: &mut Context<'_>, input: drain::Input) {
+        for output in self.drain.step(input, ctx.now) {
+            let phase = match output {
+                drain::Output::Unlist => {
+                    self.members.leave(ctx);
+                    DrainPhase::Unlisted
+                }
+                drain::Output::RefuseNew => DrainPhase::Finishing,
+                drain::Output::EndInflight(count) => {
+                    log::warn!("{count} requests are ended: the drain took too long");
+                    DrainPhase::Ending
+                }
+                drain::Output::Exit => DrainPhase::Ending,
+            };
+            ctx.publish(|view| view.phase = view.phase.max(phase));
+        }
+    }
+}
+
+/// The part of a workspace in the sum of all weights.
+pub fn workspace_share(
+    manifest: &flamingolock_core::manifest::Manifest,
+    workspace: &WorkspaceId,
+) -> f64 {
+    let Some(own) = manifest.workspaces.get(workspace) else {
+        return 0.0;
+    };
+    let sum: f64 = manifest
+        .workspaces
+        .values()
+        .map(|workspace| workspace.weight)
+        .sum();
+    own.weight / sum.max(f64::MIN_POSITIVE)
+}
--- a/crates/node/src/control/ledger.rs
+++ b/crates/node/src/control/ledger.rs
@@ -1,6 +1,6 @@
 //! What the nodes agree on: the folds of the log's streams, and appends to them.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
@@ -24,9 +24,6 @@
 /// Longest time that a checkpoint waits to be appended.
 const CHECKPOINT_PATIENCE: Millis = Millis(60_000);
 
-/// Records of the control stream that are kept for peers.
-pub const KEPT_RECORDS: usize = 5_000;
-
 /// A stream of the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stream {
@@ -145,7 +142,6 @@
     me: NodeIncarnation,
     control: ControlFold,
     claims: ClaimFold,
-    recent: VecDeque<LogEntry>,
     /// Records read since the start of a trimmed stream, until a checkpoint is whole.
     passed: Vec<LogEntry>,
     assembly: Assembly,
@@ -184,7 +180,6 @@
             me,
             control: ControlFold::default(),
             claims: ClaimFold::new(ClaimRules::default()),
-            recent: VecDeque::new(),
             passed: Vec::new(),
             assembly: Assembly::default(),
             retention,
@@ -207,11 +202,6 @@
         &self.claims
     }
 
-    /// Newest records of the control stream, oldest first.
-    pub fn recent(&self) -> &VecDeque<LogEntry> {
-        &self.recent
-    }
-
     /// Takes what other controllers have to know.
     pub fn take_news(&mut self) -> Vec<LedgerNews> {
         std::mem::take(&mut self.news)
@@ -288,7 +278,6 @@
         if !self.control.adopt(copy) {
             return false;
         }
-        self.recent.clear();
         self.watch.adopted(covers, ctx.now);
         self.cursors.set(Stream::Control, self.control.next());
         self.publish(ctx);
@@ -308,19 +297,28 @@
                 self.cursors.set(stream, start);
             }
             (Stream::Control, ReadAnswer::Page(page)) => {
-                self.read_control(ctx, &page);
-                self.note_read(ctx, stream, began, &page);
+                let entries = page.entries();
+                self.read_control(ctx, &page, &entries);
+                self.note_read(ctx, stream, began, &page, &entries);
             }
             (Stream::Claims, ReadAnswer::Page(page)) => {
-                self.read_claims(ctx.now, &page);
-                self.note_read(ctx, stream, began, &page);
+                let entries = page.entries();
+                self.read_claims(ctx.now, &page, &entries);
+                self.note_read(ctx, stream, began, &page, &entries);
             }
         }
     }
 
     /// Tells the appender which of its records stand in the log.
-    fn note_read(&mut self, ctx: &mut Context<'_>, stream: Stream, began: Millis, page: &Page) {
-        for entry in &page.entries {
+    fn note_read(
+        &mut self,
+        ctx: &mut Context<'_>,
+        stream: Stream,
+        began: Millis,
+        page: &Page,
+        entries: &[LogEntry],
+    ) {
+        for entry in entries {
             let input = AppendInput::Saw {
                 offset: entry.offset,
                 id: entry.id.clone(),
@@ -332,15 +330,15 @@
         }
     }
 
-    fn read_control(&mut self, ctx: &mut Context<'_>, page: &Page) {
-        for entry in &page.entries {
+    fn read_control(&mut self, ctx: &mut Context<'_>, page: &Page, entries: &[LogEntry]) {
+        for entry in entries {
             if entry.offset <= self.control.next() {
                 self.apply_control(ctx, entry);
                 continue;
             }
             self.pass(ctx, entry, page.start);
         }
-        let read = page.entries.last().map(|entry| entry.offset.next());
+        let read = entries.last().map(|entry| entry.offset.next());
         let next = read.unwrap_or_default().max(self.control.next());
         if next > self.cursors.get(Stream::Control) {
             self.cursors.set(Stream::Control, next);
@@ -402,10 +400,6 @@
             }
         }
         self.watch.saw(entry);
-        self.recent.push_back(entry.clone());
-        if self.recent.len() > KEPT_RECORDS {
-            self.recent.pop_front();
-        }
         self.cursors.set(Stream::Control, self.control.next());
         let input = AppendInput::Saw {
             offset: entry.offset,
@@ -414,15 +408,15 @@
         self.step_appender(ctx, Stream::Control, input);
     }
 
-    fn read_claims(&mut self, now: Millis, page: &Page) {
+    fn read_claims(&mut self, now: Millis, page: &Page, entries: &[LogEntry]) {
         if self.claims_trimmed && self.claims.next() < page.start {
-            let oldest = page.entries.first().map_or(now, |entry| entry.time);
+            let oldest = entries.first().map_or(now, |entry| entry.time);
             let since = oldest.min(now - self.retention.age);
             let rules = *self.claims.rules();
             self.claims = ClaimFold::starting_at(rules, page.start, since);
         }
         self.claims_trimmed = false;
-        for entry in &page.entries {
+        for entry in entries {
             match self.claims.apply(entry) {
                 ClaimsApplied::Judged(judged) => {
                     let own: Vec<Judged> = judged
--- /dev/null
+++ b/crates/node/src/control/members.rs
@@ -0,0 +1,427 @@
+//! Membership of the fleet, and handing on what the log said.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use flamingolock_core::checkpoint;
+use flamingolock_core::fold::ControlFold;
+use flamingolock_core::heartbeat::{Input, Output};
+use flamingolock_core::members::Instance;
+use flamingolock_core::membership::Membership;
+use flamingolock_core::permit::EntryRef;
+use flamingolock_core::prelude::*;
+use flamingolock_core::record::{CheckpointPart, LogEntry, NodeIncarnation};
+use flamingolock_core::rendezvous;
+use flamingolock_core::spread::{self, Spread};
+use flamingolock_core::tail::Record;
+use flamingolock_wire::convert::{Offsets, heartbeat_message, heartbeat_parts};
+use flamingolock_wire::message::{self as wire, Payload};
+use flamingolock_wire::snapshot::{self, Assembly};
+
+use crate::control::context::{Context, Effect};
+use crate::control::ledger::{Ledger, Stream};
+use crate::log_client::entry_of;
+use crate::peers::LinkState;
+use crate::view::{Listed, ListedKind, ListedState};
+
+/// Longest time between two inputs of the membership.
+const TICK: Millis = Millis(200);
+
+/// What changed for other controllers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MemberNews {
+    /// True when the live nodes may have changed.
+    pub changed: bool,
+    /// Lives of nodes that have ended.
+    pub ended: Vec<EntryRef>,
+    /// The platform's list as a peer knew it.
+    pub listed: Option<Vec<Listed>>,
+}
+
+/// Membership as one node keeps it.
+pub struct Members {
+    me: Instance,
+    membership: Membership,
+    spread: Spread,
+    snapshots: BTreeMap<InstanceId, Assembly>,
+    lives: BTreeMap<InstanceId, Incarnation>,
+    addresses: BTreeMap<InstanceId, SocketAddr>,
+    listed: Vec<Listed>,
+    has_list: bool,
+    news: MemberNews,
+    next_tick: Millis,
+}
+
+impl Members {
+    /// A node that knows only itself.
+    pub fn new(me: &Instance, incarnation: Incarnation, now: Millis) -> Self {
+        let seed = rendezvous::key(&format!("{}#{incarnation}", me.name));
+        Self {
+            me: me.clone(),
+            membership: Membership::new(me, incarnation, now),
+            spread: Spread::new(Offset(0), seed),
+            snapshots: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            listed: Vec::new(),
+            has_list: false,
+            news: MemberNews {
+                changed: true,
+                ..MemberNews::default()
+            },
+            next_tick: now,
+        }
+    }
+
+    /// Takes what other controllers have to know.
+    pub fn take_news(&mut self) -> MemberNews {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Live nodes that take new work, this one among them unless it is leaving.
+    pub fn live(&self) -> BTreeSet<InstanceId> {
+        self.membership.view().live().cloned().collect()
+    }
+
+    /// Rows of the live nodes.
+    pub fn live_rows(&self) -> Vec<Instance> {
+        self.membership.view().live_rows().cloned().collect()
+    }
+
+    /// Whether this life of a node may still act. Only a later life, or silence on
+    /// fresh connections, speaks against it.
+    pub fn is_live(&self, node: &NodeIncarnation) -> bool {
+        let view = self.membership.view();
+        let suspected = view.suspected().any(|name| *name == node.instance);
+        let newest = view.state(&node.instance).map(|state| state.incarnation);
+        !suspected && newest.is_none_or(|newest| newest <= node.incarnation)
+    }
+
+    /// The platform's list was read, or a peer passed its copy on.
+    pub fn listed(&mut self, ctx: &mut Context<'_>, listed: &[Listed], from_platform: bool) {
+        self.has_list |= from_platform;
+        self.listed = listed.to_vec();
+        let rows: Vec<Instance> = listed.iter().filter_map(row_of).collect();
+        let input = if from_platform {
+            Input::InstanceList(rows)
+        } else {
+            Input::PeerList(rows)
+        };
+        self.step(ctx, input);
+        self.update_addresses(ctx);
+    }
+
+    fn update_addresses(&mut self, ctx: &mut Context<'_>) {
+        let addresses: BTreeMap<InstanceId, SocketAddr> = self
+            .membership
+            .view()
+            .rows()
+            .filter(|row| row.name != self.me.name)
+            .map(|row| (row.name.clone(), row.peer_address))
+            .collect();
+        if addresses != self.addresses {
+            self.addresses = addresses;
+            ctx.effects.push(Effect::Addresses(self.addresses.clone()));
+        }
+    }
+
+    /// The connection to a peer changed its state.
+    pub fn link(&mut self, ctx: &mut Context<'_>, to: &InstanceId, state: LinkState) {
+        let input = match state {
+            LinkState::Up(incarnation) => Input::FreshConnectionOk {
+                peer: to.clone(),
+                incarnation,
+            },
+            LinkState::Failed => Input::FreshConnectionFailed(to.clone()),
+            LinkState::Broken => Input::ConnectionSilent(to.clone()),
+        };
+        self.step(ctx, input);
+        if let LinkState::Up(_) = state
+            && !self.has_list
+        {
+            self.ask_instances(ctx, to);
+        }
+    }
+
+    /// A node answered at an address from the settings. It is asked for what it
+    /// knows; the platform's list or its answer fill in the rest.
+    pub fn seed(&mut self, ctx: &mut Context<'_>, name: &InstanceId, address: SocketAddr) {
+        if self.has_list || self.addresses.contains_key(name) {
+            return;
+        }
+        self.addresses.insert(name.clone(), address);
+        ctx.effects.push(Effect::Addresses(self.addresses.clone()));
+        self.ask_instances(ctx, name);
+    }
+
+    /// This node begins its shutdown.
+    pub fn leave(&mut self, ctx: &mut Context<'_>) {
+        self.step(ctx, Input::Leave);
+    }
+
+    /// Time passed.
+    pub fn tick(&mut self, ctx: &mut Context<'_>) {
+        if ctx.now < self.next_tick {
+            return;
+        }
+        self.next_tick = ctx.now + TICK;
+        self.step(ctx, Input::Tick);
+    }
+
+    /// Records of the control stream came from the log.
+    pub fn read(&mut self, ctx: &mut Context<'_>, ledger: &mut Ledger, records: Vec<Record>) {
+        let any = !records.is_empty();
+        self.spread_step(ctx, ledger, spread::Input::LogRecords(records));
+        let next = ledger.control().next();
+        if self.spread.next() < next {
+            self.spread_step(ctx, ledger, spread::Input::Rebased(next));
+        }
+        if any {
+            self.step(ctx, Input::Announce);
+        }
+    }
+
+    /// Lets time pass for what peers still have to send.
+    pub fn tick_spread(&mut self, ctx: &mut Context<'_>, ledger: &mut Ledger) {
+        self.spread_step(ctx, ledger, spread::Input::Tick);
+    }
+
+    /// A message about membership or the log came from another node.
+    pub fn peer(
+        &mut self,
+        ctx: &mut Context<'_>,
+        ledger: &mut Ledger,
+        from: &EntryRef,
+        payload: &Payload,
+    ) {
+        let peer = from.instance.clone();
+        match payload {
+            Payload::Heartbeat(message) => {
+                let (heartbeat, offsets) = heartbeat_parts(message.clone());
+                self.step(
+                    ctx,
+                    Input::PeerSaid {
+                        peer: peer.clone(),
+                        heartbeat,
+                    },
+                );
+                let input = spread::Input::PeerOffset(peer, offsets.control);
+                self.spread_step(ctx, ledger, input);
+            }
+            Payload::RecordsWanted(wanted) if wanted.stream == Stream::Control.name() => {
+                let input = spread::Input::RecordsWanted(peer, Offset(wanted.from), wanted.max);
+                self.spread_step(ctx, ledger, input);
+            }
+            Payload::Records(records) => {
+                let records: Vec<Record> = records
+                    .records
+                    .iter()
+                    .filter_map(|record| Record::try_from(record.clone()).ok())
+                    .collect();
+                self.spread_step(ctx, ledger, spread::Input::PeerRecords(peer, records));
+            }
+            Payload::RecordsBusy(busy) => {
+                let wait = Millis(busy.retry_after_ms);
+                self.spread_step(ctx, ledger, spread::Input::PeerBusy(peer, wait));
+            }
+            Payload::Snapshot(part) => {
+                let assembly = self.snapshots.entry(peer.clone()).or_default();
+                if let Some((offset, bytes)) = assembly.push(part) {
+                    self.snapshots.remove(&peer);
+                    let input = spread::Input::PeerSnapshot(peer, offset, bytes.to_vec());
+                    self.spread_step(ctx, ledger, input);
+                }
+            }
+            Payload::InstancesWanted(wanted) => self.tell_instances(ctx, &peer, wanted),
+            Payload::Instances(instances) => self.take_instances(ctx, instances),
+            _ => {}
+        }
+    }
+
+    /// A frame of any kind carried the flag that its sender is leaving.
+    pub fn peer_leaving(&mut self, ctx: &mut Context<'_>, from: &EntryRef) {
+        let input = Input::PeerLeaving {
+            peer: from.instance.clone(),
+            incarnation: from.incarnation,
+        };
+        self.step(ctx, input);
+    }
+
+    fn ask_instances(&self, ctx: &mut Context<'_>, peer: &InstanceId) {
+        let wanted = wire::InstancesWanted {
+            sender: Some(wire::InstanceRow::from(&self.me)),
+        };
+        ctx.send(peer, Payload::InstancesWanted(wanted));
+    }
+
+    /// Answers also a node that the platform's list does not show yet.
+    fn tell_instances(
+        &mut self,
+        ctx: &mut Context<'_>,
+        peer: &InstanceId,
+        wanted: &wire::InstancesWanted,
+    ) {
+        let row = wanted
+            .sender
+            .clone()
+            .and_then(|row| Instance::try_from(row).ok());
+        if let Some(row) = row.filter(|row| row.name == *peer) {
+            self.step(ctx, Input::PeerList(vec![row]));
+            self.update_addresses(ctx);
+        }
+        let rows = self
+            .membership
+            .view()
+            .rows()
+            .map(wire::InstanceRow::from)
+            .collect();
+        let listed = serde_json::to_vec(&self.listed).unwrap_or_default();
+        let message = wire::Instances {
+            instances: rows,
+            listed: Bytes::from(listed),
+        };
+        ctx.send(peer, Payload::Instances(message));
+    }
+
+    fn take_instances(&mut self, ctx: &mut Context<'_>, message: &wire::Instances) {
+        let rows = message
+            .instances
+            .iter()
+            .filter_map(|row| Instance::try_from(row.clone()).ok())
+            .collect();
+        self.step(ctx, Input::PeerList(rows));
+        self.update_addresses(ctx);
+        if self.has_list {
+            return;
+        }
+        if let Ok(listed) = serde_json::from_slice::<Vec<Listed>>(&message.listed)
+            && !listed.is_empty()
+        {
+            self.news.listed = Some(listed);
+        }
+    }
+
+    fn step(&mut self, ctx: &mut Context<'_>, input: Input) {
+        for output in self.membership.step(input, ctx.now) {
+            match output {
+                Output::SendHeartbeat { to, heartbeat } => {
+                    let offsets = Offsets {
+                        control: self.spread.next(),
+                        claims: Offset(0),
+                    };
+                    let message = heartbeat_message(&heartbeat, offsets);
+                    ctx.send(&to, Payload::Heartbeat(message));
+                }
+                Output::OpenFreshConnection(to) => ctx.effects.push(Effect::Reconnect(to)),
+                Output::AskInstances(peer) => self.ask_instances(ctx, &peer),
+                Output::Suspect(name) => log::warn!("node {name} is suspected"),
+                Output::Clear(name) => log::info!("node {name} is no longer suspected"),
+                Output::ViewChanged => self.news.changed = true,
+            }
+        }
+        self.note_lives();
+    }
+
+    /// Finds lives that a later one has ended, and nodes that are gone.
+    fn note_lives(&mut self) {
+        let mut lives = BTreeMap::new();
+        for (name, member) in self.membership.view().members().iter() {
+            lives.insert(name.clone(), member.state.incarnation);
+        }
+        for (name, incarnation) in &self.lives {
+            let ended = lives.get(name).is_none_or(|newest| newest > incarnation);
+            if ended && *incarnation != Incarnation(0) {
+                let entry = EntryRef {
+                    instance: name.clone(),
+                    incarnation: *incarnation,
+                };
+                self.news.ended.push(entry);
+            }
+        }
+        self.lives = lives;
+    }
+
+    fn spread_step(&mut self, ctx: &mut Context<'_>, ledger: &mut Ledger, input: spread::Input) {
+        for output in self.spread.step(input, ctx.now) {
+            match output {
+                spread::Output::AskRecords(peer, from) => {
+                    let wanted = wire::RecordsWanted {
+                        stream: Stream::Control.name().to_owned(),
+                        from: from.0,
+                        max: spread::MAX_BATCH,
+                    };
+                    ctx.send(&peer, Payload::RecordsWanted(wanted));
+                }
+                spread::Output::Apply(records) => {
+                    let entries: Vec<LogEntry> = records.iter().map(entry_of).collect();
+                    if ledger.from_peer(ctx, &entries) {
+                        self.step(ctx, Input::Announce);
+                    }
+                }
+                spread::Output::Install(offset, bytes) => {
+                    install(ctx, ledger, offset, &bytes);
+                }
+                spread::Output::SendRecords(peer, records) => {
+                    let first = records.first().map_or(0, |record| record.offset.0);
+                    let message = wire::Records {
+                        stream: Stream::Control.name().to_owned(),
+                        first,
+                        records: records.iter().map(wire::LogRecord::from).collect(),
+                    };
+                    ctx.send(&peer, Payload::Records(message));
+                }
+                spread::Output::SendSnapshot(peer) => send_snapshot(ctx, ledger, &peer),
+                spread::Output::SendBusy(peer, wait) => {
+                    let busy = wire::RecordsBusy {
+                        stream: Stream::Control.name().to_owned(),
+                        retry_after_ms: wait.0,
+                    };
+                    ctx.send(&peer, Payload::RecordsBusy(busy));
+                }
+            }
+        }
+    }
+}
+
+fn row_of(listed: &Listed) -> Option<Instance> {
+    if listed.kind != ListedKind::Entry {
+        return None;
+    }
+    Some(Instance {
+        name: InstanceId::from(listed.name.as_str()),
+        address: listed.address,
+        peer_address: listed.peer_address?,
+        zone: listed.zone.clone(),
+        leaving: listed.state == ListedState::Leaving,
+    })
+}
+
+fn send_snapshot(ctx: &mut Context<'_>, ledger: &Ledger, peer: &InstanceId) {
+    let fold = ledger.control();
+    let parts = checkpoint::encode(fold, "peer", checkpoint::PART_BYTES);
+    let bytes = Bytes::from(serde_json::to_vec(&parts).unwrap_or_default());
+    for part in snapshot::split(Stream::Control.name(), fold.next(), &bytes) {
+        ctx.send(peer, Payload::Snapshot(part));
+    }
+}
+
+fn install(ctx: &mut Context<'_>, ledger: &mut Ledger, offset: Offset, bytes: &[u8]) {
+    let copy: Result<ControlFold, String> = serde_json::from_slice::<Vec<CheckpointPart>>(bytes)
+        .map_err(|error| error.to_string())
+        .and_then(|parts| checkpoint::rebuild(&parts).map_err(|error| error.to_string()));
+    match copy {
+        Ok(copy) if copy.next() == offset => {
+            ledger.adopt(ctx, copy);
+        }
+        Ok(_) => log::warn!("snapshot from a peer names another offset than it holds"),
+        Err(error) => log::warn!("snapshot from a peer cannot be read: {error}"),
+    }
+}
+
+/// Shares the list with traffic threads.
+pub fn publish(ctx: &Context<'_>, members: &Members) {
+    let rows = Arc::new(members.live_rows());
+    ctx.publish(|view| view.entries = rows);
+}
--- a/crates/node/src/control/messages.rs
+++ b/crates/node/src/control/messages.rs
@@ -48,10 +48,29 @@
     Prompt { levels, tokens }
 }
 
-/// The message that probes `engine`.
-pub fn probe(ticket: Ticket, engine: &EngineId, ask: &Ask) -> wire::Probe {
+/// Probes of one request that numbers tell apart.
+const PROBE_BITS: u32 = 2;
+
+/// Largest number of a request; numbers begin again after it.
+pub const MAX_TICKET: u32 = u32::MAX >> PROBE_BITS;
+
+/// The number of one of a request's probes.
+pub fn probe_id(ticket: Ticket, place: usize) -> u32 {
+    (ticket.0 << PROBE_BITS) | (place as u32 & ((1 << PROBE_BITS) - 1))
+}
+
+/// The request and the place that [`probe_id`] made a number of.
+pub fn read_probe_id(id: u32) -> (Ticket, usize) {
+    (
+        Ticket(id >> PROBE_BITS),
+        (id & ((1 << PROBE_BITS) - 1)) as usize,
+    )
+}
+
+/// The message that probes `engine`, as the request's probe at `place`.
+pub fn probe(ticket: Ticket, place: usize, engine: &EngineId, ask: &Ask) -> wire::Probe {
     wire::Probe {
-        id: ticket.0,
+        id: probe_id(ticket, place),
         engine: engine.to_string(),
         workspace: ask.workspace.to_string(),
         priority: u32::from(ask.priority),
@@ -66,7 +85,7 @@
 pub fn probe_ask(from: &EntryRef, probe: &wire::Probe, weight: f64) -> Ask {
     Ask {
         entry: from.clone(),
-        request: Ticket(probe.id).request(&from.instance),
+        request: read_probe_id(probe.id).0.request(&from.instance),
         workspace: WorkspaceId::from(probe.workspace.as_str()),
         weight,
         priority: u8::try_from(probe.priority).unwrap_or(u8::MAX),
@@ -76,15 +95,15 @@
     }
 }
 
-/// The message that answers a probe.
-pub fn probe_answer(ticket: Ticket, answer: ProbeAnswer) -> wire::ProbeAnswer {
+/// The message that answers the probe of this number.
+pub fn probe_answer(id: u32, answer: ProbeAnswer) -> wire::ProbeAnswer {
     let expected_ms = if answer.available {
         answer.expected_ms
     } else {
         UNAVAILABLE_MS
     };
     wire::ProbeAnswer {
-        id: ticket.0,
+        id,
         wait_ms: answer.wait_ms,
         missing_tokens: answer.missing_tokens,
         expected_ms,
@@ -139,21 +158,11 @@
     })
 }
 
-/// The message for what a home answers, and the node that it goes to.
+/// The message for what a home decides on a permit, and the node that it goes to.
 pub fn output(engine: &EngineId, output: &Output) -> Option<(InstanceId, Payload)> {
     match output {
-        Output::Probe {
-            entry,
-            request,
-            answer,
-        } => {
-            let answer = probe_answer(Ticket::of_request(request)?, *answer);
-            let answers = wire::ProbeAnswers {
-                engine: engine.to_string(),
-                answers: vec![answer],
-            };
-            Some((entry.instance.clone(), Payload::ProbeAnswers(answers)))
-        }
+        // Probes are answered by number, together with those of the same batch.
+        Output::Probe { .. } => None,
         Output::Grant(grant) => {
             let message = wire::PermitGrant {
                 request: Ticket::of_request(&grant.request)?.0.to_string(),
--- a/crates/node/src/control/router.rs
+++ b/crates/node/src/control/router.rs
@@ -145,7 +145,7 @@
             self.admit_baseline(ctx, &ask, reply);
             return;
         }
-        self.next_ticket = self.next_ticket.wrapping_add(1);
+        self.next_ticket = (self.next_ticket + 1) & messages::MAX_TICKET;
         let ticket = Ticket(self.next_ticket);
         let view = ctx.view.load();
         let weight = view
@@ -168,6 +168,7 @@
             weight,
             price,
             candidates,
+            probed: Vec::new(),
             answers: BTreeMap::new(),
             scored: Vec::new(),
             stage: Stage::Probing {
@@ -391,15 +392,7 @@
     /// A message about permits came from another node.
     pub fn peer(&mut self, ctx: &mut Context<'_>, from: &EntryRef, payload: &Payload) {
         match payload {
-            Payload::ProbeBatch(batch) => {
-                for probe in &batch.probes {
-                    let view = ctx.view.load();
-                    let workspace = view.manifest.workspaces.get(probe.workspace.as_str());
-                    let weight = workspace.map_or(1.0, |workspace| workspace.weight);
-                    let ask = messages::probe_ask(from, probe, weight);
-                    self.step_home(ctx, &probe.engine, Input::Probe(ask));
-                }
-            }
+            Payload::ProbeBatch(batch) => self.answer_probes(ctx, from, batch),
             Payload::PermitAsk(ask) => self.peer_ask(ctx, from, ask),
             Payload::PermitCancel(cancel) => {
                 if let Ok(number) = cancel.request.parse() {
@@ -442,6 +435,29 @@
         self.settle(ctx);
     }
 
+    fn answer_probes(&mut self, ctx: &mut Context<'_>, from: &EntryRef, batch: &wire::ProbeBatch) {
+        let view = ctx.view.load();
+        let mut answers = Vec::with_capacity(batch.probes.len());
+        for probe in &batch.probes {
+            let workspace = view.manifest.workspaces.get(probe.workspace.as_str());
+            let weight = workspace.map_or(1.0, |workspace| workspace.weight);
+            let ask = messages::probe_ask(from, probe, weight);
+            let engine = EngineId::from(probe.engine.as_str());
+            for (engine, output) in self.homes.step(&engine, Input::Probe(ask), ctx.now) {
+                match output {
+                    Output::Probe { answer, .. } => {
+                        answers.push(messages::probe_answer(probe.id, answer));
+                    }
+                    other => self.dispatch(ctx, vec![(engine, other)]),
+                }
+            }
+        }
+        if !answers.is_empty() {
+            let answers = wire::ProbeAnswers { answers };
+            ctx.send(&from.instance, Payload::ProbeAnswers(answers));
+        }
+    }
+
     fn step_home(&mut self, ctx: &mut Context<'_>, engine: &str, input: Input) {
         let outputs = self.homes.step(&EngineId::from(engine), input, ctx.now);
         self.dispatch(ctx, outputs);
@@ -473,10 +489,14 @@
     fn peer_answer(&mut self, ctx: &mut Context<'_>, from: &EntryRef, payload: &Payload) {
         match payload {
             Payload::ProbeAnswers(answers) => {
-                let engine = EngineId::from(answers.engine.as_str());
                 for answer in &answers.answers {
+                    let (ticket, place) = messages::read_probe_id(answer.id);
+                    let waiting = self.waiting.get(&ticket);
+                    let Some(engine) = waiting.and_then(|waiting| waiting.probed.get(place)) else {
+                        continue;
+                    };
                     self.to_entry.push_back(ToEntry::Probe {
-                        ticket: Ticket(answer.id),
+                        ticket,
                         engine: engine.clone(),
                         answer: messages::read_probe_answer(answer),
                     });
@@ -684,7 +704,8 @@
             .map(|candidate| candidate.engine.clone())
             .collect();
         let mut remote: BTreeMap<InstanceId, Vec<wire::Probe>> = BTreeMap::new();
-        for engine in &engines {
+        waiting.probed.clone_from(&engines);
+        for (place, engine) in engines.iter().enumerate() {
             let weights = self.weights_of(engine);
             let ask = waiting.home_ask(&self.me, &weights, ctx.now);
             let home = self.homes.home_of(engine);
@@ -695,7 +716,7 @@
                 remote
                     .entry(home)
                     .or_default()
-                    .push(messages::probe(ticket, engine, &ask));
+                    .push(messages::probe(ticket, place, engine, &ask));
             }
         }
         self.waiting.insert(ticket, waiting);
@@ -875,10 +896,9 @@
     /// Sends what homes say to the entries that it is for.
     fn dispatch(&mut self, ctx: &mut Context<'_>, outputs: Outputs) {
         for (engine, output) in outputs {
-            let Some((to, payload)) = messages::output(&engine, &output) else {
-                continue;
-            };
-            if to != self.me.instance {
+            if let Some((to, payload)) = messages::output(&engine, &output)
+                && to != self.me.instance
+            {
                 ctx.send(&to, payload);
                 continue;
             }
--- a/crates/node/src/filters/limit.rs
+++ b/crates/node/src/filters/limit.rs
@@ -6,7 +6,7 @@
 
 use crate::api::{ApiError, ErrorKind};
 use crate::control::Event;
-use crate::control::permit::Presence;
+use crate::control::permit::{Presence, Refusal};
 use crate::filters::Traffic;
 
 /// Takes a request of `workspace` in until the returned guard is dropped.
@@ -20,7 +20,17 @@
     let event = Event::Enter(workspace.clone(), reply);
     traffic.events.send(event).map_err(|_| stopped())?;
     let presence = presence.await.map_err(|_| stopped())?;
-    presence.map_err(|refusal| ApiError {
+    presence.map_err(|refusal| match refusal.code {
+        "leaving" | "unknown_workspace" => {
+            let message = "this node takes no requests; use another entry";
+            ApiError::unavailable(refusal.code, message, refusal.retry_after.0)
+        }
+        _ => limited(&refusal),
+    })
+}
+
+fn limited(refusal: &Refusal) -> ApiError {
+    ApiError {
         retry_after: Some(refusal.retry_after.0),
         ..ApiError::new(
             StatusCode::TOO_MANY_REQUESTS,
@@ -28,5 +38,5 @@
             refusal.code,
             "a limit of the workspace is reached",
         )
-    })
+    }
 }
--- a/crates/node/src/log_client.rs
+++ b/crates/node/src/log_client.rs
@@ -4,7 +4,9 @@
 
 use flamingolock_core::prelude::*;
 use flamingolock_core::record::{LogEntry, Record, RecordId};
+use flamingolock_core::tail::Record as TailRecord;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::{Value, json};
 use thiserror::Error;
 
@@ -47,7 +49,7 @@
     /// Offset that the next record will get.
     pub end: Offset,
     /// Records in order.
-    pub entries: Vec<LogEntry>,
+    pub records: Vec<TailRecord>,
 }
 
 /// Answer to a read.
@@ -74,8 +76,8 @@
 struct RecordBody {
     offset: Offset,
     time_ms: Millis,
-    id: RecordId,
-    body: Value,
+    id: String,
+    body: Box<RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -90,6 +92,13 @@
     url: String,
 }
 
+impl Page {
+    /// The entries that the records stand for.
+    pub fn entries(&self) -> Vec<LogEntry> {
+        self.records.iter().map(entry_of).collect()
+    }
+}
+
 impl LogClient {
     /// A client of the platform at `url`.
     pub fn new(url: &str) -> Self {
@@ -136,14 +145,11 @@
         if status == 410 {
             return Ok(ReadAnswer::Trimmed { start: body.start });
         }
-        let entry = |record: RecordBody| {
-            LogEntry::from_body(record.offset, record.time_ms, record.id, &record.body)
-        };
-        let entries = body.records.into_iter().map(entry).collect();
+        let records = body.records.into_iter().map(tail_record).collect();
         Ok(ReadAnswer::Page(Page {
             start: body.start,
             end: body.end,
-            entries,
+            records,
         }))
     }
 
@@ -173,6 +179,26 @@
     }
 }
 
+fn tail_record(record: RecordBody) -> TailRecord {
+    TailRecord {
+        offset: record.offset,
+        time: record.time_ms,
+        id: record.id.into(),
+        body: record.body.get().into(),
+    }
+}
+
+/// The entry that a record stands for.
+pub fn entry_of(record: &TailRecord) -> LogEntry {
+    let body = serde_json::from_str(&record.body).unwrap_or(Value::Null);
+    LogEntry::from_body(
+        record.offset,
+        record.time,
+        RecordId::from(&*record.id),
+        &body,
+    )
+}
+
 fn refused(answer: &ureq::http::Response<ureq::Body>) -> LogError {
     let seconds = answer
         .headers()
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use flamingolock_core::entry_token::{FleetKeys, TokenError};
+use flamingolock_core::members::Instance;
 use flamingolock_core::prelude::*;
 use flamingolock_core::record::NodeIncarnation;
 use flamingolock_wire::handshake::{FleetKey, Identity, KeyTooShort};
@@ -16,6 +17,7 @@
 use tokio::task::JoinHandle;
 
 use crate::call_task;
+use crate::control::controllers::Me;
 use crate::control::ledger::LogCursors;
 use crate::control::{self, ControlHandle, Event, Wiring};
 use crate::decisions::DecisionLog;
@@ -26,7 +28,10 @@
 use crate::platform::PlatformThreads;
 use crate::server;
 use crate::settings::Settings;
-use crate::view::{SharedView, View};
+use crate::view::{DrainPhase, SharedView, View};
+
+/// Time for the last events of streams that are ended at the limit of a drain.
+const LAST_WORDS: Duration = Duration::from_secs(1);
 
 /// Why a node could not start.
 #[derive(Debug, Error)]
@@ -88,9 +93,16 @@
         let (forwarded, forwarded_calls) = mpsc::unbounded_channel();
         let (appends, jobs) = crossbeam::channel::unbounded();
         let cursors = Arc::new(LogCursors::default());
+        let row = Instance {
+            name: settings.node.name.clone(),
+            address,
+            peer_address,
+            zone: settings.node.zone.clone(),
+            leaving: false,
+        };
         let control = ControlHandle::start(
             &settings,
-            incarnation,
+            Me { row, incarnation },
             Arc::clone(&view),
             Arc::clone(&decisions),
             Wiring {
@@ -112,6 +124,12 @@
             Arc::clone(&me),
             control.events.clone(),
         ));
+        let greeted = settings.fleet.seeds.clone();
+        runtime.spawn(peers::greet(
+            greeted,
+            Arc::clone(&me),
+            control.events.clone(),
+        ));
         runtime.spawn(peers::run(commands, me, control.events.clone()));
         let threads = PlatformThreads::start(&settings.platform, &control.events, &cursors, &jobs)?;
         let http = EndpointHttp::new(settings.timing.connect_ms);
@@ -168,19 +186,27 @@
         view.ready && view.answering >= engines
     }
 
-    /// Stops listing the node, finishes what is in progress, then stops.
+    /// Stops listing the node, serves those that still come while they keep older
+    /// entries, finishes what is in progress, then stops.
     pub fn shutdown(mut self) {
         let _ = self.control.events.send(Event::Leaving);
+        self.wait_for(DrainPhase::Finishing);
         let _ = self.stop.send(true);
         let Some(runtime) = self.runtime.take() else {
             return;
         };
         if let Some(server) = self.server.take() {
-            let limit = Duration::from_millis(self.settings.timing.drain_ms);
+            let limit = Duration::from_millis(self.settings.timing.drain_ms) + LAST_WORDS;
             let _ = runtime.block_on(async { tokio::time::timeout(limit, server).await });
         }
         runtime.shutdown_timeout(Duration::from_millis(200));
     }
+
+    fn wait_for(&self, phase: DrainPhase) {
+        while self.view.load().phase < phase {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
 }
 
 impl Drop for Node {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -14,7 +14,7 @@
 use flamingolock_core::permit::EntryRef;
 use flamingolock_core::prelude::*;
 use flamingolock_wire::codec::PeerCodec;
-use flamingolock_wire::handshake::{FleetKey, HandshakeError, Identity, Role, handshake};
+use flamingolock_wire::handshake::{FleetKey, HandshakeError, Identity, Peer, Role, handshake};
 use flamingolock_wire::message::{Payload, PeerFrame};
 use futures_util::{SinkExt, StreamExt};
 use thiserror::Error;
@@ -75,6 +75,17 @@
     Reconnect(InstanceId),
 }
 
+/// State of the connection to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkState {
+    /// A fresh connection reached this life of the peer.
+    Up(Incarnation),
+    /// A fresh connection could not be made.
+    Failed,
+    /// An open connection broke.
+    Broken,
+}
+
 /// Way to the links; cheap to clone.
 pub type PeerSender = mpsc::UnboundedSender<PeerCommand>;
 
@@ -137,6 +148,33 @@
     Ok(())
 }
 
+/// Asks nodes at known addresses who they are, for a node that starts while the
+/// platform's list is out of reach.
+pub async fn greet(seeds: Vec<SocketAddr>, me: Arc<LinkIdentity>, events: Sender<Event>) {
+    for address in seeds {
+        match connect_any(address, &me).await {
+            Ok(peer) if peer.name != me.identity.name => {
+                let _ = events.send(Event::Seed {
+                    name: peer.name,
+                    address,
+                });
+            }
+            Ok(_) => {}
+            Err(error) => log::info!("seed {address}: {error}"),
+        }
+    }
+}
+
+async fn connect_any(address: SocketAddr, me: &LinkIdentity) -> Result<Peer, LinkError> {
+    let connecting = async {
+        let mut stream = TcpStream::connect(address).await?;
+        Ok(handshake(&mut stream, Role::Dialer, &me.identity, &me.key).await?)
+    };
+    timeout(Duration::from_millis(CONNECT_MS), connecting)
+        .await
+        .map_err(|_| LinkError::Timeout)?
+}
+
 /// Carries out commands until the control thread is gone.
 pub async fn run(
     mut commands: mpsc::UnboundedReceiver<PeerCommand>,
@@ -213,11 +251,11 @@
 ) {
     let mut first = None;
     loop {
-        let up = match connect(&to, address, &me).await {
-            Ok(mut stream) => {
+        let state = match connect(&to, address, &me).await {
+            Ok((mut stream, incarnation)) => {
                 let _ = events.send(Event::PeerLink {
                     to: to.clone(),
-                    up: true,
+                    state: LinkState::Up(incarnation),
                 });
                 if write_all(&mut stream, &mut frames, first.take())
                     .await
@@ -225,18 +263,18 @@
                 {
                     return;
                 }
-                true
+                LinkState::Broken
             }
             Err(error) => {
                 log::debug!("peer {to} at {address}: {error}");
-                false
+                LinkState::Failed
             }
         };
         let _ = events.send(Event::PeerLink {
             to: to.clone(),
-            up: false,
+            state,
         });
-        if !up {
+        if state == LinkState::Failed {
             while frames.try_recv().is_ok() {}
         }
         // The next message makes the next attempt.
@@ -284,7 +322,7 @@
     to: &InstanceId,
     address: SocketAddr,
     me: &LinkIdentity,
-) -> Result<Framed<TcpStream, PeerCodec>, LinkError> {
+) -> Result<(Framed<TcpStream, PeerCodec>, Incarnation), LinkError> {
     let connecting = async {
         let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
@@ -295,7 +333,7 @@
                 found: peer.name,
             });
         }
-        Ok(Framed::new(stream, PeerCodec::new()))
+        Ok((Framed::new(stream, PeerCodec::new()), peer.incarnation))
     };
     timeout(Duration::from_millis(CONNECT_MS), connecting)
         .await
--- a/crates/node/src/publish.rs
+++ b/crates/node/src/publish.rs
@@ -207,7 +207,7 @@
             match client.read(CONTROL_STREAM, from, PAGE, Millis(0))? {
                 ReadAnswer::Trimmed { start } => from = start,
                 ReadAnswer::Page(page) => {
-                    for entry in &page.entries {
+                    for entry in &page.entries() {
                         from = entry.offset.next();
                         if self.take(entry, page.start, &stop) {
                             return Ok(());
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -1,10 +1,10 @@
 //! The callers' port.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use flamingolock_core::entries::{self, Caller, EntriesAnswer};
 use flamingolock_core::entry_token::EntryToken;
 use flamingolock_core::prelude::*;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
@@ -17,9 +17,12 @@
 use tokio_util::task::TaskTracker;
 
 use crate::api::{Answer, ApiError, ErrorKind, json_answer};
+use crate::control::controllers::workspace_share;
 use crate::control::now;
+use crate::filters::authenticate::authenticate;
 use crate::filters::{Traffic, completion, service_call};
 use crate::relay::Shape;
+use crate::view::DrainPhase;
 
 /// Header with the identifier of a request.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -105,7 +108,7 @@
             let body = read_body(traffic, &parts.headers, body).await?;
             completion::serve(traffic, id, &parts.headers, &body, Shape::Chat).await
         }
-        (&Method::GET, "/v1/entries") => Ok(entries(traffic)),
+        (&Method::GET, "/v1/entries") => entries(traffic, &parts),
         (&Method::GET, "/v1/models") => Ok(models(traffic)),
         (method @ (&Method::POST | &Method::GET), path) => {
             let Some(rest) = path.strip_prefix("/v1/calls/") else {
@@ -171,23 +174,45 @@
     }
 }
 
-fn entries(traffic: &Traffic) -> Answer {
+/// Serves `GET /v1/entries[?zone=NAME]`. A key decides the workspace, and with it
+/// the subset; without one the answer holds no token.
+fn entries(traffic: &Traffic, parts: &http::request::Parts) -> Result<Answer, ApiError> {
     let view = traffic.view.load_full();
-    let entries: Vec<SocketAddr> = view
-        .instances
-        .values()
-        .filter(|listed| listed.kind == crate::view::ListedKind::Entry)
-        .map(|listed| listed.address)
-        .collect();
-    let lifetime = traffic.settings.timing.entries_ms;
+    let known = parts.headers.contains_key(http::header::AUTHORIZATION);
+    let workspace = if known {
+        Some(authenticate(&view, &parts.headers)?)
+    } else {
+        None
+    };
+    let nobody = WorkspaceId::default();
+    let asked = parts
+        .uri
+        .query()
+        .and_then(|query| query.strip_prefix("zone="));
+    let zone = asked.map_or_else(|| traffic.settings.node.zone.clone(), Zone::from);
+    let caller = Caller {
+        workspace: workspace.as_ref().unwrap_or(&nobody),
+        share: workspace
+            .as_ref()
+            .map_or(0.0, |id| workspace_share(&view.manifest, id)),
+        zone: &zone,
+        salt: rand::random(),
+    };
+    let chosen = entries::choose(view.entries.iter(), &caller);
+    // An entry that is leaving would mint tokens that outlive it.
+    let mints = workspace.is_some() && view.phase == DrainPhase::Running;
     let token = EntryToken {
         owner: traffic.me.clone(),
         made_at: now(),
         nonce: rand::random(),
     };
-    let token = traffic.keys.mint(&token).ok();
-    let body = serde_json::json!({ "entries": entries, "lifetime_ms": lifetime, "token": token });
-    json_answer(StatusCode::OK, body.to_string())
+    let token = mints.then(|| traffic.keys.mint(&token).ok()).flatten();
+    let answer = EntriesAnswer {
+        lifetime_ms: traffic.settings.timing.entries_ms,
+        ..EntriesAnswer::new(chosen, token)
+    };
+    let body = serde_json::to_vec(&answer).unwrap_or_default();
+    Ok(json_answer(StatusCode::OK, body))
 }
 
 fn models(traffic: &Traffic) -> Answer {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -147,6 +147,9 @@
 pub struct FleetSettings {
     /// Secret that nodes prove to each other and sign tokens with.
     pub key: String,
+    /// Addresses for nodes of a few instances, asked at the start for what they
+    /// know in case the platform's list is out of reach.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// The operators' port.
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use flamingolock_core::manifest::Manifest;
 use flamingolock_core::manifest_check::ManifestIndex;
+use flamingolock_core::members::Instance;
 use flamingolock_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
@@ -50,6 +51,21 @@
     pub state: ListedState,
 }
 
+/// Where the shutdown of a node stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DrainPhase {
+    /// Not begun.
+    #[default]
+    Running,
+    /// Not listed any more, still serving.
+    Unlisted,
+    /// Refuses new requests; those in progress go on.
+    Finishing,
+    /// Ends what is still in progress.
+    Ending,
+}
+
 /// Immutable picture of what the control thread knows.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -61,12 +77,14 @@
     pub offset: Offset,
     /// Instances by name.
     pub instances: Arc<BTreeMap<String, Listed>>,
+    /// Nodes that callers may use.
+    pub entries: Arc<Vec<Instance>>,
     /// Engines that answered when last asked.
     pub answering: usize,
     /// True once a manifest has been read.
     pub ready: bool,
-    /// True while the node is shutting down.
-    pub leaving: bool,
+    /// Where the node's own shutdown stands.
+    pub phase: DrainPhase,
 }
 
 impl View {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -213,9 +213,6 @@
     /// The answers; a probe about an engine that the sender is not home of has none.
     #[prost(message, repeated, tag = "1")]
     pub answers: Vec<ProbeAnswer>,
-    /// The engine that all of them are about.
-    #[prost(string, tag = "2")]
-    pub engine: String,
 }
 
 /// Answer to one probe.
@@ -653,7 +650,11 @@
 
 /// Asks for the instances that the receiver knows.
 #[derive(Clone, PartialEq, Message)]
-pub struct InstancesWanted {}
+pub struct InstancesWanted {
+    /// The sender, which the platform's list may not show yet.
+    #[prost(message, optional, tag = "1")]
+    pub sender: Option<InstanceRow>,
+}
 
 /// The entry instances that the sender knows, for nodes that started while the
 /// platform's instance list was out of reach.
@@ -662,6 +663,9 @@
     /// The instances.
     #[prost(message, repeated, tag = "1")]
     pub instances: Vec<InstanceRow>,
+    /// The platform's list as the sender read it last, as JSON.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub listed: bytes::Bytes,
 }
 
 /// One entry instance.
--- a/crates/wire/tests/test_codec.rs
+++ b/crates/wire/tests/test_codec.rs
@@ -234,7 +234,8 @@
 fn an_unknown_payload_or_field_is_ignored() {
     // Field 900 with one byte of content, as a later protocol might send.
     let unknown = [0xa2, 0x38, 0x01, 0x00];
-    let mut bytes = PeerFrame::from(Payload::InstancesWanted(InstancesWanted {})).encode_to_vec();
+    let mut bytes =
+        PeerFrame::from(Payload::InstancesWanted(InstancesWanted::default())).encode_to_vec();
     bytes.extend_from_slice(&unknown);
     let frame = PeerFrame::decode(&bytes[..]).unwrap();
     assert!(matches!(frame.payload, Some(Payload::InstancesWanted(_))));
--- a/crates/wire/tests/test_handshake.rs
+++ b/crates/wire/tests/test_handshake.rs
@@ -84,7 +84,7 @@
 
     let mut left = Framed::new(left, PeerCodec::new());
     let mut right = Framed::new(right, PeerCodec::new());
-    let frame = PeerFrame::from(Payload::InstancesWanted(InstancesWanted {}));
+    let frame = PeerFrame::from(Payload::InstancesWanted(InstancesWanted::default()));
     left.send(frame.clone()).await.unwrap();
     assert_eq!(right.next().await.unwrap().unwrap(), frame);
 }
