--- /dev/null
+++ b/crates/cli/tests/test_endpoint_failures.rs
@@ -0,0 +1,80 @@
+//! Engines and services crash, fall silent, or lose answers under load.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::{Load, assert_promises, start_site};
+
+/// Tells a stand-in what to do. A stand-in that silences its connections silences
+/// its answer too.
+fn control(address: SocketAddr, action: &str) {
+    let url = format!("http://{address}/standin/{action}");
+    let request = ureq::post(&url).config().timeout_global(Some(Duration::from_millis(500)));
+    let _ = request.build().send_empty();
+}
+
+/// Streams of a crashed engine continue on others, whole and in order.
+#[test]
+fn crashed_engine_cuts_no_answer() {
+    let fleet = start_site(3, 3, &[]);
+    let load = Load::start(&fleet, 6, 40, 6);
+    for name in ["engine-1", "engine-2"] {
+        std::thread::sleep(Duration::from_millis(1_500));
+        control(fleet.engines[name].address, "crash");
+    }
+    let summary = load.finish();
+    assert_promises(&summary);
+    assert_eq!(summary["failed"], 0, "{summary}");
+}
+
+/// Open connections to an engine fall silent for good while new ones work: streams
+/// are resumed over fresh ones.
+#[test]
+fn silent_connections_to_an_engine_are_replaced() {
+    let fleet = start_site(3, 3, &["timing.stall_ms=500"]);
+    let load = Load::start(&fleet, 6, 40, 7);
+    for name in ["engine-1", "engine-2", "engine-3"] {
+        std::thread::sleep(Duration::from_secs(1));
+        control(fleet.engines[name].address, "silence");
+    }
+    let summary = load.finish();
+    assert_promises(&summary);
+    assert_eq!(summary["failed"], 0, "{summary}");
+}
+
+/// A service that runs calls and loses their answers is never asked to run them
+/// again, and nobody is told that they did not run.
+#[test]
+fn lost_answers_of_a_service_double_nothing() {
+    let fleet = start_site(2, 3, &[]);
+    let service = fleet.services["service-1"].address;
+    control(service, "lose?next=20");
+    let summary = Load::start(&fleet, 5, 60, 8).finish();
+    assert_promises(&summary);
+}
+
+/// A leaving engine gets no new work after three seconds.
+#[test]
+fn leaving_engine_gets_no_new_work() {
+    let fleet = start_site(3, 3, &[]);
+    let engine = fleet.engines["engine-1"].address;
+    let load = Load::start(&fleet, 9, 40, 9);
+    std::thread::sleep(Duration::from_millis(1_500));
+    fleet.list_as("engine-1", "engine", engine, None, "leaving");
+    std::thread::sleep(Duration::from_secs(3));
+    let before = started(engine);
+    let summary = load.finish();
+    assert_promises(&summary);
+    assert_eq!(started(engine), before, "a leaving engine got new work");
+}
+
+fn started(engine: SocketAddr) -> u64 {
+    let url = format!("http://{engine}/standin/oracle");
+    let report: serde_json::Value = ureq::get(&url)
+        .call()
+        .and_then(|mut answer| answer.body_mut().read_json())
+        .expect("the engine reports");
+    report["started"].as_u64().expect("started is counted")
+}
--- a/crates/core/src/entry_token.rs
+++ b/crates/core/src/entry_token.rs
@@ -95,6 +95,27 @@
         Ok(URL_SAFE_NO_PAD.encode(bytes))
     }
 
+    /// Signature of a stream position for callers of `workspace`.
+    pub(crate) fn sign_position(&self, workspace: &str, text: &str) -> String {
+        let tag = position_mac(&self.keys[0], workspace, text)
+            .finalize()
+            .into_bytes();
+        hex::encode(&tag[..TAG_BYTES])
+    }
+
+    /// Whether a key of the fleet signed the stream position.
+    pub(crate) fn verify_position(&self, workspace: &str, text: &str, tag: &str) -> bool {
+        let Ok(tag) = hex::decode(tag) else {
+            return false;
+        };
+        let matches = |key: &Vec<u8>| {
+            position_mac(key, workspace, text)
+                .verify_truncated_left(&tag)
+                .is_ok()
+        };
+        tag.len() == TAG_BYTES && self.keys.iter().any(matches)
+    }
+
     /// Reads a token and checks its signature. Its age is judged by whoever
     /// remembers the calls under it.
     ///
@@ -129,9 +150,20 @@
 }
 
 fn mac(key: &[u8], bytes: &[u8]) -> Hmac<Sha256> {
+    labelled_mac(key, b"flamingolock entry token\0", bytes)
+}
+
+fn position_mac(key: &[u8], workspace: &str, text: &str) -> Hmac<Sha256> {
+    let mut mac = labelled_mac(key, b"flamingolock stream position\0", workspace.as_bytes());
+    mac.update(b"\0");
+    mac.update(text.as_bytes());
+    mac
+}
+
+/// The label keeps the signature apart from other uses of the same key.
+fn labelled_mac(key: &[u8], label: &[u8], bytes: &[u8]) -> Hmac<Sha256> {
     let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length");
-    // Keeps the signature apart from other uses of the same key.
-    mac.update(b"flamingolock entry token\0");
+    mac.update(label);
     mac.update(bytes);
     mac
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -59,5 +59,6 @@
 pub mod ring;
 pub mod shortlist;
 pub mod spread;
+pub mod stream_position;
 pub mod tail;
 pub mod view;
--- a/crates/experiment/src/caller.rs
+++ b/crates/experiment/src/caller.rs
@@ -139,21 +139,14 @@
     }
 
     async fn complete(&self, arrival: &Arrival, prompt: &str, answer: u32, outcome: &mut Outcome) {
-        let body = serde_json::json!({
-            "model": MODEL, "prompt": prompt, "max_tokens": answer, "stream": true,
-        })
-        .to_string();
-        let started = Instant::now();
+        let mut progress = Progress::new(prompt, answer);
         for place in 0..MAX_TRIES {
             let Some((entry, _)) = self.entry(&arrival.workspace, place).await else {
                 continue;
             };
-            let request = Request::post(format!("http://{entry}/v1/completions"))
-                .header(header::AUTHORIZATION, bearer(&arrival.workspace))
-                .header(header::CONTENT_TYPE, "application/json")
-                .header("x-request-kind", arrival.kind.as_str())
-                .body(Full::new(Bytes::from(body.clone())));
-            let Ok(request) = request else { return };
+            let Ok(request) = completion_request(entry, arrival, prompt, answer, &progress) else {
+                return;
+            };
             let Some(response) = self.send(request).await else {
                 self.forget(&arrival.workspace);
                 continue;
@@ -162,8 +155,13 @@
                 outcome.end = refused(response).await;
                 return;
             }
-            outcome.end = follow(response, prompt, answer, started, outcome).await;
-            return;
+            if let Some(end) = progress.follow(response, outcome).await {
+                outcome.end = end;
+                return;
+            }
+            // The connection broke: the stream goes on at another entry.
+            outcome.end = End::Incomplete;
+            self.forget(&arrival.workspace);
         }
     }
 
@@ -318,58 +316,102 @@
     }
 }
 
-/// Reads a stream to its end and compares every piece with the one expected.
-async fn follow(
-    response: Response<Incoming>,
+fn completion_request(
+    entry: SocketAddr,
+    arrival: &Arrival,
     prompt: &str,
     answer: u32,
+    progress: &Progress,
+) -> Result<Request<Full<Bytes>>, http::Error> {
+    let mut request = Request::post(format!("http://{entry}/v1/completions"))
+        .header(header::AUTHORIZATION, bearer(&arrival.workspace))
+        .header(header::CONTENT_TYPE, "application/json")
+        .header("x-request-kind", arrival.kind.as_str());
+    let mut body = serde_json::json!({
+        "model": MODEL, "prompt": prompt, "max_tokens": answer, "stream": true,
+    });
+    if let Some(id) = &progress.last_id {
+        request = request.header("last-event-id", id);
+        body["answer_so_far"] = progress.expected.text(progress.index).into();
+    }
+    request.body(Full::new(Bytes::from(body.to_string())))
+}
+
+/// How far a caller has come with one answer.
+struct Progress {
+    expected: ExpectedAnswer,
+    answer: u32,
+    index: u32,
+    finished: bool,
+    last_id: Option<String>,
     started: Instant,
-    outcome: &mut Outcome,
-) -> End {
-    let expected = ExpectedAnswer::new(prompt.as_bytes());
-    let mut reader = SseReader::new(response.into_body());
-    let mut index = 0;
-    let mut finished = false;
-    let mut last = started;
-    loop {
-        let data = match tokio::time::timeout(PATIENCE, reader.next()).await {
-            Err(_) | Ok(Err(_) | Ok(None)) => return End::Incomplete,
-            Ok(Ok(Some(data))) => data,
-        };
-        if data == "[DONE]" {
-            let whole = finished && index == answer;
-            return if whole {
-                End::Answered
-            } else {
-                End::Incomplete
-            };
-        }
-        let Ok(chunk) = serde_json::from_str::<ChunkBody>(&data) else {
-            return End::Mixed;
-        };
-        if let Some(error) = chunk.error {
-            return End::Failed { code: error.code };
-        }
-        if let Some(usage) = chunk.usage {
-            outcome.prompt_tokens = usage.prompt_tokens;
-            outcome.cached_tokens = usage.prompt_tokens_details.cached_tokens;
+    last: Instant,
+}
+
+impl Progress {
+    fn new(prompt: &str, answer: u32) -> Self {
+        let started = Instant::now();
+        Self {
+            expected: ExpectedAnswer::new(prompt.as_bytes()),
+            answer,
+            index: 0,
+            finished: false,
+            last_id: None,
+            started,
+            last: started,
         }
-        for choice in chunk.choices {
-            if choice.finish_reason.is_some() {
-                finished = true;
-                continue;
+    }
+
+    /// Reads a stream to its end and compares every piece with the one expected;
+    /// none when the connection broke before the end.
+    async fn follow(&mut self, response: Response<Incoming>, outcome: &mut Outcome) -> Option<End> {
+        let mut reader = SseReader::new(response.into_body());
+        loop {
+            let data = match tokio::time::timeout(PATIENCE, reader.next()).await {
+                Err(_) | Ok(Err(_) | Ok(None)) => return None,
+                Ok(Ok(Some(data))) => data,
+            };
+            if data == "[DONE]" {
+                let whole = self.finished && self.index == self.answer;
+                return Some(if whole {
+                    End::Answered
+                } else {
+                    End::Incomplete
+                });
+            }
+            let Ok(chunk) = serde_json::from_str::<ChunkBody>(&data) else {
+                return Some(End::Mixed);
+            };
+            if let Some(error) = chunk.error {
+                return Some(End::Failed { code: error.code });
             }
-            if choice.text != expected.token(index) {
-                return End::Mixed;
+            if let Some(usage) = chunk.usage {
+                outcome.prompt_tokens = usage.prompt_tokens;
+                outcome.cached_tokens = usage.prompt_tokens_details.cached_tokens;
             }
-            let now = Instant::now();
-            if index == 0 {
-                outcome.first_us = (now - started).as_micros() as u64;
-            } else {
-                outcome.gap_us = outcome.gap_us.max((now - last).as_micros() as u64);
+            for choice in chunk.choices {
+                if choice.finish_reason.is_some() {
+                    self.finished = true;
+                    continue;
+                }
+                if choice.text != self.expected.token(self.index) {
+                    return Some(End::Mixed);
+                }
+                self.note_piece(outcome);
+                self.last_id = reader.last_id().map(str::to_owned);
             }
-            last = now;
-            index += 1;
         }
     }
+
+    fn note_piece(&mut self, outcome: &mut Outcome) {
+        let now = Instant::now();
+        if self.index == 0 {
+            outcome.first_us = (now - self.started).as_micros() as u64;
+        } else {
+            let gap = (now - self.last).as_micros() as u64;
+            outcome.gap_us = outcome.gap_us.max(gap);
+        }
+        self.last = now;
+        self.index += 1;
+    }
 }
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -27,6 +27,9 @@
     /// Whether to send the answer piece by piece.
     #[serde(default)]
     pub stream: bool,
+    /// What the caller already has of the answer, when it resumes a stream.
+    #[serde(default)]
+    pub answer_so_far: Option<String>,
 }
 
 /// Request for the next message of a conversation.
@@ -45,6 +48,9 @@
     /// Whether to send the answer piece by piece.
     #[serde(default)]
     pub stream: bool,
+    /// What the caller already has of the answer, when it resumes a stream.
+    #[serde(default)]
+    pub answer_so_far: Option<String>,
 }
 
 /// One message of a conversation.
--- a/crates/node/src/filters/completion.rs
+++ b/crates/node/src/filters/completion.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use flamingolock_core::prelude::*;
+use flamingolock_core::stream_position::StreamPosition;
 use http::{HeaderMap, HeaderValue};
 
 use crate::api::{
@@ -15,7 +16,7 @@
 use crate::filters::authenticate::authenticate;
 use crate::filters::classify::{Classified, classify_completion};
 use crate::filters::limit::enter;
-use crate::relay::{self, Job, Shape};
+use crate::relay::{self, Job, Resume, Shape};
 
 /// Largest answer that a caller may ask for, in tokens.
 const MAX_ANSWER_TOKENS: u32 = 32_768;
@@ -39,11 +40,13 @@
     let classified = classify_completion(&view, headers, &parsed.model)?;
     let presence = enter(traffic, &workspace).await?;
     let ask = ask(request, workspace, &parsed, &classified, started);
+    let resume = resume_point(traffic, headers, &ask.workspace, &parsed)?;
     let job = Job {
         ask,
         shape,
         started,
         presence,
+        resume,
     };
     let mut answer = if parsed.stream {
         relay::stream(traffic, job).await?
@@ -56,6 +59,33 @@
     Ok(answer)
 }
 
+/// Where a caller that lost its stream wants to go on.
+fn resume_point(
+    traffic: &Traffic,
+    headers: &HeaderMap,
+    workspace: &WorkspaceId,
+    parsed: &CompletionRequest,
+) -> Result<Option<Resume>, ApiError> {
+    let Some(value) = headers.get("last-event-id") else {
+        return Ok(None);
+    };
+    let refuse = |message: String| ApiError::invalid("bad_last_event_id", message);
+    let text = value
+        .to_str()
+        .map_err(|_| refuse("it is no text".to_owned()))?;
+    let position = StreamPosition::verify(&traffic.keys, workspace, text)
+        .map_err(|error| refuse(format!("last-event-id: {error}")))?;
+    if !parsed.stream {
+        return Err(refuse(
+            "only streams can be resumed; set `stream`".to_owned(),
+        ));
+    }
+    Ok(Some(Resume {
+        position,
+        answer: parsed.answer_so_far.clone(),
+    }))
+}
+
 fn header_value(text: &str) -> HeaderValue {
     HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static("unprintable"))
 }
@@ -90,6 +120,7 @@
                 max_tokens: chat.max_completion_tokens.or(chat.max_tokens),
                 model: chat.model,
                 stream: chat.stream,
+                answer_so_far: chat.answer_so_far,
             }
         }
     };
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,12 +1,14 @@
 //! Carries answers of engines to callers, complete and in order.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use flamingolock_core::answer_stream::{Recovery, StreamCursor, StreamInput, StreamStep};
 use flamingolock_core::permit::Observed;
 use flamingolock_core::prelude::*;
+use flamingolock_core::stream_position::StreamPosition;
 use futures_util::stream;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -54,6 +56,17 @@
     pub started: Millis,
     /// Counts the request against the limits of its workspace.
     pub presence: Presence,
+    /// Where to go on, when the caller lost its stream.
+    pub resume: Option<Resume>,
+}
+
+/// Where a caller's stream goes on.
+#[derive(Clone, Debug)]
+pub struct Resume {
+    /// Last piece that the caller has.
+    pub position: StreamPosition,
+    /// All that it has, if it says so.
+    pub answer: Option<String>,
 }
 
 /// One event of an engine's stream: a piece, or the end.
@@ -74,12 +87,39 @@
 
 /// A stream that an engine has begun.
 struct Running {
-    permit: Permit,
+    place: Place,
     cursor: StreamCursor,
     reader: SseReader,
     sent_at: Millis,
 }
 
+/// Where a stream runs.
+enum Place {
+    /// Under a permit of this node.
+    Permitted(Permit),
+    /// Where the node that began it left it; its permit ended with that node.
+    Adopted {
+        engine: EngineId,
+        address: SocketAddr,
+    },
+}
+
+impl Place {
+    fn engine(&self) -> &EngineId {
+        match self {
+            Place::Permitted(permit) => &permit.engine,
+            Place::Adopted { engine, .. } => engine,
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        match self {
+            Place::Permitted(permit) => permit.address,
+            Place::Adopted { address, .. } => *address,
+        }
+    }
+}
+
 /// The end of a complete answer.
 struct Finish {
     reason: String,
@@ -158,8 +198,11 @@
         }
     }
 
-    /// Begins the answer on some engine.
+    /// Begins the answer on some engine, or goes on where the caller lost it.
     async fn start(&mut self) -> Result<Running, ApiError> {
+        if let Some(resume) = self.job.resume.take() {
+            return self.start_again(resume).await;
+        }
         let mut last = None;
         for _ in 0..MAX_STARTS {
             let permit = self.admit().await?;
@@ -177,6 +220,53 @@
         Err(ApiError::unavailable("no_engine_answers", message, 1000))
     }
 
+    async fn start_again(&mut self, resume: Resume) -> Result<Running, ApiError> {
+        let Resume { position, answer } = resume;
+        let from = position.index + 1;
+        if let Some(running) = self.adopt(&position, from).await {
+            self.answer = answer.unwrap_or_default();
+            self.decide("resume", position.engine.as_str(), "asked by the caller");
+            return Ok(running);
+        }
+        let Some(answer) = answer else {
+            let message = "the stream is gone; send what you have as `answer_so_far`, \
+                           or ask anew without `last-event-id`";
+            return Err(ApiError::new(
+                StatusCode::CONFLICT,
+                ErrorKind::InvalidRequest,
+                "stream_gone",
+                message,
+            ));
+        };
+        self.answer = answer;
+        let permit = self.admit().await?;
+        self.decide("continue", permit.engine.as_str(), "asked by the caller");
+        self.send(permit, from)
+            .await
+            .map_err(|error| broken(&error.to_string()))
+    }
+
+    /// Takes over a stream that another node began, if its engine still has it.
+    async fn adopt(&self, position: &StreamPosition, from: u32) -> Option<Running> {
+        let address = self
+            .traffic
+            .view
+            .load()
+            .instances
+            .get(position.engine.as_str())?
+            .address;
+        let cursor = StreamCursor::new(position.attempt.clone(), position.incarnation, from);
+        let reader = self.reconnect(address, &cursor, from).await?;
+        let engine = position.engine.clone();
+        let place = Place::Adopted { engine, address };
+        Some(Running {
+            place,
+            cursor,
+            reader,
+            sent_at: control::now(),
+        })
+    }
+
     async fn admit(&self) -> Result<Permit, ApiError> {
         let (reply, admission) = oneshot::channel();
         let ask = self.job.ask.clone();
@@ -229,7 +319,7 @@
                 Ok(Running {
                     cursor: StreamCursor::new(attempt, incarnation, index),
                     reader: SseReader::new(response.into_body()),
-                    permit,
+                    place: Place::Permitted(permit),
                     sent_at,
                 })
             }
@@ -264,7 +354,7 @@
                 Next::Piece(text, usage) => {
                     self.note_first_token(&running, usage);
                     self.answer.push_str(&text);
-                    let event = self.piece_event(&running.cursor, &text);
+                    let event = self.piece_event(&running, &text);
                     if self.emit(sink, event).await.is_err() {
                         self.cancel(&running).await;
                         return Err(caller_left());
@@ -322,12 +412,14 @@
     }
 
     async fn recover(&mut self, mut running: Running, reason: &str) -> Result<Running, ApiError> {
-        self.decide("break", running.permit.engine.as_str(), reason);
+        self.decide("break", running.place.engine().as_str(), reason);
         let incarnation = running.cursor.incarnation();
         if let Recovery::Resume { from } = running.cursor.recover(Some(incarnation))
-            && let Some(reader) = self.resume(&running, from).await
+            && let Some(reader) = self
+                .reconnect(running.place.address(), &running.cursor, from)
+                .await
         {
-            self.decide("resume", running.permit.engine.as_str(), reason);
+            self.decide("resume", running.place.engine().as_str(), reason);
             running.reader = reader;
             return Ok(running);
         }
@@ -338,9 +430,13 @@
     }
 
     /// Asks the same engine for the rest, over another connection.
-    async fn resume(&self, running: &Running, from: u32) -> Option<SseReader> {
-        let address = running.permit.address;
-        let attempt = running.cursor.attempt();
+    async fn reconnect(
+        &self,
+        address: SocketAddr,
+        cursor: &StreamCursor,
+        from: u32,
+    ) -> Option<SseReader> {
+        let attempt = cursor.attempt();
         let uri = format!("http://{address}/v1/streams/{attempt}?from={from}");
         let request = Request::get(uri).body(Full::default()).ok()?;
         let wait = self.traffic.settings.timing.connect_ms;
@@ -350,7 +446,7 @@
             .send(request, Connection::Fresh, wait)
             .await
             .ok()?;
-        let same = incarnation_of(&response) == Some(running.cursor.incarnation());
+        let same = incarnation_of(&response) == Some(cursor.incarnation());
         (response.status() == StatusCode::OK && same).then(|| SseReader::new(response.into_body()))
     }
 
@@ -359,11 +455,13 @@
         mut running: Running,
         from: u32,
     ) -> Result<Running, ApiError> {
-        let engine = running.permit.engine.clone();
-        running.permit.fail();
+        let engine = running.place.engine().clone();
+        if let Place::Permitted(permit) = &mut running.place {
+            permit.fail();
+        }
         self.job.ask.avoid.push(engine);
         let mut cursor = running.cursor;
-        drop(running.permit);
+        drop(running.place);
         let deadline = self.job.ask.deadline.max(control::now() + Millis(5_000));
         self.job.ask.deadline = deadline;
         let permit = self.admit().await?;
@@ -380,10 +478,10 @@
 
     /// Frees the engine's slot after the caller has left.
     async fn cancel(&self, running: &Running) {
-        self.decide("cancel", running.permit.engine.as_str(), "the caller left");
+        self.decide("cancel", running.place.engine().as_str(), "the caller left");
         let uri = format!(
             "http://{}/v1/streams/{}",
-            running.permit.address,
+            running.place.address(),
             running.cursor.attempt()
         );
         let Ok(request) = Request::delete(uri).body(Full::default()) else {
@@ -403,7 +501,10 @@
         }
         let now = control::now();
         self.first_token = Some(now.since(self.job.started));
-        running.permit.first_token(Observed {
+        let Place::Permitted(permit) = &running.place else {
+            return;
+        };
+        permit.first_token(Observed {
             prompt_tokens: usage.prompt_tokens,
             cached_tokens: usage.cached_tokens,
             first_token: now.since(running.sent_at),
@@ -421,15 +522,20 @@
         }
     }
 
-    fn piece_event(&self, cursor: &StreamCursor, text: &str) -> Bytes {
-        let index = cursor.next_index() - 1;
+    fn piece_event(&self, running: &Running, text: &str) -> Bytes {
         let choice = match self.job.shape {
             Shape::Text => json!({ "index": 0, "text": text, "finish_reason": null }),
             Shape::Chat => {
                 json!({ "index": 0, "delta": { "content": text }, "finish_reason": null })
             }
         };
-        let id = format!("{}:{index}", self.job.ask.request);
+        let position = StreamPosition {
+            attempt: running.cursor.attempt().to_owned(),
+            engine: running.place.engine().clone(),
+            incarnation: running.cursor.incarnation(),
+            index: running.cursor.next_index() - 1,
+        };
+        let id = position.sign(&self.traffic.keys, &self.job.ask.workspace);
         sse::event(Some(&id), &self.chunk(&choice, None, None).to_string())
     }
 
--- a/crates/node/src/sse.rs
+++ b/crates/node/src/sse.rs
@@ -25,6 +25,7 @@
     body: Incoming,
     buffer: BytesMut,
     lines: LinesCodec,
+    last_id: Option<String>,
 }
 
 impl SseReader {
@@ -35,9 +36,15 @@
             body,
             buffer: BytesMut::new(),
             lines,
+            last_id: None,
         }
     }
 
+    /// Identifier of the newest event that had one.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
     /// The data of the next event, or `None` at the end of the body.
     ///
     /// Each event carries one `data` line, as engines of this API send them.
@@ -48,6 +55,9 @@
     pub async fn next(&mut self) -> Result<Option<String>, SseError> {
         loop {
             while let Some(line) = self.lines.decode(&mut self.buffer)? {
+                if let Some(id) = line.strip_prefix("id:") {
+                    self.last_id = Some(id.trim().to_owned());
+                }
                 if let Some(data) = line.strip_prefix("data:") {
                     return Ok(Some(data.trim_start().to_owned()));
                 }
--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -80,8 +80,22 @@
         self.nodes.insert(name.to_owned(), process);
     }
 
+    /// Starts a node at a given address for peers, without listing it.
+    pub fn start_unlisted(&mut self, name: &str, peer: SocketAddr, settings: &[&str]) {
+        let process = self.start_node_at(name, peer, settings);
+        self.nodes.insert(name.to_owned(), process);
+    }
+
+    /// Address of a node for its peers.
+    pub fn peer_address(&self, name: &str) -> SocketAddr {
+        self.peers[name]
+    }
+
     fn start_node(&mut self, name: &str, settings: &[&str]) -> Process {
-        let peer = free_address();
+        self.start_node_at(name, free_address(), settings)
+    }
+
+    fn start_node_at(&mut self, name: &str, peer: SocketAddr, settings: &[&str]) -> Process {
         self.peers.insert(name.to_owned(), peer);
         let mut pairs = vec![
             format!("node.name={name}"),
@@ -165,7 +179,7 @@
         let url = format!("http://{}/v1/completions", self.nodes[node].address);
         let body = json!({ "model": model, "prompt": "ready?", "max_tokens": 1 });
         wait::until("the node serves", Duration::from_secs(10), || {
-            ureq::post(&url)
+            agent().post(&url)
                 .header("authorization", format!("Bearer {key}"))
                 .send_json(&body)
                 .is_ok()
@@ -173,6 +187,12 @@
     }
 }
 
+/// A client that gives up on what does not answer.
+fn agent() -> ureq::Agent {
+    let config = ureq::Agent::config_builder().timeout_global(Some(Duration::from_secs(5)));
+    config.build().new_agent()
+}
+
 impl Programs {
     /// Programs at the paths that the build gives to tests.
     pub fn new(node: impl AsRef<Path>, tool: impl AsRef<Path>) -> Self {
