--- a/crates/core/tests/test_membership.rs
+++ b/crates/core/tests/test_membership.rs
@@ -317,3 +317,17 @@
     assert_eq!(heartbeat.reports[0].instance, name(1));
     assert_eq!(heartbeat.reports[0].state.standing, Standing::Suspected);
 }
+
+#[test]
+fn a_shutdown_is_not_taken_back_within_one_incarnation() {
+    let mut machine = two_nodes();
+    machine.step(
+        said(heartbeat(8, 0, Standing::Leaving, vec![])),
+        Millis(1100),
+    );
+    machine.step(said(heartbeat(8, 1, Standing::Live, vec![])), Millis(1200));
+    assert!(machine.view().leaving().any(|leaving| *leaving == name(1)));
+    machine.step(said(heartbeat(9, 0, Standing::Live, vec![])), Millis(1300));
+    assert_eq!(machine.view().leaving().count(), 0);
+    assert_eq!(machine.view().live().count(), 2);
+}
--- a/crates/wire/tests/test_convert.rs
+++ b/crates/wire/tests/test_convert.rs
@@ -145,11 +145,23 @@
     assert_eq!(assembly.push(&newer[0]), None);
     assert_eq!(assembly.push(&newer[1]), None);
     assert_eq!(assembly.push(&newer[2]), Some((Offset(8), bytes)));
+}
 
-    let endless = Snapshot {
-        parts: MAX_PARTS + 1,
-        ..parts[0].clone()
+#[test]
+fn a_snapshot_of_too_many_or_too_long_parts_is_refused() {
+    let part = |part, parts, length| Snapshot {
+        stream: "control".to_owned(),
+        offset: 1,
+        part,
+        parts,
+        bytes: Bytes::from(vec![1; length]),
     };
-    assert_eq!(assembly.push(&endless), None);
-    assert_eq!(assembly.push(&newer[1]), None);
+    let mut assembly = Assembly::default();
+    let whole = (0..MAX_PARTS).filter_map(|index| assembly.push(&part(index, MAX_PARTS, 1)));
+    assert_eq!(whole.count(), 1);
+    let count = MAX_PARTS + 1;
+    let whole = (0..count).filter_map(|index| assembly.push(&part(index, count, 1)));
+    assert_eq!(whole.count(), 0);
+    assert_eq!(assembly.push(&part(0, 1, PART_BYTES + 1)), None);
+    assert_eq!(assembly.push(&part(0, 0, 1)), None);
 }
