wire: split the messages by subject

They are now in heartbeat, permit, records and call; message keeps the frame and names them all, so no caller changes. Field numbers are as before (field_numbers_are_stable passes).

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,8 +4,12 @@
 //! proves on both sides that the other holds the fleet key. After it, each side
 //! sends [`message::PeerFrame`] values through [`codec::PeerCodec`].
 
+pub mod call;
 pub mod codec;
 pub mod convert;
 pub mod handshake;
+pub mod heartbeat;
 pub mod message;
+pub mod permit;
+pub mod records;
 pub mod snapshot;
