core: more tests of homes and of the prompts' tree

Changes that had passed the tests: charging what a prefix cost when the request came instead of when it is served, believing an old incarnation's state, letting an old incarnation of an entry node end the permits of a new one, counting the wait behind another prefill into the learnt rate, not moving later prefills up, and leaving the prefix of a cancelled prefill registered.

--- a/crates/core/tests/test_heat.rs
+++ b/crates/core/tests/test_heat.rs
@@ -174,10 +174,15 @@
     let levels = tree.record(&second, 1.0, Millis(1));
     assert_eq!(levels[0].recent, ["a".into()]);
     assert!(levels[1].recent.is_empty());
-    for engine in ["b", "c", "d", "b"] {
+    for engine in ["b", "c", "b"] {
         tree.dispatched(&second, &engine.into());
     }
     let levels = tree.record(&first, 1.0, Millis(2));
-    assert_eq!(levels[0].recent, ["b", "d", "c"].map(EngineId::from));
+    assert_eq!(levels[0].recent, ["b", "c", "a"].map(EngineId::from));
     assert_eq!(levels[1].recent, ["a".into()]);
+    for engine in ["d", "e", "f"] {
+        tree.dispatched(&first, &engine.into());
+    }
+    let levels = tree.record(&first, 1.0, Millis(3));
+    assert_eq!(levels[0].recent, ["f", "e", "d"].map(EngineId::from));
 }
--- a/crates/core/tests/test_home.rs
+++ b/crates/core/tests/test_home.rs
@@ -1,6 +1,6 @@
 //! The home of an engine under arbitrary inputs, against plain bookkeeping.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use flamingolock_core::home::{Home, HomeOptions};
 use flamingolock_core::home_message::{Ask, EngineLoad, Grant, Input, Output, Prompt, Reason};
@@ -116,7 +116,7 @@
     Cancel(usize),
     CancelGranted(usize),
     Restart,
-    OldLoad,
+    OldNews,
     Gone,
     Leaving,
     EntryGone(u64),
@@ -134,7 +134,7 @@
         2 => any::<usize>().prop_map(Op::Cancel),
         1 => any::<usize>().prop_map(Op::CancelGranted),
         4 => Just(Op::Restart),
-        1 => Just(Op::OldLoad),
+        1 => Just(Op::OldNews),
         1 => prop_oneof![Just(Op::Gone), Just(Op::Leaving)],
         1 => (0..3u64).prop_map(Op::EntryGone),
         1 => (0..3u64).prop_map(Op::EntryRestart),
@@ -179,6 +179,9 @@
                 Output::Probe { .. } => {}
             }
         }
+        let state = self.home.state();
+        prop_assert_eq!(state.incarnation(), Incarnation(self.incarnation));
+        prop_assert_eq!(state.slots(), SLOTS);
         prop_assert!(self.granted.len() <= SLOTS as usize);
         prop_assert_eq!(self.home.state().permits().len(), self.granted.len());
         prop_assert_eq!(self.home.waiting(), self.pending.len());
@@ -307,13 +310,15 @@
                 self.granted.clear();
                 self.step(Input::Load(load(self.incarnation)))
             }
-            Op::OldLoad => {
+            Op::OldNews => {
                 let old = EngineLoad {
                     slots: 100,
                     draining: true,
                     ..load(self.incarnation - 1)
                 };
-                self.step(Input::Load(old))
+                self.step(Input::Load(old))?;
+                let earlier = entry(0, self.entries[0] - 1);
+                self.step(Input::EntryGone(earlier))
             }
             Op::Gone => {
                 self.granted.clear();
@@ -455,6 +460,61 @@
     assert_eq!(home.estimate(&ask(2, 5), Millis(11)).missing_tokens, 1600);
 }
 
+#[test]
+fn prefix_is_shared_again_after_a_cancelled_prefill() {
+    let mut home = home(Millis(0));
+    home.step(Input::Ask(ask(1, 5)), Millis(0));
+    let cancel = Input::Cancel {
+        entry: entry(0, 1),
+        request: "r1".into(),
+    };
+    home.step(cancel, Millis(10));
+    home.step(Input::Ask(ask(2, 5)), Millis(10));
+    assert_eq!(home.estimate(&ask(3, 5), Millis(10)).missing_tokens, 160);
+}
+
+#[test]
+fn prefill_that_ends_early_moves_the_next_one_up() {
+    let mut home = home(Millis(0));
+    let out = home.step(Input::Ask(ask(1, 1)), Millis(0));
+    let permit = grants(&out)[0].permit;
+    let out = home.step(Input::Ask(ask(2, 2)), Millis(80));
+    assert_eq!(grants(&out).len(), 1);
+    let wait = |home: &Home| home.estimate(&ask(3, 3), Millis(85)).wait_ms as u32;
+    assert_eq!(wait(&home), 115);
+    let observed = observed(0, 85);
+    home.step(Input::FirstToken { permit, observed }, Millis(85));
+    assert_eq!(wait(&home), 100);
+}
+
+#[test]
+fn workspace_pays_once_for_a_prefix_that_its_requests_share() {
+    let mut home = home(Millis(0));
+    let mut order = Vec::new();
+    home.step(Input::Ask(ask(0, 100)), Millis(0));
+    for number in 1..=4 {
+        for (workspace, family) in [("a", 5), ("b", 5 + number)] {
+            let mut new = ask(number * 10 + family, family);
+            new.workspace = workspace.into();
+            new.request = format!("{workspace}{number}").into();
+            home.step(Input::Ask(new), Millis(0));
+        }
+    }
+    let (first, _) = home.state().permits().of_request(&"r0".into()).unwrap();
+    let mut running = VecDeque::from([first]);
+    let mut now = Millis(0);
+    while let Some(permit) = running.pop_front() {
+        now = now + Millis(50);
+        let observed = Some(observed(0, 50));
+        let out = home.step(Input::Release { permit, observed }, now);
+        for grant in grants(&out) {
+            order.push(grant.request.to_string());
+            running.push_back(grant.permit);
+        }
+    }
+    assert_eq!(order, ["a1", "b1", "a2", "b2", "a3", "a4", "b3", "b4"]);
+}
+
 #[test]
 fn refuses_early_what_cannot_be_in_time() {
     let mut home = home(Millis(0));
@@ -547,3 +607,28 @@
     let rate = home.state().rate().per_second();
     assert!((7900.0..8200.0).contains(&rate), "{rate} tokens a second");
 }
+
+#[test]
+fn rate_does_not_count_the_wait_behind_another_prefill() {
+    let mut home = home(Millis(0));
+    for number in 0..40 {
+        let mut next = ask(number, number);
+        next.within = Millis(60_000);
+        home.step(Input::Ask(next), Millis(0));
+    }
+    let mut running: VecDeque<PermitId> = VecDeque::new();
+    let (first, _) = home.state().permits().of_request(&"r0".into()).unwrap();
+    running.push_back(first);
+    for end in (100..=3000).step_by(100) {
+        let out = home.step(Input::Tick, Millis(end - 20));
+        running.extend(grants(&out).iter().map(|grant| grant.permit));
+        let permit = running.pop_front().unwrap();
+        let observed = Some(observed(0, 120));
+        home.step(Input::Release { permit, observed }, Millis(end));
+    }
+    let rate = home.state().rate().per_second();
+    assert!(
+        (15_500.0..16_500.0).contains(&rate),
+        "{rate} tokens a second"
+    );
+}
