core: tests of the bounds of the kept cache

Two changes had passed: leaving out the shortest length that is kept (the short prefix of the test did not pay anyway), and preferring a new prefix to a stored one of the same value. Both fail now.

--- a/crates/core/tests/test_kept.rs
+++ b/crates/core/tests/test_kept.rs
@@ -94,7 +94,7 @@
     let stored = BTreeSet::from([cold]);
     let hot = [
         hot(1, 100, 0.5),
-        hot(2, 10, 5.0),
+        hot(2, 15, 5.0),
         hot(3, 100, 0.05),
         hot(4, 100, 1.0),
     ];
@@ -103,6 +103,15 @@
     assert_eq!(changes, [export(3), export(0), StoreChange::Delete(cold)]);
 }
 
+#[test]
+fn stored_prefix_stays_when_a_new_one_is_worth_as_much() {
+    let hot = [hot(1, 200, 0.5), hot(9, 200, 0.5)];
+    for prefix in hot {
+        let stored = BTreeSet::from([prefix.key]);
+        assert_eq!(store_changes(&hot, &stored, &COSTS, &OPTIONS), []);
+    }
+}
+
 #[test]
 fn cold_start_imports_the_most_valuable_first() {
     let kept = [
