core: let lease candidates wait and releases stand

Every node that is not the holder used to ask for a grant three times a lease duration. Candidates now wait until the lease in the fold is over and then for a share of a third of the duration each. A renewal under way when the lease was given back brought it back in the view of its holder; it is ignored now.

--- a/crates/core/src/lease_holder.rs
+++ b/crates/core/src/lease_holder.rs
@@ -11,6 +11,7 @@
 use crate::lease::{Lease, LeaseVerdict};
 use crate::prelude::*;
 use crate::record::{LeaseGrant, LeaseRelease, LeaseRenew, NodeIncarnation, Record, RecordId};
+use crate::rendezvous;
 
 /// Requests whose verdicts are awaited at once.
 const MAX_ASKED: usize = 8;
@@ -63,6 +64,10 @@
     held: Option<Held>,
     asked: BTreeMap<RecordId, Millis>,
     next_ask: Millis,
+    /// When this node first saw that nobody holds the lease.
+    free_since: Option<Millis>,
+    /// Fencing number of the last lease that this node gave back.
+    given_up: Option<Offset>,
 }
 
 impl LeaseHolder {
@@ -74,6 +79,8 @@
             held: None,
             asked: BTreeMap::new(),
             next_ask: Millis(0),
+            free_since: None,
+            given_up: None,
         }
     }
 
@@ -91,34 +98,70 @@
         })
     }
 
-    /// The record to append now under this unique id, if one is due: a grant
-    /// while nothing is held, and a renewal when a third of the time is over.
-    pub fn ask(&mut self, now: Millis, id: &RecordId) -> Option<Record> {
+    /// The record to append now under this unique id, if one is due. A holder
+    /// renews when a third of the time is over. Others ask for a grant once the
+    /// lease in the fold has lapsed or was given back, each after a delay of its
+    /// own, so that usually one of them is alone. `log_time` may lag: that only
+    /// makes a candidate later.
+    pub fn ask(
+        &mut self,
+        now: Millis,
+        id: &RecordId,
+        lease: Option<&Lease>,
+        log_time: Millis,
+    ) -> Option<Record> {
         if now < self.next_ask {
             return None;
         }
         let third = Millis(self.terms.duration.0 / 3);
+        let current = lease.filter(|lease| lease.in_force(log_time));
+        let record = match current {
+            Some(lease) if lease.holder != self.me || self.given_up == Some(lease.fencing) => {
+                self.free_since = None;
+                return None;
+            }
+            Some(lease) => self.renewal(lease),
+            None => {
+                let free_since = *self.free_since.get_or_insert(now);
+                if now < free_since + self.delay(lease, third) {
+                    return None;
+                }
+                self.grant()
+            }
+        };
+        self.free_since = None;
         self.next_ask = now + third;
         if self.asked.len() >= MAX_ASKED {
             self.asked.pop_first();
         }
         self.asked.insert(id.clone(), now);
-        let name = self.terms.name.clone();
-        let duration = self.terms.duration;
-        Some(match self.held.filter(|held| now < held.until) {
-            Some(held) => Record::LeaseRenew(LeaseRenew {
-                name,
-                fencing: held.fencing,
-                duration,
-            }),
-            None => Record::LeaseGrant(LeaseGrant {
-                name,
-                holder: self.me.clone(),
-                duration,
-            }),
+        Some(record)
+    }
+
+    fn grant(&self) -> Record {
+        Record::LeaseGrant(LeaseGrant {
+            name: self.terms.name.clone(),
+            holder: self.me.clone(),
+            duration: self.terms.duration,
+        })
+    }
+
+    fn renewal(&self, lease: &Lease) -> Record {
+        Record::LeaseRenew(LeaseRenew {
+            name: self.terms.name.clone(),
+            fencing: lease.fencing,
+            duration: self.terms.duration,
         })
     }
 
+    /// This node's share of `span`, different for each node and each lease.
+    fn delay(&self, lease: Option<&Lease>, span: Millis) -> Millis {
+        let fencing = lease.map_or(0, |lease| lease.fencing.0);
+        let key = rendezvous::key(&self.terms.name) ^ fencing;
+        let share = rendezvous::weight(key, self.me.instance.as_str()) % 1000;
+        Millis(span.0 * share / 1000)
+    }
+
     /// The fold judged the record with this id. `lease` is the lease after it.
     pub fn judged(&mut self, now: Millis, id: &RecordId, verdict: &LeaseVerdict, lease: &Lease) {
         // The span counts from before the append, so a verdict on a record that
@@ -135,11 +178,18 @@
                     quiet_at: self.quiet_at(now, lease),
                 });
             }
+            // A renewal that was under way must not bring a released lease back.
+            LeaseVerdict::Renewed(fencing) if self.given_up == Some(*fencing) => {}
             LeaseVerdict::Renewed(fencing) => {
-                let held = self.held.as_mut();
-                if let Some(held) = held.filter(|held| held.fencing == *fencing) {
-                    held.until = held.until.max(until);
-                }
+                let known = self.held.filter(|held| held.fencing == *fencing);
+                // A renewal may come through after this view has lapsed.
+                let mut held = known.unwrap_or(Held {
+                    fencing: *fencing,
+                    until,
+                    quiet_at: self.quiet_at(now, lease),
+                });
+                held.until = held.until.max(until);
+                self.held = Some(held);
             }
             LeaseVerdict::Lapsed(fencing) | LeaseVerdict::Released(fencing) => {
                 self.drop_held(*fencing);
@@ -151,6 +201,7 @@
     /// Gives the lease back. The node has no order under way and gives no more.
     pub fn release(&mut self) -> Option<Record> {
         let held = self.held.take()?;
+        self.given_up = Some(held.fencing);
         Some(Record::LeaseRelease(LeaseRelease {
             name: self.terms.name.clone(),
             fencing: held.fencing,
--- a/crates/core/tests/test_lease_holder.rs
+++ b/crates/core/tests/test_lease_holder.rs
@@ -33,7 +33,12 @@
 /// Asks at `sent`, is judged at log time `logged` and learns of it at `seen`.
 fn ask(holder: &mut LeaseHolder, table: &mut LeaseTable, sent: u64, logged: u64, seen: u64) {
     let id = RecordId(format!("r{sent:08}"));
-    let record = holder.ask(Millis(sent), &id).expect("a request is due");
+    // A candidate waits for a share of a third of the duration first.
+    let (lease, at) = (table.get("placement").cloned(), Millis(logged));
+    let probe = holder.ask(Millis(sent - 300), &id, lease.as_ref(), at);
+    assert_eq!(probe, None);
+    let record = holder.ask(Millis(sent), &id, lease.as_ref(), at);
+    let record = record.expect("a request is due");
     let verdict = apply(table, sent, logged, &record);
     let lease = table.get("placement").unwrap();
     holder.judged(Millis(seen), &id, &verdict, lease);
@@ -78,7 +83,8 @@
     let mut table = LeaseTable::default();
     let mut holder = LeaseHolder::new(node("a", 1), terms());
     ask(&mut holder, &mut table, 1000, 1000, 1000);
-    assert_eq!(holder.ask(Millis(1299), &RecordId::from("early")), None);
+    let (early, lease) = (RecordId::from("early"), table.get("placement"));
+    assert_eq!(holder.ask(Millis(1299), &early, lease, Millis(1299)), None);
     ask(&mut holder, &mut table, 1300, 1310, 1320);
     assert!(acts(&holder, 2099));
     let lease = table.get("placement").unwrap().clone();
@@ -117,6 +123,59 @@
     assert!(matches!(new.may_act(Millis(1100), false), MayAct::Yes(_)));
 }
 
+#[test]
+fn a_renewal_under_way_does_not_bring_a_released_lease_back() {
+    let mut table = LeaseTable::default();
+    let mut holder = LeaseHolder::new(node("a", 1), terms());
+    ask(&mut holder, &mut table, 1000, 1000, 1000);
+    let lease = table.get("placement").cloned();
+    let id = RecordId::from("renewal");
+    let renewal = holder
+        .ask(Millis(1300), &id, lease.as_ref(), Millis(1300))
+        .unwrap();
+    holder.release().unwrap();
+    let verdict = apply(&mut table, 2, 1310, &renewal);
+    assert_eq!(verdict, LeaseVerdict::Renewed(Offset(1000)));
+    let lease = table.get("placement").cloned().unwrap();
+    holder.judged(Millis(1320), &id, &verdict, &lease);
+    assert!(!acts(&holder, 1321));
+    let next = RecordId::from("next");
+    assert_eq!(
+        holder.ask(Millis(1700), &next, Some(&lease), Millis(1700)),
+        None
+    );
+}
+
+#[test]
+fn candidates_wait_while_another_holds_it_and_then_for_a_share_each() {
+    let mut table = LeaseTable::default();
+    let mut old = LeaseHolder::new(node("a", 1), terms());
+    ask(&mut old, &mut table, 1000, 1000, 1000);
+    let lease = table.get("placement");
+    let mut first_asks: Vec<u64> = Vec::new();
+    for n in 0..100 {
+        let mut candidate = LeaseHolder::new(node(&format!("n{n}"), 1), terms());
+        let asks = |now: &u64| {
+            let id = RecordId::from("x");
+            candidate
+                .ask(Millis(*now), &id, lease, Millis(*now))
+                .is_some()
+        };
+        first_asks.extend((1000..3000).find(asks));
+    }
+    first_asks.sort_unstable();
+    assert_eq!(first_asks.len(), 100);
+    assert!(first_asks[0] >= 1900, "the lease is in force until then");
+    assert!(
+        first_asks[99] <= 2200,
+        "all ask within a third of the duration"
+    );
+    assert!(
+        first_asks[50] > first_asks[0] + 50,
+        "they do not ask at once"
+    );
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 2_000,
@@ -142,7 +201,8 @@
         for (step, (who, pause, to_log, to_node)) in steps.into_iter().enumerate() {
             now += pause;
             let id = RecordId(format!("r{step:04}"));
-            let Some(record) = holders[who].ask(Millis(now + clocks[who]), &id) else {
+            let (lease, clock) = (table.get("placement"), Millis(now + clocks[who]));
+            let Some(record) = holders[who].ask(clock, &id, lease, Millis(now)) else {
                 continue;
             };
             now += to_log;
