core: do not call a passed-on attempt unsent

The oracle now demands that a call runs only for an attempt whose caller was not told that it ran nothing. That found an attempt which was passed on, ran at its owner, and was called unsent once the owner was lost. An attempt that was ever passed on is reported as such now. The model is split by concern.

--- a/crates/core/src/call_attempts.rs
+++ b/crates/core/src/call_attempts.rs
@@ -24,6 +24,8 @@
 struct Attempt {
     submit: Submit,
     stage: Stage,
+    /// Another node has it as well and may run it.
+    passed_on: bool,
 }
 
 /// All attempts that wait, by ticket and by deadline.
@@ -40,6 +42,7 @@
         let attempt = Attempt {
             submit: submit.clone(),
             stage: Stage::Local,
+            passed_on: false,
         };
         self.by_ticket.insert(submit.ticket, attempt);
     }
@@ -66,10 +69,17 @@
     /// Lets the attempt wait elsewhere.
     pub fn set_stage(&mut self, ticket: Ticket, stage: Stage) {
         if let Some(attempt) = self.by_ticket.get_mut(&ticket) {
+            attempt.passed_on |= stage == Stage::Forwarded;
             attempt.stage = stage;
         }
     }
 
+    /// True when the attempt was ever passed on to another node.
+    pub fn was_passed_on(&self, ticket: Ticket) -> bool {
+        let attempt = self.by_ticket.get(&ticket);
+        attempt.is_some_and(|attempt| attempt.passed_on)
+    }
+
     /// What waits at `stage`.
     pub fn at_stage(&self, stage: &Stage) -> Vec<Submit> {
         let there = self.by_ticket.values().filter(|a| a.stage == *stage);
--- a/crates/core/src/call_desk.rs
+++ b/crates/core/src/call_desk.rs
@@ -349,6 +349,14 @@
     }
 
     pub(crate) fn answer(&mut self, ticket: Ticket, outcome: Outcome) {
+        let passed_on = self.attempts.was_passed_on(ticket);
+        let outcome = match outcome {
+            // The other node may run it even if this one sent nothing.
+            Outcome::Unknown(reason) if passed_on && reason.is_unsent() => {
+                Outcome::Unknown(UnknownReason::OwnerSilent)
+            }
+            outcome => outcome,
+        };
         if self.attempts.remove(ticket) {
             self.outputs.push(DeskOutput::Answer { ticket, outcome });
         }
--- a/crates/core/src/call_outcome.rs
+++ b/crates/core/src/call_outcome.rs
@@ -54,8 +54,8 @@
     /// The call was answered, and the answer is no longer kept.
     #[error("the call ran and its answer is no longer kept")]
     AnswerDropped,
-    /// The node that owns the call did not answer.
-    #[error("the node that owns the call did not answer")]
+    /// The call was passed on to its owner, who did not tell what became of it.
+    #[error("the node that owns the call did not tell what became of it")]
     OwnerSilent,
     /// The node that alone may send the call is lost.
     #[error("the node that owns the call is lost")]
--- a/crates/core/tests/claims_model/mod.rs
+++ b/crates/core/tests/claims_model/mod.rs
@@ -1,17 +1,19 @@
 //! A small fleet of desks with a log, a service and a network whose every step
 //! is chosen from outside, and an oracle that counts true executions.
 
+mod log;
+mod net;
+mod oracle;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use flamingolock_core::append::{
-    AppendInput, AppendOutcome, AppendOutput, AppendSettings, Appender, BatchId,
-};
+use flamingolock_core::append::{AppendInput, AppendSettings, Appender, BatchId};
 use flamingolock_core::call_desk::CallDesk;
 use flamingolock_core::call_key::{CallKey, KeyKind};
 use flamingolock_core::call_message::{DeskInput, DeskOutput, DeskSettings, Submit, Ticket, View};
-use flamingolock_core::call_outcome::{CallAnswer, Outcome, SendFailure};
-use flamingolock_core::claim_fold::{ClaimFold, ClaimRules, ClaimsApplied};
+use flamingolock_core::call_outcome::{CallAnswer, Outcome};
+use flamingolock_core::claim_fold::{ClaimFold, ClaimRules};
 use flamingolock_core::prelude::*;
 use flamingolock_core::record::{
     CallId, ClaimBatch, Closing, LogEntry, NodeIncarnation, Record, RecordId,
@@ -173,6 +175,10 @@
     key: usize,
     digest: String,
     answers: u32,
+    /// Another node passed it on.
+    passed: bool,
+    /// The caller was told that this attempt ran nothing.
+    unsent: bool,
 }
 
 /// How often the run saw what, so that a test can demand it of a whole run.
@@ -375,6 +381,8 @@
             key,
             digest: submit.digest.clone(),
             answers: 0,
+            passed: submit.forwarded,
+            unsent: false,
         };
         self.attempts.insert(submit.ticket, attempt);
         self.homes
@@ -461,315 +469,6 @@
         }
     }
 
-    /// The oracle on what a caller is told.
-    fn told(&mut self, ticket: Ticket, outcome: Outcome) {
-        let attempt = self.attempts.get_mut(&ticket).expect("tickets are known");
-        attempt.answers += 1;
-        assert_eq!(attempt.answers, 1, "{ticket:?} is told twice");
-        let call = call_of(attempt.key);
-        match &outcome {
-            Outcome::Answered(answer) => {
-                let (digest, truth) = self.executed.get(&call).expect("it ran");
-                assert_eq!(answer, truth, "the answer to another call");
-                assert_eq!(*digest, attempt.digest, "the answer to another body");
-                self.counts.add("answered");
-            }
-            Outcome::NotRun { reason, .. } => {
-                assert!(!self.executed.contains_key(&call), "{call} ran: {reason:?}");
-                self.counts.add(format!("not run: {reason:?}"));
-                self.not_run.insert(call);
-            }
-            Outcome::Unknown(reason) => self.counts.add(format!("unknown: {reason:?}")),
-            Outcome::Conflict => self.counts.add("conflict"),
-        }
-        if let Some((home, origin)) = self.relays.remove(&ticket) {
-            self.forward_replies.push((home, origin, outcome));
-        }
-    }
-
-    /// The service runs whatever arrives, and the oracle counts.
-    fn execute(&mut self, order: &SendOrder) -> Arc<CallAnswer> {
-        let call = &order.call;
-        assert!(
-            !self.not_run.contains(call),
-            "{call} runs after it was called not run"
-        );
-        let answer = Arc::new(CallAnswer {
-            status: 200,
-            content_type: "text/plain".into(),
-            body: format!("{call} {} {}", order.digest, self.counts.0.len()).into_bytes(),
-        });
-        let record = (order.digest.clone(), Arc::clone(&answer));
-        let earlier = self.executed.insert(call.clone(), record);
-        assert!(earlier.is_none(), "{call} runs twice");
-        self.counts.add("executed");
-        answer
-    }
-
-    fn submit_record(&mut self, n: usize, record: Record) -> RecordId {
-        let id = RecordId(format!("{:06}", self.name()));
-        let input = AppendInput::Submit {
-            id: id.clone(),
-            record: Box::new(record),
-            give_up: self.clock(n) + Millis(200),
-        };
-        self.feed_appender(n, input);
-        id
-    }
-
-    fn feed_appender(&mut self, n: usize, input: AppendInput) {
-        let now = self.clock(n);
-        for output in self.nodes[n].appender.step(now, input) {
-            match output {
-                AppendOutput::Send { batch, records } => {
-                    self.nodes[n].batches.push_back((batch, records));
-                }
-                AppendOutput::Looking(_) => self.counts.add("looking"),
-                AppendOutput::Settled { id, outcome } => self.settled(n, &id, outcome),
-            }
-        }
-    }
-
-    fn settled(&mut self, n: usize, id: &RecordId, outcome: AppendOutcome) {
-        let Some(call) = self.nodes[n].claims.remove(id) else {
-            return;
-        };
-        match outcome {
-            AppendOutcome::Accepted(_) => {}
-            AppendOutcome::NotAppended => self.feed(n, DeskInput::ClaimRefused { call }),
-            AppendOutcome::Unknown => self.feed(n, DeskInput::ClaimInDoubt { call }),
-        }
-    }
-
-    fn append(&mut self, n: usize, fate: AppendFate) {
-        let Some((batch, records)) = self.nodes[n].batches.pop_front() else {
-            self.feed_appender(n, AppendInput::Tick);
-            return;
-        };
-        let first = Offset(self.log.len() as u64);
-        let input = match fate {
-            AppendFate::Taken => AppendInput::Taken { batch, first },
-            AppendFate::Refused => AppendInput::Refused {
-                batch,
-                retry_after: Millis(20),
-            },
-            _ => AppendInput::Lost { batch },
-        };
-        for (id, record) in records {
-            match fate {
-                AppendFate::Taken | AppendFate::LostAnswer => self.write(id, record),
-                AppendFate::Late => self.stragglers.push((id, record)),
-                AppendFate::Refused | AppendFate::LostRequest => {}
-            }
-        }
-        self.feed_appender(n, input);
-    }
-
-    fn write(&mut self, id: RecordId, record: Record) {
-        let offset = Offset(self.log.len() as u64);
-        let jitter = offset.0 * 37 % LOG_JITTER;
-        let time = Millis(self.now - jitter);
-        self.log.push(LogEntry {
-            offset,
-            time,
-            id,
-            record,
-        });
-    }
-
-    fn tail(&mut self, n: usize, count: usize) {
-        for _ in 0..count {
-            let next = self.nodes[n].fold.next().0 as usize;
-            if next < self.log_start {
-                // What it missed cannot be read any more: it starts anew.
-                self.crash(n);
-                return;
-            }
-            let Some(entry) = self.log.get(next).cloned() else {
-                let began = self.clock(n);
-                self.feed_appender(n, AppendInput::CaughtUp { began });
-                return;
-            };
-            let (offset, id) = (entry.offset, entry.id.clone());
-            self.feed_appender(n, AppendInput::Saw { offset, id });
-            match self.nodes[n].fold.apply(&entry) {
-                ClaimsApplied::Judged(judged) => {
-                    let me = self.nodes[n].life.clone();
-                    for item in judged.into_iter().filter(|j| j.owner == me) {
-                        let verdict = format!("{:?}", item.verdict);
-                        let word = verdict.split('(').next().unwrap_or_default();
-                        self.counts.add(format!("verdict: {word}"));
-                        let (call, verdict) = (item.call, item.verdict);
-                        self.feed(n, DeskInput::Judged { call, verdict });
-                    }
-                }
-                ClaimsApplied::Closed(node) => self.feed(n, DeskInput::Closed { node }),
-                other => panic!("{other:?}"),
-            }
-        }
-    }
-
-    /// The last look at the clock before the first byte.
-    fn check(&mut self, n: usize, refuse: bool) {
-        let Some(order) = self.nodes[n].outbox.pop_front() else {
-            return;
-        };
-        if refuse || self.clock(n) >= order.send_by {
-            let SendOrder { call, attempt, .. } = order;
-            let failure = SendFailure::NeverSent;
-            let life = self.nodes[n].life.clone();
-            self.failures.push((life, call.clone(), attempt));
-            self.feed(
-                n,
-                DeskInput::SendFailed {
-                    call,
-                    attempt,
-                    failure,
-                },
-            );
-        } else {
-            self.nodes[n].checked.push_back(order);
-        }
-    }
-
-    /// The first byte, any time after the check.
-    fn transmit(&mut self, n: usize) {
-        if let Some(order) = self.nodes[n].checked.pop_front() {
-            let from = self.nodes[n].life.clone();
-            let abandoned = false;
-            self.wire.push(Request {
-                from,
-                order,
-                abandoned,
-            });
-        }
-    }
-
-    fn deliver(&mut self, at: usize, fate: WireFate) {
-        let Some(mut request) = take(&mut self.wire, at) else {
-            return;
-        };
-        let SendOrder { call, attempt, .. } = request.order.clone();
-        if fate == WireFate::Arrives {
-            let answer = self.execute(&request.order);
-            self.replies.push((request.from, call, attempt, answer));
-            return;
-        }
-        let from = request.from.clone();
-        if fate == WireFate::Straggles && !request.abandoned {
-            request.abandoned = true;
-            self.wire.push(request);
-        }
-        if let Some(n) = self.running(&from) {
-            let failure = SendFailure::Unknown;
-            self.feed(
-                n,
-                DeskInput::SendFailed {
-                    call,
-                    attempt,
-                    failure,
-                },
-            );
-        }
-    }
-
-    fn reply(&mut self, at: usize, lost: bool) {
-        let Some((to, call, attempt, answer)) = take(&mut self.replies, at) else {
-            return;
-        };
-        let Some(n) = self.running(&to) else {
-            return;
-        };
-        if lost {
-            let failure = SendFailure::Unknown;
-            self.feed(
-                n,
-                DeskInput::SendFailed {
-                    call,
-                    attempt,
-                    failure,
-                },
-            );
-        } else {
-            self.feed(n, DeskInput::Answered { call, answer });
-        }
-    }
-
-    /// An old report of a failure comes again.
-    fn stale_failure(&mut self, at: usize) {
-        let Some((life, call, attempt)) = take(&mut self.failures, at) else {
-            return;
-        };
-        if let Some(n) = self.running(&life) {
-            let failure = SendFailure::NeverSent;
-            self.feed(
-                n,
-                DeskInput::SendFailed {
-                    call,
-                    attempt,
-                    failure,
-                },
-            );
-        }
-    }
-
-    fn look_up(&mut self, n: usize, lost: bool) {
-        let Some((call, digest)) = self.nodes[n].lookups.pop_front() else {
-            return;
-        };
-        let ran = self.executed.get(&call).filter(|(body, _)| *body == digest);
-        let found = ran.filter(|_| !lost).map(|(_, answer)| Arc::clone(answer));
-        self.counts.add(format!("looked up: {}", found.is_some()));
-        self.feed(
-            n,
-            DeskInput::LookedUp {
-                call,
-                digest,
-                found,
-            },
-        );
-    }
-
-    fn forward(&mut self, at: usize, lost: bool, twice: bool) {
-        let Some(passed) = take(&mut self.forwards, at) else {
-            return;
-        };
-        // It reaches whatever runs at that address now.
-        let same = |node: &Node| node.life.instance == passed.to.instance;
-        let there = self.nodes.iter().position(same).filter(|_| !lost);
-        let Some(n) = there else {
-            self.forward_failed(&passed.from, passed.ticket);
-            return;
-        };
-        let key = self.attempts[&passed.ticket].key;
-        for _ in 0..=usize::from(twice) {
-            let ticket = Ticket(self.name());
-            self.relays
-                .insert(ticket, (passed.from.clone(), passed.ticket));
-            let mut submit = passed.submit.clone();
-            submit.ticket = ticket;
-            submit.deadline = self.clock(n) + Millis(300);
-            self.take_in(n, key, submit);
-        }
-    }
-
-    fn forward_reply(&mut self, at: usize, lost: bool) {
-        let Some((home, ticket, outcome)) = take(&mut self.forward_replies, at) else {
-            return;
-        };
-        if lost {
-            self.forward_failed(&home, ticket);
-        } else if let Some(n) = self.running(&home) {
-            self.feed(n, DeskInput::ForwardAnswered { ticket, outcome });
-        }
-    }
-
-    fn forward_failed(&mut self, home: &NodeIncarnation, ticket: Ticket) {
-        if let Some(n) = self.running(home) {
-            self.feed(n, DeskInput::ForwardFailed { ticket });
-        }
-    }
-
     fn crash(&mut self, n: usize) {
         let old = &self.nodes[n];
         let incarnation = old.life.incarnation.0 + 1;
@@ -781,18 +480,6 @@
         self.now += millis;
     }
 
-    fn trim(&mut self) {
-        let oldest = Millis(self.now - RETENTION);
-        while self
-            .log
-            .get(self.log_start)
-            .is_some_and(|entry| entry.time < oldest)
-        {
-            self.log_start += 1;
-            self.counts.add("trimmed");
-        }
-    }
-
     /// Everything that is under way goes well.
     fn settle(&mut self) {
         for _ in 0..3 {
@@ -834,6 +521,7 @@
             let lives = self.nodes.iter().any(|node| node.life == *home);
             assert!(attempt.answers == 1 || !lives, "{ticket:?} is never told");
         }
+        self.check_unsent();
         // Late messages of that time change nothing any more.
         self.settle();
         self.settle();
@@ -852,6 +540,7 @@
             assert_eq!(self.nodes[n].appender.pending(), 0);
             assert!(self.nodes[n].fold.len() <= 1, "claims are forgotten");
         }
+        self.check_unsent();
     }
 }
 
