--- a/crates/core/tests/claims_model/mod.rs
+++ b/crates/core/tests/claims_model/mod.rs
@@ -503,8 +503,12 @@
             while !self.replies.is_empty() {
                 self.reply(0, false);
             }
-            self.forward(0, false, false);
-            self.forward_reply(0, false);
+            while !self.forward_replies.is_empty() {
+                self.forward_reply(0, false);
+            }
+            while !self.forwards.is_empty() {
+                self.forward(0, false, false);
+            }
         }
     }
 
