--- a/crates/core/src/fold.rs
+++ b/crates/core/src/fold.rs
@@ -11,8 +11,9 @@
 
 use crate::lease::{LeaseTable, LeaseVerdict};
 use crate::manifest::Manifest;
-use crate::manifest_check::{self, ManifestIndex};
+use crate::manifest_check;
 use crate::manifest_fault::Problem;
+use crate::manifest_index::ManifestIndex;
 use crate::prelude::*;
 use crate::record::{
     Entry, EntryChange, EntryKey, LogEntry, ManifestChange, Record, RecordId, Unreadable,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod manifest;
 pub mod manifest_check;
 pub mod manifest_fault;
+pub mod manifest_index;
 pub mod prefix;
 pub mod prelude;
 pub mod record;
