--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod manifest;
 pub mod manifest_check;
 pub mod manifest_fault;
+pub mod manifest_index;
 pub mod members;
 pub mod membership;
 pub mod neighbours;
