--- a/crates/cli/tests/test_endpoint_failures.rs
+++ b/crates/cli/tests/test_endpoint_failures.rs
@@ -11,7 +11,9 @@
 /// its answer too.
 fn control(address: SocketAddr, action: &str) {
     let url = format!("http://{address}/standin/{action}");
-    let request = ureq::post(&url).config().timeout_global(Some(Duration::from_millis(500)));
+    let request = ureq::post(&url)
+        .config()
+        .timeout_global(Some(Duration::from_millis(500)));
     let _ = request.build().send_empty();
 }
 
--- a/crates/node/src/control/admission.rs
+++ b/crates/node/src/control/admission.rs
@@ -91,6 +91,7 @@
 #[derive(Debug, Default)]
 pub struct Prompts {
     known: BTreeMap<WeightsVersion, Prompt>,
+    chain: PrefixChain,
 }
 
 impl Prompts {
@@ -114,9 +115,15 @@
                 tokens: chain.tokens,
             },
         );
+        self.chain = chain;
         heat
     }
 
+    /// The chain that was recorded.
+    pub fn chain(&self) -> &PrefixChain {
+        &self.chain
+    }
+
     /// Levels under other weights stand at the same blocks.
     fn get(&mut self, ask: &RouteAsk, weights: &WeightsVersion) -> Prompt {
         if let Some(prompt) = self.known.get(weights) {
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use flamingolock_core::manifest::Manifest;
-use flamingolock_core::manifest_check::ManifestIndex;
+use flamingolock_core::manifest_index::ManifestIndex;
 use flamingolock_core::members::Instance;
 use flamingolock_core::prelude::*;
 use serde::{Deserialize, Serialize};
--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -179,7 +179,8 @@
         let url = format!("http://{}/v1/completions", self.nodes[node].address);
         let body = json!({ "model": model, "prompt": "ready?", "max_tokens": 1 });
         wait::until("the node serves", Duration::from_secs(10), || {
-            agent().post(&url)
+            agent()
+                .post(&url)
                 .header("authorization", format!("Bearer {key}"))
                 .send_json(&body)
                 .is_ok()
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -14,9 +14,9 @@
     Heartbeat, InstanceRow, Instances, InstancesWanted, Leaving, MemberReport, Standing,
 };
 pub use crate::permit::{
-    EngineDigest, EngineLoad, LivePermit, PermitAsk, PermitCancel, PermitGrant, PermitOutcome,
-    PermitRefuse, PermitRelease, PermitsLive, Probe, ProbeAnswer, ProbeAnswers, ProbeBatch,
-    RefuseReason,
+    EngineDigest, EngineLoad, LivePermit, PermitAsk, PermitCancel, PermitFirst, PermitGrant,
+    PermitOutcome, PermitQueued, PermitRefuse, PermitRelease, PermitsLive, Probe, ProbeAnswer,
+    ProbeAnswers, ProbeBatch, RefuseReason,
 };
 pub use crate::records::{
     LogRecord, Records, RecordsBusy, RecordsWanted, Snapshot, SnapshotWanted,
