experiment: let callers ask the entries they knew last

Cause: in a rolling replacement all first addresses were gone and callers gave up (231 of 499 lost); the system itself cut no stream. Callers now ask the entries that they were given last, and go on elsewhere when a node says that it is leaving.

--- a/crates/experiment/src/caller.rs
+++ b/crates/experiment/src/caller.rs
@@ -153,7 +153,11 @@
             };
             if response.status() != StatusCode::OK {
                 outcome.end = refused(response).await;
-                return;
+                if !is_leaving(&outcome.end) {
+                    return;
+                }
+                self.forget(&arrival.workspace);
+                continue;
             }
             if let Some(end) = progress.follow(response, outcome).await {
                 outcome.end = end;
@@ -195,6 +199,10 @@
                 continue;
             };
             outcome.end = judge_call(response, body).await;
+            if is_leaving(&outcome.end) {
+                self.forget(&arrival.workspace);
+                continue;
+            }
             outcome.first_us = started.elapsed().as_micros() as u64;
             return;
         }
@@ -219,6 +227,21 @@
         Some((address, known.token))
     }
 
+    /// Addresses to ask for entries: those known last, then the first ones.
+    fn sources(&self, workspace: &WorkspaceId) -> Vec<SocketAddr> {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        let last = entries.get(workspace).map(|known| known.addresses.clone());
+        let mut sources = last.unwrap_or_default();
+        sources.extend(
+            self.seeds
+                .iter()
+                .filter(|seed| !sources.contains(seed))
+                .copied()
+                .collect::<Vec<_>>(),
+        );
+        sources
+    }
+
     fn known(&self, workspace: &WorkspaceId) -> Option<Known> {
         let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         entries
@@ -227,17 +250,19 @@
             .cloned()
     }
 
+    /// Asks anew next time, by the addresses known so far.
     fn forget(&self, workspace: &WorkspaceId) {
-        self.entries
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(workspace);
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = entries.get_mut(workspace) {
+            known.until = Instant::now();
+        }
     }
 
     async fn learn(&self, workspace: &WorkspaceId, place: usize) -> Option<Known> {
-        for turn in 0..self.seeds.len() {
-            let spread = flamingolock_core::rendezvous::key(workspace.as_str()) as usize;
-            let seed = self.seeds[(spread + place + turn) % self.seeds.len()];
+        let spread = flamingolock_core::rendezvous::key(workspace.as_str()) as usize;
+        let sources = self.sources(workspace);
+        for turn in 0..sources.len() {
+            let seed = sources[(spread + place + turn) % sources.len()];
             let request = Request::get(format!("http://{seed}/v1/entries"))
                 .header(header::AUTHORIZATION, bearer(workspace))
                 .body(Full::default())
@@ -296,6 +321,14 @@
     }
 }
 
+/// True when a node that is going asked the caller to use another one.
+fn is_leaving(end: &End) -> bool {
+    match end {
+        End::Refused { code, .. } | End::NotRun { code } => code == "leaving",
+        _ => false,
+    }
+}
+
 async fn judge_call(response: Response<Incoming>, body: &str) -> End {
     if response.status() != StatusCode::OK {
         return refused(response).await;
