--- a/crates/cli/src/bin/flamingoctl.rs
+++ b/crates/cli/src/bin/flamingoctl.rs
@@ -4,7 +4,7 @@
 
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use flamingolock_cli::commands::{demo, load, standin};
+use flamingolock_cli::commands::{demo, engines, explain, load, nodes, standin};
 use flamingolock_cli::exit::{self, CommandError};
 use flamingolock_cli::logging;
 use log::LevelFilter;
@@ -26,6 +26,12 @@
     Demo(demo::DemoArguments),
     /// Sends load to a fleet that runs already.
     Load(load::LoadArguments),
+    /// Shows the state of nodes.
+    Nodes(nodes::NodesArguments),
+    /// Shows the engines as nodes know them.
+    Engines(engines::EnginesArguments),
+    /// Shows the decisions about one request.
+    Explain(explain::ExplainArguments),
     /// Runs a stand-in of an outside system.
     #[command(subcommand)]
     Standin(standin::StandinCommand),
@@ -46,6 +52,9 @@
     match command {
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Load(arguments) => load::run(&arguments),
+        Command::Nodes(arguments) => nodes::run(&arguments),
+        Command::Engines(arguments) => engines::run(&arguments),
+        Command::Explain(arguments) => explain::run(&arguments),
         Command::Standin(command) => standin::run(command),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,5 +1,10 @@
-//! One module for each subcommand of `flamingoctl`.
+//! One module for each subcommand of `flamingoctl`, and what they share.
 
 pub mod demo;
+pub mod engines;
+pub mod explain;
 pub mod load;
+pub mod nodes;
+pub mod operators;
 pub mod standin;
+pub mod text_table;
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -1,4 +1,4 @@
-//! Bodies that callers send and receive, in the shape of the usual completions API.
+//! Answers and errors in the shape of the usual completions API.
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -11,93 +11,6 @@
 /// A whole answer or a stream on its way to a caller.
 pub type Answer = Response<Body>;
 
-/// Tokens of an answer where the caller names no limit.
-pub const DEFAULT_MAX_TOKENS: u32 = 64;
-
-/// Request for a completion of one prompt.
-#[derive(Clone, Debug, Deserialize)]
-pub struct CompletionRequest {
-    /// Model to use.
-    pub model: String,
-    /// Text to complete.
-    pub prompt: String,
-    /// Longest answer in tokens.
-    #[serde(default)]
-    pub max_tokens: Option<u32>,
-    /// Whether to send the answer piece by piece.
-    #[serde(default)]
-    pub stream: bool,
-}
-
-/// Request for the next message of a conversation.
-#[derive(Clone, Debug, Deserialize)]
-pub struct ChatRequest {
-    /// Model to use.
-    pub model: String,
-    /// Conversation so far.
-    pub messages: Vec<ChatMessage>,
-    /// Longest answer in tokens.
-    #[serde(default)]
-    pub max_tokens: Option<u32>,
-    /// Longest answer in tokens, by its newer name.
-    #[serde(default)]
-    pub max_completion_tokens: Option<u32>,
-    /// Whether to send the answer piece by piece.
-    #[serde(default)]
-    pub stream: bool,
-}
-
-/// One message of a conversation.
-#[derive(Clone, Debug, Deserialize)]
-pub struct ChatMessage {
-    /// `system`, `user` or `assistant`.
-    pub role: String,
-    /// Text, or a list of parts.
-    pub content: ChatContent,
-}
-
-/// Content of a message.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(untagged)]
-pub enum ChatContent {
-    /// Plain text.
-    Text(String),
-    /// Parts, of which only text is understood.
-    Parts(Vec<ChatPart>),
-}
-
-/// One part of a message.
-#[derive(Clone, Debug, Deserialize)]
-pub struct ChatPart {
-    /// Text of the part.
-    #[serde(default)]
-    pub text: String,
-}
-
-impl ChatRequest {
-    /// The conversation as one prompt. Messages keep their order, so a shared
-    /// beginning of conversations is a shared beginning of prompts.
-    pub fn prompt(&self) -> String {
-        let mut prompt = String::new();
-        for message in &self.messages {
-            prompt.push_str("<|");
-            prompt.push_str(&message.role);
-            prompt.push_str("|>");
-            match &message.content {
-                ChatContent::Text(text) => prompt.push_str(text),
-                ChatContent::Parts(parts) => {
-                    for part in parts {
-                        prompt.push_str(&part.text);
-                    }
-                }
-            }
-            prompt.push('\n');
-        }
-        prompt.push_str("<|assistant|>");
-        prompt
-    }
-}
-
 /// Tokens of prompt and answer.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
@@ -177,6 +90,8 @@
     pub code: &'static str,
     /// Text for people.
     pub message: String,
+    /// Field of the body that is at fault.
+    pub param: Option<&'static str>,
     /// When to come back, in milliseconds.
     pub retry_after: Option<u64>,
     /// Outcome of a call that may run at most once.
@@ -196,6 +111,7 @@
             kind,
             code,
             message: message.into(),
+            param: None,
             retry_after: None,
             outcome: None,
         }
@@ -228,6 +144,13 @@
         }
     }
 
+    /// Names the field of the body that is at fault.
+    #[must_use]
+    pub fn with_param(mut self, param: &'static str) -> Self {
+        self.param = Some(param);
+        self
+    }
+
     /// Names the outcome of a call that may run at most once.
     #[must_use]
     pub fn with_outcome(mut self, outcome: CallOutcome) -> Self {
@@ -241,7 +164,7 @@
             "message": self.message,
             "type": self.kind.label(),
             "code": self.code,
-            "param": null,
+            "param": self.param,
             "retry_after_ms": self.retry_after,
             "outcome": self.outcome,
         });
--- /dev/null
+++ b/crates/node/src/caller_body.rs
@@ -0,0 +1,100 @@
+//! Reads bodies of callers within bounds of size, time and shared memory.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::Semaphore;
+
+use crate::api::{ApiError, ErrorKind};
+use crate::scope::RequestScope;
+use crate::settings::Settings;
+
+/// Longest time that the rest of a refused body is read, so that the caller gets
+/// the answer instead of a connection reset.
+const DISCARD_MS: u64 = 500;
+
+/// Reads a whole body; its memory counts against `memory` until `scope` ends.
+///
+/// # Errors
+///
+/// When the body is too large, late, cut off, or all memory for bodies is taken.
+pub async fn read(
+    settings: &Settings,
+    memory: &Arc<Semaphore>,
+    scope: &RequestScope,
+    headers: &HeaderMap,
+    body: &mut Incoming,
+) -> Result<Bytes, ApiError> {
+    let limit = settings.limits.body_bytes;
+    if announced(headers).is_some_and(|bytes| bytes > limit) {
+        return Err(too_large(limit));
+    }
+    let wait = Duration::from_millis(settings.timing.body_ms);
+    let reading = collect(limit, memory, scope, body);
+    tokio::time::timeout(wait, reading).await.map_err(|_| {
+        ApiError::new(
+            StatusCode::REQUEST_TIMEOUT,
+            ErrorKind::InvalidRequest,
+            "body_late",
+            "the body did not arrive in time",
+        )
+    })?
+}
+
+async fn collect(
+    limit: usize,
+    memory: &Arc<Semaphore>,
+    scope: &RequestScope,
+    body: &mut Incoming,
+) -> Result<Bytes, ApiError> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| ApiError::invalid("body_cut", error.to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > limit {
+            return Err(too_large(limit));
+        }
+        let bytes = u32::try_from(data.len()).unwrap_or(u32::MAX);
+        let Ok(permit) = Arc::clone(memory).try_acquire_many_owned(bytes) else {
+            let message = "the node holds as many bodies as it may";
+            return Err(ApiError::unavailable("busy", message, 1000));
+        };
+        scope.hold(permit);
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
+/// Reads and drops the rest of a body that is not wanted, up to `limit` bytes.
+pub async fn discard(body: &mut Incoming, limit: usize) {
+    let dropping = async {
+        let mut dropped = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            dropped += frame.data_ref().map_or(0, Bytes::len);
+            if dropped > limit {
+                return;
+            }
+        }
+    };
+    let _ = tokio::time::timeout(Duration::from_millis(DISCARD_MS), dropping).await;
+}
+
+fn announced(headers: &HeaderMap) -> Option<usize> {
+    let text = headers.get(header::CONTENT_LENGTH)?.to_str().ok()?;
+    text.parse().ok()
+}
+
+fn too_large(limit: usize) -> ApiError {
+    ApiError::new(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        ErrorKind::InvalidRequest,
+        "body_too_large",
+        format!("the body has more than {limit} bytes"),
+    )
+}
--- /dev/null
+++ b/crates/node/src/completion_request.rs
@@ -0,0 +1,273 @@
+//! Bodies of completion requests, in the shape of the usual completions API.
+
+use std::collections::BTreeMap;
+
+use serde::de::IgnoredAny;
+use serde::{Deserialize, Serialize};
+
+use crate::api::ApiError;
+
+/// Tokens of an answer where the caller names no limit.
+pub const DEFAULT_MAX_TOKENS: u32 = 64;
+
+/// Largest answer that a caller may ask for, in tokens.
+const MAX_ANSWER_TOKENS: u32 = 32_768;
+
+/// Most stop sequences of a request.
+const MAX_STOPS: usize = 4;
+
+/// A request for a completion, as far as the node acts on it.
+#[derive(Clone, Debug)]
+pub struct CompletionRequest {
+    /// Model to use.
+    pub model: String,
+    /// Text to complete.
+    pub prompt: String,
+    /// Longest answer in tokens.
+    pub max_tokens: u32,
+    /// Whether to send the answer piece by piece.
+    pub stream: bool,
+    /// Whether a last event of the stream tells the usage.
+    pub include_usage: bool,
+    /// Passed on to the engine.
+    pub sampling: Sampling,
+}
+
+/// How the engine picks tokens. The node passes these on as they come.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Sampling {
+    /// Randomness.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub temperature: Option<f64>,
+    /// Share of probability that is considered.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub top_p: Option<f64>,
+    /// Seed of the engine's chance.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub seed: Option<i64>,
+    /// Penalty on tokens that were used at all.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub presence_penalty: Option<f64>,
+    /// Penalty on tokens by how often they were used.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub frequency_penalty: Option<f64>,
+    /// Weights of single tokens.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub logit_bias: Option<BTreeMap<String, f64>>,
+    /// Texts at which the engine stops.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub stop: Option<Stop>,
+}
+
+/// One stop sequence or several.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Stop {
+    /// One.
+    One(String),
+    /// Several.
+    Many(Vec<String>),
+}
+
+#[derive(Deserialize)]
+struct TextBody {
+    prompt: Prompt,
+    #[serde(default)]
+    best_of: Option<u32>,
+    #[serde(default)]
+    echo: Option<bool>,
+    #[serde(default)]
+    suffix: Option<String>,
+    #[serde(default)]
+    logprobs: Option<u32>,
+    #[serde(flatten)]
+    common: Common,
+}
+
+#[derive(Deserialize)]
+struct ChatBody {
+    messages: Vec<Message>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    tools: Option<Vec<IgnoredAny>>,
+    #[serde(default)]
+    functions: Option<Vec<IgnoredAny>>,
+    #[serde(default)]
+    response_format: Option<ResponseFormat>,
+    #[serde(default)]
+    logprobs: Option<bool>,
+    #[serde(flatten)]
+    common: Common,
+}
+
+/// Fields that both kinds of bodies have.
+#[derive(Deserialize)]
+struct Common {
+    model: String,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    stream_options: Option<StreamOptions>,
+    #[serde(default)]
+    n: Option<u32>,
+    #[serde(flatten)]
+    sampling: Sampling,
+}
+
+#[derive(Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+#[derive(Deserialize)]
+struct ResponseFormat {
+    #[serde(rename = "type")]
+    kind: String,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Prompt {
+    Text(String),
+    List(Vec<IgnoredAny>),
+}
+
+#[derive(Deserialize)]
+struct Message {
+    role: String,
+    #[serde(default)]
+    content: Option<Content>,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<Part>),
+}
+
+#[derive(Deserialize)]
+struct Part {
+    #[serde(rename = "type", default)]
+    kind: String,
+    #[serde(default)]
+    text: String,
+}
+
+/// Reads the body of `POST /v1/completions`.
+///
+/// # Errors
+///
+/// Names what cannot be read, or the field that the node does not support.
+pub fn parse_text(body: &[u8]) -> Result<CompletionRequest, ApiError> {
+    let parsed: TextBody = serde_json::from_slice(body).map_err(|error| bad_json(&error))?;
+    let prompt = match parsed.prompt {
+        Prompt::Text(prompt) => prompt,
+        Prompt::List(entries) => {
+            let count = entries.len();
+            let message = format!("`prompt` must be one string, not a list of {count}");
+            return Err(unsupported("prompt", &message));
+        }
+    };
+    refuse_if(parsed.best_of.is_some_and(|best| best != 1), "best_of")?;
+    refuse_if(parsed.echo == Some(true), "echo")?;
+    refuse_if(parsed.suffix.is_some_and(|text| !text.is_empty()), "suffix")?;
+    refuse_if(parsed.logprobs.is_some(), "logprobs")?;
+    parsed.common.finish(prompt, None)
+}
+
+/// Reads the body of `POST /v1/chat/completions`.
+///
+/// # Errors
+///
+/// Names what cannot be read, or the field that the node does not support.
+pub fn parse_chat(body: &[u8]) -> Result<CompletionRequest, ApiError> {
+    let parsed: ChatBody = serde_json::from_slice(body).map_err(|error| bad_json(&error))?;
+    if parsed.messages.is_empty() {
+        let error = ApiError::invalid("bad_messages", "`messages` is empty");
+        return Err(error.with_param("messages"));
+    }
+    refuse_if(parsed.tools.is_some_and(|list| !list.is_empty()), "tools")?;
+    refuse_if(
+        parsed.functions.is_some_and(|list| !list.is_empty()),
+        "functions",
+    )?;
+    let format = parsed.response_format.map(|format| format.kind);
+    refuse_if(format.is_some_and(|kind| kind != "text"), "response_format")?;
+    refuse_if(parsed.logprobs == Some(true), "logprobs")?;
+    let prompt = conversation(&parsed.messages)?;
+    parsed.common.finish(prompt, parsed.max_completion_tokens)
+}
+
+impl Common {
+    fn finish(self, prompt: String, newer_max: Option<u32>) -> Result<CompletionRequest, ApiError> {
+        refuse_if(self.n.is_some_and(|n| n != 1), "n")?;
+        let stops = match &self.sampling.stop {
+            Some(Stop::Many(stops)) => stops.len(),
+            Some(Stop::One(_)) | None => 0,
+        };
+        if stops > MAX_STOPS {
+            let message = format!("`stop` has more than {MAX_STOPS} entries");
+            return Err(ApiError::invalid("bad_stop", message).with_param("stop"));
+        }
+        let max_tokens = newer_max.or(self.max_tokens).unwrap_or(DEFAULT_MAX_TOKENS);
+        if max_tokens == 0 || max_tokens > MAX_ANSWER_TOKENS {
+            let message = format!("max_tokens must lie between 1 and {MAX_ANSWER_TOKENS}");
+            return Err(ApiError::invalid("bad_max_tokens", message).with_param("max_tokens"));
+        }
+        let options = self.stream_options;
+        Ok(CompletionRequest {
+            model: self.model,
+            prompt,
+            max_tokens,
+            stream: self.stream.unwrap_or_default(),
+            include_usage: options.is_some_and(|options| options.include_usage),
+            sampling: self.sampling,
+        })
+    }
+}
+
+/// The conversation as one prompt. Messages keep their order, so a shared
+/// beginning of conversations is a shared beginning of prompts.
+fn conversation(messages: &[Message]) -> Result<String, ApiError> {
+    let mut prompt = String::new();
+    for message in messages {
+        prompt.push_str("<|");
+        prompt.push_str(&message.role);
+        prompt.push_str("|>");
+        match &message.content {
+            None => {}
+            Some(Content::Text(text)) => prompt.push_str(text),
+            Some(Content::Parts(parts)) => {
+                for part in parts {
+                    refuse_if(part.kind != "text", "messages")?;
+                    prompt.push_str(&part.text);
+                }
+            }
+        }
+        prompt.push('\n');
+    }
+    prompt.push_str("<|assistant|>");
+    Ok(prompt)
+}
+
+fn refuse_if(wrong: bool, param: &'static str) -> Result<(), ApiError> {
+    if !wrong {
+        return Ok(());
+    }
+    let message = format!("this value of `{param}` is not supported");
+    Err(unsupported(param, &message))
+}
+
+fn unsupported(param: &'static str, message: &str) -> ApiError {
+    ApiError::invalid("unsupported_value", message).with_param(param)
+}
+
+fn bad_json(error: &serde_json::Error) -> ApiError {
+    ApiError::invalid("bad_json", format!("the body cannot be read: {error}"))
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -10,11 +10,12 @@
 pub mod messages;
 pub mod permit;
 pub mod router;
+mod status;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use flamingolock_core::limits::{self, Limits, Share};
@@ -30,6 +31,7 @@
 use crate::control::permit::{Presence, Refusal, Reply, RouteAsk};
 use crate::control::router::Router;
 use crate::decisions::DecisionLog;
+use crate::metrics::Metrics;
 use crate::peers::{self, PeerCommand, PeerSender};
 use crate::settings::Settings;
 use crate::view::{Listed, ListedKind, ListedState, SharedView, View};
@@ -128,6 +130,7 @@
         view: SharedView,
         decisions: Arc<DecisionLog>,
         peers: PeerSender,
+        metrics: Arc<Metrics>,
     ) -> std::io::Result<Self> {
         let (events, inbox) = crossbeam::channel::unbounded();
         let mut control = Control {
@@ -140,6 +143,8 @@
             effects: Vec::new(),
             peers,
             leaving: false,
+            metrics,
+            status_at: Millis(0),
         };
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
@@ -170,19 +175,25 @@
     effects: Vec<Effect>,
     peers: PeerSender,
     leaving: bool,
+    metrics: Arc<Metrics>,
+    status_at: Millis,
 }
 
 impl Control {
     fn run(&mut self, inbox: &Receiver<Event>) {
         loop {
             let wait = self.wait();
-            match inbox.recv_timeout(wait) {
+            let received = inbox.recv_timeout(wait);
+            let started = Instant::now();
+            match received {
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Ok(event) => self.handle(event),
                 Err(RecvTimeoutError::Timeout) => {}
             }
             self.with_context(Router::tick);
             self.perform();
+            self.publish_status();
+            self.metrics.control_step(started.elapsed(), now());
         }
     }
 
--- a/crates/node/src/control/router.rs
+++ b/crates/node/src/control/router.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// The node that is home of `engine`.
+    pub fn home_of(&self, engine: &EngineId) -> InstanceId {
+        self.homes.home_of(engine)
+    }
+
     /// Places a request; the admission goes to `reply` once it is known.
     pub fn admit(&mut self, ctx: &mut Context<'_>, ask: RouteAsk, reply: Reply) {
         if self.routing.policy != Policy::Flamingolock {
--- /dev/null
+++ b/crates/node/src/control/status.rs
@@ -0,0 +1,53 @@
+//! Publishes what operators see of the engines.
+
+use std::sync::Arc;
+
+use flamingolock_core::prelude::*;
+
+use super::{Control, now};
+use crate::control::engines::Engine;
+use crate::status::EngineView;
+
+/// Shortest time between two publications.
+const STATUS_MS: Millis = Millis(1_000);
+
+impl Control {
+    /// Publishes the engines, at most once a second.
+    pub(super) fn publish_status(&mut self) {
+        let now = now();
+        if now.since(self.status_at) < STATUS_MS {
+            return;
+        }
+        self.status_at = now;
+        let engines = self
+            .router
+            .engines
+            .iter()
+            .map(|(name, engine)| engine_view(name, engine, self.router.home_of(name)))
+            .collect();
+        self.publish(|view| view.engines = Arc::new(engines));
+    }
+}
+
+fn engine_view(name: &EngineId, engine: &Engine, home: InstanceId) -> EngineView {
+    let status = engine.status.clone();
+    let answering = status.is_some();
+    let status = status.unwrap_or_default();
+    EngineView {
+        name: name.clone(),
+        address: engine.address,
+        zone: engine.zone.clone(),
+        answering,
+        leaving: engine.leaving,
+        incarnation: status.incarnation,
+        model: status.model,
+        weights: status.weights,
+        adapters: status.adapters,
+        role: status.role,
+        running: status.running,
+        waiting: status.waiting,
+        slots: status.slots,
+        inflight: engine.inflight,
+        home,
+    }
+}
--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -16,6 +16,7 @@
 use crate::control::Event;
 use crate::decisions::DecisionLog;
 use crate::endpoint_http::EndpointHttp;
+use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::view::SharedView;
 
@@ -32,4 +33,6 @@
     pub events: Sender<Event>,
     /// Where decisions are recorded.
     pub decisions: Arc<DecisionLog>,
+    /// Where requests are counted.
+    pub metrics: Arc<Metrics>,
 }
--- a/crates/node/src/filters/completion.rs
+++ b/crates/node/src/filters/completion.rs
@@ -6,49 +6,55 @@
 use flamingolock_core::prelude::*;
 use http::{HeaderMap, HeaderValue};
 
-use crate::api::{
-    Answer, ApiError, ChatRequest, CompletionRequest, DEFAULT_MAX_TOKENS, json_answer,
-};
+use crate::api::{Answer, ApiError, json_answer};
+use crate::completion_request::{CompletionRequest, parse_chat, parse_text};
 use crate::control;
 use crate::control::permit::RouteAsk;
 use crate::filters::Traffic;
-use crate::filters::authenticate::authenticate;
 use crate::filters::classify::{Classified, classify_completion};
 use crate::filters::limit::enter;
 use crate::relay::{self, Job, Shape};
+use crate::scope::RequestScope;
 
-/// Largest answer that a caller may ask for, in tokens.
-const MAX_ANSWER_TOKENS: u32 = 32_768;
-
-/// Serves `POST /v1/completions` and `POST /v1/chat/completions`.
+/// Serves `POST /v1/completions` and `POST /v1/chat/completions` for a caller
+/// whose workspace is known.
 ///
 /// # Errors
 ///
 /// The final error of the request.
 pub async fn serve(
     traffic: &Traffic,
+    scope: &RequestScope,
     request: RequestId,
+    workspace: WorkspaceId,
     headers: &HeaderMap,
     body: &Bytes,
     shape: Shape,
 ) -> Result<Answer, ApiError> {
     let started = control::now();
     let view = traffic.view.load_full();
-    let workspace = authenticate(&view, headers)?;
-    let parsed = parse(shape, body)?;
+    let parsed = match shape {
+        Shape::Text => parse_text(body)?,
+        Shape::Chat => parse_chat(body)?,
+    };
     let classified = classify_completion(&view, headers, &parsed.model)?;
+    scope.set_kind(&classified.name);
     let presence = enter(traffic, &workspace).await?;
-    let ask = ask(request, workspace, &parsed, &classified, started);
     let job = Job {
-        ask,
+        ask: ask(request, workspace, &parsed, &classified, started),
         shape,
+        sampling: parsed.sampling,
+        include_usage: parsed.include_usage,
         started,
         presence,
+        scope: scope.clone(),
     };
     let mut answer = if parsed.stream {
         relay::stream(traffic, job).await?
     } else {
-        json_answer(http::StatusCode::OK, relay::whole(traffic, job).await?)
+        let whole = relay::whole(traffic, job).await?;
+        scope.answered();
+        json_answer(http::StatusCode::OK, whole)
     };
     answer
         .headers_mut()
@@ -73,34 +79,8 @@
         model: ModelName::from(parsed.model.as_str()),
         priority: classified.kind.priority,
         prompt: Arc::from(parsed.prompt.as_bytes()),
-        answer_tokens: parsed.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        answer_tokens: parsed.max_tokens,
         deadline: started + classified.kind.deadline(),
         avoid: Vec::new(),
     }
 }
-
-fn parse(shape: Shape, body: &Bytes) -> Result<CompletionRequest, ApiError> {
-    let request = match shape {
-        Shape::Text => serde_json::from_slice(body).map_err(|error| bad_json(&error))?,
-        Shape::Chat => {
-            let chat: ChatRequest =
-                serde_json::from_slice(body).map_err(|error| bad_json(&error))?;
-            CompletionRequest {
-                prompt: chat.prompt(),
-                max_tokens: chat.max_completion_tokens.or(chat.max_tokens),
-                model: chat.model,
-                stream: chat.stream,
-            }
-        }
-    };
-    let tokens = request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
-    if tokens == 0 || tokens > MAX_ANSWER_TOKENS {
-        let message = format!("max_tokens must lie between 1 and {MAX_ANSWER_TOKENS}");
-        return Err(ApiError::invalid("bad_max_tokens", message));
-    }
-    Ok(request)
-}
-
-fn bad_json(error: &serde_json::Error) -> ApiError {
-    ApiError::invalid("bad_json", format!("the body cannot be read: {error}"))
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,16 +5,23 @@
 //! thread over channels, or read the view that it publishes.
 
 pub mod api;
+pub mod caller_body;
+pub mod completion_request;
 pub mod control;
 pub mod decisions;
 pub mod endpoint_http;
 pub mod engine_poll;
 pub mod filters;
+pub mod metrics;
 pub mod node;
+pub mod operators;
 pub mod peers;
 pub mod platform;
 pub mod relay;
+pub mod scope;
 pub mod server;
 pub mod settings;
 pub mod sse;
+pub mod status;
 pub mod view;
+pub mod write_timeout;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,289 @@
+//! Counters, histograms and gauges of one node.
+//!
+//! No series carries a workspace: their number grows with every customer, and
+//! each would multiply all buckets of a histogram. The log lines of decisions
+//! name the workspace's request instead. All labels come from the manifest's
+//! request kinds or from constants of the program.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use flamingolock_core::prelude::*;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::view::View;
+
+/// Label of requests that ended before their kind was known.
+pub const NO_KIND: &str = "none";
+
+/// Content type of the text that [`Metrics::encode`] makes.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Upper bound of the first bucket of each histogram, in seconds.
+const FIRST_BUCKET_S: f64 = 0.001;
+
+/// Ratio between the bounds of neighbouring buckets.
+const BUCKET_RATIO: f64 = 2.0;
+
+/// Buckets of each histogram; the last ends at 65 seconds.
+const BUCKETS: u16 = 17;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum RequestEnd {
+    /// The caller got the whole answer.
+    Answered,
+    /// The request was refused before an endpoint ran it.
+    Refused,
+    /// The answer could not be completed.
+    Failed,
+    /// The caller closed the connection or stopped reading.
+    CallerLeft,
+    /// A call that may run at most once did not run.
+    NotRun,
+    /// A call that may run at most once may have run.
+    Unknown,
+}
+
+/// Something that happens to streams beside their tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum StreamTurn {
+    /// An engine refused or failed before the first token, and another was tried.
+    Retry,
+    /// The connection to the engine failed or fell silent.
+    Break,
+    /// The same engine went on over another connection.
+    Resume,
+    /// Another engine went on.
+    Continue,
+    /// The engine was told to stop since the caller had left.
+    Cancel,
+    /// The stream ended in an error event.
+    Error,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    kind: String,
+    outcome: RequestEnd,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CodeLabel {
+    code: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TurnLabel {
+    event: StreamTurn,
+}
+
+/// All metrics of one node.
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    errors: Family<CodeLabel, Counter>,
+    first_token: Family<KindLabel, Histogram>,
+    token_gap: Histogram,
+    prompt_tokens: Counter,
+    cached_tokens: Counter,
+    turns: Family<TurnLabel, Counter>,
+    control_busy: Counter<f64, AtomicU64>,
+    control_steps: Counter,
+    permits: Gauge,
+    engines: Gauge,
+    manifest_offset: Gauge,
+    ready: Gauge,
+    leaving: Gauge,
+    /// When the control thread last went round its loop.
+    control_seen: AtomicU64,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, BUCKET_RATIO, BUCKETS))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("flamingolock"),
+            requests: Family::default(),
+            errors: Family::default(),
+            first_token: Family::new_with_constructor(histogram),
+            token_gap: histogram(),
+            prompt_tokens: Counter::default(),
+            cached_tokens: Counter::default(),
+            turns: Family::default(),
+            control_busy: Counter::default(),
+            control_steps: Counter::default(),
+            permits: Gauge::default(),
+            engines: Gauge::default(),
+            manifest_offset: Gauge::default(),
+            ready: Gauge::default(),
+            leaving: Gauge::default(),
+            control_seen: AtomicU64::new(0),
+        };
+        metrics.register_traffic();
+        metrics.register_state();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register_traffic(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests that ended, by kind and outcome",
+            self.requests.clone(),
+        );
+        registry.register(
+            "errors",
+            "Errors sent to callers, by code",
+            self.errors.clone(),
+        );
+        registry.register(
+            "first_token_seconds",
+            "Time from the request's arrival to its first token",
+            self.first_token.clone(),
+        );
+        registry.register(
+            "token_gap_seconds",
+            "Time between two tokens of a stream",
+            self.token_gap.clone(),
+        );
+        registry.register(
+            "prompt_tokens",
+            "Prompt tokens of answered requests",
+            self.prompt_tokens.clone(),
+        );
+        registry.register(
+            "cached_prompt_tokens",
+            "Prompt tokens of answered requests that the engine's cache held",
+            self.cached_tokens.clone(),
+        );
+        registry.register(
+            "stream_events",
+            "Breaks of streams and what followed",
+            self.turns.clone(),
+        );
+    }
+
+    fn register_state(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "control_busy_seconds",
+            "Time that the control thread spent on events",
+            self.control_busy.clone(),
+        );
+        registry.register(
+            "control_steps",
+            "Rounds of the control thread's loop",
+            self.control_steps.clone(),
+        );
+        registry.register(
+            "permits_held",
+            "Requests of this node that are on an engine",
+            self.permits.clone(),
+        );
+        registry.register(
+            "engines_answering",
+            "Engines that answered when last asked",
+            self.engines.clone(),
+        );
+        registry.register(
+            "manifest_offset",
+            "Log offset of the manifest in force; -1 while it is not known",
+            self.manifest_offset.clone(),
+        );
+        registry.register(
+            "ready",
+            "1 once a manifest has been read",
+            self.ready.clone(),
+        );
+        registry.register(
+            "leaving",
+            "1 while the node is shutting down",
+            self.leaving.clone(),
+        );
+    }
+
+    /// Counts a request that ended.
+    pub fn request(&self, kind: &str, outcome: RequestEnd) {
+        let labels = RequestLabels {
+            kind: kind.to_owned(),
+            outcome,
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts an error that was sent to a caller.
+    pub fn error(&self, code: &'static str) {
+        self.errors.get_or_create(&CodeLabel { code }).inc();
+    }
+
+    /// Notes the time to the first token of a request.
+    pub fn first_token(&self, kind: &str, elapsed: Duration) {
+        let label = KindLabel {
+            kind: kind.to_owned(),
+        };
+        self.first_token
+            .get_or_create(&label)
+            .observe(elapsed.as_secs_f64());
+    }
+
+    /// Notes the time between two tokens.
+    pub fn token_gap(&self, elapsed: Duration) {
+        self.token_gap.observe(elapsed.as_secs_f64());
+    }
+
+    /// Counts the prompt of an answered request.
+    pub fn prompt(&self, tokens: u32, cached: u32) {
+        self.prompt_tokens.inc_by(u64::from(tokens));
+        self.cached_tokens.inc_by(u64::from(cached));
+    }
+
+    /// Counts a break of a stream, or what followed.
+    pub fn stream(&self, event: StreamTurn) {
+        self.turns.get_or_create(&TurnLabel { event }).inc();
+    }
+
+    /// Notes one round of the control thread's loop that ended at `now`.
+    pub fn control_step(&self, busy: Duration, now: Millis) {
+        self.control_busy.inc_by(busy.as_secs_f64());
+        self.control_steps.inc();
+        self.control_seen.store(now.0, Ordering::Relaxed);
+    }
+
+    /// When the control thread last went round its loop; 0 before the first.
+    pub fn control_seen(&self) -> Millis {
+        Millis(self.control_seen.load(Ordering::Relaxed))
+    }
+
+    /// The metrics as text, with gauges taken from `view`.
+    pub fn encode(&self, view: &View) -> String {
+        let permits: u32 = view.engines.iter().map(|engine| engine.inflight).sum();
+        self.permits.set(i64::from(permits));
+        self.engines
+            .set(i64::try_from(view.answering).unwrap_or(i64::MAX));
+        let offset = view.manifest_offset;
+        let offset = offset.map_or(-1, |offset| i64::try_from(offset).unwrap_or(i64::MAX));
+        self.manifest_offset.set(offset);
+        self.ready.set(i64::from(view.ready));
+        self.leaving.set(i64::from(view.leaving));
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        text
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,6 +18,8 @@
 use crate::endpoint_http::EndpointHttp;
 use crate::engine_poll::poll_engines;
 use crate::filters::Traffic;
+use crate::metrics::Metrics;
+use crate::operators::{OperatorPort, OperatorState};
 use crate::peers::{self, LinkIdentity};
 use crate::platform::PlatformReaders;
 use crate::server;
@@ -49,6 +51,7 @@
 pub struct Node {
     address: SocketAddr,
     peer_address: SocketAddr,
+    operators: Option<OperatorPort>,
     settings: Arc<Settings>,
     view: SharedView,
     stop: watch::Sender<bool>,
@@ -77,6 +80,7 @@
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let decisions = Arc::new(DecisionLog::new(settings.node.name.clone()));
         let incarnation = Incarnation(control::now().0);
+        let metrics = Arc::new(Metrics::default());
         let (peers, commands) = mpsc::unbounded_channel();
         let control = ControlHandle::start(
             &settings,
@@ -84,6 +88,7 @@
             Arc::clone(&view),
             Arc::clone(&decisions),
             peers,
+            Arc::clone(&metrics),
         )?;
         let me = Arc::new(LinkIdentity {
             identity: Identity {
@@ -105,7 +110,8 @@
             view: Arc::clone(&view),
             http: http.clone(),
             events: control.events.clone(),
-            decisions,
+            decisions: Arc::clone(&decisions),
+            metrics: Arc::clone(&metrics),
         };
         let (stop, stopping) = watch::channel(false);
         let server = runtime.spawn(server::serve(listener, traffic, stopping));
@@ -115,10 +121,20 @@
             settings.timing.clone(),
             control.events.clone(),
         ));
+        let state = OperatorState {
+            settings: Arc::clone(&settings),
+            incarnation,
+            view: Arc::clone(&view),
+            decisions,
+            metrics,
+            started: control::now(),
+        };
+        let operators = OperatorPort::start(state)?;
         log::info!("node {} serves callers on {address}", settings.node.name);
         Ok(Self {
             address,
             peer_address,
+            operators,
             settings,
             view,
             stop,
@@ -139,6 +155,11 @@
         self.peer_address
     }
 
+    /// Address of the operators' port, when there is one.
+    pub fn operator_address(&self) -> Option<SocketAddr> {
+        self.operators.as_ref().map(OperatorPort::address)
+    }
+
     /// True once a manifest is in force and `engines` engines are known.
     pub fn ready(&self, engines: usize) -> bool {
         let view = self.view.load();
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,9 +1,9 @@
 //! Carries answers of engines to callers, complete and in order.
 
 use std::convert::Infallible;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use flamingolock_core::answer_stream::{Recovery, StreamCursor, StreamInput, StreamStep};
 use flamingolock_core::permit::Observed;
 use flamingolock_core::prelude::*;
@@ -11,15 +11,18 @@
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::api::{Answer, ApiError, ErrorKind, Usage};
+use crate::completion_request::Sampling;
 use crate::control::permit::{AbandonGuard, Admission, Permit, Presence, Refusal, RouteAsk};
 use crate::control::{self, Event};
 use crate::endpoint_http::{Connection, EndpointError, EndpointHttp, post_json};
 use crate::filters::Traffic;
+use crate::metrics::StreamTurn;
+use crate::scope::{CALLER_LEFT, RequestScope};
 use crate::sse::{self, SseReader};
 
 /// Header with the life of the engine that answers.
@@ -28,9 +31,6 @@
 /// Pieces that wait for a slow caller before the engine is no longer read.
 const CALLER_BUFFER: usize = 64;
 
-/// Longest time that a caller may leave the buffer full.
-const CALLER_STALL_MS: u64 = 30_000;
-
 /// Engines that are tried before the first token.
 const MAX_STARTS: usize = 3;
 
@@ -50,10 +50,32 @@
     pub ask: RouteAsk,
     /// Shape of the answer.
     pub shape: Shape,
+    /// How the engine picks tokens.
+    pub sampling: Sampling,
+    /// Whether the stream's last event tells the usage.
+    pub include_usage: bool,
     /// When the request arrived.
     pub started: Millis,
     /// Counts the request against the limits of its workspace.
     pub presence: Presence,
+    /// Counts the request when it is over.
+    pub scope: RequestScope,
+}
+
+/// What an engine is sent.
+#[derive(Serialize)]
+struct EngineRequest<'a> {
+    model: &'a ModelName,
+    prompt: &'a str,
+    max_tokens: u32,
+    stream: bool,
+    priority: u8,
+    cache_salt: String,
+    request_id: &'a str,
+    start_index: u32,
+    answer_so_far: &'a str,
+    #[serde(flatten)]
+    sampling: &'a Sampling,
 }
 
 /// One event of an engine's stream: a piece, or the end.
@@ -144,7 +166,7 @@
     job: Job,
     answer: String,
     attempts: u32,
-    first_token: Option<Millis>,
+    last_token: Option<Instant>,
 }
 
 impl Relay {
@@ -154,7 +176,7 @@
             job,
             answer: String::new(),
             attempts: 0,
-            first_token: None,
+            last_token: None,
         }
     }
 
@@ -168,6 +190,7 @@
                 Ok(running) => return Ok(running),
                 Err(error) => {
                     self.decide("retry", engine.as_str(), &error.to_string());
+                    self.traffic.metrics.stream(StreamTurn::Retry);
                     self.job.ask.avoid.push(engine);
                     last = Some(error);
                 }
@@ -199,19 +222,9 @@
     async fn send(&mut self, permit: Permit, index: u32) -> Result<Running, EndpointError> {
         self.attempts += 1;
         let attempt = format!("{}.{}", self.job.ask.request, self.attempts);
-        let body = json!({
-            "model": self.job.ask.model,
-            "prompt": String::from_utf8_lossy(&self.job.ask.prompt),
-            "max_tokens": self.job.ask.answer_tokens,
-            "stream": true,
-            "priority": self.job.ask.priority,
-            "cache_salt": permit.seed.to_hex(),
-            "request_id": attempt,
-            "start_index": index,
-            "answer_so_far": self.answer,
-        });
         let address = permit.address.to_string();
-        let request = post_json(&address, "/v1/completions", body.to_string().into_bytes())?;
+        let body = self.engine_body(&permit, &attempt, index);
+        let request = post_json(&address, "/v1/completions", body)?;
         let wait = self.job.ask.deadline.since(control::now()).0.max(1);
         let sent_at = control::now();
         let sent = self
@@ -241,15 +254,40 @@
         }
     }
 
+    fn engine_body(&self, permit: &Permit, attempt: &str, index: u32) -> Vec<u8> {
+        let ask = &self.job.ask;
+        let body = EngineRequest {
+            model: &ask.model,
+            prompt: &String::from_utf8_lossy(&ask.prompt),
+            max_tokens: ask.answer_tokens,
+            stream: true,
+            priority: ask.priority,
+            cache_salt: permit.seed.to_hex(),
+            request_id: attempt,
+            start_index: index,
+            answer_so_far: &self.answer,
+            sampling: &self.job.sampling,
+        };
+        serde_json::to_vec(&body).expect("text, numbers and maps with text keys are JSON")
+    }
+
     async fn run_stream(&mut self, running: Running, sender: mpsc::Sender<Bytes>) {
         let sink = Sink::Caller(sender);
         match self.run(running, &sink).await {
             Ok(finish) => {
-                let _ = self.emit(&sink, self.finish_event(&finish)).await;
-                let _ = self.emit(&sink, sse::event(None, "[DONE]")).await;
+                let mut last = self.finish_event(&finish);
+                if self.job.include_usage {
+                    last.extend_from_slice(&self.usage_event(&finish));
+                }
+                last.extend_from_slice(&sse::event(None, "[DONE]"));
+                if self.emit(&sink, last.freeze()).await.is_ok() {
+                    self.job.scope.answered();
+                }
             }
             Err(error) => {
                 self.decide("stream-error", "", &error.message);
+                self.traffic.metrics.stream(StreamTurn::Error);
+                self.job.scope.failed(&error);
                 let text = String::from_utf8_lossy(&error.body()).into_owned();
                 let _ = self.emit(&sink, sse::event(None, &text)).await;
             }
@@ -262,7 +300,7 @@
             match self.next(&mut running).await {
                 Next::Nothing => {}
                 Next::Piece(text, usage) => {
-                    self.note_first_token(&running, usage);
+                    self.note_token(&running, usage);
                     self.answer.push_str(&text);
                     let event = self.piece_event(&running.cursor, &text);
                     if self.emit(sink, event).await.is_err() {
@@ -271,6 +309,9 @@
                     }
                 }
                 Next::Done(finish) => {
+                    let usage = finish.usage;
+                    let metrics = &self.traffic.metrics;
+                    metrics.prompt(usage.prompt_tokens, usage.cached_tokens);
                     return Ok(finish);
                 }
                 Next::Broken(reason) => running = self.recover(running, reason).await?,
@@ -315,7 +356,7 @@
     /// silence means a broken connection.
     fn stall_ms(&self) -> u64 {
         let stall = self.traffic.settings.timing.stall_ms;
-        if self.first_token.is_some() {
+        if self.last_token.is_some() {
             return stall;
         }
         self.job.ask.deadline.since(control::now()).0.max(stall)
@@ -323,11 +364,13 @@
 
     async fn recover(&mut self, mut running: Running, reason: &str) -> Result<Running, ApiError> {
         self.decide("break", running.permit.engine.as_str(), reason);
+        self.traffic.metrics.stream(StreamTurn::Break);
         let incarnation = running.cursor.incarnation();
         if let Recovery::Resume { from } = running.cursor.recover(Some(incarnation))
             && let Some(reader) = self.resume(&running, from).await
         {
             self.decide("resume", running.permit.engine.as_str(), reason);
+            self.traffic.metrics.stream(StreamTurn::Resume);
             running.reader = reader;
             return Ok(running);
         }
@@ -372,6 +415,7 @@
             permit.engine.as_str(),
             "the engine before is gone",
         );
+        self.traffic.metrics.stream(StreamTurn::Continue);
         let next = self.send(permit, from).await;
         let next = next.map_err(|error| broken(&error.to_string()))?;
         cursor.rebind(next.cursor.attempt().to_owned(), next.cursor.incarnation());
@@ -381,6 +425,7 @@
     /// Frees the engine's slot after the caller has left.
     async fn cancel(&self, running: &Running) {
         self.decide("cancel", running.permit.engine.as_str(), "the caller left");
+        self.traffic.metrics.stream(StreamTurn::Cancel);
         let uri = format!(
             "http://{}/v1/streams/{}",
             running.permit.address,
@@ -397,12 +442,13 @@
             .await;
     }
 
-    fn note_first_token(&mut self, running: &Running, usage: Usage) {
-        if self.first_token.is_some() {
+    fn note_token(&mut self, running: &Running, usage: Usage) {
+        if let Some(last) = self.last_token.replace(Instant::now()) {
+            self.traffic.metrics.token_gap(last.elapsed());
             return;
         }
         let now = control::now();
-        self.first_token = Some(now.since(self.job.started));
+        self.job.scope.first_token();
         running.permit.first_token(Observed {
             prompt_tokens: usage.prompt_tokens,
             cached_tokens: usage.cached_tokens,
@@ -414,7 +460,7 @@
         let Sink::Caller(sender) = sink else {
             return Ok(());
         };
-        let wait = Duration::from_millis(CALLER_STALL_MS);
+        let wait = Duration::from_millis(self.traffic.settings.timing.caller_ms);
         match tokio::time::timeout(wait, sender.send(event)).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) | Err(_) => Err(()),
@@ -430,24 +476,28 @@
             }
         };
         let id = format!("{}:{index}", self.job.ask.request);
-        sse::event(Some(&id), &self.chunk(&choice, None, None).to_string())
+        sse::event(Some(&id), &self.chunk(&[choice], None, None).to_string())
     }
 
-    fn finish_event(&self, finish: &Finish) -> Bytes {
+    fn finish_event(&self, finish: &Finish) -> BytesMut {
         let choice = match self.job.shape {
             Shape::Text => json!({ "index": 0, "text": "", "finish_reason": finish.reason }),
             Shape::Chat => json!({ "index": 0, "delta": {}, "finish_reason": finish.reason }),
         };
         let count = Some(finish.usage.completion_tokens);
-        sse::event(
-            None,
-            &self.chunk(&choice, Some(finish.usage), count).to_string(),
-        )
+        let chunk = self.chunk(&[choice], Some(finish.usage), count);
+        BytesMut::from(sse::event(None, &chunk.to_string()))
+    }
+
+    /// The event that `stream_options.include_usage` asks for.
+    fn usage_event(&self, finish: &Finish) -> Bytes {
+        let chunk = self.chunk(&[], Some(finish.usage), None);
+        sse::event(None, &chunk.to_string())
     }
 
     fn chunk(
         &self,
-        choice: &serde_json::Value,
+        choices: &[serde_json::Value],
         usage: Option<Usage>,
         count: Option<u32>,
     ) -> serde_json::Value {
@@ -460,7 +510,7 @@
             "object": object,
             "created": self.job.started.0 / 1000,
             "model": self.job.ask.model,
-            "choices": [choice],
+            "choices": choices,
             "usage": usage.map(usage_body),
             "count": count,
         })
@@ -555,7 +605,7 @@
     ApiError::new(
         StatusCode::BAD_REQUEST,
         ErrorKind::InvalidRequest,
-        "caller_left",
+        CALLER_LEFT,
         "",
     )
 }
--- /dev/null
+++ b/crates/node/src/scope.rs
@@ -0,0 +1,111 @@
+//! What a request holds from its arrival until its last byte is on its way.
+
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::Instant;
+
+use flamingolock_core::prelude::*;
+use tokio::sync::OwnedSemaphorePermit;
+
+use crate::api::{ApiError, CallOutcome, ErrorKind};
+use crate::metrics::{Metrics, NO_KIND, RequestEnd};
+
+/// Code of the error that stands for a caller who closed the connection.
+pub const CALLER_LEFT: &str = "caller_left";
+
+/// One request in progress; cheap to clone. The drop of the last clone counts the
+/// request and gives back its place and the memory of its body.
+#[derive(Clone, Debug)]
+pub struct RequestScope(Arc<Inner>);
+
+struct Inner {
+    metrics: Arc<Metrics>,
+    started: Instant,
+    kind: OnceLock<KindName>,
+    end: Mutex<RequestEnd>,
+    held: Mutex<Vec<OwnedSemaphorePermit>>,
+}
+
+impl std::fmt::Debug for Inner {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("RequestScope")
+            .field("kind", &self.kind)
+            .field("end", &self.end)
+            .finish_non_exhaustive()
+    }
+}
+
+impl RequestScope {
+    /// Begins a request that arrives now.
+    pub fn new(metrics: Arc<Metrics>) -> Self {
+        Self(Arc::new(Inner {
+            metrics,
+            started: Instant::now(),
+            kind: OnceLock::new(),
+            // A request whose handler is dropped has lost its caller.
+            end: Mutex::new(RequestEnd::CallerLeft),
+            held: Mutex::default(),
+        }))
+    }
+
+    /// Notes the kind, once it is known to exist.
+    pub fn set_kind(&self, kind: &KindName) {
+        let _ = self.0.kind.set(kind.clone());
+    }
+
+    /// Keeps `permit` until the request is over.
+    pub fn hold(&self, permit: OwnedSemaphorePermit) {
+        let mut held = self.0.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let same = held
+            .iter_mut()
+            .find(|kept| Arc::ptr_eq(kept.semaphore(), permit.semaphore()));
+        match same {
+            // A body that comes in tiny pieces must not grow the list.
+            Some(kept) => kept.merge(permit),
+            None => held.push(permit),
+        }
+    }
+
+    /// Notes that the whole answer is there.
+    pub fn answered(&self) {
+        self.set_end(RequestEnd::Answered);
+    }
+
+    /// Notes the error that ends the request.
+    pub fn failed(&self, error: &ApiError) {
+        let end = match (error.outcome, error.kind) {
+            _ if error.code == CALLER_LEFT => RequestEnd::CallerLeft,
+            (Some(CallOutcome::NotRun), _) => RequestEnd::NotRun,
+            (Some(CallOutcome::Unknown), _) => RequestEnd::Unknown,
+            (_, ErrorKind::Upstream) => RequestEnd::Failed,
+            _ => RequestEnd::Refused,
+        };
+        self.set_end(end);
+        if end != RequestEnd::CallerLeft {
+            self.0.metrics.error(error.code);
+        }
+    }
+
+    /// Notes that the first token is there.
+    pub fn first_token(&self) {
+        let elapsed = self.0.started.elapsed();
+        self.0.metrics.first_token(self.0.kind(), elapsed);
+    }
+
+    fn set_end(&self, end: RequestEnd) {
+        *self.0.end.lock().unwrap_or_else(PoisonError::into_inner) = end;
+    }
+}
+
+impl Inner {
+    fn kind(&self) -> &str {
+        self.kind.get().map_or(NO_KIND, KindName::as_str)
+    }
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        let end = *self.end.lock().unwrap_or_else(PoisonError::into_inner);
+        self.metrics.request(self.kind(), end);
+    }
+}
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use flamingolock_core::prelude::*;
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http::request::Parts;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -15,9 +14,13 @@
 use tokio::sync::{Semaphore, watch};
 use tokio_util::task::TaskTracker;
 
-use crate::api::{Answer, ApiError, ErrorKind, json_answer};
+use crate::api::{Answer, ApiError, ErrorKind, full, json_answer};
+use crate::caller_body;
+use crate::filters::authenticate::authenticate;
 use crate::filters::{Traffic, completion, service_call};
 use crate::relay::Shape;
+use crate::scope::RequestScope;
+use crate::write_timeout::WriteTimeout;
 
 /// Header with the identifier of a request.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -25,10 +28,38 @@
 /// Pause after a failed accept, which most often means too many open files.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
+/// Largest head of a request, and largest piece of a body that is read at once.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+
+/// What all connections share.
+struct Port {
+    traffic: Traffic,
+    /// Places for requests in progress.
+    places: Arc<Semaphore>,
+    /// Bytes for bodies of requests in progress.
+    memory: Arc<Semaphore>,
+}
+
+/// What a path serves.
+enum Route<'a> {
+    Completion(Shape),
+    Entries,
+    Models,
+    Model(&'a str),
+    Call(&'a str),
+    Unknown,
+}
+
 /// Serves callers until `stop` turns true, then waits for what is in progress.
 pub async fn serve(listener: TcpListener, traffic: Traffic, stop: watch::Receiver<bool>) {
-    let places = Arc::new(Semaphore::new(traffic.settings.limits.connections));
-    let connections = TaskTracker::new();
+    let limits = &traffic.settings.limits;
+    let connections = Arc::new(Semaphore::new(limits.connections));
+    let port = Arc::new(Port {
+        places: Arc::new(Semaphore::new(limits.inflight)),
+        memory: Arc::new(Semaphore::new(limits.memory_bytes)),
+        traffic,
+    });
+    let tasks = TaskTracker::new();
     let mut stopping = stop.clone();
     loop {
         let accepted = tokio::select! {
@@ -40,31 +71,34 @@
             continue;
         };
         // A connection beyond the bound is closed at once, which callers can see.
-        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+        let Ok(connection) = Arc::clone(&connections).try_acquire_owned() else {
             continue;
         };
-        let (traffic, stop) = (traffic.clone(), stop.clone());
-        connections.spawn(async move {
-            serve_connection(stream, traffic, stop).await;
-            drop(place);
+        let (port, stop) = (Arc::clone(&port), stop.clone());
+        tasks.spawn(async move {
+            serve_connection(stream, port, stop).await;
+            drop(connection);
         });
     }
     // New connections are refused from here on instead of waiting unserved.
     drop(listener);
-    connections.close();
-    connections.wait().await;
+    tasks.close();
+    tasks.wait().await;
 }
 
-async fn serve_connection(stream: TcpStream, traffic: Traffic, mut stop: watch::Receiver<bool>) {
+async fn serve_connection(stream: TcpStream, port: Arc<Port>, mut stop: watch::Receiver<bool>) {
     let _ = stream.set_nodelay(true);
-    let head = Duration::from_millis(traffic.settings.timing.head_ms);
+    let timing = &port.traffic.settings.timing;
+    let head = Duration::from_millis(timing.head_ms);
+    let stream = WriteTimeout::new(stream, Duration::from_millis(timing.caller_ms));
     let service = service_fn(move |request| {
-        let traffic = traffic.clone();
-        async move { Ok::<_, std::convert::Infallible>(answer(&traffic, request).await) }
+        let port = Arc::clone(&port);
+        async move { Ok::<_, std::convert::Infallible>(port.answer(request).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head)
+        .max_buf_size(READ_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
@@ -75,45 +109,171 @@
     let _ = connection.await;
 }
 
-async fn answer(traffic: &Traffic, request: Request<Incoming>) -> Answer {
-    let id = RequestId::from(ulid::Ulid::new().to_string());
-    let mut answer = match dispatch(traffic, id.clone(), request).await {
-        Ok(answer) => answer,
-        Err(error) => error.into_answer(),
-    };
-    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
-        answer.headers_mut().insert(REQUEST_ID_HEADER, value);
+impl Port {
+    async fn answer(&self, request: Request<Incoming>) -> Answer {
+        let id = RequestId::from(ulid::Ulid::new().to_string());
+        let scope = RequestScope::new(Arc::clone(&self.traffic.metrics));
+        let (parts, mut body) = request.into_parts();
+        let served = self.dispatch(&scope, id.clone(), &parts, &mut body).await;
+        let mut answer = match served {
+            Ok(answer) => answer,
+            Err(error) => {
+                scope.failed(&error);
+                let limit = self.traffic.settings.limits.body_bytes;
+                caller_body::discard(&mut body, limit).await;
+                error.into_answer()
+            }
+        };
+        if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+            answer.headers_mut().insert(REQUEST_ID_HEADER, value);
+        }
+        answer
     }
-    answer
-}
 
-async fn dispatch(
-    traffic: &Traffic,
-    id: RequestId,
-    request: Request<Incoming>,
-) -> Result<Answer, ApiError> {
-    let (parts, body) = request.into_parts();
-    let path = parts.uri.path().to_owned();
-    match (&parts.method, path.as_str()) {
-        (&Method::POST, "/v1/completions") => {
-            let body = read_body(traffic, &parts.headers, body).await?;
-            completion::serve(traffic, id, &parts.headers, &body, Shape::Text).await
+    async fn dispatch(
+        &self,
+        scope: &RequestScope,
+        id: RequestId,
+        parts: &Parts,
+        body: &mut Incoming,
+    ) -> Result<Answer, ApiError> {
+        let path = parts.uri.path();
+        let route = route(path);
+        let allowed = allowed(&route);
+        if parts.method == Method::OPTIONS && !allowed.is_empty() {
+            scope.answered();
+            return Ok(options(allowed));
+        }
+        if !allowed.is_empty() && !allowed.split(", ").any(|name| name == parts.method) {
+            let error = wrong_method(&parts.method, path, allowed);
+            scope.failed(&error);
+            return Ok(with_allow(error.into_answer(), allowed));
         }
-        (&Method::POST, "/v1/chat/completions") => {
-            let body = read_body(traffic, &parts.headers, body).await?;
-            completion::serve(traffic, id, &parts.headers, &body, Shape::Chat).await
+        match route {
+            Route::Completion(shape) => self.complete(scope, id, parts, body, shape).await,
+            Route::Call(rest) => self.call(scope, id, parts, body, rest).await,
+            Route::Entries => {
+                scope.answered();
+                Ok(entries(&self.traffic))
+            }
+            Route::Models => {
+                authenticate(&self.traffic.view.load(), &parts.headers)?;
+                scope.answered();
+                Ok(models(&self.traffic))
+            }
+            Route::Model(name) => {
+                authenticate(&self.traffic.view.load(), &parts.headers)?;
+                let answer = model(&self.traffic, name)?;
+                scope.answered();
+                Ok(answer)
+            }
+            Route::Unknown => Err(no_such_path(path)),
         }
-        (&Method::GET, "/v1/entries") => Ok(entries(traffic)),
-        (&Method::GET, "/v1/models") => Ok(models(traffic)),
-        (method @ (&Method::POST | &Method::GET), path) => {
-            let Some(rest) = path.strip_prefix("/v1/calls/") else {
-                return Err(no_such_path(path));
-            };
-            let body = read_body(traffic, &parts.headers, body).await?;
-            service_call::serve(traffic, id, method.clone(), rest, &parts.headers, body).await
+    }
+
+    async fn complete(
+        &self,
+        scope: &RequestScope,
+        id: RequestId,
+        parts: &Parts,
+        body: &mut Incoming,
+        shape: Shape,
+    ) -> Result<Answer, ApiError> {
+        // A caller without a key gets no memory for its body.
+        let workspace = authenticate(&self.traffic.view.load(), &parts.headers)?;
+        self.take_place(scope)?;
+        let body = self.read(scope, parts, body).await?;
+        let headers = &parts.headers;
+        completion::serve(&self.traffic, scope, id, workspace, headers, &body, shape).await
+    }
+
+    async fn call(
+        &self,
+        scope: &RequestScope,
+        id: RequestId,
+        parts: &Parts,
+        body: &mut Incoming,
+        rest: &str,
+    ) -> Result<Answer, ApiError> {
+        let not_run = |error: ApiError| error.with_outcome(crate::api::CallOutcome::NotRun);
+        let view = self.traffic.view.load_full();
+        authenticate(&view, &parts.headers).map_err(not_run)?;
+        self.take_place(scope).map_err(not_run)?;
+        let body = self.read(scope, parts, body).await.map_err(not_run)?;
+        let kind = rest.split('/').next().unwrap_or_default();
+        if let Some((kind, _)) = view.manifest.kinds.get_key_value(kind) {
+            scope.set_kind(kind);
         }
-        (_, path) => Err(no_such_path(path)),
+        let method = parts.method.clone();
+        let headers = &parts.headers;
+        let answer = service_call::serve(&self.traffic, id, method, rest, headers, body).await?;
+        scope.answered();
+        Ok(answer)
+    }
+
+    fn take_place(&self, scope: &RequestScope) -> Result<(), ApiError> {
+        let Ok(place) = Arc::clone(&self.places).try_acquire_owned() else {
+            let message = "the node serves as many requests as it may";
+            return Err(ApiError::unavailable("busy", message, 1000));
+        };
+        scope.hold(place);
+        Ok(())
+    }
+
+    async fn read(
+        &self,
+        scope: &RequestScope,
+        parts: &Parts,
+        body: &mut Incoming,
+    ) -> Result<bytes::Bytes, ApiError> {
+        let settings = &self.traffic.settings;
+        caller_body::read(settings, &self.memory, scope, &parts.headers, body).await
+    }
+}
+
+fn route(path: &str) -> Route<'_> {
+    match path {
+        "/v1/completions" => return Route::Completion(Shape::Text),
+        "/v1/chat/completions" => return Route::Completion(Shape::Chat),
+        "/v1/entries" => return Route::Entries,
+        "/v1/models" => return Route::Models,
+        _ => {}
+    }
+    if let Some(name) = path.strip_prefix("/v1/models/") {
+        return Route::Model(name);
     }
+    path.strip_prefix("/v1/calls/")
+        .map_or(Route::Unknown, Route::Call)
+}
+
+fn allowed(route: &Route<'_>) -> &'static str {
+    match route {
+        Route::Completion(_) => "POST, OPTIONS",
+        Route::Entries | Route::Models | Route::Model(_) => "GET, HEAD, OPTIONS",
+        Route::Call(_) => "GET, POST, OPTIONS",
+        Route::Unknown => "",
+    }
+}
+
+fn options(allowed: &'static str) -> Answer {
+    let mut answer = Response::new(full(""));
+    *answer.status_mut() = StatusCode::NO_CONTENT;
+    with_allow(answer, allowed)
+}
+
+fn with_allow(mut answer: Answer, allowed: &'static str) -> Answer {
+    let value = HeaderValue::from_static(allowed);
+    answer.headers_mut().insert(header::ALLOW, value);
+    answer
+}
+
+fn wrong_method(method: &Method, path: &str, allowed: &'static str) -> ApiError {
+    ApiError::new(
+        StatusCode::METHOD_NOT_ALLOWED,
+        ErrorKind::InvalidRequest,
+        "method_not_allowed",
+        format!("`{path}` does not take {method}; it takes {allowed}"),
+    )
 }
 
 fn no_such_path(path: &str) -> ApiError {
@@ -126,42 +286,6 @@
     )
 }
 
-async fn read_body(
-    traffic: &Traffic,
-    headers: &HeaderMap,
-    body: Incoming,
-) -> Result<Bytes, ApiError> {
-    let limit = traffic.settings.limits.body_bytes;
-    let too_large = || {
-        let message = format!("the body has more than {limit} bytes");
-        ApiError::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            ErrorKind::InvalidRequest,
-            "body_too_large",
-            message,
-        )
-    };
-    let announced = headers
-        .get(http::header::CONTENT_LENGTH)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|text| text.parse::<usize>().ok());
-    if announced.is_some_and(|bytes| bytes > limit) {
-        return Err(too_large());
-    }
-    let wait = Duration::from_millis(traffic.settings.timing.body_ms);
-    match tokio::time::timeout(wait, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Ok(Err(error)) => Err(ApiError::invalid("body_cut", error.to_string())),
-        Err(_) => Err(ApiError::new(
-            StatusCode::REQUEST_TIMEOUT,
-            ErrorKind::InvalidRequest,
-            "body_late",
-            "the body did not arrive in time",
-        )),
-    }
-}
-
 fn entries(traffic: &Traffic) -> Answer {
     let view = traffic.view.load_full();
     let entries: Vec<SocketAddr> = view
@@ -181,7 +305,7 @@
         .manifest
         .models
         .keys()
-        .map(|name| serde_json::json!({ "id": name, "object": "model", "owned_by": "operator" }))
+        .map(|name| model_body(name.as_str()))
         .collect();
     let body = serde_json::json!({ "object": "list", "data": data });
     let mut answer: Response<_> = json_answer(StatusCode::OK, body.to_string());
@@ -190,3 +314,22 @@
         .insert("cache-control", HeaderValue::from_static("no-cache"));
     answer
 }
+
+fn model(traffic: &Traffic, name: &str) -> Result<Answer, ApiError> {
+    if traffic.view.load().manifest.models.contains_key(name) {
+        let body = model_body(name).to_string();
+        return Ok(json_answer(StatusCode::OK, body));
+    }
+    let message = format!("the model `{name}` does not exist");
+    Err(ApiError::new(
+        StatusCode::NOT_FOUND,
+        ErrorKind::NotFound,
+        "model_not_found",
+        message,
+    ))
+}
+
+fn model_body(name: &str) -> serde_json::Value {
+    // The API asks for a time of creation, which the manifest does not hold.
+    serde_json::json!({ "id": name, "object": "model", "created": 0, "owned_by": "operator" })
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -163,6 +163,8 @@
     pub connections: usize,
     /// Requests in progress.
     pub inflight: usize,
+    /// Memory for bodies of requests in progress, in bytes.
+    pub memory_bytes: usize,
 }
 
 impl Default for LimitSettings {
@@ -171,6 +173,7 @@
             body_bytes: 2 << 20,
             connections: 4096,
             inflight: 2048,
+            memory_bytes: 64 << 20,
         }
     }
 }
@@ -183,6 +186,8 @@
     pub head_ms: u64,
     /// Longest time for the body of a request to arrive.
     pub body_ms: u64,
+    /// Longest time that a caller may leave its answer unread.
+    pub caller_ms: u64,
     /// Longest time to connect to an endpoint.
     pub connect_ms: u64,
     /// Longest silence within a stream before a fresh connection is tried.
@@ -204,6 +209,7 @@
         Self {
             head_ms: 10_000,
             body_ms: 20_000,
+            caller_ms: 30_000,
             connect_ms: 1_000,
             stall_ms: 2_000,
             entries_ms: 3_000,
@@ -437,6 +443,9 @@
             ("timing.stall_ms", self.timing.stall_ms),
             ("timing.connect_ms", self.timing.connect_ms),
             ("timing.status_ms", self.timing.status_ms),
+            ("timing.head_ms", self.timing.head_ms),
+            ("timing.body_ms", self.timing.body_ms),
+            ("timing.caller_ms", self.timing.caller_ms),
             ("platform.list_ms", self.platform.list_ms),
         ];
         for (key, value) in periods {
@@ -444,13 +453,52 @@
                 return refuse(key, "is 0".to_owned(), "set at least 1 millisecond");
             }
         }
-        if self.limits.body_bytes < 1024 {
+        self.check_ports(file)?;
+        self.check_limits(file)
+    }
+
+    fn check_ports(&self, file: &str) -> Result<(), SettingsError> {
+        let operators = self.operators.listen.filter(|listen| listen.port() != 0);
+        let others = [self.node.listen, self.node.peer_listen];
+        if operators.is_some_and(|listen| others.contains(&listen)) {
+            return Err(SettingsError::Check {
+                file: file.to_owned(),
+                key: "operators.listen",
+                problem: "equals node.listen or node.peer_listen".to_owned(),
+                remedy: "give callers, nodes and operators different ports",
+            });
+        }
+        Ok(())
+    }
+
+    fn check_limits(&self, file: &str) -> Result<(), SettingsError> {
+        let LimitSettings {
+            body_bytes,
+            memory_bytes,
+            ..
+        } = self.limits;
+        let refuse = |key, problem, remedy| {
+            Err(SettingsError::Check {
+                file: file.to_owned(),
+                key,
+                problem,
+                remedy,
+            })
+        };
+        if body_bytes < 1024 {
             return refuse(
                 "limits.body_bytes",
-                format!("is {}", self.limits.body_bytes),
+                format!("is {body_bytes}"),
                 "allow at least 1024 bytes",
             );
         }
+        if memory_bytes < body_bytes {
+            return refuse(
+                "limits.memory_bytes",
+                format!("is {memory_bytes}, less than limits.body_bytes"),
+                "allow memory for at least one body",
+            );
+        }
         Ok(())
     }
 }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -9,6 +9,8 @@
 use flamingolock_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::status::EngineView;
+
 /// What an instance of the platform's list does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -58,6 +60,10 @@
     pub keys: Arc<BTreeMap<String, WorkspaceId>>,
     /// Instances by name.
     pub instances: Arc<BTreeMap<String, Listed>>,
+    /// Log offset of the manifest in force, when known.
+    pub manifest_offset: Option<u64>,
+    /// Engines as they were at most a second ago.
+    pub engines: Arc<Vec<EngineView>>,
     /// Engines that answered when last asked.
     pub answering: usize,
     /// True once a manifest has been read.
--- /dev/null
+++ b/crates/testutils/src/http.rs
@@ -0,0 +1,168 @@
+//! Plain HTTP/1.1 over a socket, for tests that look at every byte.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use serde_json::Value;
+
+/// Longest silence of a server.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A whole answer.
+#[derive(Clone, Debug, Default)]
+pub struct HttpAnswer {
+    /// Status code.
+    pub status: u16,
+    /// Headers by lower-case name.
+    pub headers: BTreeMap<String, String>,
+    /// Body, with chunks joined.
+    pub body: String,
+}
+
+impl HttpAnswer {
+    /// The body as JSON.
+    ///
+    /// # Panics
+    ///
+    /// When it is none.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or_else(|error| panic!("{error}: {self:?}"))
+    }
+}
+
+/// The text of a request whose connection ends with it.
+pub fn request(method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> String {
+    let mut text = format!("{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        let _ = write!(text, "{name}: {value}\r\n");
+    }
+    if !body.is_empty() {
+        let _ = write!(text, "content-length: {}\r\n", body.len());
+    }
+    text.push_str("\r\n");
+    text.push_str(body);
+    text
+}
+
+/// A connection with bounds on its silence.
+///
+/// # Panics
+///
+/// When no connection comes about.
+pub fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap_or_else(|error| panic!("{address}: {error}"));
+    stream.set_nodelay(true).expect("the option can be set");
+    stream
+        .set_read_timeout(Some(PATIENCE))
+        .expect("the option can be set");
+    stream
+        .set_write_timeout(Some(PATIENCE))
+        .expect("the option can be set");
+    stream
+}
+
+/// Sends `text` and reads until the server closes; none when it closed without
+/// an answer.
+pub fn exchange(address: SocketAddr, text: &str) -> Option<HttpAnswer> {
+    let mut stream = connect(address);
+    // A server may answer and close before it has read everything.
+    let _ = stream.write_all(text.as_bytes());
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    parse(&bytes)
+}
+
+/// Sends a request and reads its answer.
+///
+/// # Panics
+///
+/// When there is none.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> HttpAnswer {
+    exchange(address, &request(method, path, headers, body))
+        .unwrap_or_else(|| panic!("no answer to {method} {path}"))
+}
+
+/// Reads an answer from all bytes that came.
+pub fn parse(bytes: &[u8]) -> Option<HttpAnswer> {
+    let text = String::from_utf8_lossy(bytes);
+    let (head, rest) = text.split_once("\r\n\r\n")?;
+    let mut lines = head.lines();
+    let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
+    let headers: BTreeMap<String, String> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_lowercase(), value.trim().to_owned()))
+        .collect();
+    let chunked = headers
+        .get("transfer-encoding")
+        .is_some_and(|value| value == "chunked");
+    let body = if chunked { join(rest) } else { rest.to_owned() };
+    Some(HttpAnswer {
+        status,
+        headers,
+        body,
+    })
+}
+
+fn join(mut rest: &str) -> String {
+    let mut body = String::new();
+    while let Some((size, after)) = rest.split_once("\r\n") {
+        let size = usize::from_str_radix(size.trim(), 16).unwrap_or_default();
+        if size == 0 || after.len() < size {
+            break;
+        }
+        body.push_str(&after[..size]);
+        rest = after[size..].trim_start_matches("\r\n");
+    }
+    body
+}
+
+/// A stream of server-sent events as it arrives.
+pub struct EventReader {
+    reader: BufReader<TcpStream>,
+}
+
+impl EventReader {
+    /// Sends `text` on a new connection.
+    ///
+    /// # Panics
+    ///
+    /// When it cannot be sent.
+    pub fn open(address: SocketAddr, text: &str) -> Self {
+        let mut stream = connect(address);
+        stream
+            .write_all(text.as_bytes())
+            .expect("the request is sent");
+        Self {
+            reader: BufReader::new(stream),
+        }
+    }
+
+    /// The data of the next event; none at the end. Servers write whole events in
+    /// each chunk, so that lines between events can be passed over.
+    ///
+    /// # Panics
+    ///
+    /// When nothing comes for a long time.
+    pub fn next_data(&mut self) -> Option<String> {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            let read = self.reader.read_line(&mut line).expect("a line arrives");
+            if read == 0 {
+                return None;
+            }
+            if let Some(data) = line.strip_prefix("data:") {
+                return Some(data.trim().to_owned());
+            }
+        }
+    }
+}
