node: serve operators with hyper, as astra loses requests

The first run of the flamingoctl tests failed: both tests that asked the operators' port waited 5 s for an answer that never came. Ruled out: the token, keep-alive, a busy control thread (curl was answered in 59 ms). astra 0.4 enters a connection in its table only after registering it with the system's edge-triggered queue, and drops an event that comes between.

The port now runs hyper on a thread of its own, which also gives it a time limit for heads, an accept that goes on after a failure, and an end.

The node printed its address before it listened for signals; the test that takes all its files showed that (signals: Too many open files). It listens first now.

--- a/crates/cli/src/bin/flamingolock.rs
+++ b/crates/cli/src/bin/flamingolock.rs
@@ -9,6 +9,8 @@
 use flamingolock_node::node::Node;
 use flamingolock_node::settings::{self, Settings};
 use log::LevelFilter;
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Runs one node. Settings: defaults, then --config, then `FLAMINGOLOCK_SECTION__KEY`
 /// variables, then --set.
@@ -70,29 +72,48 @@
 
 fn serve(arguments: &Arguments, settings: Settings) -> Result<(), CommandError> {
     logging::start(arguments.log, arguments.log_file.as_deref())?;
+    // Whoever reads the printed address may send a signal at once.
+    let signals = Signals::listen()?;
     let node = Node::start(settings).map_err(|error| CommandError::Usage(error.to_string()))?;
     println!("listening on {}", node.address());
-    wait_for_signal()?;
+    signals.wait();
     log::info!("shutting down");
     node.shutdown();
     Ok(())
 }
 
-/// Blocks until SIGTERM or SIGINT.
-fn wait_for_signal() -> Result<(), CommandError> {
-    use tokio::signal::unix::{SignalKind, signal};
-    let failed = |error: std::io::Error| CommandError::Usage(format!("signals: {error}"));
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(failed)?;
-    runtime.block_on(async {
-        let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        Ok(())
-    })
+/// SIGTERM and SIGINT, caught from [`Signals::listen`] on.
+struct Signals {
+    runtime: Runtime,
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self, CommandError> {
+        let failed = |error: std::io::Error| CommandError::Usage(format!("signals: {error}"));
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(failed)?;
+        let entered = runtime.enter();
+        let terminate = signal(SignalKind::terminate()).map_err(failed)?;
+        let interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+        drop(entered);
+        Ok(Self {
+            runtime,
+            terminate,
+            interrupt,
+        })
+    }
+
+    /// Blocks until one of them arrives.
+    fn wait(mut self) {
+        self.runtime.block_on(async {
+            tokio::select! {
+                _ = self.terminate.recv() => {}
+                _ = self.interrupt.recv() => {}
+            }
+        });
+    }
 }
--- /dev/null
+++ b/crates/cli/tests/test_operator_commands.rs
@@ -0,0 +1,210 @@
+//! `flamingoctl nodes`, `engines` and `explain` against node processes.
+
+use std::net::SocketAddr;
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use flamingolock_experiment::workload::{MODEL, Profile, WEIGHTS, workspace_key};
+use flamingolock_testutils::fleet::{ProcessFleet, Programs, free_address};
+use flamingolock_testutils::http::{EventReader, call, exchange, request};
+use flamingolock_testutils::process::Process;
+use flamingolock_testutils::wait;
+use serde_json::{Value, json};
+
+const TOKEN: &str = "token-of-operators";
+
+struct Bench {
+    fleet: ProcessFleet,
+    key: String,
+    operators: Vec<SocketAddr>,
+}
+
+/// Two nodes and an engine that takes `decode_ms` for a token.
+fn bench(decode_ms: u32) -> Bench {
+    let mut fleet = ProcessFleet::start(Programs::new(
+        env!("CARGO_BIN_EXE_flamingolock"),
+        env!("CARGO_BIN_EXE_flamingoctl"),
+    ));
+    let model = format!("model=\"{MODEL}\"");
+    let weights = format!("weights=\"{WEIGHTS}\"");
+    let decode = format!("decode_ms={decode_ms}");
+    fleet.add_engine("engine-1", &[&model, &weights, &decode]);
+    let mut operators = Vec::new();
+    for name in ["entry-1", "entry-2"] {
+        let address = free_address();
+        let listen = format!("operators.listen={address}");
+        let token = format!("operators.token={TOKEN}");
+        fleet.add_node(name, &[&listen, &token]);
+        operators.push(address);
+    }
+    let profile = Profile::mixed(10.0);
+    fleet.append("manifest-1", &json!(profile.manifest()));
+    let key = workspace_key(&profile.workspaces[0].id);
+    for name in ["entry-1", "entry-2"] {
+        fleet.wait_serving(name, &key, MODEL);
+    }
+    Bench {
+        fleet,
+        key,
+        operators,
+    }
+}
+
+impl Bench {
+    fn run(&self, arguments: &[&str], token: &str) -> Output {
+        let mut command = Command::new(&self.fleet.programs.tool);
+        command
+            .args(arguments)
+            .env_remove("FLAMINGOLOCK_OPERATOR_TOKEN");
+        if !token.is_empty() {
+            command.env("FLAMINGOLOCK_OPERATOR_TOKEN", token);
+        }
+        for operator in &self.operators {
+            command.arg(format!("--operator={operator}"));
+        }
+        command.output().expect("the tool runs")
+    }
+
+    fn completion(&self, answer_tokens: u32, stream: bool) -> String {
+        let bearer = format!("Bearer {}", self.key);
+        let body = json!({
+            "model": MODEL, "prompt": "why?", "max_tokens": answer_tokens, "stream": stream,
+        });
+        let headers = [("authorization", bearer.as_str())];
+        request("POST", "/v1/completions", &headers, &body.to_string())
+    }
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn read(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).unwrap_or_else(|error| panic!("{error}: {output:?}"))
+}
+
+#[test]
+fn nodes_engines_and_explain_show_the_fleet() {
+    let bench = bench(1);
+    wait::until("the engine is published", Duration::from_secs(5), || {
+        read(&bench.run(&["engines", "--json"], TOKEN))["engines"][0]["answering"] == true
+    });
+    let nodes = bench.run(&["nodes", "--json"], TOKEN);
+    assert_eq!(nodes.status.code(), Some(0), "{nodes:?}");
+    let nodes = read(&nodes);
+    assert_eq!(nodes["nodes"][0]["name"], "entry-1", "{nodes}");
+    assert_eq!(nodes["nodes"][1]["name"], "entry-2", "{nodes}");
+    assert_eq!(nodes["nodes"][0]["ready"], true, "{nodes}");
+    let engines = read(&bench.run(&["engines", "--json"], TOKEN));
+    let engine = &engines["engines"][0];
+    assert_eq!(engine["weights"], WEIGHTS, "{engine}");
+    assert!(engine["incarnation"].as_u64() > Some(0), "{engine}");
+    let table = text(&bench.run(&["engines"], TOKEN));
+    assert!(table.contains("engine-1"), "{table}");
+    let table = text(&bench.run(&["nodes"], TOKEN));
+    assert!(table.contains("entry-2"), "{table}");
+
+    let entry = bench.fleet.nodes["entry-2"].address;
+    let answer = exchange(entry, &bench.completion(2, false)).expect("an answer");
+    let id = answer.headers["x-request-id"].clone();
+    let explained = bench.run(&["explain", &id, "--json"], TOKEN);
+    assert_eq!(explained.status.code(), Some(0), "{explained:?}");
+    let explained = read(&explained);
+    let decision = &explained["decisions"][0];
+    assert_eq!(decision["action"], "route", "{explained}");
+    assert_eq!(decision["chosen"], "engine-1", "{explained}");
+    assert_eq!(decision["node"], "entry-2", "{explained}");
+    let table = text(&bench.run(&["explain", &id], TOKEN));
+    assert!(table.contains("route"), "{table}");
+}
+
+#[test]
+fn exit_codes_tell_what_went_wrong() {
+    let mut bench = bench(1);
+    let code = |bench: &Bench, arguments: &[&str], token| bench.run(arguments, token).status.code();
+    assert_eq!(code(&bench, &["explain", "01NOBODY"], TOKEN), Some(1));
+    assert_eq!(code(&bench, &["explain", "a/b"], TOKEN), Some(2));
+    assert_eq!(code(&bench, &["nodes"], ""), Some(2));
+    assert_eq!(code(&bench, &["nodes"], "another token"), Some(3));
+    bench.operators.push(free_address());
+    let partial = bench.run(&["nodes", "--json"], TOKEN);
+    assert_eq!(partial.status.code(), Some(4), "{partial:?}");
+    // The nodes that do answer are shown all the same.
+    assert_eq!(read(&partial)["nodes"][0]["name"], "entry-1");
+}
+
+#[test]
+fn a_leaving_node_is_not_ready_and_finishes_its_stream() {
+    let mut bench = bench(50);
+    let (entry, operator) = (bench.fleet.nodes["entry-1"].address, bench.operators[0]);
+    assert_eq!(call(operator, "GET", "/readyz", &[], "").status, 200);
+    let mut events = EventReader::open(entry, &bench.completion(30, true));
+    assert!(events.next_data().is_some());
+    bench.fleet.nodes["entry-1"].signal("TERM");
+    wait::until(
+        "the node says that it leaves",
+        Duration::from_secs(1),
+        || {
+            let answer = call(operator, "GET", "/readyz", &[], "");
+            answer.status == 503 && answer.json()["missing"] == json!(["leaving"])
+        },
+    );
+    let mut last = String::new();
+    let mut count = 1;
+    while let Some(data) = events.next_data() {
+        count += usize::from(data.contains("\"text\""));
+        last = data;
+    }
+    // Thirty tokens and the event that ends them.
+    assert_eq!((last.as_str(), count), ("[DONE]", 31));
+    let node = bench
+        .fleet
+        .nodes
+        .get_mut("entry-1")
+        .expect("it was started");
+    assert!(node.wait(Duration::from_secs(5)).success());
+}
+
+#[test]
+fn the_operators_port_comes_back_after_it_ran_out_of_files() {
+    let operator = free_address();
+    let node = env!("CARGO_BIN_EXE_flamingolock");
+    let mut arguments = vec![
+        "-c".to_owned(),
+        "ulimit -n 64; exec \"$0\" \"$@\"".to_owned(),
+    ];
+    arguments.push(node.to_owned());
+    for pair in [
+        "node.name=entry-1".to_owned(),
+        "node.zone=zone-1".to_owned(),
+        "node.listen=127.0.0.1:0".to_owned(),
+        "node.peer_listen=127.0.0.1:0".to_owned(),
+        "fleet.key=a-fleet-key-for-process-tests".to_owned(),
+        format!("operators.listen={operator}"),
+        format!("operators.token={TOKEN}"),
+    ] {
+        arguments.extend(["--set".to_owned(), pair]);
+    }
+    let process = Process::start(std::path::Path::new("/bin/sh"), &arguments);
+    assert_eq!(call(operator, "GET", "/healthz", &[], "").status, 200);
+    let crowd: Vec<_> = (0..80)
+        .map_while(|_| std::net::TcpStream::connect(operator).ok())
+        .collect();
+    assert!(crowd.len() > 50, "{} connections", crowd.len());
+    let healthy = || {
+        let text = request("GET", "/healthz", &[], "");
+        let Ok(mut stream) = std::net::TcpStream::connect(operator) else {
+            return false;
+        };
+        let limit = Some(Duration::from_millis(500));
+        let mut bytes = Vec::new();
+        let sent = stream.set_read_timeout(limit).is_ok()
+            && std::io::Write::write_all(&mut stream, text.as_bytes()).is_ok();
+        let _ = std::io::Read::read_to_end(&mut stream, &mut bytes);
+        sent && bytes.starts_with(b"HTTP/1.1 200")
+    };
+    assert!(!healthy(), "no file is left for another connection");
+    drop(crowd);
+    wait::until("the port serves again", Duration::from_secs(10), healthy);
+    drop(process);
+}
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -1,22 +1,27 @@
 //! The operators' port: metrics, health, status and explanations.
 //!
-//! The server has no way to stop: its thread ends only with the process. It holds
-//! the node's state weakly, so that a node that is dropped answers no more and
-//! keeps no memory.
+//! It has a thread of its own, so that it answers while traffic threads are busy.
 
+use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
-use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::sync::{Arc, Weak};
+use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
-use astra::{Body, Request, Response, ResponseBuilder, Server};
 use flamingolock_core::prelude::*;
-use http::{Method, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::Serialize;
 use serde_json::json;
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::sync::{Semaphore, oneshot};
 
+use crate::api::{Answer, full};
 use crate::control;
 use crate::decisions::DecisionLog;
 use crate::metrics::{CONTENT_TYPE, Metrics};
@@ -24,15 +29,20 @@
 use crate::settings::Settings;
 use crate::status::{Explanation, Missing, NodeStatus, Readiness};
 use crate::view::{SharedView, View};
+use crate::write_timeout::WriteTimeout;
 
-/// Connections that are served at once, with a thread each.
-const MAX_THREADS: usize = 32;
+/// Connections that are served at once.
+const MAX_CONNECTIONS: usize = 64;
 
 /// Largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
-/// Pause before the server is started again after it ended by itself.
-const RESTART_MS: u64 = 500;
+/// Longest time for the head of a request, and longest time that an answer may be
+/// left unread.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Pause after a failed accept, which most often means too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Silence of the control thread after which the node no longer counts as alive.
 const CONTROL_SILENCE: Millis = Millis(10_000);
@@ -53,10 +63,11 @@
     pub started: Millis,
 }
 
-/// The port while its node lives.
+/// A running port; dropping it closes the port.
 pub struct OperatorPort {
     address: SocketAddr,
-    _state: Arc<OperatorState>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
 }
 
 impl OperatorPort {
@@ -66,24 +77,29 @@
     ///
     /// When the port is taken or no thread can be had.
     pub fn start(state: OperatorState) -> Result<Option<Self>, NodeError> {
-        let Some(address) = state.settings.operators.listen else {
+        let Some(asked) = state.settings.operators.listen else {
             return Ok(None);
         };
-        let server = bind(address).map_err(|source| NodeError::Listen {
+        let refuse = |source| NodeError::Listen {
             key: "operators.listen",
-            address,
+            address: asked,
             source,
-        })?;
-        let address = server.local_addr()?;
-        log::info!("operators are served on {address}");
-        let state = Arc::new(state);
-        let weak = Arc::downgrade(&state);
-        std::thread::Builder::new()
+        };
+        let listener = TcpListener::bind(asked).map_err(refuse)?;
+        listener.set_nonblocking(true).map_err(refuse)?;
+        let address = listener.local_addr().map_err(refuse)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let (stop, stopped) = oneshot::channel();
+        let thread = std::thread::Builder::new()
             .name("operators".to_owned())
-            .spawn(move || serve(server, address, &weak))?;
+            .spawn(move || run(&runtime, listener, &Arc::new(state), stopped))?;
+        log::info!("operators are served on {address}");
         Ok(Some(Self {
             address,
-            _state: state,
+            stop: Some(stop),
+            thread: Some(thread),
         }))
     }
 
@@ -93,65 +109,96 @@
     }
 }
 
-/// The library panics when it cannot listen, so the address is tried before.
-fn bind(address: SocketAddr) -> std::io::Result<Server> {
-    if address.port() != 0 {
-        drop(TcpListener::bind(address)?);
+impl Drop for OperatorPort {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
     }
-    catch_unwind(AssertUnwindSafe(|| Server::bind(address)))
-        .map(|server| {
-            server
-                .http1_only()
-                .http1_max_buf_size(MAX_HEAD_BYTES)
-                .max_workers(MAX_THREADS)
-        })
-        .map_err(|_| std::io::ErrorKind::AddrInUse.into())
 }
 
-/// Serves until the node is gone; one failed accept ends the library's loop.
-fn serve(server: Server, address: SocketAddr, state: &Weak<OperatorState>) {
-    let mut next = Some(server);
-    while state.strong_count() > 0 {
-        if let Some(server) = next.take() {
-            let state = state.clone();
-            let ended = server.serve(move |request: Request, _| answer(&state, &request));
-            log::warn!("the operators' port at {address} ended: {ended:?}");
+fn run(
+    runtime: &Runtime,
+    listener: TcpListener,
+    state: &Arc<OperatorState>,
+    stopped: oneshot::Receiver<()>,
+) {
+    runtime.block_on(async {
+        match tokio::net::TcpListener::from_std(listener) {
+            Ok(listener) => tokio::select! {
+                () = accept(&listener, state) => {}
+                _ = stopped => {}
+            },
+            Err(error) => log::error!("the operators' port cannot be served: {error}"),
         }
-        std::thread::sleep(Duration::from_millis(RESTART_MS));
-        next = bind(address).ok();
-    }
+    });
 }
 
-fn answer(state: &Weak<OperatorState>, request: &Request) -> Response {
-    let Some(state) = state.upgrade() else {
-        return error(StatusCode::SERVICE_UNAVAILABLE, "stopped", "no node here");
-    };
-    if !matches!(*request.method(), Method::GET | Method::HEAD) {
-        let message = "this port answers GET and HEAD";
-        return error(
-            StatusCode::METHOD_NOT_ALLOWED,
-            "method_not_allowed",
-            message,
-        );
+async fn accept(listener: &tokio::net::TcpListener, state: &Arc<OperatorState>) {
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // A connection beyond the bound is closed at once.
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            continue;
+        };
+        let state = Arc::clone(state);
+        tokio::spawn(async move {
+            serve_connection(stream, state).await;
+            drop(place);
+        });
     }
-    match request.uri().path() {
-        "/healthz" => state.health(),
-        "/readyz" => state.readiness(),
-        path if state.authorised(request) => state.guarded(path),
-        _ => {
-            let message = "send the token as `Authorization: Bearer TOKEN`";
-            let mut answer = error(StatusCode::UNAUTHORIZED, "bad_token", message);
-            let scheme = http::HeaderValue::from_static("Bearer");
-            answer
-                .headers_mut()
-                .insert(header::WWW_AUTHENTICATE, scheme);
-            answer
-        }
+}
+
+async fn serve_connection(stream: TcpStream, state: Arc<OperatorState>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = state.answer(&request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let stream = TokioIo::new(WriteTimeout::new(stream, PATIENCE));
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(PATIENCE)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(stream, service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("operators' connection: {error}");
     }
 }
 
 impl OperatorState {
-    fn guarded(&self, path: &str) -> Response {
+    fn answer(&self, request: &Request<Incoming>) -> Answer {
+        if !matches!(*request.method(), Method::GET | Method::HEAD) {
+            let message = "this port answers GET and HEAD";
+            return error(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "method_not_allowed",
+                message,
+            );
+        }
+        match request.uri().path() {
+            "/healthz" => self.health(),
+            "/readyz" => self.readiness(),
+            path if self.authorised(request) => self.guarded(path),
+            _ => {
+                let message = "send the token as `Authorization: Bearer TOKEN`";
+                let mut answer = error(StatusCode::UNAUTHORIZED, "bad_token", message);
+                let scheme = HeaderValue::from_static("Bearer");
+                answer
+                    .headers_mut()
+                    .insert(header::WWW_AUTHENTICATE, scheme);
+                answer
+            }
+        }
+    }
+
+    fn guarded(&self, path: &str) -> Answer {
         match path {
             "/metrics" => {
                 let text = self.metrics.encode(&self.view.load());
@@ -170,7 +217,7 @@
 
     /// Digests are compared, so that neither content nor length takes more or
     /// less time.
-    fn authorised(&self, request: &Request) -> bool {
+    fn authorised(&self, request: &Request<Incoming>) -> bool {
         let given = request
             .headers()
             .get(header::AUTHORIZATION)
@@ -180,7 +227,7 @@
         bool::from(Sha256::digest(given).ct_eq(&expected))
     }
 
-    fn health(&self) -> Response {
+    fn health(&self) -> Answer {
         let seen = self.metrics.control_seen().max(self.started);
         let silence = control::now().since(seen);
         if silence > CONTROL_SILENCE {
@@ -190,7 +237,7 @@
         json_answer(StatusCode::OK, &json!({ "alive": true }))
     }
 
-    fn readiness(&self) -> Response {
+    fn readiness(&self) -> Answer {
         let readiness = readiness(&self.view.load());
         let status = if readiness.ready {
             StatusCode::OK
@@ -233,20 +280,20 @@
     }
 }
 
-fn json_answer<T: Serialize>(status: StatusCode, body: &T) -> Response {
+fn json_answer<T: Serialize>(status: StatusCode, body: &T) -> Answer {
     let text = serde_json::to_string(body).unwrap_or_default();
     respond(status, "application/json", text)
 }
 
-fn error(status: StatusCode, code: &str, message: &str) -> Response {
+fn error(status: StatusCode, code: &str, message: &str) -> Answer {
     let body = json!({ "error": { "code": code, "message": message } });
     json_answer(status, &body)
 }
 
-fn respond(status: StatusCode, content_type: &str, body: String) -> Response {
-    ResponseBuilder::new()
-        .status(status)
-        .header(header::CONTENT_TYPE, content_type)
-        .body(Body::new(body))
-        .unwrap_or_else(|_| Response::new(Body::empty()))
+fn respond(status: StatusCode, content_type: &'static str, body: String) -> Answer {
+    let mut answer = Response::new(full(body));
+    *answer.status_mut() = status;
+    let value = HeaderValue::from_static(content_type);
+    answer.headers_mut().insert(header::CONTENT_TYPE, value);
+    answer
 }
--- a/crates/node/tests/test_operators.rs
+++ b/crates/node/tests/test_operators.rs
@@ -185,15 +185,35 @@
 }
 
 #[test]
-fn the_port_of_a_dropped_node_answers_nothing() {
+fn a_dropped_port_is_closed_and_free_again() {
     let port = start(control::now());
     let address = port.listening.address();
-    // A port that never began to serve would close with its node.
     assert_eq!(port.open("/healthz").status, 200);
     drop(port);
-    let answer = call(address, "GET", "/healthz", &[], "");
-    assert_eq!(answer.status, 503);
-    assert_eq!(answer.json()["error"]["code"], "stopped");
+    assert!(std::net::TcpStream::connect(address).is_err());
+    assert!(std::net::TcpListener::bind(address).is_ok());
+}
+
+/// A server that loses a readiness event leaves a request unanswered now and then.
+#[test]
+fn no_health_check_of_many_goes_unanswered() {
+    let port = start(control::now());
+    for number in 0..2_000 {
+        let answer = port.open("/healthz");
+        assert_eq!(answer.status, 200, "check {number}");
+    }
+}
+
+#[test]
+fn half_open_connections_do_not_keep_operators_out() {
+    let port = start(control::now());
+    let crowd: Vec<_> = (0..40)
+        .map(|_| std::net::TcpStream::connect(port.listening.address()).expect("a connection"))
+        .collect();
+    let asked = std::time::Instant::now();
+    assert_eq!(port.open("/healthz").status, 200);
+    assert!(asked.elapsed() < Duration::from_secs(1));
+    drop(crowd);
 }
 
 #[test]
--- a/crates/testutils/src/process.rs
+++ b/crates/testutils/src/process.rs
@@ -45,6 +45,21 @@
         self.child.id()
     }
 
+    /// Largest resident memory that the process has had, in KiB.
+    ///
+    /// # Panics
+    ///
+    /// When the system does not tell.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).expect("the process runs");
+        text.lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .and_then(|value| value.split_whitespace().next())
+            .and_then(|number| number.parse().ok())
+            .expect("the system counts memory")
+    }
+
     /// Sends a signal by name, such as `TERM`, `STOP` or `CONT`.
     ///
     /// # Panics
