flamingoctl: measure what nodes add to the first token

Requests to nodes and straight to the engines alternate within one run, so both meet the same machine.

--- a/crates/cli/src/bin/flamingoctl.rs
+++ b/crates/cli/src/bin/flamingoctl.rs
@@ -4,7 +4,7 @@
 
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use flamingolock_cli::commands::{demo, engines, explain, load, nodes, standin};
+use flamingolock_cli::commands::{demo, engines, explain, load, nodes, overhead, standin};
 use flamingolock_cli::exit::{self, CommandError};
 use flamingolock_cli::logging;
 use log::LevelFilter;
@@ -26,6 +26,8 @@
     Demo(demo::DemoArguments),
     /// Sends load to a fleet that runs already.
     Load(load::LoadArguments),
+    /// Measures what nodes add to the first token.
+    Overhead(overhead::OverheadArguments),
     /// Shows the state of nodes.
     Nodes(nodes::NodesArguments),
     /// Shows the engines as nodes know them.
@@ -52,6 +54,7 @@
     match command {
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Load(arguments) => load::run(&arguments),
+        Command::Overhead(arguments) => overhead::run(&arguments),
         Command::Nodes(arguments) => nodes::run(&arguments),
         Command::Engines(arguments) => engines::run(&arguments),
         Command::Explain(arguments) => explain::run(&arguments),
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -6,5 +6,6 @@
 pub mod load;
 pub mod nodes;
 pub mod operators;
+pub mod overhead;
 pub mod standin;
 pub mod text_table;
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod fleet;
 pub mod load;
 pub mod outcome;
+pub mod overhead;
 pub mod report;
 pub mod workload;
--- /dev/null
+++ b/crates/experiment/src/overhead.rs
@@ -0,0 +1,239 @@
+//! What a node adds to the time to the first token.
+//!
+//! Requests to the nodes and requests straight to the engines alternate within
+//! one run, so that both meet the same machine and the same engines.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use flamingolock_core::prelude::*;
+use flamingolock_node::endpoint_http::{Connection, EndpointHttp, post_json};
+use flamingolock_node::sse::SseReader;
+use flamingolock_standins::engine::{self, EngineOptions};
+use http::{HeaderValue, Request, StatusCode, header};
+use http_body_util::Full;
+use serde::Serialize;
+use serde_json::json;
+use tokio::task::JoinSet;
+
+use crate::fleet::{Fleet, FleetError, FleetOptions};
+use crate::report::Percentiles;
+use crate::workload::{MODEL, Profile, WEIGHTS, workspace_key};
+
+/// Longest time for one answer.
+const PATIENCE_MS: u64 = 10_000;
+
+/// Requests before the run that are not counted, while connections are made.
+const WARM_UP: u32 = 100;
+
+/// Tokens of each answer.
+const ANSWER_TOKENS: u32 = 8;
+
+/// Words that all prompts begin with.
+const SHARED_WORDS: usize = 400;
+
+/// Size of a run.
+#[derive(Clone, Debug)]
+pub struct OverheadOptions {
+    /// Length of the run.
+    pub seconds: f64,
+    /// Requests a second to the nodes, and as many to the engines.
+    pub rate: f64,
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Number of engines.
+    pub engines: usize,
+}
+
+/// Figures of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct OverheadReport {
+    /// Requests to the nodes, and as many to the engines.
+    pub requests: u32,
+    /// Requests that had no whole answer, on either way.
+    pub failed: u32,
+    /// First token straight from the engines.
+    pub direct_ms: Percentiles,
+    /// First token through the nodes.
+    pub node_ms: Percentiles,
+    /// Difference of the 99th percentiles.
+    pub added_p99_ms: f64,
+}
+
+/// Which way a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Direct,
+    Node,
+}
+
+struct Targets {
+    http: EndpointHttp,
+    nodes: Vec<SocketAddr>,
+    engines: Vec<SocketAddr>,
+    bearer: String,
+    preamble: String,
+}
+
+struct Sample {
+    way: Way,
+    number: u32,
+    first: Option<Duration>,
+}
+
+/// Runs a fleet and measures both ways.
+///
+/// # Errors
+///
+/// When the fleet cannot start.
+pub fn run(options: &OverheadOptions) -> Result<OverheadReport, FleetError> {
+    let profile = Profile::mixed(options.rate);
+    let fleet = Fleet::start(FleetOptions {
+        nodes: options.nodes,
+        engines: options.engines,
+        engine: engine_options(),
+        ..FleetOptions::default()
+    })?;
+    let mut manifest = profile.manifest();
+    for workspace in manifest.workspaces.values_mut() {
+        workspace.request_rate = None;
+        workspace.max_inflight = None;
+    }
+    fleet.publish(&manifest)?;
+    let key = workspace_key(&profile.workspaces[0].id);
+    let targets = Arc::new(Targets {
+        http: EndpointHttp::new(1_000),
+        nodes: fleet.entries(),
+        engines: fleet.engines.values().map(engine::Handle::addr).collect(),
+        bearer: format!("Bearer {key}"),
+        preamble: "preamble ".repeat(SHARED_WORDS),
+    });
+    let count = WARM_UP + (options.seconds * options.rate) as u32;
+    let gap = Duration::from_secs_f64(1.0 / (2.0 * options.rate));
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .thread_name("load")
+        .enable_all()
+        .build()?;
+    let samples = runtime.block_on(send_all(&targets, count, gap));
+    Ok(report(&samples, count))
+}
+
+/// Engines that are quick and never full, so that little hides what nodes add.
+fn engine_options() -> EngineOptions {
+    EngineOptions {
+        model: ModelName::from(MODEL),
+        weights: WeightsVersion::from(WEIGHTS),
+        slots: 256,
+        prefill_tokens_per_s: 1_000_000.0,
+        decode_ms: 5.0,
+        ..EngineOptions::default()
+    }
+}
+
+async fn send_all(targets: &Arc<Targets>, count: u32, gap: Duration) -> Vec<Sample> {
+    let started = Instant::now();
+    let mut tasks = JoinSet::new();
+    for place in 0..2 * count {
+        let due = started + gap * place;
+        tokio::time::sleep_until(due.into()).await;
+        let way = if place % 2 == 0 {
+            Way::Node
+        } else {
+            Way::Direct
+        };
+        let targets = Arc::clone(targets);
+        tasks.spawn(async move { targets.sample(way, place / 2).await });
+    }
+    tasks.join_all().await
+}
+
+fn report(samples: &[Sample], count: u32) -> OverheadReport {
+    let counted = || samples.iter().filter(|sample| sample.number >= WARM_UP);
+    let times = |way| {
+        let micros = |first: Duration| first.as_micros() as u64;
+        Percentiles::of(
+            counted()
+                .filter(move |sample| sample.way == way)
+                .filter_map(move |sample| sample.first.map(micros)),
+        )
+    };
+    let (direct_ms, node_ms) = (times(Way::Direct), times(Way::Node));
+    let failed = counted().filter(|sample| sample.first.is_none()).count();
+    OverheadReport {
+        requests: count - WARM_UP,
+        failed: failed as u32,
+        direct_ms,
+        node_ms,
+        added_p99_ms: node_ms.p99 - direct_ms.p99,
+    }
+}
+
+impl Targets {
+    async fn sample(&self, way: Way, number: u32) -> Sample {
+        let first = match way {
+            Way::Direct => self.direct(number),
+            Way::Node => self.through_node(number),
+        };
+        let first = match first {
+            Ok(request) => self.first_token(request).await,
+            Err(_) => None,
+        };
+        Sample { way, number, first }
+    }
+
+    fn prompt(&self, number: u32) -> String {
+        format!("{}question {number}", self.preamble)
+    }
+
+    fn direct(&self, number: u32) -> Result<Request<Full<Bytes>>, http::Error> {
+        let engine = self.engines[number as usize % self.engines.len()];
+        let seed = PrefixSeed::new(
+            &WorkspaceId::from("direct"),
+            &ModelName::from(MODEL),
+            &WeightsVersion::from(WEIGHTS),
+            None,
+        );
+        let body = json!({
+            "model": MODEL, "prompt": self.prompt(number), "max_tokens": ANSWER_TOKENS,
+            "stream": true, "cache_salt": seed.to_hex(), "request_id": format!("direct-{number}"),
+        });
+        let body = body.to_string().into_bytes();
+        post_json(&engine.to_string(), "/v1/completions", body)
+    }
+
+    fn through_node(&self, number: u32) -> Result<Request<Full<Bytes>>, http::Error> {
+        let node = self.nodes[number as usize % self.nodes.len()];
+        let body = json!({
+            "model": MODEL, "prompt": self.prompt(number), "max_tokens": ANSWER_TOKENS,
+            "stream": true,
+        });
+        let body = body.to_string().into_bytes();
+        let mut request = post_json(&node.to_string(), "/v1/completions", body)?;
+        let bearer = HeaderValue::from_str(&self.bearer)?;
+        request.headers_mut().insert(header::AUTHORIZATION, bearer);
+        Ok(request)
+    }
+
+    /// The time to the first token; none unless the whole answer comes.
+    async fn first_token(&self, request: Request<Full<Bytes>>) -> Option<Duration> {
+        let started = Instant::now();
+        let sent = self.http.send(request, Connection::Pooled, PATIENCE_MS);
+        let response = sent.await.ok()?;
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let mut reader = SseReader::new(response.into_body());
+        reader.next().await.ok()??;
+        let first = started.elapsed();
+        loop {
+            let wait = Duration::from_millis(PATIENCE_MS);
+            let data = tokio::time::timeout(wait, reader.next()).await.ok()?;
+            if data.ok()?? == "[DONE]" {
+                return Some(first);
+            }
+        }
+    }
+}
