flamingoctl: compare overhead on one engine

With several engines nodes gather requests on the engine that holds the prompt, while direct ones were spread, so the two ways met different queues.

--- a/crates/cli/src/commands/overhead.rs
+++ b/crates/cli/src/commands/overhead.rs
@@ -20,8 +20,9 @@
     /// Number of nodes.
     #[arg(long, default_value_t = 3)]
     nodes: usize,
-    /// Number of engines.
-    #[arg(long, default_value_t = 3)]
+    /// Number of engines; with several, nodes gather requests on the engine that
+    /// holds the prompt while direct ones are spread.
+    #[arg(long, default_value_t = 1)]
     engines: usize,
     /// Fails when the nodes add more than this to the 99th percentile.
     #[arg(long, value_name = "MS")]
