testutils: hand out ports that outgoing connections cannot take

One whole run failed with 'cannot listen ... Address already in use' for node.peer_listen: the free port was in the system's range for outgoing connections, of which a crowd test opens hundreds. Ports now come from below that range, and no process hands one out twice.

--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -170,12 +171,32 @@
     }
 }
 
-/// An address on loopback that was free a moment ago.
+/// First port that is handed out; all lie below those that the system gives to
+/// outgoing connections, which could take a port between the look and its use.
+const FIRST_PORT: u32 = 10_000;
+
+/// Ports that are handed out.
+const PORTS: u32 = 20_000;
+
+/// Processes start this many ports apart.
+const PORT_STEP: u32 = 97;
+
+/// An address on loopback that was free a moment ago, and that this process has
+/// not handed out before.
 ///
 /// # Panics
 ///
 /// When no port can be had.
 pub fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the port has an address")
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(PORT_STEP);
+    for _ in 0..PORTS {
+        let next = start.wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed));
+        let port = (FIRST_PORT + next % PORTS) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no port is free");
 }
