node: merge operators' port, metrics and the tools that read them

A drain that reaches its limit now ends streams with an explicit error. The stand-in engine's stream test expects the usage that each piece carries since docs/outside-protocols.md gives it one; it compares the whole event as before.

--- a/crates/cli/src/bin/flamingoctl.rs
+++ b/crates/cli/src/bin/flamingoctl.rs
@@ -4,7 +4,9 @@
 
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use flamingolock_cli::commands::{demo, load, manifest, standin};
+use flamingolock_cli::commands::{
+    demo, engines, explain, load, manifest, nodes, overhead, standin,
+};
 use flamingolock_cli::exit::{self, CommandError};
 use flamingolock_cli::logging;
 use log::LevelFilter;
@@ -29,6 +31,14 @@
     /// Checks, publishes and shows manifests.
     #[command(subcommand)]
     Manifest(manifest::ManifestCommand),
+    /// Measures what nodes add to the first token.
+    Overhead(overhead::OverheadArguments),
+    /// Shows the state of nodes.
+    Nodes(nodes::NodesArguments),
+    /// Shows the engines as nodes know them.
+    Engines(engines::EnginesArguments),
+    /// Shows the decisions about one request.
+    Explain(explain::ExplainArguments),
     /// Runs a stand-in of an outside system.
     #[command(subcommand)]
     Standin(standin::StandinCommand),
@@ -50,6 +60,10 @@
         Command::Demo(arguments) => demo::run(&arguments),
         Command::Load(arguments) => load::run(&arguments),
         Command::Manifest(command) => manifest::run(command),
+        Command::Overhead(arguments) => overhead::run(&arguments),
+        Command::Nodes(arguments) => nodes::run(&arguments),
+        Command::Engines(arguments) => engines::run(&arguments),
+        Command::Explain(arguments) => explain::run(&arguments),
         Command::Standin(command) => standin::run(command),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -51,11 +51,7 @@
 
 /// Publishes the manifest of a load.
 pub fn publish(fleet: &ProcessFleet, profile: &Profile) {
-    let directory = tempfile::tempdir().expect("a directory");
-    let file = directory.path().join("manifest.toml");
-    let text = toml::to_string(&profile.manifest()).expect("manifests are TOML");
-    std::fs::write(&file, text).expect("the file can be written");
-    fleet.publish(&file);
+    fleet.publish_manifest(&profile.manifest());
 }
 
 /// Waits until a node answers a completion.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -14,11 +14,12 @@
 pub mod messages;
 pub mod permit;
 pub mod router;
+mod status;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
 use flamingolock_core::permit::{EntryRef, Observed, PermitId};
@@ -34,6 +35,7 @@
 use crate::control::ledger::{LogCursors, LogEvent};
 use crate::control::permit::{Presence, Refusal, Reply, RouteAsk};
 use crate::decisions::DecisionLog;
+use crate::metrics::Metrics;
 use crate::peers::{self, LinkState, PeerCommand, PeerSender};
 use crate::platform::AppendJob;
 use crate::settings::Settings;
@@ -154,6 +156,7 @@
         view: SharedView,
         decisions: Arc<DecisionLog>,
         wiring: Wiring,
+        metrics: Arc<Metrics>,
     ) -> std::io::Result<Self> {
         let (events, inbox) = crossbeam::channel::unbounded();
         let cursors = Arc::clone(&wiring.cursors);
@@ -163,6 +166,8 @@
             decisions,
             effects: Vec::new(),
             wiring,
+            metrics,
+            status_at: Millis(0),
         };
         let thread = std::thread::Builder::new()
             .name("control".to_owned())
@@ -189,18 +194,24 @@
     decisions: Arc<DecisionLog>,
     effects: Vec<Effect>,
     wiring: Wiring,
+    metrics: Arc<Metrics>,
+    status_at: Millis,
 }
 
 impl Control {
     fn run(&mut self, inbox: &Receiver<Event>) {
         loop {
-            match inbox.recv_timeout(self.wait()) {
+            let received = inbox.recv_timeout(self.wait());
+            let started = Instant::now();
+            match received {
                 Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Ok(event) => self.step(|all, ctx| handle(all, ctx, event)),
                 Err(RecvTimeoutError::Timeout) => {}
             }
             self.step(Controllers::tick);
             self.perform();
+            self.publish_status();
+            self.metrics.control_step(started.elapsed(), now());
         }
     }
 
--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -14,10 +14,12 @@
 use crossbeam::channel::Sender;
 use flamingolock_core::entry_token::FleetKeys;
 use flamingolock_core::record::NodeIncarnation;
+use tokio::sync::watch;
 
 use crate::control::Event;
 use crate::decisions::DecisionLog;
 use crate::endpoint_http::EndpointHttp;
+use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::view::SharedView;
 
@@ -36,6 +38,10 @@
     pub me: NodeIncarnation,
     /// Keys that sign entry tokens.
     pub keys: Arc<FleetKeys>,
+    /// Turns true when streams in progress have to end.
+    pub ending: watch::Receiver<bool>,
     /// Where decisions are recorded.
     pub decisions: Arc<DecisionLog>,
+    /// Where requests are counted.
+    pub metrics: Arc<Metrics>,
 }
--- a/crates/node/src/filters/service_call.rs
+++ b/crates/node/src/filters/service_call.rs
@@ -16,7 +16,6 @@
 use crate::control::now;
 use crate::endpoint_http::{Connection, EndpointError, EndpointHttp};
 use crate::filters::Traffic;
-use crate::filters::authenticate::authenticate;
 use crate::filters::classify::{Classified, classify_call};
 use crate::filters::limit::enter;
 use crate::view::View;
@@ -31,6 +30,8 @@
 pub struct Incoming {
     /// Identifier of the request.
     pub id: RequestId,
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
     /// HTTP method.
     pub method: Method,
     /// Request kind and the rest of the path.
@@ -48,8 +49,7 @@
 /// The final error of the call, with its outcome.
 pub async fn serve(traffic: &Traffic, incoming: Incoming) -> Result<Answer, ApiError> {
     let view = traffic.view.load_full();
-    let workspace = authenticate(&view, &incoming.headers).map_err(not_run)?;
-    let _presence = enter(traffic, &workspace).await.map_err(not_run)?;
+    let _presence = enter(traffic, &incoming.workspace).await.map_err(not_run)?;
     let name = incoming.path.split('/').next().unwrap_or_default();
     let (classified, service) = classify_call(&view, &incoming.headers, name).map_err(not_run)?;
     if classified.kind.repeatable {
@@ -71,7 +71,7 @@
         deadline,
     };
     let request = CallRequest {
-        workspace,
+        workspace: incoming.workspace.clone(),
         key,
         method: incoming.method.to_string(),
         path: incoming.path.clone(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,12 +24,17 @@
 use crate::endpoint_http::EndpointHttp;
 use crate::engine_poll::poll_engines;
 use crate::filters::Traffic;
-use crate::peers::{self, LinkIdentity};
+use crate::metrics::Metrics;
+use crate::operators::{OperatorPort, OperatorState};
+use crate::peers::{self, LinkIdentity, PeerCommand};
 use crate::platform::PlatformThreads;
 use crate::server;
 use crate::settings::Settings;
 use crate::view::{DrainPhase, SharedView, View};
 
+/// Time between two looks at how a shutdown goes on.
+const POLL: Duration = Duration::from_millis(10);
+
 /// Time for the last events of streams that are ended at the limit of a drain.
 const LAST_WORDS: Duration = Duration::from_secs(1);
 
@@ -61,9 +66,10 @@
 pub struct Node {
     address: SocketAddr,
     peer_address: SocketAddr,
-    settings: Arc<Settings>,
+    operators: Option<OperatorPort>,
     view: SharedView,
     stop: watch::Sender<bool>,
+    end: watch::Sender<bool>,
     server: Option<JoinHandle<()>>,
     control: ControlHandle,
     _threads: PlatformThreads,
@@ -89,6 +95,7 @@
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
         let decisions = Arc::new(DecisionLog::new(settings.node.name.clone()));
         let incarnation = Incarnation(control::now().0);
+        let metrics = Arc::new(Metrics::default());
         let (peers, commands) = mpsc::unbounded_channel();
         let (forwarded, forwarded_calls) = mpsc::unbounded_channel();
         let (appends, jobs) = crossbeam::channel::unbounded();
@@ -111,27 +118,22 @@
                 appends,
                 cursors: Arc::clone(&cursors),
             },
+            Arc::clone(&metrics),
         )?;
-        let me = Arc::new(LinkIdentity {
-            identity: Identity {
-                name: settings.node.name.clone(),
-                incarnation,
-            },
-            key: FleetKey::new(settings.fleet.key.as_bytes())?,
-        });
-        runtime.spawn(peers::accept(
+        let identity = Identity {
+            name: settings.node.name.clone(),
+            incarnation,
+        };
+        start_links(
+            &runtime,
+            &settings,
+            identity,
             peer_listener,
-            Arc::clone(&me),
-            control.events.clone(),
-        ));
-        let greeted = settings.fleet.seeds.clone();
-        runtime.spawn(peers::greet(
-            greeted,
-            Arc::clone(&me),
-            control.events.clone(),
-        ));
-        runtime.spawn(peers::run(commands, me, control.events.clone()));
+            commands,
+            &control,
+        )?;
         let threads = PlatformThreads::start(&settings.platform, &control.events, &cursors, &jobs)?;
+        let (end, ending) = watch::channel(false);
         let http = EndpointHttp::new(settings.timing.connect_ms);
         let traffic = Traffic {
             settings: Arc::clone(&settings),
@@ -145,7 +147,9 @@
             keys: Arc::new(FleetKeys::new(vec![
                 settings.fleet.key.clone().into_bytes(),
             ])?),
-            decisions,
+            decisions: Arc::clone(&decisions),
+            metrics: Arc::clone(&metrics),
+            ending,
         };
         let (stop, stopping) = watch::channel(false);
         runtime.spawn(call_task::serve_forwarded(traffic.clone(), forwarded_calls));
@@ -156,13 +160,23 @@
             settings.timing.clone(),
             control.events.clone(),
         ));
+        let state = OperatorState {
+            settings: Arc::clone(&settings),
+            incarnation,
+            view: Arc::clone(&view),
+            decisions,
+            metrics,
+            started: control::now(),
+        };
+        let operators = OperatorPort::start(state)?;
         log::info!("node {} serves callers on {address}", settings.node.name);
         Ok(Self {
             address,
             peer_address,
-            settings,
+            operators,
             view,
             stop,
+            end,
             server: Some(server),
             control,
             _threads: threads,
@@ -180,6 +194,11 @@
         self.peer_address
     }
 
+    /// Address of the operators' port, when there is one.
+    pub fn operator_address(&self) -> Option<SocketAddr> {
+        self.operators.as_ref().map(OperatorPort::address)
+    }
+
     /// True once a manifest is in force and `engines` engines are known.
     pub fn ready(&self, engines: usize) -> bool {
         let view = self.view.load();
@@ -196,15 +215,26 @@
             return;
         };
         if let Some(server) = self.server.take() {
-            let limit = Duration::from_millis(self.settings.timing.drain_ms) + LAST_WORDS;
-            let _ = runtime.block_on(async { tokio::time::timeout(limit, server).await });
+            runtime.block_on(self.finish(server));
         }
         runtime.shutdown_timeout(Duration::from_millis(200));
     }
 
+    /// Waits for what is in progress; at the limit of the drain streams are ended
+    /// with an explicit error.
+    async fn finish(&self, mut server: JoinHandle<()>) {
+        while self.view.load().phase < DrainPhase::Ending {
+            if tokio::time::timeout(POLL, &mut server).await.is_ok() {
+                return;
+            }
+        }
+        let _ = self.end.send(true);
+        let _ = tokio::time::timeout(LAST_WORDS, &mut server).await;
+    }
+
     fn wait_for(&self, phase: DrainPhase) {
         while self.view.load().phase < phase {
-            std::thread::sleep(Duration::from_millis(10));
+            std::thread::sleep(POLL);
         }
     }
 }
@@ -217,6 +247,24 @@
     }
 }
 
+fn start_links(
+    runtime: &Runtime,
+    settings: &Settings,
+    identity: Identity,
+    listener: TcpListener,
+    commands: mpsc::UnboundedReceiver<PeerCommand>,
+    control: &ControlHandle,
+) -> Result<(), NodeError> {
+    let key = FleetKey::new(settings.fleet.key.as_bytes())?;
+    let me = Arc::new(LinkIdentity { identity, key });
+    let events = &control.events;
+    runtime.spawn(peers::accept(listener, Arc::clone(&me), events.clone()));
+    let seeds = settings.fleet.seeds.clone();
+    runtime.spawn(peers::greet(seeds, Arc::clone(&me), events.clone()));
+    runtime.spawn(peers::run(commands, me, events.clone()));
+    Ok(())
+}
+
 fn listen(
     runtime: &Runtime,
     key: &'static str,
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,299 @@
+//! The operators' port: metrics, health, status and explanations.
+//!
+//! It has a thread of its own, so that it answers while traffic threads are busy.
+
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use flamingolock_core::prelude::*;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::sync::{Semaphore, oneshot};
+
+use crate::api::{Answer, full};
+use crate::control;
+use crate::decisions::DecisionLog;
+use crate::metrics::{CONTENT_TYPE, Metrics};
+use crate::node::NodeError;
+use crate::settings::Settings;
+use crate::status::{Explanation, Missing, NodeStatus, Readiness};
+use crate::view::{SharedView, View};
+use crate::write_timeout::WriteTimeout;
+
+/// Connections that are served at once.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+/// Longest time for the head of a request, and longest time that an answer may be
+/// left unread.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Pause after a failed accept, which most often means too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Silence of the control thread after which the node no longer counts as alive.
+const CONTROL_SILENCE: Millis = Millis(10_000);
+
+/// What the operators' port reads.
+pub struct OperatorState {
+    /// Settings of the node.
+    pub settings: Arc<Settings>,
+    /// Life of the node process.
+    pub incarnation: Incarnation,
+    /// Newest published view.
+    pub view: SharedView,
+    /// Memory of decisions.
+    pub decisions: Arc<DecisionLog>,
+    /// Metrics of the node.
+    pub metrics: Arc<Metrics>,
+    /// When the node started.
+    pub started: Millis,
+}
+
+/// A running port; dropping it closes the port.
+pub struct OperatorPort {
+    address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl OperatorPort {
+    /// Listens where the settings say; none when they name no address.
+    ///
+    /// # Errors
+    ///
+    /// When the port is taken or no thread can be had.
+    pub fn start(state: OperatorState) -> Result<Option<Self>, NodeError> {
+        let Some(asked) = state.settings.operators.listen else {
+            return Ok(None);
+        };
+        let refuse = |source| NodeError::Listen {
+            key: "operators.listen",
+            address: asked,
+            source,
+        };
+        let listener = TcpListener::bind(asked).map_err(refuse)?;
+        listener.set_nonblocking(true).map_err(refuse)?;
+        let address = listener.local_addr().map_err(refuse)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let (stop, stopped) = oneshot::channel();
+        let thread = std::thread::Builder::new()
+            .name("operators".to_owned())
+            .spawn(move || run(&runtime, listener, &Arc::new(state), stopped))?;
+        log::info!("operators are served on {address}");
+        Ok(Some(Self {
+            address,
+            stop: Some(stop),
+            thread: Some(thread),
+        }))
+    }
+
+    /// Address of the port.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for OperatorPort {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn run(
+    runtime: &Runtime,
+    listener: TcpListener,
+    state: &Arc<OperatorState>,
+    stopped: oneshot::Receiver<()>,
+) {
+    runtime.block_on(async {
+        match tokio::net::TcpListener::from_std(listener) {
+            Ok(listener) => tokio::select! {
+                () = accept(&listener, state) => {}
+                _ = stopped => {}
+            },
+            Err(error) => log::error!("the operators' port cannot be served: {error}"),
+        }
+    });
+}
+
+async fn accept(listener: &tokio::net::TcpListener, state: &Arc<OperatorState>) {
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // A connection beyond the bound is closed at once.
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            continue;
+        };
+        let state = Arc::clone(state);
+        tokio::spawn(async move {
+            serve_connection(stream, state).await;
+            drop(place);
+        });
+    }
+}
+
+async fn serve_connection(stream: TcpStream, state: Arc<OperatorState>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let answer = state.answer(&request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let stream = TokioIo::new(WriteTimeout::new(stream, PATIENCE));
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(PATIENCE)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(stream, service)
+        .await;
+    if let Err(error) = served {
+        log::debug!("operators' connection: {error}");
+    }
+}
+
+impl OperatorState {
+    fn answer(&self, request: &Request<Incoming>) -> Answer {
+        if !matches!(*request.method(), Method::GET | Method::HEAD) {
+            let message = "this port answers GET and HEAD";
+            return error(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "method_not_allowed",
+                message,
+            );
+        }
+        match request.uri().path() {
+            "/healthz" => self.health(),
+            "/readyz" => self.readiness(),
+            path if self.authorised(request) => self.guarded(path),
+            _ => {
+                let message = "send the token as `Authorization: Bearer TOKEN`";
+                let mut answer = error(StatusCode::UNAUTHORIZED, "bad_token", message);
+                let scheme = HeaderValue::from_static("Bearer");
+                answer
+                    .headers_mut()
+                    .insert(header::WWW_AUTHENTICATE, scheme);
+                answer
+            }
+        }
+    }
+
+    fn guarded(&self, path: &str) -> Answer {
+        match path {
+            "/metrics" => {
+                let text = self.metrics.encode(&self.view.load());
+                respond(StatusCode::OK, CONTENT_TYPE, text)
+            }
+            "/status" => json_answer(StatusCode::OK, &self.status()),
+            path => match path.strip_prefix("/explain/") {
+                Some(request) => {
+                    let decisions = self.decisions.explain(request);
+                    json_answer(StatusCode::OK, &Explanation { decisions })
+                }
+                None => error(StatusCode::NOT_FOUND, "no_such_path", "nothing here"),
+            },
+        }
+    }
+
+    /// Digests are compared, so that neither content nor length takes more or
+    /// less time.
+    fn authorised(&self, request: &Request<Incoming>) -> bool {
+        let given = request
+            .headers()
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "))
+            .unwrap_or_default();
+        let expected = Sha256::digest(self.settings.operators.token.as_bytes());
+        bool::from(Sha256::digest(given).ct_eq(&expected))
+    }
+
+    fn health(&self) -> Answer {
+        let seen = self.metrics.control_seen().max(self.started);
+        let silence = control::now().since(seen);
+        if silence > CONTROL_SILENCE {
+            let message = format!("the control thread is silent since {} ms", silence.0);
+            return error(StatusCode::SERVICE_UNAVAILABLE, "control_silent", &message);
+        }
+        json_answer(StatusCode::OK, &json!({ "alive": true }))
+    }
+
+    fn readiness(&self) -> Answer {
+        let readiness = readiness(&self.view.load());
+        let status = if readiness.ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        json_answer(status, &readiness)
+    }
+
+    fn status(&self) -> NodeStatus {
+        let view = self.view.load();
+        NodeStatus {
+            name: self.settings.node.name.clone(),
+            zone: self.settings.node.zone.clone(),
+            incarnation: self.incarnation,
+            uptime: control::now().since(self.started),
+            ready: view.ready,
+            leaving: view.leaving(),
+            manifest_offset: view.manifest_offset(),
+            engines: view.engines.to_vec(),
+            instances: view.instances.values().cloned().collect(),
+        }
+    }
+}
+
+fn readiness(view: &View) -> Readiness {
+    let checks = [
+        (Missing::Manifest, view.ready),
+        (Missing::Engines, view.answering > 0),
+        (Missing::Leaving, !view.leaving()),
+    ];
+    let missing: Vec<Missing> = checks
+        .into_iter()
+        .filter(|(_, holds)| !holds)
+        .map(|(missing, _)| missing)
+        .collect();
+    Readiness {
+        ready: missing.is_empty(),
+        missing,
+    }
+}
+
+fn json_answer<T: Serialize>(status: StatusCode, body: &T) -> Answer {
+    let text = serde_json::to_string(body).unwrap_or_default();
+    respond(status, "application/json", text)
+}
+
+fn error(status: StatusCode, code: &str, message: &str) -> Answer {
+    let body = json!({ "error": { "code": code, "message": message } });
+    json_answer(status, &body)
+}
+
+fn respond(status: StatusCode, content_type: &'static str, body: String) -> Answer {
+    let mut answer = Response::new(full(body));
+    *answer.status_mut() = status;
+    let value = HeaderValue::from_static(content_type);
+    answer.headers_mut().insert(header::CONTENT_TYPE, value);
+    answer
+}
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -11,6 +11,8 @@
 use flamingolock_core::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::status::EngineView;
+
 /// What an instance of the platform's list does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -79,6 +81,8 @@
     pub instances: Arc<BTreeMap<String, Listed>>,
     /// Nodes that callers may use.
     pub entries: Arc<Vec<Instance>>,
+    /// Engines as they were at most a second ago.
+    pub engines: Arc<Vec<EngineView>>,
     /// Engines that answered when last asked.
     pub answering: usize,
     /// True once a manifest has been read.
@@ -88,6 +92,16 @@
 }
 
 impl View {
+    /// True once the node has begun its shutdown.
+    pub fn leaving(&self) -> bool {
+        self.phase != DrainPhase::Running
+    }
+
+    /// Offset of the newest record that is in force.
+    pub fn manifest_offset(&self) -> Option<u64> {
+        self.offset.0.checked_sub(1)
+    }
+
     /// Services' instances that take new work, in order of name.
     pub fn service_instances(&self, service: &ServiceName) -> Vec<&Listed> {
         let named = self
--- a/crates/standins/tests/test_engine.rs
+++ b/crates/standins/tests/test_engine.rs
@@ -47,7 +47,9 @@
         let data: Value = serde_json::from_str(&events.next().unwrap()).unwrap();
         arrivals.push(Instant::now());
         let text = answer.token(index);
-        assert_eq!(data, json!({ "id": "r1", "index": index, "text": text }));
+        let usage = json!({ "prompt_tokens": 2, "completion_tokens": 5, "cached_tokens": 0 });
+        let expected = json!({ "id": "r1", "index": index, "text": text, "usage": usage });
+        assert_eq!(data, expected);
     }
     let end: Value = serde_json::from_str(&events.next().unwrap()).unwrap();
     assert_eq!(
--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use flamingolock_core::manifest::Manifest;
 use serde_json::json;
 
 use crate::process::Process;
@@ -145,6 +147,19 @@
             .expect("the platform lists the instance");
     }
 
+    /// Publishes a manifest with the operators' tool.
+    ///
+    /// # Panics
+    ///
+    /// When it is not accepted.
+    pub fn publish_manifest(&self, manifest: &Manifest) {
+        let directory = tempfile::tempdir().expect("a directory");
+        let file = directory.path().join("manifest.toml");
+        let text = toml::to_string(manifest).expect("manifests are TOML");
+        std::fs::write(&file, text).expect("the file can be written");
+        self.publish(&file);
+    }
+
     /// Publishes the manifest in `file` with the operators' tool.
     ///
     /// # Panics
@@ -204,12 +219,32 @@
     }
 }
 
-/// An address on loopback that was free a moment ago.
+/// First port that is handed out; all lie below those that the system gives to
+/// outgoing connections, which could take a port between the look and its use.
+const FIRST_PORT: u32 = 10_000;
+
+/// Ports that are handed out.
+const PORTS: u32 = 20_000;
+
+/// Processes start this many ports apart.
+const PORT_STEP: u32 = 97;
+
+/// An address on loopback that was free a moment ago, and that this process has
+/// not handed out before.
 ///
 /// # Panics
 ///
 /// When no port can be had.
 pub fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the port has an address")
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(PORT_STEP);
+    for _ in 0..PORTS {
+        let next = start.wrapping_add(TAKEN.fetch_add(1, Ordering::Relaxed));
+        let port = (FIRST_PORT + next % PORTS) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    panic!("no port is free");
 }
