bench: compare routing policies under the same load

Users weigh policies by tail latency, hit rate and recomputation, and had nothing that measures them side by side. `flamingoctl bench` starts a fresh fleet for each policy, sends it the same seeded load over real sockets, and prints one object with the figures of all.

The rate comes from the load wanted: the demand of a request is measured by replaying a sample through one LRU cache per engine, prompts placed by the hash of their second level; the busier of prefill and batch slots counts.

Ruled out as a cheaper load measure: the hit rate of one cache for the whole fleet, which no router reaches, so that "60%" would overload every policy.

--- a/crates/cli/src/bin/flamingoctl.rs
+++ b/crates/cli/src/bin/flamingoctl.rs
@@ -4,7 +4,7 @@
 
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
-use flamingolock_cli::commands::{demo, load, manifest, standin};
+use flamingolock_cli::commands::{bench, demo, load, manifest, standin};
 use flamingolock_cli::exit::{self, CommandError};
 use flamingolock_cli::logging;
 use log::LevelFilter;
@@ -24,6 +24,8 @@
 enum Command {
     /// Runs a whole fleet in one process under a mixed load.
     Demo(demo::DemoArguments),
+    /// Compares routing policies under the same load.
+    Bench(bench::BenchArguments),
     /// Sends load to a fleet that runs already.
     Load(load::LoadArguments),
     /// Checks, publishes and shows manifests.
@@ -48,6 +50,7 @@
 fn run(command: Command) -> Result<(), CommandError> {
     match command {
         Command::Demo(arguments) => demo::run(&arguments),
+        Command::Bench(arguments) => bench::run(&arguments),
         Command::Load(arguments) => load::run(&arguments),
         Command::Manifest(command) => manifest::run(command),
         Command::Standin(command) => standin::run(command),
--- /dev/null
+++ b/crates/experiment/src/bench.rs
@@ -0,0 +1,405 @@
+//! The same load on several routing policies, each on a fresh fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::{Duration, Instant};
+
+use flamingolock_core::prelude::*;
+use flamingolock_node::settings::{Mechanism, Policy, RoutingSettings};
+use flamingolock_standins::platform::{OutageMode, Part};
+use serde::Serialize;
+
+use crate::caller::Caller;
+use crate::fleet::{Fleet, FleetError};
+use crate::load;
+use crate::outcome::{End, Outcome};
+use crate::replay::{Demand, best_hit_rate};
+use crate::report::{EndpointCounts, Percentiles, Summary};
+use crate::scenario::Scenario;
+use crate::workload::Arrival;
+
+/// Part of the measured time after which the disturbance happens.
+const DISTURBED_AT: f64 = 0.4;
+
+/// Length of an outage of the log, as a part of the measured time.
+const OUTAGE: f64 = 0.25;
+
+/// Load from which the demand of one request is estimated.
+const SAMPLE_RATE: f64 = 200.0;
+const SAMPLE_SECONDS: f64 = 20.0;
+
+/// Window whose 99th percentile tells whether the fleet has recovered.
+const RECOVERY_WINDOW: Millis = Millis(1_000);
+
+/// Step between two windows.
+const RECOVERY_STEP: Millis = Millis(250);
+
+/// Recovered means at most this times the percentile before the disturbance.
+const RECOVERY_RATIO: f64 = 1.10;
+
+/// A routing policy, perhaps with some mechanisms switched off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Variant {
+    /// Policy of the nodes.
+    pub policy: Policy,
+    /// Mechanism that is switched off.
+    pub without: Option<Mechanism>,
+}
+
+impl Variant {
+    /// A policy with all its mechanisms.
+    pub fn whole(policy: Policy) -> Self {
+        Self {
+            policy,
+            without: None,
+        }
+    }
+
+    /// The full policy with one mechanism switched off.
+    pub fn lacking(mechanism: Mechanism) -> Self {
+        Self {
+            policy: Policy::Flamingolock,
+            without: Some(mechanism),
+        }
+    }
+
+    /// Name in reports.
+    pub fn name(&self) -> String {
+        let policy = policy_name(self.policy);
+        match self.without {
+            None => policy.to_owned(),
+            Some(mechanism) => format!("{policy}-without-{}", mechanism_name(mechanism)),
+        }
+    }
+
+    fn routing(&self) -> RoutingSettings {
+        RoutingSettings {
+            policy: self.policy,
+            without: self.without.into_iter().collect(),
+        }
+    }
+}
+
+/// All policies, the baselines first.
+pub const POLICIES: [Policy; 4] = [
+    Policy::RoundRobin,
+    Policy::LeastLoaded,
+    Policy::PrefixHash,
+    Policy::Flamingolock,
+];
+
+/// All mechanisms that can be switched off.
+pub const MECHANISMS: [Mechanism; 5] = [
+    Mechanism::Probes,
+    Mechanism::Permits,
+    Mechanism::SharedPrefill,
+    Mechanism::Replicas,
+    Mechanism::KeptCache,
+];
+
+/// Name of a policy, as in settings.
+pub fn policy_name(policy: Policy) -> &'static str {
+    match policy {
+        Policy::RoundRobin => "round-robin",
+        Policy::LeastLoaded => "least-loaded",
+        Policy::PrefixHash => "prefix-hash",
+        Policy::Flamingolock => "flamingolock",
+    }
+}
+
+/// Name of a mechanism, as in settings.
+pub fn mechanism_name(mechanism: Mechanism) -> &'static str {
+    match mechanism {
+        Mechanism::Probes => "probes",
+        Mechanism::Permits => "permits",
+        Mechanism::SharedPrefill => "shared-prefill",
+        Mechanism::Replicas => "replicas",
+        Mechanism::KeptCache => "kept-cache",
+    }
+}
+
+/// What to measure.
+#[derive(Clone, Debug)]
+pub struct BenchOptions {
+    /// Load, fleet and disturbance.
+    pub scenario: Scenario,
+    /// Measured time for each policy.
+    pub seconds: f64,
+    /// Time under load before figures count.
+    pub warm_up: f64,
+    /// Seed of the load.
+    pub seed: u64,
+    /// Fleet load.
+    pub load: f64,
+    /// Policies to compare.
+    pub variants: Vec<Variant>,
+}
+
+/// Figures of one policy.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct PolicyFigures {
+    /// Requests made in the measured time.
+    pub requests: u64,
+    /// Requests answered.
+    pub answered: u64,
+    /// Time to the first token of completions.
+    pub ttft_ms: Percentiles,
+    /// The same for the small workspaces.
+    pub small_ttft_ms: Percentiles,
+    /// The same for the small workspaces without the large ones; absent where the
+    /// scenario has no neighbour.
+    pub alone_ttft_ms: Option<Percentiles>,
+    /// Part of prompt tokens that came from a cache.
+    pub prefix_hit_rate: f64,
+    /// The same for one cache with the blocks of the whole fleet.
+    pub best_hit_rate: f64,
+    /// Prompt tokens that some engine had computed before.
+    pub recomputed_tokens: u64,
+    /// Time from the disturbance until the tail is as before; absent without a
+    /// disturbance or when that did not happen.
+    pub recovery_ms: Option<u64>,
+    /// Requests refused, with an outcome.
+    pub refused: u64,
+    /// Calls whose outcome is unknown.
+    pub unknown: u64,
+    /// Streams that ended in an explicit error.
+    pub failed: u64,
+    /// Requests without any outcome.
+    pub lost: u64,
+    /// Calls that ran more than once.
+    pub doubled: u64,
+    /// Answers that belong to another request.
+    pub mixed: u64,
+    /// Answers that ended short without an error.
+    pub incomplete: u64,
+    /// Calls reported as not run that did run.
+    pub false_not_run: u64,
+    /// Cache hits from another workspace, older weights or a dead engine.
+    pub bad_hits: u64,
+}
+
+impl PolicyFigures {
+    /// True when every promise held.
+    pub fn promises_held(&self) -> bool {
+        let broken = self.lost
+            + self.doubled
+            + self.mixed
+            + self.incomplete
+            + self.false_not_run
+            + self.bad_hits;
+        broken == 0
+    }
+}
+
+/// Figures of all policies under one load.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct BenchReport {
+    /// Scenario.
+    pub scenario: Scenario,
+    /// Seed of the load.
+    pub seed: u64,
+    /// Fleet load.
+    pub load: f64,
+    /// Requests a second over all workspaces.
+    pub rate: f64,
+    /// Measured seconds for each policy.
+    pub seconds: f64,
+    /// Seconds under load before that.
+    pub warm_up: f64,
+    /// Figures by policy.
+    pub policies: BTreeMap<String, PolicyFigures>,
+}
+
+impl BenchReport {
+    /// True when every promise held under every policy.
+    pub fn promises_held(&self) -> bool {
+        self.policies.values().all(PolicyFigures::promises_held)
+    }
+}
+
+/// One load, prepared for all policies.
+struct Plan {
+    scenario: Scenario,
+    rate: f64,
+    arrivals: Vec<Arrival>,
+    /// When figures begin to count.
+    since: Millis,
+    /// When the disturbance happens.
+    turn: Millis,
+    seconds: f64,
+    best: f64,
+    small: BTreeSet<WorkspaceId>,
+}
+
+/// Runs the load on every policy in turn. `progress` counts ended requests.
+///
+/// # Errors
+///
+/// When a fleet cannot start.
+pub fn run(options: &BenchOptions, progress: &Arc<AtomicU64>) -> Result<BenchReport, FleetError> {
+    let plan = Plan::new(options);
+    let mut policies = BTreeMap::new();
+    for variant in &options.variants {
+        let figures = plan.measure(variant, progress)?;
+        policies.insert(variant.name(), figures);
+    }
+    Ok(BenchReport {
+        scenario: options.scenario,
+        seed: options.seed,
+        load: options.load,
+        rate: plan.rate,
+        seconds: options.seconds,
+        warm_up: options.warm_up,
+        policies,
+    })
+}
+
+impl Plan {
+    fn new(options: &BenchOptions) -> Self {
+        let scenario = options.scenario;
+        let (fleet, profile) = (scenario.fleet(), scenario.profile());
+        let sample = scenario.arrivals(SAMPLE_RATE, SAMPLE_SECONDS, SAMPLE_SECONDS, options.seed);
+        let rate = Demand::of(&sample, &profile.kinds, &fleet).rate(options.load, &fleet);
+        let turn = options.warm_up + options.seconds * DISTURBED_AT;
+        let whole = options.warm_up + options.seconds;
+        let arrivals = scenario.arrivals(rate, whole, turn, options.seed);
+        let since = Millis((options.warm_up * 1000.0) as u64);
+        let blocks = fleet.engines * fleet.engine.capacity_blocks;
+        Self {
+            scenario,
+            rate,
+            best: best_hit_rate(&arrivals, blocks, since),
+            arrivals,
+            since,
+            turn: Millis((turn * 1000.0) as u64),
+            seconds: options.seconds,
+            small: scenario.small(),
+        }
+    }
+
+    fn measure(
+        &self,
+        variant: &Variant,
+        progress: &Arc<AtomicU64>,
+    ) -> Result<PolicyFigures, FleetError> {
+        let (outcomes, counts) = self.pass(variant, self.arrivals.clone(), progress)?;
+        let mut figures = self.figures(&outcomes, &counts);
+        if self.scenario.has_neighbour() {
+            let mut alone = self.arrivals.clone();
+            alone.retain(|arrival| self.small.contains(&arrival.workspace));
+            let (outcomes, _) = self.pass(variant, alone, progress)?;
+            figures.alone_ttft_ms = Some(first_tokens(outcomes.iter()));
+        }
+        Ok(figures)
+    }
+
+    /// Sends a load to a fresh fleet. Returns what became of the requests after
+    /// the warm-up, and what the endpoints counted from then on.
+    fn pass(
+        &self,
+        variant: &Variant,
+        arrivals: Vec<Arrival>,
+        progress: &Arc<AtomicU64>,
+    ) -> Result<(Vec<Outcome>, EndpointCounts), FleetError> {
+        let mut options = self.scenario.fleet();
+        options.routing = variant.routing();
+        let mut fleet = Fleet::start(options)?;
+        fleet.publish(&self.scenario.profile().manifest())?;
+        let caller = Arc::new(Caller::new(fleet.entries()));
+        let started = Instant::now();
+        let sending = load::send(caller, arrivals, Arc::clone(progress));
+        let sending = fleet.runtime().spawn(sending);
+        sleep_until(started, self.since);
+        let warm = fleet.counts().recomputed_tokens;
+        if self.scenario.is_disturbed() {
+            sleep_until(started, self.turn);
+            self.disturb(&mut fleet)?;
+        }
+        let mut outcomes = fleet.runtime().block_on(sending).unwrap_or_default();
+        outcomes.retain(|outcome| outcome.at >= self.since);
+        let mut counts = fleet.counts();
+        counts.recomputed_tokens -= warm;
+        Ok((outcomes, counts))
+    }
+
+    fn disturb(&self, fleet: &mut Fleet) -> Result<(), FleetError> {
+        match self.scenario {
+            Scenario::EngineCrash => {
+                if let Some(engine) = fleet.engines.values().next() {
+                    engine.crash();
+                }
+            }
+            Scenario::Herd => fleet.restart_nodes()?,
+            Scenario::LogOutage => {
+                let span = Duration::from_secs_f64(self.seconds * OUTAGE);
+                fleet
+                    .platform
+                    .begin_outage(Part::Log, OutageMode::Refuse, span);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn figures(&self, outcomes: &[Outcome], counts: &EndpointCounts) -> PolicyFigures {
+        let summary = Summary::new(outcomes, counts);
+        let small = outcomes
+            .iter()
+            .filter(|outcome| self.small.contains(&outcome.workspace));
+        let recovery = self.scenario.is_disturbed();
+        PolicyFigures {
+            requests: summary.requests,
+            answered: summary.answered,
+            ttft_ms: summary.ttft_ms,
+            small_ttft_ms: first_tokens(small),
+            alone_ttft_ms: None,
+            prefix_hit_rate: summary.prefix_hit_rate,
+            best_hit_rate: self.best,
+            recomputed_tokens: summary.recomputed_tokens,
+            recovery_ms: recovery.then(|| recovery_ms(outcomes, self.turn)).flatten(),
+            refused: summary.refused,
+            unknown: summary.unknown,
+            failed: summary.failed,
+            lost: summary.lost,
+            doubled: summary.doubled,
+            mixed: summary.mixed,
+            incomplete: summary.incomplete,
+            false_not_run: summary.false_not_run,
+            bad_hits: summary.bad_hits,
+        }
+    }
+}
+
+/// Time from `turn` until a window begins whose tail is about that of all the
+/// requests before `turn`; absent when there is no such window.
+fn recovery_ms(outcomes: &[Outcome], turn: Millis) -> Option<u64> {
+    let before = outcomes.iter().filter(|outcome| outcome.at < turn);
+    let limit = first_tokens(before).p99 * RECOVERY_RATIO;
+    let end = outcomes.iter().map(|outcome| outcome.at).max()?;
+    let mut from = turn;
+    while from + RECOVERY_WINDOW <= end {
+        let window = from..from + RECOVERY_WINDOW;
+        let within = outcomes
+            .iter()
+            .filter(|outcome| window.contains(&outcome.at));
+        if first_tokens(within).p99 <= limit {
+            return Some(from.0 - turn.0);
+        }
+        from = from + RECOVERY_STEP;
+    }
+    None
+}
+
+fn first_tokens<'a>(outcomes: impl Iterator<Item = &'a Outcome>) -> Percentiles {
+    Percentiles::of(
+        outcomes
+            .filter(|outcome| outcome.prompt_tokens > 0 && outcome.end == End::Answered)
+            .map(|outcome| outcome.first_us),
+    )
+}
+
+fn sleep_until(started: Instant, at: Millis) {
+    let due = started + Duration::from_millis(at.0);
+    std::thread::sleep(due.saturating_duration_since(Instant::now()));
+}
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -174,6 +174,11 @@
     /// When the node cannot start.
     pub fn start_node(&mut self, name: &str, place: usize) -> Result<(), FleetError> {
         let node = Node::start(self.settings(name, place))?;
+        self.add_node(name, place, node);
+        Ok(())
+    }
+
+    fn add_node(&mut self, name: &str, place: usize, node: Node) {
         self.list(
             name,
             InstanceKind::Entry,
@@ -182,6 +187,31 @@
             place,
         );
         self.nodes.insert(name.to_owned(), node);
+    }
+
+    /// Drains all nodes at once, then starts them again on their addresses.
+    ///
+    /// # Errors
+    ///
+    /// When a node cannot start again.
+    pub fn restart_nodes(&mut self) -> Result<(), FleetError> {
+        let mut settings = Vec::new();
+        let mut stopping = Vec::new();
+        for (place, (name, node)) in std::mem::take(&mut self.nodes).into_iter().enumerate() {
+            let mut again = self.settings(&name, place);
+            again.node.listen = node.address();
+            again.node.peer_listen = node.peer_address();
+            settings.push((name, place, again));
+            stopping.push(std::thread::spawn(move || node.shutdown()));
+        }
+        for thread in stopping {
+            // A thread that panicked has stopped its node as well.
+            let _ = thread.join();
+        }
+        for (name, place, settings) in settings {
+            let node = Node::start(settings)?;
+            self.add_node(&name, place, node);
+        }
         Ok(())
     }
 
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -1,9 +1,13 @@
 //! Load generator, demo and benchmark scenarios.
 
+pub mod bench;
+pub mod bench_page;
 pub mod caller;
 pub mod demo;
 pub mod fleet;
 pub mod load;
 pub mod outcome;
+pub mod replay;
 pub mod report;
+pub mod scenario;
 pub mod workload;
--- /dev/null
+++ b/crates/experiment/src/replay.rs
@@ -0,0 +1,139 @@
+//! Replays a load through ideal caches: what could be hit, and what it costs.
+
+use std::collections::BTreeMap;
+
+use flamingolock_core::prefix::BLOCK_TOKENS;
+use flamingolock_core::prelude::*;
+use flamingolock_standins::engine::EngineOptions;
+
+use crate::fleet::FleetOptions;
+use crate::workload::{Arrival, KindLoad, MODEL, WEIGHTS, Work};
+
+/// Blocks in the order of their use, the least recently used out first.
+struct LruBlocks {
+    capacity: usize,
+    turns: BTreeMap<BlockHash, u64>,
+    by_turn: BTreeMap<u64, BlockHash>,
+    last: u64,
+}
+
+impl LruBlocks {
+    fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            turns: BTreeMap::new(),
+            by_turn: BTreeMap::new(),
+            last: 0,
+        }
+    }
+
+    /// Uses the blocks of a prompt; returns how many leading ones were there.
+    fn use_chain(&mut self, blocks: &[BlockHash]) -> usize {
+        let present = |block: &&BlockHash| self.turns.contains_key(block);
+        let hits = blocks.iter().take_while(present).count();
+        // Later blocks are useless without the first, which is thus used last.
+        for block in blocks.iter().rev() {
+            self.last += 1;
+            if let Some(old) = self.turns.insert(*block, self.last) {
+                self.by_turn.remove(&old);
+            }
+            self.by_turn.insert(self.last, *block);
+        }
+        while self.turns.len() > self.capacity {
+            let Some((_, oldest)) = self.by_turn.pop_first() else {
+                break;
+            };
+            self.turns.remove(&oldest);
+        }
+        hits
+    }
+}
+
+/// Part of the prompt tokens from `since` on that one cache with `blocks` blocks
+/// would have held.
+pub fn best_hit_rate(arrivals: &[Arrival], blocks: usize, since: Millis) -> f64 {
+    let mut cache = LruBlocks::new(blocks);
+    let (mut cached, mut all) = (0_u64, 0_u64);
+    for arrival in arrivals {
+        let Some(chain) = chain(arrival) else {
+            continue;
+        };
+        let hits = cache.use_chain(&chain.blocks);
+        if arrival.at >= since {
+            cached += (hits * BLOCK_TOKENS) as u64;
+            all += u64::from(chain.tokens);
+        }
+    }
+    cached as f64 / all.max(1) as f64
+}
+
+/// Engine time that one request of a load takes on average, over all requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Seconds of prefill, of which an engine does one at a time.
+    pub prefill_s: f64,
+    /// Seconds that a batch slot is held.
+    pub slot_s: f64,
+}
+
+impl Demand {
+    /// Demand of a load whose prompts go to engines by the hash of their second
+    /// level, each engine with a cache of its own. That is what placing by prefix
+    /// reaches without any copy, and so a fair guess of the uncached part.
+    pub fn of(arrivals: &[Arrival], kinds: &[KindLoad], fleet: &FleetOptions) -> Self {
+        let engine = &fleet.engine;
+        let mut caches: Vec<LruBlocks> = (0..fleet.engines)
+            .map(|_| LruBlocks::new(engine.capacity_blocks))
+            .collect();
+        let mut total = Self::default();
+        // The first half fills the caches.
+        let half = arrivals.len() / 2;
+        for (place, arrival) in arrivals.iter().enumerate() {
+            let (Some(chain), Work::Completion { answer, .. }) = (chain(arrival), &arrival.work)
+            else {
+                continue;
+            };
+            let cache = &mut caches[place_of(&chain, arrival, kinds, fleet.engines)];
+            let hits = cache.use_chain(&chain.blocks);
+            if place >= half {
+                total.add(chain.missing_tokens(hits), *answer, engine);
+            }
+        }
+        let count = (arrivals.len() - half).max(1) as f64;
+        Self {
+            prefill_s: total.prefill_s / count,
+            slot_s: total.slot_s / count,
+        }
+    }
+
+    fn add(&mut self, missing: u32, answer: u32, engine: &EngineOptions) {
+        let prefill = f64::from(missing.max(1)) / engine.prefill_tokens_per_s;
+        self.prefill_s += prefill;
+        self.slot_s += prefill + f64::from(answer) * engine.decode_ms / 1000.0;
+    }
+
+    /// Requests a second that bring a fleet to `load`: the busier of its prefill
+    /// and its batch slots is in use for that part of the time.
+    pub fn rate(&self, load: f64, fleet: &FleetOptions) -> f64 {
+        let slots = fleet.engine.slots.max(1) as f64;
+        let busiest = self.prefill_s.max(self.slot_s / slots);
+        load * fleet.engines as f64 / busiest.max(1e-9)
+    }
+}
+
+fn place_of(chain: &PrefixChain, arrival: &Arrival, kinds: &[KindLoad], engines: usize) -> usize {
+    let kind = kinds.iter().find(|kind| kind.name == arrival.kind);
+    let tokens = kind.map_or(0, |kind| kind.levels[0] + kind.levels[1]);
+    let last = (tokens / BLOCK_TOKENS).saturating_sub(1);
+    let hash = chain.blocks.get(last).map_or(0, |block| block.0);
+    (hash % engines.max(1) as u64) as usize
+}
+
+fn chain(arrival: &Arrival) -> Option<PrefixChain> {
+    let Work::Completion { prompt, .. } = &arrival.work else {
+        return None;
+    };
+    let (model, weights) = (ModelName::from(MODEL), WeightsVersion::from(WEIGHTS));
+    let seed = PrefixSeed::new(&arrival.workspace, &model, &weights, None);
+    Some(PrefixChain::new(seed, prompt.as_bytes()))
+}
--- /dev/null
+++ b/crates/experiment/src/scenario.rs
@@ -0,0 +1,229 @@
+//! Scenarios of the benchmark: size of the fleet, load and disturbance.
+
+use std::collections::BTreeSet;
+
+use flamingolock_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::FleetOptions;
+use crate::workload::{Arrival, KindLoad, Profile, WorkspaceLoad, call_kind, completion_kind};
+
+/// Shares of the eight workspaces: a few large ones and several small ones.
+const SHARES: [f64; 8] = [0.30, 0.22, 0.14, 0.10, 0.08, 0.07, 0.05, 0.04];
+
+/// Part of the requests that the flooding workspace makes.
+const FLOOD_SHARE: f64 = 0.60;
+
+/// Part of the flooding workspace's requests that goes to its hottest prompt.
+const FLOOD_HOT: f64 = 0.95;
+
+/// A load on a fleet, and what happens to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Scenario {
+    /// An even mix without any disturbance.
+    Steady,
+    /// One large workspace floods with hot prompts.
+    HotNeighbour,
+    /// The flood moves to another workspace.
+    HotShift,
+    /// An engine crashes and comes back with an empty cache.
+    EngineCrash,
+    /// All nodes restart at once.
+    Herd,
+    /// The log service refuses all calls for a while.
+    LogOutage,
+    /// Qasr's fleet and request kinds.
+    Qasr,
+    /// Kalup's fleet and request kinds.
+    Kalup,
+}
+
+impl Scenario {
+    /// All scenarios.
+    pub const ALL: [Scenario; 8] = [
+        Scenario::Steady,
+        Scenario::HotNeighbour,
+        Scenario::HotShift,
+        Scenario::EngineCrash,
+        Scenario::Herd,
+        Scenario::LogOutage,
+        Scenario::Qasr,
+        Scenario::Kalup,
+    ];
+
+    /// Name on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Scenario::Steady => "steady",
+            Scenario::HotNeighbour => "hot-neighbour",
+            Scenario::HotShift => "hot-shift",
+            Scenario::EngineCrash => "engine-crash",
+            Scenario::Herd => "herd",
+            Scenario::LogOutage => "log-outage",
+            Scenario::Qasr => "qasr",
+            Scenario::Kalup => "kalup",
+        }
+    }
+
+    /// The scenario of this name.
+    pub fn from_name(name: &str) -> Option<Self> {
+        Self::ALL
+            .into_iter()
+            .find(|scenario| scenario.name() == name)
+    }
+
+    /// Fleet load unless another is asked for.
+    pub fn default_load(self) -> f64 {
+        match self {
+            Scenario::HotNeighbour | Scenario::HotShift => 0.66,
+            _ => 0.60,
+        }
+    }
+
+    /// True when something happens during the run.
+    pub fn is_disturbed(self) -> bool {
+        matches!(
+            self,
+            Scenario::HotShift | Scenario::EngineCrash | Scenario::Herd | Scenario::LogOutage
+        )
+    }
+
+    /// True when the small workspaces are measured once more by themselves.
+    pub fn has_neighbour(self) -> bool {
+        self == Scenario::HotNeighbour
+    }
+
+    /// Size and behaviour of the fleet.
+    pub fn fleet(self) -> FleetOptions {
+        let mut options = FleetOptions::default();
+        (options.engines, options.nodes, options.services) = match self {
+            Scenario::Qasr => (12, 9, 3),
+            Scenario::Kalup => (9, 9, 3),
+            _ => (6, 4, 1),
+        };
+        options.engine.slots = 12;
+        options.engine.decode_ms = 8.0;
+        // Prefill at full speed replaces a cache of this size within three seconds,
+        // so unused blocks leave within seconds under load.
+        options.engine.capacity_blocks = if self == Scenario::Kalup {
+            3_072
+        } else {
+            2_048
+        };
+        options
+    }
+
+    /// Load at one request a second over all workspaces.
+    pub fn profile(self) -> Profile {
+        match self {
+            Scenario::HotNeighbour | Scenario::HotShift => flooded(0),
+            Scenario::Kalup => Profile {
+                workspaces: mixed_workspaces(4, 6),
+                kinds: kalup_kinds(),
+                recompute_price: 2.0,
+            },
+            _ => Profile {
+                workspaces: mixed_workspaces(4, 6),
+                kinds: qasr_kinds(),
+                recompute_price: 0.5,
+            },
+        }
+    }
+
+    /// All requests of `seconds` at `rate` a second. Those after `turn` come from
+    /// the load after the disturbance, where that changes the load.
+    pub fn arrivals(self, rate: f64, seconds: f64, turn: f64, seed: u64) -> Vec<Arrival> {
+        let before = scaled(self.profile(), rate).arrivals(seconds, seed);
+        if self != Scenario::HotShift {
+            return before;
+        }
+        let turn = Millis((turn * 1000.0) as u64);
+        let after = scaled(flooded(1), rate).arrivals(seconds, seed);
+        let mut arrivals: Vec<Arrival> = before
+            .into_iter()
+            .filter(|arrival| arrival.at < turn)
+            .chain(after.into_iter().filter(|arrival| arrival.at >= turn))
+            .collect();
+        for (number, arrival) in arrivals.iter_mut().enumerate() {
+            arrival.number = number as u64;
+        }
+        arrivals
+    }
+
+    /// Workspaces that make fewer requests than the mean.
+    pub fn small(self) -> BTreeSet<WorkspaceId> {
+        let workspaces = self.profile().workspaces;
+        let mean = 1.0 / workspaces.len() as f64;
+        workspaces
+            .into_iter()
+            .filter(|load| load.rate < mean)
+            .map(|load| load.id)
+            .collect()
+    }
+}
+
+fn scaled(mut profile: Profile, rate: f64) -> Profile {
+    for load in &mut profile.workspaces {
+        load.rate *= rate;
+    }
+    profile
+}
+
+fn workspace(place: usize, rate: f64, documents: usize, sheets: usize, hot: f64) -> WorkspaceLoad {
+    WorkspaceLoad {
+        id: WorkspaceId::from(format!("workspace-{}", place + 1)),
+        weight: 1.0,
+        rate,
+        documents,
+        sheets,
+        hot,
+    }
+}
+
+fn mixed_workspaces(documents: usize, sheets: usize) -> Vec<WorkspaceLoad> {
+    let shares = SHARES.iter().enumerate();
+    // The large workspaces have the few very hot prefixes.
+    let hot = |place| if place < 3 { 0.4 } else { 0.1 };
+    shares
+        .map(|(place, share)| workspace(place, *share, documents, sheets, hot(place)))
+        .collect()
+}
+
+/// The load where the workspace at `neighbour` floods.
+fn flooded(neighbour: usize) -> Profile {
+    let rest = (1.0 - FLOOD_SHARE) / (SHARES.len() - 1) as f64;
+    let load = |place| {
+        if place == neighbour {
+            workspace(place, FLOOD_SHARE, 3, 4, FLOOD_HOT)
+        } else {
+            workspace(place, rest, 3, 4, 0.2)
+        }
+    };
+    Profile {
+        workspaces: (0..SHARES.len()).map(load).collect(),
+        kinds: vec![
+            completion_kind("survey-review", 5, 0.85, [256, 768, 512, 96], 24, 20_000),
+            completion_kind("part-tag", 8, 0.15, [128, 128, 0, 32], 4, 10_000),
+        ],
+        recompute_price: 0.5,
+    }
+}
+
+fn qasr_kinds() -> Vec<KindLoad> {
+    vec![
+        completion_kind("survey-review", 5, 0.55, [256, 1024, 768, 96], 24, 20_000),
+        completion_kind("part-tag", 8, 0.25, [256, 256, 0, 32], 4, 10_000),
+        call_kind("order-booking", false, 0.10),
+        call_kind("job-lookup", true, 0.10),
+    ]
+}
+
+fn kalup_kinds() -> Vec<KindLoad> {
+    vec![
+        completion_kind("press-schedule", 5, 0.50, [512, 2048, 1536, 96], 32, 30_000),
+        completion_kind("moisture-check", 8, 0.25, [256, 256, 0, 32], 1, 10_000),
+        call_kind("pallet-release", false, 0.15),
+        call_kind("order-status", true, 0.10),
+    ]
+}
