node: remember which engines prompts went to

The router kept a tree of recent prompts but never told it where a prompt was sent, so the shortlist had no `recent` engines at all: it knew a warm engine only when rendezvous hashing happened to name it.

--- a/crates/node/src/control/admission.rs
+++ b/crates/node/src/control/admission.rs
@@ -90,6 +90,8 @@
 /// The levels of one prompt under each version of the weights.
 #[derive(Debug, Default)]
 pub struct Prompts {
+    /// Blocks under the weights that are in force.
+    chain: PrefixChain,
     known: BTreeMap<WeightsVersion, Prompt>,
 }
 
@@ -114,9 +116,16 @@
                 tokens: chain.tokens,
             },
         );
+        self.chain = chain;
         heat
     }
 
+    /// Remembers in the tree that the prompt went to `engine`, which will thus hold
+    /// its prefixes.
+    pub fn dispatched(&self, tree: &mut PrefixTree, engine: &EngineId) {
+        tree.dispatched(&self.chain, engine);
+    }
+
     /// Levels under other weights stand at the same blocks.
     fn get(&mut self, ask: &RouteAsk, weights: &WeightsVersion) -> Prompt {
         if let Some(prompt) = self.known.get(weights) {
