core: charge a prefill with the delay of those in line

A decision weighed the wait against the missing tokens of this request alone. The score now adds the prefill times the number in line, taken as wait / 30 ms.

The tests of choice, home, heat and the hot neighbour pass unchanged.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -10,6 +10,10 @@
 /// the way to it may be slow.
 const UNANSWERED_MS: f64 = 25.0;
 
+/// Time that a request in the line of an engine takes on average, in milliseconds.
+/// It turns the wait into the number of requests that a prefill delays.
+const LINE_STEP_MS: f64 = 30.0;
+
 /// What an engine's score is based on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -41,7 +45,8 @@
     pub hop_ms: f64,
     /// Expected time to the first token, in milliseconds.
     pub expected_ms: f64,
-    /// The score: expected time plus the price of recomputation, in milliseconds.
+    /// The score: expected time plus the price of recomputation and the delay of
+    /// others, in milliseconds.
     pub cost_ms: f64,
 }
 
@@ -89,6 +94,14 @@
     })
 }
 
+/// Price of a prefill's time at an engine with this wait, besides that time itself.
+/// A prefill delays all that stand in line as well. Without that, waits that differ
+/// a little outweigh prefixes under load, and copies of prefixes push each other out
+/// of the caches.
+pub(crate) fn shared_price(price: f64, wait_ms: f64) -> f64 {
+    price + wait_ms / LINE_STEP_MS
+}
+
 fn score(candidate: &Candidate, answer: Option<ProbeAnswer>, price: f64) -> Scored {
     let mut scored = Scored {
         engine: candidate.engine.clone(),
@@ -112,6 +125,6 @@
         scored.prefill_ms = f64::from(answer.expected_ms.saturating_sub(answer.wait_ms));
     }
     scored.expected_ms = scored.wait_ms + scored.prefill_ms + scored.hop_ms;
-    scored.cost_ms = scored.expected_ms + price * scored.prefill_ms;
+    scored.cost_ms = scored.expected_ms + shared_price(price, scored.wait_ms) * scored.prefill_ms;
     scored
 }
