--- a/crates/cli/src/bin/flamingoctl.rs
+++ b/crates/cli/src/bin/flamingoctl.rs
@@ -5,7 +5,7 @@
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 use flamingolock_cli::commands::{
-    demo, engines, explain, load, manifest, nodes, overhead, standin,
+    bench, demo, engines, explain, load, manifest, nodes, overhead, standin,
 };
 use flamingolock_cli::exit::{self, CommandError};
 use flamingolock_cli::logging;
@@ -26,6 +26,8 @@
 enum Command {
     /// Runs a whole fleet in one process under a mixed load.
     Demo(demo::DemoArguments),
+    /// Compares routing policies under the same load.
+    Bench(bench::BenchArguments),
     /// Sends load to a fleet that runs already.
     Load(load::LoadArguments),
     /// Checks, publishes and shows manifests.
@@ -58,6 +60,7 @@
 fn run(command: Command) -> Result<(), CommandError> {
     match command {
         Command::Demo(arguments) => demo::run(&arguments),
+        Command::Bench(arguments) => bench::run(&arguments),
         Command::Load(arguments) => load::run(&arguments),
         Command::Manifest(command) => manifest::run(command),
         Command::Overhead(arguments) => overhead::run(&arguments),
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -1,5 +1,6 @@
 //! One module for each subcommand of `flamingoctl`, and what they share.
 
+pub mod bench;
 pub mod demo;
 pub mod engines;
 pub mod explain;
--- a/crates/node/src/control/admission.rs
+++ b/crates/node/src/control/admission.rs
@@ -90,6 +90,7 @@
 /// The levels of one prompt under each version of the weights.
 #[derive(Debug, Default)]
 pub struct Prompts {
+    /// Blocks under the weights that are in force.
     known: BTreeMap<WeightsVersion, Prompt>,
     chain: PrefixChain,
 }
@@ -119,9 +120,10 @@
         heat
     }
 
-    /// The chain that was recorded.
-    pub fn chain(&self) -> &PrefixChain {
-        &self.chain
+    /// Remembers in the tree that the prompt went to `engine`, which will thus hold
+    /// its prefixes.
+    pub fn dispatched(&self, tree: &mut PrefixTree, engine: &EngineId) {
+        tree.dispatched(&self.chain, engine);
     }
 
     /// Levels under other weights stand at the same blocks.
