core: rank the shortlist by the cost that the choice uses

The shortlist ranked engines by wait plus own prefill, while the choice also counts the delay of those in line. Under load an engine that held the prefix could be cut before its probe because its wait was a little longer.

The tests of choice and the hot neighbour pass unchanged.

--- a/crates/core/src/shortlist.rs
+++ b/crates/core/src/shortlist.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::choice::shared_price;
 use crate::fleet::{Fleet, FleetEngine, mix};
 use crate::prefill_rate::DEFAULT_RATE;
 use crate::prefix::BLOCK_TOKENS;
@@ -161,6 +162,7 @@
         None => (UNKNOWN_WAIT_MS, DEFAULT_RATE),
     };
     let prefill_ms = f64::from(missing_tokens) * 1000.0 / rate.max(1.0);
+    let price = shared_price(price, wait_ms);
     let cost_ms = wait_ms + engine.hop_ms + prefill_ms * (1.0 + price);
     cost_ms.is_finite().then_some(Ranked {
         engine,
