core: leave to hashing only the replicas that are missing

Cause: 929k of 1063k missed tokens in 2,000 decisions were held by no probed engine. Hashing named up to eight engines for each level, all taken to hold it, and they crowded out the engines that had served it. Ruled out before: replicas and shared prefill off made no clear difference.

--- a/crates/core/src/shortlist.rs
+++ b/crates/core/src/shortlist.rs
@@ -105,8 +105,24 @@
         for position in recent {
             add(&mut found, position, Source::Recent(blocks));
         }
-        for position in fleet.top(level.level.hash.0, level.replicas as usize) {
-            add(&mut found, position, Source::Level(blocks));
+        // Engines that served the level hold it for certain, so they leave to
+        // hashing only what is missing of the replicas, and one engine on which
+        // nodes agree that have not seen the level.
+        let wanted = (level.replicas as usize)
+            .saturating_sub(level.recent.len())
+            .max(1);
+        for (place, position) in fleet
+            .top(level.level.hash.0, wanted)
+            .into_iter()
+            .enumerate()
+        {
+            let holds = place == 0 || level.recent.is_empty();
+            let source = if holds {
+                Source::Level(blocks)
+            } else {
+                Source::Random
+            };
+            add(&mut found, position, source);
         }
     }
     let drawn = (0..RANDOM_ENGINES).filter_map(|draw| fleet.pick(mix(seed, draw)));
