node: count heat by what engines have to compute

Cause: heat charged each request its whole prompt, about eight times what a warm engine spends, and so asked for far too many replicas.

--- a/crates/node/src/control/router.rs
+++ b/crates/node/src/control/router.rs
@@ -43,6 +43,10 @@
 /// Time between reports of live permits to remote homes.
 const REPORT_MS: u64 = 1_000;
 
+/// Part of a prompt that an engine usually has to compute; the rest is cached. Heat
+/// that counted whole prompts would ask for copies that push each other out.
+const COMPUTED_PART: f64 = 0.12;
+
 /// What a caller is asked to wait when no engine takes work.
 const NO_ENGINE_RETRY: Millis = Millis(1_000);
 
@@ -1210,8 +1214,8 @@
     })
 }
 
-/// Engine time that a whole prefill of the prompt would take.
+/// Engine time that the prefill of the prompt usually takes.
 fn prefill_ms(ask: &RouteAsk) -> f64 {
     let tokens = ask.prompt.len() as f64 / flamingolock_core::prefix::BYTES_PER_TOKEN as f64;
-    tokens * 1000.0 / flamingolock_core::prefill_rate::DEFAULT_RATE
+    COMPUTED_PART * tokens * 1000.0 / flamingolock_core::prefill_rate::DEFAULT_RATE
 }
