node: price a copy of a prefix by what it pushes out of the cache

Cause: below saturation a small difference in wait sent requests away from the engine that held their prefix; the copies pushed each other out of the caches and the fleet stayed in that state. Change: a price of 16 that falls with the load of the prefix.

--- a/crates/node/src/control/router.rs
+++ b/crates/node/src/control/router.rs
@@ -47,6 +47,14 @@
 /// that counted whole prompts would ask for copies that push each other out.
 const COMPUTED_PART: f64 = 0.12;
 
+/// Price of a prefill's time for what it does to the cache: each computed block
+/// pushes out another one, which later requests have to compute again.
+const EVICTION_PRICE: f64 = 16.0;
+
+/// Load in engines at which half of a copy's price is won back, since later
+/// requests find the copy.
+const SHARED_LOAD: f64 = 0.05;
+
 /// What a caller is asked to wait when no engine takes work.
 const NO_ENGINE_RETRY: Millis = Millis(1_000);
 
@@ -168,6 +176,7 @@
         let mut prompts = Prompts::default();
         let cost_ms = prefill_ms(&ask);
         let heat = prompts.record(&mut self.tree, &ask, &weights, cost_ms, ctx.now);
+        let price = price + copy_price(&heat);
         let candidates = self.candidates(&ask, &heat, price, ctx.now);
         self.tickets.insert(ask.request.clone(), ticket);
         let waiting = Waiting {
@@ -1214,6 +1223,14 @@
     })
 }
 
+/// Price of computing a prompt once more where its prefix is not cached: small for
+/// prefixes that are hot enough to use another copy.
+fn copy_price(heat: &[HeatLevel]) -> f64 {
+    let shared = heat.iter().rev().find(|level| level.replicas > 0);
+    let load = shared.map_or(0.0, |level| level.load);
+    EVICTION_PRICE / (1.0 + load / SHARED_LOAD)
+}
+
 /// Engine time that the prefill of the prompt usually takes.
 fn prefill_ms(ask: &RouteAsk) -> f64 {
     let tokens = ask.prompt.len() as f64 / flamingolock_core::prefix::BYTES_PER_TOKEN as f64;
