node: tell peers where this node is when a connection comes up

A node whose copy of the instance list was older than another node had no address for it while the platform was away, and calls that were handed on to that node were dropped. Ruled out: queued messages dropped with a replaced connection (mended too, since a call must not be lost that way; alone 2 of 3 runs still failed). The load's summary now counts reasons, which showed it.

--- a/crates/experiment/src/outcome.rs
+++ b/crates/experiment/src/outcome.rs
@@ -39,6 +39,19 @@
     Lost,
 }
 
+impl End {
+    /// Machine-readable reason of an end that the system explained.
+    pub fn code(&self) -> Option<&str> {
+        match self {
+            End::Refused { code, .. }
+            | End::NotRun { code }
+            | End::Unknown { code }
+            | End::Failed { code } => Some(code),
+            End::Answered | End::Mixed | End::Incomplete | End::Lost => None,
+        }
+    }
+}
+
 /// One request and what became of it.
 #[derive(Clone, Debug)]
 pub struct Outcome {
--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -90,6 +90,8 @@
     pub incomplete: u64,
     /// Calls reported as not run that did run.
     pub false_not_run: u64,
+    /// Requests that were not answered, by machine-readable reason.
+    pub codes: BTreeMap<String, u64>,
     /// Cache hits from another workspace, older weights or a dead engine.
     pub bad_hits: u64,
 }
@@ -125,6 +127,9 @@
     }
 
     fn count_end(&mut self, end: &End) {
+        if let Some(code) = end.code() {
+            *self.codes.entry(code.to_owned()).or_default() += 1;
+        }
         let counter = match end {
             End::Answered => &mut self.answered,
             End::Refused { .. } | End::NotRun { .. } => &mut self.refused,
--- a/crates/node/src/control/members.rs
+++ b/crates/node/src/control/members.rs
@@ -138,13 +138,27 @@
             LinkState::Broken => Input::ConnectionSilent(to.clone()),
         };
         self.step(ctx, input);
-        if let LinkState::Up(_) = state
-            && !self.has_list
-        {
+        if !matches!(state, LinkState::Up(_)) {
+            return;
+        }
+        if self.has_list {
+            self.tell_row(ctx, to);
+        } else {
             self.ask_instances(ctx, to);
         }
     }
 
+    /// Tells a peer where this node is, in case its copy of the list is older than
+    /// this node and the platform is away.
+    fn tell_row(&self, ctx: &mut Context<'_>, peer: &InstanceId) {
+        let row = wire::InstanceRow::from(&self.me);
+        let message = wire::Instances {
+            instances: vec![row],
+            listed: Bytes::new(),
+        };
+        ctx.send(peer, Payload::Instances(message));
+    }
+
     /// A node answered at an address from the settings. It is asked for what it
     /// knows; the platform's list or its answer fill in the rest.
     pub fn seed(&mut self, ctx: &mut Context<'_>, name: &InstanceId, address: SocketAddr) {
--- a/crates/node/src/filters/service_call.rs
+++ b/crates/node/src/filters/service_call.rs
@@ -127,11 +127,7 @@
         }
         Outcome::Unknown(reason) => {
             let message = format!("nobody knows whether the call ran: {reason}");
-            let code = if reason == UnknownReason::Expired {
-                "key_expired"
-            } else {
-                "unknown"
-            };
+            let code = unknown_code(reason);
             let error = ApiError::new(StatusCode::BAD_GATEWAY, ErrorKind::Upstream, code, message);
             Err(error.with_outcome(CallOutcome::Unknown))
         }
@@ -148,6 +144,22 @@
     }
 }
 
+fn unknown_code(reason: UnknownReason) -> &'static str {
+    match reason {
+        UnknownReason::AnswerLost => "answer_lost",
+        UnknownReason::Pending => "pending",
+        UnknownReason::AnswerDropped => "answer_dropped",
+        UnknownReason::OwnerSilent => "owner_silent",
+        UnknownReason::OwnerLost => "owner_lost",
+        UnknownReason::ClaimantLost => "claimant_lost",
+        UnknownReason::NotClaimed => "not_claimed",
+        UnknownReason::Expired => "key_expired",
+        UnknownReason::Early => "key_early",
+        UnknownReason::Busy => "overloaded",
+        UnknownReason::Unsettled => "unsettled",
+    }
+}
+
 fn not_run_code(reason: NotRunReason) -> &'static str {
     match reason {
         NotRunReason::Busy => "overloaded",
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -28,6 +28,9 @@
 /// Longest time for a connection and its handshake.
 const CONNECT_MS: u64 = 1_000;
 
+/// Time for a connection that is replaced to write what is queued.
+const RETIRE_MS: u64 = 1_000;
+
 /// Messages that wait for one peer.
 const QUEUE: usize = 4_096;
 
@@ -190,7 +193,9 @@
                 addresses = now;
             }
             PeerCommand::Reconnect(to) => {
-                links.remove(&to);
+                if let Some(link) = links.remove(&to) {
+                    link.retire();
+                }
                 if let Some(address) = addresses.get(&to) {
                     let link = Link::open(&to, *address, Arc::clone(&me), events.clone());
                     links.insert(to, link);
@@ -211,20 +216,35 @@
     }
 }
 
-/// A connection to one peer, made again as often as it breaks.
+/// A connection to one peer, made again as often as it breaks. Dropping it closes
+/// the connection at once.
 struct Link {
     address: SocketAddr,
     queue: mpsc::Sender<PeerFrame>,
-    task: tokio::task::JoinHandle<()>,
+    task: AbortOnDrop,
 }
 
-impl Drop for Link {
+struct AbortOnDrop(tokio::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
     fn drop(&mut self) {
-        self.task.abort();
+        self.0.abort();
     }
 }
 
 impl Link {
+    /// Writes what is queued, for a short while, and closes the connection. A call
+    /// that was handed on must not be lost because a fresh connection was tried.
+    fn retire(self) {
+        let Link {
+            queue, mut task, ..
+        } = self;
+        drop(queue);
+        tokio::spawn(async move {
+            let _ = timeout(Duration::from_millis(RETIRE_MS), &mut task.0).await;
+        });
+    }
+
     fn open(
         to: &InstanceId,
         address: SocketAddr,
@@ -236,7 +256,7 @@
         Self {
             address,
             queue,
-            task,
+            task: AbortOnDrop(task),
         }
     }
 }
