--- a/crates/experiment/src/bench.rs
+++ b/crates/experiment/src/bench.rs
@@ -90,12 +90,11 @@
 ];
 
 /// All mechanisms that can be switched off.
-pub const MECHANISMS: [Mechanism; 5] = [
+pub const MECHANISMS: [Mechanism; 4] = [
     Mechanism::Probes,
     Mechanism::Permits,
     Mechanism::SharedPrefill,
     Mechanism::Replicas,
-    Mechanism::KeptCache,
 ];
 
 /// Name of a policy, as in settings.
@@ -115,7 +114,6 @@
         Mechanism::Permits => "permits",
         Mechanism::SharedPrefill => "shared-prefill",
         Mechanism::Replicas => "replicas",
-        Mechanism::KeptCache => "kept-cache",
     }
 }
 
--- a/crates/node/src/control/admission.rs
+++ b/crates/node/src/control/admission.rs
@@ -90,8 +90,8 @@
 /// The levels of one prompt under each version of the weights.
 #[derive(Debug, Default)]
 pub struct Prompts {
-    /// Blocks under the weights that are in force.
     known: BTreeMap<WeightsVersion, Prompt>,
+    /// Blocks under the weights that are in force.
     chain: PrefixChain,
 }
 
--- /dev/null
+++ b/crates/node/src/control/router/baseline.rs
@@ -0,0 +1,72 @@
+//! Policies that serve for comparison.
+
+use super::{NO_ENGINE_RETRY, Router};
+use crate::control::context::Context;
+use crate::control::permit::{Admission, Refusal, Reply, RouteAsk};
+use crate::settings::Policy;
+use flamingolock_core::permit::PermitId;
+use flamingolock_core::prelude::*;
+use flamingolock_core::rendezvous;
+use serde_json::json;
+
+impl Router {
+    /// Places a request by one of the policies that serve for comparison.
+    pub(super) fn admit_baseline(&mut self, ctx: &mut Context<'_>, ask: &RouteAsk, reply: Reply) {
+        let fleet = self.engines.fleet(&ask.model, ctx.now);
+        let names: Vec<EngineId> = (0..fleet.len())
+            .filter_map(|position| fleet.get(position))
+            .map(|engine| engine.engine.clone())
+            .filter(|engine| !ask.avoid.contains(engine))
+            .collect();
+        let chosen = self.choose_baseline(ask, &names);
+        let granted = chosen.and_then(|engine| self.permit(ask, &engine, PermitId(0)));
+        let Some(permit) = granted else {
+            let refusal = Refusal {
+                code: "no_engine",
+                retry_after: NO_ENGINE_RETRY,
+            };
+            let _ = reply.send(Admission::Refused(refusal));
+            return;
+        };
+        let chosen = permit.engine.as_str();
+        ctx.decisions.record(
+            ctx.now,
+            &ask.request,
+            "route",
+            chosen,
+            "policy for comparison",
+            json!(names),
+        );
+        let _ = reply.send(Admission::Granted(permit));
+    }
+
+    pub(super) fn choose_baseline(
+        &mut self,
+        ask: &RouteAsk,
+        names: &[EngineId],
+    ) -> Option<EngineId> {
+        if names.is_empty() {
+            return None;
+        }
+        match self.routing.policy {
+            Policy::RoundRobin => {
+                self.turn += 1;
+                names.get(self.turn % names.len()).cloned()
+            }
+            Policy::LeastLoaded => names
+                .iter()
+                .min_by_key(|name| self.engines.get(name).map_or(0, |engine| engine.inflight))
+                .cloned(),
+            Policy::PrefixHash | Policy::Flamingolock => {
+                let seed =
+                    PrefixSeed::new(&ask.workspace, &ask.model, &WeightsVersion::default(), None);
+                let chain = PrefixChain::new(seed, &ask.prompt);
+                // The first level that differs between requests of one workspace.
+                let place = (chain.blocks.len() / 2).checked_sub(1)?;
+                let key = chain.blocks[place].0;
+                let best = rendezvous::top(key, names.iter().map(EngineId::as_str), 1);
+                best.first().map(|name| EngineId::from(*name))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/router/reports.rs
@@ -0,0 +1,102 @@
+//! Digests of homes, and reports of live permits to other homes.
+
+use super::Router;
+use crate::control::admission::Stage;
+use crate::control::context::Context;
+use crate::control::engines::EngineStatus;
+use crate::control::messages::{self, Ticket};
+use flamingolock_core::home_message::Input;
+use flamingolock_core::permit::LivePermit;
+use flamingolock_core::prelude::*;
+use std::collections::BTreeSet;
+
+impl Router {
+    /// Tells the new home of an engine what this node holds there.
+    pub(super) fn adopt(&mut self, ctx: &mut Context<'_>, engine: &EngineId) {
+        if self.homes.is_mine(engine) {
+            let load = self
+                .engines
+                .get(engine)
+                .and_then(|engine| engine.status.as_ref());
+            if let Some(load) = load.map(EngineStatus::load) {
+                let outputs = self.homes.load(engine, load, ctx.now);
+                self.dispatch(ctx, outputs);
+            }
+        }
+        self.report(ctx, engine);
+    }
+
+    /// Asks the new homes of engines for the permits that the old ones still owed.
+    pub(super) fn ask_again(&mut self, ctx: &mut Context<'_>, moved: &[EngineId]) {
+        let again: Vec<(Ticket, EngineId)> = self
+            .waiting
+            .values()
+            .filter_map(|waiting| match &waiting.stage {
+                Stage::Asked { engine, .. } if moved.contains(engine) => {
+                    Some((waiting.ticket, engine.clone()))
+                }
+                _ => None,
+            })
+            .collect();
+        for (ticket, engine) in again {
+            self.ask_home(ctx, ticket, &engine);
+        }
+    }
+
+    pub(super) fn spread_digests(&mut self, ctx: &mut Context<'_>) {
+        let digests = self.homes.digests(ctx.now);
+        if digests.is_empty() {
+            return;
+        }
+        let payload = messages::digests(&digests);
+        for node in self.homes.nodes() {
+            if *node != self.me.instance {
+                ctx.send(node, payload.clone());
+            }
+        }
+        for digest in digests {
+            self.engines.note_digest(digest);
+        }
+    }
+
+    /// Reports live permits, so that homes notice releases that were lost. An
+    /// engine is reported once more after its last permit ended.
+    pub(super) fn report_all(&mut self, ctx: &mut Context<'_>) {
+        let mut engines: BTreeSet<EngineId> =
+            self.held.keys().map(|(engine, _)| engine.clone()).collect();
+        let last = std::mem::replace(&mut self.reported, engines.clone());
+        engines.extend(last);
+        for engine in &engines {
+            self.report(ctx, engine);
+        }
+    }
+
+    pub(super) fn report(&mut self, ctx: &mut Context<'_>, engine: &EngineId) {
+        let live: Vec<(Ticket, LivePermit)> = self
+            .held
+            .iter()
+            .filter(|((name, _), _)| name == engine)
+            .map(|((_, permit), held)| {
+                let request = held.ticket.request(&self.me.instance);
+                let live = LivePermit {
+                    permit: *permit,
+                    request,
+                    incarnation: held.incarnation,
+                };
+                (held.ticket, live)
+            })
+            .collect();
+        let home = self.homes.home_of(engine);
+        if home != self.me.instance {
+            ctx.send(&home, messages::permits_live(engine, &live));
+            return;
+        }
+        let permits = live.into_iter().map(|(_, live)| live).collect();
+        let input = Input::Rebuild {
+            entry: self.me.clone(),
+            permits,
+        };
+        let outputs = self.homes.step(engine, input, ctx.now);
+        self.dispatch(ctx, outputs);
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/router/rounds.rs
@@ -0,0 +1,430 @@
+//! Rounds of choosing an engine for one request, until it is granted or refused.
+
+use super::{Held, NO_ENGINE_RETRY, PROBES, Router};
+use crate::control::admission::{MAX_ROUNDS, Stage, Waiting};
+use crate::control::context::Context;
+use crate::control::messages::{self, Ticket};
+use crate::control::permit::{Admission, Permit, Refusal, RouteAsk};
+use crate::settings::Mechanism;
+use flamingolock_core::choice::{self, Choice};
+use flamingolock_core::home_message::{Input, ProbeAnswer, Reason};
+use flamingolock_core::permit::PermitId;
+use flamingolock_core::prefix_tree::HeatLevel;
+use flamingolock_core::prelude::*;
+use flamingolock_core::rendezvous;
+use flamingolock_core::reserve::Reserve;
+use flamingolock_core::shortlist::{self, Candidate};
+use flamingolock_wire::message::{self as wire, Payload};
+use serde_json::json;
+use std::collections::BTreeMap;
+
+impl Router {
+    pub(super) fn candidates(
+        &mut self,
+        ask: &RouteAsk,
+        heat: &[HeatLevel],
+        price: f64,
+        now: Millis,
+    ) -> Vec<Candidate> {
+        let mut levels = heat.to_vec();
+        if !self.routing.uses(Mechanism::Replicas) {
+            for level in &mut levels {
+                level.replicas = level.replicas.min(1);
+            }
+        }
+        let tokens = ask
+            .prompt
+            .len()
+            .div_ceil(flamingolock_core::prefix::BYTES_PER_TOKEN) as u32;
+        let seed = rendezvous::key(ask.request.as_str()) ^ now.0;
+        let fleet = self.engines.fleet(&ask.model, now);
+        let wanted = PROBES + ask.avoid.len();
+        let mut found = shortlist::shortlist(fleet, tokens, &levels, price, wanted, seed, now);
+        found.retain(|candidate| !ask.avoid.contains(&candidate.engine));
+        found.truncate(PROBES);
+        found
+    }
+
+    /// Sends the probes of a round, or chooses at once where there are none.
+    pub(super) fn begin_round(&mut self, ctx: &mut Context<'_>, ticket: Ticket) {
+        if !self.routing.uses(Mechanism::Probes) {
+            self.choose(ctx, ticket);
+            return;
+        }
+        let Some(mut waiting) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        let engines: Vec<EngineId> = waiting
+            .candidates
+            .iter()
+            .map(|candidate| candidate.engine.clone())
+            .collect();
+        let mut remote: BTreeMap<InstanceId, Vec<wire::Probe>> = BTreeMap::new();
+        waiting.probed.clone_from(&engines);
+        for (place, engine) in engines.iter().enumerate() {
+            let weights = self.weights_of(engine);
+            let ask = waiting.home_ask(&self.me, &weights, ctx.now);
+            let home = self.homes.home_of(engine);
+            if home == self.me.instance {
+                let outputs = self.homes.step(engine, Input::Probe(ask), ctx.now);
+                self.dispatch(ctx, outputs);
+            } else {
+                remote
+                    .entry(home)
+                    .or_default()
+                    .push(messages::probe(ticket, place, engine, &ask));
+            }
+        }
+        self.waiting.insert(ticket, waiting);
+        for (home, probes) in remote {
+            ctx.send(&home, Payload::ProbeBatch(wire::ProbeBatch { probes }));
+        }
+        if engines.is_empty() {
+            self.choose(ctx, ticket);
+        }
+    }
+
+    pub(super) fn weights_of(&self, engine: &EngineId) -> WeightsVersion {
+        let status = self
+            .engines
+            .get(engine)
+            .and_then(|engine| engine.status.as_ref());
+        status
+            .map(|status| status.weights.clone())
+            .unwrap_or_default()
+    }
+
+    pub(super) fn choose(&mut self, ctx: &mut Context<'_>, ticket: Ticket) {
+        let Some(waiting) = self.waiting.get_mut(&ticket) else {
+            return;
+        };
+        let answers = &waiting.answers;
+        let answer = |engine: &EngineId| answers.get(engine).copied();
+        let Some(choice) = choice::choose(&waiting.candidates, answer, waiting.price) else {
+            self.refuse(ctx, ticket, "no_engine", NO_ENGINE_RETRY);
+            return;
+        };
+        let Choice {
+            engine, candidates, ..
+        } = choice;
+        waiting.scored = candidates;
+        waiting.rounds += 1;
+        if self.routing.uses(Mechanism::Permits) {
+            self.ask_home(ctx, ticket, &engine);
+        } else {
+            self.grant_own(ctx, ticket, &engine, PermitId(0), false, "without permits");
+        }
+    }
+
+    pub(super) fn ask_home(&mut self, ctx: &mut Context<'_>, ticket: Ticket, engine: &EngineId) {
+        let home = self.homes.home_of(engine);
+        let weights = self.weights_of(engine);
+        let status = self
+            .engines
+            .get(engine)
+            .and_then(|engine| engine.status.as_ref());
+        let incarnation = status.map(|status| status.incarnation).unwrap_or_default();
+        let local = home == self.me.instance;
+        let silent_at = (!local).then(|| ctx.now + Millis(self.timing.home_ms));
+        let Some(waiting) = self.waiting.get_mut(&ticket) else {
+            return;
+        };
+        let ask = waiting.home_ask(&self.me, &weights, ctx.now);
+        waiting.stage = Stage::Asked {
+            engine: engine.clone(),
+            home: home.clone(),
+            silent_at,
+        };
+        if local {
+            if self.homes.get(engine).is_none() {
+                self.use_reserve(ctx, ticket, engine);
+                return;
+            }
+            let outputs = self.homes.step(engine, Input::Ask(ask), ctx.now);
+            self.dispatch(ctx, outputs);
+        } else {
+            ctx.send(
+                &home,
+                messages::permit_ask(ticket, engine, incarnation, &ask),
+            );
+        }
+    }
+
+    /// The home did not answer in time: goes on without it, within bounds.
+    pub(super) fn use_reserve(&mut self, ctx: &mut Context<'_>, ticket: Ticket, engine: &EngineId) {
+        self.take_back(ctx, ticket);
+        let Some(status) = self
+            .engines
+            .get(engine)
+            .and_then(|engine| engine.status.clone())
+        else {
+            self.next_round(ctx, ticket, engine, "no_engine", NO_ENGINE_RETRY);
+            return;
+        };
+        let size = Reserve::size(status.slots, self.homes.nodes().len() as u32);
+        let request = ticket.request(&self.me.instance);
+        match self
+            .reserve
+            .take(engine, status.incarnation, size, &request)
+        {
+            Some(live) => {
+                self.grant_own(
+                    ctx,
+                    ticket,
+                    engine,
+                    live.permit,
+                    true,
+                    "home silent, reserve",
+                );
+            }
+            None => self.next_round(ctx, ticket, engine, "reserve_full", Millis(200)),
+        }
+    }
+
+    /// Goes on to the next best engine, or refuses after enough rounds.
+    pub(super) fn next_round(
+        &mut self,
+        ctx: &mut Context<'_>,
+        ticket: Ticket,
+        failed: &EngineId,
+        code: &'static str,
+        retry_after: Millis,
+    ) {
+        let Some(waiting) = self.waiting.get_mut(&ticket) else {
+            return;
+        };
+        waiting.scored.retain(|scored| scored.engine != *failed);
+        waiting
+            .candidates
+            .retain(|candidate| candidate.engine != *failed);
+        waiting.rounds += 1;
+        if waiting.rounds >= MAX_ROUNDS {
+            self.refuse(ctx, ticket, code, retry_after);
+            return;
+        }
+        match waiting.scored.first().map(|scored| scored.engine.clone()) {
+            Some(engine) => self.ask_home(ctx, ticket, &engine),
+            None => self.start_over(ctx, ticket),
+        }
+    }
+
+    /// Draws a new shortlist: what is known of the engines has changed meanwhile.
+    pub(super) fn start_over(&mut self, ctx: &mut Context<'_>, ticket: Ticket) {
+        let Some(mut waiting) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        let heat = waiting.heat.clone();
+        waiting.candidates = self.candidates(&waiting.ask, &heat, waiting.price, ctx.now);
+        waiting.answers.clear();
+        waiting.stage = Stage::Probing {
+            until: ctx.now + Millis(self.timing.probe_ms),
+        };
+        self.waiting.insert(ticket, waiting);
+        self.begin_round(ctx, ticket);
+    }
+
+    /// Withdraws what a home was asked for.
+    pub(super) fn take_back(&mut self, ctx: &mut Context<'_>, ticket: Ticket) {
+        let Some(Stage::Asked { engine, home, .. }) = self
+            .waiting
+            .get(&ticket)
+            .map(|waiting| waiting.stage.clone())
+        else {
+            return;
+        };
+        if home == self.me.instance {
+            let request = ticket.request(&self.me.instance);
+            let input = Input::Cancel {
+                entry: self.me.clone(),
+                request,
+            };
+            let outputs = self.homes.step(&engine, input, ctx.now);
+            self.dispatch(ctx, outputs);
+            return;
+        }
+        let cancel = wire::PermitCancel {
+            request: ticket.0.to_string(),
+            engine: engine.to_string(),
+        };
+        ctx.send(&home, Payload::PermitCancel(cancel));
+    }
+
+    pub(super) fn probed(
+        &mut self,
+        ctx: &mut Context<'_>,
+        ticket: Ticket,
+        engine: EngineId,
+        answer: ProbeAnswer,
+    ) {
+        let Some(waiting) = self.waiting.get_mut(&ticket) else {
+            return;
+        };
+        waiting.answers.insert(engine, answer);
+        let probing = matches!(waiting.stage, Stage::Probing { .. });
+        if probing && waiting.is_answered() {
+            self.choose(ctx, ticket);
+        }
+    }
+
+    pub(super) fn queued(&mut self, ticket: Ticket, from: &InstanceId) {
+        let Some(waiting) = self.waiting.get_mut(&ticket) else {
+            return;
+        };
+        if let Stage::Asked {
+            home, silent_at, ..
+        } = &mut waiting.stage
+            && home == from
+        {
+            *silent_at = None;
+        }
+    }
+
+    pub(super) fn granted(
+        &mut self,
+        ctx: &mut Context<'_>,
+        ticket: Ticket,
+        engine: &EngineId,
+        permit: PermitId,
+        incarnation: Incarnation,
+    ) {
+        let expected = self.has_asked(ticket, engine);
+        let known = self
+            .engines
+            .get(engine)
+            .and_then(|engine| engine.status.as_ref());
+        let current = known.is_none_or(|status| status.incarnation <= incarnation);
+        if !expected || !current {
+            self.release_at_home(ctx, engine, permit, false);
+            if expected {
+                self.next_round(ctx, ticket, engine, "engine_restarted", Millis(200));
+            }
+            return;
+        }
+        self.grant_own(ctx, ticket, engine, permit, false, "granted by home");
+    }
+
+    pub(super) fn refused(
+        &mut self,
+        ctx: &mut Context<'_>,
+        ticket: Ticket,
+        engine: &EngineId,
+        reason: Reason,
+        retry_after: Millis,
+    ) {
+        let asked = self.has_asked(ticket, engine);
+        if !asked {
+            return;
+        }
+        match reason {
+            Reason::Deadline => self.refuse(ctx, ticket, "deadline", retry_after),
+            Reason::Full => self.next_round(ctx, ticket, engine, "overloaded", retry_after),
+            Reason::Leaving | Reason::Gone | Reason::Duplicate | Reason::OldEntry => {
+                self.next_round(ctx, ticket, engine, "no_engine", NO_ENGINE_RETRY);
+            }
+        }
+    }
+
+    /// True while the request waits for a permit on `engine`.
+    pub(super) fn has_asked(&self, ticket: Ticket, engine: &EngineId) -> bool {
+        self.waiting.get(&ticket).is_some_and(
+            |waiting| matches!(&waiting.stage, Stage::Asked { engine: asked, .. } if asked == engine),
+        )
+    }
+
+    /// Gives the request its permit.
+    pub(super) fn grant_own(
+        &mut self,
+        ctx: &mut Context<'_>,
+        ticket: Ticket,
+        engine: &EngineId,
+        permit: PermitId,
+        reserved: bool,
+        reason: &str,
+    ) {
+        let Some(waiting) = self.forget(ticket) else {
+            self.release_at_home(ctx, engine, permit, false);
+            return;
+        };
+        waiting.prompts.dispatched(&mut self.tree, engine);
+        let candidates = json!(waiting.scored);
+        let request = &waiting.ask.request;
+        ctx.decisions.record(
+            ctx.now,
+            request,
+            "route",
+            engine.as_str(),
+            reason,
+            candidates,
+        );
+        let Some(granted) = self.permit(&waiting.ask, engine, permit) else {
+            self.release_at_home(ctx, engine, permit, false);
+            let refusal = Refusal {
+                code: "no_engine",
+                retry_after: NO_ENGINE_RETRY,
+            };
+            let _ = waiting.reply.send(Admission::Refused(refusal));
+            return;
+        };
+        let held = Held {
+            ticket,
+            incarnation: granted.incarnation,
+            reserved,
+        };
+        if permit != PermitId(0) {
+            self.held.insert((engine.clone(), permit), held);
+        }
+        // The drop of an undelivered permit releases it.
+        let _ = waiting.reply.send(Admission::Granted(granted));
+    }
+
+    pub(super) fn permit(
+        &mut self,
+        ask: &RouteAsk,
+        name: &EngineId,
+        permit: PermitId,
+    ) -> Option<Permit> {
+        let engine = self.engines.get_mut(name)?;
+        let status = engine.status.as_ref()?;
+        engine.inflight += 1;
+        Some(Permit {
+            engine: name.clone(),
+            address: engine.address,
+            incarnation: status.incarnation,
+            weights: status.weights.clone(),
+            seed: PrefixSeed::new(&ask.workspace, &ask.model, &status.weights, None),
+            permit,
+            events: self.events.clone(),
+            failed: false,
+        })
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        ctx: &mut Context<'_>,
+        ticket: Ticket,
+        code: &'static str,
+        retry_after: Millis,
+    ) {
+        let Some(waiting) = self.forget(ticket) else {
+            return;
+        };
+        let candidates = json!(waiting.scored);
+        ctx.decisions.record(
+            ctx.now,
+            &waiting.ask.request,
+            "refuse",
+            "",
+            code,
+            candidates,
+        );
+        let _ = waiting
+            .reply
+            .send(Admission::Refused(Refusal { code, retry_after }));
+    }
+
+    pub(super) fn forget(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&ticket)?;
+        self.tickets.remove(&waiting.ask.request);
+        Some(waiting)
+    }
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -259,8 +259,6 @@
     SharedPrefill,
     /// Spread hot prefixes over several engines.
     Replicas,
-    /// Export hot prefixes to the store of kept KV cache.
-    KeptCache,
 }
 
 /// How engines are chosen. All but the first are baselines for comparison.
