--- /dev/null
+++ b/crates/core/tests/test_answer_stream.rs
@@ -0,0 +1,67 @@
+//! Order and completeness of one streamed answer.
+
+use flamingolock_core::answer_stream::{
+    MAX_BREAKS, Recovery, StreamCursor, StreamFault, StreamInput, StreamStep,
+};
+use flamingolock_core::prelude::*;
+
+fn cursor() -> StreamCursor {
+    StreamCursor::new("a.1".to_owned(), Incarnation(3), 0)
+}
+
+fn piece(id: &str, index: u32) -> StreamInput<'_> {
+    StreamInput::Piece { id, index }
+}
+
+#[test]
+fn pieces_are_delivered_once_and_in_order() {
+    let mut cursor = cursor();
+    assert_eq!(cursor.accept(piece("a.1", 0)), StreamStep::Deliver);
+    assert_eq!(cursor.accept(piece("a.1", 0)), StreamStep::Skip);
+    assert_eq!(cursor.accept(piece("a.1", 1)), StreamStep::Deliver);
+    assert_eq!(cursor.next_index(), 2);
+    let end = StreamInput::End {
+        id: "a.1",
+        count: 2,
+    };
+    assert_eq!(cursor.accept(end), StreamStep::Finish);
+}
+
+#[test]
+fn gaps_foreign_pieces_and_short_ends_are_rejected() {
+    let mut cursor = cursor();
+    let gap = cursor.accept(piece("a.1", 1));
+    assert_eq!(gap, StreamStep::Reject(StreamFault::Gap));
+    let foreign = cursor.accept(piece("b.1", 0));
+    assert_eq!(foreign, StreamStep::Reject(StreamFault::Foreign));
+    let foreign_end = cursor.accept(StreamInput::End {
+        id: "b.1",
+        count: 0,
+    });
+    assert_eq!(foreign_end, StreamStep::Reject(StreamFault::Foreign));
+    let short = cursor.accept(StreamInput::End {
+        id: "a.1",
+        count: 1,
+    });
+    assert_eq!(short, StreamStep::Reject(StreamFault::WrongCount));
+    assert_eq!(cursor.next_index(), 0);
+}
+
+#[test]
+fn only_the_same_life_of_an_engine_resumes_and_breaks_are_bounded() {
+    let mut cursor = cursor();
+    assert_eq!(cursor.accept(piece("a.1", 0)), StreamStep::Deliver);
+    assert_eq!(
+        cursor.recover(Some(Incarnation(3))),
+        Recovery::Resume { from: 1 }
+    );
+    assert_eq!(
+        cursor.recover(Some(Incarnation(4))),
+        Recovery::Continue { from: 1 }
+    );
+    assert_eq!(cursor.recover(None), Recovery::Continue { from: 1 });
+    for _ in 3..MAX_BREAKS {
+        assert_ne!(cursor.recover(None), Recovery::GiveUp);
+    }
+    assert_eq!(cursor.recover(None), Recovery::GiveUp);
+}
