--- a/crates/cli/src/bin/flamingolock.rs
+++ b/crates/cli/src/bin/flamingolock.rs
@@ -73,7 +73,10 @@
     let path = flamingolock_platform::settings::path();
     let settings = flamingolock_platform::settings::load(&path).map_err(|error| usage(&error))?;
     if check {
-        print!("{}", toml::to_string(&settings).map_err(|error| usage(&error))?);
+        print!(
+            "{}",
+            toml::to_string(&settings).map_err(|error| usage(&error))?
+        );
         return Ok(());
     }
     flamingolock_gateway::logs::start(level).map_err(|error| usage(&error))?;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -18,7 +18,9 @@
 
 /// A body that is there in full.
 pub fn whole(bytes: Bytes) -> AnswerBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// Why the node answers in its own name.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -79,7 +79,13 @@
 
 impl RunGuard {
     fn new(handle: &Handle, grant: &Grant, model: Option<String>) -> Self {
-        Self { handle: handle.clone(), endpoint: grant.endpoint.key(), number: grant.number, model, open: true }
+        Self {
+            handle: handle.clone(),
+            endpoint: grant.endpoint.key(),
+            number: grant.number,
+            model,
+            open: true,
+        }
     }
 
     /// The first token came.
@@ -183,7 +189,10 @@
         Err(_) => return no_byte_in_time(exchange, guard),
     };
     let head = (means.dialect.answer_head)(answer.headers());
-    if head.request_id.is_some() && exchange.head.request_id.is_some() && head.request_id != exchange.head.request_id {
+    if head.request_id.is_some()
+        && exchange.head.request_id.is_some()
+        && head.request_id != exchange.head.request_id
+    {
         log::warn!(request = &*exchange.request, endpoint = &*grant.endpoint.id,
             found = head.request_id.as_deref().unwrap_or(""); "answer to another request dropped");
         guard.end(RunEnd::Broken);
@@ -201,9 +210,15 @@
         return Outcome::Lost(RunEnd::Broken);
     }
     if parts.status.is_success() && exchange.route.repeat == Repeat::Stream {
-        return open_stream(exchange, grant, guard, parts, body, connection, &head, limit).await;
+        return open_stream(
+            exchange, grant, guard, parts, body, connection, &head, limit,
+        )
+        .await;
     }
-    read_whole(exchange, means, &grant, guard, parts, body, connection, &head).await
+    read_whole(
+        exchange, means, &grant, guard, parts, body, connection, &head,
+    )
+    .await
 }
 
 /// True when the answer proves that the request did not run.
@@ -212,16 +227,31 @@
         || (head.not_run && matches!(status.as_u16(), 408 | 429 | 503))
 }
 
-fn why_refused(status: StatusCode, head: &AnswerHead, grant: &Grant, exchange: &Exchange) -> RunEnd {
+fn why_refused(
+    status: StatusCode,
+    head: &AnswerHead,
+    grant: &Grant,
+    exchange: &Exchange,
+) -> RunEnd {
     if status == StatusCode::MISDIRECTED_REQUEST {
-        let same = head.instance.as_deref().is_none_or(|id| id == &*grant.endpoint.id);
+        let same = head
+            .instance
+            .as_deref()
+            .is_none_or(|id| id == &*grant.endpoint.id);
         return if same && grant.weights.is_some() {
-            RunEnd::WrongWeights(head.weights.filter(|version| Some(*version) != grant.weights))
+            RunEnd::WrongWeights(
+                head.weights
+                    .filter(|version| Some(*version) != grant.weights),
+            )
         } else {
             RunEnd::WrongInstance
         };
     }
-    if exchange.head.model.is_some() { RunEnd::Reloading } else { RunEnd::Full }
+    if exchange.head.model.is_some() {
+        RunEnd::Reloading
+    } else {
+        RunEnd::Full
+    }
 }
 
 async fn send(
@@ -230,22 +260,38 @@
     grant: &Grant,
     resume_after: Option<u64>,
 ) -> Result<(http::Response<Incoming>, Connection), CallError> {
-    let share = if exchange.route.repeatable() { 1.0 } else { FRESH_SHARE };
+    let share = if exchange.route.repeatable() {
+        1.0
+    } else {
+        FRESH_SHARE
+    };
     if let Some(mut connection) = means.pool.take(grant.endpoint.key(), share) {
-        match connection.send(request(exchange, means, grant, resume_after)).await {
+        match connection
+            .send(request(exchange, means, grant, resume_after))
+            .await
+        {
             Ok(answer) => return Ok((answer, connection)),
             Err(CallError::NotSent) => {}
             Err(error) => return Err(error),
         }
     }
     let mut connection = Connection::open(grant.endpoint.address, CONNECT).await?;
-    let answer = connection.send(request(exchange, means, grant, resume_after)).await?;
+    let answer = connection
+        .send(request(exchange, means, grant, resume_after))
+        .await?;
     Ok((answer, connection))
 }
 
-fn request(exchange: &Exchange, means: &Means, grant: &Grant, resume_after: Option<u64>) -> Request<Full<Bytes>> {
+fn request(
+    exchange: &Exchange,
+    means: &Means,
+    grant: &Grant,
+    resume_after: Option<u64>,
+) -> Request<Full<Bytes>> {
     let workspace = exchange.workspace.as_ref();
-    let priority = workspace.and_then(|workspace| workspace.priority).unwrap_or(exchange.route.priority);
+    let priority = workspace
+        .and_then(|workspace| workspace.priority)
+        .unwrap_or(exchange.route.priority);
     let head = EndpointHead {
         instance: grant.endpoint.id.clone(),
         patience: exchange.expires.saturating_duration_since(Instant::now()),
@@ -302,7 +348,9 @@
     loop {
         match timeout_at(limit, body.frame()).await {
             Ok(Some(Ok(frame))) => {
-                let Ok(data) = frame.into_data() else { continue };
+                let Ok(data) = frame.into_data() else {
+                    continue;
+                };
                 if data.is_empty() {
                     continue;
                 }
@@ -363,10 +411,16 @@
             return Outcome::Expired;
         }
     };
-    let whole = Whole { status: parts.status, headers: parts.headers, body };
+    let whole = Whole {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    };
     connection.set_idle(head.idle);
     if !closes(&whole.headers) {
-        means.pool.put(grant.endpoint.key(), connection, grant.conns);
+        means
+            .pool
+            .put(grant.endpoint.key(), connection, grant.conns);
     }
     if whole.status.is_server_error() || matches!(whole.status.as_u16(), 408 | 429) {
         guard.end(RunEnd::ErrorAnswer);
@@ -381,14 +435,26 @@
     headers
         .get_all(http::header::CONNECTION)
         .iter()
-        .any(|value| value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close")))
+        .any(|value| {
+            value
+                .to_str()
+                .is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
+        })
 }
 
 /// Reads the rest of an answer that nobody needs, to keep the connection.
-async fn discard(means: &Means, grant: &Grant, mut connection: Connection, body: Incoming, head: &AnswerHead) {
+async fn discard(
+    means: &Means,
+    grant: &Grant,
+    mut connection: Connection,
+    body: Incoming,
+    head: &AnswerHead,
+) {
     let rest = Limited::new(body, WHOLE_BYTES).collect();
     if matches!(timeout(DISCARD, rest).await, Ok(Ok(_))) {
         connection.set_idle(head.idle);
-        means.pool.put(grant.endpoint.key(), connection, grant.conns);
+        means
+            .pool
+            .put(grant.endpoint.key(), connection, grant.conns);
     }
 }
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -171,15 +171,19 @@
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
         self.routes
             .iter()
-            .filter(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix))
+            .filter(|route| {
+                route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
+            })
             .max_by_key(|route| route.prefix.len())
     }
 
     /// Address of the store of kept KV cache, if there is one.
     pub fn keep(&self) -> Option<SocketAddr> {
-        self.services.values().find_map(|service| match service.kind {
-            ServiceKind::Keep { address } => Some(address),
-            _ => None,
-        })
+        self.services
+            .values()
+            .find_map(|service| match service.kind {
+                ServiceKind::Keep { address } => Some(address),
+                _ => None,
+            })
     }
 }
--- a/crates/gateway/src/chain.rs
+++ b/crates/gateway/src/chain.rs
@@ -23,10 +23,14 @@
 const NOT_READY_AGAIN: Duration = Duration::from_millis(700);
 
 /// Longest time that a caller without a deadline is kept.
-const NO_DEADLINE: Duration = Duration::from_secs(60);
+const NO_DEADLINE: Duration = Duration::from_mins(1);
 
 /// Serves one request of a caller.
-pub async fn serve(request: Request<Incoming>, means: Means, metrics: Arc<Metrics>) -> Response<AnswerBody> {
+pub async fn serve(
+    request: Request<Incoming>,
+    means: Means,
+    metrics: Arc<Metrics>,
+) -> Response<AnswerBody> {
     let started = Instant::now();
     let (parts, body) = request.into_parts();
     let head = (means.dialect.caller_head)(&parts.headers);
@@ -49,7 +53,11 @@
     let Some(service) = route.pick(rand::random()).cloned() else {
         return refuse(&id, &metrics, Reason::NoRoute, None);
     };
-    let target = parts.uri.path_and_query().cloned().unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let target = parts
+        .uri
+        .path_and_query()
+        .cloned()
+        .unwrap_or_else(|| PathAndQuery::from_static("/"));
     let exchange = Exchange {
         request: id,
         method: parts.method,
@@ -68,14 +76,23 @@
     response
 }
 
-fn refuse(id: &str, metrics: &Metrics, reason: Reason, again: Option<Duration>) -> Response<AnswerBody> {
+fn refuse(
+    id: &str,
+    metrics: &Metrics,
+    reason: Reason,
+    again: Option<Duration>,
+) -> Response<AnswerBody> {
     log::info!(request = id, reason = reason.word(), status = reason.status().as_u16(); "request refused");
     metrics.refused(reason);
     own(reason, again)
 }
 
 fn find_route(catalog: &Catalog, parts: &Parts) -> Option<Arc<Route>> {
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok()).or_else(|| parts.uri.host())?;
+    let host = parts
+        .headers
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .or_else(|| parts.uri.host())?;
     catalog.route(host, parts.uri.path()).cloned()
 }
 
@@ -86,7 +103,9 @@
     route: &Route,
     head: &CallerHead,
 ) -> Result<Option<Arc<Workspace>>, Reason> {
-    let Some(keys) = &catalog.keys else { return Ok(None) };
+    let Some(keys) = &catalog.keys else {
+        return Ok(None);
+    };
     match head.key.as_ref().and_then(|key| keys.get(key)) {
         Some(workspace) => Ok(Some(workspace.clone())),
         None if route.public => Ok(None),
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -239,7 +239,10 @@
 ) -> std::io::Result<Handle> {
     let (events, inbox) = unbounded();
     let view = Arc::new(ArcSwap::from_pointee(View::default()));
-    let handle = Handle { events, view: view.clone() };
+    let handle = Handle {
+        events,
+        view: view.clone(),
+    };
     let control = Control::new(settings, dialect, rand::random(), view);
     std::thread::Builder::new()
         .name("control".to_owned())
--- a/crates/gateway/src/control/budget.rs
+++ b/crates/gateway/src/control/budget.rs
@@ -43,12 +43,22 @@
     fn current(&mut self, service: &Arc<str>, now: Millis) -> &mut Interval {
         let intervals = self.services.entry(service.clone()).or_default();
         let oldest = now.saturating_sub(self.window);
-        while intervals.front().is_some_and(|interval| interval.start < oldest) {
+        while intervals
+            .front()
+            .is_some_and(|interval| interval.start < oldest)
+        {
             intervals.pop_front();
         }
         let start = now - now % INTERVAL_MS;
-        if intervals.back().is_none_or(|interval| interval.start < start) {
-            intervals.push_back(Interval { start, requests: 0, retries: 0 });
+        if intervals
+            .back()
+            .is_none_or(|interval| interval.start < start)
+        {
+            intervals.push_back(Interval {
+                start,
+                requests: 0,
+                retries: 0,
+            });
         }
         intervals.back_mut().expect("an interval was just added")
     }
--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -92,9 +92,18 @@
 
 impl Control {
     /// The state of a node that knows nothing yet.
-    pub fn new(settings: Settings, dialect: Dialect, incarnation: u64, view: Arc<ArcSwap<View>>) -> Self {
+    pub fn new(
+        settings: Settings,
+        dialect: Dialect,
+        incarnation: u64,
+        view: Arc<ArcSwap<View>>,
+    ) -> Self {
         Self {
-            budget: Budget::new(settings.retry_ratio, settings.retry_window, settings.retry_slack),
+            budget: Budget::new(
+                settings.retry_ratio,
+                settings.retry_window,
+                settings.retry_slack,
+            ),
             lease: Lease::new(&settings.node, settings.lease),
             settings,
             dialect,
@@ -122,13 +131,25 @@
     pub fn handle(&mut self, event: Event, now: Millis) {
         match event {
             Event::Ask(ask, reply) => self.asked(ask, reply, now),
-            Event::FirstToken { endpoint, number, weights, model } => {
+            Event::FirstToken {
+                endpoint,
+                number,
+                weights,
+                model,
+            } => {
                 self.first_token(endpoint, number, now);
-                if let (Some(state), Some(version), Some(model)) = (self.fleet.get_mut(&endpoint), weights, model) {
+                if let (Some(state), Some(version), Some(model)) =
+                    (self.fleet.get_mut(&endpoint), weights, model)
+                {
                     state.learn_weights(&model, version);
                 }
             }
-            Event::Ended { endpoint, number, end, model } => self.ended(endpoint, number, &end, model.as_deref(), now),
+            Event::Ended {
+                endpoint,
+                number,
+                end,
+                model,
+            } => self.ended(endpoint, number, &end, model.as_deref(), now),
             Event::OperatorSnapshot(records) | Event::Operator(records) => {
                 for record in &records {
                     self.operator(record, now);
@@ -177,7 +198,8 @@
             }
             Event::Reported(key, report) => {
                 log::info!(engine = key, report:? = report; "report of engine");
-                self.rollout.reported(&mut self.fleet, key, report.as_ref(), now);
+                self.rollout
+                    .reported(&mut self.fleet, key, report.as_ref(), now);
             }
             Event::Leaving => {
                 self.leaving = true;
@@ -242,8 +264,12 @@
             .iter()
             .filter_map(|record| (self.dialect.endpoint_id)(&record.key).map(Endpoint::key_of))
             .collect();
-        let missing: Vec<EndpointKey> =
-            self.fleet.keys().filter(|key| !listed.contains(key)).copied().collect();
+        let missing: Vec<EndpointKey> = self
+            .fleet
+            .keys()
+            .filter(|key| !listed.contains(key))
+            .copied()
+            .collect();
         for key in missing {
             self.endpoint_gone(key, now);
         }
@@ -253,7 +279,9 @@
     }
 
     fn endpoint(&mut self, record: &KeyedRecord, now: Millis) {
-        let Some(id) = (self.dialect.endpoint_id)(&record.key) else { return };
+        let Some(id) = (self.dialect.endpoint_id)(&record.key) else {
+            return;
+        };
         let key = Endpoint::key_of(id);
         let Some(value) = &record.value else {
             self.endpoint_gone(key, now);
@@ -334,7 +362,9 @@
 
     fn serve_waiting(&mut self, now: Millis) {
         for _ in 0..self.waiting.len() {
-            let Some(waiting) = self.waiting.pop_front() else { return };
+            let Some(waiting) = self.waiting.pop_front() else {
+                return;
+            };
             if waiting.reply.is_closed() {
                 continue;
             }
@@ -367,17 +397,26 @@
 
     /// The endpoint with the least expected delay.
     fn choose(&self, ask: &Ask, now: Millis) -> Result<(EndpointKey, Estimate), Refusal> {
-        let service = self.catalog.as_ref().and_then(|catalog| catalog.services.get(&ask.service));
+        let service = self
+            .catalog
+            .as_ref()
+            .and_then(|catalog| catalog.services.get(&ask.service));
         let kind = service.map_or(ServiceKind::Plain, |service| service.kind);
-        let newest = ask.model.as_deref().and_then(|model| self.rollout.newest(model));
+        let newest = ask
+            .model
+            .as_deref()
+            .and_then(|model| self.rollout.newest(model));
         let moment = Moment {
             now,
             zone: &self.settings.zone,
             newest: newest.map(|named| (named.version, named.learnt)),
-            weights_limit: (self.settings.weights_bound.as_millis() as Millis).saturating_sub(WEIGHTS_MARGIN_MS),
+            weights_limit: (self.settings.weights_bound.as_millis() as Millis)
+                .saturating_sub(WEIGHTS_MARGIN_MS),
         };
         let alive = |key: EndpointKey| {
-            self.fleet.get(&key).is_some_and(|state| !state.endpoint.leaving && now >= state.avoid_until)
+            self.fleet
+                .get(&key)
+                .is_some_and(|state| !state.endpoint.leaving && now >= state.avoid_until)
         };
         let preferred = self.first_reader(ask, now);
         let mut rng = rand::rng();
@@ -390,19 +429,30 @@
             }
             any = true;
             let estimate = match &kind {
-                ServiceKind::Engines(traits) => state.engine(ask, traits, &self.parts, alive, &moment),
+                ServiceKind::Engines(traits) => {
+                    state.engine(ask, traits, &self.parts, alive, &moment)
+                }
                 _ => Some(state.plain(&moment)),
             };
-            let Some(mut estimate) = estimate else { continue };
+            let Some(mut estimate) = estimate else {
+                continue;
+            };
             estimate.score += rng.random_range(0.0..TIE_MS);
             if preferred == Some(*key) {
                 estimate.score -= FIRST_READER_MS;
             }
-            if best.as_ref().is_none_or(|(_, other)| estimate.score < other.score) {
+            if best
+                .as_ref()
+                .is_none_or(|(_, other)| estimate.score < other.score)
+            {
                 best = Some((*key, estimate));
             }
         }
-        best.ok_or(if any { Refusal::AllReloading } else { Refusal::NoEndpoint })
+        best.ok_or(if any {
+            Refusal::AllReloading
+        } else {
+            Refusal::NoEndpoint
+        })
     }
 
     /// The engine that all nodes prefer for a prompt, so that two nodes which
@@ -427,11 +477,18 @@
         self.next_run += 1;
         let nodes = self.nodes(now) + SPARE_NODES;
         let catalog = self.catalog.clone();
-        let service = catalog.as_ref().and_then(|catalog| catalog.services.get(&ask.service));
-        let conns = service.map_or(8.0, |service| f64::from(service.max_conns) * CONNS_SHARE) / nodes as f64;
+        let service = catalog
+            .as_ref()
+            .and_then(|catalog| catalog.services.get(&ask.service));
+        let conns = service.map_or(8.0, |service| f64::from(service.max_conns) * CONNS_SHARE)
+            / nodes as f64;
         let store = catalog.as_ref().and_then(|catalog| catalog.keep());
         let shared = &estimate.parts;
-        let keep = store.filter(|_| shared.iter().any(|(part, _)| !self.parts.stored(*part, now)));
+        let keep = store.filter(|_| {
+            shared
+                .iter()
+                .any(|(part, _)| !self.parts.stored(*part, now))
+        });
         let alive = |key: EndpointKey| {
             self.fleet
                 .get(&key)
@@ -442,7 +499,9 @@
             .source(shared, key, alive, now)
             .and_then(|source| self.fleet.get(&source))
             .map(|state| state.endpoint.address);
-        let stored = shared.first().is_some_and(|(part, _)| self.parts.stored(*part, now));
+        let stored = shared
+            .first()
+            .is_some_and(|(part, _)| self.parts.stored(*part, now));
         let fetch = source.or_else(|| store.filter(|_| stored));
         let run = Run {
             number,
@@ -463,21 +522,49 @@
         }
         self.parts.sent(key, &run.parts, now);
         self.tell(run, now);
-        let salt = estimate.version.zip(ask.model.as_deref()).map(|(version, model)| {
-            format!("{version}-{:x}", scope(model, version, ask.wall.as_deref()))
-        });
-        Grant { number, endpoint, weights: estimate.version, salt, fetch, keep, conns: (conns as usize).max(1) }
+        let salt = estimate
+            .version
+            .zip(ask.model.as_deref())
+            .map(|(version, model)| {
+                format!("{version}-{:x}", scope(model, version, ask.wall.as_deref()))
+            });
+        Grant {
+            number,
+            endpoint,
+            weights: estimate.version,
+            salt,
+            fetch,
+            keep,
+            conns: (conns as usize).max(1),
+        }
     }
 
     fn first_token(&mut self, endpoint: EndpointKey, number: u64, now: Millis) {
-        let Some(state) = self.fleet.get_mut(&endpoint) else { return };
+        let Some(state) = self.fleet.get_mut(&endpoint) else {
+            return;
+        };
         if let Some((parts, kept)) = state.first_token((self.incarnation, number), now) {
             self.parts.read(endpoint, &parts, kept, now);
-            self.tell(Run { number, endpoint, step: 1, ..Run::default() }, now);
+            self.tell(
+                Run {
+                    number,
+                    endpoint,
+                    step: 1,
+                    ..Run::default()
+                },
+                now,
+            );
         }
     }
 
-    fn ended(&mut self, endpoint: EndpointKey, number: u64, end: &RunEnd, model: Option<&str>, now: Millis) {
+    fn ended(
+        &mut self,
+        endpoint: EndpointKey,
+        number: u64,
+        end: &RunEnd,
+        model: Option<&str>,
+        now: Millis,
+    ) {
         if let Some(state) = self.fleet.get_mut(&endpoint) {
             let unread = state.ended((self.incarnation, number));
             if let (RunEnd::WrongWeights(Some(version)), Some(model)) = (end, model) {
@@ -485,12 +572,23 @@
             }
             if let Some(avoid_ms) = state.learn(end, now) {
                 log::warn!(endpoint = &*state.endpoint.id, cause:? = end, avoid_ms; "endpoint avoided");
-                self.faults.push(Fault { endpoint, avoid_ms: avoid_ms as u32 });
+                self.faults.push(Fault {
+                    endpoint,
+                    avoid_ms: avoid_ms as u32,
+                });
             }
             self.parts.failed(endpoint, &unread);
         }
         let step = if *end == RunEnd::Complete { 2 } else { 3 };
-        self.tell(Run { number, endpoint, step, ..Run::default() }, now);
+        self.tell(
+            Run {
+                number,
+                endpoint,
+                step,
+                ..Run::default()
+            },
+            now,
+        );
     }
 
     fn tell(&mut self, run: Run, now: Millis) {
@@ -531,7 +629,10 @@
                 reloads: self.reloads(now),
                 faults: std::mem::take(&mut faults),
             };
-            self.effects.push(Effect::Datagram(addresses.clone(), Bytes::from(gossip.encode_to_vec())));
+            self.effects.push(Effect::Datagram(
+                addresses.clone(),
+                Bytes::from(gossip.encode_to_vec()),
+            ));
             if rest.is_empty() {
                 return;
             }
@@ -586,7 +687,8 @@
             self.rollout.moved(now);
             if let Some(state) = self.fleet.get_mut(&reload.endpoint) {
                 if reload.left_ms > 0 {
-                    state.loading_until = state.loading_until.max(now + Millis::from(reload.left_ms));
+                    state.loading_until =
+                        state.loading_until.max(now + Millis::from(reload.left_ms));
                     state.learn_weights(&reload.model, reload.version);
                 } else {
                     state.reserved_until = now + BEACON_MS;
@@ -601,7 +703,9 @@
     }
 
     fn peer_run(&mut self, node: u64, run: &Run, now: Millis) {
-        let Some(state) = self.fleet.get_mut(&run.endpoint) else { return };
+        let Some(state) = self.fleet.get_mut(&run.endpoint) else {
+            return;
+        };
         let name = (node, run.number);
         match run.step {
             0 => {
@@ -627,8 +731,13 @@
         let pending = self.rollout.pending(&self.fleet);
         let rank = self.rank(now);
         let holder_alive = self.lease.held_by_other()
-            && self.lease.holder().is_some_and(|name| self.peers.is_named_alive(name, now));
-        let turn = self.rollout.my_turn(rank, self.lease.held_by_me(), holder_alive, now);
+            && self
+                .lease
+                .holder()
+                .is_some_and(|name| self.peers.is_named_alive(name, now));
+        let turn = self
+            .rollout
+            .my_turn(rank, self.lease.held_by_me(), holder_alive, now);
         let step = self.lease.step(pending && turn, now);
         match step {
             LeaseStep::Read(from) => self.effects.push(Effect::LeaseRead(from)),
@@ -636,7 +745,10 @@
             LeaseStep::Hold { .. } | LeaseStep::Wait => {}
         }
         let mut tasks = self.rollout.due_reports(&self.fleet, now);
-        tasks.extend(self.rollout.plan(&mut self.fleet, step, &self.settings.node, now));
+        tasks.extend(
+            self.rollout
+                .plan(&mut self.fleet, step, &self.settings.node, now),
+        );
         for task in tasks {
             self.news_at.get_or_insert(now);
             match task {
@@ -654,7 +766,9 @@
     fn rank(&self, now: Millis) -> usize {
         self.peers
             .alive(now)
-            .filter(|peer| peer.state.ready && !peer.state.leaving && peer.state.incarnation < self.incarnation)
+            .filter(|peer| {
+                peer.state.ready && !peer.state.leaving && peer.state.incarnation < self.incarnation
+            })
             .count()
     }
 
@@ -669,6 +783,10 @@
             nodes.push((self.settings.callers, self.settings.zone.clone()));
         }
         nodes.sort();
-        self.view.store(Arc::new(View { catalog: self.catalog.clone(), nodes, leaving: self.leaving }));
+        self.view.store(Arc::new(View {
+            catalog: self.catalog.clone(),
+            nodes,
+            leaving: self.leaving,
+        }));
     }
 }
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -189,15 +189,18 @@
     pub fn sent(&mut self, name: RunName, run: &Run, now: Millis) {
         self.runs.retain(|_, run| now < run.since + FORGOTTEN_MS);
         let ahead_ms = self.queue_ms(now) / self.slowness;
-        self.runs.insert(name, Running {
-            since: now,
-            ahead_ms,
-            read_ms: f64::from(run.read_us) / 1000.0,
-            tokens: run.tokens,
-            first: false,
-            kept: run.kept,
-            parts: run.parts.clone(),
-        });
+        self.runs.insert(
+            name,
+            Running {
+                since: now,
+                ahead_ms,
+                read_ms: f64::from(run.read_us) / 1000.0,
+                tokens: run.tokens,
+                first: false,
+                kept: run.kept,
+                parts: run.parts.clone(),
+            },
+        );
     }
 
     /// Notes the first token of a request. Returns the parts that are read now,
@@ -285,12 +288,20 @@
     }
 
     fn health_ms(&self, now: Millis) -> f64 {
-        let suspect = if now < self.avoid_until { SUSPECT_MS } else { 0.0 };
+        let suspect = if now < self.avoid_until {
+            SUSPECT_MS
+        } else {
+            0.0
+        };
         suspect + self.failing * FAILURE_MS
     }
 
     fn zone_ms(&self, moment: &Moment) -> f64 {
-        if self.endpoint.zone == moment.zone { 0.0 } else { ZONE_MS }
+        if self.endpoint.zone == moment.zone {
+            0.0
+        } else {
+            ZONE_MS
+        }
     }
 
     /// What a request meets at an application server.
@@ -329,7 +340,11 @@
             if age > moment.weights_limit {
                 return None;
             }
-            score += if age > WEIGHTS_FRESH_MS { OLD_WEIGHTS_MS } else { 25.0 };
+            score += if age > WEIGHTS_FRESH_MS {
+                OLD_WEIGHTS_MS
+            } else {
+                25.0
+            };
         }
         if now < self.reserved_until {
             score += RESERVED_MS;
@@ -363,6 +378,11 @@
         score += (memory - MEMORY_FULL).max(0.0) * MEMORY_MS;
         score += self.runs.len() as f64 * RUNNING_MS;
         score += self.queue_ms(now) + read_ms * self.slowness;
-        Some(Estimate { score, read_ms, version: Some(version), parts: keys })
+        Some(Estimate {
+            score,
+            read_ms,
+            version: Some(version),
+            parts: keys,
+        })
     }
 }
--- a/crates/gateway/src/control/lease.rs
+++ b/crates/gateway/src/control/lease.rs
@@ -78,7 +78,10 @@
     /// What to do now, given whether there are orders to give.
     pub fn step(&mut self, wanted: bool, now: Millis) -> LeaseStep {
         if now < self.held_until {
-            return LeaseStep::Hold { fencing: self.fencing, until: self.held_until };
+            return LeaseStep::Hold {
+                fencing: self.fencing,
+                until: self.held_until,
+            };
         }
         if !wanted || self.in_flight || now < self.retry_at {
             return LeaseStep::Wait;
@@ -98,12 +101,16 @@
 
     /// True when another node was the last holder.
     pub fn held_by_other(&self) -> bool {
-        self.holder.as_ref().is_some_and(|holder| *holder != self.name)
+        self.holder
+            .as_ref()
+            .is_some_and(|holder| *holder != self.name)
     }
 
     /// True when this node was the last holder.
     pub fn held_by_me(&self) -> bool {
-        self.holder.as_ref().is_some_and(|holder| *holder == self.name)
+        self.holder
+            .as_ref()
+            .is_some_and(|holder| *holder == self.name)
     }
 
     /// Name of the last holder.
--- a/crates/gateway/src/control/parts.rs
+++ b/crates/gateway/src/control/parts.rs
@@ -24,7 +24,9 @@
 /// workspace where that one shares with nobody.
 pub fn scope(model: &str, version: u64, wall: Option<&str>) -> u64 {
     let seed = xxh3_64_with_seed(model.as_bytes(), version);
-    wall.map_or(seed, |workspace| xxh3_64_with_seed(workspace.as_bytes(), seed))
+    wall.map_or(seed, |workspace| {
+        xxh3_64_with_seed(workspace.as_bytes(), seed)
+    })
 }
 
 /// Keys of the shared parts of a prompt: all but its own last part.
@@ -78,10 +80,16 @@
     /// Notes that a run which uses `keys` was sent to `engine`.
     pub fn sent(&mut self, engine: EndpointKey, keys: &[PartKey], now: Millis) {
         for key in keys {
-            let holder = self.parts.entry(*key).or_default().engines.entry(engine).or_insert(Holder {
-                ready: false,
-                at: now,
-            });
+            let holder = self
+                .parts
+                .entry(*key)
+                .or_default()
+                .engines
+                .entry(engine)
+                .or_insert(Holder {
+                    ready: false,
+                    at: now,
+                });
             if holder.ready && now > holder.at + ENGINE_KEEPS_MS {
                 holder.ready = false;
             }
@@ -95,7 +103,13 @@
     pub fn read(&mut self, engine: EndpointKey, keys: &[PartKey], kept: bool, now: Millis) {
         for key in keys {
             let part = self.parts.entry(*key).or_default();
-            part.engines.insert(engine, Holder { ready: true, at: now });
+            part.engines.insert(
+                engine,
+                Holder {
+                    ready: true,
+                    at: now,
+                },
+            );
             if kept || part.stored_at.is_some_and(|at| now <= at + STORE_KEEPS_MS) {
                 part.stored_at = Some(now);
             }
@@ -106,7 +120,10 @@
     pub fn failed(&mut self, engine: EndpointKey, keys: &[PartKey]) {
         for key in keys {
             if let Some(part) = self.parts.get_mut(key)
-                && part.engines.get(&engine).is_some_and(|holder| !holder.ready)
+                && part
+                    .engines
+                    .get(&engine)
+                    .is_some_and(|holder| !holder.ready)
             {
                 part.engines.remove(&engine);
             }
@@ -140,8 +157,12 @@
             return Presence::Nowhere;
         };
         match part.engines.get(&engine) {
-            Some(holder) if holder.ready && now <= holder.at + ENGINE_KEEPS_MS => return Presence::Here,
-            Some(holder) if !holder.ready && now <= holder.at + READING_MS => return Presence::Coming,
+            Some(holder) if holder.ready && now <= holder.at + ENGINE_KEEPS_MS => {
+                return Presence::Here;
+            }
+            Some(holder) if !holder.ready && now <= holder.at + READING_MS => {
+                return Presence::Coming;
+            }
             _ => {}
         }
         if part.stored_at.is_some_and(|at| now <= at + STORE_KEEPS_MS) {
@@ -157,7 +178,11 @@
             }
             reading |= !holder.ready && now <= holder.at + READING_MS;
         }
-        if reading { Presence::ReadElsewhere } else { Presence::Nowhere }
+        if reading {
+            Presence::ReadElsewhere
+        } else {
+            Presence::Nowhere
+        }
     }
 
     /// The engine, other than `engine`, that holds most of `keys` from the start;
@@ -181,7 +206,10 @@
             .iter()
             .filter(|(other, _)| **other != engine && alive(**other))
             .map(|(other, holder)| {
-                let depth = keys.iter().take_while(|(key, _)| held(*key, *other)).count();
+                let depth = keys
+                    .iter()
+                    .take_while(|(key, _)| held(*key, *other))
+                    .count();
                 (depth, holder.at, *other)
             })
             .filter(|(depth, _, _)| *depth > 0)
@@ -204,7 +232,8 @@
         }
         self.swept = now;
         self.parts.retain(|_, part| {
-            part.engines.retain(|_, holder| now <= holder.at + ENGINE_KEEPS_MS);
+            part.engines
+                .retain(|_, holder| now <= holder.at + ENGINE_KEEPS_MS);
             part.stored_at = part.stored_at.filter(|at| now <= at + STORE_KEEPS_MS);
             !part.engines.is_empty() || part.stored_at.is_some()
         });
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -47,7 +47,11 @@
             log::warn!(from:% = from, callers = state.callers.as_str(); "datagram without a caller address ignored");
             return None;
         };
-        let peer = Peer { state: state.clone(), callers, heard: now };
+        let peer = Peer {
+            state: state.clone(),
+            callers,
+            heard: now,
+        };
         let before = self.known.insert(from, Some(peer)).flatten();
         before
             .map(|before| before.state.incarnation)
@@ -56,29 +60,41 @@
 
     /// Nodes that were heard lately.
     pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Peer> {
-        self.known.values().flatten().filter(move |peer| now <= peer.heard + SILENT_MS)
+        self.known
+            .values()
+            .flatten()
+            .filter(move |peer| now <= peer.heard + SILENT_MS)
     }
 
     /// True when the node of this incarnation was heard lately.
     pub fn is_alive(&self, incarnation: u64, now: Millis) -> bool {
-        self.alive(now).any(|peer| peer.state.incarnation == incarnation)
+        self.alive(now)
+            .any(|peer| peer.state.incarnation == incarnation)
     }
 
     /// True when the node with this name was heard lately and stays.
     pub fn is_named_alive(&self, name: &str, now: Millis) -> bool {
-        self.alive(now).any(|peer| peer.state.name == name && !peer.state.leaving)
+        self.alive(now)
+            .any(|peer| peer.state.name == name && !peer.state.leaving)
     }
 
     /// The largest number of nodes that may share a limit now, this one included.
     pub fn sharing(&self, now: Millis) -> usize {
-        1 + self.known.values().flatten().filter(|peer| now <= peer.heard + FORGOTTEN_MS).count()
+        1 + self
+            .known
+            .values()
+            .flatten()
+            .filter(|peer| now <= peer.heard + FORGOTTEN_MS)
+            .count()
     }
 
     /// Addresses to send the next datagram to. Silent ones get few.
     pub fn addresses(&mut self, now: Millis) -> Vec<SocketAddr> {
         let mut addresses = Vec::new();
         for (address, peer) in &self.known {
-            let alive = peer.as_ref().is_some_and(|peer| now <= peer.heard + SILENT_MS);
+            let alive = peer
+                .as_ref()
+                .is_some_and(|peer| now <= peer.heard + SILENT_MS);
             let probed = self.probed.entry(*address).or_insert(0);
             if alive || now >= *probed + PROBE_MS {
                 *probed = now;
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -75,10 +75,20 @@
 impl Rollout {
     /// Takes weights that the operator named. True if they are new.
     pub fn name(&mut self, model: &str, version: u64, now: Millis) -> bool {
-        if self.named.get(model).is_some_and(|named| named.version >= version) {
+        if self
+            .named
+            .get(model)
+            .is_some_and(|named| named.version >= version)
+        {
             return false;
         }
-        self.named.insert(model.to_owned(), Named { version, learnt: now });
+        self.named.insert(
+            model.to_owned(),
+            Named {
+                version,
+                learnt: now,
+            },
+        );
         self.moved_at = now;
         true
     }
@@ -122,7 +132,13 @@
     }
 
     /// Tasks for the holder of the lease. Marks engines as reserved and loading.
-    pub fn plan(&mut self, fleet: &mut Fleet, lease: LeaseStep, holder: &str, now: Millis) -> Vec<Task> {
+    pub fn plan(
+        &mut self,
+        fleet: &mut Fleet,
+        lease: LeaseStep,
+        holder: &str,
+        now: Millis,
+    ) -> Vec<Task> {
         let LeaseStep::Hold { fencing, until } = lease else {
             return Vec::new();
         };
@@ -140,7 +156,10 @@
             } else if self.lacking(state).is_some() {
                 let progress = self.engines.entry(*key).or_default();
                 if progress.born != state.endpoint.born {
-                    *progress = Progress { born: state.endpoint.born, ..Progress::default() };
+                    *progress = Progress {
+                        born: state.endpoint.born,
+                        ..Progress::default()
+                    };
                 }
                 if !progress.in_flight && now >= progress.retry_at && now >= state.avoid_until {
                     wanting.push((progress.reserved_at.is_none(), state.tokens(), *key));
@@ -150,7 +169,8 @@
         let most = LOADS_MIN.max(engines / LOADS_SHARE);
         wanting.sort_unstable();
         for (_, _, key) in wanting.iter().take(most) {
-            let (Some(state), Some(progress)) = (fleet.get_mut(key), self.engines.get_mut(key)) else {
+            let (Some(state), Some(progress)) = (fleet.get_mut(key), self.engines.get_mut(key))
+            else {
                 continue;
             };
             let since = *progress.reserved_at.get_or_insert(now);
@@ -191,7 +211,10 @@
     pub fn due_reports(&mut self, fleet: &Fleet, now: Millis) -> Vec<Task> {
         let mut tasks = Vec::new();
         for (key, progress) in &mut self.engines {
-            if progress.confirm_at.is_some_and(|at| now >= at) && !progress.in_flight && fleet.contains_key(key) {
+            if progress.confirm_at.is_some_and(|at| now >= at)
+                && !progress.in_flight
+                && fleet.contains_key(key)
+            {
                 progress.confirm_at = None;
                 progress.in_flight = true;
                 tasks.push(Task::Report(*key));
@@ -201,12 +224,22 @@
     }
 
     /// An engine answered an order, or did not.
-    pub fn ordered(&mut self, fleet: &mut Fleet, order: &WeightsOrder, outcome: OrderOutcome, now: Millis) {
+    pub fn ordered(
+        &mut self,
+        fleet: &mut Fleet,
+        order: &WeightsOrder,
+        outcome: OrderOutcome,
+        now: Millis,
+    ) {
         let key = order.engine.key();
-        let Some(progress) = self.engines.get_mut(&key) else { return };
+        let Some(progress) = self.engines.get_mut(&key) else {
+            return;
+        };
         progress.in_flight = false;
         self.moved_at = now;
-        let Some(state) = fleet.get_mut(&key) else { return };
+        let Some(state) = fleet.get_mut(&key) else {
+            return;
+        };
         if state.endpoint.born != order.engine.born {
             return;
         }
@@ -248,9 +281,13 @@
         report: Option<&EngineReport>,
         now: Millis,
     ) {
-        let Some(progress) = self.engines.get_mut(&key) else { return };
+        let Some(progress) = self.engines.get_mut(&key) else {
+            return;
+        };
         progress.in_flight = false;
-        let Some(state) = fleet.get_mut(&key) else { return };
+        let Some(state) = fleet.get_mut(&key) else {
+            return;
+        };
         let Some(report) = report else {
             progress.retry_at = now + AGAIN_MS;
             return;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -27,7 +27,11 @@
     let path = request.uri().path();
     let view = means.handle.view();
     if (means.dialect.is_ready)(path) {
-        return status(if is_ready(&view) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+        return status(if is_ready(&view) {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        });
     }
     if !(means.dialect.is_resolve)(path) {
         return status(StatusCode::NOT_FOUND);
@@ -38,7 +42,9 @@
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
     let mut response = Response::new(whole((means.dialect.resolved)(&addresses, LIFETIME_S)));
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
@@ -55,7 +61,10 @@
 
 /// Nodes for a caller: those of its own zone, if there are enough.
 pub fn addresses(view: &View, caller: &Whereabouts) -> Vec<SocketAddr> {
-    let near = view.nodes.iter().filter(|(_, zone)| caller.zone.as_ref() == Some(zone));
+    let near = view
+        .nodes
+        .iter()
+        .filter(|(_, zone)| caller.zone.as_ref() == Some(zone));
     let mut addresses: Vec<SocketAddr> = near.map(|(address, _)| *address).collect();
     if addresses.len() < ZONE_NODES {
         addresses = view.nodes.iter().map(|(address, _)| *address).collect();
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -35,7 +35,10 @@
                 None => out.extend_from_slice(&event),
             }
         }
-        (!out.is_empty()).then(|| Events { bytes: out.freeze(), last_id })
+        (!out.is_empty()).then(|| Events {
+            bytes: out.freeze(),
+            last_id,
+        })
     }
 
     /// What is left when the stream has ended.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -42,19 +42,26 @@
 impl Progress {
     /// True when another endpoint may be tried.
     pub fn may_retry(&self, exchange: &Exchange) -> bool {
-        let allowed = self.ran == 0 || (exchange.route.repeatable() && self.ran < exchange.route.max_attempts);
+        let allowed = self.ran == 0
+            || (exchange.route.repeatable() && self.ran < exchange.route.max_attempts);
         let left = exchange.expires.saturating_duration_since(Instant::now());
         allowed && self.tried.len() < OFFERS && left > WORTHWHILE
     }
 
     /// Asks for a place at an endpoint that was not tried yet.
+    ///
+    /// # Errors
+    ///
+    /// When there is none.
     pub async fn place(&self, exchange: &Exchange, means: &Means) -> Placement {
         let workspace = exchange.workspace.as_ref();
         let ask = Ask {
             request: exchange.request.clone(),
             service: exchange.service.clone(),
             model: exchange.head.model.clone(),
-            wall: workspace.filter(|workspace| workspace.isolated).map(|workspace| workspace.name.clone()),
+            wall: workspace
+                .filter(|workspace| workspace.isolated)
+                .map(|workspace| workspace.name.clone()),
             parts: exchange.head.parts.clone(),
             prompt_tokens: exchange.head.prompt_tokens,
             output_tokens: exchange.head.output_tokens,
@@ -71,7 +78,9 @@
     loop {
         let grant = match progress.place(&exchange, &means).await {
             Ok(grant) => grant,
-            Err(refusal) => return give_up(&exchange, &means, &mut progress, refusal_cause(refusal)),
+            Err(refusal) => {
+                return give_up(&exchange, &means, &mut progress, refusal_cause(refusal));
+            }
         };
         progress.tried.push(grant.endpoint.key());
         match attempt(&exchange, &means, grant.clone(), None, silence(&exchange)).await {
@@ -110,7 +119,13 @@
 
 fn silence(exchange: &Exchange) -> Option<Duration> {
     let repeatable = exchange.route.repeatable();
-    repeatable.then(|| exchange.route.target.mul_f64(SILENCE_TARGETS).max(Duration::from_millis(900)))
+    repeatable.then(|| {
+        exchange
+            .route
+            .target
+            .mul_f64(SILENCE_TARGETS)
+            .max(Duration::from_millis(900))
+    })
 }
 
 fn refusal_cause(refusal: Refusal) -> &'static str {
@@ -121,7 +136,12 @@
     }
 }
 
-fn whole_answer(exchange: &Exchange, means: &Means, whole: Whole, grant: &Grant) -> Response<AnswerBody> {
+fn whole_answer(
+    exchange: &Exchange,
+    means: &Means,
+    whole: Whole,
+    grant: &Grant,
+) -> Response<AnswerBody> {
     log::info!(request = &*exchange.request, route = exchange.route.name.as_str(),
         endpoint = &*grant.endpoint.id, status = whole.status.as_u16(), took_ms = took(exchange); "request answered");
     from_endpoint(means, whole)
@@ -140,7 +160,12 @@
 }
 
 /// The final answer to a request that is not tried any more.
-fn give_up(exchange: &Exchange, means: &Means, progress: &mut Progress, cause: &str) -> Response<AnswerBody> {
+fn give_up(
+    exchange: &Exchange,
+    means: &Means,
+    progress: &mut Progress,
+    cause: &str,
+) -> Response<AnswerBody> {
     if let Some(whole) = progress.fallback.take() {
         // These statuses would say that the request has not run.
         let promise = matches!(whole.status.as_u16(), 408 | 421 | 429 | 503);
@@ -152,7 +177,11 @@
         }
         return answer::own(Reason::Failed, None);
     }
-    let (reason, again) = if progress.ran == 0 { (Reason::NotRun, Some(AGAIN)) } else { (Reason::Failed, None) };
+    let (reason, again) = if progress.ran == 0 {
+        (Reason::NotRun, Some(AGAIN))
+    } else {
+        (Reason::Failed, None)
+    };
     log_given_up(exchange, progress, reason, cause);
     answer::own(reason, again)
 }
--- a/crates/gateway/src/gossip_link.rs
+++ b/crates/gateway/src/gossip_link.rs
@@ -59,10 +59,20 @@
                 }
             }
             Effect::LeaseRead(from) => {
-                tokio::spawn(store::read_lease(settings.clone(), dialect, handle.clone(), from));
+                tokio::spawn(store::read_lease(
+                    settings.clone(),
+                    dialect,
+                    handle.clone(),
+                    from,
+                ));
             }
             Effect::LeaseAppend(at) => {
-                tokio::spawn(store::append_lease(settings.clone(), dialect, handle.clone(), at));
+                tokio::spawn(store::append_lease(
+                    settings.clone(),
+                    dialect,
+                    handle.clone(),
+                    at,
+                ));
             }
             Effect::Order(order) => {
                 tokio::spawn(orders::give(dialect, handle.clone(), order));
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -93,7 +93,12 @@
             // The user of the connection sees the same error.
             let _ = connection.await;
         });
-        Ok(Self { sender, driver: driver.abort_handle(), idle_since: now(), idle_for: IDLE_MS })
+        Ok(Self {
+            sender,
+            driver: driver.abort_handle(),
+            idle_since: now(),
+            idle_for: IDLE_MS,
+        })
     }
 
     /// Sends a request and waits for the head of the answer.
@@ -101,13 +106,23 @@
     /// # Errors
     ///
     /// [`CallError::NotSent`] when nothing was written, else [`CallError::Broken`].
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, CallError> {
         if self.sender.ready().await.is_err() {
             return Err(CallError::NotSent);
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| {
-            if error.take_message().is_some() { CallError::NotSent } else { CallError::Broken(error.into_error()) }
-        })
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut error| {
+                if error.take_message().is_some() {
+                    CallError::NotSent
+                } else {
+                    CallError::Broken(error.into_error())
+                }
+            })
     }
 
     /// Takes over the idle time that the other side named.
@@ -136,7 +151,10 @@
     most: usize,
 ) -> Result<(u16, Bytes), CallError> {
     let whole = async {
-        let mut connection = match slot.take().filter(|connection| connection.is_usable(1.0, now())) {
+        let mut connection = match slot
+            .take()
+            .filter(|connection| connection.is_usable(1.0, now()))
+        {
             Some(connection) => connection,
             None => Connection::open(address, limit).await?,
         };
@@ -150,7 +168,9 @@
         *slot = Some(connection);
         Ok((status, body.to_bytes()))
     };
-    timeout(limit, whole).await.unwrap_or(Err(CallError::Timeout))
+    timeout(limit, whole)
+        .await
+        .unwrap_or(Err(CallError::Timeout))
 }
 
 /// Idle connections to endpoints.
@@ -176,7 +196,8 @@
         connection.idle_since = now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(key).or_default();
-        connections.retain(|connection| connection.is_usable(1.0, connection.idle_since.max(now())));
+        connections
+            .retain(|connection| connection.is_usable(1.0, connection.idle_since.max(now())));
         if connections.len() < most {
             connections.push(connection);
         }
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -32,7 +32,13 @@
         let mut line = line(record);
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
-            line.splice(0..0, format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{dropped}}}\n").into_bytes());
+            line.splice(
+                0..0,
+                format!(
+                    "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{dropped}}}\n"
+                )
+                .into_bytes(),
+            );
         }
         if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
             self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
@@ -59,11 +65,17 @@
 }
 
 fn line(record: &Record) -> Vec<u8> {
-    let time = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
+    let time = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis() as u64);
     let mut fields = Fields(Map::new());
     fields.0.insert("time_ms".to_owned(), json!(time));
-    fields.0.insert("level".to_owned(), json!(record.level().as_str()));
-    fields.0.insert("message".to_owned(), json!(record.args().to_string()));
+    fields
+        .0
+        .insert("level".to_owned(), json!(record.level().as_str()));
+    fields
+        .0
+        .insert("message".to_owned(), json!(record.args().to_string()));
     // A field that cannot be written is left out; the line still says the rest.
     let _ = record.key_values().visit(&mut fields);
     let mut line = serde_json::to_vec(&fields.0).unwrap_or_default();
@@ -96,12 +108,17 @@
         .name("log".to_owned())
         .stack_size(128 * 1024)
         .spawn(move || write(&receiver))?;
-    let appender = QueueAppender { lines: sender, dropped: AtomicU64::new(0) };
+    let appender = QueueAppender {
+        lines: sender,
+        dropped: AtomicU64::new(0),
+    };
     let config = Config::builder()
         .appender(Appender::builder().build("out", Box::new(appender)))
         .logger(Logger::builder().build("hyper", LevelFilter::Warn))
         .logger(Logger::builder().build("hyper_util", LevelFilter::Warn))
         .build(Root::builder().appender("out").build(level))
         .map_err(std::io::Error::other)?;
-    log4rs::init_config(config).map(|_| ()).map_err(std::io::Error::other)
+    log4rs::init_config(config)
+        .map(|_| ())
+        .map_err(std::io::Error::other)
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,8 +55,16 @@
             first_byte: Family::new_with_constructor(first_byte_histogram as fn() -> Histogram),
         };
         if let Ok(mut registry) = metrics.registry.lock() {
-            registry.register("requests", "Requests by kind and status", metrics.answered.clone());
-            registry.register("refused", "Requests refused by the node, by reason", metrics.refused.clone());
+            registry.register(
+                "requests",
+                "Requests by kind and status",
+                metrics.answered.clone(),
+            );
+            registry.register(
+                "refused",
+                "Requests refused by the node, by reason",
+                metrics.refused.clone(),
+            );
             registry.register(
                 "first_byte_seconds",
                 "Time from a request's head to the head of its answer",
@@ -75,15 +83,24 @@
             Repeat::Once => "once",
             Repeat::Stream => "stream",
         };
-        let labels = Answered { kind: kind.to_owned(), status: u32::from(status) };
+        let labels = Answered {
+            kind: kind.to_owned(),
+            status: u32::from(status),
+        };
         self.answered.get_or_create(&labels).inc();
-        let labels = Kind { kind: kind.to_owned() };
-        self.first_byte.get_or_create(&labels).observe(took.as_secs_f64());
+        let labels = Kind {
+            kind: kind.to_owned(),
+        };
+        self.first_byte
+            .get_or_create(&labels)
+            .observe(took.as_secs_f64());
     }
 
     /// Counts a request that reached no endpoint.
     pub fn refused(&self, reason: Reason) {
-        let labels = Refused { reason: reason.word().to_owned() };
+        let labels = Refused {
+            reason: reason.word().to_owned(),
+        };
         self.refused.get_or_create(&labels).inc();
     }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -32,19 +32,33 @@
 /// # Errors
 ///
 /// When a port cannot be opened or a thread not started.
-pub fn run(settings: Settings, dialect: Dialect, reload: impl Fn() -> Result<(), String>) -> std::io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+pub fn run(
+    settings: Settings,
+    dialect: Dialect,
+    reload: impl Fn() -> Result<(), String>,
+) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(serve(settings, dialect, reload))
 }
 
-async fn serve(settings: Settings, dialect: Dialect, reload: impl Fn() -> Result<(), String>) -> std::io::Result<()> {
+async fn serve(
+    settings: Settings,
+    dialect: Dialect,
+    reload: impl Fn() -> Result<(), String>,
+) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let (effects, wanted) = mpsc::unbounded_channel();
     let socket = gossip_link::bind(settings.gossip).await?;
     let handle = control::start(settings.clone(), dialect, effects)?;
-    let means = Means { handle: handle.clone(), dialect, pool: Pool::default() };
+    let means = Means {
+        handle: handle.clone(),
+        dialect,
+        pool: Pool::default(),
+    };
     let metrics = Arc::new(Metrics::default());
     let open = Open::default();
     let (leave, leaving) = watch::channel(false);
@@ -53,14 +67,38 @@
     let ready = server::listen(settings.ready)?;
     let measured = server::listen(settings.metrics)?;
     tokio::spawn(gossip_link::receive(socket.clone(), handle.clone()));
-    tokio::spawn(gossip_link::carry_out(socket, settings.clone(), dialect, handle.clone(), wanted));
-    tokio::spawn(store::follow_operator(settings.clone(), dialect, handle.clone()));
-    tokio::spawn(store::follow_endpoints(settings.clone(), dialect, handle.clone()));
-    tokio::spawn(store::keep_registered(settings.clone(), dialect, handle.clone()));
+    tokio::spawn(gossip_link::carry_out(
+        socket,
+        settings.clone(),
+        dialect,
+        handle.clone(),
+        wanted,
+    ));
+    tokio::spawn(store::follow_operator(
+        settings.clone(),
+        dialect,
+        handle.clone(),
+    ));
+    tokio::spawn(store::follow_endpoints(
+        settings.clone(),
+        dialect,
+        handle.clone(),
+    ));
+    tokio::spawn(store::keep_registered(
+        settings.clone(),
+        dialect,
+        handle.clone(),
+    ));
     tokio::spawn(server::serve_directory(directory, means.clone()));
     tokio::spawn(server::serve_directory(ready, means.clone()));
     tokio::spawn(server::serve_metrics(measured, metrics.clone()));
-    tokio::spawn(server::serve_callers(callers, means, metrics, open.clone(), leaving));
+    tokio::spawn(server::serve_callers(
+        callers,
+        means,
+        metrics,
+        open.clone(),
+        leaving,
+    ));
     log::info!(node = settings.node.as_str(), zone = settings.zone.as_str(), callers:% = settings.callers,
         store:% = settings.store; "node started");
     loop {
@@ -79,7 +117,12 @@
 
 /// Tells the others, finishes what is in progress, and stays as long as callers
 /// may still connect.
-async fn leave_fleet(settings: &Settings, handle: &Handle, leave: &watch::Sender<bool>, open: &Open) {
+async fn leave_fleet(
+    settings: &Settings,
+    handle: &Handle,
+    leave: &watch::Sender<bool>,
+    open: &Open,
+) {
     log::info!(open = open.count(); "shutting down");
     let started = Instant::now();
     handle.send(Event::Leaving);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -33,7 +33,15 @@
         return OrderOutcome::NotSent;
     }
     let request = (dialect.order_call)(order);
-    match call(&mut Some(connection), order.engine.address, request, LIMIT, ANSWER_BYTES).await {
+    match call(
+        &mut Some(connection),
+        order.engine.address,
+        request,
+        LIMIT,
+        ANSWER_BYTES,
+    )
+    .await
+    {
         Ok((status, _)) => (dialect.order_answer)(status),
         Err(CallError::NotSent) => OrderOutcome::NotSent,
         Err(error) => {
@@ -49,7 +57,9 @@
     let result = call(&mut None, engine.address, request, LIMIT, ANSWER_BYTES).await;
     let report = match result {
         Ok((status, body)) => (dialect.report_answer)(status, &body)
-            .map_err(|error| log::warn!(engine = &*engine.id, error:% = error; "report cannot be read"))
+            .map_err(
+                |error| log::warn!(engine = &*engine.id, error:% = error; "report cannot be read"),
+            )
             .ok(),
         Err(error) => {
             log::warn!(engine = &*engine.id, error:% = error; "no report");
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -33,7 +33,12 @@
 }
 
 /// Begins the answer to the caller; the rest follows from a task of its own.
-pub fn start(exchange: Exchange, means: Means, progress: Progress, opened: Opened) -> Response<AnswerBody> {
+pub fn start(
+    exchange: Exchange,
+    means: Means,
+    progress: Progress,
+    opened: Opened,
+) -> Response<AnswerBody> {
     let (pieces, receiver) = mpsc::channel(PENDING_PIECES);
     let body = StreamBody::new(receiver_stream(receiver)).boxed_unsync();
     let mut response = Response::new(body);
@@ -54,7 +59,13 @@
     })
 }
 
-async fn relay(exchange: Exchange, means: Means, mut progress: Progress, mut opened: Opened, pieces: Pieces) {
+async fn relay(
+    exchange: Exchange,
+    means: Means,
+    mut progress: Progress,
+    mut opened: Opened,
+    pieces: Pieces,
+) {
     let mut last = exchange.head.last_event;
     loop {
         progress.ran += 1;
@@ -83,7 +94,12 @@
 }
 
 /// Has another engine go on behind the last event that the caller has.
-async fn resume(exchange: &Exchange, means: &Means, progress: &mut Progress, last: Option<u64>) -> Option<Opened> {
+async fn resume(
+    exchange: &Exchange,
+    means: &Means,
+    progress: &mut Progress,
+    last: Option<u64>,
+) -> Option<Opened> {
     while exchange.route.resumable && progress.may_retry(exchange) {
         let grant = progress.place(exchange, means).await.ok()?;
         progress.tried.push(grant.endpoint.key());
@@ -106,7 +122,15 @@
     pieces: &Pieces,
     last: &mut Option<u64>,
 ) -> Passed {
-    let Opened { headers, first, mut rest, connection, guard, grant, .. } = opened;
+    let Opened {
+        headers,
+        first,
+        mut rest,
+        connection,
+        guard,
+        grant,
+        ..
+    } = opened;
     let mut splitter = EventSplitter::default();
     let mut next = first;
     loop {
@@ -146,7 +170,9 @@
     let tail = splitter.rest();
     guard.end(RunEnd::Complete);
     if !closes(&headers) {
-        means.pool.put(grant.endpoint.key(), connection, grant.conns);
+        means
+            .pool
+            .put(grant.endpoint.key(), connection, grant.conns);
     }
     if !tail.is_empty() && pieces.send(Ok(Frame::data(tail))).await.is_err() {
         return Passed::CallerLeft;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -113,7 +113,13 @@
         let means = means.clone();
         let metrics = metrics.clone();
         let guard = open.enter();
-        let limits = means.handle.view().catalog.as_ref().map(|catalog| catalog.limits).unwrap_or_default();
+        let limits = means
+            .handle
+            .view()
+            .catalog
+            .as_ref()
+            .map(|catalog| catalog.limits)
+            .unwrap_or_default();
         let handler = move |request: Request<Incoming>| {
             let means = means.clone();
             let metrics = metrics.clone();
@@ -193,7 +199,11 @@
 
 async fn small_connection<S>(stream: TcpStream, service: S)
 where
-    S: hyper::service::Service<Request<Incoming>, Response = Response<AnswerBody>, Error = Infallible>,
+    S: hyper::service::Service<
+            Request<Incoming>,
+            Response = Response<AnswerBody>,
+            Error = Infallible,
+        >,
 {
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -12,7 +12,7 @@
 use crate::settings::Settings;
 
 /// Longest time for a call beyond the time that it asks the store to wait.
-const CALL: Duration = Duration::from_millis(1_000);
+const CALL: Duration = Duration::from_secs(1);
 
 /// Largest answer of the store in bytes.
 const ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -51,10 +51,19 @@
 
 impl Store {
     fn new(settings: &Settings, dialect: Dialect, handle: Handle) -> Self {
-        Self { address: settings.store, dialect, handle, connection: None }
+        Self {
+            address: settings.store,
+            dialect,
+            handle,
+            connection: None,
+        }
     }
 
-    async fn call(&mut self, request: StoreCall, wait_ms: u64) -> Result<(u16, bytes::Bytes), StoreError> {
+    async fn call(
+        &mut self,
+        request: StoreCall,
+        wait_ms: u64,
+    ) -> Result<(u16, bytes::Bytes), StoreError> {
         let limit = CALL + Duration::from_millis(wait_ms);
         let host = self.address.to_string();
         let (mut parts, body) = request.into_parts();
@@ -62,7 +71,14 @@
             parts.headers.insert(http::header::HOST, host);
         }
         let request = http::Request::from_parts(parts, body);
-        let result = call(&mut self.connection, self.address, request, limit, ANSWER_BYTES).await;
+        let result = call(
+            &mut self.connection,
+            self.address,
+            request,
+            limit,
+            ANSWER_BYTES,
+        )
+        .await;
         let (status, body) = result?;
         Ok((status, body))
     }
@@ -186,10 +202,15 @@
     loop {
         if !registered {
             let address = settings.gossip.to_string();
-            let request = (dialect.append_keyed_call)(dialect.topics.nodes, &settings.node, address.as_bytes());
-            let appended = store.call(request, 0).await.and_then(|(status, body)| {
-                Ok((dialect.append_answer)(status, &body)?)
-            });
+            let request = (dialect.append_keyed_call)(
+                dialect.topics.nodes,
+                &settings.node,
+                address.as_bytes(),
+            );
+            let appended = store
+                .call(request, 0)
+                .await
+                .and_then(|(status, body)| Ok((dialect.append_answer)(status, &body)?));
             match appended {
                 Ok(Appended::At(_)) => registered = true,
                 Ok(other) => log::warn!(outcome:? = other; "address not registered"),
@@ -203,7 +224,12 @@
             Ok((records, _)) => {
                 let addresses = records
                     .iter()
-                    .filter_map(|record| std::str::from_utf8(record.value.as_ref()?).ok()?.parse().ok())
+                    .filter_map(|record| {
+                        std::str::from_utf8(record.value.as_ref()?)
+                            .ok()?
+                            .parse()
+                            .ok()
+                    })
                     .collect();
                 store.handle.send(Event::Registry(addresses));
                 store.connection = None;
@@ -219,7 +245,9 @@
     let mut store = Store::new(&settings, dialect, handle.clone());
     match store.read(dialect.topics.lease, from, 0).await {
         Ok(LogPage::Records { end, records }) => {
-            let last = records.last().map(|record| String::from_utf8_lossy(record).into_owned());
+            let last = records
+                .last()
+                .map(|record| String::from_utf8_lossy(record).into_owned());
             handle.send(Event::LeaseRead(end, last));
         }
         Ok(LogPage::Trimmed { first }) => handle.send(Event::LeaseTrimmed(first)),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,8 +7,8 @@
 pub mod call;
 pub mod codec;
 pub mod convert;
-pub mod handshake;
 pub mod gossip;
+pub mod handshake;
 pub mod heartbeat;
 pub mod message;
 pub mod permit;
