gateway: seek prompt parts for ten seconds, forget those of reloaded engines

Cause: parts counted as lost after 6 s though the price window is 10 s; engines that reloaded were still named as sources; the store was not asked where it held more than any engine.

--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -16,7 +16,7 @@
 use crate::control::budget::Budget;
 use crate::control::fleet::{EndpointState, Estimate, Moment};
 use crate::control::lease::{Lease, LeaseStep};
-use crate::control::parts::{Parts, scope};
+use crate::control::parts::{Parts, Source, scope};
 use crate::control::peers::Peers;
 use crate::control::rollout::{Rollout, Task};
 use crate::control::{Ask, Effect, Event, Grant, Placement, Refusal, RunEnd, View};
@@ -141,7 +141,9 @@
                 if let (Some(state), Some(version), Some(model)) =
                     (self.fleet.get_mut(&endpoint), weights, model)
                 {
-                    state.learn_weights(&model, version);
+                    if state.learn_weights(&model, version) {
+                        self.parts.forget(endpoint);
+                    }
                 }
             }
             Event::Ended {
@@ -193,7 +195,9 @@
             Event::Ordered(order, outcome) => {
                 log::info!(engine = &*order.engine.id, model = order.model.as_str(), version = order.version,
                     fencing = order.fencing, accepted = order.accepted, outcome:? = outcome; "order to load weights");
-                self.rollout.ordered(&mut self.fleet, &order, outcome, now);
+                if self.rollout.ordered(&mut self.fleet, &order, outcome, now) {
+                    self.parts.forget(order.engine.key());
+                }
                 self.news_at.get_or_insert(now);
             }
             Event::Reported(key, report) => {
@@ -494,15 +498,11 @@
                 .get(&key)
                 .is_some_and(|state| now >= state.avoid_until && now >= state.loading_until)
         };
-        let source = self
-            .parts
-            .source(shared, key, alive, now)
-            .and_then(|source| self.fleet.get(&source))
-            .map(|state| state.endpoint.address);
-        let stored = shared
-            .first()
-            .is_some_and(|(part, _)| self.parts.stored(*part, now));
-        let fetch = source.or_else(|| store.filter(|_| stored));
+        let fetch = match self.parts.source(shared, key, alive, now) {
+            Some(Source::Engine(source)) => self.fleet.get(&source).map(|state| state.endpoint.address),
+            Some(Source::Store) => store,
+            None => None,
+        };
         let run = Run {
             number,
             endpoint: key,
@@ -689,7 +689,9 @@
                 if reload.left_ms > 0 {
                     state.loading_until =
                         state.loading_until.max(now + Millis::from(reload.left_ms));
-                    state.learn_weights(&reload.model, reload.version);
+                    if state.learn_weights(&reload.model, reload.version) {
+                        self.parts.forget(reload.endpoint);
+                    }
                 } else {
                     state.reserved_until = now + BEACON_MS;
                 }
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -155,10 +155,13 @@
         self.lapses_at = None;
     }
 
-    /// Weights never go back within one life of an engine.
-    pub fn learn_weights(&mut self, model: &str, version: u64) {
+    /// Weights never go back within one life of an engine. True when these are
+    /// newer: the engine has dropped what it held under the ones before.
+    pub fn learn_weights(&mut self, model: &str, version: u64) -> bool {
         let known = self.weights.entry(model.to_owned()).or_insert(version);
+        let newer = version > *known;
         *known = (*known).max(version);
+        newer
     }
 
     /// Requests that it has.
--- a/crates/gateway/src/control/parts.rs
+++ b/crates/gateway/src/control/parts.rs
@@ -9,10 +9,10 @@
 use crate::endpoint::EndpointKey;
 
 /// How long an engine is believed to keep a part after its last use there.
-const ENGINE_KEEPS_MS: Millis = 6_000;
+const ENGINE_KEEPS_MS: Millis = 10_000;
 
 /// How long the store of kept KV cache is believed to hold a part after its last use.
-const STORE_KEEPS_MS: Millis = 6_000;
+const STORE_KEEPS_MS: Millis = 10_000;
 
 /// How long a part may be read before its reader is given up.
 const READING_MS: Millis = 4_000;
@@ -69,6 +69,15 @@
     Nowhere,
 }
 
+/// Where parts can be fetched from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// An engine.
+    Engine(EndpointKey),
+    /// The store of kept KV cache.
+    Store,
+}
+
 /// Where parts are.
 #[derive(Debug, Default)]
 pub struct Parts {
@@ -185,36 +194,36 @@
         }
     }
 
-    /// The engine, other than `engine`, that holds most of `keys` from the start;
-    /// none when no engine holds the first one.
+    /// Who, other than `engine`, holds most of `keys` from the start. An engine
+    /// goes before the store when both hold as much.
     pub fn source(
         &self,
         keys: &[(PartKey, u32)],
         engine: EndpointKey,
         alive: impl Fn(EndpointKey) -> bool,
         now: Millis,
-    ) -> Option<EndpointKey> {
-        let held = |key: PartKey, other: EndpointKey| {
-            self.parts
-                .get(&key)
-                .and_then(|part| part.engines.get(&other))
-                .is_some_and(|holder| holder.ready && now <= holder.at + ENGINE_KEEPS_MS)
-        };
+    ) -> Option<Source> {
+        let depth = |holds: &dyn Fn(PartKey) -> bool| keys.iter().take_while(|(key, _)| holds(*key)).count();
         let first = self.parts.get(&keys.first()?.0)?;
-        first
+        let best = first
             .engines
             .iter()
             .filter(|(other, _)| **other != engine && alive(**other))
-            .map(|(other, holder)| {
-                let depth = keys
-                    .iter()
-                    .take_while(|(key, _)| held(*key, *other))
-                    .count();
-                (depth, holder.at, *other)
-            })
-            .filter(|(depth, _, _)| *depth > 0)
-            .max()
-            .map(|(_, _, other)| other)
+            .map(|(other, holder)| (depth(&|key| self.held(key, *other, now)), holder.at, *other))
+            .max();
+        let stored = depth(&|key| self.stored(key, now));
+        match best {
+            Some((engines, _, other)) if engines > 0 && engines >= stored => Some(Source::Engine(other)),
+            _ if stored > 0 => Some(Source::Store),
+            _ => None,
+        }
+    }
+
+    fn held(&self, key: PartKey, engine: EndpointKey, now: Millis) -> bool {
+        self.parts
+            .get(&key)
+            .and_then(|part| part.engines.get(&engine))
+            .is_some_and(|holder| holder.ready && now <= holder.at + ENGINE_KEEPS_MS)
     }
 
     /// True when the store is believed to hold the part.
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -223,37 +223,37 @@
         tasks
     }
 
-    /// An engine answered an order, or did not.
+    /// An engine answered an order, or did not. True when it drops what it held.
     pub fn ordered(
         &mut self,
         fleet: &mut Fleet,
         order: &WeightsOrder,
         outcome: OrderOutcome,
         now: Millis,
-    ) {
+    ) -> bool {
         let key = order.engine.key();
         let Some(progress) = self.engines.get_mut(&key) else {
-            return;
+            return false;
         };
         progress.in_flight = false;
         self.moved_at = now;
         let Some(state) = fleet.get_mut(&key) else {
-            return;
+            return false;
         };
         if state.endpoint.born != order.engine.born {
-            return;
+            return false;
         }
         match outcome {
             OrderOutcome::Accepted => {
                 progress.accepted = Some(order.accepted + 1);
                 progress.confirm_at = Some(now + CONFIRM_MS);
                 state.loading_until = now + LOAD_MS;
-                state.learn_weights(&order.model, order.version);
+                return state.learn_weights(&order.model, order.version);
             }
             OrderOutcome::Holds => {
                 progress.accepted = None;
                 state.loading_until = now;
-                state.learn_weights(&order.model, order.version);
+                return state.learn_weights(&order.model, order.version);
             }
             OrderOutcome::Conflict => {
                 progress.accepted = None;
@@ -271,6 +271,7 @@
             }
             OrderOutcome::NotSent => state.loading_until = now,
         }
+        false
     }
 
     /// An engine reported, or did not answer.
