--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -500,8 +500,8 @@
         };
         let fetch = match self.parts.source(shared, key, alive, now) {
             Some(Source::Engine(source)) => self.fleet.get(&source).map(|state| state.endpoint.address),
-            Some(Source::Store) => store,
-            None => None,
+            // A node that just started knows of no holder; a miss costs little.
+            Some(Source::Store) | None => store.filter(|_| !shared.is_empty()),
         };
         let run = Run {
             number,
@@ -515,6 +515,7 @@
         let endpoint = self.fleet[&key].endpoint.clone();
         log::info!(request = &*ask.request, endpoint = &*endpoint.id, run = number, score = estimate.score as i64,
             read_ms = estimate.read_ms as i64, weights = estimate.version.unwrap_or(0), tries = ask.tried.len(),
+            unread = estimate.unread, reread = estimate.reread,
             fetch = fetch.is_some(); "request placed");
         let name = (self.incarnation, number);
         if let Some(state) = self.fleet.get_mut(&key) {
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -112,6 +112,10 @@
     pub read_ms: f64,
     /// Version of the weights.
     pub version: Option<u64>,
+    /// Shared tokens that it reads though another engine is reading them.
+    pub reread: u32,
+    /// Shared tokens that nobody is known to hold.
+    pub unread: u32,
     /// Keys and tokens of the shared parts.
     pub parts: Vec<(PartKey, u32)>,
 }
@@ -316,6 +320,8 @@
             score: queue + self.health_ms(moment.now) + self.zone_ms(moment),
             read_ms: 0.0,
             version: None,
+            reread: 0,
+            unread: 0,
             parts: Vec::new(),
         }
     }
@@ -358,8 +364,10 @@
         let own = ask.prompt_tokens.saturating_sub(shared_tokens);
         let mut read_ms = f64::from(own) / READ_TOKENS_PER_MS;
         let mut fetched = false;
-        for (key, tokens) in &keys {
-            let tokens = f64::from(*tokens);
+        let mut reread = 0;
+        let mut unread = 0;
+        for (key, count) in &keys {
+            let tokens = f64::from(*count);
             match parts.presence(*key, self.endpoint.key(), alive, now) {
                 Presence::Here | Presence::Coming => {}
                 Presence::Elsewhere => {
@@ -367,10 +375,14 @@
                     score += tokens * fetch_ms_per_token * 2.0;
                 }
                 Presence::ReadElsewhere => {
+                    reread += count;
                     read_ms += tokens / READ_TOKENS_PER_MS;
                     score += tokens * REREAD_MS_PER_TOKEN;
                 }
-                Presence::Nowhere => read_ms += tokens / READ_TOKENS_PER_MS,
+                Presence::Nowhere => {
+                    unread += count;
+                    read_ms += tokens / READ_TOKENS_PER_MS;
+                }
             }
         }
         if fetched {
@@ -385,6 +397,8 @@
             score,
             read_ms,
             version: Some(version),
+            reread,
+            unread,
             parts: keys,
         })
     }
