gateway: long reads avoid engines that write streams; no new streams late in a shutdown

Ruled out for the pauses: late first tokens (9 of 1,560 above 0.9 s). Change: reading beyond 350 ms at a stretch counts for each long answer that is being written; streams get 503 from 2 s after SIGTERM on.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -28,6 +28,8 @@
 pub enum Reason {
     /// The node has no configuration yet.
     NotReady,
+    /// The node shuts down and takes no more streams.
+    Leaving,
     /// No route fits.
     NoRoute,
     /// The key is missing or unknown.
@@ -48,7 +50,7 @@
     /// Status of the answer. 503 is given only to what has not run.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Leaving | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -62,6 +64,7 @@
     pub fn word(self) -> &'static str {
         match self {
             Self::NotReady => "not_ready",
+            Self::Leaving => "leaving",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
             Self::TooLarge => "too_large",
--- a/crates/gateway/src/chain.rs
+++ b/crates/gateway/src/chain.rs
@@ -14,7 +14,9 @@
 
 use crate::answer::{AnswerBody, Reason, own};
 use crate::attempt::{Exchange, Means};
-use crate::catalog::{Catalog, Route, Workspace};
+use crate::catalog::{Catalog, Repeat, Route, Workspace};
+use crate::clock::{Millis, now};
+use crate::control::View;
 use crate::dialect::CallerHead;
 use crate::forward::forward;
 use crate::metrics::Metrics;
@@ -22,6 +24,13 @@
 /// When to come back to a node that has no configuration yet.
 const NOT_READY_AGAIN: Duration = Duration::from_millis(700);
 
+/// When to come back to another node after one that leaves.
+const LEAVING_AGAIN: Duration = Duration::from_millis(20);
+
+/// Time after the begin of a shutdown from which on no new streams are taken, in
+/// ms; they might not end before the process does.
+const LAST_STREAMS_MS: Millis = 2_000;
+
 /// Longest time that a caller without a deadline is kept.
 const NO_DEADLINE: Duration = Duration::from_mins(1);
 
@@ -35,7 +44,8 @@
     let (parts, body) = request.into_parts();
     let head = (means.dialect.caller_head)(&parts.headers);
     let id: Arc<str> = head.request_id.as_deref().unwrap_or("-").into();
-    let Some(catalog) = means.handle.view().catalog.clone() else {
+    let view = means.handle.view();
+    let Some(catalog) = view.catalog.clone() else {
         return refuse(&id, &metrics, Reason::NotReady, Some(NOT_READY_AGAIN));
     };
     let Some(route) = find_route(&catalog, &parts) else {
@@ -45,6 +55,9 @@
         Ok(workspace) => workspace,
         Err(reason) => return refuse(&id, &metrics, reason, None),
     };
+    if route.repeat == Repeat::Stream && is_too_late(&view, now()) {
+        return refuse(&id, &metrics, Reason::Leaving, Some(LEAVING_AGAIN));
+    }
     let patience = head.patience.unwrap_or(NO_DEADLINE).min(route.timeout);
     let body = match read_body(body, &catalog, patience).await {
         Ok(body) => body,
@@ -76,6 +89,11 @@
     response
 }
 
+/// True when a stream that begins now may not end before the process does.
+pub fn is_too_late(view: &View, now: Millis) -> bool {
+    view.left_at.is_some_and(|at| now >= at + LAST_STREAMS_MS)
+}
+
 fn refuse(
     id: &str,
     metrics: &Metrics,
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -23,7 +23,7 @@
 use crate::catalog::Catalog;
 use crate::clock::{Millis, now};
 use crate::control::desk::Control;
-use crate::dialect::{Dialect, EngineReport, KeyedRecord, OrderOutcome, PromptPart, WeightsOrder};
+use crate::dialect::{Dialect, EngineReport, HeldPart, KeyedRecord, OrderOutcome, PromptPart, WeightsOrder};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::settings::Settings;
 
@@ -163,6 +163,13 @@
     Ordered(Box<WeightsOrder>, OrderOutcome),
     /// An engine reported.
     Reported(EndpointKey, Option<EngineReport>),
+    /// An engine, or the store of kept KV cache, told what it holds.
+    CacheListed {
+        /// The engine; none for the store.
+        endpoint: Option<EndpointKey>,
+        /// The parts.
+        held: Vec<HeldPart>,
+    },
     /// The node shuts down.
     Leaving,
     /// Ends the thread.
@@ -182,6 +189,8 @@
     Order(Box<WeightsOrder>),
     /// Ask for a report.
     Report(Arc<Endpoint>),
+    /// Ask an engine, or the store if there is no key, what it holds.
+    ReadCache(SocketAddr, Option<EndpointKey>),
 }
 
 /// What traffic may read at any time.
@@ -191,8 +200,8 @@
     pub catalog: Option<Arc<Catalog>>,
     /// Nodes that take callers: address and zone.
     pub nodes: Vec<(SocketAddr, String)>,
-    /// True once the node shuts down.
-    pub leaving: bool,
+    /// When the node's shutdown began, if it did.
+    pub left_at: Option<Millis>,
 }
 
 /// The way to the control thread.
--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -16,11 +16,11 @@
 use crate::control::budget::Budget;
 use crate::control::fleet::{EndpointState, Estimate, Moment};
 use crate::control::lease::{Lease, LeaseStep};
-use crate::control::parts::{Parts, Source, scope};
+use crate::control::parts::{Parts, Source, key, salt, scope, scope_of};
 use crate::control::peers::Peers;
 use crate::control::rollout::{Rollout, Task};
 use crate::control::{Ask, Effect, Event, Grant, Placement, Refusal, RunEnd, View};
-use crate::dialect::{Dialect, KeyedRecord, OperatorRecord};
+use crate::dialect::{Dialect, HeldPart, KeyedRecord, OperatorRecord};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::settings::Settings;
 
@@ -55,6 +55,16 @@
 /// Spread of the random number that breaks ties, in ms.
 const TIE_MS: f64 = 0.8;
 
+/// Time after its start within which a node asks what is cached, in ms.
+const LEARN_CACHE_MS: Millis = 3_000;
+
+/// Engines that a node asks at its start. In larger fleets the store's own list
+/// has to do.
+const LEARN_CACHE_ENGINES: usize = 24;
+
+/// Tokens of an answer from which on pauses in it are noticed.
+const LONG_ANSWER_TOKENS: u32 = 16;
+
 /// Advantage of the engine that all nodes prefer for parts nobody holds, in ms.
 const FIRST_READER_MS: f64 = 30.0;
 
@@ -78,7 +88,6 @@
     rollout: Rollout,
     lease: Lease,
     waiting: VecDeque<Waiting>,
-    leaving: bool,
     next_run: u64,
     runs: Vec<Run>,
     faults: Vec<Fault>,
@@ -86,6 +95,8 @@
     sent_at: Millis,
     store_away: bool,
     store_back_at: Millis,
+    started: Option<Millis>,
+    left_at: Option<Millis>,
     /// What is to be done outside; taken by the caller after each tick.
     pub effects: Vec<Effect>,
 }
@@ -115,7 +126,6 @@
             peers: Peers::default(),
             rollout: Rollout::default(),
             waiting: VecDeque::new(),
-            leaving: false,
             next_run: 0,
             runs: Vec::new(),
             faults: Vec::new(),
@@ -123,6 +133,8 @@
             sent_at: 0,
             store_away: false,
             store_back_at: 0,
+            started: None,
+            left_at: None,
             effects: Vec::new(),
         }
     }
@@ -205,8 +217,9 @@
                 self.rollout
                     .reported(&mut self.fleet, key, report.as_ref(), now);
             }
+            Event::CacheListed { endpoint, held } => self.cache_listed(endpoint, &held, now),
             Event::Leaving => {
-                self.leaving = true;
+                self.left_at = Some(now);
                 self.lease.give_up();
                 self.news_at = Some(now);
                 self.publish(now);
@@ -259,7 +272,12 @@
         }
         log::info!(version = catalog.version, before = current, offset, routes = catalog.routes.len();
             "configuration in force");
+        let keep = catalog.keep();
+        let first = self.catalog.is_none();
         self.catalog = Some(Arc::new(catalog));
+        if let Some(keep) = keep.filter(|_| first) {
+            self.ask_for_cache(keep, None, now);
+        }
         self.publish(now);
     }
 
@@ -311,12 +329,37 @@
                 log::info!(endpoint = id, born = entry.born, address:% = entry.address, offset = record.offset;
                     "endpoint listed");
                 self.parts.forget(key);
+                if !entry.weights.is_empty() && self.fleet.len() < LEARN_CACHE_ENGINES {
+                    self.ask_for_cache(entry.address, Some(key), now);
+                }
                 self.fleet.insert(key, EndpointState::new(entry));
                 self.rollout.moved(now);
             }
         }
     }
 
+    /// Takes what an engine, or the store if `endpoint` is none, says it holds.
+    fn cache_listed(&mut self, endpoint: Option<EndpointKey>, held: &[HeldPart], now: Millis) {
+        let keys: Vec<_> = held
+            .iter()
+            .filter_map(|part| Some(key(scope_of(&part.salt)?, part.id)))
+            .collect();
+        log::info!(endpoint = endpoint.unwrap_or(0), parts = keys.len(); "cached parts learnt");
+        match endpoint {
+            Some(endpoint) => self.parts.read(endpoint, &keys, false, now),
+            None => keys.iter().for_each(|key| self.parts.listed_in_store(*key, now)),
+        }
+    }
+
+    /// A node that just started asks what is cached; one that has run for a
+    /// while knows it from the other nodes.
+    fn ask_for_cache(&mut self, address: SocketAddr, endpoint: Option<EndpointKey>, now: Millis) {
+        let started = *self.started.get_or_insert(now);
+        if now < started + LEARN_CACHE_MS {
+            self.effects.push(Effect::ReadCache(address, endpoint));
+        }
+    }
+
     /// An entry that lapsed while the store was away may come back at once.
     fn endpoint_gone(&mut self, key: EndpointKey, now: Millis) {
         let settled_at = self.store_back_at + RETURN_MS;
@@ -511,6 +554,7 @@
             tokens: ask.prompt_tokens + ask.output_tokens,
             parts: shared.iter().map(|(part, _)| *part).collect(),
             kept: keep.is_some(),
+            long: ask.output_tokens >= LONG_ANSWER_TOKENS,
         };
         let endpoint = self.fleet[&key].endpoint.clone();
         log::info!(request = &*ask.request, endpoint = &*endpoint.id, run = number, score = estimate.score as i64,
@@ -527,7 +571,7 @@
             .version
             .zip(ask.model.as_deref())
             .map(|(version, model)| {
-                format!("{version}-{:x}", scope(model, version, ask.wall.as_deref()))
+                salt(version, scope(model, version, ask.wall.as_deref()))
             });
         Grant {
             number,
@@ -606,7 +650,7 @@
             incarnation: self.incarnation,
             callers: self.settings.callers.to_string(),
             zone: self.settings.zone.clone(),
-            leaving: self.leaving,
+            leaving: self.left_at.is_some(),
             ready: self.catalog.is_some(),
             lease_end: self.lease.own_end(),
             name: self.settings.node.clone(),
@@ -728,7 +772,7 @@
     }
 
     fn roll_out(&mut self, now: Millis) {
-        if self.leaving || self.catalog.is_none() {
+        if self.left_at.is_some() || self.catalog.is_none() {
             return;
         }
         let pending = self.rollout.pending(&self.fleet);
@@ -782,14 +826,14 @@
             .filter(|peer| peer.state.ready && !peer.state.leaving)
             .map(|peer| (peer.callers, peer.state.zone.clone()))
             .collect();
-        if !self.leaving && self.catalog.is_some() {
+        if self.left_at.is_none() && self.catalog.is_some() {
             nodes.push((self.settings.callers, self.settings.zone.clone()));
         }
         nodes.sort();
         self.view.store(Arc::new(View {
             catalog: self.catalog.clone(),
             nodes,
-            leaving: self.leaving,
+            left_at: self.left_at,
         }));
     }
 }
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -27,6 +27,16 @@
 /// Time of the first step of a run beside reading its prompt, in ms.
 const FIRST_STEP_MS: f64 = 20.0;
 
+/// Reading at a stretch from which on streams that an engine is writing pause
+/// noticeably, in ms.
+const STRETCH_MS: f64 = 350.0;
+
+/// Reading beyond that which makes a pause certain, in ms.
+const STRETCH_FULL_MS: f64 = 250.0;
+
+/// Delay that a stream counts which is made to pause, in ms.
+const PAUSED_STREAM_MS: f64 = 40.0;
+
 /// Delay that a hop to another availability zone counts, in ms.
 const ZONE_MS: f64 = 1.0;
 
@@ -78,6 +88,7 @@
     ahead_ms: f64,
     tokens: u32,
     first: bool,
+    long: bool,
     kept: bool,
     parts: Vec<PartKey>,
 }
@@ -178,6 +189,11 @@
         self.runs.values().map(|run| u64::from(run.tokens)).sum()
     }
 
+    /// Long answers that are being written.
+    fn writing(&self) -> usize {
+        self.runs.values().filter(|run| run.first && run.long).count()
+    }
+
     /// Time that prompts which are not read yet will take, in ms.
     fn queue_ms(&self, now: Millis) -> f64 {
         let mut total = 0.0;
@@ -204,6 +220,7 @@
                 read_ms: f64::from(run.read_us) / 1000.0,
                 tokens: run.tokens,
                 first: false,
+                long: run.long,
                 kept: run.kept,
                 parts: run.parts.clone(),
             },
@@ -368,6 +385,12 @@
         let mut unread = 0;
         for (key, count) in &keys {
             let tokens = f64::from(*count);
+            // A part is only found where all parts before it are.
+            if unread + reread > 0 {
+                unread += count;
+                read_ms += tokens / READ_TOKENS_PER_MS;
+                continue;
+            }
             match parts.presence(*key, self.endpoint.key(), alive, now) {
                 Presence::Here | Presence::Coming => {}
                 Presence::Elsewhere => {
@@ -392,7 +415,9 @@
             / traits.memory_tokens.max(1) as f64;
         score += (memory - MEMORY_FULL).max(0.0) * MEMORY_MS;
         score += self.runs.len() as f64 * RUNNING_MS;
-        score += self.queue_ms(now) + read_ms * self.slowness;
+        let busy_ms = self.queue_ms(now) + read_ms * self.slowness;
+        let stretch = ((busy_ms - STRETCH_MS) / STRETCH_FULL_MS).clamp(0.0, 1.5);
+        score += busy_ms + stretch * self.writing() as f64 * PAUSED_STREAM_MS;
         Some(Estimate {
             score,
             read_ms,
--- a/crates/gateway/src/control/parts.rs
+++ b/crates/gateway/src/control/parts.rs
@@ -29,17 +29,25 @@
     })
 }
 
+/// Key of a part within a name space.
+pub fn key(scope: u64, id: u64) -> PartKey {
+    xxh3_64_with_seed(&id.to_be_bytes(), scope)
+}
+
+/// Name space as engines see it: version of the weights and scope.
+pub fn salt(version: u64, scope: u64) -> String {
+    format!("{version}-{scope:x}")
+}
+
+/// The scope that a salt stands for; none when another system made it.
+pub fn scope_of(salt: &str) -> Option<u64> {
+    u64::from_str_radix(salt.split_once('-')?.1, 16).ok()
+}
+
 /// Keys of the shared parts of a prompt: all but its own last part.
 pub fn shared(scope: u64, parts: &[PromptPart]) -> Vec<(PartKey, u32)> {
-    let mut key = scope;
     let count = parts.len().saturating_sub(1);
-    parts[..count]
-        .iter()
-        .map(|part| {
-            key = xxh3_64_with_seed(&part.id.to_be_bytes(), key);
-            (key, part.tokens)
-        })
-        .collect()
+    parts[..count].iter().map(|part| (key(scope, part.id), part.tokens)).collect()
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -146,11 +154,9 @@
         }
     }
 
-    /// Drops all that is known of the store: it restarted.
-    pub fn forget_store(&mut self) {
-        for part in self.parts.values_mut() {
-            part.stored_at = None;
-        }
+    /// Notes that the store holds `key`, by its own account.
+    pub fn listed_in_store(&mut self, key: PartKey, now: Millis) {
+        self.parts.entry(key).or_default().stored_at = Some(now);
     }
 
     /// Where one part is, as seen from `engine`. `alive` tells which engines can
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -222,6 +222,15 @@
     pub weights: std::collections::BTreeMap<String, u64>,
 }
 
+/// A part of a prompt that an engine or the store of kept KV cache holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldPart {
+    /// Name space that it was read under.
+    pub salt: String,
+    /// Identity of its content.
+    pub id: u64,
+}
+
 /// A call to the store, without connection headers.
 pub type StoreCall = Request<Bytes>;
 
@@ -294,6 +303,10 @@
     pub order_answer: fn(u16) -> OrderOutcome,
     /// Asks an engine for its report.
     pub report_call: fn(&Endpoint) -> Request<Bytes>,
+    /// Asks an engine, or the store of kept KV cache, for its cache events.
+    pub cache_call: fn() -> Request<Bytes>,
+    /// Reads the parts that are held after all these events.
+    pub cache_answer: fn(u16, &[u8]) -> Result<Vec<HeldPart>, DecodeError>,
     /// Reads a report.
     pub report_answer: fn(u16, &[u8]) -> Result<EngineReport, DecodeError>,
 }
--- a/crates/gateway/src/gossip_link.rs
+++ b/crates/gateway/src/gossip_link.rs
@@ -77,6 +77,9 @@
             Effect::Order(order) => {
                 tokio::spawn(orders::give(dialect, handle.clone(), order));
             }
+            Effect::ReadCache(address, endpoint) => {
+                tokio::spawn(orders::read_cache(dialect, handle.clone(), address, endpoint));
+            }
             Effect::Report(engine) => {
                 tokio::spawn(orders::report(dialect, handle.clone(), engine));
             }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -21,7 +21,7 @@
 const LINGER: Duration = Duration::from_millis(2_500);
 
 /// Part of the grace that is left unused, for the end itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
+const GRACE_MARGIN: Duration = Duration::from_millis(250);
 
 /// Pause between looks at the connections that are left.
 const LOOK: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -1,12 +1,15 @@
 //! Orders to engines and questions for their reports, as calls.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::header::HOST;
+
 use crate::clock::now;
 use crate::control::{Event, Handle};
 use crate::dialect::{Dialect, OrderOutcome, WeightsOrder};
-use crate::endpoint::Endpoint;
+use crate::endpoint::{Endpoint, EndpointKey};
 use crate::http_client::{CallError, Connection, call};
 
 /// Longest time for an order or a report.
@@ -18,6 +21,9 @@
 /// Largest answer in bytes.
 const ANSWER_BYTES: usize = 64 * 1024;
 
+/// Largest answer with cache events in bytes.
+const EVENTS_BYTES: usize = 2 * 1024 * 1024;
+
 /// Gives an order, unless its time is over.
 pub async fn give(dialect: Dialect, handle: Handle, order: Box<WeightsOrder>) {
     let outcome = try_order(dialect, &order).await;
@@ -68,3 +74,27 @@
     };
     handle.send(Event::Reported(engine.key(), report));
 }
+
+/// Asks an engine, or the store of kept KV cache, what it holds.
+pub async fn read_cache(
+    dialect: Dialect,
+    handle: Handle,
+    address: SocketAddr,
+    endpoint: Option<EndpointKey>,
+) {
+    let mut request = (dialect.cache_call)();
+    if let Ok(host) = address.to_string().parse() {
+        request.headers_mut().insert(HOST, host);
+    }
+    let held = match call(&mut None, address, request, LIMIT, EVENTS_BYTES).await {
+        Ok((status, body)) => (dialect.cache_answer)(status, &body),
+        Err(error) => {
+            log::info!(address:% = address, error:% = error; "cached parts not learnt");
+            return;
+        }
+    };
+    match held {
+        Ok(held) => handle.send(Event::CacheListed { endpoint, held }),
+        Err(error) => log::info!(address:% = address, error:% = error; "cached parts not learnt"),
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,7 @@
 //! Passing a stream on to the caller, over more than one engine if need be.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures_util::Stream;
 use http::Response;
@@ -7,7 +9,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::sync::mpsc;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{AnswerBody, BrokenOff};
 use crate::attempt::{Exchange, Means, Opened, Outcome, attempt, closes};
@@ -67,10 +69,11 @@
     pieces: Pieces,
 ) {
     let mut last = exchange.head.last_event;
+    let mut pause = Duration::ZERO;
     loop {
         progress.ran += 1;
         let engine = opened.grant.endpoint.clone();
-        let passed = pass_on(&exchange, &means, opened, &pieces, &mut last).await;
+        let passed = pass_on(&exchange, &means, opened, &pieces, &mut last, &mut pause).await;
         let word = match passed {
             Passed::Whole => "complete",
             Passed::Broken => "broken",
@@ -78,7 +81,8 @@
             Passed::Expired => "time is over",
         };
         log::info!(request = &*exchange.request, route = exchange.route.name.as_str(), endpoint = &*engine.id,
-            end = word, last_event = last.unwrap_or(0), took_ms = took(&exchange); "stream ended");
+            end = word, last_event = last.unwrap_or(0),
+            longest_pause_ms = pause.as_millis() as u64, took_ms = took(&exchange); "stream ended");
         match passed {
             Passed::Whole | Passed::CallerLeft => return,
             Passed::Expired => break,
@@ -114,13 +118,14 @@
 }
 
 /// Passes on one engine's answer. `last` is the id of the last whole event that
-/// the caller has.
+/// the caller has; `pause` the longest time between two pieces.
 async fn pass_on(
     exchange: &Exchange,
     means: &Means,
     opened: Opened,
     pieces: &Pieces,
     last: &mut Option<u64>,
+    pause: &mut Duration,
 ) -> Passed {
     let Opened {
         headers,
@@ -133,8 +138,11 @@
     } = opened;
     let mut splitter = EventSplitter::default();
     let mut next = first;
+    let mut piece_at = Instant::now();
     loop {
         if let Some(bytes) = next.take() {
+            *pause = (*pause).max(piece_at.elapsed());
+            piece_at = Instant::now();
             let piece = if exchange.route.resumable {
                 splitter.push(&bytes, *last).map(|events| {
                     *last = events.last_id;
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -70,6 +70,9 @@
     /// True when the parts go to the store of kept KV cache as well.
     #[prost(bool, tag = "7")]
     pub kept: bool,
+    /// True when the answer is long enough to notice pauses.
+    #[prost(bool, tag = "8")]
+    pub long: bool,
 }
 
 /// An engine that is about to load weights, or loads them.
