--- /dev/null
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -0,0 +1,317 @@
+//! Real entry nodes with stand-ins for the platform's store and endpoints.
+
+use std::collections::BTreeMap;
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use flamingolock_platform_standin::{Engine, Store};
+use tempfile::TempDir;
+
+/// Longest wait for anything that must come about.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Waits until `done` is true.
+pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !done() {
+        assert!(started.elapsed() < PATIENCE, "{what} did not come about");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// One node process. Dropping it kills the process that it started.
+pub struct Node {
+    child: Child,
+    folder: TempDir,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub directory: SocketAddr,
+    pub metrics: SocketAddr,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    listener.local_addr().expect("the port has an address")
+}
+
+impl Node {
+    /// Starts a node with the platform's kind of settings file.
+    pub fn start(name: &str, store: SocketAddr) -> Self {
+        let [callers, ready, directory, metrics] = [(); 4].map(|()| free_address());
+        let port = metrics.port();
+        let settings = format!(
+            r#"
+Node = "{name}"
+Role = "entry"
+Ip = "127.0.0.1"
+Zone = "zone-a"
+PortRange = [{port}, {port}]
+[Zones]
+zone-a = "region"
+[Listen]
+Front = "{callers}"
+Ready = "{ready}"
+Directory = "{directory}"
+[Bounds]
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+BudgetSlack = 58
+LeaseMs = 600
+VersionMs = 6000
+GraceS = 6
+DrainMs = 1600
+ConfigMs = 1200
+[Provider]
+Address = "{store}"
+"#
+        );
+        let folder = tempfile::tempdir().expect("a folder can be made");
+        let path = folder.path().join("node.toml");
+        std::fs::write(&path, settings).expect("the settings can be written");
+        let log = std::fs::File::create(folder.path().join("log")).expect("the log can be made");
+        let child = Command::new(env!("CARGO_BIN_EXE_flamingolock"))
+            .arg("entry")
+            .env("FLAMINGOLOCK_SETTINGS", &path)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .spawn()
+            .expect("the node starts");
+        Self {
+            child,
+            folder,
+            callers,
+            ready,
+            directory,
+            metrics,
+        }
+    }
+
+    /// Status of the readiness port; 0 when nobody listens.
+    pub fn readiness(&self) -> u16 {
+        get(self.ready, "/readyz", &[]).status
+    }
+
+    /// Waits until the node says that it is ready.
+    pub fn wait_ready(&self) {
+        wait_for("readiness", || self.readiness() == 200);
+    }
+
+    /// What the node has logged so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("log")).expect("the log can be read")
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status();
+        assert!(sent.expect("kill can be run").success());
+    }
+
+    /// Waits for the process to end by itself and tells whether it succeeded.
+    pub fn wait_end(&mut self) -> bool {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self
+                .child
+                .try_wait()
+                .expect("the process can be waited for")
+            {
+                return status.success();
+            }
+            assert!(started.elapsed() < PATIENCE, "the node still runs");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug, Default)]
+pub struct Answer {
+    /// Status; 0 when there was no answer.
+    pub status: u16,
+    /// Headers by name.
+    pub headers: BTreeMap<String, String>,
+    /// Bytes of the body that arrived.
+    pub body: String,
+    /// True when the body ended properly.
+    pub whole: bool,
+}
+
+/// Makes a request on a connection of its own.
+pub fn request(address: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)]) -> Answer {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE))
+        .max_idle_connections(0)
+        .build()
+        .into();
+    let mut builder = http::Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let request = builder.body("the body").expect("a request");
+    let Ok(mut response) = agent.run(request) else {
+        return Answer::default();
+    };
+    let headers = response
+        .headers()
+        .iter()
+        .map(|(name, value)| (name.to_string(), value.to_str().unwrap_or("").to_owned()))
+        .collect();
+    let mut body = Vec::new();
+    let whole = response
+        .body_mut()
+        .as_reader()
+        .read_to_end(&mut body)
+        .is_ok();
+    Answer {
+        status: response.status().as_u16(),
+        headers,
+        body: String::from_utf8_lossy(&body).into_owned(),
+        whole,
+    }
+}
+
+/// A GET without a body.
+pub fn get(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Answer {
+    request(address, "GET", path, headers)
+}
+
+/// A request with a key of the workspace and an id.
+pub fn call(node: &Node, path: &str, id: &str, more: &[(&str, &str)]) -> Answer {
+    let mut headers = vec![
+        ("host", "site.example"),
+        ("authorization", "Bearer key-1"),
+        ("request-id", id),
+        ("deadline-ms", "8000"),
+    ];
+    headers.extend_from_slice(more);
+    request(node.callers, "POST", path, &headers)
+}
+
+/// Headers of a prompt with two shared parts.
+pub const PROMPT: [(&str, &str); 3] = [
+    ("model", "planner"),
+    ("token-usage", "1000,64"),
+    ("prefix-hash", "aa:300,bb:400,cc:300"),
+];
+
+/// A stream of a model engine.
+pub fn stream(node: &Node, path: &str, id: &str) -> Answer {
+    call(node, path, id, &PROMPT)
+}
+
+/// The configuration of the test site.
+pub fn catalog(version: u64, extra_route: bool) -> String {
+    let route = |name: &str,
+                 path: &str,
+                 kind: &str,
+                 service: &str,
+                 timeout: u64,
+                 resumable: bool| {
+        serde_json::json!({
+            "Name": name, "Host": "site.example", "PathPrefix": path, "Kind": kind, "TimeoutMs": timeout,
+            "TargetLatencyMs": 300, "Priority": 1, "Service": service, "MaxAttempts": 2, "Public": false,
+            "Sticky": true, "Resumable": resumable, "GapAimMs": 500,
+        })
+    };
+    let mut routes = vec![
+        route("draft", "/draft/", "stream", "engines", 8000, true),
+        route("tag", "/tag/", "stream", "engines", 8000, false),
+        route("book", "/book/", "unsafe", "desk", 500, false),
+        route("look", "/look/", "safe", "desk", 2000, false),
+    ];
+    if extra_route {
+        routes.push(route("later", "/later/", "safe", "desk", 2000, false));
+    }
+    serde_json::json!({
+        "Version": version, "Routes": routes,
+        "Services": [
+            {"Name": "engines", "HealthPath": "/healthz", "MaxConns": 100, "Engine": {
+                "Slots": 8, "KvCapacityTokens": 100_000, "TokenKvBytes": 1000, "LinkMbps": 10000.0}},
+            {"Name": "desk", "HealthPath": "/healthz", "MaxConns": 100},
+        ],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100_000, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+        "Tenants": [{"Name": "workspace-1", "ApiKeys": ["key-1"], "Priority": 1, "Isolated": true}],
+    })
+    .to_string()
+}
+
+/// A store with a configuration, two engines and two application servers.
+pub struct Site {
+    pub store: Store,
+    pub engines: Vec<Engine>,
+    pub desks: Vec<Engine>,
+}
+
+impl Site {
+    /// Starts the site; `pause` is the time between two events of a stream.
+    pub fn start(pause: Duration) -> Self {
+        let store = Store::start();
+        let engines: Vec<Engine> = (1..=2)
+            .map(|place| Engine::start(&format!("engine-{place}"), 10, pause))
+            .collect();
+        let desks: Vec<Engine> = (1..=2)
+            .map(|place| Engine::start(&format!("desk-{place}"), 0, Duration::from_millis(5)))
+            .collect();
+        let site = Self {
+            store,
+            engines,
+            desks,
+        };
+        site.store.put("keyed.op", "op/config", &catalog(1, false));
+        for engine in &site.engines {
+            site.list(engine, "engines", "ready");
+        }
+        for desk in &site.desks {
+            site.list(desk, "desk", "ready");
+        }
+        site
+    }
+
+    /// Writes an endpoint's entry.
+    pub fn list(&self, endpoint: &Engine, service: &str, state: &str) {
+        let (key, value) = endpoint.entry(service, state);
+        self.store.put("keyed.servers", &key, &value);
+    }
+
+    /// Starts a node and waits until it has what it needs.
+    pub fn node(&self, name: &str) -> Node {
+        let node = Node::start(name, self.store.address());
+        node.wait_ready();
+        wait_for("the list of endpoints", || {
+            node.log().matches("endpoint listed").count() >= 4
+        });
+        node
+    }
+
+    /// How often any endpoint ran a request.
+    pub fn runs(&self, id: &str) -> u32 {
+        let endpoints = self.engines.iter().chain(&self.desks);
+        endpoints
+            .map(|endpoint| endpoint.runs().get(id).copied().unwrap_or(0))
+            .sum()
+    }
+}
+
+/// Ids of the events in a stream.
+pub fn event_ids(body: &str) -> Vec<u64> {
+    body.lines()
+        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+        .collect()
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -23,7 +23,9 @@
 use crate::catalog::Catalog;
 use crate::clock::{Millis, now};
 use crate::control::desk::Control;
-use crate::dialect::{Dialect, EngineReport, HeldPart, KeyedRecord, OrderOutcome, PromptPart, WeightsOrder};
+use crate::dialect::{
+    Dialect, EngineReport, HeldPart, KeyedRecord, OrderOutcome, PromptPart, WeightsOrder,
+};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::settings::Settings;
 
--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -347,7 +347,9 @@
         log::info!(endpoint = endpoint.unwrap_or(0), parts = keys.len(); "cached parts learnt");
         match endpoint {
             Some(endpoint) => self.parts.read(endpoint, &keys, false, now),
-            None => keys.iter().for_each(|key| self.parts.listed_in_store(*key, now)),
+            None => keys
+                .iter()
+                .for_each(|key| self.parts.listed_in_store(*key, now)),
         }
     }
 
@@ -542,7 +544,9 @@
                 .is_some_and(|state| now >= state.avoid_until && now >= state.loading_until)
         };
         let fetch = match self.parts.source(shared, key, alive, now) {
-            Some(Source::Engine(source)) => self.fleet.get(&source).map(|state| state.endpoint.address),
+            Some(Source::Engine(source)) => {
+                self.fleet.get(&source).map(|state| state.endpoint.address)
+            }
             // A node that just started knows of no holder; a miss costs little.
             Some(Source::Store) | None => store.filter(|_| !shared.is_empty()),
         };
@@ -570,9 +574,7 @@
         let salt = estimate
             .version
             .zip(ask.model.as_deref())
-            .map(|(version, model)| {
-                salt(version, scope(model, version, ask.wall.as_deref()))
-            });
+            .map(|(version, model)| salt(version, scope(model, version, ask.wall.as_deref())));
         Grant {
             number,
             endpoint,
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -191,7 +191,10 @@
 
     /// Long answers that are being written.
     fn writing(&self) -> usize {
-        self.runs.values().filter(|run| run.first && run.long).count()
+        self.runs
+            .values()
+            .filter(|run| run.first && run.long)
+            .count()
     }
 
     /// Time that prompts which are not read yet will take, in ms.
--- a/crates/gateway/src/control/parts.rs
+++ b/crates/gateway/src/control/parts.rs
@@ -47,7 +47,10 @@
 /// Keys of the shared parts of a prompt: all but its own last part.
 pub fn shared(scope: u64, parts: &[PromptPart]) -> Vec<(PartKey, u32)> {
     let count = parts.len().saturating_sub(1);
-    parts[..count].iter().map(|part| (key(scope, part.id), part.tokens)).collect()
+    parts[..count]
+        .iter()
+        .map(|part| (key(scope, part.id), part.tokens))
+        .collect()
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -209,7 +212,9 @@
         alive: impl Fn(EndpointKey) -> bool,
         now: Millis,
     ) -> Option<Source> {
-        let depth = |holds: &dyn Fn(PartKey) -> bool| keys.iter().take_while(|(key, _)| holds(*key)).count();
+        let depth = |holds: &dyn Fn(PartKey) -> bool| {
+            keys.iter().take_while(|(key, _)| holds(*key)).count()
+        };
         let first = self.parts.get(&keys.first()?.0)?;
         let best = first
             .engines
@@ -219,7 +224,9 @@
             .max();
         let stored = depth(&|key| self.stored(key, now));
         match best {
-            Some((engines, _, other)) if engines > 0 && engines >= stored => Some(Source::Engine(other)),
+            Some((engines, _, other)) if engines > 0 && engines >= stored => {
+                Some(Source::Engine(other))
+            }
             _ if stored > 0 => Some(Source::Store),
             _ => None,
         }
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -14,6 +14,9 @@
 /// One engine in this many may load at once.
 const LOADS_SHARE: usize = 5;
 
+/// Part of the fleet that must not load at the same time: one engine in this many.
+const LOADS_MOST: usize = 2;
+
 /// Time that a load takes, in ms.
 const LOAD_MS: Millis = 330;
 
@@ -70,6 +73,14 @@
     moved_at: Millis,
 }
 
+/// Engines of a fleet that may load at once; some always serve.
+pub fn loads_at_once(engines: usize) -> usize {
+    LOADS_MIN
+        .max(engines / LOADS_SHARE)
+        .min(engines / LOADS_MOST)
+        .max(1)
+}
+
 type Fleet = BTreeMap<EndpointKey, EndpointState>;
 
 impl Rollout {
@@ -166,7 +177,7 @@
                 }
             }
         }
-        let most = LOADS_MIN.max(engines / LOADS_SHARE);
+        let most = loads_at_once(engines);
         wanting.sort_unstable();
         for (_, _, key) in wanting.iter().take(most) {
             let (Some(state), Some(progress)) = (fleet.get_mut(key), self.engines.get_mut(key))
--- a/crates/gateway/src/gossip_link.rs
+++ b/crates/gateway/src/gossip_link.rs
@@ -78,7 +78,12 @@
                 tokio::spawn(orders::give(dialect, handle.clone(), order));
             }
             Effect::ReadCache(address, endpoint) => {
-                tokio::spawn(orders::read_cache(dialect, handle.clone(), address, endpoint));
+                tokio::spawn(orders::read_cache(
+                    dialect,
+                    handle.clone(),
+                    address,
+                    endpoint,
+                ));
             }
             Effect::Report(engine) => {
                 tokio::spawn(orders::report(dialect, handle.clone(), engine));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -36,6 +36,10 @@
     pub weights_bound: Duration,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
+    /// Time within which endpoints that leave must get no more requests.
+    pub drain_bound: Duration,
+    /// Time within which a configuration must be in force.
+    pub catalog_bound: Duration,
     /// Memory limit of the process in MB; 0 when unknown.
     pub memory_mb: u64,
     /// All availability zones.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -20,12 +20,16 @@
 /// Pause after a call that failed, and as much again at random, in ms.
 const RETRY_MS: u64 = 250;
 
-/// Pause between two looks at the endpoints' entries. They change with every
-/// heartbeat of an endpoint, so waiting for a change would never pause.
-const ENTRIES_PAUSE: Duration = Duration::from_millis(850);
+/// Part of the time within which endpoints that leave get no more requests that
+/// is left for one call and one more try.
+const ENTRIES_MARGIN: Duration = Duration::from_millis(1_150);
 
-/// Time that the store holds a read of the operator's topic, in ms.
-const OPERATOR_WAIT_MS: u64 = 1_200;
+/// Shortest pause between two looks at the endpoints' entries.
+const ENTRIES_PAUSE_MIN: Duration = Duration::from_millis(300);
+
+/// Part of the time within which a configuration is in force that is left for a
+/// new call after one whose connection went silent.
+const OPERATOR_MARGIN: Duration = Duration::from_millis(800);
 
 /// Pause between two looks at the registry of nodes.
 const REGISTRY_PAUSE: Duration = Duration::from_secs(20);
@@ -132,7 +136,10 @@
 pub async fn follow_operator(settings: Settings, dialect: Dialect, handle: Handle) {
     let tail = Tail {
         topic: dialect.topics.operator,
-        wait_ms: OPERATOR_WAIT_MS,
+        wait_ms: settings
+            .catalog_bound
+            .saturating_sub(OPERATOR_MARGIN)
+            .as_millis() as u64,
         pause: Duration::ZERO,
         snapshot: Event::OperatorSnapshot,
         records: Event::Operator,
@@ -145,7 +152,12 @@
     let tail = Tail {
         topic: dialect.topics.endpoints,
         wait_ms: 0,
-        pause: ENTRIES_PAUSE,
+        // Entries change with every heartbeat of an endpoint, so waiting for a
+        // change would never pause.
+        pause: settings
+            .drain_bound
+            .saturating_sub(ENTRIES_MARGIN)
+            .max(ENTRIES_PAUSE_MIN),
         snapshot: Event::EndpointSnapshot,
         records: Event::Endpoints,
     };
