--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,135 @@
+//! Control state with settings and records as the platform writes them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use flamingolock_gateway::control::desk::Control;
+use flamingolock_gateway::control::{Ask, Effect, Event, Placement, View};
+use flamingolock_gateway::dialect::{KeyedRecord, PromptPart};
+use flamingolock_gateway::settings::Settings;
+use tokio::sync::oneshot;
+
+pub fn settings() -> Settings {
+    let address = |port: u16| ([127, 0, 0, 1], port).into();
+    Settings {
+        node: "node-1".to_owned(),
+        zone: "zone-a".to_owned(),
+        callers: address(1),
+        ready: address(2),
+        directory: address(3),
+        gossip: address(4),
+        metrics: address(5),
+        store: address(6),
+        retry_ratio: 0.2,
+        retry_window: Duration::from_secs(10),
+        retry_slack: 58.0,
+        lease: Duration::from_secs(3),
+        weights_bound: Duration::from_secs(6),
+        grace: Duration::from_secs(8),
+        drain_bound: Duration::from_secs(2),
+        catalog_bound: Duration::from_secs(2),
+        memory_mb: 110,
+        zones: vec!["zone-a".to_owned()],
+    }
+}
+
+/// Control state and what it publishes.
+pub struct Desk {
+    pub control: Control,
+    pub view: Arc<ArcSwap<View>>,
+    offset: u64,
+}
+
+impl Desk {
+    /// A node that knows nothing.
+    pub fn new() -> Self {
+        let view = Arc::new(ArcSwap::from_pointee(View::default()));
+        let control = Control::new(settings(), flamingolock_platform::DIALECT, 7, view.clone());
+        Self {
+            control,
+            view,
+            offset: 0,
+        }
+    }
+
+    /// A node with a configuration and that many engines.
+    pub fn with_engines(count: usize, now: u64) -> Self {
+        let mut desk = Self::new();
+        desk.catalog(1, now);
+        for place in 0..count {
+            desk.engine(&format!("e{place}"), 1, "ready", now);
+        }
+        desk
+    }
+
+    fn record(&mut self, key: &str, value: Option<&str>) -> KeyedRecord {
+        self.offset += 1;
+        let value = value.map(|value| Bytes::copy_from_slice(value.as_bytes()));
+        KeyedRecord {
+            key: key.to_owned(),
+            value,
+            offset: self.offset,
+        }
+    }
+
+    pub fn catalog(&mut self, version: u64, now: u64) {
+        let text = format!(
+            r#"{{"Version":{version},"Routes":[],"Services":[{{"Name":"engines","MaxConns":100,"Engine":
+            {{"KvCapacityTokens":100000,"TokenKvBytes":1000,"LinkMbps":10000.0}}}}]}}"#
+        );
+        let record = self.record("op/config", Some(&text));
+        self.control.handle(Event::Operator(vec![record]), now);
+    }
+
+    pub fn weights(&mut self, version: u64, now: u64) {
+        let text = format!(r#"{{"Model":"m","Version":{version}}}"#);
+        let record = self.record("op/version/m", Some(&text));
+        self.control.handle(Event::Operator(vec![record]), now);
+    }
+
+    pub fn engine(&mut self, id: &str, born: u64, state: &str, now: u64) {
+        let text = format!(
+            r#"{{"Service":"engines","Address":"10.0.0.1:80","Zone":"zone-a","Slots":64,"State":"{state}",
+            "Seq":1,"born":{born},"Models":[{{"Name":"m","Version":1}}]}}"#
+        );
+        self.entry(id, Some(&text), now);
+    }
+
+    /// Any entry of an endpoint; none removes it.
+    pub fn entry(&mut self, id: &str, value: Option<&str>, now: u64) {
+        let record = self.record(&format!("servers/{id}"), value);
+        self.control.handle(Event::Endpoints(vec![record]), now);
+    }
+
+    /// Asks for a place. None when the request has to wait.
+    pub fn place(&mut self, ask: Ask, now: u64) -> Option<Placement> {
+        let (sender, mut receiver) = oneshot::channel();
+        self.control.handle(Event::Ask(Box::new(ask), sender), now);
+        receiver.try_recv().ok()
+    }
+
+    /// Effects since the last call, after a tick.
+    pub fn effects(&mut self, now: u64) -> Vec<Effect> {
+        self.control.tick(now);
+        std::mem::take(&mut self.control.effects)
+    }
+}
+
+/// A request with shared parts.
+pub fn ask(wall: Option<&str>, id: u64) -> Ask {
+    Ask {
+        request: "r".into(),
+        service: "engines".into(),
+        model: Some("m".to_owned()),
+        wall: wall.map(ToOwned::to_owned),
+        parts: [(id, 500), (id + 1, 4_000), (id + 2, 1_000)]
+            .map(|(id, tokens)| PromptPart { id, tokens })
+            .to_vec(),
+        prompt_tokens: 5_500,
+        output_tokens: 64,
+        tried: Vec::new(),
+        hold: Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/test_event_stream.rs
@@ -0,0 +1,52 @@
+//! Cutting streams into whole events.
+
+use flamingolock_gateway::event_stream::EventSplitter;
+use proptest::prelude::*;
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
+proptest! {
+    /// However the bytes arrive, whole events come out once, in order, and
+    /// unchanged.
+    #[test]
+    fn events_come_out_as_they_went_in(count in 1_u64..30, after in 0_u64..30, cuts in proptest::collection::vec(1_usize..40, 1..60)) {
+        let text: String = (1..=count).map(event).collect();
+        let mut splitter = EventSplitter::default();
+        let mut rest = text.as_bytes();
+        let mut out = Vec::new();
+        let mut last = Some(after);
+        for cut in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (piece, left) = rest.split_at((*cut).min(rest.len()));
+            rest = left;
+            if let Some(events) = splitter.push(piece, last) {
+                out.extend_from_slice(&events.bytes);
+                last = events.last_id;
+            }
+        }
+        let expected: String = (after + 1..=count).map(event).collect();
+        prop_assert_eq!(String::from_utf8(out).expect("text"), expected);
+        prop_assert!(splitter.rest().is_empty());
+    }
+}
+
+#[test]
+fn half_an_event_is_held_back() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(b"id: 1\ndata: a\n", None), None);
+    let events = splitter.push(b"\nid: 2\nda", None).expect("one event");
+    assert_eq!(&events.bytes[..], b"id: 1\ndata: a\n\n");
+    assert_eq!(&splitter.rest()[..], b"id: 2\nda");
+}
+
+#[test]
+fn first_line_about_weights_stays_part_of_its_event() {
+    let mut splitter = EventSplitter::default();
+    let text = b"weight-versions: 3\nid: 4\ndata: a\n\n";
+    let events = splitter.push(text, Some(3)).expect("one event");
+    assert_eq!((&events.bytes[..], events.last_id), (&text[..], Some(4)));
+}
