--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -30,6 +30,9 @@
 /// Time for which news is gathered into one datagram, in ms.
 const GATHER_MS: Millis = 4;
 
+/// Time beyond that for which a hub gathers what others said, in ms.
+const HUB_GATHER_MS: Millis = 8;
+
 /// Runs in one datagram, so that it stays below the usual packet size.
 const DATAGRAM_RUNS: usize = 24;
 
@@ -68,6 +71,15 @@
 /// Advantage of the engine that all nodes prefer for parts nobody holds, in ms.
 const FIRST_READER_MS: f64 = 30.0;
 
+/// News of other zones that a hub passes on to its own.
+#[derive(Default)]
+struct Foreign {
+    runs: Vec<Run>,
+    reloads: Vec<Reload>,
+    faults: Vec<Fault>,
+    heard: Vec<NodeState>,
+}
+
 struct Waiting {
     ask: Box<Ask>,
     reply: oneshot::Sender<Placement>,
@@ -91,6 +103,11 @@
     next_run: u64,
     runs: Vec<Run>,
     faults: Vec<Fault>,
+    relayed_reloads: Vec<Reload>,
+    foreign: Foreign,
+    is_hub: bool,
+    heard_at: Millis,
+    greet: Vec<SocketAddr>,
     news_at: Option<Millis>,
     sent_at: Millis,
     store_away: bool,
@@ -129,6 +146,11 @@
             next_run: 0,
             runs: Vec::new(),
             faults: Vec::new(),
+            relayed_reloads: Vec::new(),
+            foreign: Foreign::default(),
+            is_hub: false,
+            heard_at: 0,
+            greet: Vec::new(),
             news_at: None,
             sent_at: 0,
             store_away: false,
@@ -558,6 +580,7 @@
             tokens: ask.prompt_tokens + ask.output_tokens,
             parts: shared.iter().map(|(part, _)| *part).collect(),
             kept: keep.is_some(),
+            node: 0,
             long: ask.output_tokens >= LONG_ANSWER_TOKENS,
         };
         let endpoint = self.fleet[&key].endpoint.clone();
@@ -656,33 +679,71 @@
             ready: self.catalog.is_some(),
             lease_end: self.lease.own_end(),
             name: self.settings.node.clone(),
+            gossip: self.settings.gossip.to_string(),
+            capacity: self.settings.capacity,
         }
     }
 
     fn send_gossip(&mut self, now: Millis) {
         self.news_at = None;
         self.sent_at = now;
-        let addresses = self.peers.addresses(now);
-        let mut runs = std::mem::take(&mut self.runs);
-        let mut faults = std::mem::take(&mut self.faults);
+        let me = self.state();
+        let mut targets = self.peers.targets(&me, now);
+        self.is_hub = targets.hub;
+        targets.own.append(&mut self.greet);
+        let mut reloads = self.reloads(now);
+        reloads.append(&mut self.relayed_reloads);
+        let tells_heard = targets.hub && now >= self.heard_at + BEACON_MS;
+        if tells_heard {
+            self.heard_at = now;
+        }
+        let own = Gossip {
+            sender: Some(me.clone()),
+            runs: std::mem::take(&mut self.runs),
+            reloads,
+            faults: std::mem::take(&mut self.faults),
+            relayed: targets.hub,
+            heard: if tells_heard {
+                self.peers.heard_in(&me.zone, now)
+            } else {
+                Vec::new()
+            },
+        };
+        let foreign = std::mem::take(&mut self.foreign);
+        self.send(own, &targets.own);
+        let silent =
+            foreign.runs.is_empty() && foreign.reloads.is_empty() && foreign.heard.is_empty();
+        if !silent || !foreign.faults.is_empty() {
+            let gossip = Gossip {
+                sender: Some(me),
+                runs: foreign.runs,
+                reloads: foreign.reloads,
+                faults: foreign.faults,
+                relayed: true,
+                heard: foreign.heard,
+            };
+            self.send(gossip, &targets.foreign);
+        }
+    }
+
+    /// Sends a message in as many datagrams as its runs need.
+    fn send(&mut self, mut gossip: Gossip, addresses: &[SocketAddr]) {
         if addresses.is_empty() {
             return;
         }
+        let mut runs = std::mem::take(&mut gossip.runs);
         loop {
             let rest = runs.split_off(runs.len().min(DATAGRAM_RUNS));
-            let gossip = Gossip {
-                sender: Some(self.state()),
-                runs,
-                reloads: self.reloads(now),
-                faults: std::mem::take(&mut faults),
-            };
-            self.effects.push(Effect::Datagram(
-                addresses.clone(),
-                Bytes::from(gossip.encode_to_vec()),
-            ));
+            gossip.runs = runs;
+            let bytes = Bytes::from(gossip.encode_to_vec());
+            self.effects
+                .push(Effect::Datagram(addresses.to_vec(), bytes));
             if rest.is_empty() {
                 return;
             }
+            gossip.reloads.clear();
+            gossip.faults.clear();
+            gossip.heard.clear();
             runs = rest;
         }
     }
@@ -717,38 +778,93 @@
                 return;
             }
         };
-        let Some(sender) = gossip.sender else { return };
+        let Some(sender) = &gossip.sender else {
+            return;
+        };
         if sender.incarnation == self.incarnation {
             return;
         }
-        if let Some(old) = self.peers.heard(from, &sender, now) {
-            for state in self.fleet.values_mut() {
-                state.drop_node(old);
-            }
+        if !self.peers.knows(from, now) {
+            // It may not know this node yet either.
+            self.greet.push(from);
+            self.news_at.get_or_insert(now);
         }
-        self.lease.heard(&sender.name, sender.lease_end, now);
-        for run in gossip.runs {
-            self.peer_run(sender.incarnation, &run, now);
+        self.heard(from, sender, false, now);
+        for state in &gossip.heard {
+            if let Ok(address) = state.gossip.parse()
+                && state.incarnation != self.incarnation
+            {
+                self.heard(address, state, true, now);
+            }
         }
-        for reload in gossip.reloads {
-            self.rollout.moved(now);
-            if let Some(state) = self.fleet.get_mut(&reload.endpoint) {
-                if reload.left_ms > 0 {
-                    state.loading_until =
-                        state.loading_until.max(now + Millis::from(reload.left_ms));
-                    if state.learn_weights(&reload.model, reload.version) {
-                        self.parts.forget(reload.endpoint);
-                    }
-                } else {
-                    state.reserved_until = now + BEACON_MS;
-                }
+        let (node, zone) = (sender.incarnation, sender.zone.clone());
+        for run in &gossip.runs {
+            let node = if run.node == 0 { node } else { run.node };
+            if node != self.incarnation {
+                self.peer_run(node, run, now);
             }
         }
-        for fault in gossip.faults {
+        for reload in &gossip.reloads {
+            self.reload(reload, now);
+        }
+        for fault in &gossip.faults {
             if let Some(state) = self.fleet.get_mut(&fault.endpoint) {
                 state.avoid_until = state.avoid_until.max(now + Millis::from(fault.avoid_ms));
             }
         }
+        if self.is_hub {
+            self.pass_on(gossip, node, &zone, now);
+        }
+    }
+
+    fn heard(&mut self, from: SocketAddr, state: &NodeState, behind_hub: bool, now: Millis) {
+        if let Some(old) = self.peers.heard(from, state, behind_hub, now) {
+            for endpoint in self.fleet.values_mut() {
+                endpoint.drop_node(old);
+            }
+        }
+        self.lease.heard(&state.name, state.lease_end, now);
+    }
+
+    fn reload(&mut self, reload: &Reload, now: Millis) {
+        self.rollout.moved(now);
+        let Some(state) = self.fleet.get_mut(&reload.endpoint) else {
+            return;
+        };
+        if reload.left_ms == 0 {
+            state.reserved_until = now + BEACON_MS;
+            return;
+        }
+        state.loading_until = state.loading_until.max(now + Millis::from(reload.left_ms));
+        if state.learn_weights(&reload.model, reload.version) {
+            self.parts.forget(reload.endpoint);
+        }
+    }
+
+    /// Passes on, as hub, what a node of this zone or the hub of another one
+    /// said. What was passed on within the zone goes no further.
+    fn pass_on(&mut self, gossip: Gossip, node: u64, zone: &str, now: Millis) {
+        let mut runs = gossip.runs;
+        for run in &mut runs {
+            if run.node == 0 {
+                run.node = node;
+            }
+        }
+        if zone == self.settings.zone {
+            if gossip.relayed {
+                return;
+            }
+            self.runs.append(&mut runs);
+            self.faults.extend(gossip.faults);
+            self.relayed_reloads.extend(gossip.reloads);
+        } else if gossip.relayed {
+            self.foreign.runs.append(&mut runs);
+            self.foreign.faults.extend(gossip.faults);
+            self.foreign.reloads.extend(gossip.reloads);
+            self.foreign.heard.extend(gossip.sender);
+            self.foreign.heard.extend(gossip.heard);
+        }
+        self.news_at.get_or_insert(now + HUB_GATHER_MS);
     }
 
     fn peer_run(&mut self, node: u64, run: &Run, now: Millis) {
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -10,6 +10,14 @@
 /// Silence after which a node counts as gone.
 const SILENT_MS: Millis = 1_200;
 
+/// Silence after which a node counts as gone that is heard through the hub of
+/// its zone; another node has to take over for a hub that is gone.
+const SILENT_BEHIND_HUB_MS: Millis = 3_000;
+
+/// Other nodes up to which each node tells all others itself. In larger fleets
+/// one node of each zone, its hub, passes news on.
+const DIRECT_NODES: usize = 16;
+
 /// Silence after which a node no longer counts for shared limits.
 const FORGOTTEN_MS: Millis = 12_000;
 
@@ -25,6 +33,30 @@
     pub callers: SocketAddr,
     /// When it was heard last.
     pub heard: Millis,
+    /// True when it was heard through a hub.
+    pub behind_hub: bool,
+}
+
+impl Peer {
+    fn is_alive(&self, now: Millis) -> bool {
+        let silent = if self.behind_hub {
+            SILENT_BEHIND_HUB_MS
+        } else {
+            SILENT_MS
+        };
+        now <= self.heard + silent
+    }
+}
+
+/// Where a node's datagrams go.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Targets {
+    /// Nodes that get what this node and its zone did.
+    pub own: Vec<SocketAddr>,
+    /// Nodes that get what other zones did; only a hub has them.
+    pub foreign: Vec<SocketAddr>,
+    /// True when this node is the hub of its zone.
+    pub hub: bool,
 }
 
 /// All other nodes.
@@ -40,17 +72,31 @@
         self.known.entry(address).or_insert(None);
     }
 
-    /// Takes the state that a datagram carries. Returns the incarnation that it
-    /// replaces at this address, if any.
-    pub fn heard(&mut self, from: SocketAddr, state: &NodeState, now: Millis) -> Option<u64> {
+    /// Takes the state of a node, heard from itself or through a hub. Returns the
+    /// incarnation that it replaces at this address, if any.
+    pub fn heard(
+        &mut self,
+        from: SocketAddr,
+        state: &NodeState,
+        behind_hub: bool,
+        now: Millis,
+    ) -> Option<u64> {
         let Ok(callers) = state.callers.parse() else {
             log::warn!(from:% = from, callers = state.callers.as_str(); "datagram without a caller address ignored");
             return None;
         };
+        let before = self.known.get(&from).and_then(Option::as_ref);
+        let direct = before.is_some_and(|before| {
+            behind_hub
+                && !before.behind_hub
+                && before.is_alive(now)
+                && before.state.incarnation == state.incarnation
+        });
         let peer = Peer {
             state: state.clone(),
             callers,
             heard: now,
+            behind_hub: behind_hub && !direct,
         };
         let before = self.known.insert(from, Some(peer)).flatten();
         before
@@ -58,12 +104,82 @@
             .filter(|incarnation| *incarnation != state.incarnation)
     }
 
+    /// True when the node at this address is alive.
+    pub fn knows(&self, address: SocketAddr, now: Millis) -> bool {
+        self.known
+            .get(&address)
+            .and_then(Option::as_ref)
+            .is_some_and(|peer| peer.is_alive(now))
+    }
+
     /// Nodes that were heard lately.
     pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Peer> {
         self.known
             .values()
             .flatten()
-            .filter(move |peer| now <= peer.heard + SILENT_MS)
+            .filter(move |peer| peer.is_alive(now))
+    }
+
+    /// Where the next datagram goes, given this node's own state.
+    pub fn targets(&mut self, me: &NodeState, now: Millis) -> Targets {
+        let silent = self.due_probes(now);
+        let alive: Vec<(SocketAddr, &Peer)> = self
+            .known
+            .iter()
+            .filter_map(|(address, peer)| {
+                Some((*address, peer.as_ref().filter(|peer| peer.is_alive(now))?))
+            })
+            .collect();
+        let mut targets = Targets {
+            own: silent,
+            ..Targets::default()
+        };
+        if alive.len() <= DIRECT_NODES {
+            targets
+                .own
+                .extend(alive.iter().map(|(address, _)| *address));
+            return targets;
+        }
+        // The machine with most to spare is the hub.
+        let rank = |state: &NodeState| (state.capacity, state.incarnation);
+        let mut hubs: BTreeMap<&str, ((u32, u64), Option<SocketAddr>)> = BTreeMap::new();
+        if !me.leaving {
+            hubs.insert(&me.zone, (rank(me), None));
+        }
+        for (address, peer) in alive.iter().filter(|(_, peer)| !peer.state.leaving) {
+            let candidate = (rank(&peer.state), Some(*address));
+            let hub = hubs.entry(&peer.state.zone).or_insert(candidate);
+            if candidate.0 > hub.0 {
+                *hub = candidate;
+            }
+        }
+        targets.hub = hubs
+            .get(me.zone.as_str())
+            .is_some_and(|(_, address)| address.is_none());
+        if targets.hub {
+            let zone = alive
+                .iter()
+                .filter(|(_, peer)| peer.state.zone == me.zone)
+                .map(|(address, _)| *address);
+            targets.foreign = zone.collect();
+            targets.own.extend(&targets.foreign);
+            targets
+                .own
+                .extend(hubs.values().filter_map(|(_, address)| *address));
+        } else {
+            targets
+                .own
+                .extend(hubs.get(me.zone.as_str()).and_then(|(_, address)| *address));
+        }
+        targets
+    }
+
+    /// Nodes of a zone that were heard directly: what a hub tells about.
+    pub fn heard_in(&self, zone: &str, now: Millis) -> Vec<NodeState> {
+        self.alive(now)
+            .filter(|peer| !peer.behind_hub && peer.state.zone == zone)
+            .map(|peer| peer.state.clone())
+            .collect()
     }
 
     /// True when the node of this incarnation was heard lately.
@@ -88,19 +204,17 @@
             .count()
     }
 
-    /// Addresses to send the next datagram to. Silent ones get few.
-    pub fn addresses(&mut self, now: Millis) -> Vec<SocketAddr> {
-        let mut addresses = Vec::new();
+    /// Silent addresses that are due to be tried again.
+    fn due_probes(&mut self, now: Millis) -> Vec<SocketAddr> {
+        let mut due = Vec::new();
         for (address, peer) in &self.known {
-            let alive = peer
-                .as_ref()
-                .is_some_and(|peer| now <= peer.heard + SILENT_MS);
+            let alive = peer.as_ref().is_some_and(|peer| peer.is_alive(now));
             let probed = self.probed.entry(*address).or_insert(0);
-            if alive || now >= *probed + PROBE_MS {
+            if !alive && now >= *probed + PROBE_MS {
                 *probed = now;
-                addresses.push(*address);
+                due.push(*address);
             }
         }
-        addresses
+        due
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,8 @@
     pub drain_bound: Duration,
     /// Time within which a configuration must be in force.
     pub catalog_bound: Duration,
+    /// Processor share of the machine in thousandths of a core.
+    pub capacity: u32,
     /// Memory limit of the process in MB; 0 when unknown.
     pub memory_mb: u64,
     /// All availability zones.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -30,6 +30,7 @@
         grace: Duration::from_secs(8),
         drain_bound: Duration::from_secs(2),
         catalog_bound: Duration::from_secs(2),
+        capacity: 250,
         memory_mb: 110,
         zones: vec!["zone-a".to_owned()],
     }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -17,6 +17,12 @@
     /// Endpoints that failed the sender just now.
     #[prost(message, repeated, tag = "4")]
     pub faults: Vec<Fault>,
+    /// True when the sender passes on, for its zone, what other nodes did.
+    #[prost(bool, tag = "5")]
+    pub relayed: bool,
+    /// Nodes of the sender's zone that it heard itself.
+    #[prost(message, repeated, tag = "6")]
+    pub heard: Vec<NodeState>,
 }
 
 /// State of a node.
@@ -44,6 +50,12 @@
     /// Name of the node.
     #[prost(string, tag = "7")]
     pub name: String,
+    /// Where its datagrams come from.
+    #[prost(string, tag = "8")]
+    pub gossip: String,
+    /// Processor share of its machine in thousandths of a core.
+    #[prost(uint32, tag = "9")]
+    pub capacity: u32,
 }
 
 /// A step of a request at an endpoint.
@@ -70,6 +82,9 @@
     /// True when the parts go to the store of kept KV cache as well.
     #[prost(bool, tag = "7")]
     pub kept: bool,
+    /// Incarnation of the node that has the run; 0 for the sender.
+    #[prost(fixed64, tag = "9")]
+    pub node: u64,
     /// True when the answer is long enough to notice pauses.
     #[prost(bool, tag = "8")]
     pub long: bool,
