--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -29,6 +29,9 @@
 /// Pause before an order is given again, in ms.
 const AGAIN_MS: Millis = 400;
 
+/// Pause before an order that could not be sent is tried again, in ms.
+const NOT_SENT_MS: Millis = 150;
+
 /// Time without progress after which another node takes over, in ms.
 const STALLED_MS: Millis = 1_500;
 
@@ -280,7 +283,10 @@
                 progress.accepted = None;
                 progress.retry_at = now + AGAIN_MS;
             }
-            OrderOutcome::NotSent => state.loading_until = now,
+            OrderOutcome::NotSent => {
+                progress.retry_at = now + NOT_SENT_MS;
+                state.loading_until = now;
+            }
         }
         false
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -151,10 +151,12 @@
             } else {
                 Some(bytes)
             };
-            if let Some(piece) = piece
-                && pieces.send(Ok(Frame::data(piece))).await.is_err()
-            {
-                return Passed::CallerLeft;
+            if let Some(piece) = piece {
+                match timeout_at(exchange.expires, pieces.send(Ok(Frame::data(piece)))).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return Passed::CallerLeft,
+                    Err(_) => return Passed::Expired,
+                }
             }
         }
         let frame = tokio::select! {
