--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -65,6 +65,10 @@
 /// has to do.
 const LEARN_CACHE_ENGINES: usize = 24;
 
+/// Own tokens of a prompt, for each shared token that the store lacks, up to which
+/// the prompt is worth keeping there.
+const KEEP_OWN_RATIO: f64 = 1.0;
+
 /// Tokens of an answer from which on pauses in it are noticed.
 const LONG_ANSWER_TOKENS: u32 = 16;
 
@@ -555,11 +559,16 @@
             / nodes as f64;
         let store = catalog.as_ref().and_then(|catalog| catalog.keep());
         let shared = &estimate.parts;
-        let keep = store.filter(|_| {
-            shared
-                .iter()
-                .any(|(part, _)| !self.parts.stored(*part, now))
-        });
+        let shared_tokens: u32 = shared.iter().map(|(_, tokens)| tokens).sum();
+        let missing: u32 = shared
+            .iter()
+            .filter(|(part, _)| !self.parts.stored(*part, now))
+            .map(|(_, tokens)| tokens)
+            .sum();
+        // The request's own part goes to the store as well and pushes others out.
+        let own = ask.prompt_tokens.saturating_sub(shared_tokens);
+        let keep =
+            store.filter(|_| missing > 0 && f64::from(own) <= f64::from(missing) * KEEP_OWN_RATIO);
         let alive = |key: EndpointKey| {
             self.fleet
                 .get(&key)
