--- a/crates/cli/src/bin/flamingolock.rs
+++ b/crates/cli/src/bin/flamingolock.rs
@@ -44,6 +44,9 @@
         /// Only checks the settings file and prints the settings.
         #[arg(long)]
         check: bool,
+        /// Port for metrics; the last one of the range for nodes if not given.
+        #[arg(long, value_name = "PORT")]
+        metrics_port: Option<u16>,
     },
 }
 
@@ -52,8 +55,12 @@
 }
 
 fn run(arguments: &Arguments) -> Result<(), CommandError> {
-    if let Some(Action::Entry { check }) = arguments.command {
-        return entry(arguments.log, check);
+    if let Some(Action::Entry {
+        check,
+        metrics_port,
+    }) = arguments.command
+    {
+        return entry(arguments.log, check, metrics_port);
     }
     let settings = settings::load(
         arguments.config.as_deref(),
@@ -68,10 +75,14 @@
 }
 
 /// Runs a node with the platform's settings.
-fn entry(level: LevelFilter, check: bool) -> Result<(), CommandError> {
+fn entry(level: LevelFilter, check: bool, metrics_port: Option<u16>) -> Result<(), CommandError> {
     let usage = |error: &dyn std::fmt::Display| CommandError::Usage(error.to_string());
     let path = flamingolock_platform::settings::path();
-    let settings = flamingolock_platform::settings::load(&path).map_err(|error| usage(&error))?;
+    let mut settings =
+        flamingolock_platform::settings::load(&path).map_err(|error| usage(&error))?;
+    if let Some(port) = metrics_port {
+        settings.metrics.set_port(port);
+    }
     if check {
         print!(
             "{}",
@@ -84,7 +95,7 @@
         let read = flamingolock_platform::settings::load(&path);
         read.map(|_| ()).map_err(|error| error.to_string())
     };
-    flamingolock_gateway::node::run(settings, flamingolock_platform::DIALECT, reload)
+    flamingolock_gateway::node::run(settings, &flamingolock_platform::DIALECT, reload)
         .map_err(|error| usage(&error))
 }
 
--- a/crates/cli/tests/test_entry.rs
+++ b/crates/cli/tests/test_entry.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use entry_site::{Node, Site, call, catalog, event_ids, get, request, stream, wait_for};
-use flamingolock_platform_standin::{EngineMode, Store, StoreMode};
+use flamingolock_platform_standin::{Engine, EngineMode, Store, StoreMode};
 
 const QUICK: Duration = Duration::from_millis(5);
 
@@ -25,7 +25,7 @@
     let head = site
         .engines
         .iter()
-        .flat_map(|engine| engine.heads())
+        .flat_map(Engine::heads)
         .next()
         .expect("a run");
     assert_eq!(head["tenant"], "workspace-1");
@@ -49,7 +49,7 @@
     let head = site
         .desks
         .iter()
-        .flat_map(|desk| desk.heads())
+        .flat_map(Engine::heads)
         .next()
         .expect("a run");
     assert_eq!(head["tenant"], "workspace-1");
@@ -129,7 +129,7 @@
         );
         assert_eq!(site.runs(&id), 1, "{mode:?}");
         // The route's time is 500 ms.
-        assert!(started.elapsed() < Duration::from_millis(1_000), "{mode:?}");
+        assert!(started.elapsed() < Duration::from_secs(1), "{mode:?}");
     }
 }
 
@@ -253,7 +253,7 @@
     let holders: Vec<String> = site
         .engines
         .iter()
-        .flat_map(|engine| engine.fences())
+        .flat_map(Engine::fences)
         .map(|(holder, _)| holder)
         .collect();
     assert_eq!(holders.len(), 2);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -62,7 +62,7 @@
     /// The control thread.
     pub handle: Handle,
     /// The platform's spelling.
-    pub dialect: Dialect,
+    pub dialect: &'static Dialect,
     /// Idle connections.
     pub pool: Pool,
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -27,6 +27,7 @@
     Dialect, EngineReport, HeldPart, KeyedRecord, OrderOutcome, PromptPart, WeightsOrder,
 };
 use crate::endpoint::{Endpoint, EndpointKey};
+use crate::metrics::Metrics;
 use crate::settings::Settings;
 
 /// What a request needs of an endpoint.
@@ -82,6 +83,17 @@
     Budget,
 }
 
+impl Refusal {
+    /// Word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::NoEndpoint => "no_endpoint",
+            Self::AllReloading => "all_reloading",
+            Self::Budget => "budget",
+        }
+    }
+}
+
 /// The answer to an [`Ask`].
 pub type Placement = Result<Grant, Refusal>;
 
@@ -110,6 +122,24 @@
     Left,
 }
 
+impl RunEnd {
+    /// Word for logs and metrics.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Complete => "complete",
+            Self::ErrorAnswer => "error_answer",
+            Self::NeverConnected => "never_connected",
+            Self::WrongInstance => "wrong_instance",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+            Self::Full => "full",
+            Self::Reloading => "reloading",
+            Self::WrongWeights(_) => "wrong_weights",
+            Self::Left => "caller_left",
+        }
+    }
+}
+
 /// What the control thread reacts to.
 #[derive(Debug)]
 pub enum Event {
@@ -245,7 +275,8 @@
 /// When no thread can be started.
 pub fn start(
     settings: Settings,
-    dialect: Dialect,
+    dialect: &'static Dialect,
+    metrics: Arc<Metrics>,
     effects: mpsc::UnboundedSender<Effect>,
 ) -> std::io::Result<Handle> {
     let (events, inbox) = unbounded();
@@ -254,7 +285,7 @@
         events,
         view: view.clone(),
     };
-    let control = Control::new(settings, dialect, rand::random(), view);
+    let control = Control::new(settings, dialect, rand::random(), view, metrics);
     std::thread::Builder::new()
         .name("control".to_owned())
         .stack_size(512 * 1024)
--- /dev/null
+++ b/crates/gateway/src/control/desk/entries.rs
@@ -0,0 +1,183 @@
+//! What the store tells: configuration, weights, and entries of endpoints.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::Control;
+use crate::catalog::Catalog;
+use crate::clock::Millis;
+use crate::control::Effect;
+use crate::control::fleet::EndpointState;
+use crate::control::parts::{key, scope_of};
+use crate::dialect::{HeldPart, KeyedRecord, OperatorRecord};
+use crate::endpoint::{Endpoint, EndpointKey};
+
+/// Time after the store's return within which entries that lapsed meanwhile are
+/// put back by endpoints that live, in ms.
+const RETURN_MS: Millis = 2_300;
+
+/// Time after its start within which a node asks what is cached, in ms.
+const LEARN_CACHE_MS: Millis = 3_000;
+
+/// Engines that a node asks at its start. In larger fleets the store's own list
+/// has to do.
+const LEARN_CACHE_ENGINES: usize = 24;
+
+impl Control {
+    pub(super) fn operator(&mut self, record: &KeyedRecord, now: Millis) {
+        let Some(value) = &record.value else { return };
+        match (self.dialect.operator_record)(&record.key, value) {
+            Ok(OperatorRecord::Catalog(catalog)) => self.new_catalog(catalog, record.offset, now),
+            Ok(OperatorRecord::Weights { model, version }) => {
+                if self.rollout.name(&model, version, now) {
+                    log::info!(model = model.as_str(), version, offset = record.offset; "new weights named");
+                }
+            }
+            Ok(OperatorRecord::Other) => {}
+            Err(error) => {
+                log::warn!(key = record.key.as_str(), offset = record.offset, error:% = error;
+                    "operator's record ignored, the last good one stays in force");
+            }
+        }
+    }
+
+    /// A configuration never gives way to an older one.
+    pub(super) fn new_catalog(&mut self, catalog: Catalog, offset: u64, now: Millis) {
+        let current = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        if self.catalog.is_some() && catalog.version <= current {
+            return;
+        }
+        log::info!(version = catalog.version, before = current, offset, routes = catalog.routes.len();
+            "configuration in force");
+        let keep = catalog.keep();
+        let first = self.catalog.is_none();
+        self.catalog = Some(Arc::new(catalog));
+        if let Some(keep) = keep.filter(|_| first) {
+            self.ask_for_cache(keep, None, now);
+        }
+        self.publish(now);
+    }
+
+    pub(super) fn endpoint_snapshot(&mut self, records: &[KeyedRecord], now: Millis) {
+        let listed: Vec<EndpointKey> = records
+            .iter()
+            .filter_map(|record| (self.dialect.endpoint_id)(&record.key).map(Endpoint::key_of))
+            .collect();
+        let missing: Vec<EndpointKey> = self
+            .fleet
+            .keys()
+            .filter(|key| !listed.contains(key))
+            .copied()
+            .collect();
+        for key in missing {
+            self.endpoint_gone(key, now);
+        }
+        for record in records {
+            self.endpoint(record, now);
+        }
+    }
+
+    pub(super) fn endpoint(&mut self, record: &KeyedRecord, now: Millis) {
+        let Some(id) = (self.dialect.endpoint_id)(&record.key) else {
+            return;
+        };
+        let key = Endpoint::key_of(id);
+        let Some(value) = &record.value else {
+            self.endpoint_gone(key, now);
+            return;
+        };
+        let entry = match (self.dialect.endpoint_entry)(&record.key, value) {
+            Ok(entry) => entry,
+            Err(error) => {
+                log::warn!(endpoint = id, offset = record.offset, error:% = error; "entry names no endpoint");
+                self.drop_endpoint(key, "unreadable entry");
+                return;
+            }
+        };
+        match self.fleet.get_mut(&key) {
+            Some(state) if entry.born < state.endpoint.born => {}
+            Some(state) if entry.born == state.endpoint.born => {
+                if entry.leaving && !state.endpoint.leaving {
+                    log::info!(endpoint = id, offset = record.offset; "endpoint is leaving");
+                }
+                state.update(entry);
+            }
+            _ => {
+                log::info!(endpoint = id, born = entry.born, address:% = entry.address, offset = record.offset;
+                    "endpoint listed");
+                self.parts.forget(key);
+                if !entry.weights.is_empty() && self.fleet.len() < LEARN_CACHE_ENGINES {
+                    self.ask_for_cache(entry.address, Some(key), now);
+                }
+                self.fleet.insert(key, EndpointState::new(entry));
+                self.rollout.moved(now);
+            }
+        }
+    }
+
+    /// Takes what an engine, or the store if `endpoint` is none, says it holds.
+    pub(super) fn cache_listed(
+        &mut self,
+        endpoint: Option<EndpointKey>,
+        held: &[HeldPart],
+        now: Millis,
+    ) {
+        let keys: Vec<_> = held
+            .iter()
+            .filter_map(|part| Some(key(scope_of(&part.salt)?, part.id)))
+            .collect();
+        log::info!(endpoint = endpoint.unwrap_or(0), parts = keys.len(); "cached parts learnt");
+        match endpoint {
+            Some(endpoint) => self.parts.read(endpoint, &keys, false, now),
+            None => keys
+                .iter()
+                .for_each(|key| self.parts.listed_in_store(*key, now)),
+        }
+    }
+
+    /// A node that just started asks what is cached; one that has run for a
+    /// while knows it from the other nodes.
+    pub(super) fn ask_for_cache(
+        &mut self,
+        address: SocketAddr,
+        endpoint: Option<EndpointKey>,
+        now: Millis,
+    ) {
+        let started = *self.started.get_or_insert(now);
+        if now < started + LEARN_CACHE_MS {
+            self.effects.push(Effect::ReadCache(address, endpoint));
+        }
+    }
+
+    /// An entry that lapsed while the store was away may come back at once.
+    pub(super) fn endpoint_gone(&mut self, key: EndpointKey, now: Millis) {
+        let settled_at = self.store_back_at + RETURN_MS;
+        if self.store_back_at > 0 && now < settled_at {
+            if let Some(state) = self.fleet.get_mut(&key) {
+                state.lapses_at.get_or_insert(settled_at);
+            }
+            return;
+        }
+        self.drop_endpoint(key, "entry removed");
+    }
+
+    pub(super) fn drop_endpoint(&mut self, key: EndpointKey, reason: &str) {
+        if let Some(state) = self.fleet.remove(&key) {
+            log::info!(endpoint = &*state.endpoint.id, reason; "endpoint dropped");
+            self.parts.forget(key);
+            self.rollout.retain(&self.fleet);
+        }
+    }
+
+    pub(super) fn settle_lapsed(&mut self, now: Millis) {
+        let lapsed: Vec<EndpointKey> = self
+            .fleet
+            .iter()
+            .filter(|(_, state)| state.lapses_at.is_some_and(|at| now >= at))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in lapsed {
+            self.drop_endpoint(key, "entry did not come back with the store");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/desk/news.rs
@@ -0,0 +1,249 @@
+//! What nodes tell each other by datagrams.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use flamingolock_wire::gossip::{Gossip, NodeState, Reload, Run};
+use prost::Message;
+
+use super::{BEACON_MS, Control};
+use crate::clock::Millis;
+use crate::control::Effect;
+
+/// Runs in one datagram, so that it stays below the usual packet size.
+const DATAGRAM_RUNS: usize = 24;
+
+/// Time beyond that for which a hub gathers what others said, in ms.
+const HUB_GATHER_MS: Millis = 8;
+
+impl Control {
+    pub(super) fn tell(&mut self, run: Run, now: Millis) {
+        self.runs.push(run);
+        self.news_at.get_or_insert(now);
+    }
+
+    pub(super) fn state(&self) -> NodeState {
+        NodeState {
+            incarnation: self.incarnation,
+            callers: self.settings.callers.to_string(),
+            zone: self.settings.zone.clone(),
+            leaving: self.left_at.is_some(),
+            ready: self.catalog.is_some(),
+            lease_end: self.lease.own_end(),
+            name: self.settings.node.clone(),
+            gossip: self.settings.gossip.to_string(),
+            capacity: self.settings.capacity,
+        }
+    }
+
+    pub(super) fn send_gossip(&mut self, now: Millis) {
+        self.news_at = None;
+        self.sent_at = now;
+        let me = self.state();
+        let mut targets = self.peers.targets(&me, now);
+        self.is_hub = targets.hub;
+        targets.own.append(&mut self.greet);
+        let mut reloads = self.reloads(now);
+        reloads.append(&mut self.relayed_reloads);
+        let tells_heard = targets.hub && now >= self.heard_at + BEACON_MS;
+        if tells_heard {
+            self.heard_at = now;
+        }
+        let own = Gossip {
+            sender: Some(me.clone()),
+            runs: std::mem::take(&mut self.runs),
+            reloads,
+            faults: std::mem::take(&mut self.faults),
+            relayed: targets.hub,
+            heard: if tells_heard {
+                self.peers.heard_in(&me.zone, now)
+            } else {
+                Vec::new()
+            },
+        };
+        let foreign = std::mem::take(&mut self.foreign);
+        self.send(own, &targets.own);
+        let silent =
+            foreign.runs.is_empty() && foreign.reloads.is_empty() && foreign.heard.is_empty();
+        if !silent || !foreign.faults.is_empty() {
+            let gossip = Gossip {
+                sender: Some(me),
+                runs: foreign.runs,
+                reloads: foreign.reloads,
+                faults: foreign.faults,
+                relayed: true,
+                heard: foreign.heard,
+            };
+            self.send(gossip, &targets.foreign);
+        }
+    }
+
+    /// Sends a message in as many datagrams as its runs need.
+    pub(super) fn send(&mut self, mut gossip: Gossip, addresses: &[SocketAddr]) {
+        if addresses.is_empty() {
+            return;
+        }
+        let mut runs = std::mem::take(&mut gossip.runs);
+        loop {
+            let rest = runs.split_off(runs.len().min(DATAGRAM_RUNS));
+            gossip.runs = runs;
+            let bytes = Bytes::from(gossip.encode_to_vec());
+            self.effects
+                .push(Effect::Datagram(addresses.to_vec(), bytes));
+            if rest.is_empty() {
+                return;
+            }
+            gossip.reloads.clear();
+            gossip.faults.clear();
+            gossip.heard.clear();
+            runs = rest;
+        }
+    }
+
+    /// Reloads that this node, as holder of the lease, drives.
+    pub(super) fn reloads(&self, now: Millis) -> Vec<Reload> {
+        if !self.lease.held_by_me() {
+            return Vec::new();
+        }
+        let mut reloads = Vec::new();
+        for (key, state) in &self.fleet {
+            if now >= state.loading_until && now >= state.reserved_until {
+                continue;
+            }
+            for (model, version) in &state.weights {
+                reloads.push(Reload {
+                    endpoint: *key,
+                    model: model.clone(),
+                    version: *version,
+                    left_ms: state.loading_until.saturating_sub(now) as u32,
+                });
+            }
+        }
+        reloads
+    }
+
+    pub(super) fn datagram(&mut self, from: SocketAddr, bytes: Bytes, now: Millis) {
+        let gossip = match Gossip::decode(bytes) {
+            Ok(gossip) => gossip,
+            Err(error) => {
+                log::warn!(from:% = from, error:% = error; "datagram cannot be read");
+                return;
+            }
+        };
+        let Some(sender) = &gossip.sender else {
+            return;
+        };
+        if sender.incarnation == self.incarnation {
+            return;
+        }
+        if !self.peers.knows(from, now) {
+            // It may not know this node yet either.
+            self.greet.push(from);
+            self.news_at.get_or_insert(now);
+        }
+        self.heard(from, sender, false, now);
+        for state in &gossip.heard {
+            if let Ok(address) = state.gossip.parse()
+                && state.incarnation != self.incarnation
+            {
+                self.heard(address, state, true, now);
+            }
+        }
+        let (node, zone) = (sender.incarnation, sender.zone.clone());
+        for run in &gossip.runs {
+            let node = if run.node == 0 { node } else { run.node };
+            if node != self.incarnation {
+                self.peer_run(node, run, now);
+            }
+        }
+        for reload in &gossip.reloads {
+            self.reload(reload, now);
+        }
+        for fault in &gossip.faults {
+            if let Some(state) = self.fleet.get_mut(&fault.endpoint) {
+                state.avoid_until = state.avoid_until.max(now + Millis::from(fault.avoid_ms));
+            }
+        }
+        if self.is_hub {
+            self.pass_on(gossip, node, &zone, now);
+        }
+    }
+
+    pub(super) fn heard(
+        &mut self,
+        from: SocketAddr,
+        state: &NodeState,
+        behind_hub: bool,
+        now: Millis,
+    ) {
+        if let Some(old) = self.peers.heard(from, state, behind_hub, now) {
+            for endpoint in self.fleet.values_mut() {
+                endpoint.drop_node(old);
+            }
+        }
+        self.lease.heard(&state.name, state.lease_end, now);
+    }
+
+    pub(super) fn reload(&mut self, reload: &Reload, now: Millis) {
+        self.rollout.moved(now);
+        let Some(state) = self.fleet.get_mut(&reload.endpoint) else {
+            return;
+        };
+        if reload.left_ms == 0 {
+            state.reserved_until = now + BEACON_MS;
+            return;
+        }
+        state.loading_until = state.loading_until.max(now + Millis::from(reload.left_ms));
+        if state.learn_weights(&reload.model, reload.version) {
+            self.parts.forget(reload.endpoint);
+        }
+    }
+
+    /// Passes on, as hub, what a node of this zone or the hub of another one
+    /// said. What was passed on within the zone goes no further.
+    pub(super) fn pass_on(&mut self, gossip: Gossip, node: u64, zone: &str, now: Millis) {
+        let mut runs = gossip.runs;
+        for run in &mut runs {
+            if run.node == 0 {
+                run.node = node;
+            }
+        }
+        if zone == self.settings.zone {
+            if gossip.relayed {
+                return;
+            }
+            self.runs.append(&mut runs);
+            self.faults.extend(gossip.faults);
+            self.relayed_reloads.extend(gossip.reloads);
+        } else if gossip.relayed {
+            self.foreign.runs.append(&mut runs);
+            self.foreign.faults.extend(gossip.faults);
+            self.foreign.reloads.extend(gossip.reloads);
+            self.foreign.heard.extend(gossip.sender);
+            self.foreign.heard.extend(gossip.heard);
+        }
+        self.news_at.get_or_insert(now + HUB_GATHER_MS);
+    }
+
+    pub(super) fn peer_run(&mut self, node: u64, run: &Run, now: Millis) {
+        let Some(state) = self.fleet.get_mut(&run.endpoint) else {
+            return;
+        };
+        let name = (node, run.number);
+        match run.step {
+            0 => {
+                state.sent(name, run, now);
+                self.parts.sent(run.endpoint, &run.parts, now);
+            }
+            1 => {
+                if let Some((parts, kept)) = state.first_token(name, now) {
+                    self.parts.read(run.endpoint, &parts, kept, now);
+                }
+            }
+            _ => {
+                let unread = state.ended(name);
+                self.parts.failed(run.endpoint, &unread);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/desk/placing.rs
@@ -0,0 +1,302 @@
+//! Places for requests: which endpoint, and what it is told.
+
+use flamingolock_wire::gossip::{Fault, Run};
+use rand::Rng;
+use tokio::sync::oneshot;
+
+use super::{Control, Waiting};
+use crate::catalog::ServiceKind;
+use crate::clock::Millis;
+use crate::control::fleet::{Estimate, Moment};
+use crate::control::parts::{Source, salt, scope};
+use crate::control::{Ask, Grant, Placement, Refusal, RunEnd};
+use crate::endpoint::EndpointKey;
+use crate::metrics::Topic;
+
+/// Share of an endpoint's connections that all nodes together use.
+const CONNS_SHARE: f64 = 0.8;
+
+/// Nodes counted beyond those that are known, for nodes that start.
+const SPARE_NODES: usize = 2;
+
+/// Margin before the bound at which replaced weights are no longer used, in ms.
+const WEIGHTS_MARGIN_MS: Millis = 700;
+
+/// Spread of the random number that breaks ties, in ms.
+const TIE_MS: f64 = 0.8;
+
+/// Advantage of the engine that all nodes prefer for parts nobody holds, in ms.
+const FIRST_READER_MS: f64 = 30.0;
+
+/// Own tokens of a prompt, for each shared token that the store lacks, up to which
+/// the prompt is worth keeping there.
+const KEEP_OWN_RATIO: f64 = 1.0;
+
+/// Tokens of an answer from which on pauses in it are noticed.
+const LONG_ANSWER_TOKENS: u32 = 16;
+
+impl Control {
+    pub(super) fn asked(&mut self, ask: Box<Ask>, reply: oneshot::Sender<Placement>, now: Millis) {
+        if ask.tried.is_empty() {
+            self.budget.earn(&ask.service, now);
+        } else if !self.budget.spend(&ask.service, self.nodes(now), now) {
+            self.metrics.count(Topic::Placement, Refusal::Budget.word());
+            log::info!(request = &*ask.request, service = &*ask.service; "second try refused by the budget");
+            let _ = reply.send(Err(Refusal::Budget));
+            return;
+        }
+        let until = now + ask.hold.as_millis() as Millis;
+        let waiting = Waiting { ask, reply, until };
+        if let Some(waiting) = self.try_place(waiting, now) {
+            self.waiting.push_back(waiting);
+        }
+    }
+
+    pub(super) fn serve_waiting(&mut self, now: Millis) {
+        for _ in 0..self.waiting.len() {
+            let Some(waiting) = self.waiting.pop_front() else {
+                return;
+            };
+            if waiting.reply.is_closed() {
+                continue;
+            }
+            if let Some(waiting) = self.try_place(waiting, now) {
+                self.waiting.push_back(waiting);
+            }
+        }
+    }
+
+    /// Places a request or refuses it; gives it back when it has to wait.
+    pub(super) fn try_place(&mut self, waiting: Waiting, now: Millis) -> Option<Waiting> {
+        match self.choose(&waiting.ask, now) {
+            Ok((key, estimate)) => {
+                let grant = self.grant(&waiting.ask, key, &estimate, now);
+                let number = grant.number;
+                self.metrics.count(Topic::Placement, "granted");
+                if waiting.reply.send(Ok(grant)).is_err() {
+                    self.ended(key, number, &RunEnd::Left, None, now);
+                }
+                None
+            }
+            Err(_) if now < waiting.until => Some(waiting),
+            Err(refusal) => {
+                self.metrics.count(Topic::Placement, refusal.word());
+                log::info!(request = &*waiting.ask.request, service = &*waiting.ask.service, refusal:? = refusal;
+                    "request gets no endpoint");
+                let _ = waiting.reply.send(Err(refusal));
+                None
+            }
+        }
+    }
+
+    /// The endpoint with the least expected delay.
+    pub(super) fn choose(
+        &self,
+        ask: &Ask,
+        now: Millis,
+    ) -> Result<(EndpointKey, Estimate), Refusal> {
+        let service = self
+            .catalog
+            .as_ref()
+            .and_then(|catalog| catalog.services.get(&ask.service));
+        let kind = service.map_or(ServiceKind::Plain, |service| service.kind);
+        let newest = ask
+            .model
+            .as_deref()
+            .and_then(|model| self.rollout.newest(model));
+        let moment = Moment {
+            now,
+            zone: &self.settings.zone,
+            newest: newest.map(|named| (named.version, named.learnt)),
+            weights_limit: (self.settings.weights_bound.as_millis() as Millis)
+                .saturating_sub(WEIGHTS_MARGIN_MS),
+        };
+        let alive = |key: EndpointKey| {
+            self.fleet
+                .get(&key)
+                .is_some_and(|state| !state.endpoint.leaving && now >= state.avoid_until)
+        };
+        let preferred = self.first_reader(ask, now);
+        let mut rng = rand::rng();
+        let mut best: Option<(EndpointKey, Estimate)> = None;
+        let mut any = false;
+        for (key, state) in &self.fleet {
+            let endpoint = &state.endpoint;
+            if endpoint.service != ask.service || endpoint.leaving || ask.tried.contains(key) {
+                continue;
+            }
+            any = true;
+            let estimate = match &kind {
+                ServiceKind::Engines(traits) => {
+                    state.engine(ask, traits, &self.parts, alive, &moment)
+                }
+                _ => Some(state.plain(&moment)),
+            };
+            let Some(mut estimate) = estimate else {
+                continue;
+            };
+            estimate.score += rng.random_range(0.0..TIE_MS);
+            if preferred == Some(*key) {
+                estimate.score -= FIRST_READER_MS;
+            }
+            if best
+                .as_ref()
+                .is_none_or(|(_, other)| estimate.score < other.score)
+            {
+                best = Some((*key, estimate));
+            }
+        }
+        best.ok_or(if any {
+            Refusal::AllReloading
+        } else {
+            Refusal::NoEndpoint
+        })
+    }
+
+    /// The engine that all nodes prefer for a prompt, so that two nodes which
+    /// place a new part at the same moment have it read only once.
+    pub(super) fn first_reader(&self, ask: &Ask, now: Millis) -> Option<EndpointKey> {
+        let shared = ask.parts.len().checked_sub(2)?;
+        let id = ask.parts[shared].id;
+        self.fleet
+            .iter()
+            .filter(|(_, state)| {
+                state.endpoint.service == ask.service
+                    && !state.endpoint.leaving
+                    && now >= state.loading_until
+                    && now >= state.reserved_until
+            })
+            .max_by_key(|(_, state)| flamingolock_core::rendezvous::weight(id, &state.endpoint.id))
+            .map(|(key, _)| *key)
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        ask: &Ask,
+        key: EndpointKey,
+        estimate: &Estimate,
+        now: Millis,
+    ) -> Grant {
+        let number = self.next_run;
+        self.next_run += 1;
+        let nodes = self.nodes(now) + SPARE_NODES;
+        let catalog = self.catalog.clone();
+        let service = catalog
+            .as_ref()
+            .and_then(|catalog| catalog.services.get(&ask.service));
+        let conns = service.map_or(8.0, |service| f64::from(service.max_conns) * CONNS_SHARE)
+            / nodes as f64;
+        let store = catalog.as_ref().and_then(|catalog| catalog.keep());
+        let shared = &estimate.parts;
+        let shared_tokens: u32 = shared.iter().map(|(_, tokens)| tokens).sum();
+        let missing: u32 = shared
+            .iter()
+            .filter(|(part, _)| !self.parts.stored(*part, now))
+            .map(|(_, tokens)| tokens)
+            .sum();
+        // The request's own part goes to the store as well and pushes others out.
+        let own = ask.prompt_tokens.saturating_sub(shared_tokens);
+        let keep =
+            store.filter(|_| missing > 0 && f64::from(own) <= f64::from(missing) * KEEP_OWN_RATIO);
+        let alive = |key: EndpointKey| {
+            self.fleet
+                .get(&key)
+                .is_some_and(|state| now >= state.avoid_until && now >= state.loading_until)
+        };
+        let fetch = match self.parts.source(shared, key, alive, now) {
+            Some(Source::Engine(source)) => {
+                self.fleet.get(&source).map(|state| state.endpoint.address)
+            }
+            // A node that just started knows of no holder; a miss costs little.
+            Some(Source::Store) | None => store.filter(|_| !shared.is_empty()),
+        };
+        let run = Run {
+            number,
+            endpoint: key,
+            step: 0,
+            read_us: (estimate.read_ms * 1000.0) as u32,
+            tokens: ask.prompt_tokens + ask.output_tokens,
+            parts: shared.iter().map(|(part, _)| *part).collect(),
+            kept: keep.is_some(),
+            node: 0,
+            long: ask.output_tokens >= LONG_ANSWER_TOKENS,
+        };
+        let endpoint = self.fleet[&key].endpoint.clone();
+        log::info!(request = &*ask.request, endpoint = &*endpoint.id, run = number, score = estimate.score as i64,
+            read_ms = estimate.read_ms as i64, weights = estimate.version.unwrap_or(0), tries = ask.tried.len(),
+            unread = estimate.unread, reread = estimate.reread,
+            fetch = fetch.is_some(); "request placed");
+        let name = (self.incarnation, number);
+        if let Some(state) = self.fleet.get_mut(&key) {
+            state.sent(name, &run, now);
+        }
+        self.parts.sent(key, &run.parts, now);
+        self.tell(run, now);
+        let salt = estimate
+            .version
+            .zip(ask.model.as_deref())
+            .map(|(version, model)| salt(version, scope(model, version, ask.wall.as_deref())));
+        Grant {
+            number,
+            endpoint,
+            weights: estimate.version,
+            salt,
+            fetch,
+            keep,
+            conns: (conns as usize).max(1),
+        }
+    }
+
+    pub(super) fn first_token(&mut self, endpoint: EndpointKey, number: u64, now: Millis) {
+        let Some(state) = self.fleet.get_mut(&endpoint) else {
+            return;
+        };
+        if let Some((parts, kept)) = state.first_token((self.incarnation, number), now) {
+            self.parts.read(endpoint, &parts, kept, now);
+            self.tell(
+                Run {
+                    number,
+                    endpoint,
+                    step: 1,
+                    ..Run::default()
+                },
+                now,
+            );
+        }
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        endpoint: EndpointKey,
+        number: u64,
+        end: &RunEnd,
+        model: Option<&str>,
+        now: Millis,
+    ) {
+        self.metrics.count(Topic::RunEnd, end.word());
+        if let Some(state) = self.fleet.get_mut(&endpoint) {
+            let unread = state.ended((self.incarnation, number));
+            if let (RunEnd::WrongWeights(Some(version)), Some(model)) = (end, model) {
+                state.weights.insert(model.to_owned(), *version);
+            }
+            if let Some(avoid_ms) = state.learn(end, now) {
+                log::warn!(endpoint = &*state.endpoint.id, cause:? = end, avoid_ms; "endpoint avoided");
+                self.faults.push(Fault {
+                    endpoint,
+                    avoid_ms: avoid_ms as u32,
+                });
+            }
+            self.parts.failed(endpoint, &unread);
+        }
+        let step = if *end == RunEnd::Complete { 2 } else { 3 };
+        self.tell(
+            Run {
+                number,
+                endpoint,
+                step,
+                ..Run::default()
+            },
+            now,
+        );
+    }
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -209,6 +209,20 @@
     NotSent,
 }
 
+impl OrderOutcome {
+    /// Word for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Holds => "holds",
+            Self::Conflict => "conflict",
+            Self::Rejected => "rejected",
+            Self::Unknown => "unknown",
+            Self::NotSent => "not_sent",
+        }
+    }
+}
+
 /// State of an engine by its own report, some hundred milliseconds old.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineReport {
--- a/crates/gateway/src/gossip_link.rs
+++ b/crates/gateway/src/gossip_link.rs
@@ -44,7 +44,7 @@
 pub async fn carry_out(
     socket: Arc<UdpSocket>,
     settings: Settings,
-    dialect: Dialect,
+    dialect: &'static Dialect,
     handle: Handle,
     mut effects: UnboundedReceiver<Effect>,
 ) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,26 @@
     kind: String,
 }
 
+/// What a counted event is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Topic {
+    /// A request that asked for a place at an endpoint.
+    Placement,
+    /// The end of a run at an endpoint.
+    RunEnd,
+    /// An order to an engine.
+    Order,
+    /// A call to the platform's store.
+    StoreCall,
+}
+
+/// An event and its outcome.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Counted {
+    event: &'static str,
+    outcome: &'static str,
+}
+
 /// All metrics of a node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -39,6 +59,7 @@
     answered: Family<Answered, Counter>,
     refused: Family<Refused, Counter>,
     first_byte: Family<Kind, Histogram>,
+    events: Family<Counted, Counter>,
 }
 
 fn first_byte_histogram() -> Histogram {
@@ -53,6 +74,7 @@
             answered: Family::default(),
             refused: Family::default(),
             first_byte: Family::new_with_constructor(first_byte_histogram as fn() -> Histogram),
+            events: Family::default(),
         };
         if let Ok(mut registry) = metrics.registry.lock() {
             registry.register(
@@ -65,6 +87,11 @@
                 "Requests refused by the node, by reason",
                 metrics.refused.clone(),
             );
+            registry.register(
+                "events",
+                "Placements, ends of runs, orders, store calls",
+                metrics.events.clone(),
+            );
             registry.register(
                 "first_byte_seconds",
                 "Time from a request's head to the head of its answer",
@@ -104,6 +131,17 @@
         self.refused.get_or_create(&labels).inc();
     }
 
+    /// Counts an event by its outcome.
+    pub fn count(&self, topic: Topic, outcome: &'static str) {
+        let event = match topic {
+            Topic::Placement => "placement",
+            Topic::RunEnd => "run_end",
+            Topic::Order => "order",
+            Topic::StoreCall => "store_call",
+        };
+        self.events.get_or_create(&Counted { event, outcome }).inc();
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -34,7 +34,7 @@
 /// When a port cannot be opened or a thread not started.
 pub fn run(
     settings: Settings,
-    dialect: Dialect,
+    dialect: &'static Dialect,
     reload: impl Fn() -> Result<(), String>,
 ) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -45,7 +45,7 @@
 
 async fn serve(
     settings: Settings,
-    dialect: Dialect,
+    dialect: &'static Dialect,
     reload: impl Fn() -> Result<(), String>,
 ) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
@@ -53,13 +53,13 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let (effects, wanted) = mpsc::unbounded_channel();
     let socket = gossip_link::bind(settings.gossip).await?;
-    let handle = control::start(settings.clone(), dialect, effects)?;
+    let metrics = Arc::new(Metrics::default());
+    let handle = control::start(settings.clone(), dialect, metrics.clone(), effects)?;
     let means = Means {
         handle: handle.clone(),
         dialect,
         pool: Pool::default(),
     };
-    let metrics = Arc::new(Metrics::default());
     let open = Open::default();
     let (leave, leaving) = watch::channel(false);
     let callers = server::listen(settings.callers)?;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -25,12 +25,12 @@
 const EVENTS_BYTES: usize = 2 * 1024 * 1024;
 
 /// Gives an order, unless its time is over.
-pub async fn give(dialect: Dialect, handle: Handle, order: Box<WeightsOrder>) {
+pub async fn give(dialect: &'static Dialect, handle: Handle, order: Box<WeightsOrder>) {
     let outcome = try_order(dialect, &order).await;
     handle.send(Event::Ordered(order, outcome));
 }
 
-async fn try_order(dialect: Dialect, order: &WeightsOrder) -> OrderOutcome {
+async fn try_order(dialect: &'static Dialect, order: &WeightsOrder) -> OrderOutcome {
     let Ok(connection) = Connection::open(order.engine.address, CONNECT).await else {
         return OrderOutcome::NotSent;
     };
@@ -58,7 +58,7 @@
 }
 
 /// Asks an engine for its report.
-pub async fn report(dialect: Dialect, handle: Handle, engine: Arc<Endpoint>) {
+pub async fn report(dialect: &'static Dialect, handle: Handle, engine: Arc<Endpoint>) {
     let request = (dialect.report_call)(&engine);
     let result = call(&mut None, engine.address, request, LIMIT, ANSWER_BYTES).await;
     let report = match result {
@@ -77,7 +77,7 @@
 
 /// Asks an engine, or the store of kept KV cache, what it holds.
 pub async fn read_cache(
-    dialect: Dialect,
+    dialect: &'static Dialect,
     handle: Handle,
     address: SocketAddr,
     endpoint: Option<EndpointKey>,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -48,13 +48,13 @@
 /// The store over one connection.
 struct Store {
     address: SocketAddr,
-    dialect: Dialect,
+    dialect: &'static Dialect,
     handle: Handle,
     connection: Option<Connection>,
 }
 
 impl Store {
-    fn new(settings: &Settings, dialect: Dialect, handle: Handle) -> Self {
+    fn new(settings: &Settings, dialect: &'static Dialect, handle: Handle) -> Self {
         Self {
             address: settings.store,
             dialect,
@@ -133,7 +133,7 @@
 }
 
 /// Follows the operator's topic for ever.
-pub async fn follow_operator(settings: Settings, dialect: Dialect, handle: Handle) {
+pub async fn follow_operator(settings: Settings, dialect: &'static Dialect, handle: Handle) {
     let tail = Tail {
         topic: dialect.topics.operator,
         wait_ms: settings
@@ -148,7 +148,7 @@
 }
 
 /// Follows the entries of endpoints for ever.
-pub async fn follow_endpoints(settings: Settings, dialect: Dialect, handle: Handle) {
+pub async fn follow_endpoints(settings: Settings, dialect: &'static Dialect, handle: Handle) {
     let tail = Tail {
         topic: dialect.topics.endpoints,
         wait_ms: 0,
@@ -208,7 +208,7 @@
 }
 
 /// Puts this node's address into the registry and reads those of the others.
-pub async fn keep_registered(settings: Settings, dialect: Dialect, handle: Handle) {
+pub async fn keep_registered(settings: Settings, dialect: &'static Dialect, handle: Handle) {
     let mut store = Store::new(&settings, dialect, handle);
     let mut registered = false;
     loop {
@@ -253,7 +253,7 @@
 }
 
 /// Reads the lease topic from an offset on.
-pub async fn read_lease(settings: Settings, dialect: Dialect, handle: Handle, from: u64) {
+pub async fn read_lease(settings: Settings, dialect: &'static Dialect, handle: Handle, from: u64) {
     let mut store = Store::new(&settings, dialect, handle.clone());
     match store.read(dialect.topics.lease, from, 0).await {
         Ok(LogPage::Records { end, records }) => {
@@ -271,7 +271,7 @@
 }
 
 /// Adds a lease record if the topic ends at `at`.
-pub async fn append_lease(settings: Settings, dialect: Dialect, handle: Handle, at: u64) {
+pub async fn append_lease(settings: Settings, dialect: &'static Dialect, handle: Handle, at: u64) {
     let mut store = Store::new(&settings, dialect, handle.clone());
     let request = (dialect.append_call)(dialect.topics.lease, settings.node.as_bytes(), Some(at));
     let outcome = store
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -47,7 +47,13 @@
     /// A node that knows nothing.
     pub fn new() -> Self {
         let view = Arc::new(ArcSwap::from_pointee(View::default()));
-        let control = Control::new(settings(), flamingolock_platform::DIALECT, 7, view.clone());
+        let control = Control::new(
+            settings(),
+            &flamingolock_platform::DIALECT,
+            7,
+            view.clone(),
+            Arc::default(),
+        );
         Self {
             control,
             view,
