tests: ports of entry nodes outside the range that the system hands out

Cause: a test's free port was taken by another test's connection before the node bound it (Address already in use, once in about five runs of the file).

--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -4,6 +4,7 @@
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use flamingolock_platform_standin::{Engine, Store};
@@ -31,9 +32,22 @@
     pub metrics: SocketAddr,
 }
 
+/// First port for nodes. The system hands out ports for outgoing connections and
+/// for port 0 from 32768 on, so nobody takes one of these between the look and the
+/// start of the node.
+const FIRST_PORT: u16 = 20_000;
+
+/// A port that no other test of this process gets.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-    listener.local_addr().expect("the port has an address")
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    loop {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        assert!(port < 32_768, "no port is left");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Node {
