--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -185,7 +185,7 @@
     let sent = timeout_at(limit, send(exchange, means, &grant, resume_after)).await;
     let (answer, connection) = match sent {
         Ok(Ok(sent)) => sent,
-        Ok(Err(error)) => return not_answered(exchange, guard, &error),
+        Ok(Err(error)) => return not_answered(exchange, &grant, guard, &error),
         Err(_) => return no_byte_in_time(exchange, guard),
     };
     let head = (means.dialect.answer_head)(answer.headers());
@@ -201,6 +201,8 @@
     let (parts, body) = answer.into_parts();
     if refused(parts.status, &head) {
         let end = why_refused(parts.status, &head, &grant, exchange);
+        log::info!(request = &*exchange.request, endpoint = &*grant.endpoint.id, status = parts.status.as_u16(),
+            cause = end.word(); "endpoint did not run the request");
         discard(means, &grant, connection, body, &head).await;
         guard.end(end.clone());
         return Outcome::NotRun(end);
@@ -310,8 +312,8 @@
     request
 }
 
-fn not_answered(exchange: &Exchange, guard: RunGuard, error: &CallError) -> Outcome {
-    log::info!(request = &*exchange.request, endpoint = guard.endpoint, error:% = error; "endpoint gave no answer");
+fn not_answered(exchange: &Exchange, grant: &Grant, guard: RunGuard, error: &CallError) -> Outcome {
+    log::info!(request = &*exchange.request, endpoint = &*grant.endpoint.id, error:% = error; "endpoint gave no answer");
     match error {
         CallError::Connect(_) | CallError::ConnectTimeout | CallError::NotSent => {
             guard.end(RunEnd::NeverConnected);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -49,6 +49,8 @@
     pub output_tokens: u32,
     /// Endpoints that had it before.
     pub tried: Vec<EndpointKey>,
+    /// True when one of them was reached, so that this try draws on the budget.
+    pub repeat: bool,
     /// Longest time to wait for a place.
     pub hold: Duration,
 }
--- a/crates/gateway/src/control/desk/placing.rs
+++ b/crates/gateway/src/control/desk/placing.rs
@@ -39,7 +39,7 @@
     pub(super) fn asked(&mut self, ask: Box<Ask>, reply: oneshot::Sender<Placement>, now: Millis) {
         if ask.tried.is_empty() {
             self.budget.earn(&ask.service, now);
-        } else if !self.budget.spend(&ask.service, self.nodes(now), now) {
+        } else if ask.repeat && !self.budget.spend(&ask.service, self.nodes(now), now) {
             self.metrics.count(Topic::Placement, Refusal::Budget.word());
             log::info!(request = &*ask.request, service = &*ask.service; "second try refused by the budget");
             let _ = reply.send(Err(Refusal::Budget));
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -70,6 +70,9 @@
 /// Delay that an endpoint counts which fails all requests, in ms.
 const FAILURE_MS: f64 = 600.0;
 
+/// Time for which an engine gets nothing that was still loading, in ms.
+const STILL_LOADING_MS: Millis = 120;
+
 /// First time that an endpoint is avoided after a failure, in ms.
 const AVOID_MS: Millis = 250;
 
@@ -294,8 +297,8 @@
                 None
             }
             RunEnd::Reloading => {
-                self.loading_until = self.loading_until.max(now + 60);
-                None
+                self.loading_until = self.loading_until.max(now + STILL_LOADING_MS);
+                Some(STILL_LOADING_MS)
             }
             RunEnd::WrongWeights(version) => {
                 if version.is_none() {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -33,6 +33,8 @@
 pub struct Progress {
     /// Endpoints that had the request.
     pub tried: Vec<EndpointKey>,
+    /// True when the request reached one of them.
+    pub reached: bool,
     /// Those of them that may have run it.
     pub ran: u32,
     /// Answer of an endpoint that failed, if none does better.
@@ -66,6 +68,7 @@
             prompt_tokens: exchange.head.prompt_tokens,
             output_tokens: exchange.head.output_tokens,
             tried: self.tried.clone(),
+            repeat: self.reached,
             hold: HOLD.min(exchange.expires.saturating_duration_since(Instant::now())),
         };
         means.handle.place(ask).await
@@ -87,6 +90,7 @@
             Outcome::Whole(whole) => return whole_answer(&exchange, &means, whole, &grant),
             Outcome::Stream(opened) => return relay::start(exchange, means, progress, *opened),
             Outcome::Error(whole) => {
+                progress.reached = true;
                 progress.ran += 1;
                 progress.fallback = Some(whole);
                 if exchange.route.repeat != Repeat::Safe || !progress.may_retry(&exchange) {
@@ -94,6 +98,7 @@
                 }
             }
             Outcome::NotRun(end) => {
+                progress.reached |= end != RunEnd::NeverConnected;
                 if matches!(end, RunEnd::WrongWeights(_) | RunEnd::Reloading) {
                     // The same engine may take it a moment later.
                     progress.tried.pop();
@@ -104,6 +109,7 @@
                 }
             }
             Outcome::Lost(_) => {
+                progress.reached = true;
                 progress.ran += 1;
                 if !progress.may_retry(&exchange) {
                     return give_up(&exchange, &means, &mut progress, "endpoint lost it");
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -70,6 +70,7 @@
 ) {
     let mut last = exchange.head.last_event;
     let mut pause = Duration::ZERO;
+    progress.reached = true;
     loop {
         progress.ran += 1;
         let engine = opened.grant.endpoint.clone();
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -137,6 +137,7 @@
         prompt_tokens: 5_500,
         output_tokens: 64,
         tried: Vec::new(),
+        repeat: false,
         hold: Duration::ZERO,
     }
 }
--- a/crates/gateway/tests/test_desk.rs
+++ b/crates/gateway/tests/test_desk.rs
@@ -139,12 +139,23 @@
     for _ in 0..200 {
         let mut again = ask(None, 1);
         again.tried = vec![Endpoint::key_of("e0")];
+        again.repeat = true;
         granted += usize::from(desk.place(again, 10).expect("an answer").is_ok());
     }
     // Nothing was asked for the first time, so only the slack is there.
     assert!((1..=58).contains(&granted), "{granted}");
 }
 
+#[test]
+fn try_after_an_endpoint_that_was_not_reached_is_no_repeat() {
+    let mut desk = Desk::with_engines(3, 0);
+    for _ in 0..200 {
+        let mut again = ask(None, 1);
+        again.tried = vec![Endpoint::key_of("e0")];
+        assert!(desk.place(again, 10).expect("an answer at once").is_ok());
+    }
+}
+
 #[test]
 fn failing_endpoint_is_avoided_until_its_time_is_over() {
     let mut desk = Desk::with_engines(2, 0);
