gateway: requests of nodes that fell silent no longer count as load

Cause: what a killed node had sent counted as reading for 6 s and as memory for 20 s. No decision else is changed; two functions without a caller are gone.

--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -4,7 +4,7 @@
 mod news;
 mod placing;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -32,6 +32,9 @@
 /// Time for which news is gathered into one datagram, in ms.
 const GATHER_MS: Millis = 4;
 
+/// Pause between looks for runs of nodes that are gone, in ms.
+const SWEEP_MS: Millis = 500;
+
 /// Longest sleep of the control thread, in ms.
 const TICK_MS: Millis = 50;
 
@@ -75,6 +78,7 @@
     foreign: Foreign,
     is_hub: bool,
     heard_at: Millis,
+    swept_at: Millis,
     greet: Vec<SocketAddr>,
     news_at: Option<Millis>,
     sent_at: Millis,
@@ -120,6 +124,7 @@
             foreign: Foreign::default(),
             is_hub: false,
             heard_at: 0,
+            swept_at: 0,
             greet: Vec::new(),
             news_at: None,
             sent_at: 0,
@@ -231,6 +236,10 @@
             self.send_gossip(now);
             self.publish(now);
         }
+        if now >= self.swept_at + SWEEP_MS {
+            self.swept_at = now;
+            self.drop_runs_of_silent_nodes(now);
+        }
         let mut wake = now + TICK_MS;
         if let Some(at) = self.news_at {
             wake = wake.min(at + GATHER_MS);
@@ -283,6 +292,19 @@
         }
     }
 
+    /// The requests of a node that is gone ended with its connections.
+    fn drop_runs_of_silent_nodes(&mut self, now: Millis) {
+        let mut nodes: BTreeSet<u64> = self
+            .peers
+            .alive(now)
+            .map(|peer| peer.state.incarnation)
+            .collect();
+        nodes.insert(self.incarnation);
+        for state in self.fleet.values_mut() {
+            state.keep_nodes(&nodes);
+        }
+    }
+
     /// Place of this node among those that may give orders.
     fn rank(&self, now: Millis) -> usize {
         self.peers
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -1,6 +1,6 @@
 //! Endpoints with their load and health, and what a request would meet there.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use flamingolock_wire::gossip::Run;
@@ -263,9 +263,9 @@
         self.runs.retain(|(node, _), _| *node != incarnation);
     }
 
-    /// Nodes that have runs here.
-    pub fn nodes(&self) -> impl Iterator<Item = u64> {
-        self.runs.keys().map(|(node, _)| *node)
+    /// Drops the runs of all nodes but these.
+    pub fn keep_nodes(&mut self, nodes: &BTreeSet<u64>) {
+        self.runs.retain(|(node, _), _| nodes.contains(node));
     }
 
     /// Learns from how a request ended. Returns for how long the others had
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -182,12 +182,6 @@
             .collect()
     }
 
-    /// True when the node of this incarnation was heard lately.
-    pub fn is_alive(&self, incarnation: u64, now: Millis) -> bool {
-        self.alive(now)
-            .any(|peer| peer.state.incarnation == incarnation)
-    }
-
     /// True when the node with this name was heard lately and stays.
     pub fn is_named_alive(&self, name: &str, now: Millis) -> bool {
         self.alive(now)
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -9,6 +9,8 @@
 use flamingolock_gateway::control::{Ask, Effect, Event, Placement, View};
 use flamingolock_gateway::dialect::{KeyedRecord, PromptPart};
 use flamingolock_gateway::settings::Settings;
+use flamingolock_wire::gossip::{Gossip, NodeState, Run};
+use prost::Message;
 use tokio::sync::oneshot;
 
 pub fn settings() -> Settings {
@@ -110,6 +112,26 @@
         self.control.handle(Event::Endpoints(vec![record]), now);
     }
 
+    /// A datagram of another node.
+    pub fn gossip(&mut self, node: u64, runs: &[Run], now: u64) {
+        let sender = NodeState {
+            incarnation: node,
+            callers: "10.0.0.9:80".to_owned(),
+            zone: "zone-a".to_owned(),
+            ready: true,
+            name: "other".to_owned(),
+            ..NodeState::default()
+        };
+        let gossip = Gossip {
+            sender: Some(sender),
+            runs: runs.to_vec(),
+            ..Gossip::default()
+        };
+        let from = ([10, 0, 0, 9], 7_000).into();
+        self.control
+            .handle(Event::Datagram(from, gossip.encode_to_vec().into()), now);
+    }
+
     /// Asks for a place. None when the request has to wait.
     pub fn place(&mut self, ask: Ask, now: u64) -> Option<Placement> {
         let (sender, mut receiver) = oneshot::channel();
--- a/crates/gateway/tests/test_desk.rs
+++ b/crates/gateway/tests/test_desk.rs
@@ -6,6 +6,7 @@
 use flamingolock_gateway::chain::is_too_late;
 use flamingolock_gateway::control::{Effect, Event, Refusal, RunEnd};
 use flamingolock_gateway::endpoint::Endpoint;
+use flamingolock_wire::gossip::Run;
 
 #[test]
 fn configuration_never_goes_back() {
@@ -225,3 +226,39 @@
     assert!(!is_too_late(&desk.view.load(), 11_000));
     assert!(is_too_late(&desk.view.load(), 12_500));
 }
+
+#[test]
+fn requests_of_a_node_that_fell_silent_no_longer_count() {
+    let mut desk = Desk::with_engines(2, 0);
+    let busy = Endpoint::key_of("e0");
+    desk.gossip(
+        9,
+        &[Run {
+            number: 1,
+            endpoint: busy,
+            read_us: 60_000_000,
+            ..Run::default()
+        }],
+        1_000,
+    );
+    desk.control.tick(1_001);
+    for place in 0..10 {
+        let grant = desk
+            .place(ask(None, place * 10), 1_010)
+            .expect("an answer")
+            .expect("a place");
+        assert_eq!(
+            &*grant.endpoint.id, "e1",
+            "the other node reads for a minute at e0"
+        );
+    }
+    desk.control.tick(3_500);
+    let places = (0..10).filter(|place| {
+        let grant = desk
+            .place(ask(None, 1_000 + place * 10), 3_510)
+            .expect("an answer")
+            .expect("a place");
+        &*grant.endpoint.id == "e0"
+    });
+    assert!(places.count() > 0, "e0 is free again");
+}
