core: a request that all engines failed may go to one that is back

Cause: crashed_engine_cuts_no_answer fails now and then since a request whose list of failed engines names all three is refused with no_engine at once, though the crashed ones are back. Change: without_failed keeps them all where no other is left.

--- a/crates/core/src/shortlist.rs
+++ b/crates/core/src/shortlist.rs
@@ -143,6 +143,18 @@
     ranked.iter().map(Ranked::candidate).collect()
 }
 
+/// Leaves out engines that failed the request before. Where all of them did, one
+/// that is back is better than none, so they all stay.
+pub fn without_failed(mut found: Vec<Candidate>, failed: &[EngineId]) -> Vec<Candidate> {
+    if found
+        .iter()
+        .any(|candidate| !failed.contains(&candidate.engine))
+    {
+        found.retain(|candidate| !failed.contains(&candidate.engine));
+    }
+    found
+}
+
 /// An engine under consideration; borrows to avoid copies of those not taken.
 struct Ranked<'a> {
     engine: &'a FleetEngine,
--- a/crates/node/src/control/router/rounds.rs
+++ b/crates/node/src/control/router/rounds.rs
@@ -39,8 +39,8 @@
         let seed = rendezvous::key(ask.request.as_str()) ^ now.0;
         let fleet = self.engines.fleet(&ask.model, now);
         let wanted = PROBES + ask.avoid.len();
-        let mut found = shortlist::shortlist(fleet, tokens, &levels, price, wanted, seed, now);
-        found.retain(|candidate| !ask.avoid.contains(&candidate.engine));
+        let found = shortlist::shortlist(fleet, tokens, &levels, price, wanted, seed, now);
+        let mut found = shortlist::without_failed(found, &ask.avoid);
         found.truncate(PROBES);
         found
     }
