gateway: one node reads the store for all, the others compare their copies

Ruled out: longer pauses at every node (the bounds of drains and configurations leave none). Change: the control thread decides when a topic is read (freshness.rs); nodes tell each other what their copy is like and since when; the first of a small fleet and the hubs of a large one read at a steady pace, the others when their copy differs or nothing was heard in time, always with a call to spare before the bound.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod desk;
 pub mod fleet;
+pub mod freshness;
 pub mod lease;
 pub mod parts;
 pub mod peers;
@@ -142,6 +143,15 @@
     }
 }
 
+/// A topic of the store of which each node has a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FollowedTopic {
+    /// Configuration and weights.
+    Operator,
+    /// Entries of endpoints.
+    Endpoints,
+}
+
 /// What the control thread reacts to.
 #[derive(Debug)]
 pub enum Event {
@@ -179,6 +189,17 @@
     Endpoints(Vec<KeyedRecord>),
     /// Addresses of nodes from the registry.
     Registry(Vec<SocketAddr>),
+    /// A topic was read.
+    TopicRead {
+        /// Which.
+        topic: FollowedTopic,
+        /// Offset behind its last record.
+        end: u64,
+        /// When the store held nothing newer.
+        at: Millis,
+    },
+    /// A topic could not be read.
+    TopicFailed(FollowedTopic),
     /// A call to the store did not succeed.
     StoreFailed,
     /// A call to the store succeeded.
@@ -215,6 +236,8 @@
 pub enum Effect {
     /// Send a datagram to other nodes.
     Datagram(Vec<SocketAddr>, Bytes),
+    /// Read what is new in a topic; the store may wait for it for so many ms.
+    ReadTopic(FollowedTopic, u64),
     /// Read the lease topic from an offset on.
     LeaseRead(u64),
     /// Add a lease record if the topic ends at the offset.
--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -1,5 +1,6 @@
 //! All control state and its reactions to events.
 
+mod copies;
 mod entries;
 mod news;
 mod placing;
@@ -16,6 +17,7 @@
 use crate::clock::Millis;
 use crate::control::budget::Budget;
 use crate::control::fleet::EndpointState;
+use crate::control::freshness::Freshness;
 use crate::control::lease::{Lease, LeaseStep};
 use crate::control::parts::Parts;
 use crate::control::peers::Peers;
@@ -82,6 +84,12 @@
     greet: Vec<SocketAddr>,
     news_at: Option<Millis>,
     sent_at: Millis,
+    operator_copy: Freshness,
+    endpoints_copy: Freshness,
+    /// Offset behind the newest record of the operator that was read.
+    operator_end: u64,
+    copies_told: (u64, u64),
+    copies_told_at: Millis,
     store_away: bool,
     store_back_at: Millis,
     started: Option<Millis>,
@@ -128,6 +136,11 @@
             greet: Vec::new(),
             news_at: None,
             sent_at: 0,
+            operator_copy: Freshness::ordered(),
+            endpoints_copy: Freshness::default(),
+            operator_end: 0,
+            copies_told: (0, 0),
+            copies_told_at: 0,
             store_away: false,
             store_back_at: 0,
             started: None,
@@ -179,10 +192,13 @@
                 }
                 self.news_at.get_or_insert(now);
             }
+            Event::TopicRead { topic, end, at } => self.topic_read(topic, end, at, now),
+            Event::TopicFailed(topic) => self.topic_failed(topic, now),
             Event::StoreFailed => {
                 self.metrics.count(Topic::StoreCall, "failed");
                 if !self.store_away {
                     self.store_away = true;
+                    self.news_at.get_or_insert(now);
                     log::warn!("store does not answer");
                 }
             }
@@ -230,6 +246,7 @@
     /// Does what is due. Returns when to be called again at the latest.
     pub fn tick(&mut self, now: Millis) -> Millis {
         self.settle_lapsed(now);
+        self.read_topics(now);
         self.serve_waiting(now);
         self.roll_out(now);
         if self.news_at.is_some_and(|at| now >= at + GATHER_MS) || now >= self.sent_at + BEACON_MS {
--- /dev/null
+++ b/crates/gateway/src/control/desk/copies.rs
@@ -0,0 +1,140 @@
+//! This node's copies of the store's topics, compared with those of others.
+
+use flamingolock_wire::gossip::{Gossip, TopicCopy};
+use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Control;
+use crate::clock::Millis;
+use crate::control::freshness::{Freshness, Pace, Report};
+use crate::control::{Effect, FollowedTopic};
+
+/// Pause after a read that failed, and as much again at random, in ms.
+const RETRY_MS: Millis = 250;
+
+/// Pause between two reports of copies that did not change, in ms.
+const TELL_MS: Millis = 200;
+
+impl Control {
+    /// Reads the topics that are due.
+    pub(super) fn read_topics(&mut self, now: Millis) {
+        let place = self.reading_place(now);
+        let hops = if self.peers.is_direct(now) { 1 } else { 2 };
+        let operator = Pace::new(self.settings.catalog_bound, place, hops);
+        if self
+            .operator_copy
+            .is_due(if place == 0 { 0 } else { operator.patience }, now)
+        {
+            self.operator_copy.begin(now);
+            let wait = if place == 0 { operator.reader } else { 0 };
+            self.effects
+                .push(Effect::ReadTopic(FollowedTopic::Operator, wait));
+        }
+        // Entries change with every heartbeat of an endpoint, so the store would
+        // never wait for a change.
+        let endpoints = Pace::new(self.settings.drain_bound, place, hops);
+        if self.endpoints_copy.is_due(endpoints.patience, now) {
+            self.endpoints_copy.begin(now);
+            self.effects
+                .push(Effect::ReadTopic(FollowedTopic::Endpoints, 0));
+        }
+    }
+
+    /// Place of this node among those that may read for all.
+    fn reading_place(&self, now: Millis) -> usize {
+        if !self.peers.is_direct(now) {
+            return if self.is_hub {
+                0
+            } else {
+                1 + self.incarnation as usize % 4
+            };
+        }
+        if self.store_away || self.left_at.is_some() {
+            return usize::MAX;
+        }
+        self.peers
+            .alive(now)
+            .filter(|peer| {
+                let state = &peer.state;
+                state.ready
+                    && !state.leaving
+                    && state.reaches_store
+                    && state.incarnation < self.incarnation
+            })
+            .count()
+    }
+
+    fn copy(&mut self, topic: FollowedTopic) -> &mut Freshness {
+        match topic {
+            FollowedTopic::Operator => &mut self.operator_copy,
+            FollowedTopic::Endpoints => &mut self.endpoints_copy,
+        }
+    }
+
+    pub(super) fn topic_read(&mut self, topic: FollowedTopic, end: u64, at: Millis, now: Millis) {
+        if topic == FollowedTopic::Operator {
+            self.operator_end = self.operator_end.max(end);
+        }
+        self.copy(topic).read(at);
+        if self.marks() != self.copies_told {
+            self.news_at.get_or_insert(now);
+        }
+    }
+
+    pub(super) fn topic_failed(&mut self, topic: FollowedTopic, now: Millis) {
+        let pause = RETRY_MS + rand::rng().random_range(0..RETRY_MS);
+        self.copy(topic).failed(now + pause);
+    }
+
+    /// What stands for the copies: the end of the operator's topic, and which
+    /// endpoints are listed and which of them leave.
+    fn marks(&self) -> (u64, u64) {
+        let listed = self
+            .fleet
+            .iter()
+            .filter(|(_, state)| state.lapses_at.is_none());
+        let mut bytes = Vec::with_capacity(self.fleet.len() * 17);
+        for (key, state) in listed {
+            bytes.extend_from_slice(&key.to_be_bytes());
+            bytes.extend_from_slice(&state.endpoint.born.to_be_bytes());
+            bytes.push(u8::from(state.endpoint.leaving));
+        }
+        (self.operator_end, xxh3_64(&bytes))
+    }
+
+    /// Reports for a datagram, if they are due.
+    pub(super) fn copies_to_tell(&mut self, now: Millis) -> (Option<TopicCopy>, Option<TopicCopy>) {
+        let marks = self.marks();
+        if marks == self.copies_told && now < self.copies_told_at + TELL_MS {
+            return (None, None);
+        }
+        self.copies_told = marks;
+        self.copies_told_at = now;
+        let message = |report: Report| TopicCopy {
+            mark: report.mark,
+            age_ms: report.age as u32,
+        };
+        (
+            self.operator_copy.report(marks.0, now).map(message),
+            self.endpoints_copy.report(marks.1, now).map(message),
+        )
+    }
+
+    /// Compares another node's copies with the own ones.
+    pub(super) fn copies_heard(&mut self, gossip: &Gossip, now: Millis) {
+        if gossip.operator.is_none() && gossip.endpoints.is_none() {
+            return;
+        }
+        let marks = self.marks();
+        let report = |copy: &TopicCopy| Report {
+            mark: copy.mark,
+            age: Millis::from(copy.age_ms),
+        };
+        if let Some(copy) = &gossip.operator {
+            self.operator_copy.heard(report(copy), marks.0, now);
+        }
+        if let Some(copy) = &gossip.endpoints {
+            self.endpoints_copy.heard(report(copy), marks.1, now);
+        }
+    }
+}
--- a/crates/gateway/src/control/desk/news.rs
+++ b/crates/gateway/src/control/desk/news.rs
@@ -33,6 +33,7 @@
             name: self.settings.node.clone(),
             gossip: self.settings.gossip.to_string(),
             capacity: self.settings.capacity,
+            reaches_store: !self.store_away,
         }
     }
 
@@ -49,8 +50,11 @@
         if tells_heard {
             self.heard_at = now;
         }
+        let (operator, endpoints) = self.copies_to_tell(now);
         let own = Gossip {
             sender: Some(me.clone()),
+            operator,
+            endpoints,
             runs: std::mem::take(&mut self.runs),
             reloads,
             faults: std::mem::take(&mut self.faults),
@@ -73,6 +77,8 @@
                 faults: foreign.faults,
                 relayed: true,
                 heard: foreign.heard,
+                operator: None,
+                endpoints: None,
             };
             self.send(gossip, &targets.foreign);
         }
@@ -96,6 +102,8 @@
             gossip.reloads.clear();
             gossip.faults.clear();
             gossip.heard.clear();
+            gossip.operator = None;
+            gossip.endpoints = None;
             runs = rest;
         }
     }
@@ -142,6 +150,7 @@
             self.news_at.get_or_insert(now);
         }
         self.heard(from, sender, false, now);
+        self.copies_heard(&gossip, now);
         for state in &gossip.heard {
             if let Ok(address) = state.gossip.parse()
                 && state.incarnation != self.incarnation
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -120,6 +120,11 @@
             .filter(move |peer| peer.is_alive(now))
     }
 
+    /// True while each node tells all others itself.
+    pub fn is_direct(&self, now: Millis) -> bool {
+        self.alive(now).count() <= DIRECT_NODES
+    }
+
     /// Where the next datagram goes, given this node's own state.
     pub fn targets(&mut self, me: &NodeState, now: Millis) -> Targets {
         let silent = self.due_probes(now);
--- a/crates/gateway/src/gossip_link.rs
+++ b/crates/gateway/src/gossip_link.rs
@@ -6,9 +6,9 @@
 
 use bytes::Bytes;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
-use crate::control::{Effect, Event, Handle};
+use crate::control::{Effect, Event, FollowedTopic, Handle};
 use crate::dialect::Dialect;
 use crate::settings::Settings;
 use crate::{orders, store};
@@ -40,12 +40,14 @@
     }
 }
 
-/// Carries out what the control thread wants.
+/// Carries out what the control thread wants. Two senders bring the wish to read
+/// the operator's records and the endpoints' entries.
 pub async fn carry_out(
     socket: Arc<UdpSocket>,
     settings: Settings,
     dialect: &'static Dialect,
     handle: Handle,
+    [operator, endpoints]: [UnboundedSender<u64>; 2],
     mut effects: UnboundedReceiver<Effect>,
 ) {
     while let Some(effect) = effects.recv().await {
@@ -58,6 +60,15 @@
                     }
                 }
             }
+            Effect::ReadTopic(topic, wait_ms) => {
+                let reads = match topic {
+                    FollowedTopic::Operator => &operator,
+                    FollowedTopic::Endpoints => &endpoints,
+                };
+                if reads.send(wait_ms).is_err() {
+                    log::error!(topic:? = topic; "nobody reads the topic");
+                }
+            }
             Effect::LeaseRead(from) => {
                 tokio::spawn(store::read_lease(
                     settings.clone(),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::attempt::Means;
-use crate::control::{self, Event, Handle};
+use crate::control::{self, Event, FollowedTopic, Handle};
 use crate::dialect::Dialect;
 use crate::gossip_link;
 use crate::http_client::Pool;
@@ -67,23 +67,25 @@
     let ready = server::listen(settings.ready)?;
     let measured = server::listen(settings.metrics)?;
     tokio::spawn(gossip_link::receive(socket.clone(), handle.clone()));
+    let tails = [FollowedTopic::Operator, FollowedTopic::Endpoints].map(|topic| {
+        let (tail, wishes) = mpsc::unbounded_channel();
+        tokio::spawn(store::follow(
+            settings.clone(),
+            dialect,
+            handle.clone(),
+            topic,
+            wishes,
+        ));
+        tail
+    });
     tokio::spawn(gossip_link::carry_out(
         socket,
         settings.clone(),
         dialect,
         handle.clone(),
+        tails,
         wanted,
     ));
-    tokio::spawn(store::follow_operator(
-        settings.clone(),
-        dialect,
-        handle.clone(),
-    ));
-    tokio::spawn(store::follow_endpoints(
-        settings.clone(),
-        dialect,
-        handle.clone(),
-    ));
     tokio::spawn(store::keep_registered(
         settings.clone(),
         dialect,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use rand::Rng;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::sleep;
 
-use crate::control::{Event, Handle};
+use crate::clock::now;
+use crate::control::{Event, FollowedTopic, Handle};
 use crate::dialect::{Appended, DecodeError, Dialect, KeyedRecord, LogPage, StoreCall};
 use crate::http_client::{CallError, Connection, call};
 use crate::settings::Settings;
@@ -20,17 +22,6 @@
 /// Pause after a call that failed, and as much again at random, in ms.
 const RETRY_MS: u64 = 250;
 
-/// Part of the time within which endpoints that leave get no more requests that
-/// is left for one call and one more try.
-const ENTRIES_MARGIN: Duration = Duration::from_millis(1_150);
-
-/// Shortest pause between two looks at the endpoints' entries.
-const ENTRIES_PAUSE_MIN: Duration = Duration::from_millis(300);
-
-/// Part of the time within which a configuration is in force that is left for a
-/// new call after one whose connection went silent.
-const OPERATOR_MARGIN: Duration = Duration::from_millis(800);
-
 /// Pause between two looks at the registry of nodes.
 const REGISTRY_PAUSE: Duration = Duration::from_secs(20);
 
@@ -87,11 +78,16 @@
         Ok((status, body))
     }
 
-    /// Waits a little after a failed call and says so.
-    async fn failed(&mut self, what: &str, error: &StoreError) {
+    /// Says that a call failed.
+    fn failed(&mut self, what: &str, error: &StoreError) {
         log::warn!(what, error:% = error; "call to the store failed");
         self.connection = None;
         self.handle.send(Event::StoreFailed);
+    }
+
+    /// Says that a call failed and waits a little.
+    async fn failed_and_wait(&mut self, what: &str, error: &StoreError) {
+        self.failed(what, error);
         let pause = RETRY_MS + rand::rng().random_range(0..RETRY_MS);
         sleep(Duration::from_millis(pause)).await;
     }
@@ -122,77 +118,89 @@
     }
 }
 
-/// Events that a topic's records become.
+/// How a topic is followed.
 #[derive(Clone, Copy)]
 struct Tail {
+    followed: FollowedTopic,
     topic: &'static str,
-    wait_ms: u64,
-    pause: Duration,
     snapshot: fn(Vec<KeyedRecord>) -> Event,
     records: fn(Vec<KeyedRecord>) -> Event,
 }
 
-/// Follows the operator's topic for ever.
-pub async fn follow_operator(settings: Settings, dialect: &'static Dialect, handle: Handle) {
-    let tail = Tail {
-        topic: dialect.topics.operator,
-        wait_ms: settings
-            .catalog_bound
-            .saturating_sub(OPERATOR_MARGIN)
-            .as_millis() as u64,
-        pause: Duration::ZERO,
-        snapshot: Event::OperatorSnapshot,
-        records: Event::Operator,
+/// Reads a topic each time that the control thread wants it; `reads` brings how
+/// long the store may wait for a new record, in ms.
+pub async fn follow(
+    settings: Settings,
+    dialect: &'static Dialect,
+    handle: Handle,
+    followed: FollowedTopic,
+    mut reads: UnboundedReceiver<u64>,
+) {
+    let tail = match followed {
+        FollowedTopic::Operator => Tail {
+            followed,
+            topic: dialect.topics.operator,
+            snapshot: Event::OperatorSnapshot,
+            records: Event::Operator,
+        },
+        FollowedTopic::Endpoints => Tail {
+            followed,
+            topic: dialect.topics.endpoints,
+            snapshot: Event::EndpointSnapshot,
+            records: Event::Endpoints,
+        },
     };
-    follow(Store::new(&settings, dialect, handle), tail).await;
+    let mut store = Store::new(&settings, dialect, handle);
+    let mut from = None;
+    while let Some(wait_ms) = reads.recv().await {
+        if let Err(error) = follow_once(&mut store, tail, &mut from, wait_ms).await {
+            store.failed(tail.topic, &error);
+            store.handle.send(Event::TopicFailed(followed));
+        }
+    }
 }
 
-/// Follows the entries of endpoints for ever.
-pub async fn follow_endpoints(settings: Settings, dialect: &'static Dialect, handle: Handle) {
-    let tail = Tail {
-        topic: dialect.topics.endpoints,
-        wait_ms: 0,
-        // Entries change with every heartbeat of an endpoint, so waiting for a
-        // change would never pause.
-        pause: settings
-            .drain_bound
-            .saturating_sub(ENTRIES_MARGIN)
-            .max(ENTRIES_PAUSE_MIN),
-        snapshot: Event::EndpointSnapshot,
-        records: Event::Endpoints,
+/// Reads what is new behind `from`, or the newest record of each key where that
+/// is not known or no longer kept.
+async fn follow_once(
+    store: &mut Store,
+    tail: Tail,
+    from: &mut Option<u64>,
+    wait_ms: u64,
+) -> Result<(), StoreError> {
+    let sent_at = now();
+    let mut at = sent_at;
+    let page = match *from {
+        Some(from) => Some((from, store.read(tail.topic, from, wait_ms).await?)),
+        None => None,
     };
-    follow(Store::new(&settings, dialect, handle), tail).await;
-}
-
-async fn follow(mut store: Store, tail: Tail) {
-    loop {
-        let (records, mut from) = match store.newest(tail.topic).await {
-            Ok(newest) => newest,
-            Err(error) => {
-                store.failed(tail.topic, &error).await;
-                continue;
-            }
-        };
-        store.handle.send(Event::StoreAnswered);
-        store.handle.send((tail.snapshot)(records));
-        loop {
-            sleep(tail.pause).await;
-            match store.read(tail.topic, from, tail.wait_ms).await {
-                Ok(LogPage::Records { records, .. }) => {
-                    store.handle.send(Event::StoreAnswered);
-                    let records = split(&store, records, &mut from);
-                    if !records.is_empty() {
-                        store.handle.send((tail.records)(records));
-                    }
-                }
-                Ok(LogPage::Trimmed { first }) => {
-                    log::info!(topic = tail.topic, from, first; "records are gone, reading the newest ones");
-                    break;
-                }
-                Err(error) => store.failed(tail.topic, &error).await,
+    let (event, end) = match page {
+        Some((mut end, LogPage::Records { records, .. })) => {
+            let records = split(store, records, &mut end);
+            if records.is_empty() {
+                at += wait_ms;
             }
+            ((tail.records)(records), end)
         }
-    }
+        Some((from, LogPage::Trimmed { first })) => {
+            log::info!(topic = tail.topic, from, first; "records are gone, reading the newest ones");
+            let (records, end) = store.newest(tail.topic).await?;
+            ((tail.snapshot)(records), end)
+        }
+        None => {
+            let (records, end) = store.newest(tail.topic).await?;
+            ((tail.snapshot)(records), end)
+        }
+    };
+    *from = Some(end);
+    store.handle.send(Event::StoreAnswered);
+    store.handle.send(event);
+    store.handle.send(Event::TopicRead {
+        topic: tail.followed,
+        end,
+        at,
+    });
+    Ok(())
 }
 
 fn split(store: &Store, records: Vec<bytes::Bytes>, from: &mut u64) -> Vec<KeyedRecord> {
@@ -227,7 +235,7 @@
                 Ok(Appended::At(_)) => registered = true,
                 Ok(other) => log::warn!(outcome:? = other; "address not registered"),
                 Err(error) => {
-                    store.failed(dialect.topics.nodes, &error).await;
+                    store.failed_and_wait(dialect.topics.nodes, &error).await;
                     continue;
                 }
             }
@@ -247,7 +255,7 @@
                 store.connection = None;
                 sleep(REGISTRY_PAUSE).await;
             }
-            Err(error) => store.failed(dialect.topics.nodes, &error).await,
+            Err(error) => store.failed_and_wait(dialect.topics.nodes, &error).await,
         }
     }
 }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -23,6 +23,23 @@
     /// Nodes of the sender's zone that it heard itself.
     #[prost(message, repeated, tag = "6")]
     pub heard: Vec<NodeState>,
+    /// The sender's copy of the operator's records.
+    #[prost(message, optional, tag = "7")]
+    pub operator: Option<TopicCopy>,
+    /// The sender's copy of the endpoints' entries.
+    #[prost(message, optional, tag = "8")]
+    pub endpoints: Option<TopicCopy>,
+}
+
+/// How a node's copy of a topic of the store is.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct TopicCopy {
+    /// Stands for the content.
+    #[prost(fixed64, tag = "1")]
+    pub mark: u64,
+    /// Milliseconds since the store is known to have held nothing newer.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 
 /// State of a node.
@@ -34,7 +51,6 @@
     /// Where callers connect.
     #[prost(string, tag = "2")]
     pub callers: String,
-    /// Availability zone.
     /// Its availability zone.
     #[prost(string, tag = "3")]
     pub zone: String,
@@ -56,6 +72,9 @@
     /// Processor share of its machine in thousandths of a core.
     #[prost(uint32, tag = "9")]
     pub capacity: u32,
+    /// True while the store answers it.
+    #[prost(bool, tag = "10")]
+    pub reaches_store: bool,
 }
 
 /// A step of a request at an endpoint.
