--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -518,17 +518,25 @@
         drop(running.place);
         let deadline = self.job.ask.deadline.max(control::now() + Millis(5_000));
         self.job.ask.deadline = deadline;
-        let permit = self.admit().await?;
-        self.decide(
-            "continue",
-            permit.engine.as_str(),
-            "the engine before is gone",
-        );
-        self.traffic.metrics.stream(StreamTurn::Continue);
-        let next = self.send(permit, from).await;
-        let next = next.map_err(|error| broken(&error.to_string()))?;
-        cursor.rebind(next.cursor.attempt().to_owned(), next.cursor.incarnation());
-        Ok(Running { cursor, ..next })
+        let mut last = String::new();
+        for _ in 0..MAX_STARTS {
+            let permit = self.admit().await?;
+            let engine = permit.engine.clone();
+            self.decide("continue", engine.as_str(), "the engine before is gone");
+            self.traffic.metrics.stream(StreamTurn::Continue);
+            match self.send(permit, from).await {
+                Ok(next) => {
+                    cursor.rebind(next.cursor.attempt().to_owned(), next.cursor.incarnation());
+                    return Ok(Running { cursor, ..next });
+                }
+                Err(error) => {
+                    last = error.to_string();
+                    self.decide("retry", engine.as_str(), &last);
+                    self.job.ask.avoid.push(engine);
+                }
+            }
+        }
+        Err(broken(&last))
     }
 
     /// Frees the engine's slot after the caller has left.
