tests: a soak of real entry nodes under random faults

Three node processes, six endpoints and the store behind proxies; nodes are killed, frozen, stopped and started, ways cut, silenced, slowed and reset, the store refuses, loses answers and forgets, orders come late, configurations and weights change, in series that overlap. Checked: at most once, 'not run' is true, whole and own answers, streams in order, workspaces and name spaces of cache, orders of one node at a time, leaving endpoints, configurations in time, shutdowns that cut nothing, memory, recovery.

--- /dev/null
+++ b/crates/cli/tests/soak/callers.rs
@@ -0,0 +1,311 @@
+//! Callers that ask for addresses, keep connections, and check what they get.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use flamingolock_gateway::http_client::Connection;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::{sleep, timeout};
+
+use crate::entry_site::{PROMPT, event_ids};
+use crate::soak::world::{Scope, World};
+
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// How long a caller keeps the answer of the directory.
+const KEPT: Duration = Duration::from_secs(2);
+
+/// How long a caller waits for a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+
+/// Time after a request was sent from which on its loss counts.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+
+/// Events of a whole stream.
+const EVENTS: u64 = 10;
+
+/// Share of requests that their caller gives up at once.
+const LEAVES: f64 = 0.03;
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A stream that may be resumed.
+    Draft,
+    /// A stream that may not.
+    Tag,
+    /// A request that must run at most once.
+    Book,
+    /// A request that may run again.
+    Look,
+}
+
+impl Kind {
+    const ALL: [Self; 4] = [Self::Draft, Self::Tag, Self::Book, Self::Look];
+
+    fn path(self) -> &'static str {
+        match self {
+            Self::Draft => "/draft/a",
+            Self::Tag => "/tag/a",
+            Self::Book => "/book/a",
+            Self::Look => "/look/a",
+        }
+    }
+
+    fn is_stream(self) -> bool {
+        matches!(self, Self::Draft | Self::Tag)
+    }
+
+    /// True when it must run at most once.
+    pub fn runs_once(self) -> bool {
+        matches!(self, Self::Tag | Self::Book)
+    }
+}
+
+/// What a caller saw of one request.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub id: String,
+    pub kind: Kind,
+    /// Status; 0 when there was no answer.
+    pub status: u16,
+    /// True when the answer was whole and right.
+    pub served: bool,
+}
+
+/// An answer as it came.
+struct Answer {
+    status: u16,
+    signed: bool,
+    id: Option<String>,
+    body: String,
+    whole: bool,
+}
+
+/// How a request ended for its caller.
+enum Ending {
+    Answered(Answer),
+    /// The connection ended without an answer, or none came in time.
+    Cut {
+        in_time: bool,
+    },
+    Left,
+}
+
+/// Makes requests until `stop` is set. Returns what it saw.
+pub async fn call_on(
+    world: Arc<World>,
+    name: usize,
+    mut rng: ChaCha8Rng,
+    stop: Arc<AtomicBool>,
+) -> Vec<Seen> {
+    let mut seen = Vec::new();
+    let mut known: Vec<usize> = Vec::new();
+    let mut asked = None;
+    let mut kept: Option<(usize, Connection)> = None;
+    while !stop.load(Ordering::Relaxed) {
+        sleep(Duration::from_millis(rng.random_range(2..60))).await;
+        if asked.is_none_or(|at: Instant| at.elapsed() > KEPT) || known.is_empty() {
+            let node = rng.random_range(0..world.nodes.len());
+            if let Some(found) = resolve(&world, node).await {
+                kept = kept.filter(|(node, _)| found.contains(node));
+                known = found;
+                asked = Some(Instant::now());
+            }
+        }
+        let Some(node) = kept
+            .as_ref()
+            .map(|(node, _)| *node)
+            .or_else(|| known.choose(&mut rng).copied())
+        else {
+            continue;
+        };
+        let opened = match kept.take() {
+            Some((_, connection)) => Ok(connection),
+            None => Connection::open(world.addresses[node].0, CONNECT).await,
+        };
+        let Ok(mut connection) = opened else {
+            known.retain(|other| *other != node);
+            continue;
+        };
+        let kind = *Kind::ALL.choose(&mut rng).expect("kinds");
+        let id = format!("c{name}-{}", seen.len());
+        let leaves = rng.random_bool(LEAVES);
+        let begun = Instant::now();
+        let ending = exchange(&mut connection, kind, &id, name, leaves).await;
+        let (sight, reusable) = check(&world, node, kind, &id, begun, ending);
+        seen.push(sight);
+        if reusable && rng.random_bool(0.9) {
+            kept = Some((node, connection));
+        }
+    }
+    seen
+}
+
+/// Asks a node where to connect; none when it gives no answer.
+async fn resolve(world: &World, node: usize) -> Option<Vec<usize>> {
+    let get = |path| Request::get(path).body(Full::new(Bytes::new())).ok();
+    let ask = async {
+        let mut connection = Connection::open(world.addresses[node].1, CONNECT)
+            .await
+            .ok()?;
+        let request = get("/resolve?Name=site.example&Region=region&Zone=zone-a")?;
+        let answer = connection.send(request).await.ok()?;
+        let body = answer.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice::<serde_json::Value>(&body).ok()
+    };
+    let answer = timeout(CONNECT, ask).await.ok()??;
+    let found = answer["Addresses"].as_array()?.iter().filter_map(|text| {
+        let address: SocketAddr = text.as_str()?.parse().ok()?;
+        world
+            .addresses
+            .iter()
+            .position(|(callers, _)| *callers == address)
+    });
+    Some(found.collect())
+}
+
+async fn exchange(
+    connection: &mut Connection,
+    kind: Kind,
+    id: &str,
+    caller: usize,
+    leaves: bool,
+) -> Ending {
+    let mut request = Request::post(kind.path())
+        .header("host", "site.example")
+        .header("authorization", format!("Bearer key-{}", 1 + caller % 2))
+        .header("request-id", id)
+        .header("deadline-ms", PATIENCE.as_millis().to_string());
+    if kind.is_stream() {
+        for (name, value) in PROMPT {
+            request = request.header(name, value);
+        }
+    }
+    let request = request
+        .body(Full::new(Bytes::from_static(b"the body")))
+        .expect("a request");
+    let whole = async {
+        let answer = connection.send(request).await.ok()?;
+        let text = |name: &str| Some(answer.headers().get(name)?.to_str().ok()?.to_owned());
+        let (status, id) = (answer.status().as_u16(), text("request-id"));
+        let signed = text("response-signature").is_some();
+        let mut body = Vec::new();
+        let mut rest = answer.into_body();
+        let whole = loop {
+            match rest.frame().await {
+                None => break true,
+                Some(Err(_)) => break false,
+                Some(Ok(frame)) => body.extend(frame.into_data().unwrap_or_default()),
+            }
+        };
+        Some(Answer {
+            status,
+            signed,
+            id,
+            body: String::from_utf8_lossy(&body).into_owned(),
+            whole,
+        })
+    };
+    let patience = if leaves {
+        Duration::from_millis(15)
+    } else {
+        PATIENCE
+    };
+    match timeout(patience, whole).await {
+        Ok(Some(answer)) => Ending::Answered(answer),
+        Ok(None) => Ending::Cut { in_time: true },
+        Err(_) if leaves => Ending::Left,
+        Err(_) => Ending::Cut { in_time: false },
+    }
+}
+
+/// Checks what a caller got. Also tells whether its connection can be kept.
+fn check(
+    world: &World,
+    node: usize,
+    kind: Kind,
+    id: &str,
+    begun: Instant,
+    ending: Ending,
+) -> (Seen, bool) {
+    let mut seen = Seen {
+        id: id.to_owned(),
+        kind,
+        status: 0,
+        served: false,
+    };
+    let answer = match ending {
+        Ending::Answered(answer) => answer,
+        Ending::Left => return (seen, false),
+        Ending::Cut { in_time } => {
+            cut(world, node, id, begun, in_time);
+            return (seen, false);
+        }
+    };
+    seen.status = answer.status;
+    if answer.status == 200 {
+        seen.served = served(world, kind, id, &answer);
+    } else if answer.signed && answer.status != 500 {
+        world.violated(format!("{id}: {} with a signature", answer.status));
+    } else if matches!(answer.status, 401 | 403 | 404) {
+        world.violated(format!("{id}: denied with {}", answer.status));
+    }
+    if !answer.whole {
+        cut(world, node, id, begun, true);
+    }
+    (seen, answer.whole)
+}
+
+/// Checks an answer with success; true when it is whole.
+fn served(world: &World, kind: Kind, id: &str, answer: &Answer) -> bool {
+    if !answer.signed || answer.id.as_deref() != Some(id) {
+        world.violated(format!("{id}: success that is not its own"));
+    }
+    if !kind.is_stream() {
+        if answer.whole && answer.body != format!("done {id}") {
+            world.violated(format!("{id}: body {:?}", answer.body));
+        }
+        return answer.whole;
+    }
+    let events = event_ids(&answer.body);
+    let last = events.len() as u64;
+    if !events.iter().copied().eq(1..=last) {
+        world.violated(format!("{id}: events {events:?}"));
+    }
+    if answer.whole && last != EVENTS {
+        world.violated(format!("{id}: complete after event {last}"));
+    }
+    answer.whole && last == EVENTS
+}
+
+/// A shutdown cuts no request: neither faults of endpoints nor of the store
+/// excuse it, only those of the node itself.
+fn cut(world: &World, node: usize, id: &str, begun: Instant, in_time: bool) {
+    let now = Instant::now();
+    let planned = world.disturbed(|scope| scope == Scope::Planned(node), begun, now);
+    let excused = world.disturbed(
+        |scope| {
+            matches!(scope, Scope::Node(place) if place == node)
+                || matches!(scope, Scope::Endpoint(_))
+        },
+        begun,
+        now,
+    );
+    // One that crosses the close of the connection and was not passed on may be
+    // sent again by its caller.
+    let was_taken = world.runs(id) > 0 || begun.elapsed() > LOSS_SLACK;
+    if planned && in_time && was_taken && !excused {
+        world.violated(format!("{id}: cut by the shutdown of node {node}"));
+    } else {
+        world.note(format!("{id}: no whole answer of node {node}"));
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/soak/checks.rs
@@ -0,0 +1,198 @@
+//! What must hold, as seen by callers and endpoints.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use flamingolock_platform_standin::Order;
+use tokio::time::sleep;
+
+use crate::entry_site::{Answer, request};
+use crate::soak::callers::Seen;
+use crate::soak::world::{ENDPOINTS, Scope, World};
+
+/// Time within which a configuration is in force.
+const CONFIGURATION: Duration = Duration::from_secs(2);
+
+/// Time within which a leaving endpoint gets no more requests.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// Time that lies between the orders of two nodes.
+const LEASE: Duration = Duration::from_millis(600);
+
+/// Time within which all is well again once the faults are over.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// Memory of a node, in kB.
+const MEMORY_KB: u64 = 110 * 1024;
+
+/// Statuses that say that the request never runs.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+async fn ask(world: &World, node: usize, path: String, id: String) -> Answer {
+    let address = world.addresses[node].0;
+    let asked = tokio::task::spawn_blocking(move || {
+        let headers = [
+            ("host", "site.example"),
+            ("authorization", "Bearer key-1"),
+            ("request-id", id.as_str()),
+            ("deadline-ms", "1500"),
+        ];
+        request(address, "POST", &path, &headers)
+    });
+    asked.await.expect("the question is asked")
+}
+
+/// A configuration is in force within its time on each node in touch.
+pub async fn in_force(world: Arc<World>, version: u64, published: Instant) {
+    sleep(CONFIGURATION).await;
+    for node in 0..world.nodes.len() {
+        let id = format!("probe-{version}-{node}");
+        let answer = ask(&world, node, format!("/v{version}/a"), id).await;
+        if answer.status == 404 && world.in_touch(node, published) {
+            world.violated(format!("node {node} does not know version {version}"));
+        }
+    }
+}
+
+/// A leaving endpoint gets nothing from nodes in touch once its time is over.
+pub fn left_alone(world: &World, place: usize, left: Instant) {
+    if (0..world.nodes.len()).any(|node| !world.in_touch(node, left)) {
+        return;
+    }
+    let late = world.backends[place]
+        .engine
+        .starts()
+        .into_iter()
+        .find(|start| start.at > left + DRAIN);
+    if let Some(start) = late {
+        world.violated(format!("{} at a leaving endpoint", start.request));
+    }
+}
+
+/// Checks of all that endpoints and callers saw, once all is over.
+pub fn ledger(world: &World, seen: &[Seen]) {
+    for sight in seen {
+        let runs = world.runs(&sight.id);
+        if sight.kind.runs_once() && runs > 1 {
+            world.violated(format!("{} ran {runs} times", sight.id));
+        }
+        if NOT_RUN.contains(&sight.status) && runs > 0 {
+            world.violated(format!("{} ran and got {}", sight.id, sight.status));
+        }
+        if sight.served && runs == 0 {
+            world.violated(format!("{} was answered by nobody", sight.id));
+        }
+    }
+    starts(world, seen);
+    for place in 0..ENDPOINTS {
+        orders(world, place);
+    }
+    for (place, node) in world.nodes.iter().enumerate() {
+        let node = node.lock().expect("no panic before");
+        if node.peak_kb().is_some_and(|peak| peak > MEMORY_KB) {
+            world.violated(format!("memory of node {place}"));
+        }
+    }
+}
+
+/// What runs was asked for, for the right workspace, and with memory of its own
+/// weights and workspace only.
+fn starts(world: &World, seen: &[Seen]) {
+    let asked: BTreeSet<&str> = seen.iter().map(|sight| sight.id.as_str()).collect();
+    let mut spaces: BTreeMap<String, (u64, String)> = BTreeMap::new();
+    for start in world
+        .backends
+        .iter()
+        .flat_map(|backend| backend.engine.starts())
+    {
+        let text = |name: &str| {
+            let value = start.headers.get(name)?;
+            value.to_str().ok().map(ToOwned::to_owned)
+        };
+        let id = start.request.as_str();
+        if id.starts_with("probe") || id.starts_with("end") {
+            continue;
+        }
+        let workspace = text("tenant").unwrap_or_default();
+        let caller: usize = id[1..]
+            .split('-')
+            .next()
+            .and_then(|name| name.parse().ok())
+            .unwrap_or_default();
+        if !asked.contains(id) {
+            world.violated(format!("{id} was never asked for"));
+        }
+        if workspace != format!("workspace-{}", 1 + caller % 2) || text("authorization").is_some() {
+            world.violated(format!("{id} ran for {workspace:?}"));
+        }
+        let Some(space) = text("cache-salt") else {
+            continue;
+        };
+        let owner = (start.weights, workspace);
+        let known = spaces.entry(space).or_insert_with(|| owner.clone());
+        if *known != owner {
+            world.violated(format!("{id}: memory of {known:?} for {owner:?}"));
+        }
+    }
+}
+
+/// Orders to an engine come from one node at a time.
+fn orders(world: &World, place: usize) {
+    let orders = world.backends[place].engine.orders();
+    for pair in orders.windows(2) {
+        let [before, after] = pair else { continue };
+        if before.holder == after.holder || is_excused(world, place, before, after) {
+            continue;
+        }
+        let apart = after.at - before.at;
+        if after.fence <= before.fence || apart < LEASE {
+            world.violated(format!(
+                "engine {place}: orders of {} ({}) and {} ({}) {apart:?} apart",
+                before.holder, before.fence, after.holder, after.fence
+            ));
+        }
+    }
+}
+
+/// True when an order may have been held up on its way, or by its engine.
+fn is_excused(world: &World, place: usize, before: &Order, after: &Order) -> bool {
+    let held_up = |scope| scope == Scope::Endpoint(place);
+    world.disturbed(held_up, before.at, after.at)
+}
+
+/// After the last fault all requests are served again, and all engines get the
+/// newest weights.
+pub async fn recovery(world: &World, configuration: u64, weights: u64) {
+    let healed = Instant::now();
+    let mut open: Vec<String> = Vec::new();
+    while healed.elapsed() < RECOVERY {
+        open.clear();
+        for node in 0..world.nodes.len() {
+            let number = healed.elapsed().as_millis();
+            for path in ["/book/a".to_owned(), format!("/v{configuration}/a")] {
+                if configuration == 1 && path.starts_with("/v") {
+                    continue;
+                }
+                let id = format!("end-{node}-{}-{number}", &path[1..3]);
+                let answer = ask(world, node, path.clone(), id).await;
+                if answer.status != 200 {
+                    open.push(format!("node {node} {path}: {}", answer.status));
+                }
+            }
+        }
+        for backend in &world.backends[..ENDPOINTS] {
+            if backend.engine.weights() != weights {
+                open.push(format!("weights {}", backend.engine.weights()));
+            }
+        }
+        if open.is_empty() {
+            world.note(format!("all is well after {:?}", healed.elapsed()));
+            return;
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+    world.violated(format!(
+        "not well {RECOVERY:?} after the last fault: {open:?}"
+    ));
+}
--- /dev/null
+++ b/crates/cli/tests/soak/mod.rs
@@ -0,0 +1,73 @@
+//! A soak: real nodes under random faults, while callers and endpoints check what
+//! the product promises.
+
+mod callers;
+mod checks;
+mod troubles;
+mod world;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use world::World;
+
+/// Callers of one soak.
+const CALLERS: usize = 8;
+
+/// What one seed came to.
+pub struct Report {
+    /// Broken promises.
+    pub violations: Vec<String>,
+    /// What happened, and the nodes' logs.
+    pub account: String,
+    /// Requests, and those that were served.
+    pub requests: (usize, usize),
+}
+
+/// Plays a seed for `time`.
+pub fn play(seed: u64, time: Duration) -> Report {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    runtime.block_on(play_in(seed, time))
+}
+
+async fn play_in(seed: u64, time: Duration) -> Report {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let calm = rng.random_range(0.1..0.9);
+    let world = Arc::new(World::start().await);
+    let stop = Arc::new(AtomicBool::new(false));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|name| {
+            let rng = ChaCha8Rng::seed_from_u64(rng.random());
+            tokio::spawn(callers::call_on(world.clone(), name, rng, stop.clone()))
+        })
+        .collect();
+    let until = Instant::now() + time;
+    let (configuration, weights) = troubles::bring_about(&world, &mut rng, until, calm).await;
+    world.note("the faults are over");
+    checks::recovery(&world, configuration, weights).await;
+    stop.store(true, Ordering::Relaxed);
+    let mut sights = Vec::new();
+    for caller in callers {
+        sights.extend(caller.await.expect("a caller ends without a panic"));
+    }
+    checks::ledger(&world, &sights);
+    let mut account = world.diary();
+    for node in &world.nodes {
+        let node = node.lock().expect("no panic before");
+        account = format!("{account}\n--- {}\n{}", node.name, node.log());
+    }
+    let served = sights.iter().filter(|sight| sight.served).count();
+    Report {
+        violations: world.violations(),
+        account,
+        requests: (sights.len(), served),
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/soak/troubles.rs
@@ -0,0 +1,283 @@
+//! Faults and changes in random series that overlap.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use flamingolock_platform_standin::{EngineMode, StoreMode};
+use flamingolock_standins::proxy::{Faults, Handle, NewConnections};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::sleep;
+
+use crate::soak::checks;
+use crate::soak::world::{Backend, ENDPOINTS, NODES, Scope, World};
+
+/// Delay that no byte outlives: the direction is cut.
+const CUT_MS: u64 = 3_600_000;
+
+/// Time between the wish that a process ends and its end.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// A fault or change.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Kill,
+    Freeze,
+    Terminate,
+    Reload,
+    CutFromStore,
+    SilenceToStore,
+    StoreRefuses,
+    StoreLosesAnswers,
+    StoreSlow,
+    StoreForgets,
+    EndpointMode(EngineMode),
+    EndpointCrash,
+    EndpointResets,
+    EndpointSilent,
+    EndpointOneWay,
+    EndpointSlow,
+    EndpointLeaves,
+    OrdersLate,
+    Configuration,
+    Weights,
+}
+
+impl Trouble {
+    const ALL: [Self; 24] = [
+        Self::Kill,
+        Self::Freeze,
+        Self::Terminate,
+        Self::Reload,
+        Self::CutFromStore,
+        Self::SilenceToStore,
+        Self::StoreRefuses,
+        Self::StoreLosesAnswers,
+        Self::StoreSlow,
+        Self::StoreForgets,
+        Self::EndpointMode(EngineMode::Refusing),
+        Self::EndpointMode(EngineMode::Failing),
+        Self::EndpointMode(EngineMode::Crossed),
+        Self::EndpointMode(EngineMode::BreakAfter(4)),
+        Self::EndpointMode(EngineMode::Silent),
+        Self::EndpointCrash,
+        Self::EndpointResets,
+        Self::EndpointSilent,
+        Self::EndpointOneWay,
+        Self::EndpointSlow,
+        Self::EndpointLeaves,
+        Self::OrdersLate,
+        Self::Configuration,
+        Self::Weights,
+    ];
+}
+
+/// Brings about troubles until `until`. `calm` is how often nothing happens.
+/// Returns the versions of the configuration and of the weights at the end.
+pub async fn bring_about(
+    world: &Arc<World>,
+    rng: &mut ChaCha8Rng,
+    until: Instant,
+    calm: f64,
+) -> (u64, u64) {
+    let (mut configuration, mut weights) = (1, 1);
+    let mut running = tokio::task::JoinSet::new();
+    while Instant::now() < until {
+        let series = if rng.random_bool(0.25) { 3 } else { 1 };
+        let trouble = *Trouble::ALL.choose(rng).expect("troubles");
+        for _ in 0..series {
+            let place = rng.random_range(0..6);
+            let time = Duration::from_millis(rng.random_range(150..2_500));
+            world.note(format!("{trouble:?} at {place} for {time:?}"));
+            match trouble {
+                Trouble::Configuration => {
+                    configuration += 1;
+                    publish(world, configuration, &mut running);
+                }
+                Trouble::Weights => {
+                    weights += 1;
+                    name_weights(world, weights);
+                }
+                _ => {
+                    running.spawn(trouble_of(world.clone(), trouble, place, time));
+                }
+            }
+            sleep(Duration::from_millis(rng.random_range(50..500))).await;
+        }
+        if rng.random_bool(calm) {
+            sleep(Duration::from_millis(rng.random_range(500..4_500))).await;
+        }
+    }
+    while let Some(ended) = running.join_next().await {
+        ended.expect("a trouble ends without a panic");
+    }
+    (configuration, weights)
+}
+
+fn publish(world: &Arc<World>, version: u64, running: &mut tokio::task::JoinSet<()>) {
+    let text = crate::soak::world::configuration(version);
+    world.store.put("keyed.op", "op/config", &text);
+    running.spawn(checks::in_force(world.clone(), version, Instant::now()));
+}
+
+fn name_weights(world: &World, version: u64) {
+    let text = format!("{{\"Model\":\"planner\",\"Version\":{version}}}");
+    world.store.put("keyed.op", "op/version/planner", &text);
+}
+
+async fn trouble_of(world: Arc<World>, trouble: Trouble, place: usize, time: Duration) {
+    let (node, backend) = (place % NODES, &world.backends[place]);
+    let scope = match trouble {
+        Trouble::Kill | Trouble::Freeze | Trouble::CutFromStore | Trouble::SilenceToStore => {
+            Scope::Node(node)
+        }
+        Trouble::Terminate => Scope::Planned(node),
+        Trouble::Reload => {
+            signal(&world, node, "HUP");
+            return;
+        }
+        Trouble::StoreRefuses
+        | Trouble::StoreLosesAnswers
+        | Trouble::StoreSlow
+        | Trouble::StoreForgets => Scope::Store,
+        _ => Scope::Endpoint(place),
+    };
+    let fault = world.begun(scope);
+    match trouble {
+        Trouble::Kill => kill(&world, node, time).await,
+        Trouble::Freeze => freeze(&world, node, time).await,
+        Trouble::Terminate => terminate(&world, node).await,
+        Trouble::CutFromStore => {
+            let way = &world.store_ways[node];
+            way.cut_existing();
+            refuse(way, time).await;
+        }
+        Trouble::SilenceToStore => world.store_ways[node].silence_existing(),
+        Trouble::StoreRefuses => store_mode(&world, StoreMode::Refusing, time).await,
+        Trouble::StoreLosesAnswers => store_mode(&world, StoreMode::LosingAnswers, time).await,
+        Trouble::StoreSlow => {
+            for way in &world.store_ways {
+                way.change_faults(|faults| faults.down.delay_ms = 200);
+            }
+            sleep(time).await;
+            for way in &world.store_ways {
+                way.change_faults(|faults| faults.down.delay_ms = 0);
+            }
+        }
+        Trouble::StoreForgets => {
+            world.store.forget_history("keyed.op");
+            world.store.forget_history("keyed.servers");
+        }
+        Trouble::EndpointMode(mode) => {
+            backend.engine.set_mode(mode);
+            sleep(time).await;
+            backend.engine.set_mode(EngineMode::Good);
+        }
+        Trouble::EndpointCrash => crash(&world, backend, time).await,
+        Trouble::EndpointResets => backend.way.cut_existing(),
+        Trouble::EndpointSilent => backend.way.silence_existing(),
+        Trouble::EndpointOneWay => {
+            backend
+                .way
+                .change_faults(|faults| faults.down.delay_ms = CUT_MS);
+            sleep(time).await;
+            backend.way.set_faults(Faults::default());
+        }
+        Trouble::EndpointSlow => {
+            backend.way.change_faults(|faults| faults.up.delay_ms = 150);
+            sleep(time).await;
+            backend.way.change_faults(|faults| faults.up.delay_ms = 0);
+        }
+        Trouble::EndpointLeaves => leave(&world, place, time).await,
+        Trouble::OrdersLate => {
+            let late = Duration::from_millis(900);
+            backend.engine.set_orders_late(Some(late));
+            sleep(time).await;
+            backend.engine.set_orders_late(None);
+        }
+        Trouble::Reload | Trouble::Configuration | Trouble::Weights => {}
+    }
+    world.ended(fault);
+}
+
+async fn store_mode(world: &World, mode: StoreMode, time: Duration) {
+    world.store.set_mode(mode);
+    sleep(time).await;
+    world.store.set_mode(StoreMode::Up);
+}
+
+async fn refuse(way: &Handle, time: Duration) {
+    way.change_faults(|faults| faults.new_connections = NewConnections::Close);
+    sleep(time).await;
+    way.change_faults(|faults| faults.new_connections = NewConnections::Forward);
+}
+
+async fn kill(world: &World, node: usize, time: Duration) {
+    world.nodes[node].lock().expect("no panic before").kill();
+    sleep(time / 4).await;
+    start_again(world, node);
+}
+
+async fn freeze(world: &World, node: usize, time: Duration) {
+    signal(world, node, "STOP");
+    sleep(time).await;
+    signal(world, node, "CONT");
+}
+
+async fn terminate(world: &World, node: usize) {
+    let process = || world.nodes[node].lock().expect("no panic before");
+    let life = process().id();
+    signal(world, node, "TERM");
+    let asked = Instant::now();
+    // Another trouble may kill the process and start it again meanwhile.
+    while process().id() == life && !process().has_ended() {
+        if asked.elapsed() > GRACE {
+            process().kill();
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    start_again(world, node);
+}
+
+/// Sends a signal to a node, unless its process has ended.
+fn signal(world: &World, node: usize, name: &str) {
+    let mut process = world.nodes[node].lock().expect("no panic before");
+    if !process.has_ended() {
+        process.signal(name);
+    }
+}
+
+/// Starts a node whose process has ended.
+fn start_again(world: &World, node: usize) {
+    let mut process = world.nodes[node].lock().expect("no panic before");
+    if process.has_ended() {
+        process.start_again();
+    }
+}
+
+/// The endpoint loses its connections and takes none; then it is back in another
+/// life, and says so in its entry.
+async fn crash(world: &World, backend: &Backend, time: Duration) {
+    backend.way.cut_existing();
+    refuse(&backend.way, time).await;
+    backend.engine.restart();
+    let (key, value) = backend.entry("ready");
+    world.store.put("keyed.servers", &key, &value);
+}
+
+async fn leave(world: &Arc<World>, place: usize, time: Duration) {
+    // Some of each kind stay.
+    if place % ENDPOINTS == 0 {
+        return;
+    }
+    let backend = &world.backends[place];
+    let (key, value) = backend.entry("draining");
+    world.store.put("keyed.servers", &key, &value);
+    let left = Instant::now();
+    sleep(Duration::from_secs(2) + time).await;
+    checks::left_alone(world, place, left);
+    backend.engine.restart();
+    let (key, value) = backend.entry("ready");
+    world.store.put("keyed.servers", &key, &value);
+}
--- /dev/null
+++ b/crates/cli/tests/soak/world.rs
@@ -0,0 +1,218 @@
+//! What the soak runs: real nodes, and stand-ins behind proxies.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use flamingolock_platform_standin::{Engine, Store};
+use flamingolock_standins::proxy::{self, Handle};
+
+use crate::entry_site::{Node, catalog};
+
+/// Nodes of one soak.
+pub const NODES: usize = 3;
+
+/// Engines, and application servers.
+pub const ENDPOINTS: usize = 3;
+
+/// Time for which a fault counts after its end, as the platform's rules have it.
+pub const CONTACT: Duration = Duration::from_secs(3);
+
+/// What a fault concerns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// The store, for all.
+    Store,
+    /// One node, or its way to the store.
+    Node(usize),
+    /// One endpoint, or the ways to it.
+    Endpoint(usize),
+    /// A shutdown of one node, which must cut nothing.
+    Planned(usize),
+}
+
+/// A fault from its beginning to its end.
+#[derive(Clone, Copy, Debug)]
+struct Fault {
+    scope: Scope,
+    from: Instant,
+    to: Option<Instant>,
+}
+
+/// An endpoint behind a proxy.
+pub struct Backend {
+    pub engine: Engine,
+    pub way: Handle,
+    pub service: &'static str,
+}
+
+impl Backend {
+    /// Its entry, with the proxy's address.
+    pub fn entry(&self, state: &str) -> (String, String) {
+        self.engine.entry_at(self.way.addr(), self.service, state)
+    }
+}
+
+/// Everything, shared by the tasks of one soak.
+pub struct World {
+    pub started: Instant,
+    pub store: Store,
+    /// Each node's way to the store.
+    pub store_ways: Vec<Handle>,
+    pub backends: Vec<Backend>,
+    pub nodes: Vec<Mutex<Node>>,
+    /// Addresses of the nodes: callers' port and directory.
+    pub addresses: Vec<(std::net::SocketAddr, std::net::SocketAddr)>,
+    faults: Mutex<Vec<Fault>>,
+    violations: Mutex<Vec<String>>,
+    diary: Mutex<Vec<String>>,
+}
+
+/// The configuration of a version: the site's routes, and one for each version
+/// that was ever published.
+pub fn configuration(version: u64) -> String {
+    let mut site: serde_json::Value =
+        serde_json::from_str(&catalog(version, false)).expect("the site's configuration");
+    let routes = site["Routes"].as_array_mut().expect("routes");
+    let look = routes[3].clone();
+    for number in 2..=version {
+        let mut route = look.clone();
+        route["Name"] = format!("v{number}").into();
+        route["PathPrefix"] = format!("/v{number}/").into();
+        routes.push(route);
+    }
+    site.to_string()
+}
+
+impl World {
+    /// Starts everything and waits until the nodes are ready.
+    pub async fn start() -> Self {
+        let store = Store::start();
+        store.put("keyed.op", "op/config", &configuration(1));
+        let loopback = ([127, 0, 0, 1], 0).into();
+        let mut backends = Vec::new();
+        for place in 0..2 * ENDPOINTS {
+            let (id, events, pause, service) = if place < ENDPOINTS {
+                (format!("engine-{place}"), 10, 20, "engines")
+            } else {
+                (format!("desk-{place}"), 0, 10, "desk")
+            };
+            let engine = Engine::start(&id, events, Duration::from_millis(pause));
+            let way = proxy::start(loopback, engine.address())
+                .await
+                .expect("a proxy starts");
+            let backend = Backend {
+                engine,
+                way,
+                service,
+            };
+            let (key, value) = backend.entry("ready");
+            store.put("keyed.servers", &key, &value);
+            backends.push(backend);
+        }
+        let mut store_ways = Vec::new();
+        let mut nodes = Vec::new();
+        for place in 0..NODES {
+            let way = proxy::start(loopback, store.address())
+                .await
+                .expect("a proxy starts");
+            nodes.push(Node::start(&format!("node-{place}"), way.addr()));
+            store_ways.push(way);
+        }
+        let addresses = nodes
+            .iter()
+            .map(|node| (node.callers, node.directory))
+            .collect();
+        let world = Self {
+            started: Instant::now(),
+            store,
+            store_ways,
+            backends,
+            nodes: nodes.into_iter().map(Mutex::new).collect(),
+            addresses,
+            faults: Mutex::default(),
+            violations: Mutex::default(),
+            diary: Mutex::default(),
+        };
+        let waiting = Instant::now();
+        while !world.all_serve() {
+            assert!(waiting.elapsed() < Duration::from_secs(20), "no start");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        world
+    }
+
+    fn all_serve(&self) -> bool {
+        self.nodes.iter().all(|node| {
+            let node = node.lock().expect("no panic before");
+            node.log().matches("endpoint listed").count() >= self.backends.len()
+        })
+    }
+
+    /// Notes what happened, with the time since the start.
+    pub fn note(&self, what: impl std::fmt::Display) {
+        let line = format!("{:7.3} {what}", self.started.elapsed().as_secs_f64());
+        self.diary.lock().expect("no panic before").push(line);
+    }
+
+    /// Notes a broken promise.
+    pub fn violated(&self, what: impl std::fmt::Display) {
+        let line = format!("{:7.3} {what}", self.started.elapsed().as_secs_f64());
+        self.note(format!("BROKEN: {line}"));
+        self.violations.lock().expect("no panic before").push(line);
+    }
+
+    /// Broken promises so far.
+    pub fn violations(&self) -> Vec<String> {
+        self.violations.lock().expect("no panic before").clone()
+    }
+
+    /// All that was noted.
+    pub fn diary(&self) -> String {
+        self.diary.lock().expect("no panic before").join("\n")
+    }
+
+    /// A fault begins; the result names it for [`World::ended`].
+    pub fn begun(&self, scope: Scope) -> usize {
+        let mut faults = self.faults.lock().expect("no panic before");
+        faults.push(Fault {
+            scope,
+            from: Instant::now(),
+            to: None,
+        });
+        faults.len() - 1
+    }
+
+    /// A fault is over.
+    pub fn ended(&self, fault: usize) {
+        self.faults.lock().expect("no panic before")[fault].to = Some(Instant::now());
+    }
+
+    /// True when a fault of this kind was in force at some time between `from`
+    /// and `to`, or ended less than [`CONTACT`] before.
+    pub fn disturbed(&self, is_meant: impl Fn(Scope) -> bool, from: Instant, to: Instant) -> bool {
+        let faults = self.faults.lock().expect("no panic before");
+        faults.iter().any(|fault| {
+            is_meant(fault.scope)
+                && fault.from <= to
+                && fault.to.is_none_or(|end| end + CONTACT >= from)
+        })
+    }
+
+    /// True when a node, its way to the store and the store were sound from
+    /// `from` on and a while before.
+    pub fn in_touch(&self, node: usize, from: Instant) -> bool {
+        let concerns = |scope| {
+            matches!(scope, Scope::Store)
+                || matches!(scope, Scope::Node(place) | Scope::Planned(place) if place == node)
+        };
+        !self.disturbed(concerns, from, Instant::now())
+    }
+
+    /// How often endpoints ran a request.
+    pub fn runs(&self, id: &str) -> u32 {
+        self.backends
+            .iter()
+            .map(|backend| backend.engine.runs().get(id).copied().unwrap_or(0))
+            .sum()
+    }
+}
