gateway: replaced weights age from the first newer version on

Ruled out: the pause of the lease after its holder froze (needed), and one node reading for all (the older code does it too). Change: the roll-out remembers the versions that were named; a request must begin before the bound, the queue counted; a node that finds a version at its start takes it to be as old as it may; engines with the oldest weights load first.

--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -173,9 +173,16 @@
                 end,
                 model,
             } => self.ended(endpoint, number, &end, model.as_deref(), now),
-            Event::OperatorSnapshot(records) | Event::Operator(records) => {
+            Event::OperatorSnapshot(records) => {
+                // When these were written is not known.
+                let named = now.saturating_sub(self.unknown_age());
                 for record in &records {
-                    self.operator(record, now);
+                    self.operator(record, named, now);
+                }
+            }
+            Event::Operator(records) => {
+                for record in &records {
+                    self.operator(record, now, now);
                 }
             }
             Event::EndpointSnapshot(records) => self.endpoint_snapshot(&records, now),
--- a/crates/gateway/src/control/desk/entries.rs
+++ b/crates/gateway/src/control/desk/entries.rs
@@ -16,6 +16,9 @@
 /// put back by endpoints that live, in ms.
 const RETURN_MS: Millis = 2_300;
 
+/// Time after its start from which on a node is held to the bounds of weights, in ms.
+const NEW_NODE_MS: Millis = 3_000;
+
 /// Time after its start within which a node asks what is cached, in ms.
 const LEARN_CACHE_MS: Millis = 3_000;
 
@@ -24,12 +27,19 @@
 const LEARN_CACHE_ENGINES: usize = 24;
 
 impl Control {
-    pub(super) fn operator(&mut self, record: &KeyedRecord, now: Millis) {
+    /// Age that weights are given which were named before this node started: they
+    /// may be as old as a node that just started may take them to be.
+    pub(super) fn unknown_age(&self) -> Millis {
+        self.weights_limit().saturating_sub(NEW_NODE_MS)
+    }
+
+    /// Takes a record that was written some time ago, `written`.
+    pub(super) fn operator(&mut self, record: &KeyedRecord, written: Millis, now: Millis) {
         let Some(value) = &record.value else { return };
         match (self.dialect.operator_record)(&record.key, value) {
             Ok(OperatorRecord::Catalog(catalog)) => self.new_catalog(catalog, record.offset, now),
             Ok(OperatorRecord::Weights { model, version }) => {
-                if self.rollout.name(&model, version, now) {
+                if self.rollout.name(&model, version, written, now) {
                     log::info!(model = model.as_str(), version, offset = record.offset; "new weights named");
                 }
             }
--- a/crates/gateway/src/control/desk/placing.rs
+++ b/crates/gateway/src/control/desk/placing.rs
@@ -36,6 +36,12 @@
 const LONG_ANSWER_TOKENS: u32 = 16;
 
 impl Control {
+    /// Age from which on replaced weights are not used.
+    pub(super) fn weights_limit(&self) -> Millis {
+        let bound = self.settings.weights_bound.as_millis() as Millis;
+        bound.saturating_sub(WEIGHTS_MARGIN_MS)
+    }
+
     pub(super) fn asked(&mut self, ask: Box<Ask>, reply: oneshot::Sender<Placement>, now: Millis) {
         if ask.tried.is_empty() {
             self.budget.earn(&ask.service, now);
@@ -100,16 +106,12 @@
             .as_ref()
             .and_then(|catalog| catalog.services.get(&ask.service));
         let kind = service.map_or(ServiceKind::Plain, |service| service.kind);
-        let newest = ask
-            .model
-            .as_deref()
-            .and_then(|model| self.rollout.newest(model));
+        let model = ask.model.as_deref();
         let moment = Moment {
             now,
             zone: &self.settings.zone,
-            newest: newest.map(|named| (named.version, named.learnt)),
-            weights_limit: (self.settings.weights_bound.as_millis() as Millis)
-                .saturating_sub(WEIGHTS_MARGIN_MS),
+            versions: model.map_or(&[], |model| self.rollout.versions(model)),
+            weights_limit: self.weights_limit(),
         };
         let alive = |key: EndpointKey| {
             self.fleet
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -8,6 +8,7 @@
 use crate::catalog::EngineTraits;
 use crate::clock::Millis;
 use crate::control::parts::{PartKey, Parts, Presence, scope, shared};
+use crate::control::rollout::{Named, replaced_at};
 use crate::control::{Ask, RunEnd};
 use crate::endpoint::{Endpoint, EndpointKey};
 
@@ -141,8 +142,8 @@
     pub now: Millis,
     /// Zone of this node.
     pub zone: &'a str,
-    /// Newest version of the request's model and when it was learnt of.
-    pub newest: Option<(u64, Millis)>,
+    /// Versions of the request's model that were named, the newest last.
+    pub versions: &'a [Named],
     /// Age at which replaced weights may no longer be used.
     pub weights_limit: Millis,
 }
@@ -365,13 +366,9 @@
         let model = ask.model.as_deref()?;
         let version = *self.weights.get(model)?;
         let mut score = self.health_ms(now) + self.zone_ms(moment);
-        if let Some((newest, learnt)) = moment.newest
-            && version < newest
-        {
-            let age = now - learnt.min(now);
-            if age > moment.weights_limit {
-                return None;
-            }
+        let replaced = replaced_at(moment.versions, version);
+        let replaced = replaced.map(|at| now.saturating_sub(at));
+        if let Some(age) = replaced {
             score += if age > WEIGHTS_FRESH_MS {
                 OLD_WEIGHTS_MS
             } else {
@@ -422,6 +419,10 @@
         score += (memory - MEMORY_FULL).max(0.0) * MEMORY_MS;
         score += self.runs.len() as f64 * RUNNING_MS;
         let busy_ms = self.queue_ms(now) + read_ms * self.slowness;
+        // It must begin to run while the weights may still be used.
+        if replaced.is_some_and(|age| age as f64 + busy_ms > moment.weights_limit as f64) {
+            return None;
+        }
         let stretch = ((busy_ms - STRETCH_MS) / STRETCH_FULL_MS).clamp(0.0, 1.5);
         score += busy_ms + stretch * self.writing() as f64 * PAUSED_STREAM_MS;
         Some(Estimate {
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -50,6 +50,18 @@
     confirm_at: Option<Millis>,
 }
 
+/// An engine that lacks weights. The least goes first: those that get no new
+/// requests already, then those with the oldest weights, then the emptiest.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Wanting {
+    is_new: bool,
+    has: Option<u64>,
+    tokens: u64,
+    key: EndpointKey,
+    model: String,
+    version: u64,
+}
+
 /// What the node that holds the lease has to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Task {
@@ -59,6 +71,12 @@
     Report(EndpointKey),
 }
 
+/// When the weights of `version` were replaced, given the versions that were named.
+pub fn replaced_at(versions: &[Named], version: u64) -> Option<Millis> {
+    let newer = versions.iter().find(|named| named.version > version);
+    newer.map(|named| named.learnt)
+}
+
 /// Weights that the operator named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Named {
@@ -68,10 +86,14 @@
     pub learnt: Millis,
 }
 
+/// Named versions of a model that are remembered.
+const VERSIONS: usize = 16;
+
 /// State of the roll-out of weights.
 #[derive(Debug, Default)]
 pub struct Rollout {
-    named: BTreeMap<String, Named>,
+    /// Versions of each model, the newest last.
+    named: BTreeMap<String, Vec<Named>>,
     engines: BTreeMap<EndpointKey, Progress>,
     moved_at: Millis,
 }
@@ -87,29 +109,32 @@
 type Fleet = BTreeMap<EndpointKey, EndpointState>;
 
 impl Rollout {
-    /// Takes weights that the operator named. True if they are new.
-    pub fn name(&mut self, model: &str, version: u64, now: Millis) -> bool {
-        if self
-            .named
-            .get(model)
-            .is_some_and(|named| named.version >= version)
-        {
+    /// Takes weights that the operator named some time ago, `named`. True if they
+    /// are new.
+    pub fn name(&mut self, model: &str, version: u64, named: Millis, now: Millis) -> bool {
+        let versions = self.named.entry(model.to_owned()).or_default();
+        if versions.last().is_some_and(|last| last.version >= version) {
             return false;
         }
-        self.named.insert(
-            model.to_owned(),
-            Named {
-                version,
-                learnt: now,
-            },
-        );
+        if versions.len() == VERSIONS {
+            // What is replaced by the oldest one stays replaced since then.
+            versions.remove(1);
+        }
+        versions.push(Named {
+            version,
+            learnt: named,
+        });
         self.moved_at = now;
         true
     }
 
-    /// The newest weights of a model.
-    pub fn newest(&self, model: &str) -> Option<Named> {
-        self.named.get(model).copied()
+    /// The versions of a model, the newest last.
+    pub fn versions(&self, model: &str) -> &[Named] {
+        self.named.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    fn newest(&self, model: &str) -> Option<u64> {
+        self.versions(model).last().map(|named| named.version)
     }
 
     /// Notes that the roll-out goes on, here or at another node.
@@ -122,9 +147,9 @@
         if state.endpoint.leaving || state.lapses_at.is_some() {
             return None;
         }
-        self.named.iter().find_map(|(model, named)| {
-            let version = *state.weights.get(model)?;
-            (version < named.version).then_some((model.as_str(), named.version))
+        self.named.keys().find_map(|model| {
+            let (version, newest) = (*state.weights.get(model)?, self.newest(model)?);
+            (version < newest).then_some((model.as_str(), newest))
         })
     }
 
@@ -159,7 +184,7 @@
         let mut tasks = Vec::new();
         let mut engines = 0;
         let mut loading = 0;
-        let mut wanting: Vec<(bool, u64, EndpointKey)> = Vec::new();
+        let mut wanting: Vec<Wanting> = Vec::new();
         for (key, state) in fleet.iter() {
             if state.weights.is_empty() {
                 continue;
@@ -167,7 +192,8 @@
             engines += 1;
             if now < state.loading_until {
                 loading += 1;
-            } else if self.lacking(state).is_some() {
+            } else if let Some((model, version)) = self.lacking(state) {
+                let (model, has) = (model.to_owned(), state.weights.get(model).copied());
                 let progress = self.engines.entry(*key).or_default();
                 if progress.born != state.endpoint.born {
                     *progress = Progress {
@@ -176,14 +202,22 @@
                     };
                 }
                 if !progress.in_flight && now >= progress.retry_at && now >= state.avoid_until {
-                    wanting.push((progress.reserved_at.is_none(), state.tokens(), *key));
+                    wanting.push(Wanting {
+                        is_new: progress.reserved_at.is_none(),
+                        has,
+                        tokens: state.tokens(),
+                        key: *key,
+                        model,
+                        version,
+                    });
                 }
             }
         }
         let most = loads_at_once(engines);
         wanting.sort_unstable();
-        for (_, _, key) in wanting.iter().take(most) {
-            let (Some(state), Some(progress)) = (fleet.get_mut(key), self.engines.get_mut(key))
+        for engine in wanting.into_iter().take(most) {
+            let key = engine.key;
+            let (Some(state), Some(progress)) = (fleet.get_mut(&key), self.engines.get_mut(&key))
             else {
                 continue;
             };
@@ -191,7 +225,7 @@
             state.reserved_until = now + RESERVE_MS;
             let Some(accepted) = progress.accepted else {
                 progress.in_flight = true;
-                tasks.push(Task::Report(*key));
+                tasks.push(Task::Report(key));
                 continue;
             };
             let drained = now >= since + RESERVE_MS || state.running() == 0;
@@ -202,16 +236,10 @@
             progress.in_flight = true;
             progress.reserved_at = None;
             state.loading_until = now + LOAD_MS;
-            let Some((model, version)) = self.named.iter().find_map(|(model, named)| {
-                let version = *state.weights.get(model)?;
-                (version < named.version).then_some((model, named.version))
-            }) else {
-                continue;
-            };
             tasks.push(Task::Order(Box::new(WeightsOrder {
                 engine: (*state.endpoint).clone(),
-                model: model.clone(),
-                version,
+                model: engine.model,
+                version: engine.version,
                 holder: holder.to_owned(),
                 fencing,
                 accepted,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -93,11 +93,22 @@
     }
 
     pub fn weights(&mut self, version: u64, now: u64) {
-        let text = format!(r#"{{"Model":"m","Version":{version}}}"#);
-        let record = self.record("op/version/m", Some(&text));
+        let record = self.named_weights(version);
         self.control.handle(Event::Operator(vec![record]), now);
     }
 
+    /// Weights that the node finds in the store at its start.
+    pub fn weights_before_start(&mut self, version: u64, now: u64) {
+        let record = self.named_weights(version);
+        self.control
+            .handle(Event::OperatorSnapshot(vec![record]), now);
+    }
+
+    fn named_weights(&mut self, version: u64) -> KeyedRecord {
+        let text = format!(r#"{{"Model":"m","Version":{version}}}"#);
+        self.record("op/version/m", Some(&text))
+    }
+
     pub fn engine(&mut self, id: &str, born: u64, state: &str, now: u64) {
         let text = format!(
             r#"{{"Service":"engines","Address":"10.0.0.1:80","Zone":"zone-a","Slots":64,"State":"{state}",
--- a/crates/gateway/tests/test_desk.rs
+++ b/crates/gateway/tests/test_desk.rs
@@ -188,6 +188,31 @@
     );
 }
 
+/// Another version that is named meanwhile does not make the old weights younger.
+#[test]
+fn weights_replaced_twice_are_not_used_past_the_first_bound() {
+    let mut desk = Desk::with_engines(1, 0);
+    desk.weights(2, 1_000);
+    desk.weights(3, 5_000);
+    assert!(desk.place(ask(None, 1), 6_000).expect("an answer").is_ok());
+    assert_eq!(
+        desk.place(ask(None, 1), 6_900).expect("an answer").err(),
+        Some(Refusal::AllReloading)
+    );
+}
+
+/// The weights may have been named long before this node started.
+#[test]
+fn node_that_starts_uses_replaced_weights_for_a_short_time_only() {
+    let mut desk = Desk::with_engines(1, 10_000);
+    desk.weights_before_start(2, 10_000);
+    assert!(desk.place(ask(None, 1), 10_500).expect("an answer").is_ok());
+    assert_eq!(
+        desk.place(ask(None, 1), 13_100).expect("an answer").err(),
+        Some(Refusal::AllReloading)
+    );
+}
+
 #[test]
 fn orders_need_the_lease_and_some_engines_always_serve() {
     let mut desk = Desk::with_engines(12, 0);
