gateway: news that reaches a node late is taken to be old

Change: the control thread notices that it stood still; what it reads in the 2 s after, and what any node reads whose copy was older than the bound, counts as written when the copy was last current. Tests: weights_named_while_the_node_stood_still_are_taken_to_be_old and weights_that_a_node_learns_late_are_taken_to_be_old fail before.

--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -38,6 +38,9 @@
 /// Pause between looks for runs of nodes that are gone, in ms.
 const SWEEP_MS: Millis = 500;
 
+/// Time without a tick after which the process must have stood still, in ms.
+const ASLEEP_MS: Millis = 1_000;
+
 /// Longest sleep of the control thread, in ms.
 const TICK_MS: Millis = 50;
 
@@ -97,6 +100,9 @@
     copies_told_at: Millis,
     store_away: bool,
     store_back_at: Millis,
+    ticked_at: Option<Millis>,
+    /// The last time that the process stood still: from and to.
+    asleep: (Millis, Millis),
     started: Option<Millis>,
     left_at: Option<Millis>,
     /// What is to be done outside; taken by the caller after each tick.
@@ -151,6 +157,8 @@
             copies_told_at: 0,
             store_away: false,
             store_back_at: 0,
+            ticked_at: None,
+            asleep: (0, 0),
             started: None,
             left_at: None,
             effects: Vec::new(),
@@ -159,6 +167,7 @@
 
     /// Takes one event.
     pub fn handle(&mut self, event: Event, now: Millis) {
+        self.notice_sleep(now);
         match event {
             Event::Ask(ask, reply) => self.asked(ask, reply, now),
             Event::FirstToken {
@@ -189,8 +198,9 @@
                 }
             }
             Event::Operator(records) => {
+                let written = self.written_at(now);
                 for record in &records {
-                    self.operator(record, now, now);
+                    self.operator(record, written, now);
                 }
             }
             Event::EndpointSnapshot(records) => self.endpoint_snapshot(&records, now),
@@ -265,6 +275,8 @@
 
     /// Does what is due. Returns when to be called again at the latest.
     pub fn tick(&mut self, now: Millis) -> Millis {
+        self.notice_sleep(now);
+        self.ticked_at = Some(now);
         self.settle_lapsed(now);
         self.ask_to_be_taught(now);
         self.read_topics(now);
@@ -288,6 +300,14 @@
         wake.max(now + 1)
     }
 
+    fn notice_sleep(&mut self, now: Millis) {
+        if let Some(at) = self.ticked_at.filter(|at| now > at + ASLEEP_MS) {
+            log::warn!(ms = now - at; "the process stood still");
+            self.asleep = (at, now);
+            self.ticked_at = Some(now);
+        }
+    }
+
     fn nodes(&self, now: Millis) -> usize {
         self.peers.sharing(now)
     }
--- a/crates/gateway/src/control/desk/copies.rs
+++ b/crates/gateway/src/control/desk/copies.rs
@@ -12,6 +12,9 @@
 /// Pause after a read that failed, and as much again at random, in ms.
 const RETRY_MS: Millis = 250;
 
+/// Time after the process stood still in which news may be old, in ms.
+const AWAKE_MS: Millis = 2_000;
+
 /// Pause between two reports of copies that did not change, in ms.
 const TELL_MS: Millis = 200;
 
@@ -86,6 +89,18 @@
         self.copy(topic).failed(now + pause);
     }
 
+    /// When a record of the operator was written at the earliest that is read now:
+    /// news is quick unless this node stood still or was cut off.
+    pub(super) fn written_at(&self, now: Millis) -> Millis {
+        let (slept, woke) = self.asleep;
+        if woke > 0 && now < woke + AWAKE_MS {
+            return slept;
+        }
+        let bound = self.settings.catalog_bound.as_millis() as Millis;
+        let current = self.operator_copy.current_at();
+        current.filter(|at| now > at + bound).unwrap_or(now)
+    }
+
     /// What stands for the copies: the end of the operator's topic, and which
     /// endpoints are listed and which of them leave.
     fn marks(&self) -> (u64, u64) {
--- a/crates/gateway/src/control/freshness.rs
+++ b/crates/gateway/src/control/freshness.rs
@@ -135,6 +135,11 @@
         self.behind = false;
     }
 
+    /// When the store is known to have held nothing newer.
+    pub fn current_at(&self) -> Option<Millis> {
+        self.current_at
+    }
+
     /// True when another node's copy is newer.
     pub fn is_behind(&self) -> bool {
         self.behind
--- a/crates/gateway/tests/test_desk.rs
+++ b/crates/gateway/tests/test_desk.rs
@@ -4,7 +4,7 @@
 
 use common::{Desk, ask};
 use flamingolock_gateway::chain::is_too_late;
-use flamingolock_gateway::control::{Effect, Event, Refusal, RunEnd};
+use flamingolock_gateway::control::{Effect, Event, FollowedTopic, Refusal, RunEnd};
 use flamingolock_gateway::endpoint::Endpoint;
 use flamingolock_wire::gossip::Run;
 
@@ -213,6 +213,42 @@
     );
 }
 
+/// Weights that were named while the node stood still are as old as that may be.
+#[test]
+fn weights_named_while_the_node_stood_still_are_taken_to_be_old() {
+    let mut desk = Desk::with_engines(1, 10_000);
+    desk.effects(10_000);
+    desk.weights(2, 14_000);
+    assert!(desk.place(ask(None, 1), 15_000).expect("an answer").is_ok());
+    assert_eq!(
+        desk.place(ask(None, 1), 15_300).expect("an answer").err(),
+        Some(Refusal::AllReloading)
+    );
+}
+
+/// The same of a node whose copy was old for another reason.
+#[test]
+fn weights_that_a_node_learns_late_are_taken_to_be_old() {
+    let mut desk = Desk::with_engines(1, 10_000);
+    desk.control.handle(
+        Event::TopicRead {
+            topic: FollowedTopic::Operator,
+            end: 1,
+            at: 10_000,
+        },
+        10_000,
+    );
+    for now in (10_000..14_000).step_by(50) {
+        desk.effects(now);
+    }
+    desk.weights(2, 14_000);
+    assert!(desk.place(ask(None, 1), 15_000).expect("an answer").is_ok());
+    assert_eq!(
+        desk.place(ask(None, 1), 15_300).expect("an answer").err(),
+        Some(Refusal::AllReloading)
+    );
+}
+
 #[test]
 fn orders_need_the_lease_and_some_engines_always_serve() {
     let mut desk = Desk::with_engines(12, 0);
