--- a/crates/gateway/src/control/desk.rs
+++ b/crates/gateway/src/control/desk.rs
@@ -219,22 +219,8 @@
             }
             Event::TopicRead { topic, end, at } => self.topic_read(topic, end, at, now),
             Event::TopicFailed(topic) => self.topic_failed(topic, now),
-            Event::StoreFailed => {
-                self.metrics.count(Topic::StoreCall, "failed");
-                if !self.store_away {
-                    self.store_away = true;
-                    self.news_at.get_or_insert(now);
-                    log::warn!("store does not answer");
-                }
-            }
-            Event::StoreAnswered => {
-                self.metrics.count(Topic::StoreCall, "answered");
-                if self.store_away {
-                    self.store_away = false;
-                    self.store_back_at = now;
-                    log::info!("store answers again");
-                }
-            }
+            Event::StoreFailed => self.store_failed(now),
+            Event::StoreAnswered => self.store_answered(now),
             Event::Datagram(from, bytes) => self.datagram(from, bytes, now),
             Event::LeaseRead(end, last) => self.lease.read(end, last.as_deref(), now),
             Event::LeaseTrimmed(first) => self.lease.trimmed(first),
@@ -300,6 +286,24 @@
         wake.max(now + 1)
     }
 
+    fn store_failed(&mut self, now: Millis) {
+        self.metrics.count(Topic::StoreCall, "failed");
+        if !self.store_away {
+            self.store_away = true;
+            self.news_at.get_or_insert(now);
+            log::warn!("store does not answer");
+        }
+    }
+
+    fn store_answered(&mut self, now: Millis) {
+        self.metrics.count(Topic::StoreCall, "answered");
+        if self.store_away {
+            self.store_away = false;
+            self.store_back_at = now;
+            log::info!("store answers again");
+        }
+    }
+
     fn notice_sleep(&mut self, now: Millis) {
         if let Some(at) = self.ticked_at.filter(|at| now > at + ASLEEP_MS) {
             log::warn!(ms = now - at; "the process stood still");
