tests: the soak loses answers and has more requests under way

Change: endpoints that run requests and close the connection, twice the callers, slower application servers.

--- a/crates/cli/tests/soak/mod.rs
+++ b/crates/cli/tests/soak/mod.rs
@@ -16,7 +16,7 @@
 use world::World;
 
 /// Callers of one soak.
-const CALLERS: usize = 8;
+const CALLERS: usize = 16;
 
 /// What one seed came to.
 pub struct Report {
--- a/crates/cli/tests/soak/troubles.rs
+++ b/crates/cli/tests/soak/troubles.rs
@@ -45,7 +45,7 @@
 }
 
 impl Trouble {
-    const ALL: [Self; 24] = [
+    const ALL: [Self; 25] = [
         Self::Kill,
         Self::Freeze,
         Self::Terminate,
@@ -61,6 +61,7 @@
         Self::EndpointMode(EngineMode::Crossed),
         Self::EndpointMode(EngineMode::BreakAfter(4)),
         Self::EndpointMode(EngineMode::Silent),
+        Self::EndpointMode(EngineMode::LosingAnswers),
         Self::EndpointCrash,
         Self::EndpointResets,
         Self::EndpointSilent,
--- a/crates/cli/tests/soak/world.rs
+++ b/crates/cli/tests/soak/world.rs
@@ -94,7 +94,7 @@
             let (id, events, pause, service) = if place < ENDPOINTS {
                 (format!("engine-{place}"), 10, 20, "engines")
             } else {
-                (format!("desk-{place}"), 0, 10, "desk")
+                (format!("desk-{place}"), 0, 40, "desk")
             };
             let engine = Engine::start(&id, events, Duration::from_millis(pause));
             let way = proxy::start(loopback, engine.address())
