--- a/crates/gateway/src/control/desk/copies.rs
+++ b/crates/gateway/src/control/desk/copies.rs
@@ -6,7 +6,7 @@
 
 use super::Control;
 use crate::clock::Millis;
-use crate::control::freshness::{Freshness, Pace, Report};
+use crate::control::freshness::{Freshness, Pace, Report, STAGGERED};
 use crate::control::{Effect, FollowedTopic};
 
 /// Pause after a read that failed, and as much again at random, in ms.
@@ -49,7 +49,7 @@
             return if self.is_hub {
                 0
             } else {
-                1 + self.incarnation as usize % 4
+                1 + self.incarnation as usize % STAGGERED
             };
         }
         if self.store_away || self.left_at.is_some() {
--- a/crates/gateway/src/control/freshness.rs
+++ b/crates/gateway/src/control/freshness.rs
@@ -16,7 +16,7 @@
 const STAGGER_MS: Millis = 100;
 
 /// Nodes that wait for different times.
-const STAGGERED: usize = 4;
+pub const STAGGERED: usize = 4;
 
 /// Longest time that news takes from one node to the next, in ms.
 const HOP_MS: Millis = 250;
--- a/crates/gateway/tests/test_desk.rs
+++ b/crates/gateway/tests/test_desk.rs
@@ -177,15 +177,20 @@
     }
 }
 
+/// The engine's weights are used at one time and no more at the other.
+fn assert_weights_end(desk: &mut Desk, used: u64, unused: u64) {
+    assert!(desk.place(ask(None, 1), used).expect("an answer").is_ok());
+    assert_eq!(
+        desk.place(ask(None, 1), unused).expect("an answer").err(),
+        Some(Refusal::AllReloading)
+    );
+}
+
 #[test]
 fn replaced_weights_are_not_used_past_their_bound() {
     let mut desk = Desk::with_engines(1, 0);
     desk.weights(2, 1_000);
-    assert!(desk.place(ask(None, 1), 1_100).expect("an answer").is_ok());
-    assert_eq!(
-        desk.place(ask(None, 1), 7_000).expect("an answer").err(),
-        Some(Refusal::AllReloading)
-    );
+    assert_weights_end(&mut desk, 1_100, 7_000);
 }
 
 /// Another version that is named meanwhile does not make the old weights younger.
@@ -194,11 +199,7 @@
     let mut desk = Desk::with_engines(1, 0);
     desk.weights(2, 1_000);
     desk.weights(3, 5_000);
-    assert!(desk.place(ask(None, 1), 6_000).expect("an answer").is_ok());
-    assert_eq!(
-        desk.place(ask(None, 1), 6_900).expect("an answer").err(),
-        Some(Refusal::AllReloading)
-    );
+    assert_weights_end(&mut desk, 6_000, 6_900);
 }
 
 /// The weights may have been named long before this node started.
@@ -206,11 +207,7 @@
 fn node_that_starts_uses_replaced_weights_for_a_short_time_only() {
     let mut desk = Desk::with_engines(1, 10_000);
     desk.weights_before_start(2, 10_000);
-    assert!(desk.place(ask(None, 1), 10_500).expect("an answer").is_ok());
-    assert_eq!(
-        desk.place(ask(None, 1), 13_100).expect("an answer").err(),
-        Some(Refusal::AllReloading)
-    );
+    assert_weights_end(&mut desk, 10_500, 13_100);
 }
 
 /// Weights that were named while the node stood still are as old as that may be.
@@ -219,11 +216,7 @@
     let mut desk = Desk::with_engines(1, 10_000);
     desk.effects(10_000);
     desk.weights(2, 14_000);
-    assert!(desk.place(ask(None, 1), 15_000).expect("an answer").is_ok());
-    assert_eq!(
-        desk.place(ask(None, 1), 15_300).expect("an answer").err(),
-        Some(Refusal::AllReloading)
-    );
+    assert_weights_end(&mut desk, 15_000, 15_300);
 }
 
 /// The same of a node whose copy was old for another reason.
@@ -242,11 +235,7 @@
         desk.effects(now);
     }
     desk.weights(2, 14_000);
-    assert!(desk.place(ask(None, 1), 15_000).expect("an answer").is_ok());
-    assert_eq!(
-        desk.place(ask(None, 1), 15_300).expect("an answer").err(),
-        Some(Refusal::AllReloading)
-    );
+    assert_weights_end(&mut desk, 15_000, 15_300);
 }
 
 #[test]
