gateway: log how a response's end is marked and what follows its last event

Change: "stream ended" has framing and partial_bytes, and last_event for all streams; "request answered" has framing. What callers get is unchanged.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -41,6 +41,11 @@
         })
     }
 
+    /// Number of bytes that do not form a complete event yet.
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Removes and returns the bytes that do not form a complete event, for the end of
     /// the stream.
     pub fn take_remainder(&mut self) -> Bytes {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,6 +9,7 @@
 use crate::catalog::RequestKind;
 use crate::control::{Grant, Placement, PlacementRequest, Refusal, RunEnd};
 use crate::endpoint::EndpointKey;
+use crate::http_client::BodyFraming;
 use crate::relay;
 use crate::response::{self, ErrorReason, ResponseBody};
 
@@ -183,7 +184,8 @@
     grant: &Grant,
 ) -> Response<ResponseBody> {
     log::info!(request = &*exchange.request_id, route = exchange.route.name.as_str(),
-        endpoint = &*grant.endpoint.id, status = buffered.status.as_u16(), took_ms = elapsed_ms(exchange); "request answered");
+        endpoint = &*grant.endpoint.id, status = buffered.status.as_u16(), framing = BodyFraming::of(&buffered.headers).as_str(),
+        took_ms = elapsed_ms(exchange); "request answered");
     endpoint_response(context, buffered)
 }
 
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -53,6 +54,39 @@
     Timeout,
 }
 
+/// How the end of a response body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The head states its length.
+    Length,
+    /// It is sent in chunks; an empty chunk ends it.
+    Chunked,
+    /// It ends when the server closes the connection.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// Returns the framing of the body behind these response headers.
+    pub fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(TRANSFER_ENCODING) {
+            Self::Chunked
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::UntilClose
+        }
+    }
+
+    /// String form for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
 /// A client connection. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,6 +18,7 @@
 use crate::control::RunEnd;
 use crate::event_stream::EventSplitter;
 use crate::forward::{RetryState, elapsed_ms};
+use crate::http_client::BodyFraming;
 use crate::response::{IncompleteBody, ResponseBody};
 
 /// Maximum number of chunks queued for a slow caller.
@@ -37,6 +38,17 @@
     DeadlineExceeded,
 }
 
+/// What has been relayed of a stream so far.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Id of the last complete event.
+    last_event: Option<u64>,
+    /// Longest time between two chunks of an engine.
+    longest_pause: Duration,
+    /// Bytes of an engine's response after its last complete event.
+    partial_bytes: usize,
+}
+
 /// Returns the response to the caller; a separate task relays its body.
 pub fn start(
     exchange: Exchange,
@@ -71,13 +83,16 @@
     mut opened: OpenedStream,
     sender: BodySender,
 ) {
-    let mut last = exchange.head.last_event;
-    let mut pause = Duration::ZERO;
+    let mut progress = Progress {
+        last_event: exchange.head.last_event,
+        ..Progress::default()
+    };
     retry_state.reached = true;
     loop {
         retry_state.possible_runs += 1;
         let engine = opened.grant.endpoint.clone();
-        let end = relay_response(&exchange, &context, opened, &sender, &mut last, &mut pause).await;
+        let framing = BodyFraming::of(&opened.headers);
+        let end = relay_response(&exchange, &context, opened, &sender, &mut progress).await;
         let end_label = match end {
             RelayEnd::Complete => "complete",
             RelayEnd::Broken => "broken",
@@ -85,14 +100,15 @@
             RelayEnd::DeadlineExceeded => "deadline exceeded",
         };
         log::info!(request = &*exchange.request_id, route = exchange.route.name.as_str(), endpoint = &*engine.id,
-            end = end_label, last_event = last.unwrap_or(0),
-            longest_pause_ms = pause.as_millis() as u64, took_ms = elapsed_ms(&exchange); "stream ended");
+            end = end_label, framing = framing.as_str(), last_event = progress.last_event.unwrap_or(0),
+            partial_bytes = progress.partial_bytes, longest_pause_ms = progress.longest_pause.as_millis() as u64,
+            took_ms = elapsed_ms(&exchange); "stream ended");
         match end {
             RelayEnd::Complete | RelayEnd::CallerLeft => return,
             RelayEnd::DeadlineExceeded => break,
             RelayEnd::Broken => {}
         }
-        match resume(&exchange, &context, &mut retry_state, last).await {
+        match resume(&exchange, &context, &mut retry_state, progress.last_event).await {
             Some(next) => opened = next,
             None => break,
         }
@@ -125,15 +141,13 @@
     None
 }
 
-/// Relays one engine's response. `last` is the id of the last complete event sent to
-/// the caller; `pause` is the longest time between two chunks.
+/// Relays one engine's response.
 async fn relay_response(
     exchange: &Exchange,
     context: &ProxyContext,
     opened: OpenedStream,
     sender: &BodySender,
-    last: &mut Option<u64>,
-    pause: &mut Duration,
+    progress: &mut Progress,
 ) -> RelayEnd {
     let OpenedStream {
         headers,
@@ -149,13 +163,15 @@
     let mut chunk_at = Instant::now();
     loop {
         if let Some(bytes) = next.take() {
-            *pause = (*pause).max(chunk_at.elapsed());
+            progress.longest_pause = progress.longest_pause.max(chunk_at.elapsed());
             chunk_at = Instant::now();
+            let events = splitter.push(&bytes, progress.last_event);
+            progress.partial_bytes = splitter.partial_bytes();
+            if let Some(events) = &events {
+                progress.last_event = events.last_id;
+            }
             let chunk = if exchange.route.resumable {
-                splitter.push(&bytes, *last).map(|events| {
-                    *last = events.last_id;
-                    events.bytes
-                })
+                events.map(|events| events.bytes)
             } else {
                 Some(bytes)
             };
