--- /dev/null
+++ b/crates/cli/tests/test_unframed_responses.rs
@@ -0,0 +1,80 @@
+//! Responses of endpoints that have neither a length nor chunks and end with their
+//! connection.
+
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod entry_site;
+
+use std::time::Duration;
+
+use entry_site::{Node, Site, call, event_ids, stream};
+use flamingolock_platform_standin::EngineMode;
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+
+fn start(engines: EngineMode, app_servers: EngineMode) -> (Site, Node) {
+    let site = Site::start(EVENT_INTERVAL);
+    for engine in &site.engines {
+        engine.set_mode(engines);
+    }
+    for server in &site.app_servers {
+        server.set_mode(app_servers);
+    }
+    let node = site.node("node-1");
+    (site, node)
+}
+
+#[test]
+fn whole_responses_without_framing_are_complete() {
+    let (_site, node) = start(EngineMode::Unframed, EngineMode::Unframed);
+    for path in ["/draft/a", "/tag/a"] {
+        let answer = stream(&node, path, path);
+        assert!(answer.complete, "{path}: {}", node.log());
+        assert_eq!(event_ids(&answer.body), (1..=10).collect::<Vec<_>>());
+    }
+    for path in ["/book/a", "/look/a"] {
+        let answer = call(&node, path, path, &[]);
+        assert_eq!((answer.status, answer.complete), (200, true), "{path}");
+        assert_eq!(answer.body, format!("done {path}"));
+    }
+}
+
+#[test]
+fn stream_cut_inside_an_event_is_not_reported_as_complete() {
+    let (site, node) = start(EngineMode::UnframedCutAfter(4), EngineMode::Healthy);
+    let answer = stream(&node, "/tag/a", "r1");
+    assert!(!answer.complete, "{:?}", answer.body);
+    assert_eq!(site.executions("r1"), 1);
+}
+
+#[test]
+fn stream_cut_inside_an_event_continues_at_another_engine() {
+    let (site, node) = start(EngineMode::Healthy, EngineMode::Healthy);
+    site.engines[0].set_mode(EngineMode::UnframedCutAfter(4));
+    for index in 0..8 {
+        let id = format!("r{index}");
+        let parts = format!("a{index}:300,b{index}:400,c:300");
+        let prompt = [
+            ("model", "planner"),
+            ("token-usage", "1000,64"),
+            ("prefix-hash", parts.as_str()),
+        ];
+        let answer = call(&node, "/draft/a", &id, &prompt);
+        assert!(answer.complete, "{}", node.log());
+        assert_eq!(event_ids(&answer.body), (1..=10).collect::<Vec<_>>());
+    }
+    assert!(!site.engines[0].runs().is_empty(), "no stream was cut");
+}
+
+#[test]
+fn stream_that_every_engine_cuts_inside_an_event_is_not_reported_as_complete() {
+    let (_site, node) = start(EngineMode::UnframedCutAfter(4), EngineMode::Healthy);
+    let answer = stream(&node, "/draft/a", "r1");
+    assert!(!answer.complete, "{:?}", answer.body);
+}
+
+#[test]
+fn whole_body_that_was_reset_is_not_reported_as_complete() {
+    let (site, node) = start(EngineMode::Healthy, EngineMode::UnframedCutAfter(0));
+    let answer = call(&node, "/book/a", "r1", &[]);
+    assert_eq!((answer.status, site.executions("r1")), (502, 1));
+}
