gateway: treat a stream that ends inside an event as broken off

Cause: a response without a length or chunks ends with its connection, so the HTTP client reports an engine's early close as the end of the body. The relay took every such end as complete, added what was left of a cut event, and marked the end of its own chunked body. Streams that may not be resumed were not even split into events. Change: all streams are relayed event by event. If bytes of an unfinished event are left when the body ends, whatever its framing, the run is broken: the stream is resumed at another engine if its route allows, otherwise the connection ends without the mark of a complete body. The tests of the splitter check what was its remainder by completing the event.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -45,12 +45,6 @@
     pub fn partial_bytes(&self) -> usize {
         self.buffer.len()
     }
-
-    /// Removes and returns the bytes that do not form a complete event, for the end of
-    /// the stream.
-    pub fn take_remainder(&mut self) -> Bytes {
-        self.buffer.split().freeze()
-    }
 }
 
 /// Returns the length of the first event, including the blank line that ends it.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -84,7 +84,10 @@
     sender: BodySender,
 ) {
     let mut progress = Progress {
-        last_event: exchange.head.last_event,
+        last_event: exchange
+            .head
+            .last_event
+            .filter(|_| exchange.route.resumable),
         ..Progress::default()
     };
     retry_state.reached = true;
@@ -159,6 +162,7 @@
         ..
     } = opened;
     let mut splitter = EventSplitter::default();
+    progress.partial_bytes = 0;
     let mut next = first;
     let mut chunk_at = Instant::now();
     loop {
@@ -167,16 +171,10 @@
             chunk_at = Instant::now();
             let events = splitter.push(&bytes, progress.last_event);
             progress.partial_bytes = splitter.partial_bytes();
-            if let Some(events) = &events {
+            if let Some(events) = events {
                 progress.last_event = events.last_id;
-            }
-            let chunk = if exchange.route.resumable {
-                events.map(|events| events.bytes)
-            } else {
-                Some(bytes)
-            };
-            if let Some(chunk) = chunk {
-                match timeout_at(exchange.deadline, sender.send(Ok(Frame::data(chunk)))).await {
+                let chunk = Ok(Frame::data(events.bytes));
+                match timeout_at(exchange.deadline, sender.send(chunk)).await {
                     Ok(Ok(())) => {}
                     Ok(Err(_)) => return RelayEnd::CallerLeft,
                     Err(_) => return RelayEnd::DeadlineExceeded,
@@ -201,15 +199,18 @@
             }
         }
     }
-    let tail = splitter.take_remainder();
+    // A body without a length or chunks also ends when the engine breaks off.
+    if splitter.partial_bytes() > 0 {
+        log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
+            partial_bytes = splitter.partial_bytes(); "stream ended inside an event");
+        guard.end(RunEnd::Broken);
+        return RelayEnd::Broken;
+    }
     guard.end(RunEnd::Complete);
     if !closes_connection(&headers) {
         context
             .pool
             .put(grant.endpoint.key(), connection, grant.max_connections);
     }
-    if !tail.is_empty() && sender.send(Ok(Frame::data(tail))).await.is_err() {
-        return RelayEnd::CallerLeft;
-    }
     RelayEnd::Complete
 }
--- a/crates/gateway/tests/test_event_stream.rs
+++ b/crates/gateway/tests/test_event_stream.rs
@@ -30,7 +30,7 @@
         }
         let expected: String = (after + 1..=count).map(event).collect();
         prop_assert_eq!(String::from_utf8(out).expect("text"), expected);
-        prop_assert!(splitter.take_remainder().is_empty());
+        prop_assert_eq!(splitter.partial_bytes(), 0);
     }
 }
 
@@ -40,7 +40,10 @@
     assert_eq!(splitter.push(b"id: 1\ndata: a\n", None), None);
     let events = splitter.push(b"\nid: 2\nda", None).expect("one event");
     assert_eq!(&events.bytes[..], b"id: 1\ndata: a\n\n");
-    assert_eq!(&splitter.take_remainder()[..], b"id: 2\nda");
+    assert_eq!(splitter.partial_bytes(), b"id: 2\nda".len());
+    let events = splitter.push(b"ta: b\n\n", events.last_id);
+    assert_eq!(&events.expect("one event").bytes[..], b"id: 2\ndata: b\n\n");
+    assert_eq!(splitter.partial_bytes(), 0);
 }
 
 #[test]
