gateway: treat an unframed stream without an event as broken off

What callers would see: a 200 with a signature, marked as complete, without any event. Change: such a run counts as broken before its first event: another engine is asked if the route allows it, else 502. The two ways to open a stream are one. Measured: stream_without_an_event_is_not_reported_as_complete fails without the change (200, marked as complete) and passes with it.

--- a/crates/cli/tests/test_unframed_responses.rs
+++ b/crates/cli/tests/test_unframed_responses.rs
@@ -72,6 +72,13 @@
     assert!(!answer.complete, "{:?}", answer.body);
 }
 
+#[test]
+fn stream_without_an_event_is_not_reported_as_complete() {
+    let (site, node) = start(EngineMode::UnframedEmpty, EngineMode::Healthy);
+    let answer = stream(&node, "/tag/a", "r1");
+    assert_eq!((answer.status, site.executions("r1")), (502, 1));
+}
+
 #[test]
 fn whole_body_that_was_reset_is_not_reported_as_complete() {
     let (site, node) = start(EngineMode::Healthy, EngineMode::UnframedCutAfter(0));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use crate::control::{Event, Grant, Handle, RunEnd};
 use crate::dialect::{Dialect, EndpointHead, RequestHead, ResponseHead};
 use crate::endpoint::EndpointKey;
-use crate::http_client::{CallError, Connection, Pool};
+use crate::http_client::{BodyFraming, CallError, Connection, Pool};
 
 /// Timeout for connecting to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -356,46 +356,47 @@
     limit: Instant,
 ) -> AttemptOutcome {
     connection.set_keep_alive(head.keep_alive);
-    loop {
-        match timeout_at(limit, body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                let Ok(data) = frame.into_data() else {
-                    continue;
-                };
-                if data.is_empty() {
-                    continue;
-                }
-                guard.first_token(head.weights);
-                return AttemptOutcome::Stream(Box::new(OpenedStream {
-                    status: parts.status,
-                    headers: parts.headers,
-                    first: Some(data),
-                    rest: body,
-                    connection,
-                    guard,
-                    grant,
-                }));
-            }
-            Ok(None) => {
-                return AttemptOutcome::Stream(Box::new(OpenedStream {
-                    status: parts.status,
-                    headers: parts.headers,
-                    first: None,
-                    rest: body,
-                    connection,
-                    guard,
-                    grant,
-                }));
-            }
-            Ok(Some(Err(error))) => {
-                log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = error;
-                    "stream failed before its first event");
-                guard.end(RunEnd::Broken);
-                return AttemptOutcome::NoResponse(RunEnd::Broken);
-            }
-            Err(_) => return first_byte_timed_out(exchange, guard),
+    let first = match timeout_at(limit, first_chunk(&mut body)).await {
+        Ok(Ok(first)) => first,
+        Ok(Err(error)) => {
+            log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = error;
+                "stream failed before its first event");
+            guard.end(RunEnd::Broken);
+            return AttemptOutcome::NoResponse(RunEnd::Broken);
+        }
+        Err(_) => return first_byte_timed_out(exchange, guard),
+    };
+    match &first {
+        Some(_) => guard.first_token(head.weights),
+        None if BodyFraming::of(&parts.headers) == BodyFraming::UntilClose => {
+            log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id;
+                "connection closed before the first event");
+            guard.end(RunEnd::Broken);
+            return AttemptOutcome::NoResponse(RunEnd::Broken);
+        }
+        None => {}
+    }
+    AttemptOutcome::Stream(Box::new(OpenedStream {
+        status: parts.status,
+        headers: parts.headers,
+        first,
+        rest: body,
+        connection,
+        guard,
+        grant,
+    }))
+}
+
+/// Reads the first bytes of a body; none if it is empty.
+async fn first_chunk(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data()
+            && !data.is_empty()
+        {
+            return Ok(Some(data));
         }
     }
+    Ok(None)
 }
 
 #[expect(clippy::too_many_arguments, reason = "the parts of one response")]
