node: treat a service's cut response without framing as lost

What callers would see: a call answered with the first half of its result. A response without a length or chunks ends with its connection, and both ways to read a service's response took every such end as its whole body. Change: EndpointClient::read accepts a body whose end is not marked only if it is JSON; calls that run at most once use it too and report an unknown outcome, or look the call up; repeatable calls try the next instance. Streams of this interface end with an event that counts the others, so they were right before. The stand-in service can truncate its responses.

--- a/crates/cli/tests/test_endpoint_failures.rs
+++ b/crates/cli/tests/test_endpoint_failures.rs
@@ -57,6 +57,17 @@
     assert_invariants(&summary);
 }
 
+/// A response of a service that ends with its connection is passed on only if it is
+/// whole.
+#[test]
+fn truncated_responses_of_a_service_are_not_reported_as_complete() {
+    let fleet = start_site(2, 3, &[]);
+    let service = fleet.services["service-1"].address;
+    control(service, "truncate?next=20");
+    let summary = Load::start(&fleet, 5, 60, 8).finish();
+    assert_invariants(&summary);
+}
+
 /// A leaving engine receives no new requests after three seconds.
 #[test]
 fn leaving_engine_gets_no_new_work() {
--- a/crates/node/src/call_task.rs
+++ b/crates/node/src/call_task.rs
@@ -14,7 +14,7 @@
 use flamingolock_core::record::CallId;
 use flamingolock_core::rendezvous;
 use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
@@ -23,6 +23,7 @@
 use crate::api::{ApiError, CallOutcome};
 use crate::control::calls::{CallEvent, CallRequest, CallStep, ForwardedCall};
 use crate::control::{Event, now};
+use crate::endpoint_client::EndpointClient;
 use crate::filters::TrafficContext;
 use crate::filters::classify::classify_call;
 use crate::filters::service_call::CALL_ID_HEADER;
@@ -263,7 +264,7 @@
                 .send_request(request)
                 .await
                 .map_err(|error| ExchangeError::Unknown(error.to_string()))?;
-            read_response(id, response).await
+            read_response(id, &address, response).await
         };
         let answer = timeout(Duration::from_millis(RESPONSE_TIMEOUT_MS), exchange)
             .await
@@ -340,6 +341,7 @@
 
 async fn read_response(
     id: &str,
+    address: &str,
     response: http::Response<hyper::body::Incoming>,
 ) -> Result<CallAnswer, ExchangeError> {
     let echoed_id = response
@@ -363,13 +365,12 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or("application/json")
         .to_owned();
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-        .collect()
+    let body = EndpointClient::read(address, response, MAX_RESPONSE_BYTES, RESPONSE_TIMEOUT_MS)
         .await
         .map_err(|error| ExchangeError::Unknown(error.to_string()))?;
     Ok(CallAnswer {
         status: status.as_u16(),
         content_type,
-        body: body.to_bytes().to_vec(),
+        body: body.to_vec(),
     })
 }
--- a/crates/node/src/endpoint_client.rs
+++ b/crates/node/src/endpoint_client.rs
@@ -5,15 +5,15 @@
 use bytes::Bytes;
 use http::{Request, Response, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, IgnoredAny};
 use thiserror::Error;
 
 /// Largest accepted response body of an endpoint that is read in full.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+pub const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
 /// Time after which an idle connection is closed.
 const POOL_IDLE_TIMEOUT_MS: u64 = 5_000;
@@ -139,28 +139,37 @@
         }
     }
 
-    /// Reads the complete body of a response within `wait_ms`.
+    /// Reads the complete body of a response, of at most `max_bytes`, within `wait_ms`.
     ///
     /// # Errors
     ///
-    /// Returns an error if the body is truncated, too large or late.
+    /// Returns an error if the body is truncated, too large or late. A body whose end
+    /// is not marked is whole if it is JSON.
     pub async fn read(
         address: &str,
         response: Response<Incoming>,
+        max_bytes: usize,
         wait_ms: u64,
     ) -> Result<Bytes, EndpointError> {
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
-        match tokio::time::timeout(Duration::from_millis(wait_ms), body).await {
-            Err(_) => Err(EndpointError::Timeout {
+        let end_marked = marks_end(&response);
+        let body = Limited::new(response.into_body(), max_bytes).collect();
+        let unreadable = |source| EndpointError::Body {
+            address: address.to_owned(),
+            source,
+        };
+        let body = tokio::time::timeout(Duration::from_millis(wait_ms), body)
+            .await
+            .map_err(|_| EndpointError::Timeout {
                 address: address.to_owned(),
                 ms: wait_ms,
-            }),
-            Ok(Err(source)) => Err(EndpointError::Body {
-                address: address.to_owned(),
-                source,
-            }),
-            Ok(Ok(body)) => Ok(body.to_bytes()),
+            })?
+            .map_err(unreadable)?
+            .to_bytes();
+        if !end_marked {
+            serde_json::from_slice::<IgnoredAny>(&body)
+                .map_err(|error| unreadable(error.into()))?;
         }
+        Ok(body)
     }
 
     /// Fetches a JSON document with `GET`.
@@ -177,7 +186,7 @@
     ) -> Result<T, EndpointError> {
         let request = Request::get(format!("http://{address}{path}")).body(Full::default())?;
         let response = self.send(request, Connection::Pooled, wait_ms).await?;
-        let body = Self::read(address, response, wait_ms).await?;
+        let body = Self::read(address, response, MAX_RESPONSE_BYTES, wait_ms).await?;
         serde_json::from_slice(&body).map_err(|source| EndpointError::Body {
             address: address.to_owned(),
             source: Box::new(source),
@@ -185,6 +194,13 @@
     }
 }
 
+/// True if the end of the body is marked. Otherwise it ends with the connection, also
+/// when the endpoint breaks off.
+fn marks_end(response: &Response<Incoming>) -> bool {
+    let length = response.body().size_hint().exact();
+    length.is_some() || response.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Builds a `POST` request with a JSON body.
 ///
 /// # Errors
--- a/crates/node/src/filters/service_call.rs
+++ b/crates/node/src/filters/service_call.rs
@@ -14,7 +14,7 @@
 use crate::call_task::{self, CallTarget};
 use crate::control::calls::CallRequest;
 use crate::control::now;
-use crate::endpoint_client::{Connection, EndpointClient, EndpointError};
+use crate::endpoint_client::{Connection, EndpointClient, EndpointError, MAX_RESPONSE_BYTES};
 use crate::filters::TrafficContext;
 use crate::filters::classify::{Classified, classify_call};
 use crate::filters::limit::acquire_inflight_guard;
@@ -240,7 +240,7 @@
             source: "the answer belongs to another call".into(),
         });
     }
-    let body = EndpointClient::read(address, response, wait).await?;
+    let body = EndpointClient::read(address, response, MAX_RESPONSE_BYTES, wait).await?;
     let mut answer = json_response(status, body);
     if let Ok(id) = HeaderValue::from_str(incoming.id.as_str()) {
         answer.headers_mut().insert(CALL_ID_HEADER, id);
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -23,7 +23,9 @@
     AbandonGuard, Admission, InflightGuard, Permit, Refusal, RouteRequest,
 };
 use crate::control::{self, Event};
-use crate::endpoint_client::{Connection, EndpointClient, EndpointError, post_json};
+use crate::endpoint_client::{
+    Connection, EndpointClient, EndpointError, MAX_RESPONSE_BYTES, post_json,
+};
 use crate::filters::TrafficContext;
 use crate::metrics::StreamEvent;
 use crate::scope::{CALLER_LEFT, RequestScope};
@@ -741,7 +743,7 @@
         return Ok(response);
     }
     let status = response.status();
-    let body = EndpointClient::read(address, response, 1_000).await?;
+    let body = EndpointClient::read(address, response, MAX_RESPONSE_BYTES, 1_000).await?;
     let text = String::from_utf8_lossy(&body).into_owned();
     Err(EndpointError::Body {
         address: address.to_owned(),
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -1,9 +1,10 @@
 //! Stand-in of a plain HTTP service that counts how often each call was executed.
 //!
 //! Under `/standin/` it serves `GET executions`, `GET bodies` and, as `POST`,
-//! `delay?ms=`, `lose?next=` to drop responses of executed calls, `silence`, `cut`,
-//! `freeze?ms=` and `crash?ms=`, which closes all connections and refuses new ones
-//! for a time.
+//! `delay?ms=`, `lose?next=` to drop responses of executed calls, `truncate?next=` to
+//! send half of a response without its length and close the connection, `silence`,
+//! `cut`, `freeze?ms=` and `crash?ms=`, which closes all connections and refuses new
+//! ones for a time.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -11,8 +12,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::stream;
 use http::header::{CONTENT_TYPE, HeaderValue};
-use http::{Method, Request, Response, StatusCode, Uri};
+use http::{Method, Request, Response, StatusCode, Uri, Version};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -22,7 +24,7 @@
 use crate::error::StandinError;
 use crate::http::{
     Aborted, Body, HandlerResult, control_connections, empty_response, error_response, full_body,
-    ok_response, query_u64, read_body,
+    ok_response, query_u64, read_body, stream_body,
 };
 use crate::server::{Connections, Server, lock};
 
@@ -53,6 +55,8 @@
     delay: Duration,
     /// Number of upcoming calls whose responses are dropped.
     lose_next: u64,
+    /// Number of upcoming calls whose responses are truncated.
+    truncate_next: u64,
     executions: BTreeMap<String, u64>,
     bodies: BTreeMap<String, u64>,
     replies: BTreeMap<String, String>,
@@ -168,21 +172,35 @@
     // disconnects.
     let outcome = tokio::spawn(execute(service, id, body));
     match outcome.await.map_err(|_| Aborted)? {
-        Some(reply) => Ok(call_response(header, reply)),
-        None => Err(Aborted),
+        Delivery::Whole(reply) => Ok(call_response(header, full_body(reply))),
+        Delivery::Truncated(reply) => {
+            let half = Bytes::copy_from_slice(&reply.as_bytes()[..reply.len() / 2]);
+            let mut response = call_response(header, stream_body(stream::iter([Ok(half)])));
+            // A response of this version has no chunks, so it ends with the connection.
+            *response.version_mut() = Version::HTTP_10;
+            Ok(response)
+        }
+        Delivery::Lost => Err(Aborted),
     }
 }
 
-fn call_response(header: HeaderValue, reply: String) -> Response<Body> {
-    let mut response = Response::new(full_body(reply));
+fn call_response(header: HeaderValue, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
     let headers = response.headers_mut();
     headers.insert(CALL_ID_HEADER, header);
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
-/// Executes a call; `None` means that the response must be dropped.
-async fn execute(service: Arc<Service>, id: String, body: Bytes) -> Option<String> {
+/// How the response of an executed call reaches its caller.
+enum Delivery {
+    Whole(String),
+    Truncated(String),
+    Lost,
+}
+
+/// Executes a call.
+async fn execute(service: Arc<Service>, id: String, body: Bytes) -> Delivery {
     let delay = service.record_execution(&id, &body);
     sleep(delay).await;
     let reply = expected_reply(&id, &body);
@@ -190,9 +208,13 @@
     state.replies.insert(id, reply.clone());
     if state.lose_next > 0 {
         state.lose_next -= 1;
-        return None;
+        return Delivery::Lost;
+    }
+    if state.truncate_next > 0 {
+        state.truncate_next -= 1;
+        return Delivery::Truncated(reply);
     }
-    Some(reply)
+    Delivery::Whole(reply)
 }
 
 impl Service {
@@ -211,6 +233,7 @@
             "bodies" => return ok_response(&lock(&self.state).bodies),
             "delay" => lock(&self.state).delay = span,
             "lose" => lock(&self.state).lose_next = query_u64(uri, "next", 0),
+            "truncate" => lock(&self.state).truncate_next = query_u64(uri, "next", 0),
             "crash" => self.connections.cut_for(span),
             _ => return control_connections(&self.connections, action, span),
         }
