gateway: refuse streams to callers of HTTP/1.0

What a caller of HTTP/1.0 would see: a stream that broke off and looks complete, since its response has no chunks and ends with the connection either way. Change: such a request for a stream is refused with 505 before it is sent to an engine; other requests have a length and are served as before.

--- a/crates/cli/tests/test_unframed_responses.rs
+++ b/crates/cli/tests/test_unframed_responses.rs
@@ -4,6 +4,8 @@
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod entry_site;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 use entry_site::{Node, Site, call, event_ids, stream};
@@ -85,3 +87,20 @@
     let answer = call(&node, "/book/a", "r1", &[]);
     assert_eq!((answer.status, site.executions("r1")), (502, 1));
 }
+
+#[test]
+fn broken_stream_is_not_reported_as_complete_to_a_caller_without_chunks() {
+    let (site, node) = start(EngineMode::BreakAfter(4), EngineMode::Healthy);
+    let mut connection = TcpStream::connect(node.front).expect("the node listens");
+    let request = "POST /tag/a HTTP/1.0\r\nhost: site.example\r\nrequest-id: r1\r\n\
+                   authorization: Bearer key-1\r\nmodel: planner\r\ncontent-length: 0\r\n\r\n";
+    connection
+        .write_all(request.as_bytes())
+        .expect("the request is sent");
+    let mut response = String::new();
+    connection
+        .read_to_string(&mut response)
+        .expect("the response ends");
+    assert!(response.starts_with("HTTP/1.0 505"), "{response}");
+    assert_eq!(site.executions("r1"), 0);
+}
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -8,7 +8,7 @@
 use http::header::HOST;
 use http::request::Parts;
 use http::uri::PathAndQuery;
-use http::{Request, Response};
+use http::{Request, Response, Version};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
@@ -61,6 +61,9 @@
         Ok(workspace) => workspace,
         Err(reason) => return refuse(&id, &metrics, reason, None),
     };
+    if route.kind == RequestKind::Stream && parts.version < Version::HTTP_11 {
+        return refuse(&id, &metrics, ErrorReason::NoChunks, None);
+    }
     if route.kind == RequestKind::Stream && past_stream_cutoff(&view, now()) {
         return refuse(
             &id,
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -34,6 +34,9 @@
     NoRoute,
     /// The API key is missing or unknown.
     NoKey,
+    /// The caller's version of HTTP has no chunks, so it cannot tell a broken stream
+    /// from a complete one.
+    NoChunks,
     /// The request body exceeds the configured limit.
     TooLarge,
     /// The request body was incomplete or did not arrive in time.
@@ -53,6 +56,7 @@
             Self::NotReady | Self::Leaving | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::NoChunks => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::Failed => StatusCode::BAD_GATEWAY,
@@ -67,6 +71,7 @@
             Self::Leaving => "leaving",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
+            Self::NoChunks => "no_chunks",
             Self::TooLarge => "too_large",
             Self::BodyBroken => "body_broken",
             Self::NotRun => "not_run",
