soak: endpoints whose responses end with their connection

Change: three more disruptions: whole, cut inside an event (application servers reset), and ended before the first byte.

--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -45,7 +45,7 @@
 }
 
 impl Disruption {
-    const ALL: [Self; 25] = [
+    const ALL: [Self; 28] = [
         Self::Kill,
         Self::Freeze,
         Self::Terminate,
@@ -60,6 +60,9 @@
         Self::EndpointMode(EngineMode::Failing),
         Self::EndpointMode(EngineMode::WrongRequestId),
         Self::EndpointMode(EngineMode::BreakAfter(4)),
+        Self::EndpointMode(EngineMode::Unframed),
+        Self::EndpointMode(EngineMode::UnframedCutAfter(4)),
+        Self::EndpointMode(EngineMode::UnframedEmpty),
         Self::EndpointMode(EngineMode::Silent),
         Self::EndpointMode(EngineMode::DroppingResponses),
         Self::EndpointCrash,
