gateway: log the software version of engines and which streams are resumed

Cause: the logs of second1 cannot tell its hypotheses apart: no line has the software version of an engine, and none says that a caller resumes a stream. Change: an endpoint's entry is decoded with the version of its software; an entry without one is invalid like one without an address. "request placed" and "endpoint listed" have build; "caller resumes a stream" has the attempt that the header Resumes names and the last event. Where requests go is unchanged. Measured: a test row for an entry without a version.

--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -254,7 +254,7 @@
             is_long_answer: request.output_tokens >= LONG_ANSWER_TOKENS,
         };
         let endpoint = self.fleet[&key].endpoint.clone();
-        log::info!(request = &*request.id, endpoint = &*endpoint.id, run = number, score = estimate.score as i64,
+        log::info!(request = &*request.id, endpoint = &*endpoint.id, build = &*endpoint.build, run = number, score = estimate.score as i64,
             read_ms = estimate.prefill_ms as i64, weights = estimate.version.unwrap_or(0), tries = request.tried.len(),
             unread = estimate.uncached_tokens, reread = estimate.duplicate_tokens,
             fetch = kv_source.is_some(); "request placed");
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -139,7 +139,7 @@
                 state.update(entry);
             }
             _ => {
-                log::info!(endpoint = id, born = entry.start_time_ms, address:% = entry.address, offset = record.offset;
+                log::info!(endpoint = id, build = &*entry.build, born = entry.start_time_ms, address:% = entry.address, offset = record.offset;
                     "endpoint listed");
                 self.parts.remove_engine(key);
                 if !entry.weights.is_empty() && self.fleet.len() < CACHE_QUERY_MAX_ENGINES {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -60,6 +60,9 @@
     pub output_tokens: u32,
     /// Parts of the prompt in order; the last one is not shared with other requests.
     pub parts: Vec<PromptPart>,
+    /// Id of the caller's attempt that brought the first event of the stream that this
+    /// request resumes.
+    pub resumes: Option<String>,
     /// Id of the last event that the caller has received.
     pub last_event: Option<u64>,
 }
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -23,6 +23,8 @@
     pub service: Arc<str>,
     /// Address that it listens on.
     pub address: SocketAddr,
+    /// Version of its software.
+    pub build: Arc<str>,
     /// Availability zone.
     pub zone: String,
     /// Number of requests that it runs concurrently.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -80,6 +80,12 @@
 
 /// Forwards a request to endpoints until one responds or the request is given up.
 pub async fn forward(exchange: Exchange, context: ProxyContext) -> Response<ResponseBody> {
+    if exchange.route.resumable
+        && let Some(last_event) = exchange.head.last_event
+    {
+        log::info!(request = &*exchange.request_id, resumes = exchange.head.resumes.as_deref().unwrap_or(""), last_event;
+            "caller resumes a stream");
+    }
     let mut retry_state = RetryState::default();
     loop {
         let grant = match retry_state.place(&exchange, &context).await {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -116,7 +116,7 @@
 
     pub fn engine(&mut self, id: &str, born: u64, state: &str, now: u64) {
         let text = format!(
-            r#"{{"Service":"engines","Address":"10.0.0.1:80","Zone":"zone-a","Slots":64,"State":"{state}",
+            r#"{{"Service":"engines","Address":"10.0.0.1:80","Zone":"zone-a","Version":"v1","Slots":64,"State":"{state}",
             "Seq":1,"born":{born},"Models":[{{"Name":"m","Version":1}}]}}"#
         );
         self.entry(id, Some(&text), now);
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -25,14 +25,19 @@
 fn draining_removed_and_unparsable_endpoints_get_no_requests() {
     for value in [
         Some(
-            r#"{"Service":"engines","Address":"10.0.0.1:80","Zone":"z","Slots":1,"State":"draining","born":1}"#,
+            r#"{"Service":"engines","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":1,"State":"draining","born":1}"#,
         ),
-        Some(r#"{"Service":"engines","Address":7,"Zone":"z","Slots":1,"State":"ready","born":1}"#),
         Some(
-            r#"{"Service":"engines","Address":"10.0.0.1:80","Zone":"z","Slots":1,"State":"ready","born":1.5}"#,
+            r#"{"Service":"engines","Address":7,"Zone":"z","Version":"v1","Slots":1,"State":"ready","born":1}"#,
         ),
         Some(
-            r#"{"Service":"engines","Address":"10.0.0.1:80","Zone":"z","Slots":1,"State":"asleep","born":1}"#,
+            r#"{"Service":"engines","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":1,"State":"ready","born":1.5}"#,
+        ),
+        Some(
+            r#"{"Service":"engines","Address":"10.0.0.1:80","Zone":"z","Version":"v1","Slots":1,"State":"asleep","born":1}"#,
+        ),
+        Some(
+            r#"{"Service":"engines","Address":"10.0.0.1:80","Zone":"z","Slots":1,"State":"ready","born":1}"#,
         ),
         Some("not json"),
         None,
