--- /dev/null
+++ b/crates/cli/tests/test_builds.rs
@@ -0,0 +1,152 @@
+//! Engines of several software versions serve side by side: a stream stays at the one
+//! that began it.
+
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod entry_site;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use entry_site::{Answer, Node, Site, call, event_ids, wait_for};
+use flamingolock_platform_standin::{Engine, EngineMode};
+
+const EVENT_INTERVAL: Duration = Duration::from_millis(5);
+
+/// A site with an engine of v1 that breaks streams off, one of v1.1, and `more`.
+fn start(more: &[Engine]) -> Site {
+    let mut site = Site::start(EVENT_INTERVAL);
+    site.engines[0].set_mode(EngineMode::BreakAfter(4));
+    site.engines[1].set_build("v1.1");
+    site.engines.extend(more.iter().cloned());
+    for engine in &site.engines {
+        site.put_entry(engine, "engines", "ready");
+    }
+    site
+}
+
+fn started_node(site: &Site, name: &str) -> Node {
+    let node = site.node(name);
+    let endpoints = site.engines.len() + site.app_servers.len();
+    wait_for("the node to list all endpoints", || {
+        node.log().matches("endpoint listed").count() >= endpoints
+    });
+    node
+}
+
+/// Requests a stream; prompts with different numbers are spread over the engines.
+fn draft(node: &Node, prompt: usize, id: &str, more: &[(&str, &str)]) -> Answer {
+    let parts = format!("a{prompt}:300,b{prompt}:400,c:300");
+    let mut headers = vec![
+        ("model", "planner"),
+        ("token-usage", "1000,64"),
+        ("prefix-hash", parts.as_str()),
+    ];
+    headers.extend_from_slice(more);
+    call(node, "/draft/a", id, &headers)
+}
+
+/// Software versions of the engines that sent the events of an answer.
+fn builds(answer: &Answer) -> BTreeSet<&str> {
+    answer
+        .body
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: token ")?.split(' ').nth(1))
+        .collect()
+}
+
+/// A stream that broke off.
+struct Broken {
+    id: &'static str,
+    build: String,
+    last_event: u64,
+}
+
+/// Requests a stream that breaks off at every engine around its fourth event.
+fn broken_stream(site: &Site, node: &Node, id: &'static str) -> Broken {
+    let set_modes = |mode| site.engines.iter().for_each(|engine| engine.set_mode(mode));
+    set_modes(EngineMode::BreakAfter(4));
+    let answer = draft(node, 1, id, &[]);
+    set_modes(EngineMode::Healthy);
+    assert!(!answer.complete, "{}", node.log());
+    let builds = builds(&answer);
+    assert_eq!(builds.len(), 1, "{}", answer.body);
+    Broken {
+        id,
+        build: builds.into_iter().collect(),
+        last_event: *event_ids(&answer.body).last().expect("an event"),
+    }
+}
+
+/// Resumes the stream several times, with prompts that are spread over the engines, and
+/// checks that it continues at the software version that began it.
+fn assert_continues(node: &Node, broken: &Broken) {
+    let last_event = broken.last_event.to_string();
+    let more = [("resumes", broken.id), ("last-event-id", &last_event)];
+    for prompt in 0..6 {
+        let answer = draft(node, prompt, &format!("again-{prompt}"), &more);
+        let expected = BTreeSet::from([broken.build.as_str()]);
+        assert_eq!(builds(&answer), expected, "{}", answer.body);
+        let events: Vec<u64> = (broken.last_event + 1..=10).collect();
+        assert_eq!(event_ids(&answer.body), events);
+    }
+}
+
+#[test]
+fn broken_stream_does_not_continue_at_another_build() {
+    let site = start(&[]);
+    let node = started_node(&site, "node-1");
+    let answers: Vec<Answer> = (0..8)
+        .map(|prompt| draft(&node, prompt, &format!("r{prompt}"), &[]))
+        .collect();
+    for answer in &answers {
+        assert_eq!(builds(answer).len(), 1, "{}", answer.body);
+    }
+    assert!(answers.iter().any(|answer| !answer.complete));
+}
+
+#[test]
+fn broken_stream_continues_at_another_engine_of_its_build() {
+    let spare = Engine::start("engine-3", 10, EVENT_INTERVAL);
+    let site = start(&[spare]);
+    let node = started_node(&site, "node-1");
+    for prompt in 0..8 {
+        let answer = draft(&node, prompt, &format!("r{prompt}"), &[]);
+        assert!(answer.complete, "{}", node.log());
+        assert_eq!(builds(&answer).len(), 1, "{}", answer.body);
+        assert_eq!(event_ids(&answer.body), (1..=10).collect::<Vec<_>>());
+    }
+    assert!(node.log().contains("\"end\":\"broken\""), "no stream broke");
+}
+
+/// The node that began the stream is killed before the caller resumes it elsewhere.
+#[test]
+fn resumed_stream_continues_at_the_build_that_began_it() {
+    let site = start(&[]);
+    let mut first = started_node(&site, "node-1");
+    let second = started_node(&site, "node-2");
+    let broken = broken_stream(&site, &first, "r1");
+    first.kill();
+    assert_continues(&second, &broken);
+}
+
+/// A node that starts after the stream began hears from the others what began it.
+#[test]
+fn node_that_starts_later_resumes_a_stream_at_the_build_that_began_it() {
+    let site = start(&[]);
+    let mut first = started_node(&site, "node-1");
+    let broken = broken_stream(&site, &first, "r1");
+    let second = started_node(&site, "node-2");
+    std::thread::sleep(Duration::from_millis(500));
+    first.kill();
+    assert_continues(&second, &broken);
+}
+
+#[test]
+fn resumed_stream_of_an_unknown_build_is_not_run() {
+    let site = start(&[]);
+    let node = started_node(&site, "node-1");
+    let more = [("resumes", "unheard-of"), ("last-event-id", "4")];
+    let answer = draft(&node, 1, "r1", &more);
+    assert_eq!((answer.status, site.executions("r1")), (503, 0));
+    assert!(answer.headers.contains_key("retry-after"));
+}
