gateway: continue a broken stream only at the software version that began it

Cause: relay.rs resumes a broken stream at whichever engine is best. Change: once the caller has an event, a placement for the rest names the software version of the engine that sent it. If no engine of that version is left, the stream ends without the mark of a complete body, at once.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -51,6 +51,8 @@
     pub prompt_tokens: u32,
     /// Maximum number of tokens in the answer.
     pub output_tokens: u32,
+    /// Software version that the endpoint must have; none if any will do.
+    pub build: Option<Arc<str>>,
     /// Endpoints that were already tried for this request.
     pub tried: Vec<EndpointKey>,
     /// True if the request reached one of them, in which case this attempt counts
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -37,6 +37,12 @@
 /// Number of output tokens from which on stalls of an answer are noticeable.
 const LONG_ANSWER_TOKENS: u32 = 16;
 
+/// True if waiting may help a refused request. Engines of a software version that is
+/// not listed any more do not come back soon.
+fn may_change(refusal: Refusal, request: &PlacementRequest) -> bool {
+    refusal != Refusal::NoEndpoint || request.build.is_none()
+}
+
 impl Control {
     /// Returns the time after which superseded weights must not be used, in ms.
     pub(super) fn max_weights_age(&self) -> Millis {
@@ -104,7 +110,9 @@
                 }
                 None
             }
-            Err(_) if now < queued.deadline => Some(queued),
+            Err(refusal) if now < queued.deadline && may_change(refusal, &queued.request) => {
+                Some(queued)
+            }
             Err(refusal) => {
                 self.metrics.count(EventKind::Placement, refusal.as_str());
                 log::info!(request = &*queued.request.id, service = &*queued.request.service, refusal:? = refusal;
@@ -147,6 +155,10 @@
             if endpoint.service != request.service
                 || endpoint.leaving
                 || request.tried.contains(key)
+                || request
+                    .build
+                    .as_ref()
+                    .is_some_and(|build| *build != endpoint.build)
             {
                 continue;
             }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Forwarding of a request to endpoints, with retries.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::{Response, StatusCode};
@@ -39,6 +40,8 @@
     pub reached: bool,
     /// Number of attempts that may have run the request.
     pub possible_runs: u32,
+    /// Software version of the endpoint that sent the first event to the caller.
+    pub build: Option<Arc<str>>,
     /// Error response of an endpoint, returned if no other endpoint succeeds.
     fallback: Option<BufferedResponse>,
 }
@@ -69,6 +72,7 @@
             parts: exchange.head.parts.clone(),
             prompt_tokens: exchange.head.prompt_tokens,
             output_tokens: exchange.head.output_tokens,
+            build: self.build.clone(),
             tried: self.tried.clone(),
             is_retry: self.reached,
             max_wait: MAX_PLACEMENT_WAIT
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -111,6 +111,10 @@
             RelayEnd::DeadlineExceeded => break,
             RelayEnd::Broken => {}
         }
+        // What two software versions write does not fit together.
+        if progress.last_event.is_some() {
+            retry_state.build.get_or_insert(engine.build.clone());
+        }
         match resume(&exchange, &context, &mut retry_state, progress.last_event).await {
             Some(next) => opened = next,
             None => break,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -176,6 +176,7 @@
             .to_vec(),
         prompt_tokens: 5_500,
         output_tokens: 64,
+        build: None,
         tried: Vec::new(),
         is_retry: false,
         max_wait: Duration::ZERO,
