gateway: continue a resumed stream at the software version that began it

Cause: a request with Last-Event-Id was placed like a new one. The header Resumes was not read, and no node knew which engine began the stream of another request. Change: with the first event of a resumable stream its node tells the others the request's key and the software version of the engine, and a node that starts, or was out of reach, is told of all such streams. A resumed stream is placed only at engines of its version. One that nobody knows of continues only if a single version was listed for as long as its caller may have had it; otherwise it is answered 503 at once, and has not run. Measured: nine tests of the control thread (test_begun_streams).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use flamingolock_wire::gossip::BegunStream;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -11,6 +12,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::catalog::{RequestKind, Route, Workspace};
+use crate::control::begun_streams::request_key;
 use crate::control::{Event, Grant, Handle, RunEnd};
 use crate::dialect::{Dialect, EndpointHead, RequestHead, ResponseHead};
 use crate::endpoint::EndpointKey;
@@ -58,6 +60,13 @@
     pub deadline: Instant,
 }
 
+impl Exchange {
+    /// True if the caller resumes a stream that it lost.
+    pub fn resumes_stream(&self) -> bool {
+        self.route.resumable && self.head.last_event.is_some()
+    }
+}
+
 /// Shared state that request handlers need.
 #[derive(Clone, Debug)]
 pub struct ProxyContext {
@@ -77,16 +86,24 @@
     endpoint: EndpointKey,
     number: u64,
     model: Option<String>,
+    /// Stream that begins with the run, if it may be resumed.
+    stream: Option<BegunStream>,
     open: bool,
 }
 
 impl RunGuard {
-    fn new(handle: &Handle, grant: &Grant, model: Option<String>) -> Self {
+    fn new(handle: &Handle, grant: &Grant, exchange: &Exchange, resumed: bool) -> Self {
+        let begins = exchange.route.resumable && !resumed;
         Self {
             handle: handle.clone(),
             endpoint: grant.endpoint.key(),
             number: grant.run_number,
-            model,
+            model: exchange.head.model.clone(),
+            stream: begins.then(|| BegunStream {
+                request: request_key(&exchange.request_id),
+                build: grant.endpoint.build.to_string(),
+                age_ms: 0,
+            }),
             open: true,
         }
     }
@@ -98,6 +115,7 @@
             run_number: self.number,
             weights,
             model: self.model.clone(),
+            begun: self.stream.clone(),
         });
     }
 
@@ -182,7 +200,8 @@
     resume_after: Option<u64>,
     first_byte_timeout: Option<Duration>,
 ) -> AttemptOutcome {
-    let guard = RunGuard::new(&context.handle, &grant, exchange.head.model.clone());
+    let resumed = resume_after.or(exchange.head.last_event).is_some();
+    let guard = RunGuard::new(&context.handle, &grant, exchange, resumed);
     let first_byte_deadline =
         first_byte_timeout.map_or(exchange.deadline, |timeout| Instant::now() + timeout);
     let limit = first_byte_deadline.min(exchange.deadline);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -4,10 +4,12 @@
 //! [`Control`] is a plain state machine: it takes events, emits effects and gets
 //! the current time as an argument. [`start`] runs it on a dedicated thread.
 
+pub mod begun_streams;
 pub mod cache_index;
 pub mod fleet;
 pub mod freshness;
 pub mod lease;
+pub mod listed_builds;
 pub mod peers;
 pub mod retry_budget;
 pub mod rollout;
@@ -20,6 +22,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use flamingolock_wire::gossip::BegunStream;
 use flamingolock_wire::topic_copies::TopicCopies;
 use tokio::sync::{mpsc, oneshot};
 
@@ -33,6 +36,18 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
+/// Software versions of the endpoints that may serve a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BuildRule {
+    /// Any version.
+    Any,
+    /// The version that sent the events that the caller has.
+    Only(Arc<str>),
+    /// The version that began the stream of the request with this key; none if the
+    /// caller resumes a stream without naming the request.
+    SameAs(Option<u64>),
+}
+
 /// Requirements of a request that is to be assigned to an endpoint.
 #[derive(Clone, Debug)]
 pub struct PlacementRequest {
@@ -51,8 +66,8 @@
     pub prompt_tokens: u32,
     /// Maximum number of tokens in the answer.
     pub output_tokens: u32,
-    /// Software version that the endpoint must have; none if any will do.
-    pub build: Option<Arc<str>>,
+    /// Software versions that may serve it.
+    pub build_rule: BuildRule,
     /// Endpoints that were already tried for this request.
     pub tried: Vec<EndpointKey>,
     /// True if the request reached one of them, in which case this attempt counts
@@ -90,6 +105,9 @@
     AllReloading,
     /// The retry budget is exhausted.
     Budget,
+    /// The request resumes a stream, several software versions serve or did so recently,
+    /// and it is not known which of them began the stream.
+    UnknownBuild,
 }
 
 impl Refusal {
@@ -99,6 +117,7 @@
             Self::NoEndpoint => "no_endpoint",
             Self::AllReloading => "all_reloading",
             Self::Budget => "budget",
+            Self::UnknownBuild => "unknown_build",
         }
     }
 }
@@ -176,6 +195,8 @@
         weights: Option<u64>,
         /// Model of the request.
         model: Option<String>,
+        /// Resumable stream that begins with it, if any.
+        begun: Option<BegunStream>,
     },
     /// A run ended.
     RunEnded {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -11,15 +11,17 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use flamingolock_wire::gossip::{Fault, NodeState, Reload, Run};
+use flamingolock_wire::gossip::{BegunStream, Fault, NodeState, Reload, Run};
 use tokio::sync::oneshot;
 
 use crate::catalog::Catalog;
 use crate::clock::Millis;
+use crate::control::begun_streams::BegunStreams;
 use crate::control::cache_index::CacheIndex;
 use crate::control::fleet::EndpointState;
 use crate::control::freshness::Freshness;
 use crate::control::lease::{Lease, LeaseStep};
+use crate::control::listed_builds::ListedBuilds;
 use crate::control::peers::Peers;
 use crate::control::retry_budget::RetryBudget;
 use crate::control::rollout::{Rollout, Task};
@@ -54,6 +56,7 @@
     runs: Vec<Run>,
     reloads: Vec<Reload>,
     faults: Vec<Fault>,
+    streams: Vec<BegunStream>,
     nodes: Vec<NodeState>,
 }
 
@@ -73,6 +76,8 @@
     catalog: Option<Arc<Catalog>>,
     fleet: BTreeMap<EndpointKey, EndpointState>,
     parts: CacheIndex,
+    streams: BegunStreams,
+    listed_builds: ListedBuilds,
     peers: Peers,
     budget: RetryBudget,
     rollout: Rollout,
@@ -82,6 +87,7 @@
     outgoing_runs: Vec<Run>,
     outgoing_faults: Vec<Fault>,
     outgoing_reloads: Vec<Reload>,
+    outgoing_streams: Vec<BegunStream>,
     cross_zone: CrossZoneUpdates,
     is_hub: bool,
     peers_reported_at: Millis,
@@ -134,6 +140,8 @@
             catalog: None,
             fleet: BTreeMap::new(),
             parts: CacheIndex::default(),
+            streams: BegunStreams::default(),
+            listed_builds: ListedBuilds::default(),
             peers: Peers::default(),
             rollout: Rollout::default(),
             queue: VecDeque::new(),
@@ -141,6 +149,7 @@
             outgoing_runs: Vec::new(),
             outgoing_faults: Vec::new(),
             outgoing_reloads: Vec::new(),
+            outgoing_streams: Vec::new(),
             cross_zone: CrossZoneUpdates::default(),
             is_hub: false,
             peers_reported_at: 0,
@@ -176,8 +185,12 @@
                 run_number,
                 weights,
                 model,
+                begun,
             } => {
                 self.first_token(endpoint, run_number, now);
+                if let Some(stream) = begun {
+                    self.stream_begun(stream, now);
+                }
                 if let (Some(state), Some(version), Some(model)) =
                     (self.fleet.get_mut(&endpoint), weights, model)
                     && state.update_weights(&model, version)
@@ -204,7 +217,10 @@
                     self.apply_operator_record(record, written_at, now);
                 }
             }
-            Event::EndpointSnapshot(records) => self.apply_endpoint_snapshot(&records, now),
+            Event::EndpointSnapshot(records) => {
+                self.apply_endpoint_snapshot(&records, now);
+                self.listed_builds.entries_read(now);
+            }
             Event::EndpointRecords(records) => {
                 for record in &records {
                     self.apply_endpoint_record(record, now);
@@ -284,6 +300,7 @@
         if now >= self.runs_swept_at + RUN_SWEEP_MS {
             self.runs_swept_at = now;
             self.drop_runs_of_dead_nodes(now);
+            self.forget_streams(now);
         }
         let mut wake = now + MAX_TICK_INTERVAL_MS;
         if let Some(at) = self.gossip_pending_at {
@@ -317,6 +334,7 @@
         if let Some(at) = self.ticked_at.filter(|at| now > at + STALL_MS) {
             log::warn!(ms = now - at; "the process stood still");
             self.last_stall = (at, now);
+            self.listed_builds.interrupted(now);
             self.ticked_at = Some(now);
         }
     }
@@ -377,6 +395,13 @@
         }
     }
 
+    /// Forgets the streams and software versions that no caller can resume any more.
+    fn forget_streams(&mut self, now: Millis) {
+        let oldest = now.saturating_sub(self.stream_memory());
+        self.streams.forget_before(oldest);
+        self.listed_builds.forget_before(oldest);
+    }
+
     /// Returns the rank of this node among those that may send orders.
     fn rank(&self, now: Millis) -> usize {
         self.peers
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use flamingolock_wire::gossip::{Gossip, NodeState, Reload, Run};
+use flamingolock_wire::gossip::{BegunStream, Gossip, NodeState, Reload, Run};
 use prost::Message;
 
 use super::{Control, GOSSIP_INTERVAL_MS};
@@ -13,6 +13,9 @@
 /// Maximum number of runs per datagram, which keeps it below the usual packet size.
 const MAX_DATAGRAM_RUNS: usize = 24;
 
+/// Maximum number of streams per datagram, for the same reason.
+const MAX_DATAGRAM_STREAMS: usize = 24;
+
 /// Additional time for which a hub batches updates that it relays, in ms.
 const HUB_BATCH_MS: Millis = 8;
 
@@ -58,6 +61,7 @@
             runs: std::mem::take(&mut self.outgoing_runs),
             reloads,
             faults: std::mem::take(&mut self.outgoing_faults),
+            streams: std::mem::take(&mut self.outgoing_streams),
             relayed: targets.is_hub,
             heard: if report_peers {
                 self.peers.heard_directly_in(&own_state.zone, now)
@@ -69,6 +73,7 @@
         self.send_in_datagrams(local, &targets.local);
         let only_faults = cross_zone.runs.is_empty()
             && cross_zone.reloads.is_empty()
+            && cross_zone.streams.is_empty()
             && cross_zone.nodes.is_empty();
         if !only_faults || !cross_zone.faults.is_empty() {
             let gossip = Gossip {
@@ -76,6 +81,7 @@
                 runs: cross_zone.runs,
                 reloads: cross_zone.reloads,
                 faults: cross_zone.faults,
+                streams: cross_zone.streams,
                 relayed: true,
                 heard: cross_zone.nodes,
                 operator: None,
@@ -85,19 +91,22 @@
         }
     }
 
-    /// Sends a message, split into as many datagrams as its runs require.
+    /// Sends a message, split into as many datagrams as its runs and streams require.
     pub(super) fn send_in_datagrams(&mut self, mut gossip: Gossip, addresses: &[SocketAddr]) {
         if addresses.is_empty() {
             return;
         }
         let mut runs = std::mem::take(&mut gossip.runs);
+        let mut streams = std::mem::take(&mut gossip.streams);
         loop {
-            let rest = runs.split_off(runs.len().min(MAX_DATAGRAM_RUNS));
+            let more_runs = runs.split_off(runs.len().min(MAX_DATAGRAM_RUNS));
+            let more_streams = streams.split_off(streams.len().min(MAX_DATAGRAM_STREAMS));
             gossip.runs = runs;
+            gossip.streams = streams;
             let bytes = Bytes::from(gossip.encode_to_vec());
             self.effects
                 .push(Effect::SendDatagram(addresses.to_vec(), bytes));
-            if rest.is_empty() {
+            if more_runs.is_empty() && more_streams.is_empty() {
                 return;
             }
             gossip.reloads.clear();
@@ -105,7 +114,8 @@
             gossip.heard.clear();
             gossip.operator = None;
             gossip.endpoints = None;
-            runs = rest;
+            runs = more_runs;
+            streams = more_streams;
         }
     }
 
@@ -145,12 +155,19 @@
         if sender.incarnation == self.incarnation {
             return;
         }
-        if !self.peers.is_alive_at(from, now) {
+        let was_alive = self.peers.is_alive_at(from, now);
+        if !was_alive {
             // The sender may not know this node yet.
             self.introduce_to.push(from);
             self.gossip_pending_at.get_or_insert(now);
         }
-        self.update_peer(from, sender, false, now);
+        let replaced = self.update_peer(from, sender, false, now);
+        if !was_alive || replaced {
+            self.send_streams(from, now);
+        }
+        for stream in &gossip.streams {
+            self.streams.record(stream, now);
+        }
         self.compare_copies(&gossip, now);
         for state in &gossip.heard {
             if let Ok(address) = state.gossip.parse()
@@ -179,19 +196,46 @@
         }
     }
 
+    /// Records the state of another node. Returns true if the node has started again.
     pub(super) fn update_peer(
         &mut self,
         from: SocketAddr,
         state: &NodeState,
         via_hub: bool,
         now: Millis,
-    ) {
-        if let Some(old) = self.peers.update(from, state, via_hub, now) {
+    ) -> bool {
+        let replaced = self.peers.update(from, state, via_hub, now);
+        if let Some(old) = replaced {
             for endpoint in self.fleet.values_mut() {
                 endpoint.drop_runs_of(old);
             }
         }
         self.lease.observed(&state.name, state.lease_end, now);
+        replaced.is_some()
+    }
+
+    /// Records a stream that began at this node, and tells the other nodes.
+    pub(super) fn stream_begun(&mut self, stream: BegunStream, now: Millis) {
+        self.streams.record(&stream, now);
+        self.outgoing_streams.push(stream);
+        self.gossip_pending_at.get_or_insert(now);
+    }
+
+    /// Sends all known streams to a node that has started, or was out of reach. In
+    /// fleets with hubs only these do so.
+    fn send_streams(&mut self, node: SocketAddr, now: Millis) {
+        let streams = self.streams.list(now);
+        if streams.is_empty() || !(self.is_hub || self.peers.is_full_mesh(now)) {
+            return;
+        }
+        log::info!(node:% = node, streams = streams.len(); "sent the streams that began recently");
+        let gossip = Gossip {
+            sender: Some(self.own_state()),
+            streams,
+            relayed: true,
+            ..Gossip::default()
+        };
+        self.send_in_datagrams(gossip, &[node]);
     }
 
     pub(super) fn apply_reload(&mut self, reload: &Reload, now: Millis) {
@@ -228,10 +272,12 @@
             self.outgoing_runs.append(&mut runs);
             self.outgoing_faults.extend(gossip.faults);
             self.outgoing_reloads.extend(gossip.reloads);
+            self.outgoing_streams.extend(gossip.streams);
         } else if gossip.relayed {
             self.cross_zone.runs.append(&mut runs);
             self.cross_zone.faults.extend(gossip.faults);
             self.cross_zone.reloads.extend(gossip.reloads);
+            self.cross_zone.streams.extend(gossip.streams);
             self.cross_zone.nodes.extend(gossip.sender);
             self.cross_zone.nodes.extend(gossip.heard);
         }
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -1,5 +1,7 @@
 //! Placement of requests: selects an endpoint and builds the grant for it.
 
+use std::sync::Arc;
+
 use flamingolock_wire::gossip::{Fault, Run};
 use rand::Rng;
 use tokio::sync::oneshot;
@@ -9,7 +11,7 @@
 use crate::clock::Millis;
 use crate::control::cache_index::{FetchSource, namespace, salt};
 use crate::control::fleet::{Estimate, EstimateContext};
-use crate::control::{Grant, Placement, PlacementRequest, Refusal, RunEnd};
+use crate::control::{BuildRule, Grant, Placement, PlacementRequest, Refusal, RunEnd};
 use crate::endpoint::EndpointKey;
 use crate::metrics::EventKind;
 
@@ -34,13 +36,16 @@
 /// cache store at which the prompt is still written there.
 const STORE_OWN_RATIO: f64 = 1.0;
 
+/// Time in ms for which streams are remembered beyond the timeout of their route.
+const RESUME_MARGIN_MS: Millis = 5_000;
+
 /// Number of output tokens from which on stalls of an answer are noticeable.
 const LONG_ANSWER_TOKENS: u32 = 16;
 
 /// True if waiting may help a refused request. Engines of a software version that is
 /// not listed any more do not come back soon.
 fn may_change(refusal: Refusal, request: &PlacementRequest) -> bool {
-    refusal != Refusal::NoEndpoint || request.build.is_none()
+    refusal != Refusal::NoEndpoint || request.build_rule == BuildRule::Any
 }
 
 impl Control {
@@ -52,10 +57,17 @@
 
     pub(super) fn handle_placement(
         &mut self,
-        request: Box<PlacementRequest>,
+        mut request: Box<PlacementRequest>,
         reply: oneshot::Sender<Placement>,
         now: Millis,
     ) {
+        if let BuildRule::SameAs(begun_by) = request.build_rule {
+            let Some(build) = self.build_of_stream(begun_by, &request.service, now) else {
+                self.refuse(&request, Refusal::UnknownBuild, reply);
+                return;
+            };
+            request.build_rule = BuildRule::Only(build);
+        }
         if request.tried.is_empty() {
             self.budget.record_request(&request.service, now);
         } else if request.is_retry
@@ -63,10 +75,7 @@
                 .budget
                 .try_retry(&request.service, self.max_nodes_sharing(now), now)
         {
-            self.metrics
-                .count(EventKind::Placement, Refusal::Budget.as_str());
-            log::info!(request = &*request.id, service = &*request.service; "retry refused: budget exhausted");
-            let _ = reply.send(Err(Refusal::Budget));
+            self.refuse(&request, Refusal::Budget, reply);
             return;
         }
         let deadline = now + request.max_wait.as_millis() as Millis;
@@ -114,15 +123,58 @@
                 Some(queued)
             }
             Err(refusal) => {
-                self.metrics.count(EventKind::Placement, refusal.as_str());
-                log::info!(request = &*queued.request.id, service = &*queued.request.service, refusal:? = refusal;
-                    "no endpoint available for request");
-                let _ = queued.reply.send(Err(refusal));
+                self.refuse(&queued.request, refusal, queued.reply);
                 None
             }
         }
     }
 
+    fn refuse(
+        &self,
+        request: &PlacementRequest,
+        refusal: Refusal,
+        reply: oneshot::Sender<Placement>,
+    ) {
+        self.metrics.count(EventKind::Placement, refusal.as_str());
+        let message = match refusal {
+            Refusal::Budget => "retry refused: budget exhausted",
+            _ => "no endpoint available for request",
+        };
+        log::info!(request = &*request.id, service = &*request.service, refusal:? = refusal,
+            builds:? = request.build_rule; "{message}");
+        // The caller may have left in the meantime.
+        let _ = reply.send(Err(refusal));
+    }
+
+    /// Returns the software version that began a stream, given the key of the request
+    /// that began it. A stream that no node has told of began at the only version that
+    /// served since its caller may have begun it, if there is only one.
+    fn build_of_stream(
+        &self,
+        begun_by: Option<u64>,
+        service: &str,
+        now: Millis,
+    ) -> Option<Arc<str>> {
+        if let Some(build) = begun_by.and_then(|request| self.streams.build_of(request)) {
+            return Some(build);
+        }
+        let since = now.checked_sub(self.stream_memory())?;
+        let listed = self.fleet.values().map(|state| &*state.endpoint);
+        let sole = self.listed_builds.sole_build(service, listed, since)?;
+        let begun = self.streams.builds();
+        begun.iter().all(|build| *build == sole).then_some(sole)
+    }
+
+    /// Time in ms for which a caller may resume a stream.
+    pub(super) fn stream_memory(&self) -> Millis {
+        let routes = self.catalog.iter().flat_map(|catalog| &catalog.routes);
+        let longest = routes
+            .filter(|route| route.resumable)
+            .map(|route| route.timeout.as_millis() as Millis)
+            .max();
+        longest.unwrap_or(0) + RESUME_MARGIN_MS
+    }
+
     /// Returns the endpoint with the lowest estimated cost.
     pub(super) fn select_endpoint(
         &self,
@@ -155,10 +207,7 @@
             if endpoint.service != request.service
                 || endpoint.leaving
                 || request.tried.contains(key)
-                || request
-                    .build
-                    .as_ref()
-                    .is_some_and(|build| *build != endpoint.build)
+                || matches!(&request.build_rule, BuildRule::Only(build) if *build != endpoint.build)
             {
                 continue;
             }
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -119,7 +119,7 @@
             Ok(entry) => entry,
             Err(error) => {
                 log::warn!(endpoint = id, offset = record.offset, error:% = error; "removing endpoint with an invalid entry");
-                self.drop_endpoint(key, "invalid entry");
+                self.drop_endpoint(key, "invalid entry", now);
                 return;
             }
         };
@@ -145,7 +145,9 @@
                 if !entry.weights.is_empty() && self.fleet.len() < CACHE_QUERY_MAX_ENGINES {
                     self.query_cache(entry.address, Some(key), now);
                 }
-                self.fleet.insert(key, EndpointState::new(entry));
+                if let Some(replaced) = self.fleet.insert(key, EndpointState::new(entry)) {
+                    self.listed_builds.endpoint_dropped(&replaced.endpoint, now);
+                }
                 self.rollout.note_progress(now);
             }
         }
@@ -197,13 +199,14 @@
             }
             return;
         }
-        self.drop_endpoint(key, "entry removed");
+        self.drop_endpoint(key, "entry removed", now);
     }
 
-    pub(super) fn drop_endpoint(&mut self, key: EndpointKey, reason: &str) {
+    pub(super) fn drop_endpoint(&mut self, key: EndpointKey, reason: &str, now: Millis) {
         self.endpoint_records.remove(&key);
         if let Some(state) = self.fleet.remove(&key) {
             log::info!(endpoint = &*state.endpoint.id, reason; "endpoint dropped");
+            self.listed_builds.endpoint_dropped(&state.endpoint, now);
             self.parts.remove_engine(key);
             self.rollout.retain(&self.fleet);
         }
@@ -217,7 +220,11 @@
             .map(|(key, _)| *key)
             .collect();
         for key in lapsed {
-            self.drop_endpoint(key, "entry was not rewritten after the store recovered");
+            self.drop_endpoint(
+                key,
+                "entry was not rewritten after the store recovered",
+                now,
+            );
         }
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,7 +8,8 @@
 
 use crate::attempt::{AttemptOutcome, BufferedResponse, Exchange, ProxyContext, attempt};
 use crate::catalog::RequestKind;
-use crate::control::{Grant, Placement, PlacementRequest, Refusal, RunEnd};
+use crate::control::begun_streams::request_key;
+use crate::control::{BuildRule, Grant, Placement, PlacementRequest, Refusal, RunEnd};
 use crate::endpoint::EndpointKey;
 use crate::http_client::BodyFraming;
 use crate::relay;
@@ -55,6 +56,17 @@
         allowed && self.tried.len() < MAX_TRIED_ENDPOINTS && left > MIN_ATTEMPT_TIME
     }
 
+    fn build_rule(&self, exchange: &Exchange) -> BuildRule {
+        let head = &exchange.head;
+        match &self.build {
+            Some(build) => BuildRule::Only(build.clone()),
+            None if exchange.resumes_stream() => {
+                BuildRule::SameAs(head.resumes.as_deref().map(request_key))
+            }
+            None => BuildRule::Any,
+        }
+    }
+
     /// Requests a placement at an endpoint that was not tried yet.
     ///
     /// # Errors
@@ -72,7 +84,7 @@
             parts: exchange.head.parts.clone(),
             prompt_tokens: exchange.head.prompt_tokens,
             output_tokens: exchange.head.output_tokens,
-            build: self.build.clone(),
+            build_rule: self.build_rule(exchange),
             tried: self.tried.clone(),
             is_retry: self.reached,
             max_wait: MAX_PLACEMENT_WAIT
@@ -84,11 +96,9 @@
 
 /// Forwards a request to endpoints until one responds or the request is given up.
 pub async fn forward(exchange: Exchange, context: ProxyContext) -> Response<ResponseBody> {
-    if exchange.route.resumable
-        && let Some(last_event) = exchange.head.last_event
-    {
-        log::info!(request = &*exchange.request_id, resumes = exchange.head.resumes.as_deref().unwrap_or(""), last_event;
-            "caller resumes a stream");
+    if exchange.resumes_stream() {
+        log::info!(request = &*exchange.request_id, resumes = exchange.head.resumes.as_deref().unwrap_or(""),
+            last_event = exchange.head.last_event.unwrap_or(0); "caller resumes a stream");
     }
     let mut retry_state = RetryState::default();
     loop {
@@ -184,6 +194,7 @@
         Refusal::NoEndpoint => "no endpoint",
         Refusal::AllReloading => "all engines are loading weights",
         Refusal::Budget => "retry budget exhausted",
+        Refusal::UnknownBuild => "unknown which software version began the stream",
     }
 }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use flamingolock_gateway::control::state::Control;
-use flamingolock_gateway::control::{Effect, Event, Placement, PlacementRequest, View};
+use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, PlacementRequest, View};
 use flamingolock_gateway::dialect::{KeyedRecord, PromptPart};
 use flamingolock_gateway::settings::Settings;
 use flamingolock_wire::gossip::{Gossip, NodeState, Run};
@@ -115,11 +115,24 @@
     }
 
     pub fn engine(&mut self, id: &str, born: u64, state: &str, now: u64) {
-        let text = format!(
-            r#"{{"Service":"engines","Address":"10.0.0.1:80","Zone":"zone-a","Version":"v1","Slots":64,"State":"{state}",
-            "Seq":1,"born":{born},"Models":[{{"Name":"m","Version":1}}]}}"#
-        );
-        self.entry(id, Some(&text), now);
+        self.entry(id, Some(&engine_entry("v1", born, state)), now);
+    }
+
+    /// Adds an engine of a software version.
+    pub fn engine_of_build(&mut self, id: &str, build: &str, now: u64) {
+        self.entry(id, Some(&engine_entry(build, 1, "ready")), now);
+    }
+
+    /// Reads the entries of engines of these software versions, all there are.
+    pub fn engines_of_builds(&mut self, builds: &[&str], now: u64) {
+        let engines = builds.iter().enumerate();
+        let records = engines
+            .map(|(place, build)| {
+                let text = engine_entry(build, 1, "ready");
+                self.record(&format!("servers/e{place}"), Some(&text))
+            })
+            .collect();
+        self.control.handle(Event::EndpointSnapshot(records), now);
     }
 
     /// Writes the entry of an endpoint; a value of none removes it.
@@ -131,6 +144,15 @@
 
     /// Delivers a datagram of another node.
     pub fn gossip(&mut self, node: u64, runs: &[Run], now: u64) {
+        let gossip = Gossip {
+            runs: runs.to_vec(),
+            ..Gossip::default()
+        };
+        self.datagram(node, gossip, now);
+    }
+
+    /// Delivers a message of another node.
+    pub fn datagram(&mut self, node: u64, mut gossip: Gossip, now: u64) {
         let sender = NodeState {
             incarnation: node,
             callers: "10.0.0.9:80".to_owned(),
@@ -139,11 +161,7 @@
             name: "other".to_owned(),
             ..NodeState::default()
         };
-        let gossip = Gossip {
-            sender: Some(sender),
-            runs: runs.to_vec(),
-            ..Gossip::default()
-        };
+        gossip.sender = Some(sender);
         let from = ([10, 0, 0, 9], 7_000).into();
         self.control
             .handle(Event::Datagram(from, gossip.encode_to_vec().into()), now);
@@ -164,6 +182,14 @@
     }
 }
 
+/// Entry of an engine.
+fn engine_entry(build: &str, born: u64, state: &str) -> String {
+    format!(
+        r#"{{"Service":"engines","Address":"10.0.0.1:80","Zone":"zone-a","Version":"{build}","Slots":64,
+        "State":"{state}","Seq":1,"born":{born},"Models":[{{"Name":"m","Version":1}}]}}"#
+    )
+}
+
 /// Returns a request with two shared parts and one of its own.
 pub fn placement_request(isolated_workspace: Option<&str>, id: u64) -> PlacementRequest {
     PlacementRequest {
@@ -176,7 +202,7 @@
             .to_vec(),
         prompt_tokens: 5_500,
         output_tokens: 64,
-        build: None,
+        build_rule: BuildRule::Any,
         tried: Vec::new(),
         is_retry: false,
         max_wait: Duration::ZERO,
--- /dev/null
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -0,0 +1,172 @@
+//! Which engines may continue a stream that its caller resumes.
+
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod common;
+
+use common::{Harness, placement_request};
+use flamingolock_gateway::control::begun_streams::request_key;
+use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, Refusal};
+use flamingolock_wire::gossip::{BegunStream, Gossip};
+use prost::Message;
+
+/// Time for which streams are remembered, in ms: without routes, only the margin.
+const MEMORY_MS: u64 = 5_000;
+
+fn begun(id: &str, build: &str) -> BegunStream {
+    BegunStream {
+        request: request_key(id),
+        build: build.to_owned(),
+        age_ms: 0,
+    }
+}
+
+fn streams(streams: &[BegunStream]) -> Gossip {
+    Gossip {
+        streams: streams.to_vec(),
+        ..Gossip::default()
+    }
+}
+
+fn with_engines(builds: &[&str]) -> Harness {
+    let mut harness = Harness::with_engines(0, 0);
+    harness.engines_of_builds(builds, 0);
+    harness
+}
+
+/// Places a request that resumes the stream of request `id`.
+fn resume(harness: &mut Harness, id: &str, now: u64) -> Placement {
+    let mut request = placement_request(None, 1);
+    request.build_rule = BuildRule::SameAs(Some(request_key(id)));
+    harness.place(request, now).expect("an immediate decision")
+}
+
+fn build_of(placement: Placement) -> String {
+    placement.expect("a grant").endpoint.build.to_string()
+}
+
+/// Streams in the datagrams among the effects.
+fn sent_streams(effects: Vec<Effect>) -> Vec<BegunStream> {
+    effects
+        .into_iter()
+        .filter_map(|effect| match effect {
+            Effect::SendDatagram(_, bytes) => Some(Gossip::decode(bytes).expect("a datagram")),
+            _ => None,
+        })
+        .flat_map(|gossip| gossip.streams)
+        .collect()
+}
+
+#[test]
+fn stream_of_another_node_continues_at_the_build_that_began_it() {
+    let mut harness = with_engines(&["v1", "v2", "v3"]);
+    for build in ["v1", "v2", "v3"] {
+        harness.datagram(9, streams(&[begun(build, build)]), 10);
+        for _ in 0..20 {
+            assert_eq!(build_of(resume(&mut harness, build, 20)), build);
+        }
+    }
+}
+
+#[test]
+fn stream_whose_first_engine_sent_no_event_belongs_to_the_next_one() {
+    let mut harness = with_engines(&["v1", "v2"]);
+    harness.datagram(9, streams(&[begun("r", "v1")]), 10);
+    harness.datagram(9, streams(&[begun("r", "v2")]), 12);
+    assert_eq!(build_of(resume(&mut harness, "r", 20)), "v2");
+}
+
+#[test]
+fn stream_whose_build_has_left_is_refused_at_once() {
+    let mut harness = with_engines(&["v2"]);
+    harness.datagram(9, streams(&[begun("r", "v1")]), 10);
+    let refusal = resume(&mut harness, "r", 20).err();
+    assert_eq!(refusal, Some(Refusal::NoEndpoint));
+}
+
+#[test]
+fn unknown_stream_continues_only_if_one_build_can_have_begun_it() {
+    let mut harness = with_engines(&["v1", "v1"]);
+    let refused = Some(Refusal::UnknownBuild);
+    // The node cannot know which versions served before it started.
+    assert_eq!(resume(&mut harness, "r", MEMORY_MS - 1).err(), refused);
+    assert_eq!(build_of(resume(&mut harness, "r", MEMORY_MS)), "v1");
+
+    harness.engine_of_build("e9", "v2", 6_000);
+    assert_eq!(resume(&mut harness, "r", 6_100).err(), refused);
+    harness.entry("e9", None, 7_000);
+    assert_eq!(
+        resume(&mut harness, "r", 7_000 + MEMORY_MS).err(),
+        refused,
+        "an engine that left may have begun it"
+    );
+    assert_eq!(build_of(resume(&mut harness, "r", 7_001 + MEMORY_MS)), "v1");
+}
+
+#[test]
+fn unknown_stream_is_refused_while_others_tell_of_a_build_that_is_not_listed() {
+    let mut harness = with_engines(&["v1"]);
+    harness.datagram(9, streams(&[begun("other", "v2")]), MEMORY_MS);
+    let refusal = resume(&mut harness, "r", MEMORY_MS + 1).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
+
+#[test]
+fn unknown_stream_is_refused_after_the_process_stood_still() {
+    let mut harness = with_engines(&["v1"]);
+    harness.control.tick(MEMORY_MS);
+    let refusal = resume(&mut harness, "r", MEMORY_MS + 4_000).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
+
+#[test]
+fn streams_are_forgotten_once_no_caller_can_resume_them() {
+    let mut harness = with_engines(&["v1", "v2"]);
+    harness.datagram(9, streams(&[begun("r", "v1")]), 10);
+    for now in [500, MEMORY_MS - 500, MEMORY_MS + 10] {
+        harness.control.tick(now);
+        assert_eq!(build_of(resume(&mut harness, "r", now)), "v1");
+    }
+    harness.control.tick(MEMORY_MS + 600);
+    let refusal = resume(&mut harness, "r", MEMORY_MS + 600).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
+
+#[test]
+fn node_tells_the_others_of_its_streams() {
+    let mut harness = with_engines(&["v1"]);
+    harness.datagram(9, Gossip::default(), 10);
+    let grant = harness
+        .place(placement_request(None, 1), 20)
+        .expect("a decision")
+        .expect("a grant");
+    let event = Event::FirstToken {
+        endpoint: grant.endpoint.key(),
+        run_number: grant.run_number,
+        weights: None,
+        model: None,
+        begun: Some(begun("r", "v1")),
+    };
+    harness.effects(29);
+    harness.control.handle(event, 30);
+    assert_eq!(sent_streams(harness.effects(40)), [begun("r", "v1")]);
+}
+
+#[test]
+fn node_that_starts_again_is_told_of_all_streams() {
+    let mut harness = with_engines(&["v1"]);
+    let all: Vec<BegunStream> = (0..60)
+        .map(|index| begun(&index.to_string(), "v1"))
+        .collect();
+    harness.datagram(9, streams(&all), 10);
+    harness.effects(20);
+    harness.datagram(9, Gossip::default(), 30);
+    assert_eq!(sent_streams(harness.effects(30)), [], "it is the same one");
+    harness.datagram(11, Gossip::default(), 40);
+    let told = sent_streams(harness.effects(40));
+    let mut requests: Vec<u64> = told.iter().map(|stream| stream.request).collect();
+    let mut expected: Vec<u64> = all.iter().map(|stream| stream.request).collect();
+    requests.sort_unstable();
+    expected.sort_unstable();
+    assert_eq!(requests, expected);
+    assert!(told.iter().all(|stream| stream.age_ms == 30));
+}
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -1,5 +1,6 @@
 //! Tests of the control thread's decisions, driven by single events.
 
+#[allow(dead_code, reason = "each test file needs a part of it")]
 mod common;
 
 use common::{Harness, placement_request};
@@ -147,6 +148,7 @@
         run_number: first.run_number,
         weights: Some(1),
         model: Some("m".to_owned()),
+        begun: None,
     };
     harness.control.handle(event, 200);
     let mut second = placement_request(None, 1);
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -31,6 +31,24 @@
     /// State of the sender's copy of the endpoint entries; absent if not reported now.
     #[prost(message, optional, tag = "8")]
     pub endpoints: Option<TopicCopyState>,
+    /// Resumable streams that began since the sender's last datagram, and those that it
+    /// relays. To a node that has just started, all that the sender knows.
+    #[prost(message, repeated, tag = "9")]
+    pub streams: Vec<BegunStream>,
+}
+
+/// A stream that began at an engine.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BegunStream {
+    /// Key of the caller's request.
+    #[prost(fixed64, tag = "1")]
+    pub request: u64,
+    /// Software version of the engine.
+    #[prost(string, tag = "2")]
+    pub build: String,
+    /// Time since its first event, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 
 /// State of a node's copy of one topic of the store.
