--- a/crates/gateway/src/control/listed_builds.rs
+++ b/crates/gateway/src/control/listed_builds.rs
@@ -3,39 +3,92 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use flamingolock_wire::gossip::{BuildHistory, ListedBuild};
+
 use crate::clock::Millis;
 use crate::endpoint::Endpoint;
 
-/// Software versions that are no longer listed, and how far back this is complete.
-#[derive(Debug, Default)]
+/// Time in ms for which at least an endpoint stays listed.
+const MIN_LISTED_MS: Millis = 3_000;
+
+/// Software versions that were listed, and how far back this is complete.
+#[derive(Debug)]
 pub struct ListedBuilds {
     complete_since: Option<Millis>,
-    /// When an endpoint was last listed, by service and software version.
-    dropped: BTreeMap<(Arc<str>, Arc<str>), Millis>,
+    /// When an endpoint was last seen to be listed, by service and software version.
+    /// Those that are listed now may be missing.
+    seen: BTreeMap<(Arc<str>, Arc<str>), Millis>,
 }
 
 impl ListedBuilds {
-    /// Records that all entries were read.
-    pub fn entries_read(&mut self, now: Millis) {
-        self.complete_since.get_or_insert(now);
+    /// Creates the history of a node; before the first start of the fleet nothing was
+    /// listed.
+    pub fn new(first_start: bool) -> Self {
+        Self {
+            complete_since: first_start.then_some(0),
+            seen: BTreeMap::new(),
+        }
     }
 
-    /// Records that entries may have come and gone unnoticed until now.
-    pub fn interrupted(&mut self, now: Millis) {
-        if let Some(since) = &mut self.complete_since {
-            *since = now;
+    /// Records that all entries were read, `unread_ms` after they were last known; none
+    /// if they were not.
+    pub fn entries_read(&mut self, unread_ms: Option<Millis>, now: Millis) {
+        if unread_ms.is_some_and(|unread| unread > MIN_LISTED_MS) {
+            self.complete_since = Some(now);
         }
+        self.complete_since.get_or_insert(now);
     }
 
     /// Records that an endpoint is no longer listed.
     pub fn endpoint_dropped(&mut self, endpoint: &Endpoint, now: Millis) {
-        let version = (endpoint.service.clone(), endpoint.build.clone());
-        self.dropped.insert(version, now);
+        self.saw(endpoint.service.clone(), endpoint.build.clone(), now);
+    }
+
+    fn saw(&mut self, service: Arc<str>, build: Arc<str>, at: Millis) {
+        let last = self.seen.entry((service, build)).or_insert(at);
+        *last = at.max(*last);
+    }
+
+    /// Adds what another node saw.
+    pub fn learn(&mut self, history: &BuildHistory, now: Millis) {
+        for listed in &history.builds {
+            let at = now.saturating_sub(listed.age_ms);
+            self.saw(
+                listed.service.as_str().into(),
+                listed.build.as_str().into(),
+                at,
+            );
+        }
+        let since = now.saturating_sub(history.complete_ms);
+        let own = self.complete_since.unwrap_or(since);
+        self.complete_since = Some(own.min(since));
+    }
+
+    /// Returns what this node saw, for another node; none if it has read no entries.
+    pub fn history<'a>(
+        &self,
+        listed: impl Iterator<Item = &'a Endpoint>,
+        now: Millis,
+    ) -> Option<BuildHistory> {
+        let since = self.complete_since?;
+        let mut seen = self.seen.clone();
+        for endpoint in listed {
+            seen.insert((endpoint.service.clone(), endpoint.build.clone()), now);
+        }
+        let listed = |((service, build), at): ((Arc<str>, Arc<str>), Millis)| ListedBuild {
+            service: service.to_string(),
+            build: build.to_string(),
+            age_ms: now.saturating_sub(at),
+        };
+        Some(BuildHistory {
+            builds: seen.into_iter().map(listed).collect(),
+            complete_ms: now.saturating_sub(since),
+        })
     }
 
     /// Forgets the versions that were last listed before a time.
     pub fn forget_before(&mut self, time: Millis) {
-        self.dropped.retain(|_, dropped_at| *dropped_at >= time);
+        self.seen.retain(|_, at| *at >= time);
     }
 
     /// Returns the only version of the service that was listed since a time; none if
@@ -49,15 +102,15 @@
         if self.complete_since.is_none_or(|complete| complete > since) {
             return None;
         }
-        let dropped = self
-            .dropped
+        let seen = self
+            .seen
             .iter()
-            .filter(|((name, _), dropped_at)| &**name == service && **dropped_at >= since)
+            .filter(|((name, _), at)| &**name == service && **at >= since)
             .map(|((_, build), _)| build);
         let mut builds: BTreeSet<&Arc<str>> = listed
             .filter(|endpoint| &*endpoint.service == service)
             .map(|endpoint| &endpoint.build)
-            .chain(dropped)
+            .chain(seen)
             .collect();
         let first = builds.pop_first()?.clone();
         builds.is_empty().then_some(first)
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -132,6 +132,7 @@
                 settings.retry_slack,
             ),
             lease: Lease::new(&settings.node, settings.lease),
+            listed_builds: ListedBuilds::new(settings.first_start),
             settings,
             dialect,
             incarnation,
@@ -141,7 +142,6 @@
             fleet: BTreeMap::new(),
             parts: CacheIndex::default(),
             streams: BegunStreams::default(),
-            listed_builds: ListedBuilds::default(),
             peers: Peers::default(),
             rollout: Rollout::default(),
             queue: VecDeque::new(),
@@ -218,8 +218,10 @@
                 }
             }
             Event::EndpointSnapshot(records) => {
+                let current_at = self.endpoints_copy.current_at();
+                let unread_ms = current_at.map(|at| now.saturating_sub(at));
+                self.listed_builds.entries_read(unread_ms, now);
                 self.apply_endpoint_snapshot(&records, now);
-                self.listed_builds.entries_read(now);
             }
             Event::EndpointRecords(records) => {
                 for record in &records {
@@ -334,7 +336,6 @@
         if let Some(at) = self.ticked_at.filter(|at| now > at + STALL_MS) {
             log::warn!(ms = now - at; "the process stood still");
             self.last_stall = (at, now);
-            self.listed_builds.interrupted(now);
             self.ticked_at = Some(now);
         }
     }
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -68,6 +68,7 @@
             } else {
                 Vec::new()
             },
+            builds: None,
         };
         let cross_zone = std::mem::take(&mut self.cross_zone);
         self.send_in_datagrams(local, &targets.local);
@@ -84,8 +85,7 @@
                 streams: cross_zone.streams,
                 relayed: true,
                 heard: cross_zone.nodes,
-                operator: None,
-                endpoints: None,
+                ..Gossip::default()
             };
             self.send_in_datagrams(gossip, &targets.cross_zone);
         }
@@ -114,6 +114,7 @@
             gossip.heard.clear();
             gossip.operator = None;
             gossip.endpoints = None;
+            gossip.builds = None;
             runs = more_runs;
             streams = more_streams;
         }
@@ -163,11 +164,14 @@
         }
         let replaced = self.update_peer(from, sender, false, now);
         if !was_alive || replaced {
-            self.send_streams(from, now);
+            self.send_history(from, now);
         }
         for stream in &gossip.streams {
             self.streams.record(stream, now);
         }
+        if let Some(builds) = &gossip.builds {
+            self.listed_builds.learn(builds, now);
+        }
         self.compare_copies(&gossip, now);
         for state in &gossip.heard {
             if let Ok(address) = state.gossip.parse()
@@ -221,17 +225,20 @@
         self.gossip_pending_at.get_or_insert(now);
     }
 
-    /// Sends all known streams to a node that has started, or was out of reach. In
-    /// fleets with hubs only these do so.
-    fn send_streams(&mut self, node: SocketAddr, now: Millis) {
-        let streams = self.streams.list(now);
-        if streams.is_empty() || !(self.is_hub || self.peers.is_full_mesh(now)) {
+    /// Tells a node that has started, or was out of reach, which streams began and which
+    /// software versions were listed recently. In fleets with hubs only these do so.
+    fn send_history(&mut self, node: SocketAddr, now: Millis) {
+        if !(self.is_hub || self.peers.is_full_mesh(now)) {
             return;
         }
-        log::info!(node:% = node, streams = streams.len(); "sent the streams that began recently");
+        let streams = self.streams.list(now);
+        let listed = self.fleet.values().map(|state| &*state.endpoint);
+        let builds = self.listed_builds.history(listed, now);
+        log::info!(node:% = node, streams = streams.len(), builds:? = builds; "sent the streams that began recently");
         let gossip = Gossip {
             sender: Some(self.own_state()),
             streams,
+            builds,
             relayed: true,
             ..Gossip::default()
         };
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -158,7 +158,10 @@
         if let Some(build) = begun_by.and_then(|request| self.streams.build_of(request)) {
             return Some(build);
         }
-        let since = now.checked_sub(self.stream_memory())?;
+        if self.is_recovering(now) {
+            return None;
+        }
+        let since = now.saturating_sub(self.stream_memory());
         let listed = self.fleet.values().map(|state| &*state.endpoint);
         let sole = self.listed_builds.sole_build(service, listed, since)?;
         let begun = self.streams.builds();
--- a/crates/gateway/src/control/state/topics.rs
+++ b/crates/gateway/src/control/state/topics.rs
@@ -93,13 +93,18 @@
         self.freshness_of(topic).read_failed(now + delay);
     }
 
+    /// True if the process stood still a moment ago, so that what it knows may be old.
+    pub(super) fn is_recovering(&self, now: Millis) -> bool {
+        let (_, resumed_at) = self.last_stall;
+        resumed_at > 0 && now < resumed_at + STALL_RECOVERY_MS
+    }
+
     /// Returns the earliest time at which an operator record that arrives now may have
     /// been written. Records normally arrive quickly, unless this process was stalled
     /// or its copy is older than the configured bound.
     pub(super) fn earliest_write_time(&self, now: Millis) -> Millis {
-        let (stalled_at, resumed_at) = self.last_stall;
-        if resumed_at > 0 && now < resumed_at + STALL_RECOVERY_MS {
-            return stalled_at;
+        if self.is_recovering(now) {
+            return self.last_stall.0;
         }
         let bound = self.settings.catalog_bound.as_millis() as Millis;
         let current = self.operator_copy.current_at();
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -25,6 +25,7 @@
         gossip: address(4),
         control: Some(address(7)),
         seeds: vec![address(7), address(8)],
+        first_start: false,
         metrics: address(5),
         store: address(6),
         retry_ratio: 0.2,
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -5,8 +5,8 @@
 
 use common::{Harness, placement_request};
 use flamingolock_gateway::control::begun_streams::request_key;
-use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, Refusal};
-use flamingolock_wire::gossip::{BegunStream, Gossip};
+use flamingolock_gateway::control::{BuildRule, Effect, Event, FollowedTopic, Placement, Refusal};
+use flamingolock_wire::gossip::{BegunStream, BuildHistory, Gossip, ListedBuild};
 use prost::Message;
 
 /// Time for which streams are remembered, in ms: without routes, only the margin.
@@ -27,9 +27,10 @@
     }
 }
 
+/// A node that reads the entries of these engines 1 ms after the boot of its machine.
 fn with_engines(builds: &[&str]) -> Harness {
     let mut harness = Harness::with_engines(0, 0);
-    harness.engines_of_builds(builds, 0);
+    harness.engines_of_builds(builds, 1);
     harness
 }
 
@@ -88,8 +89,8 @@
     let mut harness = with_engines(&["v1", "v1"]);
     let refused = Some(Refusal::UnknownBuild);
     // The node cannot know which versions served before it started.
-    assert_eq!(resume(&mut harness, "r", MEMORY_MS - 1).err(), refused);
-    assert_eq!(build_of(resume(&mut harness, "r", MEMORY_MS)), "v1");
+    assert_eq!(resume(&mut harness, "r", MEMORY_MS).err(), refused);
+    assert_eq!(build_of(resume(&mut harness, "r", MEMORY_MS + 1)), "v1");
 
     harness.engine_of_build("e9", "v2", 6_000);
     assert_eq!(resume(&mut harness, "r", 6_100).err(), refused);
@@ -111,11 +112,57 @@
 }
 
 #[test]
-fn unknown_stream_is_refused_after_the_process_stood_still() {
+fn unknown_stream_is_refused_just_after_the_process_stood_still() {
     let mut harness = with_engines(&["v1"]);
     harness.control.tick(MEMORY_MS);
-    let refusal = resume(&mut harness, "r", MEMORY_MS + 4_000).err();
+    let woken_at = MEMORY_MS + 4_000;
+    let refusal = resume(&mut harness, "r", woken_at).err();
     assert_eq!(refusal, Some(Refusal::UnknownBuild));
+    for now in (woken_at..=woken_at + 2_000).step_by(500) {
+        harness.control.tick(now);
+    }
+    assert_eq!(build_of(resume(&mut harness, "r", woken_at + 2_000)), "v1");
+}
+
+#[test]
+fn unknown_stream_is_refused_after_a_gap_in_what_was_read() {
+    let mut harness = with_engines(&["v1"]);
+    let read = |at| Event::TopicRead {
+        topic: FollowedTopic::Endpoints,
+        end: 1,
+        at,
+    };
+    harness.control.handle(read(10_000), 10_000);
+    harness.engines_of_builds(&["v1"], 11_000);
+    assert_eq!(build_of(resume(&mut harness, "r", 11_000)), "v1");
+    harness.engines_of_builds(&["v1"], 20_000);
+    let refusal = resume(&mut harness, "r", 20_100).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
+
+/// The node learns from another one that only one version was listed, or that there
+/// was another one.
+#[test]
+fn unknown_stream_continues_at_a_node_that_learnt_what_was_listed() {
+    for (other, expected) in [("v1", None), ("v2", Some(Refusal::UnknownBuild))] {
+        let mut harness = with_engines(&["v1"]);
+        let listed = |build: &str, age_ms| ListedBuild {
+            service: "engines".to_owned(),
+            build: build.to_owned(),
+            age_ms,
+        };
+        let history = BuildHistory {
+            builds: vec![listed("v1", 0), listed(other, 3_000)],
+            complete_ms: 60_000,
+        };
+        let gossip = Gossip {
+            builds: Some(history),
+            ..Gossip::default()
+        };
+        harness.datagram(9, gossip, 4_000);
+        let refusal = resume(&mut harness, "r", 4_500).err();
+        assert_eq!(refusal, expected, "{other}");
+    }
 }
 
 #[test]
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -35,6 +35,35 @@
     /// relays. To a node that has just started, all that the sender knows.
     #[prost(message, repeated, tag = "9")]
     pub streams: Vec<BegunStream>,
+    /// Software versions that were listed recently; only to a node that has started, or
+    /// was out of reach.
+    #[prost(message, optional, tag = "10")]
+    pub builds: Option<BuildHistory>,
+}
+
+/// Software versions of endpoints that a node saw listed.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BuildHistory {
+    /// The versions.
+    #[prost(message, repeated, tag = "1")]
+    pub builds: Vec<ListedBuild>,
+    /// Time for which no other version can have been listed, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub complete_ms: u64,
+}
+
+/// A software version of a service's endpoints.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ListedBuild {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The version.
+    #[prost(string, tag = "2")]
+    pub build: String,
+    /// Time since it was last listed, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 /// A stream that began at an engine.
