soak: engines of two software versions, and callers that resume their streams

Change: one engine runs another software version, drained endpoints are replaced by the other one under a new id, and callers resume broken streams at any node. Checked are the order of the events over both answers and that all come from one software version.

--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -1,6 +1,6 @@
 //! Real entry node processes, with stand-ins of the platform's store and endpoints.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
@@ -394,3 +394,10 @@
         .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
         .collect()
 }
+
+/// Software versions of the engines that sent the events of a stream.
+pub fn event_builds(body: &str) -> BTreeSet<&str> {
+    body.lines()
+        .filter_map(|line| line.strip_prefix("data: token ")?.split(' ').nth(1))
+        .collect()
+}
--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -1,6 +1,7 @@
 //! Clients of the soak: they resolve node addresses, reuse connections and verify
 //! each response.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,7 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{sleep, timeout};
 
-use crate::entry_site::{PROMPT, event_ids};
+use crate::entry_site::{PROMPT, event_builds, event_ids};
 use crate::soak::cluster::{Cluster, Scope};
 
 /// Timeout for a whole response, also sent as the request's deadline.
@@ -93,6 +94,33 @@
     complete: bool,
 }
 
+/// A resumable stream that broke off, with the events that its caller has.
+struct Stream {
+    id: String,
+    last_event: u64,
+    builds: BTreeSet<String>,
+}
+
+impl Stream {
+    /// The stream of a response; none if it cannot be resumed or has no whole event.
+    fn of(kind: RequestKind, id: &str, outcome: &Outcome) -> Option<Self> {
+        let Outcome::Answered(answer) = outcome else {
+            return None;
+        };
+        let last_event = *event_ids(&answer.body).last()?;
+        (kind == RequestKind::Draft && answer.status == 200).then(|| Self {
+            id: id.to_owned(),
+            last_event,
+            builds: owned_builds(answer),
+        })
+    }
+}
+
+fn owned_builds(answer: &Answer) -> BTreeSet<String> {
+    let builds = event_builds(&answer.body);
+    builds.into_iter().map(ToOwned::to_owned).collect()
+}
+
 /// How a request ended at its caller.
 enum Outcome {
     Answered(Answer),
@@ -146,9 +174,15 @@
         let id = format!("c{name}-{}", records.len());
         let abandons = rng.random_bool(ABANDON_PROBABILITY);
         let sent_at = Instant::now();
-        let outcome = exchange(&mut connection, kind, &id, name, abandons).await;
+        let request = build_request(kind, &id, name, None);
+        let outcome = exchange(&mut connection, request, abandons).await;
+        let stream = Stream::of(kind, &id, &outcome);
         let (record, reusable) = check_outcome(&cluster, node, kind, &id, sent_at, outcome);
         records.push(record);
+        if let Some(stream) = stream.filter(|_| !reusable) {
+            let node = resolved_nodes.choose(&mut rng).copied().unwrap_or(node);
+            records.extend(resume(&cluster, node, &stream, name).await);
+        }
         if reusable && rng.random_bool(0.9) {
             open_connection = Some((node, connection));
         }
@@ -179,13 +213,68 @@
     Some(found.collect())
 }
 
-async fn exchange(
-    connection: &mut Connection,
+/// Resumes a stream on a new connection, and checks that its events continue at the
+/// software version that began it.
+async fn resume(
+    cluster: &Cluster,
+    node: usize,
+    stream: &Stream,
+    caller: usize,
+) -> Option<RequestRecord> {
+    let address = cluster.addresses[node].0;
+    let mut connection = Connection::open(address, CONNECT_TIMEOUT).await.ok()?;
+    let id = format!("{}-again", stream.id);
+    let request = build_request(RequestKind::Draft, &id, caller, Some(stream));
+    let mut record = RequestRecord {
+        id,
+        kind: RequestKind::Draft,
+        status: 0,
+        served: false,
+    };
+    let Outcome::Answered(answer) = exchange(&mut connection, request, false).await else {
+        return Some(record);
+    };
+    record.status = answer.status;
+    cluster.record_event(format!(
+        "{}: status {} after event {}",
+        record.id, answer.status, stream.last_event
+    ));
+    if answer.status != 200 {
+        return Some(record);
+    }
+    let events = event_ids(&answer.body);
+    let last = events.last().copied().unwrap_or(stream.last_event);
+    if !events.iter().copied().eq(stream.last_event + 1..=last) {
+        cluster.record_violation(format!(
+            "{}: wrong sequence of events {events:?}",
+            record.id
+        ));
+    }
+    if answer.complete && last != EVENTS_PER_STREAM {
+        cluster.record_violation(format!(
+            "{}: ended as complete after event {last}",
+            record.id
+        ));
+    }
+    let builds: BTreeSet<String> = stream
+        .builds
+        .union(&owned_builds(&answer))
+        .cloned()
+        .collect();
+    if builds.len() > 1 {
+        cluster.record_violation(format!("{}: events of {builds:?}", record.id));
+    }
+    record.served = answer.complete;
+    Some(record)
+}
+
+/// Builds a request of a caller; `resumed` is the stream that it resumes, if any.
+fn build_request(
     kind: RequestKind,
     id: &str,
     caller: usize,
-    abandons: bool,
-) -> Outcome {
+    resumed: Option<&Stream>,
+) -> Request<Full<Bytes>> {
     let mut request = Request::post(kind.path())
         .header("host", "site.example")
         .header("authorization", format!("Bearer key-{}", 1 + caller % 2))
@@ -196,9 +285,21 @@
             request = request.header(name, value);
         }
     }
-    let request = request
+    if let Some(stream) = resumed {
+        request = request
+            .header("resumes", &stream.id)
+            .header("last-event-id", stream.last_event);
+    }
+    request
         .body(Full::new(Bytes::from_static(b"the body")))
-        .expect("a request");
+        .expect("a request")
+}
+
+async fn exchange(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    abandons: bool,
+) -> Outcome {
     let exchange = async {
         let answer = connection.send(request).await.ok()?;
         let text = |name: &str| Some(answer.headers().get(name)?.to_str().ok()?.to_owned());
@@ -292,6 +393,10 @@
     if answer.complete && last != EVENTS_PER_STREAM {
         cluster.record_violation(format!("{id}: ended as complete after event {last}"));
     }
+    let builds = event_builds(&answer.body);
+    if builds.len() > 1 {
+        cluster.record_violation(format!("{id}: events of {builds:?}"));
+    }
     answer.complete && last == EVENTS_PER_STREAM
 }
 
--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -101,6 +101,10 @@
                 (format!("desk-{index}"), 0, 40, "desk")
             };
             let engine = Engine::start(&id, events, Duration::from_millis(pause));
+            // Two software versions serve side by side.
+            if index == ENDPOINTS - 1 {
+                engine.set_build("v2");
+            }
             let proxy = proxy::start(loopback, engine.address())
                 .await
                 .expect("a proxy starts");
--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -285,6 +285,7 @@
     cluster.store.put("keyed.servers", &key, &value);
 }
 
+/// Drains an endpoint and replaces it by one of the other software version.
 async fn drain_endpoint(cluster: &Arc<Cluster>, index: usize, time: Duration) {
     // The first engine and the first application server never drain, so that requests
     // of every kind can be served.
@@ -297,7 +298,13 @@
     let drain_started = Instant::now();
     sleep(Duration::from_secs(2) + time).await;
     checks::check_endpoint_drained(cluster, index, drain_started);
-    backend.engine.restart();
+    cluster.store.put("keyed.servers", &key, "");
+    let other = if backend.engine.build() == "v1" {
+        "v2"
+    } else {
+        "v1"
+    };
+    backend.engine.replace(other);
     let (key, value) = backend.entry("ready");
     cluster.store.put("keyed.servers", &key, &value);
 }
--- a/crates/cli/tests/test_builds.rs
+++ b/crates/cli/tests/test_builds.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use entry_site::{Answer, Node, Site, call, event_ids, wait_for};
+use entry_site::{Answer, Node, Site, call, event_builds, event_ids, wait_for};
 use flamingolock_platform_standin::{Engine, EngineMode};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -45,15 +45,6 @@
     call(node, "/draft/a", id, &headers)
 }
 
-/// Software versions of the engines that sent the events of an answer.
-fn builds(answer: &Answer) -> BTreeSet<&str> {
-    answer
-        .body
-        .lines()
-        .filter_map(|line| line.strip_prefix("data: token ")?.split(' ').nth(1))
-        .collect()
-}
-
 /// A stream that broke off.
 struct Broken {
     id: &'static str,
@@ -68,7 +59,7 @@
     let answer = draft(node, 1, id, &[]);
     set_modes(EngineMode::Healthy);
     assert!(!answer.complete, "{}", node.log());
-    let builds = builds(&answer);
+    let builds = event_builds(&answer.body);
     assert_eq!(builds.len(), 1, "{}", answer.body);
     Broken {
         id,
@@ -85,7 +76,7 @@
     for prompt in 0..6 {
         let answer = draft(node, prompt, &format!("again-{prompt}"), &more);
         let expected = BTreeSet::from([broken.build.as_str()]);
-        assert_eq!(builds(&answer), expected, "{}", answer.body);
+        assert_eq!(event_builds(&answer.body), expected, "{}", answer.body);
         let events: Vec<u64> = (broken.last_event + 1..=10).collect();
         assert_eq!(event_ids(&answer.body), events);
     }
@@ -99,7 +90,7 @@
         .map(|prompt| draft(&node, prompt, &format!("r{prompt}"), &[]))
         .collect();
     for answer in &answers {
-        assert_eq!(builds(answer).len(), 1, "{}", answer.body);
+        assert_eq!(event_builds(&answer.body).len(), 1, "{}", answer.body);
     }
     assert!(answers.iter().any(|answer| !answer.complete));
 }
@@ -112,7 +103,7 @@
     for prompt in 0..8 {
         let answer = draft(&node, prompt, &format!("r{prompt}"), &[]);
         assert!(answer.complete, "{}", node.log());
-        assert_eq!(builds(&answer).len(), 1, "{}", answer.body);
+        assert_eq!(event_builds(&answer.body).len(), 1, "{}", answer.body);
         assert_eq!(event_ids(&answer.body), (1..=10).collect::<Vec<_>>());
     }
     assert!(node.log().contains("\"end\":\"broken\""), "no stream broke");
--- a/crates/cli/tests/test_soak.rs
+++ b/crates/cli/tests/test_soak.rs
@@ -62,6 +62,14 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Streams continued at another software version, within an answer (7) and resumed by
+/// their callers (6, 7).
+#[test]
+fn streams_keep_their_build_under_random_faults() {
+    let violations = run_seeds(6..8, Duration::from_secs(10));
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 #[test]
 #[ignore = "by hand: seeds and time come from the environment"]
 fn soak_by_hand() {
