gateway: read a topic to its end before it counts as current

What callers would see: a configuration in force late. A page of the store's log may end before the topic does, because of its size or because a response without framing was cut between two records. The node took the page for all there was, reported its copy as current and read on an interval later. Change: the node reads on until the end that the page states; a page without a record before that end is an error.

--- a/crates/cli/tests/test_entry.rs
+++ b/crates/cli/tests/test_entry.rs
@@ -226,6 +226,22 @@
     assert_eq!(call(&node, "/later/a", "r3", &[]).status, 200);
 }
 
+#[test]
+fn configuration_is_in_force_in_time_though_the_store_splits_its_pages() {
+    let site = Site::start(EVENT_INTERVAL);
+    let node = site.node("node-1");
+    site.store.set_mode(StoreMode::ShortPages);
+    for version in 2..40 {
+        let text = site_configuration(version, version == 39);
+        site.store.put("keyed.op", "op/config", &text);
+    }
+    let started = Instant::now();
+    wait_for("the new route", || {
+        call(&node, "/later/a", "r1", &[]).status == 200
+    });
+    assert!(started.elapsed() < Duration::from_millis(1_500));
+}
+
 #[test]
 fn requests_go_on_while_the_store_is_away() {
     let site = Site::start(EVENT_INTERVAL);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -118,6 +118,30 @@
         let (status, body) = self.call(request, wait_ms).await?;
         Ok((self.dialect.parse_read_response)(status, body)?)
     }
+
+    /// Reads the records from an offset to the end of a topic, which may take several
+    /// pages.
+    async fn read_to_end(
+        &mut self,
+        topic: &str,
+        from: u64,
+        wait_ms: u64,
+    ) -> Result<LogPage, StoreError> {
+        let mut page = self.read(topic, from, wait_ms).await?;
+        while let LogPage::Records { end, records } = &mut page
+            && from + (records.len() as u64) < *end
+        {
+            let next = from + records.len() as u64;
+            match self.read(topic, next, 0).await? {
+                LogPage::Records { records: more, .. } if !more.is_empty() => records.extend(more),
+                _ => {
+                    let reason = format!("no record at offset {next} of {end}");
+                    return Err(DecodeError::Encoding(reason).into());
+                }
+            }
+        }
+        Ok(page)
+    }
 }
 
 /// Topic to follow, with the constructors of its events.
@@ -173,7 +197,7 @@
     let sent_at = now();
     let mut at = sent_at;
     let page = match *from {
-        Some(from) => Some((from, store.read(reader.topic, from, wait_ms).await?)),
+        Some(from) => Some((from, store.read_to_end(reader.topic, from, wait_ms).await?)),
         None => None,
     };
     let (event, end) = match page {
