gateway: continue a resumed stream at the service that began it

What callers would see: on a route that several services share, the rest of a stream from another service. The service of each request was drawn anew. Change: it is selected by a hash of the request's id, for a resumed stream of the id that began it. Measured: resumed_stream_continues_at_the_service_that_began_it failed before and passes now.

--- a/crates/cli/tests/test_builds.rs
+++ b/crates/cli/tests/test_builds.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use entry_site::{Answer, Node, Site, call, event_builds, event_ids, wait_for};
+use entry_site::{Answer, Node, Site, call, event_builds, event_ids, site_configuration, wait_for};
 use flamingolock_platform_standin::{Engine, EngineMode};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -141,3 +141,37 @@
     assert_eq!((answer.status, site.executions("r1")), (503, 0));
     assert!(answer.headers.contains_key("retry-after"));
 }
+
+/// The route's traffic is shared by two services, with an engine each.
+#[test]
+fn resumed_stream_continues_at_the_service_that_began_it() {
+    let site = Site::start(EVENT_INTERVAL);
+    let mut config: serde_json::Value =
+        serde_json::from_str(&site_configuration(2, false)).expect("the site's configuration");
+    let mut other = config["Services"][0].clone();
+    other["Name"] = "others".into();
+    let services = config["Services"].as_array_mut().expect("services");
+    services.push(other);
+    config["Routes"][0]["Backends"] = serde_json::json!([
+        {"Service": "engines", "Weight": 1}, {"Service": "others", "Weight": 1},
+    ]);
+    site.store.put("keyed.op", "op/config", &config.to_string());
+    site.put_entry(&site.engines[1], "others", "ready");
+    let node = site.node("node-1");
+    let ran_at = |id: &str| {
+        let mut engines = site.engines.iter();
+        engines.position(|engine| engine.runs().contains_key(id))
+    };
+    for prompt in 0..8 {
+        let id = format!("r{prompt}");
+        let set_modes = |mode| site.engines.iter().for_each(|engine| engine.set_mode(mode));
+        set_modes(EngineMode::BreakAfter(4));
+        let begun = draft(&node, prompt, &id, &[]);
+        set_modes(EngineMode::Healthy);
+        let last_event = event_ids(&begun.body).last().expect("an event").to_string();
+        let more = [("resumes", id.as_str()), ("last-event-id", &last_event)];
+        let again = format!("again-{prompt}");
+        assert!(draft(&node, prompt, &again, &more).complete);
+        assert_eq!(ran_at(&again), ran_at(&id), "{id}");
+    }
+}
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -65,10 +65,10 @@
         }
     }
 
-    /// Selects a service by backend weight, given a random number.
-    pub fn select_service(&self, random: u32) -> Option<&Arc<str>> {
+    /// Selects a service by backend weight, given an evenly distributed number.
+    pub fn select_service(&self, number: u64) -> Option<&Arc<str>> {
         let total: u64 = self.backends.iter().map(|b| u64::from(b.weight)).sum();
-        let mut left = u64::from(random) % total.max(1);
+        let mut left = number % total.max(1);
         for backend in &self.backends {
             let weight = u64::from(backend.weight);
             if left < weight {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -17,6 +17,7 @@
 use crate::catalog::{Catalog, RequestKind, Route, Workspace};
 use crate::clock::{Millis, now};
 use crate::control::View;
+use crate::control::begun_streams::request_key;
 use crate::dialect::RequestHead;
 use crate::forward::forward;
 use crate::metrics::Metrics;
@@ -77,7 +78,7 @@
         Ok(body) => body,
         Err(reason) => return refuse(&id, &metrics, reason, None),
     };
-    let Some(service) = route.select_service(rand::random()).cloned() else {
+    let Some(service) = route.select_service(service_number(&head)).cloned() else {
         return refuse(&id, &metrics, ErrorReason::NoRoute, None);
     };
     let target = parts
@@ -103,6 +104,13 @@
     response
 }
 
+/// Number by which the request's service is selected. A resumed stream has that of the
+/// request that began it.
+fn service_number(head: &RequestHead) -> u64 {
+    let stream = head.resumes.as_ref().or(head.request_id.as_ref());
+    stream.map_or_else(rand::random, |id| request_key(id))
+}
+
 /// True if a stream that starts now might not end before the process does.
 pub fn past_stream_cutoff(view: &View, now: Millis) -> bool {
     view.shutdown_at
