--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,22 +1,19 @@
 //! A single attempt to serve a request at one endpoint.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use flamingolock_wire::gossip::BegunStream;
-use http::uri::PathAndQuery;
-use http::{HeaderMap, Method, Request, StatusCode, Uri};
+use http::{HeaderMap, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::catalog::{RequestKind, Route, Workspace};
-use crate::control::begun_streams::request_key;
-use crate::control::{Event, Grant, Handle, RunEnd};
-use crate::dialect::{Dialect, EndpointHead, RequestHead, ResponseHead};
-use crate::endpoint::EndpointKey;
-use crate::http_client::{BodyFraming, CallError, Connection, Pool};
+use crate::catalog::RequestKind;
+use crate::control::{Grant, RunEnd};
+use crate::dialect::{EndpointHead, ResponseHead};
+use crate::exchange::{Exchange, ProxyContext};
+use crate::http_client::{BodyFraming, CallError, Connection};
+use crate::run_guard::RunGuard;
 
 /// Timeout for connecting to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -32,116 +29,6 @@
 /// Timeout for draining an unneeded response body so that the connection can be reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// A caller's request with its whole body and everything known about it.
-#[derive(Debug)]
-pub struct Exchange {
-    /// Request id, for logs.
-    pub request_id: Arc<str>,
-    /// Method sent by the caller.
-    pub method: Method,
-    /// Path and query sent by the caller.
-    pub target: PathAndQuery,
-    /// Headers sent by the caller.
-    pub headers: HeaderMap,
-    /// Request body.
-    pub body: Bytes,
-    /// Values parsed from the headers.
-    pub head: RequestHead,
-    /// Route that the request matched.
-    pub route: Arc<Route>,
-    /// Service selected from the route's backends.
-    pub service: Arc<str>,
-    /// Workspace of the API key, if the request has a key.
-    pub workspace: Option<Arc<Workspace>>,
-    /// When the request head arrived.
-    pub started: Instant,
-    /// When the request is given up: after the caller's or the route's timeout,
-    /// whichever is shorter.
-    pub deadline: Instant,
-}
-
-impl Exchange {
-    /// True if the caller resumes a stream that it lost.
-    pub fn resumes_stream(&self) -> bool {
-        self.route.resumable && self.head.last_event.is_some()
-    }
-}
-
-/// Shared state that request handlers need.
-#[derive(Clone, Debug)]
-pub struct ProxyContext {
-    /// Handle of the control thread.
-    pub handle: Handle,
-    /// Encoding and decoding of the platform's API.
-    pub dialect: &'static Dialect,
-    /// Idle connections to endpoints.
-    pub pool: Pool,
-}
-
-/// Reports the end of a run to the control thread. If the guard is dropped before
-/// [`RunGuard::end`], the run counts as left by the caller.
-#[derive(Debug)]
-pub struct RunGuard {
-    handle: Handle,
-    endpoint: EndpointKey,
-    number: u64,
-    model: Option<String>,
-    /// Stream that begins with the run, if it may be resumed.
-    stream: Option<BegunStream>,
-    open: bool,
-}
-
-impl RunGuard {
-    fn new(handle: &Handle, grant: &Grant, exchange: &Exchange, resumed: bool) -> Self {
-        let begins = exchange.route.resumable && !resumed;
-        Self {
-            handle: handle.clone(),
-            endpoint: grant.endpoint.key(),
-            number: grant.run_number,
-            model: exchange.head.model.clone(),
-            stream: begins.then(|| BegunStream {
-                request: request_key(&exchange.request_id),
-                build: grant.endpoint.build.to_string(),
-                age_ms: 0,
-            }),
-            open: true,
-        }
-    }
-
-    /// Reports that the first bytes of the response body have arrived.
-    pub fn first_token(&self, weights: Option<u64>) {
-        self.handle.send(Event::FirstToken {
-            endpoint: self.endpoint,
-            run_number: self.number,
-            weights,
-            model: self.model.clone(),
-            begun: self.stream.clone(),
-        });
-    }
-
-    /// Reports how the run ended.
-    pub fn end(mut self, end: RunEnd) {
-        self.finish(end);
-    }
-
-    fn finish(&mut self, end: RunEnd) {
-        if std::mem::take(&mut self.open) {
-            self.handle.send(Event::RunEnded {
-                endpoint: self.endpoint,
-                run_number: self.number,
-                end,
-                model: self.model.take(),
-            });
-        }
-    }
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        self.finish(RunEnd::CallerLeft);
-    }
-}
-
 /// A streamed response whose first chunk has arrived, or whose body is empty.
 #[derive(Debug)]
 pub struct OpenedStream {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -6,9 +6,9 @@
 use http::header::{CONTENT_TYPE, HeaderValue};
 use http::{Request, Response, StatusCode};
 
-use crate::attempt::ProxyContext;
 use crate::control::View;
 use crate::dialect::ResolveQuery;
+use crate::exchange::ProxyContext;
 use crate::response::{ResponseBody, full_body};
 
 /// Time in seconds for which callers may cache the response. It is short because
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,59 @@
+//! A caller's request while it is handled, and what its handlers share.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method};
+use tokio::time::Instant;
+
+use crate::catalog::{Route, Workspace};
+use crate::control::Handle;
+use crate::dialect::{Dialect, RequestHead};
+use crate::http_client::Pool;
+
+/// A caller's request with its whole body and everything known about it.
+#[derive(Debug)]
+pub struct Exchange {
+    /// Request id, for logs.
+    pub request_id: Arc<str>,
+    /// Method sent by the caller.
+    pub method: Method,
+    /// Path and query sent by the caller.
+    pub target: PathAndQuery,
+    /// Headers sent by the caller.
+    pub headers: HeaderMap,
+    /// Request body.
+    pub body: Bytes,
+    /// Values parsed from the headers.
+    pub head: RequestHead,
+    /// Route that the request matched.
+    pub route: Arc<Route>,
+    /// Service selected from the route's backends.
+    pub service: Arc<str>,
+    /// Workspace of the API key, if the request has a key.
+    pub workspace: Option<Arc<Workspace>>,
+    /// When the request head arrived.
+    pub started: Instant,
+    /// When the request is given up: after the caller's or the route's timeout,
+    /// whichever is shorter.
+    pub deadline: Instant,
+}
+
+impl Exchange {
+    /// True if the caller resumes a stream that it lost.
+    pub fn resumes_stream(&self) -> bool {
+        self.route.resumable && self.head.last_event.is_some()
+    }
+}
+
+/// Shared state that request handlers need.
+#[derive(Clone, Debug)]
+pub struct ProxyContext {
+    /// Handle of the control thread.
+    pub handle: Handle,
+    /// Encoding and decoding of the platform's API.
+    pub dialect: &'static Dialect,
+    /// Idle connections to endpoints.
+    pub pool: Pool,
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,11 +6,12 @@
 use http::{Response, StatusCode};
 use tokio::time::Instant;
 
-use crate::attempt::{AttemptOutcome, BufferedResponse, Exchange, ProxyContext, attempt};
+use crate::attempt::{AttemptOutcome, BufferedResponse, attempt};
 use crate::catalog::RequestKind;
 use crate::control::begun_streams::request_key;
 use crate::control::{BuildRule, Grant, Placement, PlacementRequest, Refusal, RunEnd};
 use crate::endpoint::EndpointKey;
+use crate::exchange::{Exchange, ProxyContext};
 use crate::http_client::BodyFraming;
 use crate::relay;
 use crate::response::{self, ErrorReason, ResponseBody};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -7,9 +7,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 
-use crate::attempt::ProxyContext;
 use crate::control::{self, Event, FollowedTopic, Handle};
 use crate::dialect::Dialect;
+use crate::exchange::ProxyContext;
 use crate::gossip;
 use crate::http_client::Pool;
 use crate::metrics::Metrics;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,11 +12,10 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{
-    AttemptOutcome, Exchange, OpenedStream, ProxyContext, attempt, closes_connection,
-};
+use crate::attempt::{AttemptOutcome, OpenedStream, attempt, closes_connection};
 use crate::control::RunEnd;
 use crate::event_stream::EventSplitter;
+use crate::exchange::{Exchange, ProxyContext};
 use crate::forward::{RetryState, elapsed_ms};
 use crate::http_client::BodyFraming;
 use crate::response::{IncompleteBody, ResponseBody};
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -13,12 +13,12 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
-use crate::attempt::{Exchange, ProxyContext};
 use crate::catalog::{Catalog, RequestKind, Route, Workspace};
 use crate::clock::{Millis, now};
 use crate::control::View;
 use crate::control::begun_streams::request_key;
 use crate::dialect::RequestHead;
+use crate::exchange::{Exchange, ProxyContext};
 use crate::forward::forward;
 use crate::metrics::Metrics;
 use crate::response::{ErrorReason, ResponseBody, error_response};
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -17,9 +17,9 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::attempt::ProxyContext;
 use crate::catalog::CallerLimits;
 use crate::directory;
+use crate::exchange::ProxyContext;
 use crate::metrics::Metrics;
 use crate::request_handler;
 use crate::response::ResponseBody;
