gateway: gather what concerns resumed streams in one module

Cause: the placement, the gossip and the state each had a part of it; the tests spread prompts over the engines with the same lines three times. Change: control/state/streams.rs; entry_site::draft. No behaviour changes.

--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -284,6 +284,18 @@
     call(node, path, id, &PROMPT)
 }
 
+/// Requests a stream; prompts with different numbers are spread over the engines.
+pub fn draft(node: &Node, prompt: usize, id: &str, more: &[(&str, &str)]) -> Answer {
+    let parts = format!("a{prompt}:300,b{prompt}:400,c:300");
+    let mut headers = vec![
+        ("model", "planner"),
+        ("token-usage", "1000,64"),
+        ("prefix-hash", parts.as_str()),
+    ];
+    headers.extend_from_slice(more);
+    call(node, "/draft/a", id, &headers)
+}
+
 /// The site's configuration record; `extra_route` adds the route `/later/`.
 pub fn site_configuration(version: u64, extra_route: bool) -> String {
     let route = |name: &str,
--- a/crates/cli/tests/test_builds.rs
+++ b/crates/cli/tests/test_builds.rs
@@ -7,7 +7,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use entry_site::{Answer, Node, Site, call, event_builds, event_ids, site_configuration, wait_for};
+use entry_site::{
+    Answer, Node, Site, draft, event_builds, event_ids, site_configuration, wait_for,
+};
 use flamingolock_platform_standin::{Engine, EngineMode};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -33,18 +35,6 @@
     node
 }
 
-/// Requests a stream; prompts with different numbers are spread over the engines.
-fn draft(node: &Node, prompt: usize, id: &str, more: &[(&str, &str)]) -> Answer {
-    let parts = format!("a{prompt}:300,b{prompt}:400,c:300");
-    let mut headers = vec![
-        ("model", "planner"),
-        ("token-usage", "1000,64"),
-        ("prefix-hash", parts.as_str()),
-    ];
-    headers.extend_from_slice(more);
-    call(node, "/draft/a", id, &headers)
-}
-
 /// A stream that broke off.
 struct Broken {
     id: &'static str,
--- a/crates/cli/tests/test_entry.rs
+++ b/crates/cli/tests/test_entry.rs
@@ -6,7 +6,9 @@
 
 use std::time::{Duration, Instant};
 
-use entry_site::{Node, Site, call, event_ids, get, request, site_configuration, stream, wait_for};
+use entry_site::{
+    Node, Site, call, draft, event_ids, get, request, site_configuration, stream, wait_for,
+};
 use flamingolock_platform_standin::{Engine, EngineMode, Store, StoreMode};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -158,15 +160,7 @@
     let node = site.node("node-1");
     site.engines[0].set_mode(EngineMode::BreakAfter(4));
     for index in 0..8 {
-        let id = format!("r{index}");
-        // Prompts with different prefix hashes are spread over the engines.
-        let parts = format!("a{index}:300,b{index}:400,c:300");
-        let prompt = [
-            ("model", "planner"),
-            ("token-usage", "1000,64"),
-            ("prefix-hash", parts.as_str()),
-        ];
-        let answer = call(&node, "/draft/a", &id, &prompt);
+        let answer = draft(&node, index, &format!("r{index}"), &[]);
         assert!(answer.complete, "{}", node.log());
         assert_eq!(event_ids(&answer.body), (1..=10).collect::<Vec<_>>());
     }
--- a/crates/cli/tests/test_unframed_responses.rs
+++ b/crates/cli/tests/test_unframed_responses.rs
@@ -8,7 +8,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use entry_site::{Node, Site, call, event_ids, stream};
+use entry_site::{Node, Site, call, draft, event_ids, stream};
 use flamingolock_platform_standin::EngineMode;
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
@@ -53,14 +53,7 @@
     let (site, node) = start(EngineMode::Healthy, EngineMode::Healthy);
     site.engines[0].set_mode(EngineMode::UnframedCutAfter(4));
     for index in 0..8 {
-        let id = format!("r{index}");
-        let parts = format!("a{index}:300,b{index}:400,c:300");
-        let prompt = [
-            ("model", "planner"),
-            ("token-usage", "1000,64"),
-            ("prefix-hash", parts.as_str()),
-        ];
-        let answer = call(&node, "/draft/a", &id, &prompt);
+        let answer = draft(&node, index, &format!("r{index}"), &[]);
         assert!(answer.complete, "{}", node.log());
         assert_eq!(event_ids(&answer.body), (1..=10).collect::<Vec<_>>());
     }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -4,6 +4,7 @@
 mod peer_sync;
 mod placement;
 mod records;
+mod streams;
 mod topics;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -396,13 +397,6 @@
         }
     }
 
-    /// Forgets the streams and software versions that no caller can resume any more.
-    fn forget_streams(&mut self, now: Millis) {
-        let oldest = now.saturating_sub(self.stream_memory());
-        self.streams.forget_before(oldest);
-        self.listed_builds.forget_before(oldest);
-    }
-
     /// Returns the rank of this node among those that may send orders.
     fn rank(&self, now: Millis) -> usize {
         self.peers
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use flamingolock_wire::gossip::{BegunStream, Gossip, NodeState, Reload, Run};
+use flamingolock_wire::gossip::{Gossip, NodeState, Reload, Run};
 use prost::Message;
 
 use super::{Control, GOSSIP_INTERVAL_MS};
@@ -218,33 +218,6 @@
         replaced.is_some()
     }
 
-    /// Records a stream that began at this node, and tells the other nodes.
-    pub(super) fn stream_begun(&mut self, stream: BegunStream, now: Millis) {
-        self.streams.record(&stream, now);
-        self.outgoing_streams.push(stream);
-        self.gossip_pending_at.get_or_insert(now);
-    }
-
-    /// Tells a node that has started, or was out of reach, which streams began and which
-    /// software versions were listed recently. In fleets with hubs only these do so.
-    fn send_history(&mut self, node: SocketAddr, now: Millis) {
-        if !(self.is_hub || self.peers.is_full_mesh(now)) {
-            return;
-        }
-        let streams = self.streams.list(now);
-        let listed = self.fleet.values().map(|state| &*state.endpoint);
-        let builds = self.listed_builds.history(listed, now);
-        log::info!(node:% = node, streams = streams.len(), builds:? = builds; "sent the streams that began recently");
-        let gossip = Gossip {
-            sender: Some(self.own_state()),
-            streams,
-            builds,
-            relayed: true,
-            ..Gossip::default()
-        };
-        self.send_in_datagrams(gossip, &[node]);
-    }
-
     pub(super) fn apply_reload(&mut self, reload: &Reload, now: Millis) {
         self.rollout.note_progress(now);
         let Some(state) = self.fleet.get_mut(&reload.endpoint) else {
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -1,7 +1,5 @@
 //! Placement of requests: selects an endpoint and builds the grant for it.
 
-use std::sync::Arc;
-
 use flamingolock_wire::gossip::{Fault, Run};
 use rand::Rng;
 use tokio::sync::oneshot;
@@ -36,9 +34,6 @@
 /// cache store at which the prompt is still written there.
 const STORE_OWN_RATIO: f64 = 1.0;
 
-/// Time in ms for which streams are remembered beyond the timeout of their route.
-const RESUME_MARGIN_MS: Millis = 5_000;
-
 /// Number of output tokens from which on stalls of an answer are noticeable.
 const LONG_ANSWER_TOKENS: u32 = 16;
 
@@ -146,38 +141,6 @@
         let _ = reply.send(Err(refusal));
     }
 
-    /// Returns the software version that began a stream, given the key of the request
-    /// that began it. A stream that no node has told of began at the only version that
-    /// served since its caller may have begun it, if there is only one.
-    fn build_of_stream(
-        &self,
-        begun_by: Option<u64>,
-        service: &str,
-        now: Millis,
-    ) -> Option<Arc<str>> {
-        if let Some(build) = begun_by.and_then(|request| self.streams.build_of(request)) {
-            return Some(build);
-        }
-        if self.is_recovering(now) {
-            return None;
-        }
-        let since = now.saturating_sub(self.stream_memory());
-        let listed = self.fleet.values().map(|state| &*state.endpoint);
-        let sole = self.listed_builds.sole_build(service, listed, since)?;
-        let begun = self.streams.builds();
-        begun.iter().all(|build| *build == sole).then_some(sole)
-    }
-
-    /// Time in ms for which a caller may resume a stream.
-    pub(super) fn stream_memory(&self) -> Millis {
-        let routes = self.catalog.iter().flat_map(|catalog| &catalog.routes);
-        let longest = routes
-            .filter(|route| route.resumable)
-            .map(|route| route.timeout.as_millis() as Millis)
-            .max();
-        longest.unwrap_or(0) + RESUME_MARGIN_MS
-    }
-
     /// Returns the endpoint with the lowest estimated cost.
     pub(super) fn select_endpoint(
         &self,
