gateway: keep the software versions that may have begun a stream in the store

Change: one node records the versions when they change, including those that left less than a stream's time ago; a node that starts, but not on the first start of the fleet, reads the record. A stream that nobody knows of continues if the record and the entries name one version. Three tests of the control thread and resumed_stream_continues_after_all_nodes_were_killed.

--- a/crates/cli/tests/test_builds.rs
+++ b/crates/cli/tests/test_builds.rs
@@ -122,6 +122,25 @@
     assert_continues(&second, &broken);
 }
 
+/// No node is left that knows the stream, but only one software version can have begun
+/// it.
+#[test]
+fn resumed_stream_continues_after_all_nodes_were_killed() {
+    let site = Site::start(EVENT_INTERVAL);
+    let mut node = started_node(&site, "node-1");
+    wait_for("the record of the software versions", || {
+        !site.store.records("keyed.builds").is_empty()
+    });
+    let broken = broken_stream(&site, &node, "r1");
+    node.kill();
+    node.restart();
+    node.wait_ready();
+    wait_for("the node to read the record", || {
+        node.log().contains("read the recorded software versions")
+    });
+    assert_continues(&node, &broken);
+}
+
 #[test]
 fn resumed_stream_of_an_unknown_build_is_not_run() {
     let site = start(&[]);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -22,7 +22,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
-use flamingolock_wire::gossip::BegunStream;
+use flamingolock_wire::gossip::{BegunStream, BuildHistory};
 use flamingolock_wire::topic_copies::TopicCopies;
 use tokio::sync::{mpsc, oneshot};
 
@@ -244,6 +244,10 @@
     LeaseAppended(u64),
     /// A read of the lease topic or an append to it failed.
     LeaseFailed,
+    /// The record of the software versions was read when the node started.
+    BuildsRead(BuildHistory),
+    /// An append of the record of the software versions ended; true if it is stored.
+    BuildsRecorded(bool),
     /// A weight load order was answered, or its attempt ended without an answer.
     OrderAnswered(Box<WeightsOrder>, OrderOutcome),
     /// A request for an engine's report ended; carries the report, if there is one.
@@ -278,6 +282,8 @@
     LeaseRead(u64),
     /// Append a lease record if the topic ends at this offset.
     LeaseAppend(u64),
+    /// Record the software versions that may have begun a stream.
+    RecordBuilds(BuildHistory),
     /// Send an order to an engine.
     SendOrder(Box<WeightsOrder>),
     /// Request an engine's report.
--- a/crates/gateway/src/control/listed_builds.rs
+++ b/crates/gateway/src/control/listed_builds.rs
@@ -86,6 +86,19 @@
         })
     }
 
+    /// Adds what the nodes recorded before all of them ended. The record names every
+    /// version that may have begun a stream.
+    pub fn recover(&mut self, recorded: &BuildHistory, now: Millis) {
+        for listed in &recorded.builds {
+            self.saw(
+                listed.service.as_str().into(),
+                listed.build.as_str().into(),
+                now,
+            );
+        }
+        self.complete_since = Some(0);
+    }
+
     /// Forgets the versions that were last listed before a time.
     pub fn forget_before(&mut self, time: Millis) {
         self.seen.retain(|_, at| *at >= time);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -15,6 +15,7 @@
 use flamingolock_wire::gossip::{BegunStream, Fault, NodeState, Reload, Run};
 use tokio::sync::oneshot;
 
+use self::streams::BuildRecord;
 use crate::catalog::Catalog;
 use crate::clock::Millis;
 use crate::control::begun_streams::BegunStreams;
@@ -79,6 +80,7 @@
     parts: CacheIndex,
     streams: BegunStreams,
     listed_builds: ListedBuilds,
+    build_record: BuildRecord,
     peers: Peers,
     budget: RetryBudget,
     rollout: Rollout,
@@ -142,6 +144,7 @@
             catalog: None,
             fleet: BTreeMap::new(),
             parts: CacheIndex::default(),
+            build_record: BuildRecord::default(),
             streams: BegunStreams::default(),
             peers: Peers::default(),
             rollout: Rollout::default(),
@@ -218,12 +221,7 @@
                     self.apply_operator_record(record, written_at, now);
                 }
             }
-            Event::EndpointSnapshot(records) => {
-                let current_at = self.endpoints_copy.current_at();
-                let unread_ms = current_at.map(|at| now.saturating_sub(at));
-                self.listed_builds.entries_read(unread_ms, now);
-                self.apply_endpoint_snapshot(&records, now);
-            }
+            Event::EndpointSnapshot(records) => self.endpoints_read(&records, now),
             Event::EndpointRecords(records) => {
                 for record in &records {
                     self.apply_endpoint_record(record, now);
@@ -249,6 +247,8 @@
                 log::info!(fencing = offset; "acquired lease for engine orders");
             }
             Event::LeaseFailed => self.lease.failed(now),
+            Event::BuildsRead(recorded) => self.builds_read(recorded, now),
+            Event::BuildsRecorded(stored) => self.builds_recorded(stored),
             Event::OrderAnswered(order, outcome) => {
                 log::info!(engine = &*order.engine.id, model = order.model.as_str(), version = order.version,
                     fencing = order.fencing_token, accepted = order.accepted, outcome:? = outcome; "outcome of weight load order");
@@ -304,6 +304,7 @@
             self.runs_swept_at = now;
             self.drop_runs_of_dead_nodes(now);
             self.forget_streams(now);
+            self.record_builds(now);
         }
         let mut wake = now + MAX_TICK_INTERVAL_MS;
         if let Some(at) = self.gossip_pending_at {
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -87,6 +87,14 @@
         true
     }
 
+    /// Applies all entries, as read from the store.
+    pub(super) fn endpoints_read(&mut self, records: &[KeyedRecord], now: Millis) {
+        let current_at = self.endpoints_copy.current_at();
+        let unread_ms = current_at.map(|at| now.saturating_sub(at));
+        self.listed_builds.entries_read(unread_ms, now);
+        self.apply_endpoint_snapshot(records, now);
+    }
+
     pub(super) fn apply_endpoint_snapshot(&mut self, records: &[KeyedRecord], now: Millis) {
         let listed: Vec<EndpointKey> = records
             .iter()
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -3,15 +3,76 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use flamingolock_wire::gossip::{BegunStream, Gossip};
+use flamingolock_wire::gossip::{BegunStream, BuildHistory, Gossip};
 
 use super::Control;
 use crate::clock::Millis;
+use crate::control::Effect;
 
 /// Time in ms for which streams are remembered beyond the timeout of their route.
 const RESUME_MARGIN_MS: Millis = 5_000;
 
+/// Time in ms after its first entry for which a node records no software versions, so
+/// that it knows the other nodes.
+const RECORD_DELAY_MS: Millis = 2_000;
+
+/// Minimum interval in ms between two records of the software versions.
+const RECORD_INTERVAL_MS: Millis = 1_000;
+
+/// The record of the software versions that may have begun a stream, kept in the store
+/// for the case that all nodes end.
+#[derive(Debug, Default)]
+pub struct BuildRecord {
+    /// Content of the store's record, as far as this node knows.
+    stored: Option<BuildHistory>,
+    /// Content and time of the last append.
+    appended: Option<(BuildHistory, Millis)>,
+}
+
 impl Control {
+    /// Handles the record that the node found when it started.
+    pub(super) fn builds_read(&mut self, recorded: BuildHistory, now: Millis) {
+        log::info!(builds:? = recorded.builds; "read the recorded software versions");
+        self.listed_builds.recover(&recorded, now);
+        self.build_record.stored = Some(recorded);
+    }
+
+    /// Handles the end of an append of the record.
+    pub(super) fn builds_recorded(&mut self, stored: bool) {
+        if let Some((history, _)) = self.build_record.appended.as_ref().filter(|_| stored) {
+            self.build_record.stored = Some(history.clone());
+        }
+    }
+
+    /// Records the software versions if they have changed. Of all nodes only the one of
+    /// the first rank does so.
+    pub(super) fn record_builds(&mut self, now: Millis) {
+        let record = &self.build_record;
+        let started = self
+            .started_at
+            .is_some_and(|at| now >= at + RECORD_DELAY_MS);
+        let waits = record
+            .appended
+            .as_ref()
+            .is_some_and(|(_, at)| now < at + RECORD_INTERVAL_MS);
+        let usable = !self.store_unreachable && self.shutdown_at.is_none();
+        if !started || waits || !usable || self.rank(now) > 0 {
+            return;
+        }
+        let listed = self.fleet.values().map(|state| &*state.endpoint);
+        let Some(mut history) = self.listed_builds.history(listed, now) else {
+            return;
+        };
+        history.complete_ms = 0;
+        history.builds.iter_mut().for_each(|build| build.age_ms = 0);
+        if record.stored.as_ref() == Some(&history) {
+            return;
+        }
+        log::info!(builds:? = history.builds; "recording the software versions");
+        self.build_record.appended = Some((history.clone(), now));
+        self.effects.push(Effect::RecordBuilds(history));
+    }
+
     /// Records a stream that began at this node, and tells the other nodes.
     pub(super) fn stream_begun(&mut self, stream: BegunStream, now: Millis) {
         self.streams.record(&stream, now);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -270,6 +270,8 @@
     pub nodes: &'static str,
     /// Lease of the node that may give orders.
     pub lease: &'static str,
+    /// Software versions of the endpoints that may have begun a stream.
+    pub builds: &'static str,
 }
 
 /// Encoding and decoding functions of a platform.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -89,6 +89,14 @@
                     at,
                 ));
             }
+            Effect::RecordBuilds(history) => {
+                tokio::spawn(store::record_builds(
+                    settings.clone(),
+                    dialect,
+                    handle.clone(),
+                    history,
+                ));
+            }
             Effect::SendOrder(order) => {
                 tokio::spawn(orders::send_order(dialect, handle.clone(), order));
             }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -97,6 +97,13 @@
         dialect,
         handle.clone(),
     ));
+    if !settings.first_start {
+        tokio::spawn(store::read_builds(
+            settings.clone(),
+            dialect,
+            handle.clone(),
+        ));
+    }
     tokio::spawn(server::serve_directory(directory_listener, context.clone()));
     tokio::spawn(server::serve_directory(ready_listener, context.clone()));
     tokio::spawn(server::serve_metrics(metrics_listener, metrics.clone()));
@@ -108,7 +115,7 @@
         shutdown,
     ));
     log::info!(node = settings.node.as_str(), zone = settings.zone.as_str(), callers:% = settings.callers,
-        store:% = settings.store; "node started");
+        store:% = settings.store, first_start = settings.first_start; "node started");
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use flamingolock_wire::gossip::BuildHistory;
+use prost::Message;
 use rand::Rng;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::sleep;
@@ -23,6 +25,9 @@
 /// is added.
 const RETRY_MS: u64 = 250;
 
+/// Key of the record of the software versions.
+const BUILDS_KEY: &str = "listed";
+
 /// Interval for reading the registry of nodes.
 const REGISTRY_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -340,3 +345,51 @@
         }
     }
 }
+
+/// Reads the record of the software versions and reports it to the control thread.
+pub async fn read_builds(settings: Settings, dialect: &'static Dialect, handle: Handle) {
+    let mut store = StoreClient::new(&settings, dialect, handle);
+    let topic = dialect.topics.builds;
+    let records = loop {
+        match store.newest(topic).await {
+            Ok((records, _)) => break records,
+            Err(error) => store.report_and_back_off(topic, &error).await,
+        }
+    };
+    for value in records.into_iter().filter_map(|record| record.value) {
+        match BuildHistory::decode(value) {
+            Ok(recorded) => store.handle.send(Event::BuildsRead(recorded)),
+            Err(error) => {
+                log::warn!(error:% = error; "cannot decode the record of the software versions; ignored");
+            }
+        }
+    }
+}
+
+/// Appends the record of the software versions and reports the result to the control
+/// thread.
+pub async fn record_builds(
+    settings: Settings,
+    dialect: &'static Dialect,
+    handle: Handle,
+    history: BuildHistory,
+) {
+    let mut store = StoreClient::new(&settings, dialect, handle.clone());
+    let topic = dialect.topics.builds;
+    let request = (dialect.append_keyed_request)(topic, BUILDS_KEY, &history.encode_to_vec());
+    let outcome = store
+        .call(request, 0)
+        .await
+        .and_then(|(status, body)| Ok((dialect.parse_append_response)(status, &body)?));
+    match outcome {
+        Ok(AppendOutcome::At(_)) => handle.send(Event::BuildsRecorded(true)),
+        Ok(other) => {
+            log::warn!(outcome:? = other; "cannot record the software versions");
+            handle.send(Event::BuildsRecorded(false));
+        }
+        Err(error) => {
+            log::warn!(error:% = error; "unknown whether the software versions were recorded");
+            handle.send(Event::BuildsRecorded(false));
+        }
+    }
+}
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -217,3 +217,77 @@
     assert_eq!(requests, expected);
     assert!(told.iter().all(|stream| stream.age_ms == 30));
 }
+
+fn recorded(builds: &[&str]) -> BuildHistory {
+    let listed = |build: &&str| ListedBuild {
+        service: "engines".to_owned(),
+        build: (*build).to_owned(),
+        age_ms: 0,
+    };
+    BuildHistory {
+        builds: builds.iter().map(listed).collect(),
+        complete_ms: 0,
+    }
+}
+
+/// Records among the effects of a tick every 500 ms.
+fn records_between(harness: &mut Harness, from: u64, to: u64) -> Vec<BuildHistory> {
+    let ticks = (from..to).step_by(500);
+    let effects = ticks.flat_map(|now| harness.effects(now));
+    let records = effects.filter_map(|effect| match effect {
+        Effect::RecordBuilds(history) => Some(history),
+        _ => None,
+    });
+    records.collect()
+}
+
+#[test]
+fn unknown_stream_continues_after_all_nodes_ended_if_one_build_was_recorded() {
+    for (builds, expected) in [
+        (&["v1"][..], None),
+        (&["v1", "v2"][..], Some(Refusal::UnknownBuild)),
+    ] {
+        let mut harness = with_engines(&["v1"]);
+        let event = Event::BuildsRead(recorded(builds));
+        harness.control.handle(event, 100);
+        let refusal = resume(&mut harness, "r", 200).err();
+        assert_eq!(refusal, expected, "{builds:?}");
+    }
+}
+
+#[test]
+fn builds_are_recorded_when_they_change() {
+    let mut harness = with_engines(&["v1"]);
+    assert_eq!(records_between(&mut harness, 500, 2_000), []);
+    let first = records_between(&mut harness, 2_000, 4_000);
+    assert_eq!(
+        first,
+        [recorded(&["v1"]), recorded(&["v1"])],
+        "not stored yet"
+    );
+    harness.control.handle(Event::BuildsRecorded(true), 4_000);
+    assert_eq!(records_between(&mut harness, 4_000, 6_000), []);
+
+    harness.engine_of_build("e9", "v2", 6_000);
+    let second = records_between(&mut harness, 6_000, 6_900);
+    assert_eq!(second, [recorded(&["v1", "v2"])]);
+    harness.control.handle(Event::BuildsRecorded(true), 6_900);
+    harness.entry("e9", None, 7_000);
+    assert_eq!(
+        records_between(&mut harness, 7_000, 7_000 + MEMORY_MS),
+        [],
+        "a stream that it began may still be resumed"
+    );
+    let third = records_between(&mut harness, 7_000 + MEMORY_MS, 8_000 + MEMORY_MS);
+    assert_eq!(third, [recorded(&["v1"])]);
+}
+
+#[test]
+fn builds_are_recorded_by_one_node() {
+    let mut harness = with_engines(&["v1"]);
+    // The incarnation of the node itself is 7.
+    for now in (0..4_000).step_by(500) {
+        harness.datagram(3, Gossip::default(), now);
+        assert_eq!(records_between(&mut harness, now, now + 1), []);
+    }
+}
