gateway: count the age of replaced weights from the last read before they were named

What callers would see: requests begun on weights later than the bound allows (VERSION), 6,007 to 6,087 ms after newer ones were named. Cause: a record that arrives was taken to be written at that moment, unless the copy was older than the bound of the configuration. The node that reads for all does so every 750 ms, more than the margin of 700 ms. The trace shows version 2 acknowledged at 5.003 s, known at 5.76 s, and requests placed on version 1 at 10.94 s. Change: the age counts from the time at which the store last held nothing newer.

--- a/crates/gateway/src/control/state/topics.rs
+++ b/crates/gateway/src/control/state/topics.rs
@@ -100,15 +100,13 @@
     }
 
     /// Returns the earliest time at which an operator record that arrives now may have
-    /// been written. Records normally arrive quickly, unless this process was stalled
-    /// or its copy is older than the configured bound.
+    /// been written: since the store last held nothing newer, or since the start of a
+    /// stall of this process.
     pub(super) fn earliest_write_time(&self, now: Millis) -> Millis {
         if self.is_recovering(now) {
             return self.last_stall.0;
         }
-        let bound = self.settings.catalog_bound.as_millis() as Millis;
-        let current = self.operator_copy.current_at();
-        current.filter(|at| now > at + bound).unwrap_or(now)
+        self.operator_copy.current_at().unwrap_or(now)
     }
 
     /// Returns the marks that identify the content of both copies: the end offset of
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -264,23 +264,26 @@
     assert_weights_expire(&mut harness, 15_000, 15_300);
 }
 
-/// The same for a node whose copy was outdated without a stall.
+/// The same for a node whose copy was outdated without a stall, or only by the interval
+/// at which the store is read.
 #[test]
 fn weights_read_late_are_assumed_old() {
-    let mut harness = Harness::with_engines(1, 10_000);
-    harness.control.handle(
-        Event::TopicRead {
-            topic: FollowedTopic::Operator,
-            end: 1,
-            at: 10_000,
-        },
-        10_000,
-    );
-    for now in (10_000..14_000).step_by(50) {
-        harness.effects(now);
+    for read_at in [14_000, 10_750] {
+        let mut harness = Harness::with_engines(1, 10_000);
+        harness.control.handle(
+            Event::TopicRead {
+                topic: FollowedTopic::Operator,
+                end: 1,
+                at: 10_000,
+            },
+            10_000,
+        );
+        for now in (10_000..read_at).step_by(50) {
+            harness.effects(now);
+        }
+        harness.weights(2, read_at);
+        assert_weights_expire(&mut harness, 15_000, 15_300);
     }
-    harness.weights(2, 14_000);
-    assert_weights_expire(&mut harness, 15_000, 15_300);
 }
 
 #[test]
