--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -110,7 +110,7 @@
             RelayEnd::DeadlineExceeded => break,
             RelayEnd::Broken => {}
         }
-        // What two software versions write does not fit together.
+        // An engine of another software version may phrase the answer differently.
         if progress.last_event.is_some() {
             retry_state.build.get_or_insert(engine.build.clone());
         }
@@ -202,7 +202,7 @@
             }
         }
     }
-    // A body without a length or chunks also ends when the engine breaks off.
+    // The end of an unframed body may be a lost connection.
     if splitter.partial_bytes() > 0 {
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
             partial_bytes = splitter.partial_bytes(); "stream ended inside an event");
