--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -3,10 +3,12 @@
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod common;
 
+use std::net::SocketAddr;
+
 use common::{Harness, placement_request};
 use flamingolock_gateway::control::begun_streams::request_key;
 use flamingolock_gateway::control::{BuildRule, Effect, Event, FollowedTopic, Placement, Refusal};
-use flamingolock_wire::gossip::{BegunStream, BuildHistory, Gossip, ListedBuild};
+use flamingolock_wire::gossip::{BegunStream, BuildHistory, Gossip, ListedBuild, NodeState};
 use prost::Message;
 
 /// Time for which streams are remembered, in ms: without routes, only the margin.
@@ -291,3 +293,42 @@
         assert_eq!(records_between(&mut harness, now, now + 1), []);
     }
 }
+
+/// Delivers a datagram of one of many nodes; each has its own address.
+fn datagram_of(harness: &mut Harness, node: u8, zone: &str, mut gossip: Gossip, now: u64) {
+    let from = SocketAddr::from(([10, 0, 1, node], 7_000));
+    gossip.sender = Some(NodeState {
+        incarnation: u64::from(node) + 100,
+        callers: format!("10.0.1.{node}:80"),
+        zone: zone.to_owned(),
+        ready: true,
+        name: format!("node-{node}"),
+        gossip: from.to_string(),
+        ..NodeState::default()
+    });
+    let event = Event::Datagram(from, gossip.encode_to_vec().into());
+    harness.control.handle(event, now);
+}
+
+/// In a fleet of 20 other nodes this one is the hub of its zone, zone-a.
+#[test]
+fn hub_passes_on_the_streams_of_its_zone_and_of_other_hubs() {
+    let mut harness = with_engines(&["v1"]);
+    for node in 0..20 {
+        let zone = if node < 10 { "zone-a" } else { "zone-b" };
+        datagram_of(&mut harness, node, zone, Gossip::default(), 10);
+    }
+    harness.effects(300);
+    let own_zone = streams(&[begun("of zone-a", "v1")]);
+    datagram_of(&mut harness, 3, "zone-a", own_zone, 310);
+    let relayed = Gossip {
+        relayed: true,
+        ..streams(&[begun("of zone-b", "v1")])
+    };
+    datagram_of(&mut harness, 12, "zone-b", relayed, 310);
+    let mut passed_on = sent_streams(harness.effects(600));
+    passed_on.sort_by_key(|stream| stream.request);
+    let mut expected = [begun("of zone-a", "v1"), begun("of zone-b", "v1")];
+    expected.sort_by_key(|stream| stream.request);
+    assert_eq!(passed_on, expected);
+}
