testutils: check for a free port by connecting, not by binding

Cause: to find a free port the test process bound it and closed it again. When another thread started a process at that moment, the child held a copy of the bound socket until its exec, and the node could not bind the port. entry_site had its own copy of the search with the same fault.

Change: one search for all tests, which connects.

--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -2,14 +2,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use flamingolock_platform_standin::{Engine, Store};
+use flamingolock_testutils::fleet::free_address;
 use tempfile::TempDir;
 
 /// Timeout of [`wait_for`] and of each request.
@@ -39,24 +39,6 @@
     pub control: SocketAddr,
 }
 
-/// First port for nodes. The system's ephemeral ports, for outgoing connections and
-/// port 0, start at 32768, so no other socket takes one of these between the check in
-/// [`free_address`] and the start of the node.
-const FIRST_PORT: u16 = 20_000;
-
-/// Returns an address with a port that no other test of this process uses.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
-    loop {
-        let port = NEXT.fetch_add(1, Ordering::Relaxed);
-        assert!(port < 32_768, "no free port below 32768");
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 impl Node {
     /// Starts a node with a settings file of the platform's format. `seeds` are the
     /// control addresses of its peers.
--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Runs a fleet of processes on loopback ports.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -230,8 +230,11 @@
 /// Distance between the first ports of processes with consecutive ids.
 const PORT_STEP: u32 = 97;
 
-/// Returns a loopback address that was free when checked and that this process has
-/// not returned before.
+/// Returns a loopback address at which nothing listened when checked and that this
+/// process has not returned before.
+///
+/// The check connects instead of binding: a child that another thread starts meanwhile
+/// would hold a copy of a bound socket until its exec, and the port with it.
 ///
 /// # Panics
 ///
@@ -243,7 +246,7 @@
         let next = start.wrapping_add(NEXT_OFFSET.fetch_add(1, Ordering::Relaxed));
         let port = (FIRST_PORT + next % PORT_COUNT) as u16;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if std::net::TcpListener::bind(address).is_ok() {
+        if TcpStream::connect(address).is_err() {
             return address;
         }
     }
