--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,8 +1,11 @@
 //! Startup, main loop and shutdown of a node.
 
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
@@ -28,6 +31,22 @@
 /// Interval for checking whether connections are still open.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Error that keeps a node from starting.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// A socket cannot be opened.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Error of the system.
+        source: io::Error,
+    },
+    /// A thread or a signal handler cannot be started.
+    #[error("cannot start: {0}")]
+    Resource(#[from] io::Error),
+}
+
 /// Runs a node until SIGTERM or SIGINT and a graceful shutdown. `reload` is called on
 /// SIGHUP and returns whether the settings file is still valid.
 ///
@@ -38,7 +57,7 @@
     settings: Settings,
     dialect: &'static Dialect,
     reload: impl Fn() -> Result<(), String>,
-) -> std::io::Result<()> {
+) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -49,12 +68,14 @@
     settings: Settings,
     dialect: &'static Dialect,
     reload: impl Fn() -> Result<(), String>,
-) -> std::io::Result<()> {
+) -> Result<(), StartError> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let (effects, effect_receiver) = mpsc::unbounded_channel();
-    let socket = gossip::bind(settings.gossip).await?;
+    let socket = gossip::bind(settings.gossip)
+        .await
+        .map_err(|source| listen_error(settings.gossip, source))?;
     let metrics = Arc::new(Metrics::default());
     let handle = control::start(settings.clone(), dialect, metrics.clone(), effects)?;
     let context = ProxyContext {
@@ -64,12 +85,12 @@
     };
     let connections = ConnectionCount::default();
     let (shutdown_sender, shutdown) = watch::channel(false);
-    let caller_listener = server::listen(settings.callers)?;
-    let directory_listener = server::listen(settings.directory)?;
-    let ready_listener = server::listen(settings.ready)?;
-    let metrics_listener = server::listen(settings.metrics)?;
+    let caller_listener = listen(settings.callers)?;
+    let directory_listener = listen(settings.directory)?;
+    let ready_listener = listen(settings.ready)?;
+    let metrics_listener = listen(settings.metrics)?;
     if let Some(address) = settings.control {
-        let listener = server::listen(address)?;
+        let listener = listen(address)?;
         tokio::spawn(peer_sync::serve(listener, handle.clone()));
     }
     tokio::spawn(gossip::receive(socket.clone(), handle.clone()));
@@ -130,6 +151,14 @@
     Ok(())
 }
 
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    server::listen(address).map_err(|source| listen_error(address, source))
+}
+
+fn listen_error(address: SocketAddr, source: io::Error) -> StartError {
+    StartError::Listen { address, source }
+}
+
 /// Announces the shutdown to the other nodes and waits for open connections to end,
 /// at least [`MIN_SHUTDOWN_TIME`] and within the grace period.
 async fn shut_down(
