gateway: end of an unframed stream counts only while its engine runs

Callers saw a stream that ended between two of its events as complete.

Change: when such a stream ends after a whole event, the node asks its engine for a report. Without an answer, or with the start time of another incarnation, the stream counts as broken: it is resumed at an engine of the same software version if it may be, otherwise it ends without the mark of the end. The stand-in engine can crash between two events.

Evidence: the three new tests fail without the change.

--- a/crates/cli/tests/test_soak.rs
+++ b/crates/cli/tests/test_soak.rs
@@ -70,6 +70,14 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Streams without a length or chunks were reported as complete when their engine
+/// crashed between two events.
+#[test]
+fn streams_of_crashed_engines_are_not_reported_as_complete() {
+    let violations = run_seeds(439..440, Duration::from_secs(10));
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 #[test]
 #[ignore = "by hand: seeds and time come from the environment"]
 fn soak_by_hand() {
--- a/crates/cli/tests/test_unframed_responses.rs
+++ b/crates/cli/tests/test_unframed_responses.rs
@@ -8,8 +8,8 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use entry_site::{Node, Site, call, draft, event_ids, stream};
-use flamingolock_platform_standin::EngineMode;
+use entry_site::{Node, Site, call, draft, event_ids, stream, wait_for};
+use flamingolock_platform_standin::{Engine, EngineMode};
 
 const EVENT_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -67,6 +67,41 @@
     assert!(!answer.complete, "{:?}", answer.body);
 }
 
+#[test]
+fn stream_of_an_engine_that_crashes_between_events_is_not_reported_as_complete() {
+    let (site, node) = start(EngineMode::UnframedCrashAfter(4), EngineMode::Healthy);
+    let answer = stream(&node, "/tag/a", "r1");
+    assert!(!answer.complete, "{:?}", answer.body);
+    assert_eq!(event_ids(&answer.body), (1..=4).collect::<Vec<_>>());
+    assert_eq!(site.executions("r1"), 1);
+}
+
+#[test]
+fn stream_of_an_engine_that_restarts_between_events_is_not_reported_as_complete() {
+    let (site, node) = start(EngineMode::UnframedCrashAfter(4), EngineMode::Healthy);
+    let answer = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let crashed = || site.engines.iter().any(Engine::has_crashed);
+            wait_for("a crash", crashed);
+            site.engines.iter().for_each(Engine::restart);
+        });
+        stream(&node, "/tag/a", "r1")
+    });
+    assert!(!answer.complete, "{:?}", answer.body);
+}
+
+#[test]
+fn stream_of_an_engine_that_crashes_between_events_continues_at_another_engine() {
+    let (site, node) = start(EngineMode::Healthy, EngineMode::Healthy);
+    site.engines[0].set_mode(EngineMode::UnframedCrashAfter(4));
+    for index in 0..8 {
+        let answer = draft(&node, index, &format!("r{index}"), &[]);
+        assert!(answer.complete, "{}", node.log());
+        assert_eq!(event_ids(&answer.body), (1..=10).collect::<Vec<_>>());
+    }
+    assert!(site.engines[0].has_crashed(), "no stream was cut");
+}
+
 #[test]
 fn stream_without_an_event_is_not_reported_as_complete() {
     let (site, node) = start(EngineMode::UnframedEmpty, EngineMode::Healthy);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::now;
 use crate::control::{Event, Handle};
-use crate::dialect::{Dialect, OrderOutcome, WeightsOrder};
+use crate::dialect::{Dialect, EngineReport, OrderOutcome, WeightsOrder};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::http_client::{CallError, Connection, call};
 
@@ -60,7 +60,20 @@
 
 /// Fetches an engine's report and passes it to the control thread.
 pub async fn fetch_report(dialect: &'static Dialect, handle: Handle, engine: Arc<Endpoint>) {
-    let request = (dialect.report_request)(&engine);
+    let report = read_report(dialect, &engine).await;
+    handle.send(Event::EngineReported(engine.key(), report));
+}
+
+/// True if the engine responds to a call and has not restarted since its entry was
+/// written.
+pub async fn still_runs(dialect: &'static Dialect, engine: &Endpoint) -> bool {
+    let report = read_report(dialect, engine).await;
+    // An engine that states no start time has another id after a restart.
+    report.is_some_and(|report| report.born == 0 || report.born == engine.start_time_ms)
+}
+
+async fn read_report(dialect: &Dialect, engine: &Endpoint) -> Option<EngineReport> {
+    let request = (dialect.report_request)(engine);
     let result = call(
         &mut None,
         engine.address,
@@ -69,7 +82,7 @@
         MAX_RESPONSE_BYTES,
     )
     .await;
-    let report = match result {
+    match result {
         Ok((status, body)) => (dialect.parse_report_response)(status, &body)
             .map_err(
                 |error| log::warn!(engine = &*engine.id, error:% = error; "cannot decode an engine's report"),
@@ -79,8 +92,7 @@
             log::warn!(engine = &*engine.id, error:% = error; "cannot fetch an engine's report");
             None
         }
-    };
-    handle.send(Event::EngineReported(engine.key(), report));
+    }
 }
 
 /// Fetches the list of parts that an engine or the KV cache store has cached and
