gateway: end of an unframed whole body counts only while its endpoint runs

Callers of an application server that crashed inside a body without a length or chunks got the first half as a whole answer.

Cause: as for streams, the connection of a crashed process ends like any other. Change: whole bodies are checked like streams, in body_end.rs. Any answer to the call but 421 proves that an application server runs. A response that has no body needs no check.

--- a/crates/cli/tests/test_unframed_responses.rs
+++ b/crates/cli/tests/test_unframed_responses.rs
@@ -116,6 +116,25 @@
     assert_eq!((answer.status, site.executions("r1")), (502, 1));
 }
 
+#[test]
+fn whole_body_of_a_server_that_crashes_is_not_reported_as_complete() {
+    let (site, node) = start(EngineMode::Healthy, EngineMode::UnframedCrashAfter(0));
+    let answer = call(&node, "/book/a", "r1", &[]);
+    assert_eq!((answer.status, site.executions("r1")), (502, 1));
+}
+
+#[test]
+fn look_up_at_a_server_that_crashes_is_answered_by_another() {
+    let (site, node) = start(EngineMode::Healthy, EngineMode::Healthy);
+    site.app_servers[0].set_mode(EngineMode::UnframedCrashAfter(0));
+    for index in 0..8 {
+        let id = format!("r{index}");
+        let answer = call(&node, "/look/a", &id, &[]);
+        assert_eq!((answer.status, answer.body), (200, format!("done {id}")));
+    }
+    assert!(site.app_servers[0].has_crashed(), "no body was cut");
+}
+
 #[test]
 fn broken_stream_is_not_reported_as_complete_to_a_caller_without_chunks() {
     let (site, node) = start(EngineMode::BreakAfter(4), EngineMode::Healthy);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::body_end;
 use crate::catalog::RequestKind;
 use crate::control::{Grant, RunEnd};
 use crate::dialect::{EndpointHead, ResponseHead};
@@ -316,6 +317,7 @@
     mut connection: Connection,
     head: &ResponseHead,
 ) -> AttemptOutcome {
+    let has_body = !body.is_end_stream();
     let collected = timeout_at(
         exchange.deadline,
         Limited::new(body, MAX_BUFFERED_BYTES).collect(),
@@ -333,6 +335,14 @@
             return AttemptOutcome::DeadlineExceeded;
         }
     };
+    if has_body
+        && let Err(cause) =
+            body_end::check(context.dialect, &grant.endpoint, &parts.headers, 0).await
+    {
+        log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = cause; "response body failed");
+        guard.end(RunEnd::Broken);
+        return AttemptOutcome::NoResponse(RunEnd::Broken);
+    }
     let buffered = BufferedResponse {
         status: parts.status,
         headers: parts.headers,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! in UDP datagrams. The formats of the platform's API are behind [`dialect`].
 
 pub mod attempt;
+pub mod body_end;
 pub mod catalog;
 pub mod clock;
 pub mod control;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::StatusCode;
 use http::header::HOST;
 
 use crate::clock::now;
@@ -64,35 +66,47 @@
     handle.send(Event::EngineReported(engine.key(), report));
 }
 
-/// True if the engine responds to a call and has not restarted since its entry was
+/// True if the endpoint responds to a call and has not restarted since its entry was
 /// written.
-pub async fn still_runs(dialect: &'static Dialect, engine: &Endpoint) -> bool {
-    let report = read_report(dialect, engine).await;
-    // An engine that states no start time has another id after a restart.
-    report.is_some_and(|report| report.born == 0 || report.born == engine.start_time_ms)
+pub async fn still_runs(dialect: &Dialect, endpoint: &Endpoint) -> bool {
+    let Some((status, body)) = call_report(dialect, endpoint).await else {
+        return false;
+    };
+    // Another endpoint may have taken over the address.
+    if status == StatusCode::MISDIRECTED_REQUEST.as_u16() {
+        return false;
+    }
+    // Application servers reject the call. They, and engines that state no start time,
+    // have another id after a restart.
+    let report = (dialect.parse_report_response)(status, &body);
+    report.map_or(true, |report| {
+        report.born == 0 || report.born == endpoint.start_time_ms
+    })
 }
 
 async fn read_report(dialect: &Dialect, engine: &Endpoint) -> Option<EngineReport> {
-    let request = (dialect.report_request)(engine);
-    let result = call(
+    let (status, body) = call_report(dialect, engine).await?;
+    (dialect.parse_report_response)(status, &body)
+        .map_err(
+            |error| log::warn!(engine = &*engine.id, error:% = error; "cannot decode an engine's report"),
+        )
+        .ok()
+}
+
+async fn call_report(dialect: &Dialect, endpoint: &Endpoint) -> Option<(u16, Bytes)> {
+    let request = (dialect.report_request)(endpoint);
+    call(
         &mut None,
-        engine.address,
+        endpoint.address,
         request,
         CALL_TIMEOUT,
         MAX_RESPONSE_BYTES,
     )
-    .await;
-    match result {
-        Ok((status, body)) => (dialect.parse_report_response)(status, &body)
-            .map_err(
-                |error| log::warn!(engine = &*engine.id, error:% = error; "cannot decode an engine's report"),
-            )
-            .ok(),
-        Err(error) => {
-            log::warn!(engine = &*engine.id, error:% = error; "cannot fetch an engine's report");
-            None
-        }
-    }
+    .await
+    .map_err(
+        |error| log::warn!(engine = &*endpoint.id, error:% = error; "cannot fetch an engine's report"),
+    )
+    .ok()
 }
 
 /// Fetches the list of parts that an engine or the KV cache store has cached and
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,20 +5,20 @@
 
 use bytes::Bytes;
 use futures_util::Stream;
+use http::Response;
 use http::header::CONTENT_LENGTH;
-use http::{HeaderMap, Response};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::{AttemptOutcome, OpenedStream, attempt, closes_connection};
-use crate::control::{Grant, RunEnd};
+use crate::body_end;
+use crate::control::RunEnd;
 use crate::event_stream::EventSplitter;
 use crate::exchange::{Exchange, ProxyContext};
 use crate::forward::{RetryState, elapsed_ms};
 use crate::http_client::BodyFraming;
-use crate::orders;
 use crate::response::{IncompleteBody, ResponseBody};
 
 /// Maximum number of chunks queued for a slow caller.
@@ -38,17 +38,6 @@
     DeadlineExceeded,
 }
 
-/// Why a body that ended without an error of its connection is not whole.
-#[derive(Debug, thiserror::Error)]
-enum EarlyEnd {
-    /// Its last bytes are no complete event.
-    #[error("it ended inside an event")]
-    InsideEvent,
-    /// Nothing marks its end, and the engine no longer responds or has restarted.
-    #[error("its end is not marked and its engine no longer runs")]
-    EngineGone,
-}
-
 /// What has been relayed of a stream so far.
 #[derive(Debug, Default)]
 struct Progress {
@@ -214,9 +203,12 @@
             }
         }
     }
-    if let Err(cause) = check_end(context, &grant, &headers, splitter.partial_bytes()).await {
+    let partial_bytes = splitter.partial_bytes();
+    if let Err(cause) =
+        body_end::check(context.dialect, &grant.endpoint, &headers, partial_bytes).await
+    {
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
-            partial_bytes = splitter.partial_bytes(), error:% = cause; "stream ended early");
+            partial_bytes, error:% = cause; "stream ended early");
         guard.end(RunEnd::Broken);
         return RelayEnd::Broken;
     }
@@ -228,22 +220,3 @@
     }
     RelayEnd::Complete
 }
-
-/// Checks that a body whose end the connection reported is whole. The end of an unframed
-/// body may be that of a connection whose engine has crashed.
-async fn check_end(
-    context: &ProxyContext,
-    grant: &Grant,
-    headers: &HeaderMap,
-    partial_bytes: usize,
-) -> Result<(), EarlyEnd> {
-    if partial_bytes > 0 {
-        return Err(EarlyEnd::InsideEvent);
-    }
-    if BodyFraming::of(headers) == BodyFraming::UntilClose
-        && !orders::still_runs(context.dialect, &grant.endpoint).await
-    {
-        return Err(EarlyEnd::EngineGone);
-    }
-    Ok(())
-}
