soak: endpoints' connections are reset, not ended regularly

The soak's disruption EndpointResets ended connections like a regular close (FIN). With an unframed response such an end is indistinguishable from that of the response, so the disruption tested something that cannot be kept.

Change: the proxy can reset connections (it keeps a second descriptor and closes it without lingering), and EndpointResets does. EndpointCrash goes on ending connections regularly, as the kernel does for a process that died, and the check that a complete stream has all events stays as it is.

--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -192,7 +192,7 @@
             backend.engine.set_mode(EngineMode::Healthy);
         }
         Disruption::EndpointCrash => crash_endpoint(&cluster, backend, time).await,
-        Disruption::EndpointResets => backend.proxy.cut_existing(),
+        Disruption::EndpointResets => backend.proxy.reset_existing(),
         Disruption::EndpointSilent => backend.proxy.silence_existing(),
         Disruption::EndpointRepliesBlackholed => {
             backend
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -92,6 +92,7 @@
     pending_swap: Option<PendingSwap>,
     silence: watch::Sender<bool>,
     cut: CancellationToken,
+    reset: CancellationToken,
     accepted: u64,
 }
 
@@ -106,6 +107,8 @@
     pub(crate) silence: watch::Receiver<bool>,
     /// Cancelled when the connection must close.
     pub(crate) cut: CancellationToken,
+    /// Cancelled when the connection must be reset.
+    pub(crate) reset: CancellationToken,
 }
 
 impl RouteFaults {
@@ -115,6 +118,7 @@
             pending_swap: None,
             silence: watch::Sender::new(false),
             cut: CancellationToken::new(),
+            reset: CancellationToken::new(),
             accepted: 0,
         };
         Self {
@@ -166,6 +170,13 @@
         state.cut = CancellationToken::new();
     }
 
+    /// Resets existing connections.
+    pub(crate) fn reset_existing(&self) {
+        let mut state = self.lock();
+        state.reset.cancel();
+        state.reset = CancellationToken::new();
+    }
+
     /// Admits a new connection; `None` means that it must be closed immediately.
     pub(crate) fn admit(&self) -> Option<ConnectionFaults> {
         let mut state = self.lock();
@@ -178,6 +189,7 @@
         Some(ConnectionFaults {
             silence,
             cut: state.cut.clone(),
+            reset: state.reset.clone(),
         })
     }
 
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -13,10 +13,11 @@
 use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf, split};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep_until};
@@ -77,7 +78,12 @@
         self.route.silence_existing();
     }
 
-    /// Closes existing connections.
+    /// Resets existing connections, so that the client sees an error.
+    pub fn reset_existing(&self) {
+        self.route.reset_existing();
+    }
+
+    /// Closes existing connections, which the client sees as a regular end.
     pub fn cut_existing(&self) {
         self.route.cut_existing();
     }
@@ -128,11 +134,18 @@
         };
         if let Some(faults) = route.admit() {
             let (route, stop) = (route.clone(), stop.clone());
+            // A second descriptor keeps the socket open until it is reset.
+            let socket = SockRef::from(&client).try_clone();
             tokio::spawn(async move {
-                tokio::select! {
-                    () = stop.cancelled() => {}
-                    () = faults.cut.cancelled() => {}
-                    () = forward(client, target, &route, &faults) => {}
+                let reset = tokio::select! {
+                    () = stop.cancelled() => false,
+                    () = faults.cut.cancelled() => false,
+                    () = faults.reset.cancelled() => true,
+                    () = forward(client, target, &route, &faults) => false,
+                };
+                if reset && let Ok(socket) = socket {
+                    // Closing a socket without lingering resets it.
+                    let _ = socket.set_linger(Some(Duration::ZERO));
                 }
             });
         }
@@ -151,8 +164,8 @@
     // If TCP_NODELAY can't be set, small writes are only delayed.
     let _ = client.set_nodelay(true);
     let _ = upstream.set_nodelay(true);
-    let (client_read, client_write) = client.into_split();
-    let (target_read, target_write) = upstream.into_split();
+    let (client_read, client_write) = split(client);
+    let (target_read, target_write) = split(upstream);
     let pump = |direction| Pump {
         direction,
         route,
@@ -176,7 +189,7 @@
 }
 
 impl Pump<'_> {
-    async fn run(&self, from: OwnedReadHalf, to: OwnedWriteHalf) -> Result<(), Closed> {
+    async fn run(&self, from: ReadHalf<TcpStream>, to: WriteHalf<TcpStream>) -> Result<(), Closed> {
         let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
         tokio::try_join!(self.receive(from, sender), self.send(receiver, to))?;
         Ok(())
@@ -185,7 +198,7 @@
     /// Reads chunks and queues them with the time at which they are due.
     async fn receive(
         &self,
-        mut from: OwnedReadHalf,
+        mut from: ReadHalf<TcpStream>,
         chunks: mpsc::Sender<(Instant, Bytes)>,
     ) -> Result<(), Closed> {
         let mut buffer = vec![0; READ_BUFFER_BYTES];
@@ -206,7 +219,7 @@
     async fn send(
         &self,
         mut chunks: mpsc::Receiver<(Instant, Bytes)>,
-        mut to: OwnedWriteHalf,
+        mut to: WriteHalf<TcpStream>,
     ) -> Result<(), Closed> {
         let mut bytes_sent = 0;
         while let Some((due, chunk)) = chunks.recv().await {
