gateway: superseded weights are used only where the queue is short enough

Cause: the age of the weights and the expected start were added up, but the expected start is an estimate: the engine takes more urgent requests that arrive later first. In the trace 1.3 s were expected and 2.3 s passed.

Change: twice the expected start must lie before the end of the weights.

The new test fails without the change (placed behind a queue of 1 s, 1.3 s before the end).

--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -68,6 +68,10 @@
 /// Time after which superseded weights are avoided, in ms.
 pub const WEIGHTS_FRESH_MS: Millis = 1_100;
 
+/// Multiple of the estimated time to the start of a request by which it has started: the
+/// estimate does not include more urgent requests that arrive later.
+const MAX_START_FACTOR: f64 = 2.0;
+
 /// Weight of the newest outcome in the moving average of an endpoint's failure
 /// rate.
 const FAILURE_SMOOTHING: f64 = 0.12;
@@ -440,7 +444,9 @@
         score += self.runs.len() as f64 * RUNNING_REQUEST_MS;
         let busy_ms = self.prefill_queue_ms(now) + prefill_ms * self.slowdown;
         // The request must start before the superseded weights expire.
-        if replaced.is_some_and(|age| age as f64 + busy_ms > context.max_weights_age as f64) {
+        let latest_start_ms = busy_ms * MAX_START_FACTOR;
+        let max_age = context.max_weights_age as f64;
+        if replaced.is_some_and(|age| age as f64 + latest_start_ms > max_age) {
             return None;
         }
         let long_prefill = ((busy_ms - LONG_PREFILL_MS) / LONG_PREFILL_RANGE_MS).clamp(0.0, 1.5);
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -235,6 +235,25 @@
     assert_weights_expire(&mut harness, 1_100, 7_000);
 }
 
+#[test]
+fn replaced_weights_are_not_used_where_the_queue_may_outlast_them() {
+    for (queue_ms, is_placed) in [(500, true), (1_000, false)] {
+        let mut harness = Harness::with_engines(1, 0);
+        harness.weights(2, 1_000);
+        let run = Run {
+            number: 1,
+            endpoint: Endpoint::key_of("e0"),
+            prefill_us: queue_ms * 1_000,
+            ..Run::default()
+        };
+        harness.gossip(9, &[run], 5_000);
+        let placed = harness
+            .place(placement_request(None, 1), 5_000)
+            .is_some_and(|placement| placement.is_ok());
+        assert_eq!(placed, is_placed, "queue of {queue_ms} ms");
+    }
+}
+
 /// Guards against a second named version restarting the time limit of weights that
 /// the first one superseded.
 #[test]
