gateway: requests stop at endpoints that leave or ask for a pause

Nodes did not read either: they learned of leaving from the store alone, and sent on to an engine that had asked for a pause.

Change: notices.rs keeps both for the incarnation of the endpoint, also while its entry lapses, and placement leaves these endpoints out. If all endpoints want a pause that outlasts the request's wait, it is refused at once, with a Retry-After of what is left of the shortest pause.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,8 @@
 
 use crate::body_end;
 use crate::catalog::RequestKind;
-use crate::control::{Grant, RunEnd};
+use crate::control::notices::Notice;
+use crate::control::{Event, Grant, RunEnd};
 use crate::dialect::{EndpointHead, ResponseHead};
 use crate::exchange::{Exchange, ProxyContext};
 use crate::http_client::{BodyFraming, CallError, Connection};
@@ -110,6 +111,7 @@
         return AttemptOutcome::NoResponse(RunEnd::Broken);
     }
     let (parts, body) = response.into_parts();
+    pass_on_notices(context, &grant, parts.status, &head);
     if proves_not_run(parts.status, &head) {
         let end = not_run_reason(parts.status, &head, &grant, exchange);
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, status = parts.status.as_u16(),
@@ -134,6 +136,19 @@
     .await
 }
 
+/// Tells the control thread what the endpoint asks of this node.
+fn pass_on_notices(context: &ProxyContext, grant: &Grant, status: StatusCode, head: &ResponseHead) {
+    let pause = head
+        .retry_after
+        .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
+        .map(Notice::Pause);
+    let leaving = head.leaving.then_some(Notice::Leaving);
+    for notice in pause.into_iter().chain(leaving) {
+        let endpoint = grant.endpoint.clone();
+        context.handle.send(Event::Noticed(endpoint, notice));
+    }
+}
+
 /// True if the response proves that the request did not run.
 fn proves_not_run(status: StatusCode, head: &ResponseHead) -> bool {
     status == StatusCode::MISDIRECTED_REQUEST
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -10,6 +10,7 @@
 pub mod freshness;
 pub mod lease;
 pub mod listed_builds;
+pub mod notices;
 pub mod peers;
 pub mod retry_budget;
 pub mod rollout;
@@ -28,6 +29,7 @@
 
 use crate::catalog::Catalog;
 use crate::clock::{Millis, now};
+use crate::control::notices::Notice;
 use crate::control::state::Control;
 use crate::dialect::{
     CachedPart, Dialect, EngineReport, KeyedRecord, OrderOutcome, PromptPart, WeightsOrder,
@@ -103,6 +105,11 @@
     NoEndpoint,
     /// Every endpoint is loading weights or has outdated ones.
     AllReloading,
+    /// Every endpoint has asked for a pause, the first one until this time.
+    AllPaused {
+        /// End of the pause.
+        until: Millis,
+    },
     /// The retry budget is exhausted.
     Budget,
     /// The request resumes a stream, several software versions serve or did so recently,
@@ -116,6 +123,7 @@
         match self {
             Self::NoEndpoint => "no_endpoint",
             Self::AllReloading => "all_reloading",
+            Self::AllPaused { .. } => "all_paused",
             Self::Budget => "budget",
             Self::UnknownBuild => "unknown_build",
         }
@@ -209,6 +217,8 @@
         /// Model of the request.
         model: Option<String>,
     },
+    /// An endpoint asked something of this node in a response.
+    Noticed(Arc<Endpoint>, Notice),
     /// The newest record of each key of the operator topic was read.
     OperatorSnapshot(Vec<KeyedRecord>),
     /// New records of the operator topic.
--- /dev/null
+++ b/crates/gateway/src/control/notices.rs
@@ -0,0 +1,92 @@
+//! Requests of endpoints to this node, which they make in the headers of their responses.
+//!
+//! They hold for one incarnation of an endpoint and are kept apart from its state,
+//! because its entry may lapse and come back while the store is out of reach.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Millis;
+use crate::endpoint::{Endpoint, EndpointKey};
+
+/// Time after its last response for which the notices of an endpoint are kept, in ms.
+const RETENTION_MS: Millis = 15 * 60 * 1_000;
+
+/// What an endpoint asks of this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// It is leaving and wants no more requests.
+    Leaving,
+    /// It wants no requests for this time.
+    Pause(Duration),
+}
+
+/// Whether an endpoint wants requests from this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acceptance {
+    /// It does.
+    Accepts,
+    /// Not before this time.
+    Paused(Millis),
+    /// It is leaving.
+    Leaving,
+}
+
+/// Notices of one endpoint.
+#[derive(Clone, Copy, Debug)]
+struct EndpointNotices {
+    /// Start time of the incarnation that sent them, in Unix milliseconds.
+    start_time_ms: u64,
+    leaving: bool,
+    paused_until: Millis,
+    received_at: Millis,
+}
+
+/// Notices of all endpoints.
+#[derive(Debug, Default)]
+pub struct Notices {
+    endpoints: BTreeMap<EndpointKey, EndpointNotices>,
+}
+
+impl Notices {
+    /// Records a notice. Returns true if it tells something new.
+    pub fn record(&mut self, endpoint: &Endpoint, notice: Notice, now: Millis) -> bool {
+        let before = self.acceptance(endpoint, now);
+        let none = EndpointNotices {
+            start_time_ms: endpoint.start_time_ms,
+            leaving: false,
+            paused_until: 0,
+            received_at: now,
+        };
+        let notices = self.endpoints.entry(endpoint.key()).or_insert(none);
+        if notices.start_time_ms != endpoint.start_time_ms {
+            *notices = none;
+        }
+        notices.received_at = now;
+        match notice {
+            Notice::Leaving => notices.leaving = true,
+            Notice::Pause(time) => {
+                let until = now + time.as_millis() as Millis;
+                notices.paused_until = notices.paused_until.max(until);
+            }
+        }
+        before == Acceptance::Accepts
+    }
+
+    /// Returns whether the endpoint wants requests from this node.
+    pub fn acceptance(&self, endpoint: &Endpoint, now: Millis) -> Acceptance {
+        match self.endpoints.get(&endpoint.key()) {
+            Some(notices) if notices.start_time_ms != endpoint.start_time_ms => Acceptance::Accepts,
+            Some(notices) if notices.leaving => Acceptance::Leaving,
+            Some(notices) if now < notices.paused_until => Acceptance::Paused(notices.paused_until),
+            _ => Acceptance::Accepts,
+        }
+    }
+
+    /// Forgets the notices of endpoints that have been gone for a long time.
+    pub fn forget_old(&mut self, now: Millis) {
+        self.endpoints.retain(|_, notices| {
+            now < (notices.received_at + RETENTION_MS).max(notices.paused_until)
+        });
+    }
+}
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -24,11 +24,12 @@
 use crate::control::freshness::Freshness;
 use crate::control::lease::{Lease, LeaseStep};
 use crate::control::listed_builds::ListedBuilds;
+use crate::control::notices::Notices;
 use crate::control::peers::Peers;
 use crate::control::retry_budget::RetryBudget;
 use crate::control::rollout::{Rollout, Task};
 use crate::control::{Effect, Event, Placement, PlacementRequest, View};
-use crate::dialect::{Dialect, KeyedRecord};
+use crate::dialect::{Dialect, KeyedRecord, OrderOutcome, WeightsOrder};
 use crate::endpoint::EndpointKey;
 use crate::metrics::{EventKind, Metrics};
 use crate::settings::Settings;
@@ -77,6 +78,7 @@
     metrics: Arc<Metrics>,
     catalog: Option<Arc<Catalog>>,
     fleet: BTreeMap<EndpointKey, EndpointState>,
+    notices: Notices,
     parts: CacheIndex,
     streams: BegunStreams,
     listed_builds: ListedBuilds,
@@ -143,6 +145,7 @@
             metrics,
             catalog: None,
             fleet: BTreeMap::new(),
+            notices: Notices::default(),
             parts: CacheIndex::default(),
             build_record: BuildRecord::default(),
             streams: BegunStreams::default(),
@@ -208,6 +211,11 @@
                 end,
                 model,
             } => self.run_ended(endpoint, run_number, &end, model.as_deref(), now),
+            Event::Noticed(endpoint, notice) => {
+                if self.notices.record(&endpoint, notice, now) {
+                    log::info!(endpoint = &*endpoint.id, notice:? = notice; "endpoint wants no requests");
+                }
+            }
             Event::OperatorSnapshot(records) => {
                 // The time at which these records were written is unknown.
                 let named_at = now.saturating_sub(self.assumed_weights_age());
@@ -249,18 +257,7 @@
             Event::LeaseFailed => self.lease.failed(now),
             Event::BuildsRead(recorded) => self.builds_read(recorded, now),
             Event::BuildsRecorded(stored) => self.builds_recorded(stored),
-            Event::OrderAnswered(order, outcome) => {
-                log::info!(engine = &*order.engine.id, model = order.model.as_str(), version = order.version,
-                    fencing = order.fencing_token, accepted = order.accepted, outcome:? = outcome; "outcome of weight load order");
-                self.metrics.count(EventKind::Order, outcome.as_str());
-                if self
-                    .rollout
-                    .order_answered(&mut self.fleet, &order, outcome, now)
-                {
-                    self.parts.remove_engine(order.engine.key());
-                }
-                self.gossip_pending_at.get_or_insert(now);
-            }
+            Event::OrderAnswered(order, outcome) => self.order_answered(&order, outcome, now),
             Event::EngineReported(key, report) => {
                 log::info!(engine = key, report:? = report; "received engine report");
                 self.rollout
@@ -304,6 +301,7 @@
             self.runs_swept_at = now;
             self.drop_runs_of_dead_nodes(now);
             self.forget_streams(now);
+            self.notices.forget_old(now);
             self.record_builds(now);
         }
         let mut wake = now + MAX_TICK_INTERVAL_MS;
@@ -316,6 +314,19 @@
         wake.max(now + 1)
     }
 
+    fn order_answered(&mut self, order: &WeightsOrder, outcome: OrderOutcome, now: Millis) {
+        log::info!(engine = &*order.engine.id, model = order.model.as_str(), version = order.version,
+            fencing = order.fencing_token, accepted = order.accepted, outcome:? = outcome; "outcome of weight load order");
+        self.metrics.count(EventKind::Order, outcome.as_str());
+        if self
+            .rollout
+            .order_answered(&mut self.fleet, order, outcome, now)
+        {
+            self.parts.remove_engine(order.engine.key());
+        }
+        self.gossip_pending_at.get_or_insert(now);
+    }
+
     fn store_failed(&mut self, now: Millis) {
         self.metrics.count(EventKind::StoreCall, "failed");
         if !self.store_unreachable {
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -9,6 +9,7 @@
 use crate::clock::Millis;
 use crate::control::cache_index::{FetchSource, namespace, salt};
 use crate::control::fleet::{Estimate, EstimateContext};
+use crate::control::notices::Acceptance;
 use crate::control::{BuildRule, Grant, Placement, PlacementRequest, Refusal, RunEnd};
 use crate::endpoint::EndpointKey;
 use crate::metrics::EventKind;
@@ -37,10 +38,14 @@
 /// Number of output tokens from which on stalls of an answer are noticeable.
 const LONG_ANSWER_TOKENS: u32 = 16;
 
-/// True if waiting may help a refused request. Engines of a software version that is
-/// not listed any more do not come back soon.
-fn may_change(refusal: Refusal, request: &PlacementRequest) -> bool {
-    refusal != Refusal::NoEndpoint || request.build_rule == BuildRule::Any
+/// True if waiting until its deadline may help a refused request. Engines of a software
+/// version that is not listed any more do not come back soon.
+fn may_change(refusal: Refusal, queued: &QueuedRequest) -> bool {
+    match refusal {
+        Refusal::NoEndpoint => queued.request.build_rule == BuildRule::Any,
+        Refusal::AllPaused { until } => until < queued.deadline,
+        _ => true,
+    }
 }
 
 impl Control {
@@ -114,9 +119,7 @@
                 }
                 None
             }
-            Err(refusal) if now < queued.deadline && may_change(refusal, &queued.request) => {
-                Some(queued)
-            }
+            Err(refusal) if now < queued.deadline && may_change(refusal, &queued) => Some(queued),
             Err(refusal) => {
                 self.refuse(&queued.request, refusal, queued.reply);
                 None
@@ -168,6 +171,7 @@
         let mut rng = rand::rng();
         let mut best: Option<(EndpointKey, Estimate)> = None;
         let mut any = false;
+        let mut paused_until: Option<Millis> = None;
         for (key, state) in &self.fleet {
             let endpoint = &state.endpoint;
             if endpoint.service != request.service
@@ -177,7 +181,14 @@
             {
                 continue;
             }
-            any = true;
+            match self.notices.acceptance(endpoint, now) {
+                Acceptance::Accepts => any = true,
+                Acceptance::Leaving => continue,
+                Acceptance::Paused(until) => {
+                    paused_until = Some(paused_until.map_or(until, |first| first.min(until)));
+                    continue;
+                }
+            }
             let estimate = match &kind {
                 ServiceKind::Engines(traits) => {
                     state.estimate_engine(request, traits, &self.parts, is_available, &context)
@@ -198,10 +209,10 @@
                 best = Some((*key, estimate));
             }
         }
-        best.ok_or(if any {
-            Refusal::AllReloading
-        } else {
-            Refusal::NoEndpoint
+        best.ok_or(match paused_until {
+            _ if any => Refusal::AllReloading,
+            Some(until) => Refusal::AllPaused { until },
+            None => Refusal::NoEndpoint,
         })
     }
 
@@ -220,6 +231,7 @@
             .filter(|(_, state)| {
                 state.endpoint.service == request.service
                     && !state.endpoint.leaving
+                    && self.notices.acceptance(&state.endpoint, now) == Acceptance::Accepts
                     && now >= state.loading_until
                     && now >= state.reserved_until
             })
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -104,6 +104,11 @@
     pub instance: Option<String>,
     /// Version of its weights, if it states one.
     pub weights: Option<u64>,
+    /// True if the endpoint states that it is leaving.
+    pub leaving: bool,
+    /// Time for which the endpoint wants no requests from this node, if it refused this
+    /// one.
+    pub retry_after: Option<Duration>,
     /// Keep-alive timeout after which it closes an idle connection.
     pub keep_alive: Option<Duration>,
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt::{AttemptOutcome, BufferedResponse, attempt};
 use crate::catalog::RequestKind;
+use crate::clock::now;
 use crate::control::begun_streams::request_key;
 use crate::control::{BuildRule, Grant, Placement, PlacementRequest, Refusal, RunEnd};
 use crate::endpoint::EndpointKey;
@@ -44,6 +45,8 @@
     pub possible_runs: u32,
     /// Software version of the endpoint that sent the first event to the caller.
     pub build: Option<Arc<str>>,
+    /// Time left of the pause that all endpoints have asked for.
+    pause: Duration,
     /// Error response of an endpoint, returned if no other endpoint succeeds.
     fallback: Option<BufferedResponse>,
 }
@@ -106,6 +109,9 @@
         let grant = match retry_state.place(&exchange, &context).await {
             Ok(grant) => grant,
             Err(refusal) => {
+                if let Refusal::AllPaused { until } = refusal {
+                    retry_state.pause = Duration::from_millis(until.saturating_sub(now()));
+                }
                 return give_up(
                     &exchange,
                     &context,
@@ -193,6 +199,7 @@
 fn refusal_cause(refusal: Refusal) -> &'static str {
     match refusal {
         Refusal::NoEndpoint => "no endpoint",
+        Refusal::AllPaused { .. } => "all endpoints have asked for a pause",
         Refusal::AllReloading => "all engines are loading weights",
         Refusal::Budget => "retry budget exhausted",
         Refusal::UnknownBuild => "unknown which software version began the stream",
@@ -242,7 +249,10 @@
         return response::error_response(ErrorReason::Failed, None);
     }
     let (reason, retry_after) = if retry_state.possible_runs == 0 {
-        (ErrorReason::NotRun, Some(RETRY_AFTER))
+        (
+            ErrorReason::NotRun,
+            Some(RETRY_AFTER.max(retry_state.pause)),
+        )
     } else {
         (ErrorReason::Failed, None)
     };
