soak: endpoints say that they leave and ask for pauses

Change: endpoints that drain say so in their responses, the refusals of every other endpoint ask for a pause of 1.5 s, and the checks read from the endpoints' arrivals whether nodes heed both.

--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -78,6 +78,10 @@
 pub struct RequestRecord {
     pub id: String,
     pub kind: RequestKind,
+    /// Node that it was sent to.
+    pub node: usize,
+    pub sent_at: Instant,
+    pub ended_at: Instant,
     /// HTTP status; 0 when there was no response.
     pub status: u16,
     /// True when the status was 200 and the response complete, a stream with all of
@@ -225,9 +229,13 @@
     let mut connection = Connection::open(address, CONNECT_TIMEOUT).await.ok()?;
     let id = format!("{}-again", stream.id);
     let request = build_request(RequestKind::Draft, &id, caller, Some(stream));
+    let sent_at = Instant::now();
     let mut record = RequestRecord {
         id,
         kind: RequestKind::Draft,
+        node,
+        sent_at,
+        ended_at: sent_at,
         status: 0,
         served: false,
     };
@@ -235,6 +243,7 @@
         return Some(record);
     };
     record.status = answer.status;
+    record.ended_at = Instant::now();
     cluster.record_event(format!(
         "{}: status {} after event {}",
         record.id, answer.status, stream.last_event
@@ -347,6 +356,9 @@
     let mut record = RequestRecord {
         id: id.to_owned(),
         kind,
+        node,
+        sent_at,
+        ended_at: Instant::now(),
         status: 0,
         served: false,
     };
@@ -408,7 +420,7 @@
     let excused = cluster.any_fault_between(
         |scope| {
             matches!(scope, Scope::Node(index) if index == node)
-                || matches!(scope, Scope::Endpoint(_))
+                || matches!(scope, Scope::Endpoint(_) | Scope::Refusals(_))
         },
         sent_at,
         now,
--- a/crates/cli/tests/soak/checks.rs
+++ b/crates/cli/tests/soak/checks.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use flamingolock_platform_standin::Order;
+use flamingolock_platform_standin::{Arrival, Order};
 use tokio::time::sleep;
 
 use crate::entry_site::{Answer, request};
@@ -17,6 +17,12 @@
 /// Time after which a draining endpoint must receive no more requests.
 const DRAIN_DEADLINE: Duration = Duration::from_secs(2);
 
+/// Time after a response that asks for a pause from which on it counts.
+const PAUSE_REACTION: Duration = Duration::from_millis(500);
+
+/// Number of requests of a node that may reach an endpoint in a pause.
+const MAX_LATE_ARRIVALS: usize = 2;
+
 /// Shortest time between orders of two holders to the same engine: one lease, as
 /// `LeaseMs` of the nodes' settings.
 const LEASE_DURATION: Duration = Duration::from_millis(600);
@@ -97,6 +103,9 @@
         }
     }
     check_executions(cluster, records);
+    for index in 0..cluster.backends.len() {
+        check_notices(cluster, index, records);
+    }
     for index in 0..ENDPOINTS {
         check_order_leases(cluster, index);
     }
@@ -157,6 +166,68 @@
     }
 }
 
+/// Checks that nodes heed what an endpoint asked in its responses: that it is leaving,
+/// from [`DRAIN_DEADLINE`] after a caller had such a response, and to pause, from
+/// [`PAUSE_REACTION`] on but for [`MAX_LATE_ARRIVALS`].
+fn check_notices(cluster: &Cluster, index: usize, records: &[RequestRecord]) {
+    let records: BTreeMap<&str, &RequestRecord> = records
+        .iter()
+        .map(|record| (record.id.as_str(), record))
+        .collect();
+    let arrivals = cluster.backends[index].engine.arrivals();
+    let sent: Vec<(&Arrival, &RequestRecord)> = arrivals
+        .iter()
+        .filter_map(|arrival| Some((arrival, *records.get(arrival.request.as_str())?)))
+        .collect();
+    for (place, (told, told_by)) in sent.iter().enumerate() {
+        let later: Vec<_> = sent[place + 1..]
+            .iter()
+            .filter(|(arrival, record)| {
+                record.node == told_by.node
+                    && arrival.endpoint == told.endpoint
+                    && arrival.incarnation == told.incarnation
+            })
+            .collect();
+        if told.leaving && told_by.served {
+            let limit = told_by.ended_at + DRAIN_DEADLINE;
+            let late = later.iter().find(|(arrival, record)| {
+                record.sent_at > limit && !is_node_excused(cluster, told_by.node, told, arrival)
+            });
+            if let Some((late, _)) = late {
+                cluster.record_violation(format!(
+                    "{} reached {} long after node {} passed on that it is leaving",
+                    late.request, late.endpoint, told_by.node
+                ));
+            }
+        }
+        if let Some(pause) = told.pause {
+            let paused = told.at + PAUSE_REACTION..told.at + pause;
+            let late = later.iter().filter(|(arrival, _)| {
+                paused.contains(&arrival.at)
+                    && !is_node_excused(cluster, told_by.node, told, arrival)
+                    && !cluster.any_fault_between(
+                        |scope| scope == Scope::Endpoint(index),
+                        told.at,
+                        arrival.at,
+                    )
+            });
+            let late = late.count();
+            if late > MAX_LATE_ARRIVALS {
+                cluster.record_violation(format!(
+                    "{late} requests of node {} reached {} in a pause that it asked for",
+                    told_by.node, told.endpoint
+                ));
+            }
+        }
+    }
+}
+
+/// True when the node may have restarted or stood still between two arrivals.
+fn is_node_excused(cluster: &Cluster, node: usize, from: &Arrival, to: &Arrival) -> bool {
+    let concerns = |scope| scope == Scope::Node(node) || scope == Scope::Planned(node);
+    cluster.any_fault_between(concerns, from.at, to.at)
+}
+
 /// Checks that orders to an engine come from one lease holder at a time, with rising
 /// fencing tokens.
 fn check_order_leases(cluster: &Cluster, index: usize) {
--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -15,6 +15,9 @@
 /// Number of engines, and of application servers.
 pub const ENDPOINTS: usize = 3;
 
+/// `Retry-After` of the refusals of every other endpoint, in seconds.
+const RETRY_AFTER_S: f64 = 1.5;
+
 /// Time after its end for which a fault still excuses violations, by the platform's
 /// rules.
 pub const FAULT_AFTERMATH: Duration = Duration::from_secs(3);
@@ -28,6 +31,8 @@
     Node(usize),
     /// One endpoint, or the connections to it.
     Endpoint(usize),
+    /// One endpoint refuses requests; its responses arrive as usual.
+    Refusals(usize),
     /// A planned shutdown of one node, which must not interrupt requests.
     Planned(usize),
 }
@@ -101,6 +106,9 @@
                 (format!("desk-{index}"), 0, 40, "desk")
             };
             let engine = Engine::start(&id, events, Duration::from_millis(pause));
+            if index % 2 == 1 {
+                engine.set_retry_after(Some(RETRY_AFTER_S));
+            }
             // Two software versions serve side by side.
             if index == ENDPOINTS - 1 {
                 engine.set_build("v2");
--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -156,6 +156,7 @@
         | Disruption::StoreLosesAnswers
         | Disruption::StoreSlow
         | Disruption::StoreCompacts => Scope::Store,
+        Disruption::EndpointMode(EngineMode::Refusing) => Scope::Refusals(index),
         _ => Scope::Endpoint(index),
     };
     let fault = cluster.begin_fault(scope);
@@ -295,6 +296,7 @@
     let backend = &cluster.backends[index];
     let (key, value) = backend.entry("draining");
     cluster.store.put("keyed.servers", &key, &value);
+    backend.engine.set_leaving(true);
     let drain_started = Instant::now();
     sleep(Duration::from_secs(2) + time).await;
     checks::check_endpoint_drained(cluster, index, drain_started);
