gateway: the store may come back from a copy some seconds old

Nodes read on from an offset of the old history and missed the records before it; the next holder of the lease got a fencing token that an engine had seen from another; the registration of nodes and the record of software versions stayed lost; an older entry made a draining engine ready again.

Change: the adapter puts the era before the offset, so that offsets never go back for the gateway, and a page of another era counts as trimmed: the topic is read anew. On a new era a node gives up the lease, takes none until the holder of a lost record cannot send orders any more, registers again, records the software versions again, and keeps endpoints that the copy does not have for the time in which they are written again. An entry with a lower heartbeat of the same incarnation is ignored.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -240,6 +240,8 @@
     },
     /// A read of a topic failed.
     TopicFailed(FollowedTopic),
+    /// The store stated the number of its history.
+    StoreEra(u64),
     /// A call to the store failed.
     StoreFailed,
     /// A call to the store succeeded.
@@ -288,6 +290,8 @@
     ReadTopic(FollowedTopic, u64),
     /// Fetch the copies of the topics from one of these nodes.
     SyncFromPeers(Vec<SocketAddr>),
+    /// Register this node's address again.
+    Register,
     /// Read the lease topic starting at this offset.
     LeaseRead(u64),
     /// Append a lease record if the topic ends at this offset.
--- a/crates/gateway/src/control/lease.rs
+++ b/crates/gateway/src/control/lease.rs
@@ -57,6 +57,10 @@
     held_until: Millis,
     fencing: u64,
     retry_at: Millis,
+    /// True if the topic's oldest records were found to be gone.
+    is_trimmed: bool,
+    /// Time until which another node may send orders under a record that is lost.
+    blocked_until: Millis,
 }
 
 impl Lease {
@@ -76,6 +80,8 @@
             held_until: 0,
             fencing: 0,
             retry_at: 0,
+            is_trimmed: false,
+            blocked_until: 0,
         }
     }
 
@@ -87,15 +93,14 @@
                 until: self.held_until,
             };
         }
-        if !wanted || self.in_flight || now < self.retry_at {
+        if !wanted || self.in_flight || now < self.retry_at.max(self.blocked_until) {
             return LeaseStep::Wait;
         }
         if !self.synced {
             self.in_flight = true;
             return LeaseStep::Read(self.read_from);
         }
-        let takeover_at = self.record_seen_at + self.handover_gap + VALIDITY_MS + TRANSIT_MARGIN_MS;
-        if self.held_by_other() && now < takeover_at {
+        if self.held_by_other() && now < self.record_seen_at + self.takeover_wait() {
             return LeaseStep::Wait;
         }
         self.in_flight = true;
@@ -137,7 +142,7 @@
         self.set_end(end);
         if let Some(last) = last {
             self.holder = Some(last.to_owned());
-        } else if end > 0 && self.holder.is_none() {
+        } else if self.is_trimmed && self.holder.is_none() {
             // There was a holder, but its record was trimmed.
             self.holder = Some(String::new());
         }
@@ -147,9 +152,23 @@
     /// that is kept.
     pub fn trimmed(&mut self, first: u64) {
         self.in_flight = false;
+        self.is_trimmed = true;
         self.read_from = first;
     }
 
+    /// Handles the loss of the topic's last records, as of now: the holder of one of them
+    /// may not know, and may go on sending orders until its record expires.
+    pub fn records_lost(&mut self, now: Millis) {
+        self.held_until = 0;
+        self.synced = false;
+        self.blocked_until = now + self.takeover_wait();
+    }
+
+    /// Time after another node's record was seen at which this node may take over, in ms.
+    fn takeover_wait(&self) -> Millis {
+        self.handover_gap + VALIDITY_MS + TRANSIT_MARGIN_MS
+    }
+
     fn set_end(&mut self, end: u64) {
         self.end = end;
         self.read_from = end.saturating_sub(1);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -111,6 +111,8 @@
     reported_marks: (u64, u64),
     marks_reported_at: Millis,
     store_unreachable: bool,
+    /// Number of the store's history, if known.
+    store_era: Option<u64>,
     store_recovered_at: Millis,
     ticked_at: Option<Millis>,
     /// Start and end of the last stall of the process.
@@ -173,6 +175,7 @@
             reported_marks: (0, 0),
             marks_reported_at: 0,
             store_unreachable: false,
+            store_era: None,
             store_recovered_at: 0,
             ticked_at: None,
             last_stall: (0, 0),
@@ -245,6 +248,7 @@
             }
             Event::TopicRead { topic, end, at } => self.topic_read(topic, end, at, now),
             Event::TopicFailed(topic) => self.topic_failed(topic, now),
+            Event::StoreEra(era) => self.store_era_stated(era, now),
             Event::StoreFailed => self.store_failed(now),
             Event::StoreAnswered => self.store_answered(now),
             Event::Datagram(from, bytes) => self.handle_datagram(from, bytes, now),
@@ -345,6 +349,28 @@
         }
     }
 
+    /// Handles the number of the store's history. A greater one means that the store came
+    /// back from a copy, without what was written to it in the last seconds.
+    fn store_era_stated(&mut self, era: u64, now: Millis) {
+        let before = self.store_era;
+        if before.is_some_and(|before| era <= before) {
+            return;
+        }
+        self.store_era = Some(era);
+        if before.is_none() {
+            // A lease may have been lost just before this node started.
+            if !self.settings.first_start {
+                self.lease.records_lost(now);
+            }
+            return;
+        }
+        log::warn!(era, before = before.unwrap_or(0); "store came back from a copy; records of the last seconds are lost");
+        self.lease.records_lost(now);
+        self.build_record = BuildRecord::default();
+        self.store_recovered_at = now;
+        self.effects.push(Effect::Register);
+    }
+
     fn detect_stall(&mut self, now: Millis) {
         if let Some(at) = self.ticked_at.filter(|at| now > at + STALL_MS) {
             log::warn!(ms = now - at; "the process stood still");
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -131,15 +131,14 @@
                 return;
             }
         };
-        let is_outdated = self
-            .fleet
-            .get(&key)
-            .is_some_and(|state| entry.start_time_ms < state.endpoint.start_time_ms);
+        // Older entries are read when the store comes back from a copy.
+        let known = self.fleet.get(&key);
+        let is_outdated = known.is_some_and(|state| entry.is_older_than(&state.endpoint));
         if !is_outdated {
             self.endpoint_records.insert(key, record.clone());
         }
         match self.fleet.get_mut(&key) {
-            Some(state) if entry.start_time_ms < state.endpoint.start_time_ms => {}
+            Some(_) if is_outdated => {}
             Some(state) if entry.start_time_ms == state.endpoint.start_time_ms => {
                 if entry.leaving && !state.endpoint.leaving {
                     log::info!(endpoint = id, offset = record.offset; "endpoint is leaving");
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request};
+use http::{HeaderMap, Request, Response};
 
 use crate::catalog::Catalog;
 use crate::clock::Millis;
@@ -145,7 +145,8 @@
         /// Records from the requested offset on.
         records: Vec<Bytes>,
     },
-    /// The records at the requested offset are no longer kept.
+    /// The records at the requested offset are no longer kept, or were lost when the store
+    /// came back from a copy.
     Trimmed {
         /// Oldest offset that is still kept.
         first: u64,
@@ -280,6 +281,9 @@
 }
 
 /// Encoding and decoding functions of a platform.
+///
+/// Offsets of the store never go back here: those after the store came back from a copy
+/// are greater than all before.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
     /// Topic names.
@@ -304,12 +308,13 @@
     /// Requests the newest record of each key of a topic, starting after a key.
     pub newest_request: fn(&str, Option<&str>) -> StoreRequest,
     /// Parses its response.
-    pub parse_newest_response: fn(u16, &[u8]) -> Result<NewestPage, DecodeError>,
+    pub parse_newest_response: fn(&Response<Bytes>) -> Result<NewestPage, DecodeError>,
     /// Requests the records of a topic from an offset on; the store waits up to the
     /// given number of milliseconds for a new record.
     pub read_request: fn(&str, u64, u64) -> StoreRequest,
-    /// Parses its response.
-    pub parse_read_response: fn(u16, Bytes) -> Result<LogPage, DecodeError>,
+    /// Parses its response, given the offset of the request; none if it was read from the
+    /// start.
+    pub parse_read_response: fn(Option<u64>, Response<Bytes>) -> Result<LogPage, DecodeError>,
     /// Splits a record of a keyed topic into key and value, given its offset.
     pub keyed_record: fn(Bytes, u64) -> Result<KeyedRecord, DecodeError>,
     /// Requests to append a record to a topic; with an offset, only if the topic ends
@@ -318,7 +323,10 @@
     /// Requests to append a record with a key to a topic.
     pub append_keyed_request: fn(&str, &str, &[u8]) -> StoreRequest,
     /// Parses the response to an append.
-    pub parse_append_response: fn(u16, &[u8]) -> Result<AppendOutcome, DecodeError>,
+    pub parse_append_response: fn(&Response<Bytes>) -> Result<AppendOutcome, DecodeError>,
+    /// Number of the store's history, which grows whenever the store comes back from a
+    /// copy and has lost the records written since; none if it states none.
+    pub store_era: fn(&HeaderMap) -> Option<u64>,
     /// Decodes a record of the operator, given its key and value.
     pub operator_record: fn(&str, &[u8]) -> Result<OperatorRecord, DecodeError>,
     /// Decodes the entry of an endpoint, given its key and value.
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -19,6 +19,9 @@
     /// id. Serialised as `born`, like the platform's field.
     #[serde(rename = "born")]
     pub start_time_ms: u64,
+    /// Number of the entry, which grows with each one that the incarnation writes; none if
+    /// it states none.
+    pub heartbeat: Option<u64>,
     /// Service that it belongs to.
     pub service: Arc<str>,
     /// Address that it listens on.
@@ -41,6 +44,14 @@
         xxh3_64(id.as_bytes())
     }
 
+    /// True if this entry was written before the other one of the same endpoint.
+    pub fn is_older_than(&self, other: &Self) -> bool {
+        let heartbeats = self.heartbeat.zip(other.heartbeat);
+        self.start_time_ms < other.start_time_ms
+            || (self.start_time_ms == other.start_time_ms
+                && heartbeats.is_some_and(|(own, other)| own < other))
+    }
+
     /// Returns the key of this endpoint.
     pub fn key(&self) -> EndpointKey {
         Self::key_of(&self.id)
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -41,14 +41,16 @@
     }
 }
 
-/// Executes the effects that the control thread requests. The two senders pass on
-/// requests to read the operator's records and the endpoints' entries.
+/// Executes the effects that the control thread requests. The senders pass on
+/// requests to read the operator's records and the endpoints' entries, and to register
+/// the node again.
 pub async fn run_effects(
     socket: Arc<UdpSocket>,
     settings: Settings,
     dialect: &'static Dialect,
     handle: Handle,
     [operator, endpoints]: [UnboundedSender<u64>; 2],
+    registrations: UnboundedSender<()>,
     mut effects: UnboundedReceiver<Effect>,
 ) {
     while let Some(effect) = effects.recv().await {
@@ -73,6 +75,11 @@
             Effect::SyncFromPeers(nodes) => {
                 tokio::spawn(peer_sync::fetch_from_any(handle.clone(), nodes));
             }
+            Effect::Register => {
+                if registrations.send(()).is_err() {
+                    log::error!("no task registers the node");
+                }
+            }
             Effect::LeaseRead(from) => {
                 tokio::spawn(store::read_lease(
                     settings.clone(),
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -189,7 +189,7 @@
     request: Request<Bytes>,
     limit: Duration,
     max_bytes: usize,
-) -> Result<(u16, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     let whole = async {
         let mut connection = match slot
             .take()
@@ -199,14 +199,14 @@
             None => Connection::open(address, limit).await?,
         };
         let response = connection.send(request.map(Full::new)).await?;
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), max_bytes)
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, max_bytes)
             .collect()
             .await
             .map_err(|error| CallError::Body(error.to_string()))?;
         connection.idle_since = now();
         *slot = Some(connection);
-        Ok((status, body.to_bytes()))
+        Ok(Response::from_parts(parts, body.to_bytes()))
     };
     timeout(limit, whole)
         .await
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -105,18 +105,21 @@
         ));
         sender
     });
+    let (registrations, lost_registrations) = mpsc::unbounded_channel();
     tokio::spawn(gossip::run_effects(
         socket,
         settings.clone(),
         dialect,
         handle.clone(),
         read_requests,
+        registrations,
         effect_receiver,
     ));
     tokio::spawn(store::keep_registered(
         settings.clone(),
         dialect,
         handle.clone(),
+        lost_registrations,
     ));
     if !settings.first_start {
         tokio::spawn(store::read_builds(
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::StatusCode;
 use http::header::HOST;
+use http::{Response, StatusCode};
 
 use crate::clock::now;
 use crate::control::{Event, Handle};
@@ -51,7 +51,7 @@
     )
     .await
     {
-        Ok((status, _)) => (dialect.parse_order_response)(status),
+        Ok(response) => (dialect.parse_order_response)(response.status().as_u16()),
         Err(CallError::NotSent) => OrderOutcome::NotSent,
         Err(error) => {
             log::warn!(engine = &*order.engine.id, error:% = error; "no response to an order");
@@ -69,31 +69,31 @@
 /// True if the endpoint responds to a call and has not restarted since its entry was
 /// written.
 pub async fn still_runs(dialect: &Dialect, endpoint: &Endpoint) -> bool {
-    let Some((status, body)) = call_report(dialect, endpoint).await else {
+    let Some(response) = call_report(dialect, endpoint).await else {
         return false;
     };
     // Another endpoint may have taken over the address.
-    if status == StatusCode::MISDIRECTED_REQUEST.as_u16() {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
         return false;
     }
     // Application servers reject the call. They, and engines that state no start time,
     // have another id after a restart.
-    let report = (dialect.parse_report_response)(status, &body);
+    let report = (dialect.parse_report_response)(response.status().as_u16(), response.body());
     report.map_or(true, |report| {
         report.born == 0 || report.born == endpoint.start_time_ms
     })
 }
 
 async fn read_report(dialect: &Dialect, engine: &Endpoint) -> Option<EngineReport> {
-    let (status, body) = call_report(dialect, engine).await?;
-    (dialect.parse_report_response)(status, &body)
+    let response = call_report(dialect, engine).await?;
+    (dialect.parse_report_response)(response.status().as_u16(), response.body())
         .map_err(
             |error| log::warn!(engine = &*engine.id, error:% = error; "cannot decode an engine's report"),
         )
         .ok()
 }
 
-async fn call_report(dialect: &Dialect, endpoint: &Endpoint) -> Option<(u16, Bytes)> {
+async fn call_report(dialect: &Dialect, endpoint: &Endpoint) -> Option<Response<Bytes>> {
     let request = (dialect.report_request)(endpoint);
     call(
         &mut None,
@@ -122,7 +122,7 @@
         request.headers_mut().insert(HOST, host);
     }
     let held = match call(&mut None, address, request, CALL_TIMEOUT, MAX_EVENTS_BYTES).await {
-        Ok((status, body)) => (dialect.parse_cache_response)(status, &body),
+        Ok(response) => (dialect.parse_cache_response)(response.status().as_u16(), response.body()),
         Err(error) => {
             log::info!(address:% = address, error:% = error; "cannot fetch the list of cached parts");
             return;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use flamingolock_wire::gossip::BuildHistory;
+use http::Response;
 use prost::Message;
 use rand::Rng;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -48,6 +50,8 @@
     dialect: &'static Dialect,
     handle: Handle,
     connection: Option<Connection>,
+    /// Era that the last response stated.
+    era: Option<u64>,
 }
 
 impl StoreClient {
@@ -57,6 +61,7 @@
             dialect,
             handle,
             connection: None,
+            era: None,
         }
     }
 
@@ -64,7 +69,7 @@
         &mut self,
         request: StoreRequest,
         wait_ms: u64,
-    ) -> Result<(u16, bytes::Bytes), StoreError> {
+    ) -> Result<Response<Bytes>, StoreError> {
         let limit = CALL_TIMEOUT + Duration::from_millis(wait_ms);
         let host = self.address.to_string();
         let (mut parts, body) = request.into_parts();
@@ -72,16 +77,20 @@
             parts.headers.insert(http::header::HOST, host);
         }
         let request = http::Request::from_parts(parts, body);
-        let result = call(
+        let response = call(
             &mut self.connection,
             self.address,
             request,
             limit,
             MAX_RESPONSE_BYTES,
         )
-        .await;
-        let (status, body) = result?;
-        Ok((status, body))
+        .await?;
+        let era = (self.dialect.store_era)(response.headers());
+        if let Some(era) = era.filter(|_| era != self.era) {
+            self.era = Some(era);
+            self.handle.send(Event::StoreEra(era));
+        }
+        Ok(response)
     }
 
     /// Logs a failed call, closes the connection and informs the control thread.
@@ -103,11 +112,20 @@
     async fn newest(&mut self, topic: &str) -> Result<(Vec<KeyedRecord>, u64), StoreError> {
         let mut records: Vec<KeyedRecord> = Vec::new();
         let mut end = None;
+        let mut era = self.era;
         loop {
             let after = records.last().map(|record| record.key.clone());
             let request = (self.dialect.newest_request)(topic, after.as_deref());
-            let (status, body) = self.call(request, 0).await?;
-            let page = (self.dialect.parse_newest_response)(status, &body)?;
+            let response = self.call(request, 0).await?;
+            let page = (self.dialect.parse_newest_response)(&response)?;
+            if self.era != era {
+                // The pages so far may hold records that are lost.
+                records.clear();
+                (end, era) = (None, self.era);
+                if after.is_some() {
+                    continue;
+                }
+            }
             // Records that change while the pages are read are found after this offset.
             end.get_or_insert(page.end);
             let last = page.records.is_empty();
@@ -118,10 +136,16 @@
         }
     }
 
-    async fn read(&mut self, topic: &str, from: u64, wait_ms: u64) -> Result<LogPage, StoreError> {
-        let request = (self.dialect.read_request)(topic, from, wait_ms);
-        let (status, body) = self.call(request, wait_ms).await?;
-        Ok((self.dialect.parse_read_response)(status, body)?)
+    /// Reads records from an offset on; from the start if it is none.
+    async fn read(
+        &mut self,
+        topic: &str,
+        from: Option<u64>,
+        wait_ms: u64,
+    ) -> Result<LogPage, StoreError> {
+        let request = (self.dialect.read_request)(topic, from.unwrap_or(0), wait_ms);
+        let response = self.call(request, wait_ms).await?;
+        Ok((self.dialect.parse_read_response)(from, response)?)
     }
 
     /// Reads the records from an offset to the end of a topic, which may take several
@@ -132,12 +156,12 @@
         from: u64,
         wait_ms: u64,
     ) -> Result<LogPage, StoreError> {
-        let mut page = self.read(topic, from, wait_ms).await?;
+        let mut page = self.read(topic, Some(from), wait_ms).await?;
         while let LogPage::Records { end, records } = &mut page
             && from + (records.len() as u64) < *end
         {
             let next = from + records.len() as u64;
-            match self.read(topic, next, 0).await? {
+            match self.read(topic, Some(next), 0).await? {
                 LogPage::Records { records: more, .. } if !more.is_empty() => records.extend(more),
                 _ => {
                     let reason = format!("no record at offset {next} of {end}");
@@ -234,11 +258,7 @@
     Ok(())
 }
 
-fn parse_records(
-    store: &StoreClient,
-    records: Vec<bytes::Bytes>,
-    from: &mut u64,
-) -> Vec<KeyedRecord> {
+fn parse_records(store: &StoreClient, records: Vec<Bytes>, from: &mut u64) -> Vec<KeyedRecord> {
     let mut keyed = Vec::with_capacity(records.len());
     for record in records {
         match (store.dialect.keyed_record)(record, *from) {
@@ -252,8 +272,14 @@
     keyed
 }
 
-/// Registers this node's address and keeps reading the addresses of the other nodes.
-pub async fn keep_registered(settings: Settings, dialect: &'static Dialect, handle: Handle) {
+/// Registers this node's address, again after each item of `lost`, and keeps reading the
+/// addresses of the other nodes.
+pub async fn keep_registered(
+    settings: Settings,
+    dialect: &'static Dialect,
+    handle: Handle,
+    mut lost: UnboundedReceiver<()>,
+) {
     let mut store = StoreClient::new(&settings, dialect, handle);
     let mut registered = false;
     loop {
@@ -267,7 +293,7 @@
             let appended = store
                 .call(request, 0)
                 .await
-                .and_then(|(status, body)| Ok((dialect.parse_append_response)(status, &body)?));
+                .and_then(|response| Ok((dialect.parse_append_response)(&response)?));
             match appended {
                 Ok(AppendOutcome::At(_)) => registered = true,
                 Ok(other) => log::warn!(outcome:? = other; "cannot register the node's address"),
@@ -292,7 +318,10 @@
                     .collect();
                 store.handle.send(Event::NodesListed(addresses));
                 store.connection = None;
-                sleep(REGISTRY_INTERVAL).await;
+                tokio::select! {
+                    () = sleep(REGISTRY_INTERVAL) => {}
+                    Some(()) = lost.recv() => registered = false,
+                }
             }
             Err(error) => {
                 store
@@ -307,6 +336,7 @@
 /// thread.
 pub async fn read_lease(settings: Settings, dialect: &'static Dialect, handle: Handle, from: u64) {
     let mut store = StoreClient::new(&settings, dialect, handle.clone());
+    let from = (from > 0).then_some(from);
     match store.read(dialect.topics.lease, from, 0).await {
         Ok(LogPage::Records { end, records }) => {
             let last = records
@@ -331,9 +361,13 @@
     let outcome = store
         .call(request, 0)
         .await
-        .and_then(|(status, body)| Ok((dialect.parse_append_response)(status, &body)?));
+        .and_then(|response| Ok((dialect.parse_append_response)(&response)?));
     match outcome {
-        Ok(AppendOutcome::At(offset)) => handle.send(Event::LeaseAppended(offset)),
+        Ok(AppendOutcome::At(offset)) if offset == at => handle.send(Event::LeaseAppended(offset)),
+        Ok(AppendOutcome::At(offset)) => {
+            log::info!(at, offset; "the store has lost records since the lease was read");
+            handle.send(Event::LeaseFailed);
+        }
         Ok(AppendOutcome::Moved { end }) => {
             log::info!(at, end; "another node has taken the lease");
             handle.send(Event::LeaseFailed);
@@ -380,7 +414,7 @@
     let outcome = store
         .call(request, 0)
         .await
-        .and_then(|(status, body)| Ok((dialect.parse_append_response)(status, &body)?));
+        .and_then(|response| Ok((dialect.parse_append_response)(&response)?));
     match outcome {
         Ok(AppendOutcome::At(_)) => handle.send(Event::BuildsRecorded(true)),
         Ok(other) => {
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -436,3 +436,35 @@
         "its copies are current"
     );
 }
+
+#[test]
+fn endpoint_that_was_draining_is_not_used_when_an_older_entry_comes_back() {
+    let mut harness = Harness::with_engines(1, 0);
+    let entry = |state: &str, heartbeat: u64| {
+        format!(
+            r#"{{"Service":"engines","Address":"10.0.0.1:80","Zone":"zone-a","Version":"v1","Slots":64,
+            "State":"{state}","Seq":{heartbeat},"born":1,"Models":[{{"Name":"m","Version":1}}]}}"#
+        )
+    };
+    harness.entry("e0", Some(&entry("draining", 8)), 10);
+    harness.control.handle(Event::StoreEra(0), 20);
+    harness.control.handle(Event::StoreEra(1), 30);
+    harness.entry("e0", Some(&entry("ready", 6)), 40);
+    let placed = harness.place(placement_request(None, 1), 50);
+    assert_eq!(placed.expect("a decision").err(), Some(Refusal::NoEndpoint));
+}
+
+#[test]
+fn endpoint_that_the_copy_does_not_have_is_kept_until_it_is_written_again() {
+    let mut harness = Harness::with_engines(2, 0);
+    harness.control.handle(Event::StoreEra(0), 1_000);
+    harness.control.handle(Event::StoreEra(1), 10_000);
+    harness.engines_of_builds(&["v1"], 10_010);
+    for (now, endpoints) in [(12_000, 2), (12_400, 1)] {
+        harness.control.tick(now);
+        let mut request = placement_request(None, 1);
+        request.tried = vec![Endpoint::key_of("e0")];
+        let placed = harness.place(request, now).expect("a decision");
+        assert_eq!(placed.is_ok(), endpoints == 2, "at {now}");
+    }
+}
--- a/crates/gateway/tests/test_lease.rs
+++ b/crates/gateway/tests/test_lease.rs
@@ -85,3 +85,13 @@
         prop_assert!(max_concurrent_loads(engines) <= engines.div_ceil(2));
     }
 }
+
+#[test]
+fn nobody_takes_the_lease_while_the_holder_of_a_lost_record_may_send_orders() {
+    let mut lease = Lease::new("me", Duration::from_millis(HANDOVER_GAP));
+    assert_eq!(lease.step(true, 10), LeaseStep::Read(0));
+    lease.read(0, None, 20);
+    lease.records_lost(1_000);
+    assert_eq!(lease.step(true, 4_900), LeaseStep::Wait);
+    assert_eq!(lease.step(true, 4_950), LeaseStep::Read(0));
+}
