soak: the store comes back from copies

Change: half of the disruptions that compact the store take it back to a copy of up to 2.5 s before instead; what the operator and the endpoints wrote is written again 0.4 s later, unless the key was written meanwhile.

--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -19,6 +19,9 @@
 /// Time from SIGTERM to SIGKILL, as `GraceS` of the nodes' settings.
 const TERMINATION_GRACE: Duration = Duration::from_secs(6);
 
+/// Time after which what the store lost is written again.
+const REWRITE_DELAY: Duration = Duration::from_millis(400);
+
 /// A fault, planned shutdown or change.
 #[derive(Clone, Copy, Debug)]
 enum Disruption {
@@ -183,6 +186,8 @@
                 proxy.change_faults(|faults| faults.down.delay_ms = 0);
             }
         }
+        // Half of them, and no disruption of its own: earlier seeds stay what they were.
+        Disruption::StoreCompacts if index >= ENDPOINTS => restore_store(&cluster, time).await,
         Disruption::StoreCompacts => {
             cluster.store.compact("keyed.op");
             cluster.store.compact("keyed.servers");
@@ -276,6 +281,16 @@
     }
 }
 
+/// Takes the store back to its content before `time`. The operator and the endpoints
+/// write what they had written since again.
+async fn restore_store(cluster: &Cluster, time: Duration) {
+    let copy = cluster.store.copy();
+    sleep(time).await;
+    let lost = cluster.store.restore(copy);
+    sleep(REWRITE_DELAY).await;
+    cluster.store.write_again(&lost);
+}
+
 /// Crashes an endpoint: its connections are closed and new ones refused for `time`.
 /// Then it is back with a new incarnation, which is written to its entry.
 async fn crash_endpoint(cluster: &Cluster, backend: &Backend, time: Duration) {
--- a/crates/cli/tests/test_store_copies.rs
+++ b/crates/cli/tests/test_store_copies.rs
@@ -48,7 +48,7 @@
         node.log().matches("applied new configuration").count() >= 2
     });
     std::thread::sleep(Duration::from_millis(300));
-    site.store.restore(&copy);
+    site.store.restore(copy);
     // It has the offset of a record that was lost.
     site.store
         .put("keyed.op", "op/config", &site_configuration(4, true));
@@ -67,17 +67,17 @@
     name_weights(&site, 2);
     wait_for_weights(&site, 2);
     let first = orders(&site).pop().expect("an order");
-    let before = site.store.restore(&copy);
-    site.store.write_again(&before);
+    let lost = site.store.restore(copy);
+    site.store.write_again(&lost);
     let holder = nodes.iter_mut().find(|node| node.name == first.holder);
     holder.expect("the holder of the lease").kill();
     name_weights(&site, 3);
     wait_for_weights(&site, 3);
-    let last = orders(&site).pop().expect("an order");
-    assert_ne!(first.holder, last.holder);
+    let second = orders(&site).pop().expect("an order");
+    assert_ne!(first.holder, second.holder);
     assert!(
-        first.fencing_token < last.fencing_token,
-        "{first:?} {last:?}"
+        first.fencing_token < second.fencing_token,
+        "{first:?} {second:?}"
     );
 }
 
@@ -89,7 +89,7 @@
     let copy = site.store.copy();
     let topics = ["keyed.nodes", "keyed.builds"];
     wait_for("the records", || topics.into_iter().all(is_written));
-    site.store.restore(&copy);
+    site.store.restore(copy);
     assert!(!is_written("keyed.builds"));
     wait_for("the records again", || topics.into_iter().all(is_written));
 }
