gateway: notices of listed endpoints are kept, pauses cannot overflow

Read in the diff: an endpoint that is leaving for longer than 15 minutes would have been used again, and a Retry-After near the greatest number would have overflowed the clock. Change: notices are forgotten only for endpoints that are not listed, and the end of a pause saturates. Test for both, written with the change.

--- a/crates/gateway/src/control/notices.rs
+++ b/crates/gateway/src/control/notices.rs
@@ -9,7 +9,8 @@
 use crate::clock::Millis;
 use crate::endpoint::{Endpoint, EndpointKey};
 
-/// Time after its last response for which the notices of an endpoint are kept, in ms.
+/// Time after its last notice for which an endpoint that is not listed is remembered, in
+/// ms.
 const RETENTION_MS: Millis = 15 * 60 * 1_000;
 
 /// What an endpoint asks of this node.
@@ -66,7 +67,8 @@
         match notice {
             Notice::Leaving => notices.leaving = true,
             Notice::Pause(time) => {
-                let until = now + time.as_millis() as Millis;
+                let time = Millis::try_from(time.as_millis()).unwrap_or(Millis::MAX);
+                let until = now.saturating_add(time);
                 notices.paused_until = notices.paused_until.max(until);
             }
         }
@@ -83,10 +85,9 @@
         }
     }
 
-    /// Forgets the notices of endpoints that have been gone for a long time.
-    pub fn forget_old(&mut self, now: Millis) {
-        self.endpoints.retain(|_, notices| {
-            now < (notices.received_at + RETENTION_MS).max(notices.paused_until)
-        });
+    /// Forgets the notices of endpoints that have not been listed for a long time.
+    pub fn forget_old(&mut self, is_listed: impl Fn(EndpointKey) -> bool, now: Millis) {
+        self.endpoints
+            .retain(|key, notices| is_listed(*key) || now < notices.received_at + RETENTION_MS);
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -305,7 +305,8 @@
             self.runs_swept_at = now;
             self.drop_runs_of_dead_nodes(now);
             self.forget_streams(now);
-            self.notices.forget_old(now);
+            self.notices
+                .forget_old(|key| self.fleet.contains_key(&key), now);
             self.record_builds(now);
         }
         let mut wake = now + MAX_TICK_INTERVAL_MS;
--- a/crates/gateway/tests/test_notices.rs
+++ b/crates/gateway/tests/test_notices.rs
@@ -53,3 +53,21 @@
     assert!(harness.place(patient, 3_700).is_none(), "it waits");
     assert!(place(&mut harness, 4_000).is_ok());
 }
+
+#[test]
+fn notices_of_listed_endpoints_are_never_forgotten() {
+    let mut harness = Harness::with_engines(1, 0);
+    let engine = place(&mut harness, 10).expect("a placement");
+    let endless = Notice::Pause(Duration::MAX);
+    harness
+        .control
+        .handle(Event::Noticed(engine.clone(), endless), 20);
+    let refused = place(&mut harness, 30);
+    assert_eq!(refused, Err(Refusal::AllPaused { until: u64::MAX }));
+    harness
+        .control
+        .handle(Event::Noticed(engine, Notice::Leaving), 40);
+    let one_hour = 3_600_000;
+    harness.control.tick(one_hour);
+    assert_eq!(place(&mut harness, one_hour), Err(Refusal::NoEndpoint));
+}
