gateway: weights replaced by many versions keep their age

An engine at the oldest of 16 named versions counted as replaced since the oldest version still in the list, which moved on with each new one: with a version every 300 ms its weights could be used without end.

Change: the version that follows the removed one inherits its time.

--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -129,8 +129,9 @@
         }
         if versions.len() == MAX_VERSIONS {
             // The oldest version stays in the list because it determines since when the
-            // versions before it count as superseded.
-            versions.remove(1);
+            // versions before it count as superseded. The next one now does so for it.
+            let removed = versions.remove(1);
+            versions[1].named_at = removed.named_at;
         }
         versions.push(NamedVersion { version, named_at });
         self.progressed_at = now;
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -468,3 +468,20 @@
         assert_eq!(placed.is_ok(), endpoints == 2, "at {now}");
     }
 }
+
+#[test]
+fn weights_replaced_many_times_are_not_used_past_the_first_bound() {
+    let mut harness = Harness::with_engines(1, 0);
+    harness.weights(1, 500);
+    let named_at = |version: u64| 1_000 + (version - 2) * 300;
+    for version in 2..=21 {
+        harness.weights(version, named_at(version));
+    }
+    let now = named_at(21);
+    assert!(now > 1_000 + 5_500);
+    let placed = harness.place(placement_request(None, 1), now);
+    assert_eq!(
+        placed.expect("a decision").err(),
+        Some(Refusal::AllReloading)
+    );
+}
