--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::response::Parts;
 use http::{HeaderMap, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -50,6 +51,15 @@
     pub grant: Grant,
 }
 
+/// A response whose body is still to be read.
+#[derive(Debug)]
+struct UnreadResponse {
+    parts: Parts,
+    body: Incoming,
+    connection: Connection,
+    head: ResponseHead,
+}
+
 /// A response whose body was read to its end.
 #[derive(Debug)]
 pub struct BufferedResponse {
@@ -124,16 +134,16 @@
         guard.end(RunEnd::Broken);
         return AttemptOutcome::NoResponse(RunEnd::Broken);
     }
-    if parts.status.is_success() && exchange.route.kind == RequestKind::Stream {
-        return open_stream(
-            exchange, grant, guard, parts, body, connection, &head, limit,
-        )
-        .await;
+    let response = UnreadResponse {
+        parts,
+        body,
+        connection,
+        head,
+    };
+    if response.parts.status.is_success() && exchange.route.kind == RequestKind::Stream {
+        return open_stream(exchange, grant, guard, response, limit).await;
     }
-    read_response(
-        exchange, context, &grant, guard, parts, body, connection, &head,
-    )
-    .await
+    read_response(exchange, context, &grant, guard, response).await
 }
 
 /// Tells the control thread what the endpoint asks of this node.
@@ -266,17 +276,19 @@
     AttemptOutcome::NoResponse(RunEnd::Silent)
 }
 
-#[expect(clippy::too_many_arguments, reason = "the parts of one response")]
 async fn open_stream(
     exchange: &Exchange,
     grant: Grant,
     guard: RunGuard,
-    parts: http::response::Parts,
-    mut body: Incoming,
-    mut connection: Connection,
-    head: &ResponseHead,
+    response: UnreadResponse,
     limit: Instant,
 ) -> AttemptOutcome {
+    let UnreadResponse {
+        parts,
+        mut body,
+        mut connection,
+        head,
+    } = response;
     connection.set_keep_alive(head.keep_alive);
     let first = match timeout_at(limit, first_chunk(&mut body)).await {
         Ok(Ok(first)) => first,
@@ -321,17 +333,19 @@
     Ok(None)
 }
 
-#[expect(clippy::too_many_arguments, reason = "the parts of one response")]
 async fn read_response(
     exchange: &Exchange,
     context: &ProxyContext,
     grant: &Grant,
     guard: RunGuard,
-    parts: http::response::Parts,
-    body: Incoming,
-    mut connection: Connection,
-    head: &ResponseHead,
+    response: UnreadResponse,
 ) -> AttemptOutcome {
+    let UnreadResponse {
+        parts,
+        body,
+        mut connection,
+        head,
+    } = response;
     let has_body = !body.is_end_stream();
     let collected = timeout_at(
         exchange.deadline,
