--- a/crates/cli/tests/soak/checks.rs
+++ b/crates/cli/tests/soak/checks.rs
@@ -175,50 +175,62 @@
         .map(|record| (record.id.as_str(), record))
         .collect();
     let arrivals = cluster.backends[index].engine.arrivals();
-    let sent: Vec<(&Arrival, &RequestRecord)> = arrivals
+    let sent: Vec<Sent> = arrivals
         .iter()
         .filter_map(|arrival| Some((arrival, *records.get(arrival.request.as_str())?)))
         .collect();
-    for (place, (told, told_by)) in sent.iter().enumerate() {
-        let later: Vec<_> = sent[place + 1..]
+    for (place, told) in sent.iter().enumerate() {
+        let later: Vec<Sent> = sent[place + 1..]
             .iter()
-            .filter(|(arrival, record)| {
-                record.node == told_by.node
-                    && arrival.endpoint == told.endpoint
-                    && arrival.incarnation == told.incarnation
-            })
+            .filter(|other| is_same_route(told, other))
+            .copied()
             .collect();
-        if told.leaving && told_by.served {
-            let limit = told_by.ended_at + DRAIN_DEADLINE;
-            let late = later.iter().find(|(arrival, record)| {
-                record.sent_at > limit && !is_node_excused(cluster, told_by.node, told, arrival)
-            });
-            if let Some((late, _)) = late {
-                cluster.record_violation(format!(
-                    "{} reached {} long after node {} passed on that it is leaving",
-                    late.request, late.endpoint, told_by.node
-                ));
-            }
-        }
-        if let Some(pause) = told.pause {
-            let paused = told.at + PAUSE_REACTION..told.at + pause;
-            let late = later.iter().filter(|(arrival, _)| {
-                paused.contains(&arrival.at)
-                    && !is_node_excused(cluster, told_by.node, told, arrival)
-                    && !cluster.any_fault_between(
-                        |scope| scope == Scope::Endpoint(index),
-                        told.at,
-                        arrival.at,
-                    )
-            });
-            let late = late.count();
-            if late > MAX_LATE_ARRIVALS {
-                cluster.record_violation(format!(
-                    "{late} requests of node {} reached {} in a pause that it asked for",
-                    told_by.node, told.endpoint
-                ));
-            }
-        }
+        check_leaving(cluster, *told, &later);
+        check_pause(cluster, index, *told, &later);
+    }
+}
+
+/// A request at an endpoint, and its caller's record.
+type Sent<'a> = (&'a Arrival, &'a RequestRecord);
+
+/// True when both requests went from one node to one incarnation of an endpoint.
+fn is_same_route((arrival, record): &Sent, (other, other_record): &Sent) -> bool {
+    record.node == other_record.node
+        && arrival.endpoint == other.endpoint
+        && arrival.incarnation == other.incarnation
+}
+
+fn check_leaving(cluster: &Cluster, (told, told_by): Sent, later: &[Sent]) {
+    if !told.leaving || !told_by.served {
+        return;
+    }
+    let limit = told_by.ended_at + DRAIN_DEADLINE;
+    let late = later.iter().find(|(arrival, record)| {
+        record.sent_at > limit && !is_node_excused(cluster, told_by.node, told, arrival)
+    });
+    if let Some((late, _)) = late {
+        cluster.record_violation(format!(
+            "{} reached {} long after node {} passed on that it is leaving",
+            late.request, late.endpoint, told_by.node
+        ));
+    }
+}
+
+fn check_pause(cluster: &Cluster, index: usize, (told, told_by): Sent, later: &[Sent]) {
+    let Some(pause) = told.pause else { return };
+    let paused = told.at + PAUSE_REACTION..told.at + pause;
+    let is_endpoint = |scope| scope == Scope::Endpoint(index);
+    let late = later.iter().filter(|(arrival, _)| {
+        paused.contains(&arrival.at)
+            && !is_node_excused(cluster, told_by.node, told, arrival)
+            && !cluster.any_fault_between(is_endpoint, told.at, arrival.at)
+    });
+    let late = late.count();
+    if late > MAX_LATE_ARRIVALS {
+        cluster.record_violation(format!(
+            "{late} requests of node {} reached {} in a pause that it asked for",
+            told_by.node, told.endpoint
+        ));
     }
 }
 
