--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -240,7 +240,7 @@
     },
     /// A read of a topic failed.
     TopicFailed(FollowedTopic),
-    /// The store stated the number of its history.
+    /// The store stated its era, the number of its history.
     StoreEra(u64),
     /// A call to the store failed.
     StoreFailed,
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -111,7 +111,7 @@
     reported_marks: (u64, u64),
     marks_reported_at: Millis,
     store_unreachable: bool,
-    /// Number of the store's history, if known.
+    /// Era of the store, the number of its history, if known.
     store_era: Option<u64>,
     store_recovered_at: Millis,
     ticked_at: Option<Millis>,
@@ -350,7 +350,7 @@
         }
     }
 
-    /// Handles the number of the store's history. A greater one means that the store came
+    /// Handles the store's era, the number of its history. A greater one means that the store came
     /// back from a copy, without what was written to it in the last seconds.
     fn store_era_stated(&mut self, era: u64, now: Millis) {
         let before = self.store_era;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -324,7 +324,7 @@
     pub append_keyed_request: fn(&str, &str, &[u8]) -> StoreRequest,
     /// Parses the response to an append.
     pub parse_append_response: fn(&Response<Bytes>) -> Result<AppendOutcome, DecodeError>,
-    /// Number of the store's history, which grows whenever the store comes back from a
+    /// Era of the store: the number of its history, which grows whenever the store comes back from a
     /// copy and has lost the records written since; none if it states none.
     pub store_era: fn(&HeaderMap) -> Option<u64>,
     /// Decodes a record of the operator, given its key and value.
