--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Instant;
 
 use super::Control;
 use crate::catalog::Catalog;
@@ -43,8 +44,13 @@
         now: Millis,
     ) {
         let Some(value) = &record.value else { return };
-        match (self.dialect.operator_record)(&record.key, value) {
+        let decode_started = Instant::now();
+        let decoded = (self.dialect.operator_record)(&record.key, value);
+        match decoded {
             Ok(OperatorRecord::Catalog(catalog)) => {
+                let decode_ms = decode_started.elapsed().as_millis() as u64;
+                log::info!(version = catalog.version, offset = record.offset, bytes = value.len(), decode_ms;
+                    "decoded a configuration");
                 if self.apply_catalog(catalog, record.offset, now) {
                     self.remember_operator_record(record);
                 }
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -50,8 +50,11 @@
     #[error("cannot read the response body: {0}")]
     Body(String),
     /// The call timed out before the response was complete.
-    #[error("call timed out")]
-    Timeout,
+    #[error("call timed out after {received} bytes of the response body")]
+    Timeout {
+        /// Number of bytes of the body that had arrived.
+        received: usize,
+    },
 }
 
 /// How the end of a response body is marked.
@@ -190,6 +193,7 @@
     limit: Duration,
     max_bytes: usize,
 ) -> Result<Response<Bytes>, CallError> {
+    let mut received = 0;
     let whole = async {
         let mut connection = match slot
             .take()
@@ -200,17 +204,28 @@
         };
         let response = connection.send(request.map(Full::new)).await?;
         let (parts, body) = response.into_parts();
-        let body = Limited::new(body, max_bytes)
-            .collect()
-            .await
-            .map_err(|error| CallError::Body(error.to_string()))?;
+        let body = collect(Limited::new(body, max_bytes), &mut received).await?;
         connection.idle_since = now();
         *slot = Some(connection);
-        Ok(Response::from_parts(parts, body.to_bytes()))
+        Ok(Response::from_parts(parts, body))
     };
-    timeout(limit, whole)
-        .await
-        .unwrap_or(Err(CallError::Timeout))
+    match timeout(limit, whole).await {
+        Ok(response) => response,
+        Err(_) => Err(CallError::Timeout { received }),
+    }
+}
+
+/// Reads a body to its end and counts its bytes as they arrive.
+async fn collect(mut body: Limited<Incoming>, received: &mut usize) -> Result<Bytes, CallError> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| CallError::Body(error.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+            *received = bytes.len();
+        }
+    }
+    Ok(bytes.freeze())
 }
 
 /// Pool of idle connections to endpoints.
