--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -39,6 +39,8 @@
 pub struct DirectionFaults {
     /// Latency added to every byte.
     pub delay_ms: u64,
+    /// Bandwidth of each connection, in bytes per second; unlimited if none.
+    pub bytes_per_s: Option<u64>,
     /// Closes one connection: the one on which the route forwards the last of this
     /// many bytes, counted over all connections from now on.
     pub cut_after: Option<u64>,
@@ -134,6 +136,14 @@
         self.lock().faults
     }
 
+    /// Time that a connection takes for this many bytes.
+    pub(crate) fn transfer_time(&self, direction: Direction, bytes: usize) -> Duration {
+        let rate = self.lock().faults.direction(direction).bytes_per_s;
+        rate.map_or(Duration::ZERO, |rate| {
+            Duration::from_secs_f64(bytes as f64 / rate as f64)
+        })
+    }
+
     pub(crate) fn accepted(&self) -> u64 {
         self.lock().accepted
     }
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -20,7 +20,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf, split};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::error::StandinError;
@@ -29,7 +29,7 @@
 pub use crate::proxy_control::{ControlHandle, start_control};
 
 /// Maximum number of bytes of one read.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
+const READ_BUFFER_BYTES: usize = 16 * 1024;
 
 /// Maximum number of chunks queued per direction of a connection.
 const MAX_QUEUED_CHUNKS: usize = 256;
@@ -233,6 +233,7 @@
                     (swapped_chunk.await.map_err(|_| Closed)?, false)
                 }
             };
+            sleep(self.route.transfer_time(self.direction, bytes.len())).await;
             self.block_if_silenced().await;
             let written = to.write_all(&bytes).await;
             self.block_if_silenced().await;
