gateway: a read of the store lasts as long as bytes arrive

Callers were served by old routes, or got 404 on new ones, for as long as the configuration stayed larger than the link of their node can carry in a second. Cause: one second held for the whole response, whatever its size; what had arrived was thrown away, and the next read began from its start.

Now a call has one second until its head, one second without a byte of its body, and a minute in all. Calls to engines keep their fixed time.

--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -57,6 +57,31 @@
     },
 }
 
+/// Limits on a call and its response.
+#[derive(Clone, Copy, Debug)]
+pub struct CallLimits {
+    /// Time until the head of the response, with the connect.
+    pub response: Duration,
+    /// Time without a byte of the body after which the call fails.
+    pub stall: Duration,
+    /// Time of the whole call.
+    pub whole: Duration,
+    /// Size of the body in bytes.
+    pub bytes: usize,
+}
+
+impl CallLimits {
+    /// Limits of a call whose whole response must arrive within `time`.
+    pub fn within(time: Duration, bytes: usize) -> Self {
+        Self {
+            response: time,
+            stall: time,
+            whole: time,
+            bytes,
+        }
+    }
+}
+
 /// How the end of a response body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -185,47 +210,70 @@
 ///
 /// # Errors
 ///
-/// If no complete response of at most `max_bytes` bytes arrives within `limit`.
+/// If no complete response arrives within the limits.
 pub async fn call(
     slot: &mut Option<Connection>,
     address: SocketAddr,
     request: Request<Bytes>,
-    limit: Duration,
-    max_bytes: usize,
+    limits: CallLimits,
 ) -> Result<Response<Bytes>, CallError> {
     let mut received = 0;
     let whole = async {
-        let mut connection = match slot
-            .take()
-            .filter(|connection| connection.is_usable(1.0, now()))
-        {
-            Some(connection) => connection,
-            None => Connection::open(address, limit).await?,
+        let head = timeout(limits.response, send(slot.take(), address, request, limits));
+        let (response, mut connection) = match head.await {
+            Ok(sent) => sent?,
+            Err(_) => return Err(CallError::Timeout { received: 0 }),
         };
-        let response = connection.send(request.map(Full::new)).await?;
         let (parts, body) = response.into_parts();
-        let body = collect(Limited::new(body, max_bytes), &mut received).await?;
+        let body = Limited::new(body, limits.bytes);
+        let body = collect(body, limits.stall, &mut received).await?;
         connection.idle_since = now();
         *slot = Some(connection);
         Ok(Response::from_parts(parts, body))
     };
-    match timeout(limit, whole).await {
+    match timeout(limits.whole, whole).await {
         Ok(response) => response,
         Err(_) => Err(CallError::Timeout { received }),
     }
 }
 
+/// Sends a request on an idle connection, or on a new one if there is none.
+async fn send(
+    idle: Option<Connection>,
+    address: SocketAddr,
+    request: Request<Bytes>,
+    limits: CallLimits,
+) -> Result<(Response<Incoming>, Connection), CallError> {
+    let mut connection = match idle.filter(|connection| connection.is_usable(1.0, now())) {
+        Some(connection) => connection,
+        None => Connection::open(address, limits.response).await?,
+    };
+    let response = connection.send(request.map(Full::new)).await?;
+    Ok((response, connection))
+}
+
 /// Reads a body to its end and counts its bytes as they arrive.
-async fn collect(mut body: Limited<Incoming>, received: &mut usize) -> Result<Bytes, CallError> {
+async fn collect(
+    mut body: Limited<Incoming>,
+    stall: Duration,
+    received: &mut usize,
+) -> Result<Bytes, CallError> {
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| CallError::Body(error.to_string()))?;
+    loop {
+        let frame = match timeout(stall, body.frame()).await {
+            Ok(Some(frame)) => frame.map_err(|error| CallError::Body(error.to_string()))?,
+            Ok(None) => return Ok(bytes.freeze()),
+            Err(_) => {
+                return Err(CallError::Timeout {
+                    received: bytes.len(),
+                });
+            }
+        };
         if let Ok(data) = frame.into_data() {
             bytes.extend_from_slice(&data);
             *received = bytes.len();
         }
     }
-    Ok(bytes.freeze())
 }
 
 /// Pool of idle connections to endpoints.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -12,7 +12,7 @@
 use crate::control::{Event, Handle};
 use crate::dialect::{Dialect, EngineReport, OrderOutcome, WeightsOrder};
 use crate::endpoint::{Endpoint, EndpointKey};
-use crate::http_client::{CallError, Connection, call};
+use crate::http_client::{CallError, CallLimits, Connection, call};
 
 /// Timeout of a call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -46,8 +46,7 @@
         &mut Some(connection),
         order.engine.address,
         request,
-        CALL_TIMEOUT,
-        MAX_RESPONSE_BYTES,
+        CallLimits::within(CALL_TIMEOUT, MAX_RESPONSE_BYTES),
     )
     .await
     {
@@ -99,8 +98,7 @@
         &mut None,
         endpoint.address,
         request,
-        CALL_TIMEOUT,
-        MAX_RESPONSE_BYTES,
+        CallLimits::within(CALL_TIMEOUT, MAX_RESPONSE_BYTES),
     )
     .await
     .map_err(
@@ -121,7 +119,8 @@
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(HOST, host);
     }
-    let held = match call(&mut None, address, request, CALL_TIMEOUT, MAX_EVENTS_BYTES).await {
+    let limits = CallLimits::within(CALL_TIMEOUT, MAX_EVENTS_BYTES);
+    let held = match call(&mut None, address, request, limits).await {
         Ok(response) => (dialect.parse_cache_response)(response.status().as_u16(), response.body()),
         Err(error) => {
             log::info!(address:% = address, error:% = error; "cannot fetch the list of cached parts");
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -57,10 +57,10 @@
             let open = Arc::strong_count(&open) - 1;
             match sent {
                 Ok(Ok(())) => {
-                    log::info!(bytes, took_ms, open; "sent the topic copies to another node")
+                    log::info!(bytes, took_ms, open; "sent the topic copies to another node");
                 }
                 _ => {
-                    log::info!(result:? = sent, bytes, took_ms, open; "failed to send the topic copies to another node")
+                    log::info!(result:? = sent, bytes, took_ms, open; "failed to send the topic copies to another node");
                 }
             }
         });
@@ -86,7 +86,7 @@
                 log::info!(node:% = node, error:% = error, bytes = received, took_ms; "failed to fetch the topic copies of a node");
             }
             Err(_) => {
-                log::info!(node:% = node, bytes = received, took_ms; "timed out fetching the topic copies of a node")
+                log::info!(node:% = node, bytes = received, took_ms; "timed out fetching the topic copies of a node");
             }
         }
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -14,11 +14,18 @@
 use crate::clock::now;
 use crate::control::{Event, FollowedTopic, Handle};
 use crate::dialect::{AppendOutcome, DecodeError, Dialect, KeyedRecord, LogPage, StoreRequest};
-use crate::http_client::{CallError, Connection, call};
+use crate::http_client::{CallError, CallLimits, Connection, call};
 use crate::settings::Settings;
 
-/// Timeout of a call, in addition to the time that it asks the store to wait.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout until the head of a response, in addition to the time that the call asks the
+/// store to wait.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time without a byte of a response after which a call fails.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Timeout of a whole call: the largest response at a tenth of the slowest link.
+const WHOLE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Maximum size of a response of the store, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
@@ -70,21 +77,19 @@
         request: StoreRequest,
         wait_ms: u64,
     ) -> Result<Response<Bytes>, StoreError> {
-        let limit = CALL_TIMEOUT + Duration::from_millis(wait_ms);
+        let limits = CallLimits {
+            response: RESPONSE_TIMEOUT + Duration::from_millis(wait_ms),
+            stall: STALL_TIMEOUT,
+            whole: WHOLE_TIMEOUT,
+            bytes: MAX_RESPONSE_BYTES,
+        };
         let host = self.address.to_string();
         let (mut parts, body) = request.into_parts();
         if let Ok(host) = host.parse() {
             parts.headers.insert(http::header::HOST, host);
         }
         let request = http::Request::from_parts(parts, body);
-        let response = call(
-            &mut self.connection,
-            self.address,
-            request,
-            limit,
-            MAX_RESPONSE_BYTES,
-        )
-        .await?;
+        let response = call(&mut self.connection, self.address, request, limits).await?;
         let era = (self.dialect.store_era)(response.headers());
         if let Some(era) = era.filter(|_| era != self.era) {
             self.era = Some(era);
--- a/crates/gateway/tests/test_peer_sync.rs
+++ b/crates/gateway/tests/test_peer_sync.rs
@@ -1,5 +1,6 @@
 //! Copies of the store's topics that a node gets from other nodes.
 
+#[allow(dead_code, reason = "each test file needs a part of it")]
 mod common;
 
 use common::Harness;
