gateway: one fetch of copies at a time, less often while they fail

Cause: a node that the store did not answer started another walk through all nodes every 500 ms, whether the last one had ended or not, and each node asked sent a whole copy; the copies filled the links that requests and reads of the store needed. Load that comes from failing and keeps it failing (congestion collapse).

A node now has one fetch in progress, which asks two nodes at most; after a failure it pauses 0.25 s and more, doubled up to 4 s, with as much again at random. A node serves eight transfers at a time and tells others that it is busy. Copies come in frames and may take as long as they progress.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -6,6 +6,7 @@
 
 pub mod begun_streams;
 pub mod cache_index;
+pub mod fetch_schedule;
 pub mod fleet;
 pub mod freshness;
 pub mod lease;
@@ -273,8 +274,10 @@
     },
     /// Another node asked for this node's copies of the topics.
     PeerSyncRequested(oneshot::Sender<TopicCopies>),
-    /// Another node sent its copies of the topics.
+    /// Another node sent its copies of the topics, which ends the fetch.
     PeerSyncReceived(Box<TopicCopies>),
+    /// The fetch of copies ended without any.
+    PeerSyncFailed,
     /// The node began its shutdown.
     ShutdownStarted,
     /// Stops the thread.
@@ -288,7 +291,7 @@
     SendDatagram(Vec<SocketAddr>, Bytes),
     /// Read new records of a topic. The store may wait this many ms for one to arrive.
     ReadTopic(FollowedTopic, u64),
-    /// Fetch the copies of the topics from one of these nodes.
+    /// Fetch the copies of the topics from the first of these nodes that has them.
     SyncFromPeers(Vec<SocketAddr>),
     /// Register this node's address again.
     Register,
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -20,6 +20,7 @@
 use crate::clock::Millis;
 use crate::control::begun_streams::BegunStreams;
 use crate::control::cache_index::CacheIndex;
+use crate::control::fetch_schedule::FetchSchedule;
 use crate::control::fleet::EndpointState;
 use crate::control::freshness::Freshness;
 use crate::control::lease::{Lease, LeaseStep};
@@ -107,7 +108,8 @@
     /// Records as read from the store, kept for nodes that cannot reach it.
     operator_records: BTreeMap<String, KeyedRecord>,
     endpoint_records: BTreeMap<EndpointKey, KeyedRecord>,
-    peer_sync_at: Millis,
+    /// Fetches of copies from other nodes.
+    fetches: FetchSchedule,
     reported_marks: (u64, u64),
     marks_reported_at: Millis,
     store_unreachable: bool,
@@ -171,7 +173,7 @@
             operator_end: 0,
             operator_records: BTreeMap::new(),
             endpoint_records: BTreeMap::new(),
-            peer_sync_at: 0,
+            fetches: FetchSchedule::default(),
             reported_marks: (0, 0),
             marks_reported_at: 0,
             store_unreachable: false,
@@ -272,7 +274,14 @@
                 // The other node may have disconnected in the meantime.
                 let _ = reply.send(self.topic_copies(now));
             }
-            Event::PeerSyncReceived(copies) => self.apply_topic_copies(*copies, now),
+            Event::PeerSyncReceived(copies) => {
+                self.fetches.succeeded();
+                self.apply_topic_copies(*copies, now);
+            }
+            Event::PeerSyncFailed => {
+                let pause_ms = self.fetches.failed(now);
+                log::info!(pause_ms; "no node sent its topic copies");
+            }
             Event::ShutdownStarted => {
                 self.shutdown_at = Some(now);
                 self.lease.relinquish();
--- a/crates/gateway/src/control/state/peer_sync.rs
+++ b/crates/gateway/src/control/state/peer_sync.rs
@@ -4,14 +4,15 @@
 use std::net::SocketAddr;
 
 use flamingolock_wire::topic_copies::{Record, TopicCopies};
+use rand::seq::SliceRandom;
 
 use super::Control;
 use crate::clock::Millis;
 use crate::control::Effect;
 use crate::dialect::KeyedRecord;
 
-/// Minimum interval between two requests to other nodes, in ms.
-const PEER_SYNC_INTERVAL_MS: Millis = 500;
+/// Maximum number of nodes that one fetch asks in turn.
+const MAX_SOURCES: usize = 2;
 
 fn to_wire(record: &KeyedRecord) -> Record {
     Record {
@@ -64,16 +65,12 @@
         let is_outdated = self.catalog.is_none()
             || self.operator_copy.is_behind()
             || self.endpoints_copy.is_behind();
-        if !self.store_unreachable
-            || !is_outdated
-            || now < self.peer_sync_at + PEER_SYNC_INTERVAL_MS
-        {
+        if !self.store_unreachable || !is_outdated || !self.fetches.may_start(now) {
             return;
         }
         let Some(own_address) = self.settings.control else {
             return;
         };
-        self.peer_sync_at = now;
         // All nodes use the same port for this exchange.
         let mut nodes: Vec<SocketAddr> = self
             .peers
@@ -85,6 +82,11 @@
             .collect();
         nodes.sort_unstable();
         nodes.dedup();
-        self.effects.push(Effect::SyncFromPeers(nodes));
+        nodes.shuffle(&mut rand::rng());
+        nodes.truncate(MAX_SOURCES);
+        if !nodes.is_empty() {
+            self.fetches.started();
+            self.effects.push(Effect::SyncFromPeers(nodes));
+        }
     }
 }
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -1,20 +1,21 @@
 //! Transfer of topic copies to nodes that cannot read the store: a node connects to
-//! another one and receives its copies of the topics in one frame.
+//! another one and receives its copies of the topics.
+//!
+//! The copies come as frames of limited size, so that a transfer may last as long as it
+//! makes progress, however large it is and however slow the link.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use flamingolock_wire::topic_copies::TopicCopies;
+use bytes::{Bytes, BytesMut};
+use flamingolock_wire::topic_copies::{CopiesHead, TopicCopies};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use rand::seq::SliceRandom;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 use tokio::time::{Instant, timeout};
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
-use tokio_util::io::InspectReader;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::control::{Event, Handle};
 use crate::server;
@@ -22,82 +23,177 @@
 /// Timeout for connecting to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Timeout for a transfer; for the receiving node it includes the connect.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without a frame after which a transfer fails.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Maximum frame size in bytes; the same as the limit on a response of the store.
-const MAX_FRAME_BYTES: usize = 8 * 1024 * 1024;
+/// Timeout of a whole transfer: the largest one at a tenth of the slowest link.
+const WHOLE_TIMEOUT: Duration = Duration::from_mins(1);
 
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec()
+/// Size of the frames that carry the copies, in bytes.
+const FRAME_BYTES: usize = 16 * 1024;
+
+/// Maximum size of the copies in bytes; the same as the limit on a response of the store.
+const MAX_COPIES_BYTES: usize = 8 * 1024 * 1024;
+
+/// Maximum number of transfers that a node serves at the same time.
+pub const MAX_TRANSFERS: usize = 8;
+
+/// Error of a transfer.
+#[derive(Debug, thiserror::Error)]
+pub enum TransferError {
+    /// The connection failed or could not be opened.
+    #[error("connection failed: {0}")]
+    Connection(#[from] std::io::Error),
+    /// The other node stopped sending or reading.
+    #[error("no progress")]
+    Stalled,
+    /// The transfer as a whole took too long.
+    #[error("took too long")]
+    TooLong,
+    /// The other node serves as many transfers as it may.
+    #[error("the node is busy")]
+    Busy,
+    /// The copies are larger than the limit, or their encoding is invalid.
+    #[error("invalid copies: {0}")]
+    Invalid(String),
 }
 
-/// Sends this node's copies of the topics to every node that connects.
+impl From<prost::DecodeError> for TransferError {
+    fn from(error: prost::DecodeError) -> Self {
+        Self::Invalid(error.to_string())
+    }
+}
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn frames(stream: TcpStream) -> Frames {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_BYTES)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+/// Sends this node's copies of the topics to the nodes that connect, at most
+/// [`MAX_TRANSFERS`] at the same time.
 pub async fn serve(listener: TcpListener, handle: Handle) {
-    let open = Arc::new(());
+    let permits = Arc::new(Semaphore::new(MAX_TRANSFERS));
     loop {
         let stream = server::accept(&listener).await;
+        let permit = permits.clone().try_acquire_owned().ok();
         let handle = handle.clone();
-        let open = open.clone();
+        let open = MAX_TRANSFERS - permits.available_permits();
         tokio::spawn(async move {
-            let (reply, answer) = oneshot::channel();
-            handle.send(Event::PeerSyncRequested(reply));
-            let Ok(knowledge) = answer.await else { return };
-            let frame = Bytes::from(knowledge.encode_to_vec());
-            let (bytes, started) = (frame.len(), Instant::now());
-            let sent = timeout(
-                TRANSFER_TIMEOUT,
-                FramedWrite::new(stream, codec()).send(frame),
-            )
-            .await;
+            let started = Instant::now();
+            let mut sent = 0;
+            let result = match &permit {
+                Some(_) => within_limit(send_copies(frames(stream), &handle, &mut sent)).await,
+                None => refuse(frames(stream)).await,
+            };
             let took_ms = started.elapsed().as_millis() as u64;
-            // One reference is that of the loop.
-            let open = Arc::strong_count(&open) - 1;
-            match sent {
-                Ok(Ok(())) => {
-                    log::info!(bytes, took_ms, open; "sent the topic copies to another node");
+            match result {
+                Ok(()) => {
+                    log::info!(bytes = sent, took_ms, open; "sent the topic copies to another node");
                 }
-                _ => {
-                    log::info!(result:? = sent, bytes, took_ms, open; "failed to send the topic copies to another node");
+                Err(error) => {
+                    log::info!(error:% = error, bytes = sent, took_ms, open; "failed to send the topic copies to another node");
                 }
             }
         });
     }
 }
 
-/// Asks the nodes in random order until one returns its copies of the topics.
-pub async fn fetch_from_any(handle: Handle, mut nodes: Vec<SocketAddr>) {
-    nodes.shuffle(&mut rand::rng());
+async fn within_limit<T>(
+    transfer: impl Future<Output = Result<T, TransferError>>,
+) -> Result<T, TransferError> {
+    timeout(WHOLE_TIMEOUT, transfer)
+        .await
+        .unwrap_or(Err(TransferError::TooLong))
+}
+
+async fn send_copies(
+    mut stream: Frames,
+    handle: &Handle,
+    sent: &mut usize,
+) -> Result<(), TransferError> {
+    let (reply, answer) = oneshot::channel();
+    handle.send(Event::PeerSyncRequested(reply));
+    let copies = answer.await.map_err(|_| TransferError::Stalled)?;
+    let mut rest = Bytes::from(copies.encode_to_vec());
+    let head = CopiesHead {
+        bytes: rest.len() as u64,
+        busy: false,
+    };
+    send_frame(&mut stream, head.encode_to_vec().into()).await?;
+    while !rest.is_empty() {
+        let frame = rest.split_to(rest.len().min(FRAME_BYTES));
+        let length = frame.len();
+        send_frame(&mut stream, frame).await?;
+        *sent += length;
+    }
+    Ok(())
+}
+
+async fn refuse(mut stream: Frames) -> Result<(), TransferError> {
+    let head = CopiesHead {
+        bytes: 0,
+        busy: true,
+    };
+    send_frame(&mut stream, head.encode_to_vec().into()).await?;
+    Err(TransferError::Busy)
+}
+
+async fn send_frame(stream: &mut Frames, frame: Bytes) -> Result<(), TransferError> {
+    match timeout(STALL_TIMEOUT, stream.send(frame)).await {
+        Ok(sent) => Ok(sent?),
+        Err(_) => Err(TransferError::Stalled),
+    }
+}
+
+/// Asks the nodes in turn until one returns its copies of the topics.
+pub async fn fetch_from_any(handle: Handle, nodes: Vec<SocketAddr>) {
     for node in nodes {
         let started = Instant::now();
         let mut received = 0;
-        let result = timeout(TRANSFER_TIMEOUT, fetch(node, &mut received)).await;
+        let result = within_limit(fetch(node, &mut received)).await;
         let took_ms = started.elapsed().as_millis() as u64;
         match result {
-            Ok(Ok(knowledge)) => {
-                log::info!(node:% = node, records = knowledge.operator.len(), endpoints = knowledge.endpoints.len(),
-                    age_ms = knowledge.endpoints_age_ms, bytes = received, took_ms; "received the topic copies of another node");
-                handle.send(Event::PeerSyncReceived(Box::new(knowledge)));
+            Ok(copies) => {
+                log::info!(node:% = node, records = copies.operator.len(), endpoints = copies.endpoints.len(),
+                    age_ms = copies.endpoints_age_ms, bytes = received, took_ms; "received the topic copies of another node");
+                handle.send(Event::PeerSyncReceived(Box::new(copies)));
                 return;
             }
-            Ok(Err(error)) => {
+            Err(error) => {
                 log::info!(node:% = node, error:% = error, bytes = received, took_ms; "failed to fetch the topic copies of a node");
             }
-            Err(_) => {
-                log::info!(node:% = node, bytes = received, took_ms; "timed out fetching the topic copies of a node");
-            }
         }
     }
+    handle.send(Event::PeerSyncFailed);
 }
 
 /// Fetches the copies of one node and counts their bytes as they arrive.
-async fn fetch(node: SocketAddr, received: &mut usize) -> std::io::Result<TopicCopies> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(node)).await??;
-    let counted = InspectReader::new(stream, |bytes| *received += bytes.len());
-    match FramedRead::new(counted, codec()).next().await {
-        Some(frame) => Ok(TopicCopies::decode(frame?)?),
-        None => Err(std::io::ErrorKind::UnexpectedEof.into()),
+async fn fetch(node: SocketAddr, received: &mut usize) -> Result<TopicCopies, TransferError> {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(node)).await;
+    let mut stream = frames(connected.map_err(|_| TransferError::Stalled)??);
+    let head = CopiesHead::decode(next_frame(&mut stream).await?)?;
+    if head.busy {
+        return Err(TransferError::Busy);
+    }
+    if head.bytes > MAX_COPIES_BYTES as u64 {
+        return Err(TransferError::Invalid(format!("{} bytes", head.bytes)));
+    }
+    let mut copies = BytesMut::new();
+    while (copies.len() as u64) < head.bytes {
+        copies.extend_from_slice(&next_frame(&mut stream).await?);
+        *received = copies.len();
+    }
+    Ok(TopicCopies::decode(copies.freeze())?)
+}
+
+async fn next_frame(stream: &mut Frames) -> Result<BytesMut, TransferError> {
+    match timeout(STALL_TIMEOUT, stream.next()).await {
+        Ok(Some(frame)) => Ok(frame?),
+        Ok(None) => Err(std::io::Error::from(std::io::ErrorKind::UnexpectedEof).into()),
+        Err(_) => Err(TransferError::Stalled),
     }
 }
--- a/crates/wire/src/topic_copies.rs
+++ b/crates/wire/src/topic_copies.rs
@@ -2,6 +2,17 @@
 
 use prost::Message;
 
+/// What a node sends before its copies.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct CopiesHead {
+    /// Size of the encoded [`TopicCopies`] that follow, in bytes.
+    #[prost(uint64, tag = "1")]
+    pub bytes: u64,
+    /// True if none follow because the node serves too many others now.
+    #[prost(bool, tag = "2")]
+    pub busy: bool,
+}
+
 /// A node's copies of the operator topic and the endpoint entries.
 #[derive(Clone, PartialEq, Message)]
 pub struct TopicCopies {
