gateway: nodes fetch the change of a configuration from the one that has it

A change of one route made 68 nodes read the whole configuration from the store: 55 MB at 4,200 routes, more than a second of the slowest links, and one and a half of what the store reads in a second for all. Cause: cost = size of the configuration x nodes, where the news is a few bytes.

A node that another one tells of newer records asks that one, names the records that it has, and gets the rest compressed (zstd) against them; the node asked compresses each pair once. If that fails the store is read, from the end of what other nodes sent. Nodes tell their control port, so that it need not be the same everywhere. Records that are in force are not decoded again.

--- a/crates/cli/tests/test_large_configuration.rs
+++ b/crates/cli/tests/test_large_configuration.rs
@@ -3,8 +3,9 @@
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod entry_site;
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
 
 use entry_site::{Node, Site, call, site_configuration, wait_for};
 use flamingolock_standins::proxy::{self, Handle};
@@ -14,12 +15,16 @@
 /// traffic on it.
 const BYTES_PER_S: u64 = 300_000;
 
-/// A configuration with many routes and the route `/later/`.
+/// A configuration with many routes and the route `/vVERSION/`.
 fn large_configuration(version: u64, routes: usize) -> String {
-    let mut site: serde_json::Value =
-        serde_json::from_str(&site_configuration(version, true)).expect("the site's configuration");
+    let mut site: serde_json::Value = serde_json::from_str(&site_configuration(version, false))
+        .expect("the site's configuration");
     let list = site["Routes"].as_array_mut().expect("routes");
     let look = list[3].clone();
+    let mut probe = look.clone();
+    probe["Name"] = "probe".into();
+    probe["PathPrefix"] = format!("/v{version}/").into();
+    list.push(probe);
     for number in 0..routes {
         let mut route = look.clone();
         route["Name"] = format!("r-{number}").into();
@@ -38,8 +43,8 @@
     link
 }
 
-fn has_route(node: &Node) -> bool {
-    call(node, "/later/a", "r1", &[]).status == 200
+fn has_version(node: &Node, version: u64) -> bool {
+    call(node, &format!("/v{version}/a"), "r1", &[]).status == 200
 }
 
 #[test]
@@ -52,5 +57,57 @@
     let text = large_configuration(2, 4_200);
     assert!(text.len() as u64 > 3 * BYTES_PER_S, "{}", text.len());
     site.store.put("keyed.op", "op/config", &text);
-    wait_for("the new route", || has_route(&node));
+    wait_for("the configuration", || has_version(&node, 2));
+}
+
+/// A node that reads the store gives the others the change, which is small.
+#[test]
+fn change_reaches_a_node_whose_link_cannot_carry_the_whole_configuration() {
+    let runtime = Runtime::new().expect("a runtime starts");
+    let site = Site::start(Duration::from_millis(1));
+    site.store
+        .put("keyed.op", "op/config", &large_configuration(1, 4_200));
+    let reader = site.node("node-1");
+    let link = slow_link(&runtime, site.store.address());
+    let node = Node::start("node-2", link.addr(), &[reader.control]);
+    node.wait_ready();
+    for version in 2..6 {
+        let routes = 4_200 + version as usize;
+        site.store.put(
+            "keyed.op",
+            "op/config",
+            &large_configuration(version, routes),
+        );
+        std::thread::sleep(Duration::from_millis(300));
+        let started = Instant::now();
+        wait_for("the configuration", || has_version(&node, version));
+        assert!(
+            started.elapsed() < Duration::from_secs(1),
+            "{:?}",
+            started.elapsed()
+        );
+    }
+}
+
+/// Nodes that do not read what they asked for hold up few others.
+#[test]
+fn node_serves_few_transfers_at_the_same_time_and_refuses_the_rest() {
+    let site = Site::start(Duration::from_millis(1));
+    let node = site.node("node-1");
+    let mut connections: Vec<TcpStream> = (0..120)
+        .map(|_| TcpStream::connect(node.control).expect("a connection"))
+        .collect();
+    let first_frame = |connection: &mut TcpStream| {
+        connection
+            .set_read_timeout(Some(Duration::from_millis(20)))
+            .expect("a timeout");
+        let mut head = [0; 6];
+        connection.read_exact(&mut head).is_ok().then_some(head)
+    };
+    let refused = connections.iter_mut().filter_map(first_frame);
+    // Length of the frame, and the field that says that the node is busy.
+    let busy = refused
+        .filter(|head| *head == [0, 0, 0, 2, 0x10, 1])
+        .count();
+    assert_eq!(busy, 120 - 96);
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -12,6 +12,7 @@
 pub mod lease;
 pub mod listed_builds;
 pub mod notices;
+pub mod operator_records;
 pub mod peers;
 pub mod retry_budget;
 pub mod rollout;
@@ -25,7 +26,7 @@
 use bytes::Bytes;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use flamingolock_wire::gossip::{BegunStream, BuildHistory};
-use flamingolock_wire::topic_copies::TopicCopies;
+use flamingolock_wire::topic_copies::CopiesRequest;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::catalog::Catalog;
@@ -37,6 +38,7 @@
 };
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::metrics::Metrics;
+use crate::peer_sync::{Copies, Fetch, Offer};
 use crate::settings::Settings;
 
 /// Software versions of the endpoints that may serve a request.
@@ -189,6 +191,18 @@
     Endpoints,
 }
 
+/// What to read of a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadRequest {
+    /// The topic.
+    pub topic: FollowedTopic,
+    /// Time that the store may wait for a new record, in ms.
+    pub wait_ms: u64,
+    /// Offset before which no record is needed, because another node sent them; 0 if it
+    /// is not known.
+    pub known_end: u64,
+}
+
 /// Input of the control thread.
 #[derive(Debug)]
 pub enum Event {
@@ -273,9 +287,9 @@
         held: Vec<CachedPart>,
     },
     /// Another node asked for this node's copies of the topics.
-    PeerSyncRequested(oneshot::Sender<TopicCopies>),
+    PeerSyncRequested(CopiesRequest, oneshot::Sender<Offer>),
     /// Another node sent its copies of the topics, which ends the fetch.
-    PeerSyncReceived(Box<TopicCopies>),
+    PeerSyncReceived(Box<Copies>),
     /// The fetch of copies ended without any.
     PeerSyncFailed,
     /// The node began its shutdown.
@@ -289,10 +303,10 @@
 pub enum Effect {
     /// Send a gossip datagram to these nodes.
     SendDatagram(Vec<SocketAddr>, Bytes),
-    /// Read new records of a topic. The store may wait this many ms for one to arrive.
-    ReadTopic(FollowedTopic, u64),
-    /// Fetch the copies of the topics from the first of these nodes that has them.
-    SyncFromPeers(Vec<SocketAddr>),
+    /// Read new records of a topic.
+    ReadTopic(ReadRequest),
+    /// Fetch copies of the topics from another node.
+    FetchCopies(Fetch),
     /// Register this node's address again.
     Register,
     /// Read the lease topic starting at this offset.
--- a/crates/gateway/src/control/freshness.rs
+++ b/crates/gateway/src/control/freshness.rs
@@ -146,6 +146,13 @@
         self.current_at
     }
 
+    /// Returns the time since the copy was last known to be current, in ms; the maximum
+    /// if there is no copy.
+    pub fn age(&self, now: Millis) -> Millis {
+        self.current_at
+            .map_or(Millis::MAX, |at| now.saturating_sub(at))
+    }
+
     /// Returns true if another node reported a newer copy.
     pub fn is_behind(&self) -> bool {
         self.behind
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -39,6 +39,12 @@
 }
 
 impl Peer {
+    /// Address at which it sends its copies of the topics to other nodes.
+    pub fn control(&self) -> Option<SocketAddr> {
+        let port = u16::try_from(self.state.control_port).ok()?;
+        (port > 0).then(|| SocketAddr::new(self.callers.ip(), port))
+    }
+
     fn is_alive(&self, now: Millis) -> bool {
         let silent = if self.via_hub {
             RELAYED_PEER_TIMEOUT_MS
@@ -113,6 +119,11 @@
             .is_some_and(|peer| peer.is_alive(now))
     }
 
+    /// Returns the control address of the node that sends from this address.
+    pub fn control_of(&self, address: SocketAddr) -> Option<SocketAddr> {
+        self.peers.get(&address)?.as_ref()?.control()
+    }
+
     /// Returns the nodes that are alive.
     pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Peer> {
         self.peers
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -26,6 +26,7 @@
 use crate::control::lease::{Lease, LeaseStep};
 use crate::control::listed_builds::ListedBuilds;
 use crate::control::notices::Notices;
+use crate::control::operator_records::OperatorRecords;
 use crate::control::peers::Peers;
 use crate::control::retry_budget::RetryBudget;
 use crate::control::rollout::{Rollout, Task};
@@ -106,7 +107,9 @@
     /// Offset after the last record of the operator topic that was read.
     operator_end: u64,
     /// Records as read from the store, kept for nodes that cannot reach it.
-    operator_records: BTreeMap<String, KeyedRecord>,
+    operator_records: OperatorRecords,
+    /// Control address of the node that last reported newer records of the operator.
+    operator_reporter: Option<SocketAddr>,
     endpoint_records: BTreeMap<EndpointKey, KeyedRecord>,
     /// Fetches of copies from other nodes.
     fetches: FetchSchedule,
@@ -171,7 +174,8 @@
             operator_copy: Freshness::ordered(),
             endpoints_copy: Freshness::default(),
             operator_end: 0,
-            operator_records: BTreeMap::new(),
+            operator_records: OperatorRecords::default(),
+            operator_reporter: None,
             endpoint_records: BTreeMap::new(),
             fetches: FetchSchedule::default(),
             reported_marks: (0, 0),
@@ -270,18 +274,12 @@
                     .report_received(&mut self.fleet, key, report.as_ref(), now);
             }
             Event::CacheListed { endpoint, held } => self.apply_cache_list(endpoint, &held, now),
-            Event::PeerSyncRequested(reply) => {
+            Event::PeerSyncRequested(request, reply) => {
                 // The other node may have disconnected in the meantime.
-                let _ = reply.send(self.topic_copies(now));
-            }
-            Event::PeerSyncReceived(copies) => {
-                self.fetches.succeeded();
-                self.apply_topic_copies(*copies, now);
-            }
-            Event::PeerSyncFailed => {
-                let pause_ms = self.fetches.failed(now);
-                log::info!(pause_ms; "no node sent its topic copies");
+                let _ = reply.send(self.offer_copies(&request, now));
             }
+            Event::PeerSyncReceived(copies) => self.apply_copies(&copies, now),
+            Event::PeerSyncFailed => self.fetch_failed(now),
             Event::ShutdownStarted => {
                 self.shutdown_at = Some(now);
                 self.lease.relinquish();
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -37,6 +37,10 @@
             gossip: self.settings.gossip.to_string(),
             capacity: self.settings.capacity,
             store_reachable: !self.store_unreachable,
+            control_port: self
+                .settings
+                .control
+                .map_or(0, |address| address.port().into()),
         }
     }
 
@@ -172,7 +176,7 @@
         if let Some(builds) = &gossip.builds {
             self.listed_builds.learn(builds, now);
         }
-        self.compare_copies(&gossip, now);
+        self.compare_copies(from, &gossip, now);
         for state in &gossip.heard {
             if let Ok(address) = state.gossip.parse()
                 && state.incarnation != self.incarnation
--- a/crates/gateway/src/control/state/peer_sync.rs
+++ b/crates/gateway/src/control/state/peer_sync.rs
@@ -1,62 +1,72 @@
-//! Exchange of topic copies between nodes, used by nodes that cannot reach the
-//! store.
+//! Exchange of topic copies between nodes: a node that lacks records gets them from a
+//! node that has them.
 
 use std::net::SocketAddr;
 
-use flamingolock_wire::topic_copies::{Record, TopicCopies};
+use flamingolock_wire::topic_copies::CopiesRequest;
 use rand::seq::SliceRandom;
 
 use super::Control;
 use crate::clock::Millis;
 use crate::control::Effect;
-use crate::dialect::KeyedRecord;
+use crate::control::peers::Peer;
+use crate::peer_sync::{Copies, Fetch, Offer};
 
 /// Maximum number of nodes that one fetch asks in turn.
 const MAX_SOURCES: usize = 2;
 
-fn to_wire(record: &KeyedRecord) -> Record {
-    Record {
-        key: record.key.clone(),
-        value: record.value.clone().unwrap_or_default(),
-        offset: record.offset,
-    }
-}
-
-fn from_wire(record: Record) -> KeyedRecord {
-    KeyedRecord {
-        key: record.key,
-        value: Some(record.value),
-        offset: record.offset,
-    }
-}
-
 impl Control {
-    /// Returns this node's copies of the topics.
-    pub(super) fn topic_copies(&self, now: Millis) -> TopicCopies {
-        TopicCopies {
-            operator: self.operator_records.values().map(to_wire).collect(),
+    /// Returns what this node has to offer to one that sent the request.
+    pub(super) fn offer_copies(&self, request: &CopiesRequest, now: Millis) -> Offer {
+        let endpoints = self.endpoint_records.values().filter(|_| request.endpoints);
+        Offer {
+            operator: self.operator_records.newer_than(&request.known),
             operator_end: self.operator_end,
-            endpoints: self.endpoint_records.values().map(to_wire).collect(),
-            endpoints_age_ms: self
-                .endpoints_copy
-                .report(0, now)
-                .map_or(Millis::MAX, |report| report.age),
+            operator_age: self.operator_copy.age(now),
+            endpoints: endpoints.cloned().collect(),
+            endpoints_age: self.endpoints_copy.age(now),
         }
     }
 
     /// Applies the parts of another node's copies that are newer than this node's.
-    pub(super) fn apply_topic_copies(&mut self, copies: TopicCopies, now: Millis) {
-        let named_at = now.saturating_sub(self.assumed_weights_age());
-        for record in copies.operator {
-            self.apply_operator_record(&from_wire(record), named_at, now);
+    pub(super) fn apply_copies(&mut self, copies: &Copies, now: Millis) {
+        self.fetches.succeeded();
+        // A node without a configuration cannot tell when the records were written.
+        let mut written_at = now.saturating_sub(self.assumed_weights_age());
+        if self.catalog.is_some() {
+            written_at = written_at.max(self.earliest_write_time(now));
+        }
+        for record in &copies.operator {
+            self.apply_operator_record(record, written_at, now);
         }
         self.operator_end = self.operator_end.max(copies.operator_end);
-        let at = now.saturating_sub(copies.endpoints_age_ms);
+        if self.operator_copy.current_at().is_some() {
+            let at = now.saturating_sub(copies.operator_age);
+            self.operator_copy.synced(at);
+        }
+        let at = now.saturating_sub(copies.endpoints_age);
         if self.endpoints_copy.is_older_than(at) && !copies.endpoints.is_empty() {
-            let records: Vec<KeyedRecord> = copies.endpoints.into_iter().map(from_wire).collect();
-            self.apply_endpoint_snapshot(&records, now);
+            self.apply_endpoint_snapshot(&copies.endpoints, now);
             self.endpoints_copy.synced(at);
         }
+        if self.copy_marks() != self.reported_marks {
+            self.gossip_pending_at.get_or_insert(now);
+        }
+    }
+
+    /// Handles the end of a fetch that returned no copies.
+    pub(super) fn fetch_failed(&mut self, now: Millis) {
+        let pause_ms = self.fetches.failed(now);
+        log::info!(pause_ms; "no node sent its topic copies");
+    }
+
+    /// Starts a fetch of the operator's records from the node that reported newer ones.
+    /// Returns false if there is none to ask now.
+    pub(super) fn fetch_from_reporter(&mut self, now: Millis) -> bool {
+        let Some(reporter) = self.operator_reporter.take() else {
+            return false;
+        };
+        self.start_fetch(vec![reporter], false, now)
     }
 
     /// Requests the copies of other nodes if the store is unreachable and this node's
@@ -65,28 +75,46 @@
         let is_outdated = self.catalog.is_none()
             || self.operator_copy.is_behind()
             || self.endpoints_copy.is_behind();
-        if !self.store_unreachable || !is_outdated || !self.fetches.may_start(now) {
+        if !self.store_unreachable || !is_outdated {
             return;
         }
-        let Some(own_address) = self.settings.control else {
-            return;
-        };
-        // All nodes use the same port for this exchange.
-        let mut nodes: Vec<SocketAddr> = self
-            .peers
-            .alive(now)
-            .filter(|peer| peer.state.ready)
-            .map(|peer| SocketAddr::new(peer.callers.ip(), own_address.port()))
+        let peers = self.peers.alive(now).filter(|peer| peer.state.ready);
+        let mut nodes: Vec<SocketAddr> = peers
+            .filter_map(Peer::control)
             .chain(self.settings.seeds.iter().copied())
-            .filter(|node| *node != own_address)
             .collect();
-        nodes.sort_unstable();
-        nodes.dedup();
         nodes.shuffle(&mut rand::rng());
-        nodes.truncate(MAX_SOURCES);
-        if !nodes.is_empty() {
-            self.fetches.started();
-            self.effects.push(Effect::SyncFromPeers(nodes));
+        let reporter = self.operator_reporter.take();
+        let nodes = reporter.into_iter().chain(nodes).collect();
+        self.start_fetch(nodes, true, now);
+    }
+
+    /// Starts a fetch from the first of these nodes that returns its copies, given their
+    /// control addresses. Returns false if none is to be asked now.
+    fn start_fetch(&mut self, nodes: Vec<SocketAddr>, endpoints: bool, now: Millis) -> bool {
+        if !self.fetches.may_start(now) {
+            return false;
+        }
+        let mut sources: Vec<SocketAddr> = Vec::new();
+        for node in nodes {
+            if Some(node) != self.settings.control && !sources.contains(&node) {
+                sources.push(node);
+            }
         }
+        sources.truncate(MAX_SOURCES);
+        if sources.is_empty() {
+            return false;
+        }
+        self.fetches.started();
+        let request = CopiesRequest {
+            known: self.operator_records.known(),
+            endpoints,
+        };
+        self.effects.push(Effect::FetchCopies(Fetch {
+            sources,
+            request,
+            bases: self.operator_records.iter().cloned().collect(),
+        }));
+        true
     }
 }
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -44,6 +44,9 @@
         now: Millis,
     ) {
         let Some(value) = &record.value else { return };
+        if self.operator_records.contains(record) {
+            return;
+        }
         let decode_started = Instant::now();
         let decoded = (self.dialect.operator_record)(&record.key, value);
         match decoded {
@@ -52,13 +55,13 @@
                 log::info!(version = catalog.version, offset = record.offset, bytes = value.len(), decode_ms;
                     "decoded a configuration");
                 if self.apply_catalog(catalog, record.offset, now) {
-                    self.remember_operator_record(record);
+                    self.operator_records.insert(record);
                 }
             }
             Ok(OperatorRecord::Weights { model, version }) => {
                 if self.rollout.name_version(&model, version, written_at, now) {
                     log::info!(model = model.as_str(), version, offset = record.offset; "operator named new weights");
-                    self.remember_operator_record(record);
+                    self.operator_records.insert(record);
                 }
             }
             Ok(OperatorRecord::Other) => {}
@@ -69,11 +72,6 @@
         }
     }
 
-    fn remember_operator_record(&mut self, record: &KeyedRecord) {
-        self.operator_records
-            .insert(record.key.clone(), record.clone());
-    }
-
     /// Applies a configuration if it is newer than the current one. Returns true if it
     /// was applied.
     pub(super) fn apply_catalog(&mut self, catalog: Catalog, offset: u64, now: Millis) -> bool {
--- a/crates/gateway/src/control/state/topics.rs
+++ b/crates/gateway/src/control/state/topics.rs
@@ -1,6 +1,8 @@
 //! Schedules reads of the store's topics and compares this node's copies with those
 //! of other nodes.
 
+use std::net::SocketAddr;
+
 use flamingolock_wire::gossip::{Gossip, TopicCopyState};
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
@@ -8,7 +10,7 @@
 use super::Control;
 use crate::clock::Millis;
 use crate::control::freshness::{CopyReport, Freshness, ReadSchedule, STAGGER_STEPS};
-use crate::control::{Effect, FollowedTopic};
+use crate::control::{Effect, FollowedTopic, ReadRequest};
 
 /// Minimum delay after a failed read, in ms; a random delay of up to the same
 /// length is added.
@@ -27,22 +29,28 @@
         let rank = self.reader_rank(now);
         let hops = if self.peers.is_full_mesh(now) { 1 } else { 2 };
         let operator = ReadSchedule::new(self.settings.catalog_bound, rank, hops);
-        if self
-            .operator_copy
-            .is_due(if rank == 0 { 0 } else { operator.max_age }, now)
+        let max_age = if rank == 0 { 0 } else { operator.max_age };
+        if self.operator_copy.is_due(max_age, now)
+            && !self.fetches.in_progress()
+            && !(self.operator_copy.is_behind() && self.fetch_from_reporter(now))
         {
             self.operator_copy.read_started(now);
-            let wait = if rank == 0 { operator.read_interval } else { 0 };
-            self.effects
-                .push(Effect::ReadTopic(FollowedTopic::Operator, wait));
+            self.effects.push(Effect::ReadTopic(ReadRequest {
+                topic: FollowedTopic::Operator,
+                wait_ms: if rank == 0 { operator.read_interval } else { 0 },
+                known_end: self.operator_end,
+            }));
         }
         // No long poll here: entries change with every heartbeat of an endpoint, so the
         // store would return at once anyway.
         let endpoints = ReadSchedule::new(self.settings.drain_bound, rank, hops);
         if self.endpoints_copy.is_due(endpoints.max_age, now) {
             self.endpoints_copy.read_started(now);
-            self.effects
-                .push(Effect::ReadTopic(FollowedTopic::Endpoints, 0));
+            self.effects.push(Effect::ReadTopic(ReadRequest {
+                topic: FollowedTopic::Endpoints,
+                wait_ms: 0,
+                known_end: 0,
+            }));
         }
     }
 
@@ -112,7 +120,7 @@
     /// Returns the marks that identify the content of both copies: the end offset of
     /// the operator topic, and a hash of the listed endpoints and whether they are
     /// leaving.
-    fn copy_marks(&self) -> (u64, u64) {
+    pub(super) fn copy_marks(&self) -> (u64, u64) {
         let listed = self
             .fleet
             .iter()
@@ -148,7 +156,7 @@
     }
 
     /// Compares another node's copies with those of this node.
-    pub(super) fn compare_copies(&mut self, gossip: &Gossip, now: Millis) {
+    pub(super) fn compare_copies(&mut self, from: SocketAddr, gossip: &Gossip, now: Millis) {
         if gossip.operator.is_none() && gossip.endpoints.is_none() {
             return;
         }
@@ -159,6 +167,9 @@
         };
         if let Some(copy) = &gossip.operator {
             self.operator_copy.peer_reported(report(copy), marks.0, now);
+            if copy.mark > marks.0 {
+                self.operator_reporter = self.peers.control_of(from);
+            }
         }
         if let Some(copy) = &gossip.endpoints {
             self.endpoints_copy
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -8,7 +8,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
-use crate::control::{Effect, Event, FollowedTopic, Handle};
+use crate::control::{Effect, Event, FollowedTopic, Handle, ReadRequest};
 use crate::dialect::Dialect;
 use crate::settings::Settings;
 use crate::{orders, peer_sync, store};
@@ -49,7 +49,7 @@
     settings: Settings,
     dialect: &'static Dialect,
     handle: Handle,
-    [operator, endpoints]: [UnboundedSender<u64>; 2],
+    [operator, endpoints]: [UnboundedSender<ReadRequest>; 2],
     registrations: UnboundedSender<()>,
     mut effects: UnboundedReceiver<Effect>,
 ) {
@@ -63,17 +63,17 @@
                     }
                 }
             }
-            Effect::ReadTopic(topic, wait_ms) => {
-                let reads = match topic {
+            Effect::ReadTopic(request) => {
+                let reads = match request.topic {
                     FollowedTopic::Operator => &operator,
                     FollowedTopic::Endpoints => &endpoints,
                 };
-                if reads.send(wait_ms).is_err() {
-                    log::error!(topic:? = topic; "no task reads the topic");
+                if reads.send(request).is_err() {
+                    log::error!(topic:? = request.topic; "no task reads the topic");
                 }
             }
-            Effect::SyncFromPeers(nodes) => {
-                tokio::spawn(peer_sync::fetch_from_any(handle.clone(), nodes));
+            Effect::FetchCopies(fetch) => {
+                tokio::spawn(peer_sync::fetch_from_any(handle.clone(), fetch));
             }
             Effect::Register => {
                 if registrations.send(()).is_err() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod metrics;
 pub mod node;
 pub mod orders;
+pub mod packing;
 pub mod peer_sync;
 pub mod prelude;
 pub mod relay;
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -1,23 +1,29 @@
-//! Transfer of topic copies to nodes that cannot read the store: a node connects to
-//! another one and receives its copies of the topics.
+//! Transfer of topic copies between nodes: a node that lacks records connects to one
+//! that has them, says which it has, and receives the others.
 //!
-//! The copies come as frames of limited size, so that a transfer may last as long as it
-//! makes progress, however large it is and however slow the link.
+//! Large values come compressed against the record of the same key that the asking node
+//! has. The copies come as frames of limited size, so that a transfer may last as long as
+//! it makes progress, however large it is and however slow the link.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use flamingolock_wire::topic_copies::{CopiesHead, TopicCopies};
+use flamingolock_wire::topic_copies::{CopiesHead, CopiesRequest, Packing, Record, TopicCopies};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::{Mutex, Semaphore, oneshot};
+use tokio::task::{JoinError, spawn_blocking};
 use tokio::time::{Instant, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::clock::Millis;
 use crate::control::{Event, Handle};
+use crate::dialect::KeyedRecord;
+use crate::packing::{pack, unpack};
 use crate::server;
 
 /// Timeout for connecting to another node.
@@ -36,7 +42,16 @@
 const MAX_COPIES_BYTES: usize = 8 * 1024 * 1024;
 
 /// Maximum number of transfers that a node serves at the same time.
-pub const MAX_TRANSFERS: usize = 8;
+const MAX_TRANSFERS: usize = 8;
+
+/// Maximum number of transfers in progress and waiting.
+const MAX_WAITING: usize = 96;
+
+/// Size from which on values are compressed, in bytes.
+const MIN_PACKED_BYTES: usize = 1024;
+
+/// Number of compressed values that are kept for other nodes that ask for the same.
+const MAX_PACKED_VALUES: usize = 4;
 
 /// Error of a transfer.
 #[derive(Debug, thiserror::Error)]
@@ -53,6 +68,9 @@
     /// The other node serves as many transfers as it may.
     #[error("the node is busy")]
     Busy,
+    /// The thread that compresses or restores a value failed.
+    #[error("compression failed: {0}")]
+    Compression(#[from] JoinError),
     /// The copies are larger than the limit, or their encoding is invalid.
     #[error("invalid copies: {0}")]
     Invalid(String),
@@ -64,6 +82,93 @@
     }
 }
 
+/// Records that a node offers to another one.
+#[derive(Debug)]
+pub struct Offer {
+    /// Records of the operator topic, each with the one of the same key that the other
+    /// node has, if this node has it as well.
+    pub operator: Vec<(KeyedRecord, Option<KeyedRecord>)>,
+    /// Offset after the last record of the operator topic that was read.
+    pub operator_end: u64,
+    /// Time since the copy of the operator topic was last known to be current, in ms.
+    pub operator_age: Millis,
+    /// Endpoint entries.
+    pub endpoints: Vec<KeyedRecord>,
+    /// Time since the copy of the entries was last known to be current, in ms.
+    pub endpoints_age: Millis,
+}
+
+/// Records that another node sent.
+#[derive(Debug)]
+pub struct Copies {
+    /// Records of the operator topic.
+    pub operator: Vec<KeyedRecord>,
+    /// Offset after the last record of the operator topic that was read.
+    pub operator_end: u64,
+    /// Time since the copy of the operator topic was last known to be current, in ms.
+    pub operator_age: Millis,
+    /// Endpoint entries; empty if they were not asked for.
+    pub endpoints: Vec<KeyedRecord>,
+    /// Time since the copy of the entries was last known to be current, in ms.
+    pub endpoints_age: Millis,
+}
+
+/// A fetch of copies.
+#[derive(Debug)]
+pub struct Fetch {
+    /// Control addresses of the nodes to ask in turn.
+    pub sources: Vec<SocketAddr>,
+    /// What to ask for.
+    pub request: CopiesRequest,
+    /// The records that the request names as known.
+    pub bases: Vec<KeyedRecord>,
+}
+
+/// The compressed value of a record.
+#[derive(Debug)]
+struct PackedValue {
+    key: String,
+    offset: u64,
+    /// Offset of the record whose value is the base.
+    base: Option<u64>,
+    bytes: Bytes,
+}
+
+/// Compressed values that others may ask for, oldest first.
+#[derive(Debug, Default)]
+struct PackedValues(VecDeque<PackedValue>);
+
+impl PackedValues {
+    /// Returns the compressed value of a record; compresses it unless that was done for
+    /// another node.
+    async fn get(
+        &mut self,
+        record: &KeyedRecord,
+        base: Option<&KeyedRecord>,
+    ) -> Result<Bytes, TransferError> {
+        let base_offset = base.map(|base| base.offset);
+        let known = self.0.iter().find(|packed| {
+            packed.key == record.key && packed.offset == record.offset && packed.base == base_offset
+        });
+        if let Some(packed) = known {
+            return Ok(packed.bytes.clone());
+        }
+        let value = record.value.clone().unwrap_or_default();
+        let base = base.and_then(|base| base.value.clone()).unwrap_or_default();
+        let bytes: Bytes = spawn_blocking(move || pack(&value, &base)).await??.into();
+        self.0.push_back(PackedValue {
+            key: record.key.clone(),
+            offset: record.offset,
+            base: base_offset,
+            bytes: bytes.clone(),
+        });
+        if self.0.len() > MAX_PACKED_VALUES {
+            self.0.pop_front();
+        }
+        Ok(bytes)
+    }
+}
+
 type Frames = Framed<TcpStream, LengthDelimitedCodec>;
 
 fn frames(stream: TcpStream) -> Frames {
@@ -73,21 +178,29 @@
     Framed::new(stream, codec)
 }
 
-/// Sends this node's copies of the topics to the nodes that connect, at most
-/// [`MAX_TRANSFERS`] at the same time.
+/// Sends this node's copies of the topics to the nodes that ask, a few at a time.
 pub async fn serve(listener: TcpListener, handle: Handle) {
     let permits = Arc::new(Semaphore::new(MAX_TRANSFERS));
+    let waiting = Arc::new(Semaphore::new(MAX_WAITING));
+    let packed = Arc::new(Mutex::new(PackedValues::default()));
     loop {
         let stream = server::accept(&listener).await;
-        let permit = permits.clone().try_acquire_owned().ok();
-        let handle = handle.clone();
-        let open = MAX_TRANSFERS - permits.available_permits();
+        let place = waiting.clone().try_acquire_owned().ok();
+        let open = MAX_WAITING - waiting.available_permits();
+        let (permits, packed, handle) = (permits.clone(), packed.clone(), handle.clone());
         tokio::spawn(async move {
             let started = Instant::now();
             let mut sent = 0;
-            let result = match &permit {
-                Some(_) => within_limit(send_copies(frames(stream), &handle, &mut sent)).await,
-                None => refuse(frames(stream)).await,
+            let stream = frames(stream);
+            let result = match &place {
+                Some(_) => {
+                    within_limit(async {
+                        let _permit = permits.acquire_owned().await;
+                        send_copies(stream, &handle, &packed, &mut sent).await
+                    })
+                    .await
+                }
+                None => refuse(stream).await,
             };
             let took_ms = started.elapsed().as_millis() as u64;
             match result {
@@ -113,11 +226,14 @@
 async fn send_copies(
     mut stream: Frames,
     handle: &Handle,
+    packed: &Mutex<PackedValues>,
     sent: &mut usize,
 ) -> Result<(), TransferError> {
+    let request = CopiesRequest::decode(next_frame(&mut stream).await?)?;
     let (reply, answer) = oneshot::channel();
-    handle.send(Event::PeerSyncRequested(reply));
-    let copies = answer.await.map_err(|_| TransferError::Stalled)?;
+    handle.send(Event::PeerSyncRequested(request, reply));
+    let offer = answer.await.map_err(|_| TransferError::Stalled)?;
+    let copies = encode(offer, packed).await?;
     let mut rest = Bytes::from(copies.encode_to_vec());
     let head = CopiesHead {
         bytes: rest.len() as u64,
@@ -133,6 +249,42 @@
     Ok(())
 }
 
+async fn encode(offer: Offer, packed: &Mutex<PackedValues>) -> Result<TopicCopies, TransferError> {
+    let mut operator = Vec::with_capacity(offer.operator.len());
+    for (record, base) in offer.operator {
+        let size = record.value.as_ref().map_or(0, Bytes::len);
+        if size < MIN_PACKED_BYTES {
+            operator.push(to_wire(record));
+            continue;
+        }
+        // Others that wait for the same value find it when this one is done.
+        let value = packed.lock().await.get(&record, base.as_ref()).await?;
+        operator.push(Record {
+            value,
+            packing: Some(Packing {
+                base: base.map(|base| base.offset),
+            }),
+            ..to_wire(record)
+        });
+    }
+    Ok(TopicCopies {
+        operator,
+        operator_end: offer.operator_end,
+        endpoints: offer.endpoints.into_iter().map(to_wire).collect(),
+        endpoints_age_ms: offer.endpoints_age,
+        operator_age_ms: offer.operator_age,
+    })
+}
+
+fn to_wire(record: KeyedRecord) -> Record {
+    Record {
+        key: record.key,
+        value: record.value.unwrap_or_default(),
+        offset: record.offset,
+        packing: None,
+    }
+}
+
 async fn refuse(mut stream: Frames) -> Result<(), TransferError> {
     let head = CopiesHead {
         bytes: 0,
@@ -150,16 +302,16 @@
 }
 
 /// Asks the nodes in turn until one returns its copies of the topics.
-pub async fn fetch_from_any(handle: Handle, nodes: Vec<SocketAddr>) {
-    for node in nodes {
+pub async fn fetch_from_any(handle: Handle, fetch: Fetch) {
+    for node in &fetch.sources {
         let started = Instant::now();
         let mut received = 0;
-        let result = within_limit(fetch(node, &mut received)).await;
+        let result = within_limit(fetch_from(*node, &fetch, &mut received)).await;
         let took_ms = started.elapsed().as_millis() as u64;
         match result {
             Ok(copies) => {
                 log::info!(node:% = node, records = copies.operator.len(), endpoints = copies.endpoints.len(),
-                    age_ms = copies.endpoints_age_ms, bytes = received, took_ms; "received the topic copies of another node");
+                    age_ms = copies.endpoints_age, bytes = received, took_ms; "received the topic copies of another node");
                 handle.send(Event::PeerSyncReceived(Box::new(copies)));
                 return;
             }
@@ -172,9 +324,14 @@
 }
 
 /// Fetches the copies of one node and counts their bytes as they arrive.
-async fn fetch(node: SocketAddr, received: &mut usize) -> Result<TopicCopies, TransferError> {
+async fn fetch_from(
+    node: SocketAddr,
+    fetch: &Fetch,
+    received: &mut usize,
+) -> Result<Copies, TransferError> {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(node)).await;
     let mut stream = frames(connected.map_err(|_| TransferError::Stalled)??);
+    send_frame(&mut stream, fetch.request.encode_to_vec().into()).await?;
     let head = CopiesHead::decode(next_frame(&mut stream).await?)?;
     if head.busy {
         return Err(TransferError::Busy);
@@ -182,12 +339,51 @@
     if head.bytes > MAX_COPIES_BYTES as u64 {
         return Err(TransferError::Invalid(format!("{} bytes", head.bytes)));
     }
-    let mut copies = BytesMut::new();
-    while (copies.len() as u64) < head.bytes {
-        copies.extend_from_slice(&next_frame(&mut stream).await?);
-        *received = copies.len();
+    let mut bytes = BytesMut::new();
+    while (bytes.len() as u64) < head.bytes {
+        bytes.extend_from_slice(&next_frame(&mut stream).await?);
+        *received = bytes.len();
+    }
+    decode(TopicCopies::decode(bytes.freeze())?, &fetch.bases).await
+}
+
+async fn decode(copies: TopicCopies, bases: &[KeyedRecord]) -> Result<Copies, TransferError> {
+    let mut operator = Vec::with_capacity(copies.operator.len());
+    for mut record in copies.operator {
+        if let Some(packing) = record.packing.take() {
+            let packed = std::mem::take(&mut record.value);
+            let base = base_value(&record.key, packing, bases)?;
+            let value = spawn_blocking(move || unpack(&packed, &base)).await?;
+            record.value = value?.into();
+        }
+        operator.push(from_wire(record));
+    }
+    Ok(Copies {
+        operator,
+        operator_end: copies.operator_end,
+        operator_age: copies.operator_age_ms,
+        endpoints: copies.endpoints.into_iter().map(from_wire).collect(),
+        endpoints_age: copies.endpoints_age_ms,
+    })
+}
+
+fn base_value(key: &str, packing: Packing, bases: &[KeyedRecord]) -> Result<Bytes, TransferError> {
+    let Some(offset) = packing.base else {
+        return Ok(Bytes::new());
+    };
+    let base = bases
+        .iter()
+        .find(|record| record.key == key && record.offset == offset);
+    base.and_then(|record| record.value.clone())
+        .ok_or_else(|| TransferError::Invalid(format!("unknown base {offset} of {key}")))
+}
+
+fn from_wire(record: Record) -> KeyedRecord {
+    KeyedRecord {
+        key: record.key,
+        value: Some(record.value),
+        offset: record.offset,
     }
-    Ok(TopicCopies::decode(copies.freeze())?)
 }
 
 async fn next_frame(stream: &mut Frames) -> Result<BytesMut, TransferError> {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::clock::now;
-use crate::control::{Event, FollowedTopic, Handle};
+use crate::control::{Event, FollowedTopic, Handle, ReadRequest};
 use crate::dialect::{AppendOutcome, DecodeError, Dialect, KeyedRecord, LogPage, StoreRequest};
 use crate::http_client::{CallError, CallLimits, Connection, call};
 use crate::settings::Settings;
@@ -187,14 +187,13 @@
     records: fn(Vec<KeyedRecord>) -> Event,
 }
 
-/// Reads a topic whenever the control thread requests it. Each item of `read_requests`
-/// is the time in ms that the store may wait for a new record.
+/// Reads a topic whenever the control thread requests it.
 pub async fn follow(
     settings: Settings,
     dialect: &'static Dialect,
     handle: Handle,
     followed: FollowedTopic,
-    mut read_requests: UnboundedReceiver<u64>,
+    mut read_requests: UnboundedReceiver<ReadRequest>,
 ) {
     let reader = match followed {
         FollowedTopic::Operator => TopicReader {
@@ -212,8 +211,9 @@
     };
     let mut store = StoreClient::new(&settings, dialect, handle);
     let mut from = None;
-    while let Some(wait_ms) = read_requests.recv().await {
-        if let Err(error) = follow_once(&mut store, reader, &mut from, wait_ms).await {
+    while let Some(request) = read_requests.recv().await {
+        from = from.max(Some(request.known_end).filter(|end| *end > 0));
+        if let Err(error) = follow_once(&mut store, reader, &mut from, request.wait_ms).await {
             store.report_failure(reader.topic, &error);
             store.handle.send(Event::TopicFailed(followed));
         }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -9,8 +9,10 @@
 use flamingolock_gateway::control::state::Control;
 use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, PlacementRequest, View};
 use flamingolock_gateway::dialect::{KeyedRecord, PromptPart};
+use flamingolock_gateway::peer_sync::{Copies, Offer};
 use flamingolock_gateway::settings::Settings;
 use flamingolock_wire::gossip::{Gossip, NodeState, Run};
+use flamingolock_wire::topic_copies::CopiesRequest;
 use prost::Message;
 use tokio::sync::oneshot;
 
@@ -97,6 +99,30 @@
             .handle(Event::OperatorRecords(vec![record]), now);
     }
 
+    /// Adds a configuration with a thousand routes.
+    pub fn large_catalog(&mut self, version: u64, now: u64) {
+        let routes: Vec<_> = (0..1_000)
+            .map(|number| {
+                format!(
+                    r#"{{"Name":"r-{number}","Host":"a.example","PathPrefix":"/{number}/","Kind":"safe",
+                    "TimeoutMs":800,"TargetLatencyMs":300,"Service":"engines"}}"#
+                )
+            })
+            .collect();
+        let text = format!(
+            r#"{{"Version":{version},"Routes":[{}],"Services":[{{"Name":"engines","MaxConns":100}}]}}"#,
+            routes.join(",")
+        );
+        let record = self.record("op/config", Some(&text));
+        self.control
+            .handle(Event::OperatorRecords(vec![record]), now);
+    }
+
+    /// Offset after the last record.
+    pub fn offset(&self) -> u64 {
+        self.offset + 1
+    }
+
     pub fn weights(&mut self, version: u64, now: u64) {
         let record = self.named_weights(version);
         self.control
@@ -159,6 +185,7 @@
             callers: "10.0.0.9:80".to_owned(),
             zone: "zone-a".to_owned(),
             ready: true,
+            control_port: 8,
             name: "other".to_owned(),
             ..NodeState::default()
         };
@@ -168,6 +195,14 @@
             .handle(Event::Datagram(from, gossip.encode_to_vec().into()), now);
     }
 
+    /// Returns the copies that this node offers.
+    pub fn offer(&mut self, request: CopiesRequest, now: u64) -> Offer {
+        let (reply, mut answer) = oneshot::channel();
+        self.control
+            .handle(Event::PeerSyncRequested(request, reply), now);
+        answer.try_recv().expect("an offer")
+    }
+
     /// Requests a placement. Returns none if the request has to wait.
     pub fn place(&mut self, request: PlacementRequest, now: u64) -> Option<Placement> {
         let (sender, mut receiver) = oneshot::channel();
@@ -183,6 +218,21 @@
     }
 }
 
+/// The copies that a node has after an offer was sent to it.
+pub fn copies_of(offer: Offer) -> Copies {
+    Copies {
+        operator: offer
+            .operator
+            .into_iter()
+            .map(|(record, _)| record)
+            .collect(),
+        operator_end: offer.operator_end,
+        operator_age: offer.operator_age,
+        endpoints: offer.endpoints,
+        endpoints_age: offer.endpoints_age,
+    }
+}
+
 /// Entry of an engine.
 fn engine_entry(build: &str, born: u64, state: &str) -> String {
     format!(
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -3,11 +3,12 @@
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod common;
 
-use common::{Harness, placement_request};
+use common::{Harness, copies_of, placement_request};
 use flamingolock_gateway::control::{Effect, Event, FollowedTopic, Refusal, RunEnd};
 use flamingolock_gateway::endpoint::Endpoint;
 use flamingolock_gateway::request_handler::past_stream_cutoff;
 use flamingolock_wire::gossip::Run;
+use flamingolock_wire::topic_copies::CopiesRequest;
 
 #[test]
 fn configuration_never_goes_back() {
@@ -389,9 +390,11 @@
 #[test]
 fn node_syncs_from_a_peer_while_the_store_is_unreachable() {
     let topic_copies = |harness: &mut Harness, now| {
-        let (reply, mut answer) = tokio::sync::oneshot::channel();
-        harness.control.handle(Event::PeerSyncRequested(reply), now);
-        Box::new(answer.try_recv().expect("topic copies"))
+        let everything = CopiesRequest {
+            known: Vec::new(),
+            endpoints: true,
+        };
+        Box::new(copies_of(harness.offer(everything, now)))
     };
     let mut source = Harness::with_engines(2, 10_000);
     let early = topic_copies(&mut source, 10_000);
@@ -406,7 +409,7 @@
         let effects = harness.effects(now);
         effects
             .iter()
-            .any(|effect| matches!(effect, Effect::SyncFromPeers(nodes) if nodes.len() == 1))
+            .any(|effect| matches!(effect, Effect::FetchCopies(fetch) if fetch.sources.len() == 1))
     };
     assert!(requests_sync(&mut receiver, 20_000), "it has no copies");
     assert!(
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -124,6 +124,9 @@
     /// True while it can reach the store.
     #[prost(bool, tag = "10")]
     pub store_reachable: bool,
+    /// Port at which it sends its copies of the topics to other nodes; 0 if there is none.
+    #[prost(uint32, tag = "11")]
+    pub control_port: u32,
 }
 
 /// An update on a run, which is one request at one endpoint.
