gateway: ask the node that has newer records while the own read is slow

A node that had begun to read the store itself, because it knew no other node yet, waited for that read though another node had the change: 3.0 s on a slow link, seen once in change_reaches_a_node_whose_link_cannot_carry_the_whole_configuration beside other tests. A report of newer records now counts while a read is in progress; after 200 ms the node asks the reporter as well.

node_asks_the_reporter_while_its_read_of_the_store_is_slow failed before.

--- a/crates/gateway/src/control/freshness.rs
+++ b/crates/gateway/src/control/freshness.rs
@@ -31,6 +31,10 @@
 /// Minimum time between the starts of two reads, in ms.
 const MIN_READ_GAP_MS: Millis = 100;
 
+/// Time after a report of a newer copy from which on a read in progress counts as slow,
+/// in ms.
+const SLOW_READ_MS: Millis = 200;
+
 /// State of a node's copy of a topic as reported to other nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CopyReport {
@@ -77,7 +81,8 @@
     /// True if marks grow with each change, so that a greater one means newer content.
     ordered: bool,
     current_at: Option<Millis>,
-    behind: bool,
+    /// When another node first reported a newer copy.
+    behind_since: Option<Millis>,
     in_flight: bool,
     begun_at: Millis,
     retry_at: Millis,
@@ -97,13 +102,13 @@
         if self.in_flight || now < self.retry_at || now < self.begun_at + MIN_READ_GAP_MS {
             return false;
         }
-        self.behind || self.current_at.is_none_or(|at| now >= at + max_age)
+        self.is_behind() || self.current_at.is_none_or(|at| now >= at + max_age)
     }
 
     /// Records the start of a read.
     pub fn read_started(&mut self, now: Millis) {
         self.in_flight = true;
-        self.behind = false;
+        self.behind_since = None;
         self.begun_at = now;
     }
 
@@ -128,17 +133,22 @@
         }
         if report.mark == mark {
             self.current_at = self.current_at.max(at);
-        } else if self.ordered {
-            self.behind |= report.mark > mark;
+            return;
+        }
+        let is_newer = if self.ordered {
+            report.mark > mark
         } else {
-            self.behind |= at > self.current_at;
+            at > self.current_at
+        };
+        if is_newer {
+            self.behind_since.get_or_insert(now);
         }
     }
 
     /// Records that the content as of `at` was copied from another node.
     pub fn synced(&mut self, at: Millis) {
         self.current_at = self.current_at.max(Some(at));
-        self.behind = false;
+        self.behind_since = None;
     }
 
     /// Returns when the copy was last known to be current.
@@ -155,7 +165,14 @@
 
     /// Returns true if another node reported a newer copy.
     pub fn is_behind(&self) -> bool {
-        self.behind
+        self.behind_since.is_some()
+    }
+
+    /// Returns true if a read is in progress though another node has reported a newer
+    /// copy for some time.
+    pub fn is_read_slow(&self, now: Millis) -> bool {
+        let since = self.behind_since.filter(|_| self.in_flight);
+        since.is_some_and(|since| now >= since + SLOW_READ_MS)
     }
 
     /// Returns true if there is no copy, or it was last known to be current before
--- a/crates/gateway/src/control/state/peer_sync.rs
+++ b/crates/gateway/src/control/state/peer_sync.rs
@@ -63,6 +63,9 @@
     /// Starts a fetch of the operator's records from the node that reported newer ones.
     /// Returns false if there is none to ask now.
     pub(super) fn fetch_from_reporter(&mut self, now: Millis) -> bool {
+        if !self.fetches.may_start(now) {
+            return false;
+        }
         let Some(reporter) = self.operator_reporter.take() else {
             return false;
         };
--- a/crates/gateway/src/control/state/topics.rs
+++ b/crates/gateway/src/control/state/topics.rs
@@ -41,6 +41,9 @@
                 known_end: self.operator_end,
             }));
         }
+        if self.operator_copy.is_read_slow(now) {
+            self.fetch_from_reporter(now);
+        }
         // No long poll here: entries change with every heartbeat of an endpoint, so the
         // store would return at once anyway.
         let endpoints = ReadSchedule::new(self.settings.drain_bound, rank, hops);
--- a/crates/gateway/tests/test_peer_sync.rs
+++ b/crates/gateway/tests/test_peer_sync.rs
@@ -106,6 +106,16 @@
     assert!(reads_operator_topic(&harness.effects(10_410)));
 }
 
+#[test]
+fn node_asks_the_reporter_while_its_read_of_the_store_is_slow() {
+    let mut harness = current_node(10_000);
+    assert!(reads_operator_topic(&harness.effects(10_010)));
+    report_newer(&mut harness, 100, 10_200);
+    assert!(fetch(harness.effects(10_210)).is_none());
+    report_newer(&mut harness, 100, 10_400);
+    assert!(fetch(harness.effects(10_410)).is_some());
+}
+
 #[test]
 fn store_is_read_from_the_end_of_what_another_node_sent() {
     let mut harness = current_node(10_000);
