gateway: read only the newest of the records that wait

A node that could not reach the store for some versions read each of them, one after the other, though only the newest counts; what it had read was thrown away when a later page failed. If one page does not reach the end of the topic, the newest record of each key is read now, and each page counts at once.

The store of the stand-ins ends a page at 1 MB and counts the bytes that it serves. versions_that_were_replaced_while_the_store_was_out_of_reach_are_not_read failed before (4,530,074 bytes for ten versions of 452,976 bytes; the test allows four).

--- a/crates/cli/tests/test_large_configuration.rs
+++ b/crates/cli/tests/test_large_configuration.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use entry_site::{Node, Site, call, site_configuration, wait_for};
-use flamingolock_standins::proxy::{self, Handle};
+use flamingolock_standins::proxy::{self, Handle, NewConnections};
 use tokio::runtime::Runtime;
 
 /// Bandwidth of a node's connection to the store: a link of 10 Mbit/s with other
@@ -60,6 +60,30 @@
     wait_for("the configuration", || has_version(&node, 2));
 }
 
+/// Only the newest of the versions that were written meanwhile is read.
+#[test]
+fn versions_that_were_replaced_while_the_store_was_out_of_reach_are_not_read() {
+    let runtime = Runtime::new().expect("a runtime starts");
+    let site = Site::start(Duration::from_millis(1));
+    let started = proxy::start(([127, 0, 0, 1], 0).into(), site.store.address());
+    let link = runtime.block_on(started).expect("a proxy starts");
+    let node = Node::start("node-1", link.addr(), &[]);
+    node.wait_ready();
+    link.change_faults(|faults| faults.new_connections = NewConnections::Close);
+    link.cut_existing();
+    let mut bytes = 0;
+    for version in 2..12 {
+        let text = large_configuration(version, 2_000);
+        bytes = text.len() as u64;
+        site.store.put("keyed.op", "op/config", &text);
+    }
+    let served = site.store.served_bytes();
+    link.change_faults(|faults| faults.new_connections = NewConnections::Forward);
+    wait_for("the configuration", || has_version(&node, 11));
+    let served = site.store.served_bytes() - served;
+    assert!(served < 4 * bytes, "{served} bytes for {bytes}");
+}
+
 /// A node that reads the store gives the others the change, which is small.
 #[test]
 fn change_reaches_a_node_whose_link_cannot_carry_the_whole_configuration() {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -152,30 +152,6 @@
         let response = self.call(request, wait_ms).await?;
         Ok((self.dialect.parse_read_response)(from, response)?)
     }
-
-    /// Reads the records from an offset to the end of a topic, which may take several
-    /// pages.
-    async fn read_to_end(
-        &mut self,
-        topic: &str,
-        from: u64,
-        wait_ms: u64,
-    ) -> Result<LogPage, StoreError> {
-        let mut page = self.read(topic, Some(from), wait_ms).await?;
-        while let LogPage::Records { end, records } = &mut page
-            && from + (records.len() as u64) < *end
-        {
-            let next = from + records.len() as u64;
-            match self.read(topic, Some(next), 0).await? {
-                LogPage::Records { records: more, .. } if !more.is_empty() => records.extend(more),
-                _ => {
-                    let reason = format!("no record at offset {next} of {end}");
-                    return Err(DecodeError::Encoding(reason).into());
-                }
-            }
-        }
-        Ok(page)
-    }
 }
 
 /// Topic to follow, with the constructors of its events.
@@ -183,8 +159,12 @@
 struct TopicReader {
     followed: FollowedTopic,
     topic: &'static str,
+    /// All records in force, written at an unknown time.
     snapshot: fn(Vec<KeyedRecord>) -> Event,
+    /// Records written since the last read.
     records: fn(Vec<KeyedRecord>) -> Event,
+    /// All records in force, some of them written since the last read.
+    caught_up: fn(Vec<KeyedRecord>) -> Event,
 }
 
 /// Reads a topic whenever the control thread requests it.
@@ -201,12 +181,14 @@
             topic: dialect.topics.operator,
             snapshot: Event::OperatorSnapshot,
             records: Event::OperatorRecords,
+            caught_up: Event::OperatorRecords,
         },
         FollowedTopic::Endpoints => TopicReader {
             followed,
             topic: dialect.topics.endpoints,
             snapshot: Event::EndpointSnapshot,
             records: Event::EndpointRecords,
+            caught_up: Event::EndpointSnapshot,
         },
     };
     let mut store = StoreClient::new(&settings, dialect, handle);
@@ -221,7 +203,8 @@
 }
 
 /// Reads the records from the offset `from` on, or the newest record of each key if
-/// the offset is not known or its records are no longer kept.
+/// the offset is not known, its records are no longer kept, or one page does not reach
+/// the end of the topic: then the records between were replaced by newer ones.
 async fn follow_once(
     store: &mut StoreClient,
     reader: TopicReader,
@@ -231,33 +214,34 @@
     let sent_at = now();
     let mut at = sent_at;
     let page = match *from {
-        Some(from) => Some((from, store.read_to_end(reader.topic, from, wait_ms).await?)),
+        Some(from) => Some((from, store.read(reader.topic, Some(from), wait_ms).await?)),
         None => None,
     };
-    let (event, end) = match page {
-        Some((mut end, LogPage::Records { records, .. })) => {
-            let records = parse_records(store, records, &mut end);
+    let newest = match page {
+        Some((mut next, LogPage::Records { end, records })) => {
+            let records = parse_records(store, records, &mut next);
             if records.is_empty() {
                 at += wait_ms;
             }
-            ((reader.records)(records), end)
+            store.handle.send((reader.records)(records));
+            *from = Some(next);
+            (next < end).then_some(reader.caught_up)
         }
         Some((from, LogPage::Trimmed { first })) => {
             log::info!(topic = reader.topic, from, first; "records are no longer kept; reading the newest record of each key");
-            let (records, end) = store.newest(reader.topic).await?;
-            ((reader.snapshot)(records), end)
-        }
-        None => {
-            let (records, end) = store.newest(reader.topic).await?;
-            ((reader.snapshot)(records), end)
+            Some(reader.snapshot)
         }
+        None => Some(reader.snapshot),
     };
-    *from = Some(end);
+    if let Some(event) = newest {
+        let (records, end) = store.newest(reader.topic).await?;
+        store.handle.send(event(records));
+        *from = Some(end);
+    }
     store.handle.send(Event::StoreAnswered);
-    store.handle.send(event);
     store.handle.send(Event::TopicRead {
         topic: reader.followed,
-        end,
+        end: from.unwrap_or(0),
         at,
     });
     Ok(())
