--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -1,5 +1,6 @@
 //! Handling of records from the store: configuration, weights and endpoint entries.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -100,7 +101,7 @@
     }
 
     pub(super) fn apply_endpoint_snapshot(&mut self, records: &[KeyedRecord], now: Millis) {
-        let listed: Vec<EndpointKey> = records
+        let listed: BTreeSet<EndpointKey> = records
             .iter()
             .filter_map(|record| (self.dialect.endpoint_id)(&record.key).map(Endpoint::key_of))
             .collect();
