gateway: decode configurations beside the control thread

A configuration from the store or from another node is decoded on a thread of its own now, and arrives at the control thread as types. Not measured by itself; the decoding time is the same, but no request waits for all of it.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -32,6 +32,7 @@
 use crate::catalog::Catalog;
 use crate::clock::{Millis, now};
 use crate::control::notices::Notice;
+use crate::control::operator_records::OperatorUpdate;
 use crate::control::state::Control;
 use crate::dialect::{
     CachedPart, Dialect, EngineReport, KeyedRecord, OrderOutcome, PromptPart, WeightsOrder,
@@ -235,9 +236,9 @@
     /// An endpoint asked something of this node in a response.
     Noticed(Arc<Endpoint>, Notice),
     /// The newest record of each key of the operator topic was read.
-    OperatorSnapshot(Vec<KeyedRecord>),
+    OperatorSnapshot(Vec<OperatorUpdate>),
     /// New records of the operator topic.
-    OperatorRecords(Vec<KeyedRecord>),
+    OperatorRecords(Vec<OperatorUpdate>),
     /// The newest record of each key of the endpoint topic was read.
     EndpointSnapshot(Vec<KeyedRecord>),
     /// New records of the endpoint topic.
--- a/crates/gateway/src/control/operator_records.rs
+++ b/crates/gateway/src/control/operator_records.rs
@@ -1,11 +1,12 @@
-//! The operator's records that are in force, and the ones before them, against which
-//! records for other nodes are compressed.
+//! The operator's records: decoding them, those that are in force, and the ones before
+//! them, against which records for other nodes are compressed.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
 
 use flamingolock_wire::topic_copies::KnownRecord;
 
-use crate::dialect::KeyedRecord;
+use crate::dialect::{DecodeError, Dialect, KeyedRecord, OperatorRecord};
 
 /// Maximum number of superseded records that are kept.
 const MAX_SUPERSEDED: usize = 4;
@@ -16,6 +17,39 @@
 /// Size from which on a superseded value is worth keeping, in bytes.
 const MIN_SUPERSEDED_BYTES: usize = 1024;
 
+/// A record of the operator with its content. Decoding a large configuration takes long
+/// and is not done on the control thread.
+#[derive(Debug)]
+pub struct OperatorUpdate {
+    /// The record as read from the store.
+    pub record: KeyedRecord,
+    /// What it says; none if it deletes its key.
+    pub content: Option<Result<OperatorRecord, DecodeError>>,
+}
+
+impl OperatorUpdate {
+    /// Decodes a record.
+    pub fn decode(dialect: &Dialect, record: KeyedRecord) -> Self {
+        let started = Instant::now();
+        let value = record.value.as_ref();
+        let content = value.map(|value| (dialect.operator_record)(&record.key, value));
+        if let Some(Ok(OperatorRecord::Catalog(catalog))) = &content {
+            let decode_ms = started.elapsed().as_millis() as u64;
+            log::info!(version = catalog.version, offset = record.offset, bytes = size(&record), decode_ms;
+                "decoded a configuration");
+        }
+        Self { record, content }
+    }
+
+    /// Decodes records.
+    pub fn decode_all(dialect: &Dialect, records: Vec<KeyedRecord>) -> Vec<Self> {
+        let records = records.into_iter();
+        records
+            .map(|record| Self::decode(dialect, record))
+            .collect()
+    }
+}
+
 /// The newest record of each key, and some of the ones that they replaced.
 #[derive(Debug, Default)]
 pub struct OperatorRecords {
@@ -29,8 +63,8 @@
 
 impl OperatorRecords {
     /// Adds a record that came into force.
-    pub fn insert(&mut self, record: &KeyedRecord) {
-        let replaced = self.newest.insert(record.key.clone(), record.clone());
+    pub fn insert(&mut self, record: KeyedRecord) {
+        let replaced = self.newest.insert(record.key.clone(), record);
         let Some(replaced) = replaced.filter(|old| size(old) >= MIN_SUPERSEDED_BYTES) else {
             return;
         };
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -228,14 +228,14 @@
             Event::OperatorSnapshot(records) => {
                 // The time at which these records were written is unknown.
                 let named_at = now.saturating_sub(self.assumed_weights_age());
-                for record in &records {
-                    self.apply_operator_record(record, named_at, now);
+                for update in records {
+                    self.apply_operator_update(update, named_at, now);
                 }
             }
             Event::OperatorRecords(records) => {
                 let written_at = self.earliest_write_time(now);
-                for record in &records {
-                    self.apply_operator_record(record, written_at, now);
+                for update in records {
+                    self.apply_operator_update(update, written_at, now);
                 }
             }
             Event::EndpointSnapshot(records) => self.endpoints_read(&records, now),
@@ -278,7 +278,7 @@
                 // The other node may have disconnected in the meantime.
                 let _ = reply.send(self.offer_copies(&request, now));
             }
-            Event::PeerSyncReceived(copies) => self.apply_copies(&copies, now),
+            Event::PeerSyncReceived(copies) => self.apply_copies(*copies, now),
             Event::PeerSyncFailed => self.fetch_failed(now),
             Event::ShutdownStarted => {
                 self.shutdown_at = Some(now);
--- a/crates/gateway/src/control/state/peer_sync.rs
+++ b/crates/gateway/src/control/state/peer_sync.rs
@@ -29,15 +29,15 @@
     }
 
     /// Applies the parts of another node's copies that are newer than this node's.
-    pub(super) fn apply_copies(&mut self, copies: &Copies, now: Millis) {
+    pub(super) fn apply_copies(&mut self, copies: Copies, now: Millis) {
         self.fetches.succeeded();
         // A node without a configuration cannot tell when the records were written.
         let mut written_at = now.saturating_sub(self.assumed_weights_age());
         if self.catalog.is_some() {
             written_at = written_at.max(self.earliest_write_time(now));
         }
-        for record in &copies.operator {
-            self.apply_operator_record(record, written_at, now);
+        for update in copies.operator {
+            self.apply_operator_update(update, written_at, now);
         }
         self.operator_end = self.operator_end.max(copies.operator_end);
         if self.operator_copy.current_at().is_some() {
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
 use super::Control;
 use crate::catalog::Catalog;
@@ -11,6 +10,7 @@
 use crate::control::Effect;
 use crate::control::cache_index::{key, namespace_of};
 use crate::control::fleet::EndpointState;
+use crate::control::operator_records::OperatorUpdate;
 use crate::dialect::{CachedPart, KeyedRecord, OperatorRecord};
 use crate::endpoint::{Endpoint, EndpointKey};
 
@@ -38,23 +38,18 @@
     }
 
     /// Applies a record of the operator topic that was written at `written_at`.
-    pub(super) fn apply_operator_record(
+    pub(super) fn apply_operator_update(
         &mut self,
-        record: &KeyedRecord,
+        update: OperatorUpdate,
         written_at: Millis,
         now: Millis,
     ) {
-        let Some(value) = &record.value else { return };
-        if self.operator_records.contains(record) {
+        let OperatorUpdate { record, content } = update;
+        let Some(content) = content.filter(|_| !self.operator_records.contains(&record)) else {
             return;
-        }
-        let decode_started = Instant::now();
-        let decoded = (self.dialect.operator_record)(&record.key, value);
-        match decoded {
+        };
+        match content {
             Ok(OperatorRecord::Catalog(catalog)) => {
-                let decode_ms = decode_started.elapsed().as_millis() as u64;
-                log::info!(version = catalog.version, offset = record.offset, bytes = value.len(), decode_ms;
-                    "decoded a configuration");
                 if self.apply_catalog(catalog, record.offset, now) {
                     self.operator_records.insert(record);
                 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -73,7 +73,7 @@
                 }
             }
             Effect::FetchCopies(fetch) => {
-                tokio::spawn(peer_sync::fetch_from_any(handle.clone(), fetch));
+                tokio::spawn(peer_sync::fetch_from_any(handle.clone(), dialect, fetch));
             }
             Effect::Register => {
                 if registrations.send(()).is_err() {
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -21,8 +21,9 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::clock::Millis;
+use crate::control::operator_records::OperatorUpdate;
 use crate::control::{Event, Handle};
-use crate::dialect::KeyedRecord;
+use crate::dialect::{Dialect, KeyedRecord};
 use crate::packing::{pack, unpack};
 use crate::server;
 
@@ -102,7 +103,7 @@
 #[derive(Debug)]
 pub struct Copies {
     /// Records of the operator topic.
-    pub operator: Vec<KeyedRecord>,
+    pub operator: Vec<OperatorUpdate>,
     /// Offset after the last record of the operator topic that was read.
     pub operator_end: u64,
     /// Time since the copy of the operator topic was last known to be current, in ms.
@@ -302,11 +303,11 @@
 }
 
 /// Asks the nodes in turn until one returns its copies of the topics.
-pub async fn fetch_from_any(handle: Handle, fetch: Fetch) {
+pub async fn fetch_from_any(handle: Handle, dialect: &'static Dialect, fetch: Fetch) {
     for node in &fetch.sources {
         let started = Instant::now();
         let mut received = 0;
-        let result = within_limit(fetch_from(*node, &fetch, &mut received)).await;
+        let result = within_limit(fetch_from(*node, dialect, &fetch, &mut received)).await;
         let took_ms = started.elapsed().as_millis() as u64;
         match result {
             Ok(copies) => {
@@ -326,6 +327,7 @@
 /// Fetches the copies of one node and counts their bytes as they arrive.
 async fn fetch_from(
     node: SocketAddr,
+    dialect: &'static Dialect,
     fetch: &Fetch,
     received: &mut usize,
 ) -> Result<Copies, TransferError> {
@@ -344,19 +346,22 @@
         bytes.extend_from_slice(&next_frame(&mut stream).await?);
         *received = bytes.len();
     }
-    decode(TopicCopies::decode(bytes.freeze())?, &fetch.bases).await
+    decode(dialect, TopicCopies::decode(bytes.freeze())?, &fetch.bases).await
 }
 
-async fn decode(copies: TopicCopies, bases: &[KeyedRecord]) -> Result<Copies, TransferError> {
+async fn decode(
+    dialect: &'static Dialect,
+    copies: TopicCopies,
+    bases: &[KeyedRecord],
+) -> Result<Copies, TransferError> {
     let mut operator = Vec::with_capacity(copies.operator.len());
-    for mut record in copies.operator {
-        if let Some(packing) = record.packing.take() {
-            let packed = std::mem::take(&mut record.value);
-            let base = base_value(&record.key, packing, bases)?;
-            let value = spawn_blocking(move || unpack(&packed, &base)).await?;
-            record.value = value?.into();
-        }
-        operator.push(from_wire(record));
+    for record in copies.operator {
+        let base = match record.packing {
+            Some(packing) => Some(base_value(&record.key, packing, bases)?),
+            None => None,
+        };
+        let update = spawn_blocking(move || decode_record(dialect, record, base)).await??;
+        operator.push(update);
     }
     Ok(Copies {
         operator,
@@ -367,6 +372,18 @@
     })
 }
 
+/// Decodes a record whose value is compressed against `base`, if there is one.
+fn decode_record(
+    dialect: &Dialect,
+    mut record: Record,
+    base: Option<Bytes>,
+) -> std::io::Result<OperatorUpdate> {
+    if let Some(base) = base {
+        record.value = unpack(&record.value, &base)?.into();
+    }
+    Ok(OperatorUpdate::decode(dialect, from_wire(record)))
+}
+
 fn base_value(key: &str, packing: Packing, bases: &[KeyedRecord]) -> Result<Bytes, TransferError> {
     let Some(offset) = packing.base else {
         return Ok(Bytes::new());
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -9,9 +9,11 @@
 use prost::Message;
 use rand::Rng;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::{JoinError, spawn_blocking};
 use tokio::time::sleep;
 
 use crate::clock::now;
+use crate::control::operator_records::OperatorUpdate;
 use crate::control::{Event, FollowedTopic, Handle, ReadRequest};
 use crate::dialect::{AppendOutcome, DecodeError, Dialect, KeyedRecord, LogPage, StoreRequest};
 use crate::http_client::{CallError, CallLimits, Connection, call};
@@ -30,6 +32,9 @@
 /// Maximum size of a response of the store, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Size of records from which on they are decoded on a thread of their own, in bytes.
+const MIN_BACKGROUND_BYTES: usize = 32 * 1024;
+
 /// Minimum pause after a failed call, in ms; a random time of up to the same length
 /// is added.
 const RETRY_MS: u64 = 250;
@@ -49,6 +54,9 @@
     /// The response has an error status or cannot be decoded.
     #[error(transparent)]
     Decode(#[from] DecodeError),
+    /// The thread that decodes the records failed.
+    #[error("cannot decode the records: {0}")]
+    Thread(#[from] JoinError),
 }
 
 /// Client that uses one connection to the store.
@@ -98,6 +106,20 @@
         Ok(response)
     }
 
+    /// Sends the records to the control thread. Large ones are decoded on a thread of
+    /// their own, as requests must not wait for that.
+    async fn pass_on(&self, event: EventOf, records: Vec<KeyedRecord>) -> Result<(), StoreError> {
+        let dialect = self.dialect;
+        let values = records.iter().filter_map(|record| record.value.as_ref());
+        let event = if values.map(Bytes::len).sum::<usize>() < MIN_BACKGROUND_BYTES {
+            event(dialect, records)
+        } else {
+            spawn_blocking(move || event(dialect, records)).await?
+        };
+        self.handle.send(event);
+        Ok(())
+    }
+
     /// Logs a failed call, closes the connection and informs the control thread.
     fn report_failure(&mut self, what: &str, error: &StoreError) {
         log::warn!(what, error:% = error; "call to the store failed");
@@ -154,17 +176,28 @@
     }
 }
 
+/// Builds the event that passes on the records of a topic.
+type EventOf = fn(&Dialect, Vec<KeyedRecord>) -> Event;
+
 /// Topic to follow, with the constructors of its events.
 #[derive(Clone, Copy)]
 struct TopicReader {
     followed: FollowedTopic,
     topic: &'static str,
     /// All records in force, written at an unknown time.
-    snapshot: fn(Vec<KeyedRecord>) -> Event,
+    snapshot: EventOf,
     /// Records written since the last read.
-    records: fn(Vec<KeyedRecord>) -> Event,
+    records: EventOf,
     /// All records in force, some of them written since the last read.
-    caught_up: fn(Vec<KeyedRecord>) -> Event,
+    caught_up: EventOf,
+}
+
+fn operator_snapshot(dialect: &Dialect, records: Vec<KeyedRecord>) -> Event {
+    Event::OperatorSnapshot(OperatorUpdate::decode_all(dialect, records))
+}
+
+fn operator_records(dialect: &Dialect, records: Vec<KeyedRecord>) -> Event {
+    Event::OperatorRecords(OperatorUpdate::decode_all(dialect, records))
 }
 
 /// Reads a topic whenever the control thread requests it.
@@ -179,16 +212,16 @@
         FollowedTopic::Operator => TopicReader {
             followed,
             topic: dialect.topics.operator,
-            snapshot: Event::OperatorSnapshot,
-            records: Event::OperatorRecords,
-            caught_up: Event::OperatorRecords,
+            snapshot: operator_snapshot,
+            records: operator_records,
+            caught_up: operator_records,
         },
         FollowedTopic::Endpoints => TopicReader {
             followed,
             topic: dialect.topics.endpoints,
-            snapshot: Event::EndpointSnapshot,
-            records: Event::EndpointRecords,
-            caught_up: Event::EndpointSnapshot,
+            snapshot: |_, records| Event::EndpointSnapshot(records),
+            records: |_, records| Event::EndpointRecords(records),
+            caught_up: |_, records| Event::EndpointSnapshot(records),
         },
     };
     let mut store = StoreClient::new(&settings, dialect, handle);
@@ -223,7 +256,7 @@
             if records.is_empty() {
                 at += wait_ms;
             }
-            store.handle.send((reader.records)(records));
+            store.pass_on(reader.records, records).await?;
             *from = Some(next);
             (next < end).then_some(reader.caught_up)
         }
@@ -235,7 +268,7 @@
     };
     if let Some(event) = newest {
         let (records, end) = store.newest(reader.topic).await?;
-        store.handle.send(event(records));
+        store.pass_on(event, records).await?;
         *from = Some(end);
     }
     store.handle.send(Event::StoreAnswered);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use flamingolock_gateway::control::operator_records::OperatorUpdate;
 use flamingolock_gateway::control::state::Control;
 use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, PlacementRequest, View};
 use flamingolock_gateway::dialect::{KeyedRecord, PromptPart};
@@ -96,7 +97,7 @@
         );
         let record = self.record("op/config", Some(&text));
         self.control
-            .handle(Event::OperatorRecords(vec![record]), now);
+            .handle(Event::OperatorRecords(vec![update(record)]), now);
     }
 
     /// Adds a configuration with a thousand routes.
@@ -115,7 +116,7 @@
         );
         let record = self.record("op/config", Some(&text));
         self.control
-            .handle(Event::OperatorRecords(vec![record]), now);
+            .handle(Event::OperatorRecords(vec![update(record)]), now);
     }
 
     /// Offset after the last record.
@@ -126,14 +127,14 @@
     pub fn weights(&mut self, version: u64, now: u64) {
         let record = self.named_weights(version);
         self.control
-            .handle(Event::OperatorRecords(vec![record]), now);
+            .handle(Event::OperatorRecords(vec![update(record)]), now);
     }
 
     /// Adds a version of the weights that the node finds in the store when it starts.
     pub fn weights_before_start(&mut self, version: u64, now: u64) {
         let record = self.named_weights(version);
         self.control
-            .handle(Event::OperatorSnapshot(vec![record]), now);
+            .handle(Event::OperatorSnapshot(vec![update(record)]), now);
     }
 
     fn named_weights(&mut self, version: u64) -> KeyedRecord {
@@ -218,13 +219,17 @@
     }
 }
 
+fn update(record: KeyedRecord) -> OperatorUpdate {
+    OperatorUpdate::decode(&flamingolock_platform::DIALECT, record)
+}
+
 /// The copies that a node has after an offer was sent to it.
 pub fn copies_of(offer: Offer) -> Copies {
     Copies {
         operator: offer
             .operator
             .into_iter()
-            .map(|(record, _)| record)
+            .map(|(record, _)| update(record))
             .collect(),
         operator_end: offer.operator_end,
         operator_age: offer.operator_age,
--- a/crates/gateway/tests/test_peer_sync.rs
+++ b/crates/gateway/tests/test_peer_sync.rs
@@ -3,7 +3,7 @@
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod common;
 
-use common::{Harness, copies_of};
+use common::Harness;
 use flamingolock_gateway::control::{Effect, Event, FollowedTopic, ReadRequest};
 use flamingolock_gateway::packing::{pack, unpack};
 use flamingolock_gateway::peer_sync::{Copies, Fetch};
@@ -139,8 +139,8 @@
     let mut harness = Harness::new();
     harness.large_catalog(1, 100);
     harness.weights(1, 100);
-    let known = harness.offer(CopiesRequest::default(), 200);
-    let known = copies_of(known).operator;
+    let known = harness.offer(CopiesRequest::default(), 200).operator;
+    let known: Vec<_> = known.into_iter().map(|(record, _)| record).collect();
     let request = CopiesRequest {
         known: known
             .iter()
