--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -254,7 +254,8 @@
     guard: RunGuard,
     error: &CallError,
 ) -> AttemptOutcome {
-    log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = error; "request to the endpoint failed");
+    log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
+        parts = exchange.shared_parts().as_str(), error:% = error; "request to the endpoint failed");
     match error {
         CallError::Connect(_) | CallError::ConnectTimeout | CallError::NotSent => {
             guard.end(RunEnd::NeverConnected);
@@ -293,8 +294,8 @@
     let first = match timeout_at(limit, first_chunk(&mut body)).await {
         Ok(Ok(first)) => first,
         Ok(Err(error)) => {
-            log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = error;
-                "stream failed before its first event");
+            log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
+                parts = exchange.shared_parts().as_str(), error:% = error; "stream failed before its first event");
             guard.end(RunEnd::Broken);
             return AttemptOutcome::NoResponse(RunEnd::Broken);
         }
@@ -303,8 +304,8 @@
     match &first {
         Some(_) => guard.first_token(head.weights),
         None if BodyFraming::of(&parts.headers) == BodyFraming::UntilClose => {
-            log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id;
-                "connection closed before the first event");
+            log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
+                parts = exchange.shared_parts().as_str(); "connection closed before the first event");
             guard.end(RunEnd::Broken);
             return AttemptOutcome::NoResponse(RunEnd::Broken);
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,6 +41,17 @@
 }
 
 impl Exchange {
+    /// Ids of the prompt parts that other requests may share, for logs.
+    pub fn shared_parts(&self) -> String {
+        let parts = self
+            .head
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// True if the caller resumes a stream that it lost.
     pub fn resumes_stream(&self) -> bool {
         self.route.resumable && self.head.last_event.is_some()
