--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -21,6 +21,8 @@
     Close,
     /// They stay open, but no data is ever forwarded.
     Silence,
+    /// They get the head of a response that never ends.
+    EndlessHead,
 }
 
 /// Direction of bytes through a proxy.
@@ -105,6 +107,8 @@
 
 /// Fault signals of the route, as seen by one connection.
 pub(crate) struct ConnectionFaults {
+    /// True if it gets the head of a response that never ends.
+    pub(crate) endless_head: bool,
     /// Becomes true when the connection must stop forwarding.
     pub(crate) silence: watch::Receiver<bool>,
     /// Cancelled when the connection must close.
@@ -192,11 +196,12 @@
         let mut state = self.lock();
         state.accepted += 1;
         let silence = match state.faults.new_connections {
-            NewConnections::Forward => state.silence.subscribe(),
+            NewConnections::Forward | NewConnections::EndlessHead => state.silence.subscribe(),
             NewConnections::Close => return None,
             NewConnections::Silence => watch::Sender::new(true).subscribe(),
         };
         Some(ConnectionFaults {
+            endless_head: state.faults.new_connections == NewConnections::EndlessHead,
             silence,
             cut: state.cut.clone(),
             reset: state.reset.clone(),
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -158,6 +158,10 @@
     route: &RouteFaults,
     faults: &ConnectionFaults,
 ) {
+    if faults.endless_head {
+        send_endless_head(client).await;
+        return;
+    }
     let Ok(upstream) = TcpStream::connect(target).await else {
         return;
     };
@@ -178,6 +182,16 @@
     let _ = tokio::try_join!(up, down);
 }
 
+/// Sends header lines until the client closes the connection.
+async fn send_endless_head(mut client: TcpStream) {
+    let line = b"padding: these bytes are no response\r\n";
+    let mut sent = client.write_all(b"HTTP/1.1 200 OK\r\n").await;
+    while sent.is_ok() {
+        sent = client.write_all(line).await;
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Error that closes both directions of a connection.
 struct Closed;
 
