gateway: stop requests with a prompt part that crashes engines

Cause: the gateway learned only where a request failed, never from what; the request, its retries and the next one like it went to the next engine. Class: decisions that look at the place of a failure and not at what the failures have in common (query of death).

Evidence in the record: with each engine that ends one or two runs end whose response had begun but had no event (17), the rest waited (34) or had events (116). So a run that ends with its engine before its first whole event speaks against its shared parts (4 if the response had begun, 2 if not; half of that against parts answered before), and the first event of any run clears all its parts. Crashes count one after the other: a request must have been sent after the crash before, so engines that crash together, or a cut link, count once. At 12 the part is stopped: requests with it are answered 503 with the time of the next trial, nothing was sent; from 8 on none is sent a second time. After 60 s, doubled with each failure, the node of the first rank may try one request. Evidence only grows and is merged in any order; nodes send what is new with their datagrams, repeat parts with two crashes or more each second, and send all to a node that starts; the stopped parts lie in the store for the case that all nodes end.

Weighed: to stop the whole prompt, the first part, the workspace or the route (sound requests share them), a single crash (takes innocent runs along), engines of their own for suspects (the fleet has none to spare), an end of the verdict with new weights (they are named every few seconds; each would cost three engines).

--- a/crates/cli/tests/test_crashing_part.rs
+++ b/crates/cli/tests/test_crashing_part.rs
@@ -53,6 +53,9 @@
     wait_for("the engines", || {
         !site.engines.iter().any(Engine::has_crashed)
     });
+    for engine in &site.engines {
+        site.put_entry(engine, "engines", "ready");
+    }
 }
 
 /// Sends crashing requests to the nodes in turn until they are refused.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -100,7 +100,7 @@
     first_byte_timeout: Option<Duration>,
 ) -> AttemptOutcome {
     let resumed = resume_after.or(exchange.head.last_event).is_some();
-    let guard = RunGuard::new(&context.handle, &grant, exchange, resumed);
+    let mut guard = RunGuard::new(&context.handle, &grant, exchange, resumed);
     let first_byte_deadline =
         first_byte_timeout.map_or(exchange.deadline, |timeout| Instant::now() + timeout);
     let limit = first_byte_deadline.min(exchange.deadline);
@@ -110,6 +110,7 @@
         Ok(Err(error)) => return request_failed(exchange, &grant, guard, &error),
         Err(_) => return first_byte_timed_out(exchange, guard),
     };
+    guard.response_begun();
     let head = (context.dialect.response_head)(response.headers());
     if head.request_id.is_some()
         && exchange.head.request_id.is_some()
@@ -262,7 +263,7 @@
             AttemptOutcome::NotRun(RunEnd::NeverConnected)
         }
         _ => {
-            guard.end(RunEnd::Broken);
+            guard.broken();
             AttemptOutcome::NoResponse(RunEnd::Broken)
         }
     }
@@ -296,7 +297,7 @@
         Ok(Err(error)) => {
             log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
                 parts = exchange.shared_parts().as_str(), error:% = error; "stream failed before its first event");
-            guard.end(RunEnd::Broken);
+            guard.broken();
             return AttemptOutcome::NoResponse(RunEnd::Broken);
         }
         Err(_) => return first_byte_timed_out(exchange, guard),
@@ -306,7 +307,7 @@
         None if BodyFraming::of(&parts.headers) == BodyFraming::UntilClose => {
             log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
                 parts = exchange.shared_parts().as_str(); "connection closed before the first event");
-            guard.end(RunEnd::Broken);
+            guard.broken();
             return AttemptOutcome::NoResponse(RunEnd::Broken);
         }
         None => {}
@@ -338,7 +339,7 @@
     exchange: &Exchange,
     context: &ProxyContext,
     grant: &Grant,
-    guard: RunGuard,
+    mut guard: RunGuard,
     response: UnreadResponse,
 ) -> AttemptOutcome {
     let UnreadResponse {
@@ -357,7 +358,7 @@
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
             log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = error; "response body failed");
-            guard.end(RunEnd::Broken);
+            guard.broken();
             return AttemptOutcome::NoResponse(RunEnd::Broken);
         }
         Err(_) => {
@@ -370,7 +371,7 @@
             body_end::check(context.dialect, &grant.endpoint, &parts.headers, 0).await
     {
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = cause; "response body failed");
-        guard.end(RunEnd::Broken);
+        guard.broken();
         return AttemptOutcome::NoResponse(RunEnd::Broken);
     }
     let buffered = BufferedResponse {
@@ -388,6 +389,7 @@
         guard.end(RunEnd::ErrorAnswer);
         return AttemptOutcome::ErrorResponse(buffered);
     }
+    guard.answered();
     guard.end(RunEnd::Complete);
     AttemptOutcome::Response(buffered)
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -17,6 +17,7 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod state;
+pub mod suspects;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,7 +26,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
-use flamingolock_wire::gossip::{BegunStream, BuildHistory};
+use flamingolock_wire::gossip::{BegunStream, BuildHistory, SuspectParts};
 use flamingolock_wire::topic_copies::CopiesRequest;
 use tokio::sync::{mpsc, oneshot};
 
@@ -34,6 +35,7 @@
 use crate::control::notices::Notice;
 use crate::control::operator_records::OperatorUpdate;
 use crate::control::state::Control;
+use crate::control::suspects::CrashedRun;
 use crate::dialect::{
     CachedPart, Dialect, EngineReport, KeyedRecord, OrderOutcome, PromptPart, WeightsOrder,
 };
@@ -119,6 +121,11 @@
     /// The request resumes a stream, several software versions serve or did so recently,
     /// and it is not known which of them began the stream.
     UnknownBuild,
+    /// A prompt part of the request crashes engines.
+    StoppedPart {
+        /// Earliest time at which the part may be tried again.
+        until: Millis,
+    },
 }
 
 impl Refusal {
@@ -130,6 +137,7 @@
             Self::AllPaused { .. } => "all_paused",
             Self::Budget => "budget",
             Self::UnknownBuild => "unknown_build",
+            Self::StoppedPart { .. } => "stopped_part",
         }
     }
 }
@@ -233,6 +241,10 @@
         /// Model of the request.
         model: Option<String>,
     },
+    /// A run ended with its engine before it brought an event.
+    RunCrashed(CrashedRun),
+    /// A run with these shared prompt parts brought an event.
+    PartsAnswered(Vec<u64>),
     /// An endpoint asked something of this node in a response.
     Noticed(Arc<Endpoint>, Notice),
     /// The newest record of each key of the operator topic was read.
@@ -276,6 +288,10 @@
     BuildsRead(BuildHistory),
     /// An append of the record of the software versions ended; true if it is stored.
     BuildsRecorded(bool),
+    /// The record of the stopped prompt parts was read when the node started.
+    SuspectsRead(SuspectParts),
+    /// An append of the record of the stopped prompt parts ended; true if it is stored.
+    SuspectsRecorded(bool),
     /// A weight load order was answered, or its attempt ended without an answer.
     OrderAnswered(Box<WeightsOrder>, OrderOutcome),
     /// A request for an engine's report ended; carries the report, if there is one.
@@ -316,6 +332,8 @@
     LeaseAppend(u64),
     /// Record the software versions that may have begun a stream.
     RecordBuilds(BuildHistory),
+    /// Record the prompt parts that are stopped.
+    RecordSuspects(SuspectParts),
     /// Send an order to an engine.
     SendOrder(Box<WeightsOrder>),
     /// Request an engine's report.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -5,6 +5,7 @@
 mod placement;
 mod records;
 mod streams;
+mod suspects;
 mod topics;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -16,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use self::streams::BuildRecord;
+use self::suspects::SuspectsRecord;
 use crate::catalog::Catalog;
 use crate::clock::Millis;
 use crate::control::begun_streams::BegunStreams;
@@ -30,6 +32,7 @@
 use crate::control::peers::Peers;
 use crate::control::retry_budget::RetryBudget;
 use crate::control::rollout::{Rollout, Task};
+use crate::control::suspects::Suspects;
 use crate::control::{Effect, Event, Placement, PlacementRequest, View};
 use crate::dialect::{Dialect, KeyedRecord, OrderOutcome, WeightsOrder};
 use crate::endpoint::EndpointKey;
@@ -81,6 +84,8 @@
     catalog: Option<Arc<Catalog>>,
     fleet: BTreeMap<EndpointKey, EndpointState>,
     notices: Notices,
+    suspects: Suspects,
+    suspects_record: SuspectsRecord,
     parts: CacheIndex,
     streams: BegunStreams,
     listed_builds: ListedBuilds,
@@ -153,6 +158,8 @@
             catalog: None,
             fleet: BTreeMap::new(),
             notices: Notices::default(),
+            suspects: Suspects::default(),
+            suspects_record: SuspectsRecord::default(),
             parts: CacheIndex::default(),
             build_record: BuildRecord::default(),
             streams: BegunStreams::default(),
@@ -220,6 +227,10 @@
                 end,
                 model,
             } => self.run_ended(endpoint, run_number, &end, model.as_deref(), now),
+            Event::RunCrashed(run) => self.run_crashed(&run, now),
+            Event::PartsAnswered(parts) => self.parts_answered(&parts, now),
+            Event::SuspectsRead(recorded) => self.suspects_read(&recorded, now),
+            Event::SuspectsRecorded(stored) => self.suspects_recorded(stored),
             Event::Noticed(endpoint, notice) => {
                 if self.notices.record(&endpoint, notice, now) {
                     log::info!(endpoint = &*endpoint.id, notice:? = notice; "endpoint wants no requests");
@@ -315,6 +326,8 @@
             self.notices
                 .forget_old(|key| self.fleet.contains_key(&key), now);
             self.record_builds(now);
+            self.suspects.forget_old(now);
+            self.record_suspects(now);
         }
         let mut wake = now + MAX_TICK_INTERVAL_MS;
         if let Some(at) = self.gossip_pending_at {
@@ -375,6 +388,7 @@
         log::warn!(era, before = before.unwrap_or(0); "store came back from a copy; records of the last seconds are lost");
         self.lease.records_lost(now);
         self.build_record = BuildRecord::default();
+        self.suspects_record = SuspectsRecord::default();
         self.store_recovered_at = now;
         self.effects.push(Effect::Register);
     }
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -16,6 +16,9 @@
 /// Maximum number of streams per datagram, for the same reason.
 const MAX_DATAGRAM_STREAMS: usize = 24;
 
+/// Maximum number of prompt parts per datagram, for the same reason.
+const MAX_DATAGRAM_SUSPECTS: usize = 8;
+
 /// Additional time for which a hub batches updates that it relays, in ms.
 const HUB_BATCH_MS: Millis = 8;
 
@@ -73,6 +76,7 @@
                 Vec::new()
             },
             builds: None,
+            suspects: self.suspects.take_news(now),
         };
         let cross_zone = std::mem::take(&mut self.cross_zone);
         self.send_in_datagrams(local, &targets.local);
@@ -95,22 +99,26 @@
         }
     }
 
-    /// Sends a message, split into as many datagrams as its runs and streams require.
+    /// Sends a message, split into as many datagrams as its runs, streams and prompt parts
+    /// require.
     pub(super) fn send_in_datagrams(&mut self, mut gossip: Gossip, addresses: &[SocketAddr]) {
         if addresses.is_empty() {
             return;
         }
         let mut runs = std::mem::take(&mut gossip.runs);
         let mut streams = std::mem::take(&mut gossip.streams);
+        let mut suspects = std::mem::take(&mut gossip.suspects);
         loop {
             let more_runs = runs.split_off(runs.len().min(MAX_DATAGRAM_RUNS));
             let more_streams = streams.split_off(streams.len().min(MAX_DATAGRAM_STREAMS));
+            let more_suspects = suspects.split_off(suspects.len().min(MAX_DATAGRAM_SUSPECTS));
             gossip.runs = runs;
             gossip.streams = streams;
+            gossip.suspects = suspects;
             let bytes = Bytes::from(gossip.encode_to_vec());
             self.effects
                 .push(Effect::SendDatagram(addresses.to_vec(), bytes));
-            if more_runs.is_empty() && more_streams.is_empty() {
+            if more_runs.is_empty() && more_streams.is_empty() && more_suspects.is_empty() {
                 return;
             }
             gossip.reloads.clear();
@@ -121,6 +129,7 @@
             gossip.builds = None;
             runs = more_runs;
             streams = more_streams;
+            suspects = more_suspects;
         }
     }
 
@@ -176,6 +185,7 @@
         if let Some(builds) = &gossip.builds {
             self.listed_builds.learn(builds, now);
         }
+        self.merge_suspects(&gossip.suspects, now);
         self.compare_copies(from, &gossip, now);
         for state in &gossip.heard {
             if let Ok(address) = state.gossip.parse()
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -44,6 +44,7 @@
     match refusal {
         Refusal::NoEndpoint => queued.request.build_rule == BuildRule::Any,
         Refusal::AllPaused { until } => until < queued.deadline,
+        Refusal::StoppedPart { .. } => false,
         _ => true,
     }
 }
@@ -109,6 +110,10 @@
         queued: QueuedRequest,
         now: Millis,
     ) -> Option<QueuedRequest> {
+        if let Some(refusal) = self.refusal_of_parts(&queued.request, now) {
+            self.refuse(&queued.request, refusal, queued.reply);
+            return None;
+        }
         match self.select_endpoint(&queued.request, now) {
             Ok((key, estimate)) => {
                 let grant = self.grant(&queued.request, key, &estimate, now);
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -81,8 +81,8 @@
         self.gossip_pending_at.get_or_insert(now);
     }
 
-    /// Tells a node that has started, or was out of reach, which streams began and which
-    /// software versions were listed recently. In fleets with hubs only these do so.
+    /// Tells a node that has started, or was out of reach, which streams began, which
+    /// software versions were listed recently and which prompt parts may crash engines. In fleets with hubs only these do so.
     pub(super) fn send_history(&mut self, node: SocketAddr, now: Millis) {
         if !(self.is_hub || self.peers.is_full_mesh(now)) {
             return;
@@ -95,6 +95,7 @@
             sender: Some(self.own_state()),
             streams,
             builds,
+            suspects: self.suspects.list(now),
             relayed: true,
             ..Gossip::default()
         };
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -278,6 +278,8 @@
     pub lease: &'static str,
     /// Software versions of the endpoints that may have begun a stream.
     pub builds: &'static str,
+    /// Prompt parts that crash engines.
+    pub suspects: &'static str,
 }
 
 /// Encoding and decoding functions of a platform.
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Short identifier of an endpoint, used between nodes: a hash of its id.
 pub type EndpointKey = u64;
@@ -44,6 +44,11 @@
         xxh3_64(id.as_bytes())
     }
 
+    /// Identifies this incarnation of the endpoint.
+    pub fn incarnation(&self) -> u64 {
+        xxh3_64_with_seed(self.id.as_bytes(), self.start_time_ms)
+    }
+
     /// True if this entry was written before the other one of the same endpoint.
     pub fn is_older_than(&self, other: &Self) -> bool {
         let heartbeats = self.heartbeat.zip(other.heartbeat);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,14 +41,18 @@
 }
 
 impl Exchange {
-    /// Ids of the prompt parts that other requests may share, for logs.
+    /// Ids of the prompt parts that other requests may share.
+    pub fn shared_part_ids(&self) -> Vec<u64> {
+        let parts = self.head.parts.split_last();
+        parts.map_or_else(Vec::new, |(_, shared)| {
+            shared.iter().map(|part| part.id).collect()
+        })
+    }
+
+    /// The same, for logs.
     pub fn shared_parts(&self) -> String {
-        let parts = self
-            .head
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_, shared)| shared);
-        let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+        let ids = self.shared_part_ids();
+        let ids: Vec<String> = ids.iter().map(|id| format!("{id:x}")).collect();
         ids.join(",")
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -45,7 +45,8 @@
     pub possible_runs: u32,
     /// Software version of the endpoint that sent the first event to the caller.
     pub build: Option<Arc<str>>,
-    /// Time left of the pause that all endpoints have asked for.
+    /// Time left of the pause that all endpoints have asked for, or until a prompt part may
+    /// be tried again.
     pause: Duration,
     /// Error response of an endpoint, returned if no other endpoint succeeds.
     fallback: Option<BufferedResponse>,
@@ -109,7 +110,7 @@
         let grant = match retry_state.place(&exchange, &context).await {
             Ok(grant) => grant,
             Err(refusal) => {
-                if let Refusal::AllPaused { until } = refusal {
+                if let Refusal::AllPaused { until } | Refusal::StoppedPart { until } = refusal {
                     retry_state.pause = Duration::from_millis(until.saturating_sub(now()));
                 }
                 return give_up(
@@ -202,6 +203,7 @@
         Refusal::AllPaused { .. } => "all endpoints have asked for a pause",
         Refusal::AllReloading => "all engines are loading weights",
         Refusal::Budget => "retry budget exhausted",
+        Refusal::StoppedPart { .. } => "a prompt part of it crashes engines",
         Refusal::UnknownBuild => "unknown which software version began the stream",
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
@@ -97,11 +98,23 @@
                 ));
             }
             Effect::RecordBuilds(history) => {
-                tokio::spawn(store::record_builds(
+                tokio::spawn(store::replace_record(
                     settings.clone(),
                     dialect,
                     handle.clone(),
-                    history,
+                    dialect.topics.builds,
+                    history.encode_to_vec(),
+                    Event::BuildsRecorded,
+                ));
+            }
+            Effect::RecordSuspects(parts) => {
+                tokio::spawn(store::replace_record(
+                    settings.clone(),
+                    dialect,
+                    handle.clone(),
+                    dialect.topics.suspects,
+                    parts.encode_to_vec(),
+                    Event::SuspectsRecorded,
                 ));
             }
             Effect::SendOrder(order) => {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -122,10 +122,19 @@
         lost_registrations,
     ));
     if !settings.first_start {
-        tokio::spawn(store::read_builds(
+        tokio::spawn(store::read_record(
             settings.clone(),
             dialect,
             handle.clone(),
+            dialect.topics.builds,
+            Event::BuildsRead,
+        ));
+        tokio::spawn(store::read_record(
+            settings.clone(),
+            dialect,
+            handle.clone(),
+            dialect.topics.suspects,
+            Event::SuspectsRead,
         ));
     }
     tokio::spawn(server::serve_directory(directory_listener, context.clone()));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -161,7 +161,7 @@
         first,
         mut rest,
         connection,
-        guard,
+        mut guard,
         grant,
         ..
     } = opened;
@@ -176,6 +176,7 @@
             let events = splitter.push(&bytes, progress.last_event);
             progress.partial_bytes = splitter.partial_bytes();
             if let Some(events) = events {
+                guard.answered();
                 progress.last_event = events.last_id;
                 let chunk = Ok(Frame::data(events.bytes));
                 match timeout_at(exchange.deadline, sender.send(chunk)).await {
@@ -193,7 +194,7 @@
             Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
             Ok(Some(Err(error))) => {
                 log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = error; "stream ended early");
-                guard.end(RunEnd::Broken);
+                guard.broken();
                 return RelayEnd::Broken;
             }
             Ok(None) => break,
@@ -209,7 +210,7 @@
     {
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
             partial_bytes, error:% = cause; "stream ended early");
-        guard.end(RunEnd::Broken);
+        guard.broken();
         return RelayEnd::Broken;
     }
     guard.end(RunEnd::Complete);
--- a/crates/gateway/src/run_guard.rs
+++ b/crates/gateway/src/run_guard.rs
@@ -2,7 +2,9 @@
 
 use flamingolock_wire::gossip::BegunStream;
 
+use crate::clock::now;
 use crate::control::begun_streams::request_key;
+use crate::control::suspects::CrashedRun;
 use crate::control::{Event, Grant, Handle, RunEnd};
 use crate::endpoint::EndpointKey;
 use crate::exchange::Exchange;
@@ -17,6 +19,9 @@
     model: Option<String>,
     /// Stream that begins with the run, if it may be resumed.
     stream: Option<BegunStream>,
+    /// What the run says of its prompt parts if it ends with its engine now; none once it
+    /// has brought an event.
+    crash: Option<CrashedRun>,
     open: bool,
 }
 
@@ -35,10 +40,39 @@
                 build: grant.endpoint.build.to_string(),
                 age_ms: 0,
             }),
+            crash: Some(CrashedRun {
+                engine: grant.endpoint.incarnation(),
+                parts: exchange.shared_part_ids(),
+                sent_at: now(),
+                begun: false,
+            })
+            .filter(|run| !run.parts.is_empty()),
             open: true,
         }
     }
 
+    /// Records that the response has begun.
+    pub fn response_begun(&mut self) {
+        if let Some(crash) = &mut self.crash {
+            crash.begun = true;
+        }
+    }
+
+    /// Records that the run has brought a whole event, or its whole response.
+    pub fn answered(&mut self) {
+        if let Some(crash) = self.crash.take() {
+            self.handle.send(Event::PartsAnswered(crash.parts));
+        }
+    }
+
+    /// Reports that the run ended with its connection.
+    pub fn broken(mut self) {
+        if let Some(crash) = self.crash.take() {
+            self.handle.send(Event::RunCrashed(crash));
+        }
+        self.finish(RunEnd::Broken);
+    }
+
     /// Reports that the first bytes of the response body have arrived.
     pub fn first_token(&self, weights: Option<u64>) {
         self.handle.send(Event::FirstToken {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use flamingolock_wire::gossip::BuildHistory;
 use http::Response;
 use prost::Message;
 use rand::Rng;
@@ -39,8 +38,8 @@
 /// is added.
 const RETRY_MS: u64 = 250;
 
-/// Key of the record of the software versions.
-const BUILDS_KEY: &str = "listed";
+/// Key of a record of the nodes' own.
+const RECORD_KEY: &str = "listed";
 
 /// Interval for reading the registry of nodes.
 const REGISTRY_INTERVAL: Duration = Duration::from_secs(20);
@@ -402,10 +401,15 @@
     }
 }
 
-/// Reads the record of the software versions and reports it to the control thread.
-pub async fn read_builds(settings: Settings, dialect: &'static Dialect, handle: Handle) {
+/// Reads a record of the nodes' own and reports it to the control thread.
+pub async fn read_record<M: Message + Default>(
+    settings: Settings,
+    dialect: &'static Dialect,
+    handle: Handle,
+    topic: &'static str,
+    event: fn(M) -> Event,
+) {
     let mut store = StoreClient::new(&settings, dialect, handle);
-    let topic = dialect.topics.builds;
     let records = loop {
         match store.newest(topic).await {
             Ok((records, _)) => break records,
@@ -413,39 +417,40 @@
         }
     };
     for value in records.into_iter().filter_map(|record| record.value) {
-        match BuildHistory::decode(value) {
-            Ok(recorded) => store.handle.send(Event::BuildsRead(recorded)),
+        match M::decode(value) {
+            Ok(recorded) => store.handle.send(event(recorded)),
             Err(error) => {
-                log::warn!(error:% = error; "cannot decode the record of the software versions; ignored");
+                log::warn!(topic, error:% = error; "cannot decode a record of the nodes; ignored");
             }
         }
     }
 }
 
-/// Appends the record of the software versions and reports the result to the control
-/// thread.
-pub async fn record_builds(
+/// Replaces a record of the nodes' own and reports to the control thread whether it is
+/// stored.
+pub async fn replace_record(
     settings: Settings,
     dialect: &'static Dialect,
     handle: Handle,
-    history: BuildHistory,
+    topic: &'static str,
+    content: Vec<u8>,
+    event: fn(bool) -> Event,
 ) {
     let mut store = StoreClient::new(&settings, dialect, handle.clone());
-    let topic = dialect.topics.builds;
-    let request = (dialect.append_keyed_request)(topic, BUILDS_KEY, &history.encode_to_vec());
+    let request = (dialect.append_keyed_request)(topic, RECORD_KEY, &content);
     let outcome = store
         .call(request, 0)
         .await
         .and_then(|response| Ok((dialect.parse_append_response)(&response)?));
     match outcome {
-        Ok(AppendOutcome::At(_)) => handle.send(Event::BuildsRecorded(true)),
+        Ok(AppendOutcome::At(_)) => handle.send(event(true)),
         Ok(other) => {
-            log::warn!(outcome:? = other; "cannot record the software versions");
-            handle.send(Event::BuildsRecorded(false));
+            log::warn!(topic, outcome:? = other; "cannot replace a record of the nodes");
+            handle.send(event(false));
         }
         Err(error) => {
-            log::warn!(error:% = error; "unknown whether the software versions were recorded");
-            handle.send(Event::BuildsRecorded(false));
+            log::warn!(topic, error:% = error; "unknown whether a record of the nodes was replaced");
+            handle.send(event(false));
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/test_suspects.rs
@@ -0,0 +1,176 @@
+//! Prompt parts that crash engines: which evidence stops a part, and what clears it.
+
+use flamingolock_gateway::control::suspects::{Clearance, CrashedRun, Suspects};
+use flamingolock_wire::gossip::SuspectPart;
+use proptest::prelude::*;
+
+/// A part that other requests have as well, and one that crashes engines.
+const COMMON: u64 = 1;
+const CULPRIT: u64 = 2;
+
+fn run(engine: u64, parts: &[u64], sent_at: u64) -> CrashedRun {
+    CrashedRun {
+        engine,
+        parts: parts.to_vec(),
+        sent_at,
+        begun: true,
+    }
+}
+
+/// Records crashes of engines one after the other, each under another request.
+fn crash_in_turn(suspects: &mut Suspects, parts: &[u64], count: u64, from: u64) {
+    for number in 0..count {
+        let at = from + number * 1_000;
+        suspects.record_crash(&run(from + number, parts, at), at + 100);
+    }
+}
+
+fn stopped(suspects: &Suspects) -> Vec<u64> {
+    let parts = suspects.stopped();
+    parts.into_iter().map(|part| part.part).collect()
+}
+
+fn clearance(suspects: &mut Suspects, part: u64, may_try: bool, now: u64) -> Clearance {
+    suspects.clearance([part].into_iter(), may_try, false, now)
+}
+
+#[test]
+fn third_crash_in_a_row_stops_the_part_that_was_never_answered() {
+    let mut suspects = Suspects::default();
+    suspects.record_answer(&[COMMON], 0);
+    crash_in_turn(&mut suspects, &[COMMON, CULPRIT], 2, 1_000);
+    assert!(stopped(&suspects).is_empty());
+    crash_in_turn(&mut suspects, &[COMMON, CULPRIT], 1, 9_000);
+    assert_eq!(stopped(&suspects), [CULPRIT]);
+}
+
+#[test]
+fn engines_that_crash_at_the_same_moment_stop_no_part() {
+    let mut suspects = Suspects::default();
+    for engine in 0..20 {
+        suspects.record_crash(&run(engine, &[COMMON], 1_000 + engine), 1_200 + engine);
+    }
+    assert!(stopped(&suspects).is_empty());
+}
+
+#[test]
+fn run_that_brings_an_event_clears_the_parts_it_has() {
+    let mut suspects = Suspects::default();
+    for round in 0..10 {
+        crash_in_turn(&mut suspects, &[COMMON], 2, round * 10_000);
+        suspects.record_answer(&[COMMON], round * 10_000 + 5_000);
+    }
+    assert!(stopped(&suspects).is_empty());
+    crash_in_turn(&mut suspects, &[COMMON], 6, 200_000);
+    assert_eq!(stopped(&suspects), [COMMON]);
+    assert_eq!(suspects.record_answer(&[COMMON], 210_000), [COMMON]);
+    assert!(stopped(&suspects).is_empty());
+}
+
+#[test]
+fn request_is_not_sent_again_after_the_second_crash_of_its_part() {
+    let mut suspects = Suspects::default();
+    let retry =
+        |suspects: &mut Suspects| suspects.clearance([CULPRIT].into_iter(), false, true, 5_000);
+    crash_in_turn(&mut suspects, &[CULPRIT], 1, 1_000);
+    assert_eq!(retry(&mut suspects), Clearance::Clear);
+    crash_in_turn(&mut suspects, &[CULPRIT], 1, 3_000);
+    assert!(matches!(
+        retry(&mut suspects),
+        Clearance::Stopped(CULPRIT, _)
+    ));
+    let first = clearance(&mut suspects, CULPRIT, false, 5_000);
+    assert_eq!(first, Clearance::Clear);
+}
+
+#[test]
+fn stopped_part_is_tried_by_one_node_and_ever_more_rarely() {
+    let mut suspects = Suspects::default();
+    crash_in_turn(&mut suspects, &[CULPRIT], 3, 1_000);
+    let mut trials = Vec::new();
+    for now in (4_000..1_000_000).step_by(1_000) {
+        assert!(matches!(
+            clearance(&mut suspects, CULPRIT, false, now),
+            Clearance::Stopped(CULPRIT, _)
+        ));
+        if clearance(&mut suspects, CULPRIT, true, now) == Clearance::Trial(CULPRIT) {
+            trials.push(now);
+            suspects.record_crash(&run(1_000_000 + now, &[CULPRIT], now), now + 100);
+        }
+    }
+    let gaps: Vec<u64> = trials.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(trials[0] >= 63_000, "{trials:?}");
+    assert!(
+        gaps.windows(2).all(|pair| pair[1] > pair[0] * 3 / 2),
+        "{gaps:?}"
+    );
+    assert!((2..5).contains(&trials.len()), "{trials:?}");
+}
+
+#[test]
+fn evidence_against_many_parts_takes_bounded_memory_and_keeps_the_stopped_ones() {
+    let mut suspects = Suspects::default();
+    crash_in_turn(&mut suspects, &[CULPRIT], 3, 1_000);
+    for number in 0..10_000 {
+        let parts = [100_000 + number];
+        suspects.record_crash(&run(number, &parts, 10_000), 10_100);
+        suspects.record_answer(&[200_000 + number], 10_100);
+    }
+    assert!(suspects.list(10_200).len() <= 512);
+    assert_eq!(stopped(&suspects), [CULPRIT]);
+}
+
+/// A node that still holds a part for crashing is told that it was cleared.
+#[test]
+fn clearing_reaches_a_node_that_missed_it() {
+    let (mut one, mut other) = (Suspects::default(), Suspects::default());
+    crash_in_turn(&mut one, &[CULPRIT], 3, 1_000);
+    for part in one.take_news(4_000) {
+        other.merge(&part, false, 4_000);
+    }
+    assert_eq!(stopped(&other), [CULPRIT]);
+    one.record_answer(&[CULPRIT], 5_000);
+    let lost = one.take_news(5_000);
+    assert_eq!(lost.len(), 1);
+    for part in other.take_news(8_000) {
+        one.merge(&part, false, 8_000);
+    }
+    for part in one.take_news(8_010) {
+        other.merge(&part, false, 8_010);
+    }
+    assert!(stopped(&other).is_empty());
+}
+
+fn deliver(to: &mut Suspects, parts: &[SuspectPart], now: u64) {
+    for part in parts {
+        to.merge(part, false, now);
+    }
+}
+
+proptest! {
+    /// Nodes that have all evidence agree, whatever its order and however often it comes.
+    #[test]
+    fn nodes_agree_once_they_have_the_same_evidence(
+        events in prop::collection::vec((0..3_usize, 0..4_u64, any::<bool>()), 1..40),
+    ) {
+        let mut nodes: [Suspects; 3] = Default::default();
+        for (number, (node, part, is_crash)) in events.into_iter().enumerate() {
+            let now = 1_000 + number as u64 * 1_000;
+            if is_crash {
+                nodes[node].record_crash(&run(number as u64, &[part], now), now + 100);
+            } else {
+                nodes[node].record_answer(&[part], now);
+            }
+        }
+        for _ in 0..3 {
+            for from in 0..3 {
+                let parts = nodes[from].list(100_000);
+                for node in &mut nodes {
+                    deliver(node, &parts, 100_000);
+                }
+            }
+        }
+        prop_assert_eq!(stopped(&nodes[0]), stopped(&nodes[1]));
+        prop_assert_eq!(stopped(&nodes[0]), stopped(&nodes[2]));
+    }
+}
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -39,6 +39,49 @@
     /// was out of reach.
     #[prost(message, optional, tag = "10")]
     pub builds: Option<BuildHistory>,
+    /// News of prompt parts that may crash engines. To a node that has just started, all
+    /// that the sender knows.
+    #[prost(message, repeated, tag = "11")]
+    pub suspects: Vec<SuspectPart>,
+}
+
+/// Prompt parts that nodes keep in the store.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SuspectParts {
+    /// The parts; ages count from the last crash of each.
+    #[prost(message, repeated, tag = "1")]
+    pub parts: Vec<SuspectPart>,
+}
+
+/// A prompt part with which runs ended when their engine crashed.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct SuspectPart {
+    /// Id of the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// The crashes.
+    #[prost(message, repeated, tag = "2")]
+    pub crashes: Vec<PartCrash>,
+}
+
+/// A crash of one incarnation of an engine that ended a run with the part.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct PartCrash {
+    /// Identifies the incarnation of the engine.
+    #[prost(fixed64, tag = "1")]
+    pub engine: u64,
+    /// Time since the crash, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// Time from the sending of the request to the crash, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub sent_before_ms: u32,
+    /// How much it speaks against the part.
+    #[prost(uint32, tag = "4")]
+    pub evidence: u32,
+    /// True if a run with the part has brought an event since.
+    #[prost(bool, tag = "5")]
+    pub cleared: bool,
 }
 
 /// Software versions of endpoints that a node saw listed.
