gateway: a stream may buffer one event of limited size

Bytes without end that hold no event filled the memory of a node until the request's deadline, and each chunk was searched again from the start of all that had come: four requests took 33 s, as long as their deadlines.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -175,6 +175,14 @@
             chunk_at = Instant::now();
             let events = splitter.push(&bytes, progress.last_event);
             progress.partial_bytes = splitter.partial_bytes();
+            let events = match events {
+                Ok(events) => events,
+                Err(error) => {
+                    log::warn!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = error; "stream ended early");
+                    guard.end(RunEnd::Broken);
+                    return RelayEnd::Broken;
+                }
+            };
             if let Some(events) = events {
                 guard.answered();
                 progress.last_event = events.last_id;
--- a/crates/gateway/tests/test_event_stream.rs
+++ b/crates/gateway/tests/test_event_stream.rs
@@ -1,6 +1,6 @@
 //! Splitting of byte streams into events.
 
-use flamingolock_gateway::event_stream::EventSplitter;
+use flamingolock_gateway::event_stream::{EventSplitter, MAX_EVENT_BYTES};
 use proptest::prelude::*;
 
 fn event(id: u64) -> String {
@@ -23,7 +23,7 @@
             }
             let (piece, left) = rest.split_at((*cut).min(rest.len()));
             rest = left;
-            if let Some(events) = splitter.push(piece, last) {
+            if let Some(events) = splitter.push(piece, last).expect("short events") {
                 out.extend_from_slice(&events.bytes);
                 last = events.last_id;
             }
@@ -37,12 +37,14 @@
 #[test]
 fn incomplete_event_is_buffered() {
     let mut splitter = EventSplitter::default();
-    assert_eq!(splitter.push(b"id: 1\ndata: a\n", None), None);
-    let events = splitter.push(b"\nid: 2\nda", None).expect("one event");
+    assert_eq!(splitter.push(b"id: 1\ndata: a\n", None), Ok(None));
+    let events = splitter.push(b"\nid: 2\nda", None);
+    let events = events.expect("short events").expect("one event");
     assert_eq!(&events.bytes[..], b"id: 1\ndata: a\n\n");
     assert_eq!(splitter.partial_bytes(), b"id: 2\nda".len());
     let events = splitter.push(b"ta: b\n\n", events.last_id);
-    assert_eq!(&events.expect("one event").bytes[..], b"id: 2\ndata: b\n\n");
+    let events = events.expect("short events").expect("one event");
+    assert_eq!(&events.bytes[..], b"id: 2\ndata: b\n\n");
     assert_eq!(splitter.partial_bytes(), 0);
 }
 
@@ -50,6 +52,19 @@
 fn weight_versions_line_belongs_to_its_event() {
     let mut splitter = EventSplitter::default();
     let text = b"weight-versions: 3\nid: 4\ndata: a\n\n";
-    let events = splitter.push(text, Some(3)).expect("one event");
+    let events = splitter.push(text, Some(3));
+    let events = events.expect("short events").expect("one event");
     assert_eq!((&events.bytes[..], events.last_id), (&text[..], Some(4)));
 }
+
+#[test]
+fn bytes_without_an_event_are_refused_at_a_limit() {
+    let mut splitter = EventSplitter::default();
+    let chunk = [b'x'; 4 * 1024];
+    let mut pushed = 0;
+    while splitter.push(&chunk, None) == Ok(None) {
+        pushed += chunk.len();
+        assert!(pushed <= MAX_EVENT_BYTES);
+    }
+    assert_eq!(pushed, MAX_EVENT_BYTES);
+}
