--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -70,6 +70,9 @@
     pub nodes: Vec<Mutex<Node>>,
     /// Addresses of each node: front listener and directory.
     pub addresses: Vec<(std::net::SocketAddr, std::net::SocketAddr)>,
+    /// Number of prompt parts that have crashed engines; locked for writing while one
+    /// does, and for reading while an endpoint drains.
+    pub crashing_parts: tokio::sync::RwLock<u64>,
     faults: Mutex<Vec<Fault>>,
     violations: Mutex<Vec<String>>,
     event_log: Mutex<Vec<String>>,
@@ -146,6 +149,7 @@
             backends,
             nodes: nodes.into_iter().map(Mutex::new).collect(),
             addresses,
+            crashing_parts: tokio::sync::RwLock::default(),
             faults: Mutex::default(),
             violations: Mutex::default(),
             event_log: Mutex::default(),
@@ -233,6 +237,14 @@
         !self.any_fault_between(concerns, from, Instant::now())
     }
 
+    /// True if the store has this entry of an endpoint.
+    pub fn is_listed(&self, entry: &str) -> bool {
+        let records = self.store.records("keyed.servers");
+        records
+            .iter()
+            .any(|record| record.ends_with(entry.as_bytes()))
+    }
+
     /// Number of executions of a request, over all endpoints.
     pub fn executions(&self, id: &str) -> u32 {
         self.backends
--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -12,6 +12,7 @@
 
 use crate::soak::checks;
 use crate::soak::cluster::{Backend, Cluster, ENDPOINTS, NODES, Scope};
+use crate::soak::crashing_part;
 
 /// Delay longer than any run, so that no byte arrives in the delayed direction.
 const BLACKHOLE_DELAY_MS: u64 = 3_600_000;
@@ -22,6 +23,12 @@
 /// Time after which what the store lost is written again.
 const REWRITE_DELAY: Duration = Duration::from_millis(400);
 
+/// First seed that draws from [`Disruption::LATER`].
+const FIRST_LATER_SEED: u64 = 700;
+
+/// Bandwidth of a narrow connection to the store, in bytes per second.
+const NARROW_BYTES_PER_S: u64 = 20_000;
+
 /// A fault, planned shutdown or change.
 #[derive(Clone, Copy, Debug)]
 enum Disruption {
@@ -45,6 +52,9 @@
     OrdersDelayed,
     Configuration,
     Weights,
+    EndpointEndlessHead,
+    CrashingPart,
+    StoreLinkNarrow,
 }
 
 impl Disruption {
@@ -78,6 +88,24 @@
         Self::Configuration,
         Self::Weights,
     ];
+
+    /// Drawn as well by seeds from [`FIRST_LATER_SEED`] on, so that earlier seeds stay what
+    /// they were.
+    const LATER: [Self; 5] = [
+        Self::EndpointMode(EngineMode::EndlessBody),
+        Self::EndpointEndlessHead,
+        Self::CrashingPart,
+        Self::CrashingPart,
+        Self::StoreLinkNarrow,
+    ];
+
+    fn choose(seed: u64, rng: &mut ChaCha8Rng) -> Self {
+        if seed < FIRST_LATER_SEED {
+            return *Self::ALL.choose(rng).expect("disruptions");
+        }
+        let all = [&Self::ALL[..], &Self::LATER].concat();
+        *all.choose(rng).expect("disruptions")
+    }
 }
 
 /// Injects disruptions until `until`, with a pause after each series with probability
@@ -85,6 +113,7 @@
 /// of the weights.
 pub async fn inject(
     cluster: &Arc<Cluster>,
+    seed: u64,
     rng: &mut ChaCha8Rng,
     until: Instant,
     pause_probability: f64,
@@ -93,7 +122,7 @@
     let mut running = tokio::task::JoinSet::new();
     while Instant::now() < until {
         let series = if rng.random_bool(0.25) { 3 } else { 1 };
-        let disruption = *Disruption::ALL.choose(rng).expect("disruptions");
+        let disruption = Disruption::choose(seed, rng);
         for _ in 0..series {
             let index = rng.random_range(0..6);
             let time = Duration::from_millis(rng.random_range(150..2_500));
@@ -107,6 +136,9 @@
                     weights += 1;
                     publish_weights(cluster, weights);
                 }
+                Disruption::CrashingPart => {
+                    running.spawn(crashing_part::send(cluster.clone()));
+                }
                 _ => {
                     running.spawn(run_disruption(cluster.clone(), disruption, index, time));
                 }
@@ -149,7 +181,8 @@
         Disruption::Kill
         | Disruption::Freeze
         | Disruption::StoreConnectionsRefused
-        | Disruption::StoreConnectionsSilent => Scope::Node(node),
+        | Disruption::StoreConnectionsSilent
+        | Disruption::StoreLinkNarrow => Scope::Node(node),
         Disruption::Terminate => Scope::Planned(node),
         Disruption::Reload => {
             signal(&cluster, node, "HUP");
@@ -221,7 +254,12 @@
             sleep(time).await;
             backend.engine.set_order_delay(None);
         }
-        Disruption::Reload | Disruption::Configuration | Disruption::Weights => {}
+        Disruption::EndpointEndlessHead => send_endless_heads(&backend.proxy, time).await,
+        Disruption::StoreLinkNarrow => narrow_link(&cluster.store_proxies[node], time).await,
+        Disruption::Reload
+        | Disruption::Configuration
+        | Disruption::Weights
+        | Disruption::CrashingPart => {}
     }
     cluster.end_fault(fault);
 }
@@ -238,6 +276,19 @@
     proxy.change_faults(|faults| faults.new_connections = NewConnections::Forward);
 }
 
+async fn send_endless_heads(proxy: &Handle, time: Duration) {
+    proxy.cut_existing();
+    proxy.change_faults(|faults| faults.new_connections = NewConnections::EndlessHead);
+    sleep(time).await;
+    proxy.change_faults(|faults| faults.new_connections = NewConnections::Forward);
+}
+
+async fn narrow_link(proxy: &Handle, time: Duration) {
+    proxy.change_faults(|faults| faults.down.bytes_per_s = Some(NARROW_BYTES_PER_S));
+    sleep(time).await;
+    proxy.change_faults(|faults| faults.down.bytes_per_s = None);
+}
+
 async fn kill(cluster: &Cluster, node: usize, time: Duration) {
     cluster.nodes[node].lock().expect("no panic before").kill();
     sleep(time / 4).await;
@@ -308,6 +359,10 @@
     if index.is_multiple_of(ENDPOINTS) {
         return;
     }
+    // Engines that crash write their entries again.
+    let Ok(_no_crashes) = cluster.crashing_parts.try_read() else {
+        return;
+    };
     let backend = &cluster.backends[index];
     let id = backend.engine.id();
     let (key, value) = backend.entry("draining");
--- a/crates/cli/tests/soak/mod.rs
+++ b/crates/cli/tests/soak/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod checks;
 mod cluster;
+mod crashing_part;
 mod disruptions;
 
 use std::sync::Arc;
@@ -56,7 +57,7 @@
         .collect();
     let until = Instant::now() + time;
     let (configuration, weights) =
-        disruptions::inject(&cluster, &mut rng, until, pause_probability).await;
+        disruptions::inject(&cluster, seed, &mut rng, until, pause_probability).await;
     cluster.record_event("end of the disruptions");
     checks::check_recovery(&cluster, configuration, weights).await;
     stop.store(true, Ordering::Relaxed);
--- a/crates/cli/tests/test_soak.rs
+++ b/crates/cli/tests/test_soak.rs
@@ -85,6 +85,13 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Parts that crash engines, bytes that are no answer and narrow links come as well.
+#[test]
+fn promises_hold_while_parts_crash_engines() {
+    let violations = run_seeds(700..702, Duration::from_secs(10));
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 #[test]
 #[ignore = "by hand: seeds and time come from the environment"]
 fn soak_by_hand() {
