--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -17,6 +17,7 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod state;
+pub mod suspect;
 pub mod suspects;
 
 use std::net::SocketAddr;
@@ -36,12 +37,13 @@
 use crate::control::operator_records::OperatorUpdate;
 use crate::control::state::Control;
 use crate::control::suspects::CrashedRun;
+use crate::copies::{Copies, Offer};
 use crate::dialect::{
     CachedPart, Dialect, EngineReport, KeyedRecord, OrderOutcome, PromptPart, WeightsOrder,
 };
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::metrics::Metrics;
-use crate::peer_sync::{Copies, Fetch, Offer};
+use crate::peer_sync::Fetch;
 use crate::settings::Settings;
 
 /// Software versions of the endpoints that may serve a request.
--- a/crates/gateway/src/control/state/peer_sync.rs
+++ b/crates/gateway/src/control/state/peer_sync.rs
@@ -10,7 +10,8 @@
 use crate::clock::Millis;
 use crate::control::Effect;
 use crate::control::peers::Peer;
-use crate::peer_sync::{Copies, Fetch, Offer};
+use crate::copies::{Copies, Offer};
+use crate::peer_sync::Fetch;
 
 /// Maximum number of nodes that one fetch asks in turn.
 const MAX_SOURCES: usize = 2;
--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -10,43 +10,27 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use flamingolock_wire::gossip::{PartCrash, SuspectPart};
+use flamingolock_wire::gossip::SuspectPart;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
+use crate::control::suspect::{BEGUN_EVIDENCE, Crash, STOP_EVIDENCE, Suspect};
 
 /// Evidence of a crash whose run had no response yet: it may have waited for another one.
 const WAITING_EVIDENCE: u32 = 2;
 
-/// Evidence of a crash whose run had begun its response: an engine that crashes as it
-/// begins to answer is in that state.
-const BEGUN_EVIDENCE: u32 = 4;
-
 /// Divisor of the evidence against a part that was answered before.
 const ANSWERED_DIVISOR: u32 = 2;
 
-/// Evidence from which on a part is stopped.
-const STOP_EVIDENCE: u32 = 3 * BEGUN_EVIDENCE;
-
 /// Evidence from which on no request with a part is sent a second time.
 const RETRY_EVIDENCE: u32 = 2 * BEGUN_EVIDENCE;
 
 /// Maximum number of parts that are remembered as answered.
 const MAX_ANSWERED: usize = 8_192;
 
-/// Time after the last crash after which one request may show whether a stopped part is
-/// sound now, in ms; doubled by each of them that crashes an engine.
-const TRIAL_PAUSE_MS: Millis = 60_000;
-
-/// Maximum number of doublings of that time.
-const MAX_DOUBLINGS: u32 = 6;
-
 /// Maximum number of parts with evidence.
 const MAX_PARTS: usize = 512;
 
-/// Maximum number of crashes that are kept for a part.
-const MAX_CRASHES: usize = 8;
-
 /// Time for which evidence against a part that is not stopped is kept, in ms.
 const RETENTION_MS: Millis = 600_000;
 
@@ -80,106 +64,6 @@
     Stopped(u64, Millis),
 }
 
-/// What is known of the runs with one part at one incarnation of an engine that crashed.
-#[derive(Clone, Copy, Debug)]
-struct Crash {
-    sent_at: Millis,
-    at: Millis,
-    evidence: u32,
-    /// True if a run with the part has brought an event since.
-    cleared: bool,
-}
-
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    /// Crashes by incarnation of the engine.
-    crashes: BTreeMap<u64, Crash>,
-    /// True if other nodes have not been told of the last change.
-    is_news: bool,
-    changed_at: Millis,
-    tried_at: Option<Millis>,
-    failed_trials: u32,
-}
-
-impl Suspect {
-    /// Sum of the evidence of crashes that follow each other: requests that were sent
-    /// before a crash and end with another one may be victims of a common cause.
-    fn evidence(&self) -> u32 {
-        let mut crashes: Vec<&Crash> = self.crashes.values().collect();
-        crashes.sort_by_key(|crash| crash.at);
-        let mut evidence = 0;
-        let mut last_at = None;
-        for crash in crashes.into_iter().filter(|crash| !crash.cleared) {
-            if last_at.is_none_or(|at| crash.sent_at >= at) {
-                last_at = Some(crash.at);
-                evidence += crash.evidence;
-            }
-        }
-        evidence
-    }
-
-    fn is_stopped(&self) -> bool {
-        self.evidence() >= STOP_EVIDENCE
-    }
-
-    fn next_trial(&self) -> Millis {
-        let crashed_at = self.crashes.values().map(|crash| crash.at).max();
-        let since = crashed_at.max(self.tried_at).unwrap_or(0);
-        since + (TRIAL_PAUSE_MS << self.failed_trials.min(MAX_DOUBLINGS))
-    }
-
-    fn add(&mut self, engine: u64, crash: Crash, now: Millis) -> bool {
-        let before = self.crashes.get(&engine).copied();
-        if before.is_none() && !self.has_room_for(crash.at, engine) {
-            return false;
-        }
-        let merged = before.map_or(crash, |before| Crash {
-            sent_at: before.sent_at.max(crash.sent_at.min(before.at)),
-            at: before.at,
-            evidence: before.evidence.max(crash.evidence),
-            cleared: before.cleared || crash.cleared,
-        });
-        let changed = before.is_none_or(|before| {
-            (before.evidence, before.cleared) != (merged.evidence, merged.cleared)
-        });
-        self.crashes.insert(engine, merged);
-        if changed {
-            self.changed_at = now;
-        }
-        changed
-    }
-
-    /// Makes room for a crash, of which the newest are kept. Returns false if all others
-    /// are newer.
-    fn has_room_for(&mut self, at: Millis, engine: u64) -> bool {
-        if self.crashes.len() < MAX_CRASHES {
-            return true;
-        }
-        let crashes = self
-            .crashes
-            .iter()
-            .map(|(engine, crash)| (crash.at, *engine));
-        match crashes.min() {
-            Some(oldest) if oldest < (at, engine) => self.crashes.remove(&oldest.1).is_some(),
-            _ => false,
-        }
-    }
-
-    fn to_wire(&self, part: u64, now: Millis) -> SuspectPart {
-        let crashes = self.crashes.iter().map(|(engine, crash)| PartCrash {
-            engine: *engine,
-            age_ms: now.saturating_sub(crash.at),
-            sent_before_ms: crash.at.saturating_sub(crash.sent_at) as u32,
-            evidence: crash.evidence,
-            cleared: crash.cleared,
-        });
-        SuspectPart {
-            part,
-            crashes: crashes.collect(),
-        }
-    }
-}
-
 /// Parts that crashes speak against.
 #[derive(Debug, Default)]
 pub struct Suspects {
@@ -216,7 +100,7 @@
                 cleared: false,
             };
             let suspect = self.parts.entry(*part).or_default();
-            let known = suspect.crashes.get(&run.engine);
+            let known = suspect.crash_of(run.engine);
             let engine = match known {
                 // The engine has started again, and its new entry is not known yet.
                 Some(known) if run.sent_at >= known.at => {
@@ -225,9 +109,7 @@
                 _ => run.engine,
             };
             suspect.is_news |= suspect.add(engine, crash, now);
-            if suspect.tried_at.take().is_some() {
-                suspect.failed_trials += 1;
-            }
+            suspect.trial_failed();
         }
         self.limit_size();
         parts
@@ -245,13 +127,7 @@
             if suspect.is_stopped() {
                 cleared.push(*part);
             }
-            for crash in suspect.crashes.values_mut().filter(|crash| !crash.cleared) {
-                crash.cleared = true;
-                suspect.is_news = true;
-                suspect.changed_at = now;
-            }
-            suspect.tried_at = None;
-            suspect.failed_trials = 0;
+            suspect.clear(now);
         }
         cleared
     }
@@ -308,7 +184,7 @@
                 evidence: crash.evidence.min(BEGUN_EVIDENCE),
                 cleared: crash.cleared,
             };
-            let known = suspect.crashes.get(&crash.engine);
+            let known = suspect.crash_of(crash.engine);
             sender_lacks |= known.is_some_and(|known| known.cleared && !crash.cleared);
             changed |= suspect.add(crash.engine, received, now);
         }
@@ -355,10 +231,7 @@
             .iter()
             .filter(|(_, suspect)| suspect.is_stopped());
         stopped
-            .map(|(part, suspect)| {
-                let last_at = suspect.crashes.values().map(|crash| crash.at).max();
-                suspect.to_wire(*part, last_at.unwrap_or(0))
-            })
+            .map(|(part, suspect)| suspect.to_wire(*part, suspect.last_crash().unwrap_or(0)))
             .collect()
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod control;
+pub mod copies;
 pub mod dialect;
 pub mod directory;
 pub mod endpoint;
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -5,26 +5,23 @@
 //! has. The copies come as frames of limited size, so that a transfer may last as long as
 //! it makes progress, however large it is and however slow the link.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use flamingolock_wire::topic_copies::{CopiesHead, CopiesRequest, Packing, Record, TopicCopies};
+use flamingolock_wire::topic_copies::{CopiesHead, CopiesRequest, TopicCopies};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Mutex, Semaphore, oneshot};
-use tokio::task::{JoinError, spawn_blocking};
+use tokio::task::JoinError;
 use tokio::time::{Instant, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::clock::Millis;
-use crate::control::operator_records::OperatorUpdate;
 use crate::control::{Event, Handle};
+use crate::copies::{Copies, PackedValues, decode, encode};
 use crate::dialect::{Dialect, KeyedRecord};
-use crate::packing::{pack, unpack};
 use crate::server;
 
 /// Timeout for connecting to another node.
@@ -48,12 +45,6 @@
 /// Maximum number of transfers in progress and waiting.
 const MAX_WAITING: usize = 96;
 
-/// Size from which on values are compressed, in bytes.
-const MIN_PACKED_BYTES: usize = 1024;
-
-/// Number of compressed values that are kept for other nodes that ask for the same.
-const MAX_PACKED_VALUES: usize = 4;
-
 /// Error of a transfer.
 #[derive(Debug, thiserror::Error)]
 pub enum TransferError {
@@ -83,37 +74,6 @@
     }
 }
 
-/// Records that a node offers to another one.
-#[derive(Debug)]
-pub struct Offer {
-    /// Records of the operator topic, each with the one of the same key that the other
-    /// node has, if this node has it as well.
-    pub operator: Vec<(KeyedRecord, Option<KeyedRecord>)>,
-    /// Offset after the last record of the operator topic that was read.
-    pub operator_end: u64,
-    /// Time since the copy of the operator topic was last known to be current, in ms.
-    pub operator_age: Millis,
-    /// Endpoint entries.
-    pub endpoints: Vec<KeyedRecord>,
-    /// Time since the copy of the entries was last known to be current, in ms.
-    pub endpoints_age: Millis,
-}
-
-/// Records that another node sent.
-#[derive(Debug)]
-pub struct Copies {
-    /// Records of the operator topic.
-    pub operator: Vec<OperatorUpdate>,
-    /// Offset after the last record of the operator topic that was read.
-    pub operator_end: u64,
-    /// Time since the copy of the operator topic was last known to be current, in ms.
-    pub operator_age: Millis,
-    /// Endpoint entries; empty if they were not asked for.
-    pub endpoints: Vec<KeyedRecord>,
-    /// Time since the copy of the entries was last known to be current, in ms.
-    pub endpoints_age: Millis,
-}
-
 /// A fetch of copies.
 #[derive(Debug)]
 pub struct Fetch {
@@ -125,51 +85,6 @@
     pub bases: Vec<KeyedRecord>,
 }
 
-/// The compressed value of a record.
-#[derive(Debug)]
-struct PackedValue {
-    key: String,
-    offset: u64,
-    /// Offset of the record whose value is the base.
-    base: Option<u64>,
-    bytes: Bytes,
-}
-
-/// Compressed values that others may ask for, oldest first.
-#[derive(Debug, Default)]
-struct PackedValues(VecDeque<PackedValue>);
-
-impl PackedValues {
-    /// Returns the compressed value of a record; compresses it unless that was done for
-    /// another node.
-    async fn get(
-        &mut self,
-        record: &KeyedRecord,
-        base: Option<&KeyedRecord>,
-    ) -> Result<Bytes, TransferError> {
-        let base_offset = base.map(|base| base.offset);
-        let known = self.0.iter().find(|packed| {
-            packed.key == record.key && packed.offset == record.offset && packed.base == base_offset
-        });
-        if let Some(packed) = known {
-            return Ok(packed.bytes.clone());
-        }
-        let value = record.value.clone().unwrap_or_default();
-        let base = base.and_then(|base| base.value.clone()).unwrap_or_default();
-        let bytes: Bytes = spawn_blocking(move || pack(&value, &base)).await??.into();
-        self.0.push_back(PackedValue {
-            key: record.key.clone(),
-            offset: record.offset,
-            base: base_offset,
-            bytes: bytes.clone(),
-        });
-        if self.0.len() > MAX_PACKED_VALUES {
-            self.0.pop_front();
-        }
-        Ok(bytes)
-    }
-}
-
 type Frames = Framed<TcpStream, LengthDelimitedCodec>;
 
 fn frames(stream: TcpStream) -> Frames {
@@ -250,42 +165,6 @@
     Ok(())
 }
 
-async fn encode(offer: Offer, packed: &Mutex<PackedValues>) -> Result<TopicCopies, TransferError> {
-    let mut operator = Vec::with_capacity(offer.operator.len());
-    for (record, base) in offer.operator {
-        let size = record.value.as_ref().map_or(0, Bytes::len);
-        if size < MIN_PACKED_BYTES {
-            operator.push(to_wire(record));
-            continue;
-        }
-        // Others that wait for the same value find it when this one is done.
-        let value = packed.lock().await.get(&record, base.as_ref()).await?;
-        operator.push(Record {
-            value,
-            packing: Some(Packing {
-                base: base.map(|base| base.offset),
-            }),
-            ..to_wire(record)
-        });
-    }
-    Ok(TopicCopies {
-        operator,
-        operator_end: offer.operator_end,
-        endpoints: offer.endpoints.into_iter().map(to_wire).collect(),
-        endpoints_age_ms: offer.endpoints_age,
-        operator_age_ms: offer.operator_age,
-    })
-}
-
-fn to_wire(record: KeyedRecord) -> Record {
-    Record {
-        key: record.key,
-        value: record.value.unwrap_or_default(),
-        offset: record.offset,
-        packing: None,
-    }
-}
-
 async fn refuse(mut stream: Frames) -> Result<(), TransferError> {
     let head = CopiesHead {
         bytes: 0,
@@ -349,60 +228,6 @@
     decode(dialect, TopicCopies::decode(bytes.freeze())?, &fetch.bases).await
 }
 
-async fn decode(
-    dialect: &'static Dialect,
-    copies: TopicCopies,
-    bases: &[KeyedRecord],
-) -> Result<Copies, TransferError> {
-    let mut operator = Vec::with_capacity(copies.operator.len());
-    for record in copies.operator {
-        let base = match record.packing {
-            Some(packing) => Some(base_value(&record.key, packing, bases)?),
-            None => None,
-        };
-        let update = spawn_blocking(move || decode_record(dialect, record, base)).await??;
-        operator.push(update);
-    }
-    Ok(Copies {
-        operator,
-        operator_end: copies.operator_end,
-        operator_age: copies.operator_age_ms,
-        endpoints: copies.endpoints.into_iter().map(from_wire).collect(),
-        endpoints_age: copies.endpoints_age_ms,
-    })
-}
-
-/// Decodes a record whose value is compressed against `base`, if there is one.
-fn decode_record(
-    dialect: &Dialect,
-    mut record: Record,
-    base: Option<Bytes>,
-) -> std::io::Result<OperatorUpdate> {
-    if let Some(base) = base {
-        record.value = unpack(&record.value, &base)?.into();
-    }
-    Ok(OperatorUpdate::decode(dialect, from_wire(record)))
-}
-
-fn base_value(key: &str, packing: Packing, bases: &[KeyedRecord]) -> Result<Bytes, TransferError> {
-    let Some(offset) = packing.base else {
-        return Ok(Bytes::new());
-    };
-    let base = bases
-        .iter()
-        .find(|record| record.key == key && record.offset == offset);
-    base.and_then(|record| record.value.clone())
-        .ok_or_else(|| TransferError::Invalid(format!("unknown base {offset} of {key}")))
-}
-
-fn from_wire(record: Record) -> KeyedRecord {
-    KeyedRecord {
-        key: record.key,
-        value: Some(record.value),
-        offset: record.offset,
-    }
-}
-
 async fn next_frame(stream: &mut Frames) -> Result<BytesMut, TransferError> {
     match timeout(STALL_TIMEOUT, stream.next()).await {
         Ok(Some(frame)) => Ok(frame?),
--- a/crates/gateway/tests/test_peer_sync.rs
+++ b/crates/gateway/tests/test_peer_sync.rs
@@ -5,8 +5,9 @@
 
 use common::Harness;
 use flamingolock_gateway::control::{Effect, Event, FollowedTopic, ReadRequest};
+use flamingolock_gateway::copies::Copies;
 use flamingolock_gateway::packing::{pack, unpack};
-use flamingolock_gateway::peer_sync::{Copies, Fetch};
+use flamingolock_gateway::peer_sync::Fetch;
 use flamingolock_wire::gossip::{Gossip, TopicCopyState};
 use flamingolock_wire::topic_copies::CopiesRequest;
 use proptest::prelude::*;
