gateway: keep enough crashes of a part to see them follow each other

Only the newest eight crashes of a part were kept. Where engines crash at 20 a second under runs of 0.3 s, all eight overlap, count once, and the part is never stopped. Found by reading the code; part_is_stopped_soon_though_engines_crash_at_a_high_rate fails with eight and passes with 32.

--- a/crates/gateway/src/control/suspect.rs
+++ b/crates/gateway/src/control/suspect.rs
@@ -21,7 +21,7 @@
 const MAX_DOUBLINGS: u32 = 6;
 
 /// Maximum number of crashes that are kept for a part.
-const MAX_CRASHES: usize = 8;
+const MAX_CRASHES: usize = 32;
 
 /// A crash of one incarnation of an engine that ended a run with the part.
 #[derive(Clone, Copy, Debug)]
--- a/crates/gateway/tests/test_suspects.rs
+++ b/crates/gateway/tests/test_suspects.rs
@@ -53,6 +53,17 @@
     assert!(stopped(&suspects).is_empty());
 }
 
+/// Many requests with the part run at the same time, and one engine after another crashes.
+#[test]
+fn part_is_stopped_soon_though_engines_crash_at_a_high_rate() {
+    let mut suspects = Suspects::default();
+    for number in 0..40 {
+        let sent_at = 1_000 + number * 50;
+        suspects.record_crash(&run(number, &[CULPRIT], sent_at), sent_at + 300);
+    }
+    assert_eq!(stopped(&suspects), [CULPRIT]);
+}
+
 #[test]
 fn run_that_brings_an_event_clears_the_parts_it_has() {
     let mut suspects = Suspects::default();
