--- a/crates/gateway/src/control/state/peer_sync.rs
+++ b/crates/gateway/src/control/state/peer_sync.rs
@@ -11,6 +11,7 @@
 use crate::control::Effect;
 use crate::control::peers::Peer;
 use crate::copies::{Copies, Offer};
+use crate::metrics::EventKind;
 use crate::peer_sync::Fetch;
 
 /// Maximum number of nodes that one fetch asks in turn.
@@ -19,6 +20,7 @@
 impl Control {
     /// Returns what this node has to offer to one that sent the request.
     pub(super) fn offer_copies(&self, request: &CopiesRequest, now: Millis) -> Offer {
+        self.metrics.count(EventKind::Copies, "offered");
         let endpoints = self.endpoint_records.values().filter(|_| request.endpoints);
         Offer {
             operator: self.operator_records.newer_than(&request.known),
@@ -32,6 +34,7 @@
     /// Applies the parts of another node's copies that are newer than this node's.
     pub(super) fn apply_copies(&mut self, copies: Copies, now: Millis) {
         self.fetches.succeeded();
+        self.metrics.count(EventKind::Copies, "received");
         // A node without a configuration cannot tell when the records were written.
         let mut written_at = now.saturating_sub(self.assumed_weights_age());
         if self.catalog.is_some() {
@@ -58,6 +61,7 @@
     /// Handles the end of a fetch that returned no copies.
     pub(super) fn fetch_failed(&mut self, now: Millis) {
         let pause_ms = self.fetches.failed(now);
+        self.metrics.count(EventKind::Copies, "failed");
         log::info!(pause_ms; "no node sent its topic copies");
     }
 
--- a/crates/gateway/src/control/state/suspects.rs
+++ b/crates/gateway/src/control/state/suspects.rs
@@ -7,6 +7,7 @@
 use crate::clock::Millis;
 use crate::control::suspects::{Clearance, CrashedRun};
 use crate::control::{Effect, PlacementRequest, Refusal};
+use crate::metrics::EventKind;
 
 /// Minimum interval between two records of the stopped parts, in ms.
 const RECORD_INTERVAL_MS: Millis = 1_000;
@@ -42,6 +43,7 @@
     /// Handles the first event of a run.
     pub(super) fn parts_answered(&mut self, parts: &[u64], now: Millis) {
         for part in self.suspects.record_answer(parts, now) {
+            self.metrics.count(EventKind::PromptPart, "cleared");
             log::warn!(part = hex(part).as_str(); "prompt part is sound; requests with it are sent again");
         }
         if self.suspects.has_news() {
@@ -67,6 +69,7 @@
     fn note_stopped(&mut self, before: &[u64]) {
         for part in self.suspects.stopped() {
             if !before.contains(&part.part) {
+                self.metrics.count(EventKind::PromptPart, "stopped");
                 log::warn!(part = hex(part.part).as_str(), crashes = part.crashes.len();
                     "prompt part crashes engines; requests with it are refused");
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,10 @@
     Order,
     /// A call to the store.
     StoreCall,
+    /// A transfer of topic copies with another node.
+    Copies,
+    /// A verdict on a prompt part.
+    PromptPart,
 }
 
 /// Labels of a counted event.
@@ -89,7 +93,7 @@
             );
             registry.register(
                 "events",
-                "Placements, ends of runs, orders, store calls",
+                "Placements, ends of runs, orders, store calls, transfers, verdicts on prompt parts",
                 metrics.events.clone(),
             );
             registry.register(
@@ -138,6 +142,8 @@
             EventKind::RunEnd => "run_end",
             EventKind::Order => "order",
             EventKind::StoreCall => "store_call",
+            EventKind::Copies => "copies",
+            EventKind::PromptPart => "prompt_part",
         };
         self.events
             .get_or_create(&EventLabels { event, outcome })
