--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -16,8 +16,9 @@
 use crate::clock::Millis;
 use crate::control::suspect::{BEGUN_EVIDENCE, Crash, STOP_EVIDENCE, Suspect};
 
-/// Evidence of a crash whose run had no response yet: it may have waited for another one.
-const WAITING_EVIDENCE: u32 = 2;
+/// Evidence of a crash whose run had no response yet: it may have waited behind others, or
+/// the connection was lost and not the engine.
+const WAITING_EVIDENCE: u32 = 1;
 
 /// Divisor of the evidence against a part that was answered before.
 const ANSWERED_DIVISOR: u32 = 2;
@@ -93,7 +94,7 @@
                 sent_at: run.sent_at,
                 at: now,
                 evidence: if self.answered.contains(part) {
-                    evidence / ANSWERED_DIVISOR
+                    evidence.div_ceil(ANSWERED_DIVISOR)
                 } else {
                     evidence
                 },
@@ -103,7 +104,7 @@
             let known = suspect.crash_of(run.engine);
             let engine = match known {
                 // The engine has started again, and its new entry is not known yet.
-                Some(known) if run.sent_at >= known.at => {
+                Some(known) if run.begun && run.sent_at >= known.at => {
                     xxh3_64_with_seed(&run.engine.to_be_bytes(), now)
                 }
                 _ => run.engine,
--- a/crates/gateway/tests/test_suspects.rs
+++ b/crates/gateway/tests/test_suspects.rs
@@ -64,6 +64,18 @@
     assert_eq!(stopped(&suspects), [CULPRIT]);
 }
 
+/// Engines that go down and up, or lose connections, have not begun to answer.
+#[test]
+fn runs_that_had_no_response_stop_no_part_where_engines_go_down_and_up() {
+    let mut suspects = Suspects::default();
+    for number in 0..60 {
+        let mut run = run(number % 6, &[CULPRIT], 1_000 + number * 100);
+        run.begun = false;
+        suspects.record_crash(&run, run.sent_at + 10);
+    }
+    assert!(stopped(&suspects).is_empty());
+}
+
 #[test]
 fn run_that_brings_an_event_clears_the_parts_it_has() {
     let mut suspects = Suspects::default();
