gateway: a request that is not sent again may come back at once

Where a part had two crashes and was not stopped, a request that had reached an engine without running there was answered 503 with the pause of a stopped part, a minute, though its caller's next request would be sent. Evidence of a crash is also told at once by itself, not only with the end of the run.

--- a/crates/gateway/src/control/state/suspects.rs
+++ b/crates/gateway/src/control/state/suspects.rs
@@ -38,6 +38,7 @@
         log::info!(engine = run.engine, begun = run.begun, sent_ms = now.saturating_sub(run.sent_at),
             parts = parts.join(",").as_str(); "crash speaks against prompt parts");
         self.note_stopped(&before);
+        self.gossip_pending_at.get_or_insert(now);
     }
 
     /// Handles the first event of a run.
--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -61,7 +61,8 @@
     Clear,
     /// It may show whether a stopped part is sound now.
     Trial(u64),
-    /// This part of it is stopped, until this time at least.
+    /// It must not be sent because of this part. One that was not sent before may be from
+    /// this time on.
     Stopped(u64, Millis),
 }
 
@@ -165,16 +166,19 @@
                 suspect.tried_at = Some(now);
                 return Clearance::Trial(part);
             }
-            return Clearance::Stopped(part, next_trial.max(now));
+            let until = if suspect.is_stopped() {
+                next_trial.max(now)
+            } else {
+                now
+            };
+            return Clearance::Stopped(part, until);
         }
         Clearance::Clear
     }
 
-    /// Merges the evidence of another node. Returns true if a part is stopped by it.
-    /// `is_relay` is true if this node passes news on.
-    pub fn merge(&mut self, remote: &SuspectPart, is_relay: bool, now: Millis) -> bool {
+    /// Merges the evidence of another node. `is_relay` is true if this node passes news on.
+    pub fn merge(&mut self, remote: &SuspectPart, is_relay: bool, now: Millis) {
         let suspect = self.parts.entry(remote.part).or_default();
-        let was_stopped = suspect.is_stopped();
         let mut changed = false;
         let mut sender_lacks = false;
         for crash in &remote.crashes {
@@ -190,9 +194,7 @@
             changed |= suspect.add(crash.engine, received, now);
         }
         suspect.is_news |= sender_lacks || (changed && is_relay);
-        let stopped = !was_stopped && suspect.is_stopped();
         self.limit_size();
-        stopped
     }
 
     /// True if there is something to tell other nodes.
