gateway: weak evidence does not hide the strong one beside it

Crashes count in turn, by time. A run without a response that ended just before one that had begun took its place, so three strong crashes counted three in place of twelve. Found by reading the code; runs_that_had_no_response_do_not_hide_those_that_had_begun failed before.

--- a/crates/gateway/src/control/suspect.rs
+++ b/crates/gateway/src/control/suspect.rs
@@ -1,6 +1,6 @@
 //! Evidence against one prompt part.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use flamingolock_wire::gossip::{PartCrash, SuspectPart};
 
@@ -51,20 +51,19 @@
 }
 
 impl Suspect {
-    /// Sum of the evidence of crashes that follow each other: requests that were sent
-    /// before a crash and end with another one may be victims of a common cause.
+    /// Evidence of the crashes that follow each other. Weak ones must not hide strong ones
+    /// that overlap them, so these are looked at by themselves as well.
     pub fn evidence(&self) -> u32 {
         let mut crashes: Vec<&Crash> = self.crashes.values().collect();
+        crashes.retain(|crash| !crash.cleared);
         crashes.sort_by_key(|crash| crash.at);
-        let mut evidence = 0;
-        let mut last_at = None;
-        for crash in crashes.into_iter().filter(|crash| !crash.cleared) {
-            if last_at.is_none_or(|at| crash.sent_at >= at) {
-                last_at = Some(crash.at);
-                evidence += crash.evidence;
-            }
-        }
-        evidence
+        let limits = crashes.iter().map(|crash| crash.evidence);
+        let limits: BTreeSet<u32> = limits.collect();
+        let sums = limits.into_iter().map(|limit| {
+            let strong = crashes.iter().filter(|crash| crash.evidence >= limit);
+            sum_in_turn(strong.copied())
+        });
+        sums.max().unwrap_or(0)
     }
 
     /// True if no request with the part is sent.
@@ -160,3 +159,17 @@
         }
     }
 }
+
+/// Sum of the evidence of crashes that follow each other, given in order of time: requests
+/// that were sent before a crash and end with another one may be victims of a common cause.
+fn sum_in_turn<'a>(crashes: impl Iterator<Item = &'a Crash>) -> u32 {
+    let mut sum = 0;
+    let mut last_at = None;
+    for crash in crashes {
+        if last_at.is_none_or(|at| crash.sent_at >= at) {
+            last_at = Some(crash.at);
+            sum += crash.evidence;
+        }
+    }
+    sum
+}
--- a/crates/gateway/tests/test_suspects.rs
+++ b/crates/gateway/tests/test_suspects.rs
@@ -76,6 +76,19 @@
     assert!(stopped(&suspects).is_empty());
 }
 
+#[test]
+fn runs_that_had_no_response_do_not_hide_those_that_had_begun() {
+    let mut suspects = Suspects::default();
+    for number in 0..3 {
+        let sent_at = 1_000 + number * 1_000;
+        let mut waiting = run(100 + number, &[CULPRIT], sent_at);
+        waiting.begun = false;
+        suspects.record_crash(&waiting, sent_at + 50);
+        suspects.record_crash(&run(number, &[CULPRIT], sent_at), sent_at + 100);
+    }
+    assert_eq!(stopped(&suspects), [CULPRIT]);
+}
+
 #[test]
 fn run_that_brings_an_event_clears_the_parts_it_has() {
     let mut suspects = Suspects::default();
