--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Test harness for the control state, with settings and records in the platform's
 //! format.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -180,10 +181,15 @@
     }
 
     /// Delivers a message of another node.
-    pub fn datagram(&mut self, node: u64, mut gossip: Gossip, now: u64) {
+    pub fn datagram(&mut self, node: u64, gossip: Gossip, now: u64) {
+        self.datagram_from(([10, 0, 0, 9], 7_000).into(), node, gossip, now);
+    }
+
+    /// Delivers a message of the node at an address.
+    pub fn datagram_from(&mut self, from: SocketAddr, node: u64, mut gossip: Gossip, now: u64) {
         let sender = NodeState {
             incarnation: node,
-            callers: "10.0.0.9:80".to_owned(),
+            callers: SocketAddr::new(from.ip(), 80).to_string(),
             zone: "zone-a".to_owned(),
             ready: true,
             control_port: 8,
@@ -191,7 +197,6 @@
             ..NodeState::default()
         };
         gossip.sender = Some(sender);
-        let from = ([10, 0, 0, 9], 7_000).into();
         self.control
             .handle(Event::Datagram(from, gossip.encode_to_vec().into()), now);
     }
--- /dev/null
+++ b/crates/gateway/tests/test_suspect_gossip.rs
@@ -0,0 +1,120 @@
+//! How evidence against prompt parts reaches all nodes.
+
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod common;
+
+use std::net::SocketAddr;
+
+use common::{Harness, placement_request};
+use flamingolock_gateway::control::suspects::CrashedRun;
+use flamingolock_gateway::control::{Effect, Event, Refusal};
+use flamingolock_wire::gossip::{Gossip, PartCrash, SuspectPart};
+use prost::Message;
+
+/// The first part of the request with id 1 of the harness.
+const PART: u64 = 1;
+
+fn crashes(harness: &mut Harness, count: u64, from: u64) {
+    for number in 0..count {
+        let run = CrashedRun {
+            engine: from + number,
+            parts: vec![PART],
+            sent_at: from + number * 1_000,
+            begun: true,
+        };
+        harness
+            .control
+            .handle(Event::RunCrashed(run), from + number * 1_000 + 100);
+    }
+}
+
+/// What the node sends about prompt parts, and to whom.
+fn sent(effects: &[Effect]) -> Vec<(Vec<SocketAddr>, SuspectPart)> {
+    let mut sent = Vec::new();
+    for effect in effects {
+        if let Effect::SendDatagram(to, bytes) = effect {
+            let gossip = Gossip::decode(bytes.clone()).expect("a datagram");
+            let parts = gossip.suspects.into_iter();
+            sent.extend(parts.map(|part| (to.clone(), part)));
+        }
+    }
+    sent
+}
+
+fn refusal(harness: &mut Harness, now: u64) -> Option<Refusal> {
+    let placed = harness.place(placement_request(None, PART), now);
+    placed.expect("a decision").err()
+}
+
+fn stopped_part() -> SuspectPart {
+    let crashes = (0..3).map(|number| PartCrash {
+        engine: number,
+        age_ms: 3_000 - number * 1_000,
+        sent_before_ms: 100,
+        evidence: 4,
+        cleared: false,
+    });
+    SuspectPart {
+        part: PART,
+        crashes: crashes.collect(),
+    }
+}
+
+fn node_address(number: u8) -> SocketAddr {
+    ([10, 0, 1, number], 7_000).into()
+}
+
+#[test]
+fn node_that_saw_no_crash_refuses_requests_with_a_part_that_crashed_engines_elsewhere() {
+    let mut seeing = Harness::with_engines(2, 0);
+    let mut other = Harness::with_engines(2, 0);
+    seeing.datagram(5, Gossip::default(), 900);
+    crashes(&mut seeing, 3, 1_000);
+    let parts: Vec<SuspectPart> = sent(&seeing.effects(3_200))
+        .into_iter()
+        .map(|(_, part)| part)
+        .collect();
+    assert_eq!(refusal(&mut other, 3_250), None);
+    let gossip = Gossip {
+        suspects: parts,
+        ..Gossip::default()
+    };
+    other.datagram(6, gossip, 3_300);
+    assert!(matches!(
+        refusal(&mut other, 3_310),
+        Some(Refusal::StoppedPart { .. })
+    ));
+}
+
+/// In large fleets the hub of a zone passes on what one node of it tells.
+#[test]
+fn hub_passes_on_evidence_once_to_all_nodes_of_its_zone() {
+    let mut hub = Harness::with_engines(2, 0);
+    for number in 0..20 {
+        let node = 100 + u64::from(number);
+        hub.datagram_from(node_address(number), node, Gossip::default(), 1_000);
+    }
+    hub.effects(1_010);
+    let gossip = Gossip {
+        suspects: vec![stopped_part()],
+        ..Gossip::default()
+    };
+    hub.datagram_from(node_address(3), 103, gossip.clone(), 1_100);
+    let told = sent(&hub.effects(1_110));
+    let recipients: Vec<SocketAddr> = told.iter().flat_map(|(to, _)| to.clone()).collect();
+    for number in 0..20 {
+        assert!(recipients.contains(&node_address(number)), "{number}");
+    }
+    hub.datagram_from(node_address(3), 103, gossip, 1_200);
+    assert!(sent(&hub.effects(1_210)).is_empty());
+}
+
+#[test]
+fn node_that_starts_is_told_all_evidence() {
+    let mut harness = Harness::with_engines(2, 0);
+    crashes(&mut harness, 1, 1_000);
+    harness.effects(1_200);
+    harness.datagram(9, Gossip::default(), 5_000);
+    let told = sent(&harness.effects(5_010));
+    assert!(told.iter().any(|(_, part)| part.part == PART), "{told:?}");
+}
