gateway: log the limits of requests that endpoints state

Each change of a limit that an endpoint states to a node is logged and counted, each placement logs the limit it knew and its age. Placement itself is unchanged.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use crate::catalog::RequestKind;
 use crate::control::notices::Notice;
 use crate::control::{Event, Grant, RunEnd};
-use crate::dialect::{EndpointHead, ResponseHead};
+use crate::dialect::{EndpointHead, LimitStatement, ResponseHead};
 use crate::exchange::{Exchange, ProxyContext};
 use crate::http_client::{BodyFraming, CallError, Connection};
 use crate::run_guard::RunGuard;
@@ -123,6 +123,7 @@
     }
     let (parts, body) = response.into_parts();
     pass_on_notices(context, &grant, parts.status, &head);
+    pass_on_limit(exchange, context, &grant, parts.status, &head);
     if proves_not_run(parts.status, &head) {
         let end = not_run_reason(parts.status, &head, &grant, exchange);
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, status = parts.status.as_u16(),
@@ -160,6 +161,34 @@
     }
 }
 
+/// Tells the control thread what the endpoint states about its limit. A response that
+/// states none counts only if the request was sent under a limit.
+fn pass_on_limit(
+    exchange: &Exchange,
+    context: &ProxyContext,
+    grant: &Grant,
+    status: StatusCode,
+    head: &ResponseHead,
+) {
+    // Another endpoint at the address may have refused the request.
+    let is_own = status != StatusCode::MISDIRECTED_REQUEST
+        || head.instance.as_deref() == Some(&*grant.endpoint.id);
+    if !is_own || !(head.signed || head.not_run) {
+        return;
+    }
+    let limit = match head.limit {
+        LimitStatement::PerSecond(limit) => Some(limit),
+        LimitStatement::Absent if grant.limit.is_some() => None,
+        LimitStatement::Absent => return,
+        LimitStatement::Unreadable => {
+            log::warn!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id; "endpoint states an unreadable limit of requests; ignored");
+            return;
+        }
+    };
+    let endpoint = grant.endpoint.clone();
+    context.handle.send(Event::LimitStated(endpoint, limit));
+}
+
 /// True if the response proves that the request did not run.
 fn proves_not_run(status: StatusCode, head: &ResponseHead) -> bool {
     status == StatusCode::MISDIRECTED_REQUEST
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -17,6 +17,7 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod state;
+pub mod stated_limits;
 pub mod suspect;
 pub mod suspects;
 
@@ -36,6 +37,7 @@
 use crate::control::notices::Notice;
 use crate::control::operator_records::OperatorUpdate;
 use crate::control::state::Control;
+use crate::control::stated_limits::Limit;
 use crate::control::suspects::CrashedRun;
 use crate::copies::{Copies, Offer};
 use crate::dialect::{
@@ -102,6 +104,8 @@
     pub kv_source: Option<SocketAddr>,
     /// Address of the KV cache store to which computed parts are written.
     pub kv_sink: Option<SocketAddr>,
+    /// Limit of the endpoint, if it had stated one.
+    pub limit: Option<Limit>,
     /// Maximum number of connections that this node may keep to the endpoint.
     pub max_connections: usize,
 }
@@ -249,6 +253,9 @@
     PartsAnswered(Vec<u64>),
     /// An endpoint asked something of this node in a response.
     Noticed(Arc<Endpoint>, Notice),
+    /// An endpoint stated in a response how many requests a second it takes; none if it
+    /// stated no limit.
+    LimitStated(Arc<Endpoint>, Option<f64>),
     /// The newest record of each key of the operator topic was read.
     OperatorSnapshot(Vec<OperatorUpdate>),
     /// New records of the operator topic.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,6 +1,7 @@
 //! State of the control thread and its event handlers.
 
 mod gossip;
+mod limits;
 mod peer_sync;
 mod placement;
 mod records;
@@ -32,6 +33,7 @@
 use crate::control::peers::Peers;
 use crate::control::retry_budget::RetryBudget;
 use crate::control::rollout::{Rollout, Task};
+use crate::control::stated_limits::StatedLimits;
 use crate::control::suspects::Suspects;
 use crate::control::{Effect, Event, Placement, PlacementRequest, View};
 use crate::dialect::{Dialect, KeyedRecord, OrderOutcome, WeightsOrder};
@@ -84,6 +86,7 @@
     catalog: Option<Arc<Catalog>>,
     fleet: BTreeMap<EndpointKey, EndpointState>,
     notices: Notices,
+    limits: StatedLimits,
     suspects: Suspects,
     suspects_record: SuspectsRecord,
     parts: CacheIndex,
@@ -158,6 +161,7 @@
             catalog: None,
             fleet: BTreeMap::new(),
             notices: Notices::default(),
+            limits: StatedLimits::default(),
             suspects: Suspects::default(),
             suspects_record: SuspectsRecord::default(),
             parts: CacheIndex::default(),
@@ -236,6 +240,7 @@
                     log::info!(endpoint = &*endpoint.id, notice:? = notice; "endpoint wants no requests");
                 }
             }
+            Event::LimitStated(endpoint, limit) => self.limit_stated(&endpoint, limit, now),
             Event::OperatorSnapshot(records) => {
                 // The time at which these records were written is unknown.
                 let named_at = now.saturating_sub(self.assumed_weights_age());
@@ -325,6 +330,8 @@
             self.forget_streams(now);
             self.notices
                 .forget_old(|key| self.fleet.contains_key(&key), now);
+            self.limits
+                .forget_old(|key| self.fleet.contains_key(&key), now);
             self.record_builds(now);
             self.suspects.forget_old(now);
             self.record_suspects(now);
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -77,6 +77,7 @@
             },
             builds: None,
             suspects: self.suspects.take_news(now),
+            limits: Vec::new(),
         };
         let cross_zone = std::mem::take(&mut self.cross_zone);
         self.send_in_datagrams(local, &targets.local);
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -298,10 +298,12 @@
             is_long_answer: request.output_tokens >= LONG_ANSWER_TOKENS,
         };
         let endpoint = self.fleet[&key].endpoint.clone();
+        let limit = self.limits.limit_of(&endpoint);
         log::info!(request = &*request.id, endpoint = &*endpoint.id, build = &*endpoint.build, run = number, score = estimate.score as i64,
             read_ms = estimate.prefill_ms as i64, weights = estimate.version.unwrap_or(0), tries = request.tried.len(),
             unread = estimate.uncached_tokens, reread = estimate.duplicate_tokens,
-            fetch = kv_source.is_some(); "request placed");
+            fetch = kv_source.is_some(), limit = limit.map(|limit| limit.per_second),
+            limit_age_ms = limit.map(|limit| now.saturating_sub(limit.stated_at)); "request placed");
         let run_id = (self.incarnation, number);
         if let Some(state) = self.fleet.get_mut(&key) {
             state.run_sent(run_id, &run, now);
@@ -324,6 +326,7 @@
             salt,
             kv_source,
             kv_sink,
+            limit,
             max_connections: (connections as usize).max(1),
         }
     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -91,7 +91,7 @@
 }
 
 /// Values parsed from an endpoint's response headers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Id of the request that the response belongs to.
     pub request_id: Option<String>,
@@ -109,10 +109,25 @@
     /// Time for which the endpoint wants no requests from this node, if it refused this
     /// one.
     pub retry_after: Option<Duration>,
+    /// What the endpoint states about its limit of requests.
+    pub limit: LimitStatement,
     /// Keep-alive timeout after which it closes an idle connection.
     pub keep_alive: Option<Duration>,
 }
 
+/// What a response states about the requests that its endpoint takes from all nodes
+/// together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitStatement {
+    /// Nothing: there is no limit.
+    #[default]
+    Absent,
+    /// At most this many requests a second; finite and not negative.
+    PerSecond(f64),
+    /// Something that is no limit.
+    Unreadable,
+}
+
 /// A record of a keyed topic. A record without a value deletes the key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyedRecord {
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -57,9 +57,13 @@
             .to_u64()
             .map(|number| json!(number))
             .or_else(|| value.to_i64().map(|number| json!(number)))
+            .or_else(|| value.to_f64().map(|number| json!(number)))
             .or_else(|| value.to_bool().map(|flag| json!(flag)))
             .unwrap_or_else(|| json!(value.to_string()));
-        self.0.insert(key.to_string(), value);
+        // A field without a value is left out.
+        if value != "None" {
+            self.0.insert(key.to_string(), value);
+        }
         Ok(())
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -64,6 +65,7 @@
     refused: Family<RefusalLabels, Counter>,
     first_byte: Family<KindLabel, Histogram>,
     events: Family<EventLabels, Counter>,
+    limited_endpoints: Gauge,
 }
 
 fn first_byte_histogram() -> Histogram {
@@ -79,6 +81,7 @@
             refused: Family::default(),
             first_byte: Family::new_with_constructor(first_byte_histogram as fn() -> Histogram),
             events: Family::default(),
+            limited_endpoints: Gauge::default(),
         };
         if let Ok(mut registry) = metrics.registry.lock() {
             registry.register(
@@ -96,6 +99,11 @@
                 "Placements, ends of runs, orders, store calls, transfers, verdicts on prompt parts",
                 metrics.events.clone(),
             );
+            registry.register(
+                "limited_endpoints",
+                "Endpoints that state a limit of requests",
+                metrics.limited_endpoints.clone(),
+            );
             registry.register(
                 "first_byte_seconds",
                 "Time from a request's head to the head of its answer",
@@ -150,6 +158,12 @@
             .inc();
     }
 
+    /// Sets the number of endpoints that state a limit of requests.
+    pub fn set_limited_endpoints(&self, count: usize) {
+        self.limited_endpoints
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -43,6 +43,28 @@
     /// that the sender knows.
     #[prost(message, repeated, tag = "11")]
     pub suspects: Vec<SuspectPart>,
+    /// News of the limits that endpoints state. To a node that has just started, all that
+    /// the sender knows.
+    #[prost(message, repeated, tag = "12")]
+    pub limits: Vec<EndpointLimit>,
+}
+
+/// What one incarnation of an endpoint states about the requests that it takes from all
+/// nodes together.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct EndpointLimit {
+    /// The endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    /// Start time of the incarnation, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub start_time_ms: u64,
+    /// Requests a second; absent if there is no limit any more.
+    #[prost(double, optional, tag = "3")]
+    pub per_second: Option<f64>,
+    /// Time since the endpoint stated it, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
 }
 
 /// Prompt parts that nodes keep in the store.
