--- a/crates/cli/tests/soak/checks.rs
+++ b/crates/cli/tests/soak/checks.rs
@@ -10,6 +10,7 @@
 use crate::entry_site::{Answer, request};
 use crate::soak::callers::RequestRecord;
 use crate::soak::cluster::{Cluster, ENDPOINTS, Scope};
+use crate::soak::limits;
 
 /// Time within which every unaffected node must apply a published configuration.
 const CONFIGURATION_DEADLINE: Duration = Duration::from_secs(2);
@@ -105,6 +106,7 @@
     check_executions(cluster, records);
     for index in 0..cluster.backends.len() {
         check_notices(cluster, index, records);
+        limits::check(cluster, index, records);
     }
     for index in 0..ENDPOINTS {
         check_order_leases(cluster, index);
@@ -235,7 +237,7 @@
 }
 
 /// True when the node may have restarted or stood still between two arrivals.
-fn is_node_excused(cluster: &Cluster, node: usize, from: &Arrival, to: &Arrival) -> bool {
+pub fn is_node_excused(cluster: &Cluster, node: usize, from: &Arrival, to: &Arrival) -> bool {
     let concerns = |scope| scope == Scope::Node(node) || scope == Scope::Planned(node);
     cluster.any_fault_between(concerns, from.at, to.at)
 }
--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -12,7 +12,7 @@
 
 use crate::soak::checks;
 use crate::soak::cluster::{Backend, Cluster, ENDPOINTS, NODES, Scope};
-use crate::soak::crashing_part;
+use crate::soak::{crashing_part, limits};
 
 /// Delay longer than any run, so that no byte arrives in the delayed direction.
 const BLACKHOLE_DELAY_MS: u64 = 3_600_000;
@@ -26,6 +26,9 @@
 /// First seed that draws from [`Disruption::LATER`].
 const FIRST_LATER_SEED: u64 = 700;
 
+/// First seed that draws from [`Disruption::LATEST`] too.
+const FIRST_LATEST_SEED: u64 = 800;
+
 /// Bandwidth of a narrow connection to the store, in bytes per second.
 const NARROW_BYTES_PER_S: u64 = 20_000;
 
@@ -55,6 +58,8 @@
     EndpointEndlessHead,
     CrashingPart,
     StoreLinkNarrow,
+    EndpointLimit,
+    EngineLimits,
 }
 
 impl Disruption {
@@ -99,11 +104,17 @@
         Self::StoreLinkNarrow,
     ];
 
+    /// Drawn as well by seeds from [`FIRST_LATEST_SEED`] on.
+    const LATEST: [Self; 3] = [Self::EndpointLimit, Self::EndpointLimit, Self::EngineLimits];
+
     fn choose(seed: u64, rng: &mut ChaCha8Rng) -> Self {
-        if seed < FIRST_LATER_SEED {
-            return *Self::ALL.choose(rng).expect("disruptions");
+        let mut all = Self::ALL.to_vec();
+        if seed >= FIRST_LATER_SEED {
+            all.extend(Self::LATER);
+        }
+        if seed >= FIRST_LATEST_SEED {
+            all.extend(Self::LATEST);
         }
-        let all = [&Self::ALL[..], &Self::LATER].concat();
         *all.choose(rng).expect("disruptions")
     }
 }
@@ -139,6 +150,12 @@
                 Disruption::CrashingPart => {
                     running.spawn(crashing_part::send(cluster.clone()));
                 }
+                Disruption::EndpointLimit => {
+                    running.spawn(limits::state(cluster.clone(), index..index + 1, time));
+                }
+                Disruption::EngineLimits => {
+                    running.spawn(limits::state(cluster.clone(), 0..ENDPOINTS, time));
+                }
                 _ => {
                     running.spawn(run_disruption(cluster.clone(), disruption, index, time));
                 }
@@ -259,7 +276,9 @@
         Disruption::Reload
         | Disruption::Configuration
         | Disruption::Weights
-        | Disruption::CrashingPart => {}
+        | Disruption::CrashingPart
+        | Disruption::EndpointLimit
+        | Disruption::EngineLimits => {}
     }
     cluster.end_fault(fault);
 }
--- a/crates/cli/tests/soak/mod.rs
+++ b/crates/cli/tests/soak/mod.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod crashing_part;
 mod disruptions;
+mod limits;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/cli/tests/test_soak.rs
+++ b/crates/cli/tests/test_soak.rs
@@ -92,6 +92,13 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Endpoints state limits of requests as well, up to all engines at a time.
+#[test]
+fn promises_hold_while_endpoints_state_limits() {
+    let violations = run_seeds(800..802, Duration::from_secs(10));
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 #[test]
 #[ignore = "by hand: seeds and time come from the environment"]
 fn soak_by_hand() {
