gateway: a node that starts shares limits with those it has not heard yet

A node that has started and heard no other one counted itself as the only one, and took the whole slack of the retry budget and of the connections to an endpoint; so did each of many nodes that started together.

Nodes that the registry lists count from then on, for as long as a node that fell silent does. One that was listed and never answers loses its share after that time.

--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -69,14 +69,17 @@
 /// All known other nodes.
 #[derive(Debug, Default)]
 pub struct Peers {
-    peers: BTreeMap<SocketAddr, Option<Peer>>,
+    by_address: BTreeMap<SocketAddr, Option<Peer>>,
+    /// When each address was first listed in the registry.
+    listed_at: BTreeMap<SocketAddr, Millis>,
     probed_at: BTreeMap<SocketAddr, Millis>,
 }
 
 impl Peers {
     /// Adds a gossip address from the registry.
-    pub fn add_address(&mut self, address: SocketAddr) {
-        self.peers.entry(address).or_insert(None);
+    pub fn add_address(&mut self, address: SocketAddr, now: Millis) {
+        self.by_address.entry(address).or_insert(None);
+        self.listed_at.entry(address).or_insert(now);
     }
 
     /// Records the state of a node, received directly or through a hub. Returns the
@@ -92,7 +95,7 @@
             log::warn!(from:% = from, callers = state.callers.as_str(); "ignoring node state with an invalid caller address");
             return None;
         };
-        let before = self.peers.get(&from).and_then(Option::as_ref);
+        let before = self.by_address.get(&from).and_then(Option::as_ref);
         let direct = before.is_some_and(|before| {
             via_hub
                 && !before.via_hub
@@ -105,7 +108,7 @@
             last_heard: now,
             via_hub: via_hub && !direct,
         };
-        let before = self.peers.insert(from, Some(peer)).flatten();
+        let before = self.by_address.insert(from, Some(peer)).flatten();
         before
             .map(|before| before.state.incarnation)
             .filter(|incarnation| *incarnation != state.incarnation)
@@ -113,7 +116,7 @@
 
     /// Returns true if the node at this address is alive.
     pub fn is_alive_at(&self, address: SocketAddr, now: Millis) -> bool {
-        self.peers
+        self.by_address
             .get(&address)
             .and_then(Option::as_ref)
             .is_some_and(|peer| peer.is_alive(now))
@@ -121,12 +124,12 @@
 
     /// Returns the control address of the node that sends from this address.
     pub fn control_of(&self, address: SocketAddr) -> Option<SocketAddr> {
-        self.peers.get(&address)?.as_ref()?.control()
+        self.by_address.get(&address)?.as_ref()?.control()
     }
 
     /// Returns the nodes that are alive.
     pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Peer> {
-        self.peers
+        self.by_address
             .values()
             .flatten()
             .filter(move |peer| peer.is_alive(now))
@@ -142,7 +145,7 @@
     pub fn targets(&mut self, me: &NodeState, now: Millis) -> Targets {
         let silent = self.due_probes(now);
         let alive: Vec<(SocketAddr, &Peer)> = self
-            .peers
+            .by_address
             .iter()
             .filter_map(|(address, peer)| {
                 Some((*address, peer.as_ref().filter(|peer| peer.is_alive(now))?))
@@ -209,20 +212,20 @@
     }
 
     /// Returns the largest number of nodes that may share a limit now, including this
-    /// one.
+    /// one. A node that was listed a moment ago counts though it has not been heard yet.
     pub fn max_nodes_sharing(&self, now: Millis) -> usize {
-        1 + self
-            .peers
-            .values()
-            .flatten()
-            .filter(|peer| now <= peer.last_heard + LIMIT_SHARE_TTL_MS)
-            .count()
+        let others = self.by_address.iter().filter(|(address, peer)| {
+            let heard = peer.as_ref().map(|peer| peer.last_heard);
+            let since = heard.or(self.listed_at.get(*address).copied());
+            since.is_some_and(|since| now <= since + LIMIT_SHARE_TTL_MS)
+        });
+        1 + others.count()
     }
 
     /// Returns the share of the nodes that may be running, including this one, that are
     /// alive for this one. Nodes that announced their shutdown do not count.
     pub fn share_heard(&self, now: Millis) -> f64 {
-        let staying = self.peers.values().flatten();
+        let staying = self.by_address.values().flatten();
         let staying = staying.filter(|peer| !peer.state.leaving);
         let (mut heard, mut all) = (1.0, 1.0);
         for peer in staying.filter(|peer| now <= peer.last_heard + LIMIT_SHARE_TTL_MS) {
@@ -235,7 +238,7 @@
     /// Returns the addresses without a live node that are due to be probed again.
     fn due_probes(&mut self, now: Millis) -> Vec<SocketAddr> {
         let mut due = Vec::new();
-        for (address, peer) in &self.peers {
+        for (address, peer) in &self.by_address {
             let alive = peer.as_ref().is_some_and(|peer| peer.is_alive(now));
             let probed = self.probed_at.entry(*address).or_insert(0);
             if !alive && now >= *probed + PROBE_INTERVAL_MS {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -276,7 +276,7 @@
             Event::NodesListed(addresses) => {
                 for address in addresses {
                     if address != self.settings.gossip {
-                        self.peers.add_address(address);
+                        self.peers.add_address(address, now);
                     }
                 }
                 self.gossip_pending_at.get_or_insert(now);
