--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -285,7 +285,7 @@
     error: &CallError,
 ) -> AttemptOutcome {
     log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
-        parts = exchange.shared_parts().as_str(), error:% = error; "request to the endpoint failed");
+        fingerprint = exchange.fingerprint().as_str(), parts = exchange.shared_parts().as_str(), error:% = error; "request to the endpoint failed");
     match error {
         CallError::Connect(_) | CallError::ConnectTimeout | CallError::NotSent => {
             guard.end(RunEnd::NeverConnected);
@@ -325,7 +325,7 @@
         Ok(Ok(first)) => first,
         Ok(Err(error)) => {
             log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
-                parts = exchange.shared_parts().as_str(), error:% = error; "stream failed before its first event");
+                fingerprint = exchange.fingerprint().as_str(), parts = exchange.shared_parts().as_str(), error:% = error; "stream failed before its first event");
             guard.broken();
             return AttemptOutcome::NoResponse(RunEnd::Broken);
         }
@@ -335,7 +335,7 @@
         Some(_) => guard.first_token(head.weights),
         None if BodyFraming::of(&parts.headers) == BodyFraming::UntilClose => {
             log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
-                parts = exchange.shared_parts().as_str(); "connection closed before the first event");
+                fingerprint = exchange.fingerprint().as_str(), parts = exchange.shared_parts().as_str(); "connection closed before the first event");
             guard.broken();
             return AttemptOutcome::NoResponse(RunEnd::Broken);
         }
@@ -386,7 +386,8 @@
     let body = match collected {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) => {
-            log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = error; "response body failed");
+            log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
+                fingerprint = exchange.fingerprint().as_str(), error:% = error; "response body failed");
             guard.broken();
             return AttemptOutcome::NoResponse(RunEnd::Broken);
         }
@@ -399,7 +400,8 @@
         && let Err(cause) =
             body_end::check(context.dialect, &grant.endpoint, &parts.headers, 0).await
     {
-        log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, error:% = cause; "response body failed");
+        log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
+            fingerprint = exchange.fingerprint().as_str(), error:% = cause; "response body failed");
         guard.broken();
         return AttemptOutcome::NoResponse(RunEnd::Broken);
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 use crate::catalog::{Route, Workspace};
 use crate::control::Handle;
 use crate::dialect::{Dialect, RequestHead};
+use crate::fingerprint::Fingerprints;
 use crate::http_client::Pool;
 
 /// A caller's request with its whole body and everything known about it.
@@ -27,6 +28,8 @@
     pub body: Bytes,
     /// Values parsed from the headers.
     pub head: RequestHead,
+    /// What its repeats have in common.
+    pub fingerprints: Fingerprints,
     /// Route that the request matched.
     pub route: Arc<Route>,
     /// Service selected from the route's backends.
@@ -56,6 +59,11 @@
         ids.join(",")
     }
 
+    /// Fingerprint of the request without its prompt, for logs.
+    pub fn fingerprint(&self) -> String {
+        format!("{:016x}", self.fingerprints.request)
+    }
+
     /// True if the caller resumes a stream that it lost.
     pub fn resumes_stream(&self) -> bool {
         self.route.resumable && self.head.last_event.is_some()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod endpoint;
 pub mod event_stream;
 pub mod exchange;
+pub mod fingerprint;
 pub mod forward;
 pub mod gossip;
 pub mod http_client;
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -19,6 +19,7 @@
 use crate::control::begun_streams::request_key;
 use crate::dialect::RequestHead;
 use crate::exchange::{Exchange, ProxyContext};
+use crate::fingerprint::{Content, Fingerprints};
 use crate::forward::forward;
 use crate::metrics::Metrics;
 use crate::response::{ErrorReason, ResponseBody, error_response};
@@ -86,6 +87,15 @@
         .path_and_query()
         .cloned()
         .unwrap_or_else(|| PathAndQuery::from_static("/"));
+    let fingerprints = Fingerprints::of(&Content {
+        method: &parts.method,
+        host: host(&parts).unwrap_or_default(),
+        target: &target,
+        workspace: workspace.as_ref().map(|workspace| workspace.name.as_str()),
+        body: &body,
+        model: head.model.as_deref(),
+        parts: &head.parts,
+    });
     let exchange = Exchange {
         request_id: id,
         method: parts.method,
@@ -93,6 +103,7 @@
         headers: parts.headers,
         body,
         head,
+        fingerprints,
         route: route.clone(),
         service,
         workspace,
@@ -128,12 +139,14 @@
     error_response(reason, retry_after)
 }
 
+fn host(parts: &Parts) -> Option<&str> {
+    let host = parts.headers.get(HOST);
+    host.and_then(|host| host.to_str().ok())
+        .or_else(|| parts.uri.host())
+}
+
 fn find_route(catalog: &Catalog, parts: &Parts) -> Option<Arc<Route>> {
-    let host = parts
-        .headers
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| parts.uri.host())?;
+    let host = host(parts)?;
     catalog.routes.find(host, parts.uri.path()).cloned()
 }
 
