--- a/crates/cli/tests/soak/crashing_part.rs
+++ b/crates/cli/tests/soak/crashing_part.rs
@@ -42,7 +42,7 @@
             .iter()
             .map(|backend| &backend.engine)
     };
-    let crashes_before: usize = engines().map(|engine| engine.part_crashes().len()).sum();
+    let crashes_before: usize = engines().map(|engine| engine.crashes().len()).sum();
     engines().for_each(|engine| engine.set_crashing_part(Some(part)));
     let mut sent = Sent::new();
     let mut running = tokio::task::JoinSet::new();
@@ -100,7 +100,7 @@
             .map(|backend| &backend.engine)
     };
     let mut crashes: Vec<Instant> = engines()
-        .flat_map(Engine::part_crashes)
+        .flat_map(Engine::crashes)
         .filter(|crash| sent.contains_key(&crash.request))
         .map(|crash| crash.at)
         .collect();
--- a/crates/cli/tests/test_crashing_part.rs
+++ b/crates/cli/tests/test_crashing_part.rs
@@ -45,7 +45,7 @@
 
 fn crashes(site: &Site) -> usize {
     let engines = site.engines.iter();
-    engines.map(|engine| engine.part_crashes().len()).sum()
+    engines.map(|engine| engine.crashes().len()).sum()
 }
 
 fn wait_until_engines_are_back(site: &Site) {
