--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -30,7 +30,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
-use flamingolock_wire::gossip::{BegunStream, BuildHistory, SuspectParts};
+use flamingolock_wire::gossip::{BegunStream, BuildHistory, StoppedSuspects};
 use flamingolock_wire::topic_copies::CopiesRequest;
 use tokio::sync::{mpsc, oneshot};
 
@@ -40,7 +40,7 @@
 use crate::control::operator_records::OperatorUpdate;
 use crate::control::state::Control;
 use crate::control::stated_limits::Limit;
-use crate::control::suspects::CrashedRun;
+use crate::control::suspects::{CrashedRun, RunSubjects};
 use crate::copies::{Copies, Offer};
 use crate::dialect::{
     CachedPart, Dialect, EngineReport, KeyedRecord, OrderOutcome, PromptPart, WeightsOrder,
@@ -84,6 +84,8 @@
     pub prompt_tokens: u32,
     /// Maximum number of tokens in the answer.
     pub output_tokens: u32,
+    /// What crashes may speak against.
+    pub subjects: RunSubjects,
     /// Software versions that may serve it.
     pub build_rule: BuildRule,
     /// Endpoints that were already tried for this request.
@@ -143,9 +145,25 @@
         /// Earliest time at which the part may be tried again.
         until: Millis,
     },
+    /// The request crashes endpoints.
+    StoppedRequest {
+        /// When its caller may return; none if it must not.
+        until: Option<Millis>,
+    },
 }
 
 impl Refusal {
+    /// When the caller may return, if that is known.
+    pub fn until(self) -> Option<Millis> {
+        match self {
+            Self::AllPaused { until }
+            | Self::AllLimited { until }
+            | Self::StoppedPart { until } => Some(until),
+            Self::StoppedRequest { until } => until,
+            Self::NoEndpoint | Self::AllReloading | Self::Budget | Self::UnknownBuild => None,
+        }
+    }
+
     /// Label used in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -156,6 +174,7 @@
             Self::Budget => "budget",
             Self::UnknownBuild => "unknown_build",
             Self::StoppedPart { .. } => "stopped_part",
+            Self::StoppedRequest { .. } => "stopped_request",
         }
     }
 }
@@ -259,10 +278,10 @@
         /// Model of the request.
         model: Option<String>,
     },
-    /// A run ended with its engine before it brought an event.
+    /// A run ended with its endpoint before it brought an event.
     RunCrashed(CrashedRun),
-    /// A run with these shared prompt parts brought an event.
-    PartsAnswered(Vec<u64>),
+    /// A run with these subjects brought an event, or its whole response.
+    RunAnswered(RunSubjects),
     /// An endpoint asked something of this node in a response.
     Noticed(Arc<Endpoint>, Notice),
     /// An endpoint stated in a response how many requests a second it takes; none if it
@@ -309,9 +328,9 @@
     BuildsRead(BuildHistory),
     /// An append of the record of the software versions ended; true if it is stored.
     BuildsRecorded(bool),
-    /// The record of the stopped prompt parts was read when the node started.
-    SuspectsRead(SuspectParts),
-    /// An append of the record of the stopped prompt parts ended; true if it is stored.
+    /// The record of the stopped suspects was read when the node started.
+    SuspectsRead(StoppedSuspects),
+    /// An append of the record of the stopped suspects ended; true if it is stored.
     SuspectsRecorded(bool),
     /// A weight load order was answered, or its attempt ended without an answer.
     OrderAnswered(Box<WeightsOrder>, OrderOutcome),
@@ -353,8 +372,8 @@
     LeaseAppend(u64),
     /// Record the software versions that may have begun a stream.
     RecordBuilds(BuildHistory),
-    /// Record the prompt parts that are stopped.
-    RecordSuspects(SuspectParts),
+    /// Record the prompt parts and requests that are stopped.
+    RecordSuspects(StoppedSuspects),
     /// Send an order to an engine.
     SendOrder(Box<WeightsOrder>),
     /// Request an engine's report.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -36,6 +36,7 @@
 use crate::control::retry_budget::RetryBudget;
 use crate::control::rollout::{Rollout, Task};
 use crate::control::stated_limits::StatedLimits;
+use crate::control::suspect::Subject;
 use crate::control::suspects::Suspects;
 use crate::control::{Effect, Event, Placement, PlacementRequest, View};
 use crate::dialect::{Dialect, KeyedRecord, OrderOutcome, WeightsOrder};
@@ -97,7 +98,8 @@
     /// Time by which the callers that were refused because of limits are asked to return,
     /// by service.
     return_times: BTreeMap<Arc<str>, Millis>,
-    suspects: Suspects,
+    suspect_parts: Suspects,
+    suspect_requests: Suspects,
     suspects_record: SuspectsRecord,
     parts: CacheIndex,
     streams: BegunStreams,
@@ -175,7 +177,8 @@
             permits: Permits::default(),
             permit_issuer: PermitIssuer::default(),
             return_times: BTreeMap::new(),
-            suspects: Suspects::default(),
+            suspect_parts: Suspects::new(Subject::Part),
+            suspect_requests: Suspects::new(Subject::Request),
             suspects_record: SuspectsRecord::default(),
             parts: CacheIndex::default(),
             build_record: BuildRecord::default(),
@@ -245,7 +248,7 @@
                 model,
             } => self.run_ended(endpoint, run_number, &end, model.as_deref(), now),
             Event::RunCrashed(run) => self.run_crashed(&run, now),
-            Event::PartsAnswered(parts) => self.parts_answered(&parts, now),
+            Event::RunAnswered(subjects) => self.run_answered(&subjects, now),
             Event::SuspectsRead(recorded) => self.suspects_read(&recorded, now),
             Event::SuspectsRecorded(stored) => self.suspects_recorded(stored),
             Event::Noticed(endpoint, notice) => {
@@ -346,7 +349,8 @@
                 .forget_old(|key| self.fleet.contains_key(&key), now);
             self.forget_limits(now);
             self.record_builds(now);
-            self.suspects.forget_old(now);
+            self.suspect_parts.forget_old(now);
+            self.suspect_requests.forget_old(now);
             self.record_suspects(now);
         }
         let mut wake = now + MAX_TICK_INTERVAL_MS;
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -9,6 +9,7 @@
 use super::{Control, GOSSIP_INTERVAL_MS};
 use crate::clock::Millis;
 use crate::control::Effect;
+use crate::control::suspect::Subject;
 
 /// Maximum number of runs per datagram, which keeps it below the usual packet size.
 const MAX_DATAGRAM_RUNS: usize = 24;
@@ -19,7 +20,7 @@
 /// Maximum number of limits per datagram, for the same reason.
 const MAX_DATAGRAM_LIMITS: usize = 24;
 
-/// Maximum number of prompt parts per datagram, for the same reason.
+/// Maximum number of suspects of each kind per datagram, for the same reason.
 const MAX_DATAGRAM_SUSPECTS: usize = 8;
 
 /// Additional time for which a hub batches updates that it relays, in ms.
@@ -80,7 +81,8 @@
                 Vec::new()
             },
             builds: None,
-            suspects: self.suspects.take_news(now),
+            suspects: self.suspect_parts.take_news(now),
+            suspect_requests: self.suspect_requests.take_news(now),
             limits: self.limits.take_news(now),
             ..Gossip::default()
         };
@@ -113,15 +115,18 @@
         let mut runs = std::mem::take(&mut gossip.runs);
         let mut streams = std::mem::take(&mut gossip.streams);
         let mut suspects = std::mem::take(&mut gossip.suspects);
+        let mut requests = std::mem::take(&mut gossip.suspect_requests);
         let mut limits = std::mem::take(&mut gossip.limits);
         loop {
             let more_runs = runs.split_off(runs.len().min(MAX_DATAGRAM_RUNS));
             let more_streams = streams.split_off(streams.len().min(MAX_DATAGRAM_STREAMS));
             let more_suspects = suspects.split_off(suspects.len().min(MAX_DATAGRAM_SUSPECTS));
+            let more_requests = requests.split_off(requests.len().min(MAX_DATAGRAM_SUSPECTS));
             let more_limits = limits.split_off(limits.len().min(MAX_DATAGRAM_LIMITS));
             gossip.runs = runs;
             gossip.streams = streams;
             gossip.suspects = suspects;
+            gossip.suspect_requests = requests;
             gossip.limits = limits;
             let bytes = Bytes::from(gossip.encode_to_vec());
             self.effects
@@ -129,6 +134,7 @@
             if more_runs.is_empty()
                 && more_streams.is_empty()
                 && more_suspects.is_empty()
+                && more_requests.is_empty()
                 && more_limits.is_empty()
             {
                 return;
@@ -142,6 +148,7 @@
             runs = more_runs;
             streams = more_streams;
             suspects = more_suspects;
+            requests = more_requests;
             limits = more_limits;
         }
     }
@@ -205,7 +212,8 @@
         if let Some(builds) = &gossip.builds {
             self.listed_builds.learn(builds, now);
         }
-        self.merge_suspects(&gossip.suspects, now);
+        self.merge_suspects(Subject::Part, &gossip.suspects, now);
+        self.merge_suspects(Subject::Request, &gossip.suspect_requests, now);
         self.compare_copies(from, &gossip, now);
         for state in &gossip.heard {
             if let Ok(address) = state.gossip.parse()
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -48,7 +48,7 @@
     match refusal {
         Refusal::NoEndpoint => queued.request.build_rule == BuildRule::Any,
         Refusal::AllPaused { until } => until < queued.deadline,
-        Refusal::StoppedPart { .. } => false,
+        Refusal::StoppedPart { .. } | Refusal::StoppedRequest { .. } => false,
         _ => true,
     }
 }
@@ -145,7 +145,7 @@
         ahead: usize,
         now: Millis,
     ) -> Option<QueuedRequest> {
-        if let Some(refusal) = self.refusal_of_parts(&queued.request, now) {
+        if let Some(refusal) = self.refusal_of_suspects(&queued.request, now) {
             self.refuse(&queued.request, refusal, queued.reply);
             return None;
         }
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -82,7 +82,7 @@
     }
 
     /// Tells a node that has started, or was out of reach, which streams began, which
-    /// software versions were listed recently, which prompt parts may crash engines and which
+    /// software versions were listed recently, which prompt parts and requests may crash endpoints and which
     /// endpoints state limits. In fleets with hubs only these do so.
     pub(super) fn send_history(&mut self, node: SocketAddr, now: Millis) {
         if !(self.is_hub || self.peers.is_full_mesh(now)) {
@@ -96,7 +96,8 @@
             sender: Some(self.own_state(now)),
             streams,
             builds,
-            suspects: self.suspects.list(now),
+            suspects: self.suspect_parts.list(now),
+            suspect_requests: self.suspect_requests.list(now),
             limits: self.limits.list(now),
             relayed: true,
             ..Gossip::default()
--- a/crates/gateway/src/control/state/suspects.rs
+++ b/crates/gateway/src/control/state/suspects.rs
@@ -1,116 +1,178 @@
-//! Prompt parts that may crash engines: what this node and others saw, and the record of
-//! the stopped ones in the store.
+//! Prompt parts and requests that may crash endpoints: what this node and others saw, and
+//! the record of the stopped ones in the store.
 
-use flamingolock_wire::gossip::{SuspectPart, SuspectParts};
+use flamingolock_wire::gossip::{StoppedSuspects, SuspectRecord};
 
 use super::Control;
 use crate::clock::Millis;
-use crate::control::suspects::{Clearance, CrashedRun};
+use crate::control::suspect::Subject;
+use crate::control::suspects::{Clearance, CrashedRun, RunSubjects, Suspects};
 use crate::control::{Effect, PlacementRequest, Refusal};
 use crate::metrics::EventKind;
 
-/// Minimum interval between two records of the stopped parts, in ms.
+/// Minimum interval between two records of the stopped suspects, in ms.
 const RECORD_INTERVAL_MS: Millis = 1_000;
 
-/// The record of the stopped parts, kept in the store for the case that all nodes end.
+/// Ids of the stopped parts, and fingerprints of the stopped requests.
+type StoppedIds = (Vec<u64>, Vec<u64>);
+
+/// The record of the stopped suspects, kept in the store for the case that all nodes end.
 #[derive(Debug, Default)]
 pub struct SuspectsRecord {
-    /// Ids of the parts in the store's record, as far as this node knows.
-    stored: Vec<u64>,
-    /// Ids in the last append, and its time.
-    appended: Option<(Vec<u64>, Millis)>,
+    /// What the store's record holds, as far as this node knows.
+    stored: StoppedIds,
+    /// Content of the last append, and its time.
+    appended: Option<(StoppedIds, Millis)>,
+}
+
+fn ids(suspects: &[SuspectRecord]) -> Vec<u64> {
+    suspects.iter().map(|suspect| suspect.id).collect()
 }
 
-fn ids(parts: &[SuspectPart]) -> Vec<u64> {
-    parts.iter().map(|part| part.part).collect()
+fn stopped_ids(stopped: &StoppedSuspects) -> StoppedIds {
+    (ids(&stopped.parts), ids(&stopped.requests))
 }
 
-fn hex(part: u64) -> String {
-    format!("{part:x}")
+fn hex(ids: &[u64]) -> String {
+    let ids: Vec<String> = ids.iter().map(|id| format!("{id:x}")).collect();
+    ids.join(",")
+}
+
+fn event_kind(subject: Subject) -> EventKind {
+    match subject {
+        Subject::Part => EventKind::PromptPart,
+        Subject::Request => EventKind::CrashingRequest,
+    }
 }
 
 impl Control {
-    /// Handles a run that ended with its engine before it brought an event.
+    fn suspects_mut(&mut self, subject: Subject) -> &mut Suspects {
+        match subject {
+            Subject::Part => &mut self.suspect_parts,
+            Subject::Request => &mut self.suspect_requests,
+        }
+    }
+
+    /// Handles a run that ended with its endpoint before it brought an event.
     pub(super) fn run_crashed(&mut self, run: &CrashedRun, now: Millis) {
-        let before = ids(&self.suspects.stopped());
-        let against = self.suspects.record_crash(run, now);
-        let parts: Vec<String> = against.iter().map(|part| hex(*part)).collect();
-        log::info!(engine = run.engine, begun = run.begun, sent_ms = now.saturating_sub(run.sent_at),
-            parts = parts.join(",").as_str(); "crash speaks against prompt parts");
-        self.note_stopped(&before);
+        for subject in [Subject::Part, Subject::Request] {
+            let suspects = self.suspects_mut(subject);
+            let before = ids(&suspects.stopped());
+            let against = suspects.record_crash(run, now);
+            if !against.is_empty() {
+                log::info!(engine = run.engine, begun = run.begun, sent_ms = now.saturating_sub(run.sent_at),
+                    subject = subject.as_str(), ids = hex(&against).as_str(); "crash speaks against its runs");
+            }
+            self.note_stopped(subject, &before);
+        }
         self.gossip_pending_at.get_or_insert(now);
     }
 
-    /// Handles the first event of a run.
-    pub(super) fn parts_answered(&mut self, parts: &[u64], now: Millis) {
-        for part in self.suspects.record_answer(parts, now) {
-            self.metrics.count(EventKind::PromptPart, "cleared");
-            log::warn!(part = hex(part).as_str(); "prompt part is sound; requests with it are sent again");
-        }
-        if self.suspects.has_news() {
-            self.gossip_pending_at.get_or_insert(now);
+    /// Handles the first event of a run, or its whole response.
+    pub(super) fn run_answered(&mut self, subjects: &RunSubjects, now: Millis) {
+        for subject in [Subject::Part, Subject::Request] {
+            let suspects = self.suspects_mut(subject);
+            for id in suspects.record_answer(subjects.of(subject), now) {
+                self.metrics.count(event_kind(subject), "cleared");
+                log::warn!(subject = subject.as_str(), id = hex(&[id]).as_str(); "suspect is sound; requests with it are sent again");
+            }
         }
+        self.gossip_suspects(now);
     }
 
     /// Merges the evidence of another node.
-    pub(super) fn merge_suspects(&mut self, parts: &[SuspectPart], now: Millis) {
-        if parts.is_empty() {
+    pub(super) fn merge_suspects(
+        &mut self,
+        subject: Subject,
+        records: &[SuspectRecord],
+        now: Millis,
+    ) {
+        if records.is_empty() {
             return;
         }
-        let before = ids(&self.suspects.stopped());
-        for part in parts {
-            self.suspects.merge(part, self.is_hub, now);
+        let is_hub = self.is_hub;
+        let suspects = self.suspects_mut(subject);
+        let before = ids(&suspects.stopped());
+        for record in records {
+            suspects.merge(record, is_hub, now);
         }
-        self.note_stopped(&before);
-        if self.suspects.has_news() {
+        self.note_stopped(subject, &before);
+        self.gossip_suspects(now);
+    }
+
+    fn gossip_suspects(&mut self, now: Millis) {
+        if self.suspect_parts.has_news() || self.suspect_requests.has_news() {
             self.gossip_pending_at.get_or_insert(now);
         }
     }
 
-    fn note_stopped(&mut self, before: &[u64]) {
-        for part in self.suspects.stopped() {
-            if !before.contains(&part.part) {
-                self.metrics.count(EventKind::PromptPart, "stopped");
-                log::warn!(part = hex(part.part).as_str(), crashes = part.crashes.len();
-                    "prompt part crashes engines; requests with it are refused");
+    fn note_stopped(&mut self, subject: Subject, before: &[u64]) {
+        for record in self.suspects_mut(subject).stopped() {
+            if !before.contains(&record.id) {
+                self.metrics.count(event_kind(subject), "stopped");
+                log::warn!(subject = subject.as_str(), id = hex(&[record.id]).as_str(), crashes = record.crashes.len();
+                    "suspect crashes endpoints; requests with it are refused");
             }
         }
     }
 
-    /// Returns why a request must not be sent because of its prompt parts, if so.
-    pub(super) fn refusal_of_parts(
+    /// Returns why a request must not be sent because of its prompt parts, or because it
+    /// crashes endpoints, if so.
+    pub(super) fn refusal_of_suspects(
         &mut self,
         request: &PlacementRequest,
         now: Millis,
     ) -> Option<Refusal> {
-        let (_, shared) = request.parts.split_last()?;
-        if !shared.iter().any(|part| self.suspects.contains(part.id)) {
+        let own = &request.subjects;
+        let is_suspect = own.parts.iter().any(|id| self.suspect_parts.contains(*id))
+            || own
+                .requests
+                .iter()
+                .any(|id| self.suspect_requests.contains(*id));
+        if !is_suspect {
             return None;
         }
         let may_try = self.rank(now) == 0;
-        let parts = shared.iter().map(|part| part.id);
-        match self
-            .suspects
-            .clearance(parts, may_try, request.is_retry, now)
-        {
+        [Subject::Part, Subject::Request]
+            .into_iter()
+            .find_map(|subject| self.refusal_of(subject, request, may_try, now))
+    }
+
+    fn refusal_of(
+        &mut self,
+        subject: Subject,
+        request: &PlacementRequest,
+        may_try: bool,
+        now: Millis,
+    ) -> Option<Refusal> {
+        let ids = request.subjects.of(subject).iter().copied();
+        let suspects = self.suspects_mut(subject);
+        match suspects.clearance(ids, may_try, request.is_retry, now) {
             Clearance::Clear => None,
-            Clearance::Trial(part) => {
-                log::warn!(request = &*request.id, part = hex(part).as_str(); "one request tries a stopped prompt part");
+            Clearance::Trial(id) => {
+                log::warn!(request = &*request.id, subject = subject.as_str(), id = hex(&[id]).as_str(); "one request tries a stopped suspect");
                 None
             }
-            Clearance::Stopped(part, until) => {
-                log::info!(request = &*request.id, part = hex(part).as_str(),
-                    pause_ms = until.saturating_sub(now); "request has a stopped prompt part");
-                Some(Refusal::StoppedPart { until })
+            Clearance::Stopped(id, until) => {
+                log::info!(request = &*request.id, subject = subject.as_str(), id = hex(&[id]).as_str(),
+                    pause_ms = until.map(|until| until.saturating_sub(now)); "request has a stopped suspect");
+                Some(match subject {
+                    Subject::Part => Refusal::StoppedPart {
+                        until: until.unwrap_or(now),
+                    },
+                    Subject::Request => Refusal::StoppedRequest { until },
+                })
             }
         }
     }
 
     /// Handles the record that the node found when it started.
-    pub(super) fn suspects_read(&mut self, recorded: &SuspectParts, now: Millis) {
-        log::info!(parts = recorded.parts.len(); "read the recorded prompt parts that crash engines");
-        self.suspects_record.stored = ids(&recorded.parts);
-        self.merge_suspects(&recorded.parts, now);
+    pub(super) fn suspects_read(&mut self, recorded: &StoppedSuspects, now: Millis) {
+        log::info!(parts = recorded.parts.len(), requests = recorded.requests.len();
+            "read the recorded suspects that crash endpoints");
+        self.suspects_record.stored = stopped_ids(recorded);
+        self.merge_suspects(Subject::Part, &recorded.parts, now);
+        self.merge_suspects(Subject::Request, &recorded.requests, now);
     }
 
     /// Handles the end of an append of the record.
@@ -120,7 +182,7 @@
         }
     }
 
-    /// Records the stopped parts if they have changed. Of all nodes only the one of the
+    /// Records the stopped suspects if they have changed. Of all nodes only the one of the
     /// first rank does so.
     pub(super) fn record_suspects(&mut self, now: Millis) {
         let appended = self.suspects_record.appended.as_ref();
@@ -128,14 +190,16 @@
         if waits || self.store_unreachable || self.shutdown_at.is_some() || self.rank(now) > 0 {
             return;
         }
-        let parts = self.suspects.stopped();
-        let ids = ids(&parts);
+        let stopped = StoppedSuspects {
+            parts: self.suspect_parts.stopped(),
+            requests: self.suspect_requests.stopped(),
+        };
+        let ids = stopped_ids(&stopped);
         if ids == self.suspects_record.stored {
             return;
         }
-        log::info!(parts = ids.len(); "recording the prompt parts that crash engines");
+        log::info!(parts = ids.0.len(), requests = ids.1.len(); "recording the suspects that crash endpoints");
         self.suspects_record.appended = Some((ids, now));
-        self.effects
-            .push(Effect::RecordSuspects(SuspectParts { parts }));
+        self.effects.push(Effect::RecordSuspects(stopped));
     }
 }
--- a/crates/gateway/src/control/suspect.rs
+++ b/crates/gateway/src/control/suspect.rs
@@ -1,8 +1,8 @@
-//! Evidence against one prompt part.
+//! Evidence against one prompt part or request.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use flamingolock_wire::gossip::{PartCrash, SuspectPart};
+use flamingolock_wire::gossip::{CrashRecord, SuspectRecord};
 
 use crate::clock::Millis;
 
@@ -10,33 +10,95 @@
 /// begins to answer is in that state.
 pub const BEGUN_EVIDENCE: u32 = 4;
 
-/// Evidence from which on a part is stopped.
+/// Evidence from which on a suspect is stopped.
 pub const STOP_EVIDENCE: u32 = 3 * BEGUN_EVIDENCE;
 
-/// Time after the last crash after which one request may show whether a stopped part is
-/// sound now, in ms; doubled by each of them that crashes an engine.
-const TRIAL_PAUSE_MS: Millis = 60_000;
-
-/// Maximum number of doublings of that time.
+/// Maximum number of doublings of the pause between two trials.
 const MAX_DOUBLINGS: u32 = 6;
 
-/// Maximum number of crashes that are kept for a part.
+/// Maximum number of crashes that are kept for a suspect.
 const MAX_CRASHES: usize = 32;
 
-/// A crash of one incarnation of an engine that ended a run with the part.
+/// What crashes may speak against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// A part of prompts.
+    Part,
+    /// A request that comes again.
+    Request,
+}
+
+/// How crashes speak against one kind of subject.
+#[derive(Debug)]
+pub struct Policy {
+    /// Evidence of a crash whose run had no response yet.
+    pub waiting_evidence: u32,
+    /// Time after the last crash after which one request may show whether a stopped subject
+    /// is sound now, in ms; doubled by each of them that crashes an endpoint.
+    pub trial_pause_ms: Millis,
+    /// Number of crashes from which on no request does so; none for no end.
+    pub max_crashes: Option<usize>,
+    /// True if callers are told when to return.
+    pub invites: bool,
+    /// Maximum number of subjects that are remembered as answered.
+    pub max_answered: usize,
+    /// Time for which a stopped subject is remembered that nobody asks for, in ms; none for
+    /// good.
+    pub retention_ms: Option<Millis>,
+}
+
+/// A run may have waited behind others, or lost its connection and not its engine.
+const PARTS: Policy = Policy {
+    waiting_evidence: 1,
+    trial_pause_ms: 60_000,
+    max_crashes: None,
+    invites: true,
+    max_answered: 8_192,
+    retention_ms: None,
+};
+
+/// No other request has the same fingerprint, so that fewer are hit by a wrong verdict.
+const REQUESTS: Policy = Policy {
+    waiting_evidence: BEGUN_EVIDENCE,
+    trial_pause_ms: 10_000,
+    max_crashes: Some(5),
+    invites: false,
+    max_answered: 16_384,
+    retention_ms: Some(3_600_000),
+};
+
+impl Subject {
+    /// How crashes speak against it.
+    pub fn policy(self) -> &'static Policy {
+        match self {
+            Self::Part => &PARTS,
+            Self::Request => &REQUESTS,
+        }
+    }
+
+    /// Label used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Part => "part",
+            Self::Request => "request",
+        }
+    }
+}
+
+/// A crash of one incarnation of an endpoint that ended a run with the suspect.
 #[derive(Clone, Copy, Debug)]
 pub struct Crash {
     /// When the request was sent.
     pub sent_at: Millis,
     /// When the run ended.
     pub at: Millis,
-    /// How much it speaks against the part.
+    /// How much it speaks against the suspect.
     pub evidence: u32,
-    /// True if a run with the part has brought an event since.
+    /// True if a run with the suspect has brought an event since.
     pub cleared: bool,
 }
 
-/// What is known of one part.
+/// What is known of one suspect.
 #[derive(Clone, Debug, Default)]
 pub struct Suspect {
     /// Crashes by incarnation of the engine.
@@ -45,7 +107,7 @@
     pub is_news: bool,
     /// When the evidence changed.
     pub changed_at: Millis,
-    /// When a request was sent to try the part, while its outcome is open.
+    /// When a request was sent to try the suspect, while its outcome is open.
     pub tried_at: Option<Millis>,
     failed_trials: u32,
 }
@@ -66,15 +128,19 @@
         sums.max().unwrap_or(0)
     }
 
-    /// True if no request with the part is sent.
+    /// True if no request with the suspect is sent.
     pub fn is_stopped(&self) -> bool {
         self.evidence() >= STOP_EVIDENCE
     }
 
-    /// When a request may try the part again.
-    pub fn next_trial(&self) -> Millis {
+    /// When a request may try the suspect again, if ever.
+    pub fn next_trial(&self, policy: &Policy) -> Option<Millis> {
+        let crashes = self.crashes.values().filter(|crash| !crash.cleared).count();
         let since = self.last_crash().max(self.tried_at).unwrap_or(0);
-        since + (TRIAL_PAUSE_MS << self.failed_trials.min(MAX_DOUBLINGS))
+        policy
+            .max_crashes
+            .is_none_or(|most| crashes < most)
+            .then(|| since + (policy.trial_pause_ms << self.failed_trials.min(MAX_DOUBLINGS)))
     }
 
     /// Time of the newest crash.
@@ -87,14 +153,14 @@
         self.crashes.get(&engine)
     }
 
-    /// Records that a run with the part ended a trial by a crash, if there was one.
+    /// Records that a run with the suspect ended a trial by a crash, if there was one.
     pub fn trial_failed(&mut self) {
         if self.tried_at.take().is_some() {
             self.failed_trials += 1;
         }
     }
 
-    /// Records that a run with the part brought an event.
+    /// Records that a run with the suspect brought an event.
     pub fn clear(&mut self, now: Millis) {
         for crash in self.crashes.values_mut().filter(|crash| !crash.cleared) {
             crash.cleared = true;
@@ -145,16 +211,16 @@
     }
 
     /// Encodes the evidence; ages count until `now`.
-    pub fn to_wire(&self, part: u64, now: Millis) -> SuspectPart {
-        let crashes = self.crashes.iter().map(|(engine, crash)| PartCrash {
+    pub fn to_wire(&self, id: u64, now: Millis) -> SuspectRecord {
+        let crashes = self.crashes.iter().map(|(engine, crash)| CrashRecord {
             engine: *engine,
             age_ms: now.saturating_sub(crash.at),
             sent_before_ms: crash.at.saturating_sub(crash.sent_at) as u32,
             evidence: crash.evidence,
             cleared: crash.cleared,
         });
-        SuspectPart {
-            part,
+        SuspectRecord {
+            id,
             crashes: crashes.collect(),
         }
     }
--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -1,53 +1,65 @@
-//! Prompt parts that may crash engines.
+//! Prompt parts and requests that may crash endpoints.
 //!
-//! A run that ends with its engine before it brought an event speaks against its shared
-//! parts, less against those that were answered earlier; a run that brought an event
-//! speaks for all of its parts. A part that several crashes in a row have in common, and
-//! for which nothing speaks since, is stopped: requests with it are refused.
+//! A run that ends with its endpoint before it brought an event speaks against its shared
+//! parts and against the request, less against what was answered earlier; a run that
+//! brought an event speaks for all of them. What several crashes in a row have in common,
+//! and for which nothing speaks since, is stopped: requests with it are refused.
 //!
 //! Each node keeps the evidence of all nodes. It only grows, so that nodes may exchange it
 //! in any order and more than once.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use flamingolock_wire::gossip::SuspectPart;
+use flamingolock_wire::gossip::SuspectRecord;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
-use crate::control::suspect::{BEGUN_EVIDENCE, Crash, STOP_EVIDENCE, Suspect};
+use crate::control::suspect::{BEGUN_EVIDENCE, Crash, STOP_EVIDENCE, Subject, Suspect};
 
-/// Evidence of a crash whose run had no response yet: it may have waited behind others, or
-/// the connection was lost and not the engine.
-const WAITING_EVIDENCE: u32 = 1;
-
-/// Divisor of the evidence against a part that was answered before.
+/// Divisor of the evidence against a subject that was answered before.
 const ANSWERED_DIVISOR: u32 = 2;
 
-/// Evidence from which on no request with a part is sent a second time.
+/// Evidence from which on no request with a suspect is sent a second time.
 const RETRY_EVIDENCE: u32 = 2 * BEGUN_EVIDENCE;
 
-/// Maximum number of parts that are remembered as answered.
-const MAX_ANSWERED: usize = 8_192;
-
-/// Maximum number of parts with evidence.
-const MAX_PARTS: usize = 512;
+/// Maximum number of suspects.
+const MAX_SUSPECTS: usize = 512;
 
-/// Time for which evidence against a part that is not stopped is kept, in ms.
+/// Time for which evidence against a suspect that is not stopped is kept, in ms.
 const RETENTION_MS: Millis = 600_000;
 
-/// Time for which a part is kept that nothing speaks against any more, in ms.
+/// Time for which a suspect is kept that nothing speaks against any more, in ms.
 const CLEARED_RETENTION_MS: Millis = 30_000;
 
-/// Interval at which parts that several crashes speak against are reported again, in ms.
+/// Interval at which suspects that several crashes speak against are reported again, in ms.
 const REPORT_INTERVAL_MS: Millis = 1_000;
 
-/// A run that ended with its engine before it brought an event.
+/// What a run may have in common with others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunSubjects {
+    /// Ids of the prompt parts that other requests may share.
+    pub parts: Vec<u64>,
+    /// Fingerprints of the request.
+    pub requests: Vec<u64>,
+}
+
+impl RunSubjects {
+    /// Ids of the subjects of one kind.
+    pub fn of(&self, subject: Subject) -> &[u64] {
+        match subject {
+            Subject::Part => &self.parts,
+            Subject::Request => &self.requests,
+        }
+    }
+}
+
+/// A run that ended with its endpoint before it brought an event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashedRun {
-    /// Identifies the incarnation of the engine.
+    /// Identifies the incarnation of the endpoint.
     pub engine: u64,
-    /// Ids of the prompt parts that other requests may share.
-    pub parts: Vec<u64>,
+    /// What it may have in common with others.
+    pub subjects: RunSubjects,
     /// When the request was sent.
     pub sent_at: Millis,
     /// True if the response had begun.
@@ -57,54 +69,72 @@
 /// Whether a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Clearance {
-    /// No part of it is stopped.
+    /// Nothing of it is stopped.
     Clear,
-    /// It may show whether a stopped part is sound now.
+    /// It may show whether a stopped suspect is sound now.
     Trial(u64),
-    /// It must not be sent because of this part. One that was not sent before may be from
-    /// this time on.
-    Stopped(u64, Millis),
+    /// It must not be sent because of this suspect. One that was not sent before may be
+    /// from this time on, if there is one.
+    Stopped(u64, Option<Millis>),
 }
 
-/// Parts that crashes speak against.
-#[derive(Debug, Default)]
+/// Subjects of one kind that crashes speak against.
+#[derive(Debug)]
 pub struct Suspects {
-    parts: BTreeMap<u64, Suspect>,
-    /// Parts that were answered, and their order.
+    subject: Subject,
+    by_id: BTreeMap<u64, Suspect>,
+    /// Subjects that were answered, and their order.
     answered: BTreeSet<u64>,
     answered_order: VecDeque<u64>,
     reported_at: Millis,
 }
 
 impl Suspects {
-    /// Records a run that ended with its engine. Returns the parts that it speaks against:
-    /// if one of them is stopped already, only that one.
+    /// Knows no evidence.
+    pub fn new(subject: Subject) -> Self {
+        Self {
+            subject,
+            by_id: BTreeMap::new(),
+            answered: BTreeSet::new(),
+            answered_order: VecDeque::new(),
+            reported_at: 0,
+        }
+    }
+
+    /// What the evidence speaks against.
+    pub fn subject(&self) -> Subject {
+        self.subject
+    }
+
+    /// Records a run that ended with its endpoint. Returns what it speaks against: if one
+    /// of its subjects is stopped already, only that one.
     pub fn record_crash(&mut self, run: &CrashedRun, now: Millis) -> Vec<u64> {
-        let stopped = |part: &u64| self.parts.get(part).is_some_and(Suspect::is_stopped);
-        let mut parts: Vec<u64> = run.parts.iter().copied().filter(stopped).collect();
-        if parts.is_empty() {
-            parts.clone_from(&run.parts);
+        let all = run.subjects.of(self.subject);
+        let stopped = |id: &u64| self.by_id.get(id).is_some_and(Suspect::is_stopped);
+        let mut ids: Vec<u64> = all.iter().copied().filter(stopped).collect();
+        if ids.is_empty() {
+            ids = all.to_vec();
         }
         let evidence = if run.begun {
             BEGUN_EVIDENCE
         } else {
-            WAITING_EVIDENCE
+            self.subject.policy().waiting_evidence
         };
-        for part in &parts {
+        for id in &ids {
             let crash = Crash {
                 sent_at: run.sent_at,
                 at: now,
-                evidence: if self.answered.contains(part) {
+                evidence: if self.answered.contains(id) {
                     evidence.div_ceil(ANSWERED_DIVISOR)
                 } else {
                     evidence
                 },
                 cleared: false,
             };
-            let suspect = self.parts.entry(*part).or_default();
+            let suspect = self.by_id.entry(*id).or_default();
             let known = suspect.crash_of(run.engine);
             let engine = match known {
-                // The engine has started again, and its new entry is not known yet.
+                // The endpoint has started again, and its new entry is not known yet.
                 Some(known) if run.begun && run.sent_at >= known.at => {
                     xxh3_64_with_seed(&run.engine.to_be_bytes(), now)
                 }
@@ -114,37 +144,37 @@
             suspect.trial_failed();
         }
         self.limit_size();
-        parts
+        ids
     }
 
-    /// Records that a run with these parts brought an event. Returns the stopped parts
+    /// Records that a run with these subjects brought an event. Returns the stopped ones
     /// that it clears.
-    pub fn record_answer(&mut self, parts: &[u64], now: Millis) -> Vec<u64> {
+    pub fn record_answer(&mut self, ids: &[u64], now: Millis) -> Vec<u64> {
         let mut cleared = Vec::new();
-        for part in parts {
-            self.remember_answered(*part);
-            let Some(suspect) = self.parts.get_mut(part) else {
+        for id in ids {
+            self.remember_answered(*id);
+            let Some(suspect) = self.by_id.get_mut(id) else {
                 continue;
             };
             if suspect.is_stopped() {
-                cleared.push(*part);
+                cleared.push(*id);
             }
             suspect.clear(now);
         }
         cleared
     }
 
-    /// True if a crash speaks against the part, or did so a moment ago.
-    pub fn contains(&self, part: u64) -> bool {
-        self.parts.contains_key(&part)
+    /// True if a crash speaks against this, or did so a moment ago.
+    pub fn contains(&self, id: u64) -> bool {
+        self.by_id.contains_key(&id)
     }
 
-    /// Decides whether a request with these parts may be sent. `may_try` is true at the
-    /// one node that may try a stopped part; `is_retry` is true if the request reached an
-    /// engine before.
+    /// Decides whether a request with these subjects may be sent. `may_try` is true at the
+    /// one node that may try a stopped one; `is_retry` is true if the request reached an
+    /// endpoint before.
     pub fn clearance(
         &mut self,
-        parts: impl Iterator<Item = u64>,
+        ids: impl Iterator<Item = u64>,
         may_try: bool,
         is_retry: bool,
         now: Millis,
@@ -154,31 +184,32 @@
         } else {
             STOP_EVIDENCE
         };
-        for part in parts {
-            let Some(suspect) = self.parts.get_mut(&part) else {
+        let policy = self.subject.policy();
+        for id in ids {
+            let Some(suspect) = self.by_id.get_mut(&id) else {
                 continue;
             };
             if suspect.evidence() < limit {
                 continue;
             }
-            let next_trial = suspect.next_trial();
-            if may_try && !is_retry && now >= next_trial {
+            let next_trial = suspect.next_trial(policy);
+            if may_try && !is_retry && next_trial.is_some_and(|at| now >= at) {
                 suspect.tried_at = Some(now);
-                return Clearance::Trial(part);
+                return Clearance::Trial(id);
             }
-            let until = if suspect.is_stopped() {
-                next_trial.max(now)
-            } else {
-                now
-            };
-            return Clearance::Stopped(part, until);
+            if !suspect.is_stopped() {
+                return Clearance::Stopped(id, Some(now));
+            }
+            suspect.changed_at = now;
+            let until = next_trial.filter(|_| policy.invites);
+            return Clearance::Stopped(id, until.map(|until| until.max(now)));
         }
         Clearance::Clear
     }
 
     /// Merges the evidence of another node. `is_relay` is true if this node passes news on.
-    pub fn merge(&mut self, remote: &SuspectPart, is_relay: bool, now: Millis) {
-        let suspect = self.parts.entry(remote.part).or_default();
+    pub fn merge(&mut self, remote: &SuspectRecord, is_relay: bool, now: Millis) {
+        let suspect = self.by_id.entry(remote.id).or_default();
         let mut changed = false;
         let mut sender_lacks = false;
         for crash in &remote.crashes {
@@ -199,63 +230,64 @@
 
     /// True if there is something to tell other nodes.
     pub fn has_news(&self) -> bool {
-        self.parts.values().any(|suspect| suspect.is_news)
+        self.by_id.values().any(|suspect| suspect.is_news)
     }
 
     /// Returns what other nodes have to be told now: what has changed, and now and then
-    /// the parts that several crashes speak against.
-    pub fn take_news(&mut self, now: Millis) -> Vec<SuspectPart> {
+    /// the suspects that several crashes speak against.
+    pub fn take_news(&mut self, now: Millis) -> Vec<SuspectRecord> {
         let is_report = now >= self.reported_at + REPORT_INTERVAL_MS;
         if is_report {
             self.reported_at = now;
         }
-        let parts = self.parts.iter_mut();
-        parts
-            .filter_map(|(part, suspect)| {
+        let suspects = self.by_id.iter_mut();
+        suspects
+            .filter_map(|(id, suspect)| {
                 let is_news = std::mem::take(&mut suspect.is_news);
                 (is_news || (is_report && suspect.evidence() > BEGUN_EVIDENCE))
-                    .then(|| suspect.to_wire(*part, now))
+                    .then(|| suspect.to_wire(*id, now))
             })
             .collect()
     }
 
     /// Returns all evidence, for a node that has started.
-    pub fn list(&self, now: Millis) -> Vec<SuspectPart> {
-        let parts = self.parts.iter();
-        parts
-            .map(|(part, suspect)| suspect.to_wire(*part, now))
+    pub fn list(&self, now: Millis) -> Vec<SuspectRecord> {
+        let suspects = self.by_id.iter();
+        suspects
+            .map(|(id, suspect)| suspect.to_wire(*id, now))
             .collect()
     }
 
-    /// Returns the stopped parts. Ages count from the last crash of each.
-    pub fn stopped(&self) -> Vec<SuspectPart> {
+    /// Returns the stopped suspects. Ages count from the last crash of each.
+    pub fn stopped(&self) -> Vec<SuspectRecord> {
         let stopped = self
-            .parts
+            .by_id
             .iter()
             .filter(|(_, suspect)| suspect.is_stopped());
         stopped
-            .map(|(part, suspect)| suspect.to_wire(*part, suspect.last_crash().unwrap_or(0)))
+            .map(|(id, suspect)| suspect.to_wire(*id, suspect.last_crash().unwrap_or(0)))
             .collect()
     }
 
     /// Forgets old evidence.
     pub fn forget_old(&mut self, now: Millis) {
-        self.parts.retain(|_, suspect| {
+        let stopped_retention = self.subject.policy().retention_ms;
+        self.by_id.retain(|_, suspect| {
             let retention = match suspect.evidence() {
-                0 => CLEARED_RETENTION_MS,
-                STOP_EVIDENCE.. => return true,
-                _ => RETENTION_MS,
+                0 => Some(CLEARED_RETENTION_MS),
+                STOP_EVIDENCE.. => stopped_retention,
+                _ => Some(RETENTION_MS),
             };
-            now < suspect.changed_at + retention
+            retention.is_none_or(|retention| now < suspect.changed_at + retention)
         });
     }
 
-    fn remember_answered(&mut self, part: u64) {
-        if !self.answered.insert(part) {
+    fn remember_answered(&mut self, id: u64) {
+        if !self.answered.insert(id) {
             return;
         }
-        self.answered_order.push_back(part);
-        if self.answered_order.len() > MAX_ANSWERED
+        self.answered_order.push_back(id);
+        if self.answered_order.len() > self.subject.policy().max_answered
             && let Some(oldest) = self.answered_order.pop_front()
         {
             self.answered.remove(&oldest);
@@ -263,14 +295,14 @@
     }
 
     fn limit_size(&mut self) {
-        while self.parts.len() > MAX_PARTS {
+        while self.by_id.len() > MAX_SUSPECTS {
             let weakest = self
-                .parts
+                .by_id
                 .iter()
                 .min_by_key(|(_, suspect)| (suspect.evidence(), suspect.changed_at))
-                .map(|(part, _)| *part);
-            if let Some(part) = weakest {
-                self.parts.remove(&part);
+                .map(|(id, _)| *id);
+            if let Some(id) = weakest {
+                self.by_id.remove(&id);
             }
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 
 use crate::catalog::{Route, Workspace};
 use crate::control::Handle;
+use crate::control::suspects::RunSubjects;
 use crate::dialect::{Dialect, RequestHead};
 use crate::fingerprint::Fingerprints;
 use crate::http_client::Pool;
@@ -52,7 +53,15 @@
         })
     }
 
-    /// The same, for logs.
+    /// What crashes of endpoints may speak against.
+    pub fn subjects(&self) -> RunSubjects {
+        RunSubjects {
+            parts: self.shared_part_ids(),
+            requests: self.fingerprints.ids(),
+        }
+    }
+
+    /// Ids of the shared parts, for logs.
     pub fn shared_parts(&self) -> String {
         let ids = self.shared_part_ids();
         let ids: Vec<String> = ids.iter().map(|id| format!("{id:x}")).collect();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -48,6 +48,8 @@
     /// Time left of the pause that all endpoints have asked for, or until a prompt part may
     /// be tried again.
     pause: Duration,
+    /// True if the request is not sent any more because it crashes endpoints.
+    is_stopped: bool,
     /// Error response of an endpoint, returned if no other endpoint succeeds.
     fallback: Option<BufferedResponse>,
 }
@@ -90,6 +92,7 @@
             workspace: workspace.map(|workspace| workspace.name.clone()),
             priority: priority.unwrap_or(exchange.route.priority),
             parts: exchange.head.parts.clone(),
+            subjects: exchange.subjects(),
             prompt_tokens: exchange.head.prompt_tokens,
             output_tokens: exchange.head.output_tokens,
             build_rule: self.build_rule(exchange),
@@ -113,10 +116,8 @@
         let grant = match retry_state.place(&exchange, &context).await {
             Ok(grant) => grant,
             Err(refusal) => {
-                if let Refusal::AllPaused { until }
-                | Refusal::AllLimited { until }
-                | Refusal::StoppedPart { until } = refusal
-                {
+                retry_state.is_stopped = refusal == Refusal::StoppedRequest { until: None };
+                if let Some(until) = refusal.until() {
                     retry_state.pause = Duration::from_millis(until.saturating_sub(now()));
                 }
                 return give_up(
@@ -211,6 +212,7 @@
         Refusal::AllReloading => "all engines are loading weights",
         Refusal::Budget => "retry budget exhausted",
         Refusal::StoppedPart { .. } => "a prompt part of it crashes engines",
+        Refusal::StoppedRequest { .. } => "it crashes endpoints",
         Refusal::UnknownBuild => "unknown which software version began the stream",
     }
 }
@@ -257,13 +259,13 @@
         }
         return response::error_response(ErrorReason::Failed, None);
     }
-    let (reason, retry_after) = if retry_state.possible_runs == 0 {
-        (
-            ErrorReason::NotRun,
-            Some(RETRY_AFTER.max(retry_state.pause)),
-        )
-    } else {
+    let (reason, retry_after) = if retry_state.possible_runs > 0 {
         (ErrorReason::Failed, None)
+    } else if retry_state.is_stopped {
+        (ErrorReason::CrashesEndpoints, None)
+    } else {
+        let pause = RETRY_AFTER.max(retry_state.pause);
+        (ErrorReason::NotRun, Some(pause))
     };
     log_given_up(exchange, retry_state, reason, cause);
     response::error_response(reason, retry_after)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     Copies,
     /// A verdict on a prompt part.
     PromptPart,
+    /// A verdict on a request that may crash endpoints.
+    CrashingRequest,
     /// A permit for an endpoint that states a limit of requests.
     Permit,
 }
@@ -98,7 +100,7 @@
             );
             registry.register(
                 "events",
-                "Placements, ends of runs, orders, store calls, transfers, verdicts on prompt parts, permits",
+                "Placements, ends of runs, orders, store calls, transfers, verdicts on prompt parts and requests, permits",
                 metrics.events.clone(),
             );
             registry.register(
@@ -154,6 +156,7 @@
             EventKind::StoreCall => "store_call",
             EventKind::Copies => "copies",
             EventKind::PromptPart => "prompt_part",
+            EventKind::CrashingRequest => "crashing_request",
             EventKind::Permit => "permit",
         };
         self.events
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -43,6 +43,8 @@
     BodyBroken,
     /// The request has not run: no endpoint can take it now.
     NotRun,
+    /// The request has not run, and will not: it crashed the endpoints that ran it before.
+    CrashesEndpoints,
     /// The request may have run, but no endpoint returned a usable response.
     Failed,
     /// The request may have run, and its deadline has passed.
@@ -53,7 +55,9 @@
     /// HTTP status of the response. 503 is used only for requests that have not run.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::Leaving | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Leaving | Self::NotRun | Self::CrashesEndpoints => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::NoChunks => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
@@ -75,6 +79,7 @@
             Self::TooLarge => "too_large",
             Self::BodyBroken => "body_broken",
             Self::NotRun => "not_run",
+            Self::CrashesEndpoints => "crashes_endpoints",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
         }
--- a/crates/gateway/src/run_guard.rs
+++ b/crates/gateway/src/run_guard.rs
@@ -19,8 +19,8 @@
     model: Option<String>,
     /// Stream that begins with the run, if it may be resumed.
     stream: Option<BegunStream>,
-    /// What the run says of its prompt parts if it ends with its engine now; none once it
-    /// has brought an event.
+    /// What the run says of its prompt parts and its request if it ends with its endpoint
+    /// now; none once it has brought an event.
     crash: Option<CrashedRun>,
     open: bool,
 }
@@ -42,11 +42,10 @@
             }),
             crash: Some(CrashedRun {
                 engine: grant.endpoint.incarnation(),
-                parts: exchange.shared_part_ids(),
+                subjects: exchange.subjects(),
                 sent_at: now(),
                 begun: false,
-            })
-            .filter(|run| !run.parts.is_empty()),
+            }),
             open: true,
         }
     }
@@ -61,7 +60,7 @@
     /// Records that the run has brought a whole event, or its whole response.
     pub fn answered(&mut self) {
         if let Some(crash) = self.crash.take() {
-            self.handle.send(Event::PartsAnswered(crash.parts));
+            self.handle.send(Event::RunAnswered(crash.subjects));
         }
     }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use flamingolock_gateway::control::operator_records::OperatorUpdate;
 use flamingolock_gateway::control::state::Control;
+use flamingolock_gateway::control::suspects::RunSubjects;
 use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, PlacementRequest, View};
 use flamingolock_gateway::copies::{Copies, Offer};
 use flamingolock_gateway::dialect::{KeyedRecord, PromptPart};
@@ -260,6 +261,10 @@
 
 /// Returns a request with two shared parts and one of its own.
 pub fn placement_request(isolated_workspace: Option<&str>, id: u64) -> PlacementRequest {
+    let subjects = RunSubjects {
+        parts: vec![id, id + 1],
+        requests: vec![1_000_000 + id],
+    };
     PlacementRequest {
         id: "r".into(),
         service: "engines".into(),
@@ -267,6 +272,7 @@
         isolated_workspace: isolated_workspace.map(ToOwned::to_owned),
         workspace: None,
         priority: 1,
+        subjects,
         parts: [(id, 500), (id + 1, 4_000), (id + 2, 1_000)]
             .map(|(id, tokens)| PromptPart { id, tokens })
             .to_vec(),
--- a/crates/gateway/tests/test_suspect_gossip.rs
+++ b/crates/gateway/tests/test_suspect_gossip.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 
 use common::{Harness, placement_request};
-use flamingolock_gateway::control::suspects::CrashedRun;
+use flamingolock_gateway::control::suspects::{CrashedRun, RunSubjects};
 use flamingolock_gateway::control::{Effect, Event, Refusal};
-use flamingolock_wire::gossip::{Gossip, PartCrash, SuspectPart};
+use flamingolock_wire::gossip::{CrashRecord, Gossip, SuspectRecord};
 use prost::Message;
 
 /// The first part of the request with id 1 of the harness.
@@ -18,7 +18,10 @@
     for number in 0..count {
         let run = CrashedRun {
             engine: from + number,
-            parts: vec![PART],
+            subjects: RunSubjects {
+                parts: vec![PART],
+                requests: Vec::new(),
+            },
             sent_at: from + number * 1_000,
             begun: true,
         };
@@ -29,7 +32,7 @@
 }
 
 /// What the node sends about prompt parts, and to whom.
-fn sent(effects: &[Effect]) -> Vec<(Vec<SocketAddr>, SuspectPart)> {
+fn sent(effects: &[Effect]) -> Vec<(Vec<SocketAddr>, SuspectRecord)> {
     let mut sent = Vec::new();
     for effect in effects {
         if let Effect::SendDatagram(to, bytes) = effect {
@@ -46,16 +49,16 @@
     placed.expect("a decision").err()
 }
 
-fn stopped_part() -> SuspectPart {
-    let crashes = (0..3).map(|number| PartCrash {
+fn stopped_part() -> SuspectRecord {
+    let crashes = (0..3).map(|number| CrashRecord {
         engine: number,
         age_ms: 3_000 - number * 1_000,
         sent_before_ms: 100,
         evidence: 4,
         cleared: false,
     });
-    SuspectPart {
-        part: PART,
+    SuspectRecord {
+        id: PART,
         crashes: crashes.collect(),
     }
 }
@@ -70,7 +73,7 @@
     let mut other = Harness::with_engines(2, 0);
     seeing.datagram(5, Gossip::default(), 900);
     crashes(&mut seeing, 3, 1_000);
-    let parts: Vec<SuspectPart> = sent(&seeing.effects(3_200))
+    let parts: Vec<SuspectRecord> = sent(&seeing.effects(3_200))
         .into_iter()
         .map(|(_, part)| part)
         .collect();
@@ -116,5 +119,5 @@
     harness.effects(1_200);
     harness.datagram(9, Gossip::default(), 5_000);
     let told = sent(&harness.effects(5_010));
-    assert!(told.iter().any(|(_, part)| part.part == PART), "{told:?}");
+    assert!(told.iter().any(|(_, part)| part.id == PART), "{told:?}");
 }
--- a/crates/gateway/tests/test_suspects.rs
+++ b/crates/gateway/tests/test_suspects.rs
@@ -1,7 +1,8 @@
 //! Prompt parts that crash engines: which evidence stops a part, and what clears it.
 
-use flamingolock_gateway::control::suspects::{Clearance, CrashedRun, Suspects};
-use flamingolock_wire::gossip::SuspectPart;
+use flamingolock_gateway::control::suspect::Subject;
+use flamingolock_gateway::control::suspects::{Clearance, CrashedRun, RunSubjects, Suspects};
+use flamingolock_wire::gossip::SuspectRecord;
 use proptest::prelude::*;
 
 /// A part that other requests have as well, and one that crashes engines.
@@ -11,7 +12,10 @@
 fn run(engine: u64, parts: &[u64], sent_at: u64) -> CrashedRun {
     CrashedRun {
         engine,
-        parts: parts.to_vec(),
+        subjects: RunSubjects {
+            parts: parts.to_vec(),
+            requests: Vec::new(),
+        },
         sent_at,
         begun: true,
     }
@@ -27,7 +31,7 @@
 
 fn stopped(suspects: &Suspects) -> Vec<u64> {
     let parts = suspects.stopped();
-    parts.into_iter().map(|part| part.part).collect()
+    parts.into_iter().map(|part| part.id).collect()
 }
 
 fn clearance(suspects: &mut Suspects, part: u64, may_try: bool, now: u64) -> Clearance {
@@ -36,7 +40,7 @@
 
 #[test]
 fn third_crash_in_a_row_stops_the_part_that_was_never_answered() {
-    let mut suspects = Suspects::default();
+    let mut suspects = Suspects::new(Subject::Part);
     suspects.record_answer(&[COMMON], 0);
     crash_in_turn(&mut suspects, &[COMMON, CULPRIT], 2, 1_000);
     assert!(stopped(&suspects).is_empty());
@@ -46,7 +50,7 @@
 
 #[test]
 fn engines_that_crash_at_the_same_moment_stop_no_part() {
-    let mut suspects = Suspects::default();
+    let mut suspects = Suspects::new(Subject::Part);
     for engine in 0..20 {
         suspects.record_crash(&run(engine, &[COMMON], 1_000 + engine), 1_200 + engine);
     }
@@ -56,7 +60,7 @@
 /// Many requests with the part run at the same time, and one engine after another crashes.
 #[test]
 fn part_is_stopped_soon_though_engines_crash_at_a_high_rate() {
-    let mut suspects = Suspects::default();
+    let mut suspects = Suspects::new(Subject::Part);
     for number in 0..40 {
         let sent_at = 1_000 + number * 50;
         suspects.record_crash(&run(number, &[CULPRIT], sent_at), sent_at + 300);
@@ -67,7 +71,7 @@
 /// Engines that go down and up, or lose connections, have not begun to answer.
 #[test]
 fn runs_that_had_no_response_stop_no_part_where_engines_go_down_and_up() {
-    let mut suspects = Suspects::default();
+    let mut suspects = Suspects::new(Subject::Part);
     for number in 0..60 {
         let mut run = run(number % 6, &[CULPRIT], 1_000 + number * 100);
         run.begun = false;
@@ -78,7 +82,7 @@
 
 #[test]
 fn runs_that_had_no_response_do_not_hide_those_that_had_begun() {
-    let mut suspects = Suspects::default();
+    let mut suspects = Suspects::new(Subject::Part);
     for number in 0..3 {
         let sent_at = 1_000 + number * 1_000;
         let mut waiting = run(100 + number, &[CULPRIT], sent_at);
@@ -91,7 +95,7 @@
 
 #[test]
 fn run_that_brings_an_event_clears_the_parts_it_has() {
-    let mut suspects = Suspects::default();
+    let mut suspects = Suspects::new(Subject::Part);
     for round in 0..10 {
         crash_in_turn(&mut suspects, &[COMMON], 2, round * 10_000);
         suspects.record_answer(&[COMMON], round * 10_000 + 5_000);
@@ -105,7 +109,7 @@
 
 #[test]
 fn request_is_not_sent_again_after_the_second_crash_of_its_part() {
-    let mut suspects = Suspects::default();
+    let mut suspects = Suspects::new(Subject::Part);
     let retry =
         |suspects: &mut Suspects| suspects.clearance([CULPRIT].into_iter(), false, true, 5_000);
     crash_in_turn(&mut suspects, &[CULPRIT], 1, 1_000);
@@ -121,7 +125,7 @@
 
 #[test]
 fn stopped_part_is_tried_by_one_node_and_ever_more_rarely() {
-    let mut suspects = Suspects::default();
+    let mut suspects = Suspects::new(Subject::Part);
     crash_in_turn(&mut suspects, &[CULPRIT], 3, 1_000);
     let mut trials = Vec::new();
     for now in (4_000..1_000_000).step_by(1_000) {
@@ -145,7 +149,7 @@
 
 #[test]
 fn evidence_against_many_parts_takes_bounded_memory_and_keeps_the_stopped_ones() {
-    let mut suspects = Suspects::default();
+    let mut suspects = Suspects::new(Subject::Part);
     crash_in_turn(&mut suspects, &[CULPRIT], 3, 1_000);
     for number in 0..10_000 {
         let parts = [100_000 + number];
@@ -159,7 +163,7 @@
 /// A node that still holds a part for crashing is told that it was cleared.
 #[test]
 fn clearing_reaches_a_node_that_missed_it() {
-    let (mut one, mut other) = (Suspects::default(), Suspects::default());
+    let (mut one, mut other) = (Suspects::new(Subject::Part), Suspects::new(Subject::Part));
     crash_in_turn(&mut one, &[CULPRIT], 3, 1_000);
     for part in one.take_news(4_000) {
         other.merge(&part, false, 4_000);
@@ -177,7 +181,7 @@
     assert!(stopped(&other).is_empty());
 }
 
-fn deliver(to: &mut Suspects, parts: &[SuspectPart], now: u64) {
+fn deliver(to: &mut Suspects, parts: &[SuspectRecord], now: u64) {
     for part in parts {
         to.merge(part, false, now);
     }
@@ -189,7 +193,7 @@
     fn nodes_agree_once_they_have_the_same_evidence(
         events in prop::collection::vec((0..3_usize, 0..4_u64, any::<bool>()), 1..40),
     ) {
-        let mut nodes: [Suspects; 3] = Default::default();
+        let mut nodes = [(); 3].map(|()| Suspects::new(Subject::Part));
         for (number, (node, part, is_crash)) in events.into_iter().enumerate() {
             let now = 1_000 + number as u64 * 1_000;
             if is_crash {
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -42,7 +42,7 @@
     /// News of prompt parts that may crash engines. To a node that has just started, all
     /// that the sender knows.
     #[prost(message, repeated, tag = "11")]
-    pub suspects: Vec<SuspectPart>,
+    pub suspects: Vec<SuspectRecord>,
     /// News of the limits that endpoints state. To a node that has just started, all that
     /// the sender knows.
     #[prost(message, repeated, tag = "12")]
@@ -53,6 +53,9 @@
     /// Answers a request for a permit. Such a datagram has no sender.
     #[prost(message, optional, tag = "14")]
     pub permit_answer: Option<PermitAnswer>,
+    /// News of requests that may crash endpoints, like that of prompt parts.
+    #[prost(message, repeated, tag = "15")]
+    pub suspect_requests: Vec<SuspectRecord>,
 }
 
 /// Asks the issuer for a permit to send one request to an endpoint.
@@ -99,29 +102,33 @@
     pub age_ms: u32,
 }
 
-/// Prompt parts that nodes keep in the store.
+/// What nodes keep in the store of stopped prompt parts and requests. Ages count from the
+/// last crash of each.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct SuspectParts {
-    /// The parts; ages count from the last crash of each.
+pub struct StoppedSuspects {
+    /// The prompt parts.
     #[prost(message, repeated, tag = "1")]
-    pub parts: Vec<SuspectPart>,
+    pub parts: Vec<SuspectRecord>,
+    /// The requests.
+    #[prost(message, repeated, tag = "2")]
+    pub requests: Vec<SuspectRecord>,
 }
 
-/// A prompt part with which runs ended when their engine crashed.
+/// A prompt part or a request with which runs ended when their endpoint crashed.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct SuspectPart {
-    /// Id of the part.
+pub struct SuspectRecord {
+    /// Id of the part, or fingerprint of the request.
     #[prost(fixed64, tag = "1")]
-    pub part: u64,
+    pub id: u64,
     /// The crashes.
     #[prost(message, repeated, tag = "2")]
-    pub crashes: Vec<PartCrash>,
+    pub crashes: Vec<CrashRecord>,
 }
 
-/// A crash of one incarnation of an engine that ended a run with the part.
+/// A crash of one incarnation of an endpoint that ended a run with the suspect.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct PartCrash {
-    /// Identifies the incarnation of the engine.
+pub struct CrashRecord {
+    /// Identifies the incarnation of the endpoint.
     #[prost(fixed64, tag = "1")]
     pub engine: u64,
     /// Time since the crash, in milliseconds.
@@ -130,10 +137,10 @@
     /// Time from the sending of the request to the crash, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub sent_before_ms: u32,
-    /// How much it speaks against the part.
+    /// How much it speaks against the suspect.
     #[prost(uint32, tag = "4")]
     pub evidence: u32,
-    /// True if a run with the part has brought an event since.
+    /// True if a run with the suspect has brought an event since.
     #[prost(bool, tag = "5")]
     pub cleared: bool,
 }
