--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -76,9 +76,9 @@
     pub nodes: Vec<Mutex<Node>>,
     /// Addresses of each node: front listener and directory.
     pub addresses: Vec<(std::net::SocketAddr, std::net::SocketAddr)>,
-    /// Number of prompt parts that have crashed engines; locked for writing while one
-    /// does, and for reading while an endpoint drains.
-    pub crashing_parts: tokio::sync::RwLock<u64>,
+    /// Number of prompt parts and requests that have crashed endpoints; locked for writing
+    /// while one does, and for reading while an endpoint drains.
+    pub culprits: tokio::sync::RwLock<u64>,
     faults: Mutex<Vec<Fault>>,
     violations: Mutex<Vec<String>>,
     event_log: Mutex<Vec<String>>,
@@ -160,7 +160,7 @@
             backends,
             nodes: nodes.into_iter().map(Mutex::new).collect(),
             addresses,
-            crashing_parts: tokio::sync::RwLock::default(),
+            culprits: tokio::sync::RwLock::default(),
             faults: Mutex::default(),
             violations: Mutex::default(),
             event_log: Mutex::default(),
--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -12,7 +12,8 @@
 
 use crate::soak::checks;
 use crate::soak::cluster::{Backend, Cluster, ENDPOINTS, Scope};
-use crate::soak::{crashing_part, limits};
+use crate::soak::crashes::{self, Culprit};
+use crate::soak::limits;
 
 /// Delay longer than any run, so that no byte arrives in the delayed direction.
 const BLACKHOLE_DELAY_MS: u64 = 3_600_000;
@@ -60,6 +61,7 @@
     StoreLinkNarrow,
     EndpointLimit,
     EngineLimits,
+    CrashingRequest,
 }
 
 impl Disruption {
@@ -105,7 +107,13 @@
     ];
 
     /// Drawn as well by seeds from [`FIRST_LATEST_SEED`] on.
-    const LATEST: [Self; 3] = [Self::EndpointLimit, Self::EndpointLimit, Self::EngineLimits];
+    const LATEST: [Self; 5] = [
+        Self::EndpointLimit,
+        Self::EndpointLimit,
+        Self::EngineLimits,
+        Self::CrashingRequest,
+        Self::CrashingRequest,
+    ];
 
     fn choose(seed: u64, rng: &mut ChaCha8Rng) -> Self {
         let mut all = Self::ALL.to_vec();
@@ -148,7 +156,10 @@
                     publish_weights(cluster, weights);
                 }
                 Disruption::CrashingPart => {
-                    running.spawn(crashing_part::send(cluster.clone()));
+                    running.spawn(crashes::send(cluster.clone(), Culprit::Part));
+                }
+                Disruption::CrashingRequest => {
+                    running.spawn(crashes::send(cluster.clone(), Culprit::Request));
                 }
                 Disruption::EndpointLimit => {
                     running.spawn(limits::state(cluster.clone(), index..index + 1, time));
@@ -277,6 +288,7 @@
         | Disruption::Configuration
         | Disruption::Weights
         | Disruption::CrashingPart
+        | Disruption::CrashingRequest
         | Disruption::EndpointLimit
         | Disruption::EngineLimits => {}
     }
@@ -379,7 +391,7 @@
         return;
     }
     // Engines that crash write their entries again.
-    let Ok(_no_crashes) = cluster.crashing_parts.try_read() else {
+    let Ok(_no_crashes) = cluster.culprits.try_read() else {
         return;
     };
     let backend = &cluster.backends[index];
--- a/crates/cli/tests/soak/mod.rs
+++ b/crates/cli/tests/soak/mod.rs
@@ -4,7 +4,7 @@
 mod callers;
 mod checks;
 mod cluster;
-mod crashing_part;
+mod crashes;
 mod disruptions;
 mod limits;
 
--- a/crates/cli/tests/test_soak.rs
+++ b/crates/cli/tests/test_soak.rs
@@ -92,9 +92,9 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
-/// Endpoints state limits of requests as well, up to all engines at a time.
+/// Endpoints state limits, up to all engines at a time, and requests crash endpoints.
 #[test]
-fn promises_hold_while_endpoints_state_limits() {
+fn promises_hold_under_limits_of_endpoints_and_requests_that_crash_them() {
     let violations = run_seeds(801..803, Duration::from_secs(10));
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
