gateway: split datagrams and the selection of endpoints into small functions

One place takes from a message what does not fit into a datagram, where five lists were each taken, split and put back.

--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -26,6 +26,30 @@
 /// Additional time for which a hub batches updates that it relays, in ms.
 const HUB_BATCH_MS: Millis = 8;
 
+/// Takes from a message what does not fit into one datagram.
+fn split_off_rest(gossip: &mut Gossip) -> Option<Gossip> {
+    let rest = Gossip {
+        sender: gossip.sender.clone(),
+        relayed: gossip.relayed,
+        runs: split_off(&mut gossip.runs, MAX_DATAGRAM_RUNS),
+        streams: split_off(&mut gossip.streams, MAX_DATAGRAM_STREAMS),
+        suspects: split_off(&mut gossip.suspects, MAX_DATAGRAM_SUSPECTS),
+        suspect_requests: split_off(&mut gossip.suspect_requests, MAX_DATAGRAM_SUSPECTS),
+        limits: split_off(&mut gossip.limits, MAX_DATAGRAM_LIMITS),
+        ..Gossip::default()
+    };
+    let is_empty = rest.runs.is_empty()
+        && rest.streams.is_empty()
+        && rest.suspects.is_empty()
+        && rest.suspect_requests.is_empty()
+        && rest.limits.is_empty();
+    (!is_empty).then_some(rest)
+}
+
+fn split_off<T>(list: &mut Vec<T>, most: usize) -> Vec<T> {
+    list.split_off(list.len().min(most))
+}
+
 impl Control {
     pub(super) fn queue_run_update(&mut self, run: Run, now: Millis) {
         self.outgoing_runs.push(run);
@@ -112,44 +136,15 @@
         if addresses.is_empty() {
             return;
         }
-        let mut runs = std::mem::take(&mut gossip.runs);
-        let mut streams = std::mem::take(&mut gossip.streams);
-        let mut suspects = std::mem::take(&mut gossip.suspects);
-        let mut requests = std::mem::take(&mut gossip.suspect_requests);
-        let mut limits = std::mem::take(&mut gossip.limits);
         loop {
-            let more_runs = runs.split_off(runs.len().min(MAX_DATAGRAM_RUNS));
-            let more_streams = streams.split_off(streams.len().min(MAX_DATAGRAM_STREAMS));
-            let more_suspects = suspects.split_off(suspects.len().min(MAX_DATAGRAM_SUSPECTS));
-            let more_requests = requests.split_off(requests.len().min(MAX_DATAGRAM_SUSPECTS));
-            let more_limits = limits.split_off(limits.len().min(MAX_DATAGRAM_LIMITS));
-            gossip.runs = runs;
-            gossip.streams = streams;
-            gossip.suspects = suspects;
-            gossip.suspect_requests = requests;
-            gossip.limits = limits;
+            let rest = split_off_rest(&mut gossip);
             let bytes = Bytes::from(gossip.encode_to_vec());
             self.effects
                 .push(Effect::SendDatagram(addresses.to_vec(), bytes));
-            if more_runs.is_empty()
-                && more_streams.is_empty()
-                && more_suspects.is_empty()
-                && more_requests.is_empty()
-                && more_limits.is_empty()
-            {
-                return;
+            match rest {
+                Some(rest) => gossip = rest,
+                None => return,
             }
-            gossip.reloads.clear();
-            gossip.faults.clear();
-            gossip.heard.clear();
-            gossip.operator = None;
-            gossip.endpoints = None;
-            gossip.builds = None;
-            runs = more_runs;
-            streams = more_streams;
-            suspects = more_suspects;
-            requests = more_requests;
-            limits = more_limits;
         }
     }
 
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -42,6 +42,14 @@
 /// Number of output tokens from which on stalls of an answer are noticeable.
 const LONG_ANSWER_TOKENS: u32 = 16;
 
+/// Result of the selection of an endpoint.
+enum Selection {
+    Endpoint(EndpointKey, Estimate),
+    /// The request waits for the answer of the issuer of permits.
+    AwaitPermit,
+    Refused(Refusal),
+}
+
 /// True if waiting until its deadline may help a refused request. Engines of a software
 /// version that is not listed any more do not come back soon.
 fn may_change(refusal: Refusal, queued: &QueuedRequest) -> bool {
@@ -149,19 +157,8 @@
             self.refuse(&queued.request, refusal, queued.reply);
             return None;
         }
-        // Each round without a permit closes one more endpoint.
-        let selected = loop {
-            match self.select_endpoint(&queued.request, now) {
-                Ok((key, estimate)) => match self.permit_step(&queued.request, key, now) {
-                    PermitStep::Send => break Ok((key, estimate)),
-                    PermitStep::Wait => return Some(queued),
-                    PermitStep::SelectAgain => {}
-                },
-                Err(refusal) => break Err(refusal),
-            }
-        };
-        match selected {
-            Ok((key, estimate)) => {
+        match self.select_permitted(&queued.request, now) {
+            Selection::Endpoint(key, estimate) => {
                 let grant = self.grant(&queued.request, key, &estimate, now);
                 let number = grant.run_number;
                 self.metrics.count(EventKind::Placement, "granted");
@@ -170,15 +167,38 @@
                 }
                 None
             }
-            Err(Refusal::AllLimited { .. }) => self.wait_for_turn(queued, ahead, now),
-            Err(refusal) if now < queued.deadline && may_change(refusal, &queued) => Some(queued),
-            Err(refusal) => {
+            Selection::AwaitPermit => Some(queued),
+            Selection::Refused(Refusal::AllLimited { .. }) => {
+                self.wait_for_turn(queued, ahead, now)
+            }
+            Selection::Refused(refusal)
+                if now < queued.deadline && may_change(refusal, &queued) =>
+            {
+                Some(queued)
+            }
+            Selection::Refused(refusal) => {
                 self.refuse(&queued.request, refusal, queued.reply);
                 None
             }
         }
     }
 
+    /// Selects the best endpoint for which this node has a permit, if it needs one.
+    fn select_permitted(&mut self, request: &PlacementRequest, now: Millis) -> Selection {
+        // Each round without a permit closes one more endpoint.
+        loop {
+            let (key, estimate) = match self.select_endpoint(request, now) {
+                Ok(selected) => selected,
+                Err(refusal) => return Selection::Refused(refusal),
+            };
+            match self.permit_step(request, key, now) {
+                PermitStep::Send => return Selection::Endpoint(key, estimate),
+                PermitStep::Wait => return Selection::AwaitPermit,
+                PermitStep::SelectAgain => {}
+            }
+        }
+    }
+
     /// Returns a request that begins before its deadline though all endpoints have limits;
     /// refuses any other at once.
     fn wait_for_turn(
--- a/crates/gateway/src/control/suspect.rs
+++ b/crates/gateway/src/control/suspect.rs
@@ -47,7 +47,8 @@
     pub retention_ms: Option<Millis>,
 }
 
-/// A run may have waited behind others, or lost its connection and not its engine.
+/// Policy for prompt parts, which sound requests share. A run without a response may have
+/// waited behind others, or have lost its connection and not its engine.
 const PARTS: Policy = Policy {
     waiting_evidence: 1,
     trial_pause_ms: 60_000,
@@ -57,7 +58,8 @@
     retention_ms: None,
 };
 
-/// No other request has the same fingerprint, so that fewer are hit by a wrong verdict.
+/// Policy for requests. A wrong verdict hits only repeats of one request, so fewer crashes
+/// are enough.
 const REQUESTS: Policy = Policy {
     waiting_evidence: BEGUN_EVIDENCE,
     trial_pause_ms: 10_000,
--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -101,11 +101,6 @@
         }
     }
 
-    /// What the evidence speaks against.
-    pub fn subject(&self) -> Subject {
-        self.subject
-    }
-
     /// Records a run that ended with its endpoint. Returns what it speaks against: if one
     /// of its subjects is stopped already, only that one.
     pub fn record_crash(&mut self, run: &CrashedRun, now: Millis) -> Vec<u64> {
