--- a/crates/gateway/src/control/state/limits.rs
+++ b/crates/gateway/src/control/state/limits.rs
@@ -80,8 +80,7 @@
     }
 
     fn limit_changed(&mut self, key: EndpointKey, limit: Option<f64>, source: &str) {
-        let id = self.fleet.get(&key).map(|state| state.endpoint.id.clone());
-        log::info!(endpoint = id.as_deref().unwrap_or("unlisted"), limit, source;
+        log::info!(endpoint = self.id_of(key), limit, source;
             "endpoint stated a limit of requests, or none any more");
         if limit.is_none() {
             self.permits.remove(key);
@@ -90,6 +89,12 @@
         self.metrics.set_limited_endpoints(self.limits.count());
     }
 
+    /// Id of an endpoint, for logs.
+    fn id_of(&self, key: EndpointKey) -> &str {
+        let state = self.fleet.get(&key);
+        state.map_or("unlisted", |state| &state.endpoint.id)
+    }
+
     /// True if this node may issue permits.
     pub(super) fn issues_permits(&self, now: Millis) -> bool {
         let knows_nodes = |since: Millis| now >= since + ISSUER_DELAY_MS;
@@ -225,7 +230,7 @@
             }
             Some(_) => PermitDecision::Wait(NO_ISSUER_PAUSE_MS),
         };
-        log::info!(node:% = from, number = request.number, endpoint = request.endpoint, limit = per_second, decision:? = decision;
+        log::info!(node:% = from, number = request.number, endpoint = self.id_of(request.endpoint), limit = per_second, decision:? = decision;
             "decided on a permit for another node");
         let wait_ms = match decision {
             PermitDecision::Granted => None,
@@ -267,7 +272,7 @@
             PermitDecision::Wait(_) => "denied",
         };
         self.metrics.count(EventKind::Permit, outcome);
-        log::info!(endpoint, number, decision:? = decision, took_ms; "permit granted or denied");
+        log::info!(endpoint = self.id_of(endpoint), number, decision:? = decision, took_ms; "permit granted or denied");
     }
 
     /// Gives up asks for permits whose issuer does not answer.
@@ -275,7 +280,7 @@
         for endpoint in self.permits.give_up_asks(now) {
             self.metrics.count(EventKind::Permit, "unanswered");
             let issuer = self.issuer_of(endpoint, now);
-            log::warn!(endpoint, issuer:? = issuer; "issuer of permits does not answer");
+            log::warn!(endpoint = self.id_of(endpoint), issuer:? = issuer; "issuer of permits does not answer");
         }
     }
 
