--- a/crates/gateway/tests/test_suspect_gossip.rs
+++ b/crates/gateway/tests/test_suspect_gossip.rs
@@ -121,3 +121,35 @@
     let told = sent(&harness.effects(5_010));
     assert!(told.iter().any(|(_, part)| part.id == PART), "{told:?}");
 }
+
+/// In large fleets a request comes again at nodes of other zones.
+#[test]
+fn request_that_crashed_endpoints_elsewhere_is_refused_by_nodes_behind_hubs() {
+    let mut hub = Harness::with_engines(2, 0);
+    let mut node = Harness::with_engines(2, 0);
+    for number in 0..20 {
+        let incarnation = 100 + u64::from(number);
+        hub.datagram_from(node_address(number), incarnation, Gossip::default(), 1_000);
+    }
+    hub.effects(1_010);
+    let request = placement_request(None, PART).subjects.requests[0];
+    let record = SuspectRecord {
+        id: request,
+        ..stopped_part()
+    };
+    let gossip = Gossip {
+        suspect_requests: vec![record],
+        ..Gossip::default()
+    };
+    hub.datagram_from(node_address(3), 103, gossip, 1_100);
+    for effect in hub.effects(1_110) {
+        if let Effect::SendDatagram(to, bytes) = effect
+            && to.contains(&node_address(7))
+        {
+            let gossip = Gossip::decode(bytes).expect("a datagram");
+            node.datagram_from(node_address(9), 109, gossip, 1_120);
+        }
+    }
+    let refused = refusal(&mut node, 1_130);
+    assert_eq!(refused, Some(Refusal::StoppedRequest { until: None }));
+}
