--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -9,14 +9,14 @@
 
 use crate::entry_site::{Node, site_configuration};
 
-/// Number of nodes.
-const NODES: usize = 3;
-
-/// Number of nodes from [`FIRST_LARGE_SEED`] on.
-const MORE_NODES: usize = 6;
-
-/// First seed with [`MORE_NODES`].
-const FIRST_LARGE_SEED: u64 = 800;
+/// Number of nodes. From 18 on one of them, the hub, passes on news.
+fn node_count(seed: u64) -> usize {
+    match seed {
+        ..800 => 3,
+        800..900 => 6,
+        900.. => 18,
+    }
+}
 
 /// Number of engines, and of application servers.
 pub const ENDPOINTS: usize = 3;
@@ -136,12 +136,7 @@
         }
         let mut store_proxies = Vec::new();
         let mut nodes = Vec::new();
-        let count = if seed < FIRST_LARGE_SEED {
-            NODES
-        } else {
-            MORE_NODES
-        };
-        for index in 0..count {
+        for index in 0..node_count(seed) {
             let proxy = proxy::start(loopback, store.address())
                 .await
                 .expect("a proxy starts");
--- a/crates/cli/tests/test_crashing_request.rs
+++ b/crates/cli/tests/test_crashing_request.rs
@@ -10,12 +10,19 @@
 
 const NODES: usize = 6;
 
+/// Number of nodes of a fleet in which one of them, the hub, passes on news.
+const MANY_NODES: usize = 18;
+
 /// Crashes that the users allow before the request has to be known, and after that.
 const MAX_CRASHES: usize = 3 + 3;
 
 fn start(kind: &str) -> (Site, Vec<Node>) {
+    start_nodes(kind, NODES)
+}
+
+fn start_nodes(kind: &str, count: usize) -> (Site, Vec<Node>) {
     let site = Site::start(Duration::from_millis(20));
-    let nodes = (0..NODES)
+    let nodes = (0..count)
         .map(|number| site.node(&format!("node-{number}")))
         .collect();
     for endpoint in endpoints(&site) {
@@ -77,8 +84,8 @@
     assert_eq!(site.executions(id), 0);
 }
 
-fn request_of_kind_is_stopped(kind: &str) {
-    let (site, nodes) = start(kind);
+fn request_of_kind_is_stopped(kind: &str, count: usize) {
+    let (site, nodes) = start_nodes(kind, count);
     repeat_in_turn(&site, &nodes, kind, 10);
     assert!(crashes(&site) <= MAX_CRASHES, "{} crashes", crashes(&site));
     let before = crashes(&site);
@@ -92,22 +99,27 @@
 
 #[test]
 fn safe_request_that_crashes_servers_is_stopped_at_every_node() {
-    request_of_kind_is_stopped("look");
+    request_of_kind_is_stopped("look", NODES);
 }
 
 #[test]
 fn request_that_runs_once_and_crashes_servers_is_stopped_at_every_node() {
-    request_of_kind_is_stopped("book");
+    request_of_kind_is_stopped("book", NODES);
 }
 
 #[test]
 fn stream_that_crashes_engines_before_they_respond_is_stopped_at_every_node() {
-    request_of_kind_is_stopped("tag");
+    request_of_kind_is_stopped("tag", NODES);
 }
 
 #[test]
 fn resumable_stream_that_crashes_engines_is_stopped_at_every_node() {
-    request_of_kind_is_stopped("draft");
+    request_of_kind_is_stopped("draft", NODES);
+}
+
+#[test]
+fn request_that_crashes_servers_is_stopped_at_nodes_behind_a_hub() {
+    request_of_kind_is_stopped("look", MANY_NODES);
 }
 
 #[test]
--- a/crates/cli/tests/test_endpoint_limits.rs
+++ b/crates/cli/tests/test_endpoint_limits.rs
@@ -11,6 +11,9 @@
 
 const NODES: usize = 6;
 
+/// Number of nodes of a fleet in which one of them, the hub, passes on news.
+const MANY_NODES: usize = 18;
+
 /// Time within which all nodes have to know a limit, `ContactMs` of the platform.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -23,15 +26,15 @@
 /// The limit that engines state.
 const LIMIT: f64 = 2.0;
 
-fn start() -> (Site, Vec<Node>) {
+fn start(count: usize) -> (Site, Vec<Node>) {
     let site = Site::start(Duration::from_millis(1));
-    let nodes = (0..NODES)
+    let nodes = (0..count)
         .map(|number| site.node(&format!("node-{number}")))
         .collect();
     (site, nodes)
 }
 
-/// Sends streams to each node, about 150 a second in all. Returns their number and how
+/// Sends streams to each node, about 25 a second each. Returns their number and how
 /// many were served.
 fn send_streams(nodes: &[Node], time: Duration) -> (usize, usize) {
     let until = Instant::now() + time;
@@ -81,7 +84,16 @@
 
 #[test]
 fn nodes_together_keep_to_the_limit_that_an_engine_states() {
-    let (site, nodes) = start();
+    engine_gets_no_more_than_its_limit(NODES);
+}
+
+#[test]
+fn nodes_behind_a_hub_keep_to_the_limit_that_an_engine_states() {
+    engine_gets_no_more_than_its_limit(MANY_NODES);
+}
+
+fn engine_gets_no_more_than_its_limit(count: usize) {
+    let (site, nodes) = start(count);
     send_streams(&nodes, Duration::from_secs(1));
     let limited = &site.engines[0];
     limited.set_limit(Some(LIMIT));
@@ -94,7 +106,7 @@
 
 #[test]
 fn requests_beyond_the_limits_of_all_engines_are_refused_at_once_and_have_not_run() {
-    let (site, nodes) = start();
+    let (site, nodes) = start(NODES);
     for engine in &site.engines {
         engine.set_limit(Some(LIMIT));
     }
@@ -121,7 +133,7 @@
 
 #[test]
 fn limit_ends_with_the_first_response_that_does_not_state_it() {
-    let (site, nodes) = start();
+    let (site, nodes) = start(NODES);
     for server in &site.app_servers {
         server.set_limit(Some(LIMIT));
     }
--- a/crates/gateway/tests/common/fleet.rs
+++ b/crates/gateway/tests/common/fleet.rs
@@ -77,6 +77,8 @@
     pub returns: Vec<u64>,
     nodes: BTreeMap<usize, Node>,
     network: Network,
+    /// Number of the first nodes that no other node reaches, nor they them.
+    cut_off: usize,
     datagrams: BTreeMap<(u64, u64), (SocketAddr, SocketAddr, Bytes)>,
     responses: BTreeMap<(u64, u64), Response>,
     sequence: u64,
@@ -99,6 +101,7 @@
             returns: Vec::new(),
             nodes: BTreeMap::new(),
             network,
+            cut_off: 0,
             datagrams: BTreeMap::new(),
             responses: BTreeMap::new(),
             sequence: 0,
@@ -141,6 +144,11 @@
         self.responses.retain(|_, response| response.node != number);
     }
 
+    /// Cuts the links between the first nodes and the others; 0 heals them.
+    pub fn cut_off(&mut self, count: usize) {
+        self.cut_off = count;
+    }
+
     /// Sets the limit that all engines state.
     pub fn limit_all(&mut self, limit: Option<f64>) {
         for engine in self.engines.values_mut() {
@@ -278,8 +286,10 @@
                 }
             }
         }
+        let first: Vec<SocketAddr> = (0..self.cut_off).map(address).collect();
         for datagram in sent {
-            if !self.rng.random_bool(self.network.loss) {
+            let is_cut = first.contains(&datagram.0) != first.contains(&datagram.1);
+            if !is_cut && !self.rng.random_bool(self.network.loss) {
                 self.sequence += 1;
                 self.datagrams
                     .insert((self.now + self.network.delay_ms, self.sequence), datagram);
--- a/crates/gateway/tests/test_limit_fleet.rs
+++ b/crates/gateway/tests/test_limit_fleet.rs
@@ -101,6 +101,23 @@
     }
 }
 
+#[test]
+fn halves_that_do_not_reach_each_other_share_the_limit() {
+    for (nodes, network) in [(6, SMALL), (20, LARGE)] {
+        let mut fleet = Fleet::start(nodes, 3, network, 6);
+        fleet.run(4_000, 30.0);
+        fleet.limit_all(Some(5.0));
+        let since = fleet.now + CONTACT_MS;
+        fleet.run(CONTACT_MS + 4_000, 45.0);
+        fleet.cut_off(nodes / 2);
+        fleet.run(10_000, 45.0);
+        fleet.cut_off(0);
+        fleet.run(4_000, 45.0);
+        let used = check(&fleet, 5.0, since);
+        println!("{nodes} nodes, halves cut off for 10 s: {used:.2} used");
+    }
+}
+
 #[test]
 fn end_of_a_limit_is_known_soon_though_little_is_sent() {
     let mut fleet = Fleet::start(20, 3, LARGE, 4);
