gateway: only runs whose endpoint has ended speak against their requests

Where servers sent bodies without end, or responses broke off, requests that come again were stopped after three of them, and after two trials for as long as they came: test_endless_responses (existing) and a new case of test_crashing_request failed with 503 crashes_endpoints.

A node calls the endpoint right after such a run, as it does at the end of responses without framing; one that answers and has not restarted has not crashed. A verdict ends an hour after the last crash, however often callers ask meanwhile. The same holds for prompt parts.

Both tests pass, as do the other tests of crashing requests and parts.

--- a/crates/cli/tests/test_crashing_request.rs
+++ b/crates/cli/tests/test_crashing_request.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use entry_site::{Answer, Node, Site, call, stream, wait_for};
-use flamingolock_platform_standin::{CRASH_TIME, Engine};
+use flamingolock_platform_standin::{CRASH_TIME, Engine, EngineMode};
 
 const NODES: usize = 6;
 
@@ -189,3 +189,29 @@
     }
     assert_eq!(crashes(&site), before);
 }
+
+#[test]
+fn request_whose_responses_break_off_is_served_again_once_the_servers_that_run_on_are_well() {
+    let (site, nodes) = start("none");
+    for server in &site.app_servers {
+        server.set_mode(EngineMode::EndlessBody);
+    }
+    for number in 0..10 {
+        let answer = send(
+            &nodes[number % NODES],
+            "look",
+            "a",
+            &format!("cut-{number}"),
+        );
+        assert_ne!(answer.status, 200, "{answer:?}");
+        assert!(!answer.body.contains("crashes_endpoints"), "{answer:?}");
+    }
+    for server in &site.app_servers {
+        server.set_mode(EngineMode::Healthy);
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    for (number, node) in nodes.iter().enumerate() {
+        let answer = send(node, "look", "a", &format!("after-{number}"));
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
--- a/crates/gateway/src/control/suspect.rs
+++ b/crates/gateway/src/control/suspect.rs
@@ -42,7 +42,7 @@
     pub invites: bool,
     /// Maximum number of subjects that are remembered as answered.
     pub max_answered: usize,
-    /// Time for which a stopped subject is remembered that nobody asks for, in ms; none for
+    /// Time after its last crash for which a stopped subject is remembered, in ms; none for
     /// good.
     pub retention_ms: Option<Millis>,
 }
--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -62,6 +62,8 @@
     pub subjects: RunSubjects,
     /// When the request was sent.
     pub sent_at: Millis,
+    /// When the run ended.
+    pub ended_at: Millis,
     /// True if the response had begun.
     pub begun: bool,
 }
@@ -118,7 +120,7 @@
         for id in &ids {
             let crash = Crash {
                 sent_at: run.sent_at,
-                at: now,
+                at: run.ended_at,
                 evidence: if self.answered.contains(id) {
                     evidence.div_ceil(ANSWERED_DIVISOR)
                 } else {
@@ -131,7 +133,7 @@
             let engine = match known {
                 // The endpoint has started again, and its new entry is not known yet.
                 Some(known) if run.begun && run.sent_at >= known.at => {
-                    xxh3_64_with_seed(&run.engine.to_be_bytes(), now)
+                    xxh3_64_with_seed(&run.engine.to_be_bytes(), run.ended_at)
                 }
                 _ => run.engine,
             };
@@ -195,7 +197,6 @@
             if !suspect.is_stopped() {
                 return Clearance::Stopped(id, Some(now));
             }
-            suspect.changed_at = now;
             let until = next_trial.filter(|_| policy.invites);
             return Clearance::Stopped(id, until.map(|until| until.max(now)));
         }
--- a/crates/gateway/src/run_guard.rs
+++ b/crates/gateway/src/run_guard.rs
@@ -1,20 +1,25 @@
 //! Reports of a run's first token and its end.
 
+use std::sync::Arc;
+
 use flamingolock_wire::gossip::BegunStream;
 
 use crate::clock::now;
 use crate::control::begun_streams::request_key;
 use crate::control::suspects::CrashedRun;
 use crate::control::{Event, Grant, Handle, RunEnd};
-use crate::endpoint::EndpointKey;
-use crate::exchange::Exchange;
+use crate::dialect::Dialect;
+use crate::endpoint::Endpoint;
+use crate::exchange::{Exchange, ProxyContext};
+use crate::orders;
 
 /// Reports the end of a run to the control thread. If the guard is dropped before
 /// [`RunGuard::end`], the run counts as left by the caller.
 #[derive(Debug)]
 pub struct RunGuard {
     handle: Handle,
-    endpoint: EndpointKey,
+    dialect: &'static Dialect,
+    endpoint: Arc<Endpoint>,
     number: u64,
     model: Option<String>,
     /// Stream that begins with the run, if it may be resumed.
@@ -28,11 +33,12 @@
 impl RunGuard {
     /// Starts to guard the run of `grant`; `resumed` tells whether the caller already has
     /// events of its stream.
-    pub fn new(handle: &Handle, grant: &Grant, exchange: &Exchange, resumed: bool) -> Self {
+    pub fn new(context: &ProxyContext, grant: &Grant, exchange: &Exchange, resumed: bool) -> Self {
         let begins = exchange.route.resumable && !resumed;
         Self {
-            handle: handle.clone(),
-            endpoint: grant.endpoint.key(),
+            handle: context.handle.clone(),
+            dialect: context.dialect,
+            endpoint: grant.endpoint.clone(),
             number: grant.run_number,
             model: exchange.head.model.clone(),
             stream: begins.then(|| BegunStream {
@@ -44,6 +50,7 @@
                 engine: grant.endpoint.incarnation(),
                 subjects: exchange.subjects(),
                 sent_at: now(),
+                ended_at: now(),
                 begun: false,
             }),
             open: true,
@@ -64,10 +71,13 @@
         }
     }
 
-    /// Reports that the run ended with its connection.
+    /// Reports that the run ended with its connection, and whether its endpoint has ended
+    /// as well.
     pub fn broken(mut self) {
-        if let Some(crash) = self.crash.take() {
-            self.handle.send(Event::RunCrashed(crash));
+        if let Some(mut crash) = self.crash.take() {
+            crash.ended_at = now();
+            let (handle, endpoint) = (self.handle.clone(), self.endpoint.clone());
+            tokio::spawn(report_crash(handle, self.dialect, endpoint, crash));
         }
         self.finish(RunEnd::Broken);
     }
@@ -75,7 +85,7 @@
     /// Reports that the first bytes of the response body have arrived.
     pub fn first_token(&self, weights: Option<u64>) {
         self.handle.send(Event::FirstToken {
-            endpoint: self.endpoint,
+            endpoint: self.endpoint.key(),
             run_number: self.number,
             weights,
             model: self.model.clone(),
@@ -91,7 +101,7 @@
     fn finish(&mut self, end: RunEnd) {
         if std::mem::take(&mut self.open) {
             self.handle.send(Event::RunEnded {
-                endpoint: self.endpoint,
+                endpoint: self.endpoint.key(),
                 run_number: self.number,
                 end,
                 model: self.model.take(),
@@ -105,3 +115,18 @@
         self.finish(RunEnd::CallerLeft);
     }
 }
+
+/// Reports a crash unless the endpoint still runs: then the run lost its connection only,
+/// or its response was no good.
+async fn report_crash(
+    handle: Handle,
+    dialect: &'static Dialect,
+    endpoint: Arc<Endpoint>,
+    crash: CrashedRun,
+) {
+    if orders::still_runs(dialect, &endpoint).await {
+        log::info!(endpoint = &*endpoint.id; "endpoint runs on after a run has ended early");
+    } else {
+        handle.send(Event::RunCrashed(crash));
+    }
+}
--- a/crates/gateway/tests/test_suspect_gossip.rs
+++ b/crates/gateway/tests/test_suspect_gossip.rs
@@ -23,6 +23,7 @@
                 requests: Vec::new(),
             },
             sent_at: from + number * 1_000,
+            ended_at: from + number * 1_000 + 100,
             begun: true,
         };
         harness
--- a/crates/gateway/tests/test_suspect_requests.rs
+++ b/crates/gateway/tests/test_suspect_requests.rs
@@ -14,6 +14,7 @@
             requests: vec![request],
         },
         sent_at,
+        ended_at: sent_at + 100,
         begun: false,
     }
 }
@@ -124,17 +125,18 @@
 }
 
 #[test]
-fn stopped_request_is_forgotten_an_hour_after_it_was_last_asked_for() {
+fn stopped_request_is_forgotten_an_hour_after_its_last_crash() {
     let mut suspects = new();
     for number in 0..3 {
         let sent_at = 1_000 + number * 500;
         suspects.record_crash(&run(number, CULPRIT, sent_at), sent_at + 100);
     }
     let hour = 3_600_000;
-    clearance(&mut suspects, CULPRIT, false, hour);
-    suspects.forget_old(2 * hour - 1);
+    suspects.forget_old(2_100 + hour - 1);
     assert_eq!(stopped(&suspects), [CULPRIT]);
-    suspects.forget_old(2 * hour);
+    // Callers that go on asking do not prolong a wrong verdict.
+    clearance(&mut suspects, CULPRIT, false, hour);
+    suspects.forget_old(2_100 + hour);
     assert!(stopped(&suspects).is_empty());
 }
 
--- a/crates/gateway/tests/test_suspects.rs
+++ b/crates/gateway/tests/test_suspects.rs
@@ -17,15 +17,25 @@
             requests: Vec::new(),
         },
         sent_at,
+        ended_at: sent_at,
         begun: true,
     }
 }
 
+/// Records a crash at a time.
+fn crash(suspects: &mut Suspects, run: &CrashedRun, at: u64) {
+    let run = CrashedRun {
+        ended_at: at,
+        ..run.clone()
+    };
+    suspects.record_crash(&run, at);
+}
+
 /// Records crashes of engines one after the other, each under another request.
 fn crash_in_turn(suspects: &mut Suspects, parts: &[u64], count: u64, from: u64) {
     for number in 0..count {
         let at = from + number * 1_000;
-        suspects.record_crash(&run(from + number, parts, at), at + 100);
+        crash(suspects, &run(from + number, parts, at), at + 100);
     }
 }
 
@@ -52,7 +62,11 @@
 fn engines_that_crash_at_the_same_moment_stop_no_part() {
     let mut suspects = Suspects::new(Subject::Part);
     for engine in 0..20 {
-        suspects.record_crash(&run(engine, &[COMMON], 1_000 + engine), 1_200 + engine);
+        crash(
+            &mut suspects,
+            &run(engine, &[COMMON], 1_000 + engine),
+            1_200 + engine,
+        );
     }
     assert!(stopped(&suspects).is_empty());
 }
@@ -63,7 +77,11 @@
     let mut suspects = Suspects::new(Subject::Part);
     for number in 0..40 {
         let sent_at = 1_000 + number * 50;
-        suspects.record_crash(&run(number, &[CULPRIT], sent_at), sent_at + 300);
+        crash(
+            &mut suspects,
+            &run(number, &[CULPRIT], sent_at),
+            sent_at + 300,
+        );
     }
     assert_eq!(stopped(&suspects), [CULPRIT]);
 }
@@ -75,7 +93,7 @@
     for number in 0..60 {
         let mut run = run(number % 6, &[CULPRIT], 1_000 + number * 100);
         run.begun = false;
-        suspects.record_crash(&run, run.sent_at + 10);
+        crash(&mut suspects, &run, run.sent_at + 10);
     }
     assert!(stopped(&suspects).is_empty());
 }
@@ -87,8 +105,12 @@
         let sent_at = 1_000 + number * 1_000;
         let mut waiting = run(100 + number, &[CULPRIT], sent_at);
         waiting.begun = false;
-        suspects.record_crash(&waiting, sent_at + 50);
-        suspects.record_crash(&run(number, &[CULPRIT], sent_at), sent_at + 100);
+        crash(&mut suspects, &waiting, sent_at + 50);
+        crash(
+            &mut suspects,
+            &run(number, &[CULPRIT], sent_at),
+            sent_at + 100,
+        );
     }
     assert_eq!(stopped(&suspects), [CULPRIT]);
 }
@@ -135,7 +157,11 @@
         ));
         if clearance(&mut suspects, CULPRIT, true, now) == Clearance::Trial(CULPRIT) {
             trials.push(now);
-            suspects.record_crash(&run(1_000_000 + now, &[CULPRIT], now), now + 100);
+            crash(
+                &mut suspects,
+                &run(1_000_000 + now, &[CULPRIT], now),
+                now + 100,
+            );
         }
     }
     let gaps: Vec<u64> = trials.windows(2).map(|pair| pair[1] - pair[0]).collect();
@@ -153,7 +179,7 @@
     crash_in_turn(&mut suspects, &[CULPRIT], 3, 1_000);
     for number in 0..10_000 {
         let parts = [100_000 + number];
-        suspects.record_crash(&run(number, &parts, 10_000), 10_100);
+        crash(&mut suspects, &run(number, &parts, 10_000), 10_100);
         suspects.record_answer(&[200_000 + number], 10_100);
     }
     assert!(suspects.list(10_200).len() <= 512);
@@ -197,7 +223,7 @@
         for (number, (node, part, is_crash)) in events.into_iter().enumerate() {
             let now = 1_000 + number as u64 * 1_000;
             if is_crash {
-                nodes[node].record_crash(&run(number as u64, &[part], now), now + 100);
+                crash(&mut nodes[node], &run(number as u64, &[part], now), now + 100);
             } else {
                 nodes[node].record_answer(&[part], now);
             }
