--- a/crates/gateway/tests/common/fleet.rs
+++ b/crates/gateway/tests/common/fleet.rs
@@ -8,6 +8,8 @@
 use bytes::Bytes;
 use flamingolock_gateway::control::{Effect, Event, Placement, Refusal, RunEnd};
 use flamingolock_gateway::endpoint::{Endpoint, EndpointKey};
+use flamingolock_wire::gossip::Gossip;
+use prost::Message;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::oneshot;
@@ -73,6 +75,8 @@
 pub struct Fleet {
     pub now: u64,
     pub engines: BTreeMap<EndpointKey, Engine>,
+    /// Number and bytes of the requests for permits between nodes, and of their answers.
+    pub permit_messages: (usize, usize),
     /// Times at which refused callers were asked to return.
     pub returns: Vec<u64>,
     nodes: BTreeMap<usize, Node>,
@@ -98,6 +102,7 @@
             engines: (0..engines)
                 .map(|number| (Endpoint::key_of(&format!("e{number}")), Engine::default()))
                 .collect(),
+            permit_messages: (0, 0),
             returns: Vec::new(),
             nodes: BTreeMap::new(),
             network,
@@ -286,6 +291,13 @@
                 }
             }
         }
+        for (_, _, bytes) in &sent {
+            let gossip = Gossip::decode(bytes.clone()).expect("a datagram");
+            if gossip.permit_request.is_some() || gossip.permit_answer.is_some() {
+                self.permit_messages.0 += 1;
+                self.permit_messages.1 += bytes.len();
+            }
+        }
         let first: Vec<SocketAddr> = (0..self.cut_off).map(address).collect();
         for datagram in sent {
             let is_cut = first.contains(&datagram.0) != first.contains(&datagram.1);
--- a/crates/gateway/tests/test_limit_fleet.rs
+++ b/crates/gateway/tests/test_limit_fleet.rs
@@ -45,7 +45,12 @@
     let since = fleet.now + CONTACT_MS;
     fleet.run(CONTACT_MS + 40_000, 9.0 * limit);
     let used = check(&fleet, limit, since);
-    println!("{nodes} nodes, {network:?}, limit {limit}: {used:.2} of it used");
+    let (messages, bytes) = fleet.permit_messages;
+    println!(
+        "{nodes} nodes, {network:?}, limit {limit}: {used:.2} of it used, {:.1} messages of {} bytes for each permit",
+        messages as f64 / (used * 3.0 * limit * 40.0),
+        bytes / messages.max(1)
+    );
     used
 }
 
