--- a/crates/gateway/src/control/stated_limits.rs
+++ b/crates/gateway/src/control/stated_limits.rs
@@ -102,7 +102,9 @@
     /// Returns the limit of this incarnation of an endpoint, if it has one.
     pub fn limit_of(&self, endpoint: &Endpoint) -> Option<Limit> {
         let statement = self.endpoints.get(&endpoint.key())?.statement;
-        (statement.start_time_ms == endpoint.start_time_ms).then_some(())?;
+        if statement.start_time_ms != endpoint.start_time_ms {
+            return None;
+        }
         Some(Limit {
             per_second: statement.per_second?,
             stated_at: statement.at,
--- a/crates/gateway/src/control/suspect.rs
+++ b/crates/gateway/src/control/suspect.rs
@@ -36,7 +36,7 @@
     /// Time after the last crash after which one request may show whether a stopped subject
     /// is sound now, in ms; doubled by each of them that crashes an endpoint.
     pub trial_pause_ms: Millis,
-    /// Number of crashes from which on no request does so; none for no end.
+    /// Number of crashes from which on nothing is tried any more; none if trials never end.
     pub max_crashes: Option<usize>,
     /// True if callers are told when to return.
     pub invites: bool,
@@ -59,7 +59,7 @@
 };
 
 /// Policy for requests. A wrong verdict hits only repeats of one request, so fewer crashes
-/// are enough.
+/// are enough; two trials may follow them.
 const REQUESTS: Policy = Policy {
     waiting_evidence: BEGUN_EVIDENCE,
     trial_pause_ms: 10_000,
