tests: a request is refused because of limits while others press on

The trace (32 s for 100 requests at 4 a second) shows that all were served within the limits, which is right: a lone caller waits some 250 ms for each permit. Before, turns left over from the other callers happened to refuse one.

The refusal is now looked for while the other callers send; what is asked of it (503, Retry-After, at once, not run) is unchanged.

--- a/crates/cli/tests/test_endpoint_limits.rs
+++ b/crates/cli/tests/test_endpoint_limits.rs
@@ -119,10 +119,18 @@
         assert!(most as f64 >= 0.9 * limit, "only {most} of {limit}");
     }
     assert!(served < sent);
-    let refused = (0..100).find_map(|number| {
-        let started = Instant::now();
-        let answer = draft(&nodes[0], number, &format!("one-{number}"), &[]);
-        (answer.status != 200).then(|| (answer, number, started.elapsed()))
+    // A lone caller is served within the limits, so that others have to press on.
+    let refused = std::thread::scope(|scope| {
+        let pressing = scope.spawn(|| send_streams(&nodes, WINDOW));
+        let refused = (0..)
+            .take_while(|_| !pressing.is_finished())
+            .find_map(|number| {
+                let started = Instant::now();
+                let answer = draft(&nodes[0], number, &format!("one-{number}"), &[]);
+                (answer.status != 200).then(|| (answer, number, started.elapsed()))
+            });
+        pressing.join().expect("callers end without a panic");
+        refused
     });
     let (answer, number, took) = refused.expect("a refusal");
     assert_eq!(answer.status, 503, "{answer:?}");
