--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,6 +11,7 @@
 pub mod freshness;
 pub mod lease;
 pub mod listed_builds;
+pub mod load_times;
 pub mod notices;
 pub mod operator_records;
 pub mod peers;
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -9,6 +9,7 @@
 use crate::catalog::EngineSpec;
 use crate::clock::Millis;
 use crate::control::cache_index::{CacheIndex, PartKey, PartLocation, namespace, shared_keys};
+use crate::control::load_times::Load;
 use crate::control::rollout::{NamedVersion, replaced_at};
 use crate::control::{PlacementRequest, RunEnd};
 use crate::endpoint::{Endpoint, EndpointKey};
@@ -79,9 +80,21 @@
 /// Penalty for an endpoint with a failure rate of 1, in ms.
 const FAILURE_RATE_MS: f64 = 600.0;
 
-/// Time for which an engine gets no requests after it refused one while loading
+/// Time after the start of a load within which news may still arrive of requests that were
+/// sent before, in ms.
+const NEWS_DELAY_MS: Millis = 100;
+
+/// Shortest time for which an engine gets no requests after it refused one while loading
 /// weights, in ms.
-const STILL_LOADING_MS: Millis = 120;
+const MIN_RECHECK_MS: Millis = 20;
+
+/// Part of the time since the start of a load for which its engine gets no requests after
+/// it refused one, if the duration of loads is known.
+const RECHECKS_PER_LOAD: Millis = 8;
+
+/// The same for a load whose start is not known, which therefore lasts longer than it
+/// seems.
+const RECHECKS_PER_UNKNOWN_LOAD: Millis = 2;
 
 /// First time that an endpoint is avoided after a failure, in ms.
 const BACKOFF_MIN_MS: Millis = 250;
@@ -108,6 +121,18 @@
     parts: Vec<PartKey>,
 }
 
+/// What the first token of a run tells.
+#[derive(Debug, PartialEq, Eq)]
+pub struct FirstToken {
+    /// Parts of its prompt, which are now prefilled.
+    pub parts: Vec<PartKey>,
+    /// True if they were sent to the KV cache store.
+    pub is_stored: bool,
+    /// Time from the start of the engine's load to the sending of the request, in ms, if
+    /// it is the first one since.
+    pub loaded_ms: Option<Millis>,
+}
+
 /// Known state of an endpoint.
 #[derive(Debug)]
 pub struct EndpointState {
@@ -120,6 +145,8 @@
     pub weights: BTreeMap<String, u64>,
     /// Time until which the engine is loading weights.
     pub loading_until: Millis,
+    /// Its last load.
+    pub load: Option<Load>,
     /// Time until which the engine is reserved for loading weights.
     pub reserved_until: Millis,
     /// Time until which the endpoint is avoided after failures.
@@ -170,6 +197,7 @@
             endpoint: Arc::new(endpoint),
             removal_due_at: None,
             loading_until: 0,
+            load: None,
             reserved_until: 0,
             avoid_until: 0,
             backoff_level: 0,
@@ -251,9 +279,58 @@
         );
     }
 
-    /// Records the first token of a request. Returns the parts that are now prefilled,
-    /// and whether they were sent to the KV cache store.
-    pub fn first_token(&mut self, id: RunId, now: Millis) -> Option<(Vec<PartKey>, bool)> {
+    /// Records that another node tells of a load. Returns false if it is already done.
+    pub fn load_told(&mut self, load: Load) -> bool {
+        match &mut self.load {
+            Some(known) if known.version == load.version => {
+                known.concurrent = known.concurrent.max(load.concurrent);
+                !known.is_done()
+            }
+            _ => {
+                self.load = Some(load);
+                true
+            }
+        }
+    }
+
+    /// True if a request shows whether the engine's load is done. Others follow once it has
+    /// got an answer, or the load is surely done.
+    fn awaits_trial(&self, now: Millis) -> bool {
+        let load = self.load.as_ref().filter(|load| load.may_last(now));
+        load.is_some_and(|load| {
+            let is_trial = |run: &RunningRequest| run.sent_at >= load.started_at + NEWS_DELAY_MS;
+            self.runs.values().any(is_trial)
+        })
+    }
+
+    /// Records that the engine is done with its load, and returns it; none if it is not
+    /// loading.
+    pub fn load_done(&mut self, now: Millis) -> Option<Load> {
+        let load = self.load.as_mut().filter(|load| !load.is_done())?;
+        load.done_at = Some(now);
+        self.loading_until = self.loading_until.min(now);
+        Some(load.clone())
+    }
+
+    /// Records that the engine refused a request because it is loading weights. Returns how
+    /// long it gets no others, in ms.
+    pub fn refused_while_loading(&mut self, now: Millis) -> Millis {
+        let known = self.load.take().filter(|load| !load.is_done());
+        let mut load = known.unwrap_or_else(|| Load::new(None, 0, now));
+        let elapsed = load.elapsed(now);
+        load.saw_busy(elapsed);
+        let rechecks = match load.version {
+            Some(_) => RECHECKS_PER_LOAD,
+            None => RECHECKS_PER_UNKNOWN_LOAD,
+        };
+        let pause = (elapsed / rechecks).max(MIN_RECHECK_MS);
+        self.load = Some(load);
+        self.loading_until = self.loading_until.max(now + pause);
+        pause
+    }
+
+    /// Records the first token of a request.
+    pub fn first_token(&mut self, id: RunId, now: Millis) -> Option<FirstToken> {
         let run = self.runs.get_mut(&id)?;
         if run.has_first_token {
             return None;
@@ -261,11 +338,19 @@
         run.has_first_token = true;
         let took = (now - run.sent_at) as f64;
         let ratio = took / (run.queued_ms + run.prefill_ms + FIRST_STEP_MS);
-        let parts = (std::mem::take(&mut run.parts), run.is_stored);
+        let load = self.load.as_ref().filter(|load| !load.is_done());
+        let loaded_ms = load
+            .and_then(|load| run.sent_at.checked_sub(load.started_at))
+            .filter(|elapsed| *elapsed >= NEWS_DELAY_MS);
+        let first = FirstToken {
+            parts: std::mem::take(&mut run.parts),
+            is_stored: run.is_stored,
+            loaded_ms,
+        };
         if run.prefill_ms > 5.0 {
             self.slowdown = (0.9 * self.slowdown + 0.1 * ratio.clamp(0.5, 8.0)).clamp(0.7, 6.0);
         }
-        Some(parts)
+        Some(first)
     }
 
     /// Records the end of a request. Returns its parts if they were not prefilled.
@@ -316,13 +401,10 @@
                 self.avoid_until = self.avoid_until.max(now + 60);
                 None
             }
-            RunEnd::Reloading => {
-                self.loading_until = self.loading_until.max(now + STILL_LOADING_MS);
-                Some(STILL_LOADING_MS)
-            }
+            RunEnd::Reloading => Some(self.refused_while_loading(now)),
             RunEnd::WrongWeights(version) => {
                 if version.is_none() {
-                    self.loading_until = self.loading_until.max(now + 150);
+                    self.refused_while_loading(now);
                 }
                 None
             }
@@ -380,7 +462,7 @@
         context: &EstimateContext,
     ) -> Option<Estimate> {
         let now = context.now;
-        if now < self.loading_until {
+        if now < self.loading_until || self.awaits_trial(now) {
             return None;
         }
         let model = request.model.as_deref()?;
--- /dev/null
+++ b/crates/gateway/src/control/load_times.rs
@@ -0,0 +1,334 @@
+//! How long engines take to load weights, and how many may load at once, learnt from the
+//! loads that were seen.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use flamingolock_wire::gossip::LoadTimeRecord;
+
+use crate::clock::Millis;
+
+/// Shortest duration of a load that is learnt, in ms.
+const MIN_LOAD_MS: Millis = 5;
+
+/// Longest duration of a load that is learnt, in ms.
+const MAX_LOAD_MS: Millis = 600_000;
+
+/// Number of services whose loads are remembered.
+const MAX_SERVICES: usize = 64;
+
+/// Width of the interval that is known to contain the duration, relative to its end, from
+/// which on it is narrowed no further.
+const PRECISION: f64 = 0.1;
+
+/// Part of that interval after which the next engine is used again.
+const TRIAL_SHARE: f64 = 0.75;
+
+/// Part by which the lower end falls with each load, as loads may take less time than they
+/// did.
+const AT_LEAST_DECAY: f64 = 0.05;
+
+/// Multiple of the usual duration from which on concurrent loads count as slowed down by
+/// each other.
+const SLOWED_FACTOR: f64 = 1.1;
+
+/// Part by which the number of concurrent loads grows.
+const GROWTH_DIVISOR: usize = 4;
+
+/// Multiple of the expected duration after which a load counts as failed.
+const FAILED_FACTOR: Millis = 8;
+
+/// Fleet size per engine of the first loads, whose duration is not known.
+const ENGINES_PER_FIRST_LOAD: usize = 10;
+
+/// Number of engines among the first loads in a small fleet.
+const MIN_FIRST_LOADS: usize = 2;
+
+/// At most one engine in this many may load concurrently, so that the rest of the fleet
+/// keeps serving.
+const MIN_ENGINES_PER_LOAD: usize = 2;
+
+/// Rounds of loads without a slowdown after which more engines may load at once.
+const ROUNDS_PER_TRIAL: usize = 4;
+
+/// The same once a slowdown was met.
+const ROUNDS_AFTER_SLOWDOWN: usize = 16;
+
+/// A load of weights by one engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Version of the weights; none if the order is not known.
+    pub version: Option<u64>,
+    /// Time at which the engine accepted the order.
+    pub started_at: Millis,
+    /// Largest number of engines that were loading at the same time, including this one.
+    pub concurrent: usize,
+    /// Time since its start after which it is surely done, in ms; 0 if it is not known.
+    pub sure_ms: Millis,
+    /// Time since its start at which the engine was last seen to be loading, in ms.
+    pub busy_ms: Millis,
+    /// When the engine was known to have served a request with the new weights, or to have
+    /// reported them; none while it loads.
+    pub done_at: Option<Millis>,
+    /// True once it was taken to have failed.
+    pub failed: bool,
+}
+
+impl Load {
+    /// A load that begins now.
+    pub fn new(version: Option<u64>, concurrent: usize, now: Millis) -> Self {
+        Self {
+            version,
+            started_at: now,
+            concurrent,
+            sure_ms: 0,
+            busy_ms: 0,
+            done_at: None,
+            failed: false,
+        }
+    }
+
+    /// Time since the load began, in ms.
+    pub fn elapsed(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.started_at)
+    }
+
+    /// True once the engine is known to be done.
+    pub fn is_done(&self) -> bool {
+        self.done_at.is_some()
+    }
+
+    /// True if it may still be in progress, as far as is known.
+    pub fn may_last(&self, now: Millis) -> bool {
+        !self.is_done()
+            && !self.failed
+            && self.version.is_some()
+            && self.elapsed(now) < self.sure_ms
+    }
+
+    /// Records that the engine was still loading some time after the start.
+    pub fn saw_busy(&mut self, elapsed: Millis) {
+        self.busy_ms = self.busy_ms.max(elapsed);
+    }
+}
+
+/// Number of a service's engines, and the time that a roll-out to all of them may take.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetLoad {
+    /// Number of engines.
+    pub engines: usize,
+    /// Time that a roll-out should take at most, in ms.
+    pub rollout_ms: Millis,
+}
+
+/// What is known of the loads of one service's engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct LoadTime {
+    /// Time after which engines were still loading, in ms.
+    at_least: Millis,
+    /// Time after which engines served again, in ms.
+    at_most: Millis,
+    /// Number of engines that may load at once.
+    window: usize,
+    /// True once more loads at once were found to slow each other down.
+    slows: bool,
+    /// Loads without a slowdown since the window changed.
+    steady: usize,
+    /// True if no round of so many loads has ended yet.
+    on_trial: bool,
+    learnt_at: Millis,
+}
+
+impl LoadTime {
+    fn expected(&self) -> Millis {
+        let width = self.at_most.saturating_sub(self.at_least);
+        if width as f64 <= PRECISION * self.at_most as f64 {
+            return self.at_most;
+        }
+        self.at_least + (width as f64 * TRIAL_SHARE) as Millis
+    }
+
+    /// True if a load lasts longer than usual while others are in progress.
+    fn is_slowed(&self, load: &Load) -> bool {
+        load.concurrent > 1 && load.busy_ms as f64 > self.at_most as f64 * SLOWED_FACTOR
+    }
+
+    /// Reduces the number of concurrent loads to that at which they took the usual time.
+    fn reduce(&mut self, load: &Load) {
+        let kept = load.concurrent as f64 * self.at_most as f64 / load.busy_ms as f64;
+        let kept = (kept.round() as usize).clamp(1, load.concurrent - 1);
+        self.window = self.window.min(kept);
+        self.on_trial = false;
+        self.slows = true;
+        self.steady = 0;
+    }
+
+    /// Learns from a load that was done after `took` ms at the latest.
+    fn learn(&mut self, load: &Load, took: Millis, fleet: FleetLoad) {
+        if self.is_slowed(load) {
+            self.reduce(load);
+            return;
+        }
+        if load.busy_ms >= self.at_most && load.concurrent > 1 {
+            // Too little to tell whether they slow each other down.
+            return;
+        }
+        if load.busy_ms >= self.at_most {
+            // Loads take longer than they did.
+            self.at_least = load.busy_ms;
+            self.at_most = took.max(load.busy_ms);
+        } else {
+            let lower = (self.at_least as f64 * (1.0 - AT_LEAST_DECAY)) as Millis;
+            self.at_least = lower.max(load.busy_ms);
+            self.at_most = self.at_most.min(took);
+            // Loads take less time than they did.
+            self.at_least = self.at_least.min(self.at_most);
+        }
+        self.grow(fleet);
+    }
+
+    /// Lets more engines load at once after enough rounds without a slowdown, if a roll-out
+    /// takes too long.
+    fn grow(&mut self, fleet: FleetLoad) {
+        self.steady += 1;
+        self.on_trial &= self.steady < self.window;
+        if self.at_most * fleet.engines as Millis <= fleet.rollout_ms * self.window as Millis {
+            return;
+        }
+        let rounds = if self.slows {
+            ROUNDS_AFTER_SLOWDOWN
+        } else {
+            ROUNDS_PER_TRIAL
+        };
+        if self.steady >= rounds * self.window {
+            self.window += (self.window / GROWTH_DIVISOR).max(1);
+            self.steady = 0;
+            self.on_trial = true;
+        }
+    }
+}
+
+/// What is known of the loads of all services' engines.
+#[derive(Debug, Default)]
+pub struct LoadTimes {
+    services: BTreeMap<Arc<str>, LoadTime>,
+}
+
+impl LoadTimes {
+    /// Expected duration of a load, in ms; none if it is not known.
+    pub fn expected(&self, service: &str) -> Option<Millis> {
+        self.services.get(service).map(LoadTime::expected)
+    }
+
+    /// Time after which a load is surely done unless the engine says otherwise, in ms; none
+    /// if it is not known.
+    pub fn sure(&self, service: &str) -> Option<Millis> {
+        let known = self.services.get(service)?;
+        let factor = if known.on_trial { FAILED_FACTOR } else { 1 };
+        Some(known.at_most * factor)
+    }
+
+    /// Time after which a load counts as failed, in ms. `unknown` stands for it as long as
+    /// the duration is not known.
+    pub fn failed_after(&self, service: &str, unknown: Millis) -> Millis {
+        self.expected(service)
+            .map_or(unknown, |expected| expected * FAILED_FACTOR)
+    }
+
+    /// Number of engines of a service that may load at once. With two engines or more, at
+    /// least half keep serving.
+    pub fn max_concurrent(&self, service: &str, engines: usize) -> usize {
+        let window = self.services.get(service).map_or_else(
+            || MIN_FIRST_LOADS.max(engines / ENGINES_PER_FIRST_LOAD),
+            |known| known.window,
+        );
+        window.min(engines / MIN_ENGINES_PER_LOAD).max(1)
+    }
+
+    /// Learns from a load that is still in progress.
+    pub fn note_progress(&mut self, service: &str, load: &Load) {
+        if let Some(known) = self.services.get_mut(service)
+            && known.is_slowed(load)
+        {
+            known.reduce(load);
+        }
+    }
+
+    /// Learns from a load that was done `took` ms after its start at the latest. Returns
+    /// false if this says nothing about the duration.
+    pub fn learn(
+        &mut self,
+        service: &Arc<str>,
+        load: &Load,
+        took: Millis,
+        fleet: FleetLoad,
+        now: Millis,
+    ) -> bool {
+        if load.version.is_none() || !(MIN_LOAD_MS..=MAX_LOAD_MS).contains(&took) {
+            return false;
+        }
+        if let Some(known) = self.services.get_mut(service) {
+            known.learn(load, took, fleet);
+            known.learnt_at = now;
+            return true;
+        }
+        if self.services.len() == MAX_SERVICES {
+            return false;
+        }
+        let known = LoadTime {
+            at_least: load.busy_ms.min(took),
+            at_most: took,
+            window: self.max_concurrent(service, fleet.engines),
+            slows: false,
+            steady: 0,
+            on_trial: false,
+            learnt_at: now,
+        };
+        self.services.insert(service.clone(), known);
+        true
+    }
+
+    /// Returns what is known, for a node that has just started.
+    pub fn list(&self, now: Millis) -> Vec<LoadTimeRecord> {
+        let record = |(service, known): (&Arc<str>, &LoadTime)| LoadTimeRecord {
+            service: service.to_string(),
+            at_least_ms: known.at_least,
+            at_most_ms: known.at_most,
+            window: known.window as u32,
+            slows: known.slows,
+            age_ms: now.saturating_sub(known.learnt_at),
+        };
+        self.services.iter().map(record).collect()
+    }
+
+    /// Adds what another node knows, unless this node learnt something later. Records that
+    /// cannot be true are ignored.
+    pub fn merge(&mut self, records: &[LoadTimeRecord], now: Millis) {
+        for record in records {
+            let learnt_at = now.saturating_sub(record.age_ms);
+            let is_sane = (MIN_LOAD_MS..=MAX_LOAD_MS).contains(&record.at_most_ms)
+                && record.at_least_ms <= record.at_most_ms
+                && record.window > 0;
+            if !is_sane {
+                log::warn!(record:? = record; "another node's duration of loads cannot be true; ignored");
+                continue;
+            }
+            let known = self.services.get(record.service.as_str());
+            let is_older = known.is_some_and(|known| known.learnt_at >= learnt_at);
+            let is_full = known.is_none() && self.services.len() == MAX_SERVICES;
+            if is_older || is_full {
+                continue;
+            }
+            let known = LoadTime {
+                at_least: record.at_least_ms,
+                at_most: record.at_most_ms,
+                window: record.window as usize,
+                slows: record.slows,
+                steady: 0,
+                on_trial: false,
+                learnt_at,
+            };
+            self.services.insert(record.service.as_str().into(), known);
+        }
+    }
+}
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -1,31 +1,46 @@
 //! Roll-out of new model weights: decides which engine loads them next.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::clock::Millis;
 use crate::control::fleet::EndpointState;
 use crate::control::lease::LeaseStep;
+use crate::control::load_times::{FleetLoad, Load, LoadTimes};
 use crate::dialect::{EngineReport, OrderOutcome, WeightsOrder};
 use crate::endpoint::EndpointKey;
 
-/// Number of engines that may load weights concurrently in a fleet of any size.
-const MIN_CONCURRENT_LOADS: usize = 2;
+/// Longest time for which an engine that is about to load finishes its runs while others
+/// are preferred, relative to the duration of a load.
+const RESERVE_SHARE: f64 = 0.6;
 
-/// Fleet size per engine that may load concurrently.
-const ENGINES_PER_LOAD: usize = 5;
+/// The same while that duration is not known, in ms.
+const FIRST_RESERVE_MS: Millis = 200;
 
-/// At most one engine in this many may load concurrently, so that the rest of the
-/// fleet keeps serving.
-const MIN_ENGINES_PER_LOAD: usize = 2;
+/// Age that an engine's report may have, in ms.
+const REPORT_AGE_MS: Millis = 400;
 
-/// Expected duration of a load, in ms.
-const LOAD_MS: Millis = 330;
+/// Delay after an order at which the first report is requested if the duration of loads is
+/// not known, in ms. The next ones follow at intervals of [`REPORTS_PER_LOAD`].
+const FIRST_REPORT_MS: Millis = 100;
 
-/// Time for which an engine gets no new requests before it loads, in ms.
-const RESERVE_MS: Millis = 200;
+/// Number of reports in the time since the start of a load, if its duration is not known
+/// or has passed.
+const REPORTS_PER_LOAD: Millis = 4;
 
-/// Delay after an order at which the engine's report shows the result, in ms.
-const CONFIRM_MS: Millis = 700;
+/// Time for which an engine is closed while an order is on its way, or after a report that
+/// shows it loading and is repeated before, in ms.
+const ORDER_MS: Millis = 400;
+
+/// Time for which an engine is closed after it accepted an order if the duration of loads
+/// is not known, in ms. Its reports extend it.
+const UNKNOWN_LOAD_MS: Millis = 1_000;
+
+/// Time for which the reservation of an engine holds unless it is renewed, in ms.
+const RESERVED_MS: Millis = 200;
+
+/// Part of the time within which new weights must be in use that a roll-out should take.
+const BOUND_PER_ROLLOUT: Millis = 2;
 
 /// Delay before an order is retried, in ms.
 const RETRY_MS: Millis = 400;
@@ -47,6 +62,8 @@
     /// be read from the engine's report.
     accepted: Option<u64>,
     in_flight: bool,
+    /// Number of engines that were loading when the last order was sent to it.
+    concurrent: usize,
     reserved_at: Option<Millis>,
     retry_at: Millis,
     confirm_at: Option<Millis>,
@@ -65,6 +82,35 @@
     version: u64,
 }
 
+/// Engines of a service, as far as the roll-out is concerned.
+#[derive(Debug, Default)]
+struct ServiceLoads {
+    engines: usize,
+    loading: Vec<EndpointKey>,
+    candidates: Vec<LoadCandidate>,
+}
+
+/// True if the engine is closed, or may still be loading.
+fn is_loading(state: &EndpointState, now: Millis) -> bool {
+    let load = state.load.as_ref();
+    now < state.loading_until || load.is_some_and(|load| load.may_last(now))
+}
+
+/// True if the engine's load has not ended in time. Such an engine takes no part in the
+/// number of those that load.
+fn has_failed(state: &mut EndpointState, failed_after: Millis, now: Millis) -> bool {
+    let Some(load) = state.load.as_mut().filter(|load| !load.is_done()) else {
+        return false;
+    };
+    let failed = load.elapsed(now) > failed_after;
+    if failed && !load.failed {
+        load.failed = true;
+        log::warn!(engine = &*state.endpoint.id, elapsed_ms = load.elapsed(now), bound_ms = failed_after;
+            "engine does not finish loading weights");
+    }
+    failed
+}
+
 /// Action for the lease holder.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Task {
@@ -100,20 +146,27 @@
     named: BTreeMap<String, Vec<NamedVersion>>,
     engines: BTreeMap<EndpointKey, EngineProgress>,
     progressed_at: Millis,
-}
-
-/// Number of engines of a fleet that may load weights concurrently. With two
-/// engines or more, at least half keep serving.
-pub fn max_concurrent_loads(engines: usize) -> usize {
-    MIN_CONCURRENT_LOADS
-        .max(engines / ENGINES_PER_LOAD)
-        .min(engines / MIN_ENGINES_PER_LOAD)
-        .max(1)
+    /// Time within which new weights must be in use, in ms.
+    bound: Millis,
+    /// Duration of loads, by service.
+    pub load_times: LoadTimes,
+    /// Engines whose loads are done since the last datagram.
+    pub loaded: Vec<EndpointKey>,
+    /// True if the durations of loads have changed since the last datagram.
+    pub has_learnt: bool,
 }
 
 type Fleet = BTreeMap<EndpointKey, EndpointState>;
 
 impl Rollout {
+    /// A roll-out of weights that must be in use after `bound` ms.
+    pub fn new(bound: Millis) -> Self {
+        Self {
+            bound,
+            ..Self::default()
+        }
+    }
+
     /// Records a version that the operator named at `named_at`. Returns true if it is
     /// newer than all known versions.
     pub fn name_version(
@@ -202,71 +255,108 @@
             return Vec::new();
         };
         let mut tasks = Vec::new();
-        let mut engines = 0;
-        let mut loading = 0;
-        let mut candidates: Vec<LoadCandidate> = Vec::new();
-        for (key, state) in fleet.iter() {
+        for (service, mut loads) in self.service_loads(fleet, now) {
+            let most = self.load_times.max_concurrent(&service, loads.engines);
+            let reserve_ms = self.reserve_ms(&service);
+            loads.candidates.sort_unstable();
+            for engine in loads.candidates.into_iter().take(most) {
+                let key = engine.key;
+                let (Some(state), Some(progress)) =
+                    (fleet.get_mut(&key), self.engines.get_mut(&key))
+                else {
+                    continue;
+                };
+                let since = *progress.reserved_at.get_or_insert(now);
+                state.reserved_until = now + RESERVED_MS;
+                let Some(accepted) = progress.accepted else {
+                    progress.in_flight = true;
+                    tasks.push(Task::Report(key));
+                    continue;
+                };
+                let drained = now >= since + reserve_ms || state.running() == 0;
+                if loads.loading.len() >= most || !drained {
+                    continue;
+                }
+                loads.loading.push(key);
+                progress.in_flight = true;
+                progress.reserved_at = None;
+                progress.concurrent = loads.loading.len();
+                state.loading_until = now + ORDER_MS;
+                tasks.push(Task::Order(Box::new(WeightsOrder {
+                    engine: (*state.endpoint).clone(),
+                    model: engine.model,
+                    version: engine.version,
+                    holder: holder.to_owned(),
+                    fencing_token: fencing,
+                    accepted,
+                    not_after: until,
+                })));
+            }
+            for key in &loads.loading {
+                let load = fleet.get_mut(key).and_then(|state| state.load.as_mut());
+                if let Some(load) = load.filter(|load| !load.is_done()) {
+                    load.concurrent = load.concurrent.max(loads.loading.len());
+                }
+            }
+        }
+        tasks
+    }
+
+    /// Time for which an engine that is about to load may finish its runs, in ms.
+    fn reserve_ms(&self, service: &str) -> Millis {
+        let expected = self.load_times.expected(service);
+        expected.map_or(FIRST_RESERVE_MS, |expected| {
+            (expected as f64 * RESERVE_SHARE) as Millis
+        })
+    }
+
+    /// Counts the engines of each service, and lists those that could load.
+    fn service_loads(
+        &mut self,
+        fleet: &mut Fleet,
+        now: Millis,
+    ) -> BTreeMap<Arc<str>, ServiceLoads> {
+        let mut services: BTreeMap<Arc<str>, ServiceLoads> = BTreeMap::new();
+        for (key, state) in fleet.iter_mut() {
             if state.weights.is_empty() {
                 continue;
             }
-            engines += 1;
-            if now < state.loading_until {
-                loading += 1;
-            } else if let Some((model, version)) = self.missing_weights(state) {
-                let (model, has) = (model.to_owned(), state.weights.get(model).copied());
-                let progress = self.engines.entry(*key).or_default();
-                if progress.start_time_ms != state.endpoint.start_time_ms {
-                    *progress = EngineProgress {
-                        start_time_ms: state.endpoint.start_time_ms,
-                        ..EngineProgress::default()
-                    };
+            let service = state.endpoint.service.clone();
+            let failed_after = self.load_times.failed_after(&service, self.bound);
+            let loads = services.entry(service.clone()).or_default();
+            loads.engines += 1;
+            if is_loading(state, now) {
+                if let Some(load) = state.load.as_ref().filter(|load| !load.is_done()) {
+                    self.load_times.note_progress(&service, load);
                 }
-                if !progress.in_flight && now >= progress.retry_at && now >= state.avoid_until {
-                    candidates.push(LoadCandidate {
-                        is_unreserved: progress.reserved_at.is_none(),
-                        loaded_version: has,
-                        tokens: state.memory_tokens(),
-                        key: *key,
-                        model,
-                        version,
-                    });
+                if !has_failed(state, failed_after, now) {
+                    loads.loading.push(*key);
                 }
-            }
-        }
-        let max_loads = max_concurrent_loads(engines);
-        candidates.sort_unstable();
-        for engine in candidates.into_iter().take(max_loads) {
-            let key = engine.key;
-            let (Some(state), Some(progress)) = (fleet.get_mut(&key), self.engines.get_mut(&key))
-            else {
                 continue;
-            };
-            let since = *progress.reserved_at.get_or_insert(now);
-            state.reserved_until = now + RESERVE_MS;
-            let Some(accepted) = progress.accepted else {
-                progress.in_flight = true;
-                tasks.push(Task::Report(key));
+            }
+            let Some((model, version)) = self.missing_weights(state) else {
                 continue;
             };
-            let drained = now >= since + RESERVE_MS || state.running() == 0;
-            if loading >= max_loads || !drained {
-                continue;
+            let (model, has) = (model.to_owned(), state.weights.get(model).copied());
+            let progress = self.engines.entry(*key).or_default();
+            if progress.start_time_ms != state.endpoint.start_time_ms {
+                *progress = EngineProgress {
+                    start_time_ms: state.endpoint.start_time_ms,
+                    ..EngineProgress::default()
+                };
+            }
+            if !progress.in_flight && now >= progress.retry_at && now >= state.avoid_until {
+                loads.candidates.push(LoadCandidate {
+                    is_unreserved: progress.reserved_at.is_none(),
+                    loaded_version: has,
+                    tokens: state.memory_tokens(),
+                    key: *key,
+                    model,
+                    version,
+                });
             }
-            loading += 1;
-            progress.in_flight = true;
-            progress.reserved_at = None;
-            state.loading_until = now + LOAD_MS;
-            tasks.push(Task::Order(Box::new(WeightsOrder {
-                engine: (*state.endpoint).clone(),
-                model: engine.model,
-                version: engine.version,
-                holder: holder.to_owned(),
-                fencing_token: fencing,
-                accepted,
-                not_after: until,
-            })));
         }
-        tasks
+        services
     }
 
     /// Returns requests for the reports of engines whose last order should have taken
@@ -310,8 +400,14 @@
         match outcome {
             OrderOutcome::Accepted => {
                 progress.accepted = Some(order.accepted + 1);
-                progress.confirm_at = Some(now + CONFIRM_MS);
-                state.loading_until = now + LOAD_MS;
+                let mut load = Load::new(Some(order.version), progress.concurrent, now);
+                let sure = self.load_times.sure(&state.endpoint.service);
+                load.sure_ms = sure.unwrap_or(0);
+                state.load = Some(load);
+                let expected = self.load_times.expected(&state.endpoint.service);
+                state.loading_until = now + expected.unwrap_or(UNKNOWN_LOAD_MS);
+                progress.confirm_at =
+                    Some(now + expected.map_or(FIRST_REPORT_MS, |ms| ms + REPORT_AGE_MS));
                 return state.update_weights(&order.model, order.version);
             }
             OrderOutcome::Holds => {
@@ -322,7 +418,7 @@
             OrderOutcome::Conflict => {
                 progress.accepted = None;
                 progress.retry_at = now + RETRY_MS;
-                state.loading_until = now + LOAD_MS;
+                state.loading_until = now + RETRY_MS;
             }
             OrderOutcome::Rejected => {
                 progress.accepted = None;
@@ -368,12 +464,64 @@
             return;
         }
         progress.accepted = Some(report.accepted);
+        let known = state.load.as_ref().filter(|load| !load.is_done());
+        let elapsed = known.map(|load| load.elapsed(now));
+        let next_report = elapsed.map_or(FIRST_REPORT_MS, |elapsed| {
+            FIRST_REPORT_MS.max(elapsed / REPORTS_PER_LOAD)
+        });
+        let done_at = state.load.as_ref().and_then(|load| load.done_at);
+        if report.busy && done_at.is_some_and(|at| now < at + REPORT_AGE_MS) {
+            // The report is older than the end of the load.
+            progress.confirm_at = Some(now + REPORT_AGE_MS);
+            return;
+        }
         if report.busy {
-            state.loading_until = state.loading_until.max(now + 80);
-            progress.confirm_at = Some(now + 150);
-        } else {
-            // The report supersedes what was assumed after an order.
-            state.weights.clone_from(&report.weights);
+            let load = state.load.get_or_insert_with(|| Load::new(None, 0, now));
+            load.done_at = None;
+            load.saw_busy(load.elapsed(now).saturating_sub(REPORT_AGE_MS));
+            state.loading_until = state.loading_until.max(now + next_report + ORDER_MS);
+            progress.confirm_at = Some(now + next_report);
+            return;
+        }
+        let loaded = known.and_then(|load| load.version);
+        let shows_load =
+            loaded.is_some_and(|version| report.weights.values().any(|has| *has == version));
+        if !shows_load && elapsed.is_some_and(|elapsed| elapsed < REPORT_AGE_MS) {
+            // The report is older than the order.
+            progress.confirm_at = Some(now + next_report);
+            return;
+        }
+        // The report supersedes what was assumed after an order.
+        state.weights.clone_from(&report.weights);
+        if let Some(took) = elapsed.filter(|_| shows_load) {
+            self.load_done(fleet, key, took, now);
+        }
+    }
+
+    /// Records at the lease holder that an engine was done with its load after `took` ms at
+    /// the latest.
+    pub fn load_done(&mut self, fleet: &mut Fleet, key: EndpointKey, took: Millis, now: Millis) {
+        let Some(service) = fleet.get(&key).map(|state| state.endpoint.service.clone()) else {
+            return;
+        };
+        let same_service = |state: &&EndpointState| state.endpoint.service == service;
+        let engines = fleet.values().filter(same_service).count();
+        let size = FleetLoad {
+            engines,
+            rollout_ms: self.bound / BOUND_PER_ROLLOUT,
+        };
+        let Some(state) = fleet.get_mut(&key) else {
+            return;
+        };
+        let Some(load) = state.load_done(now) else {
+            return;
+        };
+        self.loaded.push(key);
+        if self.load_times.learn(&service, &load, took, size, now) {
+            self.has_learnt = true;
+            log::info!(engine = &*state.endpoint.id, service = &*service, took_ms = took, busy_ms = load.busy_ms,
+                concurrent = load.concurrent, expected_ms = self.load_times.expected(&service),
+                window = self.load_times.max_concurrent(&service, engines); "engine has loaded weights");
         }
     }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use flamingolock_wire::gossip::{BegunStream, Fault, NodeState, Reload, Run};
+use flamingolock_wire::gossip::{BegunStream, Fault, LoadTimeRecord, NodeState, Reload, Run};
 use tokio::sync::oneshot;
 
 use self::streams::BuildRecord;
@@ -70,6 +70,7 @@
     reloads: Vec<Reload>,
     faults: Vec<Fault>,
     streams: Vec<BegunStream>,
+    load_times: Vec<LoadTimeRecord>,
     nodes: Vec<NodeState>,
 }
 
@@ -115,6 +116,7 @@
     outgoing_faults: Vec<Fault>,
     outgoing_reloads: Vec<Reload>,
     outgoing_streams: Vec<BegunStream>,
+    outgoing_load_times: Vec<LoadTimeRecord>,
     cross_zone: CrossZoneUpdates,
     is_hub: bool,
     peers_reported_at: Millis,
@@ -157,6 +159,7 @@
         view: Arc<ArcSwap<View>>,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let weights_bound = settings.weights_bound.as_millis() as Millis;
         Self {
             budget: RetryBudget::new(
                 settings.retry_ratio,
@@ -184,13 +187,14 @@
             build_record: BuildRecord::default(),
             streams: BegunStreams::default(),
             peers: Peers::default(),
-            rollout: Rollout::default(),
+            rollout: Rollout::new(weights_bound),
             queue: VecDeque::new(),
             next_run: 0,
             outgoing_runs: Vec::new(),
             outgoing_faults: Vec::new(),
             outgoing_reloads: Vec::new(),
             outgoing_streams: Vec::new(),
+            outgoing_load_times: Vec::new(),
             cross_zone: CrossZoneUpdates::default(),
             is_hub: false,
             peers_reported_at: 0,
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -9,6 +9,7 @@
 use super::{Control, GOSSIP_INTERVAL_MS};
 use crate::clock::Millis;
 use crate::control::Effect;
+use crate::control::load_times::Load;
 use crate::control::suspect::Subject;
 
 /// Maximum number of runs per datagram, which keeps it below the usual packet size.
@@ -84,6 +85,15 @@
         self.is_hub = targets.is_hub;
         targets.local.append(&mut self.introduce_to);
         let mut reloads = self.own_reloads(now);
+        let loaded = std::mem::take(&mut self.rollout.loaded);
+        reloads.extend(loaded.into_iter().map(|endpoint| Reload {
+            endpoint,
+            is_done: true,
+            ..Reload::default()
+        }));
+        if std::mem::take(&mut self.rollout.has_learnt) {
+            self.outgoing_load_times = self.rollout.load_times.list(now);
+        }
         reloads.append(&mut self.outgoing_reloads);
         let report_peers = targets.is_hub && now >= self.peers_reported_at + GOSSIP_INTERVAL_MS;
         if report_peers {
@@ -108,6 +118,7 @@
             suspects: self.suspect_parts.take_news(now),
             suspect_requests: self.suspect_requests.take_news(now),
             limits: self.limits.take_news(now),
+            load_times: std::mem::take(&mut self.outgoing_load_times),
             ..Gossip::default()
         };
         let cross_zone = std::mem::take(&mut self.cross_zone);
@@ -123,6 +134,7 @@
                 reloads: cross_zone.reloads,
                 faults: cross_zone.faults,
                 streams: cross_zone.streams,
+                load_times: cross_zone.load_times,
                 relayed: true,
                 heard: cross_zone.nodes,
                 ..Gossip::default()
@@ -164,6 +176,10 @@
                     model: model.clone(),
                     version: *version,
                     remaining_ms: state.loading_until.saturating_sub(now) as u32,
+                    elapsed_ms: state.load.as_ref().map_or(0, |load| load.elapsed(now)) as u32,
+                    concurrent: state.load.as_ref().map_or(0, |load| load.concurrent) as u32,
+                    sure_ms: state.load.as_ref().map_or(0, |load| load.sure_ms) as u32,
+                    is_done: false,
                 });
             }
         }
@@ -207,6 +223,7 @@
         if let Some(builds) = &gossip.builds {
             self.listed_builds.learn(builds, now);
         }
+        self.rollout.load_times.merge(&gossip.load_times, now);
         self.merge_suspects(Subject::Part, &gossip.suspects, now);
         self.merge_suspects(Subject::Request, &gossip.suspect_requests, now);
         self.compare_copies(from, &gossip, now);
@@ -228,7 +245,12 @@
             self.apply_reload(reload, now);
         }
         for fault in &gossip.faults {
-            if let Some(state) = self.fleet.get_mut(&fault.endpoint) {
+            let Some(state) = self.fleet.get_mut(&fault.endpoint) else {
+                continue;
+            };
+            if fault.is_loading {
+                state.refused_while_loading(now);
+            } else {
                 state.avoid_until = state.avoid_until.max(now + Millis::from(fault.avoid_ms));
             }
         }
@@ -260,10 +282,20 @@
         let Some(state) = self.fleet.get_mut(&reload.endpoint) else {
             return;
         };
+        if reload.is_done {
+            state.load_done(now);
+            return;
+        }
         if reload.remaining_ms == 0 {
             state.reserved_until = now + GOSSIP_INTERVAL_MS;
             return;
         }
+        let started_at = now.saturating_sub(Millis::from(reload.elapsed_ms));
+        let mut load = Load::new(Some(reload.version), reload.concurrent as usize, started_at);
+        load.sure_ms = reload.sure_ms.into();
+        if !state.load_told(load) {
+            return;
+        }
         state.loading_until = state
             .loading_until
             .max(now + Millis::from(reload.remaining_ms));
@@ -290,11 +322,13 @@
             self.outgoing_faults.extend(gossip.faults);
             self.outgoing_reloads.extend(gossip.reloads);
             self.outgoing_streams.extend(gossip.streams);
+            self.outgoing_load_times.extend(gossip.load_times);
         } else if gossip.relayed {
             self.cross_zone.runs.append(&mut runs);
             self.cross_zone.faults.extend(gossip.faults);
             self.cross_zone.reloads.extend(gossip.reloads);
             self.cross_zone.streams.extend(gossip.streams);
+            self.cross_zone.load_times.extend(gossip.load_times);
             self.cross_zone.nodes.extend(gossip.sender);
             self.cross_zone.nodes.extend(gossip.heard);
         }
@@ -313,8 +347,10 @@
                 self.parts.mark_prefilling(run.endpoint, &run.parts, now);
             }
             1 => {
-                if let Some((parts, is_stored)) = state.first_token(run_id, now) {
-                    self.parts.mark_cached(run.endpoint, &parts, is_stored, now);
+                if let Some(first) = state.first_token(run_id, now) {
+                    self.parts
+                        .mark_cached(run.endpoint, &first.parts, first.is_stored, now);
+                    self.engine_serves(run.endpoint, first.loaded_ms, now);
                 }
             }
             _ => {
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -428,8 +428,10 @@
         let Some(state) = self.fleet.get_mut(&endpoint) else {
             return;
         };
-        if let Some((parts, is_stored)) = state.first_token((self.incarnation, number), now) {
-            self.parts.mark_cached(endpoint, &parts, is_stored, now);
+        if let Some(first) = state.first_token((self.incarnation, number), now) {
+            self.parts
+                .mark_cached(endpoint, &first.parts, first.is_stored, now);
+            self.engine_serves(endpoint, first.loaded_ms, now);
             self.queue_run_update(
                 Run {
                     number,
@@ -442,6 +444,24 @@
         }
     }
 
+    /// Handles the first token of a request that was sent `loaded_ms` after the engine began
+    /// to load weights, if it is the first one since.
+    pub(super) fn engine_serves(
+        &mut self,
+        endpoint: EndpointKey,
+        loaded_ms: Option<Millis>,
+        now: Millis,
+    ) {
+        let Some(took) = loaded_ms else {
+            return;
+        };
+        if self.lease.held_by_me() {
+            self.rollout.load_done(&mut self.fleet, endpoint, took, now);
+        } else if let Some(state) = self.fleet.get_mut(&endpoint) {
+            state.load_done(now);
+        }
+    }
+
     pub(super) fn run_ended(
         &mut self,
         endpoint: EndpointKey,
@@ -461,6 +481,7 @@
                 self.outgoing_faults.push(Fault {
                     endpoint,
                     avoid_ms: avoid_ms as u32,
+                    is_loading: *end == RunEnd::Reloading,
                 });
             }
             self.parts.clear_prefilling(endpoint, &unfinished);
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -82,8 +82,8 @@
     }
 
     /// Tells a node that has started, or was out of reach, which streams began, which
-    /// software versions were listed recently, which prompt parts and requests may crash endpoints and which
-    /// endpoints state limits. In fleets with hubs only these do so.
+    /// software versions were listed recently, which prompt parts and requests may crash endpoints,
+    /// which endpoints state limits and how long loads take. In fleets with hubs only these do so.
     pub(super) fn send_history(&mut self, node: SocketAddr, now: Millis) {
         if !(self.is_hub || self.peers.is_full_mesh(now)) {
             return;
@@ -99,6 +99,7 @@
             suspects: self.suspect_parts.list(now),
             suspect_requests: self.suspect_requests.list(now),
             limits: self.limits.list(now),
+            load_times: self.rollout.load_times.list(now),
             relayed: true,
             ..Gossip::default()
         };
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! format.
 
 pub mod fleet;
+pub mod rollout;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/gateway/tests/common/rollout.rs
@@ -0,0 +1,401 @@
+//! A control state with engines that load weights and read prompts, in simulated time.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use flamingolock_gateway::control::{Effect, Event, Grant, Placement, PlacementRequest, RunEnd};
+use flamingolock_gateway::dialect::{EngineReport, OrderOutcome, WeightsOrder};
+use flamingolock_gateway::endpoint::{Endpoint, EndpointKey};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::oneshot;
+
+use super::{Harness, placement_request, settings};
+
+/// Age of the engines' reports, in ms.
+const REPORT_AGE_MS: u64 = 200;
+
+/// Time of a call to an engine and its response, in ms.
+const CALL_MS: u64 = 4;
+
+/// Attempts of a request, as the gateway makes them.
+const MAX_ATTEMPTS: usize = 4;
+
+/// Time from the end of a prompt's prefill to the first token, in ms.
+const FIRST_STEP_MS: u64 = 20;
+
+/// Time from the first token of a run to its end, in ms.
+const ANSWER_MS: u64 = 100;
+
+/// Number of different prompts.
+const PROMPTS: u64 = 30;
+
+/// What the engines of a deployment are like.
+#[derive(Clone, Copy, Debug)]
+pub struct Deployment {
+    pub engines: usize,
+    /// Duration of a load, in ms.
+    pub load_ms: u64,
+    /// Number of engines that load at once; others wait until one of them is done.
+    pub loads_at_once: usize,
+    /// Prompt tokens that an engine reads in a ms.
+    pub tokens_per_ms: u64,
+    /// Requests a second.
+    pub requests: u64,
+    /// Time within which the first token should arrive, in ms.
+    pub aim_ms: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Engine {
+    weights: u64,
+    accepted: u64,
+    /// Version and start of the load in progress, if it has begun.
+    load: Option<(u64, Option<u64>)>,
+    /// Never finishes a load.
+    hangs: bool,
+    busy_until: u64,
+    cached: BTreeSet<u64>,
+    reports: VecDeque<(u64, EngineReport)>,
+}
+
+#[derive(Debug)]
+struct Request {
+    place: PlacementRequest,
+    arrived_at: u64,
+}
+
+#[derive(Debug)]
+enum Due {
+    Arrive(Box<Grant>, Request),
+    FirstToken(Box<Grant>, u64),
+    Ended(Box<Grant>, RunEnd),
+    Again(Request),
+    Answered(Box<WeightsOrder>, OrderOutcome),
+    Reported(EndpointKey, EngineReport),
+}
+
+/// What became of the requests that arrived in some time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcomes {
+    pub requests: usize,
+    pub in_aim: usize,
+    /// Requests that got no engine, or were turned away by as many as they may try.
+    pub failed: usize,
+}
+
+impl Outcomes {
+    pub fn share_in_aim(&self) -> f64 {
+        self.in_aim as f64 / self.requests.max(1) as f64
+    }
+}
+
+/// The simulated deployment.
+pub struct Simulation {
+    pub now: u64,
+    pub harness: Harness,
+    /// Requests that engines turned away because they were loading.
+    pub refused: usize,
+    pub loads: usize,
+    /// Largest number of engines that had an order at the same time.
+    pub most_loading: usize,
+    deployment: Deployment,
+    engines: BTreeMap<EndpointKey, Engine>,
+    due: BTreeMap<(u64, u64), Due>,
+    waiting: Vec<(oneshot::Receiver<Placement>, Request)>,
+    outcomes: BTreeMap<u64, Outcomes>,
+    sequence: u64,
+    rng: StdRng,
+}
+
+impl Simulation {
+    /// Starts the deployment; new weights must be in use after `bound_ms`.
+    pub fn start(deployment: Deployment, bound_ms: u64) -> Self {
+        let mut settings = settings();
+        settings.weights_bound = Duration::from_millis(bound_ms);
+        let mut harness = Harness::with_settings(settings, 7);
+        harness.catalog(1, 1_000);
+        let mut engines = BTreeMap::new();
+        for number in 0..deployment.engines {
+            let id = format!("e{number}");
+            harness.engine(&id, 1, "ready", 1_000);
+            let engine = Engine {
+                weights: 1,
+                ..Engine::default()
+            };
+            engines.insert(Endpoint::key_of(&id), engine);
+        }
+        Self {
+            now: 1_000,
+            harness,
+            refused: 0,
+            loads: 0,
+            most_loading: 0,
+            deployment,
+            engines,
+            due: BTreeMap::new(),
+            waiting: Vec::new(),
+            outcomes: BTreeMap::new(),
+            sequence: 0,
+            rng: StdRng::seed_from_u64(1),
+        }
+    }
+
+    /// Makes an engine never finish its loads.
+    pub fn hang(&mut self, number: usize) {
+        let key = Endpoint::key_of(&format!("e{number}"));
+        self.engines.get_mut(&key).expect("an engine").hangs = true;
+    }
+
+    /// Number of engines with these weights.
+    pub fn engines_with(&self, version: u64) -> usize {
+        let engines = self.engines.values();
+        engines.filter(|engine| engine.weights == version).count()
+    }
+
+    /// Names a version of the weights.
+    pub fn name_weights(&mut self, version: u64) {
+        self.harness.weights(version, self.now);
+    }
+
+    /// Outcomes of the requests that arrived since a time.
+    pub fn outcomes_since(&self, from: u64) -> Outcomes {
+        let mut sum = Outcomes::default();
+        for outcomes in self.outcomes.range(from..).map(|(_, outcomes)| outcomes) {
+            sum.requests += outcomes.requests;
+            sum.in_aim += outcomes.in_aim;
+            sum.failed += outcomes.failed;
+        }
+        sum
+    }
+
+    /// Plays until a time.
+    pub fn run_until(&mut self, end: u64) {
+        while self.now < end {
+            self.now += 1;
+            if self.rng.random_range(0..1_000) < self.deployment.requests {
+                self.request();
+            }
+            self.play_loads();
+            while let Some(entry) = self.due.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let due = entry.remove();
+                self.handle(due);
+            }
+            self.harness.control.tick(self.now);
+            self.carry_out_effects();
+            self.collect_placements();
+        }
+    }
+
+    fn after(&mut self, delay: u64, due: Due) {
+        self.sequence += 1;
+        self.due.insert((self.now + delay, self.sequence), due);
+    }
+
+    fn request(&mut self) {
+        let prompt = self.rng.random_range(0..PROMPTS);
+        let mut place = placement_request(None, 1 + prompt * 10);
+        place.parts[2].id = self.rng.random();
+        place.max_wait = Duration::from_millis(self.deployment.aim_ms);
+        let request = Request {
+            place,
+            arrived_at: self.now,
+        };
+        self.outcomes.entry(self.now).or_default().requests += 1;
+        self.place(request);
+    }
+
+    fn place(&mut self, request: Request) {
+        let (sender, receiver) = oneshot::channel();
+        let place = Event::Place(Box::new(request.place.clone()), sender);
+        self.harness.control.handle(place, self.now);
+        self.waiting.push((receiver, request));
+    }
+
+    fn collect_placements(&mut self) {
+        for (mut receiver, request) in std::mem::take(&mut self.waiting) {
+            match receiver.try_recv() {
+                Ok(Ok(grant)) => self.after(1, Due::Arrive(Box::new(grant), request)),
+                Ok(Err(_)) => self.fail(&request),
+                Err(_) => self.waiting.push((receiver, request)),
+            }
+        }
+    }
+
+    fn fail(&mut self, request: &Request) {
+        self.outcomes.entry(request.arrived_at).or_default().failed += 1;
+    }
+
+    /// Engines load in the order in which they were told to, some at once.
+    fn play_loads(&mut self) {
+        let now = self.now;
+        let duration = self.deployment.load_ms;
+        let mut running = 0;
+        for engine in self.engines.values_mut() {
+            if let Some((version, Some(since))) = engine.load {
+                if now >= since + duration && !engine.hangs {
+                    engine.load = None;
+                    engine.weights = version;
+                    engine.cached.clear();
+                    self.loads += 1;
+                } else if !engine.hangs {
+                    running += 1;
+                }
+            }
+        }
+        for engine in self.engines.values_mut() {
+            if let Some((_, since @ None)) = &mut engine.load
+                && running < self.deployment.loads_at_once
+            {
+                *since = Some(now);
+                running += usize::from(!engine.hangs);
+            }
+        }
+        let mut loading = 0;
+        for engine in self.engines.values_mut() {
+            loading += usize::from(engine.load.is_some() && !engine.hangs);
+            let report = EngineReport {
+                born: 1,
+                busy: engine.load.is_some(),
+                accepted: engine.accepted,
+                weights: BTreeMap::from([("m".to_owned(), engine.weights)]),
+            };
+            engine.reports.push_back((now, report));
+            while engine
+                .reports
+                .front()
+                .is_some_and(|(at, _)| *at + REPORT_AGE_MS < now)
+            {
+                engine.reports.pop_front();
+            }
+        }
+        self.most_loading = self.most_loading.max(loading);
+    }
+
+    fn carry_out_effects(&mut self) {
+        for effect in std::mem::take(&mut self.harness.control.effects) {
+            match effect {
+                Effect::LeaseRead(_) => {
+                    let read = Event::LeaseRead(0, None);
+                    self.harness.control.handle(read, self.now);
+                }
+                Effect::LeaseAppend(at) => {
+                    let appended = Event::LeaseAppended(at);
+                    self.harness.control.handle(appended, self.now);
+                }
+                Effect::SendOrder(order) => {
+                    let outcome = self.order(&order);
+                    self.after(CALL_MS, Due::Answered(order, outcome));
+                }
+                Effect::RequestReport(endpoint) => {
+                    let key = endpoint.key();
+                    let engine = &self.engines[&key];
+                    let (_, report) = engine.reports.front().expect("a report").clone();
+                    self.after(CALL_MS, Due::Reported(key, report));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn order(&mut self, order: &WeightsOrder) -> OrderOutcome {
+        let engine = self
+            .engines
+            .get_mut(&order.engine.key())
+            .expect("an engine");
+        if engine.load.is_some() || engine.accepted != order.accepted {
+            return OrderOutcome::Conflict;
+        }
+        engine.accepted += 1;
+        engine.load = Some((order.version, None));
+        OrderOutcome::Accepted
+    }
+
+    fn handle(&mut self, due: Due) {
+        let now = self.now;
+        match due {
+            Due::Arrive(grant, request) => self.arrive(grant, request),
+            Due::FirstToken(grant, arrived_at) => {
+                let in_aim = now <= arrived_at + self.deployment.aim_ms;
+                self.outcomes.entry(arrived_at).or_default().in_aim += usize::from(in_aim);
+                let first = Event::FirstToken {
+                    endpoint: grant.endpoint.key(),
+                    run_number: grant.run_number,
+                    weights: grant.weights,
+                    model: Some("m".to_owned()),
+                    begun: None,
+                };
+                self.harness.control.handle(first, now);
+                self.after(ANSWER_MS, Due::Ended(grant, RunEnd::Complete));
+            }
+            Due::Ended(grant, end) => {
+                let ended = Event::RunEnded {
+                    endpoint: grant.endpoint.key(),
+                    run_number: grant.run_number,
+                    end,
+                    model: Some("m".to_owned()),
+                };
+                self.harness.control.handle(ended, now);
+            }
+            Due::Again(request) => self.place(request),
+            Due::Answered(order, outcome) => {
+                let answered = Event::OrderAnswered(order, outcome);
+                self.harness.control.handle(answered, now);
+            }
+            Due::Reported(key, report) => {
+                let reported = Event::EngineReported(key, Some(report));
+                self.harness.control.handle(reported, now);
+            }
+        }
+    }
+
+    /// Ids of the prompt parts that engines with these weights hold.
+    fn held_parts(&self, weights: u64) -> BTreeSet<u64> {
+        let engines = self.engines.values();
+        let holders = engines.filter(|engine| engine.weights == weights);
+        holders
+            .flat_map(|engine| engine.cached.iter().copied())
+            .collect()
+    }
+
+    fn arrive(&mut self, grant: Box<Grant>, mut request: Request) {
+        let key = grant.endpoint.key();
+        let weights = self.engines[&key].weights;
+        // Parts that the engine does not have are fetched if it is told where from.
+        let fetched = match grant.kv_source {
+            Some(_) => self.held_parts(weights),
+            None => BTreeSet::new(),
+        };
+        let engine = self.engines.get_mut(&key).expect("an engine");
+        let end = if engine.load.is_some() {
+            self.refused += 1;
+            RunEnd::Reloading
+        } else if grant.weights != Some(engine.weights) {
+            RunEnd::WrongWeights(Some(engine.weights))
+        } else {
+            engine.cached.extend(fetched);
+            let parts = &request.place.parts;
+            let unread = parts
+                .iter()
+                .filter(|part| !engine.cached.contains(&part.id));
+            let tokens: u64 = unread.map(|part| u64::from(part.tokens)).sum();
+            engine.cached.extend(parts.iter().map(|part| part.id));
+            let start = engine.busy_until.max(self.now);
+            engine.busy_until = start + tokens / self.deployment.tokens_per_ms;
+            let delay = engine.busy_until + FIRST_STEP_MS - self.now;
+            self.after(delay, Due::FirstToken(grant, request.arrived_at));
+            return;
+        };
+        self.after(1, Due::Ended(grant, end));
+        request.place.tried.push(0);
+        request.place.is_retry = true;
+        if request.place.tried.len() < MAX_ATTEMPTS {
+            self.after(2, Due::Again(request));
+        } else {
+            self.fail(&request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/test_load_times.rs
@@ -0,0 +1,167 @@
+//! Tests of what is learnt from loads of weights.
+
+use std::sync::Arc;
+
+use flamingolock_gateway::control::load_times::{FleetLoad, Load, LoadTimes};
+use flamingolock_wire::gossip::LoadTimeRecord;
+use proptest::prelude::*;
+
+const SERVICE: &str = "engines";
+
+const FLEET: FleetLoad = FleetLoad {
+    engines: 12,
+    rollout_ms: 60_000,
+};
+
+fn load(concurrent: usize, busy_ms: u64) -> Load {
+    let mut load = Load::new(Some(2), concurrent, 0);
+    load.saw_busy(busy_ms);
+    load
+}
+
+/// Learns from loads of this duration, each tried when it is expected to be done and then
+/// every eighth of its time, until the engine serves.
+fn learn_from(times: &mut LoadTimes, duration: u64, loads: usize) -> usize {
+    let service: Arc<str> = SERVICE.into();
+    let mut refusals = 0;
+    for _ in 0..loads {
+        let mut load = load(1, 0);
+        let mut took = times.expected(SERVICE).unwrap_or(duration + duration / 2);
+        while took < duration {
+            load.saw_busy(took);
+            took += (took / 8).max(20);
+            refusals += 1;
+        }
+        times.learn(&service, &load, took, FLEET, 0);
+    }
+    refusals
+}
+
+#[test]
+fn expected_duration_approaches_the_real_one() {
+    for duration in [50, 290, 1_900, 6_000, 60_000] {
+        let mut times = LoadTimes::default();
+        assert_eq!(times.expected(SERVICE), None);
+        learn_from(&mut times, duration, 12);
+        let expected = times.expected(SERVICE).expect("a duration");
+        let range = duration - duration / 10 - 10..=duration + duration / 5 + 25;
+        assert!(
+            range.contains(&expected),
+            "{expected} instead of {duration}"
+        );
+        let refusals = learn_from(&mut times, duration, 40);
+        assert!(refusals <= 40, "{refusals} trials too early at {duration}");
+    }
+}
+
+#[test]
+fn expected_duration_follows_a_change() {
+    let mut times = LoadTimes::default();
+    for duration in [300, 3_000, 300] {
+        learn_from(&mut times, duration, 60);
+        let expected = times.expected(SERVICE).expect("a duration");
+        let range = duration * 8 / 10..=duration * 13 / 10;
+        assert!(
+            range.contains(&expected),
+            "{expected} instead of {duration}"
+        );
+    }
+}
+
+#[test]
+fn fewer_engines_load_at_once_after_a_slowdown() {
+    let service: Arc<str> = SERVICE.into();
+    let mut times = LoadTimes::default();
+    times.learn(&service, &load(2, 900), 1_000, FLEET, 0);
+    assert_eq!(times.max_concurrent(SERVICE, 12), 2);
+    times.note_progress(SERVICE, &load(2, 2_000));
+    assert_eq!(times.max_concurrent(SERVICE, 12), 1);
+    let expected = times.expected(SERVICE).expect("a duration");
+    assert!(expected <= 1_000, "{expected}");
+}
+
+#[test]
+fn more_engines_load_at_once_only_if_a_rollout_takes_too_long() {
+    let service: Arc<str> = SERVICE.into();
+    for (rollout_ms, grows) in [(60_000, false), (2_000, true)] {
+        let mut times = LoadTimes::default();
+        let fleet = FleetLoad {
+            engines: 12,
+            rollout_ms,
+        };
+        for _ in 0..40 {
+            times.learn(&service, &load(2, 900), 1_000, fleet, 0);
+        }
+        assert_eq!(times.max_concurrent(SERVICE, 12) > 2, grows, "{rollout_ms}");
+    }
+}
+
+#[test]
+fn loads_whose_start_is_not_known_teach_nothing() {
+    let service: Arc<str> = SERVICE.into();
+    let mut times = LoadTimes::default();
+    let unknown = Load::new(None, 0, 0);
+    assert!(!times.learn(&service, &unknown, 500, FLEET, 0));
+    for impossible in [0, 1, u64::MAX] {
+        assert!(!times.learn(&service, &load(1, 0), impossible, FLEET, 0));
+    }
+    assert_eq!(times.expected(SERVICE), None);
+}
+
+#[test]
+fn records_of_other_nodes_that_cannot_be_true_are_ignored() {
+    let record = |at_least_ms, at_most_ms, window| LoadTimeRecord {
+        service: SERVICE.to_owned(),
+        at_least_ms,
+        at_most_ms,
+        window,
+        slows: false,
+        age_ms: 0,
+    };
+    let mut times = LoadTimes::default();
+    for bad in [
+        record(0, 0, 2),
+        record(0, u64::MAX, 2),
+        record(500, 400, 2),
+        record(300, 400, 0),
+    ] {
+        times.merge(&[bad], 1_000);
+        assert_eq!(times.expected(SERVICE), None);
+    }
+    times.merge(&[record(390, 400, 2)], 1_000);
+    assert_eq!(times.expected(SERVICE), Some(400));
+    let mut older = record(790, 800, 2);
+    older.age_ms = 500;
+    times.merge(&[older], 1_000);
+    assert_eq!(times.expected(SERVICE), Some(400));
+}
+
+#[test]
+fn node_that_starts_knows_what_the_others_have_learnt() {
+    let mut times = LoadTimes::default();
+    learn_from(&mut times, 1_900, 10);
+    let mut started = LoadTimes::default();
+    started.merge(&times.list(5_000), 9_000);
+    assert_eq!(started.expected(SERVICE), times.expected(SERVICE));
+    assert_eq!(started.list(9_000), times.list(9_000 - 4_000));
+}
+
+proptest! {
+    #[test]
+    fn concurrent_loads_leave_engines_serving(
+        engines in 2_usize..1_000,
+        loads in prop::collection::vec((1_usize..64, 0_u64..10_000, 0_u64..20_000), 0..60),
+    ) {
+        let service: Arc<str> = SERVICE.into();
+        let fleet = FleetLoad { engines, rollout_ms: 1_000 };
+        let mut times = LoadTimes::default();
+        for (concurrent, busy_ms, took) in loads {
+            times.learn(&service, &load(concurrent, busy_ms), took.max(busy_ms), fleet, 0);
+            times.note_progress(SERVICE, &load(concurrent, busy_ms));
+            prop_assert!(times.max_concurrent(SERVICE, engines) >= 1);
+            prop_assert!(times.max_concurrent(SERVICE, engines) <= engines.div_ceil(2));
+        }
+        prop_assert!(times.max_concurrent(SERVICE, engines) >= 1);
+        prop_assert!(times.max_concurrent(SERVICE, engines) <= engines.div_ceil(2));
+    }
+}
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -56,6 +56,33 @@
     /// News of requests that may crash endpoints, like that of prompt parts.
     #[prost(message, repeated, tag = "15")]
     pub suspect_requests: Vec<SuspectRecord>,
+    /// What the sender knows of the duration of loads. The lease holder tells it when it
+    /// has changed; to a node that has just started, all nodes do.
+    #[prost(message, repeated, tag = "16")]
+    pub load_times: Vec<LoadTimeRecord>,
+}
+
+/// How long the engines of a service take to load weights.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LoadTimeRecord {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Time after which engines were still loading, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub at_least_ms: u64,
+    /// Time after which engines served again, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub at_most_ms: u64,
+    /// Number of engines that may load at once.
+    #[prost(uint32, tag = "4")]
+    pub window: u32,
+    /// True if more loads at once were found to slow each other down.
+    #[prost(bool, tag = "5")]
+    pub slows: bool,
+    /// Time since the last load from which this was learnt, in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub age_ms: u64,
 }
 
 /// Asks the issuer for a permit to send one request to an endpoint.
@@ -285,6 +312,19 @@
     /// the load command has not been sent.
     #[prost(uint32, tag = "4")]
     pub remaining_ms: u32,
+    /// Time since it accepted the order, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub elapsed_ms: u32,
+    /// Largest number of engines that were loading at the same time.
+    #[prost(uint32, tag = "6")]
+    pub concurrent: u32,
+    /// Time after the order after which it is surely done, in milliseconds; 0 if it is not
+    /// known.
+    #[prost(uint32, tag = "8")]
+    pub sure_ms: u32,
+    /// True if the engine is done with the load and serves.
+    #[prost(bool, tag = "7")]
+    pub is_done: bool,
 }
 
 /// An endpoint that failed.
@@ -296,4 +336,7 @@
     /// Time for which it should be avoided, in milliseconds.
     #[prost(uint32, tag = "2")]
     pub avoid_ms: u32,
+    /// True if it is an engine that refused a request because it is loading weights.
+    #[prost(bool, tag = "3")]
+    pub is_loading: bool,
 }
