--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -96,6 +96,10 @@
     pub is_retry: bool,
     /// Longest time to wait in the queue for an endpoint.
     pub max_wait: Duration,
+    /// Time within which the response should begin.
+    pub target: Duration,
+    /// Time after which the caller leaves unless the response has begun.
+    pub patience: Duration,
 }
 
 /// Assignment of a request to an endpoint.
@@ -136,6 +140,12 @@
         /// When the caller may return.
         until: Millis,
     },
+    /// Every endpoint has so many requests queued that the caller would have left before
+    /// this one begins.
+    Overloaded {
+        /// When the caller may return.
+        until: Millis,
+    },
     /// The retry budget is exhausted.
     Budget,
     /// The request resumes a stream, several software versions serve or did so recently,
@@ -159,6 +169,7 @@
         match self {
             Self::AllPaused { until }
             | Self::AllLimited { until }
+            | Self::Overloaded { until }
             | Self::StoppedPart { until } => Some(until),
             Self::StoppedRequest { until } => until,
             Self::NoEndpoint | Self::AllReloading | Self::Budget | Self::UnknownBuild => None,
@@ -172,6 +183,7 @@
             Self::AllReloading => "all_reloading",
             Self::AllPaused { .. } => "all_paused",
             Self::AllLimited { .. } => "all_limited",
+            Self::Overloaded { .. } => "overloaded",
             Self::Budget => "budget",
             Self::UnknownBuild => "unknown_build",
             Self::StoppedPart { .. } => "stopped_part",
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -164,6 +164,8 @@
     pub score: f64,
     /// Expected time to prefill the prompt, in ms.
     pub prefill_ms: f64,
+    /// Expected time until the prompts ahead of it are prefilled, in ms.
+    pub queue_ms: f64,
     /// Version of the weights at the engine.
     pub version: Option<u64>,
     /// Shared tokens that would be prefilled although another engine is prefilling
@@ -444,6 +446,7 @@
         Estimate {
             score: queue + self.health_penalty_ms(context.now) + self.zone_penalty_ms(context),
             prefill_ms: 0.0,
+            queue_ms: 0.0,
             version: None,
             duplicate_tokens: 0,
             uncached_tokens: 0,
@@ -524,7 +527,8 @@
             / traits.memory_tokens.max(1) as f64;
         score += (memory - MEMORY_PRESSURE_SHARE).max(0.0) * MEMORY_PRESSURE_MS;
         score += self.runs.len() as f64 * RUNNING_REQUEST_MS;
-        let busy_ms = self.prefill_queue_ms(now) + prefill_ms * self.slowdown;
+        let queue_ms = self.prefill_queue_ms(now);
+        let busy_ms = queue_ms + prefill_ms * self.slowdown;
         // The request must start before the superseded weights expire.
         let latest_start_ms = busy_ms * MAX_START_FACTOR;
         let max_age = context.max_weights_age as f64;
@@ -536,6 +540,7 @@
         Some(Estimate {
             score,
             prefill_ms,
+            queue_ms,
             version: Some(version),
             duplicate_tokens,
             uncached_tokens,
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -61,6 +61,19 @@
     }
 }
 
+/// True if the queue ahead of a request alone makes its response late. Whoever refuses such
+/// requests keeps the queue so short that the others are in time.
+fn starts_too_late(request: &PlacementRequest, estimate: &Estimate) -> bool {
+    estimate.queue_ms > request.target.as_millis() as f64
+}
+
+/// When the engine of an estimate can begin a request in time. Callers are spread over as
+/// long again.
+fn free_again(estimate: &Estimate, now: Millis) -> Millis {
+    let queue_ms = estimate.queue_ms.max(1.0) as Millis;
+    now + rand::rng().random_range(queue_ms..=2 * queue_ms)
+}
+
 impl Control {
     /// Returns the time after which superseded weights must not be used, in ms.
     pub(super) fn max_weights_age(&self) -> Millis {
@@ -158,6 +171,11 @@
             return None;
         }
         match self.select_permitted(&queued.request, now) {
+            Selection::Endpoint(_, estimate) if starts_too_late(&queued.request, &estimate) => {
+                let until = free_again(&estimate, now);
+                self.refuse(&queued.request, Refusal::Overloaded { until }, queued.reply);
+                None
+            }
             Selection::Endpoint(key, estimate) => {
                 let grant = self.grant(&queued.request, key, &estimate, now);
                 let number = grant.run_number;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -82,6 +82,7 @@
     pub async fn place(&self, exchange: &Exchange, context: &ProxyContext) -> Placement {
         let workspace = exchange.workspace.as_ref();
         let priority = workspace.and_then(|workspace| workspace.priority);
+        let left = exchange.deadline.saturating_duration_since(Instant::now());
         let ask = PlacementRequest {
             id: exchange.request_id.clone(),
             service: exchange.service.clone(),
@@ -98,8 +99,13 @@
             build_rule: self.build_rule(exchange),
             tried: self.tried.clone(),
             is_retry: self.reached,
-            max_wait: MAX_PLACEMENT_WAIT
-                .min(exchange.deadline.saturating_duration_since(Instant::now())),
+            max_wait: MAX_PLACEMENT_WAIT.min(left),
+            target: exchange.route.target,
+            patience: exchange
+                .route
+                .patience
+                .map_or(left, |patience| patience.saturating_sub(exchange.started.elapsed()))
+                .min(left),
         };
         context.handle.place(ask).await
     }
@@ -210,6 +216,7 @@
         Refusal::AllPaused { .. } => "all endpoints have asked for a pause",
         Refusal::AllLimited { .. } => "the limits of all endpoints are used up",
         Refusal::AllReloading => "all engines are loading weights",
+        Refusal::Overloaded { .. } => "all engines have long queues",
         Refusal::Budget => "retry budget exhausted",
         Refusal::StoppedPart { .. } => "a prompt part of it crashes engines",
         Refusal::StoppedRequest { .. } => "it crashes endpoints",
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -283,5 +283,7 @@
         tried: Vec::new(),
         is_retry: false,
         max_wait: Duration::ZERO,
+        target: Duration::from_secs(1),
+        patience: Duration::from_secs(60),
     }
 }
