gateway: refuse at once what the queues of all engines make late

Cause: the queue of an engine was estimated too short: the time since the oldest waiting prompt was sent was taken off in full, though most of it was spent on prompts that are done.

Change: only the time since the last first token counts as work on the prompts that wait. A request whose queue makes it late at the best engine is refused at once, as not run; the caller is asked to return when the queue is short, at a random time over as long again.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -48,9 +48,6 @@
     pub timeout: Duration,
     /// Target for the time to the first byte.
     pub target: Duration,
-    /// Longest silence after which callers leave a stream, also before its first event;
-    /// none if they wait until their deadline.
-    pub patience: Option<Duration>,
     /// Maximum number of endpoints that may run one request.
     pub max_attempts: u32,
     /// Priority; 0 is the highest.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -98,8 +98,6 @@
     pub max_wait: Duration,
     /// Time within which the response should begin.
     pub target: Duration,
-    /// Time after which the caller leaves unless the response has begun.
-    pub patience: Duration,
 }
 
 /// Assignment of a request to an endpoint.
@@ -140,8 +138,7 @@
         /// When the caller may return.
         until: Millis,
     },
-    /// Every endpoint has so many requests queued that the caller would have left before
-    /// this one begins.
+    /// Every endpoint has so many requests queued that this one would be late.
     Overloaded {
         /// When the caller may return.
         until: Millis,
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -154,6 +154,8 @@
     backoff_level: u32,
     failure_rate: f64,
     slowdown: f64,
+    /// Time of the last first token.
+    first_token_at: Millis,
     runs: BTreeMap<RunId, RunningRequest>,
 }
 
@@ -166,6 +168,8 @@
     pub prefill_ms: f64,
     /// Expected time until the prompts ahead of it are prefilled, in ms.
     pub queue_ms: f64,
+    /// Expected time from then to the first token, in ms.
+    pub own_ms: f64,
     /// Version of the weights at the engine.
     pub version: Option<u64>,
     /// Shared tokens that would be prefilled although another engine is prefilling
@@ -205,6 +209,7 @@
             backoff_level: 0,
             failure_rate: 0.0,
             slowdown: 1.0,
+            first_token_at: 0,
             runs: BTreeMap::new(),
         }
     }
@@ -257,7 +262,8 @@
                 oldest = oldest.min(run.sent_at);
             }
         }
-        let gone = (now - oldest) as f64;
+        // The time until the last first token was spent on prompts that are done.
+        let gone = (now - oldest.max(self.first_token_at).min(now)) as f64;
         (total * self.slowdown - gone).max(total * 0.15)
     }
 
@@ -338,6 +344,7 @@
             return None;
         }
         run.has_first_token = true;
+        self.first_token_at = now;
         let took = (now - run.sent_at) as f64;
         let ratio = took / (run.queued_ms + run.prefill_ms + FIRST_STEP_MS);
         let load = self.load.as_ref().filter(|load| !load.is_done());
@@ -447,6 +454,7 @@
             score: queue + self.health_penalty_ms(context.now) + self.zone_penalty_ms(context),
             prefill_ms: 0.0,
             queue_ms: 0.0,
+            own_ms: 0.0,
             version: None,
             duplicate_tokens: 0,
             uncached_tokens: 0,
@@ -541,6 +549,7 @@
             score,
             prefill_ms,
             queue_ms,
+            own_ms: prefill_ms * self.slowdown + FIRST_STEP_MS,
             version: Some(version),
             duplicate_tokens,
             uncached_tokens,
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -42,6 +42,10 @@
 /// Number of output tokens from which on stalls of an answer are noticeable.
 const LONG_ANSWER_TOKENS: u32 = 16;
 
+/// Largest part of the target for the first token that a prompt itself may take before it
+/// counts as late by itself.
+const MAX_OWN_SHARE: f64 = 0.5;
+
 /// Result of the selection of an endpoint.
 enum Selection {
     Endpoint(EndpointKey, Estimate),
@@ -61,10 +65,13 @@
     }
 }
 
-/// True if the queue ahead of a request alone makes its response late. Whoever refuses such
-/// requests keeps the queue so short that the others are in time.
+/// True if the queue ahead of a request makes its response late. Refusing such requests
+/// keeps the queue so short that the others are in time. A long prompt is late by itself, so
+/// no more than a part of the target counts for it.
 fn starts_too_late(request: &PlacementRequest, estimate: &Estimate) -> bool {
-    estimate.queue_ms > request.target.as_millis() as f64
+    let target_ms = request.target.as_millis() as f64;
+    let own_ms = estimate.own_ms.min(target_ms * MAX_OWN_SHARE);
+    estimate.queue_ms + own_ms > target_ms
 }
 
 /// When the engine of an estimate can begin a request in time. Callers are spread over as
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -101,11 +101,6 @@
             is_retry: self.reached,
             max_wait: MAX_PLACEMENT_WAIT.min(left),
             target: exchange.route.target,
-            patience: exchange
-                .route
-                .patience
-                .map_or(left, |patience| patience.saturating_sub(exchange.started.elapsed()))
-                .min(left),
         };
         context.handle.place(ask).await
     }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -283,7 +283,6 @@
         tried: Vec::new(),
         is_retry: false,
         max_wait: Duration::ZERO,
-        target: Duration::from_secs(1),
-        patience: Duration::from_secs(60),
+        target: Duration::from_mins(1),
     }
 }
--- a/crates/gateway/tests/common/rollout.rs
+++ b/crates/gateway/tests/common/rollout.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Sets the number of requests a second.
+    pub fn set_rate(&mut self, requests: u64) {
+        self.deployment.requests = requests;
+    }
+
     /// Makes an engine never finish its loads.
     pub fn hang(&mut self, number: usize) {
         let key = Endpoint::key_of(&format!("e{number}"));
@@ -199,6 +204,7 @@
         let prompt = self.rng.random_range(0..PROMPTS);
         let mut place = placement_request(None, 1 + prompt * 10);
         place.parts[2].id = self.rng.random();
+        place.target = Duration::from_millis(self.deployment.aim_ms);
         place.max_wait = Duration::from_millis(self.deployment.aim_ms);
         let request = Request {
             place,
--- a/crates/gateway/tests/test_catalog.rs
+++ b/crates/gateway/tests/test_catalog.rs
@@ -23,7 +23,6 @@
         resumable: false,
         timeout: Duration::from_secs(1),
         target: Duration::from_millis(300),
-        patience: None,
         max_attempts: 2,
         priority: 0,
         public: false,
