gateway: penalties of weights are relative to the target of a request

Cause: penalties of 300 and 150 ms weigh more where targets are short; at 500 ms requests queued at new weights until they were late.

--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -46,12 +46,13 @@
 /// Penalty for an endpoint that is avoided after failures, in ms.
 const SUSPECT_MS: f64 = 5_000.0;
 
-/// Penalty for an engine that is reserved for loading weights, in ms.
-const RESERVED_MS: f64 = 150.0;
+/// Penalty for an engine that is reserved for loading weights, relative to the target for
+/// the first token.
+const RESERVED_TARGETS: f64 = 0.2;
 
-/// Penalty for weights that were superseded more than [`WEIGHTS_FRESH_MS`] ago, in
-/// ms.
-const OLD_WEIGHTS_MS: f64 = 300.0;
+/// Penalty for weights that were superseded more than [`WEIGHTS_FRESH_MS`] ago, relative to
+/// the target for the first token: newer ones serve a request as long as they do so in time.
+const OLD_WEIGHTS_TARGETS: f64 = 0.2;
 
 /// Time after which a run without a first token no longer counts towards the
 /// prefill queue, in ms.
@@ -478,18 +479,19 @@
         }
         let model = request.model.as_deref()?;
         let version = *self.weights.get(model)?;
+        let target_ms = request.target.as_millis() as f64;
         let mut score = self.health_penalty_ms(now) + self.zone_penalty_ms(context);
         let replaced = replaced_at(context.versions, version);
         let replaced = replaced.map(|at| now.saturating_sub(at));
         if let Some(age) = replaced {
             score += if age > WEIGHTS_FRESH_MS {
-                OLD_WEIGHTS_MS
+                OLD_WEIGHTS_TARGETS * target_ms
             } else {
                 25.0
             };
         }
         if now < self.reserved_until {
-            score += RESERVED_MS;
+            score += RESERVED_TARGETS * target_ms;
         }
         let keys = shared_keys(
             namespace(model, version, request.isolated_workspace.as_deref()),
