gateway: record the streams that began while several versions serve

Cause: which software version began a stream was known to the memory of the nodes only, and the store held the set of versions.

Change: while several versions may have begun a stream, the two nodes of the first ranks append what they hear of to the topic begun-streams, every 50 ms or as often as a tenth of the stated writing calls allow; nodes read it at their start. Streams of the last interval are still refused. A stream counts as begun with its first whole event, so that it cannot begin at two versions; a resumed one is known by its own request as well.

Measured: streams_of_two_builds_continue_after_all_nodes_were_killed fails before (503) and passes.

--- a/crates/cli/tests/test_builds.rs
+++ b/crates/cli/tests/test_builds.rs
@@ -44,9 +44,14 @@
 
 /// Requests a stream that breaks off at every engine around its fourth event.
 fn broken_stream(site: &Site, node: &Node, id: &'static str) -> Broken {
+    broken_stream_of(site, node, 1, id)
+}
+
+/// The same for a prompt, which decides the engine.
+fn broken_stream_of(site: &Site, node: &Node, prompt: usize, id: &'static str) -> Broken {
     let set_modes = |mode| site.engines.iter().for_each(|engine| engine.set_mode(mode));
     set_modes(EngineMode::BreakAfter(4));
-    let answer = draft(node, 1, id, &[]);
+    let answer = draft(node, prompt, id, &[]);
     set_modes(EngineMode::Healthy);
     assert!(!answer.complete, "{}", node.log());
     let builds = event_builds(&answer.body);
@@ -141,6 +146,33 @@
     assert_continues(&node, &broken);
 }
 
+/// No node is left that knows the streams, and two software versions can have begun them.
+#[test]
+fn streams_of_two_builds_continue_after_all_nodes_were_killed() {
+    let spare = Engine::start("engine-3", 10, EVENT_INTERVAL);
+    let site = start(&[spare]);
+    let mut nodes = [started_node(&site, "node-1"), started_node(&site, "node-2")];
+    let broken: Vec<Broken> = ["r1", "r2", "r3", "r4", "r5", "r6"]
+        .into_iter()
+        .enumerate()
+        .map(|(prompt, id)| broken_stream_of(&site, &nodes[prompt % 2], prompt, id))
+        .collect();
+    let builds: BTreeSet<&str> = broken.iter().map(|broken| broken.build.as_str()).collect();
+    assert_eq!(builds.len(), 2, "both software versions began streams");
+    std::thread::sleep(Duration::from_millis(300));
+    nodes.iter_mut().for_each(Node::kill);
+    nodes.iter_mut().for_each(Node::restart);
+    for node in &nodes {
+        node.wait_ready();
+        wait_for("the node to read the streams", || {
+            node.log().matches("read the recorded streams").count() > 0
+        });
+    }
+    for (place, broken) in broken.iter().enumerate() {
+        assert_continues(&nodes[place % 2], broken);
+    }
+}
+
 #[test]
 fn resumed_stream_of_an_unknown_build_is_not_run() {
     let site = start(&[]);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -99,8 +99,7 @@
     resume_after: Option<u64>,
     first_byte_timeout: Option<Duration>,
 ) -> AttemptOutcome {
-    let resumed = resume_after.or(exchange.head.last_event).is_some();
-    let mut guard = RunGuard::new(context, &grant, exchange, resumed);
+    let mut guard = RunGuard::new(context, &grant, exchange, resume_after.is_some());
     let first_byte_deadline =
         first_byte_timeout.map_or(exchange.deadline, |timeout| Instant::now() + timeout);
     let limit = first_byte_deadline.min(exchange.deadline);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -31,7 +31,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
-use flamingolock_wire::gossip::{BegunStream, BuildHistory, StoppedSuspects};
+use flamingolock_wire::gossip::{BegunStream, BegunStreamList, BuildHistory, StoppedSuspects};
 use flamingolock_wire::topic_copies::CopiesRequest;
 use tokio::sync::{mpsc, oneshot};
 
@@ -274,9 +274,9 @@
         weights: Option<u64>,
         /// Model of the request.
         model: Option<String>,
-        /// Resumable stream that begins with it, if any.
-        begun: Option<BegunStream>,
     },
+    /// A resumable stream has brought its first event.
+    StreamBegun(BegunStream),
     /// A run ended.
     RunEnded {
         /// Endpoint of the run.
@@ -338,6 +338,10 @@
     BuildsRead(BuildHistory),
     /// An append of the record of the software versions ended; true if it is stored.
     BuildsRecorded(bool),
+    /// The record of the streams that began was read when the node started.
+    StreamsRead(BegunStreamList),
+    /// An append to the record of the streams ended; true if it is stored.
+    StreamsRecorded(bool),
     /// The record of the stopped suspects was read when the node started.
     SuspectsRead(StoppedSuspects),
     /// An append of the record of the stopped suspects ended; true if it is stored.
@@ -382,6 +386,8 @@
     LeaseAppend(u64),
     /// Record the software versions that may have begun a stream.
     RecordBuilds(BuildHistory),
+    /// Add streams to the record of those that began.
+    RecordStreams(BegunStreamList),
     /// Record the prompt parts and requests that are stopped.
     RecordSuspects(StoppedSuspects),
     /// Send an order to an engine.
--- a/crates/gateway/src/control/begun_streams.rs
+++ b/crates/gateway/src/control/begun_streams.rs
@@ -20,23 +20,34 @@
 struct Begun {
     build: Arc<str>,
     at: Millis,
+    heard_at: Millis,
 }
 
 /// The streams that began recently, by the key of the request that began them.
 #[derive(Debug, Default)]
 pub struct BegunStreams {
     streams: BTreeMap<u64, Begun>,
+    /// Keys in the order in which this node heard of them.
+    by_arrival: BTreeSet<(Millis, u64)>,
 }
 
 impl BegunStreams {
-    /// Records a stream. A later record of the same request replaces an earlier one,
-    /// whose engine broke off before its first event.
+    /// Records a stream. A later record of the same request replaces an earlier one.
     pub fn record(&mut self, stream: &BegunStream, now: Millis) {
         let at = now.saturating_sub(Millis::from(stream.age_ms));
         let known = self.streams.get(&stream.request);
-        if known.is_none_or(|known| known.at <= at) {
-            let build = stream.build.as_str().into();
-            self.streams.insert(stream.request, Begun { build, at });
+        if known.is_some_and(|known| known.at > at || *known.build == *stream.build) {
+            return;
+        }
+        let begun = Begun {
+            build: stream.build.as_str().into(),
+            at,
+            heard_at: now,
+        };
+        self.by_arrival.insert((now, stream.request));
+        if let Some(replaced) = self.streams.insert(stream.request, begun) {
+            self.by_arrival.remove(&(replaced.heard_at, stream.request));
+            self.by_arrival.insert((now, stream.request));
         }
     }
 
@@ -53,16 +64,46 @@
 
     /// Returns all streams, for a node that may not know them.
     pub fn list(&self, now: Millis) -> Vec<BegunStream> {
-        let entry = |(request, begun): (&u64, &Begun)| BegunStream {
-            request: *request,
-            build: begun.build.to_string(),
-            age_ms: now.saturating_sub(begun.at) as u32,
-        };
+        let entry = |(request, begun): (&u64, &Begun)| entry(*request, begun, now);
         self.streams.iter().map(entry).collect()
     }
 
-    /// Forgets the streams that began before a time.
+    /// Returns the streams that this node heard of from a time on, at most `most`, and the
+    /// time from which on to continue.
+    pub fn heard_since(
+        &self,
+        since: Millis,
+        most: usize,
+        now: Millis,
+    ) -> (Vec<BegunStream>, Millis) {
+        let mut heard = Vec::new();
+        for (at, request) in self.by_arrival.range((since, 0)..) {
+            if heard.len() >= most && *at > since {
+                return (heard, *at);
+            }
+            if let Some(begun) = self.streams.get(request) {
+                heard.push(entry(*request, begun, now));
+            }
+        }
+        (heard, now + 1)
+    }
+
+    /// Forgets the streams that this node heard of before a time.
     pub fn forget_before(&mut self, time: Millis) {
-        self.streams.retain(|_, begun| begun.at >= time);
+        while let Some((at, request)) = self.by_arrival.first().copied() {
+            if at >= time {
+                return;
+            }
+            self.by_arrival.pop_first();
+            self.streams.remove(&request);
+        }
+    }
+}
+
+fn entry(request: u64, begun: &Begun, now: Millis) -> BegunStream {
+    BegunStream {
+        request,
+        build: begun.build.to_string(),
+        age_ms: now.saturating_sub(begun.at) as u32,
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -17,7 +17,7 @@
 use flamingolock_wire::gossip::{BegunStream, Fault, LoadTimeRecord, NodeState, Reload, Run};
 use tokio::sync::oneshot;
 
-use self::streams::BuildRecord;
+use self::streams::{BuildRecord, StreamRecord};
 use self::suspects::SuspectsRecord;
 use crate::catalog::Catalog;
 use crate::clock::Millis;
@@ -106,6 +106,7 @@
     streams: BegunStreams,
     listed_builds: ListedBuilds,
     build_record: BuildRecord,
+    stream_record: StreamRecord,
     peers: Peers,
     budget: RetryBudget,
     rollout: Rollout,
@@ -185,6 +186,7 @@
             suspects_record: SuspectsRecord::default(),
             parts: CacheIndex::default(),
             build_record: BuildRecord::default(),
+            stream_record: StreamRecord::default(),
             streams: BegunStreams::default(),
             peers: Peers::default(),
             rollout: Rollout::new(weights_bound),
@@ -232,12 +234,8 @@
                 run_number,
                 weights,
                 model,
-                begun,
             } => {
                 self.first_token(endpoint, run_number, now);
-                if let Some(stream) = begun {
-                    self.stream_begun(stream, now);
-                }
                 if let (Some(state), Some(version), Some(model)) =
                     (self.fleet.get_mut(&endpoint), weights, model)
                     && state.update_weights(&model, version)
@@ -251,6 +249,9 @@
                 end,
                 model,
             } => self.run_ended(endpoint, run_number, &end, model.as_deref(), now),
+            Event::StreamBegun(stream) => self.stream_begun(stream, now),
+            Event::StreamsRead(recorded) => self.streams_read(recorded, now),
+            Event::StreamsRecorded(stored) => self.streams_recorded(stored),
             Event::RunCrashed(run) => self.run_crashed(&run, now),
             Event::RunAnswered(subjects) => self.run_answered(&subjects, now),
             Event::SuspectsRead(recorded) => self.suspects_read(&recorded, now),
@@ -337,6 +338,7 @@
         self.give_up_asks(now);
         self.retry_queued(now);
         self.advance_rollout(now);
+        self.record_streams(now);
         if self
             .gossip_pending_at
             .is_some_and(|at| now >= at + GOSSIP_BATCH_MS)
@@ -416,6 +418,7 @@
         log::warn!(era, before = before.unwrap_or(0); "store came back from a copy; records of the last seconds are lost");
         self.lease.records_lost(now);
         self.build_record = BuildRecord::default();
+        self.stream_record = StreamRecord::default();
         self.suspects_record = SuspectsRecord::default();
         self.store_recovered_at = now;
         self.effects.push(Effect::Register);
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -1,10 +1,11 @@
 //! Streams that callers may resume, and the software versions that can have begun them.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use flamingolock_wire::gossip::{BegunStream, BuildHistory, Gossip};
+use flamingolock_wire::gossip::{BegunStream, BegunStreamList, BuildHistory, Gossip};
 
 use super::Control;
 use crate::clock::Millis;
@@ -20,6 +21,31 @@
 /// Minimum interval in ms between two records of the software versions.
 const RECORD_INTERVAL_MS: Millis = 1_000;
 
+/// Interval in ms at which a node records the streams that began. Streams of the last
+/// interval are lost if all nodes end.
+const STREAM_RECORD_MS: Millis = 50;
+
+/// Number of nodes that record the streams, in case one of them does not reach the store.
+const STREAM_RECORDERS: usize = 2;
+
+/// Maximum number of streams in one append, so that it fits into a record of the store.
+const MAX_RECORDED_STREAMS: usize = 4_000;
+
+/// Part of the store's writing calls that all recorders of streams together use.
+const RECORD_CALL_SHARE: f64 = 0.1;
+
+/// The record of the streams that began, kept in the store for the case that all nodes end
+/// while several software versions serve. With one version, none is needed.
+#[derive(Debug, Default)]
+pub struct StreamRecord {
+    /// Time from which on the streams that this node heard of are not recorded.
+    since: Millis,
+    /// The same once the append in progress is stored.
+    next_since: Millis,
+    is_appending: bool,
+    appended_at: Millis,
+}
+
 /// The record of the software versions that may have begun a stream, kept in the store
 /// for the case that all nodes end.
 #[derive(Debug, Default)]
@@ -81,6 +107,64 @@
         self.gossip_pending_at.get_or_insert(now);
     }
 
+    /// Adds the streams that were recorded before all nodes ended.
+    pub(super) fn streams_read(&mut self, recorded: BegunStreamList, now: Millis) {
+        log::info!(streams = recorded.streams.len(); "read the recorded streams");
+        for mut stream in recorded.streams {
+            // The order of the record is that in which they began.
+            stream.age_ms = 0;
+            self.streams.record(&stream, now);
+        }
+    }
+
+    /// Handles the end of an append to the record of streams.
+    pub(super) fn streams_recorded(&mut self, stored: bool) {
+        let record = &mut self.stream_record;
+        record.is_appending = false;
+        if stored {
+            record.since = record.next_since;
+        }
+    }
+
+    /// Records the streams that began since the last time, if several software versions may
+    /// have begun one. The nodes of the first ranks do so.
+    pub(super) fn record_streams(&mut self, now: Millis) {
+        let record = &self.stream_record;
+        let interval = STREAM_RECORD_MS.max(self.settings.store_writes.map_or(0, |writes| {
+            (1_000.0 * STREAM_RECORDERS as f64 / (writes * RECORD_CALL_SHARE)) as Millis
+        }));
+        if record.is_appending || now < record.appended_at + interval || self.store_unreachable {
+            return;
+        }
+        self.stream_record.appended_at = now;
+        if !self.serves_several_builds(now) || self.rank(now) >= STREAM_RECORDERS {
+            return;
+        }
+        let since = self.stream_record.since;
+        let (streams, next_since) = self.streams.heard_since(since, MAX_RECORDED_STREAMS, now);
+        if streams.is_empty() {
+            return;
+        }
+        log::info!(streams = streams.len(), since; "recording the streams that began");
+        self.stream_record.next_since = next_since;
+        self.stream_record.is_appending = true;
+        self.effects
+            .push(Effect::RecordStreams(BegunStreamList { streams }));
+    }
+
+    /// True if the software version that began a stream is not clear from the versions of
+    /// the endpoints alone.
+    fn serves_several_builds(&self, now: Millis) -> bool {
+        let since = now.saturating_sub(self.stream_memory());
+        let listed = || self.fleet.values().map(|state| &*state.endpoint);
+        let services = listed().filter(|endpoint| !endpoint.weights.is_empty());
+        let services: BTreeSet<&Arc<str>> = services.map(|endpoint| &endpoint.service).collect();
+        services.into_iter().any(|service| {
+            let sole = self.listed_builds.sole_build(service, listed(), since);
+            sole.is_none()
+        })
+    }
+
     /// Tells a node that has started, or was out of reach, which streams began, which
     /// software versions were listed recently, which prompt parts and requests may crash endpoints,
     /// which endpoints state limits and how long loads take. In fleets with hubs only these do so.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -293,6 +293,8 @@
     pub lease: &'static str,
     /// Software versions of the endpoints that may have begun a stream.
     pub builds: &'static str,
+    /// Streams that began while several software versions served. Not keyed.
+    pub streams: &'static str,
     /// Prompt parts that crash engines.
     pub suspects: &'static str,
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -107,6 +107,16 @@
                     Event::BuildsRecorded,
                 ));
             }
+            Effect::RecordStreams(streams) => {
+                tokio::spawn(store::append_record(
+                    settings.clone(),
+                    dialect,
+                    handle.clone(),
+                    dialect.topics.streams,
+                    streams.encode_to_vec(),
+                    Event::StreamsRecorded,
+                ));
+            }
             Effect::RecordSuspects(parts) => {
                 tokio::spawn(store::replace_record(
                     settings.clone(),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -122,20 +122,7 @@
         lost_registrations,
     ));
     if !settings.first_start {
-        tokio::spawn(store::read_record(
-            settings.clone(),
-            dialect,
-            handle.clone(),
-            dialect.topics.builds,
-            Event::BuildsRead,
-        ));
-        tokio::spawn(store::read_record(
-            settings.clone(),
-            dialect,
-            handle.clone(),
-            dialect.topics.suspects,
-            Event::SuspectsRead,
-        ));
+        recover_records(&settings, dialect, &handle);
     }
     tokio::spawn(server::serve_directory(directory_listener, context.clone()));
     tokio::spawn(server::serve_directory(ready_listener, context.clone()));
@@ -163,6 +150,31 @@
     Ok(())
 }
 
+/// Reads what the nodes recorded before all of them ended.
+fn recover_records(settings: &Settings, dialect: &'static Dialect, handle: &Handle) {
+    tokio::spawn(store::read_record(
+        settings.clone(),
+        dialect,
+        handle.clone(),
+        dialect.topics.builds,
+        Event::BuildsRead,
+    ));
+    tokio::spawn(store::read_log(
+        settings.clone(),
+        dialect,
+        handle.clone(),
+        dialect.topics.streams,
+        Event::StreamsRead,
+    ));
+    tokio::spawn(store::read_record(
+        settings.clone(),
+        dialect,
+        handle.clone(),
+        dialect.topics.suspects,
+        Event::SuspectsRead,
+    ));
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     server::listen(address).map_err(|source| listen_error(address, source))
 }
--- a/crates/gateway/src/run_guard.rs
+++ b/crates/gateway/src/run_guard.rs
@@ -32,7 +32,7 @@
 
 impl RunGuard {
     /// Starts to guard the run of `grant`; `resumed` tells whether the caller already has
-    /// events of its stream.
+    /// events of this response.
     pub fn new(context: &ProxyContext, grant: &Grant, exchange: &Exchange, resumed: bool) -> Self {
         let begins = exchange.route.resumable && !resumed;
         Self {
@@ -66,6 +66,9 @@
 
     /// Records that the run has brought a whole event, or its whole response.
     pub fn answered(&mut self) {
+        if let Some(stream) = self.stream.take() {
+            self.handle.send(Event::StreamBegun(stream));
+        }
         if let Some(crash) = self.crash.take() {
             self.handle.send(Event::RunAnswered(crash.subjects));
         }
@@ -89,7 +92,6 @@
             run_number: self.number,
             weights,
             model: self.model.clone(),
-            begun: self.stream.clone(),
         });
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,6 +32,8 @@
     pub metrics: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Writing calls a second that the store takes from all nodes together, if it is stated.
+    pub store_writes: Option<f64>,
     /// Retry budget: ratio of retries to requests.
     pub retry_ratio: f64,
     /// Time window of the retry budget.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -426,6 +426,41 @@
     }
 }
 
+/// Reads all records that are kept of a topic of the nodes' own that is not keyed, and
+/// reports them to the control thread.
+pub async fn read_log<M: Message + Default>(
+    settings: Settings,
+    dialect: &'static Dialect,
+    handle: Handle,
+    topic: &'static str,
+    event: fn(M) -> Event,
+) {
+    let mut store = StoreClient::new(&settings, dialect, handle);
+    let mut from = None;
+    loop {
+        match store.read(topic, from, 0).await {
+            Ok(LogPage::Records { end, records }) => {
+                let next = from.unwrap_or(0) + records.len() as u64;
+                let is_last = records.is_empty() || next >= end;
+                for record in records {
+                    match M::decode(record) {
+                        Ok(recorded) => store.handle.send(event(recorded)),
+                        Err(error) => {
+                            log::warn!(topic, error:% = error; "cannot decode a record of the nodes; ignored");
+                        }
+                    }
+                }
+                if is_last {
+                    return;
+                }
+                from = Some(next);
+            }
+            Ok(LogPage::Trimmed { first }) => from = Some(first),
+            Err(error) => store.report_and_back_off(topic, &error).await,
+        }
+    }
+}
+
 /// Replaces a record of the nodes' own and reports to the control thread whether it is
 /// stored.
 pub async fn replace_record(
@@ -436,8 +471,33 @@
     content: Vec<u8>,
     event: fn(bool) -> Event,
 ) {
-    let mut store = StoreClient::new(&settings, dialect, handle.clone());
     let request = (dialect.append_keyed_request)(topic, RECORD_KEY, &content);
+    append(&settings, dialect, handle, topic, request, event).await;
+}
+
+/// Appends a record to a topic of the nodes' own that is not keyed, and reports to the
+/// control thread whether it is stored.
+pub async fn append_record(
+    settings: Settings,
+    dialect: &'static Dialect,
+    handle: Handle,
+    topic: &'static str,
+    content: Vec<u8>,
+    event: fn(bool) -> Event,
+) {
+    let request = (dialect.append_request)(topic, &content, None);
+    append(&settings, dialect, handle, topic, request, event).await;
+}
+
+async fn append(
+    settings: &Settings,
+    dialect: &'static Dialect,
+    handle: Handle,
+    topic: &'static str,
+    request: StoreRequest,
+    event: fn(bool) -> Event,
+) {
+    let mut store = StoreClient::new(settings, dialect, handle.clone());
     let outcome = store
         .call(request, 0)
         .await
@@ -445,11 +505,11 @@
     match outcome {
         Ok(AppendOutcome::At(_)) => handle.send(event(true)),
         Ok(other) => {
-            log::warn!(topic, outcome:? = other; "cannot replace a record of the nodes");
+            log::warn!(topic, outcome:? = other; "cannot write a record of the nodes");
             handle.send(event(false));
         }
         Err(error) => {
-            log::warn!(topic, error:% = error; "unknown whether a record of the nodes was replaced");
+            log::warn!(topic, error:% = error; "unknown whether a record of the nodes was written");
             handle.send(event(false));
         }
     }
--- a/crates/gateway/tests/common/fleet.rs
+++ b/crates/gateway/tests/common/fleet.rs
@@ -238,7 +238,6 @@
             run_number: grant.run_number,
             weights: None,
             model: None,
-            begun: None,
         };
         control.handle(first_token, self.now);
         let ended = Event::RunEnded {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -36,6 +36,7 @@
         first_start: false,
         metrics: address(5),
         store: address(6),
+        store_writes: Some(400.0),
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_slack: 58.0,
--- a/crates/gateway/tests/common/rollout.rs
+++ b/crates/gateway/tests/common/rollout.rs
@@ -332,7 +332,6 @@
                     run_number: grant.run_number,
                     weights: grant.weights,
                     model: Some("m".to_owned()),
-                    begun: None,
                 };
                 self.harness.control.handle(first, now);
                 self.after(ANSWER_MS, Due::Ended(grant, RunEnd::Complete));
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -8,7 +8,9 @@
 use common::{Harness, placement_request};
 use flamingolock_gateway::control::begun_streams::request_key;
 use flamingolock_gateway::control::{BuildRule, Effect, Event, FollowedTopic, Placement, Refusal};
-use flamingolock_wire::gossip::{BegunStream, BuildHistory, Gossip, ListedBuild, NodeState};
+use flamingolock_wire::gossip::{
+    BegunStream, BegunStreamList, BuildHistory, Gossip, ListedBuild, NodeState,
+};
 use prost::Message;
 
 /// Time for which streams are remembered, in ms: without routes, only the margin.
@@ -184,18 +186,8 @@
 fn node_tells_the_others_of_its_streams() {
     let mut harness = with_engines(&["v1"]);
     harness.datagram(9, Gossip::default(), 10);
-    let grant = harness
-        .place(placement_request(None, 1), 20)
-        .expect("a decision")
-        .expect("a grant");
-    let event = Event::FirstToken {
-        endpoint: grant.endpoint.key(),
-        run_number: grant.run_number,
-        weights: None,
-        model: None,
-        begun: Some(begun("r", "v1")),
-    };
     harness.effects(29);
+    let event = Event::StreamBegun(begun("r", "v1"));
     harness.control.handle(event, 30);
     assert_eq!(sent_streams(harness.effects(40)), [begun("r", "v1")]);
 }
@@ -332,3 +324,58 @@
     expected.sort_by_key(|stream| stream.request);
     assert_eq!(passed_on, expected);
 }
+
+/// Streams that a node records in the store.
+fn recorded_streams(effects: &[Effect]) -> Option<Vec<BegunStream>> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::RecordStreams(list) => Some(list.streams.clone()),
+        _ => None,
+    })
+}
+
+#[test]
+fn streams_are_recorded_while_several_versions_serve() {
+    let mut harness = with_engines(&["v1"]);
+    for (builds, is_recorded, now) in [(&["v1"][..], false, 10_100), (&["v1", "v2"], true, 11_100)]
+    {
+        harness.engines_of_builds(builds, now - 100);
+        let event = Event::StreamBegun(begun("own", "v1"));
+        harness.control.handle(event, now - 100);
+        harness.datagram(9, streams(&[begun("other", "v1")]), now - 90);
+        let recorded = recorded_streams(&harness.effects(now));
+        assert_eq!(recorded.is_some(), is_recorded, "{builds:?}");
+        if let Some(recorded) = recorded {
+            let requests: Vec<u64> = recorded.iter().map(|stream| stream.request).collect();
+            assert_eq!(requests, [request_key("own"), request_key("other")]);
+        }
+    }
+    harness
+        .control
+        .handle(Event::StreamsRecorded(false), 11_110);
+    let again = recorded_streams(&harness.effects(11_300)).expect("another attempt");
+    assert_eq!(again.len(), 2);
+    harness.control.handle(Event::StreamsRecorded(true), 11_310);
+    assert_eq!(recorded_streams(&harness.effects(11_500)), None);
+    let event = Event::StreamBegun(begun("new", "v2"));
+    harness.control.handle(event, 11_510);
+    let new = recorded_streams(&harness.effects(11_700)).expect("the new stream");
+    assert_eq!(new[0].request, request_key("new"));
+}
+
+#[test]
+fn recorded_streams_continue_at_their_version_after_all_nodes_ended() {
+    let mut harness = with_engines(&["v1", "v2"]);
+    let history = BuildHistory {
+        builds: Vec::new(),
+        complete_ms: 0,
+    };
+    harness.control.handle(Event::BuildsRead(history), 10);
+    let recorded = BegunStreamList {
+        streams: vec![begun("a", "v1"), begun("b", "v2")],
+    };
+    harness.control.handle(Event::StreamsRead(recorded), 20);
+    assert_eq!(build_of(resume(&mut harness, "a", 30)), "v1");
+    assert_eq!(build_of(resume(&mut harness, "b", 30)), "v2");
+    let refusal = resume(&mut harness, "not recorded", 30).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -149,7 +149,6 @@
         run_number: first.run_number,
         weights: Some(1),
         model: Some("m".to_owned()),
-        begun: None,
     };
     harness.control.handle(event, 200);
     let mut second = placement_request(None, 1);
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -211,6 +211,14 @@
     pub age_ms: u32,
 }
 
+/// Streams that began, as nodes record them in the store.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BegunStreamList {
+    /// The streams.
+    #[prost(message, repeated, tag = "1")]
+    pub streams: Vec<BegunStream>,
+}
+
 /// State of a node's copy of one topic of the store.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct TopicCopyState {
