gateway: waits and returns are in units of the target of a route

Cause: the longest wait for an engine (450 ms), the Retry-After of requests that found none (400 ms) and the least time for a first byte (900 ms) were constants; a target of 100 ms with a deadline of 600 ms left no time for a second endpoint.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -17,15 +17,9 @@
 use crate::relay;
 use crate::response::{self, ErrorReason, ResponseBody};
 
-/// Maximum wait for a placement while engines load weights.
-const MAX_PLACEMENT_WAIT: Duration = Duration::from_millis(450);
-
 /// Maximum number of attempts per request, including those that an endpoint refused.
 const MAX_TRIED_ENDPOINTS: usize = 4;
 
-/// `Retry-After` of a request that has not run.
-const RETRY_AFTER: Duration = Duration::from_millis(400);
-
 /// Multiple of the route's latency target after which an attempt without a first
 /// byte is given up, if the request is retryable.
 const FIRST_BYTE_TIMEOUT_FACTOR: f64 = 3.5;
@@ -99,7 +93,8 @@
             build_rule: self.build_rule(exchange),
             tried: self.tried.clone(),
             is_retry: self.reached,
-            max_wait: MAX_PLACEMENT_WAIT.min(left),
+            // Its response would be late by itself after that.
+            max_wait: exchange.route.target.min(left),
             target: exchange.route.target,
         };
         context.handle.place(ask).await
@@ -196,13 +191,7 @@
 
 fn first_byte_timeout(exchange: &Exchange) -> Option<Duration> {
     let retryable = exchange.route.is_retryable();
-    retryable.then(|| {
-        exchange
-            .route
-            .target
-            .mul_f64(FIRST_BYTE_TIMEOUT_FACTOR)
-            .max(Duration::from_millis(900))
-    })
+    retryable.then(|| exchange.route.target.mul_f64(FIRST_BYTE_TIMEOUT_FACTOR))
 }
 
 fn refusal_cause(refusal: Refusal) -> &'static str {
@@ -266,7 +255,7 @@
     } else if retry_state.is_stopped {
         (ErrorReason::CrashesEndpoints, None)
     } else {
-        let pause = RETRY_AFTER.max(retry_state.pause);
+        let pause = exchange.route.target.max(retry_state.pause);
         (ErrorReason::NotRun, Some(pause))
     };
     log_given_up(exchange, retry_state, reason, cause);
