--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -30,6 +30,13 @@
 /// Time from the end of prefill to the first token, in ms.
 const FIRST_STEP_MS: f64 = 20.0;
 
+/// Penalty for a server that runs as many requests as it has slots, relative to their
+/// target.
+const SERVER_LOAD_TARGETS: f64 = 0.05;
+
+/// The same while more run, since they queue.
+const SERVER_QUEUE_TARGETS: f64 = 0.25;
+
 /// Uninterrupted prefill time above which streams that the engine is decoding stall
 /// noticeably, in ms.
 const LONG_PREFILL_MS: f64 = 350.0;
@@ -447,10 +454,19 @@
     }
 
     /// Estimates the delay at an application server.
-    pub fn estimate_server(&self, context: &EstimateContext) -> Estimate {
+    pub fn estimate_server(
+        &self,
+        request: &PlacementRequest,
+        context: &EstimateContext,
+    ) -> Estimate {
         let slots = f64::from(self.endpoint.slots.max(1));
         let load = self.runs.len() as f64 / slots;
-        let queue = if load < 1.0 { load * 15.0 } else { load * 80.0 };
+        let targets = if load < 1.0 {
+            SERVER_LOAD_TARGETS
+        } else {
+            SERVER_QUEUE_TARGETS
+        };
+        let queue = load * targets * request.target.as_millis() as f64;
         Estimate {
             score: queue + self.health_penalty_ms(context.now) + self.zone_penalty_ms(context),
             prefill_ms: 0.0,
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -313,7 +313,7 @@
                 ServiceKind::Engines(traits) => {
                     state.estimate_engine(request, traits, &self.parts, is_available, &context)
                 }
-                _ => Some(state.estimate_server(&context)),
+                _ => Some(state.estimate_server(request, &context)),
             };
             let Some(mut estimate) = estimate else {
                 continue;
