gateway: refuse requests that a shutdown might cut off

Change: a request whose time limit is beyond the end of the process is refused (503, not run, another node can take it). Streams are refused 2 s after the stop as before.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -407,6 +407,8 @@
     pub nodes: Vec<(SocketAddr, String)>,
     /// Time at which the node's shutdown began.
     pub shutdown_at: Option<Millis>,
+    /// Time at which the process ends, once its shutdown has begun.
+    pub ends_at: Option<Millis>,
 }
 
 /// Handle for sending events to the control thread and reading its published state.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -517,6 +517,9 @@
             catalog: self.catalog.clone(),
             nodes,
             shutdown_at: self.shutdown_at,
+            ends_at: self
+                .shutdown_at
+                .map(|at| at + self.settings.shutdown_time().as_millis() as Millis),
         }));
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,9 +25,6 @@
 /// node's address.
 const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(2_500);
 
-/// Part of the grace period that is reserved for exiting.
-const GRACE_MARGIN: Duration = Duration::from_millis(250);
-
 /// Interval for checking whether connections are still open.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -196,7 +193,7 @@
     handle.send(Event::ShutdownStarted);
     // Sending fails only if there is no receiver left, that is, no connection.
     let _ = shutdown_sender.send(true);
-    let last = settings.grace.saturating_sub(GRACE_MARGIN);
+    let last = settings.shutdown_time();
     while started.elapsed() < last
         && (started.elapsed() < MIN_SHUTDOWN_TIME || connections.count() > 0)
     {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -34,6 +34,9 @@
 /// rejected because they might not end before the process does.
 const STREAM_CUTOFF_MS: Millis = 2_000;
 
+/// Time after the timeout of a request by which its caller has its answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
 /// Timeout of a request whose caller sends no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -66,7 +69,12 @@
     if route.kind == RequestKind::Stream && parts.version < Version::HTTP_11 {
         return refuse(&id, &metrics, ErrorReason::NoChunks, None);
     }
-    if route.kind == RequestKind::Stream && past_stream_cutoff(&view, now()) {
+    let time_limit = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    let outlasts = match route.kind {
+        RequestKind::Stream => past_stream_cutoff(&view, now()),
+        RequestKind::Safe | RequestKind::Once => may_outlast(&view, time_limit, now()),
+    };
+    if outlasts {
         return refuse(
             &id,
             &metrics,
@@ -74,7 +82,6 @@
             Some(SHUTDOWN_RETRY_AFTER),
         );
     }
-    let time_limit = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let body = match read_body(body, &catalog, time_limit).await {
         Ok(body) => body,
         Err(reason) => return refuse(&id, &metrics, reason, None),
@@ -128,6 +135,13 @@
         .is_some_and(|at| now >= at + STREAM_CUTOFF_MS)
 }
 
+/// True if a request that may take this long might not be answered before the process
+/// ends.
+pub fn may_outlast(view: &View, time_limit: Duration, now: Millis) -> bool {
+    let latest = now + (time_limit + ANSWER_MARGIN).as_millis() as Millis;
+    view.ends_at.is_some_and(|end| latest > end)
+}
+
 fn refuse(
     id: &str,
     metrics: &Metrics,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Part of the grace period that is reserved for exiting.
+const GRACE_MARGIN: Duration = Duration::from_millis(250);
+
 /// Settings that a node needs at startup.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
@@ -57,3 +60,10 @@
     /// All availability zones.
     pub zones: Vec<String>,
 }
+
+impl Settings {
+    /// Longest time from the start of a shutdown to the end of the process.
+    pub fn shutdown_time(&self) -> Duration {
+        self.grace.saturating_sub(GRACE_MARGIN)
+    }
+}
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -3,10 +3,12 @@
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod common;
 
+use std::time::Duration;
+
 use common::{Harness, copies_of, placement_request};
 use flamingolock_gateway::control::{Effect, Event, FollowedTopic, Refusal, RunEnd};
 use flamingolock_gateway::endpoint::Endpoint;
-use flamingolock_gateway::request_handler::past_stream_cutoff;
+use flamingolock_gateway::request_handler::{may_outlast, past_stream_cutoff};
 use flamingolock_wire::gossip::Run;
 use flamingolock_wire::topic_copies::CopiesRequest;
 
@@ -348,6 +350,17 @@
     assert!(past_stream_cutoff(&harness.view.load(), 12_500));
 }
 
+#[test]
+fn requests_that_may_outlast_a_shutdown_are_refused() {
+    let mut harness = Harness::with_engines(1, 0);
+    let limit = Duration::from_millis(1_500);
+    assert!(!may_outlast(&harness.view.load(), limit, 60_000));
+    harness.control.handle(Event::ShutdownStarted, 10_000);
+    // The grace period is 8 s.
+    assert!(!may_outlast(&harness.view.load(), limit, 16_000));
+    assert!(may_outlast(&harness.view.load(), limit, 16_300));
+}
+
 #[test]
 fn requests_of_a_silent_node_no_longer_count() {
     let mut harness = Harness::with_engines(2, 0);
