--- a/crates/gateway/src/control/load_times.rs
+++ b/crates/gateway/src/control/load_times.rs
@@ -24,10 +24,13 @@
 /// Part of that interval after which the next engine is used again.
 const TRIAL_SHARE: f64 = 0.75;
 
-/// Part by which the lower end falls with each load, as loads may take less time than they
-/// did.
+/// Part by which the lower end falls with a load that was done in the expected time, as
+/// loads may take less time than they did. It doubles with each such load in turn.
 const AT_LEAST_DECAY: f64 = 0.05;
 
+/// Largest part by which it falls with one load.
+const MAX_AT_LEAST_DECAY: f64 = 0.4;
+
 /// Multiple of the usual duration from which on concurrent loads count as slowed down by
 /// each other.
 const SLOWED_FACTOR: f64 = 1.1;
@@ -72,6 +75,9 @@
     pub done_at: Option<Millis>,
     /// True once it was taken to have failed.
     pub failed: bool,
+    /// True if it was not watched all the time, so that it says nothing about the duration
+    /// of loads.
+    pub unwatched: bool,
 }
 
 impl Load {
@@ -85,6 +91,7 @@
             busy_ms: 0,
             done_at: None,
             failed: false,
+            unwatched: false,
         }
     }
 
@@ -122,7 +129,7 @@
 }
 
 /// What is known of the loads of one service's engines.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 struct LoadTime {
     /// Time after which engines were still loading, in ms.
     at_least: Millis,
@@ -134,6 +141,8 @@
     slows: bool,
     /// Loads without a slowdown since the window changed.
     steady: usize,
+    /// Part by which the lower end falls with the next load.
+    decay: f64,
     /// True if no round of so many loads has ended yet.
     on_trial: bool,
     learnt_at: Millis,
@@ -178,7 +187,12 @@
             self.at_least = load.busy_ms;
             self.at_most = took.max(load.busy_ms);
         } else {
-            let lower = (self.at_least as f64 * (1.0 - AT_LEAST_DECAY)) as Millis;
+            let lower = (self.at_least as f64 * (1.0 - self.decay)) as Millis;
+            self.decay = if load.busy_ms > lower {
+                AT_LEAST_DECAY
+            } else {
+                (2.0 * self.decay).min(MAX_AT_LEAST_DECAY)
+            };
             self.at_least = lower.max(load.busy_ms);
             self.at_most = self.at_most.min(took);
             // Loads take less time than they did.
@@ -248,6 +262,7 @@
     /// Learns from a load that is still in progress.
     pub fn note_progress(&mut self, service: &str, load: &Load) {
         if let Some(known) = self.services.get_mut(service)
+            && !load.unwatched
             && known.is_slowed(load)
         {
             known.reduce(load);
@@ -264,7 +279,8 @@
         fleet: FleetLoad,
         now: Millis,
     ) -> bool {
-        if load.version.is_none() || !(MIN_LOAD_MS..=MAX_LOAD_MS).contains(&took) {
+        if load.version.is_none() || load.unwatched || !(MIN_LOAD_MS..=MAX_LOAD_MS).contains(&took)
+        {
             return false;
         }
         if let Some(known) = self.services.get_mut(service) {
@@ -281,6 +297,7 @@
             window: self.max_concurrent(service, fleet.engines),
             slows: false,
             steady: 0,
+            decay: AT_LEAST_DECAY,
             on_trial: false,
             learnt_at: now,
         };
@@ -325,6 +342,7 @@
                 window: record.window as usize,
                 slows: record.slows,
                 steady: 0,
+                decay: AT_LEAST_DECAY,
                 on_trial: false,
                 learnt_at,
             };
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -428,10 +428,20 @@
         if let Some(at) = self.ticked_at.filter(|at| now > at + STALL_MS) {
             log::warn!(ms = now - at; "the process stood still");
             self.last_stall = (at, now);
+            self.mark_loads_unwatched();
             self.ticked_at = Some(now);
         }
     }
 
+    /// Marks the loads in progress, whose end this process has not seen in time.
+    fn mark_loads_unwatched(&mut self) {
+        let loads = self
+            .fleet
+            .values_mut()
+            .filter_map(|state| state.load.as_mut());
+        loads.for_each(|load| load.unwatched = true);
+    }
+
     fn max_nodes_sharing(&self, now: Millis) -> usize {
         self.peers.max_nodes_sharing(now)
     }
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -67,8 +67,12 @@
 
 /// True if the queue ahead of a request makes its response late. Refusing such requests
 /// keeps the queue so short that the others are in time. A long prompt is late by itself, so
-/// no more than a part of the target counts for it.
+/// no more than a part of the target counts for it. A stream that goes on is not refused:
+/// its caller already has a part of it, and few engines may continue it.
 fn starts_too_late(request: &PlacementRequest, estimate: &Estimate) -> bool {
+    if request.build_rule != BuildRule::Any {
+        return false;
+    }
     let target_ms = request.target.as_millis() as f64;
     let own_ms = estimate.own_ms.min(target_ms * MAX_OWN_SHARE);
     estimate.queue_ms + own_ms > target_ms
--- a/crates/gateway/tests/test_overload.rs
+++ b/crates/gateway/tests/test_overload.rs
@@ -7,7 +7,7 @@
 
 use common::rollout::{Deployment, Simulation};
 use common::{Harness, placement_request};
-use flamingolock_gateway::control::Refusal;
+use flamingolock_gateway::control::{BuildRule, Refusal};
 use flamingolock_gateway::endpoint::Endpoint;
 use flamingolock_wire::gossip::Run;
 
@@ -85,3 +85,21 @@
     let placement = harness.place(request, 100).expect("an answer at once");
     assert!(placement.is_ok(), "{placement:?}");
 }
+
+/// A caller that already has a part of its stream waits for the rest.
+#[test]
+fn stream_that_goes_on_is_not_refused_because_of_a_queue() {
+    let mut harness = Harness::with_engines(1, 0);
+    let run = Run {
+        number: 1,
+        endpoint: Endpoint::key_of("e0"),
+        prefill_us: 3_000_000,
+        ..Run::default()
+    };
+    harness.gossip(9, &[run], 100);
+    let mut request = placement_request(None, 1);
+    request.target = TARGET;
+    request.build_rule = BuildRule::Only("v1".into());
+    let placement = harness.place(request, 100).expect("an answer at once");
+    assert!(placement.is_ok(), "{placement:?}");
+}
