--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -18,6 +18,12 @@
     }
 }
 
+/// First seed whose engines take time to load weights.
+const FIRST_SEED_WITH_LOADS: u64 = 866;
+
+/// Unit of that time.
+const LOAD_TIME_STEP: Duration = Duration::from_millis(250);
+
 /// Number of engines, and of application servers.
 pub const ENDPOINTS: usize = 3;
 
@@ -100,6 +106,16 @@
     site.to_string()
 }
 
+/// Time that an engine takes to load weights: none before [`FIRST_SEED_WITH_LOADS`].
+fn load_time(seed: u64) -> Duration {
+    let steps = if seed < FIRST_SEED_WITH_LOADS {
+        0
+    } else {
+        1 + seed % 6
+    };
+    LOAD_TIME_STEP * steps as u32
+}
+
 impl Cluster {
     /// Starts the stand-ins and nodes, and waits until every node has logged every
     /// endpoint.
@@ -118,6 +134,7 @@
             if index % 2 == 1 {
                 engine.set_retry_after(Some(RETRY_AFTER_S));
             }
+            engine.set_load_time(load_time(seed));
             // Two software versions serve side by side.
             if index == ENDPOINTS - 1 {
                 engine.set_build("v2");
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -142,6 +142,8 @@
     Overloaded {
         /// When the caller may return.
         until: Millis,
+        /// Queue at the best endpoint, in ms.
+        queue_ms: u64,
     },
     /// The retry budget is exhausted.
     Budget,
@@ -166,7 +168,7 @@
         match self {
             Self::AllPaused { until }
             | Self::AllLimited { until }
-            | Self::Overloaded { until }
+            | Self::Overloaded { until, .. }
             | Self::StoppedPart { until } => Some(until),
             Self::StoppedRequest { until } => until,
             Self::NoEndpoint | Self::AllReloading | Self::Budget | Self::UnknownBuild => None,
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -354,6 +354,12 @@
             self.notices
                 .forget_old(|key| self.fleet.contains_key(&key), now);
             self.forget_limits(now);
+            for known in self.rollout.load_times.list(now) {
+                let concurrent = known.window as usize;
+                if let Some(expected) = self.rollout.load_times.expected(&known.service) {
+                    self.metrics.set_loads(&known.service, expected, concurrent);
+                }
+            }
             self.record_builds(now);
             self.suspect_parts.forget_old(now);
             self.suspect_requests.forget_old(now);
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -183,8 +183,10 @@
         }
         match self.select_permitted(&queued.request, now) {
             Selection::Endpoint(_, estimate) if starts_too_late(&queued.request, &estimate) => {
+                let queue_ms = estimate.queue_ms as u64;
                 let until = free_again(&estimate, now);
-                self.refuse(&queued.request, Refusal::Overloaded { until }, queued.reply);
+                let refusal = Refusal::Overloaded { until, queue_ms };
+                self.refuse(&queued.request, refusal, queued.reply);
                 None
             }
             Selection::Endpoint(key, estimate) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,12 @@
     outcome: &'static str,
 }
 
+/// Label of what was learnt about a service's engines.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct ServiceLabel {
+    service: String,
+}
+
 /// All metrics of a node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -70,6 +76,8 @@
     first_byte: Family<KindLabel, Histogram>,
     events: Family<EventLabels, Counter>,
     limited_endpoints: Gauge,
+    load_ms: Family<ServiceLabel, Gauge>,
+    concurrent_loads: Family<ServiceLabel, Gauge>,
 }
 
 fn first_byte_histogram() -> Histogram {
@@ -86,6 +94,8 @@
             first_byte: Family::new_with_constructor(first_byte_histogram as fn() -> Histogram),
             events: Family::default(),
             limited_endpoints: Gauge::default(),
+            load_ms: Family::default(),
+            concurrent_loads: Family::default(),
         };
         if let Ok(mut registry) = metrics.registry.lock() {
             registry.register(
@@ -108,6 +118,16 @@
                 "Endpoints that state a limit of requests",
                 metrics.limited_endpoints.clone(),
             );
+            registry.register(
+                "load_milliseconds",
+                "Expected duration of a load of weights, by service",
+                metrics.load_ms.clone(),
+            );
+            registry.register(
+                "concurrent_loads",
+                "Engines that may load weights at once, by service",
+                metrics.concurrent_loads.clone(),
+            );
             registry.register(
                 "first_byte_seconds",
                 "Time from a request's head to the head of its answer",
@@ -170,6 +190,24 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets what is known of the loads of a service's engines.
+    pub fn set_loads(&self, service: &str, expected_ms: u64, concurrent: usize) {
+        let label = ServiceLabel {
+            service: service.to_owned(),
+        };
+        let gauge = |family: &Family<ServiceLabel, Gauge>, value: i64| {
+            family.get_or_create(&label).set(value);
+        };
+        gauge(
+            &self.load_ms,
+            i64::try_from(expected_ms).unwrap_or(i64::MAX),
+        );
+        gauge(
+            &self.concurrent_loads,
+            i64::try_from(concurrent).unwrap_or(i64::MAX),
+        );
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/tests/test_overload.rs
+++ b/crates/gateway/tests/test_overload.rs
@@ -64,7 +64,7 @@
         request.target = TARGET;
         let placement = harness.place(request, 100);
         match placement.expect("an answer at once") {
-            Err(Refusal::Overloaded { until }) => returns.push(until - 100),
+            Err(Refusal::Overloaded { until, .. }) => returns.push(until - 100),
             other => panic!("{other:?}"),
         }
     }
