--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -1,66 +1,22 @@
-//! Load and health of endpoints, and the estimated delay of a request at each of
-//! them.
+//! Load and health of endpoints.
+
+mod estimate;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use flamingolock_wire::gossip::Run;
 
-use crate::catalog::EngineSpec;
+pub use self::estimate::{Estimate, EstimateContext};
 use crate::clock::Millis;
-use crate::control::cache_index::{CacheIndex, PartKey, PartLocation, namespace, shared_keys};
+use crate::control::RunEnd;
+use crate::control::cache_index::PartKey;
 use crate::control::load_times::Load;
-use crate::control::rollout::{NamedVersion, replaced_at};
-use crate::control::{PlacementRequest, RunEnd};
-use crate::endpoint::{Endpoint, EndpointKey};
-
-/// Assumed prefill rate of an engine, in prompt tokens per ms. [`EndpointState`]
-/// scales the resulting times by the slowdown measured at each engine.
-const PREFILL_TOKENS_PER_MS: f64 = 60.0;
-
-/// Penalty per token of a part that another engine is already prefilling, in ms.
-const DUPLICATE_PREFILL_MS_PER_TOKEN: f64 = 0.6;
-
-/// Fixed part of the time to fetch cached parts, in ms.
-const FETCH_OVERHEAD_MS: f64 = 4.0;
-
-/// Time that each running request adds to the first token of the next one, in ms.
-const RUNNING_REQUEST_MS: f64 = 1.5;
+use crate::endpoint::Endpoint;
 
 /// Time from the end of prefill to the first token, in ms.
 const FIRST_STEP_MS: f64 = 20.0;
 
-/// Penalty for a server that runs as many requests as it has slots, relative to their
-/// target.
-const SERVER_LOAD_TARGETS: f64 = 0.05;
-
-/// The same while more run, since they queue.
-const SERVER_QUEUE_TARGETS: f64 = 0.25;
-
-/// Uninterrupted prefill time above which streams that the engine is decoding stall
-/// noticeably, in ms.
-const LONG_PREFILL_MS: f64 = 350.0;
-
-/// Prefill time beyond [`LONG_PREFILL_MS`] at which such a stall is certain, in ms.
-const LONG_PREFILL_RANGE_MS: f64 = 250.0;
-
-/// Penalty per stream that would stall, in ms.
-const STALLED_STREAM_MS: f64 = 40.0;
-
-/// Penalty for an endpoint in another availability zone, in ms.
-const CROSS_ZONE_MS: f64 = 1.0;
-
-/// Penalty for an endpoint that is avoided after failures, in ms.
-const SUSPECT_MS: f64 = 5_000.0;
-
-/// Penalty for an engine that is reserved for loading weights, relative to the target for
-/// the first token.
-const RESERVED_TARGETS: f64 = 0.2;
-
-/// Penalty for weights that were superseded more than [`WEIGHTS_FRESH_MS`] ago, relative to
-/// the target for the first token: newer ones serve a request as long as they do so in time.
-const OLD_WEIGHTS_TARGETS: f64 = 0.2;
-
 /// Time after which a run without a first token no longer counts towards the
 /// prefill queue, in ms.
 const PREFILL_TIMEOUT_MS: Millis = 6_000;
@@ -68,26 +24,10 @@
 /// Time after which a run whose end was not reported no longer counts, in ms.
 const RUN_TIMEOUT_MS: Millis = 20_000;
 
-/// Memory utilization above which an engine gets a penalty.
-const MEMORY_PRESSURE_SHARE: f64 = 0.8;
-
-/// Delay that an engine with twice the memory in use that it has counts, in ms.
-const MEMORY_PRESSURE_MS: f64 = 1_500.0;
-
-/// Time after which superseded weights are avoided, in ms.
-pub const WEIGHTS_FRESH_MS: Millis = 1_100;
-
-/// Multiple of the estimated time to the start of a request by which it has started: the
-/// estimate does not include more urgent requests that arrive later.
-const MAX_START_FACTOR: f64 = 2.0;
-
 /// Weight of the newest outcome in the moving average of an endpoint's failure
 /// rate.
 const FAILURE_SMOOTHING: f64 = 0.12;
 
-/// Penalty for an endpoint with a failure rate of 1, in ms.
-const FAILURE_RATE_MS: f64 = 600.0;
-
 /// Time after the start of a load within which news may still arrive of requests that were
 /// sent before, in ms.
 const NEWS_DELAY_MS: Millis = 100;
@@ -167,42 +107,6 @@
     runs: BTreeMap<RunId, RunningRequest>,
 }
 
-/// Estimated cost of a request at an endpoint.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Estimate {
-    /// Expected delay including all penalties, in ms.
-    pub score: f64,
-    /// Expected time to prefill the prompt, in ms.
-    pub prefill_ms: f64,
-    /// Expected time until the prompts ahead of it are prefilled, in ms.
-    pub queue_ms: f64,
-    /// Expected time from then to the first token, in ms.
-    pub own_ms: f64,
-    /// Version of the weights at the engine.
-    pub version: Option<u64>,
-    /// Shared tokens that would be prefilled although another engine is prefilling
-    /// them.
-    pub duplicate_tokens: u32,
-    /// Shared tokens that would be prefilled because they are not cached anywhere, or
-    /// follow tokens that are not.
-    pub uncached_tokens: u32,
-    /// Keys and token counts of the shared parts.
-    pub parts: Vec<(PartKey, u32)>,
-}
-
-/// Inputs of an estimate that are the same for all endpoints.
-#[derive(Clone, Copy, Debug)]
-pub struct EstimateContext<'a> {
-    /// Current time.
-    pub now: Millis,
-    /// Availability zone of this node.
-    pub zone: &'a str,
-    /// Named versions of the request's model, newest last.
-    pub versions: &'a [NamedVersion],
-    /// Time after which superseded weights must not be used any more, in ms.
-    pub max_weights_age: Millis,
-}
-
 impl EndpointState {
     /// State of a newly discovered endpoint.
     pub fn new(endpoint: Endpoint) -> Self {
@@ -435,143 +339,4 @@
         self.avoid_until = self.avoid_until.max(now + time);
         time
     }
-
-    fn health_penalty_ms(&self, now: Millis) -> f64 {
-        let suspect = if now < self.avoid_until {
-            SUSPECT_MS
-        } else {
-            0.0
-        };
-        suspect + self.failure_rate * FAILURE_RATE_MS
-    }
-
-    fn zone_penalty_ms(&self, context: &EstimateContext) -> f64 {
-        if self.endpoint.zone == context.zone {
-            0.0
-        } else {
-            CROSS_ZONE_MS
-        }
-    }
-
-    /// Estimates the delay at an application server.
-    pub fn estimate_server(
-        &self,
-        request: &PlacementRequest,
-        context: &EstimateContext,
-    ) -> Estimate {
-        let slots = f64::from(self.endpoint.slots.max(1));
-        let load = self.runs.len() as f64 / slots;
-        let targets = if load < 1.0 {
-            SERVER_LOAD_TARGETS
-        } else {
-            SERVER_QUEUE_TARGETS
-        };
-        let queue = load * targets * request.target.as_millis() as f64;
-        Estimate {
-            score: queue + self.health_penalty_ms(context.now) + self.zone_penalty_ms(context),
-            prefill_ms: 0.0,
-            queue_ms: 0.0,
-            own_ms: 0.0,
-            version: None,
-            duplicate_tokens: 0,
-            uncached_tokens: 0,
-            parts: Vec::new(),
-        }
-    }
-
-    /// Estimates the delay at an engine. Returns none if the request cannot be sent
-    /// there now.
-    pub fn estimate_engine(
-        &self,
-        request: &PlacementRequest,
-        traits: &EngineSpec,
-        parts: &CacheIndex,
-        is_available: impl Fn(EndpointKey) -> bool + Copy,
-        context: &EstimateContext,
-    ) -> Option<Estimate> {
-        let now = context.now;
-        if now < self.loading_until || self.awaits_trial(now) {
-            return None;
-        }
-        let model = request.model.as_deref()?;
-        let version = *self.weights.get(model)?;
-        let target_ms = request.target.as_millis() as f64;
-        let mut score = self.health_penalty_ms(now) + self.zone_penalty_ms(context);
-        let replaced = replaced_at(context.versions, version);
-        let replaced = replaced.map(|at| now.saturating_sub(at));
-        if let Some(age) = replaced {
-            score += if age > WEIGHTS_FRESH_MS {
-                OLD_WEIGHTS_TARGETS * target_ms
-            } else {
-                25.0
-            };
-        }
-        if now < self.reserved_until {
-            score += RESERVED_TARGETS * target_ms;
-        }
-        let keys = shared_keys(
-            namespace(model, version, request.isolated_workspace.as_deref()),
-            &request.parts,
-        );
-        let fetch_ms_per_token = traits.token_bytes * 8.0 / (traits.link_mbps * 1000.0);
-        let shared_tokens: u32 = keys.iter().map(|(_, tokens)| tokens).sum();
-        let own = request.prompt_tokens.saturating_sub(shared_tokens);
-        let mut prefill_ms = f64::from(own) / PREFILL_TOKENS_PER_MS;
-        let mut fetched = false;
-        let mut duplicate_tokens = 0;
-        let mut uncached_tokens = 0;
-        for (key, count) in &keys {
-            let tokens = f64::from(*count);
-            // A part can only be reused if all preceding parts are cached as well.
-            if uncached_tokens + duplicate_tokens > 0 {
-                uncached_tokens += count;
-                prefill_ms += tokens / PREFILL_TOKENS_PER_MS;
-                continue;
-            }
-            match parts.location(*key, self.endpoint.key(), is_available, now) {
-                PartLocation::Cached | PartLocation::Prefilling => {}
-                PartLocation::CachedElsewhere => {
-                    fetched = true;
-                    score += tokens * fetch_ms_per_token * 2.0;
-                }
-                PartLocation::PrefillingElsewhere => {
-                    duplicate_tokens += count;
-                    prefill_ms += tokens / PREFILL_TOKENS_PER_MS;
-                    score += tokens * DUPLICATE_PREFILL_MS_PER_TOKEN;
-                }
-                PartLocation::Uncached => {
-                    uncached_tokens += count;
-                    prefill_ms += tokens / PREFILL_TOKENS_PER_MS;
-                }
-            }
-        }
-        if fetched {
-            score += FETCH_OVERHEAD_MS;
-        }
-        let memory = (self.memory_tokens()
-            + u64::from(request.prompt_tokens + request.output_tokens)) as f64
-            / traits.memory_tokens.max(1) as f64;
-        score += (memory - MEMORY_PRESSURE_SHARE).max(0.0) * MEMORY_PRESSURE_MS;
-        score += self.runs.len() as f64 * RUNNING_REQUEST_MS;
-        let queue_ms = self.prefill_queue_ms(now);
-        let busy_ms = queue_ms + prefill_ms * self.slowdown;
-        // The request must start before the superseded weights expire.
-        let latest_start_ms = busy_ms * MAX_START_FACTOR;
-        let max_age = context.max_weights_age as f64;
-        if replaced.is_some_and(|age| age as f64 + latest_start_ms > max_age) {
-            return None;
-        }
-        let long_prefill = ((busy_ms - LONG_PREFILL_MS) / LONG_PREFILL_RANGE_MS).clamp(0.0, 1.5);
-        score += busy_ms + long_prefill * self.decoding_streams() as f64 * STALLED_STREAM_MS;
-        Some(Estimate {
-            score,
-            prefill_ms,
-            queue_ms,
-            own_ms: prefill_ms * self.slowdown + FIRST_STEP_MS,
-            version: Some(version),
-            duplicate_tokens,
-            uncached_tokens,
-            parts: keys,
-        })
-    }
 }
--- a/crates/gateway/src/control/load_times.rs
+++ b/crates/gateway/src/control/load_times.rs
@@ -238,8 +238,10 @@
     /// if it is not known.
     pub fn sure(&self, service: &str) -> Option<Millis> {
         let known = self.services.get(service)?;
-        let factor = if known.on_trial { FAILED_FACTOR } else { 1 };
-        Some(known.at_most * factor)
+        if known.on_trial {
+            return Some(known.at_most * FAILED_FACTOR);
+        }
+        Some((known.at_most as f64 * (1.0 + PRECISION)) as Millis)
     }
 
     /// Time after which a load counts as failed, in ms. `unknown` stands for it as long as
