--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -213,8 +213,8 @@
         }
     }
 
-    /// True if a request shows whether the engine's load is done. Others follow once it has
-    /// got an answer, or the load is surely done.
+    /// True if a request is on its way that will show whether the engine's load is done.
+    /// Others follow once it has got an answer, or the load is surely done.
     fn awaits_trial(&self, now: Millis) -> bool {
         let load = self.load.as_ref().filter(|load| load.may_last(now));
         load.is_some_and(|load| {
--- a/crates/gateway/src/control/load_times.rs
+++ b/crates/gateway/src/control/load_times.rs
@@ -21,7 +21,8 @@
 /// which on it is narrowed no further.
 const PRECISION: f64 = 0.1;
 
-/// Part of that interval after which the next engine is used again.
+/// Position within that interval at which the next engine is used again: 0 is its start, 1
+/// its end.
 const TRIAL_SHARE: f64 = 0.75;
 
 /// Part by which the lower end falls with a load that was done in the expected time, as
@@ -35,7 +36,7 @@
 /// each other.
 const SLOWED_FACTOR: f64 = 1.1;
 
-/// Part by which the number of concurrent loads grows.
+/// The number of concurrent loads grows by itself divided by this.
 const GROWTH_DIVISOR: usize = 4;
 
 /// Multiple of the expected duration after which a load counts as failed.
@@ -143,7 +144,7 @@
     steady: usize,
     /// Part by which the lower end falls with the next load.
     decay: f64,
-    /// True if no round of so many loads has ended yet.
+    /// True until `window` loads were done since the window grew.
     on_trial: bool,
     learnt_at: Millis,
 }
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -21,15 +21,15 @@
 const REPORT_AGE_MS: Millis = 400;
 
 /// Delay after an order at which the first report is requested if the duration of loads is
-/// not known, in ms. The next ones follow at intervals of [`REPORTS_PER_LOAD`].
+/// not known, and shortest interval of the next ones, in ms.
 const FIRST_REPORT_MS: Millis = 100;
 
-/// Number of reports in the time since the start of a load, if its duration is not known
-/// or has passed.
+/// A report that shows a load in progress is followed by the next one after the time since
+/// the start of the load, divided by this.
 const REPORTS_PER_LOAD: Millis = 4;
 
-/// Time for which an engine is closed while an order is on its way, or after a report that
-/// shows it loading and is repeated before, in ms.
+/// Time for which an engine is closed while an order or a request for its report is on its
+/// way, in ms.
 const ORDER_MS: Millis = 400;
 
 /// Time for which an engine is closed after it accepted an order if the duration of loads
