--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -41,8 +41,10 @@
 pub struct Random(pub u64);
 
 impl Random {
+    /// Seeds that are close together give different numbers.
     pub fn new(seed: u64) -> Self {
-        Self(seed | 1)
+        let mixed = seed.wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        Self((mixed ^ (mixed >> 31)) | 1)
     }
 
     pub fn next(&mut self) -> u64 {
@@ -505,12 +507,24 @@
 pub struct Addresses {
     net: [u8; 3],
     next: u8,
+    /// Keeps the net for this case.
+    _guard: TcpListener,
 }
 
+/// Port that a case keeps open at the first address of its net.
+const GUARD_PORT: u16 = 8700;
+
 impl Addresses {
     pub fn new(random: &mut Random) -> Self {
         let part = |random: &mut Random| 1 + random.below(250) as u8;
-        Self { net: [127, part(random), part(random)], next: 1 }
+        // Other cases may run at the same time: a net is free if nothing listens at its first address.
+        loop {
+            let net = [127, part(random), part(random)];
+            let ip = IpAddr::V4(Ipv4Addr::new(net[0], net[1], net[2], 1));
+            if let Ok(guard) = TcpListener::bind((ip, GUARD_PORT)) {
+                return Self { net, next: 1, _guard: guard };
+            }
+        }
     }
 
     pub fn next(&mut self) -> IpAddr {
