--- a/review/standin/harness.rs
+++ b/review/standin/harness.rs
@@ -27,9 +27,17 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
-/// Ends the case because it cannot run.
+/// Ids of the node processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case because it cannot run, and the processes that it started.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("cannot run: {why}");
+    if let Ok(running) = RUNNING.lock() {
+        for id in running.iter() {
+            let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+        }
+    }
     std::process::exit(NOT_RUN)
 }
 
@@ -653,7 +661,13 @@
         }
         command.env("FLAMINGOLOCK_SETTINGS", folder.join("node.toml"));
         command.stdin(Stdio::null()).stdout(log).stderr(errors);
-        command.spawn().unwrap_or_else(|error| cannot_run(&format!("the node does not start: {error}")))
+        match command.spawn() {
+            Ok(child) => {
+                RUNNING.lock().unwrap().push(child.id());
+                child
+            }
+            Err(error) => cannot_run(&format!("the node does not start: {error}")),
+        }
     }
 
     pub fn front(&self) -> SocketAddr {
@@ -692,6 +706,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        RUNNING.lock().unwrap().retain(|id| *id != self.child.id());
     }
 
     /// True once the process has ended by itself or by a signal.
