gossip: a hub's datagrams fit into the buffer of their receivers

Cause: a hub tells the nodes of its availability zone of all nodes that the hubs of other zones hear, all of them in one datagram. With some 240 of them it is longer than the receivers' buffer of 16 KiB: they cannot decode it, and lose what else stands in it (runs, loads of weights, faults). Not shown: that this had a part in the stalled roll-out. Change: node states, faults and loads of weights are split over datagrams like runs, streams, limits and suspects. Test: test_gossip_size failed before with a datagram of 24,677 bytes.

--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -24,6 +24,10 @@
 /// Maximum number of suspects of each kind per datagram, for the same reason.
 const MAX_DATAGRAM_SUSPECTS: usize = 8;
 
+/// Maximum number of node states, endpoint faults and loads of weights per datagram. A hub
+/// tells all of its fleet's; with more they don't fit into the buffer of a receiver.
+const MAX_DATAGRAM_STATES: usize = 48;
+
 /// Additional time for which a hub batches updates that it relays, in ms.
 const HUB_BATCH_MS: Millis = 8;
 
@@ -37,9 +41,15 @@
         suspects: split_off(&mut gossip.suspects, MAX_DATAGRAM_SUSPECTS),
         suspect_requests: split_off(&mut gossip.suspect_requests, MAX_DATAGRAM_SUSPECTS),
         limits: split_off(&mut gossip.limits, MAX_DATAGRAM_LIMITS),
+        heard: split_off(&mut gossip.heard, MAX_DATAGRAM_STATES),
+        faults: split_off(&mut gossip.faults, MAX_DATAGRAM_STATES),
+        reloads: split_off(&mut gossip.reloads, MAX_DATAGRAM_STATES),
         ..Gossip::default()
     };
     let is_empty = rest.runs.is_empty()
+        && rest.heard.is_empty()
+        && rest.faults.is_empty()
+        && rest.reloads.is_empty()
         && rest.streams.is_empty()
         && rest.suspects.is_empty()
         && rest.suspect_requests.is_empty()
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -15,7 +15,7 @@
 use crate::{orders, peer_sync, store};
 
 /// Maximum size of a datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+pub const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// Opens the UDP socket for datagrams.
 ///
--- /dev/null
+++ b/crates/gateway/tests/test_gossip_size.rs
@@ -0,0 +1,75 @@
+//! Size of the datagrams in fleets of several hundred nodes.
+
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod common;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use common::{Harness, settings};
+use flamingolock_gateway::control::{Effect, Event};
+use flamingolock_gateway::gossip::MAX_DATAGRAM_BYTES;
+use flamingolock_wire::gossip::{Gossip, NodeState};
+use prost::Message;
+
+/// Number of availability zones, and of nodes in each.
+const ZONES: u64 = 5;
+const ZONE_NODES: u64 = 60;
+
+fn node_state(zone: u64, number: u64) -> NodeState {
+    let address = SocketAddr::from(([10, 1, zone as u8, number as u8], 7_060));
+    NodeState {
+        incarnation: (zone + 1) << 40 | number << 8 | 0xff << 56,
+        callers: address.to_string(),
+        zone: format!("availability-zone-{zone}"),
+        ready: true,
+        name: format!("front-availability-zone-{zone}-{number}"),
+        gossip: address.to_string(),
+        capacity: 100,
+        store_reachable: true,
+        control_port: 7_061,
+        ..NodeState::default()
+    }
+}
+
+fn receive(hub: &mut Harness, sender: NodeState, heard: Vec<NodeState>, now: u64) {
+    let from = sender.gossip.parse().expect("an address");
+    let gossip = Gossip {
+        sender: Some(sender),
+        relayed: !heard.is_empty(),
+        heard,
+        ..Gossip::default()
+    };
+    let datagram: Bytes = gossip.encode_to_vec().into();
+    hub.control.handle(Event::Datagram(from, datagram), now);
+}
+
+#[test]
+fn datagrams_of_a_hub_fit_into_the_buffer_of_their_receivers() {
+    let mut settings = settings();
+    settings.zone = "availability-zone-0".to_owned();
+    settings.capacity = 1_000;
+    let mut hub = Harness::with_settings(settings, u64::MAX);
+    hub.catalog(1, 1_000);
+    for number in 1..ZONE_NODES {
+        receive(&mut hub, node_state(0, number), Vec::new(), 1_000);
+    }
+    hub.effects(1_100);
+    for zone in 1..ZONES {
+        let heard = (1..ZONE_NODES).map(|number| node_state(zone, number));
+        receive(&mut hub, node_state(zone, 0), heard.collect(), 1_200);
+    }
+    let mut told = BTreeSet::new();
+    for now in (1_210..2_000).step_by(10) {
+        for effect in hub.effects(now) {
+            let Effect::SendDatagram(_, bytes) = effect else {
+                continue;
+            };
+            assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{} bytes", bytes.len());
+            let gossip = Gossip::decode(bytes).expect("a message");
+            told.extend(gossip.heard.into_iter().map(|state| state.name));
+        }
+    }
+    assert_eq!(told.len() as u64, ZONES * ZONE_NODES - 1);
+}
