--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use flamingolock_platform_standin::{Engine, Store};
+use flamingolock_platform_standin::{Engine, Link, LinkState, Store};
 use flamingolock_testutils::fleet::free_address;
 use tempfile::TempDir;
 
@@ -164,6 +164,27 @@
     }
 }
 
+/// A node with a link to each endpoint, in the order of the site's engines and application
+/// servers.
+pub struct LinkedNode {
+    pub node: Node,
+    pub links: Vec<Link>,
+}
+
+impl LinkedNode {
+    /// Sets the state of all links.
+    pub fn set_links(&self, state: LinkState) {
+        for link in &self.links {
+            link.set(state);
+        }
+    }
+
+    /// Number of bytes that the node has sent to endpoints.
+    pub fn sent_bytes(&self) -> u64 {
+        self.links.iter().map(Link::sent_bytes).sum()
+    }
+}
+
 /// Starts a node with the settings file in `dir`, and appends its log to `dir/log`.
 fn spawn(dir: &Path) -> Child {
     let log = std::fs::File::options()
@@ -200,14 +221,30 @@
     pub complete: bool,
 }
 
-/// Sends a request on a new connection.
-pub fn request(address: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)]) -> Answer {
-    let agent: ureq::Agent = ureq::Agent::config_builder()
+/// Client that keeps up to `connections` idle ones.
+pub fn client(connections: usize) -> ureq::Agent {
+    ureq::Agent::config_builder()
         .http_status_as_error(false)
         .timeout_global(Some(WAIT_TIMEOUT))
-        .max_idle_connections(0)
+        .max_idle_connections(connections)
+        .max_idle_connections_per_host(connections)
         .build()
-        .into();
+        .into()
+}
+
+/// Sends a request on a new connection.
+pub fn request(address: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)]) -> Answer {
+    send(&client(0), address, method, path, headers)
+}
+
+/// Sends a request on an idle connection of the client, or on a new one if it has none.
+pub fn send(
+    client: &ureq::Agent,
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Answer {
     let mut builder = http::Request::builder()
         .method(method)
         .uri(format!("http://{address}{path}"));
@@ -215,7 +252,7 @@
         builder = builder.header(*name, *value);
     }
     let request = builder.body("the body").expect("a request");
-    let Ok(mut response) = agent.run(request) else {
+    let Ok(mut response) = client.run(request) else {
         return Answer::default();
     };
     let headers = response
@@ -317,8 +354,7 @@
     .to_string()
 }
 
-/// A store with a configuration, two engines and two application servers, all
-/// stand-ins.
+/// A store with a configuration, engines and application servers, all stand-ins.
 pub struct Site {
     pub store: Store,
     pub engines: Vec<Engine>,
@@ -328,10 +364,16 @@
 }
 
 impl Site {
-    /// Starts the stand-ins; `pause` is the time between two events of a stream.
+    /// Starts two engines and two application servers; `pause` is the time between two
+    /// events of a stream.
     pub fn start(pause: Duration) -> Self {
+        Self::start_with(2, pause)
+    }
+
+    /// Starts as many engines, and two application servers.
+    pub fn start_with(engines: usize, pause: Duration) -> Self {
         let store = Store::start();
-        let engines: Vec<Engine> = (1..=2)
+        let engines: Vec<Engine> = (1..=engines)
             .map(|index| Engine::start(&format!("engine-{index}"), 10, pause))
             .collect();
         let app_servers: Vec<Engine> = (1..=2)
@@ -360,23 +402,46 @@
         self.store.put("keyed.servers", &key, &value);
     }
 
-    /// Starts a node and waits until it is ready and has logged all four endpoints.
+    /// Starts a node and waits until it is ready and has logged all endpoints.
     pub fn node(&self, name: &str) -> Node {
+        self.node_at(name, self.store.address())
+    }
+
+    /// Starts a node that reaches each endpoint over a link of its own.
+    pub fn linked_node(&self, name: &str) -> LinkedNode {
+        let links: Vec<Link> = self
+            .endpoints()
+            .map(|endpoint| Link::start(endpoint.address()))
+            .collect();
+        let addresses = self
+            .endpoints()
+            .zip(&links)
+            .map(|(endpoint, link)| (endpoint.address(), link.address()))
+            .collect();
+        let node = self.node_at(name, self.store.view(addresses));
+        LinkedNode { node, links }
+    }
+
+    fn node_at(&self, name: &str, store: SocketAddr) -> Node {
         let mut control_addresses = self.control_addresses.lock().expect("no panic before");
-        let node = Node::start(name, self.store.address(), &control_addresses);
+        let node = Node::start(name, store, &control_addresses);
         control_addresses.push(node.control);
         drop(control_addresses);
         node.wait_ready();
         wait_for("the node to list all endpoints", || {
-            node.log().matches("endpoint listed").count() >= 4
+            node.log().matches("endpoint listed").count() >= self.endpoints().count()
         });
         node
     }
 
+    /// All engines, then all application servers.
+    fn endpoints(&self) -> impl Iterator<Item = &Engine> {
+        self.engines.iter().chain(&self.app_servers)
+    }
+
     /// Number of executions of a request, over all endpoints.
     pub fn executions(&self, id: &str) -> u32 {
-        let endpoints = self.engines.iter().chain(&self.app_servers);
-        endpoints
+        self.endpoints()
             .map(|endpoint| endpoint.runs().get(id).copied().unwrap_or(0))
             .sum()
     }
