tests: one node's cut from most engines halves what others serve

The tests of a node that is cut off from some engines had too little load, and engines that refuse instead of queueing, which sends requests on to engines that are avoided. Now the engines are busy to two thirds and have long queues.

The node tells the others that it avoids the engines that it does not reach, and all send to the one that is left.

--- a/crates/cli/tests/test_cut_nodes.rs
+++ b/crates/cli/tests/test_cut_nodes.rs
@@ -87,19 +87,19 @@
 /// Sends requests of one kind to a node until `done`, on one kept connection or on new ones.
 fn send_requests(
     node: (usize, &LinkedNode),
-    kind: Kind,
+    (caller, kind): (usize, Kind),
     is_kept: bool,
     done: &AtomicBool,
 ) -> Vec<Record> {
     let (index, node) = node;
     let client = client(usize::from(is_kept));
-    let name = format!("{index}-{kind:?}-{is_kept}-{}", node.sent_bytes());
+    let name = format!("{index}-{kind:?}-{caller}-{is_kept}-{}", node.sent_bytes());
     let mut records = Vec::new();
     while !done.load(Ordering::Relaxed) {
         let number = records.len();
         let sent_at = Instant::now();
         let id = format!("{name}-{number}");
-        let parts = format!("a{number:x}:300,b{index:x}:400,c:300");
+        let parts = format!("a{number:x}:300,b{index:x}{caller:x}:400,c:300");
         let mut headers = vec![
             ("host", "site.example"),
             ("authorization", "Bearer key-1"),
@@ -136,10 +136,11 @@
     std::thread::scope(|scope| {
         let mut callers = Vec::new();
         for node in nodes.iter().enumerate() {
-            for kind in kinds {
+            for (caller, kind) in kinds.iter().enumerate() {
+                let kind = (caller, *kind);
                 for is_kept in [true, false] {
                     let done = &done;
-                    callers.push(scope.spawn(move || send_requests(node, *kind, is_kept, done)));
+                    callers.push(scope.spawn(move || send_requests(node, kind, is_kept, done)));
                 }
             }
         }
@@ -271,13 +272,16 @@
 fn others_serve_as_before(cut: &[usize], state: LinkState) {
     let site = Site::start_with(ENGINES, Duration::from_millis(20));
     for engine in &site.engines {
-        engine.set_room(Room { slots: 2, queue: 4 });
+        engine.set_room(Room {
+            slots: 8,
+            queue: 100,
+        });
         site.put_entry(engine, "engines", "ready");
     }
     let nodes = start_nodes(&site);
     let mut before = Instant::now()..Instant::now();
     let mut during = Instant::now()..Instant::now();
-    let records = send_during(&nodes, &[Kind::Stream], || {
+    let records = send_during(&nodes, &[Kind::Stream; 4], || {
         sleep(Duration::from_secs(1));
         before.start = Instant::now();
         sleep(WINDOW);
