streams: take up an unknown stream only with current entries

Callers of a node that was cut off during a release, or stood still, took up streams that engines of a new software version had begun, and got the rest of them from engines of another version (ORDER).

Cause: a node that was not told of a stream takes the only version in its own copy of the entries for the one that began it, however old the copy is. A report of another node that waited in the socket while the process stood still also counted as a confirmation of the copy as of now, and entries taken over from another node did not count as a gap in what was listed.

Such a stream is now refused unless the copy of the entries is no older than the bound within which their changes must be known; streams that a node was told of go on as before.

Five older tests of the same file let a node that had read the entries once, 5 s or more before, take up unknown streams: that is the fault. They now say when the entries were read last; what they expect is the same.

--- a/crates/gateway/src/control/state/peer_sync.rs
+++ b/crates/gateway/src/control/state/peer_sync.rs
@@ -50,6 +50,9 @@
         }
         let at = now.saturating_sub(copies.endpoints_age);
         if self.endpoints_copy.is_older_than(at) && !copies.endpoints.is_empty() {
+            let current_at = self.endpoints_copy.current_at();
+            let unread_ms = current_at.map(|current_at| at.saturating_sub(current_at));
+            self.listed_builds.entries_read(unread_ms, at);
             self.apply_endpoint_snapshot(&copies.endpoints, now);
             self.endpoints_copy.synced(at);
         }
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -190,6 +190,13 @@
         self.send_in_datagrams(gossip, &[node]);
     }
 
+    /// True if this node's copy of the entries is as current as it must be. An older one may
+    /// lack the versions at which other nodes have begun streams since.
+    fn knows_entries(&self, now: Millis) -> bool {
+        let bound = self.settings.drain_bound.as_millis() as Millis;
+        self.endpoints_copy.age(now) <= bound
+    }
+
     /// Returns the software version that began a stream, given the key of the request
     /// that began it. A stream that no node has told of began at the only version that
     /// served since its caller may have begun it, if there is only one.
@@ -202,7 +209,7 @@
         if let Some(build) = begun_by.and_then(|request| self.streams.build_of(request)) {
             return Some(build);
         }
-        if self.is_recovering(now) {
+        if self.is_recovering(now) || !self.knows_entries(now) {
             return None;
         }
         let since = now.saturating_sub(self.stream_memory());
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -13,7 +13,9 @@
 use flamingolock_gateway::control::operator_records::OperatorUpdate;
 use flamingolock_gateway::control::state::Control;
 use flamingolock_gateway::control::suspects::RunSubjects;
-use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, PlacementRequest, View};
+use flamingolock_gateway::control::{
+    BuildRule, Effect, Event, FollowedTopic, Placement, PlacementRequest, View,
+};
 use flamingolock_gateway::copies::{Copies, Offer};
 use flamingolock_gateway::dialect::{KeyedRecord, PromptPart};
 use flamingolock_gateway::settings::Settings;
@@ -172,6 +174,17 @@
             })
             .collect();
         self.control.handle(Event::EndpointSnapshot(records), now);
+        self.entries_read(now);
+    }
+
+    /// Reads from the store that the entries are as this node knows them.
+    pub fn entries_read(&mut self, now: u64) {
+        let event = Event::TopicRead {
+            topic: FollowedTopic::Endpoints,
+            end: self.offset(),
+            at: now,
+        };
+        self.control.handle(event, now);
     }
 
     /// Writes the entry of an endpoint; a value of none removes it.
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -5,12 +5,13 @@
 
 use std::net::SocketAddr;
 
-use common::{Harness, placement_request};
+use common::{Harness, copies_of, placement_request};
 use flamingolock_gateway::control::begun_streams::request_key;
-use flamingolock_gateway::control::{BuildRule, Effect, Event, FollowedTopic, Placement, Refusal};
+use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, Refusal};
 use flamingolock_wire::gossip::{
-    BegunStream, BegunStreamList, BuildHistory, Gossip, ListedBuild, NodeState,
+    BegunStream, BegunStreamList, BuildHistory, Gossip, ListedBuild, NodeState, TopicCopyState,
 };
+use flamingolock_wire::topic_copies::CopiesRequest;
 use prost::Message;
 
 /// Time for which streams are remembered, in ms: without routes, only the margin.
@@ -93,12 +94,15 @@
     let mut harness = with_engines(&["v1", "v1"]);
     let refused = Some(Refusal::UnknownBuild);
     // The node cannot know which versions served before it started.
+    harness.entries_read(MEMORY_MS);
     assert_eq!(resume(&mut harness, "r", MEMORY_MS).err(), refused);
     assert_eq!(build_of(resume(&mut harness, "r", MEMORY_MS + 1)), "v1");
 
     harness.engine_of_build("e9", "v2", 6_000);
+    harness.entries_read(6_000);
     assert_eq!(resume(&mut harness, "r", 6_100).err(), refused);
     harness.entry("e9", None, 7_000);
+    harness.entries_read(7_000 + MEMORY_MS);
     assert_eq!(
         resume(&mut harness, "r", 7_000 + MEMORY_MS).err(),
         refused,
@@ -125,18 +129,14 @@
     for now in (woken_at..=woken_at + 2_000).step_by(500) {
         harness.control.tick(now);
     }
+    harness.entries_read(woken_at + 2_000);
     assert_eq!(build_of(resume(&mut harness, "r", woken_at + 2_000)), "v1");
 }
 
 #[test]
 fn unknown_stream_is_refused_after_a_gap_in_what_was_read() {
     let mut harness = with_engines(&["v1"]);
-    let read = |at| Event::TopicRead {
-        topic: FollowedTopic::Endpoints,
-        end: 1,
-        at,
-    };
-    harness.control.handle(read(10_000), 10_000);
+    harness.entries_read(10_000);
     harness.engines_of_builds(&["v1"], 11_000);
     assert_eq!(build_of(resume(&mut harness, "r", 11_000)), "v1");
     harness.engines_of_builds(&["v1"], 20_000);
@@ -144,6 +144,67 @@
     assert_eq!(refusal, Some(Refusal::UnknownBuild));
 }
 
+/// What the node reports of its copy of the entries.
+fn reported_entries(harness: &mut Harness, now: u64) -> TopicCopyState {
+    let effects = harness.effects(now).into_iter();
+    let mut reports = effects.filter_map(|effect| match effect {
+        Effect::SendDatagram(_, bytes) => Gossip::decode(bytes).expect("a datagram").endpoints,
+        _ => None,
+    });
+    reports.next().expect("a report of the entries")
+}
+
+#[test]
+fn unknown_stream_is_refused_by_a_node_that_is_cut_off() {
+    let mut harness = with_engines(&["v1"]);
+    harness.entries_read(10_000);
+    // Changes of the entries must be known after 2,000 ms.
+    assert_eq!(build_of(resume(&mut harness, "r", 12_000)), "v1");
+    let refusal = resume(&mut harness, "r", 12_001).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+    harness.datagram(9, streams(&[begun("known", "v1")]), 12_001);
+    assert_eq!(build_of(resume(&mut harness, "known", 20_000)), "v1");
+}
+
+#[test]
+fn unknown_stream_is_refused_if_entries_are_confirmed_by_a_report_from_before_a_stall() {
+    let mut harness = with_engines(&["v1"]);
+    harness.entries_read(10_000);
+    harness.datagram(9, Gossip::default(), 10_000);
+    let report = reported_entries(&mut harness, 10_100);
+    let woken_at = 15_000;
+    harness.control.tick(woken_at);
+    let gossip = Gossip {
+        endpoints: Some(report),
+        ..Gossip::default()
+    };
+    harness.datagram(9, gossip.clone(), woken_at);
+    for now in (woken_at..=woken_at + 2_000).step_by(500) {
+        harness.control.tick(now);
+    }
+    let now = woken_at + 2_000;
+    let refusal = resume(&mut harness, "r", now).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+    harness.datagram(9, gossip, now);
+    assert_eq!(build_of(resume(&mut harness, "r", now)), "v1");
+}
+
+#[test]
+fn unknown_stream_is_refused_after_a_gap_before_the_copy_of_another_node() {
+    let mut harness = with_engines(&["v1"]);
+    harness.entries_read(10_000);
+    let request = CopiesRequest {
+        endpoints: true,
+        ..CopiesRequest::default()
+    };
+    let mut copies = copies_of(harness.offer(request, 20_000));
+    copies.endpoints_age = 0;
+    let event = Event::PeerSyncReceived(Box::new(copies));
+    harness.control.handle(event, 20_000);
+    let refusal = resume(&mut harness, "r", 20_100).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
+
 /// The node learns from another one that only one version was listed, or that there
 /// was another one.
 #[test]
@@ -164,6 +225,7 @@
             ..Gossip::default()
         };
         harness.datagram(9, gossip, 4_000);
+        harness.entries_read(4_500);
         let refusal = resume(&mut harness, "r", 4_500).err();
         assert_eq!(refusal, expected, "{other}");
     }
@@ -336,6 +398,7 @@
 #[test]
 fn streams_are_recorded_while_several_versions_serve() {
     let mut harness = with_engines(&["v1"]);
+    harness.entries_read(9_900);
     for (builds, is_recorded, now) in [(&["v1"][..], false, 10_100), (&["v1", "v2"], true, 11_100)]
     {
         harness.engines_of_builds(builds, now - 100);
