attempt: no copy of an earlier refusal is taken for a response

Clients were told "not run, try again" for requests that an engine was running (REFUSED), or such a request ran at a second engine (TWICE).

Cause: a faulty engine may write an earlier refusal once more where the next response on a kept connection is expected. Where the refusal bears the id of its request, the copy looks like the response to this very request when it is sent to the same engine again over the same connection; where it bears none, like the response to any request.

A connection remembers the requests that were refused over it until their deadlines, and is not used for them again. After a refusal without an id it carries only requests that may run more than once, and is closed if the refused request was none of them. A refusal without an id on any other connection can be no copy, since none came before, and is believed.

Cost: one new connection for each refusal without an id of a request that may run once.

--- a/crates/cli/tests/test_repeated_responses.rs
+++ b/crates/cli/tests/test_repeated_responses.rs
@@ -1,21 +1,33 @@
-//! Endpoints that send a second copy of a response on a connection that is in use again.
+//! Endpoints that send an earlier response once more on a connection that is in use again.
 
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod entry_site;
 
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use entry_site::{Site, call, wait_for};
+use entry_site::{Node, PROMPT, Site, call, wait_for};
 
 /// Time after a response at which its copy follows.
 const COPY_DELAYS_MS: [u64; 4] = [0, 2, 10, 40];
 
-/// Reads the head of a request and returns its id; none at the end of the connection.
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<String> {
+/// A request as an endpoint reads it.
+struct Request {
+    path: String,
+    id: String,
+}
+
+/// Reads a request; none at the end of the connection.
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let mut id = None;
     let mut length = 0;
+    let mut first = String::new();
+    reader.read_line(&mut first).ok()?;
+    let path = first.split(' ').nth(1)?.to_owned();
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line).ok()? == 0 {
@@ -34,13 +46,14 @@
     }
     let mut body = vec![0; length];
     std::io::Read::read_exact(reader, &mut body).ok()?;
-    Some(id.unwrap_or_default())
+    let id = id.unwrap_or_default();
+    Some(Request { path, id })
 }
 
 fn serve_connection(stream: TcpStream, copy_delay: Duration) {
     let mut writer = stream.try_clone().expect("a second handle");
     let mut reader = BufReader::new(stream);
-    while let Some(id) = read_request(&mut reader) {
+    while let Some(Request { id, .. }) = read_request(&mut reader) {
         let body = format!("done {id}");
         let response = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: signed\r\nContent-Length: {}\r\n\r\n{body}",
@@ -58,18 +71,171 @@
     }
 }
 
-/// Starts an application server that sends each response twice.
-fn start_repeating(copy_delay: Duration) -> SocketAddr {
+/// Serves each connection to a new port on a thread of its own.
+fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
     let address = listener.local_addr().expect("an address");
+    let serve = Arc::new(serve);
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            std::thread::spawn(move || serve_connection(stream, copy_delay));
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream));
         }
     });
     address
 }
 
+/// Starts an application server that sends each response twice.
+fn start_repeating(copy_delay: Duration) -> SocketAddr {
+    listen(move |stream| serve_connection(stream, copy_delay))
+}
+
+/// Whether the refusals of an endpoint bear the id of their request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusals {
+    WithId,
+    WithoutId,
+}
+
+/// An endpoint that refuses each request that is the first one to come over a kept
+/// connection, and writes each refusal once more where the next response is expected.
+#[derive(Clone)]
+struct RepeatingRefusals {
+    refusals: Refusals,
+    /// Number of runs by request id.
+    runs: Arc<Mutex<BTreeMap<String, u32>>>,
+    repeated: Arc<AtomicUsize>,
+}
+
+impl RepeatingRefusals {
+    fn serve(&self, stream: TcpStream) {
+        let mut writer = stream.try_clone().expect("a second handle");
+        let mut reader = BufReader::new(stream);
+        let mut copy: Option<String> = None;
+        let mut served = 0;
+        while let Some(request) = read_request(&mut reader) {
+            let mut response = String::new();
+            if let Some(copy) = copy.take() {
+                self.repeated.fetch_add(1, Ordering::Relaxed);
+                response.push_str(&copy);
+            }
+            let refusal = self.refusal(&request);
+            if is_own_call(&request) {
+                response.push_str("HTTP/1.1 404 -\r\nContent-Length: 0\r\n\r\n");
+            } else if served > 0 && served % 2 == 1 && self.is_new(&request) {
+                response.push_str(&refusal);
+                copy = Some(refusal);
+            } else {
+                response.push_str(&self.run(&request));
+            }
+            served += 1;
+            if writer.write_all(response.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// True if the request did not come before.
+    fn is_new(&self, request: &Request) -> bool {
+        let mut runs = self.runs.lock().expect("no panic before");
+        runs.insert(request.id.clone(), 0).is_none()
+    }
+
+    fn refusal(&self, request: &Request) -> String {
+        let id = match self.refusals {
+            Refusals::WithId => format!("Request-Id: {}\r\n", request.id),
+            Refusals::WithoutId => String::new(),
+        };
+        format!("HTTP/1.1 503 -\r\nNot-Executed: 1\r\n{id}Content-Length: 0\r\n\r\n")
+    }
+
+    fn run(&self, request: &Request) -> String {
+        let mut runs = self.runs.lock().expect("no panic before");
+        *runs.entry(request.id.clone()).or_default() += 1;
+        let event = "id: 1\ndata: token 1 v1\n\n";
+        format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: signed\r\nWeight-Versions: 1\r\n\
+             Content-Type: text/event-stream\r\nContent-Length: {}\r\n\r\n{event}",
+            request.id,
+            event.len()
+        )
+    }
+}
+
+/// True if the node itself asks for something.
+fn is_own_call(request: &Request) -> bool {
+    request.path.starts_with("/kv-events") || request.path == "/report"
+}
+
+/// Starts a node at which the engine that repeats refusals, and `others` engines beside it,
+/// serve.
+fn start(refusals: Refusals, others: usize) -> (Site, Node, RepeatingRefusals) {
+    let site = Site::start(Duration::from_millis(5));
+    let engine = RepeatingRefusals {
+        refusals,
+        runs: Arc::default(),
+        repeated: Arc::default(),
+    };
+    let served = engine.clone();
+    let address = listen(move |stream| served.serve(stream));
+    let node = site.node("node-1");
+    let entry = serde_json::json!({
+        "Service": "engines", "Address": address.to_string(), "Zone": "zone-a", "Version": "v1", "Slots": 8,
+        "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": 1000,
+        "Models": [{"Name": "planner", "Version": 1, "Adapters": []}],
+    });
+    site.store
+        .put("keyed.servers", "servers/repeating", &entry.to_string());
+    for engine in &site.engines[others..] {
+        site.put_entry(engine, "engines", "draining");
+    }
+    let leaving = site.engines.len() - others;
+    wait_for("the repeating engine", || {
+        let log = node.log();
+        log.contains("repeating") && log.matches("endpoint is leaving").count() == leaving
+    });
+    (site, node, engine)
+}
+
+/// Sends requests that may run once, every third one after a stream that may be resumed,
+/// and checks that they run once at most and that none of those is refused that ran.
+fn assert_run_once(site: &Site, node: &Node, engine: &RepeatingRefusals) {
+    let mut ran = 0;
+    for number in 0..40 {
+        // Prompts with different parts are spread over the engines.
+        let parts = format!("a{number}:300,b{number}:400,c:300");
+        let prompt = [PROMPT[0], PROMPT[1], ("prefix-hash", parts.as_str())];
+        if number % 3 == 0 {
+            call(node, "/draft/a", &format!("d{number}"), &prompt);
+        }
+        let id = format!("r{number}");
+        let answer = call(node, "/tag/a", &id, &prompt);
+        let runs = engine.runs.lock().expect("no panic before");
+        let runs = runs.get(&id).copied().unwrap_or(0) + site.executions(&id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(
+            answer.status != 503 || runs == 0,
+            "{id} was refused and ran"
+        );
+        ran += runs;
+    }
+    assert!(ran >= 36, "{ran} of 40 ran");
+}
+
+#[test]
+fn repeated_refusal_of_a_request_does_not_make_it_run_twice() {
+    let (site, node, engine) = start(Refusals::WithId, 0);
+    assert_run_once(&site, &node, &engine);
+}
+
+#[test]
+fn repeated_refusal_without_an_id_does_not_make_another_request_run_twice() {
+    let (site, node, engine) = start(Refusals::WithoutId, 1);
+    assert_run_once(&site, &node, &engine);
+    let repeated = engine.repeated.load(Ordering::Relaxed);
+    assert!(repeated > 0, "no refusal was repeated");
+}
+
 #[test]
 fn callers_never_get_the_copy_of_another_response() {
     for delay_ms in COPY_DELAYS_MS {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::control::{Event, Grant, RunEnd};
 use crate::dialect::{EndpointHead, LimitStatement, ResponseHead};
 use crate::exchange::{Exchange, ProxyContext};
-use crate::http_client::{BodyFraming, CallError, Connection};
+use crate::http_client::{BodyFraming, CallError, Connection, ConnectionUse};
 use crate::run_guard::RunGuard;
 
 /// Timeout for connecting to an endpoint.
@@ -104,7 +104,7 @@
         first_byte_timeout.map_or(exchange.deadline, |timeout| Instant::now() + timeout);
     let limit = first_byte_deadline.min(exchange.deadline);
     let sent = timeout_at(limit, send(exchange, context, &grant, resume_after)).await;
-    let (response, connection) = match sent {
+    let (response, mut connection) = match sent {
         Ok(Ok(sent)) => sent,
         Ok(Err(error)) => return request_failed(exchange, &grant, guard, &error),
         Err(_) => return first_byte_timed_out(exchange, guard),
@@ -127,7 +127,12 @@
         let end = not_run_reason(parts.status, &head, &grant, exchange);
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, status = parts.status.as_u16(),
             cause = end.as_str(); "endpoint did not run the request");
-        drain_body(context, &grant, connection, body, &head).await;
+        let is_named = head.request_id.is_some();
+        connection.record_refusal(&exchange.request_id, exchange.deadline, is_named);
+        // No other request that may run once could use it.
+        if is_named || exchange.route.is_retryable() {
+            drain_body(context, &grant, connection, body, &head).await;
+        }
         guard.end(end.clone());
         return AttemptOutcome::NotRun(end);
     }
@@ -227,12 +232,17 @@
     grant: &Grant,
     resume_after: Option<u64>,
 ) -> Result<(http::Response<Incoming>, Connection), CallError> {
-    let share = if exchange.route.is_retryable() {
-        1.0
-    } else {
-        NON_RETRYABLE_IDLE_SHARE
+    let is_retryable = exchange.route.is_retryable();
+    let purpose = ConnectionUse {
+        request_id: &exchange.request_id,
+        is_retryable,
+        idle_share: if is_retryable {
+            1.0
+        } else {
+            NON_RETRYABLE_IDLE_SHARE
+        },
     };
-    if let Some(mut connection) = context.pool.take(grant.endpoint.key(), share) {
+    if let Some(mut connection) = context.pool.take(grant.endpoint.key(), &purpose) {
         match connection
             .send(build_request(exchange, context, grant, resume_after))
             .await
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -15,7 +15,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::clock::{Millis, now};
 use crate::endpoint::EndpointKey;
@@ -122,6 +122,10 @@
     driver: AbortHandle,
     idle_since: Millis,
     keep_alive_ms: Millis,
+    /// Requests that the server refused over it, by id, with their deadlines.
+    refused: Vec<(Arc<str>, Instant)>,
+    /// True if the server sent a refusal over it that names no request.
+    has_unnamed_refusal: bool,
 }
 
 impl Drop for Connection {
@@ -163,6 +167,8 @@
             driver: driver.abort_handle(),
             idle_since: now(),
             keep_alive_ms: DEFAULT_IDLE_MS,
+            refused: Vec::new(),
+            has_unnamed_refusal: false,
         })
     }
 
@@ -197,6 +203,25 @@
         }
     }
 
+    /// Records that the server refused a request that may be sent again until its deadline.
+    /// `is_named` is true if the refusal bears the id of the request.
+    pub fn record_refusal(&mut self, request_id: &Arc<str>, deadline: Instant, is_named: bool) {
+        let now = Instant::now();
+        self.refused.retain(|(_, deadline)| *deadline > now);
+        self.refused.push((request_id.clone(), deadline));
+        self.has_unnamed_refusal |= !is_named;
+    }
+
+    /// True if a second copy of an earlier refusal, where the response to this request is
+    /// expected, would be taken for that response.
+    fn may_mislead(&self, purpose: &ConnectionUse) -> bool {
+        let is_repeat = self
+            .refused
+            .iter()
+            .any(|(id, _)| **id == *purpose.request_id);
+        is_repeat || (self.has_unnamed_refusal && !purpose.is_retryable)
+    }
+
     /// True if the connection is open and has been idle for less than `share` of its
     /// idle timeout.
     fn is_usable(&self, share: f64, now: Millis) -> bool {
@@ -276,6 +301,17 @@
     }
 }
 
+/// Request for which an idle connection is taken.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionUse<'a> {
+    /// Id of the request.
+    pub request_id: &'a str,
+    /// True if the request may run more than once.
+    pub is_retryable: bool,
+    /// Fraction of its idle timeout for which the connection may have been idle.
+    pub idle_share: f64,
+}
+
 /// Pool of idle connections to endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
@@ -283,15 +319,17 @@
 }
 
 impl Pool {
-    /// Takes a connection that has been idle for less than `share` of its idle timeout.
-    pub fn take(&self, key: EndpointKey, share: f64) -> Option<Connection> {
+    /// Takes a connection for a request, unless none is suitable.
+    pub fn take(&self, key: EndpointKey, purpose: &ConnectionUse) -> Option<Connection> {
         let now = now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&key)?;
         connections.retain(|connection| connection.is_usable(1.0, now));
         // The most recently used connection is the least likely to have been closed.
-        let usable = connections.last()?.is_usable(share, now);
-        if usable { connections.pop() } else { None }
+        let place = connections.iter().rposition(|connection| {
+            connection.is_usable(purpose.idle_share, now) && !connection.may_mislead(purpose)
+        })?;
+        Some(connections.remove(place))
     }
 
     /// Returns a connection to the pool, unless it already holds `max_idle` usable
