--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -11,7 +11,7 @@
 use crate::control::cache_index::{key, namespace_of};
 use crate::control::fleet::EndpointState;
 use crate::control::operator_records::OperatorUpdate;
-use crate::dialect::{CachedPart, KeyedRecord, OperatorRecord};
+use crate::dialect::{CachedPart, DecodeError, KeyedRecord, OperatorRecord};
 use crate::endpoint::{Endpoint, EndpointKey};
 
 /// Time after the store became reachable again within which live endpoints rewrite
@@ -30,6 +30,9 @@
 /// relies on the list of the KV cache store alone.
 const CACHE_QUERY_MAX_ENGINES: usize = 24;
 
+/// Maximum size of an endpoint's entry, in bytes. Larger ones are of another writer.
+const MAX_ENTRY_BYTES: usize = 64 * 1024;
+
 impl Control {
     /// Assumed age of weights that the operator named at an unknown time. It leaves
     /// [`STARTUP_GRACE_MS`] until versions they supersede must not be used any more.
@@ -114,8 +117,17 @@
         }
     }
 
+    fn decode_entry(&self, key: &str, value: &[u8]) -> Result<Endpoint, DecodeError> {
+        if value.len() > MAX_ENTRY_BYTES {
+            let reason = format!("an entry of {} bytes", value.len());
+            return Err(DecodeError::Encoding(reason));
+        }
+        (self.dialect.endpoint_entry)(key, value)
+    }
+
     pub(super) fn apply_endpoint_record(&mut self, record: &KeyedRecord, now: Millis) {
         let Some(id) = (self.dialect.endpoint_id)(&record.key) else {
+            log::warn!(key = record.key.as_str(), offset = record.offset; "entry ignored, its key names no endpoint");
             return;
         };
         let key = Endpoint::key_of(id);
@@ -123,7 +135,7 @@
             self.endpoint_removed(key, now);
             return;
         };
-        let entry = match (self.dialect.endpoint_entry)(&record.key, value) {
+        let entry = match self.decode_entry(&record.key, value) {
             Ok(entry) => entry,
             Err(error) => {
                 log::warn!(endpoint = id, offset = record.offset, error:% = error; "removing endpoint with an invalid entry");
