store: a key of another writer does not end the list of the newest records

A node that reads the entries in pages asked for those behind a key as it stands. With a blank or another character that a URI does not allow, the request went to another path, whose 404 counts as an empty topic: the node took the entries so far for all there are, and dropped the others. With an ampersand or a percent sign it asked for those behind another key.

If a page ends with the key after which it should begin, the read fails rather than going on without end.

Before the change, entries_behind_an_odd_key_are_not_lost_between_two_pages:

timed out waiting for the node to list all endpoints

The stand-in of the store gives out pages of one key in the mode ShortPages.

--- a/crates/cli/tests/test_odd_entries.rs
+++ b/crates/cli/tests/test_odd_entries.rs
@@ -168,3 +168,28 @@
     let arrivals = decoy.arrivals();
     assert!(arrivals.is_empty(), "an odd entry was used: {arrivals:?}");
 }
+
+#[test]
+fn entries_behind_an_odd_key_are_not_lost_between_two_pages() {
+    let site = Site::start(EVENT_INTERVAL);
+    let decoy = Engine::start("decoy", 0, EVENT_INTERVAL);
+    let (_, leaving) = decoy.entry("desk", "draining");
+    for id in ["d&after=zz", "d#", "d%zz", "d+", "d=&", "~"] {
+        site.store
+            .put("keyed.servers", &format!("servers/{id}"), &leaving);
+    }
+    let (_, ready) = decoy.entry("desk", "ready");
+    for id in UNNAMEABLE_IDS {
+        site.store
+            .put("keyed.servers", &format!("servers/{id}"), &ready);
+    }
+    site.store.set_mode(StoreMode::ShortPages);
+    let node = site.node("node-1");
+    assert_serves(&node, "a");
+    assert_follows(&site, &node, "late-1");
+    for id in ["engine-1", "engine-2", "desk-1", "desk-2", "~"] {
+        assert!(is_logged(&node, "endpoint listed", id), "{id}");
+    }
+    let arrivals = decoy.arrivals();
+    assert!(arrivals.is_empty(), "an odd entry was used: {arrivals:?}");
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -53,6 +53,9 @@
     /// The response has an error status or cannot be decoded.
     #[error(transparent)]
     Decode(#[from] DecodeError),
+    /// A page of the newest records ends at the key after which it should begin.
+    #[error("the pages of the newest records do not go on")]
+    PageRepeated,
     /// The thread that decodes the records failed.
     #[error("cannot decode the records: {0}")]
     Thread(#[from] JoinError),
@@ -159,6 +162,9 @@
             if !page.has_more || last {
                 return Ok((records, end.unwrap_or(0)));
             }
+            if after.is_some() && after == records.last().map(|record| record.key.clone()) {
+                return Err(StoreError::PageRepeated);
+            }
         }
     }
 
