gateway: a notice is not undone by an earlier incarnation of its endpoint

Cause: notices compared start times for equality. A late response to a request that was placed before the endpoint restarted replaced the notice of the newer incarnation; an entry of an earlier incarnation that came back (a store's copy), or one without a start time, counted as another endpoint.

Change: only a later start time replaces or outdates a notice.

Evidence: both new tests of test_notices fail without the change, with "left: Ok(Endpoint { id: "e0", start_time_ms: 0, .. }) right: Err(NoEndpoint)" and the same for the late response; with it the file's five tests pass.

--- a/crates/gateway/src/control/notices.rs
+++ b/crates/gateway/src/control/notices.rs
@@ -1,7 +1,7 @@
 //! Requests of endpoints to this node, which they make in the headers of their responses.
 //!
-//! They hold for one incarnation of an endpoint and are kept apart from its state,
-//! because its entry may lapse and come back while the store is out of reach.
+//! They hold for one incarnation of an endpoint, and are kept apart from its state because
+//! its entry may lapse and come back while the store is out of reach.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -50,7 +50,8 @@
 }
 
 impl Notices {
-    /// Records a notice. Returns true if it tells something new.
+    /// Records a notice. Returns true if it tells something new. One in a late response to a
+    /// request that was placed at an earlier incarnation says nothing of the newer one.
     pub fn record(&mut self, endpoint: &Endpoint, notice: Notice, now: Millis) -> bool {
         let before = self.acceptance(endpoint, now);
         let none = EndpointNotices {
@@ -60,7 +61,10 @@
             received_at: now,
         };
         let notices = self.endpoints.entry(endpoint.key()).or_insert(none);
-        if notices.start_time_ms != endpoint.start_time_ms {
+        if endpoint.start_time_ms < notices.start_time_ms {
+            return false;
+        }
+        if endpoint.start_time_ms > notices.start_time_ms {
             *notices = none;
         }
         notices.received_at = now;
@@ -75,10 +79,12 @@
         before == Acceptance::Accepts
     }
 
-    /// Returns whether the endpoint wants requests from this node.
+    /// Returns whether the endpoint wants requests from this node. An entry of an earlier
+    /// incarnation, or one that states no start time, may come back: then the endpoint is
+    /// still the one that sent the notices.
     pub fn acceptance(&self, endpoint: &Endpoint, now: Millis) -> Acceptance {
         match self.endpoints.get(&endpoint.key()) {
-            Some(notices) if notices.start_time_ms != endpoint.start_time_ms => Acceptance::Accepts,
+            Some(notices) if endpoint.start_time_ms > notices.start_time_ms => Acceptance::Accepts,
             Some(notices) if notices.leaving => Acceptance::Leaving,
             Some(notices) if now < notices.paused_until => Acceptance::Paused(notices.paused_until),
             _ => Acceptance::Accepts,
--- a/crates/gateway/tests/test_notices.rs
+++ b/crates/gateway/tests/test_notices.rs
@@ -71,3 +71,35 @@
     harness.control.tick(one_hour);
     assert_eq!(place(&mut harness, one_hour), Err(Refusal::NoEndpoint));
 }
+
+/// Returns an engine as its entry described it at this start.
+fn engine_born(harness: &mut Harness, born: u64, now: u64) -> Arc<Endpoint> {
+    harness.engine("e0", born, "ready", now);
+    place(harness, now).expect("a placement")
+}
+
+#[test]
+fn late_answer_of_an_earlier_incarnation_does_not_undo_a_notice() {
+    let mut harness = Harness::with_engines(0, 0);
+    let before = engine_born(&mut harness, 1, 10);
+    let after = engine_born(&mut harness, 2, 20);
+    let pause = Notice::Pause(Duration::from_millis(1));
+    for (engine, notice, now) in [(after, Notice::Leaving, 30), (before, pause, 40)] {
+        harness.control.handle(Event::Noticed(engine, notice), now);
+    }
+    assert_eq!(place(&mut harness, 3_000), Err(Refusal::NoEndpoint));
+}
+
+#[test]
+fn entry_of_an_earlier_incarnation_does_not_undo_a_notice() {
+    for old_born in [0, 1] {
+        let mut harness = Harness::with_engines(0, 0);
+        let engine = engine_born(&mut harness, 2, 10);
+        let leaving = Event::Noticed(engine, Notice::Leaving);
+        harness.control.handle(leaving, 20);
+        harness.entry("e0", None, 30);
+        harness.engine("e0", old_born, "ready", 40);
+        let placed = place(&mut harness, 3_000);
+        assert_eq!(placed, Err(Refusal::NoEndpoint), "born {old_born}");
+    }
+}
