gateway: a node that starts learns when weights were named

Cause: such a node finds the newest version in the store, without its time, and used replaced weights for 3,000 ms from when it had read that, a constant, while it is in touch ContactMs after its start. It knew nothing of the versions between either.

Change: nodes tell one that starts which versions were named and how long ago (send_history); known times go before assumed ones. Where nobody knows, the grace counts from the start of the process, or from the end of an outage of the store, and is four fifths of the stated ContactMs. Versions that are read again by a node that is up to date count from its last read.

Evidence: superseded_weights_are_not_used_once_a_started_node_is_in_touch fails without the change ("read at 10100", used at 13,000).

--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -67,6 +67,7 @@
 BudgetSlack = 58
 LeaseMs = 600
 VersionMs = 6000
+ContactMs = 3000
 GraceS = 6
 DrainMs = 2000
 ConfigMs = 2000
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -12,6 +12,7 @@
 pub mod lease;
 pub mod listed_builds;
 pub mod load_times;
+pub mod named_weights;
 pub mod notices;
 pub mod operator_records;
 pub mod peers;
--- a/crates/gateway/src/control/fleet/estimate.rs
+++ b/crates/gateway/src/control/fleet/estimate.rs
@@ -5,7 +5,7 @@
 use crate::clock::Millis;
 use crate::control::PlacementRequest;
 use crate::control::cache_index::{CacheIndex, PartKey, PartLocation, namespace, shared_keys};
-use crate::control::rollout::{NamedVersion, replaced_at};
+use crate::control::named_weights::{NamedVersion, replaced_at};
 use crate::endpoint::EndpointKey;
 
 /// Assumed prefill rate of an engine, in prompt tokens per ms. [`EndpointState`]
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -7,6 +7,7 @@
 use crate::control::fleet::EndpointState;
 use crate::control::lease::LeaseStep;
 use crate::control::load_times::{FleetLoad, Load, LoadTimes};
+use crate::control::named_weights::{NamedWeights, WriteTime};
 use crate::dialect::{EngineReport, OrderOutcome, WeightsOrder};
 use crate::endpoint::EndpointKey;
 
@@ -120,30 +121,11 @@
     Report(EndpointKey),
 }
 
-/// Returns when the weights of `version` were superseded, given all versions that
-/// the operator named.
-pub fn replaced_at(versions: &[NamedVersion], version: u64) -> Option<Millis> {
-    let newer = versions.iter().find(|named| named.version > version);
-    newer.map(|named| named.named_at)
-}
-
-/// Version of a model's weights that the operator named.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NamedVersion {
-    /// Version of the weights.
-    pub version: u64,
-    /// Time at which the operator is assumed to have named it.
-    pub named_at: Millis,
-}
-
-/// Number of named versions that are kept per model.
-const MAX_VERSIONS: usize = 16;
-
 /// State of the roll-out.
 #[derive(Debug, Default)]
 pub struct Rollout {
-    /// Named versions of each model, newest last.
-    named: BTreeMap<String, Vec<NamedVersion>>,
+    /// Versions of the weights that the operator named.
+    pub named: NamedWeights,
     engines: BTreeMap<EndpointKey, EngineProgress>,
     progressed_at: Millis,
     /// Time within which new weights must be in use, in ms.
@@ -167,37 +149,20 @@
         }
     }
 
-    /// Records a version that the operator named at `named_at`. Returns true if it is
-    /// newer than all known versions.
+    /// Records a version that the operator named. Returns true if it is newer than all known
+    /// versions.
     pub fn name_version(
         &mut self,
         model: &str,
         version: u64,
-        named_at: Millis,
+        named: WriteTime,
         now: Millis,
     ) -> bool {
-        let versions = self.named.entry(model.to_owned()).or_default();
-        if versions.last().is_some_and(|last| last.version >= version) {
-            return false;
+        let is_newer = self.named.name(model, version, named);
+        if is_newer {
+            self.progressed_at = now;
         }
-        if versions.len() == MAX_VERSIONS {
-            // The oldest version stays in the list because it determines since when the
-            // versions before it count as superseded. The next one now does so for it.
-            let removed = versions.remove(1);
-            versions[1].named_at = removed.named_at;
-        }
-        versions.push(NamedVersion { version, named_at });
-        self.progressed_at = now;
-        true
-    }
-
-    /// Returns the named versions of a model, newest last.
-    pub fn versions(&self, model: &str) -> &[NamedVersion] {
-        self.named.get(model).map_or(&[], Vec::as_slice)
-    }
-
-    fn newest(&self, model: &str) -> Option<u64> {
-        self.versions(model).last().map(|named| named.version)
+        is_newer
     }
 
     /// Records progress of the roll-out at this or another node.
@@ -211,8 +176,8 @@
         if state.endpoint.leaving || state.removal_due_at.is_some() {
             return None;
         }
-        self.named.keys().find_map(|model| {
-            let (version, newest) = (*state.weights.get(model)?, self.newest(model)?);
+        self.named.models().find_map(|model| {
+            let (version, newest) = (*state.weights.get(model)?, self.named.newest(model)?);
             (version < newest).then_some((model.as_str(), newest))
         })
     }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -28,6 +28,7 @@
 use crate::control::freshness::Freshness;
 use crate::control::lease::{Lease, LeaseStep};
 use crate::control::listed_builds::ListedBuilds;
+use crate::control::named_weights::WriteTime;
 use crate::control::notices::Notices;
 use crate::control::operator_records::OperatorRecords;
 use crate::control::peers::Peers;
@@ -145,6 +146,8 @@
     ticked_at: Option<Millis>,
     /// Start and end of the last stall of the process.
     last_stall: (Millis, Millis),
+    /// When the process started.
+    running_since: Option<Millis>,
     started_at: Option<Millis>,
     shutdown_at: Option<Millis>,
     /// Effects to be carried out; the caller takes them after each tick.
@@ -218,6 +221,7 @@
             store_recovered_at: 0,
             ticked_at: None,
             last_stall: (0, 0),
+            running_since: None,
             started_at: None,
             shutdown_at: None,
             effects: Vec::new(),
@@ -263,16 +267,15 @@
             }
             Event::LimitStated(endpoint, limit) => self.limit_stated(&endpoint, limit, now),
             Event::OperatorSnapshot(records) => {
-                // The time at which these records were written is unknown.
-                let named_at = now.saturating_sub(self.assumed_weights_age());
+                let written = self.snapshot_write_time(now);
                 for update in records {
-                    self.apply_operator_update(update, named_at, now);
+                    self.apply_operator_update(update, written, now);
                 }
             }
             Event::OperatorRecords(records) => {
-                let written_at = self.earliest_write_time(now);
+                let written = WriteTime::known(self.earliest_write_time(now));
                 for update in records {
-                    self.apply_operator_update(update, written_at, now);
+                    self.apply_operator_update(update, written, now);
                 }
             }
             Event::EndpointSnapshot(records) => self.endpoints_read(&records, now),
@@ -431,6 +434,7 @@
     }
 
     fn detect_stall(&mut self, now: Millis) {
+        self.running_since.get_or_insert(now);
         if let Some(at) = self.ticked_at.filter(|at| now > at + STALL_MS) {
             log::warn!(ms = now - at; "the process stood still");
             self.last_stall = (at, now);
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -234,6 +234,7 @@
             self.listed_builds.learn(builds, now);
         }
         self.rollout.load_times.merge(&gossip.load_times, now);
+        self.merge_named_weights(&gossip.named_weights, now);
         self.merge_suspects(Subject::Part, &gossip.suspects, now);
         self.merge_suspects(Subject::Request, &gossip.suspect_requests, now);
         self.compare_copies(from, &gossip, now);
--- a/crates/gateway/src/control/state/peer_sync.rs
+++ b/crates/gateway/src/control/state/peer_sync.rs
@@ -35,13 +35,9 @@
     pub(super) fn apply_copies(&mut self, copies: Copies, now: Millis) {
         self.fetches.succeeded();
         self.metrics.count(EventKind::Copies, "received");
-        // A node without a configuration cannot tell when the records were written.
-        let mut written_at = now.saturating_sub(self.assumed_weights_age());
-        if self.catalog.is_some() {
-            written_at = written_at.max(self.earliest_write_time(now));
-        }
+        let written = self.copies_write_time(now);
         for update in copies.operator {
-            self.apply_operator_update(update, written_at, now);
+            self.apply_operator_update(update, written, now);
         }
         self.operator_end = self.operator_end.max(copies.operator_end);
         if self.operator_copy.current_at().is_some() {
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -279,7 +279,7 @@
         let context = EstimateContext {
             now,
             zone: &self.settings.zone,
-            versions: model.map_or(&[], |model| self.rollout.versions(model)),
+            versions: model.map_or(&[], |model| self.rollout.named.versions(model)),
             max_weights_age: self.max_weights_age(),
         };
         let is_available = |key: EndpointKey| {
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -4,12 +4,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use flamingolock_wire::gossip::NamedWeightsRecord;
+
 use super::Control;
 use crate::catalog::Catalog;
 use crate::clock::Millis;
 use crate::control::Effect;
 use crate::control::cache_index::{key, namespace_of};
 use crate::control::fleet::EndpointState;
+use crate::control::named_weights::WriteTime;
 use crate::control::operator_records::OperatorUpdate;
 use crate::dialect::{CachedPart, DecodeError, KeyedRecord, OperatorRecord};
 use crate::endpoint::{Endpoint, EndpointKey};
@@ -18,10 +21,6 @@
 /// entries that lapsed in the meantime, in ms.
 const REREGISTRATION_MS: Millis = 2_300;
 
-/// Time after its start for which a node may use superseded weights whose age it
-/// does not know, in ms.
-const STARTUP_GRACE_MS: Millis = 3_000;
-
 /// Time after its start during which a node asks engines and the KV cache store
 /// which parts they hold, in ms.
 const CACHE_QUERY_WINDOW_MS: Millis = 3_000;
@@ -34,17 +33,55 @@
 const MAX_ENTRY_BYTES: usize = 64 * 1024;
 
 impl Control {
-    /// Assumed age of weights that the operator named at an unknown time. It leaves
-    /// [`STARTUP_GRACE_MS`] until versions they supersede must not be used any more.
-    pub(super) fn assumed_weights_age(&self) -> Millis {
-        self.max_weights_age().saturating_sub(STARTUP_GRACE_MS)
+    /// When records of the operator are taken to have been written of which nothing is known:
+    /// so long ago that the weights they supersede may be used for the start-up grace after
+    /// `since` and no longer.
+    fn assumed_write_time(&self, since: Millis) -> WriteTime {
+        let until = since + self.settings.start_grace().as_millis() as Millis;
+        WriteTime::assumed(until.saturating_sub(self.max_weights_age()))
+    }
+
+    /// When the records that a node finds in the store were written. The grace counts from the
+    /// start of the process, or from the end of an outage of the store.
+    pub(super) fn snapshot_write_time(&self, now: Millis) -> WriteTime {
+        if self.operator_copy.current_at().is_some() {
+            return WriteTime::known(self.earliest_write_time(now));
+        }
+        let started_at = self.running_since.unwrap_or(now);
+        self.assumed_write_time(if self.store_unreachable {
+            now
+        } else {
+            started_at.max(self.store_recovered_at)
+        })
+    }
+
+    /// When the records that another node sent were written.
+    pub(super) fn copies_write_time(&self, now: Millis) -> WriteTime {
+        let assumed = self.assumed_write_time(now);
+        if self.operator_copy.current_at().is_none() {
+            return assumed;
+        }
+        let earliest = self.earliest_write_time(now);
+        if earliest < assumed.at {
+            assumed
+        } else {
+            WriteTime::known(earliest)
+        }
+    }
+
+    /// Takes over since when versions of the weights count, as another node tells.
+    pub(super) fn merge_named_weights(&mut self, records: &[NamedWeightsRecord], now: Millis) {
+        let learnt = self.rollout.named.merge(records, now);
+        if learnt > 0 {
+            log::info!(learnt, told = records.len(); "another node told when weights were named");
+        }
     }
 
-    /// Applies a record of the operator topic that was written at `written_at`.
+    /// Applies a record of the operator topic that was written at `written`.
     pub(super) fn apply_operator_update(
         &mut self,
         update: OperatorUpdate,
-        written_at: Millis,
+        written: WriteTime,
         now: Millis,
     ) {
         let OperatorUpdate { record, content } = update;
@@ -58,8 +95,9 @@
                 }
             }
             Ok(OperatorRecord::Weights { model, version }) => {
-                if self.rollout.name_version(&model, version, written_at, now) {
-                    log::info!(model = model.as_str(), version, offset = record.offset; "operator named new weights");
+                if self.rollout.name_version(&model, version, written, now) {
+                    log::info!(model = model.as_str(), version, offset = record.offset, age_ms = now.saturating_sub(written.at),
+                        is_assumed = written.is_assumed; "operator named new weights");
                     self.operator_records.insert(record);
                 }
             }
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -167,7 +167,8 @@
 
     /// Tells a node that has started, or was out of reach, which streams began, which
     /// software versions were listed recently, which prompt parts and requests may crash endpoints,
-    /// which endpoints state limits and how long loads take. In fleets with hubs only these do so.
+    /// which endpoints state limits, how long loads take and when weights were named. In fleets
+    /// with hubs only these do so.
     pub(super) fn send_history(&mut self, node: SocketAddr, now: Millis) {
         if !(self.is_hub || self.peers.is_full_mesh(now)) {
             return;
@@ -184,6 +185,7 @@
             suspect_requests: self.suspect_requests.list(now),
             limits: self.limits.list(now),
             load_times: self.rollout.load_times.list(now),
+            named_weights: self.rollout.named.list(now),
             relayed: true,
             ..Gossip::default()
         };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,6 +8,10 @@
 /// Part of the grace period that is reserved for exiting.
 const GRACE_MARGIN: Duration = Duration::from_millis(250);
 
+/// Part of the time from its start to the contact of a node for which it may use weights that
+/// have been superseded for an unknown time. The rest is for the start of the process itself.
+const START_GRACE_SHARE: f64 = 0.8;
+
 /// Settings that a node needs at startup.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
@@ -47,6 +51,9 @@
     pub lease: Duration,
     /// Time within which new weights must be in use.
     pub weights_bound: Duration,
+    /// Time after its start from which a node counts as in touch with the platform, if it is
+    /// stated.
+    pub contact_time: Option<Duration>,
     /// Grace period between SIGTERM and SIGKILL.
     pub grace: Duration,
     /// Time within which draining endpoints must get no more requests.
@@ -62,6 +69,13 @@
 }
 
 impl Settings {
+    /// Time after its start for which a node may use weights that have been superseded for an
+    /// unknown time.
+    pub fn start_grace(&self) -> Duration {
+        let contact = self.contact_time.unwrap_or(self.weights_bound / 2);
+        contact.min(self.weights_bound).mul_f64(START_GRACE_SHARE)
+    }
+
     /// Longest time from the start of a shutdown to the end of the process.
     pub fn shutdown_time(&self) -> Duration {
         self.grace.saturating_sub(GRACE_MARGIN)
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -44,6 +44,7 @@
         retry_slack: 58.0,
         lease: Duration::from_secs(3),
         weights_bound: Duration::from_secs(6),
+        contact_time: Some(Duration::from_secs(3)),
         grace: Duration::from_secs(8),
         drain_bound: Duration::from_secs(2),
         catalog_bound: Duration::from_secs(2),
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -60,6 +60,27 @@
     /// has changed; to a node that has just started, all nodes do.
     #[prost(message, repeated, tag = "16")]
     pub load_times: Vec<LoadTimeRecord>,
+    /// Versions of weights that the operator named; only to a node that has started, or was
+    /// out of reach.
+    #[prost(message, repeated, tag = "24")]
+    pub named_weights: Vec<NamedWeightsRecord>,
+}
+
+/// A version of a model's weights that the operator named.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct NamedWeightsRecord {
+    /// Name of the model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Time since it was named, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    /// True if the sender does not know when it was named and assumes that time.
+    #[prost(bool, tag = "4")]
+    pub is_assumed: bool,
 }
 
 /// How long the engines of a service take to load weights.
