gateway: a notice also holds for an incarnation that is not listed yet

Cause: a response does not name the incarnation that sent it. The notice was recorded for the listed one, so that it ended when the new one's entry was read, after the cut.

Change: a notice holds for the next incarnation as well, unless an entry of the earlier one was read since. One that was seen after its notice and then restarts is used at once, as before.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -397,6 +397,8 @@
     SendOrder(Box<WeightsOrder>),
     /// Request an engine's report.
     RequestReport(Arc<Endpoint>),
+    /// Ask an endpoint whether it is leaving.
+    AskLeaving(Arc<Endpoint>),
     /// Ask an engine, or the KV cache store if there is no key, which parts it holds.
     ListCache(SocketAddr, Option<EndpointKey>),
 }
--- a/crates/gateway/src/control/notices.rs
+++ b/crates/gateway/src/control/notices.rs
@@ -1,7 +1,10 @@
 //! Requests of endpoints to this node, which they make in the headers of their responses.
 //!
 //! They hold for one incarnation of an endpoint, and are kept apart from its state because
-//! its entry may lapse and come back while the store is out of reach.
+//! its entry may lapse and come back while the store is out of reach. A response does not
+//! name the incarnation that sent it: if the endpoint cannot reach the store after a restart,
+//! its entry is still that of the incarnation before. So a notice also holds for the next
+//! incarnation, until an entry shows that the earlier one sent it or the endpoint is asked.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,6 +23,8 @@
     Leaving,
     /// It wants no requests for this time.
     Pause(Duration),
+    /// It was asked, and does not say that it is leaving.
+    Staying,
 }
 
 /// Whether an endpoint wants requests from this node.
@@ -41,6 +46,19 @@
     leaving: bool,
     paused_until: Millis,
     received_at: Millis,
+    /// When an entry of this incarnation was first read after its last notice.
+    seen_at: Option<Millis>,
+    /// Start time of a later incarnation that may have sent them.
+    maybe_sent_by: Option<u64>,
+}
+
+impl EndpointNotices {
+    /// True if they hold for an incarnation with this start time. An entry of an earlier
+    /// incarnation, or one that states no start time, may come back: then the endpoint is
+    /// still the one that sent them.
+    fn hold_for(&self, start_time_ms: u64) -> bool {
+        start_time_ms <= self.start_time_ms || self.maybe_sent_by == Some(start_time_ms)
+    }
 }
 
 /// Notices of all endpoints.
@@ -59,6 +77,8 @@
             leaving: false,
             paused_until: 0,
             received_at: now,
+            seen_at: None,
+            maybe_sent_by: None,
         };
         let notices = self.endpoints.entry(endpoint.key()).or_insert(none);
         if endpoint.start_time_ms < notices.start_time_ms {
@@ -69,6 +89,7 @@
         }
         notices.received_at = now;
         match notice {
+            Notice::Staying => return before != Acceptance::Accepts,
             Notice::Leaving => notices.leaving = true,
             Notice::Pause(time) => {
                 let time = Millis::try_from(time.as_millis()).unwrap_or(Millis::MAX);
@@ -76,15 +97,39 @@
                 notices.paused_until = notices.paused_until.max(until);
             }
         }
+        notices.seen_at = None;
         before == Acceptance::Accepts
     }
 
-    /// Returns whether the endpoint wants requests from this node. An entry of an earlier
-    /// incarnation, or one that states no start time, may come back: then the endpoint is
-    /// still the one that sent the notices.
+    /// Records that an entry of the endpoint was read. Returns true if the endpoint has to be
+    /// asked whether it is leaving.
+    pub fn entry_read(&mut self, endpoint: &Endpoint, now: Millis) -> bool {
+        let Some(notices) = self.endpoints.get_mut(&endpoint.key()) else {
+            return false;
+        };
+        if endpoint.start_time_ms == notices.start_time_ms {
+            notices.seen_at.get_or_insert(now);
+        }
+        let was_seen = notices.seen_at.is_some_and(|at| at < now);
+        if endpoint.start_time_ms > notices.start_time_ms && !was_seen {
+            notices.maybe_sent_by = Some(endpoint.start_time_ms);
+        }
+        self.is_unproven(endpoint)
+    }
+
+    /// True if it is not known whether this incarnation or the one before has said that it is
+    /// leaving.
+    pub fn is_unproven(&self, endpoint: &Endpoint) -> bool {
+        let notices = self.endpoints.get(&endpoint.key());
+        notices.is_some_and(|notices| {
+            notices.leaving && notices.maybe_sent_by == Some(endpoint.start_time_ms)
+        })
+    }
+
+    /// Returns whether the endpoint wants requests from this node.
     pub fn acceptance(&self, endpoint: &Endpoint, now: Millis) -> Acceptance {
         match self.endpoints.get(&endpoint.key()) {
-            Some(notices) if endpoint.start_time_ms > notices.start_time_ms => Acceptance::Accepts,
+            Some(notices) if !notices.hold_for(endpoint.start_time_ms) => Acceptance::Accepts,
             Some(notices) if notices.leaving => Acceptance::Leaving,
             Some(notices) if now < notices.paused_until => Acceptance::Paused(notices.paused_until),
             _ => Acceptance::Accepts,
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -262,7 +262,8 @@
             Event::SuspectsRecorded(stored) => self.suspects_recorded(stored),
             Event::Noticed(endpoint, notice) => {
                 if self.notices.record(&endpoint, notice, now) {
-                    log::info!(endpoint = &*endpoint.id, notice:? = notice; "endpoint wants no requests");
+                    log::info!(endpoint = &*endpoint.id, born = endpoint.start_time_ms, notice:? = notice;
+                        "endpoint wants no requests, or wants them again");
                 }
             }
             Event::LimitStated(endpoint, limit) => self.limit_stated(&endpoint, limit, now),
@@ -356,6 +357,7 @@
             self.forget_streams(now);
             self.notices
                 .forget_old(|key| self.fleet.contains_key(&key), now);
+            self.ask_unproven();
             self.forget_limits(now);
             for known in self.rollout.load_times.list(now) {
                 let concurrent = known.window as usize;
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -187,6 +187,11 @@
         if !is_outdated {
             self.endpoint_records.insert(key, record.clone());
         }
+        if !is_outdated && self.notices.entry_read(&entry, now) {
+            log::info!(endpoint = id, born = entry.start_time_ms; "asking a restarted endpoint whether it is leaving");
+            self.effects
+                .push(Effect::AskLeaving(Arc::new(entry.clone())));
+        }
         match self.fleet.get_mut(&key) {
             Some(_) if is_outdated => {}
             Some(state) if entry.start_time_ms == state.endpoint.start_time_ms => {
@@ -210,6 +215,14 @@
         }
     }
 
+    /// Asks the endpoints again of which it is not known whether they are leaving.
+    pub(super) fn ask_unproven(&mut self) {
+        let listed = self.fleet.values().map(|state| &state.endpoint);
+        let unproven = listed.filter(|endpoint| self.notices.is_unproven(endpoint));
+        self.effects
+            .extend(unproven.cloned().map(Effect::AskLeaving));
+    }
+
     /// Handles the list of parts held by an engine, or by the KV cache store if
     /// `endpoint` is none.
     pub(super) fn apply_cache_list(
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -141,6 +141,9 @@
             Effect::RequestReport(engine) => {
                 tokio::spawn(orders::fetch_report(dialect, handle.clone(), engine));
             }
+            Effect::AskLeaving(endpoint) => {
+                tokio::spawn(orders::ask_leaving(dialect, handle.clone(), endpoint));
+            }
         }
     }
 }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -9,6 +9,7 @@
 use http::{Response, StatusCode};
 
 use crate::clock::now;
+use crate::control::notices::Notice;
 use crate::control::{Event, Handle};
 use crate::dialect::{Dialect, EngineReport, OrderOutcome, WeightsOrder};
 use crate::endpoint::{Endpoint, EndpointKey};
@@ -68,9 +69,12 @@
 /// True if the endpoint responds to a call and has not restarted since its entry was
 /// written.
 pub async fn still_runs(dialect: &Dialect, endpoint: &Endpoint) -> bool {
-    let Some(response) = call_report(dialect, endpoint).await else {
-        return false;
-    };
+    let response = call_report(dialect, endpoint).await;
+    response.is_some_and(|response| is_of_incarnation(dialect, endpoint, &response))
+}
+
+/// True if this incarnation of the endpoint sent the response to a request for its report.
+fn is_of_incarnation(dialect: &Dialect, endpoint: &Endpoint, response: &Response<Bytes>) -> bool {
     // Another endpoint may have taken over the address.
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         return false;
@@ -83,6 +87,24 @@
     })
 }
 
+/// Asks an endpoint whether it is leaving, which it says in all its responses, and passes
+/// the answer of this incarnation to the control thread.
+pub async fn ask_leaving(dialect: &'static Dialect, handle: Handle, endpoint: Arc<Endpoint>) {
+    let Some(response) = call_report(dialect, &endpoint).await else {
+        return;
+    };
+    if !is_of_incarnation(dialect, &endpoint, &response) {
+        return;
+    }
+    let is_leaving = (dialect.response_head)(response.headers()).leaving;
+    let notice = if is_leaving {
+        Notice::Leaving
+    } else {
+        Notice::Staying
+    };
+    handle.send(Event::Noticed(endpoint, notice));
+}
+
 async fn read_report(dialect: &Dialect, engine: &Endpoint) -> Option<EngineReport> {
     let response = call_report(dialect, engine).await?;
     (dialect.parse_report_response)(response.status().as_u16(), response.body())
--- a/crates/gateway/tests/test_notices.rs
+++ b/crates/gateway/tests/test_notices.rs
@@ -5,7 +5,7 @@
 
 use common::{Harness, placement_request};
 use flamingolock_gateway::control::notices::Notice;
-use flamingolock_gateway::control::{Event, Refusal};
+use flamingolock_gateway::control::{Effect, Event, Refusal};
 use flamingolock_gateway::endpoint::Endpoint;
 
 #[allow(dead_code, reason = "each test file needs a part of it")]
@@ -103,3 +103,61 @@
         assert_eq!(placed, Err(Refusal::NoEndpoint), "born {old_born}");
     }
 }
+
+/// Returns the endpoints that are asked whether they are leaving.
+fn asked(harness: &mut Harness, now: u64) -> Vec<Arc<Endpoint>> {
+    let effects = harness.effects(now).into_iter();
+    effects
+        .filter_map(|effect| match effect {
+            Effect::AskLeaving(endpoint) => Some(endpoint),
+            _ => None,
+        })
+        .collect()
+}
+
+/// The endpoint has restarted behind a cut from the store, so its notice came in a response to a
+/// request that was placed at the entry of the incarnation before.
+#[test]
+fn notice_of_an_incarnation_that_is_not_listed_yet_holds_when_it_is() {
+    for (answer, is_used) in [(Notice::Leaving, false), (Notice::Staying, true)] {
+        let mut harness = Harness::with_engines(0, 0);
+        let before = engine_born(&mut harness, 1, 10);
+        let leaving = Event::Noticed(before, Notice::Leaving);
+        harness.control.handle(leaving, 1_000);
+        harness.entry("e0", None, 3_000);
+        harness.engine("e0", 2, "ready", 4_000);
+        let ask = asked(&mut harness, 4_000).pop().expect("a question");
+        assert_eq!(ask.start_time_ms, 2);
+        let placed = place(&mut harness, 4_010);
+        assert_eq!(placed, Err(Refusal::NoEndpoint));
+        harness.control.handle(Event::Noticed(ask, answer), 4_020);
+        harness.engine("e0", 2, "ready", 5_200);
+        assert_eq!(place(&mut harness, 5_300).is_ok(), is_used, "{answer:?}");
+        assert_eq!(asked(&mut harness, 6_000), []);
+    }
+}
+
+#[test]
+fn endpoint_that_may_be_leaving_is_asked_until_it_answers() {
+    let mut harness = Harness::with_engines(0, 0);
+    let before = engine_born(&mut harness, 1, 10);
+    let leaving = Event::Noticed(before, Notice::Leaving);
+    harness.control.handle(leaving, 1_000);
+    harness.engine("e0", 2, "ready", 4_000);
+    for now in [4_000, 5_000, 6_000] {
+        assert!(!asked(&mut harness, now).is_empty(), "at {now}");
+    }
+    assert_eq!(place(&mut harness, 6_010), Err(Refusal::NoEndpoint));
+}
+
+#[test]
+fn restarted_endpoint_is_used_at_once_if_the_incarnation_before_said_that_it_leaves() {
+    let mut harness = Harness::with_engines(0, 0);
+    let before = engine_born(&mut harness, 1, 10);
+    let leaving = Event::Noticed(before, Notice::Leaving);
+    harness.control.handle(leaving, 1_000);
+    harness.engine("e0", 1, "ready", 2_000);
+    harness.engine("e0", 2, "ready", 4_000);
+    assert!(place(&mut harness, 4_000).is_ok());
+    assert_eq!(asked(&mut harness, 4_000), []);
+}
