gateway: an endpoint that leaves is heard in any response of its own

Cause: notices were read after the check of the id, and from responses with 421 of any endpoint.

Change: leaving is read from each response but a 421 of another endpoint. A pause is still read from the response to the request itself only.

--- a/crates/cli/tests/test_notices.rs
+++ b/crates/cli/tests/test_notices.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use entry_site::{Node, Site, call, draft};
+use entry_site::{Node, Site, call, draft, wait_for};
 use flamingolock_platform_standin::{Engine, EngineMode, StoreMode};
 
 fn start() -> (Site, Node) {
@@ -56,6 +56,45 @@
     assert_eq!(arrivals_after(&site.engines[0], told_at), 0);
 }
 
+#[test]
+fn engine_that_says_it_is_leaving_in_a_response_to_another_request_gets_no_more_requests() {
+    let (site, node) = start();
+    site.engines[0].set_mode(EngineMode::WrongRequestId);
+    site.engines[0].set_leaving(true);
+    let mut index = 0;
+    while site.engines[0].arrivals().is_empty() {
+        draft(&node, index, &format!("r{index}"), &[]);
+        index += 1;
+    }
+    let told_at = Instant::now();
+    for index in index..index + 16 {
+        assert_eq!(draft(&node, index, &format!("r{index}"), &[]).status, 200);
+    }
+    assert_eq!(arrivals_after(&site.engines[0], told_at), 0);
+}
+
+/// The address of an engine that is gone is that of another one, which leaves.
+#[test]
+fn engine_does_not_count_as_leaving_because_another_one_at_its_address_does() {
+    let (mut site, node) = start();
+    let other = Engine::start("engine-3", 10, Duration::from_millis(1));
+    other.set_leaving(true);
+    let (gone, here) = (site.engines.remove(0), other.address());
+    let (key, value) = gone.entry_at(here, "engines", "ready");
+    site.store.put("keyed.servers", &key, &value);
+    let mut index = 0;
+    while other.arrivals().is_empty() {
+        assert_eq!(draft(&node, index, &format!("r{index}"), &[]).status, 200);
+        index += 1;
+    }
+    site.put_entry(&gone, "engines", "ready");
+    wait_for("a request at the engine", || {
+        index += 1;
+        draft(&node, index, &format!("r{index}"), &[]);
+        !gone.arrivals().is_empty()
+    });
+}
+
 #[test]
 fn server_that_asked_for_a_pause_gets_no_requests_until_its_end() {
     let (site, node) = start();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -117,11 +117,13 @@
     {
         log::warn!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
             found = head.request_id.as_deref().unwrap_or(""); "response carries the id of another request; dropped");
+        pass_on_leaving(context, &grant, response.status(), &head);
         guard.end(RunEnd::Broken);
         return AttemptOutcome::NoResponse(RunEnd::Broken);
     }
     let (parts, body) = response.into_parts();
-    pass_on_notices(context, &grant, parts.status, &head);
+    pass_on_pause(context, &grant, parts.status, &head);
+    pass_on_leaving(context, &grant, parts.status, &head);
     pass_on_limit(exchange, context, &grant, parts.status, &head);
     if proves_not_run(parts.status, &head) {
         let end = not_run_reason(parts.status, &head, &grant, exchange);
@@ -152,16 +154,33 @@
     read_response(exchange, context, &grant, guard, response).await
 }
 
-/// Tells the control thread what the endpoint asks of this node.
-fn pass_on_notices(context: &ProxyContext, grant: &Grant, status: StatusCode, head: &ResponseHead) {
-    let pause = head
+/// True unless another endpoint at the address may have refused the request.
+fn is_own(grant: &Grant, status: StatusCode, head: &ResponseHead) -> bool {
+    status != StatusCode::MISDIRECTED_REQUEST
+        || head.instance.as_deref() == Some(&*grant.endpoint.id)
+}
+
+/// Tells the control thread that the endpoint wants a pause, if it does.
+fn pass_on_pause(context: &ProxyContext, grant: &Grant, status: StatusCode, head: &ResponseHead) {
+    if let Some(pause) = head
         .retry_after
         .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
-        .map(Notice::Pause);
-    let leaving = head.leaving.then_some(Notice::Leaving);
-    for notice in pause.into_iter().chain(leaving) {
+    {
         let endpoint = grant.endpoint.clone();
-        context.handle.send(Event::Noticed(endpoint, notice));
+        context
+            .handle
+            .send(Event::Noticed(endpoint, Notice::Pause(pause)));
+    }
+}
+
+/// Tells the control thread that the endpoint is leaving, if it says so. It does in all its
+/// responses, also in one to another request.
+fn pass_on_leaving(context: &ProxyContext, grant: &Grant, status: StatusCode, head: &ResponseHead) {
+    if head.leaving && is_own(grant, status, head) {
+        let endpoint = grant.endpoint.clone();
+        context
+            .handle
+            .send(Event::Noticed(endpoint, Notice::Leaving));
     }
 }
 
@@ -174,10 +193,7 @@
     status: StatusCode,
     head: &ResponseHead,
 ) {
-    // Another endpoint at the address may have refused the request.
-    let is_own = status != StatusCode::MISDIRECTED_REQUEST
-        || head.instance.as_deref() == Some(&*grant.endpoint.id);
-    if !is_own || !(head.signed || head.not_run) {
+    if !is_own(grant, status, head) || !(head.signed || head.not_run) {
         return;
     }
     let limit = match head.limit {
