gateway: log the state of a roll-out, and who may send orders

The holder now writes how many engines load, how many of these count as loading though no order to them is known, how many wait and why, and how many may load at once, when that changes. Each node writes when its right to send orders changes, and why.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -20,6 +20,7 @@
 pub mod permits;
 pub mod retry_budget;
 pub mod rollout;
+pub mod rollout_status;
 pub mod state;
 pub mod stated_limits;
 pub mod suspect;
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -8,6 +8,7 @@
 use crate::control::lease::LeaseStep;
 use crate::control::load_times::{FleetLoad, Load, LoadTimes};
 use crate::control::named_weights::{NamedWeights, WriteTime};
+use crate::control::rollout_status::{ServiceStatus, StatusLog};
 use crate::dialect::{EngineReport, OrderOutcome, WeightsOrder};
 use crate::endpoint::EndpointKey;
 
@@ -86,9 +87,9 @@
 /// Engines of a service, as far as the roll-out is concerned.
 #[derive(Debug, Default)]
 struct ServiceLoads {
-    engines: usize,
     loading: Vec<EndpointKey>,
     candidates: Vec<LoadCandidate>,
+    status: ServiceStatus,
 }
 
 /// True if the engine is closed, or may still be loading.
@@ -136,6 +137,8 @@
     pub loaded: Vec<EndpointKey>,
     /// True if the durations of loads have changed since the last datagram.
     pub has_learnt: bool,
+    /// What was last logged.
+    pub status_log: StatusLog,
 }
 
 type Fleet = BTreeMap<EndpointKey, EndpointState>;
@@ -221,7 +224,10 @@
         };
         let mut tasks = Vec::new();
         for (service, mut loads) in self.service_loads(fleet, now) {
-            let most = self.load_times.max_concurrent(&service, loads.engines);
+            let most = self
+                .load_times
+                .max_concurrent(&service, loads.status.engines);
+            self.log_status(&service, &loads, most, now);
             let reserve_ms = self.reserve_ms(&service);
             loads.candidates.sort_unstable();
             for engine in loads.candidates.into_iter().take(most) {
@@ -267,6 +273,17 @@
         tasks
     }
 
+    fn log_status(&mut self, service: &Arc<str>, loads: &ServiceLoads, window: usize, now: Millis) {
+        let status = ServiceStatus {
+            candidates: loads.candidates.len(),
+            loading: loads.loading.len(),
+            window,
+            ..loads.status.clone()
+        };
+        let expected = self.load_times.expected(service);
+        self.status_log.service(service, status, expected, now);
+    }
+
     /// Time for which an engine that is about to load may finish its runs, in ms.
     fn reserve_ms(&self, service: &str) -> Millis {
         let expected = self.load_times.expected(service);
@@ -289,12 +306,16 @@
             let service = state.endpoint.service.clone();
             let failed_after = self.load_times.failed_after(&service, self.bound);
             let loads = services.entry(service.clone()).or_default();
-            loads.engines += 1;
+            loads.status.engines += 1;
             if is_loading(state, now) {
                 if let Some(load) = state.load.as_ref().filter(|load| !load.is_done()) {
                     self.load_times.note_progress(&service, load);
                 }
                 if !has_failed(state, failed_after, now) {
+                    let load = state.load.as_ref().filter(|load| !load.is_done());
+                    let is_ordered = load.is_some_and(|load| load.version.is_some())
+                        || self.engines.get(key).is_some_and(|engine| engine.in_flight);
+                    loads.status.closed += usize::from(!is_ordered);
                     loads.loading.push(*key);
                 }
                 continue;
@@ -310,7 +331,13 @@
                     ..EngineProgress::default()
                 };
             }
-            if !progress.in_flight && now >= progress.retry_at && now >= state.avoid_until {
+            if progress.in_flight {
+                loads.status.in_flight += 1;
+            } else if now < progress.retry_at {
+                loads.status.delayed += 1;
+            } else if now < state.avoid_until {
+                loads.status.avoided += 1;
+            } else {
                 loads.candidates.push(LoadCandidate {
                     is_unreserved: progress.reserved_at.is_none(),
                     loaded_version: has,
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -36,6 +36,7 @@
 use crate::control::permits::Permits;
 use crate::control::retry_budget::RetryBudget;
 use crate::control::rollout::{Rollout, Task};
+use crate::control::rollout_status::LeaseState;
 use crate::control::stated_limits::StatedLimits;
 use crate::control::suspect::Subject;
 use crate::control::suspects::Suspects;
@@ -478,6 +479,10 @@
             LeaseStep::Append(at) => self.effects.push(Effect::LeaseAppend(at)),
             LeaseStep::Hold { .. } | LeaseStep::Wait => {}
         }
+        let state = self.lease_state(pending, may_seek, step);
+        self.rollout
+            .status_log
+            .lease(state, self.lease.holder(), rank, now);
         let mut tasks = self.rollout.due_reports(&self.fleet, now);
         tasks.extend(
             self.rollout
@@ -497,6 +502,17 @@
         }
     }
 
+    fn lease_state(&self, pending: bool, may_seek: bool, step: LeaseStep) -> LeaseState {
+        match step {
+            LeaseStep::Hold { .. } => LeaseState::Held,
+            _ if !pending => LeaseState::NotWanted,
+            _ if !may_seek => LeaseState::AwaitsProgress,
+            _ if self.lease.held_by_me() => LeaseState::Held,
+            LeaseStep::Wait if self.lease.held_by_other() => LeaseState::HeldByOther,
+            _ => LeaseState::Seeking,
+        }
+    }
+
     /// Removes the runs of dead nodes, whose requests ended with their connections.
     fn drop_runs_of_dead_nodes(&mut self, now: Millis) {
         let mut nodes: BTreeSet<u64> = self
