tests: roll-outs with full, crashing, joining and silent engines, and cut nodes

Engines of test_rollout now have room for a number of waiting requests, crash and come back, join, and leave orders unanswered. The fleet of control states has a store for the lease, engines that load weights, and links that are cut.

--- a/crates/gateway/tests/common/fleet.rs
+++ b/crates/gateway/tests/common/fleet.rs
@@ -1,12 +1,13 @@
 //! A fleet of control states that exchange their datagrams in simulated time, with engines
-//! that state limits.
+//! that state limits and load weights, and a store that keeps the lease.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
-use flamingolock_gateway::control::{Effect, Event, Placement, Refusal, RunEnd};
+use flamingolock_gateway::control::{Effect, Event, Grant, Placement, Refusal, RunEnd};
+use flamingolock_gateway::dialect::{EngineReport, OrderOutcome, WeightsOrder};
 use flamingolock_gateway::endpoint::{Endpoint, EndpointKey};
 use flamingolock_wire::gossip::Gossip;
 use prost::Message;
@@ -14,11 +15,21 @@
 use rand::{Rng, SeedableRng};
 use tokio::sync::oneshot;
 
+use super::loader::{Loader, play_loads};
 use super::{Harness, placement_request, settings};
 
 /// Time from the placement of a request to its response, in ms.
 const RESPONSE_MS: u64 = 40;
 
+/// Time of a call to the store or to an engine, in ms.
+const CALL_MS: u64 = 4;
+
+/// Time after which an attempt to reach an engine over a link that is cut ends, in ms.
+const CONNECT_TIMEOUT_MS: u64 = 250;
+
+/// Time that an engine takes to load weights, in ms.
+pub const LOAD_MS: u64 = 290;
+
 /// Window in which the requests that reach an engine are counted, in ms.
 pub const WINDOW_MS: u64 = 4_000;
 
@@ -40,19 +51,42 @@
 /// A response on its way to a node.
 struct Response {
     node: usize,
-    grant: flamingolock_gateway::control::Grant,
+    grant: Grant,
+    end: RunEnd,
+}
+
+/// End of a call of a node to the store or to an engine.
+enum Call {
+    LeaseRead(u64, Option<String>),
+    LeaseAppended(Option<u64>),
+    Ordered(Box<WeightsOrder>, OrderOutcome),
+    Reported(EndpointKey, Option<EngineReport>),
+}
+
+/// An order that an engine accepted.
+pub struct AcceptedOrder {
+    pub at: u64,
+    pub node: String,
 }
 
 /// An engine, and what reached it.
-#[derive(Default)]
 pub struct Engine {
     /// Limit that it states, in requests a second.
     pub limit: Option<f64>,
     /// Times of the requests that reached it.
     pub arrivals: Vec<u64>,
+    pub loader: Loader,
 }
 
 impl Engine {
+    fn new() -> Self {
+        Self {
+            limit: None,
+            arrivals: Vec::new(),
+            loader: Loader::new(1, 1),
+        }
+    }
+
     /// Largest number of requests in a window, of those from `since` on.
     pub fn most_arrivals(&self, since: u64) -> usize {
         let first = self.arrivals.partition_point(|at| *at < since);
@@ -79,6 +113,17 @@
     pub permit_messages: (usize, usize),
     /// Times at which refused callers were asked to return.
     pub returns: Vec<u64>,
+    /// Number of refusals for other reasons; none are expected unless this is set.
+    pub refusals: Option<usize>,
+    /// Number of requests that met a link that was cut.
+    pub unreached: usize,
+    /// Orders that engines accepted.
+    pub orders: Vec<AcceptedOrder>,
+    /// Nodes and engines that do not reach each other.
+    pub cut_links: BTreeSet<(usize, EndpointKey)>,
+    /// Names of the nodes that took the lease, in order.
+    pub lease_records: Vec<String>,
+    calls: BTreeMap<(u64, u64), (usize, Call)>,
     nodes: BTreeMap<usize, Node>,
     network: Network,
     /// Number of the first nodes that no other node reaches, nor they them.
@@ -100,10 +145,16 @@
         let mut fleet = Self {
             now: 1_000,
             engines: (0..engines)
-                .map(|number| (Endpoint::key_of(&format!("e{number}")), Engine::default()))
+                .map(|number| (Endpoint::key_of(&format!("e{number}")), Engine::new()))
                 .collect(),
             permit_messages: (0, 0),
             returns: Vec::new(),
+            refusals: None,
+            unreached: 0,
+            orders: Vec::new(),
+            cut_links: BTreeSet::new(),
+            lease_records: Vec::new(),
+            calls: BTreeMap::new(),
             nodes: BTreeMap::new(),
             network,
             cut_off: 0,
@@ -161,6 +212,28 @@
         }
     }
 
+    /// Cuts the links between a node and the first engines.
+    pub fn cut_from_engines(&mut self, node: usize, engines: usize) {
+        let keys = (0..engines).map(|number| Endpoint::key_of(&format!("e{number}")));
+        self.cut_links.extend(keys.map(|key| (node, key)));
+    }
+
+    /// Names a version of the weights to all nodes.
+    pub fn name_weights(&mut self, version: u64) {
+        for node in self.nodes.values_mut() {
+            node.harness.weights(version, self.now);
+            node.wake = self.now;
+        }
+    }
+
+    /// Number of engines with older weights.
+    pub fn engines_before(&self, version: u64) -> usize {
+        let engines = self.engines.values();
+        engines
+            .filter(|engine| engine.loader.weights < version)
+            .count()
+    }
+
     /// Runs for `time_ms`, with `per_second` requests at the nodes together, half of them at
     /// the first one.
     pub fn run(&mut self, time_ms: u64, per_second: f64) {
@@ -168,6 +241,9 @@
         while self.now < until {
             self.now += 1;
             self.send_requests(per_second / 1_000.0);
+            let loaders = self.engines.iter_mut();
+            let loaders = loaders.map(|(key, engine)| (*key, &mut engine.loader));
+            play_loads(loaders, LOAD_MS, usize::MAX, self.now);
             self.deliver();
             self.tick();
         }
@@ -219,6 +295,89 @@
             let response = entry.remove();
             self.respond(&response);
         }
+        while let Some(entry) = self.calls.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (node, call) = entry.remove();
+            self.end_call(node, call);
+        }
+    }
+
+    fn end_call(&mut self, node: usize, call: Call) {
+        let Some(node) = self.nodes.get_mut(&node) else {
+            return;
+        };
+        let event = match call {
+            Call::LeaseRead(end, last) => Event::LeaseRead(end, last),
+            Call::LeaseAppended(Some(offset)) => Event::LeaseAppended(offset),
+            Call::LeaseAppended(None) => Event::LeaseFailed,
+            Call::Ordered(order, outcome) => Event::OrderAnswered(order, outcome),
+            Call::Reported(key, report) => Event::EngineReported(key, report),
+        };
+        node.harness.control.handle(event, self.now);
+        node.wake = self.now;
+    }
+
+    /// Carries out a call of a node to the store or to an engine.
+    fn call(&mut self, node: usize, effect: Effect) {
+        let cut = |links: &BTreeSet<_>, key| links.contains(&(node, key));
+        let (delay, call) = match effect {
+            Effect::LeaseRead(_) => {
+                let last = self.lease_records.last().cloned();
+                let end = self.lease_records.len() as u64;
+                (CALL_MS, Call::LeaseRead(end, last))
+            }
+            Effect::LeaseAppend(at) => {
+                let fits = at == self.lease_records.len() as u64;
+                if fits {
+                    self.lease_records.push(format!("node-{node}"));
+                }
+                (CALL_MS, Call::LeaseAppended(fits.then_some(at)))
+            }
+            Effect::SendOrder(order) if cut(&self.cut_links, order.engine.key()) => {
+                let unsent = Call::Ordered(order, OrderOutcome::NotSent);
+                (CONNECT_TIMEOUT_MS, unsent)
+            }
+            Effect::SendOrder(order) => {
+                let engine = self.engines.get_mut(&order.engine.key());
+                let outcome = engine.expect("an engine").loader.order(&order);
+                if outcome == OrderOutcome::Accepted {
+                    self.orders.push(AcceptedOrder {
+                        at: self.now,
+                        node: order.holder.clone(),
+                    });
+                }
+                (CALL_MS, Call::Ordered(order, outcome))
+            }
+            Effect::RequestReport(endpoint) if cut(&self.cut_links, endpoint.key()) => {
+                (CONNECT_TIMEOUT_MS, Call::Reported(endpoint.key(), None))
+            }
+            Effect::RequestReport(endpoint) => {
+                let key = endpoint.key();
+                let report = self.engines[&key].loader.report();
+                (CALL_MS, Call::Reported(key, report))
+            }
+            _ => return,
+        };
+        self.sequence += 1;
+        self.calls
+            .insert((self.now + delay, self.sequence), (node, call));
+    }
+
+    /// How the run of a request ends that is sent now, and after how long.
+    fn run_end(&self, node: usize, grant: &Grant) -> (RunEnd, u64) {
+        let key = grant.endpoint.key();
+        let loader = &self.engines[&key].loader;
+        if self.cut_links.contains(&(node, key)) {
+            (RunEnd::NeverConnected, CONNECT_TIMEOUT_MS)
+        } else if loader.is_loading() {
+            (RunEnd::Reloading, CALL_MS)
+        } else if grant.weights != Some(loader.weights) {
+            (RunEnd::WrongWeights(Some(loader.weights)), CALL_MS)
+        } else {
+            (RunEnd::Complete, RESPONSE_MS)
+        }
     }
 
     fn respond(&mut self, response: &Response) {
@@ -233,18 +392,20 @@
             let event = Event::LimitStated(grant.endpoint.clone(), limit);
             control.handle(event, self.now);
         }
-        let first_token = Event::FirstToken {
-            endpoint: key,
-            run_number: grant.run_number,
-            weights: None,
-            model: None,
-        };
-        control.handle(first_token, self.now);
+        if response.end == RunEnd::Complete {
+            let first_token = Event::FirstToken {
+                endpoint: key,
+                run_number: grant.run_number,
+                weights: None,
+                model: None,
+            };
+            control.handle(first_token, self.now);
+        }
         let ended = Event::RunEnded {
             endpoint: key,
             run_number: grant.run_number,
-            end: RunEnd::Complete,
-            model: None,
+            end: response.end.clone(),
+            model: Some("m".to_owned()),
         };
         control.handle(ended, self.now);
         node.wake = self.now;
@@ -256,39 +417,31 @@
             .iter_mut()
             .filter(|(_, node)| node.wake <= self.now);
         let mut sent = Vec::new();
+        let mut calls = Vec::new();
+        let mut placed = Vec::new();
         for (number, node) in due {
             node.wake = node.harness.control.tick(self.now);
             for effect in node.harness.control.effects.drain(..) {
                 if let Effect::SendDatagram(addresses, bytes) = effect {
                     let to = addresses.into_iter();
                     sent.extend(to.map(|to| (address(*number), to, bytes.clone())));
+                } else {
+                    calls.push((*number, effect));
                 }
             }
-            let mut placed = Vec::new();
             node.waiting.retain_mut(|reply| match reply.try_recv() {
                 Ok(placement) => {
-                    placed.push(placement);
+                    placed.push((*number, placement));
                     false
                 }
                 Err(error) => error == oneshot::error::TryRecvError::Empty,
             });
-            for placement in placed {
-                match placement {
-                    Ok(grant) => {
-                        let engine = self.engines.get_mut(&grant.endpoint.key());
-                        engine.expect("an engine").arrivals.push(self.now);
-                        self.sequence += 1;
-                        let response = Response {
-                            node: *number,
-                            grant,
-                        };
-                        self.responses
-                            .insert((self.now + RESPONSE_MS, self.sequence), response);
-                    }
-                    Err(Refusal::AllLimited { until }) => self.returns.push(until),
-                    Err(refusal) => panic!("refused: {refusal:?}"),
-                }
-            }
+        }
+        for (node, placement) in placed {
+            self.send(node, placement);
+        }
+        for (node, effect) in calls {
+            self.call(node, effect);
         }
         for (_, _, bytes) in &sent {
             let gossip = Gossip::decode(bytes.clone()).expect("a datagram");
@@ -307,4 +460,31 @@
             }
         }
     }
+
+    /// Sends a request to the engine at which a node placed it.
+    fn send(&mut self, node: usize, placement: Placement) {
+        let grant = match placement {
+            Ok(grant) => grant,
+            Err(Refusal::AllLimited { until }) => {
+                self.returns.push(until);
+                return;
+            }
+            Err(refusal) => {
+                let refusals = self.refusals.as_mut();
+                *refusals.unwrap_or_else(|| panic!("refused: {refusal:?}")) += 1;
+                return;
+            }
+        };
+        let (end, delay) = self.run_end(node, &grant);
+        if end == RunEnd::NeverConnected {
+            self.unreached += 1;
+        } else {
+            let engine = self.engines.get_mut(&grant.endpoint.key());
+            engine.expect("an engine").arrivals.push(self.now);
+        }
+        self.sequence += 1;
+        let response = Response { node, grant, end };
+        self.responses
+            .insert((self.now + delay, self.sequence), response);
+    }
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! format.
 
 pub mod fleet;
+pub mod loader;
 pub mod rollout;
 
 use std::net::SocketAddr;
@@ -157,12 +158,17 @@
     }
 
     pub fn engine(&mut self, id: &str, born: u64, state: &str, now: u64) {
-        self.entry(id, Some(&engine_entry("v1", born, state)), now);
+        self.entry(id, Some(&engine_entry("v1", born, state, 1)), now);
+    }
+
+    /// Adds an engine that has these weights.
+    pub fn engine_with_weights(&mut self, id: &str, born: u64, weights: u64, now: u64) {
+        self.entry(id, Some(&engine_entry("v1", born, "ready", weights)), now);
     }
 
     /// Adds an engine of a software version.
     pub fn engine_of_build(&mut self, id: &str, build: &str, now: u64) {
-        self.entry(id, Some(&engine_entry(build, 1, "ready")), now);
+        self.entry(id, Some(&engine_entry(build, 1, "ready", 1)), now);
     }
 
     /// Reads the entries of engines of these software versions, all there are.
@@ -170,7 +176,7 @@
         let engines = builds.iter().enumerate();
         let records = engines
             .map(|(place, build)| {
-                let text = engine_entry(build, 1, "ready");
+                let text = engine_entry(build, 1, "ready", 1);
                 self.record(&format!("servers/e{place}"), Some(&text))
             })
             .collect();
@@ -268,10 +274,10 @@
 }
 
 /// Entry of an engine.
-fn engine_entry(build: &str, born: u64, state: &str) -> String {
+fn engine_entry(build: &str, born: u64, state: &str, weights: u64) -> String {
     format!(
         r#"{{"Service":"engines","Address":"10.0.0.1:80","Zone":"zone-a","Version":"{build}","Slots":64,
-        "State":"{state}","Seq":1,"born":{born},"Models":[{{"Name":"m","Version":1}}]}}"#
+        "State":"{state}","Seq":1,"born":{born},"Models":[{{"Name":"m","Version":{weights}}}]}}"#
     )
 }
 
--- a/crates/gateway/tests/common/rollout.rs
+++ b/crates/gateway/tests/common/rollout.rs
@@ -10,14 +10,24 @@
 use rand::{Rng, SeedableRng};
 use tokio::sync::oneshot;
 
+use super::loader::{Loader, play_loads};
 use super::{Harness, placement_request, settings};
 
-/// Age of the engines' reports, in ms.
-const REPORT_AGE_MS: u64 = 200;
-
 /// Time of a call to an engine and its response, in ms.
 const CALL_MS: u64 = 4;
 
+/// Time after which a call to a silent engine ends, in ms.
+const CONNECT_TIMEOUT_MS: u64 = 250;
+
+/// Time after which a call without a response ends, in ms.
+const CALL_TIMEOUT_MS: u64 = 700;
+
+/// Time after which an order that is carried out late reaches its engine, in ms.
+const LATE_MS: u64 = 1_000;
+
+/// Time for which an engine is silent when it crashes, in ms.
+const RESTART_MS: u64 = 3_000;
+
 /// Attempts of a request, as the gateway makes them.
 const MAX_ATTEMPTS: usize = 4;
 
@@ -44,19 +54,44 @@
     pub requests: u64,
     /// Time within which the first token should arrive, in ms.
     pub aim_ms: u64,
+    /// Requests that may wait at an engine.
+    pub room: usize,
+    /// Share of the orders that stay unanswered; half of them are carried out, a second
+    /// later.
+    pub lost_orders: f64,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Engine {
-    weights: u64,
-    accepted: u64,
-    /// Version and start of the load in progress, if it has begun.
-    load: Option<(u64, Option<u64>)>,
-    /// Never finishes a load.
-    hangs: bool,
+    id: String,
+    loader: Loader,
+    /// Neither answers nor refuses connections until then.
+    silent_until: u64,
     busy_until: u64,
+    /// When the requests that wait begin.
+    starts: VecDeque<u64>,
     cached: BTreeSet<u64>,
-    reports: VecDeque<(u64, EngineReport)>,
+}
+
+impl Engine {
+    fn new(number: usize, weights: u64, born: u64) -> Self {
+        Self {
+            id: format!("e{number}"),
+            loader: Loader::new(weights, born),
+            silent_until: 0,
+            busy_until: 0,
+            starts: VecDeque::new(),
+            cached: BTreeSet::new(),
+        }
+    }
+
+    /// Number of requests that wait.
+    fn waiting(&mut self, now: u64) -> usize {
+        while self.starts.front().is_some_and(|at| *at <= now) {
+            self.starts.pop_front();
+        }
+        self.starts.len()
+    }
 }
 
 #[derive(Debug)]
@@ -72,7 +107,10 @@
     Ended(Box<Grant>, RunEnd),
     Again(Request),
     Answered(Box<WeightsOrder>, OrderOutcome),
-    Reported(EndpointKey, EngineReport),
+    /// An order reaches its engine late, and its sender hears nothing.
+    OrderedLate(Box<WeightsOrder>),
+    Reported(EndpointKey, Option<EngineReport>),
+    Restarted(EndpointKey),
 }
 
 /// What became of the requests that arrived in some time.
@@ -96,6 +134,8 @@
     pub harness: Harness,
     /// Requests that engines turned away because they were loading.
     pub refused: usize,
+    /// Requests that engines turned away because too many waited.
+    pub overflowed: usize,
     pub loads: usize,
     /// Largest number of engines that had an order at the same time.
     pub most_loading: usize,
@@ -119,16 +159,13 @@
         for number in 0..deployment.engines {
             let id = format!("e{number}");
             harness.engine(&id, 1, "ready", 1_000);
-            let engine = Engine {
-                weights: 1,
-                ..Engine::default()
-            };
-            engines.insert(Endpoint::key_of(&id), engine);
+            engines.insert(Endpoint::key_of(&id), Engine::new(number, 1, 1));
         }
         Self {
             now: 1_000,
             harness,
             refused: 0,
+            overflowed: 0,
             loads: 0,
             most_loading: 0,
             deployment,
@@ -149,13 +186,35 @@
     /// Makes an engine never finish its loads.
     pub fn hang(&mut self, number: usize) {
         let key = Endpoint::key_of(&format!("e{number}"));
-        self.engines.get_mut(&key).expect("an engine").hangs = true;
+        let engine = self.engines.get_mut(&key).expect("an engine");
+        engine.loader.hangs = true;
+    }
+
+    /// Crashes the first engines: they are silent, and come back later with the weights
+    /// that they have.
+    pub fn crash(&mut self, count: usize) {
+        for number in 0..count {
+            let key = Endpoint::key_of(&format!("e{number}"));
+            let engine = self.engines.get_mut(&key).expect("an engine");
+            engine.silent_until = self.now + RESTART_MS;
+            self.after(RESTART_MS, Due::Restarted(key));
+        }
+    }
+
+    /// Starts one more engine, with these weights.
+    pub fn add_engine(&mut self, weights: u64) {
+        let engine = Engine::new(self.engines.len(), weights, self.now);
+        self.harness
+            .engine_with_weights(&engine.id, self.now, weights, self.now);
+        self.engines.insert(Endpoint::key_of(&engine.id), engine);
     }
 
     /// Number of engines with these weights.
     pub fn engines_with(&self, version: u64) -> usize {
         let engines = self.engines.values();
-        engines.filter(|engine| engine.weights == version).count()
+        engines
+            .filter(|engine| engine.loader.weights == version)
+            .count()
     }
 
     /// Names a version of the weights.
@@ -235,48 +294,23 @@
         self.outcomes.entry(request.arrived_at).or_default().failed += 1;
     }
 
-    /// Engines load in the order in which they were told to, some at once.
+    /// Engines load some at once.
     fn play_loads(&mut self) {
-        let now = self.now;
-        let duration = self.deployment.load_ms;
-        let mut running = 0;
-        for engine in self.engines.values_mut() {
-            if let Some((version, Some(since))) = engine.load {
-                if now >= since + duration && !engine.hangs {
-                    engine.load = None;
-                    engine.weights = version;
-                    engine.cached.clear();
-                    self.loads += 1;
-                } else if !engine.hangs {
-                    running += 1;
-                }
-            }
-        }
-        for engine in self.engines.values_mut() {
-            if let Some((_, since @ None)) = &mut engine.load
-                && running < self.deployment.loads_at_once
-            {
-                *since = Some(now);
-                running += usize::from(!engine.hangs);
-            }
-        }
-        let mut loading = 0;
-        for engine in self.engines.values_mut() {
-            loading += usize::from(engine.load.is_some() && !engine.hangs);
-            let report = EngineReport {
-                born: 1,
-                busy: engine.load.is_some(),
-                accepted: engine.accepted,
-                weights: BTreeMap::from([("m".to_owned(), engine.weights)]),
-            };
-            engine.reports.push_back((now, report));
-            while engine
-                .reports
-                .front()
-                .is_some_and(|(at, _)| *at + REPORT_AGE_MS < now)
-            {
-                engine.reports.pop_front();
-            }
+        let Deployment {
+            load_ms,
+            loads_at_once,
+            ..
+        } = self.deployment;
+        let loaders = self.engines.iter_mut();
+        let loaders = loaders.map(|(key, engine)| (*key, &mut engine.loader));
+        let (ended, loading) = play_loads(loaders, load_ms, loads_at_once, self.now);
+        self.loads += ended.len();
+        for key in ended {
+            self.engines
+                .get_mut(&key)
+                .expect("an engine")
+                .cached
+                .clear();
         }
         self.most_loading = self.most_loading.max(loading);
     }
@@ -293,31 +327,39 @@
                     self.harness.control.handle(appended, self.now);
                 }
                 Effect::SendOrder(order) => {
-                    let outcome = self.order(&order);
-                    self.after(CALL_MS, Due::Answered(order, outcome));
+                    self.order(order);
                 }
                 Effect::RequestReport(endpoint) => {
                     let key = endpoint.key();
                     let engine = &self.engines[&key];
-                    let (_, report) = engine.reports.front().expect("a report").clone();
-                    self.after(CALL_MS, Due::Reported(key, report));
+                    if self.now < engine.silent_until {
+                        self.after(CONNECT_TIMEOUT_MS, Due::Reported(key, None));
+                    } else {
+                        let report = engine.loader.report();
+                        self.after(CALL_MS, Due::Reported(key, report));
+                    }
                 }
                 _ => {}
             }
         }
     }
 
-    fn order(&mut self, order: &WeightsOrder) -> OrderOutcome {
-        let engine = self
-            .engines
-            .get_mut(&order.engine.key())
-            .expect("an engine");
-        if engine.load.is_some() || engine.accepted != order.accepted {
-            return OrderOutcome::Conflict;
+    fn order(&mut self, order: Box<WeightsOrder>) {
+        let engine = self.engines.get_mut(&order.engine.key());
+        let engine = engine.expect("an engine");
+        if self.now < engine.silent_until {
+            let unsent = Due::Answered(order, OrderOutcome::NotSent);
+            self.after(CONNECT_TIMEOUT_MS, unsent);
+        } else if self.rng.random_bool(self.deployment.lost_orders) {
+            if self.rng.random_bool(0.5) {
+                self.after(LATE_MS, Due::OrderedLate(order.clone()));
+            }
+            let unknown = Due::Answered(order, OrderOutcome::Unknown);
+            self.after(CALL_TIMEOUT_MS, unknown);
+        } else {
+            let outcome = engine.loader.order(&order);
+            self.after(CALL_MS, Due::Answered(order, outcome));
         }
-        engine.accepted += 1;
-        engine.load = Some((order.version, None));
-        OrderOutcome::Accepted
     }
 
     fn handle(&mut self, due: Due) {
@@ -351,16 +393,32 @@
                 self.harness.control.handle(answered, now);
             }
             Due::Reported(key, report) => {
-                let reported = Event::EngineReported(key, Some(report));
+                let reported = Event::EngineReported(key, report);
                 self.harness.control.handle(reported, now);
             }
+            Due::OrderedLate(order) => {
+                let engine = self.engines.get_mut(&order.engine.key());
+                engine.expect("an engine").loader.order(&order);
+            }
+            Due::Restarted(key) => self.restart(key),
         }
     }
 
+    fn restart(&mut self, key: EndpointKey) {
+        let engine = self.engines.get_mut(&key).expect("an engine");
+        engine.loader.restart(self.now);
+        engine.cached.clear();
+        engine.starts.clear();
+        engine.busy_until = self.now;
+        let (id, weights) = (engine.id.clone(), engine.loader.weights);
+        self.harness
+            .engine_with_weights(&id, self.now, weights, self.now);
+    }
+
     /// Ids of the prompt parts that engines with these weights hold.
     fn held_parts(&self, weights: u64) -> BTreeSet<u64> {
         let engines = self.engines.values();
-        let holders = engines.filter(|engine| engine.weights == weights);
+        let holders = engines.filter(|engine| engine.loader.weights == weights);
         holders
             .flat_map(|engine| engine.cached.iter().copied())
             .collect()
@@ -368,18 +426,24 @@
 
     fn arrive(&mut self, grant: Box<Grant>, mut request: Request) {
         let key = grant.endpoint.key();
-        let weights = self.engines[&key].weights;
+        let weights = self.engines[&key].loader.weights;
         // Parts that the engine does not have are fetched if it is told where from.
         let fetched = match grant.kv_source {
             Some(_) => self.held_parts(weights),
             None => BTreeSet::new(),
         };
         let engine = self.engines.get_mut(&key).expect("an engine");
-        let end = if engine.load.is_some() {
+        let is_silent = self.now < engine.silent_until;
+        let end = if is_silent {
+            RunEnd::NeverConnected
+        } else if engine.loader.is_loading() {
             self.refused += 1;
             RunEnd::Reloading
-        } else if grant.weights != Some(engine.weights) {
-            RunEnd::WrongWeights(Some(engine.weights))
+        } else if grant.weights != Some(weights) {
+            RunEnd::WrongWeights(Some(weights))
+        } else if engine.waiting(self.now) >= self.deployment.room {
+            self.overflowed += 1;
+            RunEnd::Reloading
         } else {
             engine.cached.extend(fetched);
             let parts = &request.place.parts;
@@ -389,16 +453,19 @@
             let tokens: u64 = unread.map(|part| u64::from(part.tokens)).sum();
             engine.cached.extend(parts.iter().map(|part| part.id));
             let start = engine.busy_until.max(self.now);
+            engine.starts.push_back(start);
             engine.busy_until = start + tokens / self.deployment.tokens_per_ms;
             let delay = engine.busy_until + FIRST_STEP_MS - self.now;
             self.after(delay, Due::FirstToken(grant, request.arrived_at));
             return;
         };
-        self.after(1, Due::Ended(grant, end));
-        request.place.tried.push(0);
-        request.place.is_retry = true;
+        let delay = if is_silent { CONNECT_TIMEOUT_MS } else { 1 };
+        self.after(delay, Due::Ended(grant, end));
+        // An engine that refuses because of its weights may be tried again.
+        request.place.tried.push(if is_silent { key } else { 0 });
+        request.place.is_retry |= !is_silent;
         if request.place.tried.len() < MAX_ATTEMPTS {
-            self.after(2, Due::Again(request));
+            self.after(delay + 1, Due::Again(request));
         } else {
             self.fail(&request);
         }
--- a/crates/gateway/tests/test_load_times.rs
+++ b/crates/gateway/tests/test_load_times.rs
@@ -80,6 +80,25 @@
     assert!(expected <= 1_000, "{expected}");
 }
 
+/// An engine that crashes or has no room while it loads says nothing about the others.
+#[test]
+fn one_load_that_lasts_long_does_not_reduce_the_number_of_loads() {
+    let service: Arc<str> = SERVICE.into();
+    let fleet = FleetLoad {
+        engines: 200,
+        rollout_ms: 4_000,
+    };
+    let mut times = LoadTimes::default();
+    for _ in 0..20 {
+        times.learn(&service, &load(20, 250), 300, fleet, 0);
+    }
+    let before = times.max_concurrent(SERVICE, fleet.engines);
+    assert_eq!(before, 20);
+    times.note_progress(SERVICE, &load(20, 3_000));
+    times.learn(&service, &load(20, 3_000), 3_400, fleet, 0);
+    assert_eq!(times.max_concurrent(SERVICE, fleet.engines), before);
+}
+
 #[test]
 fn more_engines_load_at_once_only_if_a_rollout_takes_too_long() {
     let service: Arc<str> = SERVICE.into();
--- a/crates/gateway/tests/test_overload.rs
+++ b/crates/gateway/tests/test_overload.rs
@@ -21,6 +21,8 @@
     tokens_per_ms: 60,
     requests: 190,
     aim_ms: 600,
+    room: usize::MAX,
+    lost_orders: 0.0,
 };
 
 /// Requests beyond what the engines can serve are refused, so that the others are in time.
--- a/crates/gateway/tests/test_rollout.rs
+++ b/crates/gateway/tests/test_rollout.rs
@@ -15,6 +15,8 @@
     tokens_per_ms: 60,
     requests: 60,
     aim_ms: 600,
+    room: usize::MAX,
+    lost_orders: 0.0,
 };
 
 /// Time within which new weights must be in use, in ms: enough for two roll-outs.
@@ -119,3 +121,66 @@
     assert!(outcomes.failed <= 2, "{outcomes:?}");
     assert!(outcomes.share_in_aim() > 0.85, "{outcomes:?}");
 }
+
+/// Engines that read at their limit, and turn requests away when too many wait.
+const BUSY: Deployment = Deployment {
+    engines: 30,
+    load_ms: 290,
+    loads_at_once: 8,
+    tokens_per_ms: 20,
+    requests: 500,
+    aim_ms: 600,
+    room: 4,
+    lost_orders: 0.0,
+};
+
+/// Plays two versions, the second before the roll-out of the first is over, while engines
+/// crash and others join.
+fn assert_finished(deployment: Deployment, crashed: usize, joined: usize) {
+    let bound = 6_000;
+    let mut simulation = Simulation::start(deployment, bound);
+    simulation.run_until(4_000);
+    simulation.name_weights(2);
+    simulation.run_until(7_000);
+    simulation.name_weights(3);
+    simulation.run_until(9_000);
+    simulation.crash(crashed);
+    simulation.run_until(10_000);
+    for _ in 0..joined {
+        simulation.add_engine(3);
+        simulation.run_until(simulation.now + 25);
+    }
+    simulation.run_until(7_000 + bound * 3 / 2);
+    let (newest, engines) = (simulation.engines_with(3), deployment.engines + joined);
+    let overflowed = simulation.overflowed;
+    assert!(
+        engines - newest <= engines / 10,
+        "{newest} of {engines} engines have the newest weights, {overflowed} requests met no room; {deployment:?}"
+    );
+}
+
+#[test]
+fn engines_without_room_do_not_stop_the_rollout() {
+    let deployment = Deployment {
+        requests: 600,
+        ..BUSY
+    };
+    assert_finished(deployment, 0, 0);
+}
+
+#[test]
+fn engines_that_crash_or_join_do_not_stop_the_rollout() {
+    assert_finished(BUSY, 5, 4);
+}
+
+#[test]
+fn unanswered_orders_do_not_stop_the_rollout() {
+    for lost_orders in [0.3, 0.6] {
+        let deployment = Deployment {
+            lost_orders,
+            requests: 250,
+            ..BUSY
+        };
+        assert_finished(deployment, 5, 4);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/test_rollout_fleet.rs
@@ -0,0 +1,114 @@
+//! Roll-outs of weights by whole fleets in simulated time, while nodes lose their links to
+//! engines.
+
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod common;
+
+use common::fleet::{Fleet, Network};
+use flamingolock_gateway::endpoint::Endpoint;
+
+/// Least time between orders of two holders, in ms.
+const LEASE_MS: u64 = 3_000;
+
+/// Time within which new weights must be in use, in ms.
+const WEIGHTS_MS: u64 = 6_000;
+
+const SMALL: Network = Network {
+    delay_ms: 1,
+    loss: 0.0,
+};
+
+/// Nodes behind hubs, far apart, with losses.
+const LARGE: Network = Network {
+    delay_ms: 25,
+    loss: 0.02,
+};
+
+/// Starts a fleet whose nodes know how long loads last.
+fn started(nodes: usize, engines: usize, network: Network) -> Fleet {
+    let mut fleet = Fleet::start(nodes, engines, network, 1);
+    fleet.refusals = Some(0);
+    fleet.run(4_000, 30.0);
+    fleet.name_weights(2);
+    fleet.run(WEIGHTS_MS, 30.0);
+    assert_eq!(fleet.engines_before(2), 0);
+    fleet
+}
+
+/// Number of the node that took the lease last.
+fn holder(fleet: &Fleet) -> usize {
+    let name = fleet.lease_records.last().expect("a holder");
+    let number = name.strip_prefix("node-").expect("a node");
+    number.parse().expect("a number")
+}
+
+fn assert_orders_of_two_holders_are_apart(fleet: &Fleet) {
+    for pair in fleet.orders.windows(2) {
+        let gap = pair[1].at - pair[0].at;
+        assert!(pair[0].node == pair[1].node || gap >= LEASE_MS, "{gap} ms");
+    }
+}
+
+#[test]
+fn node_that_reaches_no_engine_does_not_keep_the_lease() {
+    for (nodes, engines, network) in [(6, 9, SMALL), (20, 60, LARGE)] {
+        for cut in [engines, engines - 1] {
+            let mut fleet = started(nodes, engines, network);
+            let cut_off = holder(&fleet);
+            fleet.cut_from_engines(cut_off, cut);
+            fleet.name_weights(3);
+            fleet.run(2 * WEIGHTS_MS, 30.0);
+            assert_orders_of_two_holders_are_apart(&fleet);
+            let old = fleet.engines_before(3);
+            assert!(
+                old <= engines / 10,
+                "{old} of {engines} engines have older weights; {nodes} nodes"
+            );
+        }
+    }
+}
+
+/// A node that was cut off before new weights are named does not take the lease.
+#[test]
+fn node_that_reaches_few_engines_lets_others_lead() {
+    for (nodes, engines, network) in [(6, 9, SMALL), (20, 60, LARGE)] {
+        let mut fleet = started(nodes, engines, network);
+        let cut_off = holder(&fleet);
+        fleet.cut_from_engines(cut_off, engines - 1);
+        fleet.run(5_000, 60.0);
+        fleet.name_weights(3);
+        fleet.run(WEIGHTS_MS, 60.0);
+        assert_orders_of_two_holders_are_apart(&fleet);
+        let old = fleet.engines_before(3);
+        assert!(
+            old <= engines / 10,
+            "{old} of {engines} engines have older weights; {nodes} nodes"
+        );
+    }
+}
+
+/// One node's links to most engines are cut; the others reach all engines.
+#[test]
+fn failures_that_one_node_tells_do_not_close_engines_for_the_others() {
+    for (nodes, engines, network) in [(6, 9, SMALL), (20, 60, LARGE)] {
+        let mut fleet = Fleet::start(nodes, engines, network, 1);
+        fleet.refusals = Some(0);
+        fleet.run(4_000, 300.0);
+        fleet.cut_from_engines(1, engines - 1);
+        fleet.run(2_000, 300.0);
+        let since = fleet.now;
+        fleet.run(6_000, 300.0);
+        let key = Endpoint::key_of(&format!("e{}", engines - 1));
+        let reached = fleet.engines[&key].arrivals_between(since, fleet.now);
+        let all = fleet.engines.values();
+        let all: usize = all
+            .map(|engine| engine.arrivals_between(since, fleet.now))
+            .sum();
+        let share = reached as f64 / all as f64;
+        let even = 1.0 / engines as f64 + 0.5 / nodes as f64;
+        assert!(
+            share <= 1.5 * even,
+            "{share} of the requests went to one of {engines} engines; {nodes} nodes"
+        );
+    }
+}
