gateway: engines that refuse requests take no place in a roll-out

A full engine refuses a request with the same answer as one that loads. Each refusal was taken for a load: the engine was closed at all nodes for half of the time since, the remaining ones filled sooner, and at the lease holder it held one of the places of the engines that load at once, although no order had been sent to it.

A refusal now counts for a load if no other request is known to wait at the engine, which it would have refused as well, or if a load that is known should still be in progress; else the engine is avoided for a moment as a full server is. Only engines with an order take a place; they keep it for twice the usual time if nobody has seen the end, and give it back then.

--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -44,6 +44,9 @@
 /// seems.
 const RECHECKS_PER_UNKNOWN_LOAD: Millis = 2;
 
+/// Time for which an endpoint without room is avoided, in ms.
+const FULL_MS: Millis = 60;
+
 /// First time that an endpoint is avoided after a failure, in ms.
 const BACKOFF_MIN_MS: Millis = 250;
 
@@ -232,6 +235,21 @@
         Some(load.clone())
     }
 
+    /// True if an engine that refused a request may have done so for want of room: others wait
+    /// there, which it would have refused as well if it were loading, and no load is known
+    /// that should still be in progress.
+    fn may_be_full(&self, now: Millis) -> bool {
+        let is_loading = self.load.as_ref().is_some_and(|load| load.may_last(now));
+        !is_loading && self.waiting(now) > 0
+    }
+
+    /// Number of requests that wait for their first token, as far as is known.
+    fn waiting(&self, now: Millis) -> usize {
+        let waits =
+            |run: &&RunningRequest| !run.has_first_token && now < run.sent_at + PREFILL_TIMEOUT_MS;
+        self.runs.values().filter(waits).count()
+    }
+
     /// Records that the engine refused a request because it is loading weights. Returns how
     /// long it gets no others, in ms.
     pub fn refused_while_loading(&mut self, now: Millis) -> Millis {
@@ -319,7 +337,11 @@
                     })
             }
             RunEnd::Full => {
-                self.avoid_until = self.avoid_until.max(now + 60);
+                self.avoid_until = self.avoid_until.max(now + FULL_MS);
+                None
+            }
+            RunEnd::Reloading if self.may_be_full(now) => {
+                self.avoid_until = self.avoid_until.max(now + FULL_MS);
                 None
             }
             RunEnd::Reloading => Some(self.refused_while_loading(now)),
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -56,6 +56,10 @@
 /// Additional delay per rank among the nodes that may take over, in ms.
 const TAKEOVER_STAGGER_MS: Millis = 300;
 
+/// Multiple of the time after which a load is surely done for which its engine counts as
+/// loading if nobody has seen the end.
+const UNSEEN_END_FACTOR: Millis = 2;
+
 /// State of the orders to one engine.
 #[derive(Clone, Debug, Default)]
 struct EngineProgress {
@@ -92,10 +96,15 @@
     status: ServiceStatus,
 }
 
-/// True if the engine is closed, or may still be loading.
-fn is_loading(state: &EndpointState, now: Millis) -> bool {
-    let load = state.load.as_ref();
-    now < state.loading_until || load.is_some_and(|load| load.may_last(now))
+/// True if the engine takes one of the places of those that load at once: an order to it is
+/// on its way, or it was sent one and is not known to be done. An engine that only refuses
+/// requests takes none.
+fn is_loading(state: &EndpointState, progress: Option<&EngineProgress>, now: Millis) -> bool {
+    let is_ordered = progress.is_some_and(|progress| progress.in_flight);
+    let load = state.load.as_ref().filter(|load| !load.is_done());
+    let load = load.filter(|load| load.version.is_some());
+    let is_closed = now < state.loading_until && (is_ordered || load.is_some());
+    is_closed || load.is_some_and(|load| load.elapsed(now) < UNSEEN_END_FACTOR * load.sure_ms)
 }
 
 /// True if the engine's load has not ended in time. Such an engine takes no part in the
@@ -307,19 +316,16 @@
             let failed_after = self.load_times.failed_after(&service, self.bound);
             let loads = services.entry(service.clone()).or_default();
             loads.status.engines += 1;
-            if is_loading(state, now) {
+            if is_loading(state, self.engines.get(key), now) {
                 if let Some(load) = state.load.as_ref().filter(|load| !load.is_done()) {
                     self.load_times.note_progress(&service, load);
                 }
                 if !has_failed(state, failed_after, now) {
-                    let load = state.load.as_ref().filter(|load| !load.is_done());
-                    let is_ordered = load.is_some_and(|load| load.version.is_some())
-                        || self.engines.get(key).is_some_and(|engine| engine.in_flight);
-                    loads.status.closed += usize::from(!is_ordered);
                     loads.loading.push(*key);
                 }
                 continue;
             }
+            loads.status.closed += usize::from(now < state.loading_until);
             let Some((model, version)) = self.missing_weights(state) else {
                 continue;
             };
--- a/crates/gateway/src/control/rollout_status.rs
+++ b/crates/gateway/src/control/rollout_status.rs
@@ -34,7 +34,7 @@
     pub candidates: usize,
     /// Engines that count as loading.
     pub loading: usize,
-    /// Engines that count as loading though no order to them is known.
+    /// Engines that get no requests, as they refused some, though no order to them is known.
     pub closed: usize,
     /// Engines with outdated weights that have not answered an order or a request for
     /// their report yet.
