gateway: one long load among many does not reduce the number of loads

A single load that was seen to last longer than usual set the number for the whole service, in proportion to how long it lasted: 20 x 0.34 s / 3.4 s = 2. It took 16 rounds of loads without any other such load to grow again by a quarter.

Loads now count by rounds: if half of a round is slowed, the mildest of them sets the number, if a quarter is, it falls by one; less is put down to the engine. Loads that began before the last reduction do not count again. One slow load ends a trial of a larger number, and brings back the one before.

--- a/crates/gateway/src/control/load_times.rs
+++ b/crates/gateway/src/control/load_times.rs
@@ -52,6 +52,14 @@
 /// keeps serving.
 const MIN_ENGINES_PER_LOAD: usize = 2;
 
+/// One engine less may load at once if one in this many loads of a round, or more, lasts
+/// longer than usual. An engine that crashes or has no room while it loads says nothing about
+/// the others.
+const LOADS_PER_SLOWED: usize = 4;
+
+/// If one in this many lasts longer, the loads themselves show how many are too many.
+const LOADS_PER_CERTAIN: usize = 2;
+
 /// Rounds of loads without a slowdown after which more engines may load at once.
 const ROUNDS_PER_TRIAL: usize = 4;
 
@@ -140,8 +148,19 @@
     window: usize,
     /// True once more loads at once were found to slow each other down.
     slows: bool,
+    /// Number of engines that may load at once if the last trial fails.
+    proven: usize,
+    /// When fewer engines were let load at once; loads that began before say nothing more.
+    reduced_at: Millis,
     /// Loads without a slowdown since the window changed.
     steady: usize,
+    /// Loads of this round that were done.
+    done: usize,
+    /// Loads of this round that lasted longer than usual.
+    slowed: usize,
+    /// Largest number of engines that may have loaded at once in the usual time, by the
+    /// loads of this round that lasted longer.
+    kept: usize,
     /// Part by which the lower end falls with the next load.
     decay: f64,
     /// True until `window` loads were done since the window grew.
@@ -163,22 +182,82 @@
         load.concurrent > 1 && load.busy_ms as f64 > self.at_most as f64 * SLOWED_FACTOR
     }
 
-    /// Reduces the number of concurrent loads to that at which they took the usual time.
-    fn reduce(&mut self, load: &Load) {
+    /// Number of concurrent loads at which a slowed load would have taken the usual time.
+    fn kept_by(&self, load: &Load) -> usize {
         let kept = load.concurrent as f64 * self.at_most as f64 / load.busy_ms as f64;
-        let kept = (kept.round() as usize).clamp(1, load.concurrent - 1);
-        self.window = self.window.min(kept);
+        (kept.round() as usize).clamp(1, load.concurrent - 1)
+    }
+
+    /// Lets fewer engines load at once if enough loads of this round were slowed, together
+    /// with `more` that are in progress. While the number is on trial, one suffices.
+    fn judge(&mut self, more: &[&Load], now: Millis) {
+        let slowed = self.slowed + more.len();
+        let is_certain = slowed * LOADS_PER_CERTAIN >= self.window;
+        let is_likely = slowed * LOADS_PER_SLOWED >= self.window;
+        if slowed == 0 || !(is_likely || self.on_trial) {
+            return;
+        }
+        let most = self.window.saturating_sub(1);
+        let kept = more.iter().map(|load| self.kept_by(load));
+        let kept = kept.fold(self.kept, usize::max);
+        let window = if self.on_trial {
+            kept.max(self.proven)
+        } else if is_certain {
+            kept
+        } else {
+            most
+        };
+        self.window = window.min(most).max(1);
         self.on_trial = false;
         self.slows = true;
         self.steady = 0;
+        self.reduced_at = now;
+        self.begin_round();
+    }
+
+    fn begin_round(&mut self) {
+        self.done = 0;
+        self.slowed = 0;
+        self.kept = 0;
+    }
+
+    /// Counts a load that was done.
+    fn count_done(&mut self) {
+        self.done += 1;
+        if self.done >= self.window {
+            self.begin_round();
+        }
+    }
+
+    /// Learns from a load that lasted longer than usual while others were in progress.
+    fn learn_slowed(&mut self, load: &Load) {
+        if load.started_at >= self.reduced_at {
+            self.slowed += 1;
+            self.kept = self.kept.max(self.kept_by(load));
+            self.judge(&[], load.started_at + load.busy_ms);
+        }
+        self.count_done();
+    }
+
+    /// Learns from loads that are still in progress.
+    fn learn_from_progress<'a>(&mut self, loads: impl Iterator<Item = &'a Load>) {
+        let slowed: Vec<&Load> = loads
+            .filter(|load| load.started_at >= self.reduced_at)
+            .filter(|load| !load.unwatched && self.is_slowed(load))
+            .collect();
+        let seen_at = slowed.iter().map(|load| load.started_at + load.busy_ms);
+        if let Some(seen_at) = seen_at.max() {
+            self.judge(&slowed, seen_at);
+        }
     }
 
     /// Learns from a load that was done after `took` ms at the latest.
     fn learn(&mut self, load: &Load, took: Millis, fleet: FleetLoad) {
         if self.is_slowed(load) {
-            self.reduce(load);
+            self.learn_slowed(load);
             return;
         }
+        self.count_done();
         if load.busy_ms >= self.at_most && load.concurrent > 1 {
             // Too little to tell whether they slow each other down.
             return;
@@ -216,7 +295,9 @@
             ROUNDS_PER_TRIAL
         };
         if self.steady >= rounds * self.window {
+            self.proven = self.window;
             self.window += (self.window / GROWTH_DIVISOR).max(1);
+            self.begin_round();
             self.steady = 0;
             self.on_trial = true;
         }
@@ -264,11 +345,13 @@
 
     /// Learns from a load that is still in progress.
     pub fn note_progress(&mut self, service: &str, load: &Load) {
-        if let Some(known) = self.services.get_mut(service)
-            && !load.unwatched
-            && known.is_slowed(load)
-        {
-            known.reduce(load);
+        self.note_all_progress(service, std::iter::once(load));
+    }
+
+    /// Learns from all loads of a service that are still in progress.
+    pub fn note_all_progress<'a>(&mut self, service: &str, loads: impl Iterator<Item = &'a Load>) {
+        if let Some(known) = self.services.get_mut(service) {
+            known.learn_from_progress(loads);
         }
     }
 
@@ -299,7 +382,12 @@
             at_most: took,
             window: self.max_concurrent(service, fleet.engines),
             slows: false,
+            proven: 1,
+            reduced_at: 0,
             steady: 0,
+            done: 0,
+            slowed: 0,
+            kept: 0,
             decay: AT_LEAST_DECAY,
             on_trial: false,
             learnt_at: now,
@@ -344,7 +432,12 @@
                 at_most: record.at_most_ms,
                 window: record.window as usize,
                 slows: record.slows,
+                proven: 1,
+                reduced_at: 0,
                 steady: 0,
+                done: 0,
+                slowed: 0,
+                kept: 0,
                 decay: AT_LEAST_DECAY,
                 on_trial: false,
                 learnt_at,
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -233,6 +233,7 @@
         };
         let mut tasks = Vec::new();
         for (service, mut loads) in self.service_loads(fleet, now) {
+            self.learn_from_progress(&service, &loads, fleet);
             let most = self
                 .load_times
                 .max_concurrent(&service, loads.status.engines);
@@ -282,6 +283,13 @@
         tasks
     }
 
+    fn learn_from_progress(&mut self, service: &str, loads: &ServiceLoads, fleet: &Fleet) {
+        let states = loads.loading.iter().filter_map(|key| fleet.get(key));
+        let in_progress = states.filter_map(|state| state.load.as_ref());
+        let in_progress = in_progress.filter(|load| !load.is_done());
+        self.load_times.note_all_progress(service, in_progress);
+    }
+
     fn log_status(&mut self, service: &Arc<str>, loads: &ServiceLoads, window: usize, now: Millis) {
         let status = ServiceStatus {
             candidates: loads.candidates.len(),
@@ -317,9 +325,6 @@
             let loads = services.entry(service.clone()).or_default();
             loads.status.engines += 1;
             if is_loading(state, self.engines.get(key), now) {
-                if let Some(load) = state.load.as_ref().filter(|load| !load.is_done()) {
-                    self.load_times.note_progress(&service, load);
-                }
                 if !has_failed(state, failed_after, now) {
                     loads.loading.push(*key);
                 }
