gateway: loads whose end nobody saw are looked after

An engine that did not answer the one request for its report after a load was never asked again: it counted as one with the new weights whatever it had, and kept its place among the engines that load.

The lease holder now asks again, later each time, and also after the loads that another node ordered. A report that shows neither the load nor its weights ends the load, so that the engine is sent another order. Engines that did not answer wait twice as long each time, up to eight times, and come after those that did.

Without the change the new test fails: `left: 10, right: 12` engines with the new weights.

--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -50,6 +50,9 @@
 /// Delay before an order that was not sent is retried, in ms.
 const UNSENT_RETRY_MS: Millis = 150;
 
+/// Number of times that the delay of retries doubles.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// Time without progress after which another node takes over the roll-out, in ms.
 const TAKEOVER_MS: Millis = 1_500;
 
@@ -73,13 +76,31 @@
     reserved_at: Option<Millis>,
     retry_at: Millis,
     confirm_at: Option<Millis>,
+    /// Orders and requests for its report in turn that brought no answer.
+    failures: u32,
+}
+
+impl EngineProgress {
+    /// Records that the engine answered.
+    fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Records that the engine did not answer. Returns when it may be asked again, `delay`
+    /// ms after the first failure and ever later after the next ones.
+    fn failed(&mut self, delay: Millis, now: Millis) -> Millis {
+        self.retry_at = now + (delay << self.failures.min(MAX_DOUBLINGS));
+        self.failures += 1;
+        self.retry_at
+    }
 }
 
-/// Engine with outdated weights. The field order defines the order of loading:
-/// engines that are already reserved, then those with the oldest weights, then
+/// Engine with outdated weights. The field order defines the order of loading: engines
+/// that answered last time, of these the ones that are already reserved, then those with the oldest weights, then
 /// those whose requests take the least memory.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct LoadCandidate {
+    is_silent: bool,
     is_unreserved: bool,
     loaded_version: Option<u64>,
     tokens: u64,
@@ -232,6 +253,7 @@
             return Vec::new();
         };
         let mut tasks = Vec::new();
+        self.watch_loads(fleet, now);
         for (service, mut loads) in self.service_loads(fleet, now) {
             self.learn_from_progress(&service, &loads, fleet);
             let most = self
@@ -335,13 +357,7 @@
                 continue;
             };
             let (model, has) = (model.to_owned(), state.weights.get(model).copied());
-            let progress = self.engines.entry(*key).or_default();
-            if progress.start_time_ms != state.endpoint.start_time_ms {
-                *progress = EngineProgress {
-                    start_time_ms: state.endpoint.start_time_ms,
-                    ..EngineProgress::default()
-                };
-            }
+            let progress = self.progress_of(*key, state.endpoint.start_time_ms);
             if progress.in_flight {
                 loads.status.in_flight += 1;
             } else if now < progress.retry_at {
@@ -350,6 +366,7 @@
                 loads.status.avoided += 1;
             } else {
                 loads.candidates.push(LoadCandidate {
+                    is_silent: progress.failures > 0,
                     is_unreserved: progress.reserved_at.is_none(),
                     loaded_version: has,
                     tokens: state.memory_tokens(),
@@ -362,6 +379,36 @@
         services
     }
 
+    /// Schedules requests for the reports of engines that should be done with a load by now:
+    /// those that another node ordered, or whose end was not seen.
+    fn watch_loads(&mut self, fleet: &Fleet, now: Millis) {
+        for (key, state) in fleet {
+            let load = state.load.as_ref().filter(|load| !load.is_done());
+            let is_due = load.is_some_and(|load| {
+                load.version.is_some() && load.elapsed(now) > load.sure_ms + REPORT_AGE_MS
+            });
+            if !is_due || now < state.loading_until {
+                continue;
+            }
+            let progress = self.progress_of(*key, state.endpoint.start_time_ms);
+            if !progress.in_flight && now >= progress.retry_at {
+                progress.confirm_at.get_or_insert(now);
+            }
+        }
+    }
+
+    /// State of the orders to an incarnation of an engine.
+    fn progress_of(&mut self, key: EndpointKey, start_time_ms: u64) -> &mut EngineProgress {
+        let progress = self.engines.entry(key).or_default();
+        if progress.start_time_ms != start_time_ms {
+            *progress = EngineProgress {
+                start_time_ms,
+                ..EngineProgress::default()
+            };
+        }
+        progress
+    }
+
     /// Returns requests for the reports of engines whose last order should have taken
     /// effect by now.
     pub fn due_reports(&mut self, fleet: &Fleet, now: Millis) -> Vec<Task> {
@@ -400,6 +447,9 @@
         if state.endpoint.start_time_ms != order.engine.start_time_ms {
             return false;
         }
+        if !matches!(outcome, OrderOutcome::Unknown | OrderOutcome::NotSent) {
+            progress.answered();
+        }
         match outcome {
             OrderOutcome::Accepted => {
                 progress.accepted = Some(order.accepted + 1);
@@ -430,10 +480,10 @@
             }
             OrderOutcome::Unknown => {
                 progress.accepted = None;
-                progress.retry_at = now + RETRY_MS;
+                progress.failed(RETRY_MS, now);
             }
             OrderOutcome::NotSent => {
-                progress.retry_at = now + UNSENT_RETRY_MS;
+                progress.failed(UNSENT_RETRY_MS, now);
                 state.loading_until = now;
             }
         }
@@ -456,9 +506,12 @@
             return;
         };
         let Some(report) = report else {
-            progress.retry_at = now + RETRY_MS;
+            let retry_at = progress.failed(RETRY_MS, now);
+            let load = state.load.as_ref().filter(|load| !load.is_done());
+            progress.confirm_at = load.map(|_| retry_at);
             return;
         };
+        progress.answered();
         if report.born != 0
             && state.endpoint.start_time_ms != 0
             && report.born != state.endpoint.start_time_ms
@@ -496,8 +549,11 @@
         }
         // The report supersedes what was assumed after an order.
         state.weights.clone_from(&report.weights);
-        if let Some(took) = elapsed.filter(|_| shows_load) {
-            self.load_done(fleet, key, took, now);
+        match elapsed {
+            Some(took) if shows_load => self.load_done(fleet, key, took, now),
+            // The engine does not load, and has not done so.
+            Some(_) if loaded.is_some() => state.load = None,
+            _ => {}
         }
     }
 
--- a/crates/gateway/tests/common/loader.rs
+++ b/crates/gateway/tests/common/loader.rs
@@ -57,6 +57,11 @@
         };
     }
 
+    /// Gives up the load in progress. Returns false if there is none.
+    pub fn drop_load(&mut self) -> bool {
+        self.load.take().is_some()
+    }
+
     pub fn order(&mut self, order: &WeightsOrder) -> OrderOutcome {
         if self.weights >= order.version {
             return OrderOutcome::Holds;
--- a/crates/gateway/tests/common/rollout.rs
+++ b/crates/gateway/tests/common/rollout.rs
@@ -201,6 +201,18 @@
         }
     }
 
+    /// Makes the engines that load give up, and fall silent for a while. Returns their number.
+    pub fn drop_loads(&mut self, silent_ms: u64) -> usize {
+        let mut dropped = 0;
+        for engine in self.engines.values_mut() {
+            if engine.loader.drop_load() {
+                engine.silent_until = self.now + silent_ms;
+                dropped += 1;
+            }
+        }
+        dropped
+    }
+
     /// Starts one more engine, with these weights.
     pub fn add_engine(&mut self, weights: u64) {
         let engine = Engine::new(self.engines.len(), weights, self.now);
--- a/crates/gateway/tests/test_rollout.rs
+++ b/crates/gateway/tests/test_rollout.rs
@@ -184,3 +184,19 @@
         assert_finished(deployment, 5, 4);
     }
 }
+
+/// The engines do not answer the request for their report that would show it.
+#[test]
+fn loads_that_engines_give_up_are_ordered_again() {
+    let deployment = Deployment {
+        requests: 0,
+        ..DEPLOYMENT
+    };
+    let mut simulation = Simulation::start(deployment, 6_000);
+    simulation.run_until(2_000);
+    simulation.name_weights(2);
+    simulation.run_until(2_250);
+    assert!(simulation.drop_loads(1_500) > 0);
+    simulation.run_until(2_000 + 6_000);
+    assert_eq!(simulation.engines_with(2), deployment.engines);
+}
