reach: a node finds out that it is cut off from a service and says so

Nothing in the node told "this endpoint is down" from "I reach none", and its failed connects went to the others as faults of the endpoints.

Cause: a local observation was treated as a fact about the endpoint.

control/reach.rs keeps, per endpoint, the node's own observations. A failed connect marks an endpoint; only a connect that succeeds unmarks it, since kept connections may live on while new ones are refused. A mark leads to probes (a connect without a request, which goes to the pool) of up to 8 endpoints without fresh evidence; so does silence of a whole service since before the oldest due run. More than half unreachable, or more than half of a sample of 8, is a cut. While it lasts one unreachable endpoint is tried twice a second, in turns; the first success has all tried at once.

The node states the services that it is cut off from in its gossip, counts as cut off only while another live node does not, sends no faults once it suspects its path, ends for the others the runs that the unreachable endpoints have not begun, and issues no permits. One log line for each change of belief, and counters of probes and changes.

This does not yet serve the callers of such a node.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,7 +19,7 @@
 use crate::run_guard::RunGuard;
 
 /// Timeout for connecting to an endpoint.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Fraction of a connection's idle timeout after which it is no longer reused for
 /// requests that must not be retried: closer to the timeout, the endpoint may
@@ -272,6 +272,9 @@
     let response = connection
         .send(build_request(exchange, context, grant, resume_after))
         .await?;
+    context
+        .handle
+        .send(Event::EndpointConnected(grant.endpoint.key()));
     Ok((response, connection))
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod permit_issuer;
 pub mod permits;
+pub mod reach;
 pub mod retry_budget;
 pub mod rollout;
 pub mod rollout_status;
@@ -225,6 +226,11 @@
 }
 
 impl RunEnd {
+    /// True if a cut between this node and the endpoint ends runs like this.
+    pub fn may_be_cut(&self) -> bool {
+        matches!(self, Self::NeverConnected | Self::Broken | Self::Silent)
+    }
+
     /// Label used in logs and metrics.
     pub fn as_str(&self) -> &'static str {
         match self {
@@ -279,6 +285,10 @@
         /// Model of the request.
         model: Option<String>,
     },
+    /// A new connection to an endpoint brought a response.
+    EndpointConnected(EndpointKey),
+    /// A probe of an endpoint ended; true if it was reached.
+    EndpointProbed(EndpointKey, bool),
     /// A resumable stream has brought its first event.
     StreamBegun(BegunStream),
     /// A run ended.
@@ -396,6 +406,8 @@
     RecordSuspects(StoppedSuspects),
     /// Send an order to an engine.
     SendOrder(Box<WeightsOrder>),
+    /// Connect to an endpoint, and keep the connection unless there are this many.
+    ProbeEndpoint(Arc<Endpoint>, usize),
     /// Request an engine's report.
     RequestReport(Arc<Endpoint>),
     /// Ask an endpoint whether it is leaving.
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -300,6 +300,17 @@
         }
     }
 
+    /// Removes the runs of a node that have not brought a token. Returns their numbers and
+    /// the parts of their prompts.
+    pub fn drop_unstarted_runs_of(&mut self, incarnation: u64) -> Vec<(u64, Vec<PartKey>)> {
+        let unstarted = self.runs.extract_if(.., |(node, _), run| {
+            *node == incarnation && !run.has_first_token
+        });
+        unstarted
+            .map(|((_, number), run)| (number, run.parts))
+            .collect()
+    }
+
     /// Removes the runs of a node that is gone.
     pub fn drop_runs_of(&mut self, incarnation: u64) {
         self.runs.retain(|(node, _), _| *node != incarnation);
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod peer_sync;
 mod placement;
+mod reach;
 mod records;
 mod streams;
 mod suspects;
@@ -34,6 +35,7 @@
 use crate::control::peers::Peers;
 use crate::control::permit_issuer::PermitIssuer;
 use crate::control::permits::Permits;
+use crate::control::reach::Reach;
 use crate::control::retry_budget::RetryBudget;
 use crate::control::rollout::{Rollout, Task};
 use crate::control::rollout_status::LeaseState;
@@ -94,6 +96,9 @@
     metrics: Arc<Metrics>,
     catalog: Option<Arc<Catalog>>,
     fleet: BTreeMap<EndpointKey, EndpointState>,
+    reach: Reach,
+    /// Services that this node is cut off from while another node reaches them.
+    cut_services: BTreeSet<Arc<str>>,
     notices: Notices,
     limits: StatedLimits,
     permits: Permits,
@@ -180,6 +185,8 @@
             metrics,
             catalog: None,
             fleet: BTreeMap::new(),
+            reach: Reach::default(),
+            cut_services: BTreeSet::new(),
             notices: Notices::default(),
             limits: StatedLimits::default(),
             permits: Permits::default(),
@@ -240,13 +247,9 @@
                 weights,
                 model,
             } => {
+                self.note_first_token(endpoint, run_number, now);
                 self.first_token(endpoint, run_number, now);
-                if let (Some(state), Some(version), Some(model)) =
-                    (self.fleet.get_mut(&endpoint), weights, model)
-                    && state.update_weights(&model, version)
-                {
-                    self.parts.remove_engine(endpoint);
-                }
+                self.weights_stated(endpoint, model, weights);
             }
             Event::RunEnded {
                 endpoint,
@@ -254,6 +257,10 @@
                 end,
                 model,
             } => self.run_ended(endpoint, run_number, &end, model.as_deref(), now),
+            Event::EndpointConnected(endpoint) => self.connect_ended(endpoint, true, now),
+            Event::EndpointProbed(endpoint, reached) => {
+                self.endpoint_probed(endpoint, reached, now);
+            }
             Event::StreamBegun(stream) => self.stream_begun(stream, now),
             Event::StreamsRead(recorded) => self.streams_read(recorded, now),
             Event::StreamsRecorded(stored) => self.streams_recorded(stored),
@@ -341,6 +348,7 @@
         self.request_peer_sync(now);
         self.read_topics(now);
         self.give_up_asks(now);
+        self.update_reach(now);
         self.retry_queued(now);
         self.advance_rollout(now);
         self.record_streams(now);
@@ -394,6 +402,16 @@
         self.gossip_pending_at.get_or_insert(now);
     }
 
+    /// Records the version of a model's weights that an engine stated.
+    fn weights_stated(&mut self, engine: EndpointKey, model: Option<String>, version: Option<u64>) {
+        if let (Some(state), Some(version), Some(model)) =
+            (self.fleet.get_mut(&engine), version, model)
+            && state.update_weights(&model, version)
+        {
+            self.parts.remove_engine(engine);
+        }
+    }
+
     fn store_failed(&mut self, now: Millis) {
         self.metrics.count(EventKind::StoreCall, "failed");
         if !self.store_unreachable {
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -84,6 +84,12 @@
                 .control
                 .map_or(0, |address| address.port().into()),
             issues_permits: self.issues_permits(now),
+            cut_off: self
+                .reach
+                .cut_services()
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
         }
     }
 
--- a/crates/gateway/src/control/state/limits.rs
+++ b/crates/gateway/src/control/state/limits.rs
@@ -101,6 +101,7 @@
         let stalled_at = self.last_stall.1;
         self.catalog.is_some()
             && self.shutdown_at.is_none()
+            && !self.is_cut_off()
             && self.started_at.is_some_and(knows_nodes)
             && (stalled_at == 0 || knows_nodes(stalled_at))
     }
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -376,14 +376,7 @@
     ) -> Grant {
         let number = self.next_run;
         self.next_run += 1;
-        let nodes = self.max_nodes_sharing(now) + STARTING_NODES;
         let catalog = self.catalog.clone();
-        let service = catalog
-            .as_ref()
-            .and_then(|catalog| catalog.services.get(&request.service));
-        let connections = service.map_or(8.0, |service| {
-            f64::from(service.max_conns) * CONNECTION_SHARE
-        }) / nodes as f64;
         let store = catalog.as_ref().and_then(|catalog| catalog.kv_store());
         let shared = &estimate.parts;
         let shared_tokens: u32 = shared.iter().map(|(_, tokens)| tokens).sum();
@@ -431,6 +424,9 @@
         if let Some(state) = self.fleet.get_mut(&key) {
             state.run_sent(run_id, &run, now);
         }
+        let due_at = now + request.target.as_millis() as Millis;
+        self.reach
+            .run_sent(&request.service, key, number, (now, due_at));
         self.permit_issuer.record_sent(key, now);
         self.parts.mark_prefilling(key, &run.parts, now);
         self.queue_run_update(run, now);
@@ -451,10 +447,23 @@
             kv_source,
             kv_sink,
             limit,
-            max_connections: (connections as usize).max(1),
+            max_connections: self.max_connections(&request.service, now),
         }
     }
 
+    /// Maximum number of connections that this node may keep to each endpoint of a service.
+    pub(super) fn max_connections(&self, service: &str, now: Millis) -> usize {
+        let nodes = self.max_nodes_sharing(now) + STARTING_NODES;
+        let service = self
+            .catalog
+            .as_ref()
+            .and_then(|catalog| catalog.services.get(service));
+        let connections = service.map_or(8.0, |service| {
+            f64::from(service.max_conns) * CONNECTION_SHARE
+        }) / nodes as f64;
+        (connections as usize).max(1)
+    }
+
     pub(super) fn first_token(&mut self, endpoint: EndpointKey, number: u64, now: Millis) {
         let Some(state) = self.fleet.get_mut(&endpoint) else {
             return;
@@ -502,6 +511,7 @@
         now: Millis,
     ) {
         self.metrics.count(EventKind::RunEnd, end.as_str());
+        self.note_run_end(endpoint, number, end, now);
         if let Some(state) = self.fleet.get_mut(&endpoint) {
             let unfinished = state.run_ended((self.incarnation, number));
             if let (RunEnd::WrongWeights(Some(version)), Some(model)) = (end, model) {
@@ -509,11 +519,15 @@
             }
             if let Some(avoid_ms) = state.record_outcome(end, now) {
                 log::warn!(endpoint = &*state.endpoint.id, cause:? = end, avoid_ms; "endpoint avoided");
-                self.outgoing_faults.push(Fault {
-                    endpoint,
-                    avoid_ms: avoid_ms as u32,
-                    is_loading: *end == RunEnd::Reloading,
-                });
+                // The others may well reach what this node does not.
+                let is_own = end.may_be_cut() && self.reach.is_suspected(&state.endpoint.service);
+                if !is_own {
+                    self.outgoing_faults.push(Fault {
+                        endpoint,
+                        avoid_ms: avoid_ms as u32,
+                        is_loading: *end == RunEnd::Reloading,
+                    });
+                }
             }
             self.parts.clear_prefilling(endpoint, &unfinished);
         }
--- /dev/null
+++ b/crates/gateway/src/control/state/reach.rs
@@ -0,0 +1,182 @@
+//! This node's paths to endpoints: probes, and the belief that it is cut off from a service.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use flamingolock_wire::gossip::Run;
+
+use super::Control;
+use crate::clock::Millis;
+use crate::control::peers::Peer;
+use crate::control::{Effect, RunEnd};
+use crate::endpoint::EndpointKey;
+use crate::metrics::EventKind;
+
+impl Control {
+    /// True if this node is cut off from most endpoints of a service that another node
+    /// reaches.
+    pub fn is_cut_off(&self) -> bool {
+        !self.cut_services.is_empty()
+    }
+
+    /// Handles the outcome of a connect without a request.
+    pub(super) fn endpoint_probed(&mut self, endpoint: EndpointKey, reached: bool, now: Millis) {
+        let outcome = if reached { "reached" } else { "failed" };
+        self.metrics.count(EventKind::Probe, outcome);
+        self.connect_ended(endpoint, reached, now);
+    }
+
+    /// Records the outcome of a connect to an endpoint.
+    pub(super) fn connect_ended(&mut self, endpoint: EndpointKey, reached: bool, now: Millis) {
+        let Some(state) = self.fleet.get(&endpoint) else {
+            return;
+        };
+        let service = state.endpoint.service.clone();
+        if reached {
+            self.reach.connected(&service, endpoint, now);
+        } else {
+            self.reach.connect_failed(&service, endpoint, now);
+        }
+        self.update_reach(now);
+        if !reached && self.reach.is_cut(&service) {
+            self.withdraw_unstarted_runs(endpoint, now);
+        }
+    }
+
+    /// Records what the end of a run says of the path to its endpoint.
+    pub(super) fn note_run_end(
+        &mut self,
+        endpoint: EndpointKey,
+        run: u64,
+        end: &RunEnd,
+        now: Millis,
+    ) {
+        let Some(service) = self.service_of(endpoint) else {
+            return;
+        };
+        match end {
+            RunEnd::NeverConnected => {
+                self.reach.run_ended(&service, run);
+                self.connect_ended(endpoint, false, now);
+            }
+            RunEnd::Broken | RunEnd::Silent => {
+                self.reach.run_ended(&service, run);
+                self.reach.doubted(&service, endpoint);
+            }
+            RunEnd::CallerLeft => self.reach.run_ended(&service, run),
+            _ => self.reach.heard(&service, run, now),
+        }
+    }
+
+    /// Records that the response to a run has begun.
+    pub(super) fn note_first_token(&mut self, endpoint: EndpointKey, run: u64, now: Millis) {
+        if let Some(service) = self.service_of(endpoint) {
+            self.reach.heard(&service, run, now);
+        }
+    }
+
+    fn service_of(&self, endpoint: EndpointKey) -> Option<Arc<str>> {
+        let state = self.fleet.get(&endpoint)?;
+        Some(state.endpoint.service.clone())
+    }
+
+    /// Sends the probes that are due, and updates the belief about each service.
+    pub(super) fn update_reach(&mut self, now: Millis) {
+        if !self.reach.is_active(now) && self.cut_services.is_empty() {
+            return;
+        }
+        let mut listed: BTreeMap<Arc<str>, BTreeSet<EndpointKey>> = BTreeMap::new();
+        for service in self.reach.services() {
+            listed.entry(service).or_default();
+        }
+        for (key, state) in &self.fleet {
+            let endpoint = &state.endpoint;
+            if !endpoint.leaving
+                && let Some(keys) = listed.get_mut(&endpoint.service)
+            {
+                keys.insert(*key);
+            }
+        }
+        for (service, keys) in &listed {
+            let step = self.reach.update(service, keys, now);
+            for key in step.probes {
+                self.probe(key, now);
+            }
+            match step.is_cut {
+                Some(true) => self.cut_declared(service, keys, now),
+                Some(false) => {
+                    log::warn!(service = &**service; "reaches the endpoints of a service again");
+                    self.metrics.count(EventKind::Reach, "restored");
+                    self.gossip_pending_at.get_or_insert(now);
+                }
+                None => {}
+            }
+        }
+        self.update_cut_services(now);
+    }
+
+    fn probe(&mut self, endpoint: EndpointKey, now: Millis) {
+        let Some(state) = self.fleet.get(&endpoint) else {
+            return;
+        };
+        let endpoint = state.endpoint.clone();
+        let max_idle = self.max_connections(&endpoint.service, now);
+        self.effects.push(Effect::ProbeEndpoint(endpoint, max_idle));
+    }
+
+    fn cut_declared(&mut self, service: &Arc<str>, keys: &BTreeSet<EndpointKey>, now: Millis) {
+        let unreachable: Vec<EndpointKey> = keys
+            .iter()
+            .filter(|key| self.reach.is_unreachable(service, **key))
+            .copied()
+            .collect();
+        log::warn!(service = &**service, unreachable = unreachable.len(), listed = keys.len();
+            "cut off from the endpoints of a service");
+        self.metrics.count(EventKind::Reach, "cut_off");
+        for key in unreachable {
+            self.withdraw_unstarted_runs(key, now);
+        }
+        self.gossip_pending_at.get_or_insert(now);
+    }
+
+    /// Ends for all nodes the runs of this node that an endpoint has not begun: they wait
+    /// on the way to it, and not in its queue.
+    fn withdraw_unstarted_runs(&mut self, endpoint: EndpointKey, now: Millis) {
+        let Some(state) = self.fleet.get_mut(&endpoint) else {
+            return;
+        };
+        for (number, parts) in state.drop_unstarted_runs_of(self.incarnation) {
+            self.parts.clear_prefilling(endpoint, &parts);
+            let run = Run {
+                number,
+                endpoint,
+                step: 3,
+                ..Run::default()
+            };
+            self.queue_run_update(run, now);
+        }
+    }
+
+    /// Updates the services that this node is cut off from while another one reaches them.
+    fn update_cut_services(&mut self, now: Millis) {
+        let cut = self.reach.cut_services();
+        let elsewhere: BTreeSet<Arc<str>> = cut
+            .into_iter()
+            .filter(|service| self.nodes_reaching(service, now).next().is_some())
+            .collect();
+        if elsewhere != self.cut_services {
+            log::info!(services = elsewhere.len(), before = self.cut_services.len();
+                "services that only other nodes reach changed");
+            self.cut_services = elsewhere;
+        }
+    }
+
+    /// Other nodes that serve callers and have not said that they are cut off from the
+    /// service.
+    pub(super) fn nodes_reaching(&self, service: &str, now: Millis) -> impl Iterator<Item = &Peer> {
+        self.peers.alive(now).filter(move |peer| {
+            let state = &peer.state;
+            state.ready && !state.leaving && state.cut_off.iter().all(|name| name != service)
+        })
+    }
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -10,9 +10,9 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
 use crate::control::{Effect, Event, FollowedTopic, Handle, ReadRequest};
-use crate::dialect::Dialect;
+use crate::exchange::ProxyContext;
 use crate::settings::Settings;
-use crate::{orders, peer_sync, store};
+use crate::{link_probe, orders, peer_sync, store};
 
 /// Maximum size of a datagram, in bytes.
 pub const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -42,28 +42,35 @@
     }
 }
 
+fn send_datagram(socket: &UdpSocket, addresses: &[SocketAddr], bytes: &[u8]) {
+    for address in addresses {
+        // A send error is only logged, as datagrams may be lost in any case.
+        if let Err(error) = socket.try_send_to(bytes, *address) {
+            log::debug!(address:% = address, error:% = error; "failed to send a datagram");
+        }
+    }
+}
+
 /// Executes the effects that the control thread requests. The senders pass on
 /// requests to read the operator's records and the endpoints' entries, and to register
 /// the node again.
 pub async fn run_effects(
     socket: Arc<UdpSocket>,
     settings: Settings,
-    dialect: &'static Dialect,
-    handle: Handle,
+    context: ProxyContext,
     [operator, endpoints]: [UnboundedSender<ReadRequest>; 2],
     registrations: UnboundedSender<()>,
     mut effects: UnboundedReceiver<Effect>,
 ) {
+    let ProxyContext {
+        handle,
+        dialect,
+        pool,
+        ..
+    } = context;
     while let Some(effect) = effects.recv().await {
         match effect {
-            Effect::SendDatagram(addresses, bytes) => {
-                for address in addresses {
-                    // A send error is only logged, as datagrams may be lost in any case.
-                    if let Err(error) = socket.try_send_to(&bytes, address) {
-                        log::debug!(address:% = address, error:% = error; "failed to send a datagram");
-                    }
-                }
-            }
+            Effect::SendDatagram(addresses, bytes) => send_datagram(&socket, &addresses, &bytes),
             Effect::ReadTopic(request) => {
                 let reads = match request.topic {
                     FollowedTopic::Operator => &operator,
@@ -130,6 +137,14 @@
             Effect::SendOrder(order) => {
                 tokio::spawn(orders::send_order(dialect, handle.clone(), order));
             }
+            Effect::ProbeEndpoint(endpoint, max_idle) => {
+                tokio::spawn(link_probe::probe(
+                    handle.clone(),
+                    pool.clone(),
+                    endpoint,
+                    max_idle,
+                ));
+            }
             Effect::ListCache(address, endpoint) => {
                 tokio::spawn(orders::fetch_cached_parts(
                     dialect,
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -222,11 +222,15 @@
         is_repeat || (self.has_unnamed_refusal && !purpose.is_retryable)
     }
 
+    /// True if the connection is open.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// True if the connection is open and has been idle for less than `share` of its
     /// idle timeout.
     fn is_usable(&self, share: f64, now: Millis) -> bool {
-        !self.sender.is_closed()
-            && ((now - self.idle_since) as f64) < self.keep_alive_ms as f64 * share
+        self.is_open() && ((now - self.idle_since) as f64) < self.keep_alive_ms as f64 * share
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod forward;
 pub mod gossip;
 pub mod http_client;
+pub mod link_probe;
 pub mod logs;
 pub mod metrics;
 pub mod node;
--- /dev/null
+++ b/crates/gateway/src/link_probe.rs
@@ -0,0 +1,34 @@
+//! Probes of the path to an endpoint: a connect without a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::attempt::CONNECT_TIMEOUT;
+use crate::control::{Event, Handle};
+use crate::endpoint::Endpoint;
+use crate::http_client::{Connection, Pool};
+
+/// Time for which a new connection must stay open: some paths accept connections and
+/// reset them at once.
+const HOLD_TIME: Duration = Duration::from_millis(50);
+
+/// Connects to an endpoint and reports whether that succeeded. The connection goes to the
+/// pool, which keeps up to `max_idle`.
+pub async fn probe(handle: Handle, pool: Pool, endpoint: Arc<Endpoint>, max_idle: usize) {
+    let key = endpoint.key();
+    let connection = open(&endpoint).await;
+    let reached = connection.is_some();
+    if let Some(connection) = connection {
+        pool.put(key, connection, max_idle);
+    }
+    handle.send(Event::EndpointProbed(key, reached));
+}
+
+async fn open(endpoint: &Endpoint) -> Option<Connection> {
+    let connection = Connection::open(endpoint.address, CONNECT_TIMEOUT).await;
+    let connection = connection.ok()?;
+    sleep(HOLD_TIME).await;
+    connection.is_open().then_some(connection)
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,10 @@
     CrashingRequest,
     /// A permit for an endpoint that states a limit of requests.
     Permit,
+    /// A probe of the path to an endpoint.
+    Probe,
+    /// A change of the belief that the node is cut off from a service.
+    Reach,
 }
 
 /// Labels of a counted event.
@@ -178,6 +182,8 @@
             EventKind::PromptPart => "prompt_part",
             EventKind::CrashingRequest => "crashing_request",
             EventKind::Permit => "permit",
+            EventKind::Probe => "probe",
+            EventKind::Reach => "reach",
         };
         self.events
             .get_or_create(&EventLabels { event, outcome })
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -106,8 +106,7 @@
     tokio::spawn(gossip::run_effects(
         socket,
         settings.clone(),
-        dialect,
-        handle.clone(),
+        context.clone(),
         read_requests,
         registrations,
         effect_receiver,
--- a/crates/gateway/tests/test_odd_messages.rs
+++ b/crates/gateway/tests/test_odd_messages.rs
@@ -79,9 +79,10 @@
 
 prop_compose! {
     fn node_state()(incarnation in long(), callers in text(), zone in text(), leaving in any::<bool>(), ready in any::<bool>(),
-        lease_end in long(), name in text(), gossip in text(), capacity in short(), control_port in short()) -> NodeState {
+        lease_end in long(), name in text(), gossip in text(), capacity in short(), control_port in short(),
+        cut_off in prop::collection::vec(text(), 0..3)) -> NodeState {
         NodeState { incarnation, callers, zone, leaving, ready, lease_end, name, gossip, capacity,
-            store_reachable: ready, control_port, issues_permits: ready }
+            store_reachable: ready, control_port, issues_permits: ready, cut_off }
     }
 }
 
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -291,6 +291,9 @@
     /// True if it may issue permits for endpoints that state a limit of requests.
     #[prost(bool, tag = "12")]
     pub issues_permits: bool,
+    /// Services of which it reaches less than half of the endpoints.
+    #[prost(string, repeated, tag = "13")]
+    pub cut_off: Vec<String>,
 }
 
 /// An update on a run, which is one request at one endpoint.
