handover: a node that is cut off from a service hands its requests on

Cause: a request could only be placed at an endpoint. A node that knows that it is cut off (control/reach.rs) had no other use for that than to say so.

A placement may now end with "at another node". The request goes there over HTTP/1.1 to the control port, as its caller sent it, with the time left, the version of the sender's configuration and the number of attempts that may have run it. The other node treats it as any other (placement stays one code path) but never hands it on. It refuses a sender that does not know its incarnation, and one that knows a newer configuration; such a refusal, and one for a shutdown or a cut of its own, is marked, and the request goes to the next node. 503 is passed on only as that node gave it; a connection that breaks after the request was written counts as a possible run. Streams are passed on as they arrive and break off with the far connection; a caller who leaves closes that connection, which ends the run there. The node is the less busy of two of the same zone, else of any, up to twice the slots of the service divided by the nodes that reach it; beyond that the caller gets 503 and a time at once. A failed probe drops the kept connections.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -27,7 +27,7 @@
 const NON_RETRYABLE_IDLE_SHARE: f64 = 0.5;
 
 /// Maximum size of a response body that is buffered before it is forwarded.
-const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
+pub const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 
 /// Timeout for draining an unneeded response body so that the connection can be reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -9,6 +9,7 @@
 pub mod fetch_schedule;
 pub mod fleet;
 pub mod freshness;
+pub mod handovers;
 pub mod lease;
 pub mod listed_builds;
 pub mod load_times;
@@ -40,6 +41,7 @@
 
 use crate::catalog::Catalog;
 use crate::clock::{Millis, now};
+use crate::control::handovers::OtherNode;
 use crate::control::notices::Notice;
 use crate::control::operator_records::OperatorUpdate;
 use crate::control::state::Control;
@@ -97,6 +99,12 @@
     /// True if the request reached one of them, in which case this attempt counts
     /// against the retry budget.
     pub is_retry: bool,
+    /// True if another node handed it to this one.
+    pub is_handed: bool,
+    /// True if it may be handed to another node.
+    pub may_hand_over: bool,
+    /// Incarnations of the nodes that it was handed to.
+    pub tried_nodes: Vec<u64>,
     /// Longest time to wait in the queue for an endpoint.
     pub max_wait: Duration,
     /// Time within which the response should begin.
@@ -127,6 +135,13 @@
 /// Reason why a request was not assigned to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
+    /// This node is cut off from the service, and this other one is not.
+    AtOtherNode(OtherNode),
+    /// This node is cut off from the service, and no other one can take the request.
+    CutOff {
+        /// When the caller may return.
+        until: Millis,
+    },
     /// No endpoint of the service is known.
     NoEndpoint,
     /// Every endpoint is loading weights or has outdated ones.
@@ -172,15 +187,22 @@
             Self::AllPaused { until }
             | Self::AllLimited { until }
             | Self::Overloaded { until, .. }
+            | Self::CutOff { until }
             | Self::StoppedPart { until } => Some(until),
             Self::StoppedRequest { until } => until,
-            Self::NoEndpoint | Self::AllReloading | Self::Budget | Self::UnknownBuild => None,
+            Self::AtOtherNode(_)
+            | Self::NoEndpoint
+            | Self::AllReloading
+            | Self::Budget
+            | Self::UnknownBuild => None,
         }
     }
 
     /// Label used in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::AtOtherNode(_) => "at_other_node",
+            Self::CutOff { .. } => "cut_off",
             Self::NoEndpoint => "no_endpoint",
             Self::AllReloading => "all_reloading",
             Self::AllPaused { .. } => "all_paused",
@@ -289,6 +311,8 @@
     EndpointConnected(EndpointKey),
     /// A probe of an endpoint ended; true if it was reached.
     EndpointProbed(EndpointKey, bool),
+    /// The hand-over of a request to another node ended.
+    HandoverEnded(u64),
     /// A resumable stream has brought its first event.
     StreamBegun(BegunStream),
     /// A run ended.
@@ -419,6 +443,8 @@
 /// State published by the control thread for lock-free reads by request handlers.
 #[derive(Clone, Debug, Default)]
 pub struct View {
+    /// Incarnation of this node.
+    pub incarnation: Option<u64>,
     /// Current configuration.
     pub catalog: Option<Arc<Catalog>>,
     /// Address and zone of each node that accepts callers.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,6 +1,7 @@
 //! State of the control thread and its event handlers.
 
 mod gossip;
+mod handover;
 mod limits;
 mod peer_sync;
 mod placement;
@@ -27,6 +28,7 @@
 use crate::control::fetch_schedule::FetchSchedule;
 use crate::control::fleet::EndpointState;
 use crate::control::freshness::Freshness;
+use crate::control::handovers::Handovers;
 use crate::control::lease::{Lease, LeaseStep};
 use crate::control::listed_builds::ListedBuilds;
 use crate::control::named_weights::WriteTime;
@@ -99,6 +101,7 @@
     reach: Reach,
     /// Services that this node is cut off from while another node reaches them.
     cut_services: BTreeSet<Arc<str>>,
+    handovers: Handovers,
     notices: Notices,
     limits: StatedLimits,
     permits: Permits,
@@ -187,6 +190,7 @@
             fleet: BTreeMap::new(),
             reach: Reach::default(),
             cut_services: BTreeSet::new(),
+            handovers: Handovers::default(),
             notices: Notices::default(),
             limits: StatedLimits::default(),
             permits: Permits::default(),
@@ -261,6 +265,7 @@
             Event::EndpointProbed(endpoint, reached) => {
                 self.endpoint_probed(endpoint, reached, now);
             }
+            Event::HandoverEnded(number) => self.handovers.end(number),
             Event::StreamBegun(stream) => self.stream_begun(stream, now),
             Event::StreamsRead(recorded) => self.streams_read(recorded, now),
             Event::StreamsRecorded(stored) => self.streams_recorded(stored),
@@ -570,6 +575,7 @@
             log::info!(nodes = nodes.len(), before = before.nodes.len(); "nodes accepting callers changed");
         }
         self.view.store(Arc::new(View {
+            incarnation: Some(self.incarnation),
             catalog: self.catalog.clone(),
             nodes,
             shutdown_at: self.shutdown_at,
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -84,6 +84,7 @@
                 .control
                 .map_or(0, |address| address.port().into()),
             issues_permits: self.issues_permits(now),
+            takes_requests: self.settings.control.is_some(),
             cut_off: self
                 .reach
                 .cut_services()
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -98,15 +98,21 @@
         reply: oneshot::Sender<Placement>,
         now: Millis,
     ) {
-        if let BuildRule::SameAs(begun_by) = request.build_rule {
+        let is_elsewhere = self.goes_elsewhere(&request);
+        if let BuildRule::SameAs(begun_by) = request.build_rule
+            && !is_elsewhere
+        {
             let Some(build) = self.build_of_stream(begun_by, &request.service, now) else {
                 self.refuse(&request, Refusal::UnknownBuild, reply);
                 return;
             };
             request.build_rule = BuildRule::Only(build);
         }
-        if request.tried.is_empty() {
-            self.budget.record_request(&request.service, now);
+        if request.tried.is_empty() && request.tried_nodes.is_empty() {
+            // The node that places it counts it.
+            if !is_elsewhere {
+                self.budget.record_request(&request.service, now);
+            }
         } else if request.is_retry
             && !self
                 .budget
@@ -177,6 +183,10 @@
         ahead: usize,
         now: Millis,
     ) -> Option<QueuedRequest> {
+        if self.goes_elsewhere(&queued.request) {
+            self.send_elsewhere(&queued.request, queued.reply, now);
+            return None;
+        }
         if let Some(refusal) = self.refusal_of_suspects(&queued.request, now) {
             self.refuse(&queued.request, refusal, queued.reply);
             return None;
@@ -247,7 +257,7 @@
         None
     }
 
-    fn refuse(
+    pub(super) fn refuse(
         &self,
         request: &PlacementRequest,
         refusal: Refusal,
@@ -256,6 +266,7 @@
         self.metrics.count(EventKind::Placement, refusal.as_str());
         let message = match refusal {
             Refusal::Budget => "retry refused: budget exhausted",
+            Refusal::AtOtherNode(_) => "request goes to another node",
             _ => "no endpoint available for request",
         };
         log::info!(request = &*request.id, service = &*request.service, refusal:? = refusal,
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -311,6 +311,9 @@
     pub request_head: fn(&HeaderMap) -> RequestHead,
     /// Builds the headers for an endpoint from the caller's headers.
     pub endpoint_headers: fn(&HeaderMap, &EndpointHead) -> HeaderMap,
+    /// Builds the headers with which a caller's request goes on to another node, given the
+    /// time left until its deadline.
+    pub handover_headers: fn(&HeaderMap, Duration) -> HeaderMap,
     /// Parses an endpoint's response headers.
     pub response_head: fn(&HeaderMap) -> ResponseHead,
     /// Filters an endpoint's response headers for the caller.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,6 +14,18 @@
 use crate::fingerprint::Fingerprints;
 use crate::http_client::Pool;
 
+/// Who sent a request to this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another node, which hands on the request of one of its callers.
+    Node {
+        /// Number of attempts that may have run it before.
+        possible_runs: u32,
+    },
+}
+
 /// A caller's request with its whole body and everything known about it.
 #[derive(Debug)]
 pub struct Exchange {
@@ -37,6 +49,10 @@
     pub service: Arc<str>,
     /// Workspace of the API key, if the request has a key.
     pub workspace: Option<Arc<Workspace>>,
+    /// Who sent the request to this node.
+    pub origin: Origin,
+    /// Version of the configuration under which it is handled.
+    pub catalog_version: u64,
     /// When the request head arrived.
     pub started: Instant,
     /// When the request is given up: after the caller's or the route's timeout,
@@ -88,4 +104,6 @@
     pub dialect: &'static Dialect,
     /// Idle connections to endpoints.
     pub pool: Pool,
+    /// Idle connections to other nodes, by their incarnations.
+    pub node_pool: Pool,
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Forwarding of a request to endpoints, with retries.
 
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,9 +11,11 @@
 use crate::catalog::RequestKind;
 use crate::clock::now;
 use crate::control::begun_streams::request_key;
+use crate::control::handovers::OtherNode;
 use crate::control::{BuildRule, Grant, Placement, PlacementRequest, Refusal, RunEnd};
 use crate::endpoint::EndpointKey;
-use crate::exchange::{Exchange, ProxyContext};
+use crate::exchange::{Exchange, Origin, ProxyContext};
+use crate::handover::{HandoverOutcome, hand_over};
 use crate::http_client::BodyFraming;
 use crate::relay;
 use crate::response::{self, ErrorReason, ResponseBody};
@@ -20,6 +23,9 @@
 /// Maximum number of attempts per request, including those that an endpoint refused.
 const MAX_TRIED_ENDPOINTS: usize = 4;
 
+/// Maximum number of nodes that a request is handed to.
+const MAX_TRIED_NODES: usize = 3;
+
 /// Multiple of the route's latency target after which an attempt without a first
 /// byte is given up, if the request is retryable.
 const FIRST_BYTE_TIMEOUT_FACTOR: f64 = 3.5;
@@ -33,8 +39,12 @@
     /// Endpoints that the request was sent to. 0 stands for an engine that refused it
     /// because of its weights and may be tried again.
     pub tried: Vec<EndpointKey>,
+    /// Incarnations of the nodes that it was handed to.
+    pub tried_nodes: Vec<u64>,
     /// True if the request reached an endpoint.
     pub reached: bool,
+    /// True if the caller has a part of the response.
+    pub has_begun: bool,
     /// Number of attempts that may have run the request.
     pub possible_runs: u32,
     /// Software version of the endpoint that sent the first event to the caller.
@@ -42,19 +52,35 @@
     /// Time left of the pause that all endpoints have asked for, or until a prompt part may
     /// be tried again.
     pause: Duration,
-    /// True if the request is not sent any more because it crashes endpoints.
-    is_stopped: bool,
+    /// Last refusal, if no endpoint was found.
+    refusal: Option<Refusal>,
     /// Error response of an endpoint, returned if no other endpoint succeeds.
     fallback: Option<BufferedResponse>,
 }
 
 impl RetryState {
+    /// State of a request that this node has not tried.
+    fn new(origin: Origin) -> Self {
+        let possible_runs = match origin {
+            Origin::Caller => 0,
+            Origin::Node { possible_runs } => possible_runs,
+        };
+        Self {
+            possible_runs,
+            reached: possible_runs > 0,
+            ..Self::default()
+        }
+    }
+
     /// True if another attempt is allowed.
     pub fn may_retry(&self, exchange: &Exchange) -> bool {
         let allowed = self.possible_runs == 0
             || (exchange.route.is_retryable() && self.possible_runs < exchange.route.max_attempts);
         let left = exchange.deadline.saturating_duration_since(Instant::now());
-        allowed && self.tried.len() < MAX_TRIED_ENDPOINTS && left > MIN_ATTEMPT_TIME
+        allowed
+            && self.tried.len() < MAX_TRIED_ENDPOINTS
+            && self.tried_nodes.len() < MAX_TRIED_NODES
+            && left > MIN_ATTEMPT_TIME
     }
 
     fn build_rule(&self, exchange: &Exchange) -> BuildRule {
@@ -93,6 +119,9 @@
             build_rule: self.build_rule(exchange),
             tried: self.tried.clone(),
             is_retry: self.reached,
+            is_handed: exchange.origin != Origin::Caller,
+            may_hand_over: !self.has_begun,
+            tried_nodes: self.tried_nodes.clone(),
             // Its response would be late by itself after that.
             max_wait: exchange.route.target.min(left),
             target: exchange.route.target,
@@ -107,12 +136,18 @@
         log::info!(request = &*exchange.request_id, resumes = exchange.head.resumes.as_deref().unwrap_or(""),
             last_event = exchange.head.last_event.unwrap_or(0); "caller resumes a stream");
     }
-    let mut retry_state = RetryState::default();
+    let mut retry_state = RetryState::new(exchange.origin);
     loop {
         let grant = match retry_state.place(&exchange, &context).await {
             Ok(grant) => grant,
+            Err(Refusal::AtOtherNode(node)) => {
+                match try_other_node(&exchange, &context, &mut retry_state, node).await {
+                    ControlFlow::Break(response) => return *response,
+                    ControlFlow::Continue(()) => continue,
+                }
+            }
             Err(refusal) => {
-                retry_state.is_stopped = refusal == Refusal::StoppedRequest { until: None };
+                retry_state.refusal = Some(refusal);
                 if let Some(until) = refusal.until() {
                     retry_state.pause = Duration::from_millis(until.saturating_sub(now()));
                 }
@@ -189,6 +224,34 @@
     }
 }
 
+/// Hands the request to another node. Goes on if another one may be tried.
+async fn try_other_node(
+    exchange: &Exchange,
+    context: &ProxyContext,
+    retry_state: &mut RetryState,
+    node: OtherNode,
+) -> ControlFlow<Box<Response<ResponseBody>>> {
+    retry_state.tried_nodes.push(node.incarnation);
+    let cause = match hand_over(exchange, context, node, retry_state.possible_runs).await {
+        HandoverOutcome::Response(response) => return ControlFlow::Break(response),
+        HandoverOutcome::NotRun => "other nodes refused the request",
+        HandoverOutcome::NoResponse => {
+            retry_state.reached = true;
+            retry_state.possible_runs += 1;
+            "another node returned no response"
+        }
+        HandoverOutcome::DeadlineExceeded => {
+            retry_state.possible_runs += 1;
+            let response = respond_timed_out(exchange, retry_state);
+            return ControlFlow::Break(Box::new(response));
+        }
+    };
+    if retry_state.may_retry(exchange) {
+        return ControlFlow::Continue(());
+    }
+    ControlFlow::Break(Box::new(give_up(exchange, context, retry_state, cause)))
+}
+
 fn first_byte_timeout(exchange: &Exchange) -> Option<Duration> {
     let retryable = exchange.route.is_retryable();
     retryable.then(|| exchange.route.target.mul_f64(FIRST_BYTE_TIMEOUT_FACTOR))
@@ -196,6 +259,8 @@
 
 fn refusal_cause(refusal: Refusal) -> &'static str {
     match refusal {
+        Refusal::AtOtherNode(_) => "another node reaches the endpoints",
+        Refusal::CutOff { .. } => "cut off from all endpoints",
         Refusal::NoEndpoint => "no endpoint",
         Refusal::AllPaused { .. } => "all endpoints have asked for a pause",
         Refusal::AllLimited { .. } => "the limits of all endpoints are used up",
@@ -252,11 +317,13 @@
     }
     let (reason, retry_after) = if retry_state.possible_runs > 0 {
         (ErrorReason::Failed, None)
-    } else if retry_state.is_stopped {
-        (ErrorReason::CrashesEndpoints, None)
     } else {
-        let pause = exchange.route.target.max(retry_state.pause);
-        (ErrorReason::NotRun, Some(pause))
+        let pause = Some(exchange.route.target.max(retry_state.pause));
+        match retry_state.refusal {
+            Some(Refusal::StoppedRequest { until: None }) => (ErrorReason::CrashesEndpoints, None),
+            Some(Refusal::CutOff { .. }) => (ErrorReason::CutOff, pause),
+            _ => (ErrorReason::NotRun, pause),
+        }
     };
     log_given_up(exchange, retry_state, reason, cause);
     response::error_response(reason, retry_after)
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -336,6 +336,12 @@
         Some(connections.remove(place))
     }
 
+    /// Drops all connections to the endpoint.
+    pub fn remove(&self, key: EndpointKey) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.remove(&key);
+    }
+
     /// Returns a connection to the pool, unless it already holds `max_idle` usable
     /// connections to the endpoint.
     pub fn put(&self, key: EndpointKey, mut connection: Connection, max_idle: usize) {
--- a/crates/gateway/src/link_probe.rs
+++ b/crates/gateway/src/link_probe.rs
@@ -15,13 +15,14 @@
 const HOLD_TIME: Duration = Duration::from_millis(50);
 
 /// Connects to an endpoint and reports whether that succeeded. The connection goes to the
-/// pool, which keeps up to `max_idle`.
+/// pool, which keeps up to `max_idle`; if there is none, those in the pool are dropped.
 pub async fn probe(handle: Handle, pool: Pool, endpoint: Arc<Endpoint>, max_idle: usize) {
     let key = endpoint.key();
     let connection = open(&endpoint).await;
     let reached = connection.is_some();
-    if let Some(connection) = connection {
-        pool.put(key, connection, max_idle);
+    match connection {
+        Some(connection) => pool.put(key, connection, max_idle),
+        None => pool.remove(key),
     }
     handle.send(Event::EndpointProbed(key, reached));
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,8 @@
     Permit,
     /// A probe of the path to an endpoint.
     Probe,
+    /// A request that another node handed on.
+    Handover,
     /// A change of the belief that the node is cut off from a service.
     Reach,
 }
@@ -183,6 +185,7 @@
             EventKind::CrashingRequest => "crashing_request",
             EventKind::Permit => "permit",
             EventKind::Probe => "probe",
+            EventKind::Handover => "handover",
             EventKind::Reach => "reach",
         };
         self.events
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,7 +16,7 @@
 use crate::gossip;
 use crate::http_client::Pool;
 use crate::metrics::Metrics;
-use crate::peer_sync;
+use crate::node_port;
 use crate::server::{self, ConnectionCount};
 use crate::settings::Settings;
 use crate::store;
@@ -79,6 +79,7 @@
         handle: handle.clone(),
         dialect,
         pool: Pool::default(),
+        node_pool: Pool::default(),
     };
     let connections = ConnectionCount::default();
     let (shutdown_sender, shutdown) = watch::channel(false);
@@ -88,7 +89,13 @@
     let metrics_listener = listen(settings.metrics)?;
     if let Some(address) = settings.control {
         let listener = listen(address)?;
-        tokio::spawn(peer_sync::serve(listener, handle.clone()));
+        tokio::spawn(node_port::serve(
+            listener,
+            context.clone(),
+            metrics.clone(),
+            connections.clone(),
+            shutdown.clone(),
+        ));
     }
     tokio::spawn(gossip::receive(socket.clone(), handle.clone()));
     let read_requests = [FollowedTopic::Operator, FollowedTopic::Endpoints].map(|topic| {
--- /dev/null
+++ b/crates/gateway/src/node_port.rs
@@ -0,0 +1,72 @@
+//! The port for other nodes: transfers of topic copies, and requests that they hand on.
+//!
+//! The first byte tells which: a transfer begins with the length of a short frame, so with
+//! a zero byte, and a request with the name of its method.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::exchange::ProxyContext;
+use crate::handover;
+use crate::metrics::Metrics;
+use crate::peer_sync::Transfers;
+use crate::server::{self, ConnectionCount};
+
+/// Time for the first byte of a connection.
+const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Serves other nodes until the process ends. Once `shutdown` is true, connections are
+/// closed as soon as they are idle.
+pub async fn serve(
+    listener: TcpListener,
+    context: ProxyContext,
+    metrics: Arc<Metrics>,
+    connections: ConnectionCount,
+    shutdown: watch::Receiver<bool>,
+) {
+    let transfers = Transfers::new(context.handle.clone());
+    loop {
+        let stream = server::accept(&listener).await;
+        let transfers = transfers.clone();
+        let context = context.clone();
+        let metrics = metrics.clone();
+        let connections = connections.clone();
+        let shutdown = shutdown.clone();
+        tokio::spawn(async move {
+            match first_byte(&stream).await {
+                Some(0) => transfers.serve(stream).await,
+                Some(_) => {
+                    serve_requests(stream, context, metrics, &connections, shutdown).await;
+                }
+                None => log::debug!("connection of a node closed without a byte"),
+            }
+        });
+    }
+}
+
+async fn first_byte(stream: &TcpStream) -> Option<u8> {
+    let mut byte = [0];
+    let peeked = timeout(FIRST_BYTE_TIMEOUT, stream.peek(&mut byte)).await;
+    matches!(peeked, Ok(Ok(1))).then_some(byte[0])
+}
+
+async fn serve_requests(
+    stream: TcpStream,
+    context: ProxyContext,
+    metrics: Arc<Metrics>,
+    connections: &ConnectionCount,
+    shutdown: watch::Receiver<bool>,
+) {
+    let guard = connections.enter();
+    let limits = server::caller_limits(&context);
+    let handler = move |request: Request<Incoming>| {
+        handover::receive(request, context.clone(), metrics.clone())
+    };
+    server::serve_connection(stream, limits, handler, shutdown, guard).await;
+}
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -13,7 +13,7 @@
 use flamingolock_wire::topic_copies::{CopiesHead, CopiesRequest, TopicCopies};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{Mutex, Semaphore, oneshot};
 use tokio::task::JoinError;
 use tokio::time::{Instant, timeout};
@@ -22,7 +22,6 @@
 use crate::control::{Event, Handle};
 use crate::copies::{Copies, PackedValues, decode, encode};
 use crate::dialect::{Dialect, KeyedRecord};
-use crate::server;
 
 /// Timeout for connecting to another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -94,40 +93,52 @@
     Framed::new(stream, codec)
 }
 
-/// Sends this node's copies of the topics to the nodes that ask, a few at a time.
-pub async fn serve(listener: TcpListener, handle: Handle) {
-    let permits = Arc::new(Semaphore::new(MAX_TRANSFERS));
-    let waiting = Arc::new(Semaphore::new(MAX_WAITING));
-    let packed = Arc::new(Mutex::new(PackedValues::default()));
-    loop {
-        let stream = server::accept(&listener).await;
-        let place = waiting.clone().try_acquire_owned().ok();
-        let open = MAX_WAITING - waiting.available_permits();
-        let (permits, packed, handle) = (permits.clone(), packed.clone(), handle.clone());
-        tokio::spawn(async move {
-            let started = Instant::now();
-            let mut sent = 0;
-            let stream = frames(stream);
-            let result = match &place {
-                Some(_) => {
-                    within_limit(async {
-                        let _permit = permits.acquire_owned().await;
-                        send_copies(stream, &handle, &packed, &mut sent).await
-                    })
-                    .await
-                }
-                None => refuse(stream).await,
-            };
-            let took_ms = started.elapsed().as_millis() as u64;
-            match result {
-                Ok(()) => {
-                    log::info!(bytes = sent, took_ms, open; "sent the topic copies to another node");
-                }
-                Err(error) => {
-                    log::info!(error:% = error, bytes = sent, took_ms, open; "failed to send the topic copies to another node");
-                }
+/// Transfers to the nodes that ask for this node's copies of the topics, a few at a time.
+#[derive(Clone, Debug)]
+pub struct Transfers {
+    handle: Handle,
+    permits: Arc<Semaphore>,
+    waiting: Arc<Semaphore>,
+    packed: Arc<Mutex<PackedValues>>,
+}
+
+impl Transfers {
+    /// State of a node without transfers.
+    pub fn new(handle: Handle) -> Self {
+        Self {
+            handle,
+            permits: Arc::new(Semaphore::new(MAX_TRANSFERS)),
+            waiting: Arc::new(Semaphore::new(MAX_WAITING)),
+            packed: Arc::default(),
+        }
+    }
+
+    /// Serves one connection of another node.
+    pub async fn serve(self, stream: TcpStream) {
+        let place = self.waiting.clone().try_acquire_owned().ok();
+        let open = MAX_WAITING - self.waiting.available_permits();
+        let started = Instant::now();
+        let mut sent = 0;
+        let stream = frames(stream);
+        let result = match &place {
+            Some(_) => {
+                within_limit(async {
+                    let _permit = self.permits.acquire_owned().await;
+                    send_copies(stream, &self.handle, &self.packed, &mut sent).await
+                })
+                .await
             }
-        });
+            None => refuse(stream).await,
+        };
+        let took_ms = started.elapsed().as_millis() as u64;
+        match result {
+            Ok(()) => {
+                log::info!(bytes = sent, took_ms, open; "sent the topic copies to another node");
+            }
+            Err(error) => {
+                log::info!(error:% = error, bytes = sent, took_ms, open; "failed to send the topic copies to another node");
+            }
+        }
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -91,6 +91,7 @@
         ..Progress::default()
     };
     retry_state.reached = true;
+    retry_state.has_begun = true;
     loop {
         retry_state.possible_runs += 1;
         let engine = opened.grant.endpoint.clone();
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -18,7 +18,7 @@
 use crate::control::View;
 use crate::control::begun_streams::request_key;
 use crate::dialect::RequestHead;
-use crate::exchange::{Exchange, ProxyContext};
+use crate::exchange::{Exchange, Origin, ProxyContext};
 use crate::fingerprint::{Content, Fingerprints};
 use crate::forward::forward;
 use crate::metrics::Metrics;
@@ -40,9 +40,10 @@
 /// Timeout of a request whose caller sends no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
 
-/// Handles one request.
+/// Handles one request, sent by a caller or handed on by another node.
 pub async fn serve(
     request: Request<Incoming>,
+    origin: Origin,
     context: ProxyContext,
     metrics: Arc<Metrics>,
 ) -> Response<ResponseBody> {
@@ -114,6 +115,8 @@
         route: route.clone(),
         service,
         workspace,
+        origin,
+        catalog_version: catalog.version,
         started,
         deadline: started + time_limit,
     };
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -45,6 +45,8 @@
     NotRun,
     /// The request has not run, and will not: it crashed the endpoints that ran it before.
     CrashesEndpoints,
+    /// The request has not run: this node is cut off from its service.
+    CutOff,
     /// The request may have run, but no endpoint returned a usable response.
     Failed,
     /// The request may have run, and its deadline has passed.
@@ -55,9 +57,11 @@
     /// HTTP status of the response. 503 is used only for requests that have not run.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::Leaving | Self::NotRun | Self::CrashesEndpoints => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::Leaving
+            | Self::NotRun
+            | Self::CrashesEndpoints
+            | Self::CutOff => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::NoChunks => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
@@ -80,13 +84,15 @@
             Self::BodyBroken => "body_broken",
             Self::NotRun => "not_run",
             Self::CrashesEndpoints => "crashes_endpoints",
+            Self::CutOff => "cut_off",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
         }
     }
 }
 
-/// Builds an error response; `retry_after` is sent in the `Retry-After` header.
+/// Builds an error response; `retry_after` is sent in the `Retry-After` header. The reason
+/// is among its extensions.
 pub fn error_response(
     reason: ErrorReason,
     retry_after: Option<Duration>,
@@ -94,6 +100,7 @@
     let body = format!("{{\"error\":\"{}\"}}", reason.as_str());
     let mut response = Response::new(full_body(Bytes::from(body)));
     *response.status_mut() = reason.status();
+    response.extensions_mut().insert(reason);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(retry_after) = retry_after
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,7 +19,7 @@
 
 use crate::catalog::CallerLimits;
 use crate::directory;
-use crate::exchange::ProxyContext;
+use crate::exchange::{Origin, ProxyContext};
 use crate::metrics::Metrics;
 use crate::request_handler;
 use crate::response::ResponseBody;
@@ -114,17 +114,11 @@
         let context = context.clone();
         let metrics = metrics.clone();
         let guard = connections.enter();
-        let limits = context
-            .handle
-            .view()
-            .catalog
-            .as_ref()
-            .map(|catalog| catalog.limits)
-            .unwrap_or_default();
+        let limits = caller_limits(&context);
         let handler = move |request: Request<Incoming>| {
             let context = context.clone();
             let metrics = metrics.clone();
-            async move { request_handler::serve(request, context, metrics).await }
+            async move { request_handler::serve(request, Origin::Caller, context, metrics).await }
         };
         tokio::spawn(serve_connection(
             stream,
@@ -136,7 +130,16 @@
     }
 }
 
-async fn serve_connection<F, R>(
+/// Limits of callers under the current configuration.
+pub fn caller_limits(context: &ProxyContext) -> CallerLimits {
+    let view = context.handle.view();
+    let catalog = view.catalog.as_ref();
+    catalog.map(|catalog| catalog.limits).unwrap_or_default()
+}
+
+/// Serves one connection until it is closed. Once `shutdown` is true, it is closed as soon
+/// as it is idle.
+pub async fn serve_connection<F, R>(
     stream: TcpStream,
     limits: CallerLimits,
     handler: F,
@@ -164,7 +167,7 @@
         tokio::select! {
             result = connection.as_mut() => {
                 if let Err(error) = result {
-                    log::debug!(error:% = error; "connection of a caller failed");
+                    log::debug!(error:% = error; "connection of a caller or node failed");
                 }
                 return;
             }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -303,6 +303,9 @@
         build_rule: BuildRule::Any,
         tried: Vec::new(),
         is_retry: false,
+        is_handed: false,
+        may_hand_over: true,
+        tried_nodes: Vec::new(),
         max_wait: Duration::ZERO,
         target: Duration::from_mins(1),
     }
--- a/crates/gateway/tests/test_odd_messages.rs
+++ b/crates/gateway/tests/test_odd_messages.rs
@@ -82,7 +82,7 @@
         lease_end in long(), name in text(), gossip in text(), capacity in short(), control_port in short(),
         cut_off in prop::collection::vec(text(), 0..3)) -> NodeState {
         NodeState { incarnation, callers, zone, leaving, ready, lease_end, name, gossip, capacity,
-            store_reachable: ready, control_port, issues_permits: ready, cut_off }
+            store_reachable: ready, control_port, issues_permits: ready, cut_off, takes_requests: leaving }
     }
 }
 
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -294,6 +294,9 @@
     /// Services of which it reaches less than half of the endpoints.
     #[prost(string, repeated, tag = "13")]
     pub cut_off: Vec<String>,
+    /// True if it takes requests that other nodes hand on, at its control port.
+    #[prost(bool, tag = "14")]
+    pub takes_requests: bool,
 }
 
 /// An update on a run, which is one request at one endpoint.
