control: keep brittle endpoints within their slots

Cause: nodes did not read `Server-Brittle`, and each sent what it had, so that a burst ended in refusals.

Change: what an endpoint states is learnt and told like its limit of requests, and holds for the whole service, since its engines are brittle together. The issuer of permits hands out no more places there than slots, counting the runs that it knows of all nodes and places that are not used yet. A node that asks says how many runs it has there, which corrects the count if the news of an end was lost. A waiting request may take the place of one of its node that has ended, without an ask, in three of four cases. After a refusal no node sends anything there for a second. Requests wait as for a limit, and are refused at once if that cannot help.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -124,7 +124,7 @@
     let (parts, body) = response.into_parts();
     pass_on_pause(context, &grant, parts.status, &head);
     pass_on_leaving(context, &grant, parts.status, &head);
-    pass_on_limit(exchange, context, &grant, parts.status, &head);
+    pass_on_limits(exchange, context, &grant, parts.status, &head);
     if proves_not_run(parts.status, &head) {
         let end = not_run_reason(parts.status, &head, &grant, exchange);
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, status = parts.status.as_u16(),
@@ -184,9 +184,9 @@
     }
 }
 
-/// Tells the control thread what the endpoint states about its limit. A response that
+/// Tells the control thread what the endpoint states about its limits. A response that
 /// states none counts only if the request was sent under a limit.
-fn pass_on_limit(
+fn pass_on_limits(
     exchange: &Exchange,
     context: &ProxyContext,
     grant: &Grant,
@@ -196,17 +196,22 @@
     if !is_own(grant, status, head) || !(head.signed || head.not_run) {
         return;
     }
-    let limit = match head.limit {
-        LimitStatement::PerSecond(limit) => Some(limit),
-        LimitStatement::Absent if grant.limit.is_some() => None,
-        LimitStatement::Absent => return,
-        LimitStatement::Unreadable => {
-            log::warn!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id; "endpoint states an unreadable limit of requests; ignored");
-            return;
-        }
-    };
-    let endpoint = grant.endpoint.clone();
-    context.handle.send(Event::LimitStated(endpoint, limit));
+    let statements: [(_, _, fn(_, _) -> _); 2] = [
+        (head.limit, grant.limit.is_some(), Event::LimitStated),
+        (head.brittle, grant.is_brittle, Event::BrittlenessStated),
+    ];
+    for (statement, was_known, event) in statements {
+        let limit = match statement {
+            LimitStatement::PerSecond(limit) => Some(limit),
+            LimitStatement::Absent if was_known => None,
+            LimitStatement::Absent => continue,
+            LimitStatement::Unreadable => {
+                log::warn!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id; "endpoint states an unreadable limit; ignored");
+                continue;
+            }
+        };
+        context.handle.send(event(grant.endpoint.clone(), limit));
+    }
 }
 
 /// True if the response proves that the request did not run.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod permit_issuer;
 pub mod permits;
+pub mod places;
 pub mod reach;
 pub mod retry_budget;
 pub mod rollout;
@@ -128,6 +129,8 @@
     pub kv_sink: Option<SocketAddr>,
     /// Limit of the endpoint, if it had stated one.
     pub limit: Option<Limit>,
+    /// True if the endpoint falls over when it has to refuse many requests.
+    pub is_brittle: bool,
     /// Maximum number of connections that this node may keep to the endpoint.
     pub max_connections: usize,
 }
@@ -335,6 +338,9 @@
     /// An endpoint stated in a response how many requests a second it takes; none if it
     /// stated no limit.
     LimitStated(Arc<Endpoint>, Option<f64>),
+    /// An endpoint stated in a response how many refusals a second it bears; none if it
+    /// stated nothing.
+    BrittlenessStated(Arc<Endpoint>, Option<f64>),
     /// The newest record of each key of the operator topic was read.
     OperatorSnapshot(Vec<OperatorUpdate>),
     /// New records of the operator topic.
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -28,6 +28,12 @@
 /// rate.
 const FAILURE_SMOOTHING: f64 = 0.12;
 
+/// Weight of the newest run in the moving average of their duration.
+const RUN_TIME_SMOOTHING: f64 = 0.1;
+
+/// Number of mean durations after which the news of a run's end may be lost.
+const LOST_END_RUNS: f64 = 2.0;
+
 /// Time after the start of a load within which news may still arrive of requests that were
 /// sent before, in ms.
 const NEWS_DELAY_MS: Millis = 100;
@@ -107,6 +113,8 @@
     slowdown: f64,
     /// Time of the last first token.
     first_token_at: Millis,
+    /// Moving average of the duration of complete runs, in ms.
+    run_ms: Option<f64>,
     runs: BTreeMap<RunId, RunningRequest>,
 }
 
@@ -125,6 +133,7 @@
             failure_rate: 0.0,
             slowdown: 1.0,
             first_token_at: 0,
+            run_ms: None,
             runs: BTreeMap::new(),
         }
     }
@@ -292,6 +301,51 @@
         Some(first)
     }
 
+    /// Records how long a run took that ends now, if its response is complete.
+    pub fn record_run_time(&mut self, id: RunId, is_complete: bool, now: Millis) {
+        let Some(run) = self.runs.get(&id).filter(|_| is_complete) else {
+            return;
+        };
+        let took = now.saturating_sub(run.sent_at) as f64;
+        let mean = self.run_ms.unwrap_or(took);
+        self.run_ms = Some(mean + RUN_TIME_SMOOTHING * (took - mean));
+    }
+
+    /// Mean duration of complete runs in ms, if there were any.
+    pub fn mean_run_ms(&self) -> Option<f64> {
+        self.run_ms
+    }
+
+    /// Number of running requests of a node.
+    pub fn running_of(&self, incarnation: u64) -> usize {
+        let nodes = self.runs.keys().filter(|(node, _)| *node == incarnation);
+        nodes.count()
+    }
+
+    /// Removes the oldest runs of a node that says that only `running` of its runs go on:
+    /// the news of their end was lost. It may be on its way for younger runs.
+    pub fn drop_ended_runs_of(&mut self, incarnation: u64, running: usize, now: Millis) {
+        let Some(mean) = self.run_ms else { return };
+        let excess = self.running_of(incarnation).saturating_sub(running);
+        let oldest = now.saturating_sub((LOST_END_RUNS * mean) as Millis);
+        let lost: Vec<RunId> = self
+            .runs
+            .iter()
+            .filter(|((node, _), run)| *node == incarnation && run.sent_at < oldest)
+            .map(|(id, _)| *id)
+            .take(excess)
+            .collect();
+        for id in lost {
+            self.runs.remove(&id);
+        }
+    }
+
+    /// True if it is known to load weights.
+    pub fn is_loading(&self) -> bool {
+        let load = self.load.as_ref();
+        load.is_some_and(|load| load.version.is_some() && !load.is_done())
+    }
+
     /// Records the end of a request. Returns its parts if they were not prefilled.
     pub fn run_ended(&mut self, id: RunId) -> Vec<PartKey> {
         match self.runs.remove(&id) {
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -127,6 +127,12 @@
         self.by_address.get(&address)?.as_ref()?.control()
     }
 
+    /// Returns the incarnation of the node that sends from this address.
+    pub fn incarnation_at(&self, address: SocketAddr) -> Option<u64> {
+        let peer = self.by_address.get(&address)?.as_ref()?;
+        Some(peer.state.incarnation)
+    }
+
     /// Returns the nodes that are alive.
     pub fn alive(&self, now: Millis) -> impl Iterator<Item = &Peer> {
         self.by_address
--- a/crates/gateway/src/control/permits.rs
+++ b/crates/gateway/src/control/permits.rs
@@ -8,7 +8,7 @@
 use crate::endpoint::EndpointKey;
 
 /// Time for which a permit may be used, in ms.
-const PERMIT_TTL_MS: Millis = 250;
+pub const PERMIT_TTL_MS: Millis = 250;
 
 /// Time in which the issuer answers, in ms.
 const ASK_TIMEOUT_MS: Millis = 150;
@@ -98,6 +98,12 @@
         Some(now.saturating_sub(asked_at))
     }
 
+    /// Adds a permit that was not issued, for a request that is sent at this moment.
+    pub fn add_momentary(&mut self, endpoint: EndpointKey, now: Millis) {
+        let holding = self.endpoints.entry(endpoint).or_default();
+        holding.permits.push_front(now + 1);
+    }
+
     /// Gives up asks that were not answered in time. Returns their endpoints.
     pub fn give_up_asks(&mut self, now: Millis) -> Vec<EndpointKey> {
         let mut unanswered = Vec::new();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,5 +1,6 @@
 //! State of the control thread and its event handlers.
 
+mod brittle;
 mod gossip;
 mod handover;
 mod limits;
@@ -16,7 +17,9 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use flamingolock_wire::gossip::{BegunStream, Fault, LoadTimeRecord, NodeState, Reload, Run};
+use flamingolock_wire::gossip::{
+    BegunStream, Fault, FullEndpoint, LoadTimeRecord, NodeState, Reload, Run,
+};
 use tokio::sync::oneshot;
 
 use self::streams::{BuildRecord, StreamRecord};
@@ -37,6 +40,7 @@
 use crate::control::peers::Peers;
 use crate::control::permit_issuer::PermitIssuer;
 use crate::control::permits::Permits;
+use crate::control::places::Places;
 use crate::control::reach::Reach;
 use crate::control::retry_budget::RetryBudget;
 use crate::control::rollout::{Rollout, Task};
@@ -75,6 +79,7 @@
     runs: Vec<Run>,
     reloads: Vec<Reload>,
     faults: Vec<Fault>,
+    full: Vec<FullEndpoint>,
     streams: Vec<BegunStream>,
     load_times: Vec<LoadTimeRecord>,
     nodes: Vec<NodeState>,
@@ -106,6 +111,16 @@
     limits: StatedLimits,
     permits: Permits,
     permit_issuer: PermitIssuer,
+    /// Refusals a second that endpoints bear.
+    brittle: StatedLimits,
+    /// Services of which an endpoint states that it is brittle.
+    brittle_services: BTreeSet<Arc<str>>,
+    /// Brittle endpoints that refused a request, and until when they get none.
+    full_endpoints: BTreeMap<EndpointKey, Millis>,
+    places: Places,
+    /// Brittle endpoint at which a run of this node has just ended, whose place a waiting
+    /// request may take.
+    reusable_place: Option<EndpointKey>,
     /// Time by which the callers that were refused because of limits are asked to return,
     /// by service.
     return_times: BTreeMap<Arc<str>, Millis>,
@@ -125,6 +140,7 @@
     next_run: u64,
     outgoing_runs: Vec<Run>,
     outgoing_faults: Vec<Fault>,
+    outgoing_full: Vec<FullEndpoint>,
     outgoing_reloads: Vec<Reload>,
     outgoing_streams: Vec<BegunStream>,
     outgoing_load_times: Vec<LoadTimeRecord>,
@@ -195,6 +211,11 @@
             limits: StatedLimits::default(),
             permits: Permits::default(),
             permit_issuer: PermitIssuer::default(),
+            brittle: StatedLimits::default(),
+            brittle_services: BTreeSet::new(),
+            full_endpoints: BTreeMap::new(),
+            places: Places::default(),
+            reusable_place: None,
             return_times: BTreeMap::new(),
             suspect_parts: Suspects::new(Subject::Part),
             suspect_requests: Suspects::new(Subject::Request),
@@ -209,6 +230,7 @@
             next_run: 0,
             outgoing_runs: Vec::new(),
             outgoing_faults: Vec::new(),
+            outgoing_full: Vec::new(),
             outgoing_reloads: Vec::new(),
             outgoing_streams: Vec::new(),
             outgoing_load_times: Vec::new(),
@@ -280,6 +302,9 @@
                 }
             }
             Event::LimitStated(endpoint, limit) => self.limit_stated(&endpoint, limit, now),
+            Event::BrittlenessStated(endpoint, refusals) => {
+                self.brittleness_stated(&endpoint, refusals, now);
+            }
             Event::OperatorSnapshot(records) => {
                 let written = self.snapshot_write_time(now);
                 for update in records {
@@ -373,6 +398,7 @@
                 .forget_old(|key| self.fleet.contains_key(&key), now);
             self.ask_unproven();
             self.forget_limits(now);
+            self.forget_brittleness(now);
             for known in self.rollout.load_times.list(now) {
                 let concurrent = known.window as usize;
                 if let Some(expected) = self.rollout.load_times.expected(&known.service) {
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -44,6 +44,8 @@
         heard: split_off(&mut gossip.heard, MAX_DATAGRAM_STATES),
         faults: split_off(&mut gossip.faults, MAX_DATAGRAM_STATES),
         reloads: split_off(&mut gossip.reloads, MAX_DATAGRAM_STATES),
+        brittle: split_off(&mut gossip.brittle, MAX_DATAGRAM_LIMITS),
+        full: split_off(&mut gossip.full, MAX_DATAGRAM_LIMITS),
         ..Gossip::default()
     };
     let is_empty = rest.runs.is_empty()
@@ -53,7 +55,9 @@
         && rest.streams.is_empty()
         && rest.suspects.is_empty()
         && rest.suspect_requests.is_empty()
-        && rest.limits.is_empty();
+        && rest.limits.is_empty()
+        && rest.brittle.is_empty()
+        && rest.full.is_empty();
     (!is_empty).then_some(rest)
 }
 
@@ -135,6 +139,8 @@
             suspects: self.suspect_parts.take_news(now),
             suspect_requests: self.suspect_requests.take_news(now),
             limits: self.limits.take_news(now),
+            brittle: self.brittle.take_news(now),
+            full: std::mem::take(&mut self.outgoing_full),
             load_times: std::mem::take(&mut self.outgoing_load_times),
             ..Gossip::default()
         };
@@ -144,12 +150,13 @@
             && cross_zone.reloads.is_empty()
             && cross_zone.streams.is_empty()
             && cross_zone.nodes.is_empty();
-        if !only_faults || !cross_zone.faults.is_empty() {
+        if !only_faults || !cross_zone.faults.is_empty() || !cross_zone.full.is_empty() {
             let gossip = Gossip {
                 sender: Some(own_state),
                 runs: cross_zone.runs,
                 reloads: cross_zone.reloads,
                 faults: cross_zone.faults,
+                full: cross_zone.full,
                 streams: cross_zone.streams,
                 load_times: cross_zone.load_times,
                 relayed: true,
@@ -212,6 +219,8 @@
             }
         };
         self.merge_limits(&gossip.limits, now);
+        self.merge_brittleness(&gossip.brittle, now);
+        self.merge_full(&gossip.full, now);
         if let Some(request) = gossip.permit_request {
             self.answer_permit_request(from, request, now);
         }
@@ -338,12 +347,14 @@
             }
             self.outgoing_runs.append(&mut runs);
             self.outgoing_faults.extend(gossip.faults);
+            self.outgoing_full.extend(gossip.full);
             self.outgoing_reloads.extend(gossip.reloads);
             self.outgoing_streams.extend(gossip.streams);
             self.outgoing_load_times.extend(gossip.load_times);
         } else if gossip.relayed {
             self.cross_zone.runs.append(&mut runs);
             self.cross_zone.faults.extend(gossip.faults);
+            self.cross_zone.full.extend(gossip.full);
             self.cross_zone.reloads.extend(gossip.reloads);
             self.cross_zone.streams.extend(gossip.streams);
             self.cross_zone.load_times.extend(gossip.load_times);
@@ -362,6 +373,9 @@
             0 => {
                 state.run_sent(run_id, run, now);
                 self.permit_issuer.record_sent(run.endpoint, now);
+                if !run.reuses_place {
+                    self.places.record_sent(run.endpoint);
+                }
                 self.parts.mark_prefilling(run.endpoint, &run.parts, now);
             }
             1 => {
@@ -372,6 +386,7 @@
                 }
             }
             _ => {
+                state.record_run_time(run_id, run.step == 2, now);
                 let unfinished = state.run_ended(run_id);
                 self.parts.clear_prefilling(run.endpoint, &unfinished);
             }
--- a/crates/gateway/src/control/state/limits.rs
+++ b/crates/gateway/src/control/state/limits.rs
@@ -90,7 +90,7 @@
     }
 
     /// Id of an endpoint, for logs.
-    fn id_of(&self, key: EndpointKey) -> &str {
+    pub(super) fn id_of(&self, key: EndpointKey) -> &str {
         let state = self.fleet.get(&key);
         state.map_or("unlisted", |state| &state.endpoint.id)
     }
@@ -125,11 +125,14 @@
 
     /// When this node may ask for a permit for an endpoint, if that is later.
     pub(super) fn closed_until(&self, endpoint: &Endpoint, now: Millis) -> Option<Millis> {
-        self.limits.limit_of(endpoint)?;
-        match self.permits.access(endpoint.key(), now) {
+        if self.limits.limit_of(endpoint).is_none() && !self.is_brittle(endpoint) {
+            return None;
+        }
+        let closed = match self.permits.access(endpoint.key(), now) {
             Access::Closed(until) => Some(until),
             Access::Held | Access::MayAsk | Access::Asked => None,
-        }
+        };
+        closed.max(self.full_until(endpoint, now))
     }
 
     /// Takes a permit for a request to the endpoint if it needs one, or asks for it.
@@ -140,9 +143,10 @@
         now: Millis,
     ) -> PermitStep {
         let endpoint = self.fleet[&key].endpoint.clone();
-        let Some(limit) = self.limits.limit_of(&endpoint) else {
+        let limit = self.limits.limit_of(&endpoint);
+        if limit.is_none() && !self.is_brittle(&endpoint) {
             return PermitStep::Send;
-        };
+        }
         if self.permits.take(key, now) {
             self.metrics.count(EventKind::Permit, "used");
             return PermitStep::Send;
@@ -158,26 +162,30 @@
         &mut self,
         request: &PlacementRequest,
         endpoint: &Endpoint,
-        limit: Limit,
+        limit: Option<Limit>,
         now: Millis,
     ) -> PermitStep {
         let key = endpoint.key();
         let issuer = self.issuer_of(key, now);
         let number = self.permits.begin_ask(key, now);
-        log::info!(request = &*request.id, endpoint = &*endpoint.id, limit = limit.per_second,
-            limit_age_ms = now.saturating_sub(limit.stated_at), issuer:? = issuer; "request needs a permit");
+        log::info!(request = &*request.id, endpoint = &*endpoint.id, limit = limit.map(|limit| limit.per_second),
+            limit_age_ms = limit.map(|limit| now.saturating_sub(limit.stated_at)), issuer:? = issuer; "request needs a permit");
         match issuer {
             Some(Issuer::This) => {
-                let decision = self.decide_permit(key, limit.per_second, now);
+                let per_second = limit.map(|limit| limit.per_second);
+                let decision = self.decide_permit(key, per_second, now);
                 self.permit_answered(key, number, decision, now);
                 PermitStep::SelectAgain
             }
             Some(Issuer::Other(address)) => {
+                let running = self.fleet[&key].running_of(self.incarnation);
                 let gossip = Gossip {
                     limits: self.limits.get(key, now).into_iter().collect(),
+                    brittle: self.brittle.get(key, now).into_iter().collect(),
                     permit_request: Some(PermitRequest {
                         number,
                         endpoint: key,
+                        running: running as u32,
                     }),
                     ..Gossip::default()
                 };
@@ -202,11 +210,21 @@
     fn decide_permit(
         &mut self,
         endpoint: EndpointKey,
-        per_second: f64,
+        per_second: Option<f64>,
         now: Millis,
     ) -> PermitDecision {
         let share = self.peers.share_heard(now);
-        let decision = self.permit_issuer.decide(endpoint, per_second * share, now);
+        let no_place = self.refuse_place(endpoint, now);
+        let decision = match (no_place, per_second) {
+            (Some(refusal), _) => refusal,
+            (None, Some(per_second)) => {
+                self.permit_issuer.decide(endpoint, per_second * share, now)
+            }
+            (None, None) => PermitDecision::Granted,
+        };
+        if decision == PermitDecision::Granted {
+            self.places.hand_out(endpoint, now);
+        }
         let outcome = match decision {
             PermitDecision::Granted => "issued",
             PermitDecision::Wait(_) => "refused",
@@ -224,12 +242,19 @@
     ) {
         let known = self.limits.get(request.endpoint, now);
         let per_second = known.and_then(|limit| limit.per_second);
-        let decision = match per_second {
-            None => PermitDecision::Granted,
-            Some(per_second) if self.issuer_of(request.endpoint, now) == Some(Issuer::This) => {
-                self.decide_permit(request.endpoint, per_second, now)
-            }
-            Some(_) => PermitDecision::Wait(NO_ISSUER_PAUSE_MS),
+        let node = self.peers.incarnation_at(from);
+        let state = self.fleet.get_mut(&request.endpoint);
+        if let (Some(node), Some(state)) = (node, state) {
+            state.drop_ended_runs_of(node, request.running as usize, now);
+        }
+        let state = self.fleet.get(&request.endpoint);
+        let is_brittle = state.is_some_and(|state| self.is_brittle(&state.endpoint));
+        let decision = if per_second.is_none() && !is_brittle {
+            PermitDecision::Granted
+        } else if self.issuer_of(request.endpoint, now) == Some(Issuer::This) {
+            self.decide_permit(request.endpoint, per_second, now)
+        } else {
+            PermitDecision::Wait(NO_ISSUER_PAUSE_MS)
         };
         log::info!(node:% = from, number = request.number, endpoint = self.id_of(request.endpoint), limit = per_second, decision:? = decision;
             "decided on a permit for another node");
@@ -239,6 +264,11 @@
         };
         let gossip = Gossip {
             limits: known.into_iter().collect(),
+            brittle: self
+                .brittle
+                .get(request.endpoint, now)
+                .into_iter()
+                .collect(),
             permit_answer: Some(PermitAnswer {
                 number: request.number,
                 endpoint: request.endpoint,
@@ -324,16 +354,26 @@
     /// all nodes send as much as they are allowed to.
     fn own_interval_ms(&self, service: &str, now: Millis) -> f64 {
         let limits = self.limited_endpoints(service);
-        let per_second: f64 = limits.map(|(_, limit)| limit.per_second).sum();
+        let per_second: f64 = limits.map(|(_, per_second)| per_second).sum();
         let nodes = self.max_nodes_sharing(now) as f64;
         (1_000.0 * nodes / per_second).min(MAX_RETURN_MS as f64)
     }
 
-    fn limited_endpoints(&self, service: &str) -> impl Iterator<Item = (&Endpoint, Limit)> {
+    /// Endpoints of a service that have limits or are brittle, and the requests a second
+    /// that they take.
+    fn limited_endpoints(&self, service: &str) -> impl Iterator<Item = (&Endpoint, f64)> {
         let listed = self.fleet.values().map(|state| &*state.endpoint);
         listed
             .filter(move |endpoint| &*endpoint.service == service && !endpoint.leaving)
-            .filter_map(|endpoint| Some((endpoint, self.limits.limit_of(endpoint)?)))
+            .filter_map(|endpoint| {
+                let limit = self.limits.limit_of(endpoint);
+                let per_second = [
+                    limit.map(|limit| limit.per_second),
+                    self.places_per_second(endpoint),
+                ];
+                let least = per_second.into_iter().flatten().reduce(f64::min)?;
+                Some((endpoint, least))
+            })
     }
 
     /// Forgets limits and permits of endpoints that are gone.
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -129,7 +129,8 @@
             deadline,
             place,
         };
-        if self.limits.count() > 0 && !self.queue.is_empty() {
+        let is_scarce = self.limits.count() > 0 || !self.brittle_services.is_empty();
+        if is_scarce && !self.queue.is_empty() {
             // Those that are more urgent get the next permits.
             self.enqueue(queued);
             self.retry_queued(now);
@@ -371,6 +372,7 @@
                     && !state.endpoint.leaving
                     && self.notices.acceptance(&state.endpoint, now) == Acceptance::Accepts
                     && self.limits.limit_of(&state.endpoint).is_none()
+                    && !self.is_brittle(&state.endpoint)
                     && now >= state.loading_until
                     && now >= state.reserved_until
             })
@@ -413,6 +415,7 @@
             // miss is cheap.
             Some(FetchSource::Store) | None => store.filter(|_| !shared.is_empty()),
         };
+        let reuses_place = self.reusable_place.take_if(|place| *place == key).is_some();
         let run = Run {
             number,
             endpoint: key,
@@ -423,13 +426,15 @@
             is_stored: kv_sink.is_some(),
             node: 0,
             is_long_answer: request.output_tokens >= LONG_ANSWER_TOKENS,
+            reuses_place,
         };
         let endpoint = self.fleet[&key].endpoint.clone();
         let limit = self.limits.limit_of(&endpoint);
+        let is_brittle = self.is_brittle(&endpoint);
         log::info!(request = &*request.id, endpoint = &*endpoint.id, build = &*endpoint.build, run = number, score = estimate.score as i64,
             read_ms = estimate.prefill_ms as i64, weights = estimate.version.unwrap_or(0), tries = request.tried.len(),
             unread = estimate.uncached_tokens, reread = estimate.duplicate_tokens,
-            fetch = kv_source.is_some(), limit = limit.map(|limit| limit.per_second),
+            fetch = kv_source.is_some(), brittle = is_brittle, limit = limit.map(|limit| limit.per_second),
             limit_age_ms = limit.map(|limit| now.saturating_sub(limit.stated_at)); "request placed");
         let run_id = (self.incarnation, number);
         if let Some(state) = self.fleet.get_mut(&key) {
@@ -439,6 +444,9 @@
         self.reach
             .run_sent(&request.service, key, number, (now, due_at));
         self.permit_issuer.record_sent(key, now);
+        if !reuses_place {
+            self.places.record_sent(key);
+        }
         self.parts.mark_prefilling(key, &run.parts, now);
         self.queue_run_update(run, now);
         let salt = estimate
@@ -458,6 +466,7 @@
             kv_source,
             kv_sink,
             limit,
+            is_brittle,
             max_connections: self.max_connections(&request.service, now),
         }
     }
@@ -521,9 +530,12 @@
         model: Option<&str>,
         now: Millis,
     ) {
+        let end = &self.end_at_brittle(endpoint, end, now);
         self.metrics.count(EventKind::RunEnd, end.as_str());
         self.note_run_end(endpoint, number, end, now);
         if let Some(state) = self.fleet.get_mut(&endpoint) {
+            let is_whole = *end == RunEnd::Complete;
+            state.record_run_time((self.incarnation, number), is_whole, now);
             let unfinished = state.run_ended((self.incarnation, number));
             if let (RunEnd::WrongWeights(Some(version)), Some(model)) = (end, model) {
                 state.weights.insert(model.to_owned(), *version);
@@ -552,5 +564,6 @@
             },
             now,
         );
+        self.reuse_place(endpoint, end, now);
     }
 }
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -184,6 +184,7 @@
             suspects: self.suspect_parts.list(now),
             suspect_requests: self.suspect_requests.list(now),
             limits: self.limits.list(now),
+            brittle: self.brittle.list(now),
             load_times: self.rollout.load_times.list(now),
             named_weights: self.rollout.named.list(now),
             relayed: true,
--- a/crates/gateway/src/control/stated_limits.rs
+++ b/crates/gateway/src/control/stated_limits.rs
@@ -1,5 +1,5 @@
-//! Limits that endpoints state in their responses: the requests a second that one takes
-//! from all nodes together, for as long as it says so.
+//! Limits that endpoints state in their responses, for as long as they say so: the requests
+//! a second that one takes from all nodes together, or the refusals a second that it bears.
 //!
 //! Each node keeps what any node was told last by each incarnation of an endpoint.
 
@@ -20,7 +20,7 @@
 /// A limit in force.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
-    /// Requests a second, from all nodes together.
+    /// Requests a second, or refusals, from all nodes together.
     pub per_second: f64,
     /// When the endpoint stated it last, as far as this node knows.
     pub stated_at: Millis,
@@ -31,7 +31,7 @@
 pub struct Statement {
     /// Start time of the incarnation, in Unix milliseconds.
     pub start_time_ms: u64,
-    /// Requests a second; none if it states no limit any more.
+    /// Requests a second, or refusals; none if it states no limit any more.
     pub per_second: Option<f64>,
     /// When it stated so.
     pub at: Millis,
@@ -111,6 +111,15 @@
         })
     }
 
+    /// True if this incarnation of an endpoint stated that it has no limit any more.
+    pub fn is_lifted(&self, endpoint: &Endpoint) -> bool {
+        let known = self.endpoints.get(&endpoint.key());
+        known.is_some_and(|known| {
+            let statement = known.statement;
+            statement.start_time_ms == endpoint.start_time_ms && statement.per_second.is_none()
+        })
+    }
+
     /// Number of endpoints with a limit.
     pub fn count(&self) -> usize {
         let known = self.endpoints.values();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -111,18 +111,20 @@
     pub retry_after: Option<Duration>,
     /// What the endpoint states about its limit of requests.
     pub limit: LimitStatement,
+    /// What the endpoint states about the refusals a second that it bears.
+    pub brittle: LimitStatement,
     /// Keep-alive timeout after which it closes an idle connection.
     pub keep_alive: Option<Duration>,
 }
 
 /// What a response states about the requests that its endpoint takes from all nodes
-/// together.
+/// together, or about those that it can refuse.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum LimitStatement {
     /// Nothing: there is no limit.
     #[default]
     Absent,
-    /// At most this many requests a second; finite and not negative.
+    /// At most this many a second; finite and not negative.
     PerSecond(f64),
     /// Something that is no limit.
     Unreadable,
--- a/crates/gateway/tests/common/fleet.rs
+++ b/crates/gateway/tests/common/fleet.rs
@@ -1,5 +1,5 @@
 //! A fleet of control states that exchange their datagrams in simulated time, with engines
-//! that state limits and load weights, and a store that keeps the lease.
+//! that state limits, are brittle and load weights, and a store that keeps the lease.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -21,6 +21,15 @@
 /// Time from the placement of a request to its response, in ms.
 const RESPONSE_MS: u64 = 40;
 
+/// Time from the placement of a request to its refusal, in ms.
+const REFUSAL_MS: u64 = 2;
+
+/// Slots that the entries of engines state.
+const SLOTS: usize = 64;
+
+/// Time in which the refusals of an engine count together, in ms.
+const REFUSAL_WINDOW_MS: u64 = 1_000;
+
 /// Time of a call to the store or to an engine, in ms.
 const CALL_MS: u64 = 4;
 
@@ -53,6 +62,8 @@
     node: usize,
     grant: Grant,
     end: RunEnd,
+    /// True if the engine runs the request.
+    is_running: bool,
 }
 
 /// End of a call of a node to the store or to an engine.
@@ -73,8 +84,16 @@
 pub struct Engine {
     /// Limit that it states, in requests a second.
     pub limit: Option<f64>,
+    /// Refusals a second that it states to bear.
+    pub brittle: Option<f64>,
+    /// Number of requests that it takes at a time; none if it takes any.
+    pub room: Option<usize>,
+    /// Number of requests that it has taken.
+    pub running: usize,
     /// Times of the requests that reached it.
     pub arrivals: Vec<u64>,
+    /// Times at which it refused requests for want of room.
+    pub refusals: Vec<u64>,
     pub loader: Loader,
 }
 
@@ -82,7 +101,11 @@
     fn new() -> Self {
         Self {
             limit: None,
+            brittle: None,
+            room: None,
+            running: 0,
             arrivals: Vec::new(),
+            refusals: Vec::new(),
             loader: Loader::new(1, 1),
         }
     }
@@ -98,6 +121,17 @@
         counts.max().unwrap_or(0)
     }
 
+    /// Largest number of refusals in a second, of those from `since` on.
+    pub fn most_refusals(&self, since: u64) -> usize {
+        let first = self.refusals.partition_point(|at| *at < since);
+        let refusals = &self.refusals[first..];
+        let counts = refusals.iter().enumerate().map(|(first, from)| {
+            let later = &refusals[first..];
+            later.partition_point(|at| *at < from + REFUSAL_WINDOW_MS)
+        });
+        counts.max().unwrap_or(0)
+    }
+
     /// Number of requests between two times.
     pub fn arrivals_between(&self, from: u64, to: u64) -> usize {
         let times = self.arrivals.iter();
@@ -123,6 +157,10 @@
     pub cut_links: BTreeSet<(usize, EndpointKey)>,
     /// Names of the nodes that took the lease, in order.
     pub lease_records: Vec<String>,
+    /// Time from the placement of a request to its response, in ms.
+    pub response_ms: u64,
+    /// Slots that the entries of engines state.
+    slots: usize,
     calls: BTreeMap<(u64, u64), (usize, Call)>,
     nodes: BTreeMap<usize, Node>,
     network: Network,
@@ -142,6 +180,16 @@
 impl Fleet {
     /// Starts nodes in three zones and engines that all of them list.
     pub fn start(nodes: usize, engines: usize, network: Network, seed: u64) -> Self {
+        Self::start_with_slots(nodes, (engines, SLOTS), network, seed)
+    }
+
+    /// Starts nodes, and engines with this number of slots.
+    pub fn start_with_slots(
+        nodes: usize,
+        (engines, slots): (usize, usize),
+        network: Network,
+        seed: u64,
+    ) -> Self {
         let mut fleet = Self {
             now: 1_000,
             engines: (0..engines)
@@ -154,6 +202,8 @@
             orders: Vec::new(),
             cut_links: BTreeSet::new(),
             lease_records: Vec::new(),
+            response_ms: RESPONSE_MS,
+            slots,
             calls: BTreeMap::new(),
             nodes: BTreeMap::new(),
             network,
@@ -180,7 +230,7 @@
         let mut harness = Harness::with_settings(settings, self.rng.random());
         harness.catalog(1, self.now);
         for engine in 0..self.engines.len() {
-            harness.engine(&format!("e{engine}"), 1, "ready", self.now);
+            harness.engine_with_slots(&format!("e{engine}"), self.slots, self.now);
         }
         let addresses = (0..nodes).map(address).collect();
         harness
@@ -197,6 +247,12 @@
     /// Kills a node.
     pub fn kill(&mut self, number: usize) {
         self.nodes.remove(&number);
+        for response in self.responses.values() {
+            if response.node == number && response.is_running {
+                let engine = self.engines.get_mut(&response.grant.endpoint.key());
+                engine.expect("an engine").running -= 1;
+            }
+        }
         self.responses.retain(|_, response| response.node != number);
     }
 
@@ -212,6 +268,20 @@
         }
     }
 
+    /// Makes all engines state how many refusals a second they bear.
+    pub fn set_brittle(&mut self, refusals: Option<f64>) {
+        for engine in self.engines.values_mut() {
+            engine.brittle = refusals;
+        }
+    }
+
+    /// Sets how many requests each engine takes at a time.
+    pub fn set_room(&mut self, room: usize) {
+        for engine in self.engines.values_mut() {
+            engine.room = Some(room);
+        }
+    }
+
     /// Cuts the links between a node and the first engines.
     pub fn cut_from_engines(&mut self, node: usize, engines: usize) {
         let keys = (0..engines).map(|number| Endpoint::key_of(&format!("e{number}")));
@@ -368,15 +438,18 @@
     /// How the run of a request ends that is sent now, and after how long.
     fn run_end(&self, node: usize, grant: &Grant) -> (RunEnd, u64) {
         let key = grant.endpoint.key();
-        let loader = &self.engines[&key].loader;
+        let engine = &self.engines[&key];
+        let loader = &engine.loader;
         if self.cut_links.contains(&(node, key)) {
             (RunEnd::NeverConnected, CONNECT_TIMEOUT_MS)
         } else if loader.is_loading() {
             (RunEnd::Reloading, CALL_MS)
         } else if grant.weights != Some(loader.weights) {
             (RunEnd::WrongWeights(Some(loader.weights)), CALL_MS)
+        } else if engine.room.is_some_and(|room| engine.running >= room) {
+            (RunEnd::Reloading, REFUSAL_MS)
         } else {
-            (RunEnd::Complete, RESPONSE_MS)
+            (RunEnd::Complete, self.response_ms)
         }
     }
 
@@ -386,8 +459,16 @@
         };
         let grant = &response.grant;
         let key = grant.endpoint.key();
-        let limit = self.engines[&key].limit;
+        let engine = self.engines.get_mut(&key).expect("an engine");
+        let (limit, brittle) = (engine.limit, engine.brittle);
+        if response.is_running {
+            engine.running -= 1;
+        }
         let control = &mut node.harness.control;
+        if brittle.is_some() || grant.is_brittle {
+            let event = Event::BrittlenessStated(grant.endpoint.clone(), brittle);
+            control.handle(event, self.now);
+        }
         if limit.is_some() || grant.limit.is_some() {
             let event = Event::LimitStated(grant.endpoint.clone(), limit);
             control.handle(event, self.now);
@@ -476,14 +557,26 @@
             }
         };
         let (end, delay) = self.run_end(node, &grant);
+        let is_running = end == RunEnd::Complete;
         if end == RunEnd::NeverConnected {
             self.unreached += 1;
         } else {
             let engine = self.engines.get_mut(&grant.endpoint.key());
-            engine.expect("an engine").arrivals.push(self.now);
+            let engine = engine.expect("an engine");
+            engine.arrivals.push(self.now);
+            if is_running {
+                engine.running += 1;
+            } else if delay == REFUSAL_MS {
+                engine.refusals.push(self.now);
+            }
         }
         self.sequence += 1;
-        let response = Response { node, grant, end };
+        let response = Response {
+            node,
+            grant,
+            end,
+            is_running,
+        };
         self.responses
             .insert((self.now + delay, self.sequence), response);
     }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -166,6 +166,13 @@
         self.entry(id, Some(&engine_entry("v1", born, "ready", weights)), now);
     }
 
+    /// Adds an engine with this number of slots.
+    pub fn engine_with_slots(&mut self, id: &str, slots: usize, now: u64) {
+        let entry = engine_entry("v1", 1, "ready", 1);
+        let entry = entry.replace("\"Slots\":64", &format!("\"Slots\":{slots}"));
+        self.entry(id, Some(&entry), now);
+    }
+
     /// Adds an engine of a software version.
     pub fn engine_of_build(&mut self, id: &str, build: &str, now: u64) {
         self.entry(id, Some(&engine_entry(build, 1, "ready", 1)), now);
--- a/crates/gateway/tests/test_odd_messages.rs
+++ b/crates/gateway/tests/test_odd_messages.rs
@@ -9,9 +9,9 @@
 use flamingolock_gateway::dialect::KeyedRecord;
 use flamingolock_gateway::endpoint::Endpoint;
 use flamingolock_wire::gossip::{
-    BegunStream, BuildHistory, CrashRecord, EndpointLimit, Fault, Gossip, ListedBuild,
-    LoadTimeRecord, NodeState, PermitAnswer, PermitRequest, Reload, Run, SuspectRecord,
-    TopicCopyState,
+    BegunStream, BuildHistory, CrashRecord, EndpointLimit, Fault, FullEndpoint, Gossip,
+    ListedBuild, LoadTimeRecord, NamedWeightsRecord, NodeState, PermitAnswer, PermitRequest,
+    Reload, Run, SuspectRecord, TopicCopyState,
 };
 use proptest::prelude::*;
 use prost::Message;
@@ -66,7 +66,8 @@
 prop_compose! {
     fn run()(number in 0..3_u64, endpoint in engine(), step in 0..4_u32, prefill_us in short(), tokens in short(),
         parts in prop::collection::vec(any::<u64>(), 0..3), node in long(), is_long_answer in any::<bool>()) -> Run {
-        Run { number, endpoint, step, prefill_us, tokens, parts, is_stored: is_long_answer, node, is_long_answer }
+        Run { number, endpoint, step, prefill_us, tokens, parts, is_stored: is_long_answer, node, is_long_answer,
+            reuses_place: is_long_answer }
     }
 }
 
@@ -126,9 +127,14 @@
 prop_compose! {
     fn load_news()(runs in prop::collection::vec(run(), 0..4), reloads in prop::collection::vec(reload(), 0..3),
         faults in prop::collection::vec((engine(), short(), any::<bool>()), 0..3),
-        load_times in prop::collection::vec(load_time(), 0..3), limits in prop::collection::vec(limit(), 0..3)) -> Gossip {
+        load_times in prop::collection::vec(load_time(), 0..3), limits in prop::collection::vec(limit(), 0..3),
+        full in prop::collection::vec((engine(), short()), 0..3),
+        named in prop::collection::vec((text(), long(), long(), any::<bool>()), 0..3)) -> Gossip {
         let faults = faults.into_iter().map(|(endpoint, avoid_ms, is_loading)| Fault { endpoint, avoid_ms, is_loading });
-        Gossip { runs, reloads, faults: faults.collect(), load_times, limits, ..Gossip::default() }
+        let full = full.into_iter().map(|(endpoint, pause_ms)| FullEndpoint { endpoint, pause_ms });
+        let named = named.into_iter().map(|(model, version, age_ms, is_assumed)| NamedWeightsRecord { model, version, age_ms, is_assumed });
+        Gossip { runs, reloads, faults: faults.collect(), load_times, brittle: limits.clone(), limits, full: full.collect(),
+            named_weights: named.collect(), ..Gossip::default() }
     }
 }
 
@@ -136,7 +142,7 @@
     fn gossip()(news in load_news(), sender in prop::option::weighted(0.9, node_state()), heard in prop::collection::vec(node_state(), 0..3),
         relayed in any::<bool>(), operator in prop::option::of(copy_state()), endpoints in prop::option::of(copy_state()),
         streams in prop::collection::vec((0..9_u64, text(), short()), 0..3), builds in prop::option::of(history()),
-        suspects in prop::collection::vec(suspect(), 0..3), request in prop::option::of((long(), engine())),
+        suspects in prop::collection::vec(suspect(), 0..3), request in prop::option::of((long(), engine(), short())),
         answer in prop::option::of((0..4_u64, engine(), prop::option::of(short())))) -> Gossip {
         let streams = streams.into_iter().map(|(request, build, age_ms)| BegunStream { request, build, age_ms });
         Gossip {
@@ -144,7 +150,7 @@
             streams: streams.collect(),
             suspect_requests: suspects.clone(),
             suspects,
-            permit_request: request.map(|(number, endpoint)| PermitRequest { number, endpoint }),
+            permit_request: request.map(|(number, endpoint, running)| PermitRequest { number, endpoint, running }),
             permit_answer: answer.map(|(number, endpoint, wait_ms)| PermitAnswer { number, endpoint, wait_ms }),
             ..news
         }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -64,6 +64,12 @@
     /// out of reach.
     #[prost(message, repeated, tag = "24")]
     pub named_weights: Vec<NamedWeightsRecord>,
+    /// What endpoints stated of the refusals a second that they bear, as `limits`.
+    #[prost(message, repeated, tag = "17")]
+    pub brittle: Vec<EndpointLimit>,
+    /// Brittle endpoints that refused a request for want of room.
+    #[prost(message, repeated, tag = "18")]
+    pub full: Vec<FullEndpoint>,
 }
 
 /// A version of a model's weights that the operator named.
@@ -83,6 +89,17 @@
     pub is_assumed: bool,
 }
 
+/// A brittle endpoint that refused a request for want of room.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct FullEndpoint {
+    /// The endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    /// Time for which it gets no request from any node, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub pause_ms: u32,
+}
+
 /// How long the engines of a service take to load weights.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct LoadTimeRecord {
@@ -115,6 +132,9 @@
     /// The endpoint.
     #[prost(fixed64, tag = "2")]
     pub endpoint: u64,
+    /// Number of requests of the node that run there.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
 }
 
 /// Answer of the issuer.
@@ -142,7 +162,8 @@
     /// Start time of the incarnation, in Unix milliseconds.
     #[prost(uint64, tag = "2")]
     pub start_time_ms: u64,
-    /// Requests a second; absent if there is no limit any more.
+    /// Requests a second, or refusals a second that it bears; absent if there is no limit
+    /// any more.
     #[prost(double, optional, tag = "3")]
     pub per_second: Option<f64>,
     /// Time since the endpoint stated it, in milliseconds.
@@ -329,6 +350,10 @@
     /// True if the answer is long enough for pauses within it to be detected.
     #[prost(bool, tag = "8")]
     pub is_long_answer: bool,
+    /// True if it was sent without a permit, in the place of a run of the same node that
+    /// has ended.
+    #[prost(bool, tag = "10")]
+    pub reuses_place: bool,
 }
 
 /// An engine that is reserved for loading weights, or is loading them.
