soak: nodes that are cut off from endpoints

From seed 870 on for six nodes and 924 on for 18, each node has a link to each endpoint, and nodes are cut off in the four ways that links know, from all endpoints or from all but the first engine and application server. Earlier seeds draw what they drew.

Such a node stays in touch.

--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -84,6 +84,8 @@
     pub ended_at: Instant,
     /// HTTP status; 0 when there was no response.
     pub status: u16,
+    /// True when its caller left on purpose.
+    pub abandoned: bool,
     /// True when the status was 200 and the response complete, a stream with all of
     /// its events.
     pub served: bool,
@@ -237,6 +239,7 @@
         sent_at,
         ended_at: sent_at,
         status: 0,
+        abandoned: false,
         served: false,
     };
     let Outcome::Answered(answer) = exchange(&mut connection, request, false).await else {
@@ -360,11 +363,15 @@
         sent_at,
         ended_at: Instant::now(),
         status: 0,
+        abandoned: false,
         served: false,
     };
     let answer = match outcome {
         Outcome::Answered(answer) => answer,
-        Outcome::Abandoned => return (record, false),
+        Outcome::Abandoned => {
+            record.abandoned = true;
+            return (record, false);
+        }
         Outcome::Interrupted { in_time } => {
             check_interruption(cluster, node, id, sent_at, in_time);
             return (record, false);
@@ -419,7 +426,7 @@
     let planned = cluster.any_fault_between(|scope| scope == Scope::Planned(node), sent_at, now);
     let excused = cluster.any_fault_between(
         |scope| {
-            matches!(scope, Scope::Node(index) if index == node)
+            matches!(scope, Scope::Node(index) | Scope::Links(index) if index == node)
                 || matches!(scope, Scope::Endpoint(_) | Scope::Refusals(_))
         },
         sent_at,
--- a/crates/cli/tests/soak/checks.rs
+++ b/crates/cli/tests/soak/checks.rs
@@ -10,7 +10,7 @@
 use crate::entry_site::{Answer, request};
 use crate::soak::callers::RequestRecord;
 use crate::soak::cluster::{Cluster, ENDPOINTS, Scope};
-use crate::soak::limits;
+use crate::soak::{cuts, limits};
 
 /// Time within which every unaffected node must apply a published configuration.
 const CONFIGURATION_DEADLINE: Duration = Duration::from_secs(2);
@@ -69,7 +69,10 @@
 /// Checks that the draining endpoint with this id received no request after
 /// [`DRAIN_DEADLINE`]. One that has taken its place meanwhile has another id. Skipped when a fault affected any node meanwhile, as it may not know of the drain.
 pub fn check_endpoint_drained(cluster: &Cluster, index: usize, id: &str, drain_started: Instant) {
-    if (0..cluster.nodes.len()).any(|node| !cluster.unaffected_since(node, drain_started)) {
+    let is_link = |scope| matches!(scope, Scope::Links(_));
+    if (0..cluster.nodes.len()).any(|node| !cluster.unaffected_since(node, drain_started))
+        || cluster.any_fault_between(is_link, drain_started, Instant::now())
+    {
         return;
     }
     let late = cluster.backends[index]
@@ -104,6 +107,7 @@
         }
     }
     check_executions(cluster, records);
+    cuts::check(cluster, records);
     for index in 0..cluster.backends.len() {
         check_notices(cluster, index, records);
         limits::check(cluster, index, records);
@@ -208,7 +212,7 @@
     }
     let limit = told_by.ended_at + DRAIN_DEADLINE;
     let late = later.iter().find(|(arrival, record)| {
-        record.sent_at > limit && !is_node_excused(cluster, told_by.node, told, arrival)
+        record.sent_at > limit && !may_have_restarted(cluster, told_by.node, told, arrival)
     });
     if let Some((late, _)) = late {
         cluster.record_violation(format!(
@@ -236,8 +240,13 @@
     }
 }
 
-/// True when the node may have restarted or stood still between two arrivals.
+/// True when the node may have restarted, stood still or been cut off between two arrivals.
 pub fn is_node_excused(cluster: &Cluster, node: usize, from: &Arrival, to: &Arrival) -> bool {
+    let is_cut = |scope| scope == Scope::Links(node);
+    may_have_restarted(cluster, node, from, to) || cluster.any_fault_between(is_cut, from.at, to.at)
+}
+
+fn may_have_restarted(cluster: &Cluster, node: usize, from: &Arrival, to: &Arrival) -> bool {
     let concerns = |scope| scope == Scope::Node(node) || scope == Scope::Planned(node);
     cluster.any_fault_between(concerns, from.at, to.at)
 }
@@ -261,9 +270,10 @@
     }
 }
 
-/// True when a fault of the endpoint or its proxy may have delayed one of the orders.
+/// True when a fault of the endpoint, its proxy or a link may have delayed one of the
+/// orders.
 fn is_excused(cluster: &Cluster, index: usize, before: &Order, after: &Order) -> bool {
-    let held_up = |scope| scope == Scope::Endpoint(index);
+    let held_up = |scope| scope == Scope::Endpoint(index) || matches!(scope, Scope::Links(_));
     cluster.any_fault_between(held_up, before.at, after.at)
 }
 
--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -4,10 +4,11 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use flamingolock_platform_standin::{Engine, Store};
+use flamingolock_platform_standin::{Engine, Link, Store};
 use flamingolock_standins::proxy::{self, Handle};
 
 use crate::entry_site::{Node, site_configuration};
+use crate::soak::cuts::WholeCut;
 
 /// Number of nodes. From 18 on one of them, the hub, passes on news.
 fn node_count(seed: u64) -> usize {
@@ -18,6 +19,11 @@
     }
 }
 
+/// True if nodes of the seed are cut off from endpoints. Earlier seeds stay as they were.
+pub fn cuts_links(seed: u64) -> bool {
+    matches!(seed, 870..900 | 924..)
+}
+
 /// First seed whose engines take time to load weights.
 const FIRST_SEED_WITH_LOADS: u64 = 866;
 
@@ -41,6 +47,8 @@
     Store,
     /// One node, or its connections to the store.
     Node(usize),
+    /// The connections of one node to endpoints; the node is in touch otherwise.
+    Links(usize),
     /// One endpoint, or the connections to it.
     Endpoint(usize),
     /// One endpoint refuses requests; its responses arrive as usual.
@@ -79,6 +87,11 @@
     /// The proxy of each node in front of the store.
     pub store_proxies: Vec<Handle>,
     pub backends: Vec<Backend>,
+    /// The links of each node, one to each endpoint; none before the first seed that cuts
+    /// them.
+    pub links: Vec<Vec<Link>>,
+    /// Nodes that were cut off from all endpoints.
+    pub whole_cuts: Mutex<Vec<WholeCut>>,
     pub nodes: Vec<Mutex<Node>>,
     /// Addresses of each node: front listener and directory.
     pub addresses: Vec<(std::net::SocketAddr, std::net::SocketAddr)>,
@@ -116,6 +129,13 @@
     LOAD_TIME_STEP * steps as u32
 }
 
+fn start_links(seed: u64, backends: &[Backend]) -> Vec<Link> {
+    let linked = backends.iter().filter(|_| cuts_links(seed));
+    linked
+        .map(|backend| Link::start(backend.proxy.addr()))
+        .collect()
+}
+
 impl Cluster {
     /// Starts the stand-ins and nodes, and waits until every node has logged every
     /// endpoint.
@@ -153,13 +173,20 @@
         }
         let mut store_proxies = Vec::new();
         let mut nodes = Vec::new();
+        let mut links = Vec::new();
         for index in 0..node_count(seed) {
-            let proxy = proxy::start(loopback, store.address())
+            let own_links = start_links(seed, &backends);
+            let addresses = own_links.iter().zip(&backends);
+            let addresses = addresses
+                .map(|(link, backend)| (backend.proxy.addr(), link.address()))
+                .collect();
+            let proxy = proxy::start(loopback, store.view(addresses))
                 .await
                 .expect("a proxy starts");
             let seeds: Vec<_> = nodes.iter().map(|node: &Node| node.control).collect();
             nodes.push(Node::start(&format!("node-{index}"), proxy.addr(), &seeds));
             store_proxies.push(proxy);
+            links.push(own_links);
         }
         let addresses = nodes
             .iter()
@@ -170,6 +197,8 @@
             store,
             store_proxies,
             backends,
+            links,
+            whole_cuts: Mutex::default(),
             nodes: nodes.into_iter().map(Mutex::new).collect(),
             addresses,
             culprits: tokio::sync::RwLock::default(),
--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -11,8 +11,9 @@
 use tokio::time::sleep;
 
 use crate::soak::checks;
-use crate::soak::cluster::{Backend, Cluster, ENDPOINTS, Scope};
+use crate::soak::cluster::{Backend, Cluster, ENDPOINTS, FAULT_AFTERMATH, Scope, cuts_links};
 use crate::soak::crashes::{self, Culprit};
+use crate::soak::cuts::{self, Cut};
 use crate::soak::limits;
 
 /// Delay longer than any run, so that no byte arrives in the delayed direction.
@@ -62,6 +63,8 @@
     EndpointLimit,
     EngineLimits,
     CrashingRequest,
+    NodeCutFromEndpoints,
+    NodeCutAlone,
 }
 
 impl Disruption {
@@ -115,6 +118,16 @@
         Self::CrashingRequest,
     ];
 
+    /// Drawn as well by seeds that cut links.
+    const CUTS: [Self; 6] = [
+        Self::NodeCutFromEndpoints,
+        Self::NodeCutFromEndpoints,
+        Self::NodeCutFromEndpoints,
+        Self::NodeCutAlone,
+        Self::NodeCutAlone,
+        Self::NodeCutAlone,
+    ];
+
     fn choose(seed: u64, rng: &mut ChaCha8Rng) -> Self {
         let mut all = Self::ALL.to_vec();
         if seed >= FIRST_LATER_SEED {
@@ -123,6 +136,9 @@
         if seed >= FIRST_LATEST_SEED {
             all.extend(Self::LATEST);
         }
+        if cuts_links(seed) {
+            all.extend(Self::CUTS);
+        }
         *all.choose(rng).expect("disruptions")
     }
 }
@@ -161,6 +177,16 @@
                 Disruption::CrashingRequest => {
                     running.spawn(crashes::send(cluster.clone(), Culprit::Request));
                 }
+                Disruption::NodeCutFromEndpoints => {
+                    let cut = *Cut::ALL.choose(rng).expect("cuts");
+                    running.spawn(cut_off(cluster.clone(), index, cut, time));
+                }
+                Disruption::NodeCutAlone => {
+                    let cut = *Cut::ALL.choose(rng).expect("cuts");
+                    await_end(&mut running).await;
+                    sleep(FAULT_AFTERMATH).await;
+                    cut_off(cluster.clone(), index, cut, time).await;
+                }
                 Disruption::EndpointLimit => {
                     running.spawn(limits::state(cluster.clone(), index..index + 1, time));
                 }
@@ -177,10 +203,20 @@
             sleep(Duration::from_millis(rng.random_range(500..4_500))).await;
         }
     }
+    await_end(&mut running).await;
+    (configuration, weights)
+}
+
+async fn await_end(running: &mut tokio::task::JoinSet<()>) {
     while let Some(ended) = running.join_next().await {
         ended.expect("a disruption ends without a panic");
     }
-    (configuration, weights)
+}
+
+async fn cut_off(cluster: Arc<Cluster>, index: usize, cut: Cut, time: Duration) {
+    let node = index % cluster.nodes.len();
+    cluster.record_event(format!("{cut:?} of node {node}"));
+    cuts::cut_off(cluster, node, cut, time).await;
 }
 
 fn publish(cluster: &Arc<Cluster>, version: u64, running: &mut tokio::task::JoinSet<()>) {
@@ -290,7 +326,9 @@
         | Disruption::CrashingPart
         | Disruption::CrashingRequest
         | Disruption::EndpointLimit
-        | Disruption::EngineLimits => {}
+        | Disruption::EngineLimits
+        | Disruption::NodeCutFromEndpoints
+        | Disruption::NodeCutAlone => {}
     }
     cluster.end_fault(fault);
 }
--- a/crates/cli/tests/soak/mod.rs
+++ b/crates/cli/tests/soak/mod.rs
@@ -5,6 +5,7 @@
 mod checks;
 mod cluster;
 mod crashes;
+mod cuts;
 mod disruptions;
 mod limits;
 
--- a/crates/cli/tests/test_soak.rs
+++ b/crates/cli/tests/test_soak.rs
@@ -99,6 +99,20 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// A node whose connections to all endpoints were reset refused its callers.
+#[test]
+fn node_cut_off_from_endpoints_serves_under_random_faults() {
+    let violations = run_seeds(876..877, Duration::from_secs(15));
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
+/// The same among nodes behind a hub.
+#[test]
+fn node_behind_a_hub_that_is_cut_off_from_endpoints_serves_under_random_faults() {
+    let violations = run_seeds(927..928, Duration::from_secs(15));
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 #[test]
 #[ignore = "by hand: seeds and time come from the environment"]
 fn soak_by_hand() {
