gateway: failures that one node tells of do not close endpoints for the others

A node told its own failure to connect as a fault of the endpoint, and each node avoided the endpoint as if the failure were its own. A local observation, that I cannot reach it, was told as a fact about the other side, that it is down.

What other nodes tell now counts if two nodes do, and nobody is known to have had a response from the endpoint since. It never makes a node avoid more than half of a service's endpoints, and a node that tells of more than half is disregarded. Hubs pass on whose failure it was. The roll-out goes by this node's own failures to connect alone, so a rumour, or a full engine, does not keep an engine from its order.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -21,6 +21,7 @@
 pub mod permits;
 pub mod places;
 pub mod reach;
+pub mod reachability;
 pub mod retry_budget;
 pub mod rollout;
 pub mod rollout_status;
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -12,6 +12,7 @@
 use crate::control::RunEnd;
 use crate::control::cache_index::PartKey;
 use crate::control::load_times::Load;
+use crate::control::reachability::Reachability;
 use crate::endpoint::Endpoint;
 
 /// Time from the end of prefill to the first token, in ms.
@@ -106,8 +107,10 @@
     pub load: Option<Load>,
     /// Time until which the engine is reserved for loading weights.
     pub reserved_until: Millis,
-    /// Time until which the endpoint is avoided after failures.
+    /// Time until which the endpoint is avoided after failures of this node's requests.
     pub avoid_until: Millis,
+    /// Who reaches it.
+    pub reachability: Reachability,
     backoff_level: u32,
     failure_rate: f64,
     slowdown: f64,
@@ -129,6 +132,7 @@
             load: None,
             reserved_until: 0,
             avoid_until: 0,
+            reachability: Reachability::default(),
             backoff_level: 0,
             failure_rate: 0.0,
             slowdown: 1.0,
@@ -158,6 +162,11 @@
         newer
     }
 
+    /// True if the endpoint is avoided after failures.
+    pub fn is_avoided(&self, now: Millis) -> bool {
+        now < self.avoid_until || self.reachability.is_told_down(now)
+    }
+
     /// Number of running requests.
     pub fn running(&self) -> usize {
         self.runs.len()
@@ -378,6 +387,15 @@
     /// Updates the health of the endpoint with the outcome of a request. Returns how
     /// long other nodes should avoid the endpoint, if at all, in ms.
     pub fn record_outcome(&mut self, end: &RunEnd, now: Millis) -> Option<Millis> {
+        match end {
+            RunEnd::NeverConnected => self.reachability.failed(now),
+            RunEnd::Complete
+            | RunEnd::ErrorAnswer
+            | RunEnd::Full
+            | RunEnd::Reloading
+            | RunEnd::WrongWeights(_) => self.reachability.answered(now),
+            RunEnd::WrongInstance | RunEnd::Broken | RunEnd::Silent | RunEnd::CallerLeft => {}
+        }
         match end {
             RunEnd::Complete => {
                 self.backoff_level = 0;
--- a/crates/gateway/src/control/fleet/estimate.rs
+++ b/crates/gateway/src/control/fleet/estimate.rs
@@ -173,7 +173,7 @@
 
 impl EndpointState {
     fn health_penalty_ms(&self, now: Millis) -> f64 {
-        let suspect = if now < self.avoid_until {
+        let suspect = if self.is_avoided(now) {
             SUSPECT_MS
         } else {
             0.0
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -362,7 +362,7 @@
                 loads.status.in_flight += 1;
             } else if now < progress.retry_at {
                 loads.status.delayed += 1;
-            } else if now < state.avoid_until {
+            } else if now < state.avoid_until && state.reachability.is_unreached(now) {
                 loads.status.avoided += 1;
             } else {
                 loads.candidates.push(LoadCandidate {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -7,6 +7,7 @@
 mod peer_sync;
 mod placement;
 mod reach;
+mod reachability;
 mod records;
 mod streams;
 mod suspects;
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -272,13 +272,9 @@
             self.apply_reload(reload, now);
         }
         for fault in &gossip.faults {
-            let Some(state) = self.fleet.get_mut(&fault.endpoint) else {
-                continue;
-            };
-            if fault.is_loading {
-                state.refused_while_loading(now);
-            } else {
-                state.avoid_until = state.avoid_until.max(now + Millis::from(fault.avoid_ms));
+            let node = if fault.node == 0 { node } else { fault.node };
+            if node != self.incarnation {
+                self.apply_fault(node, fault, now);
             }
         }
         if self.is_hub {
@@ -341,19 +337,25 @@
                 run.node = node;
             }
         }
+        let mut faults = gossip.faults;
+        for fault in &mut faults {
+            if fault.node == 0 {
+                fault.node = node;
+            }
+        }
         if zone == self.settings.zone {
             if gossip.relayed {
                 return;
             }
             self.outgoing_runs.append(&mut runs);
-            self.outgoing_faults.extend(gossip.faults);
+            self.outgoing_faults.append(&mut faults);
             self.outgoing_full.extend(gossip.full);
             self.outgoing_reloads.extend(gossip.reloads);
             self.outgoing_streams.extend(gossip.streams);
             self.outgoing_load_times.extend(gossip.load_times);
         } else if gossip.relayed {
             self.cross_zone.runs.append(&mut runs);
-            self.cross_zone.faults.extend(gossip.faults);
+            self.cross_zone.faults.append(&mut faults);
             self.cross_zone.full.extend(gossip.full);
             self.cross_zone.reloads.extend(gossip.reloads);
             self.cross_zone.streams.extend(gossip.streams);
@@ -379,6 +381,7 @@
                 self.parts.mark_prefilling(run.endpoint, &run.parts, now);
             }
             1 => {
+                state.reachability.answered_other(now);
                 if let Some(first) = state.first_token(run_id, now) {
                     self.parts
                         .mark_cached(run.endpoint, &first.parts, first.is_stored, now);
@@ -387,6 +390,9 @@
             }
             _ => {
                 state.record_run_time(run_id, run.step == 2, now);
+                if run.step == 2 {
+                    state.reachability.answered_other(now);
+                }
                 let unfinished = state.run_ended(run_id);
                 self.parts.clear_prefilling(run.endpoint, &unfinished);
             }
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -297,7 +297,7 @@
         let is_available = |key: EndpointKey| {
             self.fleet
                 .get(&key)
-                .is_some_and(|state| !state.endpoint.leaving && now >= state.avoid_until)
+                .is_some_and(|state| !state.endpoint.leaving && !state.is_avoided(now))
         };
         let preferred = self.preferred_engine(request, now);
         let mut rng = rand::rng();
@@ -405,7 +405,7 @@
         let is_available = |key: EndpointKey| {
             self.fleet
                 .get(&key)
-                .is_some_and(|state| now >= state.avoid_until && now >= state.loading_until)
+                .is_some_and(|state| !state.is_avoided(now) && now >= state.loading_until)
         };
         let kv_source = match self.parts.fetch_source(shared, key, is_available, now) {
             Some(FetchSource::Engine(source)) => {
@@ -488,6 +488,7 @@
         let Some(state) = self.fleet.get_mut(&endpoint) else {
             return;
         };
+        state.reachability.answered(now);
         if let Some(first) = state.first_token((self.incarnation, number), now) {
             self.parts
                 .mark_cached(endpoint, &first.parts, first.is_stored, now);
@@ -549,6 +550,7 @@
                         endpoint,
                         avoid_ms: avoid_ms as u32,
                         is_loading: *end == RunEnd::Reloading,
+                        node: 0,
                     });
                 }
             }
--- a/crates/gateway/tests/test_rollout_fleet.rs
+++ b/crates/gateway/tests/test_rollout_fleet.rs
@@ -87,28 +87,36 @@
     }
 }
 
-/// One node's links to most engines are cut; the others reach all engines.
+/// Plays nodes whose links to most engines are cut; the others reach all engines.
+fn assert_spread(nodes: usize, engines: usize, cut_nodes: usize, network: Network) {
+    let mut fleet = Fleet::start(nodes, engines, network, 1);
+    fleet.refusals = Some(0);
+    fleet.run(4_000, 300.0);
+    for node in 1..=cut_nodes {
+        fleet.cut_from_engines(node, engines - 1);
+    }
+    fleet.run(2_000, 300.0);
+    let since = fleet.now;
+    fleet.run(6_000, 300.0);
+    let key = Endpoint::key_of(&format!("e{}", engines - 1));
+    let reached = fleet.engines[&key].arrivals_between(since, fleet.now);
+    let all = fleet.engines.values();
+    let all: usize = all
+        .map(|engine| engine.arrivals_between(since, fleet.now))
+        .sum();
+    let share = reached as f64 / all as f64;
+    // The first node gets half of the requests.
+    let even = 1.0 / engines as f64 + 0.5 * cut_nodes as f64 / nodes as f64;
+    assert!(
+        share <= 1.5 * even,
+        "{share} of the requests went to one of {engines} engines; {cut_nodes} of {nodes} nodes cut"
+    );
+}
+
 #[test]
-fn failures_that_one_node_tells_do_not_close_engines_for_the_others() {
-    for (nodes, engines, network) in [(6, 9, SMALL), (20, 60, LARGE)] {
-        let mut fleet = Fleet::start(nodes, engines, network, 1);
-        fleet.refusals = Some(0);
-        fleet.run(4_000, 300.0);
-        fleet.cut_from_engines(1, engines - 1);
-        fleet.run(2_000, 300.0);
-        let since = fleet.now;
-        fleet.run(6_000, 300.0);
-        let key = Endpoint::key_of(&format!("e{}", engines - 1));
-        let reached = fleet.engines[&key].arrivals_between(since, fleet.now);
-        let all = fleet.engines.values();
-        let all: usize = all
-            .map(|engine| engine.arrivals_between(since, fleet.now))
-            .sum();
-        let share = reached as f64 / all as f64;
-        let even = 1.0 / engines as f64 + 0.5 / nodes as f64;
-        assert!(
-            share <= 1.5 * even,
-            "{share} of the requests went to one of {engines} engines; {nodes} nodes"
-        );
+fn failures_that_cut_nodes_tell_do_not_close_engines_for_the_others() {
+    for cut_nodes in [1, 2] {
+        assert_spread(6, 9, cut_nodes, SMALL);
+        assert_spread(20, 60, cut_nodes, LARGE);
     }
 }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -399,4 +399,7 @@
     /// True if it is an engine that refused a request because it is loading weights.
     #[prost(bool, tag = "3")]
     pub is_loading: bool,
+    /// Incarnation of the node whose request failed; 0 for the sender.
+    #[prost(fixed64, tag = "4")]
+    pub node: u64,
 }
