directory: callers are not sent to nodes that are cut off from a service

Each node leaves those that are cut off from a service out of the addresses that callers get, itself too, as long as at least half of the nodes that serve callers are left. If more are cut, all stay in. Readiness stays as it is: such a node serves through others.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -587,15 +587,7 @@
     }
 
     fn publish(&self, now: Millis) {
-        let mut nodes: Vec<(SocketAddr, String)> = self
-            .peers
-            .alive(now)
-            .filter(|peer| peer.state.ready && !peer.state.leaving)
-            .map(|peer| (peer.callers, peer.state.zone.clone()))
-            .collect();
-        if self.shutdown_at.is_none() && self.catalog.is_some() {
-            nodes.push((self.settings.callers, self.settings.zone.clone()));
-        }
+        let mut nodes = self.nodes_for_callers(now);
         nodes.sort();
         let before = self.view.load();
         if before.nodes != nodes {
--- a/crates/gateway/src/control/state/reach.rs
+++ b/crates/gateway/src/control/state/reach.rs
@@ -1,6 +1,7 @@
 //! This node's paths to endpoints: probes, and the belief that it is cut off from a service.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use flamingolock_wire::gossip::Run;
@@ -168,9 +169,35 @@
             log::info!(services = elsewhere.len(), before = self.cut_services.len();
                 "services that only other nodes reach changed");
             self.cut_services = elsewhere;
+            self.publish(now);
         }
     }
 
+    /// Address and zone of each node that callers may use. Nodes that are cut off from a
+    /// service are left out as long as at least half of all are left.
+    pub(super) fn nodes_for_callers(&self, now: Millis) -> Vec<(SocketAddr, String)> {
+        let others = self
+            .peers
+            .alive(now)
+            .filter(|peer| peer.state.ready && !peer.state.leaving)
+            .map(|peer| {
+                let is_cut = !peer.state.cut_off.is_empty();
+                (is_cut, (peer.callers, peer.state.zone.clone()))
+            });
+        let is_serving = self.shutdown_at.is_none() && self.catalog.is_some();
+        let own = is_serving.then(|| {
+            let is_cut = !self.reach.cut_services().is_empty();
+            (is_cut, (self.settings.callers, self.settings.zone.clone()))
+        });
+        let all: Vec<(bool, (SocketAddr, String))> = others.chain(own).collect();
+        let reaching = all.iter().filter(|(is_cut, _)| !is_cut).count();
+        let leaves_out = reaching * 2 >= all.len();
+        all.into_iter()
+            .filter(|(is_cut, _)| !(*is_cut && leaves_out))
+            .map(|(_, node)| node)
+            .collect()
+    }
+
     /// Other nodes that serve callers and have not said that they are cut off from the
     /// service.
     pub(super) fn nodes_reaching(&self, service: &str, now: Millis) -> impl Iterator<Item = &Peer> {
--- a/crates/gateway/tests/test_handovers.rs
+++ b/crates/gateway/tests/test_handovers.rs
@@ -131,3 +131,37 @@
     let mut harness = cut_node(&[cut]);
     assert!(place(&mut harness, 1).is_ok());
 }
+
+/// Last bytes of the addresses that callers get; 1 of 127.0.0.1 stands for this node.
+fn addresses(harness: &mut Harness, now: u64) -> Vec<u8> {
+    harness.effects(now);
+    let view = harness.view.load();
+    let addresses = view.nodes.iter().map(|(address, _)| address.ip());
+    let ips = addresses.filter_map(|ip| match ip {
+        std::net::IpAddr::V4(ip) => Some(ip.octets()[3]),
+        std::net::IpAddr::V6(_) => None,
+    });
+    ips.collect()
+}
+
+fn cut(mut state: NodeState) -> NodeState {
+    state.cut_off = vec!["engines".to_owned()];
+    state
+}
+
+#[test]
+fn callers_are_not_sent_to_cut_nodes_while_half_of_all_are_left() {
+    let others = [2, 3, 4].map(|number| node(number, "zone-a"));
+    let mut harness = cut_node(&others);
+    assert_eq!(addresses(&mut harness, 400), [2, 3, 4]);
+    hear(&mut harness, cut(node(4, "zone-a")), 500);
+    assert_eq!(addresses(&mut harness, 700), [2, 3]);
+    hear(&mut harness, cut(node(3, "zone-a")), 800);
+    assert_eq!(addresses(&mut harness, 1_000), [2, 3, 4, 1]);
+}
+
+#[test]
+fn callers_are_sent_to_all_nodes_if_all_are_cut() {
+    let mut harness = cut_node(&[cut(node(2, "zone-a"))]);
+    assert_eq!(addresses(&mut harness, 400), [2, 1]);
+}
