streams: remember a stream under the timeout under which it began

After a configuration with a shorter timeout, and the planned stop of the node that streams had begun at, callers that took them up at other nodes were told 503 though engines of their version served (LOST).

Cause: how long a stream is remembered followed from the longest timeout of the configuration in force. The streams that had begun under a longer one were forgotten while their callers could still come back.

The time of each configuration that was replaced now holds for as long as the last of its streams may be taken up. A node that starts after the change does not know the earlier configuration, so it still forgets by the new one; nor does the time follow a caller's deadline beyond the route's timeout.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -23,7 +23,7 @@
 };
 use tokio::sync::oneshot;
 
-use self::streams::{BuildRecord, StreamRecord};
+use self::streams::{BuildRecord, FormerMemory, StreamRecord};
 use self::suspects::SuspectsRecord;
 use crate::catalog::Catalog;
 use crate::clock::Millis;
@@ -130,6 +130,8 @@
     suspects_record: SuspectsRecord,
     parts: CacheIndex,
     streams: BegunStreams,
+    /// How long streams of earlier configurations are remembered.
+    former_memories: Vec<FormerMemory>,
     listed_builds: ListedBuilds,
     build_record: BuildRecord,
     stream_record: StreamRecord,
@@ -225,6 +227,7 @@
             build_record: BuildRecord::default(),
             stream_record: StreamRecord::default(),
             streams: BegunStreams::default(),
+            former_memories: Vec::new(),
             peers: Peers::default(),
             rollout: Rollout::new(weights_bound),
             queue: VecDeque::new(),
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -56,6 +56,15 @@
     appended: Option<(BuildHistory, Millis)>,
 }
 
+/// How long streams are remembered that began under a configuration that was replaced.
+#[derive(Clone, Copy, Debug)]
+pub struct FormerMemory {
+    /// Time for which their callers may resume them, in ms.
+    memory: Millis,
+    /// Time at which the last of them is forgotten.
+    until: Millis,
+}
+
 impl Control {
     /// Handles the record that the node found when it started.
     pub(super) fn builds_read(&mut self, recorded: BuildHistory, now: Millis) {
@@ -155,7 +164,7 @@
     /// True if the software version that began a stream is not clear from the versions of
     /// the endpoints alone.
     fn serves_several_builds(&self, now: Millis) -> bool {
-        let since = now.saturating_sub(self.stream_memory());
+        let since = now.saturating_sub(self.stream_memory(now));
         let listed = || self.fleet.values().map(|state| &*state.endpoint);
         let services = listed().filter(|endpoint| !endpoint.weights.is_empty());
         let services: BTreeSet<&Arc<str>> = services.map(|endpoint| &endpoint.service).collect();
@@ -215,7 +224,7 @@
         if self.is_recovering(now) || !self.knows_entries(now) {
             return None;
         }
-        let since = now.saturating_sub(self.stream_memory());
+        let since = now.saturating_sub(self.stream_memory(now));
         let listed = self.fleet.values().map(|state| &*state.endpoint);
         let sole = self.listed_builds.sole_build(service, listed, since)?;
         let begun = self.streams.builds();
@@ -223,15 +232,34 @@
     }
 
     /// Time in ms for which a caller may resume a stream.
-    pub(super) fn stream_memory(&self) -> Millis {
+    pub(super) fn stream_memory(&self, now: Millis) -> Millis {
+        let former = self.former_memories.iter();
+        let former = former.filter(|former| now < former.until);
+        let longest = former.map(|former| former.memory).max().unwrap_or(0);
+        longest.max(self.catalog_memory())
+    }
+
+    /// The same under the configuration in force alone.
+    fn catalog_memory(&self) -> Millis {
         let catalog = self.catalog.as_ref();
         let longest = catalog.map_or(Duration::ZERO, |catalog| catalog.routes.longest_stream());
         longest.as_millis() as Millis + RESUME_MARGIN_MS
     }
 
+    /// Records that the configuration in force is about to be replaced: the streams that
+    /// began under it keep their timeouts.
+    pub(super) fn keep_stream_memory(&mut self, now: Millis) {
+        let memory = self.catalog_memory();
+        self.former_memories.retain(|former| now < former.until);
+        self.former_memories.push(FormerMemory {
+            memory,
+            until: now + memory,
+        });
+    }
+
     /// Forgets the streams and software versions that no caller can resume any more.
     pub(super) fn forget_streams(&mut self, now: Millis) {
-        let oldest = now.saturating_sub(self.stream_memory());
+        let oldest = now.saturating_sub(self.stream_memory(now));
         self.streams.forget_before(oldest);
         self.listed_builds.forget_before(oldest);
     }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -115,6 +115,18 @@
             .handle(Event::OperatorRecords(vec![update(record)]), now);
     }
 
+    /// Adds a configuration with one route, whose streams may be resumed.
+    pub fn stream_catalog(&mut self, version: u64, timeout_ms: u64, now: u64) {
+        let text = format!(
+            r#"{{"Version":{version},"Routes":[{{"Name":"r","Host":"a.example","PathPrefix":"/a/","Kind":"stream",
+            "Resumable":true,"TimeoutMs":{timeout_ms},"TargetLatencyMs":300,"Service":"engines"}}],"Services":[{{
+            "Name":"engines","MaxConns":100,"Engine":{{"KvCapacityTokens":100000,"TokenKvBytes":1000,"LinkMbps":10000.0}}}}]}}"#
+        );
+        let record = self.record("op/config", Some(&text));
+        self.control
+            .handle(Event::OperatorRecords(vec![update(record)]), now);
+    }
+
     /// Adds a configuration with a thousand routes.
     pub fn large_catalog(&mut self, version: u64, now: u64) {
         let routes: Vec<_> = (0..1_000)
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -244,6 +244,25 @@
     assert_eq!(refusal, Some(Refusal::UnknownBuild));
 }
 
+#[test]
+fn stream_is_remembered_under_the_timeout_under_which_it_began() {
+    let mut harness = with_engines(&["v1", "v2"]);
+    harness.stream_catalog(2, 15_000, 10);
+    harness.datagram(9, streams(&[begun("r", "v1")]), 20);
+    harness.stream_catalog(3, 4_000, 1_000);
+    harness.stream_catalog(4, 3_000, 8_000);
+    let ticks = |harness: &mut Harness, from: u64, to: u64| {
+        for now in (from..to).step_by(500) {
+            harness.control.tick(now);
+        }
+    };
+    ticks(&mut harness, 8_500, 15_000);
+    assert_eq!(build_of(resume(&mut harness, "r", 15_000)), "v1");
+    ticks(&mut harness, 15_500, 21_500);
+    let refusal = resume(&mut harness, "r", 21_500).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
+
 #[test]
 fn node_tells_the_others_of_its_streams() {
     let mut harness = with_engines(&["v1"]);
