gateway: the lease holder ignores its own news of loads

A hub passes news of its zone on to all nodes of the zone, the sender too. While an order is on its way the news names the weights that the engine still has; when it came back after the order was accepted, it replaced the load that the holder had begun, and the next report, with the old weights, seemed to end it.

--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -268,8 +268,11 @@
                 self.apply_peer_run(node, run, now);
             }
         }
-        for reload in &gossip.reloads {
-            self.apply_reload(reload, now);
+        // The holder's own news comes back through its hub, and is older than what it knows.
+        if !self.lease.held_by_me() {
+            for reload in &gossip.reloads {
+                self.apply_reload(reload, now);
+            }
         }
         for fault in &gossip.faults {
             let node = if fault.node == 0 { node } else { fault.node };
--- a/crates/gateway/tests/common/fleet.rs
+++ b/crates/gateway/tests/common/fleet.rs
@@ -151,6 +151,8 @@
     pub refusals: Option<usize>,
     /// Number of requests that met a link that was cut.
     pub unreached: usize,
+    /// Number of orders that reached engines.
+    pub orders_sent: usize,
     /// Orders that engines accepted.
     pub orders: Vec<AcceptedOrder>,
     /// Nodes and engines that do not reach each other.
@@ -199,6 +201,7 @@
             returns: Vec::new(),
             refusals: None,
             unreached: 0,
+            orders_sent: 0,
             orders: Vec::new(),
             cut_links: BTreeSet::new(),
             lease_records: Vec::new(),
@@ -410,6 +413,7 @@
                 (CONNECT_TIMEOUT_MS, unsent)
             }
             Effect::SendOrder(order) => {
+                self.orders_sent += 1;
                 let engine = self.engines.get_mut(&order.engine.key());
                 let outcome = engine.expect("an engine").loader.order(&order);
                 if outcome == OrderOutcome::Accepted {
