gateway: news of a refusal tells when in the load the engine refused

The lease holder put a refusal that another node told of down to the moment at which the news arrived. Through hubs, or at a holder with little processor time, that is later by a good part of a load of 0.3 s, and a tenth longer than usual already counts as slowed. The news now carries the time since the start of the load as the other node knew it, which is never too long.

The test does not compile without the change.

--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -261,6 +261,13 @@
         !is_loading && self.waiting(now) > 0
     }
 
+    /// Time since the start of the load in progress, in ms; 0 if none is known.
+    pub fn busy_ms(&self, now: Millis) -> Millis {
+        let load = self.load.as_ref().filter(|load| !load.is_done());
+        let load = load.filter(|load| load.version.is_some());
+        load.map_or(0, |load| load.elapsed(now))
+    }
+
     /// Number of requests that wait for their first token, as far as is known.
     fn waiting(&self, now: Millis) -> usize {
         let waits =
@@ -268,13 +275,14 @@
         self.runs.values().filter(waits).count()
     }
 
-    /// Records that the engine refused a request because it is loading weights. Returns how
-    /// long it gets no others, in ms.
-    pub fn refused_while_loading(&mut self, now: Millis) -> Millis {
+    /// Records that the engine refused a request because it is loading weights, `busy_ms`
+    /// after the start of its load; none if that is now. Returns how long it gets no others, in
+    /// ms.
+    pub fn refused_while_loading(&mut self, busy_ms: Option<Millis>, now: Millis) -> Millis {
         let known = self.load.take().filter(|load| !load.is_done());
         let mut load = known.unwrap_or_else(|| Load::new(None, 0, now));
         let elapsed = load.elapsed(now);
-        load.saw_busy(elapsed);
+        load.saw_busy(busy_ms.unwrap_or(elapsed).min(elapsed));
         let rechecks = match load.version {
             Some(_) => RECHECKS_PER_LOAD,
             None => RECHECKS_PER_UNKNOWN_LOAD,
@@ -427,10 +435,10 @@
                 self.avoid_until = self.avoid_until.max(now + FULL_MS);
                 None
             }
-            RunEnd::Reloading => Some(self.refused_while_loading(now)),
+            RunEnd::Reloading => Some(self.refused_while_loading(None, now)),
             RunEnd::WrongWeights(version) => {
                 if version.is_none() {
-                    self.refused_while_loading(now);
+                    self.refused_while_loading(None, now);
                 }
                 None
             }
--- a/crates/gateway/src/control/state/reachability.rs
+++ b/crates/gateway/src/control/state/reachability.rs
@@ -17,7 +17,8 @@
             return;
         };
         if fault.is_loading {
-            state.refused_while_loading(now);
+            // The news may be old by now: it tells of the time at which it was written.
+            state.refused_while_loading(Some(fault.busy_ms.into()), now);
             return;
         }
         let until = now + Millis::from(fault.avoid_ms);
--- a/crates/gateway/tests/test_load_times.rs
+++ b/crates/gateway/tests/test_load_times.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
+use flamingolock_gateway::control::fleet::EndpointState;
 use flamingolock_gateway::control::load_times::{FleetLoad, Load, LoadTimes};
+use flamingolock_gateway::endpoint::Endpoint;
 use flamingolock_wire::gossip::LoadTimeRecord;
 use proptest::prelude::*;
 
@@ -129,6 +131,26 @@
     assert_eq!(times.max_concurrent(SERVICE, 12), 2);
 }
 
+/// The engine refused the request 300 ms after the start of the load.
+#[test]
+fn late_news_of_a_refusal_does_not_make_a_load_seem_longer() {
+    let mut state = EndpointState::new(Endpoint {
+        id: "e".into(),
+        start_time_ms: 1,
+        heartbeat: None,
+        service: SERVICE.into(),
+        address: ([10, 0, 0, 1], 80).into(),
+        build: "v1".into(),
+        zone: "a".to_owned(),
+        slots: 8,
+        leaving: false,
+        weights: [("m".to_owned(), 1)].into(),
+    });
+    state.load = Some(load(20, 0));
+    state.refused_while_loading(Some(300), 900);
+    assert_eq!(state.load.map(|load| load.busy_ms), Some(300));
+}
+
 #[test]
 fn loads_whose_start_is_not_known_teach_nothing() {
     let service: Arc<str> = SERVICE.into();
--- a/crates/gateway/tests/test_odd_messages.rs
+++ b/crates/gateway/tests/test_odd_messages.rs
@@ -130,7 +130,7 @@
         load_times in prop::collection::vec(load_time(), 0..3), limits in prop::collection::vec(limit(), 0..3),
         full in prop::collection::vec((engine(), short()), 0..3),
         named in prop::collection::vec((text(), long(), long(), any::<bool>()), 0..3)) -> Gossip {
-        let faults = faults.into_iter().map(|(endpoint, avoid_ms, is_loading)| Fault { endpoint, avoid_ms, is_loading, node: endpoint % 4 });
+        let faults = faults.into_iter().map(|(endpoint, avoid_ms, is_loading)| Fault { endpoint, avoid_ms, is_loading, node: endpoint % 4, busy_ms: avoid_ms });
         let full = full.into_iter().map(|(endpoint, pause_ms)| FullEndpoint { endpoint, pause_ms });
         let named = named.into_iter().map(|(model, version, age_ms, is_assumed)| NamedWeightsRecord { model, version, age_ms, is_assumed });
         Gossip { runs, reloads, faults: faults.collect(), load_times, brittle: limits.clone(), limits, full: full.collect(),
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -402,4 +402,8 @@
     /// Incarnation of the node whose request failed; 0 for the sender.
     #[prost(fixed64, tag = "4")]
     pub node: u64,
+    /// Time since the start of the load that the refusal speaks of, in milliseconds; 0 if the
+    /// node knows of none.
+    #[prost(uint32, tag = "5")]
+    pub busy_ms: u32,
 }
