attempt: half of an unframed body is not whole because its server is back

A caller got half of an answer as a whole one (MIXED): an application server crashed in the middle of an answer without a length, behind a cut or while the node stood still, and was back under its id when the end of the connection reached the node.

Cause: an answer that ends with its connection counts as whole if its endpoint still runs, and that was asked after the end, over a new connection. A server that states no start time answers that in its next life as well.

The second connection is now opened as soon as the answer begins, and asked after the end: it does not outlive the server. It proves nothing if it was opened after a restart: such an answer counts as broken off if the process stood still since the request was sent, or if the answer began later than 3.5 times the latency target after that. Engines state their start time, which decides as before; so do streams. No more connections than before.

Cost: answers without a length, of servers that state no start time, that begin so late or while the node stood still are answered 502.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,8 +9,9 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout, timeout_at};
 
-use crate::body_end;
+use crate::body_end::Witness;
 use crate::catalog::RequestKind;
+use crate::clock::{Millis, now};
 use crate::control::notices::Notice;
 use crate::control::{Event, Grant, RunEnd};
 use crate::dialect::{EndpointHead, LimitStatement, ResponseHead};
@@ -58,6 +59,8 @@
     body: Incoming,
     connection: Connection,
     head: ResponseHead,
+    /// When the request was sent.
+    sent_at: Millis,
 }
 
 /// A response whose body was read to its end.
@@ -103,6 +106,7 @@
     let first_byte_deadline =
         first_byte_timeout.map_or(exchange.deadline, |timeout| Instant::now() + timeout);
     let limit = first_byte_deadline.min(exchange.deadline);
+    let sent_at = now();
     let sent = timeout_at(limit, send(exchange, context, &grant, resume_after)).await;
     let (response, mut connection) = match sent {
         Ok(Ok(sent)) => sent,
@@ -147,6 +151,7 @@
         body,
         connection,
         head,
+        sent_at,
     };
     if response.parts.status.is_success() && exchange.route.kind == RequestKind::Stream {
         return open_stream(exchange, grant, guard, response, limit).await;
@@ -352,6 +357,7 @@
         mut body,
         mut connection,
         head,
+        ..
     } = response;
     connection.set_keep_alive(head.keep_alive);
     let first = match timeout_at(limit, first_chunk(&mut body)).await {
@@ -409,8 +415,11 @@
         body,
         mut connection,
         head,
+        sent_at,
     } = response;
     let has_body = !body.is_end_stream();
+    let target = exchange.route.target;
+    let witness = Witness::open(&parts.headers, &grant.endpoint, sent_at, target);
     let collected = timeout_at(
         exchange.deadline,
         Limited::new(body, MAX_BUFFERED_BYTES).collect(),
@@ -429,9 +438,11 @@
             return AttemptOutcome::DeadlineExceeded;
         }
     };
-    if has_body
-        && let Err(cause) =
-            body_end::check(context.dialect, &grant.endpoint, &parts.headers, 0).await
+    if let Some(witness) = witness
+        && has_body
+        && let Err(cause) = witness
+            .check(context.dialect, &grant.endpoint, &context.handle)
+            .await
     {
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
             fingerprint = exchange.fingerprint().as_str(), error:% = cause; "response body failed");
--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -1,12 +1,24 @@
 //! Whether the end of a response's body, as its connection reports it, is that of the
 //! response.
 
+use std::time::Duration;
+
 use http::HeaderMap;
+use tokio::task::JoinHandle;
 
+use crate::clock::{Millis, now};
+use crate::control::Handle;
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
-use crate::http_client::BodyFraming;
-use crate::orders;
+use crate::http_client::{BodyFraming, CallError, Connection};
+use crate::orders::{self, Liveness};
+
+/// Timeout for opening a second connection to an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Multiple of the route's latency target from the sending of a request, after which the
+/// head of its response may have been held up until after a restart of the endpoint.
+const MAX_HEAD_TARGETS: f64 = 3.5;
 
 /// Why a body that ended without an error of its connection is not whole.
 #[derive(Debug, thiserror::Error)]
@@ -17,9 +29,75 @@
     /// Nothing marks its end, and the endpoint no longer responds or has restarted.
     #[error("its end is not marked and its endpoint no longer runs")]
     EndpointGone,
+    /// Nothing marks its end, and the endpoint may have restarted while the process stood
+    /// still.
+    #[error("its end is not marked and the process stood still")]
+    StoodStill,
+    /// Nothing marks its end, and it began so late that the endpoint may have restarted
+    /// before.
+    #[error("its end is not marked and it began late")]
+    BegunLate,
+}
+
+/// A second connection to the endpoint of a response whose end nothing marks, opened as
+/// soon as the response begins. It does not outlive the endpoint, so it shows whether the
+/// endpoint was still there at the end, also if that end was held up until after a restart.
+#[derive(Debug)]
+pub struct Witness {
+    connection: JoinHandle<Result<Connection, CallError>>,
+    /// When the request was sent.
+    sent_at: Millis,
+    /// True if the response began late.
+    is_late: bool,
+}
+
+impl Witness {
+    /// Opens the connection if the end of this response, which has just begun, is not
+    /// marked. `target` is the latency target of its route.
+    pub fn open(
+        headers: &HeaderMap,
+        endpoint: &Endpoint,
+        sent_at: Millis,
+        target: Duration,
+    ) -> Option<Self> {
+        if BodyFraming::of(headers) != BodyFraming::UntilClose {
+            return None;
+        }
+        let took_ms = now().saturating_sub(sent_at) as f64;
+        Some(Self {
+            connection: tokio::spawn(Connection::open(endpoint.address, CONNECT_TIMEOUT)),
+            sent_at,
+            is_late: took_ms > target.as_millis() as f64 * MAX_HEAD_TARGETS,
+        })
+    }
+
+    /// Checks that the endpoint has outlived its response.
+    ///
+    /// # Errors
+    ///
+    /// If it has not, or that cannot be told.
+    pub async fn check(
+        self,
+        dialect: &Dialect,
+        endpoint: &Endpoint,
+        handle: &Handle,
+    ) -> Result<(), EarlyEnd> {
+        let Ok(Ok(connection)) = self.connection.await else {
+            return Err(EarlyEnd::EndpointGone);
+        };
+        match orders::liveness(dialect, endpoint, Some(connection)).await {
+            Liveness::Gone => Err(EarlyEnd::EndpointGone),
+            // The connection may have been opened after a restart in these cases.
+            Liveness::Responds if self.is_late => Err(EarlyEnd::BegunLate),
+            Liveness::Responds if handle.may_have_stood_still(self.sent_at).await => {
+                Err(EarlyEnd::StoodStill)
+            }
+            Liveness::Same | Liveness::Responds => Ok(()),
+        }
+    }
 }
 
-/// Checks that a body is whole, given the headers of its response and the number of bytes
+/// Checks that the body of a stream is whole, given the headers of its response and the number of bytes
 /// after its last complete event.
 ///
 /// # Errors
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -408,6 +408,8 @@
     PeerSyncReceived(Box<Copies>),
     /// The fetch of copies ended without any.
     PeerSyncFailed,
+    /// Asks whether the process stood still at some time since then.
+    StallAsked(Millis, oneshot::Sender<bool>),
     /// The node began its shutdown.
     ShutdownStarted,
     /// Stops the thread.
@@ -493,6 +495,13 @@
         self.send(Event::Place(Box::new(request), sender));
         receiver.await.unwrap_or(Err(Refusal::NoEndpoint))
     }
+
+    /// True if the process may have stood still at some time since then.
+    pub async fn may_have_stood_still(&self, since: Millis) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        self.send(Event::StallAsked(since, sender));
+        receiver.await.unwrap_or(true)
+    }
 }
 
 /// Starts the control thread, which sends its effects to `effects`.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -361,6 +361,7 @@
                 // The other node may have disconnected in the meantime.
                 let _ = reply.send(self.offer_copies(&request, now));
             }
+            Event::StallAsked(since, reply) => self.tell_stall(since, reply),
             Event::PeerSyncReceived(copies) => self.apply_copies(*copies, now),
             Event::PeerSyncFailed => self.fetch_failed(now),
             Event::ShutdownStarted => {
@@ -499,6 +500,13 @@
         }
     }
 
+    /// Tells a request whether the process stood still at some time since then.
+    fn tell_stall(&self, since: Millis, reply: oneshot::Sender<bool>) {
+        let (_, resumed_at) = self.last_stall;
+        // The request may have ended in the meantime.
+        let _ = reply.send(resumed_at > 0 && resumed_at >= since);
+    }
+
     /// Marks the loads in progress, whose end this process has not seen in time.
     fn mark_loads_unwatched(&mut self) {
         let loads = self
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -266,6 +266,30 @@
     }
 }
 
+/// Sends a request over this connection and no other, and reads the whole response.
+///
+/// # Errors
+///
+/// If the connection has closed, or no complete response arrives within the limits.
+pub async fn call_over(
+    mut connection: Connection,
+    request: Request<Bytes>,
+    limits: CallLimits,
+) -> Result<Response<Bytes>, CallError> {
+    let mut received = 0;
+    let whole = async {
+        let response = connection.send(request.map(Full::new)).await?;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, limits.bytes);
+        let body = collect(body, limits.stall, &mut received).await?;
+        Ok(Response::from_parts(parts, body))
+    };
+    match timeout(limits.whole, whole).await {
+        Ok(response) => response,
+        Err(_) => Err(CallError::Timeout { received }),
+    }
+}
+
 /// Sends a request on an idle connection, or on a new one if there is none.
 async fn send(
     idle: Option<Connection>,
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -13,7 +13,7 @@
 use crate::control::{Event, Handle};
 use crate::dialect::{Dialect, EngineReport, OrderOutcome, WeightsOrder};
 use crate::endpoint::{Endpoint, EndpointKey};
-use crate::http_client::{CallError, CallLimits, Connection, call};
+use crate::http_client::{CallError, CallLimits, Connection, call, call_over};
 
 /// Timeout of a call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -66,34 +66,57 @@
     handle.send(Event::EngineReported(engine.key(), report));
 }
 
-/// True if the endpoint responds to a call and has not restarted since its entry was
-/// written.
+/// What a call shows of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// It has not restarted since its entry was written.
+    Same,
+    /// It responds, but does not state when it started.
+    Responds,
+    /// It does not respond, or another incarnation or endpoint does.
+    Gone,
+}
+
+/// True if the endpoint responds to a call and is not known to have restarted since its
+/// entry was written.
 pub async fn still_runs(dialect: &Dialect, endpoint: &Endpoint) -> bool {
-    let response = call_report(dialect, endpoint).await;
-    response.is_some_and(|response| is_of_incarnation(dialect, endpoint, &response))
+    liveness(dialect, endpoint, None).await != Liveness::Gone
+}
+
+/// Calls an endpoint, over this connection alone if there is one.
+pub async fn liveness(
+    dialect: &Dialect,
+    endpoint: &Endpoint,
+    connection: Option<Connection>,
+) -> Liveness {
+    match call_report(dialect, endpoint, connection).await {
+        Some(response) => liveness_of(dialect, endpoint, &response),
+        None => Liveness::Gone,
+    }
 }
 
-/// True if this incarnation of the endpoint sent the response to a request for its report.
-fn is_of_incarnation(dialect: &Dialect, endpoint: &Endpoint, response: &Response<Bytes>) -> bool {
+/// What a response to a request for its report shows of an endpoint.
+fn liveness_of(dialect: &Dialect, endpoint: &Endpoint, response: &Response<Bytes>) -> Liveness {
     // Another endpoint may have taken over the address.
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
-        return false;
+        return Liveness::Gone;
     }
-    // Application servers reject the call. They, and engines that state no start time,
-    // have another id after a restart.
     let report = (dialect.parse_report_response)(response.status().as_u16(), response.body());
-    report.map_or(true, |report| {
-        report.born == 0 || report.born == endpoint.start_time_ms
-    })
+    match report {
+        Ok(report) if report.born == endpoint.start_time_ms && report.born != 0 => Liveness::Same,
+        Ok(report) if report.born != 0 => Liveness::Gone,
+        // Application servers reject the call.
+        Ok(_) | Err(_) => Liveness::Responds,
+    }
 }
 
 /// Asks an endpoint whether it is leaving, which it says in all its responses, and passes
 /// the answer of this incarnation to the control thread.
 pub async fn ask_leaving(dialect: &'static Dialect, handle: Handle, endpoint: Arc<Endpoint>) {
-    let Some(response) = call_report(dialect, &endpoint).await else {
+    let Some(response) = call_report(dialect, &endpoint, None).await else {
         return;
     };
-    if !is_of_incarnation(dialect, &endpoint, &response) {
+    if liveness_of(dialect, &endpoint, &response) == Liveness::Gone {
         return;
     }
     let is_leaving = (dialect.response_head)(response.headers()).leaving;
@@ -106,7 +129,7 @@
 }
 
 async fn read_report(dialect: &Dialect, engine: &Endpoint) -> Option<EngineReport> {
-    let response = call_report(dialect, engine).await?;
+    let response = call_report(dialect, engine, None).await?;
     (dialect.parse_report_response)(response.status().as_u16(), response.body())
         .map_err(
             |error| log::warn!(engine = &*engine.id, error:% = error; "cannot decode an engine's report"),
@@ -114,19 +137,22 @@
         .ok()
 }
 
-async fn call_report(dialect: &Dialect, endpoint: &Endpoint) -> Option<Response<Bytes>> {
+async fn call_report(
+    dialect: &Dialect,
+    endpoint: &Endpoint,
+    connection: Option<Connection>,
+) -> Option<Response<Bytes>> {
     let request = (dialect.report_request)(endpoint);
-    call(
-        &mut None,
-        endpoint.address,
-        request,
-        CallLimits::within(CALL_TIMEOUT, MAX_RESPONSE_BYTES),
-    )
-    .await
-    .map_err(
-        |error| log::warn!(engine = &*endpoint.id, error:% = error; "cannot fetch an engine's report"),
-    )
-    .ok()
+    let limits = CallLimits::within(CALL_TIMEOUT, MAX_RESPONSE_BYTES);
+    let response = match connection {
+        Some(connection) => call_over(connection, request, limits).await,
+        None => call(&mut None, endpoint.address, request, limits).await,
+    };
+    response
+        .map_err(
+            |error| log::warn!(engine = &*endpoint.id, error:% = error; "cannot fetch an engine's report"),
+        )
+        .ok()
 }
 
 /// Fetches the list of parts that an engine or the KV cache store has cached and
