gateway: the lease for orders goes to a node that reaches the engines

New weights did not come into use at all while the lease holder had lost its links to the engines: with 6 nodes, 9 of 9 engines had older weights 12 s after new ones were named. The holder renewed its lease as long as any engine had outdated weights; a lease proved life, not progress, and each listed engine, each reservation and each unanswered order counted as progress and made the others wait.

A node now keeps for each engine when it failed to reach it, and when the engine last answered it and others. It does not seek or renew the lease while it misses more engines that others reach than it reaches itself, or when all engines that need an order are such (`may_lead`, `PendingLoads`). Where nobody has an answer to compare with, a holder without an accepted order or a load that was done, for as long as another node takes to take over, gives up and says so. Progress is a load that is done, or an order that an engine accepted. The protocol of the lease is as it was.

--- a/crates/gateway/src/control/lease.rs
+++ b/crates/gateway/src/control/lease.rs
@@ -165,7 +165,7 @@
     }
 
     /// Time after another node's record was seen at which this node may take over, in ms.
-    fn takeover_wait(&self) -> Millis {
+    pub fn takeover_wait(&self) -> Millis {
         self.handover_gap + VALIDITY_MS + TRANSIT_MARGIN_MS
     }
 
--- a/crates/gateway/src/control/reachability.rs
+++ b/crates/gateway/src/control/reachability.rs
@@ -7,9 +7,12 @@
 
 use crate::clock::Millis;
 
-/// Time for which a node remembers that it reached an endpoint, or did not, in ms.
+/// Time for which a node remembers that it did not reach an endpoint, in ms.
 const MEMORY_MS: Millis = 15_000;
 
+/// Time after a response for which a node takes it that it reaches the endpoint, in ms.
+const REACHED_MS: Millis = 2_000;
+
 /// Time within which news may still arrive of responses that came before a failure, in ms.
 const NEWS_DELAY_MS: Millis = 500;
 
@@ -87,6 +90,6 @@
 
     /// True if the endpoint has answered this node a moment ago.
     pub fn is_reached(&self, now: Millis) -> bool {
-        self.unreached_at.is_none() && self.answered_at.is_some_and(|at| now < at + MEMORY_MS)
+        self.unreached_at.is_none() && self.answered_at.is_some_and(|at| now < at + REACHED_MS)
     }
 }
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -146,6 +146,17 @@
     failed
 }
 
+/// Engines with outdated weights, as far as this node may send them orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PendingLoads {
+    /// There are none.
+    None,
+    /// This node does not reach any of them, though others do.
+    Unreached,
+    /// This node may reach some.
+    Reachable,
+}
+
 /// Action for the lease holder.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Task {
@@ -162,6 +173,8 @@
     pub named: NamedWeights,
     engines: BTreeMap<EndpointKey, EngineProgress>,
     progressed_at: Millis,
+    /// Since when this node's orders and requests for reports have brought nothing about.
+    unanswered_since: Option<Millis>,
     /// Time within which new weights must be in use, in ms.
     bound: Millis,
     /// Duration of loads, by service.
@@ -197,6 +210,7 @@
         let is_newer = self.named.name(model, version, named);
         if is_newer {
             self.progressed_at = now;
+            self.unanswered_since = None;
         }
         is_newer
     }
@@ -218,11 +232,30 @@
         })
     }
 
-    /// Returns true if any engine has outdated weights.
-    pub fn has_pending_loads(&self, fleet: &Fleet) -> bool {
-        fleet
-            .values()
-            .any(|state| self.missing_weights(state).is_some())
+    /// Returns which engines have outdated weights. An engine that only other nodes reach needs
+    /// one of them to send the order.
+    pub fn pending_loads(&self, fleet: &Fleet, now: Millis) -> PendingLoads {
+        let outdated = |state: &&EndpointState| self.missing_weights(state).is_some();
+        let mut pending = fleet.values().filter(outdated).peekable();
+        if pending.peek().is_none() {
+            PendingLoads::None
+        } else if pending.any(|state| !state.reachability.is_cut(now)) {
+            PendingLoads::Reachable
+        } else {
+            PendingLoads::Unreached
+        }
+    }
+
+    /// Returns true if no engine has answered an order or loaded weights for so long, and some
+    /// did not answer, that another node should try.
+    pub fn is_stalled(&self, patience: Millis, now: Millis) -> bool {
+        self.unanswered_since
+            .is_some_and(|since| now > since + patience)
+    }
+
+    /// Forgets that engines did not answer, when the node begins or ceases to send orders.
+    pub fn forget_stall(&mut self) {
+        self.unanswered_since = None;
     }
 
     /// Returns true if this node may try to acquire the lease. `rank` is its rank among
@@ -443,15 +476,26 @@
             return false;
         };
         progress.in_flight = false;
-        self.progressed_at = now;
+        if matches!(outcome, OrderOutcome::Accepted | OrderOutcome::Holds) {
+            self.progressed_at = now;
+            self.unanswered_since = None;
+        }
         let Some(state) = fleet.get_mut(&key) else {
             return false;
         };
         if state.endpoint.start_time_ms != order.engine.start_time_ms {
             return false;
         }
-        if !matches!(outcome, OrderOutcome::Unknown | OrderOutcome::NotSent) {
-            progress.answered();
+        match outcome {
+            OrderOutcome::NotSent => state.reachability.failed(now),
+            OrderOutcome::Unknown => {}
+            _ => {
+                progress.answered();
+                state.reachability.answered(now);
+            }
+        }
+        if matches!(outcome, OrderOutcome::NotSent | OrderOutcome::Unknown) {
+            self.unanswered_since.get_or_insert(now);
         }
         match outcome {
             OrderOutcome::Accepted => {
@@ -510,11 +554,14 @@
         };
         let Some(report) = report else {
             let retry_at = progress.failed(RETRY_MS, now);
+            self.unanswered_since.get_or_insert(now);
+            state.reachability.failed(now);
             let load = state.load.as_ref().filter(|load| !load.is_done());
             progress.confirm_at = load.map(|_| retry_at);
             return;
         };
         progress.answered();
+        state.reachability.answered(now);
         if report.born != 0
             && state.endpoint.start_time_ms != 0
             && report.born != state.endpoint.start_time_ms
@@ -578,6 +625,8 @@
         let Some(load) = state.load_done(now) else {
             return;
         };
+        self.progressed_at = now;
+        self.unanswered_since = None;
         self.loaded.push(key);
         if self.load_times.learn(&service, &load, took, size, now) {
             self.has_learnt = true;
--- a/crates/gateway/src/control/rollout_status.rs
+++ b/crates/gateway/src/control/rollout_status.rs
@@ -21,6 +21,11 @@
     AwaitsProgress,
     /// The last record of the lease is another node's, and too recent.
     HeldByOther,
+    /// This node reaches too few engines, or none that needs an order, though others do.
+    Unreached,
+    /// This node's orders brought nothing about, so it leaves the lease to others for a
+    /// while.
+    Stalled,
     /// This node reads the lease topic, or tries to acquire the lease.
     Seeking,
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -44,7 +44,7 @@
 use crate::control::places::Places;
 use crate::control::reach::Reach;
 use crate::control::retry_budget::RetryBudget;
-use crate::control::rollout::{Rollout, Task};
+use crate::control::rollout::{PendingLoads, Rollout, Task};
 use crate::control::rollout_status::LeaseState;
 use crate::control::stated_limits::StatedLimits;
 use crate::control::suspect::Subject;
@@ -68,6 +68,10 @@
 /// (stopped or suspended), in ms.
 const STALL_MS: Millis = 1_000;
 
+/// Time for which a node whose orders brought nothing about leaves the lease to others,
+/// relative to the time that another one takes to take over.
+const ABSTENTION_FACTOR: Millis = 2;
+
 /// Maximum interval between two ticks, in ms.
 const MAX_TICK_INTERVAL_MS: Millis = 50;
 
@@ -139,6 +143,9 @@
     budget: RetryBudget,
     rollout: Rollout,
     lease: Lease,
+    /// Time until which this node leaves the lease to others, as its orders brought nothing
+    /// about.
+    abstains_until: Millis,
     queue: VecDeque<QueuedRequest>,
     next_run: u64,
     outgoing_runs: Vec<Run>,
@@ -230,6 +237,7 @@
             former_memories: Vec::new(),
             peers: Peers::default(),
             rollout: Rollout::new(weights_bound),
+            abstains_until: 0,
             queue: VecDeque::new(),
             next_run: 0,
             outgoing_runs: Vec::new(),
@@ -344,6 +352,9 @@
             Event::LeaseRead(end, last) => self.lease.read(end, last.as_deref(), now),
             Event::LeaseTrimmed(first) => self.lease.trimmed(first),
             Event::LeaseAppended(offset) => {
+                if !self.lease.held_by_me() {
+                    self.rollout.forget_stall();
+                }
                 self.lease.appended(offset);
                 log::info!(fencing = offset; "acquired lease for engine orders");
             }
@@ -524,7 +535,12 @@
         if self.shutdown_at.is_some() || self.catalog.is_none() {
             return;
         }
-        let pending = self.rollout.has_pending_loads(&self.fleet);
+        let pending = self.rollout.pending_loads(&self.fleet, now);
+        let is_pending = pending == PendingLoads::Reachable;
+        if !is_pending {
+            self.rollout.forget_stall();
+        }
+        let may_lead = self.may_lead(now);
         let rank = self.rank(now);
         let holder_alive = self.lease.held_by_other()
             && self
@@ -534,13 +550,13 @@
         let may_seek =
             self.rollout
                 .may_seek_lease(rank, self.lease.held_by_me(), holder_alive, now);
-        let step = self.lease.step(pending && may_seek, now);
+        let step = self.lease.step(is_pending && may_lead && may_seek, now);
         match step {
             LeaseStep::Read(from) => self.effects.push(Effect::LeaseRead(from)),
             LeaseStep::Append(at) => self.effects.push(Effect::LeaseAppend(at)),
             LeaseStep::Hold { .. } | LeaseStep::Wait => {}
         }
-        let state = self.lease_state(pending, may_seek, step);
+        let state = self.lease_state(pending, may_lead, may_seek, now);
         self.rollout
             .status_log
             .lease(state, self.lease.holder(), rank, now);
@@ -563,14 +579,53 @@
         }
     }
 
-    fn lease_state(&self, pending: bool, may_seek: bool, step: LeaseStep) -> LeaseState {
-        match step {
-            LeaseStep::Hold { .. } => LeaseState::Held,
-            _ if !pending => LeaseState::NotWanted,
-            _ if !may_seek => LeaseState::AwaitsProgress,
-            _ if self.lease.held_by_me() => LeaseState::Held,
-            LeaseStep::Wait if self.lease.held_by_other() => LeaseState::HeldByOther,
-            _ => LeaseState::Seeking,
+    /// True if this node may send orders to engines: its orders bring something about, or
+    /// have not been tried, and it does not miss more engines that others reach than it
+    /// reaches itself.
+    fn may_lead(&mut self, now: Millis) -> bool {
+        if now < self.abstains_until && !self.lease.held_by_other() {
+            return false;
+        }
+        let patience = self.lease.takeover_wait();
+        let has_others = self.peers.alive(now).any(|peer| peer.state.ready);
+        if has_others && self.lease.held_by_me() && self.rollout.is_stalled(patience, now) {
+            log::warn!("orders bring nothing about; leaving the lease to another node");
+            self.abstains_until = now + ABSTENTION_FACTOR * patience;
+            self.rollout.forget_stall();
+            return false;
+        }
+        let engines = || {
+            self.fleet
+                .values()
+                .filter(|state| !state.weights.is_empty())
+        };
+        let cut = engines().filter(|state| state.reachability.is_cut(now));
+        let reached = engines().filter(|state| state.reachability.is_reached(now));
+        let cut = cut.count();
+        cut == 0 || cut <= reached.count()
+    }
+
+    fn lease_state(
+        &self,
+        pending: PendingLoads,
+        may_lead: bool,
+        may_seek: bool,
+        now: Millis,
+    ) -> LeaseState {
+        if pending == PendingLoads::None {
+            LeaseState::NotWanted
+        } else if now < self.abstains_until && !may_lead {
+            LeaseState::Stalled
+        } else if pending == PendingLoads::Unreached || !may_lead {
+            LeaseState::Unreached
+        } else if !may_seek {
+            LeaseState::AwaitsProgress
+        } else if self.lease.held_by_me() {
+            LeaseState::Held
+        } else if self.lease.held_by_other() {
+            LeaseState::HeldByOther
+        } else {
+            LeaseState::Seeking
         }
     }
 
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -304,11 +304,11 @@
     }
 
     pub(super) fn apply_reload(&mut self, reload: &Reload, now: Millis) {
-        self.rollout.note_progress(now);
         let Some(state) = self.fleet.get_mut(&reload.endpoint) else {
             return;
         };
         if reload.is_done {
+            self.rollout.note_progress(now);
             state.load_done(now);
             return;
         }
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -99,6 +99,7 @@
                     log::info!(model = model.as_str(), version, offset = record.offset, age_ms = now.saturating_sub(written.at),
                         is_assumed = written.is_assumed; "operator named new weights");
                     self.operator_records.insert(record);
+                    self.abstains_until = 0;
                 }
             }
             Ok(OperatorRecord::Other) => {}
@@ -211,7 +212,6 @@
                 if let Some(replaced) = self.fleet.insert(key, EndpointState::new(entry)) {
                     self.listed_builds.endpoint_dropped(&replaced.endpoint, now);
                 }
-                self.rollout.note_progress(now);
             }
         }
     }
