handover: a request that may run again leaves a node that is not heard

What callers would see: a request handed to a node that is frozen waits there until its deadline, though it may be repeated.

Cause: the near node waited for the response until the deadline; it learns from the missing datagrams that the other node is gone, but only for new requests.

While the response of a retryable request is awaited, the node's life is checked every 100 ms in the published view. If it is no longer heard, the request counts as possibly run there, and goes to another node within the budget. A node that is alive and slow keeps it, since it tries again itself.

request_that_may_run_again_leaves_a_frozen_node failed with a limit on the time to the first byte in place of this ("status: 504 ... timed_out") and passes now. run_ends_when_its_caller_leaves_before_the_first_byte is a check of what already held.

--- a/crates/cli/tests/test_handover.rs
+++ b/crates/cli/tests/test_handover.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use entry_site::{LinkedNode, Site, WAIT_TIMEOUT, call, event_ids, request, stream, wait_for};
-use flamingolock_platform_standin::{Engine, LinkState};
+use flamingolock_platform_standin::{Engine, EngineMode, LinkState};
 
 /// Pause between two of the ten events of a stream.
 const PAUSE: Duration = Duration::from_millis(150);
@@ -21,6 +21,12 @@
     let site = Site::start(PAUSE);
     let cut = site.linked_node("node-1");
     let other = site.linked_node("node-2");
+    know_cut(&cut);
+    (site, cut, other)
+}
+
+/// Cuts a node off from all endpoints and waits until it knows it.
+fn know_cut(cut: &LinkedNode) {
     cut.set_links(LinkState::Reset);
     let mut number = 0;
     wait_for("the node to know that it is cut off", || {
@@ -32,7 +38,6 @@
             .count()
             >= 2
     });
-    (site, cut, other)
 }
 
 /// Sends a request for a stream, and returns once the first bytes of its body are there.
@@ -133,6 +138,49 @@
     assert!(left_at.elapsed() < CANCEL_TIME, "{:?}", left_at.elapsed());
 }
 
+#[test]
+fn run_ends_when_its_caller_leaves_before_the_first_byte() {
+    let (site, cut, other) = start();
+    for server in &site.app_servers {
+        server.set_mode(EngineMode::Silent);
+    }
+    let mut connection = TcpStream::connect(cut.node.front).expect("a connection");
+    let head = "POST /look/a HTTP/1.1\r\nhost: site.example\r\nauthorization: Bearer key-1\r\n\
+                request-id: early\r\ndeadline-ms: 2000\r\ncontent-length: 0\r\n\r\n";
+    connection
+        .write_all(head.as_bytes())
+        .expect("the request can be sent");
+    wait_for("the run", || site.executions("early") == 1);
+    drop(connection);
+    let left_at = Instant::now();
+    wait_for("the end of the run", || {
+        let metrics = request(other.node.metrics, "GET", "/metrics", &[]).body;
+        metrics
+            .lines()
+            .any(|line| line.contains("run_end") && line.contains("caller_left"))
+    });
+    assert!(left_at.elapsed() < CANCEL_TIME, "{:?}", left_at.elapsed());
+}
+
+#[test]
+fn request_that_may_run_again_leaves_a_frozen_node() {
+    let site = Site::start(PAUSE);
+    let cut = site.linked_node("node-1");
+    let frozen = site.linked_node("node-2");
+    let other = site.linked_node("node-3");
+    know_cut(&cut);
+    frozen.node.signal("STOP");
+    let answers: Vec<_> = (0..8)
+        .map(|number| call(&cut.node, "/look/a", &format!("frozen-{number}"), &[]))
+        .collect();
+    frozen.node.signal("CONT");
+    assert!(
+        answers.iter().all(|answer| answer.status == 200),
+        "{answers:?}"
+    );
+    drop(other);
+}
+
 #[test]
 fn caller_that_claims_to_be_a_node_gains_nothing() {
     let (site, cut, other) = start();
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -30,6 +30,7 @@
 pub mod suspect;
 pub mod suspects;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -456,6 +457,8 @@
     pub incarnation: Option<u64>,
     /// Current configuration.
     pub catalog: Option<Arc<Catalog>>,
+    /// Incarnations of the other nodes that are heard.
+    pub live_nodes: BTreeSet<u64>,
     /// Address and zone of each node that accepts callers.
     pub nodes: Vec<(SocketAddr, String)>,
     /// Time at which the node's shutdown began.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -659,8 +659,10 @@
         if before.nodes != nodes {
             log::info!(nodes = nodes.len(), before = before.nodes.len(); "nodes accepting callers changed");
         }
+        let live = self.peers.alive(now).map(|peer| peer.state.incarnation);
         self.view.store(Arc::new(View {
             incarnation: Some(self.incarnation),
+            live_nodes: live.collect(),
             catalog: self.catalog.clone(),
             nodes,
             shutdown_at: self.shutdown_at,
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -6,6 +6,7 @@
 //! it by the receiver's incarnation, which only nodes know.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -13,7 +14,7 @@
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::attempt::{CONNECT_TIMEOUT, MAX_BUFFERED_BYTES, closes_connection};
 use crate::catalog::RequestKind;
@@ -44,6 +45,9 @@
 /// Fraction of a connection's idle timeout up to which it is used again.
 const IDLE_SHARE: f64 = 0.5;
 
+/// Interval at which the other node's life is checked while its response is awaited.
+const LIVENESS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Result of a hand-over.
 #[derive(Debug)]
 pub enum HandoverOutcome {
@@ -69,6 +73,9 @@
     /// The response broke off, or is too large.
     #[error("cannot read the response: {0}")]
     Response(String),
+    /// The other node is no longer heard.
+    #[error("the node is no longer heard")]
+    NodeLost,
     /// The deadline passed.
     #[error("deadline exceeded")]
     TimedOut,
@@ -81,7 +88,7 @@
             | Self::Call(CallError::Connect(_) | CallError::ConnectTimeout | CallError::NotSent) => {
                 HandoverOutcome::NotRun
             }
-            Self::Call(_) | Self::Response(_) => HandoverOutcome::NoResponse,
+            Self::Call(_) | Self::Response(_) | Self::NodeLost => HandoverOutcome::NoResponse,
             Self::TimedOut => HandoverOutcome::DeadlineExceeded,
         }
     }
@@ -149,11 +156,13 @@
     possible_runs: u32,
     guard: HandoverGuard,
 ) -> Result<Response<ResponseBody>, HandoverError> {
-    let sent = timeout_at(
-        exchange.deadline,
-        send(exchange, context, node, possible_runs),
-    );
-    let (response, connection) = sent.await.map_err(|_| HandoverError::TimedOut)??;
+    let (response, connection) = tokio::select! {
+        sent = send(exchange, context, node, possible_runs) => sent?,
+        () = lost(context, node), if exchange.route.is_retryable() => {
+            return Err(HandoverError::NodeLost);
+        }
+        () = sleep_until(exchange.deadline) => return Err(HandoverError::TimedOut),
+    };
     let (parts, body) = response.into_parts();
     if parts.headers.contains_key(REFUSED) {
         return Err(HandoverError::Refused(parts.status));
@@ -182,6 +191,13 @@
     Ok(response)
 }
 
+/// Waits until the node is no longer heard.
+async fn lost(context: &ProxyContext, node: OtherNode) {
+    while context.handle.view().live_nodes.contains(&node.incarnation) {
+        sleep(LIVENESS_INTERVAL).await;
+    }
+}
+
 async fn send(
     exchange: &Exchange,
     context: &ProxyContext,
