handover: the bound of handed requests holds for each service by itself

Callers of a small service at a cut node were refused as soon as requests of a large one were open at the other nodes: all of them counted against the slots of the service that was asked for. Found by a review of the hand-over.

--- a/crates/gateway/src/control/handovers.rs
+++ b/crates/gateway/src/control/handovers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::clock::Millis;
 
@@ -19,9 +20,10 @@
     pub address: SocketAddr,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Handover {
     incarnation: u64,
+    service: Arc<str>,
     begun_at: Millis,
 }
 
@@ -33,21 +35,22 @@
 }
 
 impl Handovers {
-    /// Number of requests in progress at a node.
-    pub fn count(&self, incarnation: u64) -> usize {
+    /// Number of requests for a service in progress at a node.
+    pub fn count(&self, incarnation: u64, service: &str) -> usize {
         let open = self.open.values();
-        open.filter(|handover| handover.incarnation == incarnation)
+        open.filter(|handover| handover.incarnation == incarnation && &*handover.service == service)
             .count()
     }
 
     /// Records a hand-over and returns its number.
-    pub fn begin(&mut self, incarnation: u64, now: Millis) -> u64 {
+    pub fn begin(&mut self, incarnation: u64, service: &Arc<str>, now: Millis) -> u64 {
         self.open
             .retain(|_, handover| now < handover.begun_at + HANDOVER_TIMEOUT_MS);
         let number = self.next;
         self.next += 1;
         let handover = Handover {
             incarnation,
+            service: service.clone(),
             begun_at: now,
         };
         self.open.insert(number, handover);
--- a/crates/gateway/src/control/state/handover.rs
+++ b/crates/gateway/src/control/state/handover.rs
@@ -48,7 +48,7 @@
             let incarnation = peer.state.incarnation;
             let address = peer.control().filter(|_| peer.state.takes_requests)?;
             let is_open = !request.tried_nodes.contains(&incarnation)
-                && self.handovers.count(incarnation) < most;
+                && self.handovers.count(incarnation, &request.service) < most;
             let is_far = peer.state.zone != self.settings.zone;
             is_open.then_some((is_far, incarnation, address))
         });
@@ -59,9 +59,11 @@
             .filter(|node| node.0 == is_far)
             .choose_multiple(&mut rand::rng(), CHOICES)
             .into_iter()
-            .min_by_key(|(_, incarnation, _)| self.handovers.count(*incarnation))?;
+            .min_by_key(|(_, incarnation, _)| {
+                self.handovers.count(*incarnation, &request.service)
+            })?;
         Some(OtherNode {
-            number: self.handovers.begin(incarnation, now),
+            number: self.handovers.begin(incarnation, &request.service, now),
             incarnation,
             address,
         })
--- a/crates/gateway/tests/test_handovers.rs
+++ b/crates/gateway/tests/test_handovers.rs
@@ -98,6 +98,26 @@
     assert_eq!(node.incarnation, 2);
 }
 
+#[test]
+fn handed_requests_of_one_service_leave_room_for_another() {
+    let mut harness = cut_node(&[node(1, "zone-a")]);
+    let small = r#"{"Service":"small","Address":"10.0.0.2:80","Zone":"zone-a","Version":"v1","Slots":4,
+        "State":"ready","Seq":1,"born":1}"#;
+    for id in ["s0", "s1"] {
+        harness.entry(id, Some(small), 21);
+        let event = Event::EndpointProbed(Endpoint::key_of(id), false);
+        harness.control.handle(event, 22);
+    }
+    for number in 0..16 {
+        other_node(&mut harness, number).expect("a node");
+    }
+    let mut request = placement_request(None, 100);
+    request.service = "small".into();
+    request.model = None;
+    let placed = harness.place(request, 30).expect("a decision");
+    assert!(matches!(placed, Err(Refusal::AtOtherNode(_))), "{placed:?}");
+}
+
 #[test]
 fn handed_request_is_never_handed_on_again() {
     let mut harness = cut_node(&[node(1, "zone-a")]);
