handover: a node uses the endpoints that it reaches if no other node takes a request

Callers of a node that is cut off from most endpoints of a service were refused when no other node had room, though the node still reaches some.

The request is placed at these now, and at a cut node never at one out of reach. One that resumes a stream of an unknown software version stays refused.

--- a/crates/gateway/src/control/state/handover.rs
+++ b/crates/gateway/src/control/state/handover.rs
@@ -1,13 +1,13 @@
 //! Choice of the node that gets the requests for a service that this node is cut off from.
 
 use rand::seq::IteratorRandom;
-use tokio::sync::oneshot;
 
-use super::Control;
+use super::{Control, QueuedRequest};
 use crate::clock::Millis;
 use crate::control::handovers::OtherNode;
 use crate::control::peers::Peer;
-use crate::control::{Placement, PlacementRequest, Refusal};
+use crate::control::{BuildRule, PlacementRequest, Refusal};
+use crate::endpoint::Endpoint;
 
 /// Number of nodes drawn at random, of which the least busy one is chosen.
 const CHOICES: usize = 2;
@@ -20,24 +20,47 @@
     }
 
     /// Answers a request with the node that gets it, or refuses it. One that another node
-    /// handed on goes back to that node.
+    /// handed on goes back to that node. Returns a request that no other node takes if this
+    /// one reaches some endpoints of its service.
     pub(super) fn send_elsewhere(
         &mut self,
-        request: &PlacementRequest,
-        reply: oneshot::Sender<Placement>,
+        queued: QueuedRequest,
         now: Millis,
-    ) {
-        if reply.is_closed() {
-            return;
+    ) -> Option<QueuedRequest> {
+        if queued.reply.is_closed() {
+            return None;
         }
+        let request = &queued.request;
         let node = if request.is_handed {
             None
         } else {
             self.choose_node(request, now)
         };
+        let may_stay = !request.is_handed && self.may_place_here(request);
+        if node.is_none() && may_stay {
+            return Some(queued);
+        }
         let until = now + request.target.as_millis() as Millis;
         let refusal = node.map_or(Refusal::CutOff { until }, Refusal::AtOtherNode);
-        self.refuse(request, refusal, reply);
+        self.refuse(request, refusal, queued.reply);
+        None
+    }
+
+    /// True if this node reaches an endpoint of the service, and the software version that
+    /// may serve the request is known.
+    fn may_place_here(&self, request: &PlacementRequest) -> bool {
+        let is_resolved = !matches!(request.build_rule, BuildRule::SameAs(_));
+        let mut endpoints = self.fleet.values().map(|state| &state.endpoint);
+        is_resolved
+            && endpoints.any(|endpoint| {
+                endpoint.service == request.service && !self.is_out_of_reach(endpoint)
+            })
+    }
+
+    /// True if this node is cut off from the endpoint's service and from the endpoint.
+    pub(super) fn is_out_of_reach(&self, endpoint: &Endpoint) -> bool {
+        self.cut_services.contains(&endpoint.service)
+            && self.reach.is_unreachable(&endpoint.service, endpoint.key())
     }
 
     /// Chooses a node that reaches the service: one of this zone, if any has room.
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -184,10 +184,11 @@
         ahead: usize,
         now: Millis,
     ) -> Option<QueuedRequest> {
-        if self.goes_elsewhere(&queued.request) {
-            self.send_elsewhere(&queued.request, queued.reply, now);
-            return None;
-        }
+        let queued = if self.goes_elsewhere(&queued.request) {
+            self.send_elsewhere(queued, now)?
+        } else {
+            queued
+        };
         if let Some(refusal) = self.refusal_of_suspects(&queued.request, now) {
             self.refuse(&queued.request, refusal, queued.reply);
             return None;
@@ -310,6 +311,7 @@
             if endpoint.service != request.service
                 || endpoint.leaving
                 || request.tried.contains(key)
+                || (request.may_hand_over && self.is_out_of_reach(endpoint))
                 || matches!(&request.build_rule, BuildRule::Only(build) if *build != endpoint.build)
             {
                 continue;
--- a/crates/gateway/tests/test_handovers.rs
+++ b/crates/gateway/tests/test_handovers.rs
@@ -118,6 +118,31 @@
     assert!(matches!(placed, Err(Refusal::AtOtherNode(_))), "{placed:?}");
 }
 
+#[test]
+fn node_uses_the_endpoints_that_it_reaches_if_no_other_node_takes_the_request() {
+    let mut harness = Harness::with_engines(5, 0);
+    hear(&mut harness, node(1, "zone-a"), 10);
+    for (id, is_reached) in [
+        ("e3", true),
+        ("e4", true),
+        ("e0", false),
+        ("e1", false),
+        ("e2", false),
+    ] {
+        let event = Event::EndpointProbed(Endpoint::key_of(id), is_reached);
+        harness.control.handle(event, 20);
+    }
+    assert!(harness.control.is_cut_off());
+    let reached = [Endpoint::key_of("e3"), Endpoint::key_of("e4")];
+    for number in 0..10 {
+        let mut request = placement_request(None, number);
+        request.tried_nodes = vec![1];
+        let placed = harness.place(request, 30).expect("a decision");
+        let grant = placed.expect("an endpoint");
+        assert!(reached.contains(&grant.endpoint.key()), "{grant:?}");
+    }
+}
+
 #[test]
 fn handed_request_is_never_handed_on_again() {
     let mut harness = cut_node(&[node(1, "zone-a")]);
