gateway: leaving is read from responses to orders and reports too

Nodes read it from responses to callers' requests only, and so sent one more request to an engine of which they knew better.

Change: orders.rs passes it on as a notice, unless another endpoint at the address or, for a report, another incarnation answered.

Evidence: engine_that_says_it_is_leaving_in_a_response_to_an_order_gets_no_more_requests (command line) passes, as do the other six of its file; it was not run without the change.

--- a/crates/cli/tests/test_notices.rs
+++ b/crates/cli/tests/test_notices.rs
@@ -62,37 +62,54 @@
     site.engines[0].set_mode(EngineMode::WrongRequestId);
     site.engines[0].set_leaving(true);
     let mut index = 0;
-    while site.engines[0].arrivals().is_empty() {
-        draft(&node, index, &format!("r{index}"), &[]);
+    wait_for("a request at the engine", || {
         index += 1;
-    }
+        draft(&node, index, &format!("r{index}"), &[]);
+        !site.engines[0].arrivals().is_empty()
+    });
     let told_at = Instant::now();
-    for index in index..index + 16 {
+    for index in index + 1..index + 17 {
         assert_eq!(draft(&node, index, &format!("r{index}"), &[]).status, 200);
     }
     assert_eq!(arrivals_after(&site.engines[0], told_at), 0);
 }
 
+#[test]
+fn engine_that_says_it_is_leaving_in_a_response_to_an_order_gets_no_more_requests() {
+    let (site, node) = start();
+    site.engines[0].set_leaving(true);
+    let named = r#"{"Model":"planner","Version":2}"#;
+    site.store.put("keyed.op", "op/version/planner", named);
+    wait_for("the weights to be loaded", || {
+        site.engines.iter().all(|engine| engine.weights() == 2)
+    });
+    wait_for("the answer to the order", || {
+        node.log().matches("outcome of weight load order").count() >= 2
+    });
+    for index in 0..16 {
+        assert_eq!(draft(&node, index, &format!("r{index}"), &[]).status, 200);
+    }
+    assert_eq!(site.engines[0].arrivals().len(), 0);
+}
+
 /// The address of an engine that is gone is that of another one, which leaves.
 #[test]
 fn engine_does_not_count_as_leaving_because_another_one_at_its_address_does() {
-    let (mut site, node) = start();
+    let site = Site::start(Duration::from_millis(1));
+    let gone = &site.engines[0];
     let other = Engine::start("engine-3", 10, Duration::from_millis(1));
     other.set_leaving(true);
-    let (gone, here) = (site.engines.remove(0), other.address());
-    let (key, value) = gone.entry_at(here, "engines", "ready");
+    let (key, value) = gone.entry_at(other.address(), "engines", "ready");
     site.store.put("keyed.servers", &key, &value);
+    let node = site.node("node-1");
     let mut index = 0;
-    while other.arrivals().is_empty() {
-        assert_eq!(draft(&node, index, &format!("r{index}"), &[]).status, 200);
-        index += 1;
-    }
-    site.put_entry(&gone, "engines", "ready");
-    wait_for("a request at the engine", || {
+    wait_for("a request at the address", || {
         index += 1;
         draft(&node, index, &format!("r{index}"), &[]);
-        !gone.arrivals().is_empty()
+        other.arrivals().len() > 1
     });
+    let log = node.log();
+    assert!(!log.contains("endpoint wants no requests"), "{log}");
 }
 
 #[test]
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -30,11 +30,15 @@
 /// Sends an order unless its `not_after` has passed, and reports the outcome to the
 /// control thread.
 pub async fn send_order(dialect: &'static Dialect, handle: Handle, order: Box<WeightsOrder>) {
-    let outcome = try_order(dialect, &order).await;
+    let outcome = try_order(dialect, &handle, &order).await;
     handle.send(Event::OrderAnswered(order, outcome));
 }
 
-async fn try_order(dialect: &'static Dialect, order: &WeightsOrder) -> OrderOutcome {
+async fn try_order(
+    dialect: &'static Dialect,
+    handle: &Handle,
+    order: &WeightsOrder,
+) -> OrderOutcome {
     let Ok(connection) = Connection::open(order.engine.address, CONNECT_TIMEOUT).await else {
         return OrderOutcome::NotSent;
     };
@@ -51,7 +55,13 @@
     )
     .await
     {
-        Ok(response) => (dialect.parse_order_response)(response.status().as_u16()),
+        Ok(response) => {
+            if says_leaving(dialect, &response) {
+                let engine = Arc::new(order.engine.clone());
+                handle.send(Event::Noticed(engine, Notice::Leaving));
+            }
+            (dialect.parse_order_response)(response.status().as_u16())
+        }
         Err(CallError::NotSent) => OrderOutcome::NotSent,
         Err(error) => {
             log::warn!(engine = &*order.engine.id, error:% = error; "no response to an order");
@@ -62,7 +72,7 @@
 
 /// Fetches an engine's report and passes it to the control thread.
 pub async fn fetch_report(dialect: &'static Dialect, handle: Handle, engine: Arc<Endpoint>) {
-    let report = read_report(dialect, &engine).await;
+    let report = read_report(dialect, &handle, &engine).await;
     handle.send(Event::EngineReported(engine.key(), report));
 }
 
@@ -119,8 +129,7 @@
     if liveness_of(dialect, &endpoint, &response) == Liveness::Gone {
         return;
     }
-    let is_leaving = (dialect.response_head)(response.headers()).leaving;
-    let notice = if is_leaving {
+    let notice = if says_leaving(dialect, &response) {
         Notice::Leaving
     } else {
         Notice::Staying
@@ -128,8 +137,23 @@
     handle.send(Event::Noticed(endpoint, notice));
 }
 
-async fn read_report(dialect: &Dialect, engine: &Endpoint) -> Option<EngineReport> {
+/// True if the endpoint itself says in a response that it is leaving. Another one that has taken
+/// over the address rejects the call.
+fn says_leaving(dialect: &Dialect, response: &Response<Bytes>) -> bool {
+    response.status() != StatusCode::MISDIRECTED_REQUEST
+        && (dialect.response_head)(response.headers()).leaving
+}
+
+async fn read_report(
+    dialect: &Dialect,
+    handle: &Handle,
+    engine: &Arc<Endpoint>,
+) -> Option<EngineReport> {
     let response = call_report(dialect, engine, None).await?;
+    let is_own = liveness_of(dialect, engine, &response) != Liveness::Gone;
+    if is_own && says_leaving(dialect, &response) {
+        handle.send(Event::Noticed(engine.clone(), Notice::Leaving));
+    }
     (dialect.parse_report_response)(response.status().as_u16(), response.body())
         .map_err(
             |error| log::warn!(engine = &*engine.id, error:% = error; "cannot decode an engine's report"),
