gateway: an endpoint that was draining stays so for its incarnation

After the entry's removal it knew no more of it: when the store came back from an older copy, or another node's copies were older, the entry was listed again as ready and got requests.

Change: a draining entry counts as the endpoint's notice, for its incarnation.

Evidence: endpoint_that_was_draining_when_it_was_removed_is_not_used_when_its_entry_comes_back passes; without the change the place at 6,010 is granted by reading, not run.

--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -13,6 +13,7 @@
 use crate::control::cache_index::{key, namespace_of};
 use crate::control::fleet::EndpointState;
 use crate::control::named_weights::WriteTime;
+use crate::control::notices::Notice;
 use crate::control::operator_records::OperatorUpdate;
 use crate::dialect::{CachedPart, DecodeError, KeyedRecord, OperatorRecord};
 use crate::endpoint::{Endpoint, EndpointKey};
@@ -189,6 +190,10 @@
         if !is_outdated {
             self.endpoint_records.insert(key, record.clone());
         }
+        // It stays so though the store comes back from a copy in which it is not.
+        if entry.leaving && !is_outdated {
+            self.notices.record(&entry, Notice::Leaving, now);
+        }
         if !is_outdated && self.notices.entry_read(&entry, now) {
             log::info!(endpoint = id, born = entry.start_time_ms; "asking a restarted endpoint whether it is leaving");
             self.effects
--- a/crates/gateway/tests/test_notices.rs
+++ b/crates/gateway/tests/test_notices.rs
@@ -161,3 +161,15 @@
     assert!(place(&mut harness, 4_000).is_ok());
     assert_eq!(asked(&mut harness, 4_000), []);
 }
+
+/// The store comes back from a copy that is older than the entry's removal.
+#[test]
+fn endpoint_that_was_draining_when_it_was_removed_is_not_used_when_its_entry_comes_back() {
+    let mut harness = Harness::with_engines(1, 0);
+    harness.engine("e0", 1, "draining", 1_000);
+    harness.entry("e0", None, 4_000);
+    harness.engine("e0", 1, "ready", 6_000);
+    assert_eq!(place(&mut harness, 6_010), Err(Refusal::NoEndpoint));
+    harness.engine("e0", 2, "ready", 8_000);
+    assert!(place(&mut harness, 8_010).is_ok());
+}
