--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -36,7 +36,7 @@
 use crate::control::lease::{Lease, LeaseStep};
 use crate::control::listed_builds::ListedBuilds;
 use crate::control::named_weights::WriteTime;
-use crate::control::notices::Notices;
+use crate::control::notices::{Notice, Notices};
 use crate::control::operator_records::OperatorRecords;
 use crate::control::peers::Peers;
 use crate::control::permit_issuer::PermitIssuer;
@@ -51,7 +51,7 @@
 use crate::control::suspects::Suspects;
 use crate::control::{Effect, Event, Placement, PlacementRequest, View};
 use crate::dialect::{Dialect, KeyedRecord, OrderOutcome, WeightsOrder};
-use crate::endpoint::EndpointKey;
+use crate::endpoint::{Endpoint, EndpointKey};
 use crate::metrics::{EventKind, Metrics};
 use crate::settings::Settings;
 
@@ -307,12 +307,7 @@
             Event::RunAnswered(subjects) => self.run_answered(&subjects, now),
             Event::SuspectsRead(recorded) => self.suspects_read(&recorded, now),
             Event::SuspectsRecorded(stored) => self.suspects_recorded(stored),
-            Event::Noticed(endpoint, notice) => {
-                if self.notices.record(&endpoint, notice, now) {
-                    log::info!(endpoint = &*endpoint.id, born = endpoint.start_time_ms, notice:? = notice;
-                        "endpoint wants no requests, or wants them again");
-                }
-            }
+            Event::Noticed(endpoint, notice) => self.noticed(&endpoint, notice, now),
             Event::LimitStated(endpoint, limit) => self.limit_stated(&endpoint, limit, now),
             Event::BrittlenessStated(endpoint, refusals) => {
                 self.brittleness_stated(&endpoint, refusals, now);
@@ -335,14 +330,7 @@
                     self.apply_endpoint_record(record, now);
                 }
             }
-            Event::NodesListed(addresses) => {
-                for address in addresses {
-                    if address != self.settings.gossip {
-                        self.peers.add_address(address, now);
-                    }
-                }
-                self.gossip_pending_at.get_or_insert(now);
-            }
+            Event::NodesListed(addresses) => self.nodes_listed(addresses, now),
             Event::TopicRead { topic, end, at } => self.topic_read(topic, end, at, now),
             Event::TopicFailed(topic) => self.topic_failed(topic, now),
             Event::StoreEra(era) => self.store_era_stated(era, now),
@@ -385,6 +373,22 @@
         }
     }
 
+    fn noticed(&mut self, endpoint: &Endpoint, notice: Notice, now: Millis) {
+        if self.notices.record(endpoint, notice, now) {
+            log::info!(endpoint = &*endpoint.id, born = endpoint.start_time_ms, notice:? = notice;
+                "endpoint wants no requests, or wants them again");
+        }
+    }
+
+    fn nodes_listed(&mut self, addresses: Vec<SocketAddr>, now: Millis) {
+        for address in addresses {
+            if address != self.settings.gossip {
+                self.peers.add_address(address, now);
+            }
+        }
+        self.gossip_pending_at.get_or_insert(now);
+    }
+
     /// Performs all actions that are due. Returns the latest time at which it must be
     /// called again.
     pub fn tick(&mut self, now: Millis) -> Millis {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -51,6 +51,21 @@
     }
 }
 
+/// Passes a request to read a topic on to the task that reads it.
+fn request_read(
+    request: ReadRequest,
+    operator: &UnboundedSender<ReadRequest>,
+    endpoints: &UnboundedSender<ReadRequest>,
+) {
+    let reads = match request.topic {
+        FollowedTopic::Operator => operator,
+        FollowedTopic::Endpoints => endpoints,
+    };
+    if reads.send(request).is_err() {
+        log::error!(topic:? = request.topic; "no task reads the topic");
+    }
+}
+
 /// Executes the effects that the control thread requests. The senders pass on
 /// requests to read the operator's records and the endpoints' entries, and to register
 /// the node again.
@@ -71,15 +86,7 @@
     while let Some(effect) = effects.recv().await {
         match effect {
             Effect::SendDatagram(addresses, bytes) => send_datagram(&socket, &addresses, &bytes),
-            Effect::ReadTopic(request) => {
-                let reads = match request.topic {
-                    FollowedTopic::Operator => &operator,
-                    FollowedTopic::Endpoints => &endpoints,
-                };
-                if reads.send(request).is_err() {
-                    log::error!(topic:? = request.topic; "no task reads the topic");
-                }
-            }
+            Effect::ReadTopic(request) => request_read(request, &operator, &endpoints),
             Effect::FetchCopies(fetch) => {
                 tokio::spawn(peer_sync::fetch_from_any(handle.clone(), dialect, fetch));
             }
