--- a/crates/gateway/src/control/state/topics.rs
+++ b/crates/gateway/src/control/state/topics.rs
@@ -163,24 +163,21 @@
         if gossip.operator.is_none() && gossip.endpoints.is_none() {
             return;
         }
-        // A report that waited while the process stood still is older than it says.
-        let may_confirm = !self.is_recovering(now);
         let marks = self.copy_marks();
         let report = |copy: &TopicCopyState| CopyReport {
             mark: copy.mark,
             age: Millis::from(copy.age_ms),
         };
-        let counts = |copy: &TopicCopyState, mark| may_confirm || copy.mark != mark;
-        if let Some(copy) = &gossip.operator
-            && counts(copy, marks.0)
-        {
+        if let Some(copy) = &gossip.operator {
             self.operator_copy.peer_reported(report(copy), marks.0, now);
             if copy.mark > marks.0 {
                 self.operator_reporter = self.peers.control_of(from);
             }
         }
+        // A report that waited while the process stood still is older than it says.
+        let may_confirm = !self.is_recovering(now);
         if let Some(copy) = &gossip.endpoints
-            && counts(copy, marks.1)
+            && (may_confirm || copy.mark != marks.1)
         {
             self.endpoints_copy
                 .peer_reported(report(copy), marks.1, now);
