gateway: what has not begun when its engine's weights expire is ended

Cause: replaced weights were used while their age and twice the estimated wait were under the bound less 700 ms. The estimate does not know of more urgent requests that come later, of engines that fall silent or of a queue that grows faster than it is told; and nothing ended a run that waited longer.

Change: the longest wait at that engine, of requests that lately got their first token or still wait, counts if it is above the estimate; an eighth of the bound is left. A stream without an event is ended when the weights of its engine expire, as a run that may have begun: it goes to another engine where it may be repeated, with the budget for that; else its caller gets 502. Nodes' requests read since when from the published view, so that a version named after the placement counts.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Request, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::body_end::Witness;
 use crate::catalog::RequestKind;
@@ -107,8 +107,11 @@
         first_byte_timeout.map_or(exchange.deadline, |timeout| Instant::now() + timeout);
     let limit = first_byte_deadline.min(exchange.deadline);
     let sent_at = now();
-    let sent = timeout_at(limit, send(exchange, context, &grant, resume_after)).await;
-    let (response, mut connection) = match sent {
+    let sending = timeout_at(limit, send(exchange, context, &grant, resume_after));
+    let Some(outcome) = before_expiry(exchange, context, &grant, sending).await else {
+        return expired(exchange, &grant, guard);
+    };
+    let (response, mut connection) = match outcome {
         Ok(Ok(sent)) => sent,
         Ok(Err(error)) => return request_failed(exchange, &grant, guard, &error),
         Err(_) => return first_byte_timed_out(exchange, guard),
@@ -154,11 +157,55 @@
         sent_at,
     };
     if response.parts.status.is_success() && exchange.route.kind == RequestKind::Stream {
-        return open_stream(exchange, grant, guard, response, limit).await;
+        return open_stream(exchange, context, grant, guard, response, limit).await;
     }
     read_response(exchange, context, &grant, guard, response).await
 }
 
+/// Waits for a step before the first event of a stream; none if the weights of its engine
+/// expire first. Responses that are no streams do not tell when they begin.
+async fn before_expiry<T>(
+    exchange: &Exchange,
+    context: &ProxyContext,
+    grant: &Grant,
+    step: impl Future<Output = T>,
+) -> Option<T> {
+    if exchange.route.kind != RequestKind::Stream {
+        return Some(step.await);
+    }
+    tokio::select! {
+        done = step => Some(done),
+        () = weights_expired(exchange, context, grant) => None,
+    }
+}
+
+/// Completes when the weights of the engine must no longer be used. Those that are the newest
+/// ones now may be superseded at any time.
+async fn weights_expired(exchange: &Exchange, context: &ProxyContext, grant: &Grant) {
+    let (Some(model), Some(version)) = (&exchange.head.model, grant.weights) else {
+        return std::future::pending().await;
+    };
+    loop {
+        let view = context.handle.view();
+        let now = now();
+        let left = view
+            .weights_expire_at(model, version)
+            .map_or(view.max_weights_age, |at| at.saturating_sub(now));
+        if left == 0 {
+            return;
+        }
+        sleep(Duration::from_millis(left)).await;
+    }
+}
+
+/// Ends a run that has not begun, so that it does not begin on weights that have expired.
+fn expired(exchange: &Exchange, grant: &Grant, guard: RunGuard) -> AttemptOutcome {
+    log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, weights = grant.weights;
+        "run not begun when the weights of its engine expired; ended");
+    guard.end(RunEnd::Expired);
+    AttemptOutcome::NoResponse(RunEnd::Expired)
+}
+
 /// True unless another endpoint at the address may have refused the request.
 fn is_own(grant: &Grant, status: StatusCode, head: &ResponseHead) -> bool {
     status != StatusCode::MISDIRECTED_REQUEST
@@ -347,6 +394,7 @@
 
 async fn open_stream(
     exchange: &Exchange,
+    context: &ProxyContext,
     grant: Grant,
     guard: RunGuard,
     response: UnreadResponse,
@@ -360,7 +408,11 @@
         ..
     } = response;
     connection.set_keep_alive(head.keep_alive);
-    let first = match timeout_at(limit, first_chunk(&mut body)).await {
+    let first = timeout_at(limit, first_chunk(&mut body));
+    let Some(first) = before_expiry(exchange, context, &grant, first).await else {
+        return expired(exchange, &grant, guard);
+    };
+    let first = match first {
         Ok(Ok(first)) => first,
         Ok(Err(error)) => {
             log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -45,6 +45,7 @@
 use crate::catalog::Catalog;
 use crate::clock::{Millis, now};
 use crate::control::handovers::OtherNode;
+use crate::control::named_weights::{NamedVersions, replaced_at};
 use crate::control::notices::Notice;
 use crate::control::operator_records::OperatorUpdate;
 use crate::control::state::Control;
@@ -239,6 +240,8 @@
     Broken,
     /// The endpoint did not answer in time.
     Silent,
+    /// The run had not begun when the weights of its engine expired, and was ended.
+    Expired,
     /// An endpoint other than an engine refused the request, which is taken to mean
     /// that it has no free capacity.
     Full,
@@ -267,6 +270,7 @@
             Self::WrongInstance => "wrong_instance",
             Self::Broken => "broken",
             Self::Silent => "silent",
+            Self::Expired => "expired",
             Self::Full => "full",
             Self::Reloading => "reloading",
             Self::WrongWeights(_) => "wrong_weights",
@@ -465,6 +469,18 @@
     pub shutdown_at: Option<Millis>,
     /// Time at which the process ends, once its shutdown has begun.
     pub ends_at: Option<Millis>,
+    /// Versions of the weights that the operator named.
+    pub named_weights: Arc<NamedVersions>,
+    /// Time for which superseded weights may be used, in ms.
+    pub max_weights_age: Millis,
+}
+
+impl View {
+    /// When a version of a model's weights must no longer be used; none if it is the newest.
+    pub fn weights_expire_at(&self, model: &str, version: u64) -> Option<Millis> {
+        let versions = self.named_weights.get(model)?;
+        Some(replaced_at(versions, version)? + self.max_weights_age)
+    }
 }
 
 /// Handle for sending events to the control thread and reading its published state.
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -2,7 +2,7 @@
 
 mod estimate;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use flamingolock_wire::gossip::Run;
@@ -79,6 +79,32 @@
     parts: Vec<PartKey>,
 }
 
+impl RunningRequest {
+    /// Time of `took` that it waited for others at an engine with this slowdown, in ms.
+    fn waited_ms(&self, took: Millis, slowdown: f64) -> f64 {
+        (took as f64 - self.prefill_ms * slowdown - FIRST_STEP_MS).max(0.0)
+    }
+}
+
+/// Longest waits of requests for their first token, in descending order: a newer one replaces
+/// those that were shorter.
+#[derive(Debug, Default)]
+struct RecentWaits(VecDeque<(Millis, f64)>);
+
+impl RecentWaits {
+    fn record(&mut self, waited_ms: f64, now: Millis) {
+        self.0
+            .retain(|(at, ms)| *ms > waited_ms && now < at + RUN_TIMEOUT_MS);
+        self.0.push_back((now, waited_ms));
+    }
+
+    /// The longest one since `from`, in ms.
+    fn longest(&self, from: Millis) -> f64 {
+        let recent = self.0.iter().find(|(at, _)| *at >= from);
+        recent.map_or(0.0, |(_, ms)| *ms)
+    }
+}
+
 /// What the first token of a run tells.
 #[derive(Debug, PartialEq, Eq)]
 pub struct FirstToken {
@@ -118,6 +144,7 @@
     first_token_at: Millis,
     /// Moving average of the duration of complete runs, in ms.
     run_ms: Option<f64>,
+    waits: RecentWaits,
     runs: BTreeMap<RunId, RunningRequest>,
 }
 
@@ -138,6 +165,7 @@
             slowdown: 1.0,
             first_token_at: 0,
             run_ms: None,
+            waits: RecentWaits::default(),
             runs: BTreeMap::new(),
         }
     }
@@ -200,6 +228,18 @@
         (total * self.slowdown - gone).max(total * 0.15)
     }
 
+    /// Longest time that requests have waited for others at the engine, of those that got their
+    /// first token since `from` and of those that still wait, in ms.
+    fn longest_wait_ms(&self, from: Millis, now: Millis) -> f64 {
+        let waiting = self
+            .runs
+            .values()
+            .filter(|run| !run.has_first_token && now < run.sent_at + PREFILL_TIMEOUT_MS);
+        waiting
+            .map(|run| run.waited_ms(now.saturating_sub(run.sent_at), self.slowdown))
+            .fold(self.waits.longest(from), f64::max)
+    }
+
     /// Records that a request was sent to the endpoint.
     pub fn run_sent(&mut self, id: RunId, run: &Run, now: Millis) {
         self.runs
@@ -302,6 +342,8 @@
         run.has_first_token = true;
         self.first_token_at = now;
         let took = (now - run.sent_at) as f64;
+        let waited_ms = run.waited_ms(now - run.sent_at, self.slowdown);
+        self.waits.record(waited_ms, now);
         let ratio = took / (run.queued_ms + run.prefill_ms + FIRST_STEP_MS);
         let load = self.load.as_ref().filter(|load| !load.is_done());
         let loaded_ms = load
@@ -402,7 +444,11 @@
             | RunEnd::Full
             | RunEnd::Reloading
             | RunEnd::WrongWeights(_) => self.reachability.answered(now),
-            RunEnd::WrongInstance | RunEnd::Broken | RunEnd::Silent | RunEnd::CallerLeft => {}
+            RunEnd::WrongInstance
+            | RunEnd::Broken
+            | RunEnd::Silent
+            | RunEnd::Expired
+            | RunEnd::CallerLeft => {}
         }
         match end {
             RunEnd::Complete => {
@@ -442,7 +488,7 @@
                 }
                 None
             }
-            RunEnd::CallerLeft => None,
+            RunEnd::CallerLeft | RunEnd::Expired => None,
         }
     }
 
--- a/crates/gateway/src/control/fleet/estimate.rs
+++ b/crates/gateway/src/control/fleet/estimate.rs
@@ -64,10 +64,14 @@
 /// Penalty for weights that were superseded a moment ago, in ms.
 const NEW_WEIGHTS_NAMED_MS: f64 = 25.0;
 
-/// Multiple of the estimated time to the start of a request by which it has started: the
-/// estimate does not include more urgent requests that arrive later.
+/// Multiple of the expected time to the start of a request by which it has started: neither
+/// its estimate nor the waits of others include more urgent requests that arrive later.
 const MAX_START_FACTOR: f64 = 2.0;
 
+/// Part of the time for which superseded weights may be used over which the longest wait of
+/// other requests at an engine counts.
+const WAITS_SHARE: Millis = 3;
+
 /// Penalty for an endpoint with a failure rate of 1, in ms.
 const FAILURE_RATE_MS: f64 = 600.0;
 
@@ -242,9 +246,14 @@
         let read_ms = reading.prefill_ms * self.slowdown;
         let age = replaced_at(context.versions, version).map(|at| now.saturating_sub(at));
         // The request must start before the superseded weights expire.
-        let latest_start_ms = (queue_ms + read_ms) * MAX_START_FACTOR;
-        let max_age = context.max_weights_age as f64;
-        if age.is_some_and(|age| age as f64 + latest_start_ms > max_age) {
+        let max_age = context.max_weights_age;
+        let starts_in_time = |age: Millis| {
+            let waits_from = now.saturating_sub(max_age / WAITS_SHARE);
+            let wait_ms = queue_ms.max(self.longest_wait_ms(waits_from, now));
+            let latest_start_ms = (wait_ms + read_ms) * MAX_START_FACTOR;
+            age as f64 + latest_start_ms <= max_age as f64
+        };
+        if age.is_some_and(|age| !starts_in_time(age)) {
             return None;
         }
         let score = self.health_penalty_ms(now)
--- a/crates/gateway/src/control/named_weights.rs
+++ b/crates/gateway/src/control/named_weights.rs
@@ -4,6 +4,7 @@
 //! was named. The nodes that read it at the time tell it, and the versions before it.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use flamingolock_wire::gossip::NamedWeightsRecord;
 
@@ -72,19 +73,23 @@
     Some(earliest.map_or(first.named.at, |at| at.min(first.named.at)))
 }
 
+/// Named versions of each model, newest last.
+pub type NamedVersions = BTreeMap<String, Vec<NamedVersion>>;
+
 /// Named versions of all models.
 #[derive(Debug, Default)]
 pub struct NamedWeights {
-    /// Versions of each model that this node has read, newest last.
-    models: BTreeMap<String, Vec<NamedVersion>>,
+    /// Versions of each model that this node has read.
+    models: Arc<NamedVersions>,
     /// Versions of which other nodes told and that this node has not read yet.
-    told: BTreeMap<String, Vec<NamedVersion>>,
+    told: NamedVersions,
 }
 
 impl NamedWeights {
     /// Records a version that was read. Returns true if it is newer than all known versions.
     pub fn name(&mut self, model: &str, version: u64, named: WriteTime) -> bool {
-        let versions = self.models.entry(model.to_owned()).or_default();
+        let models = Arc::make_mut(&mut self.models);
+        let versions = models.entry(model.to_owned()).or_default();
         if versions.last().is_some_and(|last| last.version >= version) {
             return false;
         }
@@ -96,6 +101,11 @@
         true
     }
 
+    /// All versions that this node has read.
+    pub fn all(&self) -> Arc<NamedVersions> {
+        self.models.clone()
+    }
+
     /// Models of which versions were named.
     pub fn models(&self) -> impl Iterator<Item = &String> {
         self.models.keys()
@@ -136,7 +146,7 @@
             .newest(model)
             .is_some_and(|newest| told.version <= newest);
         let lists = if is_read {
-            &mut self.models
+            Arc::make_mut(&mut self.models)
         } else {
             &mut self.told
         };
@@ -153,7 +163,7 @@
     /// Drops versions that are too many. The oldest one stays because it determines since when
     /// the versions before it count as superseded. The next one now does so for those dropped.
     fn drop_surplus(&mut self, model: &str) {
-        let read = self.models.get_mut(model);
+        let read = Arc::make_mut(&mut self.models).get_mut(model);
         let told = self.told.get_mut(model);
         for versions in read.into_iter().chain(told) {
             while versions.len() > MAX_VERSIONS {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -673,6 +673,8 @@
             ends_at: self
                 .shutdown_at
                 .map(|at| at + self.settings.shutdown_time().as_millis() as Millis),
+            named_weights: self.rollout.named.all(),
+            max_weights_age: self.max_weights_age(),
         }));
     }
 }
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -25,9 +25,9 @@
 /// starting.
 const STARTING_NODES: usize = 2;
 
-/// Margin before the configured bound at which superseded weights stop being used,
-/// in ms.
-const WEIGHTS_MARGIN_MS: Millis = 700;
+/// Part of the bound for new weights that is left when superseded ones are no longer used: an
+/// engine may fall silent meanwhile and then begin what has reached it.
+const WEIGHTS_MARGIN_SHARE: Millis = 8;
 
 /// Range of the random value that breaks ties, in ms.
 const TIE_BREAK_MS: f64 = 0.8;
@@ -89,7 +89,7 @@
     /// Returns the time after which superseded weights must not be used, in ms.
     pub(super) fn max_weights_age(&self) -> Millis {
         let bound = self.settings.weights_bound.as_millis() as Millis;
-        bound.saturating_sub(WEIGHTS_MARGIN_MS)
+        bound - bound / WEIGHTS_MARGIN_SHARE
     }
 
     pub(super) fn handle_placement(
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -75,6 +75,7 @@
         let learnt = self.rollout.named.merge(records, now);
         if learnt > 0 {
             log::info!(learnt, told = records.len(); "another node told when weights were named");
+            self.publish(now);
         }
     }
 
@@ -101,6 +102,7 @@
                         is_assumed = written.is_assumed; "operator named new weights");
                     self.operator_records.insert(record);
                     self.abstains_until = 0;
+                    self.publish(now);
                 }
             }
             Ok(OperatorRecord::Other) => {}
--- a/crates/gateway/tests/common/rollout.rs
+++ b/crates/gateway/tests/common/rollout.rs
@@ -139,11 +139,21 @@
     pub loads: usize,
     /// Largest number of engines that had an order at the same time.
     pub most_loading: usize,
+    /// Requests that began on weights that were superseded longer ago than allowed, and by how
+    /// long the latest one did.
+    pub late_starts: (usize, u64),
+    /// Runs that the gateway ended because the weights had expired before they began.
+    pub expired: usize,
     deployment: Deployment,
     engines: BTreeMap<EndpointKey, Engine>,
     due: BTreeMap<(u64, u64), Due>,
     waiting: Vec<(oneshot::Receiver<Placement>, Request)>,
     outcomes: BTreeMap<u64, Outcomes>,
+    /// Versions of the weights and when they were named.
+    named: Vec<(u64, u64)>,
+    bound_ms: u64,
+    /// Part of their time that engines spend on more urgent requests that are unknown here.
+    unknown_share: f64,
     sequence: u64,
     rng: StdRng,
 }
@@ -168,11 +178,16 @@
             overflowed: 0,
             loads: 0,
             most_loading: 0,
+            late_starts: (0, 0),
+            expired: 0,
             deployment,
             engines,
             due: BTreeMap::new(),
             waiting: Vec::new(),
             outcomes: BTreeMap::new(),
+            named: Vec::new(),
+            bound_ms,
+            unknown_share: 0.0,
             sequence: 0,
             rng: StdRng::seed_from_u64(1),
         }
@@ -183,6 +198,31 @@
         self.deployment.requests = requests;
     }
 
+    /// Sets the part of their time that engines spend on more urgent requests of which this
+    /// node does not know.
+    pub fn set_unknown_work(&mut self, share: f64) {
+        self.unknown_share = share;
+    }
+
+    /// Makes all engines fall silent for a time and then go on.
+    pub fn fall_silent(&mut self, time_ms: u64) {
+        self.delay_all(time_ms);
+    }
+
+    /// Delays what waits at the engines.
+    fn delay_all(&mut self, time_ms: u64) {
+        for engine in self.engines.values_mut() {
+            engine.busy_until = engine.busy_until.max(self.now) + time_ms;
+        }
+        let waiting = self
+            .due
+            .extract_if(.., |_, due| matches!(due, Due::FirstToken(..)));
+        let waiting: Vec<_> = waiting.collect();
+        for ((at, sequence), due) in waiting {
+            self.due.insert((at + time_ms, sequence), due);
+        }
+    }
+
     /// Makes an engine never finish its loads.
     pub fn hang(&mut self, number: usize) {
         let key = Endpoint::key_of(&format!("e{number}"));
@@ -232,6 +272,7 @@
     /// Names a version of the weights.
     pub fn name_weights(&mut self, version: u64) {
         self.harness.weights(version, self.now);
+        self.named.push((version, self.now));
     }
 
     /// Outcomes of the requests that arrived since a time.
@@ -252,6 +293,9 @@
             if self.rng.random_range(0..1_000) < self.deployment.requests {
                 self.request();
             }
+            if self.rng.random_bool(self.unknown_share) {
+                self.delay_all(1);
+            }
             self.play_loads();
             while let Some(entry) = self.due.first_entry() {
                 if entry.key().0 > self.now {
@@ -379,6 +423,12 @@
         match due {
             Due::Arrive(grant, request) => self.arrive(grant, request),
             Due::FirstToken(grant, arrived_at) => {
+                if self.has_expired(&grant) {
+                    self.expired += 1;
+                    self.after(1, Due::Ended(grant, RunEnd::Expired));
+                    return;
+                }
+                self.count_late_start(&grant);
                 let in_aim = now <= arrived_at + self.deployment.aim_ms;
                 self.outcomes.entry(arrived_at).or_default().in_aim += usize::from(in_aim);
                 let first = Event::FirstToken {
@@ -427,6 +477,26 @@
             .engine_with_weights(&id, self.now, weights, self.now);
     }
 
+    /// True if the gateway has ended a run that would begin now.
+    fn has_expired(&self, grant: &Grant) -> bool {
+        let view = self.harness.view.load();
+        let version = grant.weights.expect("weights");
+        let expired_at = view.weights_expire_at("m", version);
+        expired_at.is_some_and(|at| self.now > at + CALL_MS)
+    }
+
+    /// Counts a request that begins now if the weights of its engine were superseded too long
+    /// ago.
+    fn count_late_start(&mut self, grant: &Grant) {
+        let weights = self.engines[&grant.endpoint.key()].loader.weights;
+        let newer = self.named.iter().find(|(version, _)| *version > weights);
+        let age = newer.map_or(0, |(_, named_at)| self.now - named_at);
+        if let Some(late_ms) = age.checked_sub(self.bound_ms + 1) {
+            self.late_starts.0 += 1;
+            self.late_starts.1 = self.late_starts.1.max(late_ms);
+        }
+    }
+
     /// Ids of the prompt parts that engines with these weights hold.
     fn held_parts(&self, weights: u64) -> BTreeSet<u64> {
         let engines = self.engines.values();
--- a/crates/gateway/tests/test_rollout.rs
+++ b/crates/gateway/tests/test_rollout.rs
@@ -8,6 +8,9 @@
 /// Time before the first version of the weights is named, in ms.
 const CALM_MS: u64 = 5_000;
 
+/// Number of runs of some 900 that may be ended in a roll-out that takes too long.
+const MAX_EXPIRED: usize = 18;
+
 const DEPLOYMENT: Deployment = Deployment {
     engines: 12,
     load_ms: 300,
@@ -200,3 +203,48 @@
     simulation.run_until(2_000 + 6_000);
     assert_eq!(simulation.engines_with(2), deployment.engines);
 }
+
+/// Plays a roll-out that takes longer than it may, at engines that have more to do from some
+/// time before the bound on than this node knows.
+fn slow_rollout(unknown_share: f64, before_ms: u64, silent_ms: u64) -> Simulation {
+    let deployment = Deployment {
+        load_ms: 3_000,
+        loads_at_once: 1,
+        ..DEPLOYMENT
+    };
+    let bound = 8_000;
+    let mut simulation = Simulation::start(deployment, bound);
+    simulation.run_until(1_000 + CALM_MS);
+    let named_at = simulation.now;
+    simulation.name_weights(2);
+    simulation.run_until(named_at + bound - before_ms);
+    simulation.set_unknown_work(unknown_share);
+    simulation.fall_silent(silent_ms);
+    simulation.run_until(named_at + 2 * bound);
+    let outcomes = simulation.outcomes_since(named_at);
+    println!(
+        "{unknown_share} {before_ms} {silent_ms}: {:?} {} {outcomes:?}",
+        simulation.late_starts, simulation.expired
+    );
+    assert!(simulation.engines_with(1) > 0, "the roll-out was not slow");
+    simulation
+}
+
+/// Runs that have not begun in time are ended, which callers see: there should be few.
+#[test]
+fn no_request_begins_on_weights_that_were_superseded_too_long_ago() {
+    for (unknown_share, before_ms, silent_ms) in [
+        (0.0, 0, 0),
+        (0.5, 4_000, 0),
+        (0.9, 3_000, 0),
+        (0.9, 2_000, 0),
+        (0.0, 3_000, 1_000),
+        (0.0, 1_500, 1_000),
+        (0.5, 1_500, 1_000),
+    ] {
+        let simulation = slow_rollout(unknown_share, before_ms, silent_ms);
+        let case = format!("{unknown_share} {before_ms} {silent_ms}");
+        assert_eq!(simulation.late_starts, (0, 0), "{case}");
+        assert!(simulation.expired <= MAX_EXPIRED, "{case}");
+    }
+}
