suspects: runs that a cut ends are no evidence against their requests

Callers of a node that was cut off from a service could get a refusal for a request that had crashed nothing: each run that broke with its connection, and whose endpoint did not answer the call after it, counted as a crash. The node also told the others of these crashes.

Cause: run_guard.rs takes no answer for the end of the endpoint, and the control thread did not ask whether the node reaches the service at all.

While the node is cut off from a service that another node reaches, such a run is now undecided. It counts as soon as the endpoint's entry is gone or names a later start, and is dropped after two heartbeats of the same start (one may have been under way). For an entry without heartbeats, it is dropped once the endpoint is reached again. Only the belief in a cut postpones evidence: two unreachable endpoints of several may well have crashed.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -24,7 +24,7 @@
 use tokio::sync::oneshot;
 
 use self::streams::{BuildRecord, FormerMemory, StreamRecord};
-use self::suspects::SuspectsRecord;
+use self::suspects::{SuspectsRecord, UndecidedRun};
 use crate::catalog::Catalog;
 use crate::clock::Millis;
 use crate::control::begun_streams::BegunStreams;
@@ -132,6 +132,8 @@
     suspect_parts: Suspects,
     suspect_requests: Suspects,
     suspects_record: SuspectsRecord,
+    /// Runs that ended while this node was cut off from their endpoints.
+    undecided_runs: Vec<UndecidedRun>,
     parts: CacheIndex,
     streams: BegunStreams,
     /// How long streams of earlier configurations are remembered.
@@ -230,6 +232,7 @@
             suspect_parts: Suspects::new(Subject::Part),
             suspect_requests: Suspects::new(Subject::Request),
             suspects_record: SuspectsRecord::default(),
+            undecided_runs: Vec::new(),
             parts: CacheIndex::default(),
             build_record: BuildRecord::default(),
             stream_record: StreamRecord::default(),
@@ -303,7 +306,7 @@
             Event::StreamBegun(stream) => self.stream_begun(stream, now),
             Event::StreamsRead(recorded) => self.streams_read(recorded, now),
             Event::StreamsRecorded(stored) => self.streams_recorded(stored),
-            Event::RunCrashed(run) => self.run_crashed(&run, now),
+            Event::RunCrashed(run) => self.run_crashed(run, now),
             Event::RunAnswered(subjects) => self.run_answered(&subjects, now),
             Event::SuspectsRead(recorded) => self.suspects_read(&recorded, now),
             Event::SuspectsRecorded(stored) => self.suspects_recorded(stored),
@@ -399,6 +402,7 @@
         self.read_topics(now);
         self.give_up_asks(now);
         self.update_reach(now);
+        self.decide_runs(now);
         self.retry_queued(now);
         self.advance_rollout(now);
         self.record_streams(now);
--- a/crates/gateway/src/control/state/suspects.rs
+++ b/crates/gateway/src/control/state/suspects.rs
@@ -8,11 +8,19 @@
 use crate::control::suspect::Subject;
 use crate::control::suspects::{Clearance, CrashedRun, RunSubjects, Suspects};
 use crate::control::{Effect, PlacementRequest, Refusal};
+use crate::endpoint::EndpointKey;
 use crate::metrics::EventKind;
 
 /// Minimum interval between two records of the stopped suspects, in ms.
 const RECORD_INTERVAL_MS: Millis = 1_000;
 
+/// Heartbeats after which an endpoint is seen to have outlived a run: one may have been
+/// under way when the run ended.
+const MIN_HEARTBEATS: u64 = 2;
+
+/// Maximum number of runs that are kept until it is known whether their endpoints ended.
+const MAX_UNDECIDED: usize = 256;
+
 /// Ids of the stopped parts, and fingerprints of the stopped requests.
 type StoppedIds = (Vec<u64>, Vec<u64>);
 
@@ -25,6 +33,23 @@
     appended: Option<(StoppedIds, Millis)>,
 }
 
+/// A run that ended while this node was cut off from its endpoint.
+#[derive(Debug)]
+pub struct UndecidedRun {
+    run: CrashedRun,
+    endpoint: EndpointKey,
+    /// Heartbeat of the endpoint when the run ended.
+    heartbeat: Option<u64>,
+}
+
+/// What became of the endpoint of an undecided run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Ended,
+    RunsOn,
+    Unknown,
+}
+
 fn ids(suspects: &[SuspectRecord]) -> Vec<u64> {
     suspects.iter().map(|suspect| suspect.id).collect()
 }
@@ -53,8 +78,74 @@
         }
     }
 
-    /// Handles a run that ended with its endpoint before it brought an event.
-    pub(super) fn run_crashed(&mut self, run: &CrashedRun, now: Millis) {
+    /// Handles a run that ended before it brought an event, and whose endpoint does not
+    /// answer. If this node is cut off from the endpoint, other signs must show whether the
+    /// endpoint has ended.
+    pub(super) fn run_crashed(&mut self, run: CrashedRun, now: Millis) {
+        let Some((endpoint, heartbeat)) = self.unreachable_engine(run.engine) else {
+            self.count_crash(&run, now);
+            return;
+        };
+        log::info!(engine = run.engine; "run ended during a cut; unknown whether its endpoint ended");
+        if self.undecided_runs.len() == MAX_UNDECIDED {
+            self.undecided_runs.remove(0);
+        }
+        self.undecided_runs.push(UndecidedRun {
+            run,
+            endpoint,
+            heartbeat,
+        });
+    }
+
+    /// Returns the key and the heartbeat of this incarnation of an endpoint if it is listed
+    /// and this node is cut off from it.
+    fn unreachable_engine(&self, incarnation: u64) -> Option<(EndpointKey, Option<u64>)> {
+        if !self.is_cut_off() {
+            return None;
+        }
+        let endpoints = self.fleet.values().map(|state| &state.endpoint);
+        let endpoint = endpoints
+            .filter(|endpoint| self.cut_services.contains(&endpoint.service))
+            .find(|endpoint| endpoint.incarnation() == incarnation)?;
+        Some((endpoint.key(), endpoint.heartbeat))
+    }
+
+    /// Decides on the runs that ended during a cut, as far as the fate of their endpoints
+    /// is known.
+    pub(super) fn decide_runs(&mut self, now: Millis) {
+        for undecided in std::mem::take(&mut self.undecided_runs) {
+            match self.fate(&undecided) {
+                Fate::Ended => self.count_crash(&undecided.run, now),
+                Fate::RunsOn => {
+                    log::info!(engine = undecided.run.engine; "endpoint has outlived a run that a cut ended");
+                }
+                Fate::Unknown => self.undecided_runs.push(undecided),
+            }
+        }
+    }
+
+    fn fate(&self, undecided: &UndecidedRun) -> Fate {
+        let listed = self.fleet.get(&undecided.endpoint);
+        let Some(endpoint) = listed.map(|state| &state.endpoint) else {
+            return Fate::Ended;
+        };
+        if endpoint.incarnation() != undecided.run.engine {
+            return Fate::Ended;
+        }
+        let runs_on = match endpoint.heartbeat.zip(undecided.heartbeat) {
+            Some((heartbeat, before)) => heartbeat >= before + MIN_HEARTBEATS,
+            None => {
+                !self.cut_services.contains(&endpoint.service)
+                    && !self
+                        .reach
+                        .is_unreachable(&endpoint.service, undecided.endpoint)
+            }
+        };
+        if runs_on { Fate::RunsOn } else { Fate::Unknown }
+    }
+
+    /// Counts a run that ended with its endpoint against what it may have crashed by.
+    fn count_crash(&mut self, run: &CrashedRun, now: Millis) {
         for subject in [Subject::Part, Subject::Request] {
             let suspects = self.suspects_mut(subject);
             let before = ids(&suspects.stopped());
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -173,6 +173,13 @@
         self.entry(id, Some(&engine_entry("v1", born, state, 1)), now);
     }
 
+    /// Reads this heartbeat of an engine that was added with [`Self::engine`].
+    pub fn heartbeat(&mut self, id: &str, number: u64, now: u64) {
+        let entry = engine_entry("v1", 1, "ready", 1);
+        let entry = entry.replace("\"Seq\":1", &format!("\"Seq\":{number}"));
+        self.entry(id, Some(&entry), now);
+    }
+
     /// Adds an engine that has these weights.
     pub fn engine_with_weights(&mut self, id: &str, born: u64, weights: u64, now: u64) {
         self.entry(id, Some(&engine_entry("v1", born, "ready", weights)), now);
--- a/crates/gateway/tests/test_reach.rs
+++ b/crates/gateway/tests/test_reach.rs
@@ -5,10 +5,12 @@
 
 use common::{Harness, placement_request};
 use flamingolock_gateway::control::reach::Reach;
-use flamingolock_gateway::control::{Effect, Event, Grant, RunEnd};
+use flamingolock_gateway::control::suspects::CrashedRun;
+use flamingolock_gateway::control::{Effect, Event, Grant, Refusal, RunEnd};
 use flamingolock_gateway::endpoint::{Endpoint, EndpointKey};
 use flamingolock_wire::gossip::{Gossip, NodeState};
 use prost::Message;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod common;
@@ -315,3 +317,70 @@
         .any(|run| run.number == waiting.run_number && run.step == 3);
     assert!(ended, "{told:?}");
 }
+
+/// Lets runs of a request end at one engine after the other, and returns how many records
+/// against requests the node sends.
+fn lose_runs(harness: &mut Harness) -> usize {
+    for (id, now) in [("e0", 300), ("e1", 400), ("e2", 500)] {
+        let run = CrashedRun {
+            engine: xxh3_64_with_seed(id.as_bytes(), 1),
+            subjects: placement_request(None, 1).subjects,
+            sent_at: now,
+            ended_at: now + 50,
+            begun: true,
+        };
+        harness.control.handle(Event::RunCrashed(run), now + 50);
+    }
+    told_against_requests(harness, 600)
+}
+
+fn told_against_requests(harness: &mut Harness, now: u64) -> usize {
+    let told = messages(&harness.effects(now));
+    told.iter()
+        .map(|gossip| gossip.suspect_requests.len())
+        .sum()
+}
+
+fn is_refused(harness: &mut Harness, now: u64) -> bool {
+    let mut request = placement_request(None, 1);
+    request.may_hand_over = false;
+    let placed = harness.place(request, now).expect("a decision");
+    matches!(
+        placed,
+        Err(Refusal::StoppedRequest { .. } | Refusal::StoppedPart { .. })
+    )
+}
+
+fn heartbeats(harness: &mut Harness, number: u64, now: u64) {
+    for id in ["e0", "e1", "e2"] {
+        harness.heartbeat(id, number, now);
+    }
+}
+
+#[test]
+fn runs_that_a_cut_breaks_are_no_evidence_against_their_request() {
+    let mut harness = cut_node();
+    assert_eq!(lose_runs(&mut harness), 0);
+    assert!(!is_refused(&mut harness, 610));
+    // One heartbeat may have been under way when the run ended.
+    heartbeats(&mut harness, 2, 650);
+    heartbeats(&mut harness, 3, 700);
+    harness.effects(750);
+    for id in ["e0", "e1", "e2"] {
+        harness.engine(id, 5, "ready", 800);
+    }
+    assert_eq!(told_against_requests(&mut harness, 900), 0);
+    assert!(!is_refused(&mut harness, 950));
+}
+
+#[test]
+fn crashes_during_a_cut_count_once_the_endpoints_are_seen_to_have_ended() {
+    let mut harness = cut_node();
+    lose_runs(&mut harness);
+    heartbeats(&mut harness, 2, 650);
+    harness.engine("e0", 5, "ready", 800);
+    harness.entry("e1", None, 800);
+    harness.engine("e2", 5, "ready", 800);
+    assert!(told_against_requests(&mut harness, 900) > 0);
+    assert!(is_refused(&mut harness, 950));
+}
