reach: runs that may wait in an endpoint's queue stay counted during a cut

Other nodes saw less load at endpoints than there was: a node that suspected a cut told everyone that its runs without a token had ended, also runs that the endpoint had in its queue. Their first token then marked no cached parts and did not end a load.

Cause: runs were withdrawn at each failed connect while most endpoints of the service were unreachable, though no other node might reach them either (busy engines reset connections), and though the endpoint went on to answer over connections from before.

Runs are withdrawn only if another node reaches the service, and only those sent after the last response of that endpoint. A withdrawn run that brings its first token counts again at its node. The other nodes are told of the token, but do not count the run again.

--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -146,6 +146,8 @@
     run_ms: Option<f64>,
     waits: RecentWaits,
     runs: BTreeMap<RunId, RunningRequest>,
+    /// Runs that are taken not to have arrived, though they have not ended.
+    withdrawn: BTreeMap<RunId, RunningRequest>,
 }
 
 impl EndpointState {
@@ -167,6 +169,7 @@
             run_ms: None,
             waits: RecentWaits::default(),
             runs: BTreeMap::new(),
+            withdrawn: BTreeMap::new(),
         }
     }
 
@@ -333,8 +336,11 @@
         pause
     }
 
-    /// Records the first token of a request.
+    /// Records the first token of a request. A withdrawn one counts again.
     pub fn first_token(&mut self, id: RunId, now: Millis) -> Option<FirstToken> {
+        if let Some(run) = self.withdrawn.remove(&id) {
+            self.runs.insert(id, run);
+        }
         let run = self.runs.get_mut(&id)?;
         if run.has_first_token {
             return None;
@@ -407,21 +413,31 @@
 
     /// Records the end of a request. Returns its parts if they were not prefilled.
     pub fn run_ended(&mut self, id: RunId) -> Vec<PartKey> {
+        self.withdrawn.remove(&id);
         match self.runs.remove(&id) {
             Some(run) if !run.has_first_token => run.parts,
             _ => Vec::new(),
         }
     }
 
-    /// Removes the runs of a node that have not brought a token. Returns their numbers and
-    /// the parts of their prompts.
-    pub fn drop_unstarted_runs_of(&mut self, incarnation: u64) -> Vec<(u64, Vec<PartKey>)> {
+    /// Withdraws the runs of a node that have not brought a token and were sent after
+    /// `heard_at`. Returns their numbers and the parts of their prompts.
+    pub fn withdraw_runs_of(
+        &mut self,
+        incarnation: u64,
+        heard_at: Option<Millis>,
+    ) -> Vec<(u64, Vec<PartKey>)> {
         let unstarted = self.runs.extract_if(.., |(node, _), run| {
-            *node == incarnation && !run.has_first_token
+            let is_unheard = heard_at.is_none_or(|at| at < run.sent_at);
+            *node == incarnation && !run.has_first_token && is_unheard
         });
-        unstarted
-            .map(|((_, number), run)| (number, run.parts))
-            .collect()
+        let withdrawn: BTreeMap<RunId, RunningRequest> = unstarted.collect();
+        let told = withdrawn
+            .iter()
+            .map(|((_, number), run)| (*number, run.parts.clone()))
+            .collect();
+        self.withdrawn.extend(withdrawn);
+        told
     }
 
     /// Removes the runs of a node that is gone.
--- a/crates/gateway/src/control/reach.rs
+++ b/crates/gateway/src/control/reach.rs
@@ -32,6 +32,8 @@
     failures: u32,
     /// Time of the last connect whose outcome is known.
     judged_at: Option<Millis>,
+    /// Time of its last response to a run.
+    heard_at: Option<Millis>,
     /// Start of the last probe.
     probed_at: Option<Millis>,
     /// True while a probe is in progress.
@@ -219,6 +221,17 @@
         state.heard_at = Some(now);
     }
 
+    /// Records that the endpoint answers a run, maybe over a connection from before a cut.
+    pub fn answered(&mut self, service: &Arc<str>, endpoint: EndpointKey, now: Millis) {
+        self.link(service, endpoint).heard_at = Some(now);
+    }
+
+    /// Time of the last response of the endpoint to a run.
+    pub fn heard_at(&self, service: &str, endpoint: EndpointKey) -> Option<Millis> {
+        let link = self.services.get(service)?.links.get(&endpoint)?;
+        link.heard_at
+    }
+
     /// Records that a connect to an endpoint failed.
     pub fn connect_failed(&mut self, service: &Arc<str>, endpoint: EndpointKey, now: Millis) {
         let link = self.link(service, endpoint);
--- a/crates/gateway/src/control/state/reach.rs
+++ b/crates/gateway/src/control/state/reach.rs
@@ -39,8 +39,8 @@
             self.reach.connect_failed(&service, endpoint, now);
         }
         self.update_reach(now);
-        if !reached && self.reach.is_cut(&service) {
-            self.withdraw_unstarted_runs(endpoint, now);
+        if !reached && self.cut_services.contains(&service) {
+            self.withdraw_unstarted_runs(&service, endpoint, now);
         }
     }
 
@@ -65,7 +65,10 @@
                 self.reach.doubted(&service, endpoint);
             }
             RunEnd::CallerLeft | RunEnd::Expired => self.reach.run_ended(&service, run),
-            _ => self.reach.heard(&service, run, now),
+            _ => {
+                self.reach.heard(&service, run, now);
+                self.reach.answered(&service, endpoint, now);
+            }
         }
     }
 
@@ -73,6 +76,7 @@
     pub(super) fn note_first_token(&mut self, endpoint: EndpointKey, run: u64, now: Millis) {
         if let Some(service) = self.service_of(endpoint) {
             self.reach.heard(&service, run, now);
+            self.reach.answered(&service, endpoint, now);
         }
     }
 
@@ -126,27 +130,25 @@
     }
 
     fn cut_declared(&mut self, service: &Arc<str>, keys: &BTreeSet<EndpointKey>, now: Millis) {
-        let unreachable: Vec<EndpointKey> = keys
+        let unreachable = keys
             .iter()
             .filter(|key| self.reach.is_unreachable(service, **key))
-            .copied()
-            .collect();
-        log::warn!(service = &**service, unreachable = unreachable.len(), listed = keys.len();
+            .count();
+        log::warn!(service = &**service, unreachable, listed = keys.len();
             "cut off from the endpoints of a service");
         self.metrics.count(EventKind::Reach, "cut_off");
-        for key in unreachable {
-            self.withdraw_unstarted_runs(key, now);
-        }
         self.gossip_pending_at.get_or_insert(now);
     }
 
-    /// Ends for all nodes the runs of this node that an endpoint has not begun: they wait
-    /// on the way to it, and not in its queue.
-    fn withdraw_unstarted_runs(&mut self, endpoint: EndpointKey, now: Millis) {
+    /// Ends for all nodes the runs of this node that an endpoint has not begun if nothing
+    /// was heard of it since they were sent: they wait on the way to it, and not in its
+    /// queue.
+    fn withdraw_unstarted_runs(&mut self, service: &str, endpoint: EndpointKey, now: Millis) {
+        let heard_at = self.reach.heard_at(service, endpoint);
         let Some(state) = self.fleet.get_mut(&endpoint) else {
             return;
         };
-        for (number, parts) in state.drop_unstarted_runs_of(self.incarnation) {
+        for (number, parts) in state.withdraw_runs_of(self.incarnation, heard_at) {
             self.parts.clear_prefilling(endpoint, &parts);
             let run = Run {
                 number,
@@ -168,11 +170,26 @@
         if elsewhere != self.cut_services {
             log::info!(services = elsewhere.len(), before = self.cut_services.len();
                 "services that only other nodes reach changed");
-            self.cut_services = elsewhere;
+            let before = std::mem::replace(&mut self.cut_services, elsewhere);
+            self.withdraw_since(&before, now);
             self.publish(now);
         }
     }
 
+    /// Withdraws runs at unreachable endpoints of the services that were not cut before.
+    fn withdraw_since(&mut self, before: &BTreeSet<Arc<str>>, now: Millis) {
+        let unreachable: Vec<(Arc<str>, EndpointKey)> = self
+            .fleet
+            .iter()
+            .map(|(key, state)| (state.endpoint.service.clone(), *key))
+            .filter(|(service, _)| self.cut_services.contains(service) && !before.contains(service))
+            .filter(|(service, key)| self.reach.is_unreachable(service, *key))
+            .collect();
+        for (service, key) in unreachable {
+            self.withdraw_unstarted_runs(&service, key, now);
+        }
+    }
+
     /// Address and zone of each node that callers may use. Nodes that are cut off from a
     /// service are left out as long as at least half of all are left.
     pub(super) fn nodes_for_callers(&self, now: Millis) -> Vec<(SocketAddr, String)> {
--- a/crates/gateway/tests/test_reach.rs
+++ b/crates/gateway/tests/test_reach.rs
@@ -384,3 +384,86 @@
     assert!(told_against_requests(&mut harness, 900) > 0);
     assert!(is_refused(&mut harness, 950));
 }
+
+fn fail_probes(harness: &mut Harness, now: u64) {
+    for id in ["e0", "e1", "e2"] {
+        let event = Event::EndpointProbed(Endpoint::key_of(id), false);
+        harness.control.handle(event, now);
+    }
+}
+
+fn first_token(harness: &mut Harness, grant: &Grant, now: u64) {
+    let event = Event::FirstToken {
+        endpoint: grant.endpoint.key(),
+        run_number: grant.run_number,
+        weights: None,
+        model: None,
+    };
+    harness.control.handle(event, now);
+}
+
+fn place(harness: &mut Harness, id: u64, now: u64) -> Grant {
+    let placed = harness.place(placement_request(None, id), now);
+    placed.expect("a decision").expect("a placement")
+}
+
+/// Steps of a run that the node tells the others.
+fn steps(harness: &mut Harness, grant: &Grant, now: u64) -> Vec<u32> {
+    let told = messages(&harness.effects(now));
+    told.into_iter()
+        .flat_map(|gossip| gossip.runs)
+        .filter(|run| run.number == grant.run_number)
+        .map(|run| run.step)
+        .collect()
+}
+
+#[test]
+fn runs_at_endpoints_that_no_other_node_reaches_stay_counted() {
+    let mut harness = Harness::with_engines(3, 0);
+    harness.datagram(9, Gossip::default(), 0);
+    let grant = place(&mut harness, 1, 10);
+    let sender = NodeState {
+        incarnation: 9,
+        callers: "10.0.0.9:80".to_owned(),
+        zone: "zone-a".to_owned(),
+        ready: true,
+        cut_off: vec!["engines".to_owned()],
+        ..NodeState::default()
+    };
+    let gossip = Gossip {
+        sender: Some(sender),
+        ..Gossip::default()
+    };
+    let from = ([10, 0, 0, 9], 7_000).into();
+    let event = Event::Datagram(from, gossip.encode_to_vec().into());
+    harness.control.handle(event, 100);
+    fail_probes(&mut harness, 250);
+    assert!(!harness.control.is_cut_off());
+    assert_eq!(steps(&mut harness, &grant, 300), [0]);
+}
+
+#[test]
+fn runs_in_the_queue_of_an_endpoint_that_answers_old_connections_stay_counted() {
+    let mut harness = Harness::with_engines(1, 0);
+    harness.datagram(9, Gossip::default(), 0);
+    let waiting = place(&mut harness, 1, 10);
+    let answered = place(&mut harness, 50, 20);
+    first_token(&mut harness, &answered, 100);
+    for now in [250, 260] {
+        let event = Event::EndpointProbed(waiting.endpoint.key(), false);
+        harness.control.handle(event, now);
+    }
+    assert!(harness.control.is_cut_off());
+    assert_eq!(steps(&mut harness, &waiting, 300), [0]);
+}
+
+#[test]
+fn withdrawn_run_counts_again_with_its_first_token() {
+    let mut harness = Harness::with_engines(3, 0);
+    harness.datagram(9, Gossip::default(), 0);
+    let grant = place(&mut harness, 1, 10);
+    fail_probes(&mut harness, 250);
+    assert_eq!(steps(&mut harness, &grant, 280), [0, 3]);
+    first_token(&mut harness, &grant, 300);
+    assert_eq!(steps(&mut harness, &grant, 400), [1]);
+}
