attempt: the answer to a request does not count as a new connection

A node that was cut off from a service could believe that it reached an endpoint again, send requests there and probe all endpoints, while new connections still failed.

Cause: the event that a connect had succeeded was sent with the head of the response. A connection from before the cut that answered during it counted as a connect at the time of the answer, and cleared the failures seen since.

The event is sent as soon as the connection is open.

Without the change: answer_over_a_connection_from_before_a_cut_does_not_end_the_cut: flamingolock_events_total{event="reach",outcome="restored"} 1 With it, test_attempts, test_reach, test_handovers, test_suspects, test_suspect_requests, test_suspect_gossip and, in the cli, test_cut_nodes, test_crashing_part and test_crashing_request pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -326,12 +326,13 @@
         }
     }
     let mut connection = Connection::open(grant.endpoint.address, CONNECT_TIMEOUT).await?;
-    let response = connection
-        .send(build_request(exchange, context, grant, resume_after))
-        .await?;
+    // The response says nothing of the path that a new connection would have by then.
     context
         .handle
         .send(Event::EndpointConnected(grant.endpoint.key()));
+    let response = connection
+        .send(build_request(exchange, context, grant, resume_after))
+        .await?;
     Ok((response, connection))
 }
 
