node_port: connections without a byte count in the bound of transfers

Nodes that ask for copies could hold up others without bound: since the port also takes requests that nodes hand on, a connection counted as a transfer only once its first byte had come, and one that sends none was not refused.

A connection takes a place when it is accepted, and gives it back if it turns out to carry requests; one without a place is refused unless it does.

--- a/crates/gateway/src/node_port.rs
+++ b/crates/gateway/src/node_port.rs
@@ -33,6 +33,8 @@
     let transfers = Transfers::new(context.handle.clone());
     loop {
         let stream = server::accept(&listener).await;
+        // Connections take part in the bound of transfers until they turn out to be none.
+        let place = transfers.place();
         let transfers = transfers.clone();
         let context = context.clone();
         let metrics = metrics.clone();
@@ -40,11 +42,14 @@
         let shutdown = shutdown.clone();
         tokio::spawn(async move {
             match first_byte(&stream).await {
-                Some(0) => transfers.serve(stream).await,
-                Some(_) => {
+                Some(byte) if byte != 0 => {
+                    drop(place);
                     serve_requests(stream, context, metrics, &connections, shutdown).await;
                 }
-                None => log::debug!("connection of a node closed without a byte"),
+                None if place.is_some() => {
+                    log::debug!("connection of a node closed without a byte");
+                }
+                Some(_) | None => transfers.serve(stream, place).await,
             }
         });
     }
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -14,7 +14,7 @@
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::net::TcpStream;
-use tokio::sync::{Mutex, Semaphore, oneshot};
+use tokio::sync::{Mutex, OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::task::JoinError;
 use tokio::time::{Instant, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -113,9 +113,13 @@
         }
     }
 
-    /// Serves one connection of another node.
-    pub async fn serve(self, stream: TcpStream) {
-        let place = self.waiting.clone().try_acquire_owned().ok();
+    /// Takes a place among the transfers in progress and waiting, if there is one.
+    pub fn place(&self) -> Option<OwnedSemaphorePermit> {
+        self.waiting.clone().try_acquire_owned().ok()
+    }
+
+    /// Serves one connection of another node; refuses it if it has no place.
+    pub async fn serve(self, stream: TcpStream, place: Option<OwnedSemaphorePermit>) {
         let open = MAX_WAITING - self.waiting.available_permits();
         let started = Instant::now();
         let mut sent = 0;
