streams: a node that was cut off vouches for no software versions

Cause: a node that has just started is told by the others which versions served, and since when that list is complete. A node that was cut off from the store vouched for the time of the cut as well. The one that started then takes the only version that it knows for the one that began a stream.

Now a node whose copy of the entries is older than the bound within which their changes must be known tells the versions, and vouches for no time.

unknown_stream_is_refused_by_a_node_that_learnt_the_versions_from_one_that_was_cut_off: entries read at 10000 ms left: None right: Some(UnknownBuild)

--- a/crates/gateway/src/control/listed_builds.rs
+++ b/crates/gateway/src/control/listed_builds.rs
@@ -64,10 +64,12 @@
         self.complete_since = Some(own.min(since));
     }
 
-    /// Returns what this node saw, for another node; none if it has read no entries.
+    /// Returns what this node saw, for another node; none if it has read no entries. Unless its
+    /// copy of the entries is current, other versions may have been listed since.
     pub fn history<'a>(
         &self,
         listed: impl Iterator<Item = &'a Endpoint>,
+        is_current: bool,
         now: Millis,
     ) -> Option<BuildHistory> {
         let since = self.complete_since?;
@@ -82,7 +84,11 @@
         };
         Some(BuildHistory {
             builds: seen.into_iter().map(listed).collect(),
-            complete_ms: now.saturating_sub(since),
+            complete_ms: if is_current {
+                now.saturating_sub(since)
+            } else {
+                0
+            },
         })
     }
 
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -96,7 +96,8 @@
             return;
         }
         let listed = self.fleet.values().map(|state| &*state.endpoint);
-        let Some(mut history) = self.listed_builds.history(listed, now) else {
+        let is_current = self.knows_entries(now);
+        let Some(mut history) = self.listed_builds.history(listed, is_current, now) else {
             return;
         };
         history.complete_ms = 0;
@@ -184,8 +185,9 @@
         }
         let streams = self.streams.list(now);
         let listed = self.fleet.values().map(|state| &*state.endpoint);
-        let builds = self.listed_builds.history(listed, now);
-        log::info!(node:% = node, streams = streams.len(), builds:? = builds; "sent the streams that began recently");
+        let is_current = self.knows_entries(now);
+        let builds = self.listed_builds.history(listed, is_current, now);
+        log::info!(node:% = node, streams = streams.len(), builds:? = builds, is_current; "sent the streams that began recently");
         let gossip = Gossip {
             sender: Some(self.own_state(now)),
             streams,
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -231,6 +231,38 @@
     }
 }
 
+/// Software versions in the datagrams among the effects.
+fn sent_builds(effects: Vec<Effect>) -> Option<BuildHistory> {
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::SendDatagram(_, bytes) => Gossip::decode(bytes).expect("a datagram").builds,
+        _ => None,
+    })
+}
+
+/// Guards against streams of two software versions: a node that was cut off told one that had
+/// just started that no other version had served, and that one took a stream up.
+#[test]
+fn unknown_stream_is_refused_by_a_node_that_learnt_the_versions_from_one_that_was_cut_off() {
+    // Changes of the entries must be known after 2,000 ms.
+    for (read_at, expected) in [(19_000, None), (10_000, Some(Refusal::UnknownBuild))] {
+        let mut other = with_engines(&["v1"]);
+        other.entries_read(read_at);
+        other.datagram(11, Gossip::default(), 20_000);
+        let builds = sent_builds(other.effects(20_000));
+        assert!(builds.is_some(), "a node that starts is told the versions");
+
+        let mut harness = Harness::with_engines(0, 20_000);
+        harness.engines_of_builds(&["v1"], 20_000);
+        let gossip = Gossip {
+            builds,
+            ..Gossip::default()
+        };
+        harness.datagram(9, gossip, 20_010);
+        let refusal = resume(&mut harness, "r", 20_100).err();
+        assert_eq!(refusal, expected, "entries read at {read_at} ms");
+    }
+}
+
 #[test]
 fn streams_are_forgotten_once_no_caller_can_resume_them() {
     let mut harness = with_engines(&["v1", "v2"]);
