attempt: no copy of a response without an id is taken for a response

Cause: a response on a kept connection was believed if it bore the request's id or none. An endpoint that writes each response twice and echoes no id, or none in the copy, had its copies passed on to other callers.

On a connection that has carried another request, a response without an id now counts as lost, unless it is a refusal, which keeps apart. After any other response without an id the connection is closed: nothing would tell a copy from the next response.

Before the change:

callers_never_get_the_copy_of_another_response_without_an_id: None, 2 ms left: "done d2-0" right: "done d2-3"

--- a/crates/cli/tests/test_repeated_responses.rs
+++ b/crates/cli/tests/test_repeated_responses.rs
@@ -50,23 +50,41 @@
     Some(Request { path, id })
 }
 
-fn serve_connection(stream: TcpStream, copy_delay: Duration) {
+/// Which responses of a server that sends each one twice bear the id of their request.
+#[derive(Clone, Copy, Debug)]
+enum Named {
+    All,
+    None,
+    /// All but the second copies.
+    Originals,
+}
+
+fn serve_connection(stream: TcpStream, named: Named, copy_delay: Duration) {
     let mut writer = stream.try_clone().expect("a second handle");
     let mut reader = BufReader::new(stream);
     while let Some(Request { id, .. }) = read_request(&mut reader) {
         let body = format!("done {id}");
-        let response = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: signed\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        if writer.write_all(response.as_bytes()).is_err() {
+        let id = format!("Request-Id: {id}\r\n");
+        let (id, copied_id) = match named {
+            Named::All => (id.as_str(), id.as_str()),
+            Named::None => ("", ""),
+            Named::Originals => (id.as_str(), ""),
+        };
+        let response = |id: &str| {
+            format!(
+                "HTTP/1.1 200 OK\r\n{id}Response-Signature: signed\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
+        };
+        if writer.write_all(response(id).as_bytes()).is_err() {
             return;
         }
+        let copy = response(copied_id);
         let mut copies = writer.try_clone().expect("another handle");
         std::thread::spawn(move || {
             std::thread::sleep(copy_delay);
             // The node may have closed the connection.
-            let _ = copies.write_all(response.as_bytes());
+            let _ = copies.write_all(copy.as_bytes());
         });
     }
 }
@@ -86,8 +104,8 @@
 }
 
 /// Starts an application server that sends each response twice.
-fn start_repeating(copy_delay: Duration) -> SocketAddr {
-    listen(move |stream| serve_connection(stream, copy_delay))
+fn start_repeating(named: Named, copy_delay: Duration) -> SocketAddr {
+    listen(move |stream| serve_connection(stream, named, copy_delay))
 }
 
 /// Whether the refusals of an endpoint bear the id of their request.
@@ -236,39 +254,64 @@
     assert!(repeated > 0, "no refusal was repeated");
 }
 
+/// Sends requests to a server that sends each response twice, and checks that no caller gets
+/// the response to another request.
+fn assert_own_responses(named: Named, delay_ms: u64) {
+    let site = Site::start(Duration::from_millis(5));
+    let node = site.node("node-1");
+    let address = start_repeating(named, Duration::from_millis(delay_ms));
+    let entry = serde_json::json!({
+        "Service": "desk", "Address": address.to_string(), "Zone": "zone-a", "Version": "v1", "Slots": 8,
+        "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": 1000,
+    });
+    site.store
+        .put("keyed.servers", "servers/repeating", &entry.to_string());
+    for server in &site.app_servers {
+        site.put_entry(server, "desk", "draining");
+    }
+    wait_for("the repeating server", || {
+        let log = node.log();
+        log.contains("repeating") && log.matches("endpoint is leaving").count() == 2
+    });
+    let mut served = 0;
+    for number in 0..60 {
+        let id = format!("d{delay_ms}-{number}");
+        let path = if number % 2 == 0 {
+            "/look/a"
+        } else {
+            "/book/a"
+        };
+        let answer = call(&node, path, &id, &[]);
+        if answer.status == 200 {
+            assert_eq!(
+                answer.body,
+                format!("done {id}"),
+                "{named:?}, {delay_ms} ms"
+            );
+            served += 1;
+        }
+    }
+    assert!(
+        served > 0,
+        "{named:?}, {delay_ms} ms: none was served\n{}",
+        node.log()
+    );
+}
+
 #[test]
 fn callers_never_get_the_copy_of_another_response() {
     for delay_ms in COPY_DELAYS_MS {
-        let site = Site::start(Duration::from_millis(5));
-        let node = site.node("node-1");
-        let address = start_repeating(Duration::from_millis(delay_ms));
-        let entry = serde_json::json!({
-            "Service": "desk", "Address": address.to_string(), "Zone": "zone-a", "Version": "v1", "Slots": 8,
-            "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": 1000,
-        });
-        site.store
-            .put("keyed.servers", "servers/repeating", &entry.to_string());
-        for server in &site.app_servers {
-            site.put_entry(server, "desk", "draining");
-        }
-        wait_for("the repeating server", || {
-            let log = node.log();
-            log.contains("repeating") && log.matches("endpoint is leaving").count() == 2
-        });
-        let mut served = 0;
-        for number in 0..60 {
-            let id = format!("d{delay_ms}-{number}");
-            let path = if number % 2 == 0 {
-                "/look/a"
-            } else {
-                "/book/a"
-            };
-            let answer = call(&node, path, &id, &[]);
-            if answer.status == 200 {
-                assert_eq!(answer.body, format!("done {id}"), "{delay_ms} ms");
-                served += 1;
-            }
+        assert_own_responses(Named::All, delay_ms);
+    }
+}
+
+/// Guards against a success of another request: a copy that bears no id is no proof of
+/// whose response it is.
+#[test]
+fn callers_never_get_the_copy_of_another_response_without_an_id() {
+    for named in [Named::None, Named::Originals] {
+        for delay_ms in COPY_DELAYS_MS {
+            assert_own_responses(named, delay_ms);
         }
-        assert!(served > 0, "{delay_ms} ms: none was served\n{}", node.log());
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -118,16 +118,17 @@
     };
     guard.response_begun();
     let head = (context.dialect.response_head)(response.headers());
-    if head.request_id.is_some()
-        && exchange.head.request_id.is_some()
-        && head.request_id != exchange.head.request_id
-    {
-        log::warn!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
-            found = head.request_id.as_deref().unwrap_or(""); "response carries the id of another request; dropped");
+    if let Some(doubt) = doubt(exchange, response.status(), &head, &connection) {
+        log::warn!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id, cause = doubt,
+            status = response.status().as_u16(), found = head.request_id.as_deref().unwrap_or("");
+            "response may be that of another request; dropped");
         pass_on_leaving(context, &grant, response.status(), &head);
         guard.end(RunEnd::Broken);
         return AttemptOutcome::NoResponse(RunEnd::Broken);
     }
+    if head.request_id.is_none() && !proves_not_run(response.status(), &head) {
+        connection.record_unnamed();
+    }
     let (parts, body) = response.into_parts();
     pass_on_pause(context, &grant, parts.status, &head);
     pass_on_leaving(context, &grant, parts.status, &head);
@@ -266,6 +267,26 @@
     }
 }
 
+/// Why a response may belong to another request: faulty endpoints write some responses twice,
+/// the second time where the next response on the connection is expected. None if it belongs
+/// to this request.
+fn doubt(
+    exchange: &Exchange,
+    status: StatusCode,
+    head: &ResponseHead,
+    connection: &Connection,
+) -> Option<&'static str> {
+    match (&head.request_id, &exchange.head.request_id) {
+        (Some(found), Some(sent)) if found != sent => Some("it bears another id"),
+        (Some(_), None) if connection.is_reused() => Some("it bears an id"),
+        // Refusals bear none at times; `Connection::record_refusal` keeps their copies apart.
+        (None, Some(_)) if connection.is_reused() && !proves_not_run(status, head) => {
+            Some("it bears no id")
+        }
+        _ => None,
+    }
+}
+
 /// True if the response proves that the request did not run.
 fn proves_not_run(status: StatusCode, head: &ResponseHead) -> bool {
     status == StatusCode::MISDIRECTED_REQUEST
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -126,6 +126,10 @@
     refused: Vec<(Arc<str>, Instant)>,
     /// True if the server sent a refusal over it that names no request.
     has_unnamed_refusal: bool,
+    /// True if the server sent another response over it that names no request.
+    has_unnamed_response: bool,
+    /// Number of requests sent over it.
+    requests: u64,
 }
 
 impl Drop for Connection {
@@ -169,6 +173,8 @@
             keep_alive_ms: DEFAULT_IDLE_MS,
             refused: Vec::new(),
             has_unnamed_refusal: false,
+            has_unnamed_response: false,
+            requests: 0,
         })
     }
 
@@ -184,6 +190,7 @@
         if self.sender.ready().await.is_err() {
             return Err(CallError::NotSent);
         }
+        self.requests += 1;
         self.sender
             .try_send_request(request)
             .await
@@ -212,6 +219,17 @@
         self.has_unnamed_refusal |= !is_named;
     }
 
+    /// Records that the server sent a response that names no request. Such a connection is
+    /// not used again: nothing would tell a second copy from the next response.
+    pub fn record_unnamed(&mut self) {
+        self.has_unnamed_response = true;
+    }
+
+    /// True if the response to an earlier request may come over it once more.
+    pub fn is_reused(&self) -> bool {
+        self.requests > 1
+    }
+
     /// True if a second copy of an earlier refusal, where the response to this request is
     /// expected, would be taken for that response.
     fn may_mislead(&self, purpose: &ConnectionUse) -> bool {
@@ -366,9 +384,12 @@
         idle.remove(&key);
     }
 
-    /// Returns a connection to the pool, unless it already holds `max_idle` usable
-    /// connections to the endpoint.
+    /// Returns a connection to the pool, unless it must not be used again or the pool already
+    /// holds `max_idle` usable connections to the endpoint.
     pub fn put(&self, key: EndpointKey, mut connection: Connection, max_idle: usize) {
+        if connection.has_unnamed_response {
+            return;
+        }
         connection.idle_since = now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(key).or_default();
