streams: each is remembered under the timeout under which it began

Cause: how long a stream is remembered, and how far back a node looks for other versions, followed from the newest configuration that this node knows. A node that starts after the timeout was shortened never had the earlier one; nor was a stream remembered beyond one timeout from its first event, though a caller with a longer deadline takes it up more than once.

Now each stream carries the timeout under which it began, in datagrams and in the record; nodes tell one that starts how long streams are remembered, and until when that holds; a stream that is taken up is told again under the request that began it. The record of versions holds the time as well, so what `builds_are_recorded_when_they_change` expects has one field more.

--- a/crates/gateway/src/control/begun_streams.rs
+++ b/crates/gateway/src/control/begun_streams.rs
@@ -11,6 +11,9 @@
 
 use crate::clock::Millis;
 
+/// Time in ms by which the ages of one stream may differ as nodes tell them.
+const MIN_RENEWAL_MS: Millis = 500;
+
 /// Returns the key by which nodes refer to a caller's request.
 pub fn request_key(id: &str) -> u64 {
     xxh3_64(id.as_bytes())
@@ -19,8 +22,24 @@
 #[derive(Debug)]
 struct Begun {
     build: Arc<str>,
+    /// Timeout of its route when it began, in ms; 0 if it is not known.
+    timeout_ms: u32,
     at: Millis,
     heard_at: Millis,
+    /// Time after which no caller can resume it.
+    expires_at: Millis,
+}
+
+impl Begun {
+    /// True if a record that began `at` says something new: another version, or that the
+    /// stream went on later.
+    fn is_replaced_by(&self, stream: &BegunStream, at: Millis) -> bool {
+        if *self.build == *stream.build {
+            at > self.at + MIN_RENEWAL_MS
+        } else {
+            at >= self.at
+        }
+    }
 }
 
 /// The streams that began recently, by the key of the request that began them.
@@ -29,25 +48,37 @@
     streams: BTreeMap<u64, Begun>,
     /// Keys in the order in which this node heard of them.
     by_arrival: BTreeSet<(Millis, u64)>,
+    /// Keys in the order in which they are forgotten.
+    by_expiry: BTreeSet<(Millis, u64)>,
 }
 
 impl BegunStreams {
-    /// Records a stream. A later record of the same request replaces an earlier one.
-    pub fn record(&mut self, stream: &BegunStream, now: Millis) {
+    /// Records a stream that callers may resume until `expires_at`. A later record of the
+    /// same request replaces an earlier one.
+    pub fn record(&mut self, stream: &BegunStream, expires_at: Millis, now: Millis) {
         let at = now.saturating_sub(Millis::from(stream.age_ms));
-        let known = self.streams.get(&stream.request);
-        if known.is_some_and(|known| known.at > at || *known.build == *stream.build) {
+        if let Some(known) = self.streams.get(&stream.request)
+            && !known.is_replaced_by(stream, at)
+        {
             return;
         }
+        self.remove(stream.request);
+        self.by_arrival.insert((now, stream.request));
+        self.by_expiry.insert((expires_at, stream.request));
         let begun = Begun {
             build: stream.build.as_str().into(),
+            timeout_ms: stream.timeout_ms,
             at,
             heard_at: now,
+            expires_at,
         };
-        self.by_arrival.insert((now, stream.request));
-        if let Some(replaced) = self.streams.insert(stream.request, begun) {
-            self.by_arrival.remove(&(replaced.heard_at, stream.request));
-            self.by_arrival.insert((now, stream.request));
+        self.streams.insert(stream.request, begun);
+    }
+
+    fn remove(&mut self, request: u64) {
+        if let Some(begun) = self.streams.remove(&request) {
+            self.by_arrival.remove(&(begun.heard_at, request));
+            self.by_expiry.remove(&(begun.expires_at, request));
         }
     }
 
@@ -88,14 +119,13 @@
         (heard, now + 1)
     }
 
-    /// Forgets the streams that this node heard of before a time.
-    pub fn forget_before(&mut self, time: Millis) {
-        while let Some((at, request)) = self.by_arrival.first().copied() {
-            if at >= time {
+    /// Forgets the streams that no caller can resume any more.
+    pub fn forget_expired(&mut self, now: Millis) {
+        while let Some((expires_at, request)) = self.by_expiry.first().copied() {
+            if expires_at >= now {
                 return;
             }
-            self.by_arrival.pop_first();
-            self.streams.remove(&request);
+            self.remove(request);
         }
     }
 }
@@ -105,5 +135,6 @@
         request,
         build: begun.build.to_string(),
         age_ms: now.saturating_sub(begun.at) as u32,
+        timeout_ms: begun.timeout_ms,
     }
 }
--- a/crates/gateway/src/control/listed_builds.rs
+++ b/crates/gateway/src/control/listed_builds.rs
@@ -89,6 +89,7 @@
             } else {
                 0
             },
+            ..BuildHistory::default()
         })
     }
 
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -244,10 +244,10 @@
             self.send_history(from, now);
         }
         for stream in &gossip.streams {
-            self.streams.record(stream, now);
+            self.record_stream(stream, now);
         }
         if let Some(builds) = &gossip.builds {
-            self.listed_builds.learn(builds, now);
+            self.learn_builds(builds, now);
         }
         self.rollout.load_times.merge(&gossip.load_times, now);
         self.merge_named_weights(&gossip.named_weights, now);
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -14,6 +14,9 @@
 /// Time in ms for which streams are remembered beyond the timeout of their route.
 const RESUME_MARGIN_MS: Millis = 5_000;
 
+/// Timeout in ms that streams are taken to have as long as no configuration is known.
+const ASSUMED_TIMEOUT_MS: Millis = 60_000;
+
 /// Time in ms after its first entry for which a node records no software versions, so
 /// that it knows the other nodes.
 const RECORD_DELAY_MS: Millis = 2_000;
@@ -56,8 +59,9 @@
     appended: Option<(BuildHistory, Millis)>,
 }
 
-/// How long streams are remembered that began under a configuration that was replaced.
-#[derive(Clone, Copy, Debug)]
+/// How long streams are remembered that began under a configuration that was replaced, at
+/// this node or at one that told it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct FormerMemory {
     /// Time for which their callers may resume them, in ms.
     memory: Millis,
@@ -65,11 +69,20 @@
     until: Millis,
 }
 
+impl FormerMemory {
+    /// True if all streams that `other` remembers are remembered.
+    fn covers(&self, other: &Self) -> bool {
+        self.memory >= other.memory && self.until >= other.until
+    }
+}
+
 impl Control {
     /// Handles the record that the node found when it started.
     pub(super) fn builds_read(&mut self, recorded: BuildHistory, now: Millis) {
         log::info!(builds:? = recorded.builds; "read the recorded software versions");
         self.listed_builds.recover(&recorded, now);
+        // Their callers may come back for as long as that from now on.
+        self.learn_memory(recorded.memory_ms, recorded.memory_ms, now);
         self.build_record.stored = Some(recorded);
     }
 
@@ -101,6 +114,7 @@
             return;
         };
         history.complete_ms = 0;
+        history.memory_ms = self.longest_memory(now).memory;
         history.builds.iter_mut().for_each(|build| build.age_ms = 0);
         if record.stored.as_ref() == Some(&history) {
             return;
@@ -112,7 +126,7 @@
 
     /// Records a stream that began at this node, and tells the other nodes.
     pub(super) fn stream_begun(&mut self, stream: BegunStream, now: Millis) {
-        self.streams.record(&stream, now);
+        self.record_stream(&stream, now);
         self.outgoing_streams.push(stream);
         self.gossip_pending_at.get_or_insert(now);
     }
@@ -123,10 +137,29 @@
         for mut stream in recorded.streams {
             // The order of the record is that in which they began.
             stream.age_ms = 0;
-            self.streams.record(&stream, now);
+            self.record_stream(&stream, now);
         }
     }
 
+    /// Records a stream for as long as its caller may resume it: under the timeout under which it
+    /// began, whatever configuration is in force by now.
+    pub(super) fn record_stream(&mut self, stream: &BegunStream, now: Millis) {
+        let memory = match stream.timeout_ms {
+            0 if self.catalog.is_none() => ASSUMED_TIMEOUT_MS + RESUME_MARGIN_MS,
+            0 => self.stream_memory(now),
+            timeout_ms => Millis::from(timeout_ms) + RESUME_MARGIN_MS,
+        };
+        let begun_at = now.saturating_sub(Millis::from(stream.age_ms));
+        self.streams
+            .record(stream, begun_at.saturating_add(memory), now);
+    }
+
+    /// Takes over which software versions another node saw.
+    pub(super) fn learn_builds(&mut self, history: &BuildHistory, now: Millis) {
+        self.listed_builds.learn(history, now);
+        self.learn_memory(history.memory_ms, history.memory_left_ms, now);
+    }
+
     /// Handles the end of an append to the record of streams.
     pub(super) fn streams_recorded(&mut self, stored: bool) {
         let record = &mut self.stream_record;
@@ -186,7 +219,13 @@
         let streams = self.streams.list(now);
         let listed = self.fleet.values().map(|state| &*state.endpoint);
         let is_current = self.knows_entries(now);
+        let longest = self.longest_memory(now);
         let builds = self.listed_builds.history(listed, is_current, now);
+        let builds = builds.map(|history| BuildHistory {
+            memory_ms: longest.memory,
+            memory_left_ms: longest.until.saturating_sub(now),
+            ..history
+        });
         log::info!(node:% = node, streams = streams.len(), builds:? = builds, is_current; "sent the streams that began recently");
         let gossip = Gossip {
             sender: Some(self.own_state(now)),
@@ -235,10 +274,36 @@
 
     /// Time in ms for which a caller may resume a stream.
     pub(super) fn stream_memory(&self, now: Millis) -> Millis {
-        let former = self.former_memories.iter();
+        self.longest_memory(now).memory
+    }
+
+    /// The longest time for which a caller may resume a stream, under the configuration in
+    /// force or an earlier one.
+    fn longest_memory(&self, now: Millis) -> FormerMemory {
+        let memory = self.catalog_memory();
+        let current = FormerMemory {
+            memory,
+            until: now + memory,
+        };
+        let former = self.former_memories.iter().copied();
         let former = former.filter(|former| now < former.until);
-        let longest = former.map(|former| former.memory).max().unwrap_or(0);
-        longest.max(self.catalog_memory())
+        former.max().map_or(current, |former| former.max(current))
+    }
+
+    /// Takes over that callers may resume streams for `memory` ms, which holds for `left` ms.
+    fn learn_memory(&mut self, memory: Millis, left: Millis, now: Millis) {
+        let learnt = FormerMemory {
+            memory,
+            until: now.saturating_add(left),
+        };
+        let is_known = self
+            .former_memories
+            .iter()
+            .any(|former| former.covers(&learnt));
+        if !is_known && memory > self.catalog_memory() {
+            log::info!(memory_ms = memory, left_ms = left; "streams of an earlier configuration are remembered for longer");
+            self.former_memories.push(learnt);
+        }
     }
 
     /// The same under the configuration in force alone.
@@ -261,8 +326,8 @@
 
     /// Forgets the streams and software versions that no caller can resume any more.
     pub(super) fn forget_streams(&mut self, now: Millis) {
+        self.streams.forget_expired(now);
         let oldest = now.saturating_sub(self.stream_memory(now));
-        self.streams.forget_before(oldest);
         self.listed_builds.forget_before(oldest);
     }
 }
--- a/crates/gateway/src/run_guard.rs
+++ b/crates/gateway/src/run_guard.rs
@@ -22,8 +22,9 @@
     endpoint: Arc<Endpoint>,
     number: u64,
     model: Option<String>,
-    /// Stream that begins with the run, if it may be resumed.
-    stream: Option<BegunStream>,
+    /// Streams that begin or go on with the run, if they may be resumed: that of the request,
+    /// and that of the earlier one that it resumes.
+    streams: Vec<BegunStream>,
     /// What the run says of its prompt parts and its request if it ends with its endpoint
     /// now; none once it has brought an event.
     crash: Option<CrashedRun>,
@@ -35,17 +36,25 @@
     /// events of this response.
     pub fn new(context: &ProxyContext, grant: &Grant, exchange: &Exchange, resumed: bool) -> Self {
         let begins = exchange.route.resumable && !resumed;
+        // The caller of a resumed stream goes on to name the request that began it.
+        let requests = [
+            Some(&*exchange.request_id),
+            exchange.head.resumes.as_deref(),
+        ];
+        let requests = requests.into_iter().flatten().filter(|_| begins);
+        let stream = |id: &str| BegunStream {
+            request: request_key(id),
+            build: grant.endpoint.build.to_string(),
+            age_ms: 0,
+            timeout_ms: exchange.route.timeout.as_millis() as u32,
+        };
         Self {
             handle: context.handle.clone(),
             dialect: context.dialect,
             endpoint: grant.endpoint.clone(),
             number: grant.run_number,
             model: exchange.head.model.clone(),
-            stream: begins.then(|| BegunStream {
-                request: request_key(&exchange.request_id),
-                build: grant.endpoint.build.to_string(),
-                age_ms: 0,
-            }),
+            streams: requests.map(stream).collect(),
             crash: Some(CrashedRun {
                 engine: grant.endpoint.incarnation(),
                 subjects: exchange.subjects(),
@@ -66,7 +75,7 @@
 
     /// Records that the run has brought a whole event, or its whole response.
     pub fn answered(&mut self) {
-        if let Some(stream) = self.stream.take() {
+        for stream in self.streams.drain(..) {
             self.handle.send(Event::StreamBegun(stream));
         }
         if let Some(crash) = self.crash.take() {
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -22,6 +22,7 @@
         request: request_key(id),
         build: build.to_owned(),
         age_ms: 0,
+        timeout_ms: 0,
     }
 }
 
@@ -219,6 +220,7 @@
         let history = BuildHistory {
             builds: vec![listed("v1", 0), listed(other, 3_000)],
             complete_ms: 60_000,
+            ..BuildHistory::default()
         };
         let gossip = Gossip {
             builds: Some(history),
@@ -283,11 +285,6 @@
     harness.datagram(9, streams(&[begun("r", "v1")]), 20);
     harness.stream_catalog(3, 4_000, 1_000);
     harness.stream_catalog(4, 3_000, 8_000);
-    let ticks = |harness: &mut Harness, from: u64, to: u64| {
-        for now in (from..to).step_by(500) {
-            harness.control.tick(now);
-        }
-    };
     ticks(&mut harness, 8_500, 15_000);
     assert_eq!(build_of(resume(&mut harness, "r", 15_000)), "v1");
     ticks(&mut harness, 15_500, 21_500);
@@ -295,6 +292,81 @@
     assert_eq!(refusal, Some(Refusal::UnknownBuild));
 }
 
+fn ticks(harness: &mut Harness, from: u64, to: u64) {
+    for now in (from..to).step_by(500) {
+        harness.control.tick(now);
+    }
+}
+
+/// Guards against lost streams: a node that starts after a shorter timeout came into force
+/// forgot the streams of the longer one while their callers could still come back.
+#[test]
+fn node_that_starts_after_a_shorter_timeout_remembers_the_streams_of_the_longer_one() {
+    let mut other = with_engines(&["v1", "v2"]);
+    other.stream_catalog(2, 15_000, 10);
+    let stream = BegunStream {
+        timeout_ms: 15_000,
+        ..begun("r", "v1")
+    };
+    other.control.handle(Event::StreamBegun(stream), 20);
+    other.effects(30);
+    other.stream_catalog(3, 4_000, 1_000);
+    other.datagram(11, Gossip::default(), 3_000);
+    let told = sent_streams(other.effects(3_000));
+
+    let mut harness = with_engines(&["v1", "v2"]);
+    harness.stream_catalog(3, 4_000, 2_990);
+    harness.datagram(9, streams(&told), 3_000);
+    ticks(&mut harness, 3_000, 19_500);
+    assert_eq!(build_of(resume(&mut harness, "r", 19_500)), "v1");
+    ticks(&mut harness, 19_500, 21_500);
+    let refusal = resume(&mut harness, "r", 21_500).err();
+    assert_eq!(
+        refusal,
+        Some(Refusal::UnknownBuild),
+        "no caller can resume it"
+    );
+}
+
+/// Guards against lost streams: a caller whose deadline goes beyond the timeout of the route
+/// takes its stream up more than once, and names the first request each time.
+#[test]
+fn stream_that_goes_on_is_remembered_from_then_on() {
+    let mut harness = with_engines(&["v1", "v2"]);
+    harness.datagram(9, streams(&[begun("r", "v1")]), 10);
+    ticks(&mut harness, 500, 4_000);
+    harness.datagram(9, streams(&[begun("r", "v1")]), 4_000);
+    ticks(&mut harness, 4_000, 4_000 + MEMORY_MS);
+    let placement = resume(&mut harness, "r", 4_000 + MEMORY_MS);
+    assert_eq!(build_of(placement), "v1");
+}
+
+/// Guards against streams of two software versions: a node that starts after a shorter
+/// timeout came into force looked back by the new timeout only.
+#[test]
+fn node_that_starts_after_a_shorter_timeout_looks_back_by_the_longer_one() {
+    let mut other = with_engines(&["v1", "v2"]);
+    other.stream_catalog(2, 15_000, 10);
+    other.engines_of_builds(&["v1"], 2_000);
+    other.stream_catalog(3, 4_000, 3_000);
+    other.entries_read(12_990);
+    other.datagram(11, Gossip::default(), 13_000);
+    let builds = sent_builds(other.effects(13_000));
+    assert!(builds.is_some(), "a node that starts is told the versions");
+
+    let mut harness = Harness::with_engines(0, 13_000);
+    harness.engines_of_builds(&["v1"], 13_000);
+    harness.stream_catalog(3, 4_000, 13_000);
+    let gossip = Gossip {
+        builds,
+        ..Gossip::default()
+    };
+    harness.datagram(9, gossip, 13_010);
+    let refusal = resume(&mut harness, "r", 13_100).err();
+    // v2 was listed until 2,000 ms, and streams that it began then may come until 22,000 ms.
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
+
 #[test]
 fn node_tells_the_others_of_its_streams() {
     let mut harness = with_engines(&["v1"]);
@@ -333,7 +405,8 @@
     };
     BuildHistory {
         builds: builds.iter().map(listed).collect(),
-        complete_ms: 0,
+        memory_ms: MEMORY_MS,
+        ..BuildHistory::default()
     }
 }
 
@@ -479,10 +552,7 @@
 #[test]
 fn recorded_streams_continue_at_their_version_after_all_nodes_ended() {
     let mut harness = with_engines(&["v1", "v2"]);
-    let history = BuildHistory {
-        builds: Vec::new(),
-        complete_ms: 0,
-    };
+    let history = BuildHistory::default();
     harness.control.handle(Event::BuildsRead(history), 10);
     let recorded = BegunStreamList {
         streams: vec![begun("a", "v1"), begun("b", "v2")],
--- a/crates/gateway/tests/test_odd_messages.rs
+++ b/crates/gateway/tests/test_odd_messages.rs
@@ -120,7 +120,7 @@
 prop_compose! {
     fn history()(builds in prop::collection::vec((text(), text(), long()), 0..3), complete_ms in long()) -> BuildHistory {
         let builds = builds.into_iter().map(|(service, build, age_ms)| ListedBuild { service, build, age_ms });
-        BuildHistory { builds: builds.collect(), complete_ms }
+        BuildHistory { builds: builds.collect(), complete_ms, memory_ms: complete_ms, memory_left_ms: complete_ms }
     }
 }
 
@@ -144,7 +144,7 @@
         streams in prop::collection::vec((0..9_u64, text(), short()), 0..3), builds in prop::option::of(history()),
         suspects in prop::collection::vec(suspect(), 0..3), request in prop::option::of((long(), engine(), short())),
         answer in prop::option::of((0..4_u64, engine(), prop::option::of(short())))) -> Gossip {
-        let streams = streams.into_iter().map(|(request, build, age_ms)| BegunStream { request, build, age_ms });
+        let streams = streams.into_iter().map(|(request, build, age_ms)| BegunStream { request, build, age_ms, timeout_ms: age_ms });
         Gossip {
             sender, heard, relayed, operator, endpoints, builds,
             streams: streams.collect(),
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -223,6 +223,13 @@
     /// Time for which no other version can have been listed, in milliseconds.
     #[prost(uint64, tag = "2")]
     pub complete_ms: u64,
+    /// Longest time for which callers may resume a stream that began under a configuration
+    /// that the sender had, in milliseconds; 0 if it is not stated.
+    #[prost(uint64, tag = "3")]
+    pub memory_ms: u64,
+    /// Time after which that no longer holds, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub memory_left_ms: u64,
 }
 
 /// A software version of a service's endpoints.
@@ -251,6 +258,9 @@
     /// Time since its first event, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
+    /// Timeout of its route when it began, in milliseconds; 0 if it is not stated.
+    #[prost(uint32, tag = "4")]
+    pub timeout_ms: u32,
 }
 
 /// Streams that began, as nodes record them in the store.
