cache_index: shared parts belong to one set of isolated workspaces

Cause: the salt of the workspaces that share followed from the model and its weights alone, so it stayed when one of them left the sharing.

The namespace of shared parts now carries the set of isolated workspaces. It follows from the configuration in force alone, and is worked out when a request is placed: one that waited, or came from another node, does not carry an earlier group's.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -81,9 +81,6 @@
     pub service: Arc<str>,
     /// Requested model; set for engine services.
     pub model: Option<String>,
-    /// Name of the workspace if its cached prompt parts must not be shared with other
-    /// workspaces.
-    pub isolated_workspace: Option<String>,
     /// Name of the workspace, if the request has one.
     pub workspace: Option<String>,
     /// Priority of the request; 0 is the most urgent.
--- a/crates/gateway/src/control/cache_index.rs
+++ b/crates/gateway/src/control/cache_index.rs
@@ -7,6 +7,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::catalog::Sharing;
 use crate::clock::Millis;
 use crate::dialect::PromptPart;
 use crate::endpoint::EndpointKey;
@@ -27,13 +28,21 @@
 /// it.
 pub type PartKey = u64;
 
-/// Hash of the namespace of cached parts: the model, the version of its weights
-/// and, if the workspace is isolated, the workspace.
-pub fn namespace(model: &str, version: u64, isolated_workspace: Option<&str>) -> u64 {
+/// Seed that keeps namespaces that several workspaces share apart from those of one.
+const COMMON_SEED: u64 = 1;
+
+/// Hash of the namespace of cached parts: the model, the version of its weights, and with
+/// whom they are shared.
+pub fn namespace(model: &str, version: u64, sharing: Sharing) -> u64 {
     let seed = xxh3_64_with_seed(model.as_bytes(), version);
-    isolated_workspace.map_or(seed, |workspace| {
-        xxh3_64_with_seed(workspace.as_bytes(), seed)
-    })
+    match sharing {
+        Sharing::Common { isolation_key: 0 } => seed,
+        Sharing::Common { isolation_key } => {
+            let key = xxh3_64_with_seed(&isolation_key.to_be_bytes(), COMMON_SEED);
+            xxh3_64_with_seed(&key.to_be_bytes(), seed)
+        }
+        Sharing::Alone(workspace) => xxh3_64_with_seed(workspace.as_bytes(), seed),
+    }
 }
 
 /// Returns the key of a part within a namespace.
--- a/crates/gateway/src/control/fleet/estimate.rs
+++ b/crates/gateway/src/control/fleet/estimate.rs
@@ -1,7 +1,7 @@
 //! Estimated delay of a request at an endpoint.
 
 use super::{EndpointState, FIRST_STEP_MS};
-use crate::catalog::EngineSpec;
+use crate::catalog::{EngineSpec, Sharing};
 use crate::clock::Millis;
 use crate::control::PlacementRequest;
 use crate::control::cache_index::{CacheIndex, PartKey, PartLocation, namespace, shared_keys};
@@ -109,6 +109,8 @@
     pub versions: &'a [NamedVersion],
     /// Time after which superseded weights must not be used any more, in ms.
     pub max_weights_age: Millis,
+    /// With whom the request shares cached parts.
+    pub sharing: Sharing<'a>,
 }
 
 /// What an engine would have to read and fetch of a prompt.
@@ -235,10 +237,7 @@
         }
         let model = request.model.as_deref()?;
         let version = *self.weights.get(model)?;
-        let keys = shared_keys(
-            namespace(model, version, request.isolated_workspace.as_deref()),
-            &request.parts,
-        );
+        let keys = shared_keys(namespace(model, version, context.sharing), &request.parts);
         let reading = reading(request, traits, &keys, |key| {
             parts.location(key, self.endpoint.key(), is_available, now)
         });
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -9,7 +9,7 @@
 
 use super::limits::PermitStep;
 use super::{Control, QueuedRequest};
-use crate::catalog::ServiceKind;
+use crate::catalog::{ServiceKind, Sharing, Workspaces};
 use crate::clock::Millis;
 use crate::control::cache_index::{FetchSource, namespace, salt};
 use crate::control::fleet::{Estimate, EstimateContext};
@@ -277,6 +277,16 @@
         let _ = reply.send(Err(refusal));
     }
 
+    /// Returns with whom a request shares cached parts. It may have waited, or come from
+    /// another node: the configuration in force when it is placed counts.
+    fn sharing<'a>(&self, request: &'a PlacementRequest) -> Sharing<'a> {
+        let workspace = request.workspace.as_deref();
+        match &self.catalog {
+            Some(catalog) => catalog.workspaces.sharing(workspace),
+            None => Workspaces::default().sharing(workspace),
+        }
+    }
+
     /// Returns the endpoint with the lowest estimated cost.
     pub(super) fn select_endpoint(
         &self,
@@ -294,6 +304,7 @@
             zone: &self.settings.zone,
             versions: model.map_or(&[], |model| self.rollout.named.versions(model)),
             max_weights_age: self.max_weights_age(),
+            sharing: self.sharing(request),
         };
         let is_available = |key: EndpointKey| {
             self.fleet
@@ -455,10 +466,7 @@
             .version
             .zip(request.model.as_deref())
             .map(|(version, model)| {
-                salt(
-                    version,
-                    namespace(model, version, request.isolated_workspace.as_deref()),
-                )
+                salt(version, namespace(model, version, self.sharing(request)))
             });
         Grant {
             run_number: number,
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -120,7 +120,8 @@
         if self.catalog.is_some() && catalog.version <= current {
             return false;
         }
-        log::info!(version = catalog.version, before = current, offset, routes = catalog.routes.len();
+        log::info!(version = catalog.version, before = current, offset, routes = catalog.routes.len(),
+            isolated = catalog.workspaces.isolated_count(), sharing:? = catalog.workspaces.sharing(None);
             "applied new configuration");
         let kv_store = catalog.kv_store();
         let first = self.catalog.is_none();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -107,9 +107,6 @@
             id: exchange.request_id.clone(),
             service: exchange.service.clone(),
             model: exchange.head.model.clone(),
-            isolated_workspace: workspace
-                .filter(|workspace| workspace.isolated)
-                .map(|workspace| workspace.name.clone()),
             workspace: workspace.map(|workspace| workspace.name.clone()),
             priority: priority.unwrap_or(exchange.route.priority),
             parts: exchange.head.parts.clone(),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -127,6 +127,26 @@
             .handle(Event::OperatorRecords(vec![update(record)]), now);
     }
 
+    /// Adds a configuration with the workspaces `shared` and `isolated`.
+    pub fn workspaces(&mut self, version: u64, shared: &[&str], isolated: &[&str], now: u64) {
+        let all = [(shared, false), (isolated, true)];
+        let workspaces: Vec<String> = all
+            .iter()
+            .flat_map(|(names, is_isolated)| names.iter().map(move |name| (name, is_isolated)))
+            .map(|(name, is_isolated)| {
+                format!(r#"{{"Name":"{name}","ApiKeys":["{name}"],"Isolated":{is_isolated}}}"#)
+            })
+            .collect();
+        let text = format!(
+            r#"{{"Version":{version},"Routes":[],"Services":[{{"Name":"engines","MaxConns":100,"Engine":
+            {{"KvCapacityTokens":100000,"TokenKvBytes":1000,"LinkMbps":10000.0}}}}],"Tenants":[{}]}}"#,
+            workspaces.join(",")
+        );
+        let record = self.record("op/config", Some(&text));
+        self.control
+            .handle(Event::OperatorRecords(vec![update(record)]), now);
+    }
+
     /// Adds a configuration with a thousand routes.
     pub fn large_catalog(&mut self, version: u64, now: u64) {
         let routes: Vec<_> = (0..1_000)
@@ -308,7 +328,7 @@
 }
 
 /// Returns a request with two shared parts and one of its own.
-pub fn placement_request(isolated_workspace: Option<&str>, id: u64) -> PlacementRequest {
+pub fn placement_request(workspace: Option<&str>, id: u64) -> PlacementRequest {
     let subjects = RunSubjects {
         parts: vec![id, id + 1],
         requests: vec![1_000_000 + id],
@@ -317,8 +337,7 @@
         id: "r".into(),
         service: "engines".into(),
         model: Some("m".to_owned()),
-        isolated_workspace: isolated_workspace.map(ToOwned::to_owned),
-        workspace: None,
+        workspace: workspace.map(ToOwned::to_owned),
         priority: 1,
         subjects,
         parts: [(id, 500), (id + 1, 4_000), (id + 2, 1_000)]
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -109,21 +109,6 @@
     );
 }
 
-#[test]
-fn isolated_workspaces_have_separate_cache_salts() {
-    let mut harness = Harness::with_engines(1, 0);
-    let mut salt = |isolated_workspace| {
-        harness
-            .place(placement_request(isolated_workspace, 1), 10)
-            .expect("a decision")
-            .expect("a grant")
-            .salt
-    };
-    let (shared, again, one, two) = (salt(None), salt(None), salt(Some("w1")), salt(Some("w2")));
-    assert_eq!(shared, again);
-    assert!(shared != one && one != two && shared != two);
-}
-
 #[test]
 fn prompt_being_prefilled_goes_to_the_same_engine() {
     let mut harness = Harness::with_engines(4, 0);
