relay: what is no rest of a stream neither reaches the caller nor ends it

Cause: any response with status 200 and a signature counted as the rest of a stream. One without a byte ended the caller's stream as a whole one; lines that are no event were passed on as one, also where bytes follow a response that ends with its connection.

Error responses were never passed on. relay.rs says in one place when a stream ends as complete. The raw stand-ins of test_repeated_responses move to entry_site, for both files.

--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -1,5 +1,7 @@
 //! Real entry node processes, with stand-ins of the platform's store and endpoints.
 
+pub mod raw;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Read;
 use std::net::SocketAddr;
@@ -355,6 +357,13 @@
     .to_string()
 }
 
+/// An endpoint that a test writes itself.
+pub struct RawEndpoint {
+    pub id: &'static str,
+    pub service: &'static str,
+    pub address: SocketAddr,
+}
+
 /// A store with a configuration, engines and application servers, all stand-ins.
 pub struct Site {
     pub store: Store,
@@ -403,6 +412,35 @@
         self.store.put("keyed.servers", &key, &value);
     }
 
+    /// Adds the entry of an endpoint that is none of the site's, and waits until the node has
+    /// read it, and that the site's endpoints of its service are leaving, but for `others`.
+    pub fn put_raw_entry(&self, endpoint: &RawEndpoint, others: usize, node: &Node) {
+        let RawEndpoint {
+            id,
+            service,
+            address,
+        } = endpoint;
+        let entry = serde_json::json!({
+            "Service": service, "Address": address.to_string(), "Zone": "zone-a", "Version": "v1", "Slots": 8,
+            "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": 1000,
+            "Models": [{"Name": "planner", "Version": 1, "Adapters": []}],
+        });
+        let key = format!("servers/{id}");
+        self.store.put("keyed.servers", &key, &entry.to_string());
+        let own = match *service {
+            "engines" => &self.engines,
+            _ => &self.app_servers,
+        };
+        let leaving = &own[others..];
+        for endpoint in leaving {
+            self.put_entry(endpoint, service, "draining");
+        }
+        wait_for("the raw endpoint", || {
+            let log = node.log();
+            log.contains(id) && log.matches("endpoint is leaving").count() == leaving.len()
+        });
+    }
+
     /// Starts a node and waits until it is ready and has logged all endpoints.
     pub fn node(&self, name: &str) -> Node {
         self.node_at(name, self.store.address())
--- a/crates/cli/tests/test_repeated_responses.rs
+++ b/crates/cli/tests/test_repeated_responses.rs
@@ -4,52 +4,18 @@
 mod entry_site;
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use entry_site::{Node, PROMPT, Site, call, wait_for};
+use entry_site::raw::{Request, listen, read_request};
+use entry_site::{Node, PROMPT, RawEndpoint, Site, call};
 
 /// Time after a response at which its copy follows.
 const COPY_DELAYS_MS: [u64; 4] = [0, 2, 10, 40];
 
-/// A request as an endpoint reads it.
-struct Request {
-    path: String,
-    id: String,
-}
-
-/// Reads a request; none at the end of the connection.
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
-    let mut id = None;
-    let mut length = 0;
-    let mut first = String::new();
-    reader.read_line(&mut first).ok()?;
-    let path = first.split(' ').nth(1)?.to_owned();
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        let line = line.trim().to_ascii_lowercase();
-        if line.is_empty() {
-            break;
-        }
-        if let Some(value) = line.strip_prefix("request-id:") {
-            id = Some(value.trim().to_owned());
-        }
-        if let Some(value) = line.strip_prefix("content-length:") {
-            length = value.trim().parse().ok()?;
-        }
-    }
-    let mut body = vec![0; length];
-    std::io::Read::read_exact(reader, &mut body).ok()?;
-    let id = id.unwrap_or_default();
-    Some(Request { path, id })
-}
-
 /// Which responses of a server that sends each one twice bear the id of their request.
 #[derive(Clone, Copy, Debug)]
 enum Named {
@@ -89,20 +55,6 @@
     }
 }
 
-/// Serves each connection to a new port on a thread of its own.
-fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let serve = Arc::new(serve);
-    std::thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let serve = serve.clone();
-            std::thread::spawn(move || serve(stream));
-        }
-    });
-    address
-}
-
 /// Starts an application server that sends each response twice.
 fn start_repeating(named: Named, copy_delay: Duration) -> SocketAddr {
     listen(move |stream| serve_connection(stream, named, copy_delay))
@@ -138,7 +90,7 @@
                 response.push_str(&copy);
             }
             let refusal = self.refusal(&request);
-            if is_own_call(&request) {
+            if request.is_own_call() {
                 response.push_str("HTTP/1.1 404 -\r\nContent-Length: 0\r\n\r\n");
             } else if served > 0 && served % 2 == 1 && self.is_new(&request) {
                 response.push_str(&refusal);
@@ -180,9 +132,12 @@
     }
 }
 
-/// True if the node itself asks for something.
-fn is_own_call(request: &Request) -> bool {
-    request.path.starts_with("/kv-events") || request.path == "/report"
+fn repeating(service: &'static str, address: SocketAddr) -> RawEndpoint {
+    RawEndpoint {
+        id: "repeating",
+        service,
+        address,
+    }
 }
 
 /// Starts a node at which the engine that repeats refusals, and `others` engines beside it,
@@ -197,21 +152,7 @@
     let served = engine.clone();
     let address = listen(move |stream| served.serve(stream));
     let node = site.node("node-1");
-    let entry = serde_json::json!({
-        "Service": "engines", "Address": address.to_string(), "Zone": "zone-a", "Version": "v1", "Slots": 8,
-        "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": 1000,
-        "Models": [{"Name": "planner", "Version": 1, "Adapters": []}],
-    });
-    site.store
-        .put("keyed.servers", "servers/repeating", &entry.to_string());
-    for engine in &site.engines[others..] {
-        site.put_entry(engine, "engines", "draining");
-    }
-    let leaving = site.engines.len() - others;
-    wait_for("the repeating engine", || {
-        let log = node.log();
-        log.contains("repeating") && log.matches("endpoint is leaving").count() == leaving
-    });
+    site.put_raw_entry(&repeating("engines", address), others, &node);
     (site, node, engine)
 }
 
@@ -260,19 +201,7 @@
     let site = Site::start(Duration::from_millis(5));
     let node = site.node("node-1");
     let address = start_repeating(named, Duration::from_millis(delay_ms));
-    let entry = serde_json::json!({
-        "Service": "desk", "Address": address.to_string(), "Zone": "zone-a", "Version": "v1", "Slots": 8,
-        "State": "ready", "ColdLeftMs": 0, "Seq": 1, "born": 1000,
-    });
-    site.store
-        .put("keyed.servers", "servers/repeating", &entry.to_string());
-    for server in &site.app_servers {
-        site.put_entry(server, "desk", "draining");
-    }
-    wait_for("the repeating server", || {
-        let log = node.log();
-        log.contains("repeating") && log.matches("endpoint is leaving").count() == 2
-    });
+    site.put_raw_entry(&repeating("desk", address), 0, &node);
     let mut served = 0;
     for number in 0..60 {
         let id = format!("d{delay_ms}-{number}");
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,10 @@
 //! Relaying of a streamed response to the caller, resumed on another engine if one
 //! fails.
+//!
+//! The caller's stream ends as complete only if an engine ended its response as a whole one:
+//! the engine that began it, or one that went on with at least one more event. In any other
+//! case the caller's connection closes without the end of the body. Its caller may then take
+//! it up with the id of its last event, and learns from a whole response that nothing follows.
 
 use std::time::Duration;
 
@@ -38,6 +43,14 @@
     DeadlineExceeded,
 }
 
+/// Which part of the caller's stream a response is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamPart {
+    First,
+    /// What follows the last event that the caller has.
+    Rest,
+}
+
 /// What has been relayed of a stream so far.
 #[derive(Debug, Default)]
 struct Progress {
@@ -92,11 +105,12 @@
     };
     retry_state.reached = true;
     retry_state.has_begun = true;
+    let mut part = StreamPart::First;
     loop {
         retry_state.possible_runs += 1;
         let engine = opened.grant.endpoint.clone();
         let framing = BodyFraming::of(&opened.headers);
-        let end = relay_response(&exchange, &context, opened, &sender, &mut progress).await;
+        let end = relay_response(&exchange, &context, opened, part, &sender, &mut progress).await;
         let end_label = match end {
             RelayEnd::Complete => "complete",
             RelayEnd::Broken => "broken",
@@ -120,6 +134,7 @@
             Some(next) => opened = next,
             None => break,
         }
+        part = StreamPart::Rest;
     }
     // The error closes the connection without the end of the body, so the caller can
     // tell that the stream is incomplete.
@@ -154,6 +169,7 @@
     exchange: &Exchange,
     context: &ProxyContext,
     opened: OpenedStream,
+    part: StreamPart,
     sender: &BodySender,
     progress: &mut Progress,
 ) -> RelayEnd {
@@ -167,6 +183,7 @@
         ..
     } = opened;
     let mut splitter = EventSplitter::default();
+    let last_before = progress.last_event;
     progress.partial_bytes = 0;
     let mut next = first;
     let mut chunk_at = Instant::now();
@@ -213,6 +230,12 @@
             }
         }
     }
+    if part == StreamPart::Rest && progress.last_event == last_before {
+        log::warn!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
+            last_event = last_before.unwrap_or(0); "response to a resumed stream brought no event; dropped");
+        guard.end(RunEnd::Broken);
+        return RelayEnd::Broken;
+    }
     let partial_bytes = splitter.partial_bytes();
     if let Err(cause) =
         body_end::check(context.dialect, &grant.endpoint, &headers, partial_bytes).await
--- a/crates/gateway/tests/test_event_stream.rs
+++ b/crates/gateway/tests/test_event_stream.rs
@@ -1,6 +1,6 @@
 //! Splitting of byte streams into events.
 
-use flamingolock_gateway::event_stream::{EventSplitter, MAX_EVENT_BYTES};
+use flamingolock_gateway::event_stream::{EventSplitter, MAX_EVENT_BYTES, SplitError};
 use proptest::prelude::*;
 
 fn event(id: u64) -> String {
@@ -68,3 +68,38 @@
     }
     assert_eq!(pushed, MAX_EVENT_BYTES);
 }
+
+/// Guards against an error's text, or a whole head, in the middle of a stream.
+#[test]
+fn bytes_that_are_no_event_are_refused() {
+    for text in [
+        "out of memory\n\n",
+        "error: out of memory\n\n",
+        "HTTP/1.1 500 -\r\nContent-Length: 5\r\n\r\n",
+        "{\"error\":\n\"out of memory\"}\n\n",
+        "id: 4\nContent-Length: 5\n\n",
+    ] {
+        let mut splitter = EventSplitter::default();
+        let refused = splitter.push(text.as_bytes(), Some(3));
+        assert!(matches!(refused, Err(SplitError::NotAnEvent(_))), "{text}");
+    }
+}
+
+#[test]
+fn all_forms_of_events_are_passed_on() {
+    for text in [
+        "id: 4\r\ndata: a\r\n\r\n",
+        "data\n\n",
+        "data: [DONE]\n\n",
+        ": a comment\n\n",
+        "event: end\nid:4\ndata:\ndata: b\n\n",
+        "weight-versions: 3\nid: 4\ndata: a\n\n",
+        "retry: 100\n\n",
+        "\n",
+    ] {
+        let mut splitter = EventSplitter::default();
+        let events = splitter.push(text.as_bytes(), Some(3));
+        let events = events.expect("an event").expect("an event");
+        assert_eq!(&events.bytes[..], text.as_bytes());
+    }
+}
