forward: late in a stop nothing begins, and at its end all is answered

Cause: whether a request can still be answered was asked when its head arrived. A stream whose body came slowly, or that waited for a place, began long after. The time for new streams was 2 s however short the grace is. And the process ended with whatever was open.

It is now asked again behind the body and when the request has a place, and the time for new streams is at most a quarter of the grace. 100 ms before the end whatever has no answer gets one: 503 if it has not been sent, 502 if it may have run. Streams that have begun end with the connection, as before. forward falls into functions that return what to do next.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::catalog::{Route, Workspace};
@@ -95,6 +96,27 @@
     }
 }
 
+/// Tells when the process is about to end, so that what is still open must be answered now.
+#[derive(Clone, Debug)]
+pub struct ProcessEnd(watch::Receiver<bool>);
+
+impl ProcessEnd {
+    /// Creates it with a sender that announces the end.
+    pub fn channel() -> (watch::Sender<bool>, Self) {
+        let (sender, receiver) = watch::channel(false);
+        (sender, Self(receiver))
+    }
+
+    /// Completes when the process is about to end.
+    pub async fn announced(&self) {
+        let mut receiver = self.0.clone();
+        if receiver.wait_for(|ends| *ends).await.is_err() {
+            // Nobody is left to announce it.
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// Shared state that request handlers need.
 #[derive(Clone, Debug)]
 pub struct ProxyContext {
@@ -106,4 +128,6 @@
     pub pool: Pool,
     /// Idle connections to other nodes, by their incarnations.
     pub node_pool: Pool,
+    /// The end of the process.
+    pub process_end: ProcessEnd,
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,7 +7,7 @@
 use http::{Response, StatusCode};
 use tokio::time::Instant;
 
-use crate::attempt::{AttemptOutcome, BufferedResponse, attempt};
+use crate::attempt::{AttemptOutcome, BufferedResponse, OpenedStream, attempt};
 use crate::catalog::RequestKind;
 use crate::clock::now;
 use crate::control::begun_streams::request_key;
@@ -18,7 +18,9 @@
 use crate::handover::{HandoverOutcome, hand_over};
 use crate::http_client::BodyFraming;
 use crate::relay;
+use crate::request_handler::{SHUTDOWN_RETRY_AFTER, must_go_elsewhere};
 use crate::response::{self, ErrorReason, ResponseBody};
+use crate::run_guard::RunGuard;
 
 /// Maximum number of attempts per request, including those that an endpoint refused.
 const MAX_TRIED_ENDPOINTS: usize = 4;
@@ -47,6 +49,8 @@
     pub has_begun: bool,
     /// Number of attempts that may have run the request.
     pub possible_runs: u32,
+    /// True while an attempt is under way, which may run the request as well.
+    is_under_way: bool,
     /// Software version of the endpoint that sent the first event to the caller.
     pub build: Option<Arc<str>>,
     /// Time left of the pause that all endpoints have asked for, or until a prompt part may
@@ -127,19 +131,42 @@
     }
 }
 
-/// Forwards a request to endpoints until one responds or the request is given up.
+/// What an endpoint has answered, or this node instead.
+enum Answer {
+    Whole(Response<ResponseBody>),
+    Stream(Box<OpenedStream>),
+}
+
+/// Forwards a request to endpoints until one responds or the request is given up, at the latest
+/// when the process is about to end.
 pub async fn forward(exchange: Exchange, context: ProxyContext) -> Response<ResponseBody> {
     if exchange.resumes_stream() {
         log::info!(request = &*exchange.request_id, resumes = exchange.head.resumes.as_deref().unwrap_or(""),
             last_event = exchange.head.last_event.unwrap_or(0); "caller resumes a stream");
     }
     let mut retry_state = RetryState::new(exchange.origin);
+    let answer = tokio::select! {
+        answer = try_endpoints(&exchange, &context, &mut retry_state) => Some(answer),
+        () = context.process_end.announced() => None,
+    };
+    match answer {
+        Some(Answer::Whole(response)) => response,
+        Some(Answer::Stream(opened)) => relay::start(exchange, context, retry_state, *opened),
+        None => leave(&exchange, &context, &mut retry_state, "the process ends"),
+    }
+}
+
+async fn try_endpoints(
+    exchange: &Exchange,
+    context: &ProxyContext,
+    retry_state: &mut RetryState,
+) -> Answer {
     loop {
-        let grant = match retry_state.place(&exchange, &context).await {
+        let grant = match retry_state.place(exchange, context).await {
             Ok(grant) => grant,
             Err(Refusal::AtOtherNode(node)) => {
-                match try_other_node(&exchange, &context, &mut retry_state, node).await {
-                    ControlFlow::Break(response) => return *response,
+                match try_other_node(exchange, context, retry_state, node).await {
+                    ControlFlow::Break(response) => return Answer::Whole(*response),
                     ControlFlow::Continue(()) => continue,
                 }
             }
@@ -148,77 +175,112 @@
                 if let Some(until) = refusal.until() {
                     retry_state.pause = Duration::from_millis(until.saturating_sub(now()));
                 }
-                return give_up(
-                    &exchange,
-                    &context,
-                    &mut retry_state,
-                    refusal_cause(refusal),
-                );
+                let cause = refusal_cause(refusal);
+                return Answer::Whole(give_up(exchange, context, retry_state, cause));
             }
         };
-        retry_state.tried.push(grant.endpoint.key());
-        match attempt(
-            &exchange,
-            &context,
-            grant.clone(),
-            None,
-            first_byte_timeout(&exchange),
-        )
-        .await
+        if retry_state.possible_runs == 0
+            && must_go_elsewhere(
+                &context.handle.view(),
+                exchange.route.kind,
+                exchange.deadline,
+            )
         {
-            AttemptOutcome::Response(buffered) => {
-                return respond(&exchange, &context, buffered, &grant);
-            }
-            AttemptOutcome::Stream(opened) => {
-                return relay::start(exchange, context, retry_state, *opened);
+            // The place goes to another request.
+            drop(RunGuard::new(context, &grant, exchange, false));
+            let cause = "shutting down since it was placed";
+            return Answer::Whole(leave(exchange, context, retry_state, cause));
+        }
+        retry_state.tried.push(grant.endpoint.key());
+        retry_state.is_under_way = true;
+        let timeout = first_byte_timeout(exchange);
+        let outcome = attempt(exchange, context, grant.clone(), None, timeout).await;
+        retry_state.is_under_way = false;
+        match next_step(exchange, retry_state, outcome) {
+            NextStep::TryAgain => {}
+            NextStep::Respond(buffered) => {
+                return Answer::Whole(respond(exchange, context, buffered, &grant));
             }
-            AttemptOutcome::ErrorResponse(buffered) => {
-                retry_state.reached = true;
-                retry_state.possible_runs += 1;
-                retry_state.fallback = Some(buffered);
-                if exchange.route.kind != RequestKind::Safe || !retry_state.may_retry(&exchange) {
-                    return give_up(
-                        &exchange,
-                        &context,
-                        &mut retry_state,
-                        "endpoint returned an error",
-                    );
-                }
+            NextStep::Relay(opened) => return Answer::Stream(opened),
+            NextStep::GiveUp(cause) => {
+                return Answer::Whole(give_up(exchange, context, retry_state, cause));
             }
-            AttemptOutcome::NotRun(end) => {
-                retry_state.reached |= end != RunEnd::NeverConnected;
-                if matches!(end, RunEnd::WrongWeights(_) | RunEnd::Reloading) {
-                    // The same engine may accept the request a moment later.
-                    retry_state.tried.pop();
-                    retry_state.tried.push(0);
-                }
-                if !retry_state.may_retry(&exchange) {
-                    return give_up(
-                        &exchange,
-                        &context,
-                        &mut retry_state,
-                        "endpoints refused the request",
-                    );
-                }
+            NextStep::TimedOut => {
+                return Answer::Whole(respond_timed_out(exchange, retry_state));
             }
-            AttemptOutcome::NoResponse(_) => {
-                retry_state.reached = true;
-                retry_state.possible_runs += 1;
-                if !retry_state.may_retry(&exchange) {
-                    return give_up(
-                        &exchange,
-                        &context,
-                        &mut retry_state,
-                        "endpoint returned no response",
-                    );
-                }
+        }
+    }
+}
+
+/// What to do after an attempt.
+enum NextStep {
+    TryAgain,
+    Respond(BufferedResponse),
+    Relay(Box<OpenedStream>),
+    GiveUp(&'static str),
+    TimedOut,
+}
+
+/// Records the outcome of an attempt and decides what follows.
+fn next_step(
+    exchange: &Exchange,
+    retry_state: &mut RetryState,
+    outcome: AttemptOutcome,
+) -> NextStep {
+    let cause = match outcome {
+        AttemptOutcome::Response(buffered) => return NextStep::Respond(buffered),
+        AttemptOutcome::Stream(opened) => return NextStep::Relay(opened),
+        AttemptOutcome::ErrorResponse(buffered) => {
+            retry_state.reached = true;
+            retry_state.possible_runs += 1;
+            retry_state.fallback = Some(buffered);
+            let cause = "endpoint returned an error";
+            if exchange.route.kind != RequestKind::Safe {
+                return NextStep::GiveUp(cause);
             }
-            AttemptOutcome::DeadlineExceeded => {
-                retry_state.possible_runs += 1;
-                return respond_timed_out(&exchange, &retry_state);
+            cause
+        }
+        AttemptOutcome::NotRun(end) => {
+            retry_state.reached |= end != RunEnd::NeverConnected;
+            if matches!(end, RunEnd::WrongWeights(_) | RunEnd::Reloading) {
+                // The same engine may accept the request a moment later.
+                retry_state.tried.pop();
+                retry_state.tried.push(0);
             }
+            "endpoints refused the request"
         }
+        AttemptOutcome::NoResponse(_) => {
+            retry_state.reached = true;
+            retry_state.possible_runs += 1;
+            "endpoint returned no response"
+        }
+        AttemptOutcome::DeadlineExceeded => {
+            retry_state.possible_runs += 1;
+            return NextStep::TimedOut;
+        }
+    };
+    if retry_state.may_retry(exchange) {
+        NextStep::TryAgain
+    } else {
+        NextStep::GiveUp(cause)
+    }
+}
+
+/// Answers a request that this node does not finish because it is shutting down.
+fn leave(
+    exchange: &Exchange,
+    context: &ProxyContext,
+    retry_state: &mut RetryState,
+    cause: &str,
+) -> Response<ResponseBody> {
+    if std::mem::take(&mut retry_state.is_under_way) {
+        retry_state.possible_runs += 1;
+    }
+    if retry_state.possible_runs > 0 {
+        return give_up(exchange, context, retry_state, cause);
     }
+    log_given_up(exchange, retry_state, ErrorReason::Leaving, cause);
+    response::error_response(ErrorReason::Leaving, Some(SHUTDOWN_RETRY_AFTER))
 }
 
 /// Hands the request to another node. Goes on if another one may be tried.
@@ -229,7 +291,10 @@
     node: OtherNode,
 ) -> ControlFlow<Box<Response<ResponseBody>>> {
     retry_state.tried_nodes.push(node.incarnation);
-    let cause = match hand_over(exchange, context, node, retry_state.possible_runs).await {
+    retry_state.is_under_way = true;
+    let outcome = hand_over(exchange, context, node, retry_state.possible_runs).await;
+    retry_state.is_under_way = false;
+    let cause = match outcome {
         HandoverOutcome::Response(response) => return ControlFlow::Break(response),
         HandoverOutcome::NotRun => "other nodes refused the request",
         HandoverOutcome::NoResponse => {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,7 +12,7 @@
 
 use crate::control::{self, Event, FollowedTopic, Handle};
 use crate::dialect::Dialect;
-use crate::exchange::ProxyContext;
+use crate::exchange::{ProcessEnd, ProxyContext};
 use crate::gossip;
 use crate::http_client::Pool;
 use crate::metrics::Metrics;
@@ -28,6 +28,9 @@
 /// Interval for checking whether connections are still open.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time before the end of the process at which what is still open is answered.
+const ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Error that keeps a node from starting.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -75,7 +78,9 @@
         .map_err(|source| listen_error(settings.gossip, source))?;
     let metrics = Arc::new(Metrics::default());
     let handle = control::start(settings.clone(), dialect, metrics.clone(), effects)?;
+    let (end_sender, process_end) = ProcessEnd::channel();
     let context = ProxyContext {
+        process_end,
         handle: handle.clone(),
         dialect,
         pool: Pool::default(),
@@ -149,7 +154,11 @@
             },
         }
     }
-    shut_down(&settings, &handle, &shutdown_sender, &connections).await;
+    let signals = ShutdownSignals {
+        started: shutdown_sender,
+        ends: end_sender,
+    };
+    shut_down(&settings, &handle, &signals, &connections).await;
     Ok(())
 }
 
@@ -186,23 +195,37 @@
     StartError::Listen { address, source }
 }
 
+/// Tell the servers about a shutdown. Sending fails only if there is no receiver left, that is,
+/// no connection.
+struct ShutdownSignals {
+    /// It has begun.
+    started: watch::Sender<bool>,
+    /// The process is about to end.
+    ends: watch::Sender<bool>,
+}
+
 /// Announces the shutdown to the other nodes and waits for open connections to end,
-/// at least [`MIN_SHUTDOWN_TIME`] and within the grace period.
+/// at least [`MIN_SHUTDOWN_TIME`] and within the grace period. What is still open just before
+/// its end is answered then.
 async fn shut_down(
     settings: &Settings,
     handle: &Handle,
-    shutdown_sender: &watch::Sender<bool>,
+    signals: &ShutdownSignals,
     connections: &ConnectionCount,
 ) {
     log::info!(open = connections.count(); "shutting down");
     let started = Instant::now();
     handle.send(Event::ShutdownStarted);
-    // Sending fails only if there is no receiver left, that is, no connection.
-    let _ = shutdown_sender.send(true);
+    let _ = signals.started.send(true);
     let last = settings.shutdown_time();
+    let answers_due = last.saturating_sub(ANSWER_TIME);
     while started.elapsed() < last
         && (started.elapsed() < MIN_SHUTDOWN_TIME || connections.count() > 0)
     {
+        if started.elapsed() >= answers_due && !*signals.ends.borrow() {
+            log::info!(open = connections.count(); "answering what is still open");
+            let _ = signals.ends.send(true);
+        }
         sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     log::info!(open = connections.count(), took_ms = started.elapsed().as_millis() as u64; "stopped");
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -28,12 +28,15 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(700);
 
 /// `Retry-After` of a node that is shutting down; another node can take the request.
-const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
+pub const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Time after the start of a shutdown, in ms, from which on new streams are
 /// rejected because they might not end before the process does.
 const STREAM_CUTOFF_MS: Millis = 2_000;
 
+/// Part of the time until the process ends after which they are, if that is sooner.
+const STREAM_CUTOFF_SHARE: Millis = 4;
+
 /// Time after the timeout of a request by which its caller has its answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
@@ -71,22 +74,22 @@
         return refuse(&id, &metrics, ErrorReason::NoChunks, None);
     }
     let time_limit = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
-    let outlasts = match route.kind {
-        RequestKind::Stream => past_stream_cutoff(&view, now()),
-        RequestKind::Safe | RequestKind::Once => may_outlast(&view, time_limit, now()),
-    };
-    if outlasts {
-        return refuse(
-            &id,
-            &metrics,
-            ErrorReason::Leaving,
-            Some(SHUTDOWN_RETRY_AFTER),
-        );
+    let deadline = started + time_limit;
+    if must_go_elsewhere(&view, route.kind, deadline) {
+        return refuse_leaving(&id, &metrics);
     }
-    let body = match read_body(body, &catalog, time_limit).await {
+    let body = tokio::select! {
+        body = read_body(body, &catalog, time_limit) => body,
+        () = context.process_end.announced() => return refuse_leaving(&id, &metrics),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(reason) => return refuse(&id, &metrics, reason, None),
     };
+    // The body may have taken a while.
+    if must_go_elsewhere(&context.handle.view(), route.kind, deadline) {
+        return refuse_leaving(&id, &metrics);
+    }
     let Some(service) = route.select_service(service_number(&head)).cloned() else {
         return refuse(&id, &metrics, ErrorReason::NoRoute, None);
     };
@@ -118,7 +121,7 @@
         origin,
         catalog_version: catalog.version,
         started,
-        deadline: started + time_limit,
+        deadline,
     };
     let response = forward(exchange, context).await;
     metrics.count_response(&route, response.status().as_u16(), started.elapsed());
@@ -132,10 +135,25 @@
     stream.map_or_else(rand::random, |id| request_key(id))
 }
 
+/// True if this node is shutting down and a request that has not been sent to an endpoint might
+/// not be answered before the process ends.
+pub fn must_go_elsewhere(view: &View, kind: RequestKind, deadline: Instant) -> bool {
+    match kind {
+        RequestKind::Stream => past_stream_cutoff(view, now()),
+        RequestKind::Safe | RequestKind::Once => {
+            let left = deadline.saturating_duration_since(Instant::now());
+            may_outlast(view, left, now())
+        }
+    }
+}
+
 /// True if a stream that starts now might not end before the process does.
 pub fn past_stream_cutoff(view: &View, now: Millis) -> bool {
-    view.shutdown_at
-        .is_some_and(|at| now >= at + STREAM_CUTOFF_MS)
+    let Some((started_at, ends_at)) = view.shutdown_at.zip(view.ends_at) else {
+        return false;
+    };
+    let share = ends_at.saturating_sub(started_at) / STREAM_CUTOFF_SHARE;
+    now >= started_at + share.min(STREAM_CUTOFF_MS)
 }
 
 /// True if a request that may take this long might not be answered before the process
@@ -145,6 +163,15 @@
     view.ends_at.is_some_and(|end| latest > end)
 }
 
+fn refuse_leaving(id: &str, metrics: &Metrics) -> Response<ResponseBody> {
+    refuse(
+        id,
+        metrics,
+        ErrorReason::Leaving,
+        Some(SHUTDOWN_RETRY_AFTER),
+    )
+}
+
 fn refuse(
     id: &str,
     metrics: &Metrics,
--- a/crates/gateway/tests/test_attempts.rs
+++ b/crates/gateway/tests/test_attempts.rs
@@ -10,7 +10,7 @@
 use flamingolock_gateway::control::{Event, Grant, start};
 use flamingolock_gateway::dialect::{KeyedRecord, RequestHead};
 use flamingolock_gateway::endpoint::Endpoint;
-use flamingolock_gateway::exchange::{Exchange, Origin, ProxyContext};
+use flamingolock_gateway::exchange::{Exchange, Origin, ProcessEnd, ProxyContext};
 use flamingolock_gateway::fingerprint::Fingerprints;
 use flamingolock_gateway::http_client::Pool;
 use flamingolock_gateway::metrics::Metrics;
@@ -110,6 +110,7 @@
     let endpoint = (DIALECT.endpoint_entry)("servers/e0", text.as_bytes()).expect("an entry");
     let key = endpoint.key();
     let context = ProxyContext {
+        process_end: ProcessEnd::channel().1,
         handle: handle.clone(),
         dialect: &DIALECT,
         pool: Pool::default(),
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -335,6 +335,18 @@
     assert!(past_stream_cutoff(&harness.view.load(), 12_500));
 }
 
+/// Guards against streams that are taken and cut a moment later where the grace is short.
+#[test]
+fn shutdown_with_a_short_grace_accepts_new_streams_for_a_part_of_it() {
+    let mut settings = common::settings();
+    settings.grace = Duration::from_millis(2_250);
+    let mut harness = Harness::with_settings(settings, 7);
+    harness.catalog(1, 0);
+    harness.control.handle(Event::ShutdownStarted, 10_000);
+    assert!(!past_stream_cutoff(&harness.view.load(), 10_499));
+    assert!(past_stream_cutoff(&harness.view.load(), 10_500));
+}
+
 #[test]
 fn requests_that_may_outlast_a_shutdown_are_refused() {
     let mut harness = Harness::with_engines(1, 0);
