--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -3,6 +3,7 @@
 pub mod raw;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ffi::OsString;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -29,9 +30,42 @@
     }
 }
 
+/// Names the program of another build. Nodes then start with that one, and each restart
+/// changes their build.
+const OTHER_BUILD: &str = "FLAMINGOLOCK_OTHER_BUILD";
+
+/// Which build of the program a node runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Build {
+    Own,
+    Other,
+}
+
+impl Build {
+    fn first() -> Self {
+        match std::env::var_os(OTHER_BUILD) {
+            Some(_) => Self::Other,
+            None => Self::Own,
+        }
+    }
+
+    fn next(self) -> Self {
+        match self {
+            Self::Own => Self::first(),
+            Self::Other => Self::Own,
+        }
+    }
+
+    fn program(self) -> OsString {
+        let other = std::env::var_os(OTHER_BUILD).filter(|_| self == Self::Other);
+        other.unwrap_or_else(|| env!("CARGO_BIN_EXE_flamingolock").into())
+    }
+}
+
 /// A node process, killed on drop.
 pub struct Node {
     child: Child,
+    build: Build,
     dir: TempDir,
     pub name: String,
     pub front: SocketAddr,
@@ -80,9 +114,11 @@
         let dir = tempfile::tempdir().expect("a temporary directory can be created");
         let path = dir.path().join("node.toml");
         std::fs::write(&path, settings).expect("the settings can be written");
-        let child = spawn(dir.path());
+        let build = Build::first();
+        let child = spawn(dir.path(), build);
         Self {
             child,
+            build,
             dir,
             name: name.to_owned(),
             front,
@@ -95,7 +131,8 @@
 
     /// Starts the process again with the same settings, after it has exited.
     pub fn restart(&mut self) {
-        self.child = spawn(self.dir.path());
+        self.build = self.build.next();
+        self.child = spawn(self.dir.path(), self.build);
     }
 
     /// Kills the process with SIGKILL and reaps it.
@@ -189,13 +226,13 @@
 }
 
 /// Starts a node with the settings file in `dir`, and appends its log to `dir/log`.
-fn spawn(dir: &Path) -> Child {
+fn spawn(dir: &Path, build: Build) -> Child {
     let log = std::fs::File::options()
         .create(true)
         .append(true)
         .open(dir.join("log"))
         .expect("the log can be opened");
-    Command::new(env!("CARGO_BIN_EXE_flamingolock"))
+    Command::new(build.program())
         .arg("entry")
         .env("FLAMINGOLOCK_SETTINGS", dir.join("node.toml"))
         .stdin(Stdio::null())
