handover: a leaving endpoint's notice holds at the node that passes it on

Cause: only the node that sent the request to the endpoint noted its notice. The other one knows no endpoint of the answer that it passes on.

The node that serves a handed request now names the endpoint of such an answer in a header of its own, which the other one takes off and notes.

Before the change:

node_that_passed_on_the_notice_of_a_leaving_endpoint_does_not_use_it: left: 1 right: 0 requests after the cut

After it the tests of test_handover pass. A far node that is stopped as planned while it serves a handed stream finishes it: that had no test, and holds without a change.

--- a/crates/cli/tests/test_handover.rs
+++ b/crates/cli/tests/test_handover.rs
@@ -7,7 +7,9 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use entry_site::{LinkedNode, Site, WAIT_TIMEOUT, call, event_ids, request, stream, wait_for};
+use entry_site::{
+    LinkedNode, Site, WAIT_TIMEOUT, call, draft, event_ids, request, stream, wait_for,
+};
 use flamingolock_platform_standin::{Engine, EngineMode, LinkState};
 
 /// Pause between two of the ten events of a stream.
@@ -18,7 +20,12 @@
 
 /// Starts two nodes, the first of which is cut off from all endpoints and knows it.
 fn start() -> (Site, LinkedNode, LinkedNode) {
-    let site = Site::start(PAUSE);
+    start_with(PAUSE)
+}
+
+/// The same with another pause between two events.
+fn start_with(pause: Duration) -> (Site, LinkedNode, LinkedNode) {
+    let site = Site::start(pause);
     let cut = site.linked_node("node-1");
     let other = site.linked_node("node-2");
     know_cut(&cut);
@@ -125,6 +132,21 @@
     }
 }
 
+#[test]
+fn handed_stream_is_finished_by_a_node_that_is_stopped_as_planned() {
+    let (site, cut, mut other) = start();
+    let answer = std::thread::scope(|scope| {
+        let answer = scope.spawn(|| stream(&cut.node, "/tag/a", "stopped"));
+        wait_for("the run", || site.executions("stopped") == 1);
+        std::thread::sleep(PAUSE);
+        other.node.signal("TERM");
+        answer.join().expect("an answer")
+    });
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(event_ids(&answer.body), (1..=10).collect::<Vec<_>>());
+    assert!(other.node.wait_exit());
+}
+
 #[test]
 fn run_of_a_handed_request_ends_when_its_caller_leaves() {
     let (_site, cut, other) = start();
@@ -181,6 +203,42 @@
     drop(other);
 }
 
+/// Guards against requests to an endpoint that is leaving: a node that had passed on its
+/// notice for another node used it once its own cut was over.
+#[test]
+fn node_that_passed_on_the_notice_of_a_leaving_endpoint_does_not_use_it() {
+    let (site, cut, _other) = start_with(Duration::from_millis(10));
+    let leaving = &site.engines[0];
+    leaving.set_leaving(true);
+    let mut number = 0;
+    wait_for("its notice over the other node", || {
+        number += 1;
+        let answer = draft(&cut.node, number, &format!("before-{number}"), &[]);
+        answer.headers.contains_key("server-leaving")
+    });
+    cut.set_links(LinkState::Up);
+    wait_for("the end of the cut", || {
+        let log = cut.node.log();
+        log.matches("reaches the endpoints of a service again")
+            .count()
+            >= 1
+    });
+    let mut served = 0;
+    for number in 0..20 {
+        let answer = draft(&cut.node, number, &format!("after-{number}"), &[]);
+        served += usize::from(answer.status == 200);
+    }
+    let late = leaving.arrivals().into_iter();
+    let late: Vec<String> = late.map(|arrival| arrival.request).collect();
+    let late = late.iter().filter(|id| id.starts_with("after"));
+    assert_eq!(late.count(), 0);
+    assert!(served > 10, "{served} of 20 served");
+    let answer = draft(&cut.node, 1, "header", &[]);
+    let own = answer.headers.keys();
+    let mut own = own.filter(|name| name.starts_with("flamingolock"));
+    assert_eq!(own.next(), None);
+}
+
 #[test]
 fn caller_that_claims_to_be_a_node_gains_nothing() {
     let (site, cut, other) = start();
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! A single attempt to serve a request at one endpoint.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use crate::control::notices::Notice;
 use crate::control::{Event, Grant, RunEnd};
 use crate::dialect::{EndpointHead, LimitStatement, ResponseHead};
+use crate::endpoint::Endpoint;
 use crate::exchange::{Exchange, ProxyContext};
 use crate::http_client::{BodyFraming, CallError, Connection, ConnectionUse};
 use crate::run_guard::RunGuard;
@@ -72,6 +74,8 @@
     pub headers: HeaderMap,
     /// Response body.
     pub body: Bytes,
+    /// Endpoint that sent it.
+    pub endpoint: Arc<Endpoint>,
 }
 
 /// Result of an attempt.
@@ -527,6 +531,7 @@
         status: parts.status,
         headers: parts.headers,
         body,
+        endpoint: grant.endpoint.clone(),
     };
     connection.set_keep_alive(head.keep_alive);
     if !closes_connection(&buffered.headers) {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -338,6 +338,13 @@
     RunAnswered(RunSubjects),
     /// An endpoint asked something of this node in a response.
     Noticed(Arc<Endpoint>, Notice),
+    /// An endpoint says that it is leaving in a response that another node has passed on.
+    LeavingElsewhere {
+        /// The endpoint.
+        endpoint: EndpointKey,
+        /// Start time of its incarnation, in Unix milliseconds.
+        start_time_ms: u64,
+    },
     /// An endpoint stated in a response how many requests a second it takes; none if it
     /// stated no limit.
     LimitStated(Arc<Endpoint>, Option<f64>),
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -311,6 +311,10 @@
             Event::SuspectsRead(recorded) => self.suspects_read(&recorded, now),
             Event::SuspectsRecorded(stored) => self.suspects_recorded(stored),
             Event::Noticed(endpoint, notice) => self.noticed(&endpoint, notice, now),
+            Event::LeavingElsewhere {
+                endpoint,
+                start_time_ms,
+            } => self.leaving_elsewhere(endpoint, start_time_ms, now),
             Event::LimitStated(endpoint, limit) => self.limit_stated(&endpoint, limit, now),
             Event::BrittlenessStated(endpoint, refusals) => {
                 self.brittleness_stated(&endpoint, refusals, now);
@@ -383,6 +387,18 @@
         }
     }
 
+    /// Handles a notice that came over another node. This node may have read an older entry of
+    /// the endpoint, or none; then it sends nothing to the incarnation that is leaving.
+    fn leaving_elsewhere(&mut self, endpoint: EndpointKey, start_time_ms: u64, now: Millis) {
+        let Some(listed) = self.fleet.get(&endpoint) else {
+            return;
+        };
+        let listed = listed.endpoint.clone();
+        if listed.start_time_ms <= start_time_ms {
+            self.noticed(&listed, Notice::Leaving, now);
+        }
+    }
+
     fn nodes_listed(&mut self, addresses: Vec<SocketAddr>, now: Millis) {
         for address in addresses {
             if address != self.settings.gossip {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,7 +19,7 @@
 use crate::http_client::BodyFraming;
 use crate::relay;
 use crate::request_handler::{SHUTDOWN_RETRY_AFTER, must_go_elsewhere};
-use crate::response::{self, ErrorReason, ResponseBody};
+use crate::response::{self, ErrorReason, ResponseBody, SentBy};
 use crate::run_guard::RunGuard;
 
 /// Maximum number of attempts per request, including those that an endpoint refused.
@@ -351,6 +351,7 @@
     let mut response = Response::new(response::full_body(buffered.body));
     *response.status_mut() = buffered.status;
     *response.headers_mut() = (context.dialect.response_headers)(&buffered.headers);
+    response.extensions_mut().insert(SentBy(buffered.endpoint));
     response
 }
 
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -20,12 +20,14 @@
 use crate::catalog::RequestKind;
 use crate::control::handovers::OtherNode;
 use crate::control::{Event, Handle, View};
+use crate::dialect::Dialect;
+use crate::endpoint::Endpoint;
 use crate::exchange::{Exchange, Origin, ProxyContext};
 use crate::forward::elapsed_ms;
 use crate::http_client::{BodyFraming, CallError, Connection, ConnectionUse};
 use crate::metrics::{EventKind, Metrics};
 use crate::request_handler;
-use crate::response::{ErrorReason, IncompleteBody, ResponseBody, full_body};
+use crate::response::{ErrorReason, IncompleteBody, ResponseBody, SentBy, full_body};
 
 /// Incarnation of the node that is meant, in hexadecimal.
 const NODE_KEY: HeaderName = HeaderName::from_static("flamingolock-node-key");
@@ -39,6 +41,10 @@
 /// Set in a response if another node should get the request, which has not run.
 const REFUSED: HeaderName = HeaderName::from_static("flamingolock-refused");
 
+/// Set in a response whose endpoint says that it is leaving: the start time of its incarnation
+/// and its id.
+const LEAVING_ENDPOINT: HeaderName = HeaderName::from_static("flamingolock-leaving-endpoint");
+
 /// Maximum number of idle connections to one node.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -163,7 +169,10 @@
         }
         () = sleep_until(exchange.deadline) => return Err(HandoverError::TimedOut),
     };
-    let (parts, body) = response.into_parts();
+    let (mut parts, body) = response.into_parts();
+    if let Some(leaving) = parts.headers.remove(LEAVING_ENDPOINT) {
+        note_leaving(context, &leaving);
+    }
     if parts.headers.contains_key(REFUSED) {
         return Err(HandoverError::Refused(parts.status));
     }
@@ -316,8 +325,14 @@
     for name in [NODE_KEY, CATALOG_VERSION, POSSIBLE_RUNS] {
         request.headers_mut().remove(name);
     }
+    let dialect = context.dialect;
     let mut response = request_handler::serve(request, origin, context, metrics).await;
-    response.headers_mut().remove(REFUSED);
+    for name in [REFUSED, LEAVING_ENDPOINT] {
+        response.headers_mut().remove(name);
+    }
+    if let Some(leaving) = leaving_endpoint(dialect, &response) {
+        response.headers_mut().insert(LEAVING_ENDPOINT, leaving);
+    }
     // The node that sent the request may find another one for it.
     let may_run_elsewhere = matches!(
         response.extensions().get(),
@@ -330,6 +345,30 @@
     response
 }
 
+/// Names the endpoint of a response if that says that it is leaving. The node that handed the
+/// request on passes this on to a caller, so it must not use the endpoint any more either.
+fn leaving_endpoint(dialect: &Dialect, response: &Response<ResponseBody>) -> Option<HeaderValue> {
+    let SentBy(endpoint) = response.extensions().get()?;
+    let says_leaving = (dialect.response_head)(response.headers()).leaving;
+    let text = format!("{} {}", endpoint.start_time_ms, endpoint.id);
+    says_leaving.then(|| HeaderValue::from_str(&text).ok())?
+}
+
+/// Tells the control thread of the endpoint that a response of another node names.
+fn note_leaving(context: &ProxyContext, leaving: &HeaderValue) {
+    let named = leaving.to_str().ok().and_then(|text| text.split_once(' '));
+    let start_time_ms = named.and_then(|(start, _)| start.parse().ok());
+    match named.zip(start_time_ms) {
+        Some(((_, id), start_time_ms)) => context.handle.send(Event::LeavingElsewhere {
+            endpoint: Endpoint::key_of(id),
+            start_time_ms,
+        }),
+        None => {
+            log::warn!(leaving:? = leaving; "unreadable name of a leaving endpoint; ignored");
+        }
+    }
+}
+
 /// Checks that a node sent the request, and that this one knows as much as that one.
 fn check(headers: &HeaderMap, view: &View) -> Result<Origin, StatusCode> {
     let text = |name: HeaderName| headers.get(name)?.to_str().ok();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,7 +24,7 @@
 use crate::exchange::{Exchange, ProxyContext};
 use crate::forward::{RetryState, elapsed_ms};
 use crate::http_client::BodyFraming;
-use crate::response::{IncompleteBody, ResponseBody};
+use crate::response::{IncompleteBody, ResponseBody, SentBy};
 
 /// Maximum number of chunks queued for a slow caller.
 const MAX_PENDING_CHUNKS: usize = 16;
@@ -77,6 +77,9 @@
     // The rest of the stream may come from another engine, so its length is unknown.
     headers.remove(CONTENT_LENGTH);
     *response.headers_mut() = headers;
+    response
+        .extensions_mut()
+        .insert(SentBy(opened.grant.endpoint.clone()));
     log::info!(request = &*exchange.request_id, endpoint = &*opened.grant.endpoint.id, took_ms = elapsed_ms(&exchange);
         "stream started");
     tokio::spawn(relay(exchange, context, retry_state, opened, sender));
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -1,5 +1,6 @@
 //! Responses that the node generates itself, instead of relaying an endpoint's.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,6 +9,8 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 
+use crate::endpoint::Endpoint;
+
 /// A response body that ended before it was complete.
 #[derive(Debug, thiserror::Error)]
 #[error("response body ended early")]
@@ -16,6 +19,10 @@
 /// Body of any response to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, IncompleteBody>;
 
+/// Endpoint that sent a response that is passed on; among the extensions of the response.
+#[derive(Clone, Debug)]
+pub struct SentBy(pub Arc<Endpoint>);
+
 /// Builds a body from bytes that are all in memory.
 pub fn full_body(bytes: Bytes) -> ResponseBody {
     Full::new(bytes)
