fleet: a load of which only refusals tell ends when they stop

Cause: a refusal without a known order begins a load of no known version, and such a load never ended by itself. The next refusal, however late, counted as the same load, which then seemed to have lasted all the time between them.

Such a load now lapses when its engine may be used again for eight times as long as the load was seen to last, and nothing refuses.

Before the change:

two_refusals_of_an_engine_far_apart_are_no_long_load: assertion failed: accepts(&mut harness, 61_000) two_refusals_far_apart_that_another_node_tells_of_are_no_long_load: assertion failed: accepts(&mut harness, 21_010)

After it both pass; refusals that follow each other still close their engine for longer and longer (refusals_that_follow_each_other_are_one_load).

--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -51,6 +51,10 @@
 /// seems.
 const RECHECKS_PER_UNKNOWN_LOAD: Millis = 2;
 
+/// Multiple of the time for which a load of no known version was seen, after which another
+/// refusal tells of another load.
+const UNKNOWN_LOAD_LAPSE: Millis = 8;
+
 /// Time for which an endpoint without room is avoided, in ms.
 const FULL_MS: Millis = 60;
 
@@ -318,11 +322,20 @@
         self.runs.values().filter(waits).count()
     }
 
+    /// True if nothing was heard for so long of a load of which only refusals told that it is
+    /// over.
+    fn has_lapsed(&self, load: &Load, now: Millis) -> bool {
+        let seen_ms = self.loading_until.saturating_sub(load.started_at);
+        let silent_ms = now.saturating_sub(self.loading_until);
+        load.version.is_none() && silent_ms > UNKNOWN_LOAD_LAPSE * seen_ms
+    }
+
     /// Records that the engine refused a request because it is loading weights, `busy_ms`
     /// after the start of its load; none if that is now. Returns how long it gets no others, in
     /// ms.
     pub fn refused_while_loading(&mut self, busy_ms: Option<Millis>, now: Millis) -> Millis {
-        let known = self.load.take().filter(|load| !load.is_done());
+        let known = self.load.take();
+        let known = known.filter(|load| !load.is_done() && !self.has_lapsed(load, now));
         let mut load = known.unwrap_or_else(|| Load::new(None, 0, now));
         let elapsed = load.elapsed(now);
         load.saw_busy(busy_ms.unwrap_or(elapsed).min(elapsed));
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -9,7 +9,7 @@
 use flamingolock_gateway::control::{Effect, Event, FollowedTopic, Refusal, RunEnd};
 use flamingolock_gateway::endpoint::Endpoint;
 use flamingolock_gateway::request_handler::{may_outlast, past_stream_cutoff};
-use flamingolock_wire::gossip::Run;
+use flamingolock_wire::gossip::{Fault, Gossip, Run};
 use flamingolock_wire::topic_copies::CopiesRequest;
 
 #[test]
@@ -497,3 +497,76 @@
         Some(Refusal::AllReloading)
     );
 }
+
+/// An engine that is alone refuses a request that is placed at `now`. Returns false if none is
+/// placed there.
+fn refuse(harness: &mut Harness, now: u64) -> bool {
+    let placement = harness.place(placement_request(None, 1), now);
+    let Ok(grant) = placement.expect("a decision") else {
+        return false;
+    };
+    let event = Event::RunEnded {
+        endpoint: grant.endpoint.key(),
+        run_number: grant.run_number,
+        end: RunEnd::Reloading,
+        model: Some("m".to_owned()),
+    };
+    harness.control.handle(event, now + 1);
+    true
+}
+
+fn accepts(harness: &mut Harness, now: u64) -> bool {
+    let placement = harness.place(placement_request(None, 1), now);
+    placement.expect("a decision").is_ok()
+}
+
+/// Guards against engines that are closed for half a minute: two refusals a minute apart
+/// counted as one load of a minute.
+#[test]
+fn two_refusals_of_an_engine_far_apart_are_no_long_load() {
+    let mut harness = Harness::with_engines(1, 0);
+    assert!(refuse(&mut harness, 10));
+    for now in (500..=60_000).step_by(500) {
+        harness.control.tick(now);
+    }
+    assert!(refuse(&mut harness, 60_000));
+    assert!(accepts(&mut harness, 61_000));
+}
+
+/// The same where another node tells of the refusals.
+#[test]
+fn two_refusals_far_apart_that_another_node_tells_of_are_no_long_load() {
+    let mut harness = Harness::with_engines(1, 0);
+    let tell = |harness: &mut Harness, now| {
+        let fault = Fault {
+            endpoint: Endpoint::key_of("e0"),
+            avoid_ms: 20,
+            is_loading: true,
+            ..Fault::default()
+        };
+        let gossip = Gossip {
+            faults: vec![fault],
+            ..Gossip::default()
+        };
+        harness.datagram(9, gossip, now);
+    };
+    tell(&mut harness, 10);
+    for now in (500..20_000).step_by(500) {
+        harness.control.tick(now);
+    }
+    assert!(accepts(&mut harness, 19_900), "it waits there");
+    tell(&mut harness, 20_010);
+    assert!(accepts(&mut harness, 21_010));
+}
+
+/// A load of which only refusals tell still closes its engine for longer and longer while
+/// they come.
+#[test]
+fn refusals_that_follow_each_other_are_one_load() {
+    let mut harness = Harness::with_engines(1, 0);
+    let mut refusals = 0;
+    for now in 10..3_000 {
+        refusals += usize::from(refuse(&mut harness, now));
+    }
+    assert!(refusals < 16, "{refusals} refusals in 3 s");
+}
