workspaces: a module of its own for who shares cached parts

catalog.rs had taken on workspaces, the sets of isolated ones and the names of these sets beside routes, services and limits. They move as they are; a comment at the notices that come over another node says what is meant.

--- a/crates/gateway/src/control/cache_index.rs
+++ b/crates/gateway/src/control/cache_index.rs
@@ -7,10 +7,10 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::catalog::Sharing;
 use crate::clock::Millis;
 use crate::dialect::PromptPart;
 use crate::endpoint::EndpointKey;
+use crate::workspaces::Sharing;
 
 /// Time after its last use for which a part is assumed to stay in an engine's
 /// cache, in ms.
--- a/crates/gateway/src/control/fleet/estimate.rs
+++ b/crates/gateway/src/control/fleet/estimate.rs
@@ -1,12 +1,13 @@
 //! Estimated delay of a request at an endpoint.
 
 use super::{EndpointState, FIRST_STEP_MS};
-use crate::catalog::{EngineSpec, Sharing};
+use crate::catalog::EngineSpec;
 use crate::clock::Millis;
 use crate::control::PlacementRequest;
 use crate::control::cache_index::{CacheIndex, PartKey, PartLocation, namespace, shared_keys};
 use crate::control::named_weights::{NamedVersion, replaced_at};
 use crate::endpoint::EndpointKey;
+use crate::workspaces::Sharing;
 
 /// Assumed prefill rate of an engine, in prompt tokens per ms. [`EndpointState`]
 /// scales the resulting times by the slowdown measured at each engine.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -387,8 +387,8 @@
         }
     }
 
-    /// Handles a notice that came over another node. This node may have read an older entry of
-    /// the endpoint, or none; then it sends nothing to the incarnation that is leaving.
+    /// Handles a notice that came over another node. An endpoint that is not listed here gets no
+    /// requests; the entry may be that of an earlier incarnation, but not of a later one.
     fn leaving_elsewhere(&mut self, endpoint: EndpointKey, start_time_ms: u64, now: Millis) {
         let Some(listed) = self.fleet.get(&endpoint) else {
             return;
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -9,7 +9,7 @@
 
 use super::limits::PermitStep;
 use super::{Control, QueuedRequest};
-use crate::catalog::{ServiceKind, Sharing, Workspaces};
+use crate::catalog::ServiceKind;
 use crate::clock::Millis;
 use crate::control::cache_index::{FetchSource, namespace, salt};
 use crate::control::fleet::{Estimate, EstimateContext};
@@ -17,6 +17,7 @@
 use crate::control::{BuildRule, Grant, Placement, PlacementRequest, Refusal, RunEnd};
 use crate::endpoint::EndpointKey;
 use crate::metrics::EventKind;
+use crate::workspaces::{Sharing, Workspaces};
 
 /// Fraction of an endpoint's connection limit that all nodes together use.
 const CONNECTION_SHARE: f64 = 0.8;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,12 +8,13 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::catalog::{Route, Workspace};
+use crate::catalog::Route;
 use crate::control::Handle;
 use crate::control::suspects::RunSubjects;
 use crate::dialect::{Dialect, RequestHead};
 use crate::fingerprint::Fingerprints;
 use crate::http_client::Pool;
+use crate::workspaces::Workspace;
 
 /// Who sent a request to this node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod server;
 pub mod settings;
 pub mod store;
+pub mod workspaces;
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout};
 
-use crate::catalog::{Catalog, RequestKind, Route, Workspace};
+use crate::catalog::{Catalog, RequestKind, Route};
 use crate::clock::{Millis, now};
 use crate::control::View;
 use crate::control::begun_streams::request_key;
@@ -23,6 +23,7 @@
 use crate::forward::forward;
 use crate::metrics::Metrics;
 use crate::response::{ErrorReason, ResponseBody, error_response};
+use crate::workspaces::Workspace;
 
 /// `Retry-After` of a node that has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(700);
