--- a/crates/cli/tests/test_cut_nodes.rs
+++ b/crates/cli/tests/test_cut_nodes.rs
@@ -217,7 +217,8 @@
         let count = Count::of(own);
         assert!(
             count.sent > 0 && count.sent - count.served <= 1,
-            "{what}, then up again: {count:?} at node {node}"
+            "{what}, then up again: {count:?} at node {node}\n{}",
+            around(&records, node, &returned)
         );
         assert!(
             bytes[node] >= REQUEST_BYTES * count.served as u64,
@@ -227,6 +228,22 @@
     }
 }
 
+/// The requests to a node that were open at some time of a period, a line each: when they were
+/// sent after its start, how long they took, and their status.
+fn around(records: &[Record], node: usize, period: &Range<Instant>) -> String {
+    let open = records.iter().filter(|record| {
+        record.node == node && record.sent_at < period.end && record.ended_at > period.start
+    });
+    let line = |record: &Record| {
+        let after = record.sent_at.saturating_duration_since(period.start);
+        let before = period.start.saturating_duration_since(record.sent_at);
+        let took = record.ended_at - record.sent_at;
+        let (id, status) = (&record.id, record.status);
+        format!("{id}: {after:?} after, {before:?} before, took {took:?}, status {status}")
+    };
+    open.map(line).collect::<Vec<_>>().join("\n")
+}
+
 fn check_cut_nodes(records: &[Record], cut: &Range<usize>, counted: &Range<Instant>, what: &str) {
     let count = |is_cut: bool| {
         let counted = records.iter().filter(|record| {
