test_large_configuration: refusals are read once they are due

The test is wrong, not the node: connections that send nothing are refused when the wait for their first byte ends, 1 s after they were accepted. The test gives each read 20 ms, 50 of them pass in that second, and the other 46 end at once as the node closes them. A trial that prints the times shows the reads of the 24 refusals at 1,003.2 to 1,004.0 ms, just as the node writes them; one that is written 20 ms late is missed. The run that failed was not traced itself.

--- a/crates/cli/tests/test_large_configuration.rs
+++ b/crates/cli/tests/test_large_configuration.rs
@@ -121,6 +121,8 @@
     let mut connections: Vec<TcpStream> = (0..120)
         .map(|_| TcpStream::connect(node.control).expect("a connection"))
         .collect();
+    // The node waits a second for their first bytes.
+    std::thread::sleep(Duration::from_millis(1_500));
     let first_frame = |connection: &mut TcpStream| {
         connection
             .set_read_timeout(Some(Duration::from_millis(20)))
