retry budget: log and count each decision

Each decision is one line now, and flamingolock_retries_total counts them by service. No decision changes.

--- a/crates/gateway/src/control/retry_budget.rs
+++ b/crates/gateway/src/control/retry_budget.rs
@@ -20,6 +20,30 @@
     retries: u32,
 }
 
+/// What a node knows of those with which it shares the slack.
+#[derive(Clone, Copy, Debug)]
+pub struct SlackShare {
+    /// Largest number of nodes that may share it, including this one.
+    pub nodes: usize,
+    /// Time since which this process counts.
+    pub counts_since: Millis,
+}
+
+/// Decision on a retry, and what it is based on.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryDecision {
+    /// True if the retry may be sent.
+    pub granted: bool,
+    /// Requests counted in the window.
+    pub requests: u32,
+    /// Retries counted in the window before this one.
+    pub retries: u32,
+    /// Number of retries that this node may send for these requests.
+    pub allowed: f64,
+    /// Part of the slack that this node may use.
+    pub slack: f64,
+}
+
 /// Requests and retries of each service within a sliding window.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -69,20 +93,30 @@
         self.current_interval(service, now).requests += 1;
     }
 
-    /// Takes one retry from the budget; returns false if this node's share is
-    /// exhausted. `nodes` is the largest number of nodes that may share the slack.
+    /// Takes one retry from the budget, unless this node's share is exhausted.
     #[must_use]
-    pub fn try_retry(&mut self, service: &Arc<str>, nodes: usize, now: Millis) -> bool {
+    pub fn try_retry(
+        &mut self,
+        service: &Arc<str>,
+        share: SlackShare,
+        now: Millis,
+    ) -> RetryDecision {
         self.current_interval(service, now);
         let intervals = &self.services[service];
         let requests: u32 = intervals.iter().map(|interval| interval.requests).sum();
         let retries: u32 = intervals.iter().map(|interval| interval.retries).sum();
-        let slack = self.slack / nodes.max(1) as f64;
+        let slack = self.slack / share.nodes.max(1) as f64;
         let allowed = SAFETY_FACTOR * (self.ratio * f64::from(requests) + slack);
         let granted = f64::from(retries) + 1.0 <= allowed;
         if granted {
             self.current_interval(service, now).retries += 1;
         }
-        granted
+        RetryDecision {
+            granted,
+            requests,
+            retries,
+            allowed,
+            slack,
+        }
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -43,7 +43,7 @@
 use crate::control::permits::Permits;
 use crate::control::places::Places;
 use crate::control::reach::Reach;
-use crate::control::retry_budget::RetryBudget;
+use crate::control::retry_budget::{RetryBudget, SlackShare};
 use crate::control::rollout::{PendingLoads, Rollout, Task};
 use crate::control::rollout_status::LeaseState;
 use crate::control::stated_limits::StatedLimits;
@@ -555,6 +555,13 @@
         self.peers.max_nodes_sharing(now)
     }
 
+    fn slack_share(&self, now: Millis) -> SlackShare {
+        SlackShare {
+            nodes: self.max_nodes_sharing(now),
+            counts_since: self.running_since.unwrap_or(now),
+        }
+    }
+
     fn advance_rollout(&mut self, now: Millis) {
         if self.shutdown_at.is_some() || self.catalog.is_none() {
             return;
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -114,11 +114,7 @@
             if !is_elsewhere {
                 self.budget.record_request(&request.service, now);
             }
-        } else if request.is_retry
-            && !self
-                .budget
-                .try_retry(&request.service, self.max_nodes_sharing(now), now)
-        {
+        } else if request.is_retry && !self.may_retry(&request, now) {
             self.refuse(&request, Refusal::Budget, reply);
             return;
         }
@@ -140,6 +136,22 @@
         }
     }
 
+    /// Takes a retry from the budget; returns false if there is none left.
+    fn may_retry(&mut self, request: &PlacementRequest, now: Millis) -> bool {
+        let share = self.slack_share(now);
+        let decision = self.budget.try_retry(&request.service, share, now);
+        let message = if decision.granted {
+            "retry granted"
+        } else {
+            "retry refused: budget exhausted"
+        };
+        log::info!(request = &*request.id, service = &*request.service, requests = decision.requests,
+            retries = decision.retries, allowed = decision.allowed, slack = decision.slack,
+            nodes = share.nodes, counted_ms = now - share.counts_since; "{message}");
+        self.metrics.count_retry(&request.service, decision.granted);
+        decision.granted
+    }
+
     /// Number of waiting requests of the same workspace, service and priority.
     fn waiting_alike(&self, request: &PlacementRequest) -> usize {
         let waiting = self.queue.iter().filter(|queued| {
@@ -268,12 +280,15 @@
     ) {
         self.metrics.count(EventKind::Placement, refusal.as_str());
         let message = match refusal {
-            Refusal::Budget => "retry refused: budget exhausted",
-            Refusal::AtOtherNode(_) => "request goes to another node",
-            _ => "no endpoint available for request",
+            // Logged with what the decision is based on.
+            Refusal::Budget => None,
+            Refusal::AtOtherNode(_) => Some("request goes to another node"),
+            _ => Some("no endpoint available for request"),
         };
-        log::info!(request = &*request.id, service = &*request.service, refusal:? = refusal,
-            builds:? = request.build_rule; "{message}");
+        if let Some(message) = message {
+            log::info!(request = &*request.id, service = &*request.service, refusal:? = refusal,
+                builds:? = request.build_rule; "{message}");
+        }
         // The caller may have left in the meantime.
         let _ = reply.send(Err(refusal));
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -67,6 +67,13 @@
     outcome: &'static str,
 }
 
+/// Labels of a retry: its service, and whether the budget allowed it.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct RetryLabels {
+    service: String,
+    outcome: &'static str,
+}
+
 /// Label of what was learnt about a service's engines.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ServiceLabel {
@@ -81,6 +88,7 @@
     refused: Family<RefusalLabels, Counter>,
     first_byte: Family<KindLabel, Histogram>,
     events: Family<EventLabels, Counter>,
+    retries: Family<RetryLabels, Counter>,
     limited_endpoints: Gauge,
     load_ms: Family<ServiceLabel, Gauge>,
     concurrent_loads: Family<ServiceLabel, Gauge>,
@@ -99,6 +107,7 @@
             refused: Family::default(),
             first_byte: Family::new_with_constructor(first_byte_histogram as fn() -> Histogram),
             events: Family::default(),
+            retries: Family::default(),
             limited_endpoints: Gauge::default(),
             load_ms: Family::default(),
             concurrent_loads: Family::default(),
@@ -119,6 +128,11 @@
                 "Placements, ends of runs, orders, store calls, transfers, verdicts on prompt parts and requests, permits",
                 metrics.events.clone(),
             );
+            registry.register(
+                "retries",
+                "Retries by service, granted or refused by the budget",
+                metrics.retries.clone(),
+            );
             registry.register(
                 "limited_endpoints",
                 "Endpoints that state a limit of requests",
@@ -193,6 +207,15 @@
             .inc();
     }
 
+    /// Counts a retry that the budget granted or refused.
+    pub fn count_retry(&self, service: &str, granted: bool) {
+        let labels = RetryLabels {
+            service: service.to_owned(),
+            outcome: if granted { "granted" } else { "refused" },
+        };
+        self.retries.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of endpoints that state a limit of requests.
     pub fn set_limited_endpoints(&self, count: usize) {
         self.limited_endpoints
