--- a/crates/gateway/tests/common/fleet.rs
+++ b/crates/gateway/tests/common/fleet.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use flamingolock_gateway::control::{Effect, Event, Grant, Placement, Refusal, RunEnd};
+use flamingolock_gateway::control::{
+    Effect, Event, Grant, Placement, PlacementRequest, Refusal, RunEnd,
+};
 use flamingolock_gateway::dialect::{EngineReport, OrderOutcome, WeightsOrder};
 use flamingolock_gateway::endpoint::{Endpoint, EndpointKey};
 use flamingolock_wire::gossip::Gossip;
@@ -54,12 +56,13 @@
 struct Node {
     harness: Harness,
     wake: u64,
-    waiting: Vec<oneshot::Receiver<Placement>>,
+    waiting: Vec<(PlacementRequest, oneshot::Receiver<Placement>)>,
 }
 
 /// A response on its way to a node.
 struct Response {
     node: usize,
+    request: PlacementRequest,
     grant: Grant,
     end: RunEnd,
     /// True if the engine runs the request.
@@ -161,6 +164,16 @@
     pub lease_records: Vec<String>,
     /// Time from the placement of a request to its response, in ms.
     pub response_ms: u64,
+    /// Share of the requests that engines answer with an error, after which they are retried.
+    pub failing: f64,
+    /// Number of engines that a request is sent to at most.
+    pub max_attempts: usize,
+    /// True if each node gets as many requests as any other.
+    pub is_even: bool,
+    /// Times at which callers sent requests.
+    pub requests: Vec<u64>,
+    /// Times of the requests that reached an engine after another one.
+    pub retries: Vec<u64>,
     /// Slots that the entries of engines state.
     slots: usize,
     calls: BTreeMap<(u64, u64), (usize, Call)>,
@@ -206,6 +219,11 @@
             cut_links: BTreeSet::new(),
             lease_records: Vec::new(),
             response_ms: RESPONSE_MS,
+            failing: 0.0,
+            max_attempts: 1,
+            is_even: false,
+            requests: Vec::new(),
+            retries: Vec::new(),
             slots,
             calls: BTreeMap::new(),
             nodes: BTreeMap::new(),
@@ -225,6 +243,20 @@
 
     /// Starts a node that knows the addresses of `nodes` nodes.
     pub fn start_node(&mut self, number: usize, nodes: usize) {
+        self.start_unlisted(number);
+        self.list_nodes(number, nodes);
+    }
+
+    /// Lets a node read the registry, which lists `nodes` nodes.
+    pub fn list_nodes(&mut self, number: usize, nodes: usize) {
+        let addresses = (0..nodes).map(address).collect();
+        let node = self.nodes.get_mut(&number).expect("a node");
+        let control = &mut node.harness.control;
+        control.handle(Event::NodesListed(addresses), self.now);
+    }
+
+    /// Starts a node that has not read the registry of the nodes.
+    pub fn start_unlisted(&mut self, number: usize) {
         let mut settings = settings();
         settings.node = format!("node-{number}");
         settings.zone = format!("zone-{}", number % 3);
@@ -235,10 +267,6 @@
         for engine in 0..self.engines.len() {
             harness.engine_with_slots(&format!("e{engine}"), self.slots, self.now);
         }
-        let addresses = (0..nodes).map(address).collect();
-        harness
-            .control
-            .handle(Event::NodesListed(addresses), self.now);
         let node = Node {
             harness,
             wake: self.now,
@@ -326,28 +354,36 @@
         while self.rng.random_bool(mean.min(1.0)) {
             mean -= 1.0;
             let numbers: Vec<usize> = self.nodes.keys().copied().collect();
-            let first = self.rng.random_bool(0.5);
-            let place = if first {
+            if numbers.is_empty() {
+                return;
+            }
+            let place = if self.is_even {
+                self.requests.len() % numbers.len()
+            } else if self.rng.random_bool(0.5) {
                 0
             } else {
                 self.rng.random_range(0..numbers.len())
             };
+            self.requests.push(self.now);
             self.prompts += 10;
             let mut request = placement_request(None, self.prompts);
             request.max_wait = Duration::from_millis(450);
-            let (sender, receiver) = oneshot::channel();
-            let node = self.nodes.get_mut(&numbers[place]).expect("a node");
-            node.harness
-                .control
-                .handle(Event::Place(Box::new(request), sender), self.now);
-            node.wake = self.now;
-            node.waiting.push(receiver);
+            self.place(numbers[place], request);
             if mean <= 0.0 {
                 return;
             }
         }
     }
 
+    fn place(&mut self, node: usize, request: PlacementRequest) {
+        let (sender, receiver) = oneshot::channel();
+        let node = self.nodes.get_mut(&node).expect("a node");
+        let event = Event::Place(Box::new(request.clone()), sender);
+        node.harness.control.handle(event, self.now);
+        node.wake = self.now;
+        node.waiting.push((request, receiver));
+    }
+
     fn deliver(&mut self) {
         while let Some(entry) = self.datagrams.first_entry() {
             if entry.key().0 > self.now {
@@ -367,6 +403,7 @@
             }
             let response = entry.remove();
             self.respond(&response);
+            self.retry(response);
         }
         while let Some(entry) = self.calls.first_entry() {
             if entry.key().0 > self.now {
@@ -496,6 +533,17 @@
         node.wake = self.now;
     }
 
+    /// Sends a request that an engine answered with an error to another one.
+    fn retry(&mut self, response: Response) {
+        let mut request = response.request;
+        request.tried.push(response.grant.endpoint.key());
+        let may_retry = request.tried.len() < self.max_attempts;
+        if response.end == RunEnd::ErrorAnswer && may_retry {
+            request.is_retry = true;
+            self.place(response.node, request);
+        }
+    }
+
     fn tick(&mut self) {
         let due = self
             .nodes
@@ -514,16 +562,17 @@
                     calls.push((*number, effect));
                 }
             }
-            node.waiting.retain_mut(|reply| match reply.try_recv() {
-                Ok(placement) => {
-                    placed.push((*number, placement));
-                    false
-                }
-                Err(error) => error == oneshot::error::TryRecvError::Empty,
-            });
+            node.waiting
+                .retain_mut(|(request, reply)| match reply.try_recv() {
+                    Ok(placement) => {
+                        placed.push((*number, request.clone(), placement));
+                        false
+                    }
+                    Err(error) => error == oneshot::error::TryRecvError::Empty,
+                });
         }
-        for (node, placement) in placed {
-            self.send(node, placement);
+        for (node, request, placement) in placed {
+            self.send(node, request, placement);
         }
         for (node, effect) in calls {
             self.call(node, effect);
@@ -547,7 +596,7 @@
     }
 
     /// Sends a request to the engine at which a node placed it.
-    fn send(&mut self, node: usize, placement: Placement) {
+    fn send(&mut self, node: usize, request: PlacementRequest, placement: Placement) {
         let grant = match placement {
             Ok(grant) => grant,
             Err(Refusal::AllLimited { until }) => {
@@ -560,8 +609,14 @@
                 return;
             }
         };
-        let (end, delay) = self.run_end(node, &grant);
-        let is_running = end == RunEnd::Complete;
+        let (mut end, delay) = self.run_end(node, &grant);
+        if end == RunEnd::Complete && self.failing > 0.0 && self.rng.random_bool(self.failing) {
+            end = RunEnd::ErrorAnswer;
+        }
+        if request.is_retry {
+            self.retries.push(self.now);
+        }
+        let is_running = matches!(end, RunEnd::Complete | RunEnd::ErrorAnswer);
         if end == RunEnd::NeverConnected {
             self.unreached += 1;
         } else {
@@ -577,6 +632,7 @@
         self.sequence += 1;
         let response = Response {
             node,
+            request,
             grant,
             end,
             is_running,
