streams: the log tells why a software version was chosen

For a resumed stream the log said at which version it was placed, or UnknownBuild, but not why: whether a node had told of it, it was read from the record, or only one version was listed, and since when that list was complete.

Each resumed stream now has one line with the reason, the versions that the node saw and how far back that list is complete; a node that is told the versions writes what it was told.

--- a/crates/gateway/src/control/begun_streams.rs
+++ b/crates/gateway/src/control/begun_streams.rs
@@ -19,9 +19,21 @@
     xxh3_64(id.as_bytes())
 }
 
+/// How this node knows of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamSource {
+    /// It began at this node.
+    Own,
+    /// Another node told of it.
+    Node,
+    /// It is in the record in the store.
+    Record,
+}
+
 #[derive(Debug)]
 struct Begun {
     build: Arc<str>,
+    source: StreamSource,
     /// Timeout of its route when it began, in ms; 0 if it is not known.
     timeout_ms: u32,
     at: Millis,
@@ -55,7 +67,13 @@
 impl BegunStreams {
     /// Records a stream that callers may resume until `expires_at`. A later record of the
     /// same request replaces an earlier one.
-    pub fn record(&mut self, stream: &BegunStream, expires_at: Millis, now: Millis) {
+    pub fn record(
+        &mut self,
+        stream: &BegunStream,
+        source: StreamSource,
+        expires_at: Millis,
+        now: Millis,
+    ) {
         let at = now.saturating_sub(Millis::from(stream.age_ms));
         if let Some(known) = self.streams.get(&stream.request)
             && !known.is_replaced_by(stream, at)
@@ -67,6 +85,7 @@
         self.by_expiry.insert((expires_at, stream.request));
         let begun = Begun {
             build: stream.build.as_str().into(),
+            source,
             timeout_ms: stream.timeout_ms,
             at,
             heard_at: now,
@@ -82,9 +101,11 @@
         }
     }
 
-    /// Returns the software version that began the stream of this request.
-    pub fn build_of(&self, request: u64) -> Option<Arc<str>> {
-        Some(self.streams.get(&request)?.build.clone())
+    /// Returns the software version that began the stream of this request, and how this
+    /// node knows.
+    pub fn build_of(&self, request: u64) -> Option<(Arc<str>, StreamSource)> {
+        let begun = self.streams.get(&request)?;
+        Some((begun.build.clone(), begun.source))
     }
 
     /// Returns the software versions that began any of the streams.
--- a/crates/gateway/src/control/listed_builds.rs
+++ b/crates/gateway/src/control/listed_builds.rs
@@ -111,28 +111,48 @@
         self.seen.retain(|_, at| *at >= time);
     }
 
-    /// Returns the only version of the service that was listed since a time; none if
-    /// there were several or this is not known.
-    pub fn sole_build<'a>(
+    /// Returns which versions of the service were listed since a time.
+    pub fn served<'a>(
         &self,
         service: &str,
         listed: impl Iterator<Item = &'a Endpoint>,
         since: Millis,
-    ) -> Option<Arc<str>> {
-        if self.complete_since.is_none_or(|complete| complete > since) {
-            return None;
-        }
+    ) -> ServedBuilds {
         let seen = self
             .seen
             .iter()
             .filter(|((name, _), at)| &**name == service && **at >= since)
-            .map(|((_, build), _)| build);
-        let mut builds: BTreeSet<&Arc<str>> = listed
+            .map(|((_, build), _)| build.clone());
+        let builds = listed
             .filter(|endpoint| &*endpoint.service == service)
-            .map(|endpoint| &endpoint.build)
+            .map(|endpoint| endpoint.build.clone())
             .chain(seen)
             .collect();
-        let first = builds.pop_first()?.clone();
-        builds.is_empty().then_some(first)
+        ServedBuilds {
+            builds,
+            is_complete: self
+                .complete_since
+                .is_some_and(|complete| complete <= since),
+            complete_since: self.complete_since,
+        }
+    }
+}
+
+/// Software versions of a service that were listed since a time.
+#[derive(Debug)]
+pub struct ServedBuilds {
+    /// Those that this node knows of.
+    pub builds: BTreeSet<Arc<str>>,
+    /// True if there were no others.
+    pub is_complete: bool,
+    /// Time from which on this node knows all of them.
+    pub complete_since: Option<Millis>,
+}
+
+impl ServedBuilds {
+    /// Returns the only version; none if there were several or this is not known.
+    pub fn sole(&self) -> Option<&Arc<str>> {
+        let first = self.builds.first().filter(|_| self.builds.len() == 1);
+        first.filter(|_| self.is_complete)
     }
 }
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -9,6 +9,7 @@
 use super::{Control, GOSSIP_INTERVAL_MS};
 use crate::clock::Millis;
 use crate::control::Effect;
+use crate::control::begun_streams::StreamSource;
 use crate::control::load_times::Load;
 use crate::control::suspect::Subject;
 
@@ -244,7 +245,7 @@
             self.send_history(from, now);
         }
         for stream in &gossip.streams {
-            self.record_stream(stream, now);
+            self.record_stream(stream, StreamSource::Node, now);
         }
         if let Some(builds) = &gossip.builds {
             self.learn_builds(builds, now);
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -103,7 +103,7 @@
         if let BuildRule::SameAs(begun_by) = request.build_rule
             && !is_elsewhere
         {
-            let Some(build) = self.build_of_stream(begun_by, &request.service, now) else {
+            let Some(build) = self.build_of_stream(begun_by, &request, now) else {
                 self.refuse(&request, Refusal::UnknownBuild, reply);
                 return;
             };
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -9,7 +9,9 @@
 
 use super::Control;
 use crate::clock::Millis;
-use crate::control::Effect;
+use crate::control::begun_streams::StreamSource;
+use crate::control::listed_builds::ServedBuilds;
+use crate::control::{Effect, PlacementRequest};
 
 /// Time in ms for which streams are remembered beyond the timeout of their route.
 const RESUME_MARGIN_MS: Millis = 5_000;
@@ -37,6 +39,25 @@
 /// Part of the store's writing calls that all recorders of streams together use.
 const RECORD_CALL_SHARE: f64 = 0.1;
 
+/// Why a resumed stream continues at a software version, or at none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BuildReason {
+    /// This version is known to have begun it.
+    Known(StreamSource),
+    /// No other version was listed since its caller may have begun it.
+    OnlyListed,
+    /// The process stood still a moment ago.
+    StoodStill,
+    /// This node's copy of the entries is too old.
+    OldEntries,
+    /// The list of versions does not go back to when its caller may have begun it.
+    Incomplete,
+    /// Several versions were listed, or none.
+    NotOne,
+    /// Another version than the only listed one began streams.
+    BegunByOther,
+}
+
 /// The record of the streams that began, kept in the store for the case that all nodes end
 /// while several software versions serve. With one version, none is needed.
 #[derive(Debug, Default)]
@@ -126,7 +147,7 @@
 
     /// Records a stream that began at this node, and tells the other nodes.
     pub(super) fn stream_begun(&mut self, stream: BegunStream, now: Millis) {
-        self.record_stream(&stream, now);
+        self.record_stream(&stream, StreamSource::Own, now);
         self.outgoing_streams.push(stream);
         self.gossip_pending_at.get_or_insert(now);
     }
@@ -137,13 +158,18 @@
         for mut stream in recorded.streams {
             // The order of the record is that in which they began.
             stream.age_ms = 0;
-            self.record_stream(&stream, now);
+            self.record_stream(&stream, StreamSource::Record, now);
         }
     }
 
     /// Records a stream for as long as its caller may resume it: under the timeout under which it
     /// began, whatever configuration is in force by now.
-    pub(super) fn record_stream(&mut self, stream: &BegunStream, now: Millis) {
+    pub(super) fn record_stream(
+        &mut self,
+        stream: &BegunStream,
+        source: StreamSource,
+        now: Millis,
+    ) {
         let memory = match stream.timeout_ms {
             0 if self.catalog.is_none() => ASSUMED_TIMEOUT_MS + RESUME_MARGIN_MS,
             0 => self.stream_memory(now),
@@ -151,11 +177,12 @@
         };
         let begun_at = now.saturating_sub(Millis::from(stream.age_ms));
         self.streams
-            .record(stream, begun_at.saturating_add(memory), now);
+            .record(stream, source, begun_at.saturating_add(memory), now);
     }
 
     /// Takes over which software versions another node saw.
     pub(super) fn learn_builds(&mut self, history: &BuildHistory, now: Millis) {
+        log::info!(builds:? = history.builds, complete_ms = history.complete_ms; "another node told the software versions");
         self.listed_builds.learn(history, now);
         self.learn_memory(history.memory_ms, history.memory_left_ms, now);
     }
@@ -203,8 +230,8 @@
         let services = listed().filter(|endpoint| !endpoint.weights.is_empty());
         let services: BTreeSet<&Arc<str>> = services.map(|endpoint| &endpoint.service).collect();
         services.into_iter().any(|service| {
-            let sole = self.listed_builds.sole_build(service, listed(), since);
-            sole.is_none()
+            let served = self.listed_builds.served(service, listed(), since);
+            served.sole().is_none()
         })
     }
 
@@ -250,26 +277,53 @@
         self.endpoints_copy.age(now) <= bound
     }
 
-    /// Returns the software version that began a stream, given the key of the request
-    /// that began it. A stream that no node has told of began at the only version that
-    /// served since its caller may have begun it, if there is only one.
+    /// Returns the software version that began the stream that a request resumes, given the
+    /// key of the request that began it. A stream that no node has told of began at the only
+    /// version that served since its caller may have begun it, if there is only one.
     pub(super) fn build_of_stream(
         &self,
         begun_by: Option<u64>,
-        service: &str,
+        request: &PlacementRequest,
         now: Millis,
     ) -> Option<Arc<str>> {
-        if let Some(build) = begun_by.and_then(|request| self.streams.build_of(request)) {
-            return Some(build);
+        let memory = self.stream_memory(now);
+        let listed = self.fleet.values().map(|state| &*state.endpoint);
+        let served =
+            self.listed_builds
+                .served(&request.service, listed, now.saturating_sub(memory));
+        let (build, reason) = self.decide_build(begun_by, &served, now);
+        let complete_ms = served.complete_since.map(|at| now.saturating_sub(at));
+        log::info!(request = &*request.id, build = build.as_deref().unwrap_or(""), reason:? = reason,
+            listed:? = served.builds, complete_ms, memory_ms = memory; "chose the software version of a resumed stream");
+        build
+    }
+
+    fn decide_build(
+        &self,
+        begun_by: Option<u64>,
+        served: &ServedBuilds,
+        now: Millis,
+    ) -> (Option<Arc<str>>, BuildReason) {
+        if let Some((build, source)) = begun_by.and_then(|request| self.streams.build_of(request)) {
+            return (Some(build), BuildReason::Known(source));
         }
-        if self.is_recovering(now) || !self.knows_entries(now) {
-            return None;
+        if self.is_recovering(now) {
+            return (None, BuildReason::StoodStill);
         }
-        let since = now.saturating_sub(self.stream_memory(now));
-        let listed = self.fleet.values().map(|state| &*state.endpoint);
-        let sole = self.listed_builds.sole_build(service, listed, since)?;
+        if !self.knows_entries(now) {
+            return (None, BuildReason::OldEntries);
+        }
+        if !served.is_complete {
+            return (None, BuildReason::Incomplete);
+        }
+        let Some(sole) = served.sole() else {
+            return (None, BuildReason::NotOne);
+        };
         let begun = self.streams.builds();
-        begun.iter().all(|build| *build == sole).then_some(sole)
+        if begun.iter().any(|build| build != sole) {
+            return (None, BuildReason::BegunByOther);
+        }
+        (Some(sole.clone()), BuildReason::OnlyListed)
     }
 
     /// Time in ms for which a caller may resume a stream.
