tests: nodes that start again with the settings of their first start

Callers saw streams that hold events of two software versions and end as complete. Nodes whose settings say that the whole fleet starts for the first time take it, at each start of theirs, that nothing was listed before. A supervisor that starts them again with the settings that they had makes them hand any stream to the only version that is listed.

--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -1,5 +1,6 @@
 //! Real entry node processes, with stand-ins of the platform's store and endpoints.
 
+pub mod process;
 pub mod raw;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -79,6 +80,11 @@
     /// Starts a node with a settings file of the platform's format. `seeds` are the
     /// control addresses of its peers.
     pub fn start(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        Self::start_with(name, store, seeds, "")
+    }
+
+    /// The same with a further line of settings.
+    pub fn start_with(name: &str, store: SocketAddr, seeds: &[SocketAddr], more: &str) -> Self {
         let [front, ready, directory, metrics, control] = [(); 5].map(|()| free_address());
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         let port = metrics.port();
@@ -90,6 +96,7 @@
 Zone = "zone-a"
 PortRange = [{port}, {port}]
 Seeds = {seeds:?}
+{more}
 [Zones]
 zone-a = "region"
 [Listen]
@@ -480,7 +487,12 @@
 
     /// Starts a node and waits until it is ready and has logged all endpoints.
     pub fn node(&self, name: &str) -> Node {
-        self.node_at(name, self.store.address())
+        self.node_at(name, self.store.address(), "")
+    }
+
+    /// The same with a further line of settings.
+    pub fn node_with(&self, name: &str, more: &str) -> Node {
+        self.node_at(name, self.store.address(), more)
     }
 
     /// Starts a node that reaches each endpoint over a link of its own.
@@ -494,13 +506,13 @@
             .zip(&links)
             .map(|(endpoint, link)| (endpoint.address(), link.address()))
             .collect();
-        let node = self.node_at(name, self.store.view(addresses));
+        let node = self.node_at(name, self.store.view(addresses), "");
         LinkedNode { node, links }
     }
 
-    fn node_at(&self, name: &str, store: SocketAddr) -> Node {
+    fn node_at(&self, name: &str, store: SocketAddr, more: &str) -> Node {
         let mut control_addresses = self.control_addresses.lock().expect("no panic before");
-        let node = Node::start(name, store, &control_addresses);
+        let node = Node::start_with(name, store, &control_addresses, more);
         control_addresses.push(node.control);
         drop(control_addresses);
         node.wait_ready();
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -8,6 +8,7 @@
 use common::{Harness, copies_of, placement_request};
 use flamingolock_gateway::control::begun_streams::request_key;
 use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, Refusal};
+use flamingolock_platform::settings;
 use flamingolock_wire::gossip::{
     BegunStream, BegunStreamList, BuildHistory, Gossip, ListedBuild, NodeState, TopicCopyState,
 };
@@ -112,6 +113,42 @@
     assert_eq!(build_of(resume(&mut harness, "r", 7_001 + MEMORY_MS)), "v1");
 }
 
+/// Settings of a node that say that the whole fleet starts for the first time.
+const FIRST_SETTINGS: &str = r#"
+Node = "node-1"
+Ip = "127.0.0.1"
+Zone = "zone-a"
+PortRange = [5, 5]
+Bootstrap = true
+[Listen]
+Front = "127.0.0.1:1"
+Ready = "127.0.0.1:2"
+Directory = "127.0.0.1:3"
+[Bounds]
+RetryBudgetRatio = 0.2
+BudgetWindowS = 10
+BudgetSlack = 58
+LeaseMs = 3000
+VersionMs = 6000
+GraceS = 8
+DrainMs = 2000
+ConfigMs = 2000
+[Provider]
+Address = "127.0.0.1:6"
+"#;
+
+/// Guards against streams of two software versions: a supervisor starts a node again with the
+/// settings of its first start.
+#[test]
+fn unknown_stream_is_refused_by_a_node_whose_settings_are_those_of_the_first_start() {
+    let settings = settings::parse("node.toml", FIRST_SETTINGS).expect("settings");
+    let mut harness = Harness::with_settings(settings, 7);
+    harness.catalog(1, 10_000);
+    harness.engines_of_builds(&["v2"], 10_000);
+    let refusal = resume(&mut harness, "r", 10_100).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
+
 #[test]
 fn unknown_stream_is_refused_while_others_tell_of_a_build_that_is_not_listed() {
     let mut harness = with_engines(&["v1"]);
