soak: retries, attempts and deadlines of requests are checked

Callers saw more repeats than the budget allows, and the soak checked none of it. Three checks, from the records of callers and endpoints, in all seeds: the arrivals of a service beyond the first of each request in any window, against the requests that were sent for it; the endpoints on which a request runs; and the deadlines that endpoints are given.

The figures of the budget and the number of attempts stand once, in the settings and the configuration that nodes get and in the checks. Requests of the checks themselves count as requests; those of a culprit under test got ids of their own, as they were the same as those of the probes for a configuration.

--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -63,6 +63,39 @@
     }
 }
 
+/// Bounds of the retries of all nodes, as their settings state them.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBounds {
+    /// Retries for each request in a window.
+    pub ratio: f64,
+    pub window_s: u64,
+    /// Retries in a window beside those.
+    pub slack: f64,
+}
+
+/// The bounds that nodes get unless a test states others.
+pub const RETRY_BOUNDS: RetryBounds = RetryBounds {
+    ratio: 0.2,
+    window_s: 10,
+    slack: 58.0,
+};
+
+/// What differs between the settings of nodes.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeSettings<'a> {
+    pub name: &'a str,
+    pub store: SocketAddr,
+    /// Control addresses of peers.
+    pub seeds: &'a [SocketAddr],
+    pub control: SocketAddr,
+    /// True if the settings say that the whole system starts for the first time.
+    pub is_first: bool,
+    pub bounds: RetryBounds,
+}
+
+/// Number of endpoints that may run a request of the site.
+pub const MAX_ATTEMPTS: usize = 2;
+
 /// A node process, killed on drop.
 pub struct Node {
     child: Child,
@@ -80,14 +113,34 @@
     /// Starts a node with a settings file of the platform's format. `seeds` are the
     /// control addresses of its peers.
     pub fn start(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        Self::start_with(name, store, seeds, "")
+        Self::start_with(&NodeSettings {
+            name,
+            store,
+            seeds,
+            control: free_address(),
+            is_first: false,
+            bounds: RETRY_BOUNDS,
+        })
     }
 
-    /// The same with a further line of settings.
-    pub fn start_with(name: &str, store: SocketAddr, seeds: &[SocketAddr], more: &str) -> Self {
-        let [front, ready, directory, metrics, control] = [(); 5].map(|()| free_address());
+    /// Starts a node with these settings, which stay as they are at each restart.
+    pub fn start_with(settings: &NodeSettings) -> Self {
+        let NodeSettings {
+            name,
+            store,
+            seeds,
+            control,
+            is_first,
+            bounds,
+        } = *settings;
+        let [front, ready, directory, metrics] = [(); 4].map(|()| free_address());
         let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
         let port = metrics.port();
+        let RetryBounds {
+            ratio,
+            window_s,
+            slack,
+        } = bounds;
         let settings = format!(
             r#"
 Node = "{name}"
@@ -96,7 +149,7 @@
 Zone = "zone-a"
 PortRange = [{port}, {port}]
 Seeds = {seeds:?}
-{more}
+Bootstrap = {is_first}
 [Zones]
 zone-a = "region"
 [Listen]
@@ -105,9 +158,9 @@
 Directory = "{directory}"
 Control = "{control}"
 [Bounds]
-RetryBudgetRatio = 0.2
-BudgetWindowS = 10
-BudgetSlack = 58
+RetryBudgetRatio = {ratio}
+BudgetWindowS = {window_s}
+BudgetSlack = {slack}
 LeaseMs = 600
 VersionMs = 6000
 ContactMs = 3000
@@ -372,7 +425,7 @@
                  resumable: bool| {
         serde_json::json!({
             "Name": name, "Host": "site.example", "PathPrefix": path, "Kind": kind, "TimeoutMs": timeout,
-            "TargetLatencyMs": 300, "Priority": 1, "Service": service, "MaxAttempts": 2, "Public": false,
+            "TargetLatencyMs": 300, "Priority": 1, "Service": service, "MaxAttempts": MAX_ATTEMPTS, "Public": false,
             "Sticky": true, "Resumable": resumable, "GapAimMs": 500,
         })
     };
@@ -487,12 +540,12 @@
 
     /// Starts a node and waits until it is ready and has logged all endpoints.
     pub fn node(&self, name: &str) -> Node {
-        self.node_at(name, self.store.address(), "")
+        self.node_at(name, self.store.address(), false)
     }
 
-    /// The same with a further line of settings.
-    pub fn node_with(&self, name: &str, more: &str) -> Node {
-        self.node_at(name, self.store.address(), more)
+    /// The same with settings that say that the whole system starts for the first time.
+    pub fn first_node(&self, name: &str) -> Node {
+        self.node_at(name, self.store.address(), true)
     }
 
     /// Starts a node that reaches each endpoint over a link of its own.
@@ -506,13 +559,20 @@
             .zip(&links)
             .map(|(endpoint, link)| (endpoint.address(), link.address()))
             .collect();
-        let node = self.node_at(name, self.store.view(addresses), "");
+        let node = self.node_at(name, self.store.view(addresses), false);
         LinkedNode { node, links }
     }
 
-    fn node_at(&self, name: &str, store: SocketAddr, more: &str) -> Node {
+    fn node_at(&self, name: &str, store: SocketAddr, is_first: bool) -> Node {
         let mut control_addresses = self.control_addresses.lock().expect("no panic before");
-        let node = Node::start_with(name, store, &control_addresses, more);
+        let node = Node::start_with(&NodeSettings {
+            name,
+            store,
+            seeds: &control_addresses,
+            control: free_address(),
+            is_first,
+            bounds: RETRY_BOUNDS,
+        });
         control_addresses.push(node.control);
         drop(control_addresses);
         node.wait_ready();
--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -20,7 +20,7 @@
 use crate::soak::cluster::{Cluster, Scope};
 
 /// Timeout for a whole response, also sent as the request's deadline.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
+pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// How long a caller uses the addresses that the directory returned.
 const RESOLUTION_TTL: Duration = Duration::from_secs(2);
@@ -67,6 +67,11 @@
         matches!(self, Self::Draft | Self::Tag)
     }
 
+    /// Service of its route.
+    pub fn service(self) -> &'static str {
+        if self.is_stream() { "engines" } else { "desk" }
+    }
+
     /// True when it must be executed at most once.
     pub fn runs_once(self) -> bool {
         matches!(self, Self::Tag | Self::Book)
--- a/crates/cli/tests/soak/checks.rs
+++ b/crates/cli/tests/soak/checks.rs
@@ -8,9 +8,10 @@
 use tokio::time::sleep;
 
 use crate::entry_site::{Answer, request};
+use crate::soak::attempts::Sent as SentRequest;
 use crate::soak::callers::RequestRecord;
 use crate::soak::cluster::{Cluster, ENDPOINTS, Scope};
-use crate::soak::{brittle, cuts, limits};
+use crate::soak::{attempts, brittle, cuts, limits};
 
 /// Time within which every unaffected node must apply a published configuration.
 const CONFIGURATION_DEADLINE: Duration = Duration::from_secs(2);
@@ -37,14 +38,20 @@
 /// Statuses that promise that the request was not and will not be executed.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// Deadline of the checks' own requests.
+pub const PROBE_TIME_LIMIT: Duration = Duration::from_millis(1_500);
+
 async fn send_probe(cluster: &Cluster, node: usize, path: String, id: String) -> Answer {
     let address = cluster.addresses[node].0;
+    let probe = SentRequest::probe(&id, "desk", node, PROBE_TIME_LIMIT);
+    cluster.record_probe(probe);
+    let time_limit = PROBE_TIME_LIMIT.as_millis().to_string();
     let probe = tokio::task::spawn_blocking(move || {
         let headers = [
             ("host", "site.example"),
             ("authorization", "Bearer key-1"),
             ("request-id", id.as_str()),
-            ("deadline-ms", "1500"),
+            ("deadline-ms", time_limit.as_str()),
         ];
         request(address, "POST", &path, &headers)
     });
@@ -107,6 +114,7 @@
         }
     }
     check_executions(cluster, records);
+    attempts::check(cluster, records);
     cuts::check(cluster, records);
     brittle::check(cluster, records);
     for index in 0..cluster.backends.len() {
--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -7,7 +7,8 @@
 use flamingolock_platform_standin::{Engine, Link, Store};
 use flamingolock_standins::proxy::{self, Handle};
 
-use crate::entry_site::{Node, site_configuration};
+use crate::entry_site::{Node, RETRY_BOUNDS, RetryBounds, site_configuration};
+use crate::soak::attempts::Sent;
 use crate::soak::brittle::BrittleTime;
 use crate::soak::cuts::WholeCut;
 
@@ -57,6 +58,8 @@
     Links(usize),
     /// One endpoint, or the connections to it.
     Endpoint(usize),
+    /// One endpoint ends, or the connections to it do or are silent; `Endpoint` as well.
+    Ended(usize),
     /// One endpoint refuses requests; its responses arrive as usual.
     Refusals(usize),
     /// A planned shutdown of one node, which must not interrupt requests.
@@ -96,6 +99,10 @@
     /// The links of each node, one to each endpoint; none before the first seed that cuts
     /// them.
     pub links: Vec<Vec<Link>>,
+    /// Bounds of retries in the nodes' settings.
+    pub retry_bounds: RetryBounds,
+    /// Requests of the checks.
+    pub probes: Mutex<Vec<Sent>>,
     /// Nodes that were cut off from all endpoints.
     pub whole_cuts: Mutex<Vec<WholeCut>>,
     /// Times in which engines were brittle.
@@ -206,6 +213,8 @@
             store_proxies,
             backends,
             links,
+            retry_bounds: RETRY_BOUNDS,
+            probes: Mutex::default(),
             whole_cuts: Mutex::default(),
             brittle_times: Mutex::default(),
             nodes: nodes.into_iter().map(Mutex::new).collect(),
@@ -288,6 +297,24 @@
         })
     }
 
+    /// True when a fault whose scope matches was active at some time between `from` and `to`.
+    pub fn any_fault_during(
+        &self,
+        matches_scope: impl Fn(Scope) -> bool,
+        from: Instant,
+        to: Instant,
+    ) -> bool {
+        let faults = self.faults.lock().expect("no panic before");
+        faults.iter().any(|fault| {
+            matches_scope(fault.scope) && fault.from <= to && fault.to.is_none_or(|end| end >= from)
+        })
+    }
+
+    /// Records a request of the checks, before it is sent.
+    pub fn record_probe(&self, probe: Sent) {
+        self.probes.lock().expect("no panic before").push(probe);
+    }
+
     /// True when no fault of the node, its connections to the store or the store was
     /// active since [`FAULT_AFTERMATH`] before `from`.
     pub fn unaffected_since(&self, node: usize, from: Instant) -> bool {
--- a/crates/cli/tests/soak/crashes.rs
+++ b/crates/cli/tests/soak/crashes.rs
@@ -11,6 +11,8 @@
 use tokio::time::sleep;
 
 use crate::entry_site::request;
+use crate::soak::attempts::Sent as SentRequest;
+use crate::soak::checks::PROBE_TIME_LIMIT;
 use crate::soak::cluster::{Backend, Cluster, ENDPOINTS, Scope};
 
 /// Number of requests, and the pause between two.
@@ -84,11 +86,12 @@
             Culprit::Part => format!("aa:300,{:x}:200,{index:x}00:100", self.part()),
             Culprit::Request => "aa:300,bb:200,cc:100".to_owned(),
         };
+        let time_limit = PROBE_TIME_LIMIT.as_millis().to_string();
         let mut headers = vec![
             ("host", "site.example"),
             ("authorization", "Bearer key-1"),
             ("request-id", id),
-            ("deadline-ms", "1500"),
+            ("deadline-ms", time_limit.as_str()),
         ];
         if self.backends().start == 0 {
             headers.extend([("model", "planner"), ("token-usage", "1000,64")]);
@@ -124,9 +127,11 @@
     let mut running = tokio::task::JoinSet::new();
     for index in 0..REQUESTS {
         let node = index % cluster.nodes.len();
-        let id = format!("probe-{}-{index}", trial.number);
+        let id = format!("probe-bad-{}-{index}", trial.number);
         sent.insert(id.clone(), (node, Instant::now()));
         let address = cluster.addresses[node].0;
+        let service = backends[0].service;
+        cluster.record_probe(SentRequest::probe(&id, service, node, PROBE_TIME_LIMIT));
         running.spawn_blocking(move || trial.send_one(address, index, &id));
         sleep(PAUSE).await;
         write_entries(&cluster, backends);
--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -145,6 +145,18 @@
         Self::EndpointPauses,
     ];
 
+    /// True if the endpoint ends or connections to it end or fall silent.
+    fn ends_endpoint(self) -> bool {
+        matches!(
+            self,
+            Self::EndpointCrash
+                | Self::EndpointResets
+                | Self::EndpointSilent
+                | Self::EndpointRepliesBlackholed
+                | Self::EndpointEndlessHead
+        )
+    }
+
     fn choose(seed: u64, rng: &mut ChaCha8Rng) -> Self {
         let mut all = Self::ALL.to_vec();
         if seed >= FIRST_LATER_SEED {
@@ -222,7 +234,7 @@
                     running.spawn(limits::state(cluster.clone(), 0..ENDPOINTS, time));
                 }
                 _ => {
-                    running.spawn(run_disruption(cluster.clone(), disruption, index, time));
+                    running.spawn(record_and_run(cluster.clone(), disruption, index, time));
                 }
             }
             sleep(Duration::from_millis(rng.random_range(50..500))).await;
@@ -262,6 +274,21 @@
     cluster.store.put("keyed.op", "op/version/planner", &text);
 }
 
+async fn record_and_run(
+    cluster: Arc<Cluster>,
+    disruption: Disruption,
+    index: usize,
+    time: Duration,
+) {
+    let end = disruption
+        .ends_endpoint()
+        .then(|| cluster.begin_fault(Scope::Ended(index)));
+    run_disruption(cluster.clone(), disruption, index, time).await;
+    if let Some(end) = end {
+        cluster.end_fault(end);
+    }
+}
+
 async fn run_disruption(
     cluster: Arc<Cluster>,
     disruption: Disruption,
@@ -476,7 +503,9 @@
     } else {
         "v1"
     };
+    let end = cluster.begin_fault(Scope::Ended(index));
     backend.engine.replace(other);
+    cluster.end_fault(end);
     let (key, value) = backend.entry("ready");
     cluster.store.put("keyed.servers", &key, &value);
 }
--- a/crates/cli/tests/soak/mod.rs
+++ b/crates/cli/tests/soak/mod.rs
@@ -1,6 +1,7 @@
 //! Soak test: real nodes under random faults, while callers and endpoints check the
 //! guarantees of the product.
 
+mod attempts;
 mod brittle;
 mod callers;
 mod checks;
@@ -9,6 +10,7 @@
 mod cuts;
 mod disruptions;
 mod limits;
+mod retries;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/cli/tests/test_kept_settings.rs
+++ b/crates/cli/tests/test_kept_settings.rs
@@ -30,9 +30,7 @@
 /// Three nodes whose settings say that the whole fleet starts for the first time.
 fn first_nodes(site: &Site) -> Vec<Node> {
     let names = ["node-1", "node-2", "node-3"].into_iter();
-    names
-        .map(|name| site.node_with(name, "Bootstrap = true"))
-        .collect()
+    names.map(|name| site.first_node(name)).collect()
 }
 
 fn put_entries(site: &Site, engines: &[EndpointProcess]) {
