settings: no claim that the whole fleet starts for the first time

Callers saw streams that hold events of two software versions and end as complete. A supervisor that starts a process again leaves the settings as they were, so after an end of all nodes any stream went on at the only version that was listed.

A claim of the settings about the past is no evidence: the records in the store, the entries and the other nodes are. The setting is not read any more. On a real first start the records are empty; what it costs there is that a resumed stream that nobody told of is refused for as long as streams are remembered, and that no load order is sent within one takeover time of the lease after the store's first answer.

The unit test failed before and passes. Whole tests of the gateway and the platform pass; of the command line test_builds and test_weight_loads. The line "node started" has no first_start any more. The harness of the gateway's tests leaves out a field that no longer exists; it was false there.

--- a/crates/gateway/src/control/listed_builds.rs
+++ b/crates/gateway/src/control/listed_builds.rs
@@ -12,7 +12,7 @@
 const MIN_LISTED_MS: Millis = 3_000;
 
 /// Software versions that were listed, and how far back this is complete.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ListedBuilds {
     complete_since: Option<Millis>,
     /// When an endpoint was last seen to be listed, by service and software version.
@@ -21,15 +21,6 @@
 }
 
 impl ListedBuilds {
-    /// Creates the history of a node; before the first start of the fleet nothing was
-    /// listed.
-    pub fn new(first_start: bool) -> Self {
-        Self {
-            complete_since: first_start.then_some(0),
-            seen: BTreeMap::new(),
-        }
-    }
-
     /// Records that all entries were read, `unread_ms` after they were last known; none
     /// if they were not.
     pub fn entries_read(&mut self, unread_ms: Option<Millis>, now: Millis) {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -208,7 +208,7 @@
                 settings.retry_slack,
             ),
             lease: Lease::new(&settings.node, settings.lease),
-            listed_builds: ListedBuilds::new(settings.first_start),
+            listed_builds: ListedBuilds::default(),
             settings,
             dialect,
             incarnation,
@@ -511,9 +511,7 @@
         self.store_era = Some(era);
         if before.is_none() {
             // A lease may have been lost just before this node started.
-            if !self.settings.first_start {
-                self.lease.records_lost(now);
-            }
+            self.lease.records_lost(now);
             return;
         }
         log::warn!(era, before = before.unwrap_or(0); "store came back from a copy; records of the last seconds are lost");
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -129,9 +129,7 @@
         handle.clone(),
         lost_registrations,
     ));
-    if !settings.first_start {
-        recover_records(&settings, dialect, &handle);
-    }
+    recover_records(&settings, dialect, &handle);
     tokio::spawn(server::serve_directory(directory_listener, context.clone()));
     tokio::spawn(server::serve_directory(ready_listener, context.clone()));
     tokio::spawn(server::serve_metrics(metrics_listener, metrics.clone()));
@@ -143,7 +141,7 @@
         shutdown,
     ));
     log::info!(node = settings.node.as_str(), zone = settings.zone.as_str(), callers:% = settings.callers,
-        store:% = settings.store, first_start = settings.first_start; "node started");
+        store:% = settings.store; "node started");
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -33,8 +33,6 @@
     /// Nodes from which copies of the store's topics may be fetched; they may be stale
     /// or down.
     pub seeds: Vec<SocketAddr>,
-    /// True if the whole fleet starts for the first time.
-    pub first_start: bool,
     /// Address of the metrics.
     pub metrics: SocketAddr,
     /// Address of the platform's store.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -36,7 +36,6 @@
         gossip: address(4),
         control: Some(address(7)),
         seeds: vec![address(7), address(8)],
-        first_start: false,
         metrics: address(5),
         store: address(6),
         store_writes: Some(400.0),
