soak: nodes are killed in series and start again as a supervisor starts them

The users saw BUDGET and ORDER broken with real processes. The soak started nodes without Bootstrap, killed one at a time, and its callers returned to a stream once. Each fourth seed has five callers and a slack of 12, so that the slack decides. Streams last 0.8 s; callers return to one that broke off up to 20 times, at any node, half of them without naming the request that began it, and all events that a caller has must be of one version. Earlier seeds draw what they drew.

--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -32,6 +32,10 @@
 /// ago than this.
 const LOSS_GRACE: Duration = Duration::from_millis(200);
 
+/// How often a caller returns to a stream that broke off, and the pause before, in ms.
+const RETURNS: usize = 20;
+const RETURN_PAUSE_MS: std::ops::RangeInclusive<u64> = 10..=120;
+
 /// Number of events in a complete stream.
 const EVENTS_PER_STREAM: u64 = 10;
 
@@ -63,15 +67,15 @@
         }
     }
 
-    fn is_stream(self) -> bool {
-        matches!(self, Self::Draft | Self::Tag)
-    }
-
     /// Service of its route.
     pub fn service(self) -> &'static str {
         if self.is_stream() { "engines" } else { "desk" }
     }
 
+    fn is_stream(self) -> bool {
+        matches!(self, Self::Draft | Self::Tag)
+    }
+
     /// True when it must be executed at most once.
     pub fn runs_once(self) -> bool {
         matches!(self, Self::Tag | Self::Book)
@@ -110,6 +114,8 @@
     id: String,
     last_event: u64,
     builds: BTreeSet<String>,
+    /// True if its caller names the request that began it when it returns.
+    is_named: bool,
 }
 
 impl Stream {
@@ -123,6 +129,7 @@
             id: id.to_owned(),
             last_event,
             builds: owned_builds(answer),
+            is_named: true,
         })
     }
 }
@@ -190,9 +197,14 @@
         let stream = Stream::of(kind, &id, &outcome);
         let (record, reusable) = check_outcome(&cluster, node, kind, &id, sent_at, outcome);
         records.push(record);
-        if let Some(stream) = stream.filter(|_| !reusable) {
+        if let Some(mut stream) = stream.filter(|_| !reusable) {
+            if cluster.callers_return {
+                records.extend(return_to(&cluster, &mut stream, name, &mut rng).await);
+                continue;
+            }
             let node = resolved_nodes.choose(&mut rng).copied().unwrap_or(node);
-            records.extend(resume(&cluster, node, &stream, name).await);
+            let id = format!("{}-again", stream.id);
+            records.extend(resume(&cluster, node, &mut stream, &id, name).await);
         }
         if reusable && rng.random_bool(0.9) {
             open_connection = Some((node, connection));
@@ -224,17 +236,41 @@
     Some(found.collect())
 }
 
+/// Resumes a stream at any node, again and again, until it is complete or known to be wrong.
+/// Half of the callers do not name the request that began it.
+async fn return_to(
+    cluster: &Cluster,
+    stream: &mut Stream,
+    caller: usize,
+    rng: &mut ChaCha8Rng,
+) -> Vec<RequestRecord> {
+    let mut records = Vec::new();
+    stream.is_named = rng.random_bool(0.5);
+    for number in 1..=RETURNS {
+        sleep(Duration::from_millis(rng.random_range(RETURN_PAUSE_MS))).await;
+        let node = rng.random_range(0..cluster.nodes.len());
+        let id = format!("{}-again-{number}", stream.id);
+        let record = resume(cluster, node, stream, &id, caller).await;
+        records.extend(record);
+        if stream.last_event == EVENTS_PER_STREAM || stream.builds.len() > 1 {
+            break;
+        }
+    }
+    records
+}
+
 /// Resumes a stream on a new connection, and checks that its events continue at the
 /// software version that began it.
 async fn resume(
     cluster: &Cluster,
     node: usize,
-    stream: &Stream,
+    stream: &mut Stream,
+    id: &str,
     caller: usize,
 ) -> Option<RequestRecord> {
     let address = cluster.addresses[node].0;
     let mut connection = Connection::open(address, CONNECT_TIMEOUT).await.ok()?;
-    let id = format!("{}-again", stream.id);
+    let id = id.to_owned();
     let request = build_request(RequestKind::Draft, &id, caller, Some(stream));
     let sent_at = Instant::now();
     let mut record = RequestRecord {
@@ -273,12 +309,10 @@
             record.id
         ));
     }
-    let builds: BTreeSet<String> = stream
-        .builds
-        .union(&owned_builds(&answer))
-        .cloned()
-        .collect();
-    if builds.len() > 1 {
+    stream.last_event = last;
+    stream.builds.extend(owned_builds(&answer));
+    if stream.builds.len() > 1 {
+        let builds = &stream.builds;
         cluster.record_violation(format!("{}: events of {builds:?}", record.id));
     }
     record.served = answer.complete;
@@ -303,9 +337,10 @@
         }
     }
     if let Some(stream) = resumed {
-        request = request
-            .header("resumes", &stream.id)
-            .header("last-event-id", stream.last_event);
+        request = request.header("last-event-id", stream.last_event);
+        if stream.is_named {
+            request = request.header("resumes", &stream.id);
+        }
     }
     request
         .body(Full::new(Bytes::from_static(b"the body")))
--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -6,8 +6,9 @@
 
 use flamingolock_platform_standin::{Engine, Link, Store};
 use flamingolock_standins::proxy::{self, Handle};
+use flamingolock_testutils::fleet::free_address;
 
-use crate::entry_site::{Node, RETRY_BOUNDS, RetryBounds, site_configuration};
+use crate::entry_site::{Node, NodeSettings, RETRY_BOUNDS, RetryBounds, site_configuration};
 use crate::soak::attempts::Sent;
 use crate::soak::brittle::BrittleTime;
 use crate::soak::cuts::WholeCut;
@@ -16,11 +17,44 @@
 fn node_count(seed: u64) -> usize {
     match seed {
         ..800 => 3,
-        800..900 => 6,
+        800..900 | 1000..1500 => 6,
         900.. => 18,
     }
 }
 
+/// True if nodes of the seed are started as by a supervisor, with settings that stay as they
+/// are, and killed in series.
+pub fn restarts_nodes(seed: u64) -> bool {
+    matches!(seed, 1000..2000)
+}
+
+/// True if few callers send, and the slack of the retry budget is small.
+pub fn has_low_rate(seed: u64) -> bool {
+    restarts_nodes(seed) && seed % 4 == 1
+}
+
+/// Slack of the retry budget at low rates.
+const LOW_RATE_SLACK: f64 = 12.0;
+
+/// Number of nodes that all know from their settings.
+const SEED_NODES: usize = 3;
+
+/// Time between two events of a stream, in ms, and where nodes are killed in series.
+const EVENT_PAUSE_MS: u64 = 20;
+const LONG_EVENT_PAUSE_MS: u64 = 80;
+
+fn retry_bounds(seed: u64) -> RetryBounds {
+    let slack = if has_low_rate(seed) {
+        LOW_RATE_SLACK
+    } else {
+        RETRY_BOUNDS.slack
+    };
+    RetryBounds {
+        slack,
+        ..RETRY_BOUNDS
+    }
+}
+
 /// True if nodes of the seed are cut off from endpoints. Earlier seeds stay as they were.
 pub fn cuts_links(seed: u64) -> bool {
     matches!(seed, 870..900 | 924..)
@@ -101,6 +135,8 @@
     pub links: Vec<Vec<Link>>,
     /// Bounds of retries in the nodes' settings.
     pub retry_bounds: RetryBounds,
+    /// True if callers return to a stream again and again, at any node.
+    pub callers_return: bool,
     /// Requests of the checks.
     pub probes: Mutex<Vec<Sent>>,
     /// Nodes that were cut off from all endpoints.
@@ -156,17 +192,23 @@
     /// endpoint.
     pub async fn start(seed: u64) -> Self {
         let store = Store::start();
+        let restarts = restarts_nodes(seed);
+        let event_pause = if restarts {
+            LONG_EVENT_PAUSE_MS
+        } else {
+            EVENT_PAUSE_MS
+        };
         store.put("keyed.op", "op/config", &configuration(1));
         let loopback = ([127, 0, 0, 1], 0).into();
         let mut backends = Vec::new();
         for index in 0..2 * ENDPOINTS {
             let (id, events, pause, service) = if index < ENDPOINTS {
-                (format!("engine-{index}"), 10, 20, "engines")
+                (format!("engine-{index}"), 10, event_pause, "engines")
             } else {
                 (format!("desk-{index}"), 0, 40, "desk")
             };
             let engine = Engine::start(&id, events, Duration::from_millis(pause));
-            if index % 2 == 1 {
+            if index % 2 == 1 && !restarts {
                 engine.set_retry_after(Some(RETRY_AFTER_S));
             }
             engine.set_load_time(load_time(seed));
@@ -189,7 +231,8 @@
         let mut store_proxies = Vec::new();
         let mut nodes = Vec::new();
         let mut links = Vec::new();
-        for index in 0..node_count(seed) {
+        let controls: Vec<_> = (0..node_count(seed)).map(|_| free_address()).collect();
+        for (index, control) in controls.iter().enumerate() {
             let own_links = start_links(seed, &backends);
             let addresses = own_links.iter().zip(&backends);
             let addresses = addresses
@@ -198,8 +241,19 @@
             let proxy = proxy::start(loopback, store.view(addresses))
                 .await
                 .expect("a proxy starts");
-            let seeds: Vec<_> = nodes.iter().map(|node: &Node| node.control).collect();
-            nodes.push(Node::start(&format!("node-{index}"), proxy.addr(), &seeds));
+            let seeds = if restarts {
+                &controls[..SEED_NODES]
+            } else {
+                &controls[..index]
+            };
+            nodes.push(Node::start_with(&NodeSettings {
+                name: &format!("node-{index}"),
+                store: proxy.addr(),
+                seeds,
+                control: *control,
+                is_first: restarts,
+                bounds: retry_bounds(seed),
+            }));
             store_proxies.push(proxy);
             links.push(own_links);
         }
@@ -213,7 +267,8 @@
             store_proxies,
             backends,
             links,
-            retry_bounds: RETRY_BOUNDS,
+            retry_bounds: retry_bounds(seed),
+            callers_return: restarts,
             probes: Mutex::default(),
             whole_cuts: Mutex::default(),
             brittle_times: Mutex::default(),
--- a/crates/cli/tests/soak/disruptions.rs
+++ b/crates/cli/tests/soak/disruptions.rs
@@ -14,10 +14,12 @@
 use crate::soak::checks;
 use crate::soak::cluster::{
     Backend, Cluster, ENDPOINTS, FAULT_AFTERMATH, Scope, cuts_links, has_brittle_engines,
+    restarts_nodes,
 };
 use crate::soak::crashes::{self, Culprit};
 use crate::soak::cuts::{self, Cut};
 use crate::soak::limits;
+use crate::soak::restarts::{self, Trouble};
 
 /// Delay longer than any run, so that no byte arrives in the delayed direction.
 const BLACKHOLE_DELAY_MS: u64 = 3_600_000;
@@ -34,6 +36,9 @@
 /// First seed that draws from [`Disruption::LATEST`] too.
 const FIRST_LATEST_SEED: u64 = 800;
 
+/// How often seeds that draw from all disruptions have each of those around restarts.
+const RESTARTS_WEIGHT: usize = 5;
+
 /// Time for which a sound endpoint may be silent.
 const ENDPOINT_PAUSE: Duration = Duration::from_secs(1);
 
@@ -73,6 +78,7 @@
     NodeCutAlone,
     EnginesBrittle,
     EndpointPauses,
+    Restarts(Trouble),
 }
 
 impl Disruption {
@@ -158,7 +164,14 @@
     }
 
     fn choose(seed: u64, rng: &mut ChaCha8Rng) -> Self {
+        let restarts = Trouble::ALL.map(Self::Restarts);
+        if restarts_nodes(seed) && seed.is_multiple_of(2) {
+            return *restarts.choose(rng).expect("disruptions");
+        }
         let mut all = Self::ALL.to_vec();
+        if restarts_nodes(seed) {
+            all.extend(restarts.repeat(RESTARTS_WEIGHT));
+        }
         if seed >= FIRST_LATER_SEED {
             all.extend(Self::LATER);
         }
@@ -233,6 +246,10 @@
                 Disruption::EngineLimits => {
                     running.spawn(limits::state(cluster.clone(), 0..ENDPOINTS, time));
                 }
+                Disruption::Restarts(trouble) => {
+                    let number = rng.random();
+                    running.spawn(restarts::run(cluster.clone(), trouble, number, time));
+                }
                 _ => {
                     running.spawn(record_and_run(cluster.clone(), disruption, index, time));
                 }
@@ -385,7 +402,8 @@
         | Disruption::NodeCutFromEndpoints
         | Disruption::NodeCutAlone
         | Disruption::EnginesBrittle
-        | Disruption::EndpointPauses => {}
+        | Disruption::EndpointPauses
+        | Disruption::Restarts(_) => {}
     }
     cluster.end_fault(fault);
 }
@@ -451,7 +469,7 @@
 }
 
 /// Restarts a node whose process has exited.
-fn restart_if_exited(cluster: &Cluster, node: usize) {
+pub fn restart_if_exited(cluster: &Cluster, node: usize) {
     let mut process = cluster.nodes[node].lock().expect("no panic before");
     if process.has_exited() {
         process.restart();
--- a/crates/cli/tests/soak/mod.rs
+++ b/crates/cli/tests/soak/mod.rs
@@ -10,6 +10,7 @@
 mod cuts;
 mod disruptions;
 mod limits;
+mod restarts;
 mod retries;
 
 use std::sync::Arc;
@@ -19,10 +20,11 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use cluster::Cluster;
+use cluster::{Cluster, has_low_rate};
 
-/// Number of concurrent callers.
+/// Number of concurrent callers, and at low rates.
 const CALLERS: usize = 16;
+const FEW_CALLERS: usize = 5;
 
 /// Result of one seed.
 pub struct Report {
@@ -49,7 +51,12 @@
     let pause_probability = rng.random_range(0.1..0.9);
     let cluster = Arc::new(Cluster::start(seed).await);
     let stop = Arc::new(AtomicBool::new(false));
-    let callers: Vec<_> = (0..CALLERS)
+    let callers = if has_low_rate(seed) {
+        FEW_CALLERS
+    } else {
+        CALLERS
+    };
+    let callers: Vec<_> = (0..callers)
         .map(|name| {
             let rng = ChaCha8Rng::seed_from_u64(rng.random());
             tokio::spawn(callers::run_caller(
--- a/crates/cli/tests/soak/retries.rs
+++ b/crates/cli/tests/soak/retries.rs
@@ -28,12 +28,17 @@
 }
 
 impl Window {
+    /// Retries for each that is allowed.
+    fn used(&self) -> f64 {
+        self.retries as f64 / self.allowed.max(f64::MIN_POSITIVE)
+    }
+
     pub fn is_over(&self) -> bool {
         self.retries as f64 > self.allowed
     }
 }
 
-/// The window whose retries exceed their bound by most, or come nearest to it. Both lists
+/// The window that uses most of its bound, or exceeds it by the greatest factor. Both lists
 /// are in order of time.
 pub fn fullest_window(bounds: RetryBounds, requests: &[f64], retries: &[f64]) -> Option<Window> {
     let length = bounds.window_s as f64;
@@ -55,8 +60,7 @@
             allowed: bounds.ratio * requests as f64 + bounds.slack,
         }
     });
-    let excess = |window: &Window| window.retries as f64 - window.allowed;
-    windows.max_by(|one, other| excess(one).total_cmp(&excess(other)))
+    windows.max_by(|one, other| one.used().total_cmp(&other.used()))
 }
 
 fn count_between(times: &[f64], from_s: f64, to_s: f64) -> usize {
