suspects: crashes before a response count the more the rarer they are

Cause: a run that ended without a response counted 1 of the 12 that stop a part, since it may have waited behind others.

Each node now remembers how the last 256 runs of each service ended at it. A crash without a response counts one for each factor of four in the odds that a run is answered, from 1 (as before) to 3. Engines that crashed under the suspect itself don't count against the odds, one more crash does, so that few runs show little. Where engines crash often, or nothing else is answered, the weight stays 1.

Shown: with the weight held at 1, part_that_crashes_engines_before_they_respond_is_stopped_ by_the_fifth_crash (gateway) and part_that_crashes_engines_before_they_respond_is_stopped_ and_the_rest_is_served (nodes as processes) failed; both pass.

--- a/crates/cli/tests/test_crashing_part.rs
+++ b/crates/cli/tests/test_crashing_part.rs
@@ -117,3 +117,32 @@
     }
     assert_eq!(crashes(&site), before);
 }
+
+/// Sound requests beside the crashing ones show that crashes are rare.
+#[test]
+fn part_that_crashes_engines_before_they_respond_is_stopped_and_the_rest_is_served() {
+    let site = start();
+    site.engines.iter().for_each(Engine::crash_unanswered);
+    let nodes = [site.node("node-1"), site.node("node-2")];
+    let serve = |numbers: std::ops::Range<usize>| {
+        for number in numbers {
+            let answer = sound_request(&nodes[number % 2], number);
+            assert!(answer.status == 200 && answer.complete, "{answer:?}");
+        }
+    };
+    serve(1_000..1_040);
+    for number in 0..=MAX_CRASHES {
+        crashing_request(&nodes[number % 2], number);
+        wait_until_engines_are_back(&site);
+        serve(2_000 + 10 * number..2_010 + 10 * number);
+    }
+    assert!(crashes(&site) <= MAX_CRASHES, "{} crashes", crashes(&site));
+    let before = crashes(&site);
+    for number in 200..210 {
+        let answer = crashing_request(&nodes[number % 2], number);
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert_eq!(site.executions(&format!("crash-{number}")), 0);
+    }
+    serve(4_000..4_010);
+    assert_eq!(crashes(&site), before);
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -25,6 +25,7 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod rollout_status;
+pub mod run_outcomes;
 pub mod state;
 pub mod stated_limits;
 pub mod suspect;
@@ -334,8 +335,8 @@
     },
     /// A run ended with its endpoint before it brought an event.
     RunCrashed(CrashedRun),
-    /// A run with these subjects brought an event, or its whole response.
-    RunAnswered(RunSubjects),
+    /// A run of this service with these subjects brought an event, or its whole response.
+    RunAnswered(Arc<str>, RunSubjects),
     /// An endpoint asked something of this node in a response.
     Noticed(Arc<Endpoint>, Notice),
     /// An endpoint says that it is leaving in a response that another node has passed on.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -307,7 +307,9 @@
             Event::StreamsRead(recorded) => self.streams_read(recorded, now),
             Event::StreamsRecorded(stored) => self.streams_recorded(stored),
             Event::RunCrashed(run) => self.run_crashed(run, now),
-            Event::RunAnswered(subjects) => self.run_answered(&subjects, now),
+            Event::RunAnswered(service, subjects) => {
+                self.run_answered(&service, &subjects, now);
+            }
             Event::SuspectsRead(recorded) => self.suspects_read(&recorded, now),
             Event::SuspectsRecorded(stored) => self.suspects_recorded(stored),
             Event::Noticed(endpoint, notice) => self.noticed(&endpoint, notice, now),
--- a/crates/gateway/src/control/state/suspects.rs
+++ b/crates/gateway/src/control/state/suspects.rs
@@ -1,6 +1,8 @@
 //! Prompt parts and requests that may crash endpoints: what this node and others saw, and
 //! the record of the stopped ones in the store.
 
+use std::sync::Arc;
+
 use flamingolock_wire::gossip::{StoppedSuspects, SuspectRecord};
 
 use super::Control;
@@ -160,10 +162,10 @@
     }
 
     /// Handles the first event of a run, or its whole response.
-    pub(super) fn run_answered(&mut self, subjects: &RunSubjects, now: Millis) {
+    pub(super) fn run_answered(&mut self, service: &Arc<str>, subjects: &RunSubjects, now: Millis) {
         for subject in [Subject::Part, Subject::Request] {
             let suspects = self.suspects_mut(subject);
-            for id in suspects.record_answer(subjects.of(subject), now) {
+            for id in suspects.record_answer(service, subjects.of(subject), now) {
                 self.metrics.count(event_kind(subject), "cleared");
                 log::warn!(subject = subject.as_str(), id = hex(&[id]).as_str(); "suspect is sound; requests with it are sent again");
             }
--- a/crates/gateway/src/control/suspect.rs
+++ b/crates/gateway/src/control/suspect.rs
@@ -31,8 +31,10 @@
 /// How crashes speak against one kind of subject.
 #[derive(Debug)]
 pub struct Policy {
-    /// Evidence of a crash whose run had no response yet.
+    /// Least evidence of a crash whose run had no response yet.
     pub waiting_evidence: u32,
+    /// Evidence of such a crash up to which rare crashes count for more.
+    pub rare_evidence: u32,
     /// Time after the last crash after which one request may show whether a stopped subject
     /// is sound now, in ms; doubled by each of them that crashes an endpoint.
     pub trial_pause_ms: Millis,
@@ -48,9 +50,11 @@
 }
 
 /// Policy for prompt parts, which sound requests share. A run without a response may have
-/// waited behind others, or have lost its connection and not its engine.
+/// waited behind others, or have lost its connection and not its engine; that it ended by
+/// chance is the less likely the rarer such ends are.
 const PARTS: Policy = Policy {
     waiting_evidence: 1,
+    rare_evidence: BEGUN_EVIDENCE - 1,
     trial_pause_ms: 60_000,
     max_crashes: None,
     invites: true,
@@ -62,6 +66,7 @@
 /// are enough; two trials may follow them.
 const REQUESTS: Policy = Policy {
     waiting_evidence: BEGUN_EVIDENCE,
+    rare_evidence: BEGUN_EVIDENCE,
     trial_pause_ms: 10_000,
     max_crashes: Some(5),
     invites: false,
--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -1,19 +1,21 @@
 //! Prompt parts and requests that may crash endpoints.
 //!
 //! A run that ends with its endpoint before it brought an event speaks against its shared
-//! parts and against the request, less against what was answered earlier; a run that
-//! brought an event speaks for all of them. What several crashes in a row have in common,
+//! parts and against the request, less against what was answered earlier, and less where
+//! runs of the service often end so; a run that brought an event speaks for all of them. What several crashes in a row have in common,
 //! and for which nothing speaks since, is stopped: requests with it are refused.
 //!
 //! Each node keeps the evidence of all nodes. It only grows, so that nodes may exchange it
 //! in any order and more than once.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 use flamingolock_wire::gossip::SuspectRecord;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
+use crate::control::run_outcomes::RunOutcomes;
 use crate::control::suspect::{BEGUN_EVIDENCE, Crash, STOP_EVIDENCE, Subject, Suspect};
 
 /// Divisor of the evidence against a subject that was answered before.
@@ -58,6 +60,8 @@
 pub struct CrashedRun {
     /// Identifies the incarnation of the endpoint.
     pub engine: u64,
+    /// Service of the endpoint.
+    pub service: Arc<str>,
     /// What it may have in common with others.
     pub subjects: RunSubjects,
     /// When the request was sent.
@@ -85,6 +89,8 @@
 pub struct Suspects {
     subject: Subject,
     by_id: BTreeMap<u64, Suspect>,
+    /// Ends of the last runs of each service at this node.
+    outcomes: BTreeMap<Arc<str>, RunOutcomes>,
     /// Subjects that were answered, and their order.
     answered: BTreeSet<u64>,
     answered_order: VecDeque<u64>,
@@ -97,6 +103,7 @@
         Self {
             subject,
             by_id: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
             answered: BTreeSet::new(),
             answered_order: VecDeque::new(),
             reported_at: 0,
@@ -112,12 +119,8 @@
         if ids.is_empty() {
             ids = all.to_vec();
         }
-        let evidence = if run.begun {
-            BEGUN_EVIDENCE
-        } else {
-            self.subject.policy().waiting_evidence
-        };
         for id in &ids {
+            let evidence = self.evidence_of(run, *id);
             let crash = Crash {
                 sent_at: run.sent_at,
                 at: run.ended_at,
@@ -140,13 +143,34 @@
             suspect.is_news |= suspect.add(engine, crash, now);
             suspect.trial_failed();
         }
+        let outcomes = self.outcomes.entry(run.service.clone()).or_default();
+        outcomes.add(Some(run.engine));
         self.limit_size();
         ids
     }
 
+    /// How much a crash speaks against a subject that was not answered before. A run that had
+    /// no response may have ended by chance where the service's runs often end so, other
+    /// than with endpoints that the subject has crashed.
+    fn evidence_of(&self, run: &CrashedRun, id: u64) -> u32 {
+        if run.begun {
+            return BEGUN_EVIDENCE;
+        }
+        let suspect = self.by_id.get(&id);
+        let is_explained = |engine| {
+            engine == run.engine || suspect.is_some_and(|known| known.crash_of(engine).is_some())
+        };
+        let outcomes = self.outcomes.get(&run.service);
+        let rarity = outcomes.map_or(0, |outcomes| outcomes.rarity(is_explained));
+        let policy = self.subject.policy();
+        rarity.clamp(policy.waiting_evidence, policy.rare_evidence)
+    }
+
     /// Records that a run with these subjects brought an event. Returns the stopped ones
     /// that it clears.
-    pub fn record_answer(&mut self, ids: &[u64], now: Millis) -> Vec<u64> {
+    pub fn record_answer(&mut self, service: &Arc<str>, ids: &[u64], now: Millis) -> Vec<u64> {
+        let outcomes = self.outcomes.entry(service.clone()).or_default();
+        outcomes.add(None);
         let mut cleared = Vec::new();
         for id in ids {
             self.remember_answered(*id);
--- a/crates/gateway/src/run_guard.rs
+++ b/crates/gateway/src/run_guard.rs
@@ -57,6 +57,7 @@
             streams: requests.map(stream).collect(),
             crash: Some(CrashedRun {
                 engine: grant.endpoint.incarnation(),
+                service: grant.endpoint.service.clone(),
                 subjects: exchange.subjects(),
                 sent_at: now(),
                 ended_at: now(),
@@ -79,7 +80,8 @@
             self.handle.send(Event::StreamBegun(stream));
         }
         if let Some(crash) = self.crash.take() {
-            self.handle.send(Event::RunAnswered(crash.subjects));
+            let answered = Event::RunAnswered(crash.service, crash.subjects);
+            self.handle.send(answered);
         }
     }
 
--- a/crates/gateway/tests/test_reach.rs
+++ b/crates/gateway/tests/test_reach.rs
@@ -324,6 +324,7 @@
     for (id, now) in [("e0", 300), ("e1", 400), ("e2", 500)] {
         let run = CrashedRun {
             engine: xxh3_64_with_seed(id.as_bytes(), 1),
+            service: "planning".into(),
             subjects: placement_request(None, 1).subjects,
             sent_at: now,
             ended_at: now + 50,
--- a/crates/gateway/tests/test_suspect_gossip.rs
+++ b/crates/gateway/tests/test_suspect_gossip.rs
@@ -18,6 +18,7 @@
     for number in 0..count {
         let run = CrashedRun {
             engine: from + number,
+            service: "planning".into(),
             subjects: RunSubjects {
                 parts: vec![PART],
                 requests: Vec::new(),
--- a/crates/gateway/tests/test_suspect_requests.rs
+++ b/crates/gateway/tests/test_suspect_requests.rs
@@ -3,12 +3,16 @@
 use flamingolock_gateway::control::suspect::Subject;
 use flamingolock_gateway::control::suspects::{Clearance, CrashedRun, RunSubjects, Suspects};
 
+/// Service of all endpoints.
+const SERVICE: &str = "planning";
+
 const CULPRIT: u64 = 1;
 const SOUND: u64 = 2;
 
 fn run(endpoint: u64, request: u64, sent_at: u64) -> CrashedRun {
     CrashedRun {
         engine: endpoint,
+        service: SERVICE.into(),
         subjects: RunSubjects {
             parts: Vec::new(),
             requests: vec![request],
@@ -61,7 +65,7 @@
         let sent_at = 1_000 + number * 500;
         suspects.record_crash(&run(number, SOUND, sent_at), sent_at + 100);
         if number % 5 == 0 {
-            suspects.record_answer(&[SOUND], sent_at + 200);
+            suspects.record_answer(&SERVICE.into(), &[SOUND], sent_at + 200);
         }
         assert!(stopped(&suspects).is_empty(), "after {number}");
     }
@@ -117,7 +121,10 @@
     }
     let trial = clearance(&mut suspects, SOUND, true, 13_000);
     assert_eq!(trial, Clearance::Trial(SOUND));
-    assert_eq!(suspects.record_answer(&[SOUND], 13_100), [SOUND]);
+    assert_eq!(
+        suspects.record_answer(&SERVICE.into(), &[SOUND], 13_100),
+        [SOUND]
+    );
     assert_eq!(
         clearance(&mut suspects, SOUND, false, 13_200),
         Clearance::Clear
@@ -149,7 +156,7 @@
     }
     for number in 0..50_000 {
         suspects.record_crash(&run(number, 1_000 + number, 10_000), 10_100);
-        suspects.record_answer(&[200_000 + number], 10_100);
+        suspects.record_answer(&SERVICE.into(), &[200_000 + number], 10_100);
     }
     assert!(suspects.list(10_200).len() <= 512);
     assert_eq!(stopped(&suspects), [CULPRIT]);
--- a/crates/gateway/tests/test_suspects.rs
+++ b/crates/gateway/tests/test_suspects.rs
@@ -5,6 +5,9 @@
 use flamingolock_wire::gossip::SuspectRecord;
 use proptest::prelude::*;
 
+/// Service of all engines.
+const SERVICE: &str = "planning";
+
 /// A part that other requests have as well, and one that crashes engines.
 const COMMON: u64 = 1;
 const CULPRIT: u64 = 2;
@@ -12,6 +15,7 @@
 fn run(engine: u64, parts: &[u64], sent_at: u64) -> CrashedRun {
     CrashedRun {
         engine,
+        service: SERVICE.into(),
         subjects: RunSubjects {
             parts: parts.to_vec(),
             requests: Vec::new(),
@@ -51,7 +55,7 @@
 #[test]
 fn third_crash_in_a_row_stops_the_part_that_was_never_answered() {
     let mut suspects = Suspects::new(Subject::Part);
-    suspects.record_answer(&[COMMON], 0);
+    suspects.record_answer(&SERVICE.into(), &[COMMON], 0);
     crash_in_turn(&mut suspects, &[COMMON, CULPRIT], 2, 1_000);
     assert!(stopped(&suspects).is_empty());
     crash_in_turn(&mut suspects, &[COMMON, CULPRIT], 1, 9_000);
@@ -115,17 +119,89 @@
     assert_eq!(stopped(&suspects), [CULPRIT]);
 }
 
+/// A run that ends with its engine before a response.
+fn crash_waiting(suspects: &mut Suspects, engine: u64, parts: &[u64], sent_at: u64) {
+    let mut run = run(engine, parts, sent_at);
+    run.begun = false;
+    crash(suspects, &run, sent_at + 50);
+}
+
+fn answer_others(suspects: &mut Suspects, count: u64, now: u64) {
+    for number in 0..count {
+        suspects.record_answer(&SERVICE.into(), &[COMMON, 1_000_000 + number], now);
+    }
+}
+
+/// Each crash ends other waiting runs as well.
+#[test]
+fn part_that_crashes_engines_before_they_respond_is_stopped_by_the_fifth_crash() {
+    let mut suspects = Suspects::new(Subject::Part);
+    answer_others(&mut suspects, 100, 500);
+    for number in 0..5 {
+        let sent_at = 1_000 + number * 1_000;
+        for waiting in 0..4 {
+            let parts = [COMMON, 100 * (waiting + 1) + number];
+            crash_waiting(&mut suspects, number, &parts, sent_at);
+        }
+        crash_waiting(&mut suspects, number, &[COMMON, CULPRIT], sent_at);
+        answer_others(&mut suspects, 30, sent_at + 500);
+    }
+    assert_eq!(stopped(&suspects), [CULPRIT]);
+}
+
+/// Of four runs one ends with its engine, and those of one part do so eight times in turn.
+#[test]
+fn sound_part_is_not_stopped_where_engines_crash_often_before_they_respond() {
+    let mut suspects = Suspects::new(Subject::Part);
+    for number in 0..200 {
+        let sent_at = 1_000 + number * 100;
+        crash_waiting(&mut suspects, number, &[10_000 + number], sent_at);
+        answer_others(&mut suspects, 3, sent_at + 60);
+        if number % 20 == 0 && number < 160 {
+            crash_waiting(&mut suspects, 1_000 + number, &[CULPRIT], sent_at + 70);
+        }
+    }
+    assert!(stopped(&suspects).is_empty());
+}
+
+/// All engines of one service crash under what waits, and another service answers.
+#[test]
+fn answers_of_another_service_stop_no_part_of_one_whose_engines_crash() {
+    let mut suspects = Suspects::new(Subject::Part);
+    for number in 0..8 {
+        let sent_at = 1_000 + number * 1_000;
+        crash_waiting(&mut suspects, number, &[CULPRIT], sent_at);
+        for _ in 0..200 {
+            suspects.record_answer(&"tagging".into(), &[COMMON], sent_at + 500);
+        }
+    }
+    assert!(stopped(&suspects).is_empty());
+}
+
+/// Without other runs the node cannot tell such a crash from one by chance.
+#[test]
+fn waiting_runs_count_little_where_nothing_else_was_answered() {
+    let mut suspects = Suspects::new(Subject::Part);
+    for number in 0..11 {
+        crash_waiting(&mut suspects, number, &[CULPRIT], 1_000 + number * 1_000);
+    }
+    assert!(stopped(&suspects).is_empty());
+}
+
 #[test]
 fn run_that_brings_an_event_clears_the_parts_it_has() {
     let mut suspects = Suspects::new(Subject::Part);
     for round in 0..10 {
         crash_in_turn(&mut suspects, &[COMMON], 2, round * 10_000);
-        suspects.record_answer(&[COMMON], round * 10_000 + 5_000);
+        suspects.record_answer(&SERVICE.into(), &[COMMON], round * 10_000 + 5_000);
     }
     assert!(stopped(&suspects).is_empty());
     crash_in_turn(&mut suspects, &[COMMON], 6, 200_000);
     assert_eq!(stopped(&suspects), [COMMON]);
-    assert_eq!(suspects.record_answer(&[COMMON], 210_000), [COMMON]);
+    assert_eq!(
+        suspects.record_answer(&SERVICE.into(), &[COMMON], 210_000),
+        [COMMON]
+    );
     assert!(stopped(&suspects).is_empty());
 }
 
@@ -180,7 +256,7 @@
     for number in 0..10_000 {
         let parts = [100_000 + number];
         crash(&mut suspects, &run(number, &parts, 10_000), 10_100);
-        suspects.record_answer(&[200_000 + number], 10_100);
+        suspects.record_answer(&SERVICE.into(), &[200_000 + number], 10_100);
     }
     assert!(suspects.list(10_200).len() <= 512);
     assert_eq!(stopped(&suspects), [CULPRIT]);
@@ -195,7 +271,7 @@
         other.merge(&part, false, 4_000);
     }
     assert_eq!(stopped(&other), [CULPRIT]);
-    one.record_answer(&[CULPRIT], 5_000);
+    one.record_answer(&SERVICE.into(), &[CULPRIT], 5_000);
     let lost = one.take_news(5_000);
     assert_eq!(lost.len(), 1);
     for part in other.take_news(8_000) {
@@ -225,7 +301,7 @@
             if is_crash {
                 crash(&mut nodes[node], &run(number as u64, &[part], now), now + 100);
             } else {
-                nodes[node].record_answer(&[part], now);
+                nodes[node].record_answer(&SERVICE.into(), &[part], now);
             }
         }
         for _ in 0..3 {
