retry budget: the slack is used only where it is known to be unspent

A process counts retries in its own memory. One that started knew nothing of what had been spent at its address and took its share of the slack again; before it had read the registry or heard another node it divided the slack by one. A node that had been silent for 12 s lost its share to the others, though it may only be cut off from them and spend it as well.

Retries that follow from the ratio are granted as before, as one process counts them and their requests. Of the slack a process now uses nothing before it has read the registry of the nodes and has counted for a whole window: what an earlier process spent has left the window by then, also if all nodes ended at once and nobody is left who knows. A node that hears no more than half of the nodes that it has heard may be on the lesser side of a cut; there the silent ones keep their share, so that both sides together stay near the slack. Nodes that are only listed, or announced their shutdown, lose theirs as before. The other users of the number of nodes (connections, permits) keep their count; its duration is 1.2 windows of the settings, 12 s as before with 10 s, no longer a constant.

Weighed and left out: a first process under its name that uses a part at once (it believes the registry for little), and living nodes that tell a starting one what was spent at its address.

--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use flamingolock_wire::gossip::NodeState;
 
@@ -18,9 +19,9 @@
 /// mesh). In larger fleets one node per zone, its hub, relays gossip.
 const MAX_FULL_MESH_PEERS: usize = 16;
 
-/// Time without a datagram after which a node no longer counts as sharing limits,
-/// in ms.
-const LIMIT_SHARE_TTL_MS: Millis = 12_000;
+/// Time without a datagram after which a node no longer counts as sharing limits, relative to
+/// the window of the retry budget.
+const LIMIT_SHARE_WINDOWS: f64 = 1.2;
 
 /// Interval of datagrams to an address that does not answer, in ms.
 const PROBE_INTERVAL_MS: Millis = 1_500;
@@ -67,8 +68,12 @@
 }
 
 /// All known other nodes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
+    /// Time for which a silent node shares limits, in ms.
+    share_ttl: Millis,
+    /// True once the registry was read.
+    has_list: bool,
     by_address: BTreeMap<SocketAddr, Option<Peer>>,
     /// When each address was first listed in the registry.
     listed_at: BTreeMap<SocketAddr, Millis>,
@@ -76,10 +81,24 @@
 }
 
 impl Peers {
-    /// Adds a gossip address from the registry.
-    pub fn add_address(&mut self, address: SocketAddr, now: Millis) {
-        self.by_address.entry(address).or_insert(None);
-        self.listed_at.entry(address).or_insert(now);
+    /// Creates a list of no nodes; `window` is that of the retry budget.
+    pub fn new(window: Duration) -> Self {
+        Self {
+            share_ttl: window.mul_f64(LIMIT_SHARE_WINDOWS).as_millis() as Millis,
+            has_list: false,
+            by_address: BTreeMap::new(),
+            listed_at: BTreeMap::new(),
+            probed_at: BTreeMap::new(),
+        }
+    }
+
+    /// Records the gossip addresses of the other nodes in the registry.
+    pub fn list(&mut self, addresses: impl Iterator<Item = SocketAddr>, now: Millis) {
+        self.has_list = true;
+        for address in addresses {
+            self.by_address.entry(address).or_insert(None);
+            self.listed_at.entry(address).or_insert(now);
+        }
     }
 
     /// Records the state of a node, received directly or through a hub. Returns the
@@ -223,18 +242,42 @@
         let others = self.by_address.iter().filter(|(address, peer)| {
             let heard = peer.as_ref().map(|peer| peer.last_heard);
             let since = heard.or(self.listed_at.get(*address).copied());
-            since.is_some_and(|since| now <= since + LIMIT_SHARE_TTL_MS)
+            since.is_some_and(|since| now <= since + self.share_ttl)
         });
         1 + others.count()
     }
 
+    /// Returns the largest number of nodes that may use the slack of the retry budget,
+    /// including this one; none if the registry was not read. A node that hears no more than
+    /// half of those that it has heard before may be cut off from the others, which go on:
+    /// then the silent ones keep their share.
+    pub fn max_nodes_with_slack(&self, now: Millis) -> Option<usize> {
+        if !self.has_list {
+            return None;
+        }
+        let (mut heard, mut known) = (1, 1);
+        for peer in self.by_address.values().flatten() {
+            if peer.state.leaving {
+                continue;
+            }
+            known += 1;
+            heard += usize::from(now <= peer.last_heard + self.share_ttl);
+        }
+        let sharing = self.max_nodes_sharing(now);
+        Some(if 2 * heard > known {
+            sharing
+        } else {
+            sharing.max(known)
+        })
+    }
+
     /// Returns the share of the nodes that may be running, including this one, that are
     /// alive for this one. Nodes that announced their shutdown do not count.
     pub fn share_heard(&self, now: Millis) -> f64 {
         let staying = self.by_address.values().flatten();
         let staying = staying.filter(|peer| !peer.state.leaving);
         let (mut heard, mut all) = (1.0, 1.0);
-        for peer in staying.filter(|peer| now <= peer.last_heard + LIMIT_SHARE_TTL_MS) {
+        for peer in staying.filter(|peer| now <= peer.last_heard + self.share_ttl) {
             all += 1.0;
             heard += f64::from(u8::from(peer.is_alive(now)));
         }
--- a/crates/gateway/src/control/retry_budget.rs
+++ b/crates/gateway/src/control/retry_budget.rs
@@ -1,4 +1,9 @@
 //! This node's share of the fleet's budget for retries.
+//!
+//! What a process counts is lost when it ends, so that the next one at its address does not
+//! know what was spent. It uses retries that follow from requests at once, as both are counted
+//! by the same process, but a share of the slack only when that is known to be unspent: after
+//! a whole window.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -23,8 +28,9 @@
 /// What a node knows of those with which it shares the slack.
 #[derive(Clone, Copy, Debug)]
 pub struct SlackShare {
-    /// Largest number of nodes that may share it, including this one.
-    pub nodes: usize,
+    /// Largest number of nodes that may share it, including this one; none if the registry
+    /// of the nodes was not read.
+    pub nodes: Option<usize>,
     /// Time since which this process counts.
     pub counts_since: Millis,
 }
@@ -93,6 +99,16 @@
         self.current_interval(service, now).requests += 1;
     }
 
+    /// Part of the slack that is known to be unspent.
+    fn usable_slack(&self, share: SlackShare, now: Millis) -> f64 {
+        match share.nodes {
+            Some(nodes) if now >= share.counts_since + self.window => {
+                self.slack / nodes.max(1) as f64
+            }
+            _ => 0.0,
+        }
+    }
+
     /// Takes one retry from the budget, unless this node's share is exhausted.
     #[must_use]
     pub fn try_retry(
@@ -105,7 +121,7 @@
         let intervals = &self.services[service];
         let requests: u32 = intervals.iter().map(|interval| interval.requests).sum();
         let retries: u32 = intervals.iter().map(|interval| interval.retries).sum();
-        let slack = self.slack / share.nodes.max(1) as f64;
+        let slack = self.usable_slack(share, now);
         let allowed = SAFETY_FACTOR * (self.ratio * f64::from(requests) + slack);
         let granted = f64::from(retries) + 1.0 <= allowed;
         if granted {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -201,6 +201,7 @@
         metrics: Arc<Metrics>,
     ) -> Self {
         let weights_bound = settings.weights_bound.as_millis() as Millis;
+        let peers = Peers::new(settings.retry_window);
         Self {
             budget: RetryBudget::new(
                 settings.retry_ratio,
@@ -238,7 +239,7 @@
             stream_record: StreamRecord::default(),
             streams: BegunStreams::default(),
             former_memories: Vec::new(),
-            peers: Peers::default(),
+            peers,
             rollout: Rollout::new(weights_bound),
             abstains_until: 0,
             queue: VecDeque::new(),
@@ -402,11 +403,9 @@
     }
 
     fn nodes_listed(&mut self, addresses: Vec<SocketAddr>, now: Millis) {
-        for address in addresses {
-            if address != self.settings.gossip {
-                self.peers.add_address(address, now);
-            }
-        }
+        let others = addresses.into_iter();
+        let others = others.filter(|address| *address != self.settings.gossip);
+        self.peers.list(others, now);
         self.gossip_pending_at.get_or_insert(now);
     }
 
@@ -557,7 +556,7 @@
 
     fn slack_share(&self, now: Millis) -> SlackShare {
         SlackShare {
-            nodes: self.max_nodes_sharing(now),
+            nodes: self.peers.max_nodes_with_slack(now),
             counts_since: self.running_since.unwrap_or(now),
         }
     }
--- a/crates/gateway/tests/test_control.rs
+++ b/crates/gateway/tests/test_control.rs
@@ -151,12 +151,14 @@
 #[test]
 fn retries_stop_when_the_budget_is_used_up() {
     let mut harness = Harness::with_engines(3, 0);
+    harness.control.handle(Event::NodesListed(Vec::new()), 0);
+    let now = common::settings().retry_window.as_millis() as u64;
     let mut granted = 0;
     for _ in 0..200 {
         let mut again = placement_request(None, 1);
         again.tried = vec![Endpoint::key_of("e0")];
         again.is_retry = true;
-        granted += usize::from(harness.place(again, 10).expect("a decision").is_ok());
+        granted += usize::from(harness.place(again, now).expect("a decision").is_ok());
     }
     // There were no first attempts, so only the slack is available.
     assert!((1..=58).contains(&granted), "{granted}");
--- a/crates/gateway/tests/test_retry_fleet.rs
+++ b/crates/gateway/tests/test_retry_fleet.rs
@@ -168,6 +168,27 @@
     }
 }
 
+#[test]
+fn fleets_that_start_for_the_first_time_keep_to_the_budget_and_use_it() {
+    for (nodes, per_second, network) in FLEETS {
+        let mut fleet = Fleet::start(0, 4, network, 1);
+        fleet.is_even = true;
+        fleet.max_attempts = 3;
+        fleet.refusals = Some(0);
+        fleet.failing = 1.0;
+        // Each reads what has registered before it.
+        for node in 0..nodes {
+            fleet.start_unlisted(node);
+            fleet.list_nodes(node, node + 1);
+            fleet.run(2_000 / nodes as u64, per_second);
+        }
+        fleet.run(4 * window_ms(), per_second);
+        let used = check(&fleet, 0);
+        println!("{nodes} nodes: {used:.2} used");
+        assert!(used > 0.5, "the budget is not used: {used}");
+    }
+}
+
 #[test]
 fn nodes_that_are_killed_in_series_do_not_use_the_slack_again() {
     play("in series", |fleet, nodes, per_second| {
