--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -88,8 +88,8 @@
     /// Control addresses of peers.
     pub seeds: &'a [SocketAddr],
     pub control: SocketAddr,
-    /// True if the settings say that the whole system starts for the first time.
-    pub is_first: bool,
+    /// A further line.
+    pub more: &'a str,
     pub bounds: RetryBounds,
 }
 
@@ -113,24 +113,29 @@
     /// Starts a node with a settings file of the platform's format. `seeds` are the
     /// control addresses of its peers.
     pub fn start(name: &str, store: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        Self::start_with(&NodeSettings {
+        Self::start_with(name, store, seeds, "")
+    }
+
+    /// The same with a further line of settings.
+    pub fn start_with(name: &str, store: SocketAddr, seeds: &[SocketAddr], more: &str) -> Self {
+        Self::start_as(&NodeSettings {
             name,
             store,
             seeds,
             control: free_address(),
-            is_first: false,
+            more,
             bounds: RETRY_BOUNDS,
         })
     }
 
     /// Starts a node with these settings, which stay as they are at each restart.
-    pub fn start_with(settings: &NodeSettings) -> Self {
+    pub fn start_as(settings: &NodeSettings) -> Self {
         let NodeSettings {
             name,
             store,
             seeds,
             control,
-            is_first,
+            more,
             bounds,
         } = *settings;
         let [front, ready, directory, metrics] = [(); 4].map(|()| free_address());
@@ -149,7 +154,7 @@
 Zone = "zone-a"
 PortRange = [{port}, {port}]
 Seeds = {seeds:?}
-Bootstrap = {is_first}
+{more}
 [Zones]
 zone-a = "region"
 [Listen]
@@ -540,12 +545,12 @@
 
     /// Starts a node and waits until it is ready and has logged all endpoints.
     pub fn node(&self, name: &str) -> Node {
-        self.node_at(name, self.store.address(), false)
+        self.node_at(name, self.store.address(), "")
     }
 
     /// The same with settings that say that the whole system starts for the first time.
     pub fn first_node(&self, name: &str) -> Node {
-        self.node_at(name, self.store.address(), true)
+        self.node_at(name, self.store.address(), "Bootstrap = true")
     }
 
     /// Starts a node that reaches each endpoint over a link of its own.
@@ -559,20 +564,13 @@
             .zip(&links)
             .map(|(endpoint, link)| (endpoint.address(), link.address()))
             .collect();
-        let node = self.node_at(name, self.store.view(addresses), false);
+        let node = self.node_at(name, self.store.view(addresses), "");
         LinkedNode { node, links }
     }
 
-    fn node_at(&self, name: &str, store: SocketAddr, is_first: bool) -> Node {
+    fn node_at(&self, name: &str, store: SocketAddr, more: &str) -> Node {
         let mut control_addresses = self.control_addresses.lock().expect("no panic before");
-        let node = Node::start_with(&NodeSettings {
-            name,
-            store,
-            seeds: &control_addresses,
-            control: free_address(),
-            is_first,
-            bounds: RETRY_BOUNDS,
-        });
+        let node = Node::start_with(name, store, &control_addresses, more);
         control_addresses.push(node.control);
         drop(control_addresses);
         node.wait_ready();
--- a/crates/cli/tests/soak/cluster.rs
+++ b/crates/cli/tests/soak/cluster.rs
@@ -246,12 +246,12 @@
             } else {
                 &controls[..index]
             };
-            nodes.push(Node::start_with(&NodeSettings {
+            nodes.push(Node::start_as(&NodeSettings {
                 name: &format!("node-{index}"),
                 store: proxy.addr(),
                 seeds,
                 control: *control,
-                is_first: restarts,
+                more: if restarts { "Bootstrap = true" } else { "" },
                 bounds: retry_bounds(seed),
             }));
             store_proxies.push(proxy);
--- a/crates/cli/tests/test_soak.rs
+++ b/crates/cli/tests/test_soak.rs
@@ -120,6 +120,20 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Nodes that start again, by the settings that they had, spend the slack of retries again.
+#[test]
+fn retries_keep_to_the_budget_while_nodes_start_again() {
+    let violations = run_seeds(1010..1011, Duration::from_secs(15));
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
+/// Nodes that start again believed that the whole system starts for the first time.
+#[test]
+fn resumed_streams_keep_their_version_while_nodes_start_again() {
+    let violations = run_seeds(1007..1008, Duration::from_secs(15));
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 #[test]
 #[ignore = "by hand: seeds and time come from the environment"]
 fn soak_by_hand() {
