retry budget: a retry counts until it has left the window itself

An interval of half a second left the window with its start, up to half a second before its last retries did: retries sent at the end of an interval were granted once more within less than a window. An interval now counts with its retries until all of it has left the window, and with its requests only while all of it is within, as before.

retry_counts_until_it_has_left_the_window_itself failed before: 40 retries were granted again 9,999 ms after the first 40.

--- a/crates/gateway/src/control/retry_budget.rs
+++ b/crates/gateway/src/control/retry_budget.rs
@@ -76,7 +76,7 @@
         let oldest = now.saturating_sub(self.window);
         while intervals
             .front()
-            .is_some_and(|interval| interval.start < oldest)
+            .is_some_and(|interval| interval.start + INTERVAL_MS <= oldest)
         {
             intervals.pop_front();
         }
@@ -119,7 +119,10 @@
     ) -> RetryDecision {
         self.current_interval(service, now);
         let intervals = &self.services[service];
-        let requests: u32 = intervals.iter().map(|interval| interval.requests).sum();
+        // An interval of which only a part is in the window counts with its retries alone.
+        let oldest = now.saturating_sub(self.window);
+        let whole = intervals.iter().filter(|interval| interval.start >= oldest);
+        let requests: u32 = whole.map(|interval| interval.requests).sum();
         let retries: u32 = intervals.iter().map(|interval| interval.retries).sum();
         let slack = self.usable_slack(share, now);
         let allowed = SAFETY_FACTOR * (self.ratio * f64::from(requests) + slack);
