retry budget: a handed request that may have run before is a retry

A node counted each request that another node handed on as a first one, also if that one had sent it to an endpoint before: its arrival was charged to no budget, and the ratio allowed a fifth of a retry more for it. The receiving node is told how many attempts may have run the request, but looked only at what it had tried itself. A retry is charged now wherever it comes from, and never counts as a request.

--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -109,14 +109,15 @@
             };
             request.build_rule = BuildRule::Only(build);
         }
-        if request.tried.is_empty() && request.tried_nodes.is_empty() {
-            // The node that places it counts it.
-            if !is_elsewhere {
-                self.budget.record_request(&request.service, now);
+        // One that another node handed on may have reached an endpoint before.
+        if request.is_retry {
+            if !self.may_retry(&request, now) {
+                self.refuse(&request, Refusal::Budget, reply);
+                return;
             }
-        } else if request.is_retry && !self.may_retry(&request, now) {
-            self.refuse(&request, Refusal::Budget, reply);
-            return;
+        } else if request.tried.is_empty() && request.tried_nodes.is_empty() && !is_elsewhere {
+            // The node that places it counts it.
+            self.budget.record_request(&request.service, now);
         }
         let deadline = now + request.max_wait.as_millis() as Millis;
         let place = (request.priority, self.waiting_alike(&request));
--- a/crates/gateway/tests/test_shared_limits.rs
+++ b/crates/gateway/tests/test_shared_limits.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use common::{Harness, placement_request, settings};
-use flamingolock_gateway::control::{Event, Refusal};
+use flamingolock_gateway::control::{Event, PlacementRequest, Refusal};
 use flamingolock_wire::gossip::{Gossip, NodeState};
 use prost::Message;
 
@@ -68,6 +68,39 @@
     assert_eq!(retries(&mut harness, window_ms() - 1), 0);
 }
 
+/// A request that another node handed on after it may have run.
+fn handed_retry() -> PlacementRequest {
+    let mut request = placement_request(None, 1);
+    request.is_handed = true;
+    request.is_retry = true;
+    request
+}
+
+#[test]
+fn handed_request_that_may_have_run_before_is_a_retry() {
+    let mut harness = one_of_six();
+    let now = window_ms() + 10;
+    let granted = (0..100)
+        .filter(|_| {
+            harness
+                .place(handed_retry(), now)
+                .expect("a decision")
+                .is_ok()
+        })
+        .count();
+    assert!((1..=58 / 6).contains(&granted), "{granted}");
+}
+
+#[test]
+fn handed_request_that_may_have_run_before_brings_no_retries() {
+    let mut harness = one_of_six();
+    for _ in 0..100 {
+        // Most are refused.
+        harness.place(handed_retry(), 20);
+    }
+    assert_eq!(retries(&mut harness, 20), 0);
+}
+
 #[test]
 fn node_that_has_not_read_the_registry_uses_no_slack() {
     let mut harness = Harness::with_engines(1, 0);
