suspects: crashes before all nodes ended count on

Callers: a prompt part that crashes engines reaches engines again from zero whenever all nodes end before it is stopped. Nodes killed after each second crash, five times: ten crashes, where five and three late ones are allowed (as processes).

Cause: only stopped parts and requests were kept in the store. A restart excuses a node for ContactMs only, so what the killed nodes had counted is missing afterwards.

The record holds the 64 strongest suspects as well that at least two crashes speak against.

Shown: with the limit for recording set out of reach, as before, crashes_before_all_nodes_ended_count_on_for_nodes_that_start (control state) and crashes_count_on_though_all_nodes_are_killed_after_each_second_one (processes, 10 crashes) failed; both pass. test_crashing_part, test_crashing_request and test_store_copies pass.

--- a/crates/cli/tests/test_crashing_part.rs
+++ b/crates/cli/tests/test_crashing_part.rs
@@ -146,3 +146,22 @@
     serve(4_000..4_010);
     assert_eq!(crashes(&site), before);
 }
+
+#[test]
+fn crashes_count_on_though_all_nodes_are_killed_after_each_second_one() {
+    let site = start();
+    let mut nodes = [site.node("node-1"), site.node("node-2")];
+    for round in 0..5 {
+        for (number, node) in nodes.iter().enumerate() {
+            // Requests of the first route run once.
+            crashing_request(node, 10 * round + 2 * number);
+            wait_until_engines_are_back(&site);
+        }
+        std::thread::sleep(Duration::from_millis(1_200));
+        nodes.iter_mut().for_each(Node::kill);
+        nodes.iter_mut().for_each(Node::restart);
+        nodes.iter().for_each(Node::wait_ready);
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    assert!(crashes(&site) <= MAX_CRASHES, "{} crashes", crashes(&site));
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -445,7 +445,7 @@
     RecordBuilds(BuildHistory),
     /// Add streams to the record of those that began.
     RecordStreams(BegunStreamList),
-    /// Record the prompt parts and requests that are stopped.
+    /// Record the prompt parts and requests that crashes speak against.
     RecordSuspects(StoppedSuspects),
     /// Send an order to an engine.
     SendOrder(Box<WeightsOrder>),
--- a/crates/gateway/src/control/state/suspects.rs
+++ b/crates/gateway/src/control/state/suspects.rs
@@ -1,5 +1,5 @@
 //! Prompt parts and requests that may crash endpoints: what this node and others saw, and
-//! the record of the stopped ones in the store.
+//! the record of them in the store.
 
 use std::sync::Arc;
 
@@ -13,7 +13,7 @@
 use crate::endpoint::EndpointKey;
 use crate::metrics::EventKind;
 
-/// Minimum interval between two records of the stopped suspects, in ms.
+/// Minimum interval between two records of the suspects, in ms.
 const RECORD_INTERVAL_MS: Millis = 1_000;
 
 /// Heartbeats after which an endpoint is seen to have outlived a run: one may have been
@@ -23,16 +23,17 @@
 /// Maximum number of runs that are kept until it is known whether their endpoints ended.
 const MAX_UNDECIDED: usize = 256;
 
-/// Ids of the stopped parts, and fingerprints of the stopped requests.
-type StoppedIds = (Vec<u64>, Vec<u64>);
+/// Ids of the recorded parts, fingerprints of the recorded requests, and how many crashes
+/// of each are recorded.
+type Recorded = (Vec<(u64, usize)>, Vec<(u64, usize)>);
 
-/// The record of the stopped suspects, kept in the store for the case that all nodes end.
+/// The record of the suspects, kept in the store for the case that all nodes end.
 #[derive(Debug, Default)]
 pub struct SuspectsRecord {
     /// What the store's record holds, as far as this node knows.
-    stored: StoppedIds,
+    stored: Recorded,
     /// Content of the last append, and its time.
-    appended: Option<(StoppedIds, Millis)>,
+    appended: Option<(Recorded, Millis)>,
 }
 
 /// A run that ended while this node was cut off from its endpoint.
@@ -56,8 +57,12 @@
     suspects.iter().map(|suspect| suspect.id).collect()
 }
 
-fn stopped_ids(stopped: &StoppedSuspects) -> StoppedIds {
-    (ids(&stopped.parts), ids(&stopped.requests))
+fn content(record: &StoppedSuspects) -> Recorded {
+    let counts = |suspects: &[SuspectRecord]| {
+        let counts = suspects.iter().map(|one| (one.id, one.crashes.len()));
+        counts.collect()
+    };
+    (counts(&record.parts), counts(&record.requests))
 }
 
 fn hex(ids: &[u64]) -> String {
@@ -263,19 +268,19 @@
     pub(super) fn suspects_read(&mut self, recorded: &StoppedSuspects, now: Millis) {
         log::info!(parts = recorded.parts.len(), requests = recorded.requests.len();
             "read the recorded suspects that crash endpoints");
-        self.suspects_record.stored = stopped_ids(recorded);
+        self.suspects_record.stored = content(recorded);
         self.merge_suspects(Subject::Part, &recorded.parts, now);
         self.merge_suspects(Subject::Request, &recorded.requests, now);
     }
 
     /// Handles the end of an append of the record.
     pub(super) fn suspects_recorded(&mut self, stored: bool) {
-        if let Some((ids, _)) = self.suspects_record.appended.as_ref().filter(|_| stored) {
-            self.suspects_record.stored.clone_from(ids);
+        if let Some((content, _)) = self.suspects_record.appended.as_ref().filter(|_| stored) {
+            self.suspects_record.stored.clone_from(content);
         }
     }
 
-    /// Records the stopped suspects if they have changed. Of all nodes only the one of the
+    /// Records the suspects if they have changed. Of all nodes only the one of the
     /// first rank does so.
     pub(super) fn record_suspects(&mut self, now: Millis) {
         let appended = self.suspects_record.appended.as_ref();
@@ -283,16 +288,16 @@
         if waits || self.store_unreachable || self.shutdown_at.is_some() || self.rank(now) > 0 {
             return;
         }
-        let stopped = StoppedSuspects {
-            parts: self.suspect_parts.stopped(),
-            requests: self.suspect_requests.stopped(),
+        let record = StoppedSuspects {
+            parts: self.suspect_parts.recorded(),
+            requests: self.suspect_requests.recorded(),
         };
-        let ids = stopped_ids(&stopped);
-        if ids == self.suspects_record.stored {
+        let content = content(&record);
+        if content == self.suspects_record.stored {
             return;
         }
-        log::info!(parts = ids.0.len(), requests = ids.1.len(); "recording the suspects that crash endpoints");
-        self.suspects_record.appended = Some((ids, now));
-        self.effects.push(Effect::RecordSuspects(stopped));
+        log::info!(parts = content.0.len(), requests = content.1.len(); "recording the suspects that crash endpoints");
+        self.suspects_record.appended = Some((content, now));
+        self.effects.push(Effect::RecordSuspects(record));
     }
 }
--- a/crates/gateway/src/control/suspect.rs
+++ b/crates/gateway/src/control/suspect.rs
@@ -142,7 +142,7 @@
 
     /// When a request may try the suspect again, if ever.
     pub fn next_trial(&self, policy: &Policy) -> Option<Millis> {
-        let crashes = self.crashes.values().filter(|crash| !crash.cleared).count();
+        let crashes = self.crash_count();
         let since = self.last_crash().max(self.tried_at).unwrap_or(0);
         policy
             .max_crashes
@@ -150,6 +150,12 @@
             .then(|| since + (policy.trial_pause_ms << self.failed_trials.min(MAX_DOUBLINGS)))
     }
 
+    /// Number of crashes that are not cleared.
+    pub fn crash_count(&self) -> usize {
+        let crashes = self.crashes.values();
+        crashes.filter(|crash| !crash.cleared).count()
+    }
+
     /// Time of the newest crash.
     pub fn last_crash(&self) -> Option<Millis> {
         self.crashes.values().map(|crash| crash.at).max()
--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -8,6 +8,7 @@
 //! Each node keeps the evidence of all nodes. It only grows, so that nodes may exchange it
 //! in any order and more than once.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
@@ -27,6 +28,12 @@
 /// Maximum number of suspects.
 const MAX_SUSPECTS: usize = 512;
 
+/// Maximum number of suspects that are not stopped, in the record for nodes that start.
+const MAX_RECORDED: usize = 64;
+
+/// Number of crashes from which on they are recorded.
+const RECORDED_CRASHES: usize = 2;
+
 /// Time for which evidence against a suspect that is not stopped is kept, in ms.
 const RETENTION_MS: Millis = 600_000;
 
@@ -289,6 +296,25 @@
             .collect()
     }
 
+    /// Returns what nodes have to know that start after all have ended: the stopped suspects,
+    /// and the strongest of the others that several crashes speak against. Ages count from
+    /// the last crash of each.
+    pub fn recorded(&self) -> Vec<SuspectRecord> {
+        let crashed = self.by_id.iter().filter(|(_, suspect)| {
+            !suspect.is_stopped() && suspect.crash_count() >= RECORDED_CRASHES
+        });
+        let mut others: Vec<(&u64, &Suspect)> = crashed.collect();
+        others.sort_by_key(|(_, suspect)| Reverse((suspect.evidence(), suspect.changed_at)));
+        others.truncate(MAX_RECORDED);
+        let records = others.into_iter();
+        let records =
+            records.map(|(id, suspect)| suspect.to_wire(*id, suspect.last_crash().unwrap_or(0)));
+        let mut all = self.stopped();
+        all.extend(records);
+        all.sort_by_key(|record| record.id);
+        all
+    }
+
     /// Forgets old evidence.
     pub fn forget_old(&mut self, now: Millis) {
         let stopped_retention = self.subject.policy().retention_ms;
--- a/crates/gateway/tests/test_suspect_gossip.rs
+++ b/crates/gateway/tests/test_suspect_gossip.rs
@@ -8,7 +8,7 @@
 use common::{Harness, placement_request};
 use flamingolock_gateway::control::suspects::{CrashedRun, RunSubjects};
 use flamingolock_gateway::control::{Effect, Event, Refusal};
-use flamingolock_wire::gossip::{CrashRecord, Gossip, SuspectRecord};
+use flamingolock_wire::gossip::{CrashRecord, Gossip, StoppedSuspects, SuspectRecord};
 use prost::Message;
 
 /// The first part of the request with id 1 of the harness.
@@ -155,3 +155,36 @@
     let refused = refusal(&mut node, 1_130);
     assert_eq!(refused, Some(Refusal::StoppedRequest { until: None }));
 }
+
+fn recorded(harness: &mut Harness, now: u64) -> Option<StoppedSuspects> {
+    let effects = harness.effects(now).into_iter();
+    let mut records = effects.filter_map(|effect| match effect {
+        Effect::RecordSuspects(record) => Some(record),
+        _ => None,
+    });
+    records.next_back()
+}
+
+/// All nodes end after each second crash, which doesn't stop the part.
+#[test]
+fn crashes_before_all_nodes_ended_count_on_for_nodes_that_start() {
+    let mut before = Harness::with_engines(2, 0);
+    crashes(&mut before, 2, 1_000);
+    assert_eq!(refusal(&mut before, 2_200), None);
+    let record = recorded(&mut before, 2_300).expect("a record");
+    let mut after = Harness::with_engines(2, 3_000);
+    after.control.handle(Event::SuspectsRead(record), 3_100);
+    assert_eq!(refusal(&mut after, 3_200), None);
+    crashes(&mut after, 1, 4_000);
+    assert!(matches!(
+        refusal(&mut after, 4_200),
+        Some(Refusal::StoppedPart { .. })
+    ));
+}
+
+#[test]
+fn one_crash_is_not_recorded() {
+    let mut harness = Harness::with_engines(2, 0);
+    crashes(&mut harness, 1, 1_000);
+    assert_eq!(recorded(&mut harness, 2_300), None);
+}
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -171,8 +171,8 @@
     pub age_ms: u32,
 }
 
-/// What nodes keep in the store of stopped prompt parts and requests. Ages count from the
-/// last crash of each.
+/// What nodes keep in the store of prompt parts and requests that are stopped, or that
+/// several crashes speak against. Ages count from the last crash of each.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct StoppedSuspects {
     /// The prompt parts.
