test_limit_fleet, test_brittle_fleet: limits and places after nodes ended

Is a limit that engines state, or the places at brittle ones, spent again by nodes that start? Four tests, at 6, 20 and 68 nodes in simulated time: all nodes end at once, three times; the nodes that issue permits end one after the other, 150 ms apart; half of the nodes end, three times.

A node that starts issues no permit for 2 s and holds the first one of an endpoint back by one interval; places count from runs that other nodes tell of.

--- a/crates/gateway/tests/test_brittle_fleet.rs
+++ b/crates/gateway/tests/test_brittle_fleet.rs
@@ -92,3 +92,50 @@
     fleet.run(2_000, capacity * 2.0);
     assert_eq!(fleet.returns.len(), refused);
 }
+
+/// Plays brittle engines while nodes are killed and start again, half or all of them at a
+/// time. Returns how many engines fell over under nodes that ran for long enough.
+fn falls_after_kills(nodes: usize, network: Network, killed: usize) -> usize {
+    let mut fleet = Fleet::start_with_slots(nodes, (ENGINES, SLOTS), network, 3);
+    fleet.refusals = Some(0);
+    fleet.response_ms = 400;
+    let capacity = (ENGINES * SLOTS) as f64 * 1_000.0 / 400.0;
+    fleet.run(4_000, capacity * 0.3);
+    fleet.set_brittle(Some(REFUSALS as f64));
+    fleet.run(CONTACT_MS, capacity * 0.5);
+    fleet.set_room(SLOTS + 1);
+    let mut falls = 0;
+    for _ in 0..3 {
+        (0..killed).for_each(|number| fleet.kill(number));
+        fleet.run(300, if killed == nodes { 0.0 } else { capacity * 3.0 });
+        (0..killed).for_each(|number| fleet.start_node(number, nodes));
+        let since = if killed == nodes {
+            fleet.now + CONTACT_MS
+        } else {
+            fleet.now - 300
+        };
+        fleet.run(CONTACT_MS + 6_000, capacity * 3.0);
+        let fallen = fleet.engines.values();
+        let fallen = fallen.filter(|engine| engine.most_refusals(since) > REFUSALS);
+        falls += fallen.count();
+    }
+    println!("{nodes} nodes, {network:?}, {killed} killed: {falls} falls");
+    falls
+}
+
+/// Nobody is left then who knows that engines are brittle, or what runs there.
+#[test]
+fn brittle_engines_do_not_fall_over_after_all_nodes_ended_at_once() {
+    for (nodes, network) in [(6, SMALL), (20, LARGE), (68, LARGE)] {
+        let falls = falls_after_kills(nodes, network, nodes);
+        assert!(falls <= 2 + ENGINES / 10, "{falls} falls");
+    }
+}
+
+#[test]
+fn brittle_engines_do_not_fall_over_while_half_of_the_nodes_are_killed() {
+    for (nodes, network) in [(6, SMALL), (20, LARGE), (68, LARGE)] {
+        let falls = falls_after_kills(nodes, network, nodes / 2);
+        assert!(falls <= 2 + ENGINES / 10, "{falls} falls");
+    }
+}
--- a/crates/gateway/tests/test_limit_fleet.rs
+++ b/crates/gateway/tests/test_limit_fleet.rs
@@ -106,6 +106,46 @@
     }
 }
 
+/// Nobody is left then who knows a limit, or which permits were issued.
+#[test]
+fn limit_is_kept_after_all_nodes_ended_at_once() {
+    for (nodes, network, limit) in [(6, SMALL, 2.0), (20, LARGE, 2.0), (68, LARGE, 5.0)] {
+        let mut fleet = Fleet::start(nodes, 3, network, 7);
+        fleet.refusals = Some(0);
+        fleet.run(4_000, 30.0);
+        fleet.limit_all(Some(limit));
+        fleet.run(CONTACT_MS + 2_000, 9.0 * limit);
+        for _ in 0..3 {
+            (0..nodes).for_each(|number| fleet.kill(number));
+            (0..nodes).for_each(|number| fleet.start_node(number, nodes));
+            let since = fleet.now + CONTACT_MS;
+            fleet.run(CONTACT_MS + 8_000, 9.0 * limit);
+            let used = check(&fleet, limit, since);
+            println!("{nodes} nodes, all ended at once: {used:.2} used");
+        }
+    }
+}
+
+/// The nodes that issue permits end one after the other, faster than they are back.
+#[test]
+fn limit_is_kept_while_issuers_end_in_series() {
+    for (nodes, network) in [(6, SMALL), (20, LARGE), (68, LARGE)] {
+        let mut fleet = Fleet::start(nodes, 3, network, 8);
+        fleet.run(4_000, 30.0);
+        fleet.limit_all(Some(2.0));
+        let since = fleet.now + CONTACT_MS;
+        fleet.run(CONTACT_MS, 18.0);
+        for number in 1..nodes {
+            fleet.kill(number);
+            fleet.run(150, 18.0);
+            fleet.start_node(number, nodes);
+        }
+        fleet.run(6_000, 18.0);
+        let used = check(&fleet, 2.0, since);
+        println!("{nodes} nodes, ended in series: {used:.2} used");
+    }
+}
+
 #[test]
 fn halves_that_do_not_reach_each_other_share_the_limit() {
     for (nodes, network) in [(6, SMALL), (20, LARGE)] {
