retry budget: a retry that waits counts from when it is sent

A retry was charged when it asked for a place. One that waited for an endpoint left the window by up to its waiting time before its arrival did, and retries that waited could leave together. It is charged when it asks, as before, so that those that wait are bounded as well, and moved to the interval in which it is sent.

retry_that_waits_counts_from_when_it_is_sent failed before: 690 ms before the retry left the window another one was granted for it.

--- a/crates/gateway/src/control/retry_budget.rs
+++ b/crates/gateway/src/control/retry_budget.rs
@@ -99,6 +99,17 @@
         self.current_interval(service, now).requests += 1;
     }
 
+    /// Records that a retry is sent now that was granted at this time, from when it counts.
+    pub fn record_sent(&mut self, service: &Arc<str>, granted_at: Millis, now: Millis) {
+        let start = granted_at - granted_at % INTERVAL_MS;
+        if let Some(intervals) = self.services.get_mut(service)
+            && let Some(granted) = intervals.iter_mut().find(|known| known.start == start)
+        {
+            granted.retries = granted.retries.saturating_sub(1);
+        }
+        self.current_interval(service, now).retries += 1;
+    }
+
     /// Part of the slack that is known to be unspent.
     fn usable_slack(&self, share: SlackShare, now: Millis) -> f64 {
         match share.nodes {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -93,6 +93,7 @@
 struct QueuedRequest {
     request: Box<PlacementRequest>,
     reply: oneshot::Sender<Placement>,
+    asked_at: Millis,
     deadline: Millis,
     /// Place in the queue: priority, and the number of requests of its workspace that
     /// waited when it came.
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -124,6 +124,7 @@
         let queued = QueuedRequest {
             request,
             reply,
+            asked_at: now,
             deadline,
             place,
         };
@@ -218,6 +219,10 @@
             Selection::Endpoint(key, estimate) => {
                 let grant = self.grant(&queued.request, key, &estimate, now);
                 let number = grant.run_number;
+                if queued.request.is_retry {
+                    let service = &queued.request.service;
+                    self.budget.record_sent(service, queued.asked_at, now);
+                }
                 self.metrics.count(EventKind::Placement, "granted");
                 if queued.reply.send(Ok(grant)).is_err() {
                     self.run_ended(key, number, &RunEnd::CallerLeft, None, now);
--- a/crates/gateway/tests/test_shared_limits.rs
+++ b/crates/gateway/tests/test_shared_limits.rs
@@ -1,11 +1,14 @@
 //! Shares of limits that hold over all nodes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use common::{Harness, placement_request, settings};
+use flamingolock_gateway::control::notices::Notice;
 use flamingolock_gateway::control::{Event, PlacementRequest, Refusal};
 use flamingolock_wire::gossip::{Gossip, NodeState};
 use prost::Message;
+use tokio::sync::oneshot;
 
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod common;
@@ -101,6 +104,34 @@
     assert_eq!(retries(&mut harness, 20), 0);
 }
 
+#[test]
+fn retry_that_waits_counts_from_when_it_is_sent() {
+    let mut harness = one_of_six();
+    let start = 2 * window_ms();
+    let first = harness.place(placement_request(None, 1), start - window_ms());
+    let engine = first.expect("a decision").expect("a placement").endpoint;
+    let pause = Notice::Pause(Duration::from_millis(700));
+    let event = Event::Noticed(engine, pause);
+    harness.control.handle(event, start);
+    let (sender, mut waiting) = oneshot::channel();
+    let mut request = placement_request(None, 1);
+    request.tried = vec![1];
+    request.is_retry = true;
+    request.max_wait = Duration::from_millis(900);
+    harness
+        .control
+        .handle(Event::Place(Box::new(request), sender), start);
+    harness.control.tick(start + 700);
+    assert!(waiting.try_recv().expect("a decision").is_ok());
+    let before = retries(&mut harness, start + 710);
+    // The one that waited and those after it are still in the window.
+    assert_eq!(
+        retries(&mut harness, start + window_ms() + 690),
+        0,
+        "{before}"
+    );
+}
+
 #[test]
 fn node_that_has_not_read_the_registry_uses_no_slack() {
     let mut harness = Harness::with_engines(1, 0);
