--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -350,13 +350,7 @@
             Event::Datagram(from, bytes) => self.handle_datagram(from, bytes, now),
             Event::LeaseRead(end, last) => self.lease.read(end, last.as_deref(), now),
             Event::LeaseTrimmed(first) => self.lease.trimmed(first),
-            Event::LeaseAppended(offset) => {
-                if !self.lease.held_by_me() {
-                    self.rollout.forget_stall();
-                }
-                self.lease.appended(offset);
-                log::info!(fencing = offset; "acquired lease for engine orders");
-            }
+            Event::LeaseAppended(offset) => self.lease_appended(offset),
             Event::LeaseFailed => self.lease.failed(now),
             Event::BuildsRead(recorded) => self.builds_read(recorded, now),
             Event::BuildsRecorded(stored) => self.builds_recorded(stored),
@@ -384,6 +378,14 @@
         }
     }
 
+    fn lease_appended(&mut self, offset: u64) {
+        if !self.lease.held_by_me() {
+            self.rollout.forget_stall();
+        }
+        self.lease.appended(offset);
+        log::info!(fencing = offset; "acquired lease for engine orders");
+    }
+
     fn noticed(&mut self, endpoint: &Endpoint, notice: Notice, now: Millis) {
         if self.notices.record(endpoint, notice, now) {
             log::info!(endpoint = &*endpoint.id, born = endpoint.start_time_ms, notice:? = notice;
