streams: the record of software versions is not replaced before it is read

By reading: a node that had started wrote the versions that it saw after 2 s, also when its read of the record had not ended by then, for example because the store was slow. The record then lacked versions that nodes which ended had recorded, and a node that read it after all had ended vouched for it. And the two records were read side by side: with the versions read and the streams not yet, a node took a stream that is in the record for one of the only version that is listed.

A node now records versions only once its read of the record has ended, and reads the streams before the versions. builds_are_not_recorded_before_the_record_is_read failed without the guard (it recorded v2 alone) and passes; the order of the reads has no test. The tests of recorded versions tell the node that its read has ended, as the program does; nothing they check changed.

What remains: a version that was listed first, and began streams, in the last second or so before all nodes end, whose streams of the last 50 ms are in no record, and whose engines have left at the restart.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -391,6 +391,8 @@
     LeaseFailed,
     /// The record of the software versions was read when the node started.
     BuildsRead(BuildHistory),
+    /// The record of the software versions has been read, whether or not there was one.
+    BuildsRecovered,
     /// An append of the record of the software versions ended; true if it is stored.
     BuildsRecorded(bool),
     /// The record of the streams that began was read when the node started.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -353,6 +353,7 @@
             Event::LeaseAppended(offset) => self.lease_appended(offset),
             Event::LeaseFailed => self.lease.failed(now),
             Event::BuildsRead(recorded) => self.builds_read(recorded, now),
+            Event::BuildsRecovered => self.builds_recovered(),
             Event::BuildsRecorded(stored) => self.builds_recorded(stored),
             Event::OrderAnswered(order, outcome) => self.order_answered(&order, outcome, now),
             Event::EngineReported(key, report) => {
@@ -520,7 +521,7 @@
         }
         log::warn!(era, before = before.unwrap_or(0); "store came back from a copy; records of the last seconds are lost");
         self.lease.records_lost(now);
-        self.build_record = BuildRecord::default();
+        self.build_record.forget_appends();
         self.stream_record = StreamRecord::default();
         self.suspects_record = SuspectsRecord::default();
         self.store_recovered_at = now;
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -74,12 +74,22 @@
 /// for the case that all nodes end.
 #[derive(Debug, Default)]
 pub struct BuildRecord {
+    /// True once the record that the node found when it started has been read.
+    is_read: bool,
     /// Content of the store's record, as far as this node knows.
     stored: Option<BuildHistory>,
     /// Content and time of the last append.
     appended: Option<(BuildHistory, Millis)>,
 }
 
+impl BuildRecord {
+    /// Records that what was appended is lost.
+    pub(super) fn forget_appends(&mut self) {
+        self.stored = None;
+        self.appended = None;
+    }
+}
+
 /// How long streams are remembered that began under a configuration that was replaced, at
 /// this node or at one that told it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -107,6 +117,12 @@
         self.build_record.stored = Some(recorded);
     }
 
+    /// Handles the end of the read of the record. Written before, it would lack the versions
+    /// that nodes which ended have recorded.
+    pub(super) fn builds_recovered(&mut self) {
+        self.build_record.is_read = true;
+    }
+
     /// Handles the end of an append of the record.
     pub(super) fn builds_recorded(&mut self, stored: bool) {
         if let Some((history, _)) = self.build_record.appended.as_ref().filter(|_| stored) {
@@ -126,7 +142,7 @@
             .as_ref()
             .is_some_and(|(_, at)| now < at + RECORD_INTERVAL_MS);
         let usable = !self.store_unreachable && self.shutdown_at.is_none();
-        if !started || waits || !usable || self.rank(now) > 0 {
+        if !record.is_read || !started || waits || !usable || self.rank(now) > 0 {
             return;
         }
         let listed = self.fleet.values().map(|state| &*state.endpoint);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -162,27 +162,37 @@
 
 /// Reads what the nodes recorded before all of them ended.
 fn recover_records(settings: &Settings, dialect: &'static Dialect, handle: &Handle) {
+    tokio::spawn(recover_streams(settings.clone(), dialect, handle.clone()));
     tokio::spawn(store::read_record(
         settings.clone(),
         dialect,
         handle.clone(),
-        dialect.topics.builds,
-        Event::BuildsRead,
+        dialect.topics.suspects,
+        Event::SuspectsRead,
     ));
-    tokio::spawn(store::read_log(
+}
+
+/// Reads the records of streams and of software versions. The versions come last: with them
+/// the node takes it that it knows which one began a stream that is not recorded.
+async fn recover_streams(settings: Settings, dialect: &'static Dialect, handle: Handle) {
+    let topics = &dialect.topics;
+    store::read_log(
         settings.clone(),
         dialect,
         handle.clone(),
-        dialect.topics.streams,
+        topics.streams,
         Event::StreamsRead,
-    ));
-    tokio::spawn(store::read_record(
-        settings.clone(),
+    )
+    .await;
+    store::read_record(
+        settings,
         dialect,
         handle.clone(),
-        dialect.topics.suspects,
-        Event::SuspectsRead,
-    ));
+        topics.builds,
+        Event::BuildsRead,
+    )
+    .await;
+    handle.send(Event::BuildsRecovered);
 }
 
 fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -37,6 +37,7 @@
 /// A node that reads the entries of these engines 1 ms after the boot of its machine.
 fn with_engines(builds: &[&str]) -> Harness {
     let mut harness = Harness::with_engines(0, 0);
+    harness.control.handle(Event::BuildsRecovered, 0);
     harness.engines_of_builds(builds, 1);
     harness
 }
@@ -499,6 +500,20 @@
     assert_eq!(third, [recorded(&["v1"])]);
 }
 
+/// Guards against streams of two software versions: a node that had not read the record yet
+/// replaced it by the versions that served by then, and all nodes ended.
+#[test]
+fn builds_are_not_recorded_before_the_record_is_read() {
+    let mut harness = Harness::with_engines(0, 0);
+    harness.engines_of_builds(&["v2"], 1);
+    assert_eq!(records_between(&mut harness, 500, 4_000), []);
+    let event = Event::BuildsRead(recorded(&["v1"]));
+    harness.control.handle(event, 4_000);
+    harness.control.handle(Event::BuildsRecovered, 4_000);
+    let records = records_between(&mut harness, 4_000, 4_500);
+    assert_eq!(records, [recorded(&["v1", "v2"])]);
+}
+
 #[test]
 fn builds_are_recorded_by_one_node() {
     let mut harness = with_engines(&["v1"]);
