tests: nodes that are back within milliseconds while two versions serve

Two processes of one node at a time cannot listen on the same addresses (no SO_REUSEPORT): the second one exits; by reading.

--- a/crates/cli/tests/test_endpoint_processes.rs
+++ b/crates/cli/tests/test_endpoint_processes.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod entry_site;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -204,6 +205,35 @@
     }
 }
 
+/// Two versions serve, and nodes are killed one after the other, or all of them, and started
+/// again within milliseconds at their addresses.
+#[test]
+fn streams_of_two_versions_are_not_mixed_by_nodes_that_are_back_within_milliseconds() {
+    for at_once in [1, 3] {
+        let other = EndpointSpec {
+            build: "v2",
+            ..engine("chunked")
+        };
+        let specs = [engine("chunked"), other, engine("chunked"), other];
+        let mut rig = Rig::start(3, &specs);
+        let streams = rig.streams("/draft/a", |rig| {
+            for round in 0..6 {
+                for place in 0..at_once {
+                    let node = &mut rig.nodes[(round + place) % 3];
+                    node.kill();
+                    node.restart();
+                }
+                std::thread::sleep(Duration::from_millis(250));
+            }
+        });
+        let what = format!("{at_once} at once");
+        let complete = check(&what, &streams);
+        assert!(complete * 2 >= STREAMS, "{what}: {streams:?}");
+        let builds: BTreeSet<&String> = streams.iter().flat_map(|stream| &stream.builds).collect();
+        assert_eq!(builds.len(), 2, "{what}: both versions began streams");
+    }
+}
+
 /// An idle engine is started again with another version under its id and address. Streams
 /// begin there before its new entry is read, and break off when it is killed.
 #[test]
