--- a/crates/cli/tests/soak/attempts.rs
+++ b/crates/cli/tests/soak/attempts.rs
@@ -130,6 +130,11 @@
         })
     });
     let runs: Vec<Run> = runs.collect();
+    let excused = runs.iter().filter(|run| run.is_excused).count();
+    cluster.record_event(format!(
+        "runs at {service}: {}, of which {excused} are excused",
+        runs.len()
+    ));
     let over = retries::overruns(&runs, MAX_ATTEMPTS);
     if !over.is_empty() {
         cluster.record_violation(format!(
@@ -179,6 +184,11 @@
         })
     });
     let timed: Vec<Timed> = timed.collect();
+    cluster.record_event(format!(
+        "deadlines at {service}: {} of {} arrivals count",
+        timed.len(),
+        arrivals.len()
+    ));
     let late = retries::late_deadlines(&timed);
     if let Some(first) = late.first() {
         cluster.record_violation(format!(
