test_rollout_fleet: orders of two holders, with holders that are killed

Does a node that starts take the lease, or load engines, as if nothing had been ordered? Two tests at 6 and 20 nodes in simulated time: the holder is killed 150 ms after new weights were named and is back after 0.1 or 5 s, five times; all nodes end at that moment and the last holder is back 6 s later, three times. Both count takeovers, so that they can't pass without one.

--- a/crates/gateway/tests/test_rollout_fleet.rs
+++ b/crates/gateway/tests/test_rollout_fleet.rs
@@ -52,6 +52,12 @@
     number.parse().expect("a number")
 }
 
+/// Number of times at which an order follows one of another holder.
+fn takeovers(fleet: &Fleet) -> usize {
+    let pairs = fleet.orders.windows(2);
+    pairs.filter(|pair| pair[0].node != pair[1].node).count()
+}
+
 fn assert_orders_of_two_holders_are_apart(fleet: &Fleet) {
     for pair in fleet.orders.windows(2) {
         let gap = pair[1].at - pair[0].at;
@@ -78,6 +84,53 @@
     }
 }
 
+/// Holders are killed while they order, and start again at once or after others took over.
+#[test]
+fn orders_of_two_holders_are_apart_though_holders_are_killed_and_start_again() {
+    for (nodes, engines, network) in [(6, 9, SMALL), (20, 60, LARGE)] {
+        let mut fleet = started(nodes, engines, network);
+        for version in 3..8 {
+            fleet.name_weights(version);
+            fleet.run(150, 30.0);
+            let killed = holder(&fleet);
+            fleet.kill(killed);
+            fleet.run(if version % 2 == 0 { 100 } else { 5_000 }, 30.0);
+            fleet.start_node(killed, nodes);
+            fleet.name_weights(version);
+            fleet.run(2 * WEIGHTS_MS, 30.0);
+            let old = fleet.engines_before(version);
+            assert_eq!(old, 0, "engines with older weights; {nodes} nodes");
+        }
+        assert_orders_of_two_holders_are_apart(&fleet);
+        assert!(takeovers(&fleet) > 0, "{nodes} nodes");
+    }
+}
+
+/// Nobody is left then who knows which engines load.
+#[test]
+fn orders_of_two_holders_are_apart_after_all_nodes_ended_at_once() {
+    for (nodes, engines, network) in [(6, 9, SMALL), (20, 60, LARGE)] {
+        let mut fleet = started(nodes, engines, network);
+        for version in 3..6 {
+            fleet.name_weights(version);
+            fleet.run(150, 30.0);
+            let late = holder(&fleet);
+            (0..nodes).for_each(|number| fleet.kill(number));
+            let others = (0..nodes).filter(|number| *number != late);
+            others.for_each(|number| fleet.start_node(number, nodes));
+            fleet.name_weights(version);
+            fleet.run(WEIGHTS_MS, 30.0);
+            fleet.start_node(late, nodes);
+            fleet.name_weights(version);
+            fleet.run(WEIGHTS_MS, 30.0);
+            let old = fleet.engines_before(version);
+            assert_eq!(old, 0, "engines with older weights; {nodes} nodes");
+        }
+        assert_orders_of_two_holders_are_apart(&fleet);
+        assert!(takeovers(&fleet) > 0, "{nodes} nodes");
+    }
+}
+
 /// A node that was cut off before new weights are named does not take the lease.
 #[test]
 fn node_that_reaches_few_engines_lets_others_lead() {
