streams: those that run at an engine listed with another version are unclear

Callers saw streams of two versions that end as complete: an engine that is started again with another version under its id and address begins streams before its new entry is read. They were remembered under the version in the old entry, and went on at another engine of that one, at the node that began them and at others that it had told.

Nothing in an engine's responses tells its version, so a node keeps which of its streams run at which endpoint, and when that endpoint is listed with another version, they count as unclear: no version continues them, at any node that is told (an empty version; earlier builds find no engine of that one and refuse as well). A stream whose run has ended by then keeps its version: its engine's connection ended with the process that is gone.

What remains: streams that begin at such an engine and break off before its new entry is read.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -322,6 +322,8 @@
     HandoverEnded(u64),
     /// A resumable stream has brought its first event.
     StreamBegun(BegunStream),
+    /// It runs on at this endpoint until the run with this number ends.
+    StreamRuns((EndpointKey, u64), BegunStream),
     /// A run ended.
     RunEnded {
         /// Endpoint of the run.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -137,6 +137,8 @@
     undecided_runs: Vec<UndecidedRun>,
     parts: CacheIndex,
     streams: BegunStreams,
+    /// Streams that began at this node and run, by endpoint and number of the run.
+    open_streams: BTreeMap<(EndpointKey, u64), Vec<BegunStream>>,
     /// How long streams of earlier configurations are remembered.
     former_memories: Vec<FormerMemory>,
     listed_builds: ListedBuilds,
@@ -239,6 +241,7 @@
             build_record: BuildRecord::default(),
             stream_record: StreamRecord::default(),
             streams: BegunStreams::default(),
+            open_streams: BTreeMap::new(),
             former_memories: Vec::new(),
             peers,
             rollout: Rollout::new(weights_bound),
@@ -306,6 +309,7 @@
             }
             Event::HandoverEnded(number) => self.handovers.end(number),
             Event::StreamBegun(stream) => self.stream_begun(stream, now),
+            Event::StreamRuns(run, stream) => self.stream_runs(run, stream),
             Event::StreamsRead(recorded) => self.streams_read(recorded, now),
             Event::StreamsRecorded(stored) => self.streams_recorded(stored),
             Event::RunCrashed(run) => self.run_crashed(run, now),
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -109,6 +109,10 @@
             };
             request.build_rule = BuildRule::Only(build);
         }
+        if matches!(request.build_rule, BuildRule::Only(_)) && self.is_unclear(&request.id) {
+            self.refuse(&request, Refusal::UnknownBuild, reply);
+            return;
+        }
         // One that another node handed on may have reached an endpoint before.
         if request.is_retry {
             if !self.may_retry(&request, now) {
@@ -563,6 +567,7 @@
         model: Option<&str>,
         now: Millis,
     ) {
+        self.open_streams.remove(&(endpoint, number));
         let end = &self.end_at_brittle(endpoint, end, now);
         self.metrics.count(EventKind::RunEnd, end.as_str());
         self.note_run_end(endpoint, number, end, now);
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -213,6 +213,7 @@
             _ => {
                 log::info!(endpoint = id, build = &*entry.build, born = entry.start_time_ms, address:% = entry.address, offset = record.offset;
                     "endpoint listed");
+                self.doubt_streams(key, &entry.build, now);
                 self.parts.remove_engine(key);
                 if !entry.weights.is_empty() && self.fleet.len() < CACHE_QUERY_MAX_ENGINES {
                     self.query_cache(entry.address, Some(key), now);
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -9,9 +9,10 @@
 
 use super::Control;
 use crate::clock::Millis;
-use crate::control::begun_streams::StreamSource;
+use crate::control::begun_streams::{StreamSource, request_key};
 use crate::control::listed_builds::ServedBuilds;
 use crate::control::{Effect, PlacementRequest};
+use crate::endpoint::EndpointKey;
 
 /// Time in ms for which streams are remembered beyond the timeout of their route.
 const RESUME_MARGIN_MS: Millis = 5_000;
@@ -44,6 +45,8 @@
 enum BuildReason {
     /// This version is known to have begun it.
     Known(StreamSource),
+    /// Its engine was listed with another version while it ran.
+    Unclear(StreamSource),
     /// No other version was listed since its caller may have begun it.
     OnlyListed,
     /// The process stood still a moment ago.
@@ -168,6 +171,38 @@
         self.gossip_pending_at.get_or_insert(now);
     }
 
+    /// Records that a stream of this node runs at an endpoint.
+    pub(super) fn stream_runs(&mut self, run: (EndpointKey, u64), stream: BegunStream) {
+        self.open_streams.entry(run).or_default().push(stream);
+    }
+
+    /// Handles that an endpoint is listed with a software version. Streams that run there and
+    /// began under an earlier entry with another one may be of either.
+    pub(super) fn doubt_streams(&mut self, endpoint: EndpointKey, build: &str, now: Millis) {
+        let runs = self
+            .open_streams
+            .range_mut((endpoint, 0)..=(endpoint, u64::MAX));
+        let mut doubted = Vec::new();
+        for stream in runs.flat_map(|(_, streams)| streams) {
+            if stream.build != build && !stream.build.is_empty() {
+                stream.build.clear();
+                doubted.push(stream.clone());
+            }
+        }
+        if !doubted.is_empty() {
+            log::warn!(endpoint, build, streams = doubted.len(); "endpoint is listed with another software version than its streams");
+        }
+        for stream in doubted {
+            self.stream_begun(stream, now);
+        }
+    }
+
+    /// True if it is not clear which software version sent the events of a request's stream.
+    pub(super) fn is_unclear(&self, request: &str) -> bool {
+        let known = self.streams.build_of(request_key(request));
+        known.is_some_and(|(build, _)| build.is_empty())
+    }
+
     /// Adds the streams that were recorded before all nodes ended.
     pub(super) fn streams_read(&mut self, recorded: BegunStreamList, now: Millis) {
         log::info!(streams = recorded.streams.len(); "read the recorded streams");
@@ -321,6 +356,9 @@
         now: Millis,
     ) -> (Option<Arc<str>>, BuildReason) {
         if let Some((build, source)) = begun_by.and_then(|request| self.streams.build_of(request)) {
+            if build.is_empty() {
+                return (None, BuildReason::Unclear(source));
+            }
             return (Some(build), BuildReason::Known(source));
         }
         if self.is_recovering(now) {
--- a/crates/gateway/src/run_guard.rs
+++ b/crates/gateway/src/run_guard.rs
@@ -77,6 +77,8 @@
     /// Records that the run has brought a whole event, or its whole response.
     pub fn answered(&mut self) {
         for stream in self.streams.drain(..) {
+            let run = (self.endpoint.key(), self.number);
+            self.handle.send(Event::StreamRuns(run, stream.clone()));
             self.handle.send(Event::StreamBegun(stream));
         }
         if let Some(crash) = self.crash.take() {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -216,6 +216,11 @@
         self.entry(id, Some(&engine_entry(build, 1, "ready", 1)), now);
     }
 
+    /// Adds the entry of an engine that has started again with this software version.
+    pub fn restarted_engine(&mut self, id: &str, build: &str, now: u64) {
+        self.entry(id, Some(&engine_entry(build, 2, "ready", 1)), now);
+    }
+
     /// Reads the entries of engines of these software versions, all there are.
     pub fn engines_of_builds(&mut self, builds: &[&str], now: u64) {
         let engines = builds.iter().enumerate();
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -7,7 +7,7 @@
 
 use common::{Harness, copies_of, placement_request};
 use flamingolock_gateway::control::begun_streams::request_key;
-use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, Refusal};
+use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, Refusal, RunEnd};
 use flamingolock_platform::settings;
 use flamingolock_wire::gossip::{
     BegunStream, BegunStreamList, BuildHistory, Gossip, ListedBuild, NodeState, TopicCopyState,
@@ -84,6 +84,38 @@
     assert_eq!(build_of(resume(&mut harness, "r", 20)), "v2");
 }
 
+/// Guards against streams of two software versions: an engine is started again with another
+/// version under its id, and begins streams before its new entry is read.
+#[test]
+fn stream_whose_engine_is_listed_with_another_version_while_it_runs_is_refused() {
+    for ended in [false, true] {
+        let mut harness = with_engines(&["v1", "v1"]);
+        let grant = harness.place(placement_request(None, 1), 10);
+        let grant = grant.expect("a decision").expect("a grant");
+        let (endpoint, run_number) = (grant.endpoint.key(), grant.run_number);
+        let stream = begun("r", "v1");
+        let runs = Event::StreamRuns((endpoint, run_number), stream.clone());
+        harness.control.handle(runs, 20);
+        harness.control.handle(Event::StreamBegun(stream), 20);
+        if ended {
+            let event = Event::RunEnded {
+                endpoint,
+                run_number,
+                end: RunEnd::Broken,
+                model: None,
+            };
+            harness.control.handle(event, 30);
+        }
+        harness.restarted_engine(&grant.endpoint.id, "v2", 40);
+        let placement = resume(&mut harness, "r", 50);
+        if ended {
+            assert_eq!(build_of(placement), "v1", "it ended before");
+        } else {
+            assert_eq!(placement.err(), Some(Refusal::UnknownBuild));
+        }
+    }
+}
+
 #[test]
 fn stream_whose_build_has_left_is_refused_at_once() {
     let mut harness = with_engines(&["v2"]);
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -252,7 +252,7 @@
     /// Key of the caller's request.
     #[prost(fixed64, tag = "1")]
     pub request: u64,
-    /// Software version of the engine.
+    /// Software version of the engine; empty if it is not clear.
     #[prost(string, tag = "2")]
     pub build: String,
     /// Time since its first event, in milliseconds.
