--- a/crates/gateway/src/control/suspects.rs
+++ b/crates/gateway/src/control/suspects.rs
@@ -2,8 +2,9 @@
 //!
 //! A run that ends with its endpoint before it brought an event speaks against its shared
 //! parts and against the request, less against what was answered earlier, and less where
-//! runs of the service often end so; a run that brought an event speaks for all of them. What several crashes in a row have in common,
-//! and for which nothing speaks since, is stopped: requests with it are refused.
+//! runs of the service often end so; a run that brought an event speaks for all of them.
+//! What several crashes in a row have in common, and for which nothing speaks since, is
+//! stopped: requests with it are refused.
 //!
 //! Each node keeps the evidence of all nodes. It only grows, so that nodes may exchange it
 //! in any order and more than once.
