retry budget: a first process under its name has a part of the slack at once

Nobody can have spent anything under a name that the registry does not hold.

A process that found no record of its node's name in the registry before it registered uses the 1 / (n (n + 1))-th part of the slack at once, n being the nodes that it finds; the k-th to register finds at least k, so that all together stay below the slack.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -362,7 +362,9 @@
     EndpointSnapshot(Vec<KeyedRecord>),
     /// New records of the endpoint topic.
     EndpointRecords(Vec<KeyedRecord>),
-    /// Gossip addresses of the nodes in the registry.
+    /// The registry held no record of this node's name before the process registered.
+    FirstRegistration,
+    /// Gossip addresses of the nodes in the registry, with this one's.
     NodesListed(Vec<SocketAddr>),
     /// A read of a topic succeeded.
     TopicRead {
--- a/crates/gateway/src/control/retry_budget.rs
+++ b/crates/gateway/src/control/retry_budget.rs
@@ -3,7 +3,7 @@
 //! What a process counts is lost when it ends, so that the next one at its address does not
 //! know what was spent. It uses retries that follow from requests at once, as both are counted
 //! by the same process, but a share of the slack only when that is known to be unspent: after
-//! a whole window.
+//! a whole window, or if no process has run under the node's name before.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -33,6 +33,8 @@
     pub nodes: Option<usize>,
     /// Time since which this process counts.
     pub counts_since: Millis,
+    /// True if no process has run under the node's name before.
+    pub is_new: bool,
 }
 
 /// Decision on a retry, and what it is based on.
@@ -112,11 +114,16 @@
 
     /// Part of the slack that is known to be unspent.
     fn usable_slack(&self, share: SlackShare, now: Millis) -> f64 {
-        match share.nodes {
-            Some(nodes) if now >= share.counts_since + self.window => {
-                self.slack / nodes.max(1) as f64
-            }
-            _ => 0.0,
+        let Some(nodes) = share.nodes else { return 0.0 };
+        let nodes = nodes.max(1) as f64;
+        if now >= share.counts_since + self.window {
+            self.slack / nodes
+        } else if share.is_new {
+            // The k-th node to register finds at least k nodes, and the sum of 1 / (k (k + 1))
+            // is less than 1, however many start one after another.
+            self.slack / (nodes * (nodes + 1.0))
+        } else {
+            0.0
         }
     }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -186,6 +186,8 @@
     ticked_at: Option<Millis>,
     /// Start and end of the last stall of the process.
     last_stall: (Millis, Millis),
+    /// True if no process has run under this node's name before.
+    is_new: bool,
     /// When the process started.
     running_since: Option<Millis>,
     started_at: Option<Millis>,
@@ -275,6 +277,7 @@
             store_recovered_at: 0,
             ticked_at: None,
             last_stall: (0, 0),
+            is_new: false,
             running_since: None,
             started_at: None,
             shutdown_at: None,
@@ -345,6 +348,7 @@
                     self.apply_endpoint_record(record, now);
                 }
             }
+            Event::FirstRegistration => self.is_new = true,
             Event::NodesListed(addresses) => self.nodes_listed(addresses, now),
             Event::TopicRead { topic, end, at } => self.topic_read(topic, end, at, now),
             Event::TopicFailed(topic) => self.topic_failed(topic, now),
@@ -566,6 +570,7 @@
         SlackShare {
             nodes: self.peers.max_nodes_with_slack(now),
             counts_since: self.running_since.unwrap_or(now),
+            is_new: self.is_new,
         }
     }
 
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -153,7 +153,7 @@
         };
         log::info!(request = &*request.id, service = &*request.service, requests = decision.requests,
             retries = decision.retries, allowed = decision.allowed, slack = decision.slack,
-            nodes = share.nodes.unwrap_or(0), counted_ms = now - share.counts_since; "{message}");
+            nodes = share.nodes.unwrap_or(0), is_new = share.is_new, counted_ms = now - share.counts_since; "{message}");
         self.metrics.count_retry(&request.service, decision.granted);
         decision.granted
     }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -299,6 +299,17 @@
     keyed
 }
 
+/// True if the registry of the nodes was read and holds no record with this name.
+async fn has_no_record(store: &mut StoreClient, name: &str) -> bool {
+    match store.newest(store.dialect.topics.nodes).await {
+        Ok((records, _)) => records.iter().all(|record| record.key != name),
+        Err(error) => {
+            log::warn!(error:% = error; "cannot read the registry of the nodes before the registration");
+            false
+        }
+    }
+}
+
 /// Registers this node's address, again after each item of `lost`, and keeps reading the
 /// addresses of the other nodes.
 pub async fn keep_registered(
@@ -309,6 +320,8 @@
 ) {
     let mut store = StoreClient::new(&settings, dialect, handle);
     let mut registered = false;
+    // Whether no process has registered under this name, while that is asked.
+    let mut is_new = has_no_record(&mut store, &settings.node).await;
     loop {
         if !registered {
             let address = settings.gossip.to_string();
@@ -322,7 +335,12 @@
                 .await
                 .and_then(|response| Ok((dialect.parse_append_response)(&response)?));
             match appended {
-                Ok(AppendOutcome::At(_)) => registered = true,
+                Ok(AppendOutcome::At(_)) => {
+                    registered = true;
+                    if std::mem::take(&mut is_new) {
+                        store.handle.send(Event::FirstRegistration);
+                    }
+                }
                 Ok(other) => log::warn!(outcome:? = other; "cannot register the node's address"),
                 Err(error) => {
                     store
--- a/crates/gateway/tests/common/fleet.rs
+++ b/crates/gateway/tests/common/fleet.rs
@@ -247,6 +247,13 @@
         self.list_nodes(number, nodes);
     }
 
+    /// Tells a node that the registry held no record of its name.
+    pub fn first_registered(&mut self, number: usize) {
+        let node = self.nodes.get_mut(&number).expect("a node");
+        let control = &mut node.harness.control;
+        control.handle(Event::FirstRegistration, self.now);
+    }
+
     /// Lets a node read the registry, which lists `nodes` nodes.
     pub fn list_nodes(&mut self, number: usize, nodes: usize) {
         let addresses = (0..nodes).map(address).collect();
--- a/crates/gateway/tests/test_retry_budget.rs
+++ b/crates/gateway/tests/test_retry_budget.rs
@@ -12,6 +12,7 @@
 const ALONE: SlackShare = SlackShare {
     nodes: Some(1),
     counts_since: 0,
+    is_new: false,
 };
 
 fn budget() -> RetryBudget {
--- a/crates/gateway/tests/test_retry_fleet.rs
+++ b/crates/gateway/tests/test_retry_fleet.rs
@@ -179,6 +179,7 @@
         // Each reads what has registered before it.
         for node in 0..nodes {
             fleet.start_unlisted(node);
+            fleet.first_registered(node);
             fleet.list_nodes(node, node + 1);
             fleet.run(2_000 / nodes as u64, per_second);
         }
--- a/crates/gateway/tests/test_shared_limits.rs
+++ b/crates/gateway/tests/test_shared_limits.rs
@@ -71,6 +71,23 @@
     assert_eq!(retries(&mut harness, window_ms() - 1), 0);
 }
 
+#[test]
+fn first_process_under_its_name_uses_a_part_of_the_slack_at_once() {
+    let mut harness = one_of_six();
+    harness.control.handle(Event::FirstRegistration, 10);
+    for _ in 0..50 {
+        harness.place(placement_request(None, 1), 20);
+    }
+    // A fifth of 50, and a 42nd of 58, less the margin.
+    let granted = retries(&mut harness, 20);
+    assert!((7..=10 + 58 / 42).contains(&granted), "{granted}");
+    let mut alone = Harness::with_engines(1, 0);
+    alone.control.handle(Event::NodesListed(Vec::new()), 10);
+    alone.control.handle(Event::FirstRegistration, 10);
+    let granted = retries(&mut alone, 20);
+    assert!((58 / 4..=58 / 2).contains(&granted), "{granted}");
+}
+
 /// A request that another node handed on after it may have run.
 fn handed_retry() -> PlacementRequest {
     let mut request = placement_request(None, 1);
@@ -135,6 +152,7 @@
 #[test]
 fn node_that_has_not_read_the_registry_uses_no_slack() {
     let mut harness = Harness::with_engines(1, 0);
+    harness.control.handle(Event::FirstRegistration, 10);
     assert_eq!(retries(&mut harness, 2 * window_ms()), 0);
 }
 
