retry budget: requests that move to other processes are not used twice

The ratio's part was taken as safe because one process counts both retries and requests. But a process that is killed just after endpoints begin to fail has used what the requests of the window before allow, and those that take over use as much again for the requests since; the same where nodes are lost for good and callers move.

Each process now uses half of the ratio. A retry is covered by requests that the same process counted in the window before it, so those of all processes in a window are covered by the requests of that window and of the one before, whichever process they move to.

--- a/crates/gateway/src/control/retry_budget.rs
+++ b/crates/gateway/src/control/retry_budget.rs
@@ -1,9 +1,11 @@
 //! This node's share of the fleet's budget for retries.
 //!
 //! What a process counts is lost when it ends, so that the next one at its address does not
-//! know what was spent. It uses retries that follow from requests at once, as both are counted
-//! by the same process, but a share of the slack only when that is known to be unspent: after
-//! a whole window, or if no process has run under the node's name before.
+//! know what was spent. Retries that follow from requests need no such knowledge: each is
+//! covered by requests that the same process counted within the window before it, so that
+//! those of all processes in a window come from the requests of that window and of the one
+//! before. A share of the slack is used only if that is known to be unspent: after a whole
+//! window, or if no process has run under the node's name before.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -11,9 +13,13 @@
 
 use crate::clock::Millis;
 
-/// Fraction of the allowed retries that is used, so that counting errors at the
-/// edges of a window do not exceed the limit.
-const SAFETY_FACTOR: f64 = 0.7;
+/// Part of the ratio that one process uses. Where requests move to other processes, those of
+/// the window before are used up as well as those of the window itself.
+const RATIO_SHARE: f64 = 0.5;
+
+/// Part of the slack that is used, so that counting errors at the edges of a window do not
+/// exceed the limit.
+const SLACK_SHARE: f64 = 0.7;
 
 /// Length of a counting interval, in ms.
 const INTERVAL_MS: Millis = 500;
@@ -117,11 +123,11 @@
         let Some(nodes) = share.nodes else { return 0.0 };
         let nodes = nodes.max(1) as f64;
         if now >= share.counts_since + self.window {
-            self.slack / nodes
+            SLACK_SHARE * self.slack / nodes
         } else if share.is_new {
             // The k-th node to register finds at least k nodes, and the sum of 1 / (k (k + 1))
             // is less than 1, however many start one after another.
-            self.slack / (nodes * (nodes + 1.0))
+            SLACK_SHARE * self.slack / (nodes * (nodes + 1.0))
         } else {
             0.0
         }
@@ -143,7 +149,7 @@
         let requests: u32 = whole.map(|interval| interval.requests).sum();
         let retries: u32 = intervals.iter().map(|interval| interval.retries).sum();
         let slack = self.usable_slack(share, now);
-        let allowed = SAFETY_FACTOR * (self.ratio * f64::from(requests) + slack);
+        let allowed = RATIO_SHARE * self.ratio * f64::from(requests) + slack;
         let granted = f64::from(retries) + 1.0 <= allowed;
         if granted {
             self.current_interval(service, now).retries += 1;
