--- a/crates/cli/tests/soak/attempts.rs
+++ b/crates/cli/tests/soak/attempts.rs
@@ -57,11 +57,12 @@
         let sent = all.iter().filter(|sent| sent.service == service);
         let sent = sent.map(|sent| (sent.request.as_str(), sent)).collect();
         check_budget(cluster, service, &sent);
-        check_attempts(cluster, service, &sent);
         if !is_stream {
             check_deadlines(cluster, service, &sent);
         }
     }
+    let sent = all.iter().map(|sent| (sent.request.as_str(), sent));
+    check_attempts(cluster, &sent.collect());
 }
 
 type SentById<'a> = BTreeMap<&'a str, &'a Sent>;
@@ -114,8 +115,10 @@
     }
 }
 
-fn check_attempts(cluster: &Cluster, service: &'static str, sent: &SentById) {
-    let started: Vec<_> = backends(cluster, service)
+/// Counts the requests of all services together.
+fn check_attempts(cluster: &Cluster, sent: &SentById) {
+    let all = cluster.backends.iter().enumerate();
+    let started: Vec<_> = all
         .flat_map(|(index, backend)| {
             let runs = backend.engine.started_runs().into_iter();
             runs.map(move |run| (index, run))
@@ -132,13 +135,13 @@
     let runs: Vec<Run> = runs.collect();
     let excused = runs.iter().filter(|run| run.is_excused).count();
     cluster.record_event(format!(
-        "runs at {service}: {}, of which {excused} are excused",
+        "runs: {}, of which {excused} are excused",
         runs.len()
     ));
     let over = retries::overruns(&runs, MAX_ATTEMPTS);
     if !over.is_empty() {
         cluster.record_violation(format!(
-            "{} requests of {service} ran on more than {MAX_ATTEMPTS} endpoints: {over:?}",
+            "{} requests ran on more than {MAX_ATTEMPTS} endpoints: {over:?}",
             over.len()
         ));
     }
