streams: told versions are complete only up to when they were told

The first read had no earlier read to measure a gap from, so it kept the start that the other node had told. The same held for the record in the store, and for a node whose copy was not current: it told that it knows nothing (0 ms), which was taken as knowing all from then on.

Now the list remembers up to when it is complete: the last read of all entries, message of a node with a current copy, or read of the record. If a first read comes more than MIN_LISTED_MS later, the list is complete only from then on. An outdated node's message adds versions but no completeness.

Test: told_versions_are_complete_only_up_to_a_first_read_soon_after.

--- a/crates/gateway/src/control/listed_builds.rs
+++ b/crates/gateway/src/control/listed_builds.rs
@@ -15,19 +15,29 @@
 #[derive(Debug, Default)]
 pub struct ListedBuilds {
     complete_since: Option<Millis>,
+    /// Time up to which this is complete.
+    complete_until: Option<Millis>,
     /// When an endpoint was last seen to be listed, by service and software version.
     /// Those that are listed now may be missing.
     seen: BTreeMap<(Arc<str>, Arc<str>), Millis>,
 }
 
 impl ListedBuilds {
-    /// Records that all entries were read, `unread_ms` after they were last known; none
-    /// if they were not.
+    /// Records that all entries were read, `unread_ms` after this node's copy was last
+    /// current; none if it never was. Then the versions are known up to when another node,
+    /// or the record, told them.
     pub fn entries_read(&mut self, unread_ms: Option<Millis>, now: Millis) {
-        if unread_ms.is_some_and(|unread| unread > MIN_LISTED_MS) {
+        let untold_ms = self.complete_until.map(|at| now.saturating_sub(at));
+        let gap_ms = unread_ms.or(untold_ms);
+        if gap_ms.is_some_and(|gap| gap > MIN_LISTED_MS) {
             self.complete_since = Some(now);
         }
         self.complete_since.get_or_insert(now);
+        self.extend_until(now);
+    }
+
+    fn extend_until(&mut self, time: Millis) {
+        self.complete_until = self.complete_until.max(Some(time));
     }
 
     /// Records that an endpoint is no longer listed.
@@ -50,9 +60,13 @@
                 at,
             );
         }
+        if history.complete_ms == 0 {
+            return;
+        }
         let since = now.saturating_sub(history.complete_ms);
         let own = self.complete_since.unwrap_or(since);
         self.complete_since = Some(own.min(since));
+        self.extend_until(now);
     }
 
     /// Returns what this node saw, for another node; none if it has read no entries. Unless its
@@ -95,6 +109,7 @@
             );
         }
         self.complete_since = Some(0);
+        self.extend_until(now);
     }
 
     /// Forgets the versions that were last listed before a time.
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -335,6 +335,40 @@
     }
 }
 
+/// Guards against streams of two software versions: a node that was told the versions, and
+/// cut off before it read its first entries, missed a version that came and went.
+#[test]
+fn told_versions_are_complete_only_up_to_a_first_read_soon_after() {
+    let expected = [
+        ("node", 1_500, None),
+        ("node", 20_000, Some(Refusal::UnknownBuild)),
+        ("outdated node", 20_000, Some(Refusal::UnknownBuild)),
+        ("record", 1_500, None),
+        ("record", 20_000, Some(Refusal::UnknownBuild)),
+    ];
+    for (from, read_at, expected) in expected {
+        let mut harness = Harness::with_engines(0, 0);
+        if from == "record" {
+            let event = Event::BuildsRead(recorded(&["v1"]));
+            harness.control.handle(event, 1_000);
+        } else {
+            let history = BuildHistory {
+                complete_ms: if from == "node" { 60_000 } else { 0 },
+                ..recorded(&["v1"])
+            };
+            let gossip = Gossip {
+                builds: Some(history),
+                ..Gossip::default()
+            };
+            harness.datagram(9, gossip, 1_000);
+        }
+        ticks(&mut harness, 1_000, read_at);
+        harness.engines_of_builds(&["v1"], read_at);
+        let refusal = resume(&mut harness, "r", read_at + 1).err();
+        assert_eq!(refusal, expected, "told by {from}, read at {read_at} ms");
+    }
+}
+
 #[test]
 fn streams_are_forgotten_once_no_caller_can_resume_them() {
     let mut harness = with_engines(&["v1", "v2"]);
