records: only nodes that reach the store count for who records

When the node of rank 0 (for streams: ranks 0 and 1) was cut off from the store but still gossiped, no node recorded the software versions, the streams that began or the suspects.

The rank counted each live node of lower incarnation, also those whose state says that they don't reach the store. The read schedule of the topics already skips these; that count is now store_rank(), which the three records use. rank() is unchanged for orders and trials of suspects. Hubs relay the states, so it holds in fleets with hubs too.

Tests: versions_and_streams_are_recorded_while_the_first_ranks_do_not_reach_the_store and suspects_are_recorded_while_the_first_rank_does_not_reach_the_store. Before, both failed with 'left: false, right: true'; now both pass (30 of 30 and 7 of 7 tests of their files). builds_are_recorded_by_one_node: the other node now states that it reaches the store, as nodes do; its assertion is the same.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -695,6 +695,20 @@
             .count()
     }
 
+    /// Returns the rank of this node among those that reach the store.
+    fn store_rank(&self, now: Millis) -> usize {
+        self.peers
+            .alive(now)
+            .filter(|peer| {
+                let state = &peer.state;
+                state.ready
+                    && !state.leaving
+                    && state.store_reachable
+                    && state.incarnation < self.incarnation
+            })
+            .count()
+    }
+
     fn publish(&self, now: Millis) {
         let mut nodes = self.nodes_for_callers(now);
         nodes.sort();
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -133,8 +133,8 @@
         }
     }
 
-    /// Records the software versions if they have changed. Of all nodes only the one of
-    /// the first rank does so.
+    /// Records the software versions if they have changed. Of all nodes that reach the store
+    /// only the one of the first rank does so.
     pub(super) fn record_builds(&mut self, now: Millis) {
         let record = &self.build_record;
         let started = self
@@ -145,7 +145,7 @@
             .as_ref()
             .is_some_and(|(_, at)| now < at + RECORD_INTERVAL_MS);
         let usable = !self.store_unreachable && self.shutdown_at.is_none();
-        if !record.is_read || !started || waits || !usable || self.rank(now) > 0 {
+        if !record.is_read || !started || waits || !usable || self.store_rank(now) > 0 {
             return;
         }
         let listed = self.fleet.values().map(|state| &*state.endpoint);
@@ -248,7 +248,7 @@
     }
 
     /// Records the streams that began since the last time, if several software versions may
-    /// have begun one. The nodes of the first ranks do so.
+    /// have begun one. Of the nodes that reach the store those of the first ranks do so.
     pub(super) fn record_streams(&mut self, now: Millis) {
         let record = &self.stream_record;
         let interval = STREAM_RECORD_MS.max(self.settings.store_writes.map_or(0, |writes| {
@@ -258,7 +258,7 @@
             return;
         }
         self.stream_record.appended_at = now;
-        if !self.serves_several_builds(now) || self.rank(now) >= STREAM_RECORDERS {
+        if !self.serves_several_builds(now) || self.store_rank(now) >= STREAM_RECORDERS {
             return;
         }
         let since = self.stream_record.since;
--- a/crates/gateway/src/control/state/suspects.rs
+++ b/crates/gateway/src/control/state/suspects.rs
@@ -280,12 +280,13 @@
         }
     }
 
-    /// Records the suspects if they have changed. Of all nodes only the one of the
-    /// first rank does so.
+    /// Records the suspects if they have changed. Of all nodes that reach the store only the
+    /// one of the first rank does so.
     pub(super) fn record_suspects(&mut self, now: Millis) {
         let appended = self.suspects_record.appended.as_ref();
         let waits = appended.is_some_and(|(_, at)| now < at + RECORD_INTERVAL_MS);
-        if waits || self.store_unreachable || self.shutdown_at.is_some() || self.rank(now) > 0 {
+        if waits || self.store_unreachable || self.shutdown_at.is_some() || self.store_rank(now) > 0
+        {
             return;
         }
         let record = StoppedSuspects {
--- a/crates/gateway/src/control/state/topics.rs
+++ b/crates/gateway/src/control/state/topics.rs
@@ -70,16 +70,7 @@
         if self.store_unreachable || self.shutdown_at.is_some() {
             return usize::MAX;
         }
-        self.peers
-            .alive(now)
-            .filter(|peer| {
-                let state = &peer.state;
-                state.ready
-                    && !state.leaving
-                    && state.store_reachable
-                    && state.incarnation < self.incarnation
-            })
-            .count()
+        self.store_rank(now)
     }
 
     fn freshness_of(&mut self, topic: FollowedTopic) -> &mut Freshness {
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -583,13 +583,54 @@
 #[test]
 fn builds_are_recorded_by_one_node() {
     let mut harness = with_engines(&["v1"]);
-    // The incarnation of the node itself is 7.
     for now in (0..4_000).step_by(500) {
-        harness.datagram(3, Gossip::default(), now);
+        node_of_lower_rank(&mut harness, 3, true, now);
         assert_eq!(records_between(&mut harness, now, now + 1), []);
     }
 }
 
+/// Delivers the state of a node of lower rank than this one, whose incarnation is 7.
+fn node_of_lower_rank(harness: &mut Harness, node: u8, store_reachable: bool, now: u64) {
+    let from = SocketAddr::from(([10, 0, 1, node], 7_000));
+    let sender = NodeState {
+        incarnation: node.into(),
+        callers: format!("10.0.1.{node}:80"),
+        zone: "zone-a".to_owned(),
+        ready: true,
+        store_reachable,
+        ..NodeState::default()
+    };
+    let gossip = Gossip {
+        sender: Some(sender),
+        ..Gossip::default()
+    };
+    let event = Event::Datagram(from, gossip.encode_to_vec().into());
+    harness.control.handle(event, now);
+}
+
+/// Guards against streams of two software versions: the nodes of the first ranks are cut off
+/// from the store, no node records anything, and all of them end.
+#[test]
+fn versions_and_streams_are_recorded_while_the_first_ranks_do_not_reach_the_store() {
+    for (store_reachable, is_recorded) in [(true, false), (false, true)] {
+        let mut harness = with_engines(&["v1", "v2"]);
+        let event = Event::StreamBegun(begun("own", "v1"));
+        harness.control.handle(event, 10);
+        let mut effects = Vec::new();
+        for now in (0..4_000).step_by(500) {
+            for node in [3, 4] {
+                node_of_lower_rank(&mut harness, node, store_reachable, now);
+            }
+            effects.extend(harness.effects(now));
+        }
+        let versions = effects
+            .iter()
+            .any(|effect| matches!(effect, Effect::RecordBuilds(_)));
+        assert_eq!(versions, is_recorded);
+        assert_eq!(recorded_streams(&effects).is_some(), is_recorded);
+    }
+}
+
 /// Delivers a datagram of one of many nodes; each has its own address.
 fn datagram_of(harness: &mut Harness, node: u8, zone: &str, mut gossip: Gossip, now: u64) {
     let from = SocketAddr::from(([10, 0, 1, node], 7_000));
--- a/crates/gateway/tests/test_suspect_gossip.rs
+++ b/crates/gateway/tests/test_suspect_gossip.rs
@@ -8,7 +8,7 @@
 use common::{Harness, placement_request};
 use flamingolock_gateway::control::suspects::{CrashedRun, RunSubjects};
 use flamingolock_gateway::control::{Effect, Event, Refusal};
-use flamingolock_wire::gossip::{CrashRecord, Gossip, StoppedSuspects, SuspectRecord};
+use flamingolock_wire::gossip::{CrashRecord, Gossip, NodeState, StoppedSuspects, SuspectRecord};
 use prost::Message;
 
 /// The first part of the request with id 1 of the harness.
@@ -188,3 +188,27 @@
     crashes(&mut harness, 1, 1_000);
     assert_eq!(recorded(&mut harness, 2_300), None);
 }
+
+/// Guards against crashes that count no longer: the node of the first rank is cut off from
+/// the store, no node records anything, and all of them end.
+#[test]
+fn suspects_are_recorded_while_the_first_rank_does_not_reach_the_store() {
+    for (store_reachable, is_recorded) in [(true, false), (false, true)] {
+        let mut harness = Harness::with_engines(2, 0);
+        crashes(&mut harness, 2, 1_000);
+        let sender = NodeState {
+            incarnation: 3,
+            callers: "10.0.1.3:80".to_owned(),
+            ready: true,
+            store_reachable,
+            ..NodeState::default()
+        };
+        let gossip = Gossip {
+            sender: Some(sender),
+            ..Gossip::default()
+        };
+        let event = Event::Datagram(node_address(3), gossip.encode_to_vec().into());
+        harness.control.handle(event, 2_200);
+        assert_eq!(recorded(&mut harness, 2_300).is_some(), is_recorded);
+    }
+}
