suspects: a node replaces the record only once it has read it

A node that started and saw crashes before it had read the record of the suspects replaced it by what it had seen itself.

record_suspects had no guard as the record of software versions has. Now the program sends SuspectsRecovered when the read of the record has ended, whether or not there was one, and only then it is replaced. When the store comes back from a copy, only what was appended is forgotten, so that the node goes on recording.

Test: suspects_are_not_recorded_before_the_record_is_read. The three tests there that look at the record now begin with SuspectsRecovered, as the program sends it; no assertion changed.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -405,6 +405,8 @@
     StreamsRecorded(bool),
     /// The record of the stopped suspects was read when the node started.
     SuspectsRead(StoppedSuspects),
+    /// The record of the stopped suspects has been read, whether or not there was one.
+    SuspectsRecovered,
     /// An append of the record of the stopped suspects ended; true if it is stored.
     SuspectsRecorded(bool),
     /// A weight load order was answered, or its attempt ended without an answer.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -320,6 +320,7 @@
                 self.run_answered(&service, &subjects, now);
             }
             Event::SuspectsRead(recorded) => self.suspects_read(&recorded, now),
+            Event::SuspectsRecovered => self.suspects_recovered(),
             Event::SuspectsRecorded(stored) => self.suspects_recorded(stored),
             Event::Noticed(endpoint, notice) => self.noticed(&endpoint, notice, now),
             Event::LeavingElsewhere {
@@ -531,7 +532,7 @@
         self.lease.records_lost(now);
         self.build_record.forget_appends();
         self.stream_record = StreamRecord::default();
-        self.suspects_record = SuspectsRecord::default();
+        self.suspects_record.forget_appends();
         self.store_recovered_at = now;
         self.effects.push(Effect::Register);
     }
--- a/crates/gateway/src/control/state/suspects.rs
+++ b/crates/gateway/src/control/state/suspects.rs
@@ -30,12 +30,22 @@
 /// The record of the suspects, kept in the store for the case that all nodes end.
 #[derive(Debug, Default)]
 pub struct SuspectsRecord {
+    /// True once the record that the node found when it started has been read.
+    is_read: bool,
     /// What the store's record holds, as far as this node knows.
     stored: Recorded,
     /// Content of the last append, and its time.
     appended: Option<(Recorded, Millis)>,
 }
 
+impl SuspectsRecord {
+    /// Records that what was appended is lost.
+    pub(super) fn forget_appends(&mut self) {
+        self.stored = Recorded::default();
+        self.appended = None;
+    }
+}
+
 /// A run that ended while this node was cut off from its endpoint.
 #[derive(Debug)]
 pub struct UndecidedRun {
@@ -273,6 +283,12 @@
         self.merge_suspects(Subject::Request, &recorded.requests, now);
     }
 
+    /// Handles the end of the read of the record. Written before, it would lack the suspects
+    /// that nodes which ended have recorded.
+    pub(super) fn suspects_recovered(&mut self) {
+        self.suspects_record.is_read = true;
+    }
+
     /// Handles the end of an append of the record.
     pub(super) fn suspects_recorded(&mut self, stored: bool) {
         if let Some((content, _)) = self.suspects_record.appended.as_ref().filter(|_| stored) {
@@ -283,10 +299,11 @@
     /// Records the suspects if they have changed. Of all nodes that reach the store only the
     /// one of the first rank does so.
     pub(super) fn record_suspects(&mut self, now: Millis) {
-        let appended = self.suspects_record.appended.as_ref();
+        let record = &self.suspects_record;
+        let appended = record.appended.as_ref();
         let waits = appended.is_some_and(|(_, at)| now < at + RECORD_INTERVAL_MS);
-        if waits || self.store_unreachable || self.shutdown_at.is_some() || self.store_rank(now) > 0
-        {
+        let usable = !self.store_unreachable && self.shutdown_at.is_none();
+        if !record.is_read || waits || !usable || self.store_rank(now) > 0 {
             return;
         }
         let record = StoppedSuspects {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -163,13 +163,20 @@
 /// Reads what the nodes recorded before all of them ended.
 fn recover_records(settings: &Settings, dialect: &'static Dialect, handle: &Handle) {
     tokio::spawn(recover_streams(settings.clone(), dialect, handle.clone()));
-    tokio::spawn(store::read_record(
-        settings.clone(),
+    tokio::spawn(recover_suspects(settings.clone(), dialect, handle.clone()));
+}
+
+/// Reads the record of the suspects.
+async fn recover_suspects(settings: Settings, dialect: &'static Dialect, handle: Handle) {
+    store::read_record(
+        settings,
         dialect,
         handle.clone(),
         dialect.topics.suspects,
         Event::SuspectsRead,
-    ));
+    )
+    .await;
+    handle.send(Event::SuspectsRecovered);
 }
 
 /// Reads the records of streams and of software versions. The versions come last: with them
--- a/crates/gateway/tests/test_suspect_gossip.rs
+++ b/crates/gateway/tests/test_suspect_gossip.rs
@@ -156,6 +156,13 @@
     assert_eq!(refused, Some(Refusal::StoppedRequest { until: None }));
 }
 
+/// A node that has read the record of the suspects, as far as there was one.
+fn with_engines(count: usize, now: u64) -> Harness {
+    let mut harness = Harness::with_engines(count, now);
+    harness.control.handle(Event::SuspectsRecovered, now);
+    harness
+}
+
 fn recorded(harness: &mut Harness, now: u64) -> Option<StoppedSuspects> {
     let effects = harness.effects(now).into_iter();
     let mut records = effects.filter_map(|effect| match effect {
@@ -168,7 +175,7 @@
 /// All nodes end after each second crash, which doesn't stop the part.
 #[test]
 fn crashes_before_all_nodes_ended_count_on_for_nodes_that_start() {
-    let mut before = Harness::with_engines(2, 0);
+    let mut before = with_engines(2, 0);
     crashes(&mut before, 2, 1_000);
     assert_eq!(refusal(&mut before, 2_200), None);
     let record = recorded(&mut before, 2_300).expect("a record");
@@ -184,7 +191,7 @@
 
 #[test]
 fn one_crash_is_not_recorded() {
-    let mut harness = Harness::with_engines(2, 0);
+    let mut harness = with_engines(2, 0);
     crashes(&mut harness, 1, 1_000);
     assert_eq!(recorded(&mut harness, 2_300), None);
 }
@@ -194,7 +201,7 @@
 #[test]
 fn suspects_are_recorded_while_the_first_rank_does_not_reach_the_store() {
     for (store_reachable, is_recorded) in [(true, false), (false, true)] {
-        let mut harness = Harness::with_engines(2, 0);
+        let mut harness = with_engines(2, 0);
         crashes(&mut harness, 2, 1_000);
         let sender = NodeState {
             incarnation: 3,
@@ -212,3 +219,33 @@
         assert_eq!(recorded(&mut harness, 2_300).is_some(), is_recorded);
     }
 }
+
+/// Guards against crashes that count no longer: a node that had not read the record yet
+/// replaced it by what it saw itself, and all nodes ended.
+#[test]
+fn suspects_are_not_recorded_before_the_record_is_read() {
+    let mut harness = Harness::with_engines(2, 0);
+    crashes(&mut harness, 2, 1_000);
+    assert_eq!(recorded(&mut harness, 2_300), None);
+    let other = SuspectRecord {
+        id: PART + 1,
+        ..stopped_part()
+    };
+    let record = StoppedSuspects {
+        parts: vec![other],
+        requests: Vec::new(),
+    };
+    let event = Event::SuspectsRead(record);
+    harness.control.handle(event, 2_400);
+    harness.control.handle(Event::SuspectsRecovered, 2_400);
+    let record = recorded(&mut harness, 3_500).expect("a record");
+    let parts: Vec<u64> = record.parts.iter().map(|part| part.id).collect();
+    assert_eq!(parts, [PART, PART + 1]);
+    harness.control.handle(Event::SuspectsRecorded(true), 3_510);
+    assert_eq!(recorded(&mut harness, 5_000), None, "it is stored");
+    for era in [1, 2] {
+        harness.control.handle(Event::StoreEra(era), 5_010);
+    }
+    let again = recorded(&mut harness, 6_000);
+    assert!(again.is_some(), "the store came back without it");
+}
