streams: an unclear stream says nothing about other streams

Unclear streams are remembered with an empty version, and builds() returned it as one more version that began streams, other than the only listed one. It now leaves it out. The unclear stream itself is still refused.

Test: unclear_stream_does_not_hold_up_other_ones.

--- a/crates/gateway/src/control/begun_streams.rs
+++ b/crates/gateway/src/control/begun_streams.rs
@@ -108,10 +108,10 @@
         Some((begun.build.clone(), begun.source))
     }
 
-    /// Returns the software versions that began any of the streams.
+    /// Returns the software versions that are known to have begun any of the streams.
     pub fn builds(&self) -> BTreeSet<Arc<str>> {
-        let streams = self.streams.values();
-        streams.map(|begun| begun.build.clone()).collect()
+        let builds = self.streams.values().map(|begun| &begun.build);
+        builds.filter(|build| !build.is_empty()).cloned().collect()
     }
 
     /// Returns all streams, for a node that may not know them.
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -76,6 +76,18 @@
     }
 }
 
+/// Guards against lost streams: while one was remembered whose version is not clear, none that
+/// is not remembered was taken up.
+#[test]
+fn unclear_stream_does_not_hold_up_other_ones() {
+    let mut harness = with_engines(&["v1"]);
+    harness.entries_read(9_900);
+    harness.datagram(9, streams(&[begun("unclear", "")]), 9_910);
+    assert_eq!(build_of(resume(&mut harness, "unknown", 10_000)), "v1");
+    let refusal = resume(&mut harness, "unclear", 10_000).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
+
 #[test]
 fn stream_whose_first_engine_sent_no_event_belongs_to_the_next_one() {
     let mut harness = with_engines(&["v1", "v2"]);
