--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -39,7 +39,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
-use flamingolock_wire::gossip::{BegunStream, BegunStreamList, BuildHistory, StoppedSuspects};
+use flamingolock_wire::gossip::{BegunStream, BegunStreamList, BuildHistory, RecordedSuspects};
 use flamingolock_wire::topic_copies::CopiesRequest;
 use tokio::sync::{mpsc, oneshot};
 
@@ -404,7 +404,7 @@
     /// An append to the record of the streams ended; true if it is stored.
     StreamsRecorded(bool),
     /// The record of the stopped suspects was read when the node started.
-    SuspectsRead(StoppedSuspects),
+    SuspectsRead(RecordedSuspects),
     /// The record of the stopped suspects has been read, whether or not there was one.
     SuspectsRecovered,
     /// An append of the record of the stopped suspects ended; true if it is stored.
@@ -454,7 +454,7 @@
     /// Add streams to the record of those that began.
     RecordStreams(BegunStreamList),
     /// Record the prompt parts and requests that crashes speak against.
-    RecordSuspects(StoppedSuspects),
+    RecordSuspects(RecordedSuspects),
     /// Send an order to an engine.
     SendOrder(Box<WeightsOrder>),
     /// Connect to an endpoint, and keep the connection unless there are this many.
--- a/crates/gateway/src/control/state/suspects.rs
+++ b/crates/gateway/src/control/state/suspects.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use flamingolock_wire::gossip::{StoppedSuspects, SuspectRecord};
+use flamingolock_wire::gossip::{RecordedSuspects, SuspectRecord};
 
 use super::Control;
 use crate::clock::Millis;
@@ -67,7 +67,7 @@
     suspects.iter().map(|suspect| suspect.id).collect()
 }
 
-fn content(record: &StoppedSuspects) -> Recorded {
+fn content(record: &RecordedSuspects) -> Recorded {
     let counts = |suspects: &[SuspectRecord]| {
         let counts = suspects.iter().map(|one| (one.id, one.crashes.len()));
         counts.collect()
@@ -275,7 +275,7 @@
     }
 
     /// Handles the record that the node found when it started.
-    pub(super) fn suspects_read(&mut self, recorded: &StoppedSuspects, now: Millis) {
+    pub(super) fn suspects_read(&mut self, recorded: &RecordedSuspects, now: Millis) {
         log::info!(parts = recorded.parts.len(), requests = recorded.requests.len();
             "read the recorded suspects that crash endpoints");
         self.suspects_record.stored = content(recorded);
@@ -306,7 +306,7 @@
         if !record.is_read || waits || !usable || self.store_rank(now) > 0 {
             return;
         }
-        let record = StoppedSuspects {
+        let record = RecordedSuspects {
             parts: self.suspect_parts.recorded(),
             requests: self.suspect_requests.recorded(),
         };
--- a/crates/gateway/tests/test_suspect_gossip.rs
+++ b/crates/gateway/tests/test_suspect_gossip.rs
@@ -8,7 +8,7 @@
 use common::{Harness, placement_request};
 use flamingolock_gateway::control::suspects::{CrashedRun, RunSubjects};
 use flamingolock_gateway::control::{Effect, Event, Refusal};
-use flamingolock_wire::gossip::{CrashRecord, Gossip, NodeState, StoppedSuspects, SuspectRecord};
+use flamingolock_wire::gossip::{CrashRecord, Gossip, NodeState, RecordedSuspects, SuspectRecord};
 use prost::Message;
 
 /// The first part of the request with id 1 of the harness.
@@ -163,7 +163,7 @@
     harness
 }
 
-fn recorded(harness: &mut Harness, now: u64) -> Option<StoppedSuspects> {
+fn recorded(harness: &mut Harness, now: u64) -> Option<RecordedSuspects> {
     let effects = harness.effects(now).into_iter();
     let mut records = effects.filter_map(|effect| match effect {
         Effect::RecordSuspects(record) => Some(record),
@@ -231,7 +231,7 @@
         id: PART + 1,
         ..stopped_part()
     };
-    let record = StoppedSuspects {
+    let record = RecordedSuspects {
         parts: vec![other],
         requests: Vec::new(),
     };
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -174,7 +174,7 @@
 /// What nodes keep in the store of prompt parts and requests that are stopped, or that
 /// several crashes speak against. Ages count from the last crash of each.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct StoppedSuspects {
+pub struct RecordedSuspects {
     /// The prompt parts.
     #[prost(message, repeated, tag = "1")]
     pub parts: Vec<SuspectRecord>,
