placement: whether a request may be placed is decided in a function of its own

handle_placement found out the software version, refused, counted and queued. Behaviour is as it was. peers.rs says why a silent node's share lapses, and how the two counts of nodes differ.

--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -20,7 +20,7 @@
 const MAX_FULL_MESH_PEERS: usize = 16;
 
 /// Time without a datagram after which a node no longer counts as sharing limits, relative to
-/// the window of the retry budget.
+/// the window of the retry budget: what it sent last has left the window by then.
 const LIMIT_SHARE_WINDOWS: f64 = 1.2;
 
 /// Interval of datagrams to an address that does not answer, in ms.
@@ -248,9 +248,9 @@
     }
 
     /// Returns the largest number of nodes that may use the slack of the retry budget,
-    /// including this one; none if the registry was not read. A node that hears no more than
-    /// half of those that it has heard before may be cut off from the others, which go on:
-    /// then the silent ones keep their share.
+    /// including this one; none if the registry was not read. That is the number that share
+    /// limits, but a node that hears no more than half of those that it has heard before may
+    /// be cut off from the others, which go on: then the silent ones keep their share.
     pub fn max_nodes_with_slack(&self, now: Millis) -> Option<usize> {
         if !self.has_list {
             return None;
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -99,30 +99,10 @@
         reply: oneshot::Sender<Placement>,
         now: Millis,
     ) {
-        let is_elsewhere = self.goes_elsewhere(&request);
-        if let BuildRule::SameAs(begun_by) = request.build_rule
-            && !is_elsewhere
-        {
-            let Some(build) = self.build_of_stream(begun_by, &request, now) else {
-                self.refuse(&request, Refusal::UnknownBuild, reply);
-                return;
-            };
-            request.build_rule = BuildRule::Only(build);
-        }
-        if matches!(request.build_rule, BuildRule::Only(_)) && self.is_unclear(&request.id) {
-            self.refuse(&request, Refusal::UnknownBuild, reply);
+        if let Err(refusal) = self.admit(&mut request, now) {
+            self.refuse(&request, refusal, reply);
             return;
         }
-        // One that another node handed on may have reached an endpoint before.
-        if request.is_retry {
-            if !self.may_retry(&request, now) {
-                self.refuse(&request, Refusal::Budget, reply);
-                return;
-            }
-        } else if request.tried.is_empty() && request.tried_nodes.is_empty() && !is_elsewhere {
-            // The node that places it counts it.
-            self.budget.record_request(&request.service, now);
-        }
         let deadline = now + request.max_wait.as_millis() as Millis;
         let place = (request.priority, self.waiting_alike(&request));
         let queued = QueuedRequest {
@@ -142,6 +122,33 @@
         }
     }
 
+    /// Finds out which software version a resumed stream needs, and counts the request.
+    fn admit(&mut self, request: &mut PlacementRequest, now: Millis) -> Result<(), Refusal> {
+        let is_elsewhere = self.goes_elsewhere(request);
+        if let BuildRule::SameAs(begun_by) = request.build_rule
+            && !is_elsewhere
+        {
+            let build = self.build_of_stream(begun_by, request, now);
+            request.build_rule = BuildRule::Only(build.ok_or(Refusal::UnknownBuild)?);
+        }
+        if matches!(request.build_rule, BuildRule::Only(_)) && self.is_unclear(&request.id) {
+            return Err(Refusal::UnknownBuild);
+        }
+        // One that another node handed on may have reached an endpoint before.
+        if request.is_retry {
+            return if self.may_retry(request, now) {
+                Ok(())
+            } else {
+                Err(Refusal::Budget)
+            };
+        }
+        // The node that places it counts it.
+        if request.tried.is_empty() && request.tried_nodes.is_empty() && !is_elsewhere {
+            self.budget.record_request(&request.service, now);
+        }
+        Ok(())
+    }
+
     /// Takes a retry from the budget; returns false if there is none left.
     fn may_retry(&mut self, request: &PlacementRequest, now: Millis) -> bool {
         let share = self.slack_share(now);
