wire, settings: fields for quotas, priorities of runs, descriptors and engine memory

Nothing reads them yet, except that nodes tell the priority of their runs. Messages of older builds lack the fields and are read as before.

--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -90,6 +90,7 @@
                 .map_or(0, |address| address.port().into()),
             issues_permits: self.issues_permits(now),
             takes_requests: self.settings.control.is_some(),
+            grants_quota: false,
             cut_off: self
                 .reach
                 .cut_services()
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -473,6 +473,7 @@
             node: 0,
             is_long_answer: request.output_tokens >= LONG_ANSWER_TOKENS,
             reuses_place,
+            priority: Some(u32::from(request.priority)),
         };
         let endpoint = self.fleet[&key].endpoint.clone();
         let limit = self.limits.limit_of(&endpoint);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -62,6 +62,10 @@
     pub capacity: u32,
     /// Memory limit of the process in MB; 0 when unknown.
     pub memory_mb: u64,
+    /// Maximum number of open descriptors; 0 when unknown.
+    pub max_fds: u64,
+    /// True if an engine crashes when the requests that it holds exceed its memory.
+    pub bounds_engine_memory: bool,
     /// All availability zones.
     pub zones: Vec<String>,
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -50,6 +50,8 @@
         catalog_bound: Duration::from_secs(2),
         capacity: 250,
         memory_mb: 110,
+        max_fds: 0,
+        bounds_engine_memory: false,
         zones: vec!["zone-a".to_owned()],
     }
 }
--- a/crates/gateway/tests/test_odd_messages.rs
+++ b/crates/gateway/tests/test_odd_messages.rs
@@ -67,7 +67,7 @@
     fn run()(number in 0..3_u64, endpoint in engine(), step in 0..4_u32, prefill_us in short(), tokens in short(),
         parts in prop::collection::vec(any::<u64>(), 0..3), node in long(), is_long_answer in any::<bool>()) -> Run {
         Run { number, endpoint, step, prefill_us, tokens, parts, is_stored: is_long_answer, node, is_long_answer,
-            reuses_place: is_long_answer }
+            reuses_place: is_long_answer, priority: is_long_answer.then_some(tokens) }
     }
 }
 
@@ -83,7 +83,8 @@
         lease_end in long(), name in text(), gossip in text(), capacity in short(), control_port in short(),
         cut_off in prop::collection::vec(text(), 0..3)) -> NodeState {
         NodeState { incarnation, callers, zone, leaving, ready, lease_end, name, gossip, capacity,
-            store_reachable: ready, control_port, issues_permits: ready, cut_off, takes_requests: leaving }
+            store_reachable: ready, control_port, issues_permits: ready, cut_off, takes_requests: leaving,
+            grants_quota: ready }
     }
 }
 
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -70,6 +70,57 @@
     /// Brittle endpoints that refused a request for want of room.
     #[prost(message, repeated, tag = "18")]
     pub full: Vec<FullEndpoint>,
+    /// Asks for a part of a workspace's quota. Such a datagram has no sender.
+    #[prost(message, optional, tag = "19")]
+    pub quota_request: Option<QuotaRequest>,
+    /// Answers a request for quota. Such a datagram has no sender.
+    #[prost(message, optional, tag = "20")]
+    pub quota_answer: Option<QuotaAnswer>,
+    /// Returns a grant of quota that was not used. Such a datagram has no sender.
+    #[prost(message, optional, tag = "21")]
+    pub quota_return: Option<QuotaReturn>,
+}
+
+/// Asks an owner of a workspace's token bucket for the cost of one request.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct QuotaRequest {
+    /// Number of the ask at its node.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Name of the workspace.
+    #[prost(string, tag = "2")]
+    pub workspace: String,
+    /// Cost of the request, in the unit of the quota.
+    #[prost(uint32, tag = "3")]
+    pub cost: u32,
+    /// Longest time until the grant is usable, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub max_wait_ms: u32,
+    /// Slot of the bucket: 0 or 1.
+    #[prost(uint32, tag = "5")]
+    pub slot: u32,
+}
+
+/// Answer of the owner of a bucket. Neither field is set if the node does not own it.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct QuotaAnswer {
+    /// Number of the ask.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Time after which the grant is usable, in milliseconds; absent if there is none.
+    #[prost(uint32, optional, tag = "2")]
+    pub usable_after_ms: Option<u32>,
+    /// Time after which there is quota for the refused request, in milliseconds.
+    #[prost(uint32, optional, tag = "3")]
+    pub refused_for_ms: Option<u32>,
+}
+
+/// Returns a grant that was not used.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct QuotaReturn {
+    /// Number of the ask.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
 }
 
 /// A version of a model's weights that the operator named.
@@ -328,6 +379,9 @@
     /// True if it takes requests that other nodes hand on, at its control port.
     #[prost(bool, tag = "14")]
     pub takes_requests: bool,
+    /// True if it may own token buckets of workspaces' quotas.
+    #[prost(bool, tag = "15")]
+    pub grants_quota: bool,
 }
 
 /// An update on a run, which is one request at one endpoint.
@@ -364,6 +418,10 @@
     /// has ended.
     #[prost(bool, tag = "10")]
     pub reuses_place: bool,
+    /// Priority with which the endpoint queues it, 0 being the most urgent; absent if the
+    /// node does not tell.
+    #[prost(uint32, optional, tag = "11")]
+    pub priority: Option<u32>,
 }
 
 /// An engine that is reserved for loading weights, or is loading them.
