control: expected and actual waits, learned speed of each engine

Cause: nothing compares the expected wait for the first token with the actual one, and the factor of an engine's speed is clamped to 0.7..6, so that a fast engine looks like any other. Change: each run of a node keeps its expected wait; the first token logs both, records histograms and a moving error. The speed is the weighted median of recent observations from 1/64 to 64; a new engine starts with the median of its service.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -30,6 +30,7 @@
 pub mod stated_limits;
 pub mod suspect;
 pub mod suspects;
+pub mod wait_error;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -120,6 +121,8 @@
     pub run_number: u64,
     /// Endpoint that the request is assigned to.
     pub endpoint: Arc<Endpoint>,
+    /// Expected time to the first token, in ms; 0 at an application server.
+    pub expected_ms: f64,
     /// Version of the model weights that must serve the request.
     pub weights: Option<u64>,
     /// Salt that names the namespace of the request's cached prompt parts.
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -1,6 +1,7 @@
 //! Load and health of endpoints.
 
 mod estimate;
+mod speed;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -8,6 +9,8 @@
 use flamingolock_wire::gossip::Run;
 
 pub use self::estimate::{Estimate, EstimateContext};
+pub use self::speed::first_guess;
+use self::speed::{PrefillTime, Speed};
 use crate::clock::Millis;
 use crate::control::RunEnd;
 use crate::control::cache_index::PartKey;
@@ -18,6 +21,12 @@
 /// Time from the end of prefill to the first token, in ms.
 const FIRST_STEP_MS: f64 = 20.0;
 
+/// Shortest prefill from which the speed of an engine is learned, in ms.
+const MIN_PREFILL_MS: f64 = 5.0;
+
+/// Priority of the runs of builds that state none.
+const DEFAULT_PRIORITY: u8 = 5;
+
 /// Time after which a run without a first token no longer counts towards the
 /// prefill queue, in ms.
 const PREFILL_TIMEOUT_MS: Millis = 6_000;
@@ -81,6 +90,26 @@
     is_long_answer: bool,
     is_stored: bool,
     parts: Vec<PartKey>,
+    priority: u8,
+    /// Number of requests without a first token when it was sent.
+    ahead: usize,
+    /// Id of the request and its expected wait in ms, for runs of this node at engines.
+    expected: Option<(Arc<str>, f64)>,
+}
+
+/// Expected and actual wait of a run of this node for its first token.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wait {
+    /// Id of the request.
+    pub request: Arc<str>,
+    /// Priority of the request.
+    pub priority: u8,
+    /// Wait that was expected when the request was placed, in ms.
+    pub expected_ms: f64,
+    /// Time from sending the request to its first token, in ms.
+    pub actual_ms: Millis,
+    /// Number of requests without a first token when it was sent.
+    pub ahead: usize,
 }
 
 impl RunningRequest {
@@ -110,7 +139,7 @@
 }
 
 /// What the first token of a run tells.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq)]
 pub struct FirstToken {
     /// Parts of its prompt, which are now prefilled.
     pub parts: Vec<PartKey>,
@@ -119,6 +148,8 @@
     /// Time from the start of the engine's load to the sending of the request, in ms, if
     /// it is the first one since.
     pub loaded_ms: Option<Millis>,
+    /// How long it waited, if it is a run of this node at an engine.
+    pub wait: Option<Wait>,
 }
 
 /// Known state of an endpoint.
@@ -143,6 +174,7 @@
     pub reachability: Reachability,
     backoff_level: u32,
     failure_rate: f64,
+    speed: Speed,
     slowdown: f64,
     /// Time of the last first token.
     first_token_at: Millis,
@@ -168,6 +200,7 @@
             reachability: Reachability::default(),
             backoff_level: 0,
             failure_rate: 0.0,
+            speed: Speed::new(1.0),
             slowdown: 1.0,
             first_token_at: 0,
             run_ms: None,
@@ -177,6 +210,25 @@
         }
     }
 
+    /// The same with a first guess of the factor by which its prefill is slower than assumed.
+    pub fn with_slowdown(endpoint: Endpoint, guess: f64) -> Self {
+        Self {
+            speed: Speed::new(guess),
+            slowdown: guess,
+            ..Self::new(endpoint)
+        }
+    }
+
+    /// Factor by which its prefill is slower than assumed.
+    pub fn slowdown(&self) -> f64 {
+        self.slowdown
+    }
+
+    /// The same, if it was learned from the requests of this incarnation.
+    pub fn learned_slowdown(&self) -> Option<f64> {
+        self.speed.learned()
+    }
+
     /// Applies a newer entry of the same incarnation of the endpoint.
     pub fn update(&mut self, endpoint: Endpoint) {
         for (model, version) in &endpoint.weights {
@@ -252,6 +304,7 @@
         self.runs
             .retain(|_, run| now < run.sent_at + RUN_TIMEOUT_MS);
         let queued_ms = self.prefill_queue_ms(now) / self.slowdown;
+        let ahead = self.waiting(now);
         self.runs.insert(
             id,
             RunningRequest {
@@ -263,10 +316,23 @@
                 is_long_answer: run.is_long_answer,
                 is_stored: run.is_stored,
                 parts: run.parts.clone(),
+                priority: run
+                    .priority
+                    .and_then(|priority| u8::try_from(priority).ok())
+                    .unwrap_or(DEFAULT_PRIORITY),
+                ahead,
+                expected: None,
             },
         );
     }
 
+    /// Records the expected wait of a run of this node, in ms; 0 if none is expected.
+    pub fn expect_wait(&mut self, id: RunId, request: &Arc<str>, expected_ms: f64) {
+        if let Some(run) = self.runs.get_mut(&id).filter(|_| expected_ms > 0.0) {
+            run.expected = Some((request.clone(), expected_ms));
+        }
+    }
+
     /// Records that another node tells of a load. Returns false if it is already done.
     pub fn load_told(&mut self, load: Load) -> bool {
         match &mut self.load {
@@ -363,7 +429,20 @@
         let took = (now - run.sent_at) as f64;
         let waited_ms = run.waited_ms(now - run.sent_at, self.slowdown);
         self.waits.record(waited_ms, now);
-        let ratio = took / (run.queued_ms + run.prefill_ms + FIRST_STEP_MS);
+        let time = PrefillTime {
+            took_ms: took,
+            prefill_ms: run.prefill_ms,
+            queued_ms: run.queued_ms,
+            step_ms: FIRST_STEP_MS,
+            ahead: run.ahead,
+        };
+        let wait = run.expected.take().map(|(request, expected_ms)| Wait {
+            request,
+            priority: run.priority,
+            expected_ms,
+            actual_ms: now - run.sent_at,
+            ahead: run.ahead,
+        });
         let load = self.load.as_ref().filter(|load| !load.is_done());
         let loaded_ms = load
             .and_then(|load| run.sent_at.checked_sub(load.started_at))
@@ -372,9 +451,11 @@
             parts: std::mem::take(&mut run.parts),
             is_stored: run.is_stored,
             loaded_ms,
+            wait,
         };
-        if run.prefill_ms > 5.0 {
-            self.slowdown = (0.9 * self.slowdown + 0.1 * ratio.clamp(0.5, 8.0)).clamp(0.7, 6.0);
+        if run.prefill_ms > MIN_PREFILL_MS {
+            self.speed.record(&time);
+            self.slowdown = self.speed.slowdown();
         }
         Some(first)
     }
--- a/crates/gateway/src/control/fleet/estimate.rs
+++ b/crates/gateway/src/control/fleet/estimate.rs
@@ -99,6 +99,14 @@
     pub parts: Vec<(PartKey, u32)>,
 }
 
+impl Estimate {
+    /// Expected time from the sending of the request to its first token, in ms; 0 at an
+    /// application server.
+    pub fn expected_ms(&self) -> f64 {
+        self.queue_ms + self.own_ms
+    }
+}
+
 /// Inputs of an estimate that are the same for all endpoints.
 #[derive(Clone, Copy, Debug)]
 pub struct EstimateContext<'a> {
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,6 +1,7 @@
 //! State of the control thread and its event handlers.
 
 mod brittle;
+mod first_tokens;
 mod gossip;
 mod handover;
 mod limits;
@@ -49,6 +50,7 @@
 use crate::control::stated_limits::StatedLimits;
 use crate::control::suspect::Subject;
 use crate::control::suspects::Suspects;
+use crate::control::wait_error::WaitErrors;
 use crate::control::{Effect, Event, Placement, PlacementRequest, View};
 use crate::dialect::{Dialect, KeyedRecord, OrderOutcome, WeightsOrder};
 use crate::endpoint::{Endpoint, EndpointKey};
@@ -109,6 +111,7 @@
     metrics: Arc<Metrics>,
     catalog: Option<Arc<Catalog>>,
     fleet: BTreeMap<EndpointKey, EndpointState>,
+    wait_errors: WaitErrors,
     reach: Reach,
     /// Services that this node is cut off from while another node reaches them.
     cut_services: BTreeSet<Arc<str>>,
@@ -222,6 +225,7 @@
             metrics,
             catalog: None,
             fleet: BTreeMap::new(),
+            wait_errors: WaitErrors::default(),
             reach: Reach::default(),
             cut_services: BTreeSet::new(),
             handovers: Handovers::default(),
@@ -487,16 +491,6 @@
         self.gossip_pending_at.get_or_insert(now);
     }
 
-    /// Records the version of a model's weights that an engine stated.
-    fn weights_stated(&mut self, engine: EndpointKey, model: Option<String>, version: Option<u64>) {
-        if let (Some(state), Some(version), Some(model)) =
-            (self.fleet.get_mut(&engine), version, model)
-            && state.update_weights(&model, version)
-        {
-            self.parts.remove_engine(engine);
-        }
-    }
-
     fn store_failed(&mut self, now: Millis) {
         self.metrics.count(EventKind::StoreCall, "failed");
         if !self.store_unreachable {
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -486,6 +486,7 @@
         let run_id = (self.incarnation, number);
         if let Some(state) = self.fleet.get_mut(&key) {
             state.run_sent(run_id, &run, now);
+            state.expect_wait(run_id, &request.id, estimate.expected_ms());
         }
         let due_at = now + request.target.as_millis() as Millis;
         self.reach
@@ -505,6 +506,7 @@
         Grant {
             run_number: number,
             endpoint,
+            expected_ms: estimate.expected_ms(),
             weights: estimate.version,
             salt,
             kv_source,
@@ -528,45 +530,6 @@
         (connections as usize).max(1)
     }
 
-    pub(super) fn first_token(&mut self, endpoint: EndpointKey, number: u64, now: Millis) {
-        let Some(state) = self.fleet.get_mut(&endpoint) else {
-            return;
-        };
-        state.reachability.answered(now);
-        if let Some(first) = state.first_token((self.incarnation, number), now) {
-            self.parts
-                .mark_cached(endpoint, &first.parts, first.is_stored, now);
-            self.engine_serves(endpoint, first.loaded_ms, now);
-            self.queue_run_update(
-                Run {
-                    number,
-                    endpoint,
-                    step: 1,
-                    ..Run::default()
-                },
-                now,
-            );
-        }
-    }
-
-    /// Handles the first token of a request that was sent `loaded_ms` after the engine began
-    /// to load weights, if it is the first one since.
-    pub(super) fn engine_serves(
-        &mut self,
-        endpoint: EndpointKey,
-        loaded_ms: Option<Millis>,
-        now: Millis,
-    ) {
-        let Some(took) = loaded_ms else {
-            return;
-        };
-        if self.lease.held_by_me() {
-            self.rollout.load_done(&mut self.fleet, endpoint, took, now);
-        } else if let Some(state) = self.fleet.get_mut(&endpoint) {
-            state.load_done(now);
-        }
-    }
-
     pub(super) fn run_ended(
         &mut self,
         endpoint: EndpointKey,
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -11,7 +11,7 @@
 use crate::clock::Millis;
 use crate::control::Effect;
 use crate::control::cache_index::{key, namespace_of};
-use crate::control::fleet::EndpointState;
+use crate::control::fleet::{EndpointState, first_guess};
 use crate::control::named_weights::WriteTime;
 use crate::control::notices::Notice;
 use crate::control::operator_records::OperatorUpdate;
@@ -215,10 +215,14 @@
                     "endpoint listed");
                 self.doubt_streams(key, &entry.build, now);
                 self.parts.remove_engine(key);
+                let others = self.fleet.values();
+                let alike = others.filter(|state| state.endpoint.service == entry.service);
+                let slowdown = first_guess(alike.filter_map(EndpointState::learned_slowdown));
                 if !entry.weights.is_empty() && self.fleet.len() < CACHE_QUERY_MAX_ENGINES {
                     self.query_cache(entry.address, Some(key), now);
                 }
-                if let Some(replaced) = self.fleet.insert(key, EndpointState::new(entry)) {
+                let state = EndpointState::with_slowdown(entry, slowdown);
+                if let Some(replaced) = self.fleet.insert(key, state) {
                     self.listed_builds.endpoint_dropped(&replaced.endpoint, now);
                 }
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a node.
 
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -12,6 +13,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::catalog::{RequestKind, Route};
+use crate::control::wait_error::{MAX_PRIORITY, WaitError};
 use crate::response::ErrorReason;
 
 /// Labels of a response: kind of the request and status.
@@ -80,6 +82,13 @@
     service: String,
 }
 
+/// Labels of waits for the first token.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct WaitLabels {
+    service: String,
+    priority: u32,
+}
+
 /// All metrics of a node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -92,6 +101,10 @@
     limited_endpoints: Gauge,
     load_ms: Family<ServiceLabel, Gauge>,
     concurrent_loads: Family<ServiceLabel, Gauge>,
+    expected_wait: Family<WaitLabels, Histogram>,
+    actual_wait: Family<WaitLabels, Histogram>,
+    wait_ratio: Family<WaitLabels, Gauge<f64, AtomicU64>>,
+    wait_factor: Family<WaitLabels, Gauge<f64, AtomicU64>>,
 }
 
 fn first_byte_histogram() -> Histogram {
@@ -111,6 +124,10 @@
             limited_endpoints: Gauge::default(),
             load_ms: Family::default(),
             concurrent_loads: Family::default(),
+            expected_wait: Family::new_with_constructor(first_byte_histogram as fn() -> Histogram),
+            actual_wait: Family::new_with_constructor(first_byte_histogram as fn() -> Histogram),
+            wait_ratio: Family::default(),
+            wait_factor: Family::default(),
         };
         if let Ok(mut registry) = metrics.registry.lock() {
             registry.register(
@@ -153,6 +170,26 @@
                 "Time from a request's head to the head of its answer",
                 metrics.first_byte.clone(),
             );
+            registry.register(
+                "expected_wait_seconds",
+                "Time to the first token that was expected when a request was placed at an engine",
+                metrics.expected_wait.clone(),
+            );
+            registry.register(
+                "actual_wait_seconds",
+                "Time from sending a request to an engine to its first token",
+                metrics.actual_wait.clone(),
+            );
+            registry.register(
+                "wait_error_ratio",
+                "Moving mean of actual by expected wait",
+                metrics.wait_ratio.clone(),
+            );
+            registry.register(
+                "wait_safety_factor",
+                "Multiple of the expected wait that holds in 95 of 100 cases",
+                metrics.wait_factor.clone(),
+            );
         }
         metrics
     }
@@ -216,6 +253,27 @@
         self.retries.get_or_create(&labels).inc();
     }
 
+    /// Records the expected and the actual wait of a request in ms, and the error since.
+    pub fn record_wait(
+        &self,
+        service: &str,
+        priority: u8,
+        (expected_ms, actual_ms): (f64, f64),
+        error: &WaitError,
+    ) {
+        let labels = WaitLabels {
+            service: service.to_owned(),
+            priority: u32::from(priority.min(MAX_PRIORITY)),
+        };
+        let expected = self.expected_wait.get_or_create(&labels);
+        expected.observe(expected_ms / 1000.0);
+        let actual = self.actual_wait.get_or_create(&labels);
+        actual.observe(actual_ms / 1000.0);
+        self.wait_ratio.get_or_create(&labels).set(error.mean);
+        let factor = self.wait_factor.get_or_create(&labels);
+        factor.set(error.safety_factor());
+    }
+
     /// Sets the number of endpoints that state a limit of requests.
     pub fn set_limited_endpoints(&self, count: usize) {
         self.limited_endpoints
--- a/crates/gateway/tests/common/rollout.rs
+++ b/crates/gateway/tests/common/rollout.rs
@@ -71,6 +71,8 @@
     /// When the requests that wait begin.
     starts: VecDeque<u64>,
     cached: BTreeSet<u64>,
+    /// Factor by which it reads prompts slower than the deployment says.
+    slowness: f64,
 }
 
 impl Engine {
@@ -82,6 +84,7 @@
             busy_until: 0,
             starts: VecDeque::new(),
             cached: BTreeSet::new(),
+            slowness: 1.0,
         }
     }
 
@@ -149,6 +152,9 @@
     due: BTreeMap<(u64, u64), Due>,
     waiting: Vec<(oneshot::Receiver<Placement>, Request)>,
     outcomes: BTreeMap<u64, Outcomes>,
+    /// Time of the first token, expected and actual wait of each run, in ms.
+    pub waits: Vec<(u64, f64, f64)>,
+    granted_at: BTreeMap<u64, u64>,
     /// Versions of the weights and when they were named.
     named: Vec<(u64, u64)>,
     bound_ms: u64,
@@ -185,6 +191,8 @@
             due: BTreeMap::new(),
             waiting: Vec::new(),
             outcomes: BTreeMap::new(),
+            waits: Vec::new(),
+            granted_at: BTreeMap::new(),
             named: Vec::new(),
             bound_ms,
             unknown_share: 0.0,
@@ -230,6 +238,13 @@
         engine.loader.hangs = true;
     }
 
+    /// Makes an engine read prompts slower than the deployment says by this factor.
+    pub fn set_slowness(&mut self, number: usize, slowness: f64) {
+        let key = Endpoint::key_of(&format!("e{number}"));
+        let engine = self.engines.get_mut(&key).expect("an engine");
+        engine.slowness = slowness;
+    }
+
     /// Crashes the first engines: they are silent, and come back later with the weights
     /// that they have.
     pub fn crash(&mut self, count: usize) {
@@ -339,7 +354,10 @@
     fn collect_placements(&mut self) {
         for (mut receiver, request) in std::mem::take(&mut self.waiting) {
             match receiver.try_recv() {
-                Ok(Ok(grant)) => self.after(1, Due::Arrive(Box::new(grant), request)),
+                Ok(Ok(grant)) => {
+                    self.granted_at.insert(grant.run_number, self.now);
+                    self.after(1, Due::Arrive(Box::new(grant), request));
+                }
                 Ok(Err(_)) => self.fail(&request),
                 Err(_) => self.waiting.push((receiver, request)),
             }
@@ -431,6 +449,9 @@
                 self.count_late_start(&grant);
                 let in_aim = now <= arrived_at + self.deployment.aim_ms;
                 self.outcomes.entry(arrived_at).or_default().in_aim += usize::from(in_aim);
+                let sent_at = self.granted_at.get(&grant.run_number).copied();
+                let actual = (now - sent_at.unwrap_or(now)) as f64;
+                self.waits.push((now, grant.expected_ms, actual));
                 let first = Event::FirstToken {
                     endpoint: grant.endpoint.key(),
                     run_number: grant.run_number,
@@ -536,7 +557,8 @@
             engine.cached.extend(parts.iter().map(|part| part.id));
             let start = engine.busy_until.max(self.now);
             engine.starts.push_back(start);
-            engine.busy_until = start + tokens / self.deployment.tokens_per_ms;
+            let read_ms = tokens as f64 * engine.slowness / self.deployment.tokens_per_ms as f64;
+            engine.busy_until = start + read_ms as u64;
             let delay = engine.busy_until + FIRST_STEP_MS - self.now;
             self.after(delay, Due::FirstToken(grant, request.arrived_at));
             return;
