gateway: tests of the learned speed and of expected waits

Change: a queued prompt counts with the interval since the first token before it, at half weight; the simulation has engines of several speeds.

--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -82,9 +82,6 @@
 pub struct RunningRequest {
     sent_at: Millis,
     prefill_ms: f64,
-    /// Estimated prefill time of the requests ahead of it when it was sent, in ms,
-    /// before the slowdown of the engine is applied.
-    queued_ms: f64,
     tokens: u32,
     has_first_token: bool,
     is_long_answer: bool,
@@ -303,13 +300,11 @@
     pub fn run_sent(&mut self, id: RunId, run: &Run, now: Millis) {
         self.runs
             .retain(|_, run| now < run.sent_at + RUN_TIMEOUT_MS);
-        let queued_ms = self.prefill_queue_ms(now) / self.slowdown;
         let ahead = self.waiting(now);
         self.runs.insert(
             id,
             RunningRequest {
                 sent_at: now,
-                queued_ms,
                 prefill_ms: f64::from(run.prefill_us) / 1000.0,
                 tokens: run.tokens,
                 has_first_token: false,
@@ -425,14 +420,15 @@
             return None;
         }
         run.has_first_token = true;
-        self.first_token_at = now;
+        let previous_at = std::mem::replace(&mut self.first_token_at, now);
+        let interval_ms = (previous_at > run.sent_at).then(|| (now - previous_at) as f64);
         let took = (now - run.sent_at) as f64;
         let waited_ms = run.waited_ms(now - run.sent_at, self.slowdown);
         self.waits.record(waited_ms, now);
         let time = PrefillTime {
             took_ms: took,
             prefill_ms: run.prefill_ms,
-            queued_ms: run.queued_ms,
+            interval_ms,
             step_ms: FIRST_STEP_MS,
             ahead: run.ahead,
         };
--- a/crates/gateway/src/control/fleet/speed.rs
+++ b/crates/gateway/src/control/fleet/speed.rs
@@ -9,33 +9,54 @@
 /// outlier does not outweigh it.
 const GUESS_WEIGHT: f64 = 1.0;
 
-/// Weight of a prompt that met a queue: the requests ahead of it are only known from
-/// gossip, and the engine may have been silent while it waited.
-const QUEUED_WEIGHT: f64 = 0.25;
+/// Weight of a prompt that met a queue: when its prefill began follows from the first token
+/// before it, which may be that of another node and be known late.
+const QUEUED_WEIGHT: f64 = 0.5;
 
 /// Sum of the weights of the observations that count. A change is followed after half of
 /// it, and fewer outliers than that have no effect.
-const WINDOW_WEIGHT: f64 = 5.0;
+const WINDOW_WEIGHT: f64 = 4.0;
 
 /// Largest part of a wait that is taken for the first step. Engines may take less than
 /// assumed, and a wait of little more than the step says little about the prefill.
 const MAX_STEP_SHARE: f64 = 0.5;
 
+/// Shortest interval between two first tokens from which speed is learned, in ms: the
+/// clock has a resolution of 1 ms.
+const MIN_INTERVAL_MS: f64 = 2.0;
+
 /// Time to the first token of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct PrefillTime {
     /// Time from sending the request to its first token, in ms.
     pub took_ms: f64,
+    /// Time from the first token of another request at the engine to this one, in ms, if
+    /// that came after the request was sent.
+    pub interval_ms: Option<f64>,
     /// Time to prefill its prompt at the assumed rate, in ms.
     pub prefill_ms: f64,
-    /// Time to prefill what was ahead of it at the assumed rate, in ms.
-    pub queued_ms: f64,
     /// Assumed time from the end of prefill to the first token, in ms.
     pub step_ms: f64,
     /// Number of requests without a first token when it was sent.
     pub ahead: usize,
 }
 
+impl PrefillTime {
+    /// Time that the prefill took and the weight of this, if anything is known.
+    fn observed(&self) -> Option<(f64, f64)> {
+        let read_ms = (self.took_ms - self.step_ms).max(self.took_ms * (1.0 - MAX_STEP_SHARE));
+        match (self.ahead, self.interval_ms) {
+            (0, _) => Some((read_ms, 1.0)),
+            // The news of several first tokens came together.
+            (_, Some(interval)) if interval < MIN_INTERVAL_MS => None,
+            // An engine prefills one prompt after the other, and both tokens take a step.
+            (_, Some(interval)) => Some((interval, QUEUED_WEIGHT)),
+            // It overtook those ahead of it, or their news is late.
+            (_, None) => Some((read_ms, QUEUED_WEIGHT)),
+        }
+    }
+}
+
 /// Factor by which an engine's prefill is slower than the assumed rate: the weighted median
 /// of recent observations.
 #[derive(Clone, Debug)]
@@ -68,23 +89,20 @@
 
     /// Records the first token of a request.
     pub fn record(&mut self, time: &PrefillTime) {
+        let Some((read_ms, trust)) = time.observed() else {
+            return;
+        };
         let PrefillTime {
-            took_ms,
             prefill_ms,
             step_ms,
             ..
         } = *time;
-        let read_ms = (took_ms - step_ms).max(took_ms * (1.0 - MAX_STEP_SHARE));
-        let (work_ms, trust) = match time.ahead {
-            0 => (prefill_ms, 1.0),
-            _ => (prefill_ms + time.queued_ms, QUEUED_WEIGHT),
-        };
         if prefill_ms <= 0.0 {
             return;
         }
         // The unknown part of the first step matters less in a longer prompt.
         let weight = trust * prefill_ms / (prefill_ms + step_ms);
-        let factor = (read_ms / work_ms).clamp(1.0 / MAX_SLOWDOWN, MAX_SLOWDOWN);
+        let factor = (read_ms / prefill_ms).clamp(1.0 / MAX_SLOWDOWN, MAX_SLOWDOWN);
         self.observed.push_back((factor, weight));
         self.drop_oldest();
         self.slowdown = weighted_median(self.observed.iter().copied());
--- a/crates/gateway/tests/common/rollout.rs
+++ b/crates/gateway/tests/common/rollout.rs
@@ -131,6 +131,16 @@
     }
 }
 
+/// Expected and actual wait of a run for its first token.
+#[derive(Clone, Copy, Debug)]
+pub struct SimulatedWait {
+    /// Time of the first token.
+    pub at: u64,
+    pub engine: EndpointKey,
+    pub expected_ms: f64,
+    pub actual_ms: f64,
+}
+
 /// The simulated deployment.
 pub struct Simulation {
     pub now: u64,
@@ -152,9 +162,11 @@
     due: BTreeMap<(u64, u64), Due>,
     waiting: Vec<(oneshot::Receiver<Placement>, Request)>,
     outcomes: BTreeMap<u64, Outcomes>,
-    /// Time of the first token, expected and actual wait of each run, in ms.
-    pub waits: Vec<(u64, f64, f64)>,
+    /// First token of each run.
+    pub waits: Vec<SimulatedWait>,
     granted_at: BTreeMap<u64, u64>,
+    /// Least and most tokens of a prompt that are its own.
+    own_tokens: Option<(u32, u32)>,
     /// Versions of the weights and when they were named.
     named: Vec<(u64, u64)>,
     bound_ms: u64,
@@ -193,6 +205,7 @@
             outcomes: BTreeMap::new(),
             waits: Vec::new(),
             granted_at: BTreeMap::new(),
+            own_tokens: None,
             named: Vec::new(),
             bound_ms,
             unknown_share: 0.0,
@@ -201,6 +214,11 @@
         }
     }
 
+    /// Sets the least and most tokens of a prompt that are its own.
+    pub fn set_own_tokens(&mut self, least: u32, most: u32) {
+        self.own_tokens = Some((least, most));
+    }
+
     /// Sets the number of requests a second.
     pub fn set_rate(&mut self, requests: u64) {
         self.deployment.requests = requests;
@@ -334,6 +352,11 @@
         let prompt = self.rng.random_range(0..PROMPTS);
         let mut place = placement_request(None, 1 + prompt * 10);
         place.parts[2].id = self.rng.random();
+        if let Some((least, most)) = self.own_tokens {
+            let own = self.rng.random_range(least..=most);
+            place.prompt_tokens += own - place.parts[2].tokens;
+            place.parts[2].tokens = own;
+        }
         place.target = Duration::from_millis(self.deployment.aim_ms);
         place.max_wait = Duration::from_millis(self.deployment.aim_ms);
         let request = Request {
@@ -451,7 +474,12 @@
                 self.outcomes.entry(arrived_at).or_default().in_aim += usize::from(in_aim);
                 let sent_at = self.granted_at.get(&grant.run_number).copied();
                 let actual = (now - sent_at.unwrap_or(now)) as f64;
-                self.waits.push((now, grant.expected_ms, actual));
+                self.waits.push(SimulatedWait {
+                    at: now,
+                    engine: grant.endpoint.key(),
+                    expected_ms: grant.expected_ms,
+                    actual_ms: actual,
+                });
                 let first = Event::FirstToken {
                     endpoint: grant.endpoint.key(),
                     run_number: grant.run_number,
--- /dev/null
+++ b/crates/gateway/tests/test_waits.rs
@@ -0,0 +1,193 @@
+//! Expected and actual waits, and the learned speed of engines.
+
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod common;
+
+use common::rollout::{Deployment, Simulation};
+use flamingolock_gateway::control::wait_error::{WaitError, WaitErrors};
+use flamingolock_gateway::endpoint::Endpoint;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Prompt tokens that the gateway assumes an engine to read in a ms.
+const GUESSED_TOKENS_PER_MS: f64 = 60.0;
+
+const DEPLOYMENT: Deployment = Deployment {
+    engines: 6,
+    load_ms: 300,
+    loads_at_once: 2,
+    tokens_per_ms: 92,
+    requests: 80,
+    aim_ms: 800,
+    room: usize::MAX,
+    lost_orders: 0.0,
+};
+
+/// Factors by which the engines are slower than the deployment says.
+const SLOWNESS: [f64; 6] = [0.7, 0.7, 1.7, 0.7, 0.7, 1.7];
+
+fn three_speeds(requests: u64) -> Simulation {
+    let deployment = Deployment {
+        requests,
+        ..DEPLOYMENT
+    };
+    let mut simulation = Simulation::start(deployment, 6_000);
+    simulation.set_own_tokens(1_800, 6_600);
+    for (number, slowness) in SLOWNESS.into_iter().enumerate() {
+        simulation.set_slowness(number, slowness);
+    }
+    simulation
+}
+
+fn learned(simulation: &Simulation, number: usize) -> f64 {
+    let key = Endpoint::key_of(&format!("e{number}"));
+    let slowdown = simulation.harness.control.slowdown_of(key);
+    slowdown.expect("an engine")
+}
+
+fn true_slowdown(slowness: f64) -> f64 {
+    slowness * GUESSED_TOKENS_PER_MS / DEPLOYMENT.tokens_per_ms as f64
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+/// Actual by expected wait of each run whose first token came since a time.
+fn ratios(simulation: &Simulation, from: u64) -> Vec<f64> {
+    let waits = simulation.waits.iter().filter(|wait| wait.at >= from);
+    waits
+        .map(|wait| wait.actual_ms / wait.expected_ms)
+        .collect()
+}
+
+/// Guards against a bound that makes a fast engine look like any other.
+#[test]
+fn speed_of_each_engine_is_learned() {
+    for requests in [40, 80, 160] {
+        let mut simulation = three_speeds(requests);
+        simulation.run_until(10_000);
+        for (number, slowness) in SLOWNESS.into_iter().enumerate() {
+            let ratio = learned(&simulation, number) / true_slowdown(slowness);
+            assert!(
+                (0.85..=1.15).contains(&ratio),
+                "engine {number} at {requests} requests a second: {ratio}"
+            );
+        }
+    }
+}
+
+/// Guards against expectations that a wrong speed, or a queue that is not as long as it
+/// seems, makes useless.
+#[test]
+fn expected_wait_is_close_to_the_actual_one() {
+    for requests in [40, 80, 160] {
+        let mut simulation = three_speeds(requests);
+        simulation.run_until(10_000);
+        simulation.run_until(20_000);
+        let errors = ratios(&simulation, 10_000);
+        let errors = errors.into_iter().map(|ratio| (ratio - 1.0).abs());
+        let error = median(errors.collect());
+        assert!(error <= 0.3, "{error} at {requests} requests a second");
+    }
+}
+
+/// Guards against a speed that follows the engine too slowly to keep requests away from it.
+#[test]
+fn engine_that_turns_four_times_slower_is_followed_within_two_seconds() {
+    for number in [0, 2] {
+        let mut simulation = three_speeds(80);
+        simulation.run_until(10_000);
+        let slower = 4.0 * SLOWNESS[number];
+        simulation.set_slowness(number, slower);
+        let key = Endpoint::key_of(&format!("e{number}"));
+        let has_token = |simulation: &Simulation| {
+            let mut waits = simulation.waits.iter().rev();
+            waits.any(|wait| wait.at > 10_000 && wait.engine == key)
+        };
+        while !has_token(&simulation) {
+            simulation.run_until(simulation.now + 1);
+        }
+        let first_at = simulation.now;
+        simulation.run_until(first_at + 2_000);
+        let waits = simulation.waits.iter();
+        let waits: Vec<_> = waits
+            .filter(|wait| wait.at >= first_at && wait.engine == key)
+            .map(|wait| (wait.at, wait.expected_ms as u64, wait.actual_ms as u64))
+            .collect();
+        let ratio = learned(&simulation, number) / true_slowdown(slower);
+        assert!(
+            (0.7..=1.3).contains(&ratio),
+            "engine {number}: {ratio} of the true factor; at, expected, actual: {waits:?}"
+        );
+    }
+}
+
+/// Guards against a first guess that knows nothing of the engines of the service, and against
+/// a speed that outlives its engine.
+#[test]
+fn replaced_engine_starts_with_the_median_of_its_service() {
+    let mut simulation = three_speeds(80);
+    simulation.run_until(10_000);
+    let factors = (0..6).map(|number| learned(&simulation, number));
+    let (low, high) = factors
+        .clone()
+        .fold((f64::MAX, 0.0_f64), |(low, high), factor| {
+            (low.min(factor), high.max(factor))
+        });
+    let middle = true_slowdown(0.7);
+    let now = simulation.now;
+    simulation.harness.engine("e2", now, "ready", now);
+    let first = learned(&simulation, 2);
+    assert!((0.85..=1.15).contains(&(first / middle)), "{first}");
+    assert!(low <= first && first < high, "{low} {first} {high}");
+}
+
+/// Guards against a single slow answer, such as one of an engine that paused, that changes
+/// where the following requests go.
+#[test]
+fn pause_of_the_engines_leaves_their_speeds() {
+    let mut simulation = three_speeds(40);
+    simulation.run_until(10_000);
+    simulation.fall_silent(700);
+    simulation.run_until(12_000);
+    for (number, slowness) in SLOWNESS.into_iter().enumerate() {
+        let ratio = learned(&simulation, number) / true_slowdown(slowness);
+        assert!((0.8..=1.25).contains(&ratio), "engine {number}: {ratio}");
+    }
+}
+
+/// Guards against a margin that covers too few or far too many waits, or that stays behind
+/// when the error changes.
+#[test]
+fn safety_factor_covers_95_of_100_waits() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut error = WaitError::default();
+    for scale in [1.0, 4.0, 0.5] {
+        let mut covered = 0;
+        for round in 0..3_000 {
+            let actual = 100.0 * scale * rng.random_range(0.5..2.0);
+            if round >= 1_000 && actual <= 100.0 * error.safety_factor() {
+                covered += 1;
+            }
+            error.record(100.0, actual);
+        }
+        let share = f64::from(covered) / 2_000.0;
+        assert!((0.93..=0.97).contains(&share), "{share} at {scale}");
+    }
+}
+
+/// Guards against waits of one service or priority that change what is expected of another.
+#[test]
+fn errors_are_kept_by_service_and_priority() {
+    let mut errors = WaitErrors::default();
+    for _ in 0..100 {
+        errors.record(&"a".into(), 2, 100.0, 1_000.0);
+        errors.record(&"a".into(), 200, 100.0, 300.0);
+    }
+    assert!(errors.safety_factor("a", 2) > 9.0);
+    assert!((2.5..4.0).contains(&errors.safety_factor("a", 9)));
+    assert!((errors.safety_factor("a", 3) - 1.0).abs() < f64::EPSILON);
+    assert!((errors.safety_factor("b", 2) - 1.0).abs() < f64::EPSILON);
+}
