--- a/crates/gateway/tests/common/rollout.rs
+++ b/crates/gateway/tests/common/rollout.rs
@@ -37,6 +37,9 @@
 /// Time from the first token of a run to its end, in ms.
 const ANSWER_MS: u64 = 100;
 
+/// Prompt tokens that an engine reads between two decode steps.
+const CHUNK_TOKENS: u64 = 2_048;
+
 /// Number of different prompts.
 const PROMPTS: u64 = 30;
 
@@ -71,6 +74,10 @@
     /// When the requests that wait begin.
     starts: VecDeque<u64>,
     cached: BTreeSet<u64>,
+    /// When the running requests end, in ascending order.
+    ends: Vec<u64>,
+    /// Factor by which it reads prompts slower than the deployment says.
+    slowness: f64,
 }
 
 impl Engine {
@@ -82,6 +89,8 @@
             busy_until: 0,
             starts: VecDeque::new(),
             cached: BTreeSet::new(),
+            ends: Vec::new(),
+            slowness: 1.0,
         }
     }
 
@@ -128,6 +137,16 @@
     }
 }
 
+/// Expected and actual wait of a run for its first token.
+#[derive(Clone, Copy, Debug)]
+pub struct SimulatedWait {
+    /// Time of the first token.
+    pub at: u64,
+    pub engine: EndpointKey,
+    pub expected_ms: f64,
+    pub actual_ms: f64,
+}
+
 /// The simulated deployment.
 pub struct Simulation {
     pub now: u64,
@@ -149,6 +168,15 @@
     due: BTreeMap<(u64, u64), Due>,
     waiting: Vec<(oneshot::Receiver<Placement>, Request)>,
     outcomes: BTreeMap<u64, Outcomes>,
+    /// First token of each run.
+    pub waits: Vec<SimulatedWait>,
+    granted_at: BTreeMap<u64, u64>,
+    /// Slots of an engine, time of a decode step and of an answer after its first token, in ms.
+    slots: usize,
+    step_ms: f64,
+    answer_ms: u64,
+    /// Least and most tokens of a prompt that are its own.
+    own_tokens: Option<(u32, u32)>,
     /// Versions of the weights and when they were named.
     named: Vec<(u64, u64)>,
     bound_ms: u64,
@@ -185,6 +213,12 @@
             due: BTreeMap::new(),
             waiting: Vec::new(),
             outcomes: BTreeMap::new(),
+            waits: Vec::new(),
+            granted_at: BTreeMap::new(),
+            slots: usize::MAX,
+            step_ms: 0.0,
+            answer_ms: ANSWER_MS,
+            own_tokens: None,
             named: Vec::new(),
             bound_ms,
             unknown_share: 0.0,
@@ -193,6 +227,17 @@
         }
     }
 
+    /// Sets the least and most tokens of a prompt that are its own.
+    pub fn set_own_tokens(&mut self, least: u32, most: u32) {
+        self.own_tokens = Some((least, most));
+    }
+
+    /// Makes the engines decode running streams between the chunks of a prompt: the number of
+    /// their slots, the time of a step and the time of an answer in ms.
+    pub fn set_decoding(&mut self, slots: usize, step_ms: f64, answer_ms: u64) {
+        (self.slots, self.step_ms, self.answer_ms) = (slots, step_ms, answer_ms);
+    }
+
     /// Sets the number of requests a second.
     pub fn set_rate(&mut self, requests: u64) {
         self.deployment.requests = requests;
@@ -230,6 +275,13 @@
         engine.loader.hangs = true;
     }
 
+    /// Makes an engine read prompts slower than the deployment says by this factor.
+    pub fn set_slowness(&mut self, number: usize, slowness: f64) {
+        let key = Endpoint::key_of(&format!("e{number}"));
+        let engine = self.engines.get_mut(&key).expect("an engine");
+        engine.slowness = slowness;
+    }
+
     /// Crashes the first engines: they are silent, and come back later with the weights
     /// that they have.
     pub fn crash(&mut self, count: usize) {
@@ -319,6 +371,11 @@
         let prompt = self.rng.random_range(0..PROMPTS);
         let mut place = placement_request(None, 1 + prompt * 10);
         place.parts[2].id = self.rng.random();
+        if let Some((least, most)) = self.own_tokens {
+            let own = self.rng.random_range(least..=most);
+            place.prompt_tokens += own - place.parts[2].tokens;
+            place.parts[2].tokens = own;
+        }
         place.target = Duration::from_millis(self.deployment.aim_ms);
         place.max_wait = Duration::from_millis(self.deployment.aim_ms);
         let request = Request {
@@ -339,7 +396,10 @@
     fn collect_placements(&mut self) {
         for (mut receiver, request) in std::mem::take(&mut self.waiting) {
             match receiver.try_recv() {
-                Ok(Ok(grant)) => self.after(1, Due::Arrive(Box::new(grant), request)),
+                Ok(Ok(grant)) => {
+                    self.granted_at.insert(grant.run_number, self.now);
+                    self.after(1, Due::Arrive(Box::new(grant), request));
+                }
                 Ok(Err(_)) => self.fail(&request),
                 Err(_) => self.waiting.push((receiver, request)),
             }
@@ -431,6 +491,14 @@
                 self.count_late_start(&grant);
                 let in_aim = now <= arrived_at + self.deployment.aim_ms;
                 self.outcomes.entry(arrived_at).or_default().in_aim += usize::from(in_aim);
+                let sent_at = self.granted_at.get(&grant.run_number).copied();
+                let actual = (now - sent_at.unwrap_or(now)) as f64;
+                self.waits.push(SimulatedWait {
+                    at: now,
+                    engine: grant.endpoint.key(),
+                    expected_ms: grant.expected_ms,
+                    actual_ms: actual,
+                });
                 let first = Event::FirstToken {
                     endpoint: grant.endpoint.key(),
                     run_number: grant.run_number,
@@ -438,7 +506,7 @@
                     model: Some("m".to_owned()),
                 };
                 self.harness.control.handle(first, now);
-                self.after(ANSWER_MS, Due::Ended(grant, RunEnd::Complete));
+                self.after(self.answer_ms, Due::Ended(grant, RunEnd::Complete));
             }
             Due::Ended(grant, end) => {
                 let ended = Event::RunEnded {
@@ -527,6 +595,7 @@
             self.overflowed += 1;
             RunEnd::Reloading
         } else {
+            engine.ends.retain(|end| *end > self.now);
             engine.cached.extend(fetched);
             let parts = &request.place.parts;
             let unread = parts
@@ -536,7 +605,25 @@
             engine.cached.extend(parts.iter().map(|part| part.id));
             let start = engine.busy_until.max(self.now);
             engine.starts.push_back(start);
-            engine.busy_until = start + tokens / self.deployment.tokens_per_ms;
+            let read_ms = tokens as f64 * engine.slowness / self.deployment.tokens_per_ms as f64;
+            // Running streams take steps between the chunks of the prompt.
+            let is_running = engine.ends.iter().any(|end| *end > start);
+            let chunks = tokens.div_ceil(CHUNK_TOKENS);
+            let steps_ms = if is_running {
+                chunks as f64 * self.step_ms
+            } else {
+                0.0
+            };
+            // A slot must be free.
+            let start = match engine.ends.len().checked_sub(self.slots) {
+                Some(over) => start.max(engine.ends[over]),
+                None => start,
+            };
+            engine.busy_until = start + (read_ms + steps_ms) as u64;
+            engine
+                .ends
+                .push(engine.busy_until + FIRST_STEP_MS + self.answer_ms);
+            engine.ends.sort_unstable();
             let delay = engine.busy_until + FIRST_STEP_MS - self.now;
             self.after(delay, Due::FirstToken(grant, request.arrived_at));
             return;
