dispatch: less urgent requests wait at the node while engines have long queues

Engines take requests into their batch in order of arrival, so a priority counts only for requests that have not been sent. In a burst of patient short prompts, urgent long ones were refused or late behind them. A request that is less urgent than others of its service now waits at its node while the queue at the best engine takes more than a quarter of the smallest target. One that would not begin within its target is refused at once, and may return while a part of the target is left.

The queue of a node let a newer request of a workspace overtake older ones when the workspace had fewer waiting; workspaces now take turns in order of arrival.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -103,6 +103,12 @@
             .insert(route.prefix.clone(), Arc::new(route));
     }
 
+    /// All routes.
+    pub fn iter(&self) -> impl Iterator<Item = &Route> {
+        let routes = self.hosts.values().flat_map(BTreeMap::values);
+        routes.map(|route| &**route)
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(BTreeMap::len).sum()
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -6,6 +6,7 @@
 
 pub mod begun_streams;
 pub mod cache_index;
+pub mod dispatch;
 pub mod fetch_schedule;
 pub mod fleet;
 pub mod freshness;
--- /dev/null
+++ b/crates/gateway/src/control/dispatch.rs
@@ -0,0 +1,121 @@
+//! Bounds what waits at engines, so that urgent requests go ahead of less urgent ones.
+//!
+//! An engine takes requests into its batch in order of arrival, so a priority counts only for
+//! those that have not been sent. Less urgent requests, and long prompts among them, therefore
+//! wait at the node while the queues at the engines are long.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::catalog::Catalog;
+use crate::clock::Millis;
+
+/// Part of the smallest target of equally or more urgent requests that the queue at an engine
+/// may take before less urgent ones wait. The rest is for their own prompt and its first token.
+const QUEUE_SHARE: f64 = 0.25;
+
+/// Time in which the dispatched requests are counted, in ms.
+const RATE_WINDOW_MS: Millis = 1_000;
+
+/// Time for which a request must have waited before the rate of dispatches is known, in ms.
+const MIN_HISTORY_MS: f64 = 200.0;
+
+/// Longest expected wait, in ms.
+const MAX_WAIT_MS: f64 = 60_000.0;
+
+/// Queue that each priority of a service leaves at an engine.
+#[derive(Debug, Default)]
+pub struct DispatchLimits {
+    /// Smallest target of the routes with each priority, by service.
+    targets: BTreeMap<Arc<str>, BTreeMap<u8, Duration>>,
+}
+
+impl DispatchLimits {
+    /// Limits that follow from the routes of a configuration.
+    pub fn of(catalog: &Catalog) -> Self {
+        let mut limits = Self::default();
+        for route in catalog.routes.iter() {
+            for backend in &route.backends {
+                let targets = limits.targets.entry(backend.service.clone()).or_default();
+                let target = targets.entry(route.priority).or_insert(route.target);
+                *target = (*target).min(route.target);
+            }
+        }
+        limits
+    }
+
+    /// Longest queue at an engine to which a request is sent, in ms; none if no requests of
+    /// the service are more urgent.
+    pub fn queue_ms(&self, service: &str, priority: u8) -> Option<f64> {
+        let targets = self.targets.get(service)?;
+        targets.range(..priority).next()?;
+        let smallest = targets.range(..=priority).map(|(_, target)| target).min()?;
+        Some(smallest.as_millis() as f64 * QUEUE_SHARE)
+    }
+}
+
+/// Turns of the workspaces whose requests of one service and priority wait at this node.
+///
+/// A workspace gets one turn for each request after the other, but none before the turn that is
+/// served now, so that it neither loses nor saves any while it sends nothing.
+#[derive(Debug, Default)]
+pub struct Turns {
+    last: BTreeMap<Option<String>, u64>,
+    current: u64,
+}
+
+impl Turns {
+    /// Returns the turn of a workspace's next request.
+    pub fn next(&mut self, workspace: Option<&str>) -> u64 {
+        let last = self.last.entry(workspace.map(ToOwned::to_owned));
+        let turn = *last
+            .and_modify(|last| *last = self.current.max(*last + 1))
+            .or_insert(self.current);
+        turn
+    }
+
+    /// Records that a request with this turn is sent.
+    pub fn serve(&mut self, turn: u64) {
+        self.current = self.current.max(turn);
+    }
+}
+
+/// Requests of a service that wait at this node and go ahead of another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Waiting {
+    /// Number of requests.
+    pub count: usize,
+    /// Time for which the first one has waited, in ms.
+    pub oldest_ms: Millis,
+}
+
+/// Recent dispatches of requests that had waited.
+#[derive(Debug, Default)]
+pub struct DispatchRate(VecDeque<Millis>);
+
+impl DispatchRate {
+    /// Records that a request was sent which had waited.
+    pub fn record(&mut self, now: Millis) {
+        self.forget_old(now);
+        self.0.push_back(now);
+    }
+
+    fn forget_old(&mut self, now: Millis) {
+        while self.0.front().is_some_and(|at| at + RATE_WINDOW_MS <= now) {
+            self.0.pop_front();
+        }
+    }
+
+    /// Expected time until a request is dispatched that comes after these, in ms.
+    pub fn wait_ms(&mut self, ahead: Waiting, now: Millis) -> f64 {
+        self.forget_old(now);
+        let waited_ms = ahead.oldest_ms as f64;
+        if waited_ms < MIN_HISTORY_MS {
+            return waited_ms;
+        }
+        let per_ms = self.0.len() as f64 / RATE_WINDOW_MS as f64;
+        let wait_ms = ahead.count as f64 / per_ms;
+        waited_ms.max(wait_ms).min(MAX_WAIT_MS)
+    }
+}
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,6 +1,7 @@
 //! State of the control thread and its event handlers.
 
 mod brittle;
+mod dispatch;
 mod first_tokens;
 mod gossip;
 mod handover;
@@ -24,6 +25,7 @@
 };
 use tokio::sync::oneshot;
 
+use self::dispatch::Dispatch;
 use self::streams::{BuildRecord, FormerMemory, StreamRecord};
 use self::suspects::{SuspectsRecord, UndecidedRun};
 use crate::catalog::Catalog;
@@ -97,9 +99,10 @@
     reply: oneshot::Sender<Placement>,
     asked_at: Millis,
     deadline: Millis,
-    /// Place in the queue: priority, and the number of requests of its workspace that
-    /// waited when it came.
-    place: (u8, usize),
+    /// Place in the queue: priority, and turn of its workspace.
+    place: Option<(u8, u64)>,
+    /// True if it waits for a shorter queue at an engine.
+    is_held: bool,
 }
 
 /// State of the control thread.
@@ -155,6 +158,7 @@
     /// about.
     abstains_until: Millis,
     queue: VecDeque<QueuedRequest>,
+    dispatch: Dispatch,
     next_run: u64,
     outgoing_runs: Vec<Run>,
     outgoing_faults: Vec<Fault>,
@@ -253,6 +257,7 @@
             rollout: Rollout::new(weights_bound),
             abstains_until: 0,
             queue: VecDeque::new(),
+            dispatch: Dispatch::default(),
             next_run: 0,
             outgoing_runs: Vec::new(),
             outgoing_faults: Vec::new(),
--- /dev/null
+++ b/crates/gateway/src/control/state/dispatch.rs
@@ -0,0 +1,172 @@
+//! Waiting of less urgent requests at this node while the queues at the engines are long.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+
+use rand::Rng;
+
+use super::placement::{free_again, own_share_ms};
+use super::{Control, QueuedRequest};
+use crate::catalog::Catalog;
+use crate::clock::Millis;
+use crate::control::dispatch::{DispatchLimits, DispatchRate, Turns, Waiting};
+use crate::control::fleet::Estimate;
+use crate::control::{BuildRule, PlacementRequest, Refusal};
+use crate::metrics::EventKind;
+
+/// Factor of the limit for one decision. Nodes that see the same queue become shorter would
+/// otherwise send to it at the same moment.
+const LIMIT_SPREAD: RangeInclusive<f64> = 0.5..=1.0;
+
+/// Factor of the expected wait that a request must be able to bear: the rate at which engines
+/// become free fluctuates, and a request that is refused after its wait has lost that time.
+const WAIT_MARGIN: f64 = 1.25;
+
+/// Part of the expected wait after which a refused caller may return. With a whole wait, little
+/// of its target would be left.
+const RETURN_SHARE: RangeInclusive<f64> = 0.25..=0.5;
+
+/// Shortest time after which a refused caller may return, in ms.
+const MIN_RETURN_MS: f64 = 50.0;
+
+/// What this node keeps about requests that wait for shorter queues at the engines.
+#[derive(Debug, Default)]
+pub(super) struct Dispatch {
+    limits: DispatchLimits,
+    rates: BTreeMap<(Arc<str>, u8), DispatchRate>,
+    turns: BTreeMap<(Arc<str>, u8), Turns>,
+    /// Most urgent priority of each service that had to wait in this pass through the queue.
+    held_from: BTreeMap<Arc<str>, u8>,
+}
+
+impl Dispatch {
+    /// Takes the limits from a new configuration.
+    pub(super) fn apply_catalog(&mut self, catalog: &Catalog) {
+        self.limits = DispatchLimits::of(catalog);
+    }
+
+    /// Begins a pass through the queue.
+    pub(super) fn begin_pass(&mut self) {
+        self.held_from.clear();
+    }
+
+    /// True if a request has to wait behind one that had to wait in this pass.
+    pub(super) fn waits_behind(&self, queued: &QueuedRequest, now: Millis) -> bool {
+        let request = &queued.request;
+        let held_from = self.held_from.get(&request.service);
+        queued.is_held
+            && now < queued.deadline
+            && held_from.is_some_and(|priority| request.priority >= *priority)
+    }
+
+    /// Place in the queue of a request that has to wait.
+    pub(super) fn next_place(&mut self, request: &PlacementRequest) -> (u8, u64) {
+        let key = (request.service.clone(), request.priority);
+        let turns = self.turns.entry(key).or_default();
+        (request.priority, turns.next(request.workspace.as_deref()))
+    }
+
+    /// Forgets the turns when nothing waits.
+    pub(super) fn queue_emptied(&mut self) {
+        self.turns.clear();
+    }
+
+    /// Records that a request is sent.
+    pub(super) fn sent(&mut self, queued: &QueuedRequest, now: Millis) {
+        let key = (queued.request.service.clone(), queued.request.priority);
+        if let Some((_, turn)) = queued.place {
+            self.turns.entry(key.clone()).or_default().serve(turn);
+        }
+        if queued.is_held {
+            self.rates.entry(key).or_default().record(now);
+        }
+    }
+
+    fn limit_ms(&self, queued: &QueuedRequest) -> Option<f64> {
+        let request = &queued.request;
+        let may_wait = request.model.is_some() && request.build_rule == BuildRule::Any;
+        let limit = self.limits.queue_ms(&request.service, request.priority);
+        limit.filter(|_| may_wait)
+    }
+}
+
+impl Control {
+    /// True if the queue at the engine is too long for a less urgent request.
+    pub(super) fn is_over_limit(&self, queued: &QueuedRequest, estimate: &Estimate) -> bool {
+        let limit = self.dispatch.limit_ms(queued);
+        limit
+            .is_some_and(|limit| estimate.queue_ms > limit * rand::rng().random_range(LIMIT_SPREAD))
+    }
+
+    /// True if requests that are as urgent as this one wait for shorter queues.
+    pub(super) fn has_held(&self, queued: &QueuedRequest) -> bool {
+        self.held_ahead(queued).next().is_some()
+    }
+
+    fn held_ahead<'a>(
+        &'a self,
+        queued: &'a QueuedRequest,
+    ) -> impl Iterator<Item = &'a QueuedRequest> {
+        self.queue.iter().filter(|other| {
+            other.is_held
+                && other.request.service == queued.request.service
+                && other.request.priority <= queued.request.priority
+        })
+    }
+
+    /// Returns a request that has to wait until a queue is short enough. Refuses one that would
+    /// not begin within its target.
+    pub(super) fn hold(
+        &mut self,
+        mut queued: QueuedRequest,
+        estimate: &Estimate,
+        now: Millis,
+    ) -> Option<QueuedRequest> {
+        let target_ms = queued.request.target.as_millis() as f64;
+        if queued.is_held && now >= queued.deadline {
+            let until = free_again(estimate, now);
+            self.refuse_held(queued, until, estimate.queue_ms);
+            return None;
+        }
+        if !queued.is_held {
+            let wait_ms = self.dispatch_wait_ms(&queued, now);
+            let own_ms = own_share_ms(estimate, target_ms);
+            if wait_ms * WAIT_MARGIN + estimate.queue_ms + own_ms > target_ms {
+                let share = rand::rng().random_range(RETURN_SHARE);
+                let until = now + (wait_ms * share).max(MIN_RETURN_MS) as Millis;
+                self.refuse_held(queued, until, wait_ms);
+                return None;
+            }
+            queued.is_held = true;
+            self.metrics.count(EventKind::Placement, "held");
+            log::debug!(request = &*queued.request.id, priority = queued.request.priority, queue_ms = estimate.queue_ms as i64,
+                wait_ms = wait_ms as i64; "request waits for a shorter queue");
+        }
+        let request = &queued.request;
+        let held_from = &mut self.dispatch.held_from;
+        let priority = held_from
+            .entry(request.service.clone())
+            .or_insert(request.priority);
+        *priority = (*priority).min(request.priority);
+        Some(queued)
+    }
+
+    fn refuse_held(&self, queued: QueuedRequest, until: Millis, queue_ms: f64) {
+        let queue_ms = queue_ms as u64;
+        let refusal = Refusal::Overloaded { until, queue_ms };
+        self.refuse(&queued.request, refusal, queued.reply);
+    }
+
+    /// Expected time for which a request waits at this node, in ms.
+    fn dispatch_wait_ms(&mut self, queued: &QueuedRequest, now: Millis) -> f64 {
+        let since = self.held_ahead(queued).map(|other| other.asked_at).min();
+        let ahead = Waiting {
+            count: self.held_ahead(queued).count(),
+            oldest_ms: since.map_or(0, |since| now.saturating_sub(since)),
+        };
+        let key = (queued.request.service.clone(), queued.request.priority);
+        let rate = self.dispatch.rates.entry(key).or_default();
+        rate.wait_ms(ahead, now)
+    }
+}
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -75,13 +75,18 @@
         return false;
     }
     let target_ms = request.target.as_millis() as f64;
-    let own_ms = estimate.own_ms.min(target_ms * MAX_OWN_SHARE);
-    estimate.queue_ms + own_ms > target_ms
+    estimate.queue_ms + own_share_ms(estimate, target_ms) > target_ms
+}
+
+/// Time from the start of a request to its first token, as far as it counts against its target,
+/// in ms.
+pub(super) fn own_share_ms(estimate: &Estimate, target_ms: f64) -> f64 {
+    estimate.own_ms.min(target_ms * MAX_OWN_SHARE)
 }
 
 /// When the engine of an estimate can begin a request in time. Callers are spread over as
 /// long again.
-fn free_again(estimate: &Estimate, now: Millis) -> Millis {
+pub(super) fn free_again(estimate: &Estimate, now: Millis) -> Millis {
     let queue_ms = estimate.queue_ms.max(1.0) as Millis;
     now + rand::rng().random_range(queue_ms..=2 * queue_ms)
 }
@@ -104,15 +109,16 @@
             return;
         }
         let deadline = now + request.max_wait.as_millis() as Millis;
-        let place = (request.priority, self.waiting_alike(&request));
         let queued = QueuedRequest {
             request,
             reply,
             asked_at: now,
             deadline,
-            place,
+            place: None,
+            is_held: false,
         };
-        let is_scarce = self.limits.count() > 0 || !self.brittle_services.is_empty();
+        let is_scarce =
+            self.limits.count() > 0 || !self.brittle_services.is_empty() || self.has_held(&queued);
         if is_scarce && !self.queue.is_empty() {
             // Those that are more urgent get the next permits.
             self.enqueue(queued);
@@ -165,20 +171,13 @@
         decision.granted
     }
 
-    /// Number of waiting requests of the same workspace, service and priority.
-    fn waiting_alike(&self, request: &PlacementRequest) -> usize {
-        let waiting = self.queue.iter().filter(|queued| {
-            let other = &queued.request;
-            other.service == request.service
-                && other.workspace == request.workspace
-                && other.priority == request.priority
-        });
-        waiting.count()
-    }
-
     /// Adds a request to the queue: more urgent ones come first, and among the others
     /// workspaces take turns.
-    fn enqueue(&mut self, queued: QueuedRequest) {
+    fn enqueue(&mut self, mut queued: QueuedRequest) {
+        if self.queue.is_empty() {
+            self.dispatch.queue_emptied();
+        }
+        queued.place = Some(self.dispatch.next_place(&queued.request));
         let at = self
             .queue
             .partition_point(|other| other.place <= queued.place);
@@ -187,6 +186,7 @@
 
     pub(super) fn retry_queued(&mut self, now: Millis) {
         let mut waiting: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        self.dispatch.begin_pass();
         for _ in 0..self.queue.len() {
             let Some(queued) = self.queue.pop_front() else {
                 return;
@@ -194,6 +194,10 @@
             if queued.reply.is_closed() {
                 continue;
             }
+            if self.dispatch.waits_behind(&queued, now) {
+                self.queue.push_back(queued);
+                continue;
+            }
             let ahead = waiting.entry(queued.request.service.clone()).or_default();
             if let Some(queued) = self.try_place(queued, *ahead, now) {
                 *ahead += 1;
@@ -227,7 +231,11 @@
                 self.refuse(&queued.request, refusal, queued.reply);
                 None
             }
+            Selection::Endpoint(_, estimate) if self.is_over_limit(&queued, &estimate) => {
+                self.hold(queued, &estimate, now)
+            }
             Selection::Endpoint(key, estimate) => {
+                self.dispatch.sent(&queued, now);
                 let grant = self.grant(&queued.request, key, &estimate, now);
                 let number = grant.run_number;
                 if queued.request.is_retry {
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -126,6 +126,7 @@
         let kv_store = catalog.kv_store();
         let first = self.catalog.is_none();
         self.keep_stream_memory(now);
+        self.dispatch.apply_catalog(&catalog);
         self.catalog = Some(Arc::new(catalog));
         if let Some(kv_store) = kv_store.filter(|_| first) {
             self.query_cache(kv_store, None, now);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -381,7 +381,12 @@
     let (reason, retry_after) = if retry_state.possible_runs > 0 {
         (ErrorReason::Failed, None)
     } else {
-        let pause = Some(exchange.route.target.max(retry_state.pause));
+        // Of the target of a request that met long queues, a part is left when it returns.
+        let pause = match retry_state.refusal {
+            Some(Refusal::Overloaded { .. }) => retry_state.pause,
+            _ => exchange.route.target.max(retry_state.pause),
+        };
+        let pause = Some(pause);
         match retry_state.refusal {
             Some(Refusal::StoppedRequest { until: None }) => (ErrorReason::CrashesEndpoints, None),
             Some(Refusal::CutOff { .. }) => (ErrorReason::CutOff, pause),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -128,6 +128,27 @@
             .handle(Event::OperatorRecords(vec![update(record)]), now);
     }
 
+    /// Adds a configuration with a route for each priority and target in ms, most urgent first.
+    pub fn priority_catalog(&mut self, version: u64, routes: &[(u8, u64)], now: u64) {
+        let routes: Vec<String> = routes
+            .iter()
+            .map(|(priority, target_ms)| {
+                format!(
+                    r#"{{"Name":"r-{priority}","Host":"a.example","PathPrefix":"/{priority}/","Kind":"stream",
+                    "TimeoutMs":15000,"TargetLatencyMs":{target_ms},"Priority":{priority},"Service":"engines"}}"#
+                )
+            })
+            .collect();
+        let text = format!(
+            r#"{{"Version":{version},"Routes":[{}],"Services":[{{"Name":"engines","MaxConns":100,"Engine":
+            {{"KvCapacityTokens":1000000,"TokenKvBytes":1000,"LinkMbps":10000.0}}}}]}}"#,
+            routes.join(",")
+        );
+        let record = self.record("op/config", Some(&text));
+        self.control
+            .handle(Event::OperatorRecords(vec![update(record)]), now);
+    }
+
     /// Adds a configuration with the workspaces `shared` and `isolated`.
     pub fn workspaces(&mut self, version: u64, shared: &[&str], isolated: &[&str], now: u64) {
         let all = [(shared, false), (isolated, true)];
