quotas: token buckets of workspaces, asks and the handlers

A workspace's quota was neither read from the configuration nor enforced. Each workspace with a quota now has a token bucket at each of two owners, and a request needs a grant of its cost before an endpoint is selected. Requests over the quota are answered with 429, and with 503 if no owner answers. Without a quota in the configuration there is no message.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -20,6 +20,8 @@
 pub mod permit_issuer;
 pub mod permits;
 pub mod places;
+pub mod quota_asks;
+pub mod quota_buckets;
 pub mod reach;
 pub mod reachability;
 pub mod retry_budget;
@@ -167,6 +169,16 @@
         /// Queue at the best endpoint, in ms.
         queue_ms: u64,
     },
+    /// The workspace has used up its quota.
+    OverQuota {
+        /// When the caller may return.
+        until: Millis,
+    },
+    /// No owner of the workspace's quota answered.
+    NoQuotaOwner {
+        /// When the caller may return.
+        until: Millis,
+    },
     /// The retry budget is exhausted.
     Budget,
     /// The request resumes a stream, several software versions serve or did so recently,
@@ -192,6 +204,8 @@
             | Self::AllLimited { until }
             | Self::Overloaded { until, .. }
             | Self::CutOff { until }
+            | Self::OverQuota { until }
+            | Self::NoQuotaOwner { until }
             | Self::StoppedPart { until } => Some(until),
             Self::StoppedRequest { until } => until,
             Self::AtOtherNode(_)
@@ -212,6 +226,8 @@
             Self::AllPaused { .. } => "all_paused",
             Self::AllLimited { .. } => "all_limited",
             Self::Overloaded { .. } => "overloaded",
+            Self::OverQuota { .. } => "over_quota",
+            Self::NoQuotaOwner { .. } => "no_quota_owner",
             Self::Budget => "budget",
             Self::UnknownBuild => "unknown_build",
             Self::StoppedPart { .. } => "stopped_part",
@@ -259,6 +275,18 @@
         matches!(self, Self::NeverConnected | Self::Broken | Self::Silent)
     }
 
+    /// True if the endpoint has not run the request and never will.
+    pub fn is_not_run(&self) -> bool {
+        matches!(
+            self,
+            Self::NeverConnected
+                | Self::WrongInstance
+                | Self::Full
+                | Self::Reloading
+                | Self::WrongWeights(_)
+        )
+    }
+
     /// Label used in logs and metrics.
     pub fn as_str(&self) -> &'static str {
         match self {
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -1,6 +1,6 @@
 //! Membership of the other nodes, derived from their gossip datagrams.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +23,9 @@
 /// the window of the retry budget: what it sent last has left the window by then.
 const LIMIT_SHARE_WINDOWS: f64 = 1.2;
 
+/// Time for which a silent node counts as one that may grant quota behind a partition, in ms.
+const SILENT_NODE_MS: Millis = 10 * 60 * 1_000;
+
 /// Interval of datagrams to an address that does not answer, in ms.
 const PROBE_INTERVAL_MS: Millis = 1_500;
 
@@ -284,6 +287,41 @@
         heard / all
     }
 
+    /// True if the registry was read.
+    pub fn has_list(&self) -> bool {
+        self.has_list
+    }
+
+    /// Returns the share of the known nodes, including this one, that are alive for this one;
+    /// none if the registry was not read. Unlike in [`Self::share_heard`], silent nodes count
+    /// for longer than most partitions last, as they may go on behind one. Nodes that
+    /// announced their shutdown, or have started again elsewhere, do not count.
+    pub fn share_of_known(&self, now: Millis) -> Option<f64> {
+        if !self.has_list {
+            return None;
+        }
+        let names: BTreeSet<&str> = self.alive(now).map(|peer| &*peer.state.name).collect();
+        let (mut heard, mut known) = (1.0, 1.0);
+        for (address, peer) in &self.by_address {
+            let state = peer.as_ref().map(|peer| &peer.state);
+            if state.is_some_and(|state| state.leaving) {
+                continue;
+            }
+            if peer.as_ref().is_some_and(|peer| peer.is_alive(now)) {
+                heard += 1.0;
+                known += 1.0;
+                continue;
+            }
+            let is_elsewhere = state.is_some_and(|state| names.contains(&*state.name));
+            let last_heard = peer.as_ref().map(|peer| peer.last_heard);
+            let since = last_heard.or(self.listed_at.get(address).copied());
+            if !is_elsewhere && since.is_some_and(|since| now <= since + SILENT_NODE_MS) {
+                known += 1.0;
+            }
+        }
+        Some(heard / known)
+    }
+
     /// Returns the addresses without a live node that are due to be probed again.
     fn due_probes(&mut self, now: Millis) -> Vec<SocketAddr> {
         let mut due = Vec::new();
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod peer_sync;
 mod placement;
+mod quota;
 mod reach;
 mod reachability;
 mod records;
@@ -23,6 +24,7 @@
 };
 use tokio::sync::oneshot;
 
+use self::quota::QuotaState;
 use self::streams::{BuildRecord, FormerMemory, StreamRecord};
 use self::suspects::{SuspectsRecord, UndecidedRun};
 use crate::catalog::Catalog;
@@ -42,6 +44,7 @@
 use crate::control::permit_issuer::PermitIssuer;
 use crate::control::permits::Permits;
 use crate::control::places::Places;
+use crate::control::quota_asks::RequestQuota;
 use crate::control::reach::Reach;
 use crate::control::retry_budget::{RetryBudget, SlackShare};
 use crate::control::rollout::{PendingLoads, Rollout, Task};
@@ -98,6 +101,7 @@
     /// Place in the queue: priority, and the number of requests of its workspace that
     /// waited when it came.
     place: (u8, usize),
+    quota: RequestQuota,
 }
 
 /// State of the control thread.
@@ -124,6 +128,7 @@
     /// Brittle endpoints that refused a request, and until when they get none.
     full_endpoints: BTreeMap<EndpointKey, Millis>,
     places: Places,
+    quota: QuotaState,
     /// Brittle endpoint at which a run of this node has just ended, whose place a waiting
     /// request may take.
     reusable_place: Option<EndpointKey>,
@@ -233,6 +238,7 @@
             brittle_services: BTreeSet::new(),
             full_endpoints: BTreeMap::new(),
             places: Places::default(),
+            quota: QuotaState::new(incarnation),
             reusable_place: None,
             return_times: BTreeMap::new(),
             suspect_parts: Suspects::new(Subject::Part),
@@ -433,6 +439,7 @@
         self.give_up_asks(now);
         self.update_reach(now);
         self.decide_runs(now);
+        self.update_quotas(now);
         self.retry_queued(now);
         self.advance_rollout(now);
         self.record_streams(now);
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -90,7 +90,7 @@
                 .map_or(0, |address| address.port().into()),
             issues_permits: self.issues_permits(now),
             takes_requests: self.settings.control.is_some(),
-            grants_quota: false,
+            grants_quota: self.grants_quota(now),
             cut_off: self
                 .reach
                 .cut_services()
@@ -229,6 +229,7 @@
         if let Some(answer) = gossip.permit_answer {
             self.permit_answer_received(answer, now);
         }
+        self.handle_quota_messages(from, &gossip, now);
         let Some(sender) = &gossip.sender else {
             return;
         };
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -8,12 +8,14 @@
 use tokio::sync::oneshot;
 
 use super::limits::PermitStep;
+use super::quota::QuotaStep;
 use super::{Control, QueuedRequest};
 use crate::catalog::ServiceKind;
 use crate::clock::Millis;
 use crate::control::cache_index::{FetchSource, namespace, salt};
 use crate::control::fleet::{Estimate, EstimateContext};
 use crate::control::notices::Acceptance;
+use crate::control::quota_asks::RequestQuota;
 use crate::control::{BuildRule, Grant, Placement, PlacementRequest, Refusal, RunEnd};
 use crate::endpoint::EndpointKey;
 use crate::metrics::EventKind;
@@ -111,6 +113,7 @@
             asked_at: now,
             deadline,
             place,
+            quota: RequestQuota::default(),
         };
         let is_scarce = self.limits.count() > 0 || !self.brittle_services.is_empty();
         if is_scarce && !self.queue.is_empty() {
@@ -210,7 +213,7 @@
         ahead: usize,
         now: Millis,
     ) -> Option<QueuedRequest> {
-        let queued = if self.goes_elsewhere(&queued.request) {
+        let mut queued = if self.goes_elsewhere(&queued.request) {
             self.send_elsewhere(queued, now)?
         } else {
             queued
@@ -219,6 +222,14 @@
             self.refuse(&queued.request, refusal, queued.reply);
             return None;
         }
+        match self.quota_step(&mut queued, now) {
+            QuotaStep::Place => {}
+            QuotaStep::Wait => return Some(queued),
+            QuotaStep::Refuse(refusal) => {
+                self.refuse(&queued.request, refusal, queued.reply);
+                return None;
+            }
+        }
         match self.select_permitted(&queued.request, now) {
             Selection::Endpoint(_, estimate) if starts_too_late(&queued.request, &estimate) => {
                 let queue_ms = estimate.queue_ms as u64;
@@ -230,12 +241,14 @@
             Selection::Endpoint(key, estimate) => {
                 let grant = self.grant(&queued.request, key, &estimate, now);
                 let number = grant.run_number;
+                self.quota_sent(&mut queued.quota, number);
                 if queued.request.is_retry {
                     let service = &queued.request.service;
                     self.budget.record_sent(service, queued.asked_at, now);
                 }
                 self.metrics.count(EventKind::Placement, "granted");
                 if queued.reply.send(Ok(grant)).is_err() {
+                    self.quota_run_ended(number, &RunEnd::NeverConnected);
                     self.run_ended(key, number, &RunEnd::CallerLeft, None, now);
                 }
                 None
@@ -579,6 +592,7 @@
         let end = &self.end_at_brittle(endpoint, end, now);
         self.metrics.count(EventKind::RunEnd, end.as_str());
         self.note_run_end(endpoint, number, end, now);
+        self.quota_run_ended(number, end);
         if let Some(state) = self.fleet.get_mut(&endpoint) {
             let is_whole = *end == RunEnd::Complete;
             state.record_run_time((self.incarnation, number), is_whole, now);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of a node.
 
+use std::collections::BTreeSet;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -14,6 +15,9 @@
 use crate::catalog::{RequestKind, Route};
 use crate::response::ErrorReason;
 
+/// Maximum number of workspaces with a label of their own.
+const MAX_QUOTA_LABELS: usize = 128;
+
 /// Labels of a response: kind of the request and status.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ResponseLabels {
@@ -56,6 +60,8 @@
     Probe,
     /// A request that another node handed on.
     Handover,
+    /// An ask for a workspace's quota, or a message about one.
+    Quota,
     /// A change of the belief that the node is cut off from a service.
     Reach,
 }
@@ -74,6 +80,13 @@
     outcome: &'static str,
 }
 
+/// Labels of an ask for quota: its workspace, and its outcome.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct QuotaLabels {
+    workspace: String,
+    outcome: &'static str,
+}
+
 /// Label of what was learnt about a service's engines.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 struct ServiceLabel {
@@ -89,6 +102,9 @@
     first_byte: Family<KindLabel, Histogram>,
     events: Family<EventLabels, Counter>,
     retries: Family<RetryLabels, Counter>,
+    quota: Family<QuotaLabels, Counter>,
+    /// Workspaces with a label of their own.
+    quota_workspaces: Mutex<BTreeSet<String>>,
     limited_endpoints: Gauge,
     load_ms: Family<ServiceLabel, Gauge>,
     concurrent_loads: Family<ServiceLabel, Gauge>,
@@ -108,6 +124,8 @@
             first_byte: Family::new_with_constructor(first_byte_histogram as fn() -> Histogram),
             events: Family::default(),
             retries: Family::default(),
+            quota: Family::default(),
+            quota_workspaces: Mutex::default(),
             limited_endpoints: Gauge::default(),
             load_ms: Family::default(),
             concurrent_loads: Family::default(),
@@ -133,6 +151,11 @@
                 "Retries by service, granted or refused by the budget",
                 metrics.retries.clone(),
             );
+            registry.register(
+                "quota",
+                "Asks for quota by workspace and outcome",
+                metrics.quota.clone(),
+            );
             registry.register(
                 "limited_endpoints",
                 "Endpoints that state a limit of requests",
@@ -200,6 +223,7 @@
             EventKind::Permit => "permit",
             EventKind::Probe => "probe",
             EventKind::Handover => "handover",
+            EventKind::Quota => "quota",
             EventKind::Reach => "reach",
         };
         self.events
@@ -216,6 +240,20 @@
         self.retries.get_or_create(&labels).inc();
     }
 
+    /// Counts an ask for quota of a workspace. The number of labels is bounded.
+    pub fn count_quota(&self, workspace: &str, outcome: &'static str) {
+        let has_label = self.quota_workspaces.lock().is_ok_and(|mut known| {
+            known.contains(workspace)
+                || known.len() < MAX_QUOTA_LABELS && known.insert(workspace.to_owned())
+        });
+        let label = if has_label { workspace } else { "other" };
+        let labels = QuotaLabels {
+            workspace: label.to_owned(),
+            outcome,
+        };
+        self.quota.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of endpoints that state a limit of requests.
     pub fn set_limited_endpoints(&self, count: usize) {
         self.limited_endpoints
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -54,6 +54,8 @@
     CrashesEndpoints,
     /// The request has not run: this node is cut off from its service.
     CutOff,
+    /// The request has not run: its workspace has used up its quota.
+    OverQuota,
     /// The request may have run, but no endpoint returned a usable response.
     Failed,
     /// The request may have run, and its deadline has passed.
@@ -61,7 +63,8 @@
 }
 
 impl ErrorReason {
-    /// HTTP status of the response. 503 is used only for requests that have not run.
+    /// HTTP status of the response. 429 and 503 are used only for requests
+    /// that have not run.
     pub fn status(self) -> StatusCode {
         match self {
             Self::NotReady
@@ -69,6 +72,7 @@
             | Self::NotRun
             | Self::CrashesEndpoints
             | Self::CutOff => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::NoChunks => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
@@ -92,6 +96,7 @@
             Self::NotRun => "not_run",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::CutOff => "cut_off",
+            Self::OverQuota => "over_quota",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
         }
--- a/crates/gateway/src/workspaces.rs
+++ b/crates/gateway/src/workspaces.rs
@@ -6,8 +6,60 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
+/// Largest cost of a request that is counted in tokens.
+const LARGEST_REQUEST_TOKENS: f64 = 70_000.0;
+
+/// What a quota counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuotaUnit {
+    /// Requests.
+    Requests,
+    /// Tokens of the prompt and the largest number of those of the answer.
+    Tokens {
+        /// Cost of a request that does not state its tokens.
+        plain: u32,
+    },
+}
+
+impl QuotaUnit {
+    /// Largest cost of a request.
+    pub fn largest_request(self) -> f64 {
+        match self {
+            Self::Requests => 1.0,
+            Self::Tokens { .. } => LARGEST_REQUEST_TOKENS,
+        }
+    }
+}
+
+/// Limit of what a workspace's requests may cost, over all nodes together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    /// What is counted.
+    pub unit: QuotaUnit,
+    /// Cost units a second; more than 0.
+    pub per_second: f64,
+    /// Cost units in addition to that.
+    pub burst: f64,
+}
+
+impl Quota {
+    /// Returns the cost of a request with this many tokens in its prompt and its answer; both
+    /// are 0 if it does not state them. No request is free, as their number would have no
+    /// limit.
+    pub fn cost(&self, prompt_tokens: u32, output_tokens: u32) -> u32 {
+        let cost = match self.unit {
+            QuotaUnit::Requests => 1,
+            QuotaUnit::Tokens { plain } => match prompt_tokens.saturating_add(output_tokens) {
+                0 => plain,
+                tokens => tokens,
+            },
+        };
+        cost.max(1)
+    }
+}
+
 /// A customer, identified by API keys.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Name that is sent to endpoints.
     pub name: String,
@@ -15,6 +67,9 @@
     pub priority: Option<u8>,
     /// True if no KV cache may be shared with other workspaces.
     pub isolated: bool,
+    /// Limit of its requests; none if there is no limit.
+    #[serde(default)]
+    pub quota: Option<Quota>,
 }
 
 /// With whom a request shares cached prompt parts.
@@ -31,7 +86,7 @@
 }
 
 /// Workspaces by name.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Workspaces {
     by_name: BTreeMap<String, Arc<Workspace>>,
     isolation_key: u64,
@@ -43,6 +98,17 @@
         self.isolated().count()
     }
 
+    /// Returns the quota of a workspace, if it has one.
+    pub fn quota_of(&self, workspace: &str) -> Option<&Quota> {
+        self.by_name.get(workspace)?.quota.as_ref()
+    }
+
+    /// Returns the quotas with the names of their workspaces.
+    pub fn quotas(&self) -> impl Iterator<Item = (&str, &Quota)> {
+        let workspaces = self.by_name.values();
+        workspaces.filter_map(|workspace| Some((&*workspace.name, workspace.quota.as_ref()?)))
+    }
+
     fn isolated(&self) -> impl Iterator<Item = &str> {
         let isolated = self.by_name.values().filter(|workspace| workspace.isolated);
         isolated.map(|workspace| workspace.name.as_str())
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -148,6 +148,16 @@
             .handle(Event::OperatorRecords(vec![update(record)]), now);
     }
 
+    /// Adds a configuration with a service without engines and these entries of workspaces.
+    pub fn plain_catalog(&mut self, version: u64, workspaces: &str, now: u64) {
+        let text = format!(
+            r#"{{"Version":{version},"Routes":[],"Services":[{{"Name":"plain","MaxConns":10000}}],"Tenants":[{workspaces}]}}"#
+        );
+        let record = self.record("op/config", Some(&text));
+        self.control
+            .handle(Event::OperatorRecords(vec![update(record)]), now);
+    }
+
     /// Adds a configuration with a thousand routes.
     pub fn large_catalog(&mut self, version: u64, now: u64) {
         let routes: Vec<_> = (0..1_000)
