quotas: fleets of 6 and 18 nodes keep to a quota and use it

An owner was never eligible where no endpoint has a cache to list, as started_at is set there only; eligibility counts from the start of the process.

--- a/crates/gateway/src/control/quota_buckets.rs
+++ b/crates/gateway/src/control/quota_buckets.rs
@@ -24,6 +24,9 @@
 /// Length of the intervals in which grants are summed, in ms.
 const INTERVAL_MS: Millis = 250;
 
+/// Time in which a datagram may arrive a second time, in ms.
+const REPEAT_MS: Millis = 500;
+
 /// Share of the nodes that must be heard for a bucket to go below zero: the owners on both
 /// sides of a partition would do so for the same quota.
 const MIN_OVERDRAFT_SHARE: f64 = 0.9;
@@ -59,7 +62,7 @@
     Refused(Millis),
     /// This node does not own the bucket.
     NotOwner,
-    /// The ask was granted before.
+    /// The ask was decided before.
     Repeated,
 }
 
@@ -207,6 +210,9 @@
 pub struct QuotaBuckets {
     buckets: BTreeMap<BucketKey, Bucket>,
     grants: BTreeMap<AskKey, Granted>,
+    /// Asks that were refused lately. The node does not wait for a second answer, so that
+    /// a grant for a datagram that arrives twice would be lost.
+    refused: BTreeMap<AskKey, Millis>,
 }
 
 impl QuotaBuckets {
@@ -228,6 +234,7 @@
                 }
             }
         }
+        self.refused.retain(|_, at| now < *at + REPEAT_MS);
         let buckets = &self.buckets;
         self.grants
             .retain(|_, grant| buckets.contains_key(&grant.bucket) && now < grant.at + WINDOW_MS);
@@ -237,11 +244,12 @@
     pub fn clear(&mut self) {
         self.buckets.clear();
         self.grants.clear();
+        self.refused.clear();
     }
 
     /// Decides on an ask.
     pub fn decide(&mut self, key: AskKey, ask: &Ask<'_>, now: Millis) -> QuotaDecision {
-        if self.grants.contains_key(&key) {
+        if self.grants.contains_key(&key) || self.refused.contains_key(&key) {
             return QuotaDecision::Repeated;
         }
         let bucket_key = (ask.workspace.to_owned(), ask.slot);
@@ -256,6 +264,8 @@
                 at: now,
             };
             self.grants.insert(key, granted);
+        } else {
+            self.refused.insert(key, now);
         }
         decision
     }
--- a/crates/gateway/src/control/state/quota.rs
+++ b/crates/gateway/src/control/state/quota.rs
@@ -23,6 +23,10 @@
 /// Interval at which the owners of buckets are determined, in ms.
 const REFRESH_MS: Millis = 50;
 
+/// Time in ms after its start, or after it stood still, for which a node owns no buckets,
+/// so that it knows the other nodes.
+const OWNER_DELAY_MS: Millis = 2_000;
+
 /// Part of a request's target for which it may wait until its grant is usable.
 const MAX_WAIT_SHARE: u32 = 4;
 
@@ -68,7 +72,14 @@
     /// True if this node may own buckets. It must know the registry: behind a partition, it
     /// would otherwise take the nodes that it hears for all.
     pub(super) fn grants_quota(&self, now: Millis) -> bool {
-        self.issues_permits(now) && self.peers.has_list()
+        let knows_nodes = |since: Millis| now >= since + OWNER_DELAY_MS;
+        let stalled_at = self.last_stall.1;
+        self.catalog.is_some()
+            && self.shutdown_at.is_none()
+            && !self.is_cut_off()
+            && self.peers.has_list()
+            && self.running_since.is_some_and(knows_nodes)
+            && (stalled_at == 0 || knows_nodes(stalled_at))
     }
 
     fn quota_of(&self, request: &PlacementRequest) -> Option<&Quota> {
--- /dev/null
+++ b/crates/gateway/tests/test_quota_fleet.rs
@@ -0,0 +1,555 @@
+//! Quotas of workspaces, kept by whole fleets in simulated time.
+
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{Harness, placement_request, settings};
+use flamingolock_gateway::control::{Effect, Event, Grant, Placement, Refusal, RunEnd};
+use flamingolock_wire::gossip::Gossip;
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::oneshot;
+
+/// Window in which a workspace's requests are summed, in ms.
+const WINDOW_MS: u64 = 8_000;
+
+/// Part by which the sum in a window may exceed the quota.
+const OVERAGE: f64 = 0.1;
+
+/// Tokens by which it may exceed the quota in addition.
+const SLACK: f64 = 140_000.0;
+
+/// Time from the placement of a request to its response, in ms.
+const RESPONSE_MS: u64 = 40;
+
+/// Time from the start of a fleet until its buckets are filled, in ms.
+const WARM_UP_MS: u64 = 8_000;
+
+/// Smallest and largest cost of the requests, in tokens.
+const COSTS: (u32, u32) = (600, 18_000);
+
+const MEAN_COST: f64 = 9_300.0;
+
+#[derive(Clone, Copy)]
+struct Network {
+    delay_ms: u64,
+    loss: f64,
+}
+
+const SMALL: Network = Network {
+    delay_ms: 1,
+    loss: 0.0,
+};
+
+/// Nodes behind hubs, with losses.
+const LARGE: Network = Network {
+    delay_ms: 10,
+    loss: 0.01,
+};
+
+struct Node {
+    harness: Harness,
+    wake: u64,
+    /// Until when the process is frozen.
+    frozen_until: u64,
+    held: Vec<(SocketAddr, Bytes)>,
+    waiting: Vec<(u32, oneshot::Receiver<Placement>)>,
+}
+
+/// The fleet; time is in ms.
+struct Fleet {
+    now: u64,
+    nodes: BTreeMap<usize, Node>,
+    count: usize,
+    network: Network,
+    quota: f64,
+    version: u64,
+    /// Nodes that requests arrive at; all if it is empty.
+    entries: Vec<usize>,
+    /// Part of the runs that the endpoint refuses.
+    refusing: f64,
+    /// Part of the datagrams about quotas that arrive twice.
+    duplicated: f64,
+    /// Number of the first nodes that the others do not reach.
+    cut_off: usize,
+    datagrams: BTreeMap<(u64, u64), (SocketAddr, SocketAddr, Bytes)>,
+    runs: BTreeMap<(u64, u64), (usize, Grant, RunEnd)>,
+    sequence: u64,
+    /// Time and cost of each request that runs.
+    sent: Vec<(u64, u32)>,
+    refused: usize,
+    no_owner: usize,
+    no_endpoint: usize,
+    quota_messages: usize,
+    rng: StdRng,
+}
+
+fn address(node: usize) -> SocketAddr {
+    ([10, 0, 0, node as u8], 7_000).into()
+}
+
+fn tenants(quota: f64) -> String {
+    let own = if quota > 0.0 {
+        format!(r#","Unit":"tokens","PlainTokens":200,"RatePerS":{quota},"Burst":{quota}"#)
+    } else {
+        String::new()
+    };
+    format!(r#"{{"Name":"w","ApiKeys":["k"]{own}}}"#)
+}
+
+impl Fleet {
+    fn start(count: usize, network: Network, quota: f64, seed: u64) -> Self {
+        let mut fleet = Self {
+            now: 10_000,
+            nodes: BTreeMap::new(),
+            count,
+            network,
+            quota,
+            version: 1,
+            entries: Vec::new(),
+            refusing: 0.0,
+            duplicated: 0.0,
+            cut_off: 0,
+            datagrams: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            sequence: 0,
+            sent: Vec::new(),
+            refused: 0,
+            no_owner: 0,
+            no_endpoint: 0,
+            quota_messages: 0,
+            rng: StdRng::seed_from_u64(seed),
+        };
+        (0..count).for_each(|number| fleet.start_node(number));
+        fleet
+    }
+
+    fn start_node(&mut self, number: usize) {
+        let mut settings = settings();
+        settings.node = format!("node-{number}");
+        settings.zone = format!("zone-{}", number % 3);
+        settings.gossip = address(number);
+        settings.callers = SocketAddr::new(address(number).ip(), 80);
+        let mut harness = Harness::with_settings(settings, self.rng.random());
+        harness.plain_catalog(self.version, &tenants(self.quota), self.now);
+        for server in 0..4 {
+            let entry = format!(
+                r#"{{"Service":"plain","Address":"10.1.0.{server}:80","Zone":"zone-a","Version":"v1","Slots":5000,"State":"ready","Seq":1,"born":1}}"#
+            );
+            harness.entry(&format!("s{server}"), Some(&entry), self.now);
+        }
+        let addresses = (0..self.count).map(address).collect();
+        let listed = Event::NodesListed(addresses);
+        harness.control.handle(listed, self.now);
+        let node = Node {
+            harness,
+            wake: self.now,
+            frozen_until: 0,
+            held: Vec::new(),
+            waiting: Vec::new(),
+        };
+        self.nodes.insert(number, node);
+    }
+
+    fn kill(&mut self, number: usize) {
+        self.nodes.remove(&number);
+        self.runs.retain(|_, (node, _, _)| *node != number);
+    }
+
+    fn freeze(&mut self, number: usize, time_ms: u64) {
+        let node = self.nodes.get_mut(&number).expect("a node");
+        node.frozen_until = self.now + time_ms;
+    }
+
+    /// Sets another quota, which half of the nodes learn 2 s later.
+    fn set_quota(&mut self, quota: f64, demand: f64) {
+        self.quota = quota;
+        self.version += 1;
+        for half in 0..2 {
+            for (number, node) in &mut self.nodes {
+                if number % 2 == half {
+                    node.harness
+                        .plain_catalog(self.version, &tenants(quota), self.now);
+                }
+            }
+            self.run(2_000, demand);
+        }
+    }
+
+    /// Runs for `time_ms` with requests of `demand` tokens a second.
+    fn run(&mut self, time_ms: u64, demand: f64) {
+        let until = self.now + time_ms;
+        while self.now < until {
+            self.now += 1;
+            let mut mean = demand / MEAN_COST / 1_000.0;
+            while mean > 0.0 && self.rng.random_bool(mean.min(1.0)) {
+                mean -= 1.0;
+                let cost = self.rng.random_range(COSTS.0..=COSTS.1);
+                self.place(cost);
+            }
+            self.deliver();
+            self.tick();
+        }
+    }
+
+    fn place(&mut self, cost: u32) {
+        let numbers: Vec<usize> = if self.entries.is_empty() {
+            let awake = self.nodes.iter();
+            let awake = awake.filter(|(_, node)| node.frozen_until <= self.now);
+            awake.map(|(number, _)| *number).collect()
+        } else {
+            self.entries.clone()
+        };
+        if numbers.is_empty() {
+            return;
+        }
+        let number = numbers[self.rng.random_range(0..numbers.len())];
+        let mut request = placement_request(Some("w"), 1);
+        request.service = "plain".into();
+        request.model = None;
+        request.parts.clear();
+        request.prompt_tokens = cost - 64;
+        request.target = Duration::from_millis(800);
+        request.max_wait = request.target;
+        let (sender, receiver) = oneshot::channel();
+        let node = self.nodes.get_mut(&number).expect("a node");
+        let event = Event::Place(Box::new(request), sender);
+        node.harness.control.handle(event, self.now);
+        node.wake = self.now;
+        node.waiting.push((cost, receiver));
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.datagrams.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (from, to, bytes) = entry.remove();
+            let mut nodes = self.nodes.iter_mut();
+            if let Some((_, node)) = nodes.find(|(number, _)| address(**number) == to) {
+                node.held.push((from, bytes));
+            }
+        }
+        for node in self.nodes.values_mut() {
+            if node.frozen_until > self.now {
+                continue;
+            }
+            for (from, bytes) in node.held.drain(..) {
+                let event = Event::Datagram(from, bytes);
+                node.harness.control.handle(event, self.now);
+                node.wake = self.now;
+            }
+        }
+        while let Some(entry) = self.runs.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (number, grant, end) = entry.remove();
+            if let Some(node) = self.nodes.get_mut(&number) {
+                let ended = Event::RunEnded {
+                    endpoint: grant.endpoint.key(),
+                    run_number: grant.run_number,
+                    end,
+                    model: None,
+                };
+                node.harness.control.handle(ended, self.now);
+                node.wake = self.now;
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let (mut out, mut placed) = (Vec::new(), Vec::new());
+        for (number, node) in &mut self.nodes {
+            if node.wake > self.now || node.frozen_until > self.now {
+                continue;
+            }
+            node.wake = node.harness.control.tick(self.now);
+            for effect in node.harness.control.effects.drain(..) {
+                if let Effect::SendDatagram(addresses, bytes) = effect {
+                    let to = addresses.into_iter();
+                    out.extend(to.map(|to| (address(*number), to, bytes.clone())));
+                }
+            }
+            node.waiting
+                .retain_mut(|(cost, reply)| match reply.try_recv() {
+                    Ok(placement) => {
+                        placed.push((*number, *cost, placement));
+                        false
+                    }
+                    Err(error) => error == oneshot::error::TryRecvError::Empty,
+                });
+        }
+        for (number, cost, placement) in placed {
+            self.placed(number, cost, placement);
+        }
+        let first: BTreeSet<SocketAddr> = (0..self.cut_off).map(address).collect();
+        for datagram in out {
+            let gossip = Gossip::decode(datagram.2.clone()).expect("a datagram");
+            let is_quota = gossip.quota_request.is_some()
+                || gossip.quota_answer.is_some()
+                || gossip.quota_return.is_some();
+            self.quota_messages += usize::from(is_quota);
+            let is_cut = first.contains(&datagram.0) != first.contains(&datagram.1);
+            if is_cut || self.rng.random_bool(self.network.loss) {
+                continue;
+            }
+            let copies = 1 + u64::from(is_quota && self.rng.random_bool(self.duplicated));
+            for copy in 0..copies {
+                self.sequence += 1;
+                let at = self.now + self.network.delay_ms + 30 * copy;
+                self.datagrams.insert((at, self.sequence), datagram.clone());
+            }
+        }
+    }
+
+    fn placed(&mut self, number: usize, cost: u32, placement: Placement) {
+        let grant = match placement {
+            Ok(grant) => grant,
+            Err(Refusal::OverQuota { until }) => {
+                assert!(until > self.now, "a time in the past");
+                self.refused += 1;
+                return;
+            }
+            Err(Refusal::NoQuotaOwner { .. }) => {
+                self.no_owner += 1;
+                return;
+            }
+            Err(_) => {
+                self.no_endpoint += 1;
+                return;
+            }
+        };
+        let is_refused = self.refusing > 0.0 && self.rng.random_bool(self.refusing);
+        let end = if is_refused {
+            RunEnd::WrongInstance
+        } else {
+            self.sent.push((self.now, cost));
+            RunEnd::Complete
+        };
+        self.sequence += 1;
+        self.runs.insert(
+            (self.now + RESPONSE_MS, self.sequence),
+            (number, grant, end),
+        );
+    }
+
+    /// Largest sum in a window, of the requests from `since` on.
+    fn most_sent(&self, since: u64) -> f64 {
+        let sent: Vec<(u64, f64)> = self
+            .sent
+            .iter()
+            .filter(|(at, _)| *at >= since)
+            .map(|(at, cost)| (*at, f64::from(*cost)))
+            .collect();
+        let (mut first, mut sum, mut most) = (0, 0.0f64, 0.0f64);
+        for (at, cost) in &sent {
+            sum += cost;
+            while sent[first].0 + WINDOW_MS <= *at {
+                sum -= sent[first].1;
+                first += 1;
+            }
+            most = most.max(sum);
+        }
+        most
+    }
+
+    /// Checks the bound, and returns the share of the rate that was used from `since` on.
+    fn check(&self, name: &str, since: u64) -> f64 {
+        let window = self.quota * WINDOW_MS as f64 / 1_000.0 + self.quota;
+        let allowed = window * (1.0 + OVERAGE) + SLACK;
+        let most = self.most_sent(since);
+        let used: f64 = self
+            .sent
+            .iter()
+            .filter(|(at, _)| *at >= since)
+            .map(|(_, cost)| f64::from(*cost))
+            .sum();
+        let used = used / (self.quota * (self.now - since) as f64 / 1_000.0);
+        println!(
+            "{name}: {} nodes, quota {}: {:.2} of a window, {:.2} of the bound, {used:.3} used, {} refused, {} without owner, {} without endpoint",
+            self.count,
+            self.quota,
+            most / window,
+            most / allowed,
+            self.refused,
+            self.no_owner,
+            self.no_endpoint
+        );
+        assert!(most <= allowed, "{name}: {most} of {allowed}");
+        used
+    }
+}
+
+/// Quotas, in tokens a second: the smallest and the largest of a deployment.
+const QUOTAS: [f64; 2] = [36_000.0, 1_000_000.0];
+
+fn fleets() -> impl Iterator<Item = (usize, Network, f64)> {
+    let sizes = [(6, SMALL), (18, LARGE)];
+    sizes
+        .into_iter()
+        .flat_map(|(count, network)| QUOTAS.map(|quota| (count, network, quota)))
+}
+
+/// Guards against a quota that is exceeded, or not used, at a demand above it.
+#[test]
+fn quota_is_kept_and_used_at_eight_times_the_demand() {
+    for (count, network, quota) in fleets() {
+        let mut fleet = Fleet::start(count, network, quota, 1);
+        fleet.run(WARM_UP_MS, 0.0);
+        let since = fleet.now;
+        fleet.run(20_000, 8.0 * quota);
+        let used = fleet.check("eight times", since);
+        assert!(used >= 0.9, "{used}");
+        assert_eq!((fleet.no_owner, fleet.no_endpoint), (0, 0));
+    }
+}
+
+/// Guards against refusals of a workspace that stays below its quota.
+#[test]
+fn workspace_below_its_quota_is_not_refused_when_it_moves_to_one_node() {
+    for (count, network, quota) in fleets() {
+        let mut fleet = Fleet::start(count, network, quota, 2);
+        fleet.run(WARM_UP_MS, 0.0);
+        fleet.run(15_000, 0.55 * quota);
+        for entry in [0, count - 1] {
+            fleet.entries = vec![entry];
+            fleet.run(10_000, 0.55 * quota);
+        }
+        fleet.check("below", 0);
+        let refused = (fleet.refused, fleet.no_owner, fleet.no_endpoint);
+        assert_eq!(refused, (0, 0, 0), "{count} nodes, quota {quota}");
+    }
+}
+
+/// Guards against owners that grant what their predecessors have granted.
+#[test]
+fn quota_is_kept_while_nodes_die_and_start() {
+    for (count, network, quota) in fleets() {
+        let mut fleet = Fleet::start(count, network, quota, 3);
+        fleet.run(WARM_UP_MS, 0.0);
+        let since = fleet.now;
+        for number in (0..count).chain(0..count) {
+            fleet.kill(number);
+            fleet.run(700, 4.0 * quota);
+            fleet.start_node(number);
+            fleet.run(900, 4.0 * quota);
+        }
+        fleet.check("kills and starts", since);
+        (0..count).for_each(|number| fleet.kill(number));
+        (0..count).for_each(|number| fleet.start_node(number));
+        fleet.run(10_000, 4.0 * quota);
+        fleet.check("loss of all nodes", since);
+        let later = fleet.now;
+        fleet.run(10_000, 4.0 * quota);
+        let used = fleet.check("afterwards", later);
+        assert!(used >= 0.9, "{used}");
+    }
+}
+
+/// Guards against an owner that goes on granting after it was replaced.
+#[test]
+fn quota_is_kept_while_owners_freeze_and_resume() {
+    for (count, network, quota) in fleets() {
+        let mut fleet = Fleet::start(count, network, quota, 4);
+        fleet.run(WARM_UP_MS, 0.0);
+        let since = fleet.now;
+        for number in 0..count {
+            fleet.freeze(number, 900 + 400 * (number as u64 % 6));
+            fleet.run(1_600, 4.0 * quota);
+        }
+        fleet.check("freezes", since);
+    }
+}
+
+/// Guards against a quota that both sides of a partition grant, however long it lasts.
+#[test]
+fn quota_is_kept_in_a_partition_and_after_it() {
+    for (count, network, quota) in fleets() {
+        let mut fleet = Fleet::start(count, network, quota, 5);
+        fleet.run(WARM_UP_MS, 0.0);
+        let since = fleet.now;
+        fleet.cut_off = count / 2;
+        fleet.run(30_000, 4.0 * quota);
+        fleet.check("partition", since);
+        for _ in 0..3 {
+            fleet.cut_off = 0;
+            fleet.run(2_500, 4.0 * quota);
+            fleet.cut_off = count / 2;
+            fleet.run(2_500, 4.0 * quota);
+        }
+        fleet.cut_off = 0;
+        fleet.run(8_000, 4.0 * quota);
+        fleet.check("partitions", since);
+        let later = fleet.now;
+        fleet.run(10_000, 4.0 * quota);
+        let used = fleet.check("after the partition", later);
+        assert!(used >= 0.9, "{used}");
+    }
+}
+
+/// Guards against tokens saved up under a higher limit.
+#[test]
+fn lower_limit_is_kept_and_used_from_a_window_after_it_is_in_force() {
+    for (count, network, quota) in fleets() {
+        let mut fleet = Fleet::start(count, network, quota, 6);
+        let demand = quota;
+        fleet.run(WARM_UP_MS, demand);
+        fleet.set_quota(quota / 8.0, demand);
+        fleet.run(WINDOW_MS, demand);
+        let since = fleet.now;
+        fleet.run(20_000, demand);
+        let used = fleet.check("an eighth", since);
+        assert!(used >= 0.9, "{used}");
+        fleet.set_quota(quota, 2.0 * quota);
+        fleet.run(4_000, 2.0 * quota);
+        let since = fleet.now;
+        fleet.run(10_000, 2.0 * quota);
+        let used = fleet.check("raised again", since);
+        assert!(used >= 0.9, "{used}");
+    }
+}
+
+/// Guards against runs that count though no endpoint began them, and against grants that are
+/// used twice when messages arrive twice.
+#[test]
+fn refused_runs_are_not_counted_and_repeated_messages_change_nothing() {
+    for (count, network, quota) in fleets() {
+        let mut fleet = Fleet::start(count, network, quota, 7);
+        fleet.refusing = 0.4;
+        fleet.duplicated = 0.5;
+        fleet.run(WARM_UP_MS, 0.0);
+        let since = fleet.now;
+        fleet.run(20_000, 6.0 * quota);
+        let used = fleet.check("refused runs", since);
+        assert!(used >= 0.9, "{used}");
+    }
+}
+
+/// Guards against messages and waits where no workspace has a quota.
+#[test]
+fn without_a_quota_there_is_no_message() {
+    let mut fleet = Fleet::start(6, SMALL, 0.0, 8);
+    fleet.run(WARM_UP_MS, 200_000.0);
+    assert!(!fleet.sent.is_empty());
+    let others = (fleet.refused, fleet.no_owner, fleet.no_endpoint);
+    assert_eq!((fleet.quota_messages, others), (0, (0, 0, 0)));
+}
+
+/// Guards against a request that is sent without a grant when nobody owns the quota.
+#[test]
+fn request_without_an_owner_is_refused_within_its_target() {
+    let mut fleet = Fleet::start(1, SMALL, 100_000.0, 9);
+    // The node issues no grants for 2 s after its start.
+    fleet.place(1_000);
+    fleet.run(700, 0.0);
+    assert_eq!((fleet.sent.len(), fleet.no_owner), (0, 0));
+    fleet.run(200, 0.0);
+    assert_eq!((fleet.sent.len(), fleet.no_owner), (0, 1));
+}
