quotas: small requests use up one bucket first, and wait only where both are dry

Of two half-full buckets, neither holds enough for a large request. A quota was refused to a request although a wait at the first bucket would have been enough; it now asks that bucket again with its wait.

--- a/crates/gateway/src/control/quota_asks.rs
+++ b/crates/gateway/src/control/quota_asks.rs
@@ -63,7 +63,9 @@
     NotAsked,
     /// Nobody owns the bucket, or its owner did not answer.
     NoAnswer,
-    /// There is quota at this time.
+    /// There is quota at this time; the request would not wait for it.
+    RefusedNow(Millis),
+    /// There is quota at this time, later than the request would wait.
     Refused(Millis),
 }
 
@@ -71,6 +73,7 @@
 struct OwnAsk {
     number: u64,
     slot: u32,
+    waits: bool,
     at: Millis,
 }
 
@@ -93,7 +96,7 @@
     Send,
     /// It waits for an answer, for its grant to become usable, or to ask again.
     Wait,
-    /// It asks for a grant; none of these slots was asked yet.
+    /// It asks one of these slots for a grant.
     Ask([bool; SLOTS as usize]),
     /// The quota is used up until this time.
     Refused(Millis),
@@ -131,6 +134,12 @@
         if not_asked.contains(&true) {
             return AskStep::Ask(not_asked);
         }
+        let may_wait = self
+            .slots
+            .map(|slot| matches!(slot, SlotState::RefusedNow(_)));
+        if may_wait.contains(&true) {
+            return AskStep::Ask(may_wait);
+        }
         if let Some(until) = self.refused_until() {
             return AskStep::Refused(until);
         }
@@ -143,7 +152,7 @@
     /// When there is quota again, if an owner has refused it.
     pub fn refused_until(&self) -> Option<Millis> {
         let times = self.slots.iter().filter_map(|slot| match slot {
-            SlotState::Refused(until) => Some(*until),
+            SlotState::Refused(until) | SlotState::RefusedNow(until) => Some(*until),
             SlotState::NotAsked | SlotState::NoAnswer => None,
         });
         times.min()
@@ -198,11 +207,12 @@
         }
     }
 
-    /// Records that a request asks an owner. Returns the number of the ask.
+    /// Records that a request asks the owner of a slot, and whether it waits for future quota.
+    /// Returns the number of the ask.
     pub fn begin(
         &mut self,
         request: &mut RequestQuota,
-        slot: u32,
+        (slot, waits): (u32, bool),
         owner: SocketAddr,
         now: Millis,
     ) -> u64 {
@@ -212,6 +222,7 @@
         request.ask = Some(OwnAsk {
             number,
             slot,
+            waits,
             at: now,
         });
         number
@@ -257,7 +268,10 @@
         };
         request.grant = grant;
         request.slots[own.slot as usize] = match decision {
-            QuotaDecision::Refused(after) => SlotState::Refused(now.saturating_add(after)),
+            QuotaDecision::Refused(after) if own.waits => {
+                SlotState::Refused(now.saturating_add(after))
+            }
+            QuotaDecision::Refused(after) => SlotState::RefusedNow(now.saturating_add(after)),
             _ => SlotState::NoAnswer,
         };
     }
--- a/crates/gateway/src/control/quota_buckets.rs
+++ b/crates/gateway/src/control/quota_buckets.rs
@@ -34,6 +34,16 @@
 /// Maximum time after which a refused client is asked to return, in ms.
 const MAX_RETURN_MS: f64 = 10_000.0;
 
+/// Part of a bucket's capacity up to which a request's cost is small.
+const SMALL_SHARE: f64 = 0.25;
+
+/// Returns the slot that a request asks first. Small requests use up the first bucket before
+/// the second one, which therefore holds enough for a large one: of two half-full buckets,
+/// neither does.
+pub fn preferred_slot(quota: &Quota, cost: u32) -> u32 {
+    u32::from(f64::from(cost) > quota.capacity(SLOTS) * SMALL_SHARE)
+}
+
 /// A bucket: name of the workspace and slot.
 pub type BucketKey = (String, u32);
 
@@ -93,10 +103,9 @@
         }
     }
 
-    /// Capacity while all nodes are heard. It holds the largest request, so that small bursts
-    /// do not shut out large requests.
+    /// Capacity while all nodes are heard.
     fn full_capacity(&self) -> f64 {
-        (self.quota.burst / f64::from(SLOTS)).max(self.quota.unit.largest_request())
+        self.quota.capacity(SLOTS)
     }
 
     fn capacity(&self) -> f64 {
@@ -226,12 +235,11 @@
     pub fn own(&mut self, owned: &BTreeMap<BucketKey, Quota>, share: f64, now: Millis) {
         self.buckets.retain(|key, _| owned.contains_key(key));
         for (key, quota) in owned {
-            match self.buckets.get_mut(key) {
-                Some(bucket) => bucket.update(quota, share, now),
-                None => {
-                    let bucket = Bucket::new(quota.clone(), share, now);
-                    self.buckets.insert(key.clone(), bucket);
-                }
+            if let Some(bucket) = self.buckets.get_mut(key) {
+                bucket.update(quota, share, now);
+            } else {
+                let bucket = Bucket::new(quota.clone(), share, now);
+                self.buckets.insert(key.clone(), bucket);
             }
         }
         self.refused.retain(|_, at| now < *at + REPEAT_MS);
--- a/crates/gateway/src/control/state/quota.rs
+++ b/crates/gateway/src/control/state/quota.rs
@@ -15,7 +15,9 @@
 use super::{Control, QueuedRequest};
 use crate::clock::Millis;
 use crate::control::quota_asks::{AskStep, QuotaAsks, QuotaGrant, RequestQuota};
-use crate::control::quota_buckets::{Ask, BucketKey, QuotaBuckets, QuotaDecision, SLOTS};
+use crate::control::quota_buckets::{
+    Ask, BucketKey, QuotaBuckets, QuotaDecision, SLOTS, preferred_slot,
+};
 use crate::control::{Effect, PlacementRequest, Refusal, RunEnd};
 use crate::metrics::EventKind;
 use crate::workspaces::Quota;
@@ -30,6 +32,9 @@
 /// Part of a request's target for which it may wait until its grant is usable.
 const MAX_WAIT_SHARE: u32 = 4;
 
+/// Longest time for which an owner reserves quota, in ms, whatever another node asks for.
+const LONGEST_WAIT_MS: Millis = 2_000;
+
 /// Time after which a client is asked to return when no owner was found, in ms.
 const NO_OWNER_RETURN_MS: Millis = 1_000;
 
@@ -128,7 +133,7 @@
             nodes.push((&self.settings.node, own));
         }
         let mut owners = BTreeMap::new();
-        let mut owned = BTreeMap::new();
+        let mut held = BTreeMap::new();
         let catalog = self.catalog.as_ref();
         for (workspace, quota) in catalog
             .iter()
@@ -143,15 +148,15 @@
                 let Some((_, owner)) = owner else { continue };
                 let bucket = (workspace.to_owned(), slot);
                 if *owner == own {
-                    owned.insert(bucket.clone(), quota.clone());
+                    held.insert(bucket.clone(), quota.clone());
                 }
                 owners.insert(bucket, *owner);
             }
         }
         let before = self.quota.buckets.count();
-        self.quota.buckets.own(&owned, share.unwrap_or(0.0), now);
-        if before != owned.len() {
-            log::info!(buckets = owned.len(), before, share, nodes = nodes.len(); "number of own quota buckets changed");
+        self.quota.buckets.own(&held, share.unwrap_or(0.0), now);
+        if before != held.len() {
+            log::info!(buckets = held.len(), before, share, nodes = nodes.len(); "number of own quota buckets changed");
         }
         self.quota.owners = owners;
         self.quota.asks.forget_old(now);
@@ -166,12 +171,15 @@
             return QuotaStep::Place;
         };
         let cost = quota.cost(queued.request.prompt_tokens, queued.request.output_tokens);
+        let preferred = preferred_slot(quota, cost);
         loop {
             match queued.quota.next_step(now) {
                 AskStep::Send => return QuotaStep::Place,
                 AskStep::Wait if now < queued.deadline => return QuotaStep::Wait,
                 AskStep::Wait => return self.quota_timed_out(queued, now),
-                AskStep::Ask(slots) => self.ask_for_quota(queued, slots, cost, now),
+                AskStep::Ask(slots) => {
+                    self.ask_for_quota(queued, slots, (cost, preferred), now);
+                }
                 AskStep::Unanswered(number) => {
                     self.quota.asks.unanswered(number, now);
                     self.count_quota(&queued.request, "unanswered");
@@ -192,6 +200,8 @@
         self.count_quota(&queued.request, "refused");
         log::info!(request = &*queued.request.id, workspace = queued.request.workspace.as_deref(),
             return_ms = until.saturating_sub(now), took_ms = now - queued.asked_at; "request is over the quota");
+        // An owner may have answered some time ago.
+        let until = until.max(now + 1);
         QuotaStep::Refuse(Refusal::OverQuota { until })
     }
 
@@ -207,19 +217,19 @@
         QuotaStep::Refuse(Refusal::NoQuotaOwner { until })
     }
 
-    /// Asks one of these slots, rather one whose owner answers.
+    /// Asks one of these slots, rather one whose owner answers. The request waits for future
+    /// quota only where the other bucket has none.
     fn ask_for_quota(
         &mut self,
         queued: &mut QueuedRequest,
         slots: [bool; SLOTS as usize],
-        cost: u32,
+        (cost, preferred): (u32, u32),
         now: Millis,
     ) {
         let Some(workspace) = queued.request.workspace.clone() else {
             return;
         };
-        let random = rand::random::<u32>() % SLOTS;
-        let candidates = (0..SLOTS).map(|slot| (slot + random) % SLOTS);
+        let candidates = (0..SLOTS).map(|slot| (slot + preferred) % SLOTS);
         let candidates = candidates.filter(|slot| slots[*slot as usize]);
         let asked = candidates.map(|slot| {
             let owner = self.quota.owners.get(&(workspace.clone(), slot)).copied();
@@ -237,8 +247,16 @@
         };
         let target_ms = queued.request.target.as_millis() as Millis;
         let left = queued.deadline.saturating_sub(now);
-        let max_wait = (target_ms / Millis::from(MAX_WAIT_SHARE)).min(left);
-        let number = self.quota.asks.begin(&mut queued.quota, slot, owner, now);
+        let waits = slots.iter().filter(|may_ask| **may_ask).count() == 1;
+        let max_wait = if waits {
+            (target_ms / Millis::from(MAX_WAIT_SHARE)).min(left)
+        } else {
+            0
+        };
+        let number = self
+            .quota
+            .asks
+            .begin(&mut queued.quota, (slot, waits), owner, now);
         let request = QuotaRequest {
             number,
             workspace,
@@ -302,7 +320,7 @@
             workspace: &request.workspace,
             slot: request.slot,
             cost: request.cost,
-            max_wait: request.max_wait_ms.into(),
+            max_wait: Millis::from(request.max_wait_ms).min(LONGEST_WAIT_MS),
         };
         self.quota.buckets.decide((from, request.number), &ask, now)
     }
--- a/crates/gateway/src/workspaces.rs
+++ b/crates/gateway/src/workspaces.rs
@@ -43,6 +43,12 @@
 }
 
 impl Quota {
+    /// Most cost units that one of `slots` buckets holds while all nodes are heard. It holds
+    /// the largest request, so that small bursts do not shut out large requests.
+    pub fn capacity(&self, slots: u32) -> f64 {
+        (self.burst / f64::from(slots)).max(self.unit.largest_request())
+    }
+
     /// Returns the cost of a request with this many tokens in its prompt and its answer; both
     /// are 0 if it does not state them. No request is free, as their number would have no
     /// limit.
