quotas: buckets in tokens hold the largest request beyond their part of the burst

Several large requests in a row left less in each bucket than the next one needed, while the window held little: 4 of some 4,900 requests at 0.55 of 36,000 tokens a second were refused.

--- a/crates/gateway/src/workspaces.rs
+++ b/crates/gateway/src/workspaces.rs
@@ -21,16 +21,6 @@
     },
 }
 
-impl QuotaUnit {
-    /// Largest cost of a request.
-    pub fn largest_request(self) -> f64 {
-        match self {
-            Self::Requests => 1.0,
-            Self::Tokens { .. } => LARGEST_REQUEST_TOKENS,
-        }
-    }
-}
-
 /// Limit of what a workspace's requests may cost, over all nodes together.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
@@ -43,10 +33,15 @@
 }
 
 impl Quota {
-    /// Most cost units that one of `slots` buckets holds while all nodes are heard. It holds
-    /// the largest request, so that small bursts do not shut out large requests.
+    /// Most cost units that one of `slots` buckets holds while all nodes are heard: its part of
+    /// the burst and, in tokens, the largest request, so that what one bucket holds beyond a
+    /// request does not shut out the next one. Two of these are the slack of the bound.
     pub fn capacity(&self, slots: u32) -> f64 {
-        (self.burst / f64::from(slots)).max(self.unit.largest_request())
+        let part = self.burst / f64::from(slots);
+        match self.unit {
+            QuotaUnit::Requests => part.max(1.0),
+            QuotaUnit::Tokens { .. } => part + LARGEST_REQUEST_TOKENS,
+        }
     }
 
     /// Returns the cost of a request with this many tokens in its prompt and its answer; both
