Merge branch 'quota': quotas of workspaces over all nodes

The window and the slack of the bound come from the platform's settings. A less urgent request that waits for a shorter queue returns its grant and asks again before it is sent, as grants expire.

--- a/crates/gateway/src/control/dispatch.rs
+++ b/crates/gateway/src/control/dispatch.rs
@@ -69,10 +69,9 @@
     /// Returns the turn of a workspace's next request.
     pub fn next(&mut self, workspace: Option<&str>) -> u64 {
         let last = self.last.entry(workspace.map(ToOwned::to_owned));
-        let turn = *last
+        *last
             .and_modify(|last| *last = self.current.max(*last + 1))
-            .or_insert(self.current);
-        turn
+            .or_insert(self.current)
     }
 
     /// Records that a request with this turn is sent.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod peer_sync;
 mod placement;
+mod quota;
 mod reach;
 mod reachability;
 mod records;
@@ -26,6 +27,7 @@
 use tokio::sync::oneshot;
 
 use self::dispatch::Dispatch;
+use self::quota::QuotaState;
 use self::streams::{BuildRecord, FormerMemory, StreamRecord};
 use self::suspects::{SuspectsRecord, UndecidedRun};
 use crate::catalog::Catalog;
@@ -45,6 +47,7 @@
 use crate::control::permit_issuer::PermitIssuer;
 use crate::control::permits::Permits;
 use crate::control::places::Places;
+use crate::control::quota_asks::RequestQuota;
 use crate::control::reach::Reach;
 use crate::control::retry_budget::{RetryBudget, SlackShare};
 use crate::control::rollout::{PendingLoads, Rollout, Task};
@@ -103,6 +106,7 @@
     place: Option<(u8, u64)>,
     /// True if it waits for a shorter queue at an engine.
     is_held: bool,
+    quota: RequestQuota,
 }
 
 /// State of the control thread.
@@ -130,6 +134,7 @@
     /// Brittle endpoints that refused a request, and until when they get none.
     full_endpoints: BTreeMap<EndpointKey, Millis>,
     places: Places,
+    quota: QuotaState,
     /// Brittle endpoint at which a run of this node has just ended, whose place a waiting
     /// request may take.
     reusable_place: Option<EndpointKey>,
@@ -214,6 +219,7 @@
     ) -> Self {
         let weights_bound = settings.weights_bound.as_millis() as Millis;
         let peers = Peers::new(settings.retry_window);
+        let quota = QuotaState::new(&settings, incarnation);
         Self {
             budget: RetryBudget::new(
                 settings.retry_ratio,
@@ -241,6 +247,7 @@
             brittle_services: BTreeSet::new(),
             full_endpoints: BTreeMap::new(),
             places: Places::default(),
+            quota,
             reusable_place: None,
             return_times: BTreeMap::new(),
             suspect_parts: Suspects::new(Subject::Part),
@@ -442,6 +449,7 @@
         self.give_up_asks(now);
         self.update_reach(now);
         self.decide_runs(now);
+        self.update_quotas(now);
         self.retry_queued(now);
         self.advance_rollout(now);
         self.record_streams(now);
--- a/crates/gateway/src/control/state/dispatch.rs
+++ b/crates/gateway/src/control/state/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::clock::Millis;
 use crate::control::dispatch::{DispatchLimits, DispatchRate, Turns, Waiting};
 use crate::control::fleet::Estimate;
+use crate::control::quota_asks::RequestQuota;
 use crate::control::{BuildRule, PlacementRequest, Refusal};
 use crate::metrics::EventKind;
 
@@ -92,8 +93,22 @@
 }
 
 impl Control {
-    /// True if the queue at the engine is too long for a less urgent request.
+    /// Returns the estimate of a waiting request that has to go on waiting before it asks for
+    /// quota again: a grant would expire meanwhile.
+    pub(super) fn waits_for_quota(&self, queued: &QueuedRequest, now: Millis) -> Option<Estimate> {
+        if !queued.is_held || !self.needs_quota(queued) {
+            return None;
+        }
+        let (_, estimate) = self.select_endpoint(&queued.request, now).ok()?;
+        self.is_over_limit(queued, &estimate).then_some(estimate)
+    }
+
+    /// True if the queue at the engine is too long for a less urgent request. One that has
+    /// waited and got its quota since is sent.
     pub(super) fn is_over_limit(&self, queued: &QueuedRequest, estimate: &Estimate) -> bool {
+        if queued.is_held && queued.quota.has_grant() {
+            return false;
+        }
         let limit = self.dispatch.limit_ms(queued);
         limit
             .is_some_and(|limit| estimate.queue_ms > limit * rand::rng().random_range(LIMIT_SPREAD))
@@ -139,6 +154,8 @@
                 return None;
             }
             queued.is_held = true;
+            // Its grant goes to others while it waits.
+            queued.quota = RequestQuota::default();
             self.metrics.count(EventKind::Placement, "held");
             log::debug!(request = &*queued.request.id, priority = queued.request.priority, queue_ms = estimate.queue_ms as i64,
                 wait_ms = wait_ms as i64; "request waits for a shorter queue");
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -45,6 +45,10 @@
     pub retry_window: Duration,
     /// Number of retries that all nodes together have in addition to the ratio.
     pub retry_slack: f64,
+    /// Time window in which the cost of a workspace's requests is bounded by its quota.
+    pub quota_window: Duration,
+    /// Cost that a window may hold in addition to the quota, in its unit.
+    pub quota_slack: f64,
     /// Minimum time between orders of two different nodes.
     pub lease: Duration,
     /// Time within which new weights must be in use.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -42,6 +42,8 @@
         retry_ratio: 0.2,
         retry_window: Duration::from_secs(10),
         retry_slack: 58.0,
+        quota_window: Duration::from_secs(8),
+        quota_slack: 140_000.0,
         lease: Duration::from_secs(3),
         weights_bound: Duration::from_secs(6),
         contact_time: Some(Duration::from_secs(3)),
@@ -169,6 +171,16 @@
             .handle(Event::OperatorRecords(vec![update(record)]), now);
     }
 
+    /// Adds a configuration with a service without engines and these entries of workspaces.
+    pub fn plain_catalog(&mut self, version: u64, workspaces: &str, now: u64) {
+        let text = format!(
+            r#"{{"Version":{version},"Routes":[],"Services":[{{"Name":"plain","MaxConns":10000}}],"Tenants":[{workspaces}]}}"#
+        );
+        let record = self.record("op/config", Some(&text));
+        self.control
+            .handle(Event::OperatorRecords(vec![update(record)]), now);
+    }
+
     /// Adds a configuration with a thousand routes.
     pub fn large_catalog(&mut self, version: u64, now: u64) {
         let routes: Vec<_> = (0..1_000)
