tests: unread streams show their unbounded memory

Cause: the engines of the test answered without the fields that a response must have, so no stream began and the test passed for no reason. Change: they send these fields, and the test checks that streams have begun.

--- a/crates/cli/tests/test_untrusted_clients.rs
+++ b/crates/cli/tests/test_untrusted_clients.rs
@@ -347,8 +347,12 @@
             }
             continue;
         }
-        let head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
-        if writer.write_all(head).is_err() {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: signed\r\nWeight-Versions: 1\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            request.id
+        );
+        if writer.write_all(head.as_bytes()).is_err() {
             return;
         }
         let data = "x".repeat(EVENT_BYTES);
@@ -392,6 +396,9 @@
         let _ = stream.read(&mut [0; 16]);
     });
     std::thread::sleep(FILL_TIME);
+    let started = rig.node.log().matches("stream started").count();
+    assert!(started > 0, "no stream has begun");
+    println!("{started} streams started");
     rig.check(crowd);
 }
 
