gateway: bound what untrusted clients hold

Cause: each connection could hold a body of legal size, small pieces kept whole read buffers, and neither the sum over connections nor their number had a bound. Bodies announced over the limit were read first, and unread streams queued up to 16 chunks of any size. Change: a memory budget from MemoryMb for bodies (charged by capacity until the request has ended) and queued parts of streams; bodies over the limit are refused at once, those without progress after IdleTimeoutMs; a bound on connections per port from MaxFds and MemoryMb; bounded buffers of connections.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! A caller's request while it is handled, and what its handlers share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -14,6 +15,8 @@
 use crate::dialect::{Dialect, RequestHead};
 use crate::fingerprint::Fingerprints;
 use crate::http_client::Pool;
+use crate::memory_budget::MemoryBudget;
+use crate::metrics::Metrics;
 use crate::workspaces::Workspace;
 
 /// Who sent a request to this node.
@@ -53,6 +56,8 @@
     pub workspace: Option<Arc<Workspace>>,
     /// Who sent the request to this node.
     pub origin: Origin,
+    /// Address from which it was sent, for logs.
+    pub client: Option<SocketAddr>,
     /// Version of the configuration under which it is handled.
     pub catalog_version: u64,
     /// When the request head arrived.
@@ -131,4 +136,8 @@
     pub node_pool: Pool,
     /// The end of the process.
     pub process_end: ProcessEnd,
+    /// Metrics of the node.
+    pub metrics: Arc<Metrics>,
+    /// Memory for data that is held for clients.
+    pub memory: MemoryBudget,
 }
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -20,6 +20,9 @@
 use crate::clock::{Millis, now};
 use crate::endpoint::EndpointKey;
 
+/// Maximum size of the buffers of a connection, in bytes; it also bounds the head of a response.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// `TCP_USER_TIMEOUT`: time after which unacknowledged data closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -159,6 +162,7 @@
             log::debug!(error:% = error; "cannot set TCP_USER_TIMEOUT");
         }
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(CallError::Broken)?;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,10 @@
     Handover,
     /// A change of the belief that the node is cut off from a service.
     Reach,
+    /// A connection closed or refused because its port has as many as it may.
+    Connection,
+    /// A streamed answer that its caller did not read.
+    UnreadStream,
 }
 
 /// Labels of a counted event.
@@ -201,6 +205,8 @@
             EventKind::Probe => "probe",
             EventKind::Handover => "handover",
             EventKind::Reach => "reach",
+            EventKind::Connection => "connection",
+            EventKind::UnreadStream => "unread_stream",
         };
         self.events
             .get_or_create(&EventLabels { event, outcome })
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,11 +10,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 
+use crate::connection_limit::{ConnectionLimit, Port};
 use crate::control::{self, Event, FollowedTopic, Handle};
 use crate::dialect::Dialect;
 use crate::exchange::{ProcessEnd, ProxyContext};
 use crate::gossip;
 use crate::http_client::Pool;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::node_port;
 use crate::server::{self, ConnectionCount};
@@ -85,17 +87,19 @@
         dialect,
         pool: Pool::default(),
         node_pool: Pool::default(),
+        metrics: metrics.clone(),
+        memory: MemoryBudget::of_memory(settings.memory_mb),
     };
+    let limit = |port| ConnectionLimit::of(port, settings.max_fds, settings.memory_mb);
     let connections = ConnectionCount::default();
     let (shutdown_sender, shutdown) = watch::channel(false);
     let caller_listener = listen(settings.callers)?;
-    let directory_listener = listen(settings.directory)?;
-    let ready_listener = listen(settings.ready)?;
-    let metrics_listener = listen(settings.metrics)?;
+    serve_internal_ports(&settings, &context)?;
     if let Some(address) = settings.control {
         let listener = listen(address)?;
         tokio::spawn(node_port::serve(
             listener,
+            limit(Port::Nodes),
             context.clone(),
             metrics.clone(),
             connections.clone(),
@@ -130,11 +134,9 @@
         lost_registrations,
     ));
     recover_records(&settings, dialect, &handle);
-    tokio::spawn(server::serve_directory(directory_listener, context.clone()));
-    tokio::spawn(server::serve_directory(ready_listener, context.clone()));
-    tokio::spawn(server::serve_metrics(metrics_listener, metrics.clone()));
     tokio::spawn(server::serve_callers(
         caller_listener,
+        limit(Port::Callers),
         context,
         metrics,
         connections.clone(),
@@ -160,6 +162,24 @@
     Ok(())
 }
 
+/// Opens and serves the directory, readiness and metrics ports.
+fn serve_internal_ports(settings: &Settings, context: &ProxyContext) -> Result<(), StartError> {
+    let limit = || ConnectionLimit::of(Port::Internal, settings.max_fds, settings.memory_mb);
+    for address in [settings.directory, settings.ready] {
+        tokio::spawn(server::serve_directory(
+            listen(address)?,
+            limit(),
+            context.clone(),
+        ));
+    }
+    tokio::spawn(server::serve_metrics(
+        listen(settings.metrics)?,
+        limit(),
+        context.metrics.clone(),
+    ));
+    Ok(())
+}
+
 /// Reads what the nodes recorded before all of them ended.
 fn recover_records(settings: &Settings, dialect: &'static Dialect, handle: &Handle) {
     tokio::spawn(recover_streams(settings.clone(), dialect, handle.clone()));
--- a/crates/gateway/src/node_port.rs
+++ b/crates/gateway/src/node_port.rs
@@ -12,11 +12,12 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::connection_limit::ConnectionLimit;
 use crate::exchange::ProxyContext;
 use crate::handover;
 use crate::metrics::Metrics;
 use crate::peer_sync::Transfers;
-use crate::server::{self, ConnectionCount};
+use crate::server::{self, Client, ConnectionCount, ConnectionGuard};
 
 /// Time for the first byte of a connection.
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -25,6 +26,7 @@
 /// closed as soon as they are idle.
 pub async fn serve(
     listener: TcpListener,
+    limit: ConnectionLimit,
     context: ProxyContext,
     metrics: Arc<Metrics>,
     connections: ConnectionCount,
@@ -33,6 +35,9 @@
     let transfers = Transfers::new(context.handle.clone());
     loop {
         let stream = server::accept(&listener).await;
+        let Some(client) = server::enter(&limit, &stream, &metrics) else {
+            continue;
+        };
         // Connections take part in the bound of transfers until they turn out to be none.
         let place = transfers.place();
         let transfers = transfers.clone();
@@ -44,12 +49,16 @@
             match first_byte(&stream).await {
                 Some(byte) if byte != 0 => {
                     drop(place);
-                    serve_requests(stream, context, metrics, &connections, shutdown).await;
+                    let guard = connections.enter();
+                    serve_requests(stream, client, context, metrics, shutdown, guard).await;
                 }
                 None if place.is_some() => {
                     log::debug!("connection of a node closed without a byte");
                 }
-                Some(_) | None => transfers.serve(stream, place).await,
+                Some(_) | None => {
+                    client.running();
+                    transfers.serve(stream, place).await;
+                }
             }
         });
     }
@@ -63,15 +72,15 @@
 
 async fn serve_requests(
     stream: TcpStream,
+    client: Client,
     context: ProxyContext,
     metrics: Arc<Metrics>,
-    connections: &ConnectionCount,
     shutdown: watch::Receiver<bool>,
+    guard: ConnectionGuard,
 ) {
-    let guard = connections.enter();
     let limits = server::caller_limits(&context);
     let handler = move |request: Request<Incoming>| {
         handover::receive(request, context.clone(), metrics.clone())
     };
-    server::serve_connection(stream, limits, handler, shutdown, guard).await;
+    server::serve_connection(stream, client, limits, handler, shutdown, guard).await;
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,6 +6,7 @@
 //! case the caller's connection closes without the end of the body. Its caller may then take
 //! it up with the id of its last event, and learns from a whole response that nothing follows.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use http::header::CONTENT_LENGTH;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::{AttemptOutcome, OpenedStream, attempt, closes_connection};
@@ -24,12 +25,62 @@
 use crate::exchange::{Exchange, ProxyContext};
 use crate::forward::{RetryState, elapsed_ms};
 use crate::http_client::BodyFraming;
+use crate::limited_log::LimitedLog;
+use crate::memory_budget::{MemoryBudget, charged};
+use crate::metrics::EventKind;
 use crate::response::{IncompleteBody, ResponseBody, SentBy};
 
 /// Maximum number of chunks queued for a slow caller.
 const MAX_PENDING_CHUNKS: usize = 16;
 
-type BodySender = mpsc::Sender<Result<Frame<Bytes>, IncompleteBody>>;
+/// Maximum number of bytes queued for a slow caller, unless a single event is larger.
+const MAX_UNREAD_BYTES: usize = 64 * 1024;
+
+/// Time after which a caller that reads nothing of its stream loses it.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Log of streams that end because their callers do not read them.
+static UNREAD_LOG: LimitedLog = LimitedLog::new();
+
+/// Why a part of a stream was not queued.
+enum NotQueued {
+    CallerLeft,
+    DeadlineExceeded,
+    Unread,
+}
+
+/// The queue of a caller's stream.
+struct BodySender {
+    queue: mpsc::Sender<Result<Frame<Bytes>, IncompleteBody>>,
+    /// A permit for each byte that may be queued.
+    room: Arc<Semaphore>,
+    memory: MemoryBudget,
+}
+
+impl BodySender {
+    /// Queues bytes once there is room for them. They are charged to the memory budget until
+    /// the connection has taken them.
+    async fn send(&self, bytes: Bytes, deadline: Instant) -> Result<(), NotQueued> {
+        let unread_at = Instant::now() + UNREAD_TIMEOUT;
+        let permits = bytes.len().min(MAX_UNREAD_BYTES) as u32;
+        let queued = async {
+            let room = self.room.clone().acquire_many_owned(permits).await;
+            let guard = (room.ok(), self.memory.charge(bytes.len()));
+            let frame = Frame::data(charged(bytes, guard));
+            self.queue.send(Ok(frame)).await
+        };
+        let sent = tokio::select! {
+            sent = timeout_at(deadline.min(unread_at), queued) => sent,
+            () = self.queue.closed() => return Err(NotQueued::CallerLeft),
+        };
+        match sent {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(NotQueued::CallerLeft),
+            Err(_) if unread_at < deadline => Err(NotQueued::Unread),
+            Err(_) => Err(NotQueued::DeadlineExceeded),
+        }
+    }
+}
 
 /// How relaying the response of one engine ended.
 enum RelayEnd {
@@ -39,6 +90,8 @@
     Broken,
     /// The caller closed the connection.
     CallerLeft,
+    /// The caller did not read for too long.
+    Unread,
     /// The request's deadline has passed.
     DeadlineExceeded,
 }
@@ -69,7 +122,12 @@
     retry_state: RetryState,
     opened: OpenedStream,
 ) -> Response<ResponseBody> {
-    let (sender, receiver) = mpsc::channel(MAX_PENDING_CHUNKS);
+    let (queue, receiver) = mpsc::channel(MAX_PENDING_CHUNKS);
+    let sender = BodySender {
+        queue,
+        room: Arc::new(Semaphore::new(MAX_UNREAD_BYTES)),
+        memory: context.memory.clone(),
+    };
     let body = StreamBody::new(receiver_stream(receiver)).boxed_unsync();
     let mut response = Response::new(body);
     *response.status_mut() = opened.status;
@@ -118,6 +176,7 @@
             RelayEnd::Complete => "complete",
             RelayEnd::Broken => "broken",
             RelayEnd::CallerLeft => "caller left",
+            RelayEnd::Unread => "unread",
             RelayEnd::DeadlineExceeded => "deadline exceeded",
         };
         log::info!(request = &*exchange.request_id, route = exchange.route.name.as_str(), endpoint = &*engine.id,
@@ -126,7 +185,7 @@
             took_ms = elapsed_ms(&exchange); "stream ended");
         match end {
             RelayEnd::Complete | RelayEnd::CallerLeft => return,
-            RelayEnd::DeadlineExceeded => break,
+            RelayEnd::DeadlineExceeded | RelayEnd::Unread => break,
             RelayEnd::Broken => {}
         }
         // An engine of another software version may phrase the answer differently.
@@ -141,7 +200,7 @@
     }
     // The error closes the connection without the end of the body, so the caller can
     // tell that the stream is incomplete.
-    let _ = sender.send(Err(IncompleteBody)).await;
+    let _ = sender.queue.send(Err(IncompleteBody)).await;
 }
 
 /// Resumes the stream on another engine after the last event that the caller has
@@ -207,17 +266,23 @@
             if let Some(events) = events {
                 guard.answered();
                 progress.last_event = events.last_id;
-                let chunk = Ok(Frame::data(events.bytes));
-                match timeout_at(exchange.deadline, sender.send(chunk)).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(_)) => return RelayEnd::CallerLeft,
-                    Err(_) => return RelayEnd::DeadlineExceeded,
+                match sender.send(events.bytes, exchange.deadline).await {
+                    Ok(()) => {}
+                    Err(NotQueued::CallerLeft) => return RelayEnd::CallerLeft,
+                    Err(NotQueued::DeadlineExceeded) => return RelayEnd::DeadlineExceeded,
+                    Err(NotQueued::Unread) => {
+                        context.metrics.count(EventKind::UnreadStream, "ended");
+                        if let Some(suppressed) = UNREAD_LOG.due() {
+                            log::warn!(request = &*exchange.request_id, client:? = exchange.client, suppressed; "stream not read by its caller");
+                        }
+                        return RelayEnd::Unread;
+                    }
                 }
             }
         }
         let frame = tokio::select! {
             frame = timeout_at(exchange.deadline, rest.frame()) => frame,
-            () = sender.closed() => return RelayEnd::CallerLeft,
+            () = sender.queue.closed() => return RelayEnd::CallerLeft,
         };
         match frame {
             Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -9,18 +9,21 @@
 use http::request::Parts;
 use http::uri::PathAndQuery;
 use http::{Request, Response, Version};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use tokio::time::{Instant, timeout};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use tokio::time::{Instant, timeout_at};
 
-use crate::catalog::{Catalog, RequestKind, Route};
+use crate::catalog::{CallerLimits, Catalog, RequestKind, Route};
 use crate::clock::{Millis, now};
+use crate::connection_limit::RequestMark;
 use crate::control::View;
 use crate::control::begun_streams::request_key;
 use crate::dialect::RequestHead;
 use crate::exchange::{Exchange, Origin, ProxyContext};
 use crate::fingerprint::{Content, Fingerprints};
 use crate::forward::forward;
+use crate::limited_log::LimitedLog;
+use crate::memory_budget::BodyBuffer;
 use crate::metrics::Metrics;
 use crate::response::{ErrorReason, ResponseBody, error_response};
 use crate::workspaces::Workspace;
@@ -41,6 +44,12 @@
 /// Time after the timeout of a request by which its caller has its answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
+/// `Retry-After` of a request for whose body there is no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Log of bodies that are refused because of their size or memory, or for want of progress.
+static BODY_LOG: LimitedLog = LimitedLog::new();
+
 /// Timeout of a request whose caller sends no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -79,14 +88,23 @@
     if must_go_elsewhere(&view, route.kind, deadline) {
         return refuse_leaving(&id, &metrics);
     }
+    let mark = parts.extensions.get::<RequestMark>();
+    let client = mark.and_then(RequestMark::client);
+    let buffer = context.memory.body(client);
     let body = tokio::select! {
-        body = read_body(body, &catalog, time_limit) => body,
+        body = read_body(body, buffer, mark, &catalog.limits, deadline) => body,
         () = context.process_end.announced() => return refuse_leaving(&id, &metrics),
     };
     let body = match body {
         Ok(body) => body,
+        Err(reason @ ErrorReason::MemoryFull) => {
+            return refuse(&id, &metrics, reason, Some(MEMORY_RETRY_AFTER));
+        }
         Err(reason) => return refuse(&id, &metrics, reason, None),
     };
+    if let Some(mark) = mark {
+        mark.running();
+    }
     // The body may have taken a while.
     if must_go_elsewhere(&context.handle.view(), route.kind, deadline) {
         return refuse_leaving(&id, &metrics);
@@ -120,6 +138,7 @@
         service,
         workspace,
         origin,
+        client,
         catalog_version: catalog.version,
         started,
         deadline,
@@ -212,15 +231,57 @@
     }
 }
 
+/// Reads a body into one buffer. A body that is too large is refused as soon as that is known.
 async fn read_body(
-    body: Incoming,
-    catalog: &Catalog,
-    time_limit: Duration,
+    mut body: Incoming,
+    mut buffer: BodyBuffer,
+    mark: Option<&RequestMark>,
+    limits: &CallerLimits,
+    deadline: Instant,
 ) -> Result<Bytes, ErrorReason> {
-    let read = Limited::new(body, catalog.limits.body_bytes).collect();
-    match timeout(time_limit, read).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ErrorReason::TooLarge),
-        Ok(Err(_)) | Err(_) => Err(ErrorReason::BodyBroken),
+    let result = receive(&mut body, &mut buffer, mark, limits, deadline).await;
+    match result {
+        Ok(()) => Ok(buffer.finish()),
+        Err(reason) => {
+            if let Some(suppressed) = BODY_LOG.due() {
+                log::warn!(client:? = buffer.client(), reason = reason.as_str(), bytes = buffer.len(), suppressed;
+                    "request body refused");
+            }
+            Err(reason)
+        }
+    }
+}
+
+async fn receive(
+    body: &mut Incoming,
+    buffer: &mut BodyBuffer,
+    mark: Option<&RequestMark>,
+    limits: &CallerLimits,
+    deadline: Instant,
+) -> Result<(), ErrorReason> {
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(ErrorReason::TooLarge);
+    }
+    loop {
+        let stalled = (Instant::now() + limits.idle_time).min(deadline);
+        let frame = tokio::select! {
+            frame = timeout_at(stalled, body.frame()) => frame,
+            () = buffer.refused() => return Err(ErrorReason::MemoryFull),
+        };
+        let data = match frame {
+            Ok(None) => return Ok(()),
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Err(_) if stalled < deadline => return Err(ErrorReason::BodyStalled),
+            Ok(Some(Err(_))) | Err(_) => return Err(ErrorReason::BodyBroken),
+        };
+        if buffer.len() + data.len() > limits.body_bytes {
+            return Err(ErrorReason::TooLarge);
+        }
+        let push = timeout_at(deadline, buffer.push(&data, limits.body_bytes)).await;
+        push.map_err(|_| ErrorReason::BodyBroken)?
+            .map_err(|_| ErrorReason::MemoryFull)?;
+        if let Some(mark) = mark {
+            mark.progress();
+        }
     }
 }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -48,6 +48,11 @@
     TooLarge,
     /// The request body was incomplete or did not arrive in time.
     BodyBroken,
+    /// The request body made no progress for too long.
+    BodyStalled,
+    /// The memory for clients is exhausted, and the request's body held too much of it for
+    /// too long, or found none left.
+    MemoryFull,
     /// The request has not run: no endpoint can take it now.
     NotRun,
     /// The request has not run, and will not: it crashed the endpoints that ran it before.
@@ -67,12 +72,14 @@
             Self::NotReady
             | Self::Leaving
             | Self::NotRun
+            | Self::MemoryFull
             | Self::CrashesEndpoints
             | Self::CutOff => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::NoChunks => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyStalled => StatusCode::REQUEST_TIMEOUT,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -89,6 +96,8 @@
             Self::NoChunks => "no_chunks",
             Self::TooLarge => "too_large",
             Self::BodyBroken => "body_broken",
+            Self::BodyStalled => "body_stalled",
+            Self::MemoryFull => "memory_full",
             Self::NotRun => "not_run",
             Self::CrashesEndpoints => "crashes_endpoints",
             Self::CutOff => "cut_off",
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,12 +3,15 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -18,11 +21,13 @@
 use tokio::time::sleep;
 
 use crate::catalog::CallerLimits;
+use crate::connection_limit::{ConnectionLimit, Entered, RequestMark, Slot};
 use crate::directory;
 use crate::exchange::{Origin, ProxyContext};
-use crate::metrics::Metrics;
+use crate::limited_log::LimitedLog;
+use crate::metrics::{EventKind, Metrics};
 use crate::request_handler;
-use crate::response::ResponseBody;
+use crate::response::{IncompleteBody, ResponseBody};
 
 /// Listen backlog.
 const BACKLOG: u32 = 1_024;
@@ -37,6 +42,16 @@
 /// Minimum buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Socket buffers of a connection, in bytes. They count toward the memory of the instance.
+const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
+const SEND_BUFFER_BYTES: usize = 256 * 1024;
+
+/// Maximum size of the buffers of a connection to an internal port, in bytes.
+const INTERNAL_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Log of connections that are closed or refused because there are too many.
+static CONNECTION_LOG: LimitedLog = LimitedLog::new();
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -67,6 +82,72 @@
     }
 }
 
+/// An open connection of a client, among those that its port may have.
+#[derive(Debug)]
+pub struct Client {
+    slot: Slot,
+    address: Option<SocketAddr>,
+}
+
+impl Client {
+    /// Notes that the connection must not be closed in favor of another one.
+    pub fn running(&self) {
+        self.slot.request(self.address).running();
+    }
+}
+
+/// Takes a place for a new connection. None if all others are in use, so that it must be closed.
+pub fn enter(limit: &ConnectionLimit, stream: &TcpStream, metrics: &Metrics) -> Option<Client> {
+    let address = stream.peer_addr().ok();
+    let (slot, outcome) = match limit.enter() {
+        Entered::Free(slot) => {
+            return Some(Client { slot, address });
+        }
+        Entered::Replaced(slot) => (Some(slot), "closed_idle"),
+        Entered::Full => (None, "refused"),
+    };
+    metrics.count(EventKind::Connection, outcome);
+    if let Some(suppressed) = CONNECTION_LOG.due() {
+        log::warn!(client:? = address, port = limit.port(), outcome, suppressed; "too many connections");
+    }
+    Some(Client {
+        slot: slot?,
+        address,
+    })
+}
+
+/// Response body that marks its connection as idle once it has been sent.
+struct MarkedBody {
+    body: ResponseBody,
+    mark: RequestMark,
+}
+
+impl Body for MarkedBody {
+    type Data = Bytes;
+    type Error = IncompleteBody;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for MarkedBody {
+    fn drop(&mut self) {
+        self.mark.ended();
+    }
+}
+
 /// Opens a listening socket.
 ///
 /// # Errors
@@ -78,6 +159,8 @@
         SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES as u32)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
@@ -104,6 +187,7 @@
 /// closed as soon as they are idle.
 pub async fn serve_callers(
     listener: TcpListener,
+    limit: ConnectionLimit,
     context: ProxyContext,
     metrics: Arc<Metrics>,
     connections: ConnectionCount,
@@ -111,6 +195,9 @@
 ) {
     loop {
         let stream = accept(&listener).await;
+        let Some(client) = enter(&limit, &stream, &metrics) else {
+            continue;
+        };
         let context = context.clone();
         let metrics = metrics.clone();
         let guard = connections.enter();
@@ -122,6 +209,7 @@
         };
         tokio::spawn(serve_connection(
             stream,
+            client,
             limits,
             handler,
             shutdown.clone(),
@@ -141,6 +229,7 @@
 /// as it is idle.
 pub async fn serve_connection<F, R>(
     stream: TcpStream,
+    client: Client,
     limits: CallerLimits,
     handler: F,
     mut shutdown: watch::Receiver<bool>,
@@ -150,9 +239,14 @@
     R: Future<Output = Response<ResponseBody>>,
 {
     let _guard = guard;
-    let service = service_fn(|request| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        let mark = client.slot.request(client.address);
+        request.extensions_mut().insert(mark.clone());
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            Ok::<_, Infallible>(response.map(|body| MarkedBody { body, mark }))
+        }
     });
     let keep_alive = !*shutdown.borrow();
     let connection = http1::Builder::new()
@@ -171,6 +265,7 @@
                 }
                 return;
             }
+            () = client.slot.closed() => return,
             changed = shutdown.changed(), if watching => {
                 watching = false;
                 if changed.is_ok() {
@@ -182,32 +277,38 @@
 }
 
 /// Serves the directory port or the readiness port.
-pub async fn serve_directory(listener: TcpListener, context: ProxyContext) {
+pub async fn serve_directory(listener: TcpListener, limit: ConnectionLimit, context: ProxyContext) {
     loop {
         let stream = accept(&listener).await;
+        let Some(client) = enter(&limit, &stream, &context.metrics) else {
+            continue;
+        };
         let context = context.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let response = directory::respond(&request, &context);
             async move { Ok::<_, Infallible>(response) }
         });
-        tokio::spawn(serve_internal_connection(stream, service));
+        tokio::spawn(serve_internal_connection(stream, client, service));
     }
 }
 
 /// Serves the metrics port.
-pub async fn serve_metrics(listener: TcpListener, metrics: Arc<Metrics>) {
+pub async fn serve_metrics(listener: TcpListener, limit: ConnectionLimit, metrics: Arc<Metrics>) {
     loop {
         let stream = accept(&listener).await;
+        let Some(client) = enter(&limit, &stream, &metrics) else {
+            continue;
+        };
         let metrics = metrics.clone();
         let service = service_fn(move |_: Request<Incoming>| {
             let response = Response::new(crate::response::full_body(metrics.text().into()));
             async move { Ok::<_, Infallible>(response) }
         });
-        tokio::spawn(serve_internal_connection(stream, service));
+        tokio::spawn(serve_internal_connection(stream, client, service));
     }
 }
 
-async fn serve_internal_connection<S>(stream: TcpStream, service: S)
+async fn serve_internal_connection<S>(stream: TcpStream, client: Client, service: S)
 where
     S: hyper::service::Service<
             Request<Incoming>,
@@ -215,11 +316,15 @@
             Error = Infallible,
         >,
 {
-    let served = http1::Builder::new()
+    let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(CallerLimits::default().idle_time)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+        .max_buf_size(INTERNAL_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let served = tokio::select! {
+        served = connection => served,
+        () = client.slot.closed() => return,
+    };
     if let Err(error) = served {
         log::debug!(error:% = error; "connection failed");
     }
--- a/crates/gateway/tests/test_attempts.rs
+++ b/crates/gateway/tests/test_attempts.rs
@@ -56,6 +56,7 @@
         service: "engines".into(),
         workspace: None,
         origin: Origin::Caller,
+        client: None,
         catalog_version: 1,
         started: Instant::now(),
         deadline: Instant::now() + LIMIT,
@@ -110,6 +111,8 @@
     let endpoint = (DIALECT.endpoint_entry)("servers/e0", text.as_bytes()).expect("an entry");
     let key = endpoint.key();
     let context = ProxyContext {
+        metrics: Arc::default(),
+        memory: flamingolock_gateway::memory_budget::MemoryBudget::default(),
         process_end: ProcessEnd::channel().1,
         handle: handle.clone(),
         dialect: &DIALECT,
