memory budget: refuse one body at a time

Cause: bodies that waited at the same time each refused another one, although the first refusal was about to release enough; with 48 stalled bodies none was left. Change: no further body is refused while the memory of a refused one has not been released, and a refused body refuses no other. Not run yet on this state: test_client_limits, three times the crowd.

--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -45,6 +45,8 @@
     held: usize,
     progress: Instant,
     refused: Arc<Notify>,
+    /// True once it has been refused in favor of another one; its memory is released soon.
+    is_refused: bool,
 }
 
 #[derive(Debug, Default)]
@@ -129,6 +131,7 @@
             held: 0,
             progress: Instant::now(),
             refused: refused.clone(),
+            is_refused: false,
         };
         state.reading.insert(number, reading);
         drop(state);
@@ -254,8 +257,8 @@
         true
     }
 
-    /// Refuses the body that has held the most for the longest without progress. False if that
-    /// is this one.
+    /// Refuses the body that has held the most for the longest without progress, unless the
+    /// memory of another one is about to be released. False if that is this one.
     fn refuse_other(&self) -> bool {
         let now = Instant::now();
         let mut state = self.entry.shared.state();
@@ -263,6 +266,13 @@
             let idle = now.saturating_duration_since(reading.progress);
             idle.as_micros().saturating_mul(reading.held as u128)
         };
+        let own = state.reading.get(&self.entry.number);
+        if own.is_none_or(|own| own.is_refused) {
+            return false;
+        }
+        if state.reading.values().any(|body| body.is_refused) {
+            return true;
+        }
         let heaviest = state.reading.iter().max_by_key(|(_, body)| weight(body));
         let Some(number) = heaviest.map(|(number, _)| *number) else {
             return false;
@@ -270,7 +280,8 @@
         if number == self.entry.number {
             return false;
         }
-        if let Some(body) = state.reading.remove(&number) {
+        if let Some(body) = state.reading.get_mut(&number) {
+            body.is_refused = true;
             body.refused.notify_one();
         }
         true
