--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -66,6 +66,10 @@
     Quota,
     /// A change of the belief that the node is cut off from a service.
     Reach,
+    /// A connection closed or refused because its port has as many as it may.
+    Connection,
+    /// A streamed answer that its caller did not read.
+    UnreadStream,
 }
 
 /// Labels of a counted event.
@@ -262,6 +266,8 @@
             EventKind::Handover => "handover",
             EventKind::Quota => "quota",
             EventKind::Reach => "reach",
+            EventKind::Connection => "connection",
+            EventKind::UnreadStream => "unread_stream",
         };
         self.events
             .get_or_create(&EventLabels { event, outcome })
