gateway: engine memory as a limit of placement

Cause: an engine crashes if the requests that it holds exceed its memory, and memory was only a penalty in the estimate. Requests wait at most for their target; one larger than all engines is refused with 413.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -6,10 +6,12 @@
 
 pub mod begun_streams;
 pub mod cache_index;
+pub mod engine_memory;
 pub mod fetch_schedule;
 pub mod fleet;
 pub mod freshness;
 pub mod handovers;
+pub mod known_runs;
 pub mod lease;
 pub mod listed_builds;
 pub mod load_times;
@@ -167,6 +169,13 @@
         /// Queue at the best endpoint, in ms.
         queue_ms: u64,
     },
+    /// No engine has memory for the request.
+    NoMemory {
+        /// When memory is expected to be free.
+        until: Millis,
+    },
+    /// The request needs more memory than any engine of its service has.
+    ExceedsMemory,
     /// The retry budget is exhausted.
     Budget,
     /// The request resumes a stream, several software versions serve or did so recently,
@@ -191,12 +200,14 @@
             Self::AllPaused { until }
             | Self::AllLimited { until }
             | Self::Overloaded { until, .. }
+            | Self::NoMemory { until }
             | Self::CutOff { until }
             | Self::StoppedPart { until } => Some(until),
             Self::StoppedRequest { until } => until,
             Self::AtOtherNode(_)
             | Self::NoEndpoint
             | Self::AllReloading
+            | Self::ExceedsMemory
             | Self::Budget
             | Self::UnknownBuild => None,
         }
@@ -212,6 +223,8 @@
             Self::AllPaused { .. } => "all_paused",
             Self::AllLimited { .. } => "all_limited",
             Self::Overloaded { .. } => "overloaded",
+            Self::NoMemory { .. } => "no_memory",
+            Self::ExceedsMemory => "exceeds_memory",
             Self::Budget => "budget",
             Self::UnknownBuild => "unknown_build",
             Self::StoppedPart { .. } => "stopped_part",
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -11,6 +11,8 @@
 use crate::clock::Millis;
 use crate::control::RunEnd;
 use crate::control::cache_index::PartKey;
+use crate::control::engine_memory::RecentSends;
+use crate::control::known_runs::KnownRuns;
 use crate::control::load_times::Load;
 use crate::control::reachability::Reachability;
 use crate::endpoint::Endpoint;
@@ -84,6 +86,11 @@
 }
 
 impl RunningRequest {
+    /// Tokens that it takes in the memory of its engine.
+    pub fn tokens(&self) -> u64 {
+        self.tokens.into()
+    }
+
     /// Time of `took` that it waited for others at an engine with this slowdown, in ms.
     fn waited_ms(&self, took: Millis, slowdown: f64) -> f64 {
         (took as f64 - self.prefill_ms * slowdown - FIRST_STEP_MS).max(0.0)
@@ -149,9 +156,11 @@
     /// Moving average of the duration of complete runs, in ms.
     run_ms: Option<f64>,
     waits: RecentWaits,
-    runs: BTreeMap<RunId, RunningRequest>,
+    runs: KnownRuns,
     /// Runs that are taken not to have arrived, though they have not ended.
-    withdrawn: BTreeMap<RunId, RunningRequest>,
+    withdrawn: KnownRuns,
+    /// Runs of this node that the others may not know yet.
+    pub recent_sends: RecentSends,
 }
 
 impl EndpointState {
@@ -172,8 +181,9 @@
             first_token_at: 0,
             run_ms: None,
             waits: RecentWaits::default(),
-            runs: BTreeMap::new(),
-            withdrawn: BTreeMap::new(),
+            runs: KnownRuns::default(),
+            withdrawn: KnownRuns::default(),
+            recent_sends: RecentSends::default(),
         }
     }
 
@@ -209,7 +219,12 @@
 
     /// Number of tokens in memory that the running requests take.
     pub fn memory_tokens(&self) -> u64 {
-        self.runs.values().map(|run| u64::from(run.tokens)).sum()
+        self.runs.tokens()
+    }
+
+    /// The same, with the runs that may not have arrived.
+    pub fn max_memory_tokens(&self) -> u64 {
+        self.runs.tokens() + self.withdrawn.tokens()
     }
 
     /// Number of long answers that are being decoded.
@@ -440,16 +455,17 @@
         incarnation: u64,
         heard_at: Option<Millis>,
     ) -> Vec<(u64, Vec<PartKey>)> {
-        let unstarted = self.runs.extract_if(.., |(node, _), run| {
+        let withdrawn = self.runs.take_if(|(node, _), run| {
             let is_unheard = heard_at.is_none_or(|at| at < run.sent_at);
             *node == incarnation && !run.has_first_token && is_unheard
         });
-        let withdrawn: BTreeMap<RunId, RunningRequest> = unstarted.collect();
         let told = withdrawn
             .iter()
             .map(|((_, number), run)| (*number, run.parts.clone()))
             .collect();
-        self.withdrawn.extend(withdrawn);
+        for (id, run) in withdrawn {
+            self.withdrawn.insert(id, run);
+        }
         told
     }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -1,6 +1,7 @@
 //! State of the control thread and its event handlers.
 
 mod brittle;
+mod engine_memory;
 mod gossip;
 mod handover;
 mod limits;
@@ -29,6 +30,7 @@
 use crate::clock::Millis;
 use crate::control::begun_streams::BegunStreams;
 use crate::control::cache_index::CacheIndex;
+use crate::control::engine_memory::EngineMemory;
 use crate::control::fetch_schedule::FetchSchedule;
 use crate::control::fleet::EndpointState;
 use crate::control::freshness::Freshness;
@@ -135,6 +137,7 @@
     suspects_record: SuspectsRecord,
     /// Runs that ended while this node was cut off from their endpoints.
     undecided_runs: Vec<UndecidedRun>,
+    engine_memory: EngineMemory,
     parts: CacheIndex,
     streams: BegunStreams,
     /// Streams that began at this node and run, by endpoint and number of the run.
@@ -239,6 +242,7 @@
             suspect_requests: Suspects::new(Subject::Request),
             suspects_record: SuspectsRecord::default(),
             undecided_runs: Vec::new(),
+            engine_memory: EngineMemory::default(),
             parts: CacheIndex::default(),
             build_record: BuildRecord::default(),
             stream_record: StreamRecord::default(),
@@ -681,6 +685,7 @@
             .map(|peer| peer.state.incarnation)
             .collect();
         nodes.insert(self.incarnation);
+        self.update_engine_memory(&nodes, now);
         for state in self.fleet.values_mut() {
             state.retain_runs_of(&nodes);
         }
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -7,8 +7,9 @@
 use rand::Rng;
 use tokio::sync::oneshot;
 
+use super::engine_memory::{memory_refusal, shorter, wait_end};
 use super::limits::PermitStep;
-use super::{Control, QueuedRequest};
+use super::{Control, GOSSIP_BATCH_MS, QueuedRequest};
 use crate::catalog::ServiceKind;
 use crate::clock::Millis;
 use crate::control::cache_index::{FetchSource, namespace, salt};
@@ -61,6 +62,7 @@
     match refusal {
         Refusal::NoEndpoint => queued.request.build_rule == BuildRule::Any,
         Refusal::AllPaused { until } => until < queued.deadline,
+        Refusal::ExceedsMemory => false,
         Refusal::StoppedPart { .. } | Refusal::StoppedRequest { .. } => false,
         _ => true,
     }
@@ -124,6 +126,7 @@
 
     /// Finds out which software version a resumed stream needs, and counts the request.
     fn admit(&mut self, request: &mut PlacementRequest, now: Millis) -> Result<(), Refusal> {
+        self.check_engine_size(request)?;
         let is_elsewhere = self.goes_elsewhere(request);
         if let BuildRule::SameAs(begun_by) = request.build_rule
             && !is_elsewhere
@@ -245,7 +248,7 @@
                 self.wait_for_turn(queued, ahead, now)
             }
             Selection::Refused(refusal)
-                if now < queued.deadline && may_change(refusal, &queued) =>
+                if now < wait_end(refusal, &queued) && may_change(refusal, &queued) =>
             {
                 Some(queued)
             }
@@ -350,6 +353,7 @@
         let mut any = false;
         let mut paused_until: Option<Millis> = None;
         let mut limited_until: Option<Millis> = None;
+        let mut full_ms: Option<Millis> = None;
         for (key, state) in &self.fleet {
             let endpoint = &state.endpoint;
             if endpoint.service != request.service
@@ -372,6 +376,10 @@
                 limited_until = Some(limited_until.map_or(until, |first| first.min(until)));
                 continue;
             }
+            if !self.has_engine_memory(state, &kind, request, now) {
+                full_ms = Some(shorter(full_ms, state.mean_run_ms()));
+                continue;
+            }
             any = true;
             let estimate = match &kind {
                 ServiceKind::Engines(traits) => {
@@ -394,6 +402,7 @@
             }
         }
         best.ok_or(match (limited_until, paused_until) {
+            _ if full_ms.is_some() => memory_refusal(full_ms, now),
             _ if any => Refusal::AllReloading,
             (Some(until), _) => Refusal::AllLimited { until },
             (None, Some(until)) => Refusal::AllPaused { until },
@@ -486,6 +495,9 @@
         let run_id = (self.incarnation, number);
         if let Some(state) = self.fleet.get_mut(&key) {
             state.run_sent(run_id, &run, now);
+            let keep_ms = self.engine_memory.unreported_ms(GOSSIP_BATCH_MS);
+            let tokens = run.tokens.into();
+            state.recent_sends.add(number, tokens, now, keep_ms);
         }
         let due_at = now + request.target.as_millis() as Millis;
         self.reach
@@ -582,6 +594,7 @@
         if let Some(state) = self.fleet.get_mut(&endpoint) {
             let is_whole = *end == RunEnd::Complete;
             state.record_run_time((self.incarnation, number), is_whole, now);
+            state.recent_sends.remove(number);
             let unfinished = state.run_ended((self.incarnation, number));
             if let (RunEnd::WrongWeights(Some(version)), Some(model)) = (end, model) {
                 state.weights.insert(model.to_owned(), *version);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -328,6 +328,8 @@
         Refusal::AllLimited { .. } => "the limits of all endpoints are used up",
         Refusal::AllReloading => "all engines are loading weights",
         Refusal::Overloaded { .. } => "all engines have long queues",
+        Refusal::NoMemory { .. } => "no engine has memory for it",
+        Refusal::ExceedsMemory => "it needs more memory than any engine has",
         Refusal::Budget => "retry budget exhausted",
         Refusal::StoppedPart { .. } => "a prompt part of it crashes engines",
         Refusal::StoppedRequest { .. } => "it crashes endpoints",
@@ -384,6 +386,7 @@
         let pause = Some(exchange.route.target.max(retry_state.pause));
         match retry_state.refusal {
             Some(Refusal::StoppedRequest { until: None }) => (ErrorReason::CrashesEndpoints, None),
+            Some(Refusal::ExceedsMemory) => (ErrorReason::ExceedsEngines, None),
             Some(Refusal::CutOff { .. }) => (ErrorReason::CutOff, pause),
             _ => (ErrorReason::NotRun, pause),
         }
--- a/crates/gateway/tests/common/fleet.rs
+++ b/crates/gateway/tests/common/fleet.rs
@@ -93,6 +93,8 @@
     pub room: Option<usize>,
     /// Number of requests that it has taken.
     pub running: usize,
+    /// Largest number of requests that it has run at a time.
+    pub most_running: usize,
     /// Times of the requests that reached it.
     pub arrivals: Vec<u64>,
     /// Times at which it refused requests for want of room.
@@ -107,6 +109,7 @@
             brittle: None,
             room: None,
             running: 0,
+            most_running: 0,
             arrivals: Vec::new(),
             refusals: Vec::new(),
             loader: Loader::new(1, 1),
@@ -178,7 +181,10 @@
     slots: usize,
     calls: BTreeMap<(u64, u64), (usize, Call)>,
     nodes: BTreeMap<usize, Node>,
-    network: Network,
+    /// Network between the nodes, for datagrams sent from now on.
+    pub network: Network,
+    /// True if the settings of nodes started from now on make engine memory a limit.
+    pub bounds_memory: bool,
     /// Number of the first nodes that no other node reaches, nor they them.
     cut_off: usize,
     datagrams: BTreeMap<(u64, u64), (SocketAddr, SocketAddr, Bytes)>,
@@ -198,6 +204,16 @@
         Self::start_with_slots(nodes, (engines, SLOTS), network, seed)
     }
 
+    /// Starts nodes whose settings make engine memory a limit.
+    pub fn start_bounded(nodes: usize, engines: usize, network: Network, seed: u64) -> Self {
+        let mut fleet = Self::start(0, engines, network, seed);
+        fleet.bounds_memory = true;
+        for number in 0..nodes {
+            fleet.start_node(number, nodes);
+        }
+        fleet
+    }
+
     /// Starts nodes, and engines with this number of slots.
     pub fn start_with_slots(
         nodes: usize,
@@ -228,6 +244,7 @@
             calls: BTreeMap::new(),
             nodes: BTreeMap::new(),
             network,
+            bounds_memory: false,
             cut_off: 0,
             datagrams: BTreeMap::new(),
             responses: BTreeMap::new(),
@@ -266,6 +283,7 @@
     pub fn start_unlisted(&mut self, number: usize) {
         let mut settings = settings();
         settings.node = format!("node-{number}");
+        settings.bounds_engine_memory = self.bounds_memory;
         settings.zone = format!("zone-{}", number % 3);
         settings.gossip = address(number);
         settings.callers = SocketAddr::new(address(number).ip(), 80);
@@ -632,6 +650,7 @@
             engine.arrivals.push(self.now);
             if is_running {
                 engine.running += 1;
+                engine.most_running = engine.most_running.max(engine.running);
             } else if delay == REFUSAL_MS {
                 engine.refusals.push(self.now);
             }
