gateway: share of engine memory follows silent nodes

Cause: reports that become late were noticed with the first late one, and nodes that time out gave their share to all others. Change: the silence of the others counts as delay; a silent node keeps its share for 10 s.

--- a/crates/gateway/src/control/engine_memory.rs
+++ b/crates/gateway/src/control/engine_memory.rs
@@ -14,10 +14,14 @@
 /// quarter of an engine's memory is still placed at an idle one.
 const SENDERS: usize = 4;
 
-/// Time after which the clock of a node that is not heard any more is forgotten, in ms.
-const FORGET_MS: Millis = 10_000;
+/// Time for which a silent node keeps its share, in ms: reports that are late by more than the
+/// time-out of membership must not make each node take the whole engine.
+const KEEP_NODE_MS: Millis = 10_000;
 
-/// Part of the known tokens of other nodes that is added for runs whose report was lost: reports
+/// Time for which the clock of a node is kept that does not count as alive yet, in ms.
+const NEW_NODE_MS: Millis = 500;
+
+/// Part of the known tokens that is added for each hop for runs whose report was lost: reports
 /// are not repeated.
 const LOST_SHARE: f64 = 1.0 / 16.0;
 
@@ -90,8 +94,11 @@
     offsets: BTreeMap<u64, (i64, Millis)>,
     /// Largest recent delay beyond that, and when it was observed.
     delay: (Millis, Millis),
-    /// Incarnations of the other nodes that are heard.
-    others: Vec<u64>,
+    /// Median time since the nodes that send to this one were heard, in ms. It shows that reports
+    /// are late before the first late one arrives; the end of one node does not change it.
+    silence: Millis,
+    /// Incarnations of the other nodes, and when each was last alive.
+    others: BTreeMap<u64, Millis>,
     own: u64,
     has_hubs: bool,
     started_at: Option<Millis>,
@@ -113,19 +120,39 @@
         }
     }
 
-    /// Records the nodes that are heard, and forgets the clocks of others.
-    pub fn set_fleet(&mut self, own: u64, others: Vec<u64>, has_hubs: bool, now: Millis) {
+    /// Updates how long the others have been silent.
+    pub fn update_silence(&mut self, now: Millis) {
+        let heard = self.offsets.values();
+        let mut silent: Vec<Millis> = heard.map(|(_, at)| now.saturating_sub(*at)).collect();
+        silent.sort_unstable();
+        self.silence = silent.get(silent.len() / 2).copied().unwrap_or(0);
+    }
+
+    /// Records the nodes that are heard, and forgets others after some time.
+    pub fn set_fleet(
+        &mut self,
+        own: u64,
+        others: impl Iterator<Item = u64>,
+        has_hubs: bool,
+        now: Millis,
+    ) {
         self.started_at.get_or_insert(now);
-        (self.own, self.others, self.has_hubs) = (own, others, has_hubs);
+        (self.own, self.has_hubs) = (own, has_hubs);
+        self.others.extend(others.map(|node| (node, now)));
+        self.others.retain(|_, alive| now <= *alive + KEEP_NODE_MS);
+        let known = &self.others;
         self.offsets
-            .retain(|_, (_, heard)| now <= *heard + FORGET_MS);
+            .retain(|node, (_, heard)| known.contains_key(node) || now <= *heard + NEW_NODE_MS);
+    }
+
+    fn hops(&self) -> u64 {
+        if self.has_hubs { HUB_HOPS } else { 1 }
     }
 
     /// Time for which a run of this node counts as unreported, in ms: until the others know it,
     /// and until what they sent without knowing it is known here.
     pub fn unreported_ms(&self, batch_ms: Millis) -> Millis {
-        let hops = if self.has_hubs { HUB_HOPS } else { 1 };
-        2 * hops * (batch_ms + HOP_MS + self.delay.0)
+        2 * self.hops() * (batch_ms + HOP_MS + self.delay.0.max(self.silence))
     }
 
     /// True if this node is one of those that may send to the engine, chosen by rendezvous
@@ -133,7 +160,7 @@
     fn is_sender(&self, engine: u64) -> bool {
         let weight = |node: u64| xxh3_64_with_seed(&node.to_le_bytes(), engine);
         let own = weight(self.own);
-        let before = self.others.iter().filter(|node| weight(**node) > own);
+        let before = self.others.keys().filter(|node| weight(**node) > own);
         before.take(SENDERS).count() < SENDERS
     }
 
@@ -147,7 +174,7 @@
         let lost = if self.others.is_empty() {
             0
         } else {
-            (reported as f64 * LOST_SHARE) as u64
+            (reported as f64 * LOST_SHARE) as u64 * self.hops()
         };
         let free = engine.capacity.saturating_sub(reported + lost);
         let senders = SENDERS.min(1 + self.others.len()) as u64;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -435,6 +435,7 @@
         self.request_peer_sync(now);
         self.read_topics(now);
         self.give_up_asks(now);
+        self.engine_memory.update_silence(now);
         self.update_reach(now);
         self.decide_runs(now);
         self.retry_queued(now);
--- a/crates/gateway/src/control/state/engine_memory.rs
+++ b/crates/gateway/src/control/state/engine_memory.rs
@@ -97,7 +97,7 @@
             return;
         }
         let others = nodes.iter().copied();
-        let others = others.filter(|node| *node != self.incarnation).collect();
+        let others = others.filter(|node| *node != self.incarnation);
         let has_hubs = !self.peers.is_full_mesh(now);
         self.engine_memory
             .set_fleet(self.incarnation, others, has_hubs, now);
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -236,8 +236,10 @@
         if sender.incarnation == self.incarnation {
             return;
         }
-        self.engine_memory
-            .heard(sender.incarnation, gossip.sent_at, now);
+        if self.settings.bounds_engine_memory {
+            self.engine_memory
+                .heard(sender.incarnation, gossip.sent_at, now);
+        }
         let was_alive = self.peers.is_alive_at(from, now);
         if !was_alive {
             // The sender may not know this node yet.
