gateway: notes on engine memory; silence behind hubs

Cause: nodes that were heard only at the start kept the silence behind hubs high. Change: the shortest silence counts there; times are sent only where memory is a limit.

--- a/crates/gateway/src/control/engine_memory.rs
+++ b/crates/gateway/src/control/engine_memory.rs
@@ -94,7 +94,7 @@
     offsets: BTreeMap<u64, (i64, Millis)>,
     /// Largest recent delay beyond that, and when it was observed.
     delay: (Millis, Millis),
-    /// Median time since the nodes that send to this one were heard, in ms. It shows that reports
+    /// Median time since the others were heard, the shortest one behind hubs, in ms. It shows that reports
     /// are late before the first late one arrives; the end of one node does not change it.
     silence: Millis,
     /// Incarnations of the other nodes, and when each was last alive.
@@ -125,7 +125,9 @@
         let heard = self.offsets.values();
         let mut silent: Vec<Millis> = heard.map(|(_, at)| now.saturating_sub(*at)).collect();
         silent.sort_unstable();
-        self.silence = silent.get(silent.len() / 2).copied().unwrap_or(0);
+        // Behind hubs few nodes send to this one; the others were heard only while it started.
+        let place = if self.has_hubs { 0 } else { silent.len() / 2 };
+        self.silence = silent.get(place).copied().unwrap_or(0);
     }
 
     /// Records the nodes that are heard, and forgets others after some time.
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -144,7 +144,11 @@
             brittle: self.brittle.take_news(now),
             full: std::mem::take(&mut self.outgoing_full),
             load_times: std::mem::take(&mut self.outgoing_load_times),
-            sent_at: now,
+            sent_at: if self.settings.bounds_engine_memory {
+                now
+            } else {
+                0
+            },
             ..Gossip::default()
         };
         let cross_zone = std::mem::take(&mut self.cross_zone);
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -62,8 +62,9 @@
     match refusal {
         Refusal::NoEndpoint => queued.request.build_rule == BuildRule::Any,
         Refusal::AllPaused { until } => until < queued.deadline,
-        Refusal::ExceedsMemory => false,
-        Refusal::StoppedPart { .. } | Refusal::StoppedRequest { .. } => false,
+        Refusal::StoppedPart { .. } | Refusal::StoppedRequest { .. } | Refusal::ExceedsMemory => {
+            false
+        }
         _ => true,
     }
 }
