gateway: engine memory limits placement by the known runs

Cause: with four senders for each engine a node reaches only 4/N of the engines and loses hits in their prefix caches, an idle fleet refuses a request over a quarter of an engine's memory, and a node that starts sends nothing for 2 s. Change: an engine is skipped when the tokens of all its known runs and those of the request exceed its capacity. Senders, shares, delays and Gossip.sent_at are removed. A request larger than all engines is refused with 503, exceeds_memory and the target as Retry-After. Not run: the other crates.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -6,7 +6,6 @@
 
 pub mod begun_streams;
 pub mod cache_index;
-pub mod engine_memory;
 pub mod fetch_schedule;
 pub mod fleet;
 pub mod freshness;
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -11,7 +11,6 @@
 use crate::clock::Millis;
 use crate::control::RunEnd;
 use crate::control::cache_index::PartKey;
-use crate::control::engine_memory::RecentSends;
 use crate::control::known_runs::KnownRuns;
 use crate::control::load_times::Load;
 use crate::control::reachability::Reachability;
@@ -159,8 +158,6 @@
     runs: KnownRuns,
     /// Runs that are taken not to have arrived, though they have not ended.
     withdrawn: KnownRuns,
-    /// Runs of this node that the others may not know yet.
-    pub recent_sends: RecentSends,
 }
 
 impl EndpointState {
@@ -183,7 +180,6 @@
             waits: RecentWaits::default(),
             runs: KnownRuns::default(),
             withdrawn: KnownRuns::default(),
-            recent_sends: RecentSends::default(),
         }
     }
 
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -30,7 +30,6 @@
 use crate::clock::Millis;
 use crate::control::begun_streams::BegunStreams;
 use crate::control::cache_index::CacheIndex;
-use crate::control::engine_memory::EngineMemory;
 use crate::control::fetch_schedule::FetchSchedule;
 use crate::control::fleet::EndpointState;
 use crate::control::freshness::Freshness;
@@ -137,7 +136,6 @@
     suspects_record: SuspectsRecord,
     /// Runs that ended while this node was cut off from their endpoints.
     undecided_runs: Vec<UndecidedRun>,
-    engine_memory: EngineMemory,
     parts: CacheIndex,
     streams: BegunStreams,
     /// Streams that began at this node and run, by endpoint and number of the run.
@@ -242,7 +240,6 @@
             suspect_requests: Suspects::new(Subject::Request),
             suspects_record: SuspectsRecord::default(),
             undecided_runs: Vec::new(),
-            engine_memory: EngineMemory::default(),
             parts: CacheIndex::default(),
             build_record: BuildRecord::default(),
             stream_record: StreamRecord::default(),
@@ -435,7 +432,6 @@
         self.request_peer_sync(now);
         self.read_topics(now);
         self.give_up_asks(now);
-        self.engine_memory.update_silence(now);
         self.update_reach(now);
         self.decide_runs(now);
         self.retry_queued(now);
@@ -686,7 +682,6 @@
             .map(|peer| peer.state.incarnation)
             .collect();
         nodes.insert(self.incarnation);
-        self.update_engine_memory(&nodes, now);
         for state in self.fleet.values_mut() {
             state.retain_runs_of(&nodes);
         }
--- a/crates/gateway/src/control/state/engine_memory.rs
+++ b/crates/gateway/src/control/state/engine_memory.rs
@@ -1,16 +1,16 @@
 //! Memory of engines as a limit of placement, where the settings ask for it.
 
-use std::collections::BTreeSet;
-
 use rand::Rng;
 
-use super::{Control, GOSSIP_BATCH_MS, QueuedRequest};
+use super::{Control, QueuedRequest};
 use crate::catalog::ServiceKind;
 use crate::clock::Millis;
-use crate::control::engine_memory::{EngineUse, release_ms};
 use crate::control::fleet::EndpointState;
 use crate::control::{PlacementRequest, Refusal};
 
+/// Time until an engine releases memory if none of its run times is known, in ms.
+const DEFAULT_RUN_MS: f64 = 1_000.0;
+
 /// Tokens that a request takes in the memory of an engine. Parts that the engine may already
 /// hold count fully, as it is not certain that it still does.
 fn tokens_of(request: &PlacementRequest) -> u64 {
@@ -19,7 +19,7 @@
 
 /// The shorter of a time and the time after which another engine releases memory, in ms.
 pub(super) fn shorter(known_ms: Option<Millis>, mean_run_ms: Option<f64>) -> Millis {
-    let other = release_ms(mean_run_ms);
+    let other = mean_run_ms.unwrap_or(DEFAULT_RUN_MS).max(1.0) as Millis;
     known_ms.map_or(other, |known| known.min(other))
 }
 
@@ -60,46 +60,25 @@
         Err(Refusal::ExceedsMemory)
     }
 
-    /// True if an endpoint has memory for a request, as far as this node knows.
+    /// True if an endpoint has memory for a request beside all runs that this node knows.
     pub(super) fn has_engine_memory(
         &self,
         state: &EndpointState,
         kind: &ServiceKind,
         request: &PlacementRequest,
-        now: Millis,
     ) -> bool {
-        let ServiceKind::Engines(traits) = kind else {
-            return true;
-        };
         if !self.settings.bounds_engine_memory {
             return true;
         }
-        let keep_ms = self.engine_memory.unreported_ms(GOSSIP_BATCH_MS);
-        let engine = EngineUse {
-            capacity: traits.memory_tokens,
-            known: state.max_memory_tokens(),
-            unreported: state.recent_sends.tokens(now, keep_ms),
-            key: state.endpoint.key(),
+        let ServiceKind::Engines(traits) = kind else {
+            return true;
         };
-        let tokens = tokens_of(request);
-        let has_room = self.engine_memory.has_room(&engine, tokens, now);
+        let (known, tokens) = (state.max_memory_tokens(), tokens_of(request));
+        let has_room = traits.memory_tokens == 0 || known + tokens <= traits.memory_tokens;
         if !has_room {
-            log::debug!(request = &*request.id, endpoint = &*state.endpoint.id, tokens, known = engine.known,
-                unreported = engine.unreported, share = self.engine_memory.share(&engine, now),
-                capacity = engine.capacity; "engine has no memory for request");
+            log::debug!(request = &*request.id, endpoint = &*state.endpoint.id, tokens, known,
+                capacity = traits.memory_tokens; "engine has no memory for request");
         }
         has_room
     }
-
-    /// Updates what the share of this node depends on.
-    pub(super) fn update_engine_memory(&mut self, nodes: &BTreeSet<u64>, now: Millis) {
-        if !self.settings.bounds_engine_memory {
-            return;
-        }
-        let others = nodes.iter().copied();
-        let others = others.filter(|node| *node != self.incarnation);
-        let has_hubs = !self.peers.is_full_mesh(now);
-        self.engine_memory
-            .set_fleet(self.incarnation, others, has_hubs, now);
-    }
 }
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -144,11 +144,6 @@
             brittle: self.brittle.take_news(now),
             full: std::mem::take(&mut self.outgoing_full),
             load_times: std::mem::take(&mut self.outgoing_load_times),
-            sent_at: if self.settings.bounds_engine_memory {
-                now
-            } else {
-                0
-            },
             ..Gossip::default()
         };
         let cross_zone = std::mem::take(&mut self.cross_zone);
@@ -240,10 +235,6 @@
         if sender.incarnation == self.incarnation {
             return;
         }
-        if self.settings.bounds_engine_memory {
-            self.engine_memory
-                .heard(sender.incarnation, gossip.sent_at, now);
-        }
         let was_alive = self.peers.is_alive_at(from, now);
         if !was_alive {
             // The sender may not know this node yet.
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -9,7 +9,7 @@
 
 use super::engine_memory::{memory_refusal, shorter, wait_end};
 use super::limits::PermitStep;
-use super::{Control, GOSSIP_BATCH_MS, QueuedRequest};
+use super::{Control, QueuedRequest};
 use crate::catalog::ServiceKind;
 use crate::clock::Millis;
 use crate::control::cache_index::{FetchSource, namespace, salt};
@@ -377,7 +377,7 @@
                 limited_until = Some(limited_until.map_or(until, |first| first.min(until)));
                 continue;
             }
-            if !self.has_engine_memory(state, &kind, request, now) {
+            if !self.has_engine_memory(state, &kind, request) {
                 full_ms = Some(shorter(full_ms, state.mean_run_ms()));
                 continue;
             }
@@ -402,7 +402,7 @@
                 best = Some((*key, estimate));
             }
         }
-        best.ok_or(match (limited_until, paused_until) {
+        best.ok_or_else(|| match (limited_until, paused_until) {
             _ if full_ms.is_some() => memory_refusal(full_ms, now),
             _ if any => Refusal::AllReloading,
             (Some(until), _) => Refusal::AllLimited { until },
@@ -496,9 +496,6 @@
         let run_id = (self.incarnation, number);
         if let Some(state) = self.fleet.get_mut(&key) {
             state.run_sent(run_id, &run, now);
-            let keep_ms = self.engine_memory.unreported_ms(GOSSIP_BATCH_MS);
-            let tokens = run.tokens.into();
-            state.recent_sends.add(number, tokens, now, keep_ms);
         }
         let due_at = now + request.target.as_millis() as Millis;
         self.reach
@@ -595,7 +592,6 @@
         if let Some(state) = self.fleet.get_mut(&endpoint) {
             let is_whole = *end == RunEnd::Complete;
             state.record_run_time((self.incarnation, number), is_whole, now);
-            state.recent_sends.remove(number);
             let unfinished = state.run_ended((self.incarnation, number));
             if let (RunEnd::WrongWeights(Some(version)), Some(model)) = (end, model) {
                 state.weights.insert(model.to_owned(), *version);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -386,7 +386,9 @@
         let pause = Some(exchange.route.target.max(retry_state.pause));
         match retry_state.refusal {
             Some(Refusal::StoppedRequest { until: None }) => (ErrorReason::CrashesEndpoints, None),
-            Some(Refusal::ExceedsMemory) => (ErrorReason::ExceedsEngines, None),
+            Some(Refusal::ExceedsMemory) => {
+                (ErrorReason::ExceedsMemory, Some(exchange.route.target))
+            }
             Some(Refusal::CutOff { .. }) => (ErrorReason::CutOff, pause),
             _ => (ErrorReason::NotRun, pause),
         }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -46,8 +46,8 @@
     NoChunks,
     /// The request body exceeds the configured limit.
     TooLarge,
-    /// The request has not run, and will not: it needs more memory than any engine has.
-    ExceedsEngines,
+    /// The request has not run: it needs more memory than any engine has.
+    ExceedsMemory,
     /// The request body was incomplete or did not arrive in time.
     BodyBroken,
     /// The request has not run: no endpoint can take it now.
@@ -69,12 +69,13 @@
             Self::NotReady
             | Self::Leaving
             | Self::NotRun
+            | Self::ExceedsMemory
             | Self::CrashesEndpoints
             | Self::CutOff => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::NoChunks => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
-            Self::TooLarge | Self::ExceedsEngines => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::Failed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -90,7 +91,7 @@
             Self::NoKey => "no_key",
             Self::NoChunks => "no_chunks",
             Self::TooLarge => "too_large",
-            Self::ExceedsEngines => "exceeds_engines",
+            Self::ExceedsMemory => "exceeds_memory",
             Self::BodyBroken => "body_broken",
             Self::NotRun => "not_run",
             Self::CrashesEndpoints => "crashes_endpoints",
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -79,9 +79,6 @@
     /// Returns a grant of quota that was not used. Such a datagram has no sender.
     #[prost(message, optional, tag = "21")]
     pub quota_return: Option<QuotaReturn>,
-    /// Time at which it was sent, in ms of the sender's clock; 0 if it is not stated.
-    #[prost(uint64, tag = "22")]
-    pub sent_at: u64,
 }
 
 /// Asks an owner of a workspace's token bucket for the cost of one request.
