--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod handovers;
+pub mod known_runs;
 pub mod lease;
 pub mod listed_builds;
 pub mod load_times;
@@ -183,6 +184,13 @@
         /// When the caller may return.
         until: Millis,
     },
+    /// No engine has memory for the request.
+    NoMemory {
+        /// When memory is expected to be free.
+        until: Millis,
+    },
+    /// The request needs more memory than any engine of its service has.
+    ExceedsMemory,
     /// The retry budget is exhausted.
     Budget,
     /// The request resumes a stream, several software versions serve or did so recently,
@@ -207,6 +215,7 @@
             Self::AllPaused { until }
             | Self::AllLimited { until }
             | Self::Overloaded { until, .. }
+            | Self::NoMemory { until }
             | Self::CutOff { until }
             | Self::OverQuota { until }
             | Self::NoQuotaOwner { until }
@@ -215,6 +224,7 @@
             Self::AtOtherNode(_)
             | Self::NoEndpoint
             | Self::AllReloading
+            | Self::ExceedsMemory
             | Self::Budget
             | Self::UnknownBuild => None,
         }
@@ -232,6 +242,8 @@
             Self::Overloaded { .. } => "overloaded",
             Self::OverQuota { .. } => "over_quota",
             Self::NoQuotaOwner { .. } => "no_quota_owner",
+            Self::NoMemory { .. } => "no_memory",
+            Self::ExceedsMemory => "exceeds_memory",
             Self::Budget => "budget",
             Self::UnknownBuild => "unknown_build",
             Self::StoppedPart { .. } => "stopped_part",
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -2,6 +2,7 @@
 
 mod brittle;
 mod dispatch;
+mod engine_memory;
 mod first_tokens;
 mod gossip;
 mod handover;
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -7,6 +7,7 @@
 use rand::Rng;
 use tokio::sync::oneshot;
 
+use super::engine_memory::{memory_refusal, shorter, wait_end};
 use super::limits::PermitStep;
 use super::quota::QuotaStep;
 use super::{Control, QueuedRequest};
@@ -63,7 +64,9 @@
     match refusal {
         Refusal::NoEndpoint => queued.request.build_rule == BuildRule::Any,
         Refusal::AllPaused { until } => until < queued.deadline,
-        Refusal::StoppedPart { .. } | Refusal::StoppedRequest { .. } => false,
+        Refusal::StoppedPart { .. } | Refusal::StoppedRequest { .. } | Refusal::ExceedsMemory => {
+            false
+        }
         _ => true,
     }
 }
@@ -133,6 +136,7 @@
 
     /// Finds out which software version a resumed stream needs, and counts the request.
     fn admit(&mut self, request: &mut PlacementRequest, now: Millis) -> Result<(), Refusal> {
+        self.check_engine_size(request)?;
         let is_elsewhere = self.goes_elsewhere(request);
         if let BuildRule::SameAs(begun_by) = request.build_rule
             && !is_elsewhere
@@ -269,7 +273,7 @@
                 self.wait_for_turn(queued, ahead, now)
             }
             Selection::Refused(refusal)
-                if now < queued.deadline && may_change(refusal, &queued) =>
+                if now < wait_end(refusal, &queued) && may_change(refusal, &queued) =>
             {
                 Some(queued)
             }
@@ -374,6 +378,7 @@
         let mut any = false;
         let mut paused_until: Option<Millis> = None;
         let mut limited_until: Option<Millis> = None;
+        let mut full_ms: Option<Millis> = None;
         for (key, state) in &self.fleet {
             let endpoint = &state.endpoint;
             if endpoint.service != request.service
@@ -396,6 +401,10 @@
                 limited_until = Some(limited_until.map_or(until, |first| first.min(until)));
                 continue;
             }
+            if !self.has_engine_memory(state, &kind, request) {
+                full_ms = Some(shorter(full_ms, state.mean_run_ms()));
+                continue;
+            }
             any = true;
             let estimate = match &kind {
                 ServiceKind::Engines(traits) => {
@@ -417,7 +426,8 @@
                 best = Some((*key, estimate));
             }
         }
-        best.ok_or(match (limited_until, paused_until) {
+        best.ok_or_else(|| match (limited_until, paused_until) {
+            _ if full_ms.is_some() => memory_refusal(full_ms, now),
             _ if any => Refusal::AllReloading,
             (Some(until), _) => Refusal::AllLimited { until },
             (None, Some(until)) => Refusal::AllPaused { until },
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -330,6 +330,8 @@
         Refusal::Overloaded { .. } => "all engines have long queues",
         Refusal::OverQuota { .. } => "the workspace's quota is used up",
         Refusal::NoQuotaOwner { .. } => "no owner of the workspace's quota",
+        Refusal::NoMemory { .. } => "no engine has memory for it",
+        Refusal::ExceedsMemory => "it needs more memory than any engine has",
         Refusal::Budget => "retry budget exhausted",
         Refusal::StoppedPart { .. } => "a prompt part of it crashes engines",
         Refusal::StoppedRequest { .. } => "it crashes endpoints",
@@ -392,6 +394,9 @@
         match retry_state.refusal {
             Some(Refusal::StoppedRequest { until: None }) => (ErrorReason::CrashesEndpoints, None),
             Some(Refusal::OverQuota { .. }) => (ErrorReason::OverQuota, Some(retry_state.pause)),
+            Some(Refusal::ExceedsMemory) => {
+                (ErrorReason::ExceedsMemory, Some(exchange.route.target))
+            }
             Some(Refusal::CutOff { .. }) => (ErrorReason::CutOff, pause),
             _ => (ErrorReason::NotRun, pause),
         }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -46,6 +46,8 @@
     NoChunks,
     /// The request body exceeds the configured limit.
     TooLarge,
+    /// The request has not run: it needs more memory than any engine has.
+    ExceedsMemory,
     /// The request body was incomplete or did not arrive in time.
     BodyBroken,
     /// The request body made no progress for too long.
@@ -76,6 +78,7 @@
             | Self::Leaving
             | Self::NotRun
             | Self::MemoryFull
+            | Self::ExceedsMemory
             | Self::CrashesEndpoints
             | Self::CutOff => StatusCode::SERVICE_UNAVAILABLE,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
@@ -99,6 +102,7 @@
             Self::NoKey => "no_key",
             Self::NoChunks => "no_chunks",
             Self::TooLarge => "too_large",
+            Self::ExceedsMemory => "exceeds_memory",
             Self::BodyBroken => "body_broken",
             Self::BodyStalled => "body_stalled",
             Self::MemoryFull => "memory_full",
