--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod peer_sync;
 mod placement;
+mod queued_request;
 mod quota;
 mod reach;
 mod reachability;
@@ -28,6 +29,7 @@
 use tokio::sync::oneshot;
 
 use self::dispatch::Dispatch;
+use self::queued_request::QueuedRequest;
 use self::quota::QuotaState;
 use self::streams::{BuildRecord, FormerMemory, StreamRecord};
 use self::suspects::{SuspectsRecord, UndecidedRun};
@@ -48,7 +50,6 @@
 use crate::control::permit_issuer::PermitIssuer;
 use crate::control::permits::Permits;
 use crate::control::places::Places;
-use crate::control::quota_asks::RequestQuota;
 use crate::control::reach::Reach;
 use crate::control::retry_budget::{RetryBudget, SlackShare};
 use crate::control::rollout::{PendingLoads, Rollout, Task};
@@ -57,7 +58,7 @@
 use crate::control::suspect::Subject;
 use crate::control::suspects::Suspects;
 use crate::control::wait_error::WaitErrors;
-use crate::control::{Effect, Event, Placement, PlacementRequest, View};
+use crate::control::{Effect, Event, View};
 use crate::dialect::{Dialect, KeyedRecord, OrderOutcome, WeightsOrder};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::metrics::{EventKind, Metrics};
@@ -98,18 +99,6 @@
     nodes: Vec<NodeState>,
 }
 
-struct QueuedRequest {
-    request: Box<PlacementRequest>,
-    reply: oneshot::Sender<Placement>,
-    asked_at: Millis,
-    deadline: Millis,
-    /// Place in the queue: priority, and turn of its workspace.
-    place: Option<(u8, u64)>,
-    /// True if it waits for a shorter queue at an engine.
-    is_held: bool,
-    quota: RequestQuota,
-}
-
 /// State of the control thread.
 pub struct Control {
     settings: Settings,
