--- a/crates/gateway/src/control/dispatch.rs
+++ b/crates/gateway/src/control/dispatch.rs
@@ -89,31 +89,35 @@
     pub oldest_ms: Millis,
 }
 
-/// Recent dispatches of requests that had waited.
+/// Recent dispatches of requests that had waited, with their priority.
 #[derive(Debug, Default)]
-pub struct DispatchRate(VecDeque<Millis>);
+pub struct DispatchRate(VecDeque<(Millis, u8)>);
 
 impl DispatchRate {
     /// Records that a request was sent which had waited.
-    pub fn record(&mut self, now: Millis) {
+    pub fn record(&mut self, priority: u8, now: Millis) {
         self.forget_old(now);
-        self.0.push_back(now);
+        self.0.push_back((now, priority));
     }
 
     fn forget_old(&mut self, now: Millis) {
-        while self.0.front().is_some_and(|at| at + RATE_WINDOW_MS <= now) {
+        let is_old = |(at, _): &(Millis, u8)| at + RATE_WINDOW_MS <= now;
+        while self.0.front().is_some_and(is_old) {
             self.0.pop_front();
         }
     }
 
-    /// Expected time until a request is dispatched that comes after these, in ms.
-    pub fn wait_ms(&mut self, ahead: Waiting, now: Millis) -> f64 {
+    /// Expected time until a request of this priority is sent that comes after these, in ms.
+    pub fn wait_ms(&mut self, priority: u8, ahead: Waiting, now: Millis) -> f64 {
         self.forget_old(now);
         let waited_ms = ahead.oldest_ms as f64;
         if waited_ms < MIN_HISTORY_MS {
             return waited_ms;
         }
-        let per_ms = self.0.len() as f64 / RATE_WINDOW_MS as f64;
+        // They wait for less than the window, so earlier dispatches are none of theirs.
+        let counted_ms = ahead.oldest_ms.min(RATE_WINDOW_MS);
+        let counts = |(at, other): &&(Millis, u8)| *other <= priority && at + counted_ms > now;
+        let per_ms = self.0.iter().filter(counts).count() as f64 / counted_ms as f64;
         let wait_ms = ahead.count as f64 / per_ms;
         waited_ms.max(wait_ms).min(MAX_WAIT_MS)
     }
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -25,7 +25,7 @@
 /// Shortest prefill from which the speed of an engine is learned, in ms.
 const MIN_PREFILL_MS: f64 = 5.0;
 
-/// Priority of the runs of builds that state none.
+/// Assumed priority of runs that older builds announce, which state none; for metrics only.
 const DEFAULT_PRIORITY: u8 = 5;
 
 /// Time after which a run without a first token no longer counts towards the
--- a/crates/gateway/src/control/fleet/speed.rs
+++ b/crates/gateway/src/control/fleet/speed.rs
@@ -47,7 +47,7 @@
         let read_ms = (self.took_ms - self.step_ms).max(self.took_ms * (1.0 - MAX_STEP_SHARE));
         match (self.ahead, self.interval_ms) {
             (0, _) => Some((read_ms, 1.0)),
-            // The news of several first tokens came together.
+            // Several first tokens were reported at once, so the interval says nothing.
             (_, Some(interval)) if interval < MIN_INTERVAL_MS => None,
             // An engine prefills one prompt after the other, and both tokens take a step.
             (_, Some(interval)) => Some((interval, QUEUED_WEIGHT)),
--- a/crates/gateway/src/control/known_runs.rs
+++ b/crates/gateway/src/control/known_runs.rs
@@ -41,7 +41,7 @@
         Some(run)
     }
 
-    /// Applies a change that leaves the tokens of a run as they are.
+    /// Returns a run for changes. Its tokens must stay as they are, or the sum becomes wrong.
     pub fn get_mut(&mut self, id: &RunId) -> Option<&mut RunningRequest> {
         self.runs.get_mut(id)
     }
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -24,6 +24,8 @@
 const LIMIT_SHARE_WINDOWS: f64 = 1.2;
 
 /// Time for which a silent node counts as one that may grant quota behind a partition, in ms.
+/// The share of a node that is gone is unused for as long; in longer partitions a quota may be
+/// exceeded.
 const SILENT_NODE_MS: Millis = 10 * 60 * 1_000;
 
 /// Interval of datagrams to an address that does not answer, in ms.
--- a/crates/gateway/src/control/quota_buckets.rs
+++ b/crates/gateway/src/control/quota_buckets.rs
@@ -28,6 +28,9 @@
 /// sides of a partition would do so for the same quota.
 const MIN_OVERDRAFT_SHARE: f64 = 0.9;
 
+/// Smallest capacity of a bucket: the cost of one request that is counted as such.
+const MIN_CAPACITY: f64 = 1.0;
+
 /// Maximum time after which a refused client is asked to return, in ms.
 const MAX_RETURN_MS: f64 = 10_000.0;
 
@@ -109,8 +112,10 @@
         self.quota.capacity(SLOTS, self.bound.slack)
     }
 
+    /// Never less than the smallest cost, so that a silent node does not shut out a workspace
+    /// with a small quota.
     fn capacity(&self) -> f64 {
-        self.full_capacity() * self.share
+        (self.full_capacity() * self.share).max(MIN_CAPACITY)
     }
 
     /// Cost units that are added each ms.
@@ -221,8 +226,8 @@
     bound: QuotaBound,
     buckets: BTreeMap<BucketKey, Bucket>,
     grants: BTreeMap<AskKey, Granted>,
-    /// Asks that were refused lately. The node does not wait for a second answer, so that
-    /// a grant for a datagram that arrives twice would be lost.
+    /// Asks that were refused lately. Granting a repeated datagram of one would cost quota
+    /// that nobody uses.
     refused: BTreeMap<AskKey, Millis>,
 }
 
--- a/crates/gateway/src/control/state/dispatch.rs
+++ b/crates/gateway/src/control/state/dispatch.rs
@@ -35,10 +35,10 @@
 #[derive(Debug, Default)]
 pub(super) struct Dispatch {
     limits: DispatchLimits,
-    rates: BTreeMap<(Arc<str>, u8), DispatchRate>,
+    rates: BTreeMap<Arc<str>, DispatchRate>,
     turns: BTreeMap<(Arc<str>, u8), Turns>,
     /// Most urgent priority of each service that had to wait in this pass through the queue.
-    held_from: BTreeMap<Arc<str>, u8>,
+    deferred_from: BTreeMap<Arc<str>, u8>,
 }
 
 impl Dispatch {
@@ -49,16 +49,16 @@
 
     /// Begins a pass through the queue.
     pub(super) fn begin_pass(&mut self) {
-        self.held_from.clear();
+        self.deferred_from.clear();
     }
 
     /// True if a request has to wait behind one that had to wait in this pass.
     pub(super) fn waits_behind(&self, queued: &QueuedRequest, now: Millis) -> bool {
         let request = &queued.request;
-        let held_from = self.held_from.get(&request.service);
-        queued.is_held
+        let deferred_from = self.deferred_from.get(&request.service);
+        queued.is_deferred
             && now < queued.deadline
-            && held_from.is_some_and(|priority| request.priority >= *priority)
+            && deferred_from.is_some_and(|priority| request.priority >= *priority)
     }
 
     /// Place in the queue of a request that has to wait.
@@ -75,12 +75,14 @@
 
     /// Records that a request is sent.
     pub(super) fn sent(&mut self, queued: &QueuedRequest, now: Millis) {
-        let key = (queued.request.service.clone(), queued.request.priority);
+        let (service, priority) = (&queued.request.service, queued.request.priority);
         if let Some((_, turn)) = queued.place {
-            self.turns.entry(key.clone()).or_default().serve(turn);
+            let key = (service.clone(), priority);
+            self.turns.entry(key).or_default().serve(turn);
         }
-        if queued.is_held {
-            self.rates.entry(key).or_default().record(now);
+        if queued.is_deferred {
+            let rate = self.rates.entry(service.clone()).or_default();
+            rate.record(priority, now);
         }
     }
 
@@ -96,7 +98,7 @@
     /// Returns the estimate of a waiting request that has to go on waiting before it asks for
     /// quota again: a grant would expire meanwhile.
     pub(super) fn waits_for_quota(&self, queued: &QueuedRequest, now: Millis) -> Option<Estimate> {
-        if !queued.is_held || !self.needs_quota(queued) {
+        if !queued.is_deferred || !self.needs_quota(queued) {
             return None;
         }
         let (_, estimate) = self.select_endpoint(&queued.request, now).ok()?;
@@ -106,7 +108,7 @@
     /// True if the queue at the engine is too long for a less urgent request. One that has
     /// waited and got its quota since is sent.
     pub(super) fn is_over_limit(&self, queued: &QueuedRequest, estimate: &Estimate) -> bool {
-        if queued.is_held && queued.quota.has_grant() {
+        if queued.is_deferred && queued.quota.has_grant() {
             return false;
         }
         let limit = self.dispatch.limit_ms(queued);
@@ -115,16 +117,16 @@
     }
 
     /// True if requests that are as urgent as this one wait for shorter queues.
-    pub(super) fn has_held(&self, queued: &QueuedRequest) -> bool {
-        self.held_ahead(queued).next().is_some()
+    pub(super) fn has_deferred(&self, queued: &QueuedRequest) -> bool {
+        self.deferred_ahead(queued).next().is_some()
     }
 
-    fn held_ahead<'a>(
+    fn deferred_ahead<'a>(
         &'a self,
         queued: &'a QueuedRequest,
     ) -> impl Iterator<Item = &'a QueuedRequest> {
         self.queue.iter().filter(|other| {
-            other.is_held
+            other.is_deferred
                 && other.request.service == queued.request.service
                 && other.request.priority <= queued.request.priority
         })
@@ -132,44 +134,44 @@
 
     /// Returns a request that has to wait until a queue is short enough. Refuses one that would
     /// not begin within its target.
-    pub(super) fn hold(
+    pub(super) fn defer(
         &mut self,
         mut queued: QueuedRequest,
         estimate: &Estimate,
         now: Millis,
     ) -> Option<QueuedRequest> {
         let target_ms = queued.request.target.as_millis() as f64;
-        if queued.is_held && now >= queued.deadline {
+        if queued.is_deferred && now >= queued.deadline {
             let until = free_again(estimate, now);
-            self.refuse_held(queued, until, estimate.queue_ms);
+            self.refuse_deferred(queued, until, estimate.queue_ms);
             return None;
         }
-        if !queued.is_held {
+        if !queued.is_deferred {
             let wait_ms = self.dispatch_wait_ms(&queued, now);
             let own_ms = own_share_ms(estimate, target_ms);
             if wait_ms * WAIT_MARGIN + estimate.queue_ms + own_ms > target_ms {
                 let share = rand::rng().random_range(RETURN_SHARE);
                 let until = now + (wait_ms * share).max(MIN_RETURN_MS) as Millis;
-                self.refuse_held(queued, until, wait_ms);
+                self.refuse_deferred(queued, until, wait_ms);
                 return None;
             }
-            queued.is_held = true;
+            queued.is_deferred = true;
             // Its grant goes to others while it waits.
             queued.quota = RequestQuota::default();
-            self.metrics.count(EventKind::Placement, "held");
+            self.metrics.count(EventKind::Placement, "deferred");
             log::debug!(request = &*queued.request.id, priority = queued.request.priority, queue_ms = estimate.queue_ms as i64,
                 wait_ms = wait_ms as i64; "request waits for a shorter queue");
         }
         let request = &queued.request;
-        let held_from = &mut self.dispatch.held_from;
-        let priority = held_from
+        let deferred_from = &mut self.dispatch.deferred_from;
+        let priority = deferred_from
             .entry(request.service.clone())
             .or_insert(request.priority);
         *priority = (*priority).min(request.priority);
         Some(queued)
     }
 
-    fn refuse_held(&self, queued: QueuedRequest, until: Millis, queue_ms: f64) {
+    fn refuse_deferred(&self, queued: QueuedRequest, until: Millis, queue_ms: f64) {
         let queue_ms = queue_ms as u64;
         let refusal = Refusal::Overloaded { until, queue_ms };
         self.refuse(&queued.request, refusal, queued.reply);
@@ -177,13 +179,17 @@
 
     /// Expected time for which a request waits at this node, in ms.
     fn dispatch_wait_ms(&mut self, queued: &QueuedRequest, now: Millis) -> f64 {
-        let since = self.held_ahead(queued).map(|other| other.asked_at).min();
+        let since = self
+            .deferred_ahead(queued)
+            .map(|other| other.asked_at)
+            .min();
         let ahead = Waiting {
-            count: self.held_ahead(queued).count(),
+            count: self.deferred_ahead(queued).count(),
             oldest_ms: since.map_or(0, |since| now.saturating_sub(since)),
         };
-        let key = (queued.request.service.clone(), queued.request.priority);
-        let rate = self.dispatch.rates.entry(key).or_default();
-        rate.wait_ms(ahead, now)
+        let request = &queued.request;
+        let rates = &mut self.dispatch.rates;
+        let rate = rates.entry(request.service.clone()).or_default();
+        rate.wait_ms(request.priority, ahead, now)
     }
 }
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -120,11 +120,12 @@
             asked_at: now,
             deadline,
             place: None,
-            is_held: false,
+            is_deferred: false,
             quota: RequestQuota::default(),
         };
-        let is_scarce =
-            self.limits.count() > 0 || !self.brittle_services.is_empty() || self.has_held(&queued);
+        let is_scarce = self.limits.count() > 0
+            || !self.brittle_services.is_empty()
+            || self.has_deferred(&queued);
         if is_scarce && !self.queue.is_empty() {
             // Those that are more urgent get the next permits.
             self.enqueue(queued);
@@ -231,7 +232,7 @@
             return None;
         }
         if let Some(estimate) = self.waits_for_quota(&queued, now) {
-            return self.hold(queued, &estimate, now);
+            return self.defer(queued, &estimate, now);
         }
         match self.quota_step(&mut queued, now) {
             QuotaStep::Place => {}
@@ -250,7 +251,7 @@
                 None
             }
             Selection::Endpoint(_, estimate) if self.is_over_limit(&queued, &estimate) => {
-                self.hold(queued, &estimate, now)
+                self.defer(queued, &estimate, now)
             }
             Selection::Endpoint(key, estimate) => {
                 self.dispatch.sent(&queued, now);
@@ -263,6 +264,7 @@
                 }
                 self.metrics.count(EventKind::Placement, "granted");
                 if queued.reply.send(Ok(grant)).is_err() {
+                    // Nothing was sent, so its quota is returned.
                     self.quota_run_ended(number, &RunEnd::NeverConnected);
                     self.run_ended(key, number, &RunEnd::CallerLeft, None, now);
                 }
--- a/crates/gateway/src/control/state/queued_request.rs
+++ b/crates/gateway/src/control/state/queued_request.rs
@@ -15,6 +15,6 @@
     /// Place in the queue: priority, and turn of its workspace.
     pub(super) place: Option<(u8, u64)>,
     /// True if it waits for a shorter queue at an engine.
-    pub(super) is_held: bool,
+    pub(super) is_deferred: bool,
     pub(super) quota: RequestQuota,
 }
--- a/crates/gateway/src/control/state/quota.rs
+++ b/crates/gateway/src/control/state/quota.rs
@@ -109,10 +109,11 @@
 
     /// Determines the owners of the buckets, and returns grants that were not used.
     pub(super) fn update_quotas(&mut self, now: Millis) {
+        self.return_unused(now);
         if !self.has_quotas() && self.quota.owners.is_empty() {
+            self.quota.asks.forget_old(now);
             return;
         }
-        self.return_unused(now);
         self.refresh_owners(now);
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -385,7 +385,7 @@
     let (reason, retry_after) = if retry_state.possible_runs > 0 {
         (ErrorReason::Failed, None)
     } else {
-        // Of the target of a request that met long queues, a part is left when it returns.
+        // A caller that returns early still has a part of its target left.
         let pause = match retry_state.refusal {
             Some(Refusal::Overloaded { .. }) => retry_state.pause,
             _ => exchange.route.target.max(retry_state.pause),
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -12,7 +12,7 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 /// Part of the process's memory that bodies and unread answers may hold. The rest is for the
 /// process itself, the buffers of connections, and fragmentation of the heap.
@@ -22,7 +22,7 @@
 /// ordinary requests.
 const SMALL_SHARE: f64 = 0.25;
 
-/// Size up to which a body is small, in bytes. Ordinary bodies have up to 72,000 bytes.
+/// Size up to which a body is small, in bytes.
 const SMALL_BYTES: usize = 128 * 1024;
 
 /// Time for which a body waits for memory before another one is refused in its favor.
@@ -220,11 +220,11 @@
             if self.grow(capacity) || self.grow(needed) {
                 break;
             }
-            let released = self.charge.shared.released.notified();
-            // An elapsed wait leads to the refusal below.
-            let _ = timeout(SHORT_WAIT, released).await;
+            if self.wait_for_memory(needed).await {
+                break;
+            }
             waits += 1;
-            if !self.grow(needed) && (waits > MAX_WAITS || !self.refuse_other()) {
+            if waits > MAX_WAITS || !self.refuse_other() {
                 return Err(BudgetExhausted);
             }
         }
@@ -237,6 +237,21 @@
         Ok(())
     }
 
+    /// Waits a short time until the budget has this capacity left, and charges it.
+    async fn wait_for_memory(&mut self, capacity: usize) -> bool {
+        let until = tokio::time::Instant::now() + SHORT_WAIT;
+        let shared = self.charge.shared.clone();
+        loop {
+            let released = shared.released.notified();
+            if self.grow(capacity) {
+                return true;
+            }
+            if timeout_at(until, released).await.is_err() {
+                return self.grow(capacity);
+            }
+        }
+    }
+
     /// Charges the budget up to this capacity, if it has as much left.
     fn grow(&mut self, capacity: usize) -> bool {
         let shared = &self.charge.shared;
--- a/crates/gateway/src/node_port.rs
+++ b/crates/gateway/src/node_port.rs
@@ -46,7 +46,11 @@
         let connections = connections.clone();
         let shutdown = shutdown.clone();
         tokio::spawn(async move {
-            match first_byte(&stream).await {
+            let byte = tokio::select! {
+                byte = first_byte(&stream) => byte,
+                () = client.closed() => return,
+            };
+            match byte {
                 Some(byte) if byte != 0 => {
                     drop(place);
                     let guard = connections.enter();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -90,6 +90,11 @@
 }
 
 impl Client {
+    /// Completes when the connection must be closed in favor of another one.
+    pub async fn closed(&self) {
+        self.slot.closed().await;
+    }
+
     /// Notes that the connection must not be closed in favor of another one.
     pub fn running(&self) {
         self.slot.request(self.address).running();
--- a/crates/gateway/tests/test_dispatch.rs
+++ b/crates/gateway/tests/test_dispatch.rs
@@ -80,15 +80,17 @@
 fn expected_wait_follows_the_rate_of_dispatches() {
     let mut rate = DispatchRate::default();
     for at in 0..20 {
-        rate.record(1_000 + at * 50);
+        rate.record(2, 1_000 + at * 50);
     }
     let ahead = |count, oldest_ms| Waiting { count, oldest_ms };
     // Twenty a second.
-    assert!((rate.wait_ms(ahead(10, 400), 1_999) - 500.0).abs() < 1.0);
-    assert!((rate.wait_ms(ahead(2, 400), 1_999) - 400.0).abs() < 1.0);
-    assert!(rate.wait_ms(ahead(10, 50), 1_999) < 100.0);
+    assert!((rate.wait_ms(2, ahead(10, 400), 1_999) - 500.0).abs() < 1.0);
+    assert!((rate.wait_ms(2, ahead(2, 400), 1_999) - 400.0).abs() < 1.0);
+    assert!(rate.wait_ms(2, ahead(10, 50), 1_999) < 100.0);
+    // Those of less urgent requests do not count.
+    assert!(rate.wait_ms(1, ahead(10, 400), 1_999) > 10_000.0);
     // Nothing was dispatched for a second.
-    assert!(rate.wait_ms(ahead(1, 1_500), 4_000) > 10_000.0);
+    assert!(rate.wait_ms(2, ahead(1, 1_500), 4_000) > 10_000.0);
 }
 
 /// An engine that reads prompts one after the other in order of arrival.
