dispatch: requests that can still be late wait instead of being refused

A deferred request was refused when it would not begin within its target. A late response is better than none: such a request waits for up to half of the time until its deadline.

quotas: a node that starts again owns buckets as soon as it knows the registry; its share is that of the nodes that it hears. Only the first start waits 2 s. The test without an owner now plays a first start.

Run: test_dispatch, test_overload, test_quota_fleet, test_quota_buckets.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -117,6 +117,8 @@
     pub max_wait: Duration,
     /// Time within which the response should begin.
     pub target: Duration,
+    /// Time left until its deadline.
+    pub time_limit: Duration,
 }
 
 /// Assignment of a request to an endpoint.
--- a/crates/gateway/src/control/state/dispatch.rs
+++ b/crates/gateway/src/control/state/dispatch.rs
@@ -20,6 +20,10 @@
 /// otherwise send to it at the same moment.
 const LIMIT_SPREAD: RangeInclusive<f64> = 0.5..=1.0;
 
+/// Part of the time until its deadline for which a deferred request may wait. The rest is for the
+/// response.
+const LATE_SHARE: f64 = 0.5;
+
 /// Factor of the expected wait that a request must be able to bear: the rate at which engines
 /// become free fluctuates, and a request that is refused after its wait has lost that time.
 const WAIT_MARGIN: f64 = 1.25;
@@ -94,6 +98,13 @@
     }
 }
 
+/// Longest time from the arrival of a deferred request to its first token, in ms. A late response
+/// is better than none, as long as it is complete by its deadline.
+fn longest_wait_ms(request: &PlacementRequest) -> f64 {
+    let longest = request.target.max(request.time_limit.mul_f64(LATE_SHARE));
+    longest.min(request.time_limit).as_millis() as f64
+}
+
 impl Control {
     /// Returns the estimate of a waiting request that has to go on waiting before it asks for
     /// quota again: a grant would expire meanwhile.
@@ -133,14 +144,14 @@
     }
 
     /// Returns a request that has to wait until a queue is short enough. Refuses one that would
-    /// not begin within its target.
+    /// not begin in time.
     pub(super) fn defer(
         &mut self,
         mut queued: QueuedRequest,
         estimate: &Estimate,
         now: Millis,
     ) -> Option<QueuedRequest> {
-        let target_ms = queued.request.target.as_millis() as f64;
+        let longest_ms = longest_wait_ms(&queued.request);
         if queued.is_deferred && now >= queued.deadline {
             let until = free_again(estimate, now);
             self.refuse_deferred(queued, until, estimate.queue_ms);
@@ -148,14 +159,15 @@
         }
         if !queued.is_deferred {
             let wait_ms = self.dispatch_wait_ms(&queued, now);
-            let own_ms = own_share_ms(estimate, target_ms);
-            if wait_ms * WAIT_MARGIN + estimate.queue_ms + own_ms > target_ms {
+            let own_ms = own_share_ms(estimate, longest_ms);
+            if wait_ms * WAIT_MARGIN + estimate.queue_ms + own_ms > longest_ms {
                 let share = rand::rng().random_range(RETURN_SHARE);
                 let until = now + (wait_ms * share).max(MIN_RETURN_MS) as Millis;
                 self.refuse_deferred(queued, until, wait_ms);
                 return None;
             }
             queued.is_deferred = true;
+            queued.deadline = queued.asked_at + longest_ms as Millis;
             // Its grant goes to others while it waits.
             queued.quota = RequestQuota::default();
             self.metrics.count(EventKind::Placement, "deferred");
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -243,6 +243,9 @@
             }
         }
         match self.select_permitted(&queued.request, now) {
+            Selection::Endpoint(_, estimate) if self.is_over_limit(&queued, &estimate) => {
+                self.defer(queued, &estimate, now)
+            }
             Selection::Endpoint(_, estimate) if starts_too_late(&queued.request, &estimate) => {
                 let queue_ms = estimate.queue_ms as u64;
                 let until = free_again(&estimate, now);
@@ -250,9 +253,6 @@
                 self.refuse(&queued.request, refusal, queued.reply);
                 None
             }
-            Selection::Endpoint(_, estimate) if self.is_over_limit(&queued, &estimate) => {
-                self.defer(queued, &estimate, now)
-            }
             Selection::Endpoint(key, estimate) => {
                 self.dispatch.sent(&queued, now);
                 let grant = self.grant(&queued.request, key, &estimate, now);
--- a/crates/gateway/src/control/state/quota.rs
+++ b/crates/gateway/src/control/state/quota.rs
@@ -26,8 +26,9 @@
 /// Interval at which the owners of buckets are determined, in ms.
 const REFRESH_MS: Millis = 50;
 
-/// Time in ms after its start, or after it stood still, for which a node owns no buckets,
-/// so that it knows the other nodes.
+/// Time in ms after its first start, or after it stood still, for which a node owns no buckets,
+/// so that it knows the other nodes. One that starts again finds them in the registry, and
+/// grants only the share of those that it hears.
 const OWNER_DELAY_MS: Millis = 2_000;
 
 /// Part of a request's target for which it may wait until its grant is usable.
@@ -88,7 +89,7 @@
             && self.shutdown_at.is_none()
             && !self.is_cut_off()
             && self.peers.has_list()
-            && self.running_since.is_some_and(knows_nodes)
+            && (!self.is_new || self.running_since.is_some_and(knows_nodes))
             && (stalled_at == 0 || knows_nodes(stalled_at))
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -126,6 +126,7 @@
             // Its response would be late by itself after that.
             max_wait: exchange.route.target.min(left),
             target: exchange.route.target,
+            time_limit: left,
         };
         context.handle.place(ask).await
     }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -392,5 +392,6 @@
         tried_nodes: Vec::new(),
         max_wait: Duration::ZERO,
         target: Duration::from_mins(1),
+        time_limit: Duration::from_mins(2),
     }
 }
--- a/crates/gateway/tests/test_dispatch.rs
+++ b/crates/gateway/tests/test_dispatch.rs
@@ -28,6 +28,11 @@
     request.priority = priority;
     request.target = Duration::from_millis(target_ms);
     request.max_wait = request.target;
+    request.time_limit = Duration::from_millis(if priority == PATIENT.0 {
+        PATIENT_DEADLINE_MS
+    } else {
+        15_000
+    });
     request.parts.drain(..2);
     request.parts[0].tokens = tokens;
     request.prompt_tokens = tokens;
@@ -284,3 +289,28 @@
     assert_eq!(turns.next(Some("large")), 5);
     assert_eq!(turns.next(None), 3);
 }
+
+/// Guards against requests that are refused because they would be late, though they could still
+/// be complete long before their deadline.
+#[test]
+fn request_with_time_until_its_deadline_waits_beyond_its_target() {
+    let mut harness = Harness::with_engines(1, 0);
+    let less_urgent = (1, 800);
+    harness.priority_catalog(2, &[URGENT, less_urgent], 0);
+    let run = Run {
+        number: 1,
+        endpoint: Endpoint::key_of("e0"),
+        prefill_us: 2_000_000,
+        ..Run::default()
+    };
+    harness.gossip(9, &[run], 100);
+    let waiting = harness.place(request_of(less_urgent, 1, 6_000), 100);
+    assert!(waiting.is_none(), "{waiting:?}");
+    let mut short = request_of(less_urgent, 2, 6_000);
+    short.time_limit = Duration::from_secs(1);
+    let refused = harness.place(short, 100);
+    assert!(
+        matches!(refused, Some(Err(Refusal::Overloaded { .. }))),
+        "{refused:?}"
+    );
+}
--- a/crates/gateway/tests/test_quota_fleet.rs
+++ b/crates/gateway/tests/test_quota_fleet.rs
@@ -647,7 +647,11 @@
 #[test]
 fn request_without_an_owner_is_refused_within_its_target() {
     let mut fleet = Fleet::start(1, SMALL, 100_000.0, 9);
-    // The node issues no grants for 2 s after its start.
+    // The node issues no grants for 2 s after its first start.
+    let node = fleet.nodes.get_mut(&0).expect("a node");
+    node.harness
+        .control
+        .handle(Event::FirstRegistration, fleet.now);
     fleet.place(1_000);
     fleet.run(700, 0.0);
     assert_eq!((fleet.sent.len(), fleet.no_owner), (0, 0));
