--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -126,6 +126,7 @@
             // Its response would be late by itself after that.
             max_wait: exchange.route.target.min(left),
             target: exchange.route.target,
+            time_limit: left,
         };
         context.handle.place(ask).await
     }
@@ -385,7 +386,7 @@
     let (reason, retry_after) = if retry_state.possible_runs > 0 {
         (ErrorReason::Failed, None)
     } else {
-        // Of the target of a request that met long queues, a part is left when it returns.
+        // A caller that returns early still has a part of its target left.
         let pause = match retry_state.refusal {
             Some(Refusal::Overloaded { .. }) => retry_state.pause,
             _ => exchange.route.target.max(retry_state.pause),
--- a/crates/gateway/tests/test_dispatch.rs
+++ b/crates/gateway/tests/test_dispatch.rs
@@ -28,6 +28,11 @@
     request.priority = priority;
     request.target = Duration::from_millis(target_ms);
     request.max_wait = request.target;
+    request.time_limit = Duration::from_millis(if priority == PATIENT.0 {
+        PATIENT_DEADLINE_MS
+    } else {
+        15_000
+    });
     request.parts.drain(..2);
     request.parts[0].tokens = tokens;
     request.prompt_tokens = tokens;
@@ -80,15 +85,17 @@
 fn expected_wait_follows_the_rate_of_dispatches() {
     let mut rate = DispatchRate::default();
     for at in 0..20 {
-        rate.record(1_000 + at * 50);
+        rate.record(2, 1_000 + at * 50);
     }
     let ahead = |count, oldest_ms| Waiting { count, oldest_ms };
     // Twenty a second.
-    assert!((rate.wait_ms(ahead(10, 400), 1_999) - 500.0).abs() < 1.0);
-    assert!((rate.wait_ms(ahead(2, 400), 1_999) - 400.0).abs() < 1.0);
-    assert!(rate.wait_ms(ahead(10, 50), 1_999) < 100.0);
+    assert!((rate.wait_ms(2, ahead(10, 400), 1_999) - 500.0).abs() < 1.0);
+    assert!((rate.wait_ms(2, ahead(2, 400), 1_999) - 400.0).abs() < 1.0);
+    assert!(rate.wait_ms(2, ahead(10, 50), 1_999) < 100.0);
+    // Those of less urgent requests do not count.
+    assert!(rate.wait_ms(1, ahead(10, 400), 1_999) > 10_000.0);
     // Nothing was dispatched for a second.
-    assert!(rate.wait_ms(ahead(1, 1_500), 4_000) > 10_000.0);
+    assert!(rate.wait_ms(2, ahead(1, 1_500), 4_000) > 10_000.0);
 }
 
 /// An engine that reads prompts one after the other in order of arrival.
@@ -282,3 +289,28 @@
     assert_eq!(turns.next(Some("large")), 5);
     assert_eq!(turns.next(None), 3);
 }
+
+/// Guards against requests that are refused because they would be late, though they could still
+/// be complete long before their deadline.
+#[test]
+fn request_with_time_until_its_deadline_waits_beyond_its_target() {
+    let mut harness = Harness::with_engines(1, 0);
+    let less_urgent = (1, 800);
+    harness.priority_catalog(2, &[URGENT, less_urgent], 0);
+    let run = Run {
+        number: 1,
+        endpoint: Endpoint::key_of("e0"),
+        prefill_us: 2_000_000,
+        ..Run::default()
+    };
+    harness.gossip(9, &[run], 100);
+    let waiting = harness.place(request_of(less_urgent, 1, 6_000), 100);
+    assert!(waiting.is_none(), "{waiting:?}");
+    let mut short = request_of(less_urgent, 2, 6_000);
+    short.time_limit = Duration::from_secs(1);
+    let refused = harness.place(short, 100);
+    assert!(
+        matches!(refused, Some(Err(Refusal::Overloaded { .. }))),
+        "{refused:?}"
+    );
+}
