streams: nodes doubt streams of other nodes at engines of another version

Only streams that a node knew to be open when it read the new entry were doubted. One whose first event came after that, from a request placed before, counted for the old version, and another node that had read the entry itself still relied on the first node to tell it.

Change: a record of a stream names the incarnation of its engine. Each node doubts the streams of all nodes at an incarnation that was listed with another version since, except own ones that ended before, and records that arrive later. A version in doubt stays so unless the stream goes on at another engine.

The new tests need the new field and do not compile without the change.

--- a/crates/gateway/src/control/begun_streams.rs
+++ b/crates/gateway/src/control/begun_streams.rs
@@ -32,7 +32,10 @@
 
 #[derive(Debug)]
 struct Begun {
+    /// Software version of the engine; empty if it is not clear.
     build: Arc<str>,
+    /// Shortened incarnation of the engine, as its entry stated it; 0 if it is not known.
+    engine: u32,
     source: StreamSource,
     /// Timeout of its route when it began, in ms; 0 if it is not known.
     timeout_ms: u32,
@@ -40,16 +43,23 @@
     heard_at: Millis,
     /// Time after which no caller can resume it.
     expires_at: Millis,
+    /// True if this node knows that it no longer runs at its engine.
+    has_ended: bool,
 }
 
 impl Begun {
     /// True if a record that began `at` says something new: another version, or that the
-    /// stream went on later.
+    /// stream went on later. A version that was in doubt stays so, as records of the time before
+    /// may arrive late.
     fn is_replaced_by(&self, stream: &BegunStream, at: Millis) -> bool {
-        if *self.build == *stream.build {
-            at > self.at + MIN_RENEWAL_MS
+        let same_engine = self.engine == stream.engine;
+        if self.build.is_empty() && same_engine {
+            false
+        } else if *self.build == *stream.build {
+            self.has_ended || at > self.at + MIN_RENEWAL_MS
         } else {
-            at >= self.at
+            let doubts_ended = self.has_ended && same_engine && stream.build.is_empty();
+            at >= self.at && !doubts_ended
         }
     }
 }
@@ -85,15 +95,41 @@
         self.by_expiry.insert((expires_at, stream.request));
         let begun = Begun {
             build: stream.build.as_str().into(),
+            engine: stream.engine,
             source,
             timeout_ms: stream.timeout_ms,
             at,
             heard_at: now,
             expires_at,
+            has_ended: false,
         };
         self.streams.insert(stream.request, begun);
     }
 
+    /// Records that the software version is not clear of the streams that run at this incarnation
+    /// of an engine. Returns their number.
+    pub fn doubt(&mut self, engine: u32, now: Millis) -> usize {
+        let mut count = 0;
+        for (request, begun) in &mut self.streams {
+            let runs = begun.engine == engine && !begun.has_ended;
+            if runs && !begun.build.is_empty() {
+                self.by_arrival.remove(&(begun.heard_at, *request));
+                self.by_arrival.insert((now, *request));
+                begun.build = "".into();
+                begun.heard_at = now;
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Records that a stream no longer runs at its engine.
+    pub fn ended(&mut self, request: u64) {
+        if let Some(begun) = self.streams.get_mut(&request) {
+            begun.has_ended = true;
+        }
+    }
+
     fn remove(&mut self, request: u64) {
         if let Some(begun) = self.streams.remove(&request) {
             self.by_arrival.remove(&(begun.heard_at, request));
@@ -157,5 +193,6 @@
         build: begun.build.to_string(),
         age_ms: now.saturating_sub(begun.at) as u32,
         timeout_ms: begun.timeout_ms,
+        engine: begun.engine,
     }
 }
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -140,6 +140,11 @@
     streams: BegunStreams,
     /// Streams that began at this node and run, by endpoint and number of the run.
     open_streams: BTreeMap<(EndpointKey, u64), Vec<BegunStream>>,
+    /// Incarnations of engines that were listed with another software version since, shortened,
+    /// and when that was.
+    replaced_engines: BTreeMap<u32, Millis>,
+    /// Endpoints that were dropped, and when that was.
+    removed_engines: BTreeMap<EndpointKey, (Arc<Endpoint>, Millis)>,
     /// How long streams of earlier configurations are remembered.
     former_memories: Vec<FormerMemory>,
     listed_builds: ListedBuilds,
@@ -249,6 +254,8 @@
             stream_record: StreamRecord::default(),
             streams: BegunStreams::default(),
             open_streams: BTreeMap::new(),
+            replaced_engines: BTreeMap::new(),
+            removed_engines: BTreeMap::new(),
             former_memories: Vec::new(),
             peers,
             rollout: Rollout::new(weights_bound),
@@ -317,7 +324,7 @@
                 self.endpoint_probed(endpoint, reached, now);
             }
             Event::HandoverEnded(number) => self.handovers.end(number),
-            Event::StreamBegun(stream) => self.stream_begun(stream, now),
+            Event::StreamBegun(stream) => self.stream_begun(&stream, now),
             Event::StreamRuns(run, stream) => self.stream_runs(run, stream),
             Event::StreamsRead(recorded) => self.streams_read(recorded, now),
             Event::StreamsRecorded(stored) => self.streams_recorded(stored),
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -574,7 +574,7 @@
         model: Option<&str>,
         now: Millis,
     ) {
-        self.open_streams.remove(&(endpoint, number));
+        self.streams_ended((endpoint, number));
         let end = &self.end_at_brittle(endpoint, end, now);
         self.metrics.count(EventKind::RunEnd, end.as_str());
         self.note_run_end(endpoint, number, end, now);
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -214,7 +214,7 @@
             _ => {
                 log::info!(endpoint = id, build = &*entry.build, born = entry.start_time_ms, address:% = entry.address, offset = record.offset;
                     "endpoint listed");
-                self.doubt_streams(key, &entry.build, now);
+                self.doubt_streams(&entry, now);
                 self.parts.remove_engine(key);
                 let others = self.fleet.values();
                 let alike = others.filter(|state| state.endpoint.service == entry.service);
@@ -293,6 +293,7 @@
             log::info!(endpoint = &*state.endpoint.id, reason; "endpoint dropped");
             self.listed_builds.endpoint_dropped(&state.endpoint, now);
             self.parts.remove_engine(key);
+            self.removed_engines.insert(key, (state.endpoint, now));
             self.rollout.retain(&self.fleet);
         }
     }
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -12,7 +12,7 @@
 use crate::control::begun_streams::{StreamSource, request_key};
 use crate::control::listed_builds::ServedBuilds;
 use crate::control::{Effect, PlacementRequest};
-use crate::endpoint::EndpointKey;
+use crate::endpoint::{Endpoint, EndpointKey};
 
 /// Time in ms for which streams are remembered beyond the timeout of their route.
 const RESUME_MARGIN_MS: Millis = 5_000;
@@ -165,7 +165,8 @@
     }
 
     /// Records a stream that began at this node, and tells the other nodes.
-    pub(super) fn stream_begun(&mut self, stream: BegunStream, now: Millis) {
+    pub(super) fn stream_begun(&mut self, stream: &BegunStream, now: Millis) {
+        let stream = self.with_doubt(stream);
         self.record_stream(&stream, StreamSource::Own, now);
         self.outgoing_streams.push(stream);
         self.gossip_pending_at.get_or_insert(now);
@@ -176,27 +177,58 @@
         self.open_streams.entry(run).or_default().push(stream);
     }
 
-    /// Handles that an endpoint is listed with a software version. Streams that run there and
-    /// began under an earlier entry with another one may be of either.
-    pub(super) fn doubt_streams(&mut self, endpoint: EndpointKey, build: &str, now: Millis) {
-        let runs = self
-            .open_streams
-            .range_mut((endpoint, 0)..=(endpoint, u64::MAX));
-        let mut doubted = Vec::new();
-        for stream in runs.flat_map(|(_, streams)| streams) {
-            if stream.build != build && !stream.build.is_empty() {
-                stream.build.clear();
-                doubted.push(stream.clone());
-            }
+    /// Returns a record of a stream without its software version if its engine has been listed
+    /// with another one since its run was placed.
+    fn with_doubt(&self, stream: &BegunStream) -> BegunStream {
+        let mut stream = stream.clone();
+        if self.replaced_engines.contains_key(&stream.engine) {
+            stream.build.clear();
+        }
+        stream
+    }
+
+    /// Handles that an endpoint is listed with a software version. Its process may have been
+    /// replaced some time ago, so the streams that run there and began under an earlier entry
+    /// with another version may be of either.
+    pub(super) fn doubt_streams(&mut self, entry: &Endpoint, now: Millis) {
+        let key = entry.key();
+        let runs = self.open_streams.range((key, 0)..=(key, u64::MAX));
+        let own: Vec<BegunStream> = runs
+            .flat_map(|(_, streams)| streams)
+            .filter(|stream| stream.build != *entry.build)
+            .cloned()
+            .collect();
+        let removed = self.removed_engines.remove(&key);
+        let listed = self.fleet.get(&key).map(|state| state.endpoint.clone());
+        let replaced = listed.or(removed.map(|(engine, _)| engine));
+        let replaced = replaced.filter(|replaced| replaced.build != entry.build);
+        let engines: BTreeSet<u32> = own
+            .iter()
+            .map(|stream| stream.engine)
+            .chain(replaced.map(|replaced| replaced.short_incarnation()))
+            .collect();
+        let mut doubted = 0;
+        for engine in engines {
+            self.replaced_engines.insert(engine, now);
+            doubted += self.streams.doubt(engine, now);
         }
-        if !doubted.is_empty() {
-            log::warn!(endpoint, build, streams = doubted.len(); "endpoint is listed with another software version than its streams");
+        if doubted > 0 {
+            log::warn!(endpoint = &*entry.id, build = &*entry.build, streams = doubted; "endpoint is listed with another software version than its streams");
         }
-        for stream in doubted {
+        // Nodes that have not read the entry do not doubt them yet.
+        for stream in &own {
             self.stream_begun(stream, now);
         }
     }
 
+    /// Records that the streams of a run no longer run at their engine.
+    pub(super) fn streams_ended(&mut self, run: (EndpointKey, u64)) {
+        let streams = self.open_streams.remove(&run);
+        for stream in streams.into_iter().flatten() {
+            self.streams.ended(stream.request);
+        }
+    }
+
     /// True if it is not clear which software version sent the events of a request's stream.
     pub(super) fn is_unclear(&self, request: &str) -> bool {
         let known = self.streams.build_of(request_key(request));
@@ -221,6 +253,7 @@
         source: StreamSource,
         now: Millis,
     ) {
+        let stream = self.with_doubt(stream);
         let memory = match stream.timeout_ms {
             0 if self.catalog.is_none() => ASSUMED_TIMEOUT_MS + RESUME_MARGIN_MS,
             0 => self.stream_memory(now),
@@ -228,7 +261,7 @@
         };
         let begun_at = now.saturating_sub(Millis::from(stream.age_ms));
         self.streams
-            .record(stream, source, begun_at.saturating_add(memory), now);
+            .record(&stream, source, begun_at.saturating_add(memory), now);
     }
 
     /// Takes over which software versions another node saw.
@@ -436,6 +469,8 @@
     pub(super) fn forget_streams(&mut self, now: Millis) {
         self.streams.forget_expired(now);
         let oldest = now.saturating_sub(self.stream_memory(now));
+        self.replaced_engines.retain(|_, at| *at >= oldest);
+        self.removed_engines.retain(|_, (_, at)| *at >= oldest);
         self.listed_builds.forget_before(oldest);
     }
 }
--- a/crates/gateway/src/endpoint.rs
+++ b/crates/gateway/src/endpoint.rs
@@ -49,6 +49,11 @@
         xxh3_64_with_seed(self.id.as_bytes(), self.start_time_ms)
     }
 
+    /// Shortened identifier of this incarnation, for messages that name many of them.
+    pub fn short_incarnation(&self) -> u32 {
+        self.incarnation() as u32
+    }
+
     /// True if this entry was written before the other one of the same endpoint.
     pub fn is_older_than(&self, other: &Self) -> bool {
         let heartbeats = self.heartbeat.zip(other.heartbeat);
--- a/crates/gateway/src/run_guard.rs
+++ b/crates/gateway/src/run_guard.rs
@@ -47,6 +47,7 @@
             build: grant.endpoint.build.to_string(),
             age_ms: 0,
             timeout_ms: exchange.route.timeout.as_millis() as u32,
+            engine: grant.endpoint.short_incarnation(),
         };
         Self {
             handle: context.handle.clone(),
--- a/crates/gateway/tests/test_begun_streams.rs
+++ b/crates/gateway/tests/test_begun_streams.rs
@@ -4,10 +4,12 @@
 mod common;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use common::{Harness, copies_of, placement_request};
 use flamingolock_gateway::control::begun_streams::request_key;
 use flamingolock_gateway::control::{BuildRule, Effect, Event, Placement, Refusal, RunEnd};
+use flamingolock_gateway::endpoint::Endpoint;
 use flamingolock_platform::settings;
 use flamingolock_wire::gossip::{
     BegunStream, BegunStreamList, BuildHistory, Gossip, ListedBuild, NodeState, TopicCopyState,
@@ -24,6 +26,7 @@
         build: build.to_owned(),
         age_ms: 0,
         timeout_ms: 0,
+        engine: 0,
     }
 }
 
@@ -105,7 +108,10 @@
         let grant = harness.place(placement_request(None, 1), 10);
         let grant = grant.expect("a decision").expect("a grant");
         let (endpoint, run_number) = (grant.endpoint.key(), grant.run_number);
-        let stream = begun("r", "v1");
+        let stream = BegunStream {
+            engine: grant.endpoint.short_incarnation(),
+            ..begun("r", "v1")
+        };
         let runs = Event::StreamRuns((endpoint, run_number), stream.clone());
         harness.control.handle(runs, 20);
         harness.control.handle(Event::StreamBegun(stream), 20);
@@ -414,6 +420,74 @@
     }
 }
 
+/// Begins a stream at an engine of a node, and returns its record.
+fn begin_stream(harness: &mut Harness, id: &str, now: u64) -> (Arc<Endpoint>, BegunStream) {
+    let grant = harness.place(placement_request(None, 1), now);
+    let grant = grant.expect("a decision").expect("a grant");
+    let stream = BegunStream {
+        engine: grant.endpoint.short_incarnation(),
+        ..begun(id, &grant.endpoint.build)
+    };
+    (grant.endpoint, stream)
+}
+
+/// Guards against streams of two software versions: the first event of a request that was
+/// placed before came after the engine's new entry, and counted for the version of the old one.
+#[test]
+fn stream_that_begins_after_its_engine_is_listed_with_another_version_is_refused() {
+    let mut harness = with_engines(&["v1", "v1"]);
+    let (engine, stream) = begin_stream(&mut harness, "r", 10);
+    harness.restarted_engine(&engine.id, "v2", 40);
+    let runs = Event::StreamRuns((engine.key(), 1), stream.clone());
+    harness.control.handle(runs, 45);
+    harness.control.handle(Event::StreamBegun(stream), 45);
+    let refusal = resume(&mut harness, "r", 50).err();
+    assert_eq!(refusal, Some(Refusal::UnknownBuild));
+}
+
+/// Guards against streams of two software versions: a node that ended before it could tell of
+/// its doubts left its streams to the version that they had not come from. Records from
+/// nodes that have not read the new entry do not settle it either.
+#[test]
+fn nodes_doubt_streams_of_other_nodes_at_an_engine_of_another_version() {
+    for told_before in [true, false] {
+        let mut harness = with_engines(&["v1", "v1"]);
+        let (engine, stream) = begin_stream(&mut harness, "own", 10);
+        let other = BegunStream {
+            request: request_key("r"),
+            ..stream
+        };
+        if told_before {
+            harness.datagram(9, streams(std::slice::from_ref(&other)), 20);
+        }
+        harness.restarted_engine(&engine.id, "v2", 40);
+        harness.datagram(9, streams(&[other]), 45);
+        let refusal = resume(&mut harness, "r", 50).err();
+        assert_eq!(refusal, Some(Refusal::UnknownBuild), "{told_before}");
+    }
+}
+
+/// Guards against lost streams: one in doubt that went on at another engine belongs to that one,
+/// and others at the same endpoint are not touched once it is listed with their version.
+#[test]
+fn streams_at_other_incarnations_are_not_doubted() {
+    let mut harness = with_engines(&["v1", "v1"]);
+    let (engine, stream) = begin_stream(&mut harness, "r", 10);
+    harness.datagram(9, streams(std::slice::from_ref(&stream)), 20);
+    harness.restarted_engine(&engine.id, "v2", 40);
+    let moved = BegunStream {
+        engine: 1,
+        ..stream
+    };
+    let later = BegunStream {
+        engine: 2,
+        ..begun("later", "v2")
+    };
+    harness.datagram(9, streams(&[moved, later]), 60);
+    assert_eq!(build_of(resume(&mut harness, "r", 70)), "v1");
+    assert_eq!(build_of(resume(&mut harness, "later", 70)), "v2");
+}
+
 /// Guards against lost streams: a node that starts after a shorter timeout came into force
 /// forgot the streams of the longer one while their callers could still come back.
 #[test]
--- a/crates/gateway/tests/test_earlier_builds.rs
+++ b/crates/gateway/tests/test_earlier_builds.rs
@@ -111,6 +111,7 @@
         build: "v1".to_owned(),
         age_ms: 250,
         timeout_ms: 15_000,
+        engine: 7,
     };
     let read = EarlierStream::decode(&stream.encode_to_vec()[..]).expect("a stream");
     assert_eq!(
--- a/crates/gateway/tests/test_odd_messages.rs
+++ b/crates/gateway/tests/test_odd_messages.rs
@@ -145,7 +145,7 @@
         streams in prop::collection::vec((0..9_u64, text(), short()), 0..3), builds in prop::option::of(history()),
         suspects in prop::collection::vec(suspect(), 0..3), request in prop::option::of((long(), engine(), short())),
         answer in prop::option::of((0..4_u64, engine(), prop::option::of(short())))) -> Gossip {
-        let streams = streams.into_iter().map(|(request, build, age_ms)| BegunStream { request, build, age_ms, timeout_ms: age_ms });
+        let streams = streams.into_iter().map(|(request, build, age_ms)| BegunStream { request, build, age_ms, timeout_ms: age_ms, engine: age_ms });
         Gossip {
             sender, heard, relayed, operator, endpoints, builds,
             streams: streams.collect(),
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -312,6 +312,9 @@
     /// Timeout of its route when it began, in milliseconds; 0 if it is not stated.
     #[prost(uint32, tag = "4")]
     pub timeout_ms: u32,
+    /// Incarnation of the engine as its entry stated it, shortened; 0 if it is not stated.
+    #[prost(fixed32, tag = "5")]
+    pub engine: u32,
 }
 
 /// Streams that began, as nodes record them in the store.
