quotas: buckets fill at once after all nodes have started again

Cause: after a loss of power of all nodes, each bucket waited 1 s for an earlier owner that no longer existed and then filled from zero, while callers returned.

Change: a node states for 2 s that it has just started. While an owner hears nine tenths of the known nodes and all of them have just started, its buckets fill at once. They still begin empty, so several such losses in one window grant no more than the rate.

--- a/crates/gateway/src/control/quota_buckets.rs
+++ b/crates/gateway/src/control/quota_buckets.rs
@@ -273,6 +273,13 @@
             .retain(|_, grant| buckets.contains_key(&grant.bucket) && now < grant.at + window);
     }
 
+    /// Lets the buckets fill from now on, without waiting for earlier owners: there are none.
+    pub fn fill_from(&mut self, now: Millis) {
+        for bucket in self.buckets.values_mut() {
+            bucket.filled_at = bucket.filled_at.min(now);
+        }
+    }
+
     /// Drops all buckets.
     pub fn clear(&mut self) {
         self.buckets.clear();
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -91,6 +91,7 @@
             issues_permits: self.issues_permits(now),
             takes_requests: self.settings.control.is_some(),
             grants_quota: self.grants_quota(now),
+            just_started: self.has_just_started(now),
             cut_off: self
                 .reach
                 .cut_services()
--- a/crates/gateway/src/control/state/quota.rs
+++ b/crates/gateway/src/control/state/quota.rs
@@ -31,6 +31,14 @@
 /// grants only the share of those that it hears.
 const OWNER_DELAY_MS: Millis = 2_000;
 
+/// Time in ms for which a node counts as just started. All nodes start again within this time
+/// after a loss of power.
+const JUST_STARTED_MS: Millis = 2_000;
+
+/// Share of the known nodes that must be heard to tell that all of them have just started. Some may
+/// never come back.
+const MIN_STARTED_SHARE: f64 = 0.9;
+
 /// Part of a request's target for which it may wait until its grant is usable.
 const MAX_WAIT_SHARE: u32 = 4;
 
@@ -93,6 +101,19 @@
             && (stalled_at == 0 || knows_nodes(stalled_at))
     }
 
+    /// True if this node started a moment ago.
+    pub(super) fn has_just_started(&self, now: Millis) -> bool {
+        let since = self.running_since;
+        since.is_none_or(|since| now < since + JUST_STARTED_MS)
+    }
+
+    /// True if no node owned buckets before the last moments, as nearly all have just started.
+    fn all_just_started(&self, share: f64, now: Millis) -> bool {
+        share >= MIN_STARTED_SHARE
+            && self.has_just_started(now)
+            && self.peers.alive(now).all(|peer| peer.state.just_started)
+    }
+
     fn quota_of(&self, request: &PlacementRequest) -> Option<&Quota> {
         let catalog = self.catalog.as_ref()?;
         catalog.workspaces.quota_of(request.workspace.as_deref()?)
@@ -166,7 +187,11 @@
             }
         }
         let before = self.quota.buckets.count();
-        self.quota.buckets.own(&held, share.unwrap_or(0.0), now);
+        let share = share.unwrap_or(0.0);
+        self.quota.buckets.own(&held, share, now);
+        if self.all_just_started(share, now) {
+            self.quota.buckets.fill_from(now);
+        }
         if before != held.len() {
             log::info!(buckets = held.len(), before, share, nodes = nodes.len(); "number of own quota buckets changed");
         }
--- a/crates/gateway/tests/test_quota_fleet.rs
+++ b/crates/gateway/tests/test_quota_fleet.rs
@@ -166,6 +166,11 @@
         self.runs.retain(|_, (node, _, _)| *node != number);
     }
 
+    fn restart_all(&mut self) {
+        (0..self.count).for_each(|number| self.kill(number));
+        (0..self.count).for_each(|number| self.start_node(number));
+    }
+
     fn freeze(&mut self, number: usize, time_ms: u64) {
         let node = self.nodes.get_mut(&number).expect("a node");
         node.frozen_until = self.now + time_ms;
@@ -542,8 +547,7 @@
             fleet.run(900, 4.0 * quota);
         }
         fleet.check("kills and starts", since);
-        (0..count).for_each(|number| fleet.kill(number));
-        (0..count).for_each(|number| fleet.start_node(number));
+        fleet.restart_all();
         fleet.run(10_000, 4.0 * quota);
         fleet.check("loss of all nodes", since);
         let later = fleet.now;
@@ -553,6 +557,34 @@
     }
 }
 
+/// Guards against buckets that refuse for a second or more after all nodes have started again, and
+/// against owners that grant more when that happens several times in one window.
+#[test]
+fn quota_is_kept_and_used_soon_after_all_nodes_started_again() {
+    for (count, network, quota) in fleets() {
+        let mut fleet = Fleet::start(count, network, quota, 10);
+        fleet.run(WARM_UP_MS, 0.0);
+        fleet.run(3_000, 4.0 * quota);
+        let since = fleet.now;
+        for _ in 0..5 {
+            fleet.restart_all();
+            fleet.run(1_700, 4.0 * quota);
+        }
+        fleet.check("losses of all nodes", since);
+    }
+    let quota = QUOTAS[1];
+    for (count, network) in [(6, SMALL), (18, LARGE)] {
+        let mut fleet = Fleet::start(count, network, quota, 11);
+        fleet.run(WARM_UP_MS, 0.55 * quota);
+        fleet.restart_all();
+        fleet.run(600, 0.55 * quota);
+        (fleet.refused, fleet.no_owner) = (0, 0);
+        fleet.run(3_000, 0.55 * quota);
+        let refused = (fleet.refused, fleet.no_owner);
+        assert_eq!(refused, (0, 0), "{count} nodes");
+    }
+}
+
 /// Guards against an owner that goes on granting after it was replaced.
 #[test]
 fn quota_is_kept_while_owners_freeze_and_resume() {
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -385,6 +385,9 @@
     /// True if it may own token buckets of workspaces' quotas.
     #[prost(bool, tag = "15")]
     pub grants_quota: bool,
+    /// True if it started a moment ago.
+    #[prost(bool, tag = "16")]
+    pub just_started: bool,
 }
 
 /// An update on a run, which is one request at one endpoint.
