dispatch: requests that wait at all nodes share the room at an engine

And where a node had sent nothing for 0.2 s, the next request was expected to wait for 60 s and was refused, with a Retry-After beyond its deadline: about a third of the refusals of engines.

Change: nodes state how many requests wait at them. Each draws every 50 ms whether it sends its next one to the best engine, with the probability that all nodes together fill the room there. A node that has sent nothing lately counts one dispatch, and a caller returns within a part of the time for which its request would wait.

--- a/crates/gateway/src/control/dispatch.rs
+++ b/crates/gateway/src/control/dispatch.rs
@@ -21,9 +21,6 @@
 /// Time for which a request must have waited before the rate of dispatches is known, in ms.
 const MIN_HISTORY_MS: f64 = 200.0;
 
-/// Longest expected wait, in ms.
-const MAX_WAIT_MS: f64 = 60_000.0;
-
 /// Queue that each priority of a service leaves at an engine.
 #[derive(Debug, Default)]
 pub struct DispatchLimits {
@@ -80,6 +77,29 @@
     }
 }
 
+/// Room in the queue at an engine for requests that wait at several nodes.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Time by which the queue may grow, in ms.
+    pub left_ms: f64,
+    /// Time that a request adds to it, in ms.
+    pub cost_ms: f64,
+    /// Number of requests that wait at this node.
+    pub own: u32,
+    /// Number of requests that wait at all nodes.
+    pub all: u64,
+}
+
+impl Room {
+    /// Probability with which this node sends a request, so that all nodes together fill the
+    /// room until they hear of each other. Without it, they would all send to an engine that
+    /// becomes free.
+    pub fn share(&self) -> f64 {
+        let fits = self.left_ms / self.cost_ms.max(1.0);
+        fits * f64::from(self.own) / (self.all.max(1) as f64)
+    }
+}
+
 /// Requests of a service that wait at this node and go ahead of another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Waiting {
@@ -117,8 +137,10 @@
         // They wait for less than the window, so earlier dispatches are none of theirs.
         let counted_ms = ahead.oldest_ms.min(RATE_WINDOW_MS);
         let counts = |(at, other): &&(Millis, u8)| *other <= priority && at + counted_ms > now;
-        let per_ms = self.0.iter().filter(counts).count() as f64 / counted_ms as f64;
-        let wait_ms = ahead.count as f64 / per_ms;
-        waited_ms.max(wait_ms).min(MAX_WAIT_MS)
+        // Without any, all that is known is that one takes at least as long as was counted. A node
+        // with few callers often has none for some time.
+        let dispatched = self.0.iter().filter(counts).count().max(1);
+        let wait_ms = ahead.count as f64 * counted_ms as f64 / dispatched as f64;
+        waited_ms.max(wait_ms)
     }
 }
--- a/crates/gateway/src/control/state/dispatch.rs
+++ b/crates/gateway/src/control/state/dispatch.rs
@@ -5,21 +5,27 @@
 use std::sync::Arc;
 
 use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::placement::{free_again, own_share_ms};
 use super::{Control, QueuedRequest};
 use crate::catalog::Catalog;
 use crate::clock::Millis;
-use crate::control::dispatch::{DispatchLimits, DispatchRate, Turns, Waiting};
+use crate::control::dispatch::{DispatchLimits, DispatchRate, Room, Turns, Waiting};
 use crate::control::fleet::Estimate;
 use crate::control::quota_asks::RequestQuota;
 use crate::control::{BuildRule, PlacementRequest, Refusal};
+use crate::endpoint::EndpointKey;
 use crate::metrics::EventKind;
 
-/// Factor of the limit for one decision. Nodes that see the same queue become shorter would
-/// otherwise send to it at the same moment.
+/// Factor of the limit for a request that has not waited. Nodes that see the same queue become
+/// shorter would otherwise send to it at the same moment.
 const LIMIT_SPREAD: RangeInclusive<f64> = 0.5..=1.0;
 
+/// Interval at which it is drawn which waiting requests are sent to an engine, in ms. Nodes have
+/// heard of what the others have sent by then.
+const DRAW_INTERVAL_MS: Millis = 50;
+
 /// Part of the time until its deadline for which a deferred request may wait. The rest is for the
 /// response.
 const LATE_SHARE: f64 = 0.5;
@@ -28,8 +34,8 @@
 /// become free fluctuates, and a request that is refused after its wait has lost that time.
 const WAIT_MARGIN: f64 = 1.25;
 
-/// Part of the expected wait after which a refused caller may return. With a whole wait, little
-/// of its target would be left.
+/// Part of the expected wait, as far as the caller itself may wait, after which it may return if it
+/// is refused. With a whole wait, little of its target would be left.
 const RETURN_SHARE: RangeInclusive<f64> = 0.25..=0.5;
 
 /// Shortest time after which a refused caller may return, in ms.
@@ -112,19 +118,58 @@
         if !queued.is_deferred || !self.needs_quota(queued) {
             return None;
         }
-        let (_, estimate) = self.select_endpoint(&queued.request, now).ok()?;
-        self.is_over_limit(queued, &estimate).then_some(estimate)
+        let (key, estimate) = self.select_endpoint(&queued.request, now).ok()?;
+        let is_over = self.is_over_limit(queued, key, &estimate, now);
+        is_over.then_some(estimate)
     }
 
-    /// True if the queue at the engine is too long for a less urgent request. One that has
-    /// waited and got its quota since is sent.
-    pub(super) fn is_over_limit(&self, queued: &QueuedRequest, estimate: &Estimate) -> bool {
-        if queued.is_deferred && queued.quota.has_grant() {
+    /// True if the queue at the engine is too long for a less urgent request, or if the room there
+    /// is for one of the others that wait. A request that has waited and got its quota since is
+    /// sent.
+    pub(super) fn is_over_limit(
+        &self,
+        queued: &QueuedRequest,
+        key: EndpointKey,
+        estimate: &Estimate,
+        now: Millis,
+    ) -> bool {
+        let Some(limit_ms) = self.dispatch.limit_ms(queued) else {
+            return false;
+        };
+        if !queued.is_deferred {
+            return estimate.queue_ms > limit_ms * rand::rng().random_range(LIMIT_SPREAD);
+        }
+        if queued.quota.has_grant() {
             return false;
         }
-        let limit = self.dispatch.limit_ms(queued);
-        limit
-            .is_some_and(|limit| estimate.queue_ms > limit * rand::rng().random_range(LIMIT_SPREAD))
+        let room = self.room_at(estimate, limit_ms, now);
+        self.draw(&queued.request.id, key, now) >= room.share()
+    }
+
+    fn room_at(&self, estimate: &Estimate, limit_ms: f64, now: Millis) -> Room {
+        let peers = self.peers.alive(now);
+        let others: u64 = peers.map(|peer| u64::from(peer.state.deferred)).sum();
+        let own = self.deferred_count().saturating_add(1);
+        Room {
+            left_ms: limit_ms - estimate.queue_ms,
+            cost_ms: estimate.own_ms,
+            own,
+            all: others + u64::from(own),
+        }
+    }
+
+    /// Random number from 0 to 1 that stays the same until the next draw.
+    fn draw(&self, request: &str, engine: EndpointKey, now: Millis) -> f64 {
+        let seed = self.incarnation ^ engine ^ (now / DRAW_INTERVAL_MS);
+        xxh3_64_with_seed(request.as_bytes(), seed) as f64 / u64::MAX as f64
+    }
+
+    /// Number of requests that wait at this node for shorter queues.
+    pub(super) fn deferred_count(&self) -> u32 {
+        self.queue
+            .iter()
+            .filter(|queued| queued.is_deferred)
+            .count() as u32
     }
 
     /// True if requests that are as urgent as this one wait for shorter queues.
@@ -162,7 +207,8 @@
             let own_ms = own_share_ms(estimate, longest_ms);
             if wait_ms * WAIT_MARGIN + estimate.queue_ms + own_ms > longest_ms {
                 let share = rand::rng().random_range(RETURN_SHARE);
-                let until = now + (wait_ms * share).max(MIN_RETURN_MS) as Millis;
+                let return_ms = (wait_ms.min(longest_ms) * share).max(MIN_RETURN_MS);
+                let until = now + return_ms as Millis;
                 self.refuse_deferred(queued, until, wait_ms);
                 return None;
             }
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -92,6 +92,7 @@
             takes_requests: self.settings.control.is_some(),
             grants_quota: self.grants_quota(now),
             just_started: self.has_just_started(now),
+            deferred: self.deferred_count(),
             cut_off: self
                 .reach
                 .cut_services()
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -243,7 +243,9 @@
             }
         }
         match self.select_permitted(&queued.request, now) {
-            Selection::Endpoint(_, estimate) if self.is_over_limit(&queued, &estimate) => {
+            Selection::Endpoint(key, estimate)
+                if self.is_over_limit(&queued, key, &estimate, now) =>
+            {
                 self.defer(queued, &estimate, now)
             }
             Selection::Endpoint(_, estimate) if starts_too_late(&queued.request, &estimate) => {
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -388,6 +388,9 @@
     /// True if it started a moment ago.
     #[prost(bool, tag = "16")]
     pub just_started: bool,
+    /// Number of its requests that wait for shorter queues at the engines.
+    #[prost(uint32, tag = "17")]
+    pub deferred: u32,
 }
 
 /// An update on a run, which is one request at one endpoint.
