dispatch: hold back only requests that have more time than urgent ones

A review of the shared room found that newcomers overtook what waited, that a prompt larger than the room was hardly ever drawn, and that a request was refused at its deadline although the queue was short.

Change: only a request whose target is greater than those of the more urgent routes waits. Newcomers wait behind what is as urgent, any room takes one request, and at its deadline a request is sent if the queue is short. A record of a stream without its engine does not settle a doubt.

--- a/crates/gateway/src/control/begun_streams.rs
+++ b/crates/gateway/src/control/begun_streams.rs
@@ -53,7 +53,8 @@
     /// may arrive late.
     fn is_replaced_by(&self, stream: &BegunStream, at: Millis) -> bool {
         let same_engine = self.engine == stream.engine;
-        if self.build.is_empty() && same_engine {
+        // Nodes of earlier builds do not name the engine.
+        if self.build.is_empty() && (same_engine || stream.engine == 0) {
             false
         } else if *self.build == *stream.build {
             self.has_ended || at > self.at + MIN_RENEWAL_MS
--- a/crates/gateway/src/control/dispatch.rs
+++ b/crates/gateway/src/control/dispatch.rs
@@ -42,13 +42,13 @@
         limits
     }
 
-    /// Longest queue at an engine to which a request is sent, in ms; none if no requests of
-    /// the service are more urgent.
-    pub fn queue_ms(&self, service: &str, priority: u8) -> Option<f64> {
+    /// Longest queue at an engine to which a request with this target is sent, in ms; none unless
+    /// more urgent requests of the service have smaller targets. One with the same target would
+    /// miss it by waiting, which gains no more than it costs.
+    pub fn queue_ms(&self, service: &str, priority: u8, target: Duration) -> Option<f64> {
         let targets = self.targets.get(service)?;
-        targets.range(..priority).next()?;
-        let smallest = targets.range(..=priority).map(|(_, target)| target).min()?;
-        Some(smallest.as_millis() as f64 * QUEUE_SHARE)
+        let smallest = targets.range(..priority).map(|(_, target)| target).min()?;
+        (*smallest < target).then(|| smallest.as_millis() as f64 * QUEUE_SHARE)
     }
 }
 
@@ -93,10 +93,13 @@
 impl Room {
     /// Probability with which this node sends a request, so that all nodes together fill the
     /// room until they hear of each other. Without it, they would all send to an engine that
-    /// becomes free.
-    pub fn share(&self) -> f64 {
-        let fits = self.left_ms / self.cost_ms.max(1.0);
-        fits * f64::from(self.own) / (self.all.max(1) as f64)
+    /// becomes free. Any room takes one request, however large that is.
+    pub fn send_probability(&self) -> f64 {
+        if self.left_ms <= 0.0 {
+            return 0.0;
+        }
+        let fits = (self.left_ms / self.cost_ms.max(1.0)).max(1.0);
+        (fits * f64::from(self.own) / self.all.max(1) as f64).min(1.0)
     }
 }
 
--- a/crates/gateway/src/control/state/dispatch.rs
+++ b/crates/gateway/src/control/state/dispatch.rs
@@ -23,7 +23,7 @@
 const LIMIT_SPREAD: RangeInclusive<f64> = 0.5..=1.0;
 
 /// Interval at which it is drawn which waiting requests are sent to an engine, in ms. Nodes have
-/// heard of what the others have sent by then.
+/// heard of the runs that the others have sent by then.
 const DRAW_INTERVAL_MS: Millis = 50;
 
 /// Part of the time until its deadline for which a deferred request may wait. The rest is for the
@@ -99,7 +99,8 @@
     fn limit_ms(&self, queued: &QueuedRequest) -> Option<f64> {
         let request = &queued.request;
         let may_wait = request.model.is_some() && request.build_rule == BuildRule::Any;
-        let limit = self.limits.queue_ms(&request.service, request.priority);
+        let (priority, target) = (request.priority, request.target);
+        let limit = self.limits.queue_ms(&request.service, priority, target);
         limit.filter(|_| may_wait)
     }
 }
@@ -123,9 +124,9 @@
         is_over.then_some(estimate)
     }
 
-    /// True if the queue at the engine is too long for a less urgent request, or if the room there
-    /// is for one of the others that wait. A request that has waited and got its quota since is
-    /// sent.
+    /// True if a less urgent request has to wait: the queue at the engine is too long, others that
+    /// are as urgent wait already, or it is not drawn to fill the room there. One that has waited
+    /// and got its quota since is sent.
     pub(super) fn is_over_limit(
         &self,
         queued: &QueuedRequest,
@@ -137,13 +138,17 @@
             return false;
         };
         if !queued.is_deferred {
-            return estimate.queue_ms > limit_ms * rand::rng().random_range(LIMIT_SPREAD);
+            let limit_ms = limit_ms * rand::rng().random_range(LIMIT_SPREAD);
+            return estimate.queue_ms > limit_ms || self.has_deferred(queued);
         }
         if queued.quota.has_grant() {
             return false;
         }
+        if now >= queued.deadline {
+            return estimate.queue_ms > limit_ms;
+        }
         let room = self.room_at(estimate, limit_ms, now);
-        self.draw(&queued.request.id, key, now) >= room.share()
+        self.stable_random(&queued.request.id, key, now) >= room.send_probability()
     }
 
     fn room_at(&self, estimate: &Estimate, limit_ms: f64, now: Millis) -> Room {
@@ -159,7 +164,7 @@
     }
 
     /// Random number from 0 to 1 that stays the same until the next draw.
-    fn draw(&self, request: &str, engine: EndpointKey, now: Millis) -> f64 {
+    fn stable_random(&self, request: &str, engine: EndpointKey, now: Millis) -> f64 {
         let seed = self.incarnation ^ engine ^ (now / DRAW_INTERVAL_MS);
         xxh3_64_with_seed(request.as_bytes(), seed) as f64 / u64::MAX as f64
     }
