--- a/crates/gateway/src/control/dispatch.rs
+++ b/crates/gateway/src/control/dispatch.rs
@@ -48,7 +48,7 @@
     pub fn queue_ms(&self, service: &str, priority: u8, target: Duration) -> Option<f64> {
         let targets = self.targets.get(service)?;
         let smallest = targets.range(..priority).map(|(_, target)| target).min()?;
-        (*smallest < target).then(|| smallest.as_millis() as f64 * QUEUE_SHARE)
+        (*smallest < target).then_some(smallest.as_millis() as f64 * QUEUE_SHARE)
     }
 }
 
@@ -77,12 +77,12 @@
     }
 }
 
-/// Room in the queue at an engine for requests that wait at several nodes.
+/// Room in the queues at the engines for requests that wait at several nodes.
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
-    /// Time by which the queue may grow, in ms.
+    /// Time by which the queues may grow, in ms.
     pub left_ms: f64,
-    /// Time that a request adds to it, in ms.
+    /// Time that a request adds to one, in ms.
     pub cost_ms: f64,
     /// Number of requests that wait at this node.
     pub own: u32,
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -295,6 +295,15 @@
         (total * self.slowdown - gone).max(total * 0.15)
     }
 
+    /// Time by which the queue may grow up to this limit, in ms; 0 if the engine takes no requests.
+    pub fn room_ms(&self, limit_ms: f64, now: Millis) -> f64 {
+        let is_loading = now < self.loading_until || self.awaits_trial(now);
+        if is_loading || self.is_avoided(now) || self.endpoint.leaving {
+            return 0.0;
+        }
+        (limit_ms - self.prefill_queue_ms(now)).max(0.0)
+    }
+
     /// Longest time that requests have waited for others at the engine, of those that got their
     /// first token since `from` and of those that still wait, in ms.
     fn longest_wait_ms(&self, from: Millis, now: Millis) -> f64 {
--- a/crates/gateway/src/control/state/dispatch.rs
+++ b/crates/gateway/src/control/state/dispatch.rs
@@ -147,16 +147,28 @@
         if now >= queued.deadline {
             return estimate.queue_ms > limit_ms;
         }
-        let room = self.room_at(estimate, limit_ms, now);
+        if estimate.queue_ms > limit_ms {
+            return true;
+        }
+        let room = self.room_for(queued, estimate, limit_ms, now);
         self.stable_random(&queued.request.id, key, now) >= room.send_probability()
     }
 
-    fn room_at(&self, estimate: &Estimate, limit_ms: f64, now: Millis) -> Room {
+    fn room_for(
+        &self,
+        queued: &QueuedRequest,
+        estimate: &Estimate,
+        limit_ms: f64,
+        now: Millis,
+    ) -> Room {
+        let service = &queued.request.service;
+        let engines = self.fleet.values();
+        let engines = engines.filter(|state| state.endpoint.service == *service);
         let peers = self.peers.alive(now);
         let others: u64 = peers.map(|peer| u64::from(peer.state.deferred)).sum();
         let own = self.deferred_count().saturating_add(1);
         Room {
-            left_ms: limit_ms - estimate.queue_ms,
+            left_ms: engines.map(|state| state.room_ms(limit_ms, now)).sum(),
             cost_ms: estimate.own_ms,
             own,
             all: others + u64::from(own),
