quotas: a node that reaches no endpoint of a service keeps its buckets

Change: being cut off from endpoints no longer ends ownership. An owner needs the other nodes, not the endpoints; partitions between nodes are covered by the share of the nodes that it hears.

--- a/crates/gateway/src/control/state/quota.rs
+++ b/crates/gateway/src/control/state/quota.rs
@@ -95,7 +95,6 @@
         let stalled_at = self.last_stall.1;
         self.catalog.is_some()
             && self.shutdown_at.is_none()
-            && !self.is_cut_off()
             && self.peers.has_list()
             && (!self.is_new || self.running_since.is_some_and(knows_nodes))
             && (stalled_at == 0 || knows_nodes(stalled_at))
--- a/crates/gateway/tests/test_quota_fleet.rs
+++ b/crates/gateway/tests/test_quota_fleet.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use common::{Harness, placement_request, settings};
 use flamingolock_gateway::control::{Effect, Event, Grant, Placement, Refusal, RunEnd};
+use flamingolock_gateway::endpoint::Endpoint;
 use flamingolock_wire::gossip::{Gossip, QuotaAnswer, QuotaRequest, QuotaReturn};
 use prost::Message;
 use rand::rngs::StdRng;
@@ -600,6 +601,26 @@
     }
 }
 
+/// Guards against refusals below the quota when endpoints crash: nodes that reached none of a
+/// service gave up their buckets, and the next owners began with empty ones.
+#[test]
+fn node_that_reaches_no_endpoint_keeps_its_buckets() {
+    let quota = QUOTAS[1];
+    let mut fleet = Fleet::start(2, SMALL, quota, 12);
+    fleet.run(WARM_UP_MS, 0.0);
+    for server in 0..4 {
+        let key = Endpoint::key_of(&format!("s{server}"));
+        let probed = Event::EndpointProbed(key, false);
+        let node = fleet.nodes.get_mut(&0).expect("a node");
+        node.harness.control.handle(probed, fleet.now);
+    }
+    fleet.entries = vec![1];
+    // The burst takes more than one of the buckets has.
+    fleet.run(800, 1.5 * quota);
+    let refused = (fleet.refused, fleet.no_owner, fleet.no_endpoint);
+    assert_eq!(refused, (0, 0, 0));
+}
+
 /// Guards against a quota that both sides of a partition grant, however long it lasts.
 #[test]
 fn quota_is_kept_in_a_partition_and_after_it() {
