gossip: metrics and logs tell how news travels between nodes

Change: datagrams carry the sender's clock; what one took longer than the fastest recent one of its sender is its delay.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -35,12 +35,13 @@
 pub mod stated_limits;
 pub mod suspect;
 pub mod suspects;
+pub mod transit;
 pub mod wait_error;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
@@ -491,19 +492,31 @@
         events,
         view: view.clone(),
     };
-    let control = Control::new(settings, dialect, rand::random(), view, metrics);
+    let control = Control::new(settings, dialect, rand::random(), view, metrics.clone());
     std::thread::Builder::new()
         .name("control".to_owned())
         .stack_size(512 * 1024)
-        .spawn(move || run(control, &inbox, &effects))?;
+        .spawn(move || run(control, &inbox, &effects, &metrics))?;
     Ok(handle)
 }
 
-fn run(mut control: Control, inbox: &Receiver<Event>, effects: &mpsc::UnboundedSender<Effect>) {
+/// Time from the first event of a round to the end of its tick from which on the round is
+/// logged.
+const SLOW_ROUND: Duration = Duration::from_millis(250);
+
+fn run(
+    mut control: Control,
+    inbox: &Receiver<Event>,
+    effects: &mpsc::UnboundedSender<Effect>,
+    metrics: &Metrics,
+) {
     let mut wake: Millis = now();
     loop {
         let wait = Duration::from_millis(wake.saturating_sub(now()));
-        match inbox.recv_timeout(wait) {
+        let first = inbox.recv_timeout(wait);
+        let started = Instant::now();
+        let queued = inbox.len();
+        match first {
             Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
             Ok(event) => {
                 control.handle(event, now());
@@ -519,6 +532,12 @@
             Err(RecvTimeoutError::Timeout) => {}
         }
         wake = control.tick(now());
+        let took = started.elapsed();
+        metrics.record_round(took);
+        if took >= SLOW_ROUND {
+            let took_ms = took.as_millis() as u64;
+            log::info!(took_ms, queued, queued_now = inbox.len(); "the control thread was slow");
+        }
         for effect in control.effects.drain(..) {
             if effects.send(effect).is_err() {
                 return;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -57,6 +57,7 @@
 use crate::control::stated_limits::StatedLimits;
 use crate::control::suspect::Subject;
 use crate::control::suspects::Suspects;
+use crate::control::transit::Transits;
 use crate::control::wait_error::WaitErrors;
 use crate::control::{Effect, Event, View};
 use crate::dialect::{Dialect, KeyedRecord, OrderOutcome, WeightsOrder};
@@ -151,6 +152,8 @@
     build_record: BuildRecord,
     stream_record: StreamRecord,
     peers: Peers,
+    /// Delays of the datagrams of other nodes.
+    transits: Transits,
     budget: RetryBudget,
     rollout: Rollout,
     lease: Lease,
@@ -258,6 +261,7 @@
             removed_engines: BTreeMap::new(),
             former_memories: Vec::new(),
             peers,
+            transits: Transits::default(),
             rollout: Rollout::new(weights_bound),
             abstains_until: 0,
             queue: VecDeque::new(),
@@ -462,6 +466,10 @@
             self.runs_swept_at = now;
             self.drop_runs_of_dead_nodes(now);
             self.forget_streams(now);
+            self.transits.forget_old(now);
+            self.report_late_datagrams(now);
+            self.metrics
+                .set_live_nodes(1 + self.peers.alive(now).count());
             self.notices
                 .forget_old(|key| self.fleet.contains_key(&key), now);
             self.ask_unproven();
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -149,7 +149,7 @@
             ..Gossip::default()
         };
         let cross_zone = std::mem::take(&mut self.cross_zone);
-        self.send_in_datagrams(local, &targets.local);
+        self.send_in_datagrams(local, &targets.local, now);
         let only_faults = cross_zone.runs.is_empty()
             && cross_zone.reloads.is_empty()
             && cross_zone.streams.is_empty()
@@ -167,17 +167,23 @@
                 heard: cross_zone.nodes,
                 ..Gossip::default()
             };
-            self.send_in_datagrams(gossip, &targets.cross_zone);
+            self.send_in_datagrams(gossip, &targets.cross_zone, now);
         }
     }
 
     /// Sends a message, split into as many datagrams as its lists require.
-    pub(super) fn send_in_datagrams(&mut self, mut gossip: Gossip, addresses: &[SocketAddr]) {
+    pub(super) fn send_in_datagrams(
+        &mut self,
+        mut gossip: Gossip,
+        addresses: &[SocketAddr],
+        now: Millis,
+    ) {
         if addresses.is_empty() {
             return;
         }
         loop {
             let rest = split_off_rest(&mut gossip);
+            gossip.sent_at_ms = now;
             let bytes = Bytes::from(gossip.encode_to_vec());
             self.effects
                 .push(Effect::SendDatagram(addresses.to_vec(), bytes));
@@ -188,6 +194,15 @@
         }
     }
 
+    /// Logs that datagrams of other nodes are late, and that they no longer are.
+    pub(super) fn report_late_datagrams(&mut self, now: Millis) {
+        if let Some(report) = self.transits.take_report(now) {
+            log::info!(late = report.late, datagrams = report.datagrams, max_delay_ms = report.max_delay,
+                nodes = self.peers.alive(now).count(), is_hub = self.is_hub;
+                "datagrams of other nodes in the last second");
+        }
+    }
+
     /// Returns the reloads that this node drives as the lease holder.
     pub(super) fn own_reloads(&self, now: Millis) -> Vec<Reload> {
         if !self.lease.held_by_me() {
@@ -238,6 +253,12 @@
         if sender.incarnation == self.incarnation {
             return;
         }
+        if gossip.sent_at_ms > 0 {
+            let delay = self
+                .transits
+                .delay(sender.incarnation, gossip.sent_at_ms, now);
+            self.metrics.record_datagram_delay(delay);
+        }
         let was_alive = self.peers.is_alive_at(from, now);
         if !was_alive {
             // The sender may not know this node yet.
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -351,7 +351,7 @@
             relayed: true,
             ..Gossip::default()
         };
-        self.send_in_datagrams(gossip, &[node]);
+        self.send_in_datagrams(gossip, &[node], now);
     }
 
     /// True if this node's copy of the entries is as current as it must be. An older one may
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,6 +11,7 @@
 
 use crate::control::{Effect, Event, FollowedTopic, Handle, ReadRequest};
 use crate::exchange::ProxyContext;
+use crate::metrics::{DatagramStep, Metrics};
 use crate::settings::Settings;
 use crate::{link_probe, orders, peer_sync, store};
 
@@ -27,11 +28,12 @@
 }
 
 /// Passes received datagrams to the control thread.
-pub async fn receive(socket: Arc<UdpSocket>, handle: Handle) {
+pub async fn receive(socket: Arc<UdpSocket>, handle: Handle, metrics: Arc<Metrics>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => {
+                metrics.count_datagrams(DatagramStep::Received, 1, length);
                 let bytes = Bytes::copy_from_slice(&buffer[..length]);
                 handle.send(Event::Datagram(from, bytes));
             }
@@ -42,13 +44,20 @@
     }
 }
 
-fn send_datagram(socket: &UdpSocket, addresses: &[SocketAddr], bytes: &[u8]) {
+fn send_datagram(socket: &UdpSocket, addresses: &[SocketAddr], bytes: &[u8], metrics: &Metrics) {
+    let mut sent = 0;
     for address in addresses {
         // A send error is only logged, as datagrams may be lost in any case.
-        if let Err(error) = socket.try_send_to(bytes, *address) {
-            log::debug!(address:% = address, error:% = error; "failed to send a datagram");
+        match socket.try_send_to(bytes, *address) {
+            Ok(_) => sent += 1,
+            Err(error) => {
+                log::debug!(address:% = address, error:% = error; "failed to send a datagram");
+            }
         }
     }
+    let not_sent = addresses.len() as u64 - sent;
+    metrics.count_datagrams(DatagramStep::Sent, sent, bytes.len());
+    metrics.count_datagrams(DatagramStep::NotSent, not_sent, bytes.len());
 }
 
 /// Passes a request to read a topic on to the task that reads it.
@@ -81,11 +90,14 @@
         handle,
         dialect,
         pool,
+        metrics,
         ..
     } = context;
     while let Some(effect) = effects.recv().await {
         match effect {
-            Effect::SendDatagram(addresses, bytes) => send_datagram(&socket, &addresses, &bytes),
+            Effect::SendDatagram(addresses, bytes) => {
+                send_datagram(&socket, &addresses, &bytes, &metrics);
+            }
             Effect::ReadTopic(request) => request_read(request, &operator, &endpoints),
             Effect::FetchCopies(fetch) => {
                 tokio::spawn(peer_sync::fetch_from_any(handle.clone(), dialect, fetch));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -119,6 +119,11 @@
     /// Workspaces with a label of their own.
     quota_workspaces: Mutex<BTreeSet<String>>,
     limited_endpoints: Gauge,
+    live_nodes: Gauge,
+    datagrams: Family<DatagramLabels, Counter>,
+    datagram_bytes: Family<DatagramLabels, Counter>,
+    datagram_delay: Histogram,
+    round_time: Histogram,
     load_ms: Family<ServiceLabel, Gauge>,
     concurrent_loads: Family<ServiceLabel, Gauge>,
     expected_wait: Family<WaitLabels, Histogram>,
@@ -127,6 +132,28 @@
     wait_factor: Family<WaitLabels, Gauge<f64, AtomicU64>>,
 }
 
+/// What became of a datagram to or from another node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DatagramStep {
+    /// The socket accepted it.
+    Sent,
+    /// The socket did not accept it.
+    NotSent,
+    /// It arrived.
+    Received,
+}
+
+/// Label of datagrams.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct DatagramLabels {
+    step: &'static str,
+}
+
+fn delay_histogram() -> Histogram {
+    // 1 ms to 4 s.
+    Histogram::new(exponential_buckets(0.001, 2.0, 13))
+}
+
 fn first_byte_histogram() -> Histogram {
     // 5 ms to 20 s.
     Histogram::new(exponential_buckets(0.005, 2.0, 13))
@@ -144,6 +171,11 @@
             quota: Family::default(),
             quota_workspaces: Mutex::default(),
             limited_endpoints: Gauge::default(),
+            live_nodes: Gauge::default(),
+            datagrams: Family::default(),
+            datagram_bytes: Family::default(),
+            datagram_delay: delay_histogram(),
+            round_time: delay_histogram(),
             load_ms: Family::default(),
             concurrent_loads: Family::default(),
             expected_wait: Family::new_with_constructor(first_byte_histogram as fn() -> Histogram),
@@ -182,6 +214,7 @@
                 "Endpoints that state a limit of requests",
                 metrics.limited_endpoints.clone(),
             );
+            metrics.register_node_traffic(&mut registry);
             registry.register(
                 "load_milliseconds",
                 "Expected duration of a load of weights, by service",
@@ -223,6 +256,36 @@
 }
 
 impl Metrics {
+    /// Registers what tells how news travels between the nodes, and how long the control
+    /// thread takes for it.
+    fn register_node_traffic(&self, registry: &mut Registry) {
+        registry.register(
+            "live_nodes",
+            "Nodes that this one takes to be alive, with itself",
+            self.live_nodes.clone(),
+        );
+        registry.register(
+            "datagrams",
+            "Datagrams sent to other nodes, not accepted by the socket, and received",
+            self.datagrams.clone(),
+        );
+        registry.register(
+            "datagram_bytes",
+            "Bytes of these datagrams",
+            self.datagram_bytes.clone(),
+        );
+        registry.register(
+            "datagram_delay_seconds",
+            "Time that a received datagram took longer than the fastest recent one of its sender",
+            self.datagram_delay.clone(),
+        );
+        registry.register(
+            "control_round_seconds",
+            "Time from the first event that the control thread handles to the end of the tick after it",
+            self.round_time.clone(),
+        );
+    }
+
     /// Counts a response and records the time to its head.
     pub fn count_response(&self, route: &Route, status: u16, took: Duration) {
         let kind = match route.kind {
@@ -324,6 +387,38 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of nodes that are taken to be alive.
+    pub fn set_live_nodes(&self, count: usize) {
+        self.live_nodes
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Counts datagrams of the same size.
+    pub fn count_datagrams(&self, step: DatagramStep, datagrams: u64, size: usize) {
+        if datagrams == 0 {
+            return;
+        }
+        let step = match step {
+            DatagramStep::Sent => "sent",
+            DatagramStep::NotSent => "not_sent",
+            DatagramStep::Received => "received",
+        };
+        let labels = DatagramLabels { step };
+        self.datagrams.get_or_create(&labels).inc_by(datagrams);
+        let bytes = datagrams * size as u64;
+        self.datagram_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
+    /// Records the delay of a received datagram, in ms.
+    pub fn record_datagram_delay(&self, delay_ms: u64) {
+        self.datagram_delay.observe(delay_ms as f64 / 1000.0);
+    }
+
+    /// Records how long the control thread took for the events that it handled at once.
+    pub fn record_round(&self, took: Duration) {
+        self.round_time.observe(took.as_secs_f64());
+    }
+
     /// Sets what is known of the loads of a service's engines.
     pub fn set_loads(&self, service: &str, expected_ms: u64, concurrent: usize) {
         let label = ServiceLabel {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -106,7 +106,11 @@
             shutdown.clone(),
         ));
     }
-    tokio::spawn(gossip::receive(socket.clone(), handle.clone()));
+    tokio::spawn(gossip::receive(
+        socket.clone(),
+        handle.clone(),
+        metrics.clone(),
+    ));
     let read_requests = [FollowedTopic::Operator, FollowedTopic::Endpoints].map(|topic| {
         let (sender, receiver) = mpsc::unbounded_channel();
         tokio::spawn(store::follow(
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -79,6 +79,10 @@
     /// Returns a grant of quota that was not used. Such a datagram has no sender.
     #[prost(message, optional, tag = "21")]
     pub quota_return: Option<QuotaReturn>,
+    /// When the datagram was sent, on the sender's boot-time clock, in milliseconds; 0 if it
+    /// does not tell.
+    #[prost(uint64, tag = "25")]
+    pub sent_at_ms: u64,
 }
 
 /// Asks an owner of a workspace's token bucket for the cost of one request.
