--- a/crates/gateway/tests/common/fleet.rs
+++ b/crates/gateway/tests/common/fleet.rs
@@ -53,6 +53,68 @@
     pub loss: f64,
 }
 
+/// Rate of the link of each node, for what it sends and for what it receives.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    /// Rate in bytes a ms.
+    pub rate: f64,
+    /// Time for which a datagram may wait for the link before it is lost, in ms.
+    pub queue_ms: f64,
+}
+
+/// What a node has sent and received in datagrams.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Traffic {
+    pub sent_bytes: usize,
+    pub received_bytes: usize,
+    pub received: usize,
+    /// Datagrams lost as its link was full.
+    pub lost: usize,
+    /// When its link has sent and received what waits for it.
+    sent_until: f64,
+    received_until: f64,
+}
+
+impl Traffic {
+    /// Passes bytes over one direction of a link. Returns how long that takes in ms; none if
+    /// the link is full.
+    fn pass(until: &mut f64, bytes: usize, link: Link, now: f64) -> Option<f64> {
+        let start = until.max(now);
+        if start - now > link.queue_ms {
+            return None;
+        }
+        *until = start + bytes as f64 / link.rate;
+        Some(*until - now)
+    }
+
+    fn send(&mut self, bytes: usize, link: Option<Link>, now: f64) -> Option<f64> {
+        let took = match link {
+            Some(link) => Self::pass(&mut self.sent_until, bytes, link, now),
+            None => Some(0.0),
+        };
+        match took {
+            Some(_) => self.sent_bytes += bytes,
+            None => self.lost += 1,
+        }
+        took
+    }
+
+    fn receive(&mut self, bytes: usize, link: Option<Link>, now: f64) -> Option<f64> {
+        let took = match link {
+            Some(link) => Self::pass(&mut self.received_until, bytes, link, now),
+            None => Some(0.0),
+        };
+        match took {
+            Some(_) => {
+                self.received_bytes += bytes;
+                self.received += 1;
+            }
+            None => self.lost += 1,
+        }
+        took
+    }
+}
+
 struct Node {
     harness: Harness,
     wake: u64,
@@ -183,6 +245,15 @@
     nodes: BTreeMap<usize, Node>,
     /// Network between the nodes, for datagrams sent from now on.
     pub network: Network,
+    /// Number of availability zones of nodes started from now on.
+    pub zones: usize,
+    /// Links of the nodes, by their processor share in thousandths of a core; none if they
+    /// are not limited.
+    pub link: Option<fn(u32) -> Link>,
+    /// What each node has sent and received, by number.
+    pub traffic: BTreeMap<usize, Traffic>,
+    /// Processor share of each node in thousandths of a core, if it is not that of all.
+    pub capacity: Option<fn(usize) -> u32>,
     /// True if the settings of nodes started from now on make engine memory a limit.
     pub bounds_memory: bool,
     /// Number of the first nodes that no other node reaches, nor they them.
@@ -194,6 +265,14 @@
     rng: StdRng,
 }
 
+fn number_of(address: SocketAddr) -> usize {
+    let std::net::IpAddr::V4(ip) = address.ip() else {
+        panic!("an address of a node");
+    };
+    let [_, _, high, low] = ip.octets();
+    usize::from(high) * 200 + usize::from(low)
+}
+
 fn address(node: usize) -> SocketAddr {
     ([10, 0, (node / 200) as u8, (node % 200) as u8], 7_000).into()
 }
@@ -244,6 +323,10 @@
             calls: BTreeMap::new(),
             nodes: BTreeMap::new(),
             network,
+            zones: 3,
+            link: None,
+            traffic: BTreeMap::new(),
+            capacity: None,
             bounds_memory: false,
             cut_off: 0,
             datagrams: BTreeMap::new(),
@@ -284,7 +367,10 @@
         let mut settings = settings();
         settings.node = format!("node-{number}");
         settings.bounds_engine_memory = self.bounds_memory;
-        settings.zone = format!("zone-{}", number % 3);
+        settings.zone = format!("zone-{}", number % self.zones);
+        if let Some(capacity) = self.capacity {
+            settings.capacity = capacity(number);
+        }
         settings.gossip = address(number);
         settings.callers = SocketAddr::new(address(number).ip(), 80);
         let mut harness = Harness::with_settings(settings, self.rng.random());
@@ -416,8 +502,7 @@
                 break;
             }
             let (from, to, bytes) = entry.remove();
-            let mut nodes = self.nodes.iter_mut();
-            if let Some((_, node)) = nodes.find(|(number, _)| address(**number) == to) {
+            if let Some(node) = self.nodes.get_mut(&number_of(to)) {
                 let event = Event::Datagram(from, bytes);
                 node.harness.control.handle(event, self.now);
                 node.wake = self.now;
@@ -613,14 +698,41 @@
         let first: Vec<SocketAddr> = (0..self.cut_off).map(address).collect();
         for datagram in sent {
             let is_cut = first.contains(&datagram.0) != first.contains(&datagram.1);
-            if !is_cut && !self.rng.random_bool(self.network.loss) {
+            if is_cut || self.rng.random_bool(self.network.loss) {
+                continue;
+            }
+            if let Some(link_ms) = self.pass_links(datagram.0, datagram.1, datagram.2.len()) {
                 self.sequence += 1;
-                self.datagrams
-                    .insert((self.now + self.network.delay_ms, self.sequence), datagram);
+                let at = self.now + self.network.delay_ms + link_ms;
+                self.datagrams.insert((at, self.sequence), datagram);
             }
         }
     }
 
+    /// Time in ms that the links of two nodes take for a datagram; none if one is full.
+    fn pass_links(&mut self, from: SocketAddr, to: SocketAddr, bytes: usize) -> Option<u64> {
+        let now = self.now as f64;
+        let link_of = |node| {
+            let capacity = self.capacity.map_or(0, |capacity| capacity(node));
+            (self.link.map(|link| link(capacity)), node)
+        };
+        let (link, sender) = link_of(number_of(from));
+        let sent_ms = self
+            .traffic
+            .entry(sender)
+            .or_default()
+            .send(bytes, link, now)?;
+        let (link, receiver) = link_of(number_of(to));
+        let receiver = self.traffic.entry(receiver).or_default();
+        let received_ms = receiver.receive(bytes, link, now + sent_ms)?;
+        Some((sent_ms + received_ms) as u64)
+    }
+
+    /// Number of nodes that a node takes callers to, as it publishes them.
+    pub fn nodes_seen_by(&self, number: usize) -> usize {
+        self.nodes[&number].harness.view.load().nodes.len()
+    }
+
     /// Sends a request to the engine at which a node placed it.
     fn send(&mut self, node: usize, request: PlacementRequest, placement: Placement) {
         let grant = match placement {
--- a/crates/gateway/tests/test_peer_sync.rs
+++ b/crates/gateway/tests/test_peer_sync.rs
@@ -8,9 +8,10 @@
 use flamingolock_gateway::copies::Copies;
 use flamingolock_gateway::packing::{pack, unpack};
 use flamingolock_gateway::peer_sync::Fetch;
-use flamingolock_wire::gossip::{Gossip, TopicCopyState};
+use flamingolock_wire::gossip::{Gossip, NodeState, TopicCopyState};
 use flamingolock_wire::topic_copies::CopiesRequest;
 use proptest::prelude::*;
+use prost::Message;
 
 fn fetches(effects: &[Effect]) -> usize {
     effects
@@ -74,6 +75,31 @@
     harness.datagram(5, gossip, now);
 }
 
+/// Another node, which reads the store for all, reports at `sent_at` that it has the same
+/// records as this one and nothing newer. The report arrives at `now`.
+fn report_same(harness: &mut Harness, sent_at: u64, now: u64) {
+    let sender = NodeState {
+        incarnation: 5,
+        callers: "10.0.0.9:80".to_owned(),
+        ready: true,
+        store_reachable: true,
+        ..NodeState::default()
+    };
+    let operator = Some(TopicCopyState {
+        mark: harness.offset(),
+        age_ms: 0,
+    });
+    let gossip = Gossip {
+        sender: Some(sender),
+        operator,
+        sent_at_ms: sent_at,
+        ..Gossip::default()
+    };
+    let from = ([10, 0, 0, 9], 7_000).into();
+    let event = Event::Datagram(from, gossip.encode_to_vec().into());
+    harness.control.handle(event, now);
+}
+
 fn fetch(effects: Vec<Effect>) -> Option<Fetch> {
     effects.into_iter().find_map(|effect| match effect {
         Effect::FetchCopies(fetch) => Some(fetch),
@@ -107,6 +133,22 @@
     assert!(reads_operator_topic(&harness.effects(10_410)));
 }
 
+#[test]
+fn report_that_was_long_under_way_does_not_put_off_the_next_read() {
+    let first_read = |arrival: u64| {
+        let mut harness = current_node(10_000);
+        report_same(&mut harness, 10_010, 10_011);
+        let mut times = 10_100..20_000;
+        times.find(|now| {
+            if *now == arrival {
+                report_same(&mut harness, 10_200, arrival);
+            }
+            reads_operator_topic(&harness.effects(*now))
+        })
+    };
+    assert_eq!(first_read(10_201), first_read(11_000));
+}
+
 #[test]
 fn node_asks_the_reporter_while_its_read_of_the_store_is_slow() {
     let mut harness = current_node(10_000);
