gossip: several hubs in large zones, each for some twenty nodes

Cause: one hub a zone sent all news of the fleet to each of its 59 nodes. That is traffic times nodes: 16 to 25 MB/s from the second second on, on links of 25 MB/s, and half a core from 18 s on. Heartbeats and reports of the configuration wait in the same queue, or are lost; nodes take each other and their hub for dead, and choose others.

Change: a zone has one hub for each twenty nodes, those with the largest processor shares. A node chooses its hub by rendezvous hashing and sends to it alone; a hub relays to the nodes that it hears, so that views need not agree. Whether a node is heard itself, and whether a hub tells of it, are kept apart, or two hubs would keep a dead node alive for each other. The first hub reads the store for its zone. Zones with a node of an older build keep one hub.

--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -1,10 +1,12 @@
 //! Membership of the other nodes, derived from their gossip datagrams.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use flamingolock_wire::gossip::NodeState;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Millis;
 
@@ -16,9 +18,12 @@
 const RELAYED_PEER_TIMEOUT_MS: Millis = 3_000;
 
 /// Maximum number of live peers with which each node gossips with all others (full
-/// mesh). In larger fleets one node per zone, its hub, relays gossip.
+/// mesh). In larger fleets some nodes of each zone, its hubs, relay gossip.
 const MAX_FULL_MESH_PEERS: usize = 16;
 
+/// Mean number of nodes of its zone that a hub relays to, at most: what it sends grows with it.
+const MAX_HUB_MEMBERS: usize = 20;
+
 /// Time without a datagram after which a node no longer counts as sharing limits, relative to
 /// the window of the retry budget: what it sent last has left the window by then.
 const LIMIT_SHARE_WINDOWS: f64 = 1.2;
@@ -38,10 +43,10 @@
     pub state: NodeState,
     /// Address for callers.
     pub callers: SocketAddr,
-    /// Time of the last datagram with its state.
-    pub last_heard: Millis,
-    /// True if its state was relayed by a hub.
-    pub via_hub: bool,
+    /// Time of its own last datagram.
+    heard_at: Option<Millis>,
+    /// Time at which a hub last told of it.
+    relayed_at: Option<Millis>,
 }
 
 impl Peer {
@@ -51,13 +56,81 @@
         (port > 0).then(|| SocketAddr::new(self.callers.ip(), port))
     }
 
+    /// Time of the last news of it.
+    fn last_heard(&self) -> Millis {
+        self.heard_at.max(self.relayed_at).unwrap_or(0)
+    }
+
+    /// True if its own datagrams reach this node.
+    fn is_heard(&self, now: Millis) -> bool {
+        self.heard_at.is_some_and(|at| now <= at + PEER_TIMEOUT_MS)
+    }
+
     fn is_alive(&self, now: Millis) -> bool {
-        let silent = if self.via_hub {
-            RELAYED_PEER_TIMEOUT_MS
+        let is_relayed = || {
+            let at = self.relayed_at;
+            at.is_some_and(|at| now <= at + RELAYED_PEER_TIMEOUT_MS)
+        };
+        self.is_heard(now) || is_relayed()
+    }
+}
+
+/// Order of the nodes of a zone by which its hubs are chosen: those with the largest processor
+/// share; the incarnation breaks ties.
+type HubRank = (u32, u64);
+
+fn hub_rank(state: &NodeState) -> HubRank {
+    (state.capacity, state.incarnation)
+}
+
+/// The node among `hubs` that relays to a node: the one with the highest hash with it, so that
+/// few nodes change their hub when one comes or goes.
+fn hub_of(node: u64, hubs: &[(HubRank, Option<SocketAddr>)]) -> Option<SocketAddr> {
+    let weight = |hub: u64| xxh3_64_with_seed(&node.to_le_bytes(), hub);
+    let hub = hubs.iter().max_by_key(|((_, hub), _)| weight(*hub))?;
+    hub.1
+}
+
+/// Live nodes of a zone.
+#[derive(Default)]
+struct ZoneNodes {
+    nodes: usize,
+    /// True if a node among them knows of one hub only.
+    lacks_several: bool,
+    candidates: Vec<(HubRank, Option<SocketAddr>)>,
+}
+
+impl ZoneNodes {
+    /// Returns the hubs, highest rank first.
+    fn into_hubs(mut self) -> Vec<(HubRank, Option<SocketAddr>)> {
+        let count = if self.lacks_several {
+            1
         } else {
-            PEER_TIMEOUT_MS
+            self.nodes.div_ceil(MAX_HUB_MEMBERS)
         };
-        now <= self.last_heard + silent
+        self.candidates
+            .sort_unstable_by_key(|(rank, _)| Reverse(*rank));
+        self.candidates.truncate(count);
+        self.candidates
+    }
+}
+
+/// Part of a node in the relaying of gossip.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Role {
+    /// It relays nothing.
+    #[default]
+    Member,
+    /// It is a hub of its zone.
+    Hub,
+    /// It is the hub with the highest rank, which reads the store for its zone.
+    FirstHub,
+}
+
+impl Role {
+    /// True if the node relays gossip.
+    pub fn is_hub(self) -> bool {
+        self != Self::Member
     }
 }
 
@@ -66,10 +139,11 @@
 pub struct Targets {
     /// Recipients of the updates of this node and, at a hub, of its zone.
     pub local: Vec<SocketAddr>,
-    /// Recipients of the updates of other zones; empty unless this node is a hub.
-    pub cross_zone: Vec<SocketAddr>,
-    /// True if this node is the hub of its zone.
-    pub is_hub: bool,
+    /// Recipients of the updates that other hubs relay: the nodes that this one relays to;
+    /// empty unless this node is a hub.
+    pub members: Vec<SocketAddr>,
+    /// Part of this node.
+    pub role: Role,
 }
 
 /// All known other nodes.
@@ -120,18 +194,18 @@
             return None;
         };
         let before = self.by_address.get(&from).and_then(Option::as_ref);
-        let direct = before.is_some_and(|before| {
-            via_hub
-                && !before.via_hub
-                && before.is_alive(now)
-                && before.state.incarnation == state.incarnation
-        });
-        let peer = Peer {
+        let same = before.filter(|before| before.state.incarnation == state.incarnation);
+        let mut peer = Peer {
             state: state.clone(),
             callers,
-            last_heard: now,
-            via_hub: via_hub && !direct,
+            heard_at: same.and_then(|before| before.heard_at),
+            relayed_at: same.and_then(|before| before.relayed_at),
         };
+        if via_hub {
+            peer.relayed_at = Some(now);
+        } else {
+            peer.heard_at = Some(now);
+        }
         let before = self.by_address.insert(from, Some(peer)).flatten();
         before
             .map(|before| before.state.incarnation)
@@ -191,50 +265,69 @@
                 .extend(alive.iter().map(|(address, _)| *address));
             return targets;
         }
-        // The node with the largest processor share is the hub; the incarnation breaks
-        // ties.
-        let rank = |state: &NodeState| (state.capacity, state.incarnation);
-        let mut hubs: BTreeMap<&str, ((u32, u64), Option<SocketAddr>)> = BTreeMap::new();
-        if !me.leaving {
-            hubs.insert(&me.zone, (rank(me), None));
-        }
-        for (address, peer) in alive.iter().filter(|(_, peer)| !peer.state.leaving) {
-            let candidate = (rank(&peer.state), Some(*address));
-            let hub = hubs.entry(&peer.state.zone).or_insert(candidate);
-            if candidate.0 > hub.0 {
-                *hub = candidate;
-            }
-        }
-        targets.is_hub = hubs
-            .get(me.zone.as_str())
-            .is_some_and(|(_, address)| address.is_none());
-        if targets.is_hub {
-            let zone = alive
-                .iter()
-                .filter(|(_, peer)| peer.state.zone == me.zone)
-                .map(|(address, _)| *address);
-            targets.cross_zone = zone.collect();
-            targets.local.extend(&targets.cross_zone);
-            targets
-                .local
-                .extend(hubs.values().filter_map(|(_, address)| *address));
-        } else {
-            targets
-                .local
-                .extend(hubs.get(me.zone.as_str()).and_then(|(_, address)| *address));
+        let hubs = self.hubs(me, now);
+        let own_rank = hub_rank(me);
+        let zone_hubs = hubs.get(me.zone.as_str()).map_or(&[][..], Vec::as_slice);
+        targets.role = match zone_hubs.iter().position(|(rank, _)| *rank == own_rank) {
+            None => Role::Member,
+            Some(0) => Role::FirstHub,
+            Some(_) => Role::Hub,
+        };
+        if !targets.role.is_hub() {
+            targets.local.extend(hub_of(me.incarnation, zone_hubs));
+            return targets;
         }
+        let other_hubs: BTreeSet<SocketAddr> = hubs
+            .values()
+            .flatten()
+            .filter_map(|(_, address)| *address)
+            .collect();
+        let is_member = |address: &SocketAddr, peer: &Peer| {
+            peer.state.zone == me.zone && peer.is_heard(now) && !other_hubs.contains(address)
+        };
+        let members = alive
+            .iter()
+            .filter(|(address, peer)| is_member(address, peer));
+        targets.members = members.map(|(address, _)| *address).collect();
+        targets.local.extend(&targets.members);
+        targets.local.extend(&other_hubs);
         targets
     }
 
-    /// Returns the states of the nodes of a zone that were received directly. A hub
-    /// reports these to other nodes.
-    pub fn heard_directly_in(&self, zone: &str, now: Millis) -> Vec<NodeState> {
-        self.alive(now)
-            .filter(|peer| !peer.via_hub && peer.state.zone == zone)
-            .map(|peer| peer.state.clone())
+    /// Returns the hubs of each zone with their addresses, highest rank first; none for this
+    /// node's own address.
+    fn hubs<'a>(
+        &'a self,
+        me: &'a NodeState,
+        now: Millis,
+    ) -> BTreeMap<&'a str, Vec<(HubRank, Option<SocketAddr>)>> {
+        let others = self.by_address.iter().filter_map(|(address, peer)| {
+            let peer = peer.as_ref().filter(|peer| peer.is_alive(now))?;
+            Some((&peer.state, Some(*address)))
+        });
+        let mut zones: BTreeMap<&str, ZoneNodes> = BTreeMap::new();
+        for (state, address) in others.chain([(me, None)]) {
+            let zone = zones.entry(&state.zone).or_default();
+            zone.nodes += 1;
+            zone.lacks_several |= !state.several_hubs;
+            if !state.leaving {
+                zone.candidates.push((hub_rank(state), address));
+            }
+        }
+        zones
+            .into_iter()
+            .map(|(zone, nodes)| (zone, nodes.into_hubs()))
             .collect()
     }
 
+    /// Returns the states of the nodes at these addresses.
+    pub fn states_of(&self, addresses: &[SocketAddr]) -> Vec<NodeState> {
+        let peers = addresses
+            .iter()
+            .filter_map(|address| self.by_address.get(address)?.as_ref());
+        peers.map(|peer| peer.state.clone()).collect()
+    }
+
     /// Returns true if the node with this name is alive and not shutting down.
     pub fn is_named_alive(&self, name: &str, now: Millis) -> bool {
         self.alive(now)
@@ -245,7 +338,7 @@
     /// one. A node that was listed a moment ago counts though it has not been heard yet.
     pub fn max_nodes_sharing(&self, now: Millis) -> usize {
         let others = self.by_address.iter().filter(|(address, peer)| {
-            let heard = peer.as_ref().map(|peer| peer.last_heard);
+            let heard = peer.as_ref().map(Peer::last_heard);
             let since = heard.or(self.listed_at.get(*address).copied());
             since.is_some_and(|since| now <= since + self.share_ttl)
         });
@@ -266,7 +359,7 @@
                 continue;
             }
             known += 1;
-            heard += usize::from(now <= peer.last_heard + self.share_ttl);
+            heard += usize::from(now <= peer.last_heard() + self.share_ttl);
         }
         let sharing = self.max_nodes_sharing(now);
         Some(if 2 * heard > known {
@@ -282,7 +375,7 @@
         let staying = self.by_address.values().flatten();
         let staying = staying.filter(|peer| !peer.state.leaving);
         let (mut heard, mut all) = (1.0, 1.0);
-        for peer in staying.filter(|peer| now <= peer.last_heard + self.share_ttl) {
+        for peer in staying.filter(|peer| now <= peer.last_heard() + self.share_ttl) {
             all += 1.0;
             heard += f64::from(u8::from(peer.is_alive(now)));
         }
@@ -315,7 +408,7 @@
                 continue;
             }
             let is_elsewhere = state.is_some_and(|state| names.contains(&*state.name));
-            let last_heard = peer.as_ref().map(|peer| peer.last_heard);
+            let last_heard = peer.as_ref().map(Peer::last_heard);
             let since = last_heard.or(self.listed_at.get(address).copied());
             if !is_elsewhere && since.is_some_and(|since| now <= since + SILENT_NODE_MS) {
                 known += 1.0;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -46,7 +46,7 @@
 use crate::control::named_weights::WriteTime;
 use crate::control::notices::{Notice, Notices};
 use crate::control::operator_records::OperatorRecords;
-use crate::control::peers::Peers;
+use crate::control::peers::{Peers, Role};
 use crate::control::permit_issuer::PermitIssuer;
 use crate::control::permits::Permits;
 use crate::control::places::Places;
@@ -88,9 +88,9 @@
 /// Interval at which queued requests are retried, in ms.
 const QUEUE_TICK_INTERVAL_MS: Millis = 8;
 
-/// Updates from other zones that a hub relays to the nodes of its own zone.
+/// Updates from other hubs that a hub relays to its nodes.
 #[derive(Default)]
-struct CrossZoneUpdates {
+struct RelayedUpdates {
     runs: Vec<Run>,
     reloads: Vec<Reload>,
     faults: Vec<Fault>,
@@ -169,8 +169,9 @@
     outgoing_reloads: Vec<Reload>,
     outgoing_streams: Vec<BegunStream>,
     outgoing_load_times: Vec<LoadTimeRecord>,
-    cross_zone: CrossZoneUpdates,
-    is_hub: bool,
+    relayed: RelayedUpdates,
+    /// Part of this node in the relaying of gossip.
+    role: Role,
     peers_reported_at: Millis,
     runs_swept_at: Millis,
     introduce_to: Vec<SocketAddr>,
@@ -273,8 +274,8 @@
             outgoing_reloads: Vec::new(),
             outgoing_streams: Vec::new(),
             outgoing_load_times: Vec::new(),
-            cross_zone: CrossZoneUpdates::default(),
-            is_hub: false,
+            relayed: RelayedUpdates::default(),
+            role: Role::Member,
             peers_reported_at: 0,
             runs_swept_at: 0,
             introduce_to: Vec::new(),
--- a/crates/gateway/src/control/state/brittle.rs
+++ b/crates/gateway/src/control/state/brittle.rs
@@ -50,7 +50,7 @@
     /// Merges what other nodes were told.
     pub(super) fn merge_brittleness(&mut self, statements: &[EndpointLimit], now: Millis) {
         for statement in statements {
-            if self.brittle.merge(statement, self.is_hub, now) {
+            if self.brittle.merge(statement, self.role.is_hub(), now) {
                 self.brittleness_changed(statement.endpoint, statement.per_second, "node");
             }
         }
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -93,6 +93,7 @@
             grants_quota: self.grants_quota(now),
             just_started: self.has_just_started(now),
             deferred: self.deferred_count(),
+            several_hubs: true,
             cut_off: self
                 .reach
                 .cut_services()
@@ -107,7 +108,8 @@
         self.gossip_sent_at = now;
         let own_state = self.own_state(now);
         let mut targets = self.peers.targets(&own_state, now);
-        self.is_hub = targets.is_hub;
+        self.role = targets.role;
+        let is_hub = targets.role.is_hub();
         targets.local.append(&mut self.introduce_to);
         let mut reloads = self.own_reloads(now);
         let loaded = std::mem::take(&mut self.rollout.loaded);
@@ -120,7 +122,7 @@
             self.outgoing_load_times = self.rollout.load_times.list(now);
         }
         reloads.append(&mut self.outgoing_reloads);
-        let report_peers = targets.is_hub && now >= self.peers_reported_at + GOSSIP_INTERVAL_MS;
+        let report_peers = is_hub && now >= self.peers_reported_at + GOSSIP_INTERVAL_MS;
         if report_peers {
             self.peers_reported_at = now;
         }
@@ -133,9 +135,9 @@
             reloads,
             faults: std::mem::take(&mut self.outgoing_faults),
             streams: std::mem::take(&mut self.outgoing_streams),
-            relayed: targets.is_hub,
+            relayed: is_hub,
             heard: if report_peers {
-                self.peers.heard_directly_in(&own_state.zone, now)
+                self.peers.states_of(&targets.members)
             } else {
                 Vec::new()
             },
@@ -148,26 +150,26 @@
             load_times: std::mem::take(&mut self.outgoing_load_times),
             ..Gossip::default()
         };
-        let cross_zone = std::mem::take(&mut self.cross_zone);
+        let relayed = std::mem::take(&mut self.relayed);
         self.send_in_datagrams(local, &targets.local, now);
-        let only_faults = cross_zone.runs.is_empty()
-            && cross_zone.reloads.is_empty()
-            && cross_zone.streams.is_empty()
-            && cross_zone.nodes.is_empty();
-        if !only_faults || !cross_zone.faults.is_empty() || !cross_zone.full.is_empty() {
+        let only_faults = relayed.runs.is_empty()
+            && relayed.reloads.is_empty()
+            && relayed.streams.is_empty()
+            && relayed.nodes.is_empty();
+        if !only_faults || !relayed.faults.is_empty() || !relayed.full.is_empty() {
             let gossip = Gossip {
                 sender: Some(own_state),
-                runs: cross_zone.runs,
-                reloads: cross_zone.reloads,
-                faults: cross_zone.faults,
-                full: cross_zone.full,
-                streams: cross_zone.streams,
-                load_times: cross_zone.load_times,
+                runs: relayed.runs,
+                reloads: relayed.reloads,
+                faults: relayed.faults,
+                full: relayed.full,
+                streams: relayed.streams,
+                load_times: relayed.load_times,
                 relayed: true,
-                heard: cross_zone.nodes,
+                heard: relayed.nodes,
                 ..Gossip::default()
             };
-            self.send_in_datagrams(gossip, &targets.cross_zone, now);
+            self.send_in_datagrams(gossip, &targets.members, now);
         }
     }
 
@@ -198,7 +200,7 @@
     pub(super) fn report_late_datagrams(&mut self, now: Millis) {
         if let Some(report) = self.transits.take_report(now) {
             log::info!(late = report.late, datagrams = report.datagrams, max_delay_ms = report.max_delay,
-                nodes = self.peers.alive(now).count(), is_hub = self.is_hub;
+                nodes = self.peers.alive(now).count(), is_hub = self.role.is_hub();
                 "datagrams of other nodes in the last second");
         }
     }
@@ -306,7 +308,7 @@
                 self.apply_fault(node, fault, now);
             }
         }
-        if self.is_hub {
+        if self.role.is_hub() {
             self.relay(gossip, node, &zone, now);
         }
     }
@@ -356,9 +358,8 @@
         }
     }
 
-    /// Queues updates for relay by this node as a hub: those of nodes in its zone for
-    /// all its recipients, and those of hubs of other zones for its zone only. Updates
-    /// already relayed within the zone are not relayed again.
+    /// Queues updates for relay by this node as a hub: those of the nodes that it relays to for
+    /// all its recipients, and those of other hubs for these nodes only.
     pub(super) fn relay(&mut self, gossip: Gossip, node: u64, zone: &str, now: Millis) {
         let mut runs = gossip.runs;
         for run in &mut runs {
@@ -372,25 +373,24 @@
                 fault.node = node;
             }
         }
-        if zone == self.settings.zone {
-            if gossip.relayed {
-                return;
-            }
+        if gossip.relayed {
+            self.relayed.runs.append(&mut runs);
+            self.relayed.faults.append(&mut faults);
+            self.relayed.full.extend(gossip.full);
+            self.relayed.reloads.extend(gossip.reloads);
+            self.relayed.streams.extend(gossip.streams);
+            self.relayed.load_times.extend(gossip.load_times);
+            self.relayed.nodes.extend(gossip.sender);
+            self.relayed.nodes.extend(gossip.heard);
+        } else if zone == self.settings.zone {
             self.outgoing_runs.append(&mut runs);
             self.outgoing_faults.append(&mut faults);
             self.outgoing_full.extend(gossip.full);
             self.outgoing_reloads.extend(gossip.reloads);
             self.outgoing_streams.extend(gossip.streams);
             self.outgoing_load_times.extend(gossip.load_times);
-        } else if gossip.relayed {
-            self.cross_zone.runs.append(&mut runs);
-            self.cross_zone.faults.append(&mut faults);
-            self.cross_zone.full.extend(gossip.full);
-            self.cross_zone.reloads.extend(gossip.reloads);
-            self.cross_zone.streams.extend(gossip.streams);
-            self.cross_zone.load_times.extend(gossip.load_times);
-            self.cross_zone.nodes.extend(gossip.sender);
-            self.cross_zone.nodes.extend(gossip.heard);
+        } else {
+            return;
         }
         self.gossip_pending_at.get_or_insert(now + HUB_BATCH_MS);
     }
--- a/crates/gateway/src/control/state/limits.rs
+++ b/crates/gateway/src/control/state/limits.rs
@@ -70,7 +70,7 @@
     /// Merges what other nodes were told.
     pub(super) fn merge_limits(&mut self, limits: &[EndpointLimit], now: Millis) {
         for limit in limits {
-            if self.limits.merge(limit, self.is_hub, now) {
+            if self.limits.merge(limit, self.role.is_hub(), now) {
                 self.limit_changed(limit.endpoint, limit.per_second, "node");
             }
         }
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -324,7 +324,7 @@
     /// which endpoints state limits, how long loads take and when weights were named. In fleets
     /// with hubs only these do so.
     pub(super) fn send_history(&mut self, node: SocketAddr, now: Millis) {
-        if !(self.is_hub || self.peers.is_full_mesh(now)) {
+        if !(self.role.is_hub() || self.peers.is_full_mesh(now)) {
             return;
         }
         let streams = self.streams.list(now);
--- a/crates/gateway/src/control/state/suspects.rs
+++ b/crates/gateway/src/control/state/suspects.rs
@@ -198,7 +198,7 @@
         if records.is_empty() {
             return;
         }
-        let is_hub = self.is_hub;
+        let is_hub = self.role.is_hub();
         let suspects = self.suspects_mut(subject);
         let before = ids(&suspects.stopped());
         for record in records {
--- a/crates/gateway/src/control/state/topics.rs
+++ b/crates/gateway/src/control/state/topics.rs
@@ -10,6 +10,7 @@
 use super::Control;
 use crate::clock::Millis;
 use crate::control::freshness::{CopyReport, Freshness, ReadSchedule, STAGGER_STEPS};
+use crate::control::peers::Role;
 use crate::control::{Effect, FollowedTopic, ReadRequest};
 
 /// Minimum delay after a failed read, in ms; a random delay of up to the same
@@ -61,7 +62,7 @@
     /// others; rank 0 reads at the shortest interval.
     fn reader_rank(&self, now: Millis) -> usize {
         if !self.peers.is_full_mesh(now) {
-            return if self.is_hub {
+            return if self.role == Role::FirstHub {
                 0
             } else {
                 1 + self.incarnation as usize % STAGGER_STEPS
--- a/crates/gateway/tests/test_odd_messages.rs
+++ b/crates/gateway/tests/test_odd_messages.rs
@@ -84,7 +84,7 @@
         cut_off in prop::collection::vec(text(), 0..3)) -> NodeState {
         NodeState { incarnation, callers, zone, leaving, ready, lease_end, name, gossip, capacity,
             store_reachable: ready, control_port, issues_permits: ready, cut_off, takes_requests: leaving,
-            grants_quota: ready, just_started: leaving, deferred: capacity }
+            grants_quota: ready, just_started: leaving, deferred: capacity, several_hubs: ready }
     }
 }
 
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -19,10 +19,10 @@
     /// Endpoints that recently failed.
     #[prost(message, repeated, tag = "4")]
     pub faults: Vec<Fault>,
-    /// True if the sender is the hub of its zone and relays updates of other nodes.
+    /// True if the sender is a hub and relays updates of other nodes.
     #[prost(bool, tag = "5")]
     pub relayed: bool,
-    /// Nodes of the sender's zone that it heard itself.
+    /// Nodes to which the sender relays, as it heard them itself.
     #[prost(message, repeated, tag = "6")]
     pub heard: Vec<NodeState>,
     /// State of the sender's copy of the operator topic; absent if not reported now.
@@ -395,6 +395,9 @@
     /// Number of its requests that wait for shorter queues at the engines.
     #[prost(uint32, tag = "17")]
     pub deferred: u32,
+    /// True if it knows that a zone may have several hubs.
+    #[prost(bool, tag = "18")]
+    pub several_hubs: bool,
 }
 
 /// An update on a run, which is one request at one endpoint.
