streams: a node that was out of reach is sent only the streams that it may have missed

Change: one of the same incarnation is sent those heard of since the last news of it, and three seconds before. One that has started again is sent all, as before.

--- a/crates/gateway/src/control/begun_streams.rs
+++ b/crates/gateway/src/control/begun_streams.rs
@@ -157,6 +157,11 @@
         self.streams.iter().map(entry).collect()
     }
 
+    /// Returns the streams that this node heard of from a time on.
+    pub fn heard_after(&self, since: Millis, now: Millis) -> Vec<BegunStream> {
+        self.heard_since(since, usize::MAX, now).0
+    }
+
     /// Returns the streams that this node heard of from a time on, at most `most`, and the
     /// time from which on to continue.
     pub fn heard_since(
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -220,6 +220,12 @@
             .is_some_and(|peer| peer.is_alive(now))
     }
 
+    /// Returns when an incarnation at this address was last heard or told of.
+    pub fn last_news_of(&self, address: SocketAddr, incarnation: u64) -> Option<Millis> {
+        let peer = self.by_address.get(&address)?.as_ref()?;
+        (peer.state.incarnation == incarnation).then(|| peer.last_heard())
+    }
+
     /// Returns the control address of the node that sends from this address.
     pub fn control_of(&self, address: SocketAddr) -> Option<SocketAddr> {
         self.by_address.get(&address)?.as_ref()?.control()
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -267,9 +267,10 @@
             self.introduce_to.push(from);
             self.gossip_pending_at.get_or_insert(now);
         }
-        let replaced = self.update_peer(from, sender, false, now);
-        if !was_alive || replaced {
-            self.send_history(from, now);
+        let last_news = self.peers.last_news_of(from, sender.incarnation);
+        self.update_peer(from, sender, false, now);
+        if !was_alive || last_news.is_none() {
+            self.send_history(from, last_news, now);
         }
         for stream in &gossip.streams {
             self.record_stream(stream, StreamSource::Node, now);
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -110,6 +110,10 @@
     }
 }
 
+/// Time before the last news of a node from which on it may have missed what this one sent,
+/// in ms.
+const MISSED_NEWS_MS: Millis = 3_000;
+
 impl Control {
     /// Handles the record that the node found when it started.
     pub(super) fn builds_read(&mut self, recorded: BuildHistory, now: Millis) {
@@ -322,12 +326,23 @@
     /// Tells a node that has started, or was out of reach, which streams began, which
     /// software versions were listed recently, which prompt parts and requests may crash endpoints,
     /// which endpoints state limits, how long loads take and when weights were named. In fleets
-    /// with hubs only these do so.
-    pub(super) fn send_history(&mut self, node: SocketAddr, now: Millis) {
+    /// with hubs only these do so. One that was out of reach since `last_news` knows the streams
+    /// of the time before: all of them each time would make late nodes and their links later.
+    pub(super) fn send_history(
+        &mut self,
+        node: SocketAddr,
+        last_news: Option<Millis>,
+        now: Millis,
+    ) {
         if !(self.role.is_hub() || self.peers.is_full_mesh(now)) {
             return;
         }
-        let streams = self.streams.list(now);
+        let streams = match last_news {
+            Some(at) => self
+                .streams
+                .heard_after(at.saturating_sub(MISSED_NEWS_MS), now),
+            None => self.streams.list(now),
+        };
         let listed = self.fleet.values().map(|state| &*state.endpoint);
         let is_current = self.knows_entries(now);
         let longest = self.longest_memory(now);
