gossip: a report counts from when it was sent, not from when it is handled

Cause: a node that does not read the store itself takes its copy for current as of the age that another node reports, counted from when the datagram is handled. What waits for a full link or a busy thread for a second confirms the copy a second too long, and the node reads the store late by as much: just when news is late.

Change: the delay of the datagram, beyond that of the fastest recent one of its sender, adds to the age. Holds for the entries of endpoints as well.

--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -255,12 +255,7 @@
         if sender.incarnation == self.incarnation {
             return;
         }
-        if gossip.sent_at_ms > 0 {
-            let delay = self
-                .transits
-                .delay(sender.incarnation, gossip.sent_at_ms, now);
-            self.metrics.record_datagram_delay(delay);
-        }
+        let delay = self.datagram_delay(sender.incarnation, gossip.sent_at_ms, now);
         let was_alive = self.peers.is_alive_at(from, now);
         if !was_alive {
             // The sender may not know this node yet.
@@ -282,7 +277,7 @@
         self.merge_named_weights(&gossip.named_weights, now);
         self.merge_suspects(Subject::Part, &gossip.suspects, now);
         self.merge_suspects(Subject::Request, &gossip.suspect_requests, now);
-        self.compare_copies(from, &gossip, now);
+        self.compare_copies(from, &gossip, delay, now);
         for state in &gossip.heard {
             if let Ok(address) = state.gossip.parse()
                 && state.incarnation != self.incarnation
@@ -314,6 +309,17 @@
         }
     }
 
+    /// Returns how long a datagram of this incarnation was under way, in ms: 0 if it does not
+    /// tell when it was sent.
+    fn datagram_delay(&mut self, sender: u64, sent_at: Millis, now: Millis) -> Millis {
+        if sent_at == 0 {
+            return 0;
+        }
+        let delay = self.transits.delay(sender, sent_at, now);
+        self.metrics.record_datagram_delay(delay);
+        delay
+    }
+
     /// Records the state of another node. Returns true if the node has started again.
     pub(super) fn update_peer(
         &mut self,
--- a/crates/gateway/src/control/state/topics.rs
+++ b/crates/gateway/src/control/state/topics.rs
@@ -150,15 +150,21 @@
         )
     }
 
-    /// Compares another node's copies with those of this node.
-    pub(super) fn compare_copies(&mut self, from: SocketAddr, gossip: &Gossip, now: Millis) {
+    /// Compares another node's copies, as it told them `delay` ago, with those of this node.
+    pub(super) fn compare_copies(
+        &mut self,
+        from: SocketAddr,
+        gossip: &Gossip,
+        delay: Millis,
+        now: Millis,
+    ) {
         if gossip.operator.is_none() && gossip.endpoints.is_none() {
             return;
         }
         let marks = self.copy_marks();
         let report = |copy: &TopicCopyState| CopyReport {
             mark: copy.mark,
-            age: Millis::from(copy.age_ms),
+            age: Millis::from(copy.age_ms) + delay,
         };
         if let Some(copy) = &gossip.operator {
             self.operator_copy.peer_reported(report(copy), marks.0, now);
