--- a/crates/gateway/src/control/state/peer_sync.rs
+++ b/crates/gateway/src/control/state/peer_sync.rs
@@ -35,16 +35,18 @@
     pub(super) fn apply_copies(&mut self, copies: Copies, now: Millis) {
         self.fetches.succeeded();
         self.metrics.count(EventKind::Copies, "received");
+        // The earliest time at which the other node may have told the ages.
+        let offered_at = copies.requested_at.min(now);
         let written = self.copies_write_time(now);
         for update in copies.operator {
             self.apply_operator_update(update, written, now);
         }
         self.operator_end = self.operator_end.max(copies.operator_end);
         if self.operator_copy.current_at().is_some() {
-            let at = now.saturating_sub(copies.operator_age);
+            let at = offered_at.saturating_sub(copies.operator_age);
             self.operator_copy.synced(at);
         }
-        let at = now.saturating_sub(copies.endpoints_age);
+        let at = offered_at.saturating_sub(copies.endpoints_age);
         if self.endpoints_copy.is_older_than(at) && !copies.endpoints.is_empty() {
             let current_at = self.endpoints_copy.current_at();
             let unread_ms = current_at.map(|current_at| at.saturating_sub(current_at));
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -39,6 +39,8 @@
 /// Records that another node sent.
 #[derive(Debug)]
 pub struct Copies {
+    /// When they were asked for. Their ages count from then, or later.
+    pub requested_at: Millis,
     /// Records of the operator topic.
     pub operator: Vec<OperatorUpdate>,
     /// Offset after the last record of the operator topic that was read.
@@ -140,8 +142,8 @@
     }
 }
 
-/// Decodes what a node sent, given the records that the request named as known. Large
-/// values are decoded on a thread of their own.
+/// Decodes what a node sent, given when it was asked and the records that the request named as
+/// known. Large values are decoded on a thread of their own.
 ///
 /// # Errors
 ///
@@ -150,6 +152,7 @@
     dialect: &'static Dialect,
     copies: TopicCopies,
     bases: &[KeyedRecord],
+    requested_at: Millis,
 ) -> Result<Copies, TransferError> {
     let mut operator = Vec::with_capacity(copies.operator.len());
     for record in copies.operator {
@@ -161,6 +164,7 @@
         operator.push(update);
     }
     Ok(Copies {
+        requested_at,
         operator,
         operator_end: copies.operator_end,
         operator_age: copies.operator_age_ms,
--- a/crates/gateway/src/peer_sync.rs
+++ b/crates/gateway/src/peer_sync.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
+use crate::clock::now;
 use crate::control::{Event, Handle};
 use crate::copies::{Copies, PackedValues, decode, encode};
 use crate::dialect::{Dialect, KeyedRecord};
@@ -227,6 +228,7 @@
 ) -> Result<Copies, TransferError> {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(node)).await;
     let mut stream = frames(connected.map_err(|_| TransferError::Stalled)??);
+    let requested_at = now();
     send_frame(&mut stream, fetch.request.encode_to_vec().into()).await?;
     let head = CopiesHead::decode(next_frame(&mut stream).await?)?;
     if head.busy {
@@ -240,7 +242,8 @@
         bytes.extend_from_slice(&next_frame(&mut stream).await?);
         *received = bytes.len();
     }
-    decode(dialect, TopicCopies::decode(bytes.freeze())?, &fetch.bases).await
+    let copies = TopicCopies::decode(bytes.freeze())?;
+    decode(dialect, copies, &fetch.bases, requested_at).await
 }
 
 async fn next_frame(stream: &mut Frames) -> Result<BytesMut, TransferError> {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -259,7 +259,7 @@
         Some((mut next, LogPage::Records { end, records })) => {
             let records = parse_records(store, records, &mut next);
             if records.is_empty() {
-                at += wait_ms;
+                at = now().min(sent_at + wait_ms);
             }
             store.pass_on(reader.records, records).await?;
             *from = Some(next);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -343,9 +343,10 @@
     OperatorUpdate::decode(&flamingolock_platform::DIALECT, record)
 }
 
-/// The copies that a node has after an offer was sent to it.
+/// The copies that a node has after an offer was sent to it, and took no time.
 pub fn copies_of(offer: Offer) -> Copies {
     Copies {
+        requested_at: u64::MAX,
         operator: offer
             .operator
             .into_iter()
--- a/crates/gateway/tests/test_odd_messages.rs
+++ b/crates/gateway/tests/test_odd_messages.rs
@@ -205,7 +205,7 @@
         entries in prop::collection::vec((text(), prop::collection::vec(any::<u8>(), 0..40), long()), 0..4)) {
         let mut harness = node();
         let endpoints = entries.into_iter().map(|(key, value, offset)| KeyedRecord { key, value: Some(value.into()), offset });
-        let copies = Copies { operator: Vec::new(), operator_end, operator_age, endpoints: endpoints.collect(), endpoints_age };
+        let copies = Copies { requested_at: operator_end, operator: Vec::new(), operator_end, operator_age, endpoints: endpoints.collect(), endpoints_age };
         let now = START_MS + 3_000;
         harness.control.handle(Event::PeerSyncReceived(Box::new(copies)), now);
         for pause in [100, 700, 5_000, 60_000] {
--- a/crates/gateway/tests/test_peer_sync.rs
+++ b/crates/gateway/tests/test_peer_sync.rs
@@ -75,20 +75,18 @@
     harness.datagram(5, gossip, now);
 }
 
-/// Another node, which reads the store for all, reports at `sent_at` that it has the same
-/// records as this one and nothing newer. The report arrives at `now`.
-fn report_same(harness: &mut Harness, sent_at: u64, now: u64) {
+/// Another node, which reads the store for all, reports at `sent_at` that it has records up to
+/// this offset and that there is nothing newer. The report arrives at `now`.
+fn reader_reports(harness: &mut Harness, mark: u64, sent_at: u64, now: u64) {
     let sender = NodeState {
         incarnation: 5,
         callers: "10.0.0.9:80".to_owned(),
         ready: true,
         store_reachable: true,
+        control_port: 8,
         ..NodeState::default()
     };
-    let operator = Some(TopicCopyState {
-        mark: harness.offset(),
-        age_ms: 0,
-    });
+    let operator = Some(TopicCopyState { mark, age_ms: 0 });
     let gossip = Gossip {
         sender: Some(sender),
         operator,
@@ -137,11 +135,12 @@
 fn report_that_was_long_under_way_does_not_put_off_the_next_read() {
     let first_read = |arrival: u64| {
         let mut harness = current_node(10_000);
-        report_same(&mut harness, 10_010, 10_011);
+        let mark = harness.offset();
+        reader_reports(&mut harness, mark, 10_010, 10_011);
         let mut times = 10_100..20_000;
         times.find(|now| {
             if *now == arrival {
-                report_same(&mut harness, 10_200, arrival);
+                reader_reports(&mut harness, mark, 10_200, arrival);
             }
             reads_operator_topic(&harness.effects(*now))
         })
@@ -159,19 +158,38 @@
     assert!(fetch(harness.effects(10_410)).is_some());
 }
 
-#[test]
-fn store_is_read_from_the_end_of_what_another_node_sent() {
-    let mut harness = current_node(10_000);
-    report_newer(&mut harness, 100, 10_200);
-    fetch(harness.effects(10_210)).expect("a fetch");
-    let copies = Copies {
+/// Copies up to an offset in which nothing is new.
+fn copies_to(operator_end: u64, requested_at: u64) -> Copies {
+    Copies {
+        requested_at,
         operator: Vec::new(),
-        operator_end: 100,
+        operator_end,
         operator_age: 0,
         endpoints: Vec::new(),
         endpoints_age: 0,
+    }
+}
+
+#[test]
+fn copies_that_were_long_under_way_do_not_put_off_the_next_read() {
+    let first_read = |arrival: u64| {
+        let mut harness = current_node(10_000);
+        reader_reports(&mut harness, 100, 10_200, 10_200);
+        fetch(harness.effects(10_210)).expect("a fetch");
+        let received = Event::PeerSyncReceived(Box::new(copies_to(100, 10_210)));
+        harness.control.handle(received, arrival);
+        let mut times = arrival..20_000;
+        times.find(|now| reads_operator_topic(&harness.effects(*now)))
     };
-    let received = Event::PeerSyncReceived(Box::new(copies));
+    assert_eq!(first_read(10_211), first_read(11_100));
+}
+
+#[test]
+fn store_is_read_from_the_end_of_what_another_node_sent() {
+    let mut harness = current_node(10_000);
+    report_newer(&mut harness, 100, 10_200);
+    fetch(harness.effects(10_210)).expect("a fetch");
+    let received = Event::PeerSyncReceived(Box::new(copies_to(100, 10_210)));
     harness.control.handle(received, 10_300);
     let read = read_of_operator_topic(&harness.effects(20_000)).expect("a read");
     assert_eq!(read.known_end, 100);
