gossip: hubs tell whole states of nodes once a second, and that they are alive in between

Change: a state is told when it changes and once a second, the incarnation every 250 ms. That a node is alive causes no datagram by itself.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -35,6 +35,7 @@
 pub mod stated_limits;
 pub mod suspect;
 pub mod suspects;
+pub mod told_states;
 pub mod transit;
 pub mod wait_error;
 
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -154,6 +154,7 @@
     /// True once the registry was read.
     has_list: bool,
     by_address: BTreeMap<SocketAddr, Option<Peer>>,
+    by_incarnation: BTreeMap<u64, SocketAddr>,
     /// When each address was first listed in the registry.
     listed_at: BTreeMap<SocketAddr, Millis>,
     probed_at: BTreeMap<SocketAddr, Millis>,
@@ -166,6 +167,7 @@
             share_ttl: window.mul_f64(LIMIT_SHARE_WINDOWS).as_millis() as Millis,
             has_list: false,
             by_address: BTreeMap::new(),
+            by_incarnation: BTreeMap::new(),
             listed_at: BTreeMap::new(),
             probed_at: BTreeMap::new(),
         }
@@ -207,9 +209,24 @@
             peer.heard_at = Some(now);
         }
         let before = self.by_address.insert(from, Some(peer)).flatten();
-        before
+        self.by_incarnation.insert(state.incarnation, from);
+        let replaced = before
             .map(|before| before.state.incarnation)
-            .filter(|incarnation| *incarnation != state.incarnation)
+            .filter(|incarnation| *incarnation != state.incarnation);
+        if let Some(replaced) = replaced {
+            self.by_incarnation.remove(&replaced);
+        }
+        replaced
+    }
+
+    /// Records that a hub told of a node that it is alive. Its state must be known.
+    pub fn confirm(&mut self, incarnation: u64, now: Millis) {
+        let Some(address) = self.by_incarnation.get(&incarnation) else {
+            return;
+        };
+        if let Some(Some(peer)) = self.by_address.get_mut(address) {
+            peer.relayed_at = Some(now);
+        }
     }
 
     /// Returns true if the node at this address is alive.
@@ -327,11 +344,11 @@
     }
 
     /// Returns the states of the nodes at these addresses.
-    pub fn states_of(&self, addresses: &[SocketAddr]) -> Vec<NodeState> {
+    pub fn states_of(&self, addresses: &[SocketAddr]) -> impl Iterator<Item = &NodeState> {
         let peers = addresses
             .iter()
             .filter_map(|address| self.by_address.get(address)?.as_ref());
-        peers.map(|peer| peer.state.clone()).collect()
+        peers.map(|peer| &peer.state)
     }
 
     /// Returns true if the node with this name is alive and not shutting down.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -24,7 +24,7 @@
 
 use arc_swap::ArcSwap;
 use flamingolock_wire::gossip::{
-    BegunStream, Fault, FullEndpoint, LoadTimeRecord, NodeState, Reload, Run,
+    BegunStream, Fault, FullEndpoint, Gossip, LoadTimeRecord, NodeState, Reload, Run,
 };
 use tokio::sync::oneshot;
 
@@ -57,6 +57,7 @@
 use crate::control::stated_limits::StatedLimits;
 use crate::control::suspect::Subject;
 use crate::control::suspects::Suspects;
+use crate::control::told_states::ToldStates;
 use crate::control::transit::Transits;
 use crate::control::wait_error::WaitErrors;
 use crate::control::{Effect, Event, View};
@@ -101,7 +102,40 @@
     full: Vec<FullEndpoint>,
     streams: Vec<BegunStream>,
     load_times: Vec<LoadTimeRecord>,
-    nodes: Vec<NodeState>,
+    /// States of nodes, by incarnation.
+    nodes: BTreeMap<u64, NodeState>,
+    /// Incarnations of nodes that are alive.
+    alive: BTreeSet<u64>,
+}
+
+impl RelayedUpdates {
+    fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+            && self.reloads.is_empty()
+            && self.faults.is_empty()
+            && self.full.is_empty()
+            && self.streams.is_empty()
+            && self.load_times.is_empty()
+            && self.nodes.is_empty()
+            && self.alive.is_empty()
+    }
+
+    /// The message that a hub sends to its nodes.
+    fn into_message(self, hub: NodeState) -> Gossip {
+        Gossip {
+            sender: Some(hub),
+            runs: self.runs,
+            reloads: self.reloads,
+            faults: self.faults,
+            full: self.full,
+            streams: self.streams,
+            load_times: self.load_times,
+            relayed: true,
+            heard: self.nodes.into_values().collect(),
+            alive: self.alive.into_iter().collect(),
+            ..Gossip::default()
+        }
+    }
 }
 
 /// State of the control thread.
@@ -176,7 +210,7 @@
     relayed: RelayedUpdates,
     /// Part of this node in the relaying of gossip.
     role: Role,
-    peers_reported_at: Millis,
+    told_states: ToldStates,
     runs_swept_at: Millis,
     introduce_to: Vec<SocketAddr>,
     gossip_pending_at: Option<Millis>,
@@ -283,7 +317,7 @@
             outgoing_load_times: Vec::new(),
             relayed: RelayedUpdates::default(),
             role: Role::Member,
-            peers_reported_at: 0,
+            told_states: ToldStates::default(),
             runs_swept_at: 0,
             introduce_to: Vec::new(),
             gossip_pending_at: None,
@@ -488,6 +522,7 @@
             self.drop_runs_of_dead_nodes(now);
             self.forget_streams(now);
             self.transits.forget_old(now);
+            self.told_states.forget_old(now);
             self.report_late_datagrams(now);
             self.metrics
                 .set_live_nodes(1 + self.peers.alive(now).count());
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -12,6 +12,7 @@
 use crate::control::begun_streams::StreamSource;
 use crate::control::load_times::Load;
 use crate::control::suspect::Subject;
+use crate::control::told_states::Telling;
 
 /// Maximum number of runs per datagram, which keeps it below the usual packet size.
 const MAX_DATAGRAM_RUNS: usize = 24;
@@ -62,6 +63,18 @@
     (!is_empty).then_some(rest)
 }
 
+/// True if a message holds something that is to be relayed at once. That nodes are alive can
+/// wait for the next datagram.
+fn is_news(gossip: &Gossip) -> bool {
+    !(gossip.runs.is_empty()
+        && gossip.reloads.is_empty()
+        && gossip.faults.is_empty()
+        && gossip.full.is_empty()
+        && gossip.streams.is_empty()
+        && gossip.load_times.is_empty()
+        && gossip.heard.is_empty())
+}
+
 fn split_off<T>(list: &mut Vec<T>, most: usize) -> Vec<T> {
     list.split_off(list.len().min(most))
 }
@@ -122,10 +135,7 @@
             self.outgoing_load_times = self.rollout.load_times.list(now);
         }
         reloads.append(&mut self.outgoing_reloads);
-        let report_peers = is_hub && now >= self.peers_reported_at + GOSSIP_INTERVAL_MS;
-        if report_peers {
-            self.peers_reported_at = now;
-        }
+        let (heard, alive) = self.tell_members(&targets.members, now);
         let (operator, endpoints) = self.copy_reports(now);
         let local = Gossip {
             sender: Some(own_state.clone()),
@@ -136,12 +146,8 @@
             faults: std::mem::take(&mut self.outgoing_faults),
             streams: std::mem::take(&mut self.outgoing_streams),
             relayed: is_hub,
-            heard: if report_peers {
-                self.peers.states_of(&targets.members)
-            } else {
-                Vec::new()
-            },
-            builds: None,
+            heard,
+            alive,
             suspects: self.suspect_parts.take_news(now),
             suspect_requests: self.suspect_requests.take_news(now),
             limits: self.limits.take_news(now),
@@ -152,25 +158,23 @@
         };
         let relayed = std::mem::take(&mut self.relayed);
         self.send_in_datagrams(local, &targets.local, now);
-        let only_faults = relayed.runs.is_empty()
-            && relayed.reloads.is_empty()
-            && relayed.streams.is_empty()
-            && relayed.nodes.is_empty();
-        if !only_faults || !relayed.faults.is_empty() || !relayed.full.is_empty() {
-            let gossip = Gossip {
-                sender: Some(own_state),
-                runs: relayed.runs,
-                reloads: relayed.reloads,
-                faults: relayed.faults,
-                full: relayed.full,
-                streams: relayed.streams,
-                load_times: relayed.load_times,
-                relayed: true,
-                heard: relayed.nodes,
-                ..Gossip::default()
-            };
-            self.send_in_datagrams(gossip, &targets.members, now);
+        if !relayed.is_empty() {
+            self.send_in_datagrams(relayed.into_message(own_state), &targets.members, now);
+        }
+    }
+
+    /// Returns the states of the nodes that this one relays to as a hub, as far as they are to be
+    /// told now, and the incarnations of others that are alive.
+    fn tell_members(&mut self, members: &[SocketAddr], now: Millis) -> (Vec<NodeState>, Vec<u64>) {
+        let (mut states, mut alive) = (Vec::new(), Vec::new());
+        for state in self.peers.states_of(members) {
+            match self.told_states.tell(state, now) {
+                Telling::State => states.push(state.clone()),
+                Telling::Alive => alive.push(state.incarnation),
+                Telling::Nothing => {}
+            }
         }
+        (states, alive)
     }
 
     /// Sends a message, split into as many datagrams as its lists require.
@@ -278,6 +282,9 @@
         self.merge_suspects(Subject::Part, &gossip.suspects, now);
         self.merge_suspects(Subject::Request, &gossip.suspect_requests, now);
         self.compare_copies(from, &gossip, delay, now);
+        for incarnation in &gossip.alive {
+            self.peers.confirm(*incarnation, now);
+        }
         for state in &gossip.heard {
             if let Ok(address) = state.gossip.parse()
                 && state.incarnation != self.incarnation
@@ -368,6 +375,7 @@
     /// Queues updates for relay by this node as a hub: those of the nodes that it relays to for
     /// all its recipients, and those of other hubs for these nodes only.
     pub(super) fn relay(&mut self, gossip: Gossip, node: u64, zone: &str, now: Millis) {
+        let is_news = is_news(&gossip);
         let mut runs = gossip.runs;
         for run in &mut runs {
             if run.node == 0 {
@@ -387,8 +395,13 @@
             self.relayed.reloads.extend(gossip.reloads);
             self.relayed.streams.extend(gossip.streams);
             self.relayed.load_times.extend(gossip.load_times);
-            self.relayed.nodes.extend(gossip.sender);
-            self.relayed.nodes.extend(gossip.heard);
+            let states = gossip.heard.into_iter();
+            let states = states.map(|state| (state.incarnation, state));
+            self.relayed.nodes.extend(states);
+            self.relayed.alive.extend(gossip.alive);
+            if let Some(sender) = gossip.sender {
+                self.relay_hub(sender, now);
+            }
         } else if zone == self.settings.zone {
             self.outgoing_runs.append(&mut runs);
             self.outgoing_faults.append(&mut faults);
@@ -399,7 +412,22 @@
         } else {
             return;
         }
-        self.gossip_pending_at.get_or_insert(now + HUB_BATCH_MS);
+        if is_news {
+            self.gossip_pending_at.get_or_insert(now + HUB_BATCH_MS);
+        }
+    }
+
+    /// Queues the state of another hub for the nodes that this one relays to.
+    fn relay_hub(&mut self, hub: NodeState, now: Millis) {
+        match self.told_states.tell(&hub, now) {
+            Telling::State => {
+                self.relayed.nodes.insert(hub.incarnation, hub);
+            }
+            Telling::Alive => {
+                self.relayed.alive.insert(hub.incarnation);
+            }
+            Telling::Nothing => {}
+        }
     }
 
     pub(super) fn apply_peer_run(&mut self, node: u64, run: &Run, now: Millis) {
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -22,7 +22,8 @@
     /// True if the sender is a hub and relays updates of other nodes.
     #[prost(bool, tag = "5")]
     pub relayed: bool,
-    /// Nodes to which the sender relays, as it heard them itself.
+    /// Nodes to which the sender relays, as it heard them itself, and those that other hubs told
+    /// of; some of them, and only now and then.
     #[prost(message, repeated, tag = "6")]
     pub heard: Vec<NodeState>,
     /// State of the sender's copy of the operator topic; absent if not reported now.
@@ -83,6 +84,9 @@
     /// does not tell.
     #[prost(uint64, tag = "25")]
     pub sent_at_ms: u64,
+    /// Incarnations of nodes that are alive and whose states the sender has told lately.
+    #[prost(fixed64, repeated, tag = "26")]
+    pub alive: Vec<u64>,
 }
 
 /// Asks an owner of a workspace's token bucket for the cost of one request.
