responses: what is read whole is charged to the memory of the process

Here each response that is read whole was bounded by 4 MB, their sum by nothing.

Change: such responses, also those of other nodes, are charged to the budget that request bodies and unread streams share. What is read only so that a connection can be used again is not kept.

The new test has 48 callers at servers whose bodies do not end.

--- a/crates/cli/tests/test_endless_responses.rs
+++ b/crates/cli/tests/test_endless_responses.rs
@@ -61,6 +61,31 @@
     assert_failed_soon(&node, || call(&node, "/look/a", "r1", &[]));
 }
 
+#[test]
+fn whole_bodies_without_end_of_many_callers_take_little_memory_and_end_no_other_request() {
+    let site = Site::start(Duration::from_millis(1));
+    let limits = format!("[Limits]\nMemoryMb = {}\n", MAX_MEMORY_KB / 1024);
+    let node = Node::start_with("node-1", site.store.address(), &[], &limits);
+    node.wait_ready();
+    for server in &site.app_servers {
+        server.set_mode(EngineMode::EndlessBody);
+    }
+    std::thread::scope(|scope| {
+        for caller in 0..48 {
+            let node = &node;
+            scope.spawn(move || {
+                let answer = call(node, "/look/a", &format!("look-{caller}"), &[]);
+                assert_ne!(answer.status, 200, "{answer:?}");
+            });
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        let answer = stream(&node, "/tag/a", "tag");
+        assert!(answer.status == 200 && answer.complete, "{answer:?}");
+    });
+    let peak = node.peak_memory_kb().expect("the node runs");
+    assert!(peak < MAX_MEMORY_KB, "{peak} kB");
+}
+
 #[test]
 fn response_head_without_end_fails_and_takes_little_memory() {
     let runtime = Runtime::new().expect("a runtime starts");
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderMap, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
@@ -19,6 +19,8 @@
 use crate::endpoint::Endpoint;
 use crate::exchange::{Exchange, ProxyContext};
 use crate::http_client::{BodyFraming, CallError, Connection, ConnectionUse};
+use crate::limited_log::LimitedLog;
+use crate::response_body::{BodyError, discard, read_whole};
 use crate::run_guard::RunGuard;
 
 /// Timeout for connecting to an endpoint.
@@ -29,9 +31,6 @@
 /// close the connection just as the request is sent.
 const NON_RETRYABLE_IDLE_SHARE: f64 = 0.5;
 
-/// Maximum size of a response body that is buffered before it is forwarded.
-pub const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
-
 /// Timeout for draining an unneeded response body so that the connection can be reused.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -490,7 +489,7 @@
 ) -> AttemptOutcome {
     let UnreadResponse {
         parts,
-        body,
+        mut body,
         mut connection,
         head,
         sent_at,
@@ -498,13 +497,14 @@
     let has_body = !body.is_end_stream();
     let target = exchange.route.target;
     let witness = Witness::open(&parts.headers, &grant.endpoint, sent_at, target);
-    let collected = timeout_at(
-        exchange.deadline,
-        Limited::new(body, MAX_BUFFERED_BYTES).collect(),
-    )
-    .await;
-    let body = match collected {
-        Ok(Ok(body)) => body.to_bytes(),
+    let read = read_whole(&mut body, &context.memory);
+    let body = match timeout_at(exchange.deadline, read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error @ BodyError::NoMemory(_))) => {
+            log_no_memory(exchange, &grant.endpoint, &error);
+            guard.end(RunEnd::NoMemory);
+            return AttemptOutcome::NoResponse(RunEnd::NoMemory);
+        }
         Ok(Err(error)) => {
             log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
                 fingerprint = exchange.fingerprint().as_str(), error:% = error; "response body failed");
@@ -548,6 +548,15 @@
     AttemptOutcome::Response(buffered)
 }
 
+/// Logs that the process has no memory for a response. Clients and endpoints can cause this.
+fn log_no_memory(exchange: &Exchange, endpoint: &Endpoint, error: &BodyError) {
+    static LOG: LimitedLog = LimitedLog::new();
+    if let Some(suppressed) = LOG.due() {
+        log::warn!(request = &*exchange.request_id, endpoint = &*endpoint.id, suppressed, error:% = error;
+            "no memory for a response");
+    }
+}
+
 /// True if the endpoint closes the connection after this response.
 pub fn closes_connection(headers: &HeaderMap) -> bool {
     headers
@@ -569,8 +578,7 @@
     body: Incoming,
     head: &ResponseHead,
 ) {
-    let rest = Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    if matches!(timeout(DRAIN_TIMEOUT, rest).await, Ok(Ok(_))) {
+    if matches!(timeout(DRAIN_TIMEOUT, discard(body)).await, Ok(Ok(()))) {
         connection.set_keep_alive(head.keep_alive);
         context
             .pool
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -179,6 +179,8 @@
     WrongWeights(Option<u64>),
     /// The caller disconnected.
     CallerLeft,
+    /// This node had no memory for the answer.
+    NoMemory,
 }
 
 impl RunEnd {
@@ -213,6 +215,7 @@
             Self::Reloading => "reloading",
             Self::WrongWeights(_) => "wrong_weights",
             Self::CallerLeft => "caller_left",
+            Self::NoMemory => "no_memory",
         }
     }
 }
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -575,7 +575,8 @@
             | RunEnd::Broken
             | RunEnd::Silent
             | RunEnd::Expired
-            | RunEnd::CallerLeft => {}
+            | RunEnd::CallerLeft
+            | RunEnd::NoMemory => {}
         }
         match end {
             RunEnd::Complete => {
@@ -615,7 +616,7 @@
                 }
                 None
             }
-            RunEnd::CallerLeft | RunEnd::Expired => None,
+            RunEnd::CallerLeft | RunEnd::Expired | RunEnd::NoMemory => None,
         }
     }
 
--- a/crates/gateway/src/control/state/reach.rs
+++ b/crates/gateway/src/control/state/reach.rs
@@ -64,7 +64,9 @@
                 self.reach.run_ended(&service, run);
                 self.reach.doubted(&service, endpoint);
             }
-            RunEnd::CallerLeft | RunEnd::Expired => self.reach.run_ended(&service, run),
+            RunEnd::CallerLeft | RunEnd::Expired | RunEnd::NoMemory => {
+                self.reach.run_ended(&service, run);
+            }
             _ => {
                 self.reach.heard(&service, run, now);
                 self.reach.answered(&service, endpoint, now);
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -12,11 +12,11 @@
 use futures_util::stream::unfold;
 use http::header::{HOST, HeaderName, HeaderValue};
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use crate::attempt::{CONNECT_TIMEOUT, MAX_BUFFERED_BYTES, closes_connection};
+use crate::attempt::{CONNECT_TIMEOUT, closes_connection};
 use crate::catalog::RequestKind;
 use crate::control::handovers::OtherNode;
 use crate::control::{Event, Handle, View};
@@ -28,6 +28,7 @@
 use crate::metrics::{EventKind, Metrics};
 use crate::request_handler;
 use crate::response::{ErrorReason, IncompleteBody, ResponseBody, SentBy, full_body};
+use crate::response_body::read_whole;
 
 /// Incarnation of the node that is meant, in hexadecimal.
 const NODE_KEY: HeaderName = HeaderName::from_static("flamingolock-node-key");
@@ -262,10 +263,9 @@
 
 /// Reads a response to its end.
 async fn read(mut open: OpenResponse) -> Result<ResponseBody, HandoverError> {
-    let collected = Limited::new(&mut open.body, MAX_BUFFERED_BYTES).collect();
+    let collected = read_whole(&mut open.body, &open.context.memory);
     match timeout_at(open.deadline, collected).await {
-        Ok(Ok(body)) => {
-            let bytes = body.to_bytes();
+        Ok(Ok(bytes)) => {
             open.complete();
             Ok(full_body(bytes))
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod relay;
 pub mod request_handler;
 pub mod response;
+pub mod response_body;
 pub mod run_guard;
 pub mod server;
 pub mod settings;
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -1,9 +1,9 @@
-//! Memory that the process holds for clients: request bodies until their request has ended, and
-//! the unread parts of streamed answers.
+//! Memory that the process holds for clients: request bodies until their request has ended,
+//! answers that are read whole until they are sent, and the unread parts of streamed answers.
 //!
 //! Bytes are charged as they arrive and released on drop. When the budget is exhausted, the
-//! body that has held the most for the longest without progress is refused. A body whose
-//! request may have run is never chosen.
+//! body that has held the most for the longest without progress is refused. A request body that
+//! has been read whole is never chosen, as its request may have run.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
