control: a round of events ends after 20 ms, so that what is due is done

With events as fast as they are handled, a node would serve by an old view for as long.

The test failed before: what was due came after all 50,000 queued datagrams.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -504,6 +504,9 @@
     Ok(handle)
 }
 
+/// Time for the events of a round, after which its tick is due.
+const MAX_ROUND: Duration = Duration::from_millis(20);
+
 /// Time from the first event of a round to the end of its tick from which on the round is
 /// logged.
 const SLOW_ROUND: Duration = Duration::from_millis(250);
@@ -524,9 +527,11 @@
             Ok(Event::Stop) | Err(RecvTimeoutError::Disconnected) => return,
             Ok(event) => {
                 control.handle(event, now());
-                // Handling all queued events before the tick is cheaper than one tick
-                // per event.
-                while let Ok(event) = inbox.try_recv() {
+                // Handling queued events before the tick is cheaper than one tick per event. But
+                // only ticks read the store and send gossip.
+                while started.elapsed() < MAX_ROUND
+                    && let Ok(event) = inbox.try_recv()
+                {
                     if matches!(event, Event::Stop) {
                         return;
                     }
