configuration: a node whose copy may be out of date does not say that a route is missing

A node knows how long ago its copy was known to be the newest, and did not look at it.

Change: beyond the bound for a new configuration a missing route or key gets 503 with the reason old_configuration and a Retry-After of a quarter of the bound. It has not run, and another node may be current. Requests whose route and key it has are served as before, as in an outage of the store.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -417,6 +417,10 @@
     pub incarnation: Option<u64>,
     /// Current configuration.
     pub catalog: Option<Arc<Catalog>>,
+    /// When the configuration was last known to be the newest.
+    pub catalog_current_at: Option<Millis>,
+    /// Time within which a new configuration must be active.
+    pub catalog_bound: Duration,
     /// Incarnations of the other nodes that are heard.
     pub live_nodes: BTreeSet<u64>,
     /// Address and zone of each node that accepts callers.
@@ -432,6 +436,13 @@
 }
 
 impl View {
+    /// True if a newer configuration may be in force that this node does not know.
+    pub fn may_lack_changes(&self, now: Millis) -> bool {
+        let bound = self.catalog_bound.as_millis() as Millis;
+        let current_at = self.catalog_current_at;
+        current_at.is_none_or(|at| now > at + bound)
+    }
+
     /// When a version of a model's weights must no longer be used; none if it is the newest.
     pub fn weights_expire_at(&self, model: &str, version: u64) -> Option<Millis> {
         let versions = self.named_weights.get(model)?;
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -789,6 +789,8 @@
         self.view.store(Arc::new(View {
             incarnation: Some(self.incarnation),
             live_nodes: live.collect(),
+            catalog_current_at: self.operator_copy.current_at(),
+            catalog_bound: self.settings.catalog_bound,
             catalog: self.catalog.clone(),
             nodes,
             shutdown_at: self.shutdown_at,
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -44,6 +44,10 @@
 /// Time after the timeout of a request by which its caller has its answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
 
+/// Part of the bound for a new configuration after which a caller may return whose route or key a
+/// node does not know that may lack the newest one.
+const OLD_CATALOG_RETRY_SHARE: u32 = 4;
+
 /// `Retry-After` of a request for whose body there is no memory.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -74,11 +78,11 @@
         );
     };
     let Some(route) = find_route(&catalog, &parts) else {
-        return refuse(&id, &metrics, ErrorReason::NoRoute, None);
+        return refuse_unknown(&id, &metrics, &view, ErrorReason::NoRoute);
     };
     let workspace = match authenticate(&catalog, &route, &head) {
         Ok(workspace) => workspace,
-        Err(reason) => return refuse(&id, &metrics, reason, None),
+        Err(reason) => return refuse_unknown(&id, &metrics, &view, reason),
     };
     if route.kind == RequestKind::Stream && parts.version < Version::HTTP_11 {
         return refuse(&id, &metrics, ErrorReason::NoChunks, None);
@@ -203,6 +207,21 @@
     error_response(reason, retry_after)
 }
 
+/// Refuses a request whose route or key the configuration does not have. If the copy of the
+/// configuration is older than it may be, the newest one may have it, and the caller may return.
+fn refuse_unknown(
+    id: &str,
+    metrics: &Metrics,
+    view: &View,
+    reason: ErrorReason,
+) -> Response<ResponseBody> {
+    if !view.may_lack_changes(now()) {
+        return refuse(id, metrics, reason, None);
+    }
+    let retry_after = view.catalog_bound / OLD_CATALOG_RETRY_SHARE;
+    refuse(id, metrics, ErrorReason::OldCatalog, Some(retry_after))
+}
+
 fn host(parts: &Parts) -> Option<&str> {
     let host = parts.headers.get(HOST);
     host.and_then(|host| host.to_str().ok())
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -41,6 +41,9 @@
     NoRoute,
     /// The API key is missing or unknown.
     NoKey,
+    /// The request has not run: its route or key is not in the node's copy of the configuration,
+    /// which may be out of date.
+    OldCatalog,
     /// The caller's version of HTTP has no chunks, so it cannot tell a broken stream
     /// from a complete one.
     NoChunks,
@@ -75,6 +78,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NotReady
+            | Self::OldCatalog
             | Self::Leaving
             | Self::NotRun
             | Self::MemoryFull
@@ -100,6 +104,7 @@
             Self::Leaving => "leaving",
             Self::NoRoute => "no_route",
             Self::NoKey => "no_key",
+            Self::OldCatalog => "old_configuration",
             Self::NoChunks => "no_chunks",
             Self::TooLarge => "too_large",
             Self::ExceedsMemory => "exceeds_memory",
