--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -211,6 +211,8 @@
     /// Part of this node in the relaying of gossip.
     role: Role,
     told_states: ToldStates,
+    /// Nodes that accepted callers when this was last logged.
+    reported_nodes: BTreeSet<SocketAddr>,
     runs_swept_at: Millis,
     introduce_to: Vec<SocketAddr>,
     gossip_pending_at: Option<Millis>,
@@ -318,6 +320,7 @@
             relayed: RelayedUpdates::default(),
             role: Role::Member,
             told_states: ToldStates::default(),
+            reported_nodes: BTreeSet::new(),
             runs_swept_at: 0,
             introduce_to: Vec::new(),
             gossip_pending_at: None,
@@ -524,6 +527,7 @@
             self.transits.forget_old(now);
             self.told_states.forget_old(now);
             self.report_late_datagrams(now);
+            self.report_nodes();
             self.metrics
                 .set_live_nodes(1 + self.peers.alive(now).count());
             self.notices
@@ -778,13 +782,24 @@
             .count()
     }
 
+    /// Logs that other nodes accept callers than at the last call.
+    fn report_nodes(&mut self) {
+        let nodes: BTreeSet<SocketAddr> = {
+            let view = self.view.load();
+            view.nodes.iter().map(|(address, _)| *address).collect()
+        };
+        let before = std::mem::replace(&mut self.reported_nodes, nodes);
+        let nodes = &self.reported_nodes;
+        let (added, removed) = (nodes.difference(&before), before.difference(nodes));
+        let (added, removed) = (added.count(), removed.count());
+        if added + removed > 0 {
+            log::info!(nodes = nodes.len(), added, removed; "nodes accepting callers changed");
+        }
+    }
+
     fn publish(&self, now: Millis) {
         let mut nodes = self.nodes_for_callers(now);
         nodes.sort();
-        let before = self.view.load();
-        if before.nodes != nodes {
-            log::info!(nodes = nodes.len(), before = before.nodes.len(); "nodes accepting callers changed");
-        }
         let live = self.peers.alive(now).map(|peer| peer.state.incarnation);
         self.view.store(Arc::new(View {
             incarnation: Some(self.incarnation),
