gossip: what a hub is told when it starts is not relayed

Change: such datagrams say what they are, and are not relayed. Hubs of a zone are a type of their own in place of a tuple.

--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -83,12 +83,22 @@
     (state.capacity, state.incarnation)
 }
 
-/// The node among `hubs` that relays to a node: the one with the highest hash with it, so that
+/// A node that is a hub, or may become one.
+#[derive(Clone, Copy, Debug)]
+struct Hub {
+    rank: HubRank,
+    /// None for this node itself.
+    address: Option<SocketAddr>,
+}
+
+/// The address of the hub that relays to a node: the one with the highest hash with it, so that
 /// few nodes change their hub when one comes or goes.
-fn hub_of(node: u64, hubs: &[(HubRank, Option<SocketAddr>)]) -> Option<SocketAddr> {
-    let weight = |hub: u64| xxh3_64_with_seed(&node.to_le_bytes(), hub);
-    let hub = hubs.iter().max_by_key(|((_, hub), _)| weight(*hub))?;
-    hub.1
+fn hub_of(node: u64, hubs: &[Hub]) -> Option<SocketAddr> {
+    let weight = |hub: &&Hub| {
+        let (_, incarnation) = hub.rank;
+        xxh3_64_with_seed(&node.to_le_bytes(), incarnation)
+    };
+    hubs.iter().max_by_key(weight)?.address
 }
 
 /// Live nodes of a zone.
@@ -97,19 +107,19 @@
     nodes: usize,
     /// True if a node among them knows of one hub only.
     lacks_several: bool,
-    candidates: Vec<(HubRank, Option<SocketAddr>)>,
+    candidates: Vec<Hub>,
 }
 
 impl ZoneNodes {
     /// Returns the hubs, highest rank first.
-    fn into_hubs(mut self) -> Vec<(HubRank, Option<SocketAddr>)> {
+    fn into_hubs(mut self) -> Vec<Hub> {
         let count = if self.lacks_several {
             1
         } else {
             self.nodes.div_ceil(MAX_HUB_MEMBERS)
         };
         self.candidates
-            .sort_unstable_by_key(|(rank, _)| Reverse(*rank));
+            .sort_unstable_by_key(|hub| Reverse(hub.rank));
         self.candidates.truncate(count);
         self.candidates
     }
@@ -291,7 +301,7 @@
         let hubs = self.hubs(me, now);
         let own_rank = hub_rank(me);
         let zone_hubs = hubs.get(me.zone.as_str()).map_or(&[][..], Vec::as_slice);
-        targets.role = match zone_hubs.iter().position(|(rank, _)| *rank == own_rank) {
+        targets.role = match zone_hubs.iter().position(|hub| hub.rank == own_rank) {
             None => Role::Member,
             Some(0) => Role::FirstHub,
             Some(_) => Role::Hub,
@@ -303,7 +313,7 @@
         let other_hubs: BTreeSet<SocketAddr> = hubs
             .values()
             .flatten()
-            .filter_map(|(_, address)| *address)
+            .filter_map(|hub| hub.address)
             .collect();
         let is_member = |address: &SocketAddr, peer: &Peer| {
             peer.state.zone == me.zone && peer.is_heard(now) && !other_hubs.contains(address)
@@ -317,13 +327,8 @@
         targets
     }
 
-    /// Returns the hubs of each zone with their addresses, highest rank first; none for this
-    /// node's own address.
-    fn hubs<'a>(
-        &'a self,
-        me: &'a NodeState,
-        now: Millis,
-    ) -> BTreeMap<&'a str, Vec<(HubRank, Option<SocketAddr>)>> {
+    /// Returns the hubs of each zone, highest rank first.
+    fn hubs<'a>(&'a self, me: &'a NodeState, now: Millis) -> BTreeMap<&'a str, Vec<Hub>> {
         let others = self.by_address.iter().filter_map(|(address, peer)| {
             let peer = peer.as_ref().filter(|peer| peer.is_alive(now))?;
             Some((&peer.state, Some(*address)))
@@ -334,7 +339,8 @@
             zone.nodes += 1;
             zone.lacks_several |= !state.several_hubs;
             if !state.leaving {
-                zone.candidates.push((hub_rank(state), address));
+                let rank = hub_rank(state);
+                zone.candidates.push(Hub { rank, address });
             }
         }
         zones
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -38,6 +38,7 @@
     let rest = Gossip {
         sender: gossip.sender.clone(),
         relayed: gossip.relayed,
+        is_history: gossip.is_history,
         runs: split_off(&mut gossip.runs, MAX_DATAGRAM_RUNS),
         streams: split_off(&mut gossip.streams, MAX_DATAGRAM_STREAMS),
         suspects: split_off(&mut gossip.suspects, MAX_DATAGRAM_SUSPECTS),
@@ -311,7 +312,7 @@
                 self.apply_fault(node, fault, now);
             }
         }
-        if self.role.is_hub() {
+        if self.role.is_hub() && !gossip.is_history {
             self.relay(gossip, node, &zone, now);
         }
     }
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -364,6 +364,7 @@
             load_times: self.rollout.load_times.list(now),
             named_weights: self.rollout.named.list(now),
             relayed: true,
+            is_history: true,
             ..Gossip::default()
         };
         self.send_in_datagrams(gossip, &[node], now);
--- a/crates/gateway/tests/test_gossip_size.rs
+++ b/crates/gateway/tests/test_gossip_size.rs
@@ -10,7 +10,8 @@
 use common::{Harness, settings};
 use flamingolock_gateway::control::{Effect, Event};
 use flamingolock_gateway::gossip::MAX_DATAGRAM_BYTES;
-use flamingolock_wire::gossip::{Gossip, NodeState};
+use flamingolock_gateway::settings::Settings;
+use flamingolock_wire::gossip::{BegunStream, Gossip, NodeState};
 use prost::Message;
 
 /// Number of availability zones, and of nodes in each.
@@ -45,16 +46,54 @@
     hub.control.handle(Event::Datagram(from, datagram), now);
 }
 
-#[test]
-fn datagrams_of_a_hub_fit_into_the_buffer_of_their_receivers() {
-    let mut settings = settings();
-    settings.zone = "availability-zone-0".to_owned();
-    settings.capacity = 1_000;
+/// A hub that knows the nodes of its zone and those of the others.
+fn hub() -> Harness {
+    let settings = Settings {
+        zone: "availability-zone-0".to_owned(),
+        capacity: 1_000,
+        ..settings()
+    };
     let mut hub = Harness::with_settings(settings, u64::MAX);
     hub.catalog(1, 1_000);
     for number in 1..ZONE_NODES {
         receive(&mut hub, node_state(0, number), Vec::new(), 1_000);
     }
+    hub
+}
+
+#[test]
+fn history_that_a_hub_is_sent_is_not_relayed() {
+    let mut hub = hub();
+    hub.effects(1_100);
+    let stream = |request| BegunStream {
+        request,
+        build: "v1".to_owned(),
+        timeout_ms: 12_000,
+        ..BegunStream::default()
+    };
+    let gossip = Gossip {
+        sender: Some(node_state(1, 0)),
+        relayed: true,
+        is_history: true,
+        streams: (0..100).map(stream).collect(),
+        ..Gossip::default()
+    };
+    let from = node_state(1, 0).gossip.parse().expect("an address");
+    let datagram: Bytes = gossip.encode_to_vec().into();
+    hub.control.handle(Event::Datagram(from, datagram), 1_200);
+    let relayed = hub.effects(1_300).into_iter().map(|effect| match effect {
+        Effect::SendDatagram(to, bytes) if !to.contains(&from) => {
+            let gossip = Gossip::decode(bytes).expect("a message");
+            gossip.streams.len()
+        }
+        _ => 0,
+    });
+    assert_eq!(relayed.sum::<usize>(), 0);
+}
+
+#[test]
+fn datagrams_of_a_hub_fit_into_the_buffer_of_their_receivers() {
+    let mut hub = hub();
     let mut effects = hub.effects(1_100);
     for zone in 1..ZONES {
         let heard = (1..ZONE_NODES).map(|number| node_state(zone, number));
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -87,6 +87,9 @@
     /// Incarnations of nodes that are alive and whose states the sender has told lately.
     #[prost(fixed64, repeated, tag = "26")]
     pub alive: Vec<u64>,
+    /// True if it tells a node that has started, or was out of reach, what the others know.
+    #[prost(bool, tag = "27")]
+    pub is_history: bool,
 }
 
 /// Asks an owner of a workspace's token bucket for the cost of one request.
