--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -15,7 +15,7 @@
 
 /// The same for a node that is known through the hub of its zone, in ms. It is
 /// longer because another node has to take over first if that hub dies.
-const RELAYED_PEER_TIMEOUT_MS: Millis = 3_000;
+pub const RELAYED_PEER_TIMEOUT_MS: Millis = 3_000;
 
 /// Maximum number of live peers with which each node gossips with all others (full
 /// mesh). In larger fleets some nodes of each zone, its hubs, relay gossip.
--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -14,6 +14,8 @@
 mod reach;
 mod reachability;
 mod records;
+mod relay;
+mod rollout;
 mod streams;
 mod suspects;
 mod topics;
@@ -23,14 +25,13 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use flamingolock_wire::gossip::{
-    BegunStream, Fault, FullEndpoint, Gossip, LoadTimeRecord, NodeState, Reload, Run,
-};
+use flamingolock_wire::gossip::{BegunStream, Fault, FullEndpoint, LoadTimeRecord, Reload, Run};
 use tokio::sync::oneshot;
 
 use self::dispatch::Dispatch;
 use self::queued_request::QueuedRequest;
 use self::quota::QuotaState;
+use self::relay::RelayedUpdates;
 use self::streams::{BuildRecord, FormerMemory, StreamRecord};
 use self::suspects::{SuspectsRecord, UndecidedRun};
 use crate::catalog::Catalog;
@@ -41,7 +42,7 @@
 use crate::control::fleet::EndpointState;
 use crate::control::freshness::Freshness;
 use crate::control::handovers::Handovers;
-use crate::control::lease::{Lease, LeaseStep};
+use crate::control::lease::Lease;
 use crate::control::listed_builds::ListedBuilds;
 use crate::control::named_weights::WriteTime;
 use crate::control::notices::{Notice, Notices};
@@ -52,8 +53,7 @@
 use crate::control::places::Places;
 use crate::control::reach::Reach;
 use crate::control::retry_budget::{RetryBudget, SlackShare};
-use crate::control::rollout::{PendingLoads, Rollout, Task};
-use crate::control::rollout_status::LeaseState;
+use crate::control::rollout::Rollout;
 use crate::control::stated_limits::StatedLimits;
 use crate::control::suspect::Subject;
 use crate::control::suspects::Suspects;
@@ -61,7 +61,7 @@
 use crate::control::transit::Transits;
 use crate::control::wait_error::WaitErrors;
 use crate::control::{Effect, Event, View};
-use crate::dialect::{Dialect, KeyedRecord, OrderOutcome, WeightsOrder};
+use crate::dialect::{Dialect, KeyedRecord};
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::metrics::{EventKind, Metrics};
 use crate::settings::Settings;
@@ -79,10 +79,6 @@
 /// (stopped or suspended), in ms.
 const STALL_MS: Millis = 1_000;
 
-/// Time for which a node whose orders brought nothing about leaves the lease to others,
-/// relative to the time that another one takes to take over.
-const ABSTENTION_FACTOR: Millis = 2;
-
 /// Maximum interval between two ticks, in ms.
 const MAX_TICK_INTERVAL_MS: Millis = 50;
 
@@ -93,51 +89,6 @@
 /// Interval at which queued requests are retried, in ms.
 const QUEUE_TICK_INTERVAL_MS: Millis = 8;
 
-/// Updates from other hubs that a hub relays to its nodes.
-#[derive(Default)]
-struct RelayedUpdates {
-    runs: Vec<Run>,
-    reloads: Vec<Reload>,
-    faults: Vec<Fault>,
-    full: Vec<FullEndpoint>,
-    streams: Vec<BegunStream>,
-    load_times: Vec<LoadTimeRecord>,
-    /// States of nodes, by incarnation.
-    nodes: BTreeMap<u64, NodeState>,
-    /// Incarnations of nodes that are alive.
-    alive: BTreeSet<u64>,
-}
-
-impl RelayedUpdates {
-    fn is_empty(&self) -> bool {
-        self.runs.is_empty()
-            && self.reloads.is_empty()
-            && self.faults.is_empty()
-            && self.full.is_empty()
-            && self.streams.is_empty()
-            && self.load_times.is_empty()
-            && self.nodes.is_empty()
-            && self.alive.is_empty()
-    }
-
-    /// The message that a hub sends to its nodes.
-    fn into_message(self, hub: NodeState) -> Gossip {
-        Gossip {
-            sender: Some(hub),
-            runs: self.runs,
-            reloads: self.reloads,
-            faults: self.faults,
-            full: self.full,
-            streams: self.streams,
-            load_times: self.load_times,
-            relayed: true,
-            heard: self.nodes.into_values().collect(),
-            alive: self.alive.into_iter().collect(),
-            ..Gossip::default()
-        }
-    }
-}
-
 /// State of the control thread.
 pub struct Control {
     settings: Settings,
@@ -452,14 +403,6 @@
         }
     }
 
-    fn lease_appended(&mut self, offset: u64) {
-        if !self.lease.held_by_me() {
-            self.rollout.forget_stall();
-        }
-        self.lease.appended(offset);
-        log::info!(fencing = offset; "acquired lease for engine orders");
-    }
-
     fn noticed(&mut self, endpoint: &Endpoint, notice: Notice, now: Millis) {
         if self.notices.record(endpoint, notice, now) {
             log::info!(endpoint = &*endpoint.id, born = endpoint.start_time_ms, notice:? = notice;
@@ -556,19 +499,6 @@
         wake.max(now + 1)
     }
 
-    fn order_answered(&mut self, order: &WeightsOrder, outcome: OrderOutcome, now: Millis) {
-        log::info!(engine = &*order.engine.id, model = order.model.as_str(), version = order.version,
-            fencing = order.fencing_token, accepted = order.accepted, outcome:? = outcome; "outcome of weight load order");
-        self.metrics.count(EventKind::Order, outcome.as_str());
-        if self
-            .rollout
-            .order_answered(&mut self.fleet, order, outcome, now)
-        {
-            self.parts.remove_engine(order.engine.key());
-        }
-        self.gossip_pending_at.get_or_insert(now);
-    }
-
     fn store_failed(&mut self, now: Millis) {
         self.metrics.count(EventKind::StoreCall, "failed");
         if !self.store_unreachable {
@@ -626,15 +556,6 @@
         let _ = reply.send(resumed_at > 0 && resumed_at >= since);
     }
 
-    /// Marks the loads in progress, whose end this process has not seen in time.
-    fn mark_loads_unwatched(&mut self) {
-        let loads = self
-            .fleet
-            .values_mut()
-            .filter_map(|state| state.load.as_mut());
-        loads.for_each(|load| load.unwatched = true);
-    }
-
     fn max_nodes_sharing(&self, now: Millis) -> usize {
         self.peers.max_nodes_sharing(now)
     }
@@ -647,104 +568,6 @@
         }
     }
 
-    fn advance_rollout(&mut self, now: Millis) {
-        if self.shutdown_at.is_some() || self.catalog.is_none() {
-            return;
-        }
-        let pending = self.rollout.pending_loads(&self.fleet, now);
-        let is_pending = pending == PendingLoads::Reachable;
-        if !is_pending {
-            self.rollout.forget_stall();
-        }
-        let may_lead = self.may_lead(now);
-        let rank = self.rank(now);
-        let holder_alive = self.lease.held_by_other()
-            && self
-                .lease
-                .holder()
-                .is_some_and(|name| self.peers.is_named_alive(name, now));
-        let may_seek =
-            self.rollout
-                .may_seek_lease(rank, self.lease.held_by_me(), holder_alive, now);
-        let step = self.lease.step(is_pending && may_lead && may_seek, now);
-        match step {
-            LeaseStep::Read(from) => self.effects.push(Effect::LeaseRead(from)),
-            LeaseStep::Append(at) => self.effects.push(Effect::LeaseAppend(at)),
-            LeaseStep::Hold { .. } | LeaseStep::Wait => {}
-        }
-        let state = self.lease_state(pending, may_lead, may_seek, now);
-        self.rollout
-            .status_log
-            .lease(state, self.lease.holder(), rank, now);
-        let mut tasks = self.rollout.due_reports(&self.fleet, now);
-        tasks.extend(
-            self.rollout
-                .plan(&mut self.fleet, step, &self.settings.node, now),
-        );
-        for task in tasks {
-            self.gossip_pending_at.get_or_insert(now);
-            match task {
-                Task::Order(order) => self.effects.push(Effect::SendOrder(order)),
-                Task::Report(key) => {
-                    if let Some(state) = self.fleet.get(&key) {
-                        self.effects
-                            .push(Effect::RequestReport(state.endpoint.clone()));
-                    }
-                }
-            }
-        }
-    }
-
-    /// True if this node may send orders to engines: its orders bring something about, or
-    /// have not been tried, and it does not miss more engines that others reach than it
-    /// reaches itself.
-    fn may_lead(&mut self, now: Millis) -> bool {
-        if now < self.abstains_until && !self.lease.held_by_other() {
-            return false;
-        }
-        let patience = self.lease.takeover_wait();
-        let has_others = self.peers.alive(now).any(|peer| peer.state.ready);
-        if has_others && self.lease.held_by_me() && self.rollout.is_stalled(patience, now) {
-            log::warn!("orders bring nothing about; leaving the lease to another node");
-            self.abstains_until = now + ABSTENTION_FACTOR * patience;
-            self.rollout.forget_stall();
-            return false;
-        }
-        let engines = || {
-            self.fleet
-                .values()
-                .filter(|state| !state.weights.is_empty())
-        };
-        let cut = engines().filter(|state| state.reachability.is_cut(now));
-        let reached = engines().filter(|state| state.reachability.is_reached(now));
-        let cut = cut.count();
-        cut == 0 || cut <= reached.count()
-    }
-
-    fn lease_state(
-        &self,
-        pending: PendingLoads,
-        may_lead: bool,
-        may_seek: bool,
-        now: Millis,
-    ) -> LeaseState {
-        if pending == PendingLoads::None {
-            LeaseState::NotWanted
-        } else if now < self.abstains_until && !may_lead {
-            LeaseState::Stalled
-        } else if pending == PendingLoads::Unreached || !may_lead {
-            LeaseState::Unreached
-        } else if !may_seek {
-            LeaseState::AwaitsProgress
-        } else if self.lease.held_by_me() {
-            LeaseState::Held
-        } else if self.lease.held_by_other() {
-            LeaseState::HeldByOther
-        } else {
-            LeaseState::Seeking
-        }
-    }
-
     /// Removes the runs of dead nodes, whose requests ended with their connections.
     fn drop_runs_of_dead_nodes(&mut self, now: Millis) {
         let mut nodes: BTreeSet<u64> = self
@@ -758,16 +581,6 @@
         }
     }
 
-    /// Returns the rank of this node among those that may send orders.
-    fn rank(&self, now: Millis) -> usize {
-        self.peers
-            .alive(now)
-            .filter(|peer| {
-                peer.state.ready && !peer.state.leaving && peer.state.incarnation < self.incarnation
-            })
-            .count()
-    }
-
     /// Returns the rank of this node among those that reach the store.
     fn store_rank(&self, now: Millis) -> usize {
         self.peers
--- a/crates/gateway/src/control/state/gossip.rs
+++ b/crates/gateway/src/control/state/gossip.rs
@@ -12,7 +12,6 @@
 use crate::control::begun_streams::StreamSource;
 use crate::control::load_times::Load;
 use crate::control::suspect::Subject;
-use crate::control::told_states::Telling;
 
 /// Maximum number of runs per datagram, which keeps it below the usual packet size.
 const MAX_DATAGRAM_RUNS: usize = 24;
@@ -30,9 +29,6 @@
 /// tells all of its fleet's; with more they don't fit into the buffer of a receiver.
 const MAX_DATAGRAM_STATES: usize = 48;
 
-/// Additional time for which a hub batches updates that it relays, in ms.
-const HUB_BATCH_MS: Millis = 8;
-
 /// Takes from a message what does not fit into one datagram.
 fn split_off_rest(gossip: &mut Gossip) -> Option<Gossip> {
     let rest = Gossip {
@@ -64,18 +60,6 @@
     (!is_empty).then_some(rest)
 }
 
-/// True if a message holds something that is to be relayed at once. That nodes are alive can
-/// wait for the next datagram.
-fn is_news(gossip: &Gossip) -> bool {
-    !(gossip.runs.is_empty()
-        && gossip.reloads.is_empty()
-        && gossip.faults.is_empty()
-        && gossip.full.is_empty()
-        && gossip.streams.is_empty()
-        && gossip.load_times.is_empty()
-        && gossip.heard.is_empty())
-}
-
 fn split_off<T>(list: &mut Vec<T>, most: usize) -> Vec<T> {
     list.split_off(list.len().min(most))
 }
@@ -164,20 +148,6 @@
         }
     }
 
-    /// Returns the states of the nodes that this one relays to as a hub, as far as they are to be
-    /// told now, and the incarnations of others that are alive.
-    fn tell_members(&mut self, members: &[SocketAddr], now: Millis) -> (Vec<NodeState>, Vec<u64>) {
-        let (mut states, mut alive) = (Vec::new(), Vec::new());
-        for state in self.peers.states_of(members) {
-            match self.told_states.tell(state, now) {
-                Telling::State => states.push(state.clone()),
-                Telling::Alive => alive.push(state.incarnation),
-                Telling::Nothing => {}
-            }
-        }
-        (states, alive)
-    }
-
     /// Sends a message, split into as many datagrams as its lists require.
     pub(super) fn send_in_datagrams(
         &mut self,
@@ -373,64 +343,6 @@
         }
     }
 
-    /// Queues updates for relay by this node as a hub: those of the nodes that it relays to for
-    /// all its recipients, and those of other hubs for these nodes only.
-    pub(super) fn relay(&mut self, gossip: Gossip, node: u64, zone: &str, now: Millis) {
-        let is_news = is_news(&gossip);
-        let mut runs = gossip.runs;
-        for run in &mut runs {
-            if run.node == 0 {
-                run.node = node;
-            }
-        }
-        let mut faults = gossip.faults;
-        for fault in &mut faults {
-            if fault.node == 0 {
-                fault.node = node;
-            }
-        }
-        if gossip.relayed {
-            self.relayed.runs.append(&mut runs);
-            self.relayed.faults.append(&mut faults);
-            self.relayed.full.extend(gossip.full);
-            self.relayed.reloads.extend(gossip.reloads);
-            self.relayed.streams.extend(gossip.streams);
-            self.relayed.load_times.extend(gossip.load_times);
-            let states = gossip.heard.into_iter();
-            let states = states.map(|state| (state.incarnation, state));
-            self.relayed.nodes.extend(states);
-            self.relayed.alive.extend(gossip.alive);
-            if let Some(sender) = gossip.sender {
-                self.relay_hub(sender, now);
-            }
-        } else if zone == self.settings.zone {
-            self.outgoing_runs.append(&mut runs);
-            self.outgoing_faults.append(&mut faults);
-            self.outgoing_full.extend(gossip.full);
-            self.outgoing_reloads.extend(gossip.reloads);
-            self.outgoing_streams.extend(gossip.streams);
-            self.outgoing_load_times.extend(gossip.load_times);
-        } else {
-            return;
-        }
-        if is_news {
-            self.gossip_pending_at.get_or_insert(now + HUB_BATCH_MS);
-        }
-    }
-
-    /// Queues the state of another hub for the nodes that this one relays to.
-    fn relay_hub(&mut self, hub: NodeState, now: Millis) {
-        match self.told_states.tell(&hub, now) {
-            Telling::State => {
-                self.relayed.nodes.insert(hub.incarnation, hub);
-            }
-            Telling::Alive => {
-                self.relayed.alive.insert(hub.incarnation);
-            }
-            Telling::Nothing => {}
-        }
-    }
-
     pub(super) fn apply_peer_run(&mut self, node: u64, run: &Run, now: Millis) {
         let Some(state) = self.fleet.get_mut(&run.endpoint) else {
             return;
--- a/crates/gateway/src/control/state/streams.rs
+++ b/crates/gateway/src/control/state/streams.rs
@@ -11,6 +11,7 @@
 use crate::clock::Millis;
 use crate::control::begun_streams::{StreamSource, request_key};
 use crate::control::listed_builds::ServedBuilds;
+use crate::control::peers::RELAYED_PEER_TIMEOUT_MS;
 use crate::control::{Effect, PlacementRequest};
 use crate::endpoint::{Endpoint, EndpointKey};
 
@@ -111,8 +112,8 @@
 }
 
 /// Time before the last news of a node from which on it may have missed what this one sent,
-/// in ms.
-const MISSED_NEWS_MS: Millis = 3_000;
+/// in ms: that in which a node counts as alive though nothing is heard of it.
+const MISSED_NEWS_MS: Millis = RELAYED_PEER_TIMEOUT_MS;
 
 impl Control {
     /// Handles the record that the node found when it started.
