rollout: the lease holder advances a roll-out on time, also when nothing is heard

Cause: the times at which reports are due, engines are drained and closed engines open pass by themselves, and were looked at with the next event or after 50 ms.

Ruled out: scans each 10 ms, states of nodes told more often, the holder's gossip of reservations.

Change: while a node drives a roll-out it looks each 10 ms.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -149,6 +149,8 @@
     /// Time until which this node leaves the lease to others, as its orders brought nothing
     /// about.
     abstains_until: Millis,
+    /// When the roll-out is to be advanced next, if this node drives one.
+    rollout_due_at: Option<Millis>,
     queue: VecDeque<QueuedRequest>,
     dispatch: Dispatch,
     next_run: u64,
@@ -259,6 +261,7 @@
             transits: Transits::default(),
             rollout: Rollout::new(weights_bound),
             abstains_until: 0,
+            rollout_due_at: None,
             queue: VecDeque::new(),
             dispatch: Dispatch::default(),
             next_run: 0,
@@ -493,6 +496,9 @@
         if let Some(at) = self.gossip_pending_at {
             wake = wake.min(at + GOSSIP_BATCH_MS);
         }
+        if let Some(at) = self.rollout_due_at {
+            wake = wake.min(at);
+        }
         if !self.queue.is_empty() {
             wake = wake.min(now + QUEUE_TICK_INTERVAL_MS);
         }
--- a/crates/gateway/src/control/state/rollout.rs
+++ b/crates/gateway/src/control/state/rollout.rs
@@ -13,6 +13,10 @@
 /// relative to the time that another one takes to take over.
 const ABSTENTION_FACTOR: Millis = 2;
 
+/// Interval at which the lease holder looks whether engines are done or may be ordered, in ms.
+/// Events do not tell it all: the time of reports and of reservations passes by itself.
+const HOLDER_TICK_INTERVAL_MS: Millis = 10;
+
 impl Control {
     pub(super) fn lease_appended(&mut self, offset: u64) {
         if !self.lease.held_by_me() {
@@ -50,6 +54,7 @@
     }
 
     pub(super) fn advance_rollout(&mut self, now: Millis) {
+        self.rollout_due_at = None;
         if self.shutdown_at.is_some() || self.catalog.is_none() {
             return;
         }
@@ -74,6 +79,8 @@
             LeaseStep::Append(at) => self.effects.push(Effect::LeaseAppend(at)),
             LeaseStep::Hold { .. } | LeaseStep::Wait => {}
         }
+        let holds = matches!(step, LeaseStep::Hold { .. });
+        self.rollout_due_at = (holds && is_pending).then_some(now + HOLDER_TICK_INTERVAL_MS);
         let state = self.lease_state(pending, may_lead, may_seek, now);
         self.rollout
             .status_log
