--- a/review/standin-2/harness.rs
+++ b/review/standin-2/harness.rs
@@ -12,7 +12,7 @@
 use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -845,6 +845,8 @@
 pub struct Link {
     pub address: SocketAddr,
     is_cut: Arc<AtomicBool>,
+    /// Number of bytes that have been passed on to the endpoint.
+    passed: Arc<AtomicUsize>,
 }
 
 /// Interval at which a cut link looks whether it has healed.
@@ -857,6 +859,7 @@
         let link = Self {
             address: listener.local_addr()?,
             is_cut: Arc::default(),
+            passed: Arc::default(),
         };
         let shared = link.clone();
         thread::spawn(move || {
@@ -872,6 +875,11 @@
         self.is_cut.store(is_cut, Ordering::SeqCst);
     }
 
+    /// Number of bytes that have been passed on to the endpoint.
+    pub fn passed(&self) -> usize {
+        self.passed.load(Ordering::SeqCst)
+    }
+
     fn wait(&self) {
         while self.is_cut.load(Ordering::SeqCst) {
             thread::sleep(HEAL_INTERVAL);
@@ -887,18 +895,20 @@
             return;
         };
         let link = self.clone();
-        thread::spawn(move || link.pass_on(from_near, far));
-        self.pass_on(from_far, near);
+        thread::spawn(move || link.pass_on(from_near, far, &link.passed));
+        self.pass_on(from_far, near, &AtomicUsize::default());
     }
 
-    fn pass_on(&self, mut from: TcpStream, mut to: TcpStream) {
+    fn pass_on(&self, mut from: TcpStream, mut to: TcpStream, passed: &AtomicUsize) {
         let _ = to.set_nodelay(true);
         let mut bytes = [0; 16 * 1024];
         loop {
             let read = from.read(&mut bytes);
             self.wait();
             match read {
-                Ok(count) if count > 0 && to.write_all(&bytes[..count]).is_ok() => {}
+                Ok(count) if count > 0 && to.write_all(&bytes[..count]).is_ok() => {
+                    passed.fetch_add(count, Ordering::SeqCst);
+                }
                 _ => {
                     let _ = to.shutdown(Shutdown::Write);
                     return;
