--- a/review/standin-2/harness.rs
+++ b/review/standin-2/harness.rs
@@ -473,6 +473,18 @@
     /// Time in the middle of the body of a whole answer whose end only the end of its
     /// connection marks; 0 if its length is stated.
     pub unframed_ms: u64,
+    /// How it behaves when it is full; none if it takes any number of requests.
+    pub full: Option<FullSpec>,
+}
+
+/// An engine that takes as many streams at once as it has slots. It refuses those beyond, and
+/// sends some of these refusals a second time, where the next response on the connection is due.
+#[derive(Clone, Copy, Debug)]
+pub struct FullSpec {
+    /// Time from the start of a run to its head and first event.
+    pub prefill_ms: u64,
+    /// One answer in so many may be sent twice; 0 if none is.
+    pub answers_per_copy: u64,
 }
 
 /// Interval at which an endpoint writes its entry: `HeartbeatMs`.
@@ -512,6 +524,11 @@
             .arg(spec.listen.to_string())
             .args([spec.events, spec.pause_ms, spec.slots].map(|number| number.to_string()))
             .args([spec.unframed_ms.to_string(), self.store.to_string()])
+            .args(spec.full.map_or(Vec::new(), |full| {
+                [full.prefill_ms, full.answers_per_copy]
+                    .map(|number| number.to_string())
+                    .to_vec()
+            }))
             .stdin(Stdio::null())
             .stdout(log)
             .spawn()?;
@@ -581,6 +598,99 @@
     spec: EndpointSpec,
     weights: u64,
     accepted: u64,
+    running: u64,
+    /// Number of its answers to requests, and of second copies among them.
+    answers: u64,
+    copies: u64,
+    /// Clients' ends of the connections on which a second copy comes next.
+    due_copies: BTreeMap<SocketAddr, String>,
+    started: Instant,
+}
+
+/// An engine sends second copies for so long of each period: `for_s` of the site.
+const COPIES_TIME: Duration = Duration::from_secs(5);
+const COPIES_PERIOD: Duration = Duration::from_secs(8);
+
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// Serves a stream at an engine that may be full.
+fn serve_full(
+    endpoint: &Mutex<Endpoint>,
+    full: FullSpec,
+    id: &str,
+    after: u64,
+    stream: &mut TcpStream,
+) -> io::Result<bool> {
+    let client = stream.peer_addr()?;
+    let (spec, weights, copy, is_full) = {
+        let mut endpoint = lock(endpoint);
+        endpoint.answers += 1;
+        let is_full = endpoint.running >= endpoint.spec.slots;
+        // The copy is late: it comes where the engine runs the next request.
+        let copy = if is_full {
+            None
+        } else {
+            endpoint.running += 1;
+            due_copy(&mut endpoint, full, client)
+        };
+        (endpoint.spec.clone(), endpoint.weights, copy, is_full)
+    };
+    if let Some(refused) = copy {
+        println!(
+            "{} second copy of the refusal of {refused}, where the answer to {id} is due",
+            unix_ms()
+        );
+        stream.write_all(REFUSAL)?;
+    }
+    if is_full {
+        println!("{} refused {id}", unix_ms());
+        lock(endpoint).due_copies.insert(client, id.to_owned());
+        stream.write_all(REFUSAL)?;
+        return Ok(true);
+    }
+    println!(
+        "{} run {id} at {} {} after {after}",
+        unix_ms(),
+        spec.id,
+        spec.build
+    );
+    let is_left = is_left_within(stream, Duration::from_millis(full.prefill_ms));
+    let outcome = match is_left {
+        true => Err(io::ErrorKind::ConnectionAborted.into()),
+        false => write_events(stream, &spec, id, weights, after),
+    };
+    lock(endpoint).running -= 1;
+    println!("{} end {id} {}", unix_ms(), outcome.is_ok());
+    outcome
+}
+
+/// Returns whose refusal comes a second time on this connection now, if any may.
+fn due_copy(endpoint: &mut Endpoint, full: FullSpec, client: SocketAddr) -> Option<String> {
+    let elapsed = endpoint.started.elapsed().as_millis();
+    let is_time = elapsed % COPIES_PERIOD.as_millis() < COPIES_TIME.as_millis();
+    let refused = endpoint.due_copies.remove(&client);
+    let per_copy = full.answers_per_copy;
+    let is_due = per_copy > 0 && is_time && (endpoint.copies + 1) * per_copy <= endpoint.answers;
+    let refused = refused.filter(|_| is_due);
+    endpoint.copies += u64::from(refused.is_some());
+    refused
+}
+
+/// True if the client closes the connection within this time.
+fn is_left_within(stream: &TcpStream, time: Duration) -> bool {
+    let until = Instant::now() + time;
+    let _ = stream.set_nonblocking(true);
+    let mut is_left = false;
+    while !is_left && Instant::now() < until {
+        thread::sleep(Duration::from_millis(10));
+        is_left = match stream.peek(&mut [0]) {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        };
+    }
+    let _ = stream.set_nonblocking(false);
+    is_left
 }
 
 /// Serves as an endpoint if the program was started as one. It ends with its parent.
@@ -601,6 +711,10 @@
         pause_ms: number(9),
         slots: number(10),
         unframed_ms: number(11),
+        full: (arguments.len() > 14).then(|| FullSpec {
+            prefill_ms: number(13),
+            answers_per_copy: number(14),
+        }),
     };
     let store: SocketAddr = arguments[12].parse().expect("an address");
     let listener = TcpListener::bind(spec.listen).expect("the address is free");
@@ -608,6 +722,11 @@
         spec,
         weights: 1,
         accepted: 0,
+        running: 0,
+        answers: 0,
+        copies: 0,
+        due_copies: BTreeMap::new(),
+        started: Instant::now(),
     }));
     let shared = endpoint.clone();
     // The entry stands before the first request is served.
@@ -722,6 +841,9 @@
         .header("last-event-id")
         .and_then(|id| id.parse().ok())
         .unwrap_or(0);
+    if let Some(full) = spec.full {
+        return serve_full(endpoint, full, &id, after, stream);
+    }
     println!(
         "{} run {id} at {} {} tenant {tenant} salt {salt} parts {parts} after {after}",
         unix_ms(),
