--- a/review/standin-2/harness.rs
+++ b/review/standin-2/harness.rs
@@ -1175,7 +1175,7 @@
     pub name: String,
     settings: PathBuf,
     log: PathBuf,
-    ip: IpAddr,
+    ready: SocketAddr,
     pub front: SocketAddr,
     pub control: SocketAddr,
 }
@@ -1196,6 +1196,8 @@
         dir: &Path,
     ) -> io::Result<Self> {
         let ip = machine_ip(number);
+        let [front, ready, control, directory, first] = free_ports(ip)?;
+        let last = first.saturating_add(15);
         let name = format!("front-{number}");
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let seeds = seeds.join(",");
@@ -1207,7 +1209,7 @@
 Ip = "{ip}"
 Zone = "zone-a"
 Region = "region"
-PortRange = [7340,7355]
+PortRange = [{first},{last}]
 Seeds = [{seeds}]
 Bootstrap = false
 InTolerance = false
@@ -1218,10 +1220,10 @@
 [Zones]
 zone-a = "region"
 [Listen]
-Front = "{ip}:8782"
-Ready = "{ip}:8789"
-Control = "{ip}:8783"
-Directory = "{ip}:8780"
+Front = "{ip}:{front}"
+Ready = "{ip}:{ready}"
+Control = "{ip}:{control}"
+Directory = "{ip}:{directory}"
 [Limits]
 CpuShare = 0.25
 Cores = 1
@@ -1281,9 +1283,9 @@
             child: None,
             log: dir.join(format!("{name}.log")),
             settings,
-            ip,
-            front: SocketAddr::new(ip, 8782),
-            control: SocketAddr::new(ip, 8783),
+            ready: SocketAddr::new(ip, ready),
+            front: SocketAddr::new(ip, front),
+            control: SocketAddr::new(ip, control),
             name,
         };
         node.spawn()?;
@@ -1305,8 +1307,7 @@
 
     /// True once the readiness check succeeds.
     pub fn is_ready(&self) -> bool {
-        let ready = SocketAddr::new(self.ip, 8789);
-        call(ready, "GET", "/readyz", &[], b"").is_ok_and(|message| message.status() == 200)
+        call(self.ready, "GET", "/readyz", &[], b"").is_ok_and(|message| message.status() == 200)
     }
 
     /// What the node has logged so far.
@@ -1402,6 +1403,19 @@
     }
 }
 
+/// Free ports of an address.
+fn free_ports<const COUNT: usize>(ip: IpAddr) -> io::Result<[u16; COUNT]> {
+    let mut ports = [0; COUNT];
+    // All are held until the last one is drawn, so that they differ.
+    let mut listeners = Vec::new();
+    for port in &mut ports {
+        let listener = TcpListener::bind((ip, 0))?;
+        *port = listener.local_addr()?.port();
+        listeners.push(listener);
+    }
+    Ok(ports)
+}
+
 /// A free port of the local machine.
 pub fn free_address() -> io::Result<SocketAddr> {
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
