tests: crowds of clients with large bodies, and what a process has not yet read

Cause: the tests of untrusted clients had crowds of 16 to 48 senders, and counted the memory of the process only. DEPLOY.md counts bytes that were received and not yet read as well. Change: a thread samples resident memory and the receive queues of the process's sockets, those in the backlog included; the 13 tests that stood check it too, with their crowds and bounds as they were. 13 new tests with 300 clients and the smallest stated limits (88 MB, 4,100 descriptors), six forms of bodies each with a running process and with one stopped for 1.5 s, and one for all ports at once. The rig of both files is a module.

--- /dev/null
+++ b/crates/cli/tests/test_client_crowds.rs
@@ -0,0 +1,238 @@
+//! Crowds of untrusted clients that send large bodies, most of which stop short of their end: the
+//! memory of a node, together with what it has received and not yet read, must stay within
+//! what its settings state, however many clients there are and however late it reads.
+//!
+//! The tests check only that the process lives, its memory and open descriptors, and that
+//! ordinary requests are answered. They run one at a time.
+
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod entry_site;
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod untrusted;
+
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use untrusted::{BODY_LIMIT, Rig, StatedLimits, chunks, connect_all, crowd, head, write_pieces};
+
+/// The smallest limits of the deployments.
+const STATED: StatedLimits = StatedLimits {
+    memory_mb: 88,
+    max_fds: 4_100,
+};
+
+/// Untrusted clients of a port.
+const CLIENTS: usize = 300;
+
+/// Untrusted clients of each port where there are some at all of them.
+const CLIENTS_PER_PORT: usize = 100;
+
+/// One in so many clients sends its body to the end.
+const WHOLE_BODY_SHARE: usize = 8;
+
+/// Time for which a connect or a write of an untrusted client may block.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Time for which a process is stopped.
+const STOP_TIME: Duration = Duration::from_millis(1_500);
+
+/// Size of a piece of a body, in bytes.
+const SMALL_PIECE: usize = 1_460;
+
+/// Sizes of chunks, in bytes, and the number of the small ones.
+const LARGE_CHUNK: usize = 64 * 1024;
+const TINY_CHUNK: usize = 1;
+const TINY_CHUNKS: usize = 32 * 1024;
+
+/// Multiple of the limit that bodies over it announce or send.
+const EXCESS: usize = 4;
+
+/// How untrusted clients send their bodies.
+#[derive(Clone, Copy, Debug)]
+enum Form {
+    /// With their length, in writes of this many bytes.
+    Announced { length: usize, piece: usize },
+    /// In chunks.
+    Chunked { size: usize, count: usize },
+}
+
+const WHOLE: Form = Form::Announced {
+    length: BODY_LIMIT,
+    piece: BODY_LIMIT,
+};
+const PIECES: Form = Form::Announced {
+    length: BODY_LIMIT,
+    piece: SMALL_PIECE,
+};
+const LARGE_CHUNKS: Form = Form::Chunked {
+    size: LARGE_CHUNK,
+    count: BODY_LIMIT / LARGE_CHUNK,
+};
+const TINY: Form = Form::Chunked {
+    size: TINY_CHUNK,
+    count: TINY_CHUNKS,
+};
+const ANNOUNCED_OVER: Form = Form::Announced {
+    length: EXCESS * BODY_LIMIT,
+    piece: LARGE_CHUNK,
+};
+const SENT_OVER: Form = Form::Chunked {
+    size: LARGE_CHUNK,
+    count: EXCESS * BODY_LIMIT / LARGE_CHUNK,
+};
+
+/// What a crowd sends behind the first line of the head.
+struct Message {
+    framing: String,
+    body: Vec<u8>,
+    /// Bytes at the end of `body` that most clients keep back.
+    end: usize,
+    piece: usize,
+}
+
+impl Form {
+    fn message(self) -> Message {
+        match self {
+            Self::Announced { length, piece } => Message {
+                framing: format!("content-length: {length}\r\n\r\n"),
+                body: vec![b'x'; length],
+                end: 1,
+                piece,
+            },
+            Self::Chunked { size, count } => {
+                let last = b"0\r\n\r\n";
+                let mut body = chunks(size, count);
+                body.extend_from_slice(last);
+                Message {
+                    framing: "transfer-encoding: chunked\r\n\r\n".to_owned(),
+                    body,
+                    end: last.len(),
+                    piece: LARGE_CHUNK,
+                }
+            }
+        }
+    }
+}
+
+/// Clients send their bodies to a port, most without the end, and keep their connections.
+fn send(address: SocketAddr, clients: usize, form: Form) -> Vec<TcpStream> {
+    let message = form.message();
+    connect_all(crowd(clients), address, PATIENCE, |id, stream| {
+        let head = head("/draft/a", id) + &message.framing;
+        let end = match id % WHOLE_BODY_SHARE {
+            0 => 0,
+            _ => message.end,
+        };
+        let body = &message.body[..message.body.len() - end];
+        write_pieces(stream, head.as_bytes(), head.len());
+        write_pieces(stream, body, message.piece);
+    })
+}
+
+/// Stops the process while clients connect and send.
+fn send_while_stopped<T: Send>(rig: &Rig, send: impl FnOnce() -> T + Send) -> T {
+    rig.node.signal("STOP");
+    std::thread::scope(|scope| {
+        let clients = scope.spawn(send);
+        std::thread::sleep(STOP_TIME);
+        rig.node.signal("CONT");
+        clients.join().expect("the clients")
+    })
+}
+
+fn check(form: Form) {
+    let mut rig = Rig::start(STATED);
+    let clients = send(rig.node.front, CLIENTS, form);
+    rig.check(clients);
+}
+
+fn check_stopped(form: Form) {
+    let mut rig = Rig::start(STATED);
+    let front = rig.node.front;
+    let clients = send_while_stopped(&rig, || send(front, CLIENTS, form));
+    rig.check(clients);
+}
+
+/// Guards against memory that grows with the number of clients whose bodies wait.
+#[test]
+fn crowd_of_whole_bodies_stays_within_the_memory() {
+    check(WHOLE);
+}
+
+#[test]
+fn crowd_of_bodies_in_pieces_stays_within_the_memory() {
+    check(PIECES);
+}
+
+#[test]
+fn crowd_of_large_chunks_stays_within_the_memory() {
+    check(LARGE_CHUNKS);
+}
+
+#[test]
+fn crowd_of_tiny_chunks_stays_within_the_memory() {
+    check(TINY);
+}
+
+#[test]
+fn crowd_of_bodies_announced_over_the_limit_stays_within_the_memory() {
+    check(ANNOUNCED_OVER);
+}
+
+#[test]
+fn crowd_of_bodies_sent_over_the_limit_stays_within_the_memory() {
+    check(SENT_OVER);
+}
+
+/// Guards against receive buffers that fill beyond the memory while the process reads late.
+#[test]
+fn whole_bodies_to_a_late_reader_stay_within_the_memory() {
+    check_stopped(WHOLE);
+}
+
+#[test]
+fn bodies_in_pieces_to_a_late_reader_stay_within_the_memory() {
+    check_stopped(PIECES);
+}
+
+#[test]
+fn large_chunks_to_a_late_reader_stay_within_the_memory() {
+    check_stopped(LARGE_CHUNKS);
+}
+
+#[test]
+fn tiny_chunks_to_a_late_reader_stay_within_the_memory() {
+    check_stopped(TINY);
+}
+
+#[test]
+fn bodies_announced_over_the_limit_to_a_late_reader_stay_within_the_memory() {
+    check_stopped(ANNOUNCED_OVER);
+}
+
+#[test]
+fn bodies_sent_over_the_limit_to_a_late_reader_stay_within_the_memory() {
+    check_stopped(SENT_OVER);
+}
+
+/// Guards against bounds that hold for each port by itself, but not for all together, and against
+/// bodies that ports without bodies keep unread.
+#[test]
+fn bodies_to_all_ports_of_a_late_reader_stay_within_the_memory() {
+    let mut rig = Rig::start(STATED);
+    let node = &rig.node;
+    let ports = [
+        node.front,
+        node.control,
+        node.directory,
+        node.ready,
+        node.metrics,
+    ];
+    let clients = send_while_stopped(&rig, || {
+        std::thread::scope(|scope| {
+            let crowds = ports.map(|port| scope.spawn(move || send(port, CLIENTS_PER_PORT, WHOLE)));
+            crowds.map(|crowd| crowd.join().expect("a crowd"))
+        })
+    });
+    rig.check(clients);
+}
--- a/crates/cli/tests/test_untrusted_clients.rs
+++ b/crates/cli/tests/test_untrusted_clients.rs
@@ -6,18 +6,21 @@
 
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod entry_site;
+#[allow(dead_code, reason = "each test file needs a part of it")]
+mod untrusted;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Barrier, Mutex, MutexGuard, PoisonError};
+use std::sync::Barrier;
 use std::time::Duration;
 
 use entry_site::raw::{listen, read_request};
-use entry_site::{Node, Site, get, site_configuration, wait_for};
-use serde_json::{Value, json};
-
-/// Environment variable for the factor by which there are more untrusted clients.
-const CROWD_FACTOR: &str = "FLAMINGOLOCK_CROWD_FACTOR";
+use entry_site::{Node, get, wait_for};
+use serde_json::json;
+use untrusted::{
+    BODY_LIMIT, Rig, StatedLimits, WRITE_TIMEOUT, chunks, connect, connect_all, crowd, head,
+    write_pieces,
+};
 
 /// Clients that send large bodies.
 const BODY_CLIENTS: usize = 48;
@@ -36,210 +39,46 @@
 /// Callers that do not read their streams.
 const UNREAD_STREAMS: usize = 48;
 
-/// Limit on bodies in the site's configuration, in bytes.
-const BODY_LIMIT: usize = 4 * 1024 * 1024;
-
-/// Size of an ordinary body, in bytes.
-const ORDINARY_BODY: usize = 72_000;
-
-/// Descriptors that the settings state, and how many of them are reserved for files.
+/// Descriptors that the settings state.
 const MAX_FDS: usize = 700;
-const FILE_FDS: usize = 200;
 
 /// Memory that the settings state, in MB.
 const SMALL_MB: u64 = 88;
 const MEDIUM_MB: u64 = 110;
 
-/// Time for which a write of an untrusted client may block.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Time without growth after which a node has read what clients sent, and how often that is
-/// waited for.
-const SETTLE_PAUSE: Duration = Duration::from_secs(1);
-const MAX_SETTLE_S: usize = 20;
-
 /// Time for the engines to fill the buffers of unread streams.
 const FILL_TIME: Duration = Duration::from_secs(3);
 
 /// Size of an event of the unread streams, in bytes.
 const EVENT_BYTES: usize = 64 * 1024;
 
-static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
-
-/// A node with stated limits, and a site with large bodies and long timeouts.
-struct Rig {
-    site: Site,
-    node: Node,
-    memory_mb: u64,
-    _alone: MutexGuard<'static, ()>,
-}
-
-fn configuration() -> String {
-    let text = site_configuration(2, false);
-    let mut value: Value = serde_json::from_str(&text).expect("the configuration is JSON");
-    value["Limits"]["MaxBodyBytes"] = json!(BODY_LIMIT);
-    for route in value["Routes"].as_array_mut().expect("a list") {
-        route["TimeoutMs"] = json!(60_000);
-    }
-    for service in value["Services"].as_array_mut().expect("a list") {
-        if service["Engine"].is_object() {
-            service["Engine"]["Slots"] = json!(256);
-            service["Engine"]["KvCapacityTokens"] = json!(10_000_000);
-        }
-    }
-    value.to_string()
-}
-
-/// Number of untrusted clients.
-fn crowd(base: usize) -> usize {
-    let factor = std::env::var(CROWD_FACTOR).ok();
-    base * factor.map_or(1, |text| text.parse().expect("a number"))
-}
-
-impl Rig {
-    fn start(memory_mb: u64) -> Self {
-        let alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-        let site = Site::start_with(1, Duration::from_millis(5));
-        site.store.put("keyed.op", "op/config", &configuration());
-        let limits = format!("[Limits]\nMemoryMb = {memory_mb}\nMaxFds = {MAX_FDS}\n");
-        let node = Node::start_with("node-1", site.store.address(), &[], &limits);
-        node.wait_ready();
-        wait_for("the node to list all endpoints", || {
-            node.log().matches("endpoint listed").count() >= 3
-        });
-        Self {
-            site,
-            node,
-            memory_mb,
-            _alone: alone,
-        }
-    }
-
-    /// Sends one ordinary request, whose answer must be whole.
-    fn ask(&self, when: &str) {
-        let request = http::Request::builder()
-            .method("POST")
-            .uri(format!("http://{}/look/a", self.node.front))
-            .header("host", "site.example")
-            .header("authorization", "Bearer key-1")
-            .header("request-id", when)
-            .header("deadline-ms", "8000")
-            .body(vec![b'x'; ORDINARY_BODY])
-            .expect("a request");
-        let answer = entry_site::client(0).run(request);
-        let status = answer.map(|answer| answer.status().as_u16());
-        assert!(
-            matches!(status, Ok(200)),
-            "ordinary request {when}: {status:?}"
-        );
-    }
-
-    /// Waits until the node has read what the clients sent: its peak memory no longer grows.
-    fn settle(&self) {
-        let mut peaks = vec![0];
-        for _ in 0..MAX_SETTLE_S {
-            std::thread::sleep(SETTLE_PAUSE);
-            peaks.extend(self.node.peak_memory_kb());
-            if peaks[peaks.len() - 1] == peaks[peaks.len().saturating_sub(2)] {
-                break;
-            }
-        }
-    }
-
-    /// Checks the bounds while the clients of `crowd` are connected, and after they have left.
-    fn check<T>(&mut self, crowd: T) {
-        self.settle();
-        self.ask("during");
-        self.check_bounds();
-        drop(crowd);
-        self.ask("after");
-        self.check_bounds();
-    }
-
-    fn check_bounds(&mut self) {
-        assert!(!self.node.has_exited(), "the node has exited");
-        let peak = self.node.peak_memory_kb().expect("the node runs");
-        let fds = std::fs::read_dir(format!("/proc/{}/fd", self.node.id()))
-            .expect("the node runs")
-            .count();
-        println!("peak {peak} kB, {fds} descriptors");
-        let bound = self.memory_mb * 1_000_000 / 1024;
-        assert!(peak <= bound, "peak of {peak} kB, bound {bound} kB");
-        let bound = MAX_FDS - FILE_FDS;
-        assert!(fds <= bound, "{fds} open descriptors, bound {bound}");
-    }
-}
-
-fn connect(address: SocketAddr) -> Option<TcpStream> {
-    let stream = TcpStream::connect_timeout(&address, WRITE_TIMEOUT).ok()?;
-    stream.set_write_timeout(Some(WRITE_TIMEOUT)).ok()?;
-    Some(stream)
-}
-
-/// Head of a request without the line that tells the length of its body.
-fn head(path: &str, id: usize) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nhost: site.example\r\nauthorization: Bearer key-1\r\nrequest-id: crowd-{id}\r\n\
-         model: planner\r\ntoken-usage: 1000,64\r\nprefix-hash: a{id}:300,c:300\r\n"
-    )
-}
-
-/// Writes `data` in pieces of at most `piece` bytes. A node may close the connection.
-fn write_pieces(stream: &mut TcpStream, data: &[u8], piece: usize) {
-    for piece in data.chunks(piece) {
-        if stream.write_all(piece).is_err() {
-            return;
-        }
-    }
-}
-
-/// Encodes chunks of `size` bytes.
-fn chunks(size: usize, count: usize) -> Vec<u8> {
-    let mut chunk = format!("{size:x}\r\n").into_bytes();
-    chunk.resize(chunk.len() + size, b'x');
-    chunk.extend_from_slice(b"\r\n");
-    chunk.repeat(count)
-}
-
-/// Connects clients that each send something on a thread of its own, and keeps what is open.
-fn connect_all(
-    count: usize,
-    address: SocketAddr,
-    send: impl Fn(usize, &mut TcpStream) + Sync,
-) -> Vec<TcpStream> {
-    std::thread::scope(|scope| {
-        let clients: Vec<_> = (0..count)
-            .map(|id| {
-                let send = &send;
-                scope.spawn(move || {
-                    let mut stream = connect(address)?;
-                    send(id, &mut stream);
-                    Some(stream)
-                })
-            })
-            .collect();
-        let clients = clients.into_iter();
-        clients
-            .filter_map(|client| client.join().expect("a client"))
-            .collect()
+fn start(memory_mb: u64) -> Rig {
+    Rig::start(StatedLimits {
+        memory_mb,
+        max_fds: MAX_FDS,
     })
 }
 
 /// Clients announce a body of `announced` bytes and send all of the limit but one byte.
 fn send_announced(rig: &Rig, announced: usize, piece: usize) -> Vec<TcpStream> {
     let body = vec![b'x'; BODY_LIMIT - 1];
-    connect_all(crowd(BODY_CLIENTS), rig.node.front, |id, stream| {
-        let head = format!(
-            "{}content-length: {announced}\r\n\r\n",
-            head("/draft/a", id)
-        );
-        write_pieces(stream, head.as_bytes(), head.len());
-        write_pieces(stream, &body, piece);
-    })
+    connect_all(
+        crowd(BODY_CLIENTS),
+        rig.node.front,
+        WRITE_TIMEOUT,
+        |id, stream| {
+            let head = format!(
+                "{}content-length: {announced}\r\n\r\n",
+                head("/draft/a", id)
+            );
+            write_pieces(stream, head.as_bytes(), head.len());
+            write_pieces(stream, &body, piece);
+        },
+    )
 }
 
 fn send_chunks(rig: &Rig, clients: usize, body: &[u8]) -> Vec<TcpStream> {
-    connect_all(clients, rig.node.front, |id, stream| {
+    connect_all(clients, rig.node.front, WRITE_TIMEOUT, |id, stream| {
         let head = format!("{}transfer-encoding: chunked\r\n\r\n", head("/draft/a", id));
         write_pieces(stream, head.as_bytes(), head.len());
         write_pieces(stream, body, 64 * 1024);
@@ -250,7 +89,7 @@
 #[test]
 fn whole_bodies_that_never_end_stay_within_the_memory() {
     for memory_mb in [SMALL_MB, MEDIUM_MB] {
-        let mut rig = Rig::start(memory_mb);
+        let mut rig = start(memory_mb);
         let crowd = send_announced(&rig, BODY_LIMIT, BODY_LIMIT);
         rig.check(crowd);
     }
@@ -259,7 +98,7 @@
 /// Guards against read buffers that outlive the small pieces read into them.
 #[test]
 fn bodies_in_pieces_that_never_end_stay_within_the_memory() {
-    let mut rig = Rig::start(SMALL_MB);
+    let mut rig = start(SMALL_MB);
     let crowd = send_announced(&rig, BODY_LIMIT, 1_460);
     rig.check(crowd);
 }
@@ -267,7 +106,7 @@
 /// Guards against unbounded memory of bodies whose length is not announced.
 #[test]
 fn large_chunks_that_never_end_stay_within_the_memory() {
-    let mut rig = Rig::start(MEDIUM_MB);
+    let mut rig = start(MEDIUM_MB);
     let body = chunks(64 * 1024, BODY_LIMIT / (64 * 1024));
     let crowd = send_chunks(&rig, crowd(BODY_CLIENTS), &body);
     rig.check(crowd);
@@ -276,7 +115,7 @@
 /// Guards against bookkeeping for each chunk that is larger than the chunk.
 #[test]
 fn tiny_chunks_that_never_end_stay_within_the_memory() {
-    let mut rig = Rig::start(SMALL_MB);
+    let mut rig = start(SMALL_MB);
     let body = chunks(1, TINY_CHUNKS);
     let crowd = send_chunks(&rig, crowd(TINY_CLIENTS), &body);
     rig.check(crowd);
@@ -285,7 +124,7 @@
 /// Guards against reading a body whose announced length is over the limit.
 #[test]
 fn bodies_announced_over_the_limit_stay_within_the_memory() {
-    let mut rig = Rig::start(MEDIUM_MB);
+    let mut rig = start(MEDIUM_MB);
     let crowd = send_announced(&rig, 100 * BODY_LIMIT, 64 * 1024);
     rig.check(crowd);
 }
@@ -293,12 +132,12 @@
 /// Guards against unbounded memory of bodies that turn out to be over the limit.
 #[test]
 fn chunks_over_the_limit_stay_within_the_memory() {
-    let mut rig = Rig::start(MEDIUM_MB);
+    let mut rig = start(MEDIUM_MB);
     let clients = crowd(BODY_CLIENTS);
     let legal = chunks(64 * 1024, BODY_LIMIT / (64 * 1024));
     let excess = chunks(64 * 1024, 64);
     let all_at_limit = Barrier::new(clients);
-    let crowd = connect_all(clients, rig.node.front, |id, stream| {
+    let crowd = connect_all(clients, rig.node.front, WRITE_TIMEOUT, |id, stream| {
         let head = format!("{}transfer-encoding: chunked\r\n\r\n", head("/draft/a", id));
         write_pieces(stream, head.as_bytes(), head.len());
         write_pieces(stream, &legal, 64 * 1024);
@@ -311,10 +150,10 @@
 /// Guards against connections without a bound that wait for the end of a request's head.
 #[test]
 fn heads_that_never_end_stay_within_the_descriptors() {
-    let mut rig = Rig::start(SMALL_MB);
+    let mut rig = start(SMALL_MB);
     let crowd: Vec<_> = (0..crowd(IDLE_CLIENTS))
         .filter_map(|id| {
-            let mut stream = connect(rig.node.front)?;
+            let mut stream = connect(rig.node.front, WRITE_TIMEOUT)?;
             let head = format!("{}filler: {}", head("/look/a", id), "x".repeat(12_000));
             write_pieces(&mut stream, head.as_bytes(), head.len());
             Some(stream)
@@ -326,9 +165,9 @@
 /// Guards against idle connections without a bound.
 #[test]
 fn idle_connections_stay_within_the_descriptors() {
-    let mut rig = Rig::start(SMALL_MB);
+    let mut rig = start(SMALL_MB);
     let crowd: Vec<_> = (0..crowd(IDLE_CLIENTS))
-        .filter_map(|_| connect(rig.node.front))
+        .filter_map(|_| connect(rig.node.front, WRITE_TIMEOUT))
         .collect();
     rig.check(crowd);
 }
@@ -369,7 +208,7 @@
 /// Guards against unread parts of streamed answers that are queued without a common bound.
 #[test]
 fn unread_streams_stay_within_the_memory() {
-    let mut rig = Rig::start(SMALL_MB);
+    let mut rig = start(SMALL_MB);
     for index in 0..4 {
         let entry = json!({
             "Service": "engines", "Address": listen(write_endless_stream).to_string(), "Zone": "zone-a",
@@ -388,13 +227,18 @@
         let log = rig.node.log();
         log.matches("endpoint listed").count() >= 7 && log.contains("endpoint is leaving")
     });
-    let crowd = connect_all(crowd(UNREAD_STREAMS), rig.node.front, |id, stream| {
-        let head = format!("{}content-length: 0\r\n\r\n", head("/draft/a", id));
-        write_pieces(stream, head.as_bytes(), head.len());
-        // The first bytes show that the stream has begun; the rest stays unread.
-        let _ = stream.set_read_timeout(Some(FILL_TIME));
-        let _ = stream.read(&mut [0; 16]);
-    });
+    let crowd = connect_all(
+        crowd(UNREAD_STREAMS),
+        rig.node.front,
+        WRITE_TIMEOUT,
+        |id, stream| {
+            let head = format!("{}content-length: 0\r\n\r\n", head("/draft/a", id));
+            write_pieces(stream, head.as_bytes(), head.len());
+            // The first bytes show that the stream has begun; the rest stays unread.
+            let _ = stream.set_read_timeout(Some(FILL_TIME));
+            let _ = stream.read(&mut [0; 16]);
+        },
+    );
     std::thread::sleep(FILL_TIME);
     let started = rig.node.log().matches("stream started").count();
     assert!(started > 0, "no stream has begun");
@@ -404,15 +248,16 @@
 
 /// Clients send heads without an end to a port, then others hold connections to it.
 fn check_port(address: impl Fn(&Node) -> SocketAddr, path: Option<&str>) {
-    let mut rig = Rig::start(SMALL_MB);
+    let mut rig = start(SMALL_MB);
     let address = address(&rig.node);
     let head = format!("GET / HTTP/1.1\r\nfiller: {}", "x".repeat(HEAD_BYTES));
-    let mut crowd_streams = connect_all(crowd(HEAD_CLIENTS), address, |_, stream| {
-        write_pieces(stream, head.as_bytes(), 16 * 1024);
-    });
+    let mut crowd_streams =
+        connect_all(crowd(HEAD_CLIENTS), address, WRITE_TIMEOUT, |_, stream| {
+            write_pieces(stream, head.as_bytes(), 16 * 1024);
+        });
     let started = "GET / HTTP/1.1\r\n";
     crowd_streams.extend((0..crowd(IDLE_CLIENTS)).filter_map(|_| {
-        let mut stream = connect(address)?;
+        let mut stream = connect(address, WRITE_TIMEOUT)?;
         write_pieces(&mut stream, started.as_bytes(), started.len());
         Some(stream)
     }));
