tests: twice the crowd, which the process itself does not bear

Cause: with 300 clients the process alone stays within its memory, and only unread bytes exceed it; a fault in what the process itself holds would not show.

--- a/crates/cli/tests/test_client_crowds.rs
+++ b/crates/cli/tests/test_client_crowds.rs
@@ -141,8 +141,12 @@
 }
 
 fn check(form: Form) {
+    check_number(CLIENTS, form);
+}
+
+fn check_number(clients: usize, form: Form) {
     let mut rig = Rig::start(STATED);
-    let clients = send(rig.node.front, CLIENTS, form);
+    let clients = send(rig.node.front, clients, form);
     rig.check(clients);
 }
 
@@ -184,6 +188,18 @@
     check(SENT_OVER);
 }
 
+/// Guards against memory of the process itself that grows with the number of clients: the
+/// buffers of their connections, and parts of bodies that wait for memory.
+#[test]
+fn twice_the_crowd_of_whole_bodies_stays_within_the_memory() {
+    check_number(2 * CLIENTS, WHOLE);
+}
+
+#[test]
+fn twice_the_crowd_of_bodies_in_pieces_stays_within_the_memory() {
+    check_number(2 * CLIENTS, PIECES);
+}
+
 /// Guards against receive buffers that fill beyond the memory while the process reads late.
 #[test]
 fn whole_bodies_to_a_late_reader_stay_within_the_memory() {
