gateway: bytes that clients sent and nobody has read stay within the memory

What callers saw: an instance that exceeds its memory is killed, with all its requests. Cause: each connection had a receive buffer of 128 KiB (256 KiB of unread bytes on Linux), also while it waited in the backlog of 1,024, and nothing tied the product to the memory. A body that waits for memory does not read, and an instance with a fraction of a core reads late. Change: memory_plan.rs divides the stated memory among bodies, the connections to each port with their backlog, and wide receive buffers; bounds and backlogs follow from it. A connection waits with 8 KiB (4 KiB at ports without bodies), has 16 KiB once accepted, and 128 KiB while there is memory for it when its client sends a large body (receive_buffer.rs). The bound on connections counts unread bytes and the read buffer under the limits in force. The directory has a part of its own.

--- a/crates/gateway/src/connection_limit.rs
+++ b/crates/gateway/src/connection_limit.rs
@@ -8,16 +8,11 @@
 
 use tokio::sync::Notify;
 
+use crate::memory_plan::{MemoryPlan, Port};
+
 /// Descriptors that are kept free for files.
 const FILE_FDS: u64 = 200;
 
-/// Memory that a connection may use for its buffers and state, in bytes.
-const CONNECTION_BYTES: u64 = 48 * 1024;
-
-/// The inverse of the part of the process's memory that connections of callers may use. Those to
-/// the other ports may use as much less as their part of the descriptors is smaller.
-const MEMORY_PART: u64 = 4;
-
 /// Number of parts into which the descriptors are divided, and how many of them callers get.
 const PARTS: u64 = 32;
 const CALLER_PARTS: u64 = 12;
@@ -25,35 +20,13 @@
 /// Smallest bound, for settings that state hardly any memory or descriptors.
 const MIN_CONNECTIONS: usize = 8;
 
-/// Ports with a bound of their own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Port {
-    /// The port for callers.
-    Callers,
-    /// The port for other nodes.
-    Nodes,
-    /// The directory, readiness and metrics ports.
-    Internal,
-}
-
-impl Port {
-    /// Part of the descriptors that connections to the port may use, in units of
-    /// 1 / [`PARTS`]. What remains is for endpoints, as many as there are callers, and for the
-    /// store.
-    fn parts(self) -> u64 {
-        match self {
-            Self::Callers => CALLER_PARTS,
-            Self::Nodes => 4,
-            Self::Internal => 1,
-        }
-    }
-
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Callers => "callers",
-            Self::Nodes => "nodes",
-            Self::Internal => "internal",
-        }
+/// Part of the descriptors that connections to a port may use, in units of 1 / [`PARTS`]. What
+/// remains is for endpoints, as many as there are callers, and for the store.
+fn descriptor_parts(port: Port) -> u64 {
+    match port {
+        Port::Callers => CALLER_PARTS,
+        Port::Nodes => 4,
+        Port::Directory | Port::Internal => 1,
     }
 }
 
@@ -84,7 +57,9 @@
 #[derive(Debug)]
 struct Shared {
     port: Port,
-    limit: usize,
+    plan: MemoryPlan,
+    /// Bound by the descriptors.
+    by_fds: usize,
     state: Mutex<State>,
 }
 
@@ -114,17 +89,12 @@
     pub fn of(port: Port, max_fds: u64, memory_mb: u64) -> Self {
         let by_fds = match max_fds {
             0 => u64::MAX,
-            _ => max_fds.saturating_sub(FILE_FDS) * port.parts() / PARTS,
-        };
-        let callers = match memory_mb {
-            0 => u64::MAX / PARTS,
-            _ => memory_mb * 1_000_000 / MEMORY_PART / CONNECTION_BYTES,
+            _ => max_fds.saturating_sub(FILE_FDS) * descriptor_parts(port) / PARTS,
         };
-        let by_memory = callers * port.parts() / CALLER_PARTS;
-        let limit = usize::try_from(by_fds.min(by_memory)).unwrap_or(usize::MAX);
         Self(Arc::new(Shared {
             port,
-            limit: limit.max(MIN_CONNECTIONS),
+            plan: MemoryPlan::of_memory(memory_mb),
+            by_fds: usize::try_from(by_fds).unwrap_or(usize::MAX),
             state: Mutex::default(),
         }))
     }
@@ -134,11 +104,13 @@
         self.0.port.as_str()
     }
 
-    /// Takes a place for a new connection.
-    pub fn enter(&self) -> Entered {
+    /// Takes a place for a new connection, whose read buffer may grow to this size in bytes.
+    pub fn enter(&self, read_buffer: usize) -> Entered {
+        let by_memory = self.0.plan.connections(self.0.port, read_buffer);
+        let limit = by_memory.min(self.0.by_fds).max(MIN_CONNECTIONS);
         let mut state = self.0.state();
         let mut replaced = false;
-        if state.open.len() >= self.0.limit {
+        if state.open.len() >= limit {
             let open = state.open.iter();
             let idle = open.filter(|(_, open)| open.activity < Activity::Running);
             let longest = idle.min_by_key(|(_, open)| (open.activity, open.since));
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use crate::http_client::Pool;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
+use crate::receive_buffer::WideBuffers;
 use crate::workspaces::Workspace;
 
 /// Who sent a request to this node.
@@ -140,4 +141,6 @@
     pub metrics: Arc<Metrics>,
     /// Memory for data that is held for clients.
     pub memory: MemoryBudget,
+    /// Memory for wide receive buffers of clients' connections.
+    pub wide_buffers: WideBuffers,
 }
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -14,9 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout_at;
 
-/// Part of the process's memory that bodies and unread answers may hold. The rest is for the
-/// process itself, the buffers of connections, and fragmentation of the heap.
-const BUDGET_SHARE: f64 = 0.3;
+use crate::memory_plan::MemoryPlan;
 
 /// Part of the budget that only small bodies may use, so that large ones cannot keep out
 /// ordinary requests.
@@ -92,10 +90,7 @@
 impl MemoryBudget {
     /// Budget of a process with this memory; without a limit if it is 0, that is, unknown.
     pub fn of_memory(memory_mb: u64) -> Self {
-        match memory_mb {
-            0 => Self::default(),
-            _ => Self::with_limit((memory_mb as f64 * 1_000_000.0 * BUDGET_SHARE) as usize),
-        }
+        Self::with_limit(MemoryPlan::of_memory(memory_mb).bodies())
     }
 
     /// Budget of this many bytes.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,15 +10,17 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
 
-use crate::connection_limit::{ConnectionLimit, Port};
+use crate::connection_limit::ConnectionLimit;
 use crate::control::{self, Event, FollowedTopic, Handle};
 use crate::dialect::Dialect;
 use crate::exchange::{ProcessEnd, ProxyContext};
 use crate::gossip;
 use crate::http_client::Pool;
 use crate::memory_budget::MemoryBudget;
+use crate::memory_plan::{MemoryPlan, Port};
 use crate::metrics::Metrics;
 use crate::node_port;
+use crate::receive_buffer::WideBuffers;
 use crate::server::{self, ConnectionCount};
 use crate::settings::Settings;
 use crate::store;
@@ -81,6 +83,7 @@
     let metrics = Arc::new(Metrics::default());
     let handle = control::start(settings.clone(), dialect, metrics.clone(), effects)?;
     let (end_sender, process_end) = ProcessEnd::channel();
+    let plan = MemoryPlan::of_memory(settings.memory_mb);
     let context = ProxyContext {
         process_end,
         handle: handle.clone(),
@@ -89,14 +92,15 @@
         node_pool: Pool::default(),
         metrics: metrics.clone(),
         memory: MemoryBudget::of_memory(settings.memory_mb),
+        wide_buffers: WideBuffers::with_limit(plan.wide_buffers()),
     };
     let limit = |port| ConnectionLimit::of(port, settings.max_fds, settings.memory_mb);
     let connections = ConnectionCount::default();
     let (shutdown_sender, shutdown) = watch::channel(false);
-    let caller_listener = listen(settings.callers)?;
+    let caller_listener = listen(settings.callers, Port::Callers, plan)?;
     serve_internal_ports(&settings, &context)?;
     if let Some(address) = settings.control {
-        let listener = listen(address)?;
+        let listener = listen(address, Port::Nodes, plan)?;
         tokio::spawn(node_port::serve(
             listener,
             limit(Port::Nodes),
@@ -168,17 +172,22 @@
 
 /// Opens and serves the directory, readiness and metrics ports.
 fn serve_internal_ports(settings: &Settings, context: &ProxyContext) -> Result<(), StartError> {
-    let limit = || ConnectionLimit::of(Port::Internal, settings.max_fds, settings.memory_mb);
-    for address in [settings.directory, settings.ready] {
+    let plan = MemoryPlan::of_memory(settings.memory_mb);
+    let limit = |port| ConnectionLimit::of(port, settings.max_fds, settings.memory_mb);
+    let ports = [
+        (settings.directory, Port::Directory),
+        (settings.ready, Port::Internal),
+    ];
+    for (address, port) in ports {
         tokio::spawn(server::serve_directory(
-            listen(address)?,
-            limit(),
+            listen(address, port, plan)?,
+            limit(port),
             context.clone(),
         ));
     }
     tokio::spawn(server::serve_metrics(
-        listen(settings.metrics)?,
-        limit(),
+        listen(settings.metrics, Port::Internal, plan)?,
+        limit(Port::Internal),
         context.metrics.clone(),
     ));
     Ok(())
@@ -226,8 +235,8 @@
     handle.send(Event::BuildsRecovered);
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
-    server::listen(address).map_err(|source| listen_error(address, source))
+fn listen(address: SocketAddr, port: Port, plan: MemoryPlan) -> Result<TcpListener, StartError> {
+    server::listen(address, port, plan).map_err(|source| listen_error(address, source))
 }
 
 fn listen_error(address: SocketAddr, source: io::Error) -> StartError {
--- a/crates/gateway/src/node_port.rs
+++ b/crates/gateway/src/node_port.rs
@@ -17,6 +17,7 @@
 use crate::handover;
 use crate::metrics::Metrics;
 use crate::peer_sync::Transfers;
+use crate::receive_buffer::ClientStream;
 use crate::server::{self, Client, ConnectionCount, ConnectionGuard};
 
 /// Time for the first byte of a connection.
@@ -35,7 +36,9 @@
     let transfers = Transfers::new(context.handle.clone());
     loop {
         let stream = server::accept(&listener).await;
-        let Some(client) = server::enter(&limit, &stream, &metrics) else {
+        let limits = server::caller_limits(&context);
+        let read_buffer = server::read_buffer(&limits);
+        let Some(client) = server::enter(&limit, read_buffer, &stream, &metrics) else {
             continue;
         };
         // Connections take part in the bound of transfers until they turn out to be none.
@@ -83,6 +86,7 @@
     guard: ConnectionGuard,
 ) {
     let limits = server::caller_limits(&context);
+    let stream = ClientStream::new(stream, context.wide_buffers.clone());
     let handler = move |request: Request<Incoming>| {
         handover::receive(request, context.clone(), metrics.clone())
     };
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -25,13 +25,12 @@
 use crate::directory;
 use crate::exchange::{Origin, ProxyContext};
 use crate::limited_log::LimitedLog;
+use crate::memory_plan::{MemoryPlan, Port};
 use crate::metrics::{EventKind, Metrics};
+use crate::receive_buffer::ClientStream;
 use crate::request_handler;
 use crate::response::{IncompleteBody, ResponseBody};
 
-/// Listen backlog.
-const BACKLOG: u32 = 1_024;
-
 /// Margin by which a connection is kept beyond the idle timeout, so that the caller
 /// closes it first.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
@@ -42,8 +41,7 @@
 /// Minimum buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Socket buffers of a connection, in bytes. They count toward the memory of the instance.
-const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
+/// Send buffer of a connection, in bytes.
 const SEND_BUFFER_BYTES: usize = 256 * 1024;
 
 /// Maximum size of the buffers of a connection to an internal port, in bytes.
@@ -102,9 +100,15 @@
 }
 
 /// Takes a place for a new connection. None if all others are in use, so that it must be closed.
-pub fn enter(limit: &ConnectionLimit, stream: &TcpStream, metrics: &Metrics) -> Option<Client> {
+/// `read_buffer` is the size in bytes to which its read buffer may grow.
+pub fn enter(
+    limit: &ConnectionLimit,
+    read_buffer: usize,
+    stream: &TcpStream,
+    metrics: &Metrics,
+) -> Option<Client> {
     let address = stream.peer_addr().ok();
-    let (slot, outcome) = match limit.enter() {
+    let (slot, outcome) = match limit.enter(read_buffer) {
         Entered::Free(slot) => {
             return Some(Client { slot, address });
         }
@@ -153,21 +157,22 @@
     }
 }
 
-/// Opens a listening socket.
+/// Opens the listening socket of a port. Connections wait to be accepted with a small receive
+/// buffer.
 ///
 /// # Errors
 ///
 /// If the address cannot be bound.
-pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+pub fn listen(address: SocketAddr, port: Port, plan: MemoryPlan) -> std::io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => tokio::net::TcpSocket::new_v4()?,
         SocketAddr::V6(_) => tokio::net::TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES as u32)?;
+    socket.set_recv_buffer_size(port.unaccepted_buffer() as u32)?;
     socket.set_send_buffer_size(SEND_BUFFER_BYTES as u32)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    socket.listen(plan.backlog(port) as u32)
 }
 
 /// Accepts the next connection, retrying after errors.
@@ -200,13 +205,14 @@
 ) {
     loop {
         let stream = accept(&listener).await;
-        let Some(client) = enter(&limit, &stream, &metrics) else {
+        let limits = caller_limits(&context);
+        let Some(client) = enter(&limit, read_buffer(&limits), &stream, &metrics) else {
             continue;
         };
         let context = context.clone();
         let metrics = metrics.clone();
         let guard = connections.enter();
-        let limits = caller_limits(&context);
+        let stream = ClientStream::new(stream, context.wide_buffers.clone());
         let handler = move |request: Request<Incoming>| {
             let context = context.clone();
             let metrics = metrics.clone();
@@ -230,10 +236,15 @@
     catalog.map(|catalog| catalog.limits).unwrap_or_default()
 }
 
+/// Size in bytes to which the read buffer of a connection may grow under these limits.
+pub fn read_buffer(limits: &CallerLimits) -> usize {
+    (limits.header_bytes * 2).max(MIN_BUFFER_BYTES)
+}
+
 /// Serves one connection until it is closed. Once `shutdown` is true, it is closed as soon
 /// as it is idle.
 pub async fn serve_connection<F, R>(
-    stream: TcpStream,
+    stream: ClientStream,
     client: Client,
     limits: CallerLimits,
     handler: F,
@@ -258,7 +269,7 @@
         .timer(TokioTimer::new())
         .keep_alive(keep_alive)
         .header_read_timeout(limits.idle_time + IDLE_MARGIN)
-        .max_buf_size((limits.header_bytes * 2).max(MIN_BUFFER_BYTES))
+        .max_buf_size(read_buffer(&limits))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut watching = keep_alive;
@@ -285,7 +296,7 @@
 pub async fn serve_directory(listener: TcpListener, limit: ConnectionLimit, context: ProxyContext) {
     loop {
         let stream = accept(&listener).await;
-        let Some(client) = enter(&limit, &stream, &context.metrics) else {
+        let Some(client) = enter(&limit, INTERNAL_BUFFER_BYTES, &stream, &context.metrics) else {
             continue;
         };
         let context = context.clone();
@@ -301,7 +312,7 @@
 pub async fn serve_metrics(listener: TcpListener, limit: ConnectionLimit, metrics: Arc<Metrics>) {
     loop {
         let stream = accept(&listener).await;
-        let Some(client) = enter(&limit, &stream, &metrics) else {
+        let Some(client) = enter(&limit, INTERNAL_BUFFER_BYTES, &stream, &metrics) else {
             continue;
         };
         let metrics = metrics.clone();
--- a/crates/gateway/tests/test_attempts.rs
+++ b/crates/gateway/tests/test_attempts.rs
@@ -14,6 +14,7 @@
 use flamingolock_gateway::fingerprint::Fingerprints;
 use flamingolock_gateway::http_client::Pool;
 use flamingolock_gateway::metrics::Metrics;
+use flamingolock_gateway::receive_buffer::WideBuffers;
 use flamingolock_platform::DIALECT;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method};
@@ -114,6 +115,7 @@
     let context = ProxyContext {
         metrics: Arc::default(),
         memory: flamingolock_gateway::memory_budget::MemoryBudget::default(),
+        wide_buffers: WideBuffers::with_limit(0),
         process_end: ProcessEnd::channel().1,
         handle: handle.clone(),
         dialect: &DIALECT,
--- a/crates/gateway/tests/test_client_limits.rs
+++ b/crates/gateway/tests/test_client_limits.rs
@@ -2,14 +2,18 @@
 
 use std::time::Duration;
 
-use flamingolock_gateway::connection_limit::{ConnectionLimit, Entered, Port, Slot};
+use flamingolock_gateway::connection_limit::{ConnectionLimit, Entered, Slot};
 use flamingolock_gateway::memory_budget::{BodyBuffer, BudgetExhausted, MemoryBudget};
+use flamingolock_gateway::memory_plan::Port;
 use tokio::time::timeout;
 
 const MIB: usize = 1024 * 1024;
 const LIMIT: usize = 4 * MIB;
 const ORDINARY: usize = 72_000;
 
+/// Size to which the read buffer of a connection may grow, in bytes.
+const READ_BUFFER: usize = 32 * 1024;
+
 /// Time within which something that is due at once happens.
 const AT_ONCE: Duration = Duration::from_secs(5);
 
@@ -109,7 +113,7 @@
 }
 
 fn enter(limit: &ConnectionLimit) -> Slot {
-    match limit.enter() {
+    match limit.enter(READ_BUFFER) {
         Entered::Free(slot) => slot,
         other => panic!("{other:?}"),
     }
@@ -126,7 +130,7 @@
     let slots: Vec<Slot> = (0..10).map(|_| enter(&limit)).collect();
     slots[0].request(None).running();
     slots[1].request(None).progress();
-    assert!(matches!(limit.enter(), Entered::Replaced(_)));
+    assert!(matches!(limit.enter(READ_BUFFER), Entered::Replaced(_)));
     assert!(is_closed(&slots[2]).await);
     for open in [0, 1, 3] {
         assert!(!is_closed(&slots[open]).await, "{open}");
@@ -141,9 +145,9 @@
     for slot in &slots {
         slot.request(None).running();
     }
-    assert!(matches!(limit.enter(), Entered::Full));
+    assert!(matches!(limit.enter(READ_BUFFER), Entered::Full));
     slots[4].request(None).ended();
-    assert!(matches!(limit.enter(), Entered::Replaced(_)));
+    assert!(matches!(limit.enter(READ_BUFFER), Entered::Replaced(_)));
     assert!(is_closed(&slots[4]).await);
 }
 
