gateway: bodies are kept in parts, and what they are read from is counted

What callers saw: an instance that exceeds its memory is killed, with all its requests. Cause: the process itself held more than its budget counted. A body grew by doubling in one buffer, so freed buffers of all sizes left holes in the heap; parts that hyper had read for a body that waited for memory were not counted; and the shares of a small memory left too little for the process. Change: a body is a list of parts of at most 32 KiB, charged one by one, which go to the endpoint as they are (payload.rs). Before a body is read, the buffers that it is read from are charged until its end. 16 MB for the process itself are set aside before the memory is divided.

--- a/crates/cli/tests/soak/callers.rs
+++ b/crates/cli/tests/soak/callers.rs
@@ -9,8 +9,9 @@
 
 use bytes::Bytes;
 use flamingolock_gateway::http_client::Connection;
+use flamingolock_gateway::payload::Payload;
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
@@ -215,7 +216,7 @@
 
 /// Queries a node's directory for the nodes to connect to. None when the query fails.
 async fn resolve(cluster: &Cluster, node: usize) -> Option<Vec<usize>> {
-    let get = |path| Request::get(path).body(Full::new(Bytes::new())).ok();
+    let get = |path| Request::get(path).body(Payload::default()).ok();
     let query = async {
         let mut connection = Connection::open(cluster.addresses[node].1, CONNECT_TIMEOUT)
             .await
@@ -325,7 +326,7 @@
     id: &str,
     caller: usize,
     resumed: Option<&Stream>,
-) -> Request<Full<Bytes>> {
+) -> Request<Payload> {
     let mut request = Request::post(kind.path())
         .header("host", "site.example")
         .header("authorization", format!("Bearer key-{}", 1 + caller % 2))
@@ -343,13 +344,13 @@
         }
     }
     request
-        .body(Full::new(Bytes::from_static(b"the body")))
+        .body(Bytes::from_static(b"the body").into())
         .expect("a request")
 }
 
 async fn exchange(
     connection: &mut Connection,
-    request: Request<Full<Bytes>>,
+    request: Request<Payload>,
     abandons: bool,
 ) -> Outcome {
     let exchange = async {
--- a/crates/cli/tests/test_client_crowds.rs
+++ b/crates/cli/tests/test_client_crowds.rs
@@ -21,6 +21,12 @@
     max_fds: 4_100,
 };
 
+/// Limits under which the process itself can hold too much for a small crowd.
+const TIGHT: StatedLimits = StatedLimits {
+    memory_mb: 48,
+    max_fds: 4_100,
+};
+
 /// Untrusted clients of a port.
 const CLIENTS: usize = 300;
 
@@ -141,11 +147,11 @@
 }
 
 fn check(form: Form) {
-    check_number(CLIENTS, form);
+    check_number(STATED, CLIENTS, form);
 }
 
-fn check_number(clients: usize, form: Form) {
-    let mut rig = Rig::start(STATED);
+fn check_number(stated: StatedLimits, clients: usize, form: Form) {
+    let mut rig = Rig::start(stated);
     let clients = send(rig.node.front, clients, form);
     rig.check(clients);
 }
@@ -192,12 +198,33 @@
 /// buffers of their connections, and parts of bodies that wait for memory.
 #[test]
 fn twice_the_crowd_of_whole_bodies_stays_within_the_memory() {
-    check_number(2 * CLIENTS, WHOLE);
+    check_number(STATED, 2 * CLIENTS, WHOLE);
 }
 
 #[test]
 fn twice_the_crowd_of_bodies_in_pieces_stays_within_the_memory() {
-    check_number(2 * CLIENTS, PIECES);
+    check_number(STATED, 2 * CLIENTS, PIECES);
+}
+
+/// Guards against growth and fragmentation of the heap beyond what is counted.
+#[test]
+fn whole_bodies_stay_within_a_tight_memory() {
+    check_number(TIGHT, 2 * CLIENTS, WHOLE);
+}
+
+#[test]
+fn bodies_in_pieces_stay_within_a_tight_memory() {
+    check_number(TIGHT, 2 * CLIENTS, PIECES);
+}
+
+#[test]
+fn large_chunks_stay_within_a_tight_memory() {
+    check_number(TIGHT, 2 * CLIENTS, LARGE_CHUNKS);
+}
+
+#[test]
+fn bodies_sent_over_the_limit_stay_within_a_tight_memory() {
+    check_number(TIGHT, 2 * CLIENTS, SENT_OVER);
 }
 
 /// Guards against receive buffers that fill beyond the memory while the process reads late.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::response::Parts;
 use http::{HeaderMap, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
@@ -20,6 +20,7 @@
 use crate::exchange::{Exchange, ProxyContext};
 use crate::http_client::{BodyFraming, CallError, Connection, ConnectionUse};
 use crate::limited_log::LimitedLog;
+use crate::payload::Payload;
 use crate::response_body::{BodyError, discard, read_whole};
 use crate::run_guard::RunGuard;
 
@@ -72,7 +73,7 @@
     /// Response headers.
     pub headers: HeaderMap,
     /// Response body.
-    pub body: Bytes,
+    pub body: Payload,
     /// Endpoint that sent it.
     pub endpoint: Arc<Endpoint>,
 }
@@ -365,7 +366,7 @@
     context: &ProxyContext,
     grant: &Grant,
     resume_after: Option<u64>,
-) -> Request<Full<Bytes>> {
+) -> Request<Payload> {
     let workspace = exchange.workspace.as_ref();
     let priority = workspace
         .and_then(|workspace| workspace.priority)
@@ -381,7 +382,7 @@
         kv_sink: grant.kv_sink,
         resume_after,
     };
-    let mut request = Request::new(Full::new(exchange.body.clone()));
+    let mut request = Request::new(exchange.body.clone());
     *request.method_mut() = exchange.method.clone();
     *request.uri_mut() = Uri::from(exchange.target.clone());
     *request.headers_mut() = (context.dialect.endpoint_headers)(&exchange.headers, &head);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method};
 use tokio::sync::watch;
@@ -17,6 +16,7 @@
 use crate::http_client::Pool;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
+use crate::payload::Payload;
 use crate::receive_buffer::WideBuffers;
 use crate::workspaces::Workspace;
 
@@ -44,7 +44,7 @@
     /// Headers sent by the caller.
     pub headers: HeaderMap,
     /// Request body.
-    pub body: Bytes,
+    pub body: Payload,
     /// Values parsed from the headers.
     pub head: RequestHead,
     /// What its repeats have in common.
--- a/crates/gateway/src/fingerprint.rs
+++ b/crates/gateway/src/fingerprint.rs
@@ -1,11 +1,11 @@
 //! What identifies a request that comes again: its id differs with each attempt of a caller.
 
-use bytes::Bytes;
 use http::Method;
 use http::uri::PathAndQuery;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::dialect::PromptPart;
+use crate::payload::Payload;
 
 /// Content of a request that its repeats have in common.
 #[derive(Clone, Copy, Debug)]
@@ -19,7 +19,7 @@
     /// Name of the caller's workspace, if it has one.
     pub workspace: Option<&'a str>,
     /// The body.
-    pub body: &'a Bytes,
+    pub body: &'a Payload,
     /// Model that it asks for.
     pub model: Option<&'a str>,
     /// Parts of its prompt.
@@ -50,7 +50,10 @@
         add(content.target.as_str().as_bytes());
         add(&[u8::from(content.workspace.is_some())]);
         add(content.workspace.unwrap_or_default().as_bytes());
-        add(content.body);
+        hash.update(&content.body.len().to_be_bytes());
+        for part in content.body.parts() {
+            hash.update(part);
+        }
         let request = hash.digest();
         let prompt = content.model.map(|model| {
             hash.update(model.as_bytes());
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -12,7 +12,7 @@
 use futures_util::stream::unfold;
 use http::header::{HOST, HeaderName, HeaderValue};
 use http::{HeaderMap, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
@@ -26,6 +26,7 @@
 use crate::forward::elapsed_ms;
 use crate::http_client::{BodyFraming, CallError, Connection, ConnectionUse};
 use crate::metrics::{EventKind, Metrics};
+use crate::payload::Payload;
 use crate::request_handler;
 use crate::response::{ErrorReason, IncompleteBody, ResponseBody, SentBy, full_body};
 use crate::response_body::read_whole;
@@ -237,7 +238,7 @@
     context: &ProxyContext,
     node: OtherNode,
     possible_runs: u32,
-) -> Request<Full<Bytes>> {
+) -> Request<Payload> {
     let left = exchange.deadline.saturating_duration_since(Instant::now());
     let mut headers = (context.dialect.handover_headers)(&exchange.headers, left);
     if !headers.contains_key(HOST)
@@ -250,7 +251,7 @@
     }
     headers.insert(CATALOG_VERSION, exchange.catalog_version.into());
     headers.insert(POSSIBLE_RUNS, possible_runs.into());
-    let mut request = Request::new(Full::new(exchange.body.clone()));
+    let mut request = Request::new(exchange.body.clone());
     *request.method_mut() = exchange.method.clone();
     *request.uri_mut() = Uri::from(exchange.target.clone());
     *request.headers_mut() = headers;
@@ -265,9 +266,9 @@
 async fn read(mut open: OpenResponse) -> Result<ResponseBody, HandoverError> {
     let collected = read_whole(&mut open.body, &open.context.memory);
     match timeout_at(open.deadline, collected).await {
-        Ok(Ok(bytes)) => {
+        Ok(Ok(payload)) => {
             open.complete();
-            Ok(full_body(bytes))
+            Ok(full_body(payload))
         }
         Ok(Err(error)) => Err(HandoverError::Response(error.to_string())),
         Err(_) => Err(HandoverError::TimedOut),
@@ -388,7 +389,7 @@
 }
 
 fn refusal(status: StatusCode) -> Response<ResponseBody> {
-    let mut response = Response::new(full_body(Bytes::new()));
+    let mut response = Response::new(full_body(Payload::default()));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(REFUSED, HeaderValue::from_static("1"));
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -19,6 +19,7 @@
 
 use crate::clock::{Millis, now};
 use crate::endpoint::EndpointKey;
+use crate::payload::Payload;
 
 /// Maximum size of the buffers of a connection, in bytes; it also bounds the head of a response.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
@@ -121,7 +122,7 @@
 /// A client connection. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Payload>,
     driver: AbortHandle,
     idle_since: Millis,
     keep_alive_ms: Millis,
@@ -189,7 +190,7 @@
     /// [`CallError::NotSent`] if nothing was written, otherwise [`CallError::Broken`].
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
     ) -> Result<Response<Incoming>, CallError> {
         if self.sender.ready().await.is_err() {
             return Err(CallError::NotSent);
@@ -300,7 +301,7 @@
 ) -> Result<Response<Bytes>, CallError> {
     let mut received = 0;
     let whole = async {
-        let response = connection.send(request.map(Full::new)).await?;
+        let response = connection.send(request.map(Payload::from)).await?;
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, limits.bytes);
         let body = collect(body, limits.stall, &mut received).await?;
@@ -323,7 +324,7 @@
         Some(connection) => connection,
         None => Connection::open(address, limits.response).await?,
     };
-    let response = connection.send(request.map(Full::new)).await?;
+    let response = connection.send(request.map(Payload::from)).await?;
     Ok((response, connection))
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod node_port;
 pub mod orders;
 pub mod packing;
+pub mod payload;
 pub mod peer_sync;
 pub mod prelude;
 pub mod receive_buffer;
--- a/crates/gateway/src/memory_budget.rs
+++ b/crates/gateway/src/memory_budget.rs
@@ -1,7 +1,8 @@
 //! Memory that the process holds for clients: request bodies until their request has ended,
 //! answers that are read whole until they are sent, and the unread parts of streamed answers.
 //!
-//! Bytes are charged as they arrive and released on drop. When the budget is exhausted, the
+//! Bytes are charged as they arrive and released on drop, and so are the buffers of the
+//! connections from which bodies are read. When the budget is exhausted, the
 //! body that has held the most for the longest without progress is refused. A request body that
 //! has been read whole is never chosen, as its request may have run.
 
@@ -15,6 +16,7 @@
 use tokio::time::timeout_at;
 
 use crate::memory_plan::MemoryPlan;
+use crate::payload::Payload;
 
 /// Part of the budget that only small bodies may use, so that large ones cannot keep out
 /// ordinary requests.
@@ -29,9 +31,13 @@
 /// Number of such waits after which the body itself is refused.
 const MAX_WAITS: u32 = 10;
 
-/// Smallest capacity of a body's buffer, in bytes.
+/// Smallest capacity of a part of a body, in bytes.
 const MIN_CAPACITY: usize = 1024;
 
+/// Largest capacity of a part of a body, in bytes. Parts of one size fill the holes that others
+/// leave in the heap.
+const PART_BYTES: usize = 32 * 1024;
+
 /// The budget cannot hold a body, or has refused it in favor of another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the memory for clients is exhausted")]
@@ -66,6 +72,23 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Charges bytes of a body that will hold `total` bytes, if the budget has as many left.
+    fn try_charge(self: &Arc<Self>, bytes: usize, total: usize) -> Option<Charge> {
+        let limit = if total <= SMALL_BYTES {
+            self.limit
+        } else {
+            (self.limit as f64 * (1.0 - SMALL_SHARE)) as usize
+        };
+        let mut state = self.state();
+        let used = state.used.saturating_add(bytes);
+        if used > limit {
+            return None;
+        }
+        state.used = used;
+        let shared = self.clone();
+        Some(Charge { shared, bytes })
+    }
+
     fn release(&self, bytes: usize) {
         if bytes > 0 {
             let mut state = self.state();
@@ -131,8 +154,11 @@
         state.reading.insert(number, reading);
         drop(state);
         BodyBuffer {
-            buffer: BytesMut::new(),
-            charge: self.charge(0),
+            full: Vec::new(),
+            full_bytes: 0,
+            part: BytesMut::new(),
+            part_charge: self.charge(0),
+            read_charge: self.charge(0),
             entry: Entry {
                 shared: self.0.clone(),
                 number,
@@ -150,6 +176,13 @@
     bytes: usize,
 }
 
+impl Charge {
+    /// Adds the bytes of another charge.
+    fn absorb(&mut self, mut other: Charge) {
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+}
+
 impl Drop for Charge {
     fn drop(&mut self) {
         self.shared.release(self.bytes);
@@ -169,11 +202,17 @@
     }
 }
 
-/// A body that is being received into one buffer.
+/// A body that is being received.
 #[derive(Debug)]
 pub struct BodyBuffer {
-    buffer: BytesMut,
-    charge: Charge,
+    /// Full parts, each charged until its last reference is dropped.
+    full: Vec<Bytes>,
+    full_bytes: usize,
+    /// The part that is being filled.
+    part: BytesMut,
+    part_charge: Charge,
+    /// Charge for the buffers of the connection.
+    read_charge: Charge,
     entry: Entry,
     refused: Arc<Notify>,
     client: Option<SocketAddr>,
@@ -182,12 +221,12 @@
 impl BodyBuffer {
     /// Number of bytes received.
     pub fn len(&self) -> usize {
-        self.buffer.len()
+        self.full_bytes + self.part.len()
     }
 
     /// True if no byte has been received.
     pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty()
+        self.len() == 0
     }
 
     /// Address of the client, if it is known.
@@ -200,73 +239,126 @@
         self.refused.notified().await;
     }
 
-    /// Appends bytes. Waits a short time for memory, and refuses another body if there is none.
+    /// Charges the buffers of the connection from which the body is read, until it has been
+    /// read. Waits for memory like [`Self::push`].
+    ///
+    /// # Errors
+    ///
+    /// If there is no memory.
+    pub async fn start_reading(&mut self, buffers: usize) -> Result<(), BudgetExhausted> {
+        self.find_memory(|body| body.charge_buffers(buffers))
+            .await?;
+        self.note_progress();
+        Ok(())
+    }
+
+    /// Appends bytes of a body of at most `limit` bytes. Waits a short time for memory, and
+    /// refuses another body if there is none.
     ///
     /// # Errors
     ///
     /// If there is no memory after that either.
-    pub async fn push(&mut self, bytes: &[u8], limit: usize) -> Result<(), BudgetExhausted> {
-        let needed = self.buffer.len() + bytes.len();
-        let mut waits = 0;
-        while needed > self.charge.bytes {
-            // Doubling keeps the number of copies small.
-            let doubled = self.charge.bytes.saturating_mul(2).min(limit);
-            let capacity = needed.max(doubled).max(MIN_CAPACITY);
-            if self.grow(capacity) || self.grow(needed) {
-                break;
-            }
-            if self.wait_for_memory(needed).await {
-                break;
-            }
-            waits += 1;
-            if waits > MAX_WAITS || !self.refuse_other() {
-                return Err(BudgetExhausted);
+    pub async fn push(&mut self, mut bytes: &[u8], limit: usize) -> Result<(), BudgetExhausted> {
+        while !bytes.is_empty() {
+            if self.part.len() == self.part_charge.bytes {
+                let left = limit.saturating_sub(self.len()).max(bytes.len());
+                self.find_memory(|body| body.grow(bytes.len(), left))
+                    .await?;
             }
+            let room = self.part_charge.bytes - self.part.len();
+            let (now, later) = bytes.split_at(room.min(bytes.len()));
+            self.part.extend_from_slice(now);
+            bytes = later;
         }
-        self.buffer.extend_from_slice(bytes);
+        self.note_progress();
+        Ok(())
+    }
+
+    fn note_progress(&mut self) {
         let mut state = self.entry.shared.state();
         if let Some(reading) = state.reading.get_mut(&self.entry.number) {
-            reading.held = self.charge.bytes;
+            reading.held = self.full_bytes + self.part_charge.bytes + self.read_charge.bytes;
             reading.progress = Instant::now();
         }
-        Ok(())
     }
 
-    /// Waits a short time until the budget has this capacity left, and charges it.
-    async fn wait_for_memory(&mut self, capacity: usize) -> bool {
+    /// Takes memory with `take`, which fails if there is none. Then waits a short time, and
+    /// refuses another body.
+    async fn find_memory(
+        &mut self,
+        mut take: impl FnMut(&mut Self) -> bool,
+    ) -> Result<(), BudgetExhausted> {
+        for _ in 0..=MAX_WAITS {
+            if self.wait_for_memory(&mut take).await {
+                return Ok(());
+            }
+            if !self.refuse_other() {
+                break;
+            }
+        }
+        Err(BudgetExhausted)
+    }
+
+    /// Waits a short time until `take` succeeds.
+    async fn wait_for_memory(&mut self, take: &mut impl FnMut(&mut Self) -> bool) -> bool {
+        if take(self) {
+            return true;
+        }
         let until = tokio::time::Instant::now() + SHORT_WAIT;
-        let shared = self.charge.shared.clone();
+        let shared = self.entry.shared.clone();
         loop {
             let released = shared.released.notified();
-            if self.grow(capacity) {
+            if take(self) {
                 return true;
             }
             if timeout_at(until, released).await.is_err() {
-                return self.grow(capacity);
+                return take(self);
             }
         }
     }
 
-    /// Charges the budget up to this capacity, if it has as much left.
-    fn grow(&mut self, capacity: usize) -> bool {
-        let shared = &self.charge.shared;
-        let more = capacity.saturating_sub(self.charge.bytes);
-        let limit = if capacity <= SMALL_BYTES {
-            shared.limit
-        } else {
-            (shared.limit as f64 * (1.0 - SMALL_SHARE)) as usize
+    /// Charges the buffers of the connection, if the budget has as much left.
+    fn charge_buffers(&mut self, bytes: usize) -> bool {
+        let charge = self.entry.shared.try_charge(bytes, self.len());
+        charge
+            .map(|charge| self.read_charge.absorb(charge))
+            .is_some()
+    }
+
+    /// Makes room behind a part that is full to its capacity, for some of the `left` bytes that
+    /// may come, `needed` of which have. False if the budget has not as much left.
+    fn grow(&mut self, needed: usize, left: usize) -> bool {
+        let held = self.part_charge.bytes;
+        let goes_on = held < PART_BYTES;
+        let capacity = match (goes_on, self.full.is_empty()) {
+            // Small bodies get what they need. Doubling keeps the number of copies small.
+            (true, true) => (held + needed).max(held * 2).max(MIN_CAPACITY),
+            _ => PART_BYTES,
         };
-        let mut state = shared.state();
-        if state.used.saturating_add(more) > limit {
+        let kept = if goes_on { held } else { 0 };
+        let more = capacity.min(kept + left).min(PART_BYTES) - kept;
+        let total = self.len() + more;
+        let Some(charge) = self.entry.shared.try_charge(more, total) else {
             return false;
+        };
+        if !goes_on {
+            self.seal_part();
         }
-        state.used += more;
-        drop(state);
-        self.charge.bytes += more;
-        self.buffer.reserve(capacity - self.buffer.len());
+        self.part_charge.absorb(charge);
+        self.part.reserve(more);
         true
     }
 
+    /// Appends the part that is being filled to the full ones.
+    fn seal_part(&mut self) {
+        let shared = self.entry.shared.clone();
+        let empty = Charge { shared, bytes: 0 };
+        let charge = std::mem::replace(&mut self.part_charge, empty);
+        let part = std::mem::take(&mut self.part).freeze();
+        self.full_bytes += part.len();
+        self.full.push(charged(part, charge));
+    }
+
     /// Refuses the body that has held the most for the longest without progress, unless the
     /// memory of another one is about to be released. False if that is this one.
     fn refuse_other(&self) -> bool {
@@ -298,9 +390,9 @@
     }
 
     /// The whole body, charged until its last reference is dropped.
-    pub fn finish(self) -> Bytes {
-        let Self { buffer, charge, .. } = self;
-        charged(buffer.freeze(), charge)
+    pub fn finish(mut self) -> Payload {
+        self.seal_part();
+        Payload::of_parts(std::mem::take(&mut self.full))
     }
 }
 
--- a/crates/gateway/src/memory_plan.rs
+++ b/crates/gateway/src/memory_plan.rs
@@ -1,18 +1,22 @@
 //! How the memory of the process is divided among what clients may hold.
 //!
-//! The parts of the ports, of their receive buffers and of bodies add up to three quarters. The rest is
-//! for the process itself, its connections to endpoints, and fragmentation of its heap.
+//! What the process holds by itself comes first. The parts of the ports, of wide receive buffers
+//! and of bodies add up to 88 hundredths of what is left. The rest is for connections to endpoints and
+//! fragmentation of the heap.
+
+/// Memory of the process without clients, in bytes.
+const PROCESS_BYTES: u64 = 16_000_000;
 
 /// Memory for bodies and unread answers, in hundredths.
-const BODIES: u64 = 28;
+const BODIES: u64 = 34;
 
 /// Memory for wide receive buffers, in hundredths.
-const WIDE_BUFFERS: u64 = 6;
+const WIDE_BUFFERS: u64 = 7;
 
 /// Memory for the connections to each port, in hundredths.
-const CALLERS: u64 = 24;
-const NODES: u64 = 8;
-const DIRECTORY: u64 = 5;
+const CALLERS: u64 = 28;
+const NODES: u64 = 9;
+const DIRECTORY: u64 = 6;
 const INTERNAL: u64 = 2;
 
 /// Maximum listen backlog.
@@ -98,14 +102,15 @@
     }
 }
 
-/// The memory of the process; none if its settings do not state it.
+/// The memory that clients may hold, in bytes; none if the settings do not state the memory.
 #[derive(Clone, Copy, Debug)]
 pub struct MemoryPlan(Option<u64>);
 
 impl MemoryPlan {
-    /// Divides this memory; 0 stands for an unknown one.
+    /// Divides the memory of the process; 0 stands for an unknown one.
     pub fn of_memory(memory_mb: u64) -> Self {
-        Self((memory_mb > 0).then(|| memory_mb.saturating_mul(1_000_000)))
+        let bytes = memory_mb.saturating_mul(1_000_000);
+        Self((bytes > 0).then(|| bytes.saturating_sub(PROCESS_BYTES)))
     }
 
     /// Memory in bytes for bodies and unread answers.
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::header::HOST;
 use http::request::Parts;
 use http::uri::PathAndQuery;
@@ -25,7 +24,9 @@
 use crate::limited_log::LimitedLog;
 use crate::memory_budget::BodyBuffer;
 use crate::metrics::Metrics;
+use crate::payload::Payload;
 use crate::response::{ErrorReason, ResponseBody, error_response};
+use crate::server::read_buffer;
 use crate::workspaces::Workspace;
 
 /// `Retry-After` of a node that has no configuration yet.
@@ -250,14 +251,14 @@
     }
 }
 
-/// Reads a body into one buffer. A body that is too large is refused as soon as that is known.
+/// Reads a body. A body that is too large is refused as soon as that is known.
 async fn read_body(
     mut body: Incoming,
     mut buffer: BodyBuffer,
     mark: Option<&RequestMark>,
     limits: &CallerLimits,
     deadline: Instant,
-) -> Result<Bytes, ErrorReason> {
+) -> Result<Payload, ErrorReason> {
     let result = receive(&mut body, &mut buffer, mark, limits, deadline).await;
     match result {
         Ok(()) => Ok(buffer.finish()),
@@ -271,6 +272,13 @@
     }
 }
 
+/// Size of the buffers from which a body is read, beside the one that holds its head.
+fn read_buffers(body: &Incoming, limits: &CallerLimits) -> usize {
+    let buffers = 2 * read_buffer(limits);
+    let upper = body.size_hint().upper().unwrap_or(u64::MAX);
+    buffers.min(usize::try_from(upper).unwrap_or(usize::MAX))
+}
+
 async fn receive(
     body: &mut Incoming,
     buffer: &mut BodyBuffer,
@@ -281,6 +289,14 @@
     if body.size_hint().lower() > limits.body_bytes as u64 {
         return Err(ErrorReason::TooLarge);
     }
+    if body.is_end_stream() {
+        return Ok(());
+    }
+    let start = buffer.start_reading(read_buffers(body, limits));
+    let start = timeout_at(deadline, start).await;
+    start
+        .map_err(|_| ErrorReason::BodyBroken)?
+        .map_err(|_| ErrorReason::MemoryFull)?;
     loop {
         let stalled = (Instant::now() + limits.idle_time).min(deadline);
         let frame = tokio::select! {
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
+use http_body_util::BodyExt;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
 
 use crate::endpoint::Endpoint;
+use crate::payload::Payload;
 
 /// A response body that ended before it was complete.
 #[derive(Debug, thiserror::Error)]
@@ -24,10 +25,9 @@
 pub struct SentBy(pub Arc<Endpoint>);
 
 /// Builds a body from bytes that are all in memory.
-pub fn full_body(bytes: Bytes) -> ResponseBody {
-    Full::new(bytes)
-        .map_err(|never| match never {})
-        .boxed_unsync()
+pub fn full_body(payload: impl Into<Payload>) -> ResponseBody {
+    let payload: Payload = payload.into();
+    payload.map_err(|never| match never {}).boxed_unsync()
 }
 
 /// Reason for an error response that the node generates itself.
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -1,10 +1,10 @@
 //! Reads the bodies of responses within the memory of the process, whatever the endpoints send.
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::memory_budget::{BudgetExhausted, MemoryBudget};
+use crate::payload::Payload;
 
 /// Maximum size of a response body that is read whole, in bytes.
 pub const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
@@ -28,7 +28,7 @@
 /// # Errors
 ///
 /// If the body breaks off or is too large, or the process has no memory for it.
-pub async fn read_whole(body: &mut Incoming, memory: &MemoryBudget) -> Result<Bytes, BodyError> {
+pub async fn read_whole(body: &mut Incoming, memory: &MemoryBudget) -> Result<Payload, BodyError> {
     let mut buffer = memory.body(None);
     loop {
         let frame = tokio::select! {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -317,7 +317,7 @@
         };
         let metrics = metrics.clone();
         let service = service_fn(move |_: Request<Incoming>| {
-            let response = Response::new(crate::response::full_body(metrics.text().into()));
+            let response = Response::new(crate::response::full_body(Bytes::from(metrics.text())));
             async move { Ok::<_, Infallible>(response) }
         });
         tokio::spawn(serve_internal_connection(stream, client, service));
--- a/crates/gateway/tests/test_attempts.rs
+++ b/crates/gateway/tests/test_attempts.rs
@@ -14,6 +14,7 @@
 use flamingolock_gateway::fingerprint::Fingerprints;
 use flamingolock_gateway::http_client::Pool;
 use flamingolock_gateway::metrics::Metrics;
+use flamingolock_gateway::payload::Payload;
 use flamingolock_gateway::receive_buffer::WideBuffers;
 use flamingolock_platform::DIALECT;
 use http::uri::PathAndQuery;
@@ -47,7 +48,7 @@
         method: Method::GET,
         target: PathAndQuery::from_static("/"),
         headers: HeaderMap::new(),
-        body: Bytes::new(),
+        body: Payload::default(),
         head: RequestHead::default(),
         fingerprints: Fingerprints {
             request: 1,
--- a/crates/gateway/tests/test_fingerprint.rs
+++ b/crates/gateway/tests/test_fingerprint.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use flamingolock_gateway::dialect::PromptPart;
 use flamingolock_gateway::fingerprint::{Content, Fingerprints};
+use flamingolock_gateway::payload::Payload;
 use http::Method;
 use http::uri::PathAndQuery;
 
@@ -29,7 +30,7 @@
         host,
         target: &PathAndQuery::from_static(target),
         workspace: *workspace,
-        body: &Bytes::from_static(body.as_bytes()),
+        body: &Payload::from(Bytes::from_static(body.as_bytes())),
         model: Some("m"),
         parts,
     })
--- a/crates/gateway/tests/test_http_client.rs
+++ b/crates/gateway/tests/test_http_client.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use flamingolock_gateway::http_client::{CallError, Connection};
+use flamingolock_gateway::payload::Payload;
 use http::Request;
-use http_body_util::Full;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
@@ -28,7 +28,9 @@
         .await
         .expect("a connection");
     sleep(Duration::from_millis(100)).await;
-    let sent = connection.send(Request::new(Full::new(Bytes::new()))).await;
+    let sent = connection
+        .send(Request::new(Payload::from(Bytes::new())))
+        .await;
     assert!(matches!(sent, Err(CallError::NotSent)), "{sent:?}");
     drop(connection);
     assert!(server.await.expect("the server ends").is_empty());
