gateway: a body that is late for its deadline gets a status that promises it has not run

What callers saw: 400 for a legal request whose body had not arrived, or waited for memory, when its deadline passed. No client repeats a request after 400. Cause: all ends of a body at the deadline were reported as a broken body. Change: 408 if the body has not arrived, 503 with Retry-After if it finds no memory. Nothing has run in either case.

--- a/crates/cli/tests/test_untrusted_clients.rs
+++ b/crates/cli/tests/test_untrusted_clients.rs
@@ -46,6 +46,14 @@
 const SMALL_MB: u64 = 88;
 const MEDIUM_MB: u64 = 110;
 
+/// Memory in MB in which few bodies of the largest legal size find room, and how many clients
+/// hold it.
+const TIGHT_MB: u64 = 48;
+const HOLDERS: usize = 4;
+
+/// Size of an ordinary body, in bytes.
+const ORDINARY_BODY: usize = 72_000;
+
 /// Time for the engines to fill the buffers of unread streams.
 const FILL_TIME: Duration = Duration::from_secs(3);
 
@@ -294,3 +302,57 @@
 fn clients_of_the_port_for_other_nodes_stay_within_the_limits() {
     check_port(|node| node.control, None);
 }
+
+/// Sends the head of a request with this deadline and a part of its body, and returns the
+/// status of the response; 0 if there is none.
+fn status_of_part(node: &Node, deadline_ms: u32, body: &[u8]) -> u16 {
+    let mut stream = connect(node.front, WRITE_TIMEOUT).expect("a connection");
+    let head = format!(
+        "{}deadline-ms: {deadline_ms}\r\ncontent-length: {BODY_LIMIT}\r\n\r\n",
+        head("/draft/a", 0)
+    );
+    write_pieces(&mut stream, head.as_bytes(), head.len());
+    write_pieces(&mut stream, body, body.len());
+    stream
+        .set_read_timeout(Some(entry_site::WAIT_TIMEOUT))
+        .expect("the option can be set");
+    let mut response = [0; 12];
+    if stream.read_exact(&mut response).is_err() {
+        return 0;
+    }
+    let response = String::from_utf8_lossy(&response);
+    let status = response.strip_prefix("HTTP/1.1 ");
+    status.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// True for a status that tells a caller that its request has not run.
+fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 429 | 503)
+}
+
+/// Guards against telling a caller that a legal request is faulty, which it must not repeat.
+#[test]
+fn body_that_has_not_arrived_by_its_deadline_is_refused_as_not_run() {
+    let rig = start(MEDIUM_MB);
+    let status = status_of_part(&rig.node, 300, &vec![b'x'; ORDINARY_BODY]);
+    assert!(promises_not_run(status), "{status}");
+}
+
+/// The same for a body that waits for memory until then.
+#[test]
+fn body_that_finds_no_memory_by_its_deadline_is_refused_as_not_run() {
+    let rig = start(TIGHT_MB);
+    let body = vec![b'x'; BODY_LIMIT - 1];
+    let _holders = connect_all(HOLDERS, rig.node.front, WRITE_TIMEOUT, |id, stream| {
+        let head = format!(
+            "{}content-length: {BODY_LIMIT}\r\n\r\n",
+            head("/draft/a", id)
+        );
+        write_pieces(stream, head.as_bytes(), head.len());
+        write_pieces(stream, &body, body.len());
+    });
+    for deadline_ms in [20, 40, 60, 80, 100] {
+        let status = status_of_part(&rig.node, deadline_ms, &body);
+        assert!(promises_not_run(status), "{deadline_ms} ms: {status}");
+    }
+}
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -22,7 +22,7 @@
 use crate::fingerprint::{Content, Fingerprints};
 use crate::forward::forward;
 use crate::limited_log::LimitedLog;
-use crate::memory_budget::BodyBuffer;
+use crate::memory_budget::{BodyBuffer, BudgetExhausted};
 use crate::metrics::Metrics;
 use crate::payload::Payload;
 use crate::response::{ErrorReason, ResponseBody, error_response};
@@ -279,6 +279,17 @@
     buffers.min(usize::try_from(upper).unwrap_or(usize::MAX))
 }
 
+/// Waits until the deadline for a step that needs memory for a body.
+async fn find_memory(
+    deadline: Instant,
+    step: impl Future<Output = Result<(), BudgetExhausted>>,
+) -> Result<(), ErrorReason> {
+    match timeout_at(deadline, step).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(BudgetExhausted)) | Err(_) => Err(ErrorReason::MemoryFull),
+    }
+}
+
 async fn receive(
     body: &mut Incoming,
     buffer: &mut BodyBuffer,
@@ -292,11 +303,8 @@
     if body.is_end_stream() {
         return Ok(());
     }
-    let start = buffer.start_reading(read_buffers(body, limits));
-    let start = timeout_at(deadline, start).await;
-    start
-        .map_err(|_| ErrorReason::BodyBroken)?
-        .map_err(|_| ErrorReason::MemoryFull)?;
+    let reading = buffer.start_reading(read_buffers(body, limits));
+    find_memory(deadline, reading).await?;
     loop {
         let stalled = (Instant::now() + limits.idle_time).min(deadline);
         let frame = tokio::select! {
@@ -306,15 +314,13 @@
         let data = match frame {
             Ok(None) => return Ok(()),
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Err(_) if stalled < deadline => return Err(ErrorReason::BodyStalled),
-            Ok(Some(Err(_))) | Err(_) => return Err(ErrorReason::BodyBroken),
+            Ok(Some(Err(_))) => return Err(ErrorReason::BodyBroken),
+            Err(_) => return Err(ErrorReason::BodyStalled),
         };
         if buffer.len() + data.len() > limits.body_bytes {
             return Err(ErrorReason::TooLarge);
         }
-        let push = timeout_at(deadline, buffer.push(&data, limits.body_bytes)).await;
-        push.map_err(|_| ErrorReason::BodyBroken)?
-            .map_err(|_| ErrorReason::MemoryFull)?;
+        find_memory(deadline, buffer.push(&data, limits.body_bytes)).await?;
         if let Some(mark) = mark {
             mark.progress();
         }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -51,9 +51,9 @@
     TooLarge,
     /// The request has not run: it needs more memory than any engine has.
     ExceedsMemory,
-    /// The request body was incomplete or did not arrive in time.
+    /// The request body was incomplete.
     BodyBroken,
-    /// The request body made no progress for too long.
+    /// The request body made no progress for too long, or did not arrive by the deadline.
     BodyStalled,
     /// The memory for clients is exhausted, and the request's body held too much of it for
     /// too long, or found none left.
