responses: a part of an answer to an upload that was not written to its end is no answer

Cause: the end of such a body is that of its connection. The check of that end asks whether the endpoint still lives, and it does; nobody knew whether the request had been written. Change: each connection notes whether the system has taken the last request to its end (upload.rs), with little room for bytes that it has not sent. A body without a marked end that ends before counts as broken, whether it is passed on, streamed, or read from the store or another node. A request that may run once gets 502, others are tried elsewhere; a stream is cut or resumed elsewhere. Open: an upload that fits into the buffers of both sides counts as written, so a part of its answer with a regular end cannot be told from the whole.

--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -14,6 +14,7 @@
 
 use flamingolock_platform_standin::{Engine, Link, LinkState, Store};
 use flamingolock_testutils::fleet::free_address;
+use serde_json::{Value, json};
 use tempfile::TempDir;
 
 /// Timeout of [`wait_for`] and of each request.
@@ -459,6 +460,26 @@
     .to_string()
 }
 
+/// Limit on bodies in [`large_body_configuration`], in bytes.
+pub const BODY_LIMIT: usize = 4 * 1024 * 1024;
+
+/// The configuration of a site with large bodies, long timeouts and roomy engines.
+pub fn large_body_configuration() -> String {
+    let text = site_configuration(2, false);
+    let mut value: Value = serde_json::from_str(&text).expect("the configuration is JSON");
+    value["Limits"]["MaxBodyBytes"] = json!(BODY_LIMIT);
+    for route in value["Routes"].as_array_mut().expect("a list") {
+        route["TimeoutMs"] = json!(60_000);
+    }
+    for service in value["Services"].as_array_mut().expect("a list") {
+        if service["Engine"].is_object() {
+            service["Engine"]["Slots"] = json!(256);
+            service["Engine"]["KvCapacityTokens"] = json!(10_000_000);
+        }
+    }
+    value.to_string()
+}
+
 /// An endpoint that a test writes itself.
 pub struct RawEndpoint {
     pub id: &'static str,
--- a/crates/cli/tests/entry_site/raw.rs
+++ b/crates/cli/tests/entry_site/raw.rs
@@ -10,6 +10,8 @@
     pub id: String,
     /// Id of the last event that the caller has.
     pub last_event: Option<u64>,
+    /// Stated length of the body.
+    length: usize,
 }
 
 impl Request {
@@ -21,6 +23,14 @@
 
 /// Reads a request; none at the end of the connection.
 pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+    let request = read_head(reader)?;
+    let mut body = vec![0; request.length];
+    reader.read_exact(&mut body).ok()?;
+    Some(request)
+}
+
+/// Reads the head of a request; none at the end of the connection.
+pub fn read_head(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let mut id = None;
     let mut last_event = None;
     let mut length = 0;
@@ -43,12 +53,11 @@
             _ => {}
         }
     }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
     Some(Request {
         path,
         id: id.unwrap_or_default(),
         last_event,
+        length,
     })
 }
 
--- a/crates/cli/tests/test_client_crowds.rs
+++ b/crates/cli/tests/test_client_crowds.rs
@@ -13,7 +13,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-use untrusted::{BODY_LIMIT, Rig, StatedLimits, chunks, connect_all, crowd, head, write_pieces};
+use entry_site::BODY_LIMIT;
+use untrusted::{Rig, StatedLimits, chunks, connect_all, crowd, head, write_pieces};
 
 /// The smallest limits of the deployments.
 const STATED: StatedLimits = StatedLimits {
--- a/crates/cli/tests/test_untrusted_clients.rs
+++ b/crates/cli/tests/test_untrusted_clients.rs
@@ -15,11 +15,10 @@
 use std::time::Duration;
 
 use entry_site::raw::{listen, read_request};
-use entry_site::{Node, get, wait_for};
+use entry_site::{BODY_LIMIT, Node, get, wait_for};
 use serde_json::json;
 use untrusted::{
-    BODY_LIMIT, Rig, StatedLimits, WRITE_TIMEOUT, chunks, connect, connect_all, crowd, head,
-    write_pieces,
+    Rig, StatedLimits, WRITE_TIMEOUT, chunks, connect, connect_all, crowd, head, write_pieces,
 };
 
 /// Clients that send large bodies.
--- a/crates/cli/tests/untrusted/mod.rs
+++ b/crates/cli/tests/untrusted/mod.rs
@@ -8,17 +8,12 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use serde_json::{Value, json};
-
-use super::entry_site::{self, Node, Site, site_configuration, wait_for};
+use super::entry_site::{self, Node, Site, large_body_configuration, wait_for};
 use memory_watch::MemoryWatch;
 
 /// Environment variable for the factor by which there are more untrusted clients.
 const CROWD_FACTOR: &str = "FLAMINGOLOCK_CROWD_FACTOR";
 
-/// Limit on bodies in the site's configuration, in bytes.
-pub const BODY_LIMIT: usize = 4 * 1024 * 1024;
-
 /// Size of an ordinary body, in bytes.
 const ORDINARY_BODY: usize = 72_000;
 
@@ -51,22 +46,6 @@
     _alone: MutexGuard<'static, ()>,
 }
 
-fn configuration() -> String {
-    let text = site_configuration(2, false);
-    let mut value: Value = serde_json::from_str(&text).expect("the configuration is JSON");
-    value["Limits"]["MaxBodyBytes"] = json!(BODY_LIMIT);
-    for route in value["Routes"].as_array_mut().expect("a list") {
-        route["TimeoutMs"] = json!(60_000);
-    }
-    for service in value["Services"].as_array_mut().expect("a list") {
-        if service["Engine"].is_object() {
-            service["Engine"]["Slots"] = json!(256);
-            service["Engine"]["KvCapacityTokens"] = json!(10_000_000);
-        }
-    }
-    value.to_string()
-}
-
 /// Number of untrusted clients.
 pub fn crowd(base: usize) -> usize {
     let factor = std::env::var(CROWD_FACTOR).ok();
@@ -77,7 +56,8 @@
     pub fn start(stated: StatedLimits) -> Self {
         let alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
         let site = Site::start_with(1, Duration::from_millis(5));
-        site.store.put("keyed.op", "op/config", &configuration());
+        site.store
+            .put("keyed.op", "op/config", &large_body_configuration());
         let StatedLimits { memory_mb, max_fds } = stated;
         let limits = format!("[Limits]\nMemoryMb = {memory_mb}\nMaxFds = {max_fds}\n");
         let node = Node::start_with("node-1", site.store.address(), &[], &limits);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -517,10 +517,16 @@
             return AttemptOutcome::DeadlineExceeded;
         }
     };
+    let has_written = connection.has_written();
     if let Some(witness) = witness
         && has_body
         && let Err(cause) = witness
-            .check(context.dialect, &grant.endpoint, &context.handle)
+            .check(
+                has_written,
+                context.dialect,
+                &grant.endpoint,
+                &context.handle,
+            )
             .await
     {
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -33,6 +33,9 @@
     /// still.
     #[error("its end is not marked and the process stood still")]
     StoodStill,
+    /// Nothing marks its end, and the request had not been written to its end.
+    #[error("its end is not marked and the request was not written to its end")]
+    RequestUnwritten,
     /// Nothing marks its end, and it began so late that the endpoint may have restarted
     /// before.
     #[error("its end is not marked and it began late")]
@@ -71,17 +74,22 @@
         })
     }
 
-    /// Checks that the endpoint has outlived its response.
+    /// Checks that the endpoint has outlived its response. `has_written` is true if the
+    /// request was written to its end before.
     ///
     /// # Errors
     ///
     /// If it has not, or that cannot be told.
     pub async fn check(
         self,
+        has_written: bool,
         dialect: &Dialect,
         endpoint: &Endpoint,
         handle: &Handle,
     ) -> Result<(), EarlyEnd> {
+        if !has_written {
+            return Err(EarlyEnd::RequestUnwritten);
+        }
         let Ok(Ok(connection)) = self.connection.await else {
             return Err(EarlyEnd::EndpointGone);
         };
@@ -97,8 +105,8 @@
     }
 }
 
-/// Checks that the body of a stream is whole, given the headers of its response and the number of bytes
-/// after its last complete event.
+/// Checks that the body of a stream is whole, given the headers of its response, the number of
+/// bytes after its last complete event, and whether its request was written to its end.
 ///
 /// # Errors
 ///
@@ -109,13 +117,18 @@
     endpoint: &Endpoint,
     headers: &HeaderMap,
     partial_bytes: usize,
+    has_written: bool,
 ) -> Result<(), EarlyEnd> {
     if partial_bytes > 0 {
         return Err(EarlyEnd::InsideEvent);
     }
-    if BodyFraming::of(headers) == BodyFraming::UntilClose
-        && !orders::still_runs(dialect, endpoint).await
-    {
+    if BodyFraming::of(headers) != BodyFraming::UntilClose {
+        return Ok(());
+    }
+    if !has_written {
+        return Err(EarlyEnd::RequestUnwritten);
+    }
+    if !orders::still_runs(dialect, endpoint).await {
         return Err(EarlyEnd::EndpointGone);
     }
     Ok(())
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -9,7 +9,7 @@
 use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -20,6 +20,7 @@
 use crate::clock::{Millis, now};
 use crate::endpoint::EndpointKey;
 use crate::payload::Payload;
+use crate::upload::{Upload, UploadBody, UploadStream};
 
 /// Maximum size of the buffers of a connection, in bytes; it also bounds the head of a response.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
@@ -122,7 +123,9 @@
 /// A client connection. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Payload>,
+    sender: SendRequest<UploadBody>,
+    /// How far the last request has been written.
+    upload: Upload,
     driver: AbortHandle,
     idle_since: Millis,
     keep_alive_ms: Millis,
@@ -162,6 +165,8 @@
         if let Err(error) = SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)) {
             log::debug!(error:% = error; "cannot set TCP_USER_TIMEOUT");
         }
+        let upload = Upload::default();
+        let stream = UploadStream::new(stream, upload.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -173,6 +178,7 @@
         });
         Ok(Self {
             sender,
+            upload,
             driver: driver.abort_handle(),
             idle_since: now(),
             keep_alive_ms: DEFAULT_IDLE_MS,
@@ -196,6 +202,7 @@
             return Err(CallError::NotSent);
         }
         self.requests += 1;
+        let request = request.map(|payload| self.upload.begin(payload));
         self.sender
             .try_send_request(request)
             .await
@@ -208,6 +215,11 @@
             })
     }
 
+    /// True if the last request has been written to its end.
+    pub fn has_written(&self) -> bool {
+        self.upload.is_written()
+    }
+
     /// Sets the keep-alive timeout that the server stated, if any, less the margin.
     pub fn set_keep_alive(&mut self, keep_alive: Option<Duration>) {
         if let Some(keep_alive) = keep_alive {
@@ -276,12 +288,10 @@
             Ok(sent) => sent?,
             Err(_) => return Err(CallError::Timeout { received: 0 }),
         };
-        let (parts, body) = response.into_parts();
-        let body = Limited::new(body, limits.bytes);
-        let body = collect(body, limits.stall, &mut received).await?;
+        let response = collect(response, &connection, limits, &mut received).await?;
         connection.idle_since = now();
         *slot = Some(connection);
-        Ok(Response::from_parts(parts, body))
+        Ok(response)
     };
     match timeout(limits.whole, whole).await {
         Ok(response) => response,
@@ -302,10 +312,7 @@
     let mut received = 0;
     let whole = async {
         let response = connection.send(request.map(Payload::from)).await?;
-        let (parts, body) = response.into_parts();
-        let body = Limited::new(body, limits.bytes);
-        let body = collect(body, limits.stall, &mut received).await?;
-        Ok(Response::from_parts(parts, body))
+        collect(response, &connection, limits, &mut received).await
     };
     match timeout(limits.whole, whole).await {
         Ok(response) => response,
@@ -328,17 +335,21 @@
     Ok((response, connection))
 }
 
-/// Reads a body to its end and counts its bytes as they arrive.
+/// Reads a response to its end and counts the bytes of its body as they arrive.
 async fn collect(
-    mut body: Limited<Incoming>,
-    stall: Duration,
+    response: Response<Incoming>,
+    connection: &Connection,
+    limits: CallLimits,
     received: &mut usize,
-) -> Result<Bytes, CallError> {
+) -> Result<Response<Bytes>, CallError> {
+    let (parts, body) = response.into_parts();
+    let has_body = !body.is_end_stream();
+    let mut body = Limited::new(body, limits.bytes);
     let mut bytes = BytesMut::new();
     loop {
-        let frame = match timeout(stall, body.frame()).await {
+        let frame = match timeout(limits.stall, body.frame()).await {
             Ok(Some(frame)) => frame.map_err(|error| CallError::Body(error.to_string()))?,
-            Ok(None) => return Ok(bytes.freeze()),
+            Ok(None) => break,
             Err(_) => {
                 return Err(CallError::Timeout {
                     received: bytes.len(),
@@ -350,6 +361,13 @@
             *received = bytes.len();
         }
     }
+    let is_marked = BodyFraming::of(&parts.headers) != BodyFraming::UntilClose;
+    if has_body && !is_marked && !connection.has_written() {
+        return Err(CallError::Body(
+            "it ended before the request was written".to_owned(),
+        ));
+    }
+    Ok(Response::from_parts(parts, bytes.freeze()))
 }
 
 /// Request for which an idle connection is taken.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,4 +44,5 @@
 pub mod server;
 pub mod settings;
 pub mod store;
+pub mod upload;
 pub mod workspaces;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -305,9 +305,14 @@
         return RelayEnd::Broken;
     }
     let partial_bytes = splitter.partial_bytes();
-    if let Err(cause) =
-        body_end::check(context.dialect, &grant.endpoint, &headers, partial_bytes).await
-    {
+    let end = body_end::check(
+        context.dialect,
+        &grant.endpoint,
+        &headers,
+        partial_bytes,
+        connection.has_written(),
+    );
+    if let Err(cause) = end.await {
         log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
             partial_bytes, error:% = cause; "stream ended early");
         guard.broken();
