responses: statuses outside 200 to 599 are no answers

Cause: hyper rejects a status below 100 or over 999, and skips interim responses; all else was taken. Change: a response with another status than 200 to 599 fails its call, whoever sent it: the request may have run, so a request that may run once gets 502, and others are tried elsewhere. Statuses 000, 099 and 199 gave 502 before as well.

--- a/crates/cli/tests/test_early_responses.rs
+++ b/crates/cli/tests/test_early_responses.rs
@@ -1,10 +1,13 @@
-//! Endpoints that answer a long upload before they have read it. A part of a response must never reach a caller as a whole one.
+//! Endpoints that answer a long upload before they have read it, and responses whose status is
+//! none of an answer. A part of a response must never reach a caller as a whole one.
 
 #[allow(dead_code, reason = "each test file needs a part of it")]
 mod entry_site;
 
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use entry_site::raw::{Request, listen, read_head, read_request};
@@ -223,3 +226,51 @@
         }
     }
 }
+
+/// Endpoints answer with this status. No caller may get it.
+fn check_status(path: &str, status: u16) {
+    let asked = Arc::new(AtomicU32::new(0));
+    let counter = asked.clone();
+    let address = listen(move |stream| {
+        serve(stream, |request, mut stream| {
+            counter.fetch_add(1, Ordering::Relaxed);
+            let head = format!(
+                "HTTP/1.1 {status:03} Odd\r\nRequest-Id: {}\r\nResponse-Signature: signed\r\n\
+                 Content-Length: 4\r\n\r\nbody",
+                request.id
+            );
+            let _ = stream.write_all(head.as_bytes());
+        });
+    });
+    let (_site, node) = start(path, address);
+    let answer = upload(&node, path, "r1", 0);
+    assert_eq!(answer.status, 502, "{status} {path}: {answer:?}");
+    assert!(asked.load(Ordering::Relaxed) > 0, "{status} {path}");
+}
+
+/// Guards against passing on what is no answer of the protocol.
+#[test]
+fn status_beyond_those_of_answers_is_not_passed_on() {
+    for path in ["/book/a", "/look/a", "/tag/a", "/draft/a"] {
+        for status in [600, 700, 999] {
+            check_status(path, status);
+        }
+    }
+}
+
+#[test]
+fn status_below_those_of_answers_is_not_passed_on() {
+    for path in ["/book/a", "/look/a", "/tag/a", "/draft/a"] {
+        for status in [0, 99, 199] {
+            check_status(path, status);
+        }
+    }
+}
+
+/// Guards against a change of the protocol that nobody asked for.
+#[test]
+fn unasked_upgrade_is_not_passed_on() {
+    for path in ["/book/a", "/look/a", "/tag/a", "/draft/a"] {
+        check_status(path, 101);
+    }
+}
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -36,6 +37,9 @@
 /// timeout.
 const IDLE_MARGIN_MS: Millis = 700;
 
+/// Statuses of answers. No request asks for an upgrade, and interim responses are skipped.
+const ANSWERS: RangeInclusive<u16> = 200..=599;
+
 /// Error of a call.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -51,6 +55,9 @@
     /// The connection failed after the request may have been sent.
     #[error("connection failed: {0}")]
     Broken(hyper::Error),
+    /// The status of the response is none of an answer; the request may have run.
+    #[error("status {0} is none of an answer")]
+    OddStatus(StatusCode),
     /// The response body is too large or incomplete.
     #[error("cannot read the response body: {0}")]
     Body(String),
@@ -193,7 +200,8 @@
     ///
     /// # Errors
     ///
-    /// [`CallError::NotSent`] if nothing was written, otherwise [`CallError::Broken`].
+    /// [`CallError::NotSent`] if nothing was written, [`CallError::OddStatus`] if the response is no
+    /// answer of the protocol, otherwise [`CallError::Broken`].
     pub async fn send(
         &mut self,
         request: Request<Payload>,
@@ -203,16 +211,18 @@
         }
         self.requests += 1;
         let request = request.map(|payload| self.upload.begin(payload));
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| {
-                if error.take_message().is_some() {
-                    CallError::NotSent
-                } else {
-                    CallError::Broken(error.into_error())
-                }
-            })
+        let response = self.sender.try_send_request(request).await;
+        let response = response.map_err(|mut error| {
+            if error.take_message().is_some() {
+                CallError::NotSent
+            } else {
+                CallError::Broken(error.into_error())
+            }
+        })?;
+        match response.status() {
+            status if !ANSWERS.contains(&status.as_u16()) => Err(CallError::OddStatus(status)),
+            _ => Ok(response),
+        }
     }
 
     /// True if the last request has been written to its end.
