tests: a crowd whose bodies are handed to another node

The port for other nodes takes bodies as well; the tests of crowds covered it only with requests that it refuses. 300 clients send whole bodies to a node that is cut off from all endpoints, while the node that they are handed to stands still for 1.5 s; both must stay within 88 MB. The wait for a node that knows that it is cut off moved to the common module.

--- a/crates/cli/tests/entry_site/mod.rs
+++ b/crates/cli/tests/entry_site/mod.rs
@@ -285,6 +285,21 @@
         }
     }
 
+    /// Cuts the node off from all endpoints and waits until it knows it.
+    pub fn cut_off(&self) {
+        self.set_links(LinkState::Reset);
+        let mut number = 0;
+        wait_for("the node to know that it is cut off", || {
+            number += 1;
+            call(&self.node, "/look/a", &format!("look-{number}"), &[]);
+            stream(&self.node, "/tag/a", &format!("tag-{number}"));
+            let log = self.node.log();
+            log.matches("cut off from the endpoints of a service")
+                .count()
+                >= 2
+        });
+    }
+
     /// Number of bytes that the node has sent to endpoints.
     pub fn sent_bytes(&self) -> u64 {
         self.links.iter().map(Link::sent_bytes).sum()
@@ -576,6 +591,11 @@
 
     /// Starts a node that reaches each endpoint over a link of its own.
     pub fn linked_node(&self, name: &str) -> LinkedNode {
+        self.linked_node_with(name, "")
+    }
+
+    /// The same with further lines of settings.
+    pub fn linked_node_with(&self, name: &str, more: &str) -> LinkedNode {
         let links: Vec<Link> = self
             .endpoints()
             .map(|endpoint| Link::start(endpoint.address()))
@@ -585,7 +605,7 @@
             .zip(&links)
             .map(|(endpoint, link)| (endpoint.address(), link.address()))
             .collect();
-        let node = self.node_at(name, self.store.view(addresses), "");
+        let node = self.node_at(name, self.store.view(addresses), more);
         LinkedNode { node, links }
     }
 
--- a/crates/cli/tests/test_client_crowds.rs
+++ b/crates/cli/tests/test_client_crowds.rs
@@ -13,8 +13,11 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-use entry_site::BODY_LIMIT;
-use untrusted::{Rig, StatedLimits, chunks, connect_all, crowd, head, write_pieces};
+use entry_site::{BODY_LIMIT, Node, Site, large_body_configuration};
+use untrusted::memory_watch::MemoryWatch;
+use untrusted::{
+    Rig, StatedLimits, alone, ask, chunks, connect_all, crowd, head, settle, write_pieces,
+};
 
 /// The smallest limits of the deployments.
 const STATED: StatedLimits = StatedLimits {
@@ -43,6 +46,9 @@
 /// Time for which a process is stopped.
 const STOP_TIME: Duration = Duration::from_millis(1_500);
 
+/// Pause between two events of a stream.
+const EVENT_PAUSE: Duration = Duration::from_millis(5);
+
 /// Size of a piece of a body, in bytes.
 const SMALL_PIECE: usize = 1_460;
 
@@ -137,12 +143,12 @@
 }
 
 /// Stops the process while clients connect and send.
-fn send_while_stopped<T: Send>(rig: &Rig, send: impl FnOnce() -> T + Send) -> T {
-    rig.node.signal("STOP");
+fn send_while_stopped<T: Send>(node: &Node, send: impl FnOnce() -> T + Send) -> T {
+    node.signal("STOP");
     std::thread::scope(|scope| {
         let clients = scope.spawn(send);
         std::thread::sleep(STOP_TIME);
-        rig.node.signal("CONT");
+        node.signal("CONT");
         clients.join().expect("the clients")
     })
 }
@@ -160,7 +166,7 @@
 fn check_stopped(form: Form) {
     let mut rig = Rig::start(STATED);
     let front = rig.node.front;
-    let clients = send_while_stopped(&rig, || send(front, CLIENTS, form));
+    let clients = send_while_stopped(&rig.node, || send(front, CLIENTS, form));
     rig.check(clients);
 }
 
@@ -272,7 +278,7 @@
         node.ready,
         node.metrics,
     ];
-    let clients = send_while_stopped(&rig, || {
+    let clients = send_while_stopped(&rig.node, || {
         std::thread::scope(|scope| {
             let crowds = ports.map(|port| scope.spawn(move || send(port, CLIENTS_PER_PORT, WHOLE)));
             crowds.map(|crowd| crowd.join().expect("a crowd"))
@@ -280,3 +286,32 @@
     });
     rig.check(clients);
 }
+
+/// Guards against bodies that come over the port for other nodes, whose reader may be late.
+#[test]
+fn handed_over_bodies_stay_within_the_memory_of_both_nodes() {
+    let _alone = alone();
+    let site = Site::start(EVENT_PAUSE);
+    site.store
+        .put("keyed.op", "op/config", &large_body_configuration());
+    let mut cut = site.linked_node_with("node-1", &STATED.settings());
+    let mut other = site.linked_node_with("node-2", &STATED.settings());
+    cut.cut_off();
+    let watches = [&cut, &other].map(|linked| MemoryWatch::start(&linked.node));
+    let message = WHOLE.message();
+    let clients = send_while_stopped(&other.node, || {
+        connect_all(crowd(CLIENTS), cut.node.front, PATIENCE, |id, stream| {
+            let head = head("/draft/a", id) + &message.framing;
+            write_pieces(stream, head.as_bytes(), head.len());
+            write_pieces(stream, &message.body, message.piece);
+        })
+    });
+    settle(&other.node);
+    let log = other.node.log();
+    assert!(log.contains("stream started"), "no request was handed over");
+    drop(clients);
+    for (linked, watch) in [&mut cut, &mut other].into_iter().zip(&watches) {
+        ask(&linked.node, "after");
+        STATED.check(&mut linked.node, watch);
+    }
+}
--- a/crates/cli/tests/test_handover.rs
+++ b/crates/cli/tests/test_handover.rs
@@ -28,25 +28,10 @@
     let site = Site::start(pause);
     let cut = site.linked_node("node-1");
     let other = site.linked_node("node-2");
-    know_cut(&cut);
+    cut.cut_off();
     (site, cut, other)
 }
 
-/// Cuts a node off from all endpoints and waits until it knows it.
-fn know_cut(cut: &LinkedNode) {
-    cut.set_links(LinkState::Reset);
-    let mut number = 0;
-    wait_for("the node to know that it is cut off", || {
-        number += 1;
-        call(&cut.node, "/look/a", &format!("look-{number}"), &[]);
-        stream(&cut.node, "/tag/a", &format!("tag-{number}"));
-        let log = cut.node.log();
-        log.matches("cut off from the endpoints of a service")
-            .count()
-            >= 2
-    });
-}
-
 /// Sends a request for a stream, and returns once the first bytes of its body are there.
 fn open_stream(node: &LinkedNode, path: &str, id: &str) -> TcpStream {
     let mut connection = TcpStream::connect(node.node.front).expect("a connection");
@@ -190,7 +175,7 @@
     let cut = site.linked_node("node-1");
     let frozen = site.linked_node("node-2");
     let other = site.linked_node("node-3");
-    know_cut(&cut);
+    cut.cut_off();
     frozen.node.signal("STOP");
     let answers: Vec<_> = (0..8)
         .map(|number| call(&cut.node, "/look/a", &format!("frozen-{number}"), &[]))
--- a/crates/cli/tests/untrusted/mod.rs
+++ b/crates/cli/tests/untrusted/mod.rs
@@ -37,6 +37,33 @@
     pub max_fds: usize,
 }
 
+impl StatedLimits {
+    /// The lines of the settings that state them.
+    pub fn settings(self) -> String {
+        let Self { memory_mb, max_fds } = self;
+        format!("[Limits]\nMemoryMb = {memory_mb}\nMaxFds = {max_fds}\n")
+    }
+
+    /// Checks that a node lives and has stayed within them.
+    pub fn check(self, node: &mut Node, watch: &MemoryWatch) {
+        assert!(!node.has_exited(), "the node has exited");
+        let peak = node.peak_memory_kb().expect("the node runs");
+        let held = watch.peak_kb();
+        let fds = std::fs::read_dir(format!("/proc/{}/fd", node.id()))
+            .expect("the node runs")
+            .count();
+        println!("peak {peak} kB, {held} kB with unread bytes, {fds} descriptors");
+        let bound = self.memory_mb * 1_000_000 / 1024;
+        assert!(peak <= bound, "peak of {peak} kB, bound {bound} kB");
+        assert!(
+            held <= bound,
+            "peak of {held} kB with unread bytes, bound {bound} kB"
+        );
+        let bound = self.max_fds - FILE_FDS;
+        assert!(fds <= bound, "{fds} open descriptors, bound {bound}");
+    }
+}
+
 /// A node with stated limits, and a site with large bodies and long timeouts.
 pub struct Rig {
     pub site: Site,
@@ -54,13 +81,11 @@
 
 impl Rig {
     pub fn start(stated: StatedLimits) -> Self {
-        let alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+        let alone = alone();
         let site = Site::start_with(1, Duration::from_millis(5));
         site.store
             .put("keyed.op", "op/config", &large_body_configuration());
-        let StatedLimits { memory_mb, max_fds } = stated;
-        let limits = format!("[Limits]\nMemoryMb = {memory_mb}\nMaxFds = {max_fds}\n");
-        let node = Node::start_with("node-1", site.store.address(), &[], &limits);
+        let node = Node::start_with("node-1", site.store.address(), &[], &stated.settings());
         node.wait_ready();
         wait_for("the node to list all endpoints", || {
             node.log().matches("endpoint listed").count() >= 3
@@ -77,61 +102,53 @@
 
     /// Sends one ordinary request, whose answer must be whole.
     pub fn ask(&self, when: &str) {
-        let request = http::Request::builder()
-            .method("POST")
-            .uri(format!("http://{}/look/a", self.node.front))
-            .header("host", "site.example")
-            .header("authorization", "Bearer key-1")
-            .header("request-id", when)
-            .header("deadline-ms", "8000")
-            .body(vec![b'x'; ORDINARY_BODY])
-            .expect("a request");
-        let answer = entry_site::client(0).run(request);
-        let status = answer.map(|answer| answer.status().as_u16());
-        assert!(
-            matches!(status, Ok(200)),
-            "ordinary request {when}: {status:?}"
-        );
-    }
-
-    /// Waits until the node has read what the clients sent: its peak memory no longer grows.
-    fn settle(&self) {
-        let mut peaks = vec![0];
-        for _ in 0..MAX_SETTLE_S {
-            std::thread::sleep(SETTLE_PAUSE);
-            peaks.extend(self.node.peak_memory_kb());
-            if peaks[peaks.len() - 1] == peaks[peaks.len().saturating_sub(2)] {
-                break;
-            }
-        }
+        ask(&self.node, when);
     }
 
     /// Checks the bounds while the clients of `crowd` are connected, and after they have left.
     pub fn check<T>(&mut self, crowd: T) {
-        self.settle();
+        settle(&self.node);
         self.ask("during");
-        self.check_bounds();
+        self.stated.check(&mut self.node, &self.watch);
         drop(crowd);
         self.ask("after");
-        self.check_bounds();
+        self.stated.check(&mut self.node, &self.watch);
     }
+}
 
-    fn check_bounds(&mut self) {
-        assert!(!self.node.has_exited(), "the node has exited");
-        let peak = self.node.peak_memory_kb().expect("the node runs");
-        let held = self.watch.peak_kb();
-        let fds = std::fs::read_dir(format!("/proc/{}/fd", self.node.id()))
-            .expect("the node runs")
-            .count();
-        println!("peak {peak} kB, {held} kB with unread bytes, {fds} descriptors");
-        let bound = self.stated.memory_mb * 1_000_000 / 1024;
-        assert!(peak <= bound, "peak of {peak} kB, bound {bound} kB");
-        assert!(
-            held <= bound,
-            "peak of {held} kB with unread bytes, bound {bound} kB"
-        );
-        let bound = self.stated.max_fds - FILE_FDS;
-        assert!(fds <= bound, "{fds} open descriptors, bound {bound}");
+/// Waits until no other test of this file runs.
+pub fn alone() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Sends one ordinary request, whose answer must be whole.
+pub fn ask(node: &Node, when: &str) {
+    let request = http::Request::builder()
+        .method("POST")
+        .uri(format!("http://{}/look/a", node.front))
+        .header("host", "site.example")
+        .header("authorization", "Bearer key-1")
+        .header("request-id", when)
+        .header("deadline-ms", "8000")
+        .body(vec![b'x'; ORDINARY_BODY])
+        .expect("a request");
+    let answer = entry_site::client(0).run(request);
+    let status = answer.map(|answer| answer.status().as_u16());
+    assert!(
+        matches!(status, Ok(200)),
+        "ordinary request {when}: {status:?}"
+    );
+}
+
+/// Waits until a node has read what the clients sent: its peak memory no longer grows.
+pub fn settle(node: &Node) {
+    let mut peaks = vec![0];
+    for _ in 0..MAX_SETTLE_S {
+        std::thread::sleep(SETTLE_PAUSE);
+        peaks.extend(node.peak_memory_kb());
+        if peaks[peaks.len() - 1] == peaks[peaks.len().saturating_sub(2)] {
+            break;
+        }
     }
 }
 
