limits, docs: large bodies without a wide receive buffer are counted and logged

Tests of the division: the parts are less than nine tenths of the memory from 40 MB on; a body in parts is whole however it arrives; the buffers that bodies are read from count.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -70,6 +70,8 @@
     Connection,
     /// A streamed answer that its caller did not read.
     UnreadStream,
+    /// A large body for whose connection there is no wide receive buffer.
+    ReceiveBuffer,
 }
 
 /// Labels of a counted event.
@@ -331,6 +333,7 @@
             EventKind::Reach => "reach",
             EventKind::Connection => "connection",
             EventKind::UnreadStream => "unread_stream",
+            EventKind::ReceiveBuffer => "receive_buffer",
         };
         self.events
             .get_or_create(&EventLabels { event, outcome })
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -92,7 +92,7 @@
         node_pool: Pool::default(),
         metrics: metrics.clone(),
         memory: MemoryBudget::of_memory(settings.memory_mb),
-        wide_buffers: WideBuffers::with_limit(plan.wide_buffers()),
+        wide_buffers: WideBuffers::with_limit(plan.wide_buffers(), metrics.clone()),
     };
     let limit = |port| ConnectionLimit::of(port, settings.max_fds, settings.memory_mb);
     let connections = ConnectionCount::default();
--- a/crates/gateway/src/receive_buffer.rs
+++ b/crates/gateway/src/receive_buffer.rs
@@ -4,14 +4,16 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::limited_log::LimitedLog;
 use crate::memory_plan::{RECEIVE_BUFFER, UNREAD_FACTOR, WIDE_RECEIVE_BUFFER};
+use crate::metrics::{EventKind, Metrics};
 
 /// Bytes that a client sends without an answer after which its receive buffer is made wide.
 const LARGE_BYTES: usize = 16 * 1024;
@@ -19,20 +21,41 @@
 /// What a wide buffer may hold beyond an ordinary one, in bytes.
 const WIDE_EXTRA: usize = (WIDE_RECEIVE_BUFFER - RECEIVE_BUFFER) * UNREAD_FACTOR;
 
+/// Log of large bodies without a wide buffer.
+static NARROW_LOG: LimitedLog = LimitedLog::new();
+
 /// Memory for wide receive buffers. Clones share it.
 #[derive(Clone, Debug)]
-pub struct WideBuffers(Arc<Mutex<usize>>);
+pub struct WideBuffers {
+    left: Arc<Mutex<usize>>,
+    metrics: Arc<Metrics>,
+}
 
 impl WideBuffers {
     /// Memory of this many bytes.
-    pub fn with_limit(bytes: usize) -> Self {
-        Self(Arc::new(Mutex::new(bytes)))
+    pub fn with_limit(bytes: usize, metrics: Arc<Metrics>) -> Self {
+        let left = Arc::new(Mutex::new(bytes));
+        Self { left, metrics }
+    }
+
+    fn left(&self) -> MutexGuard<'_, usize> {
+        self.left.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn take(&self) -> Option<WideBuffer> {
-        let mut left = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *left = left.checked_sub(WIDE_EXTRA)?;
-        Some(WideBuffer(self.clone()))
+        let mut left = self.left();
+        let rest = left.checked_sub(WIDE_EXTRA);
+        if let Some(rest) = rest {
+            *left = rest;
+        }
+        drop(left);
+        if rest.is_none() {
+            self.metrics.count(EventKind::ReceiveBuffer, "no_memory");
+            if let Some(suppressed) = NARROW_LOG.due() {
+                log::info!(suppressed; "no memory for a wide receive buffer");
+            }
+        }
+        rest.map(|_| WideBuffer(self.clone()))
     }
 }
 
@@ -43,17 +66,27 @@
 
 impl Drop for WideBuffer {
     fn drop(&mut self) {
-        let mut left = self.0.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *left += WIDE_EXTRA;
+        *self.0.left() += WIDE_EXTRA;
     }
 }
 
+/// How the receive buffer of a connection is.
+#[derive(Debug)]
+enum Width {
+    Ordinary,
+    /// Ordinary, as there was no memory for a wide one.
+    Narrow,
+    Wide {
+        _memory: WideBuffer,
+    },
+}
+
 /// A connection whose receive buffer grows when its client sends a large body.
 #[derive(Debug)]
 pub struct ClientStream {
     stream: TcpStream,
     buffers: WideBuffers,
-    wide: Option<WideBuffer>,
+    width: Width,
     /// Bytes received since the last ones were sent.
     received: usize,
 }
@@ -65,19 +98,31 @@
         Self {
             stream,
             buffers,
-            wide: None,
+            width: Width::Ordinary,
             received: 0,
         }
     }
 
+    /// Makes the buffer wide once the client has sent much, if there is memory for it.
     fn note_received(&mut self, bytes: usize) {
         self.received += bytes;
-        if self.received < LARGE_BYTES || self.wide.is_some() {
+        if self.received < LARGE_BYTES || !matches!(self.width, Width::Ordinary) {
             return;
         }
-        self.wide = self.buffers.take();
-        if self.wide.is_some() {
-            set_receive_buffer(&self.stream, WIDE_RECEIVE_BUFFER);
+        self.width = match self.buffers.take() {
+            Some(memory) => {
+                set_receive_buffer(&self.stream, WIDE_RECEIVE_BUFFER);
+                Width::Wide { _memory: memory }
+            }
+            None => Width::Narrow,
+        };
+    }
+
+    /// Notes that bytes are sent, so that another request may follow.
+    fn note_sent(&mut self) {
+        self.received = 0;
+        if matches!(self.width, Width::Narrow) {
+            self.width = Width::Ordinary;
         }
     }
 }
@@ -109,7 +154,7 @@
         context: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.received = 0;
+        self.note_sent();
         Pin::new(&mut self.stream).poll_write(context, data)
     }
 
@@ -118,7 +163,7 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.received = 0;
+        self.note_sent();
         Pin::new(&mut self.stream).poll_write_vectored(context, parts)
     }
 
--- a/crates/gateway/tests/test_attempts.rs
+++ b/crates/gateway/tests/test_attempts.rs
@@ -116,7 +116,7 @@
     let context = ProxyContext {
         metrics: Arc::default(),
         memory: flamingolock_gateway::memory_budget::MemoryBudget::default(),
-        wide_buffers: WideBuffers::with_limit(0),
+        wide_buffers: WideBuffers::with_limit(0, Arc::default()),
         process_end: ProcessEnd::channel().1,
         handle: handle.clone(),
         dialect: &DIALECT,
--- a/crates/gateway/tests/test_client_limits.rs
+++ b/crates/gateway/tests/test_client_limits.rs
@@ -4,7 +4,7 @@
 
 use flamingolock_gateway::connection_limit::{ConnectionLimit, Entered, Slot};
 use flamingolock_gateway::memory_budget::{BodyBuffer, BudgetExhausted, MemoryBudget};
-use flamingolock_gateway::memory_plan::Port;
+use flamingolock_gateway::memory_plan::{MemoryPlan, Port, RECEIVE_BUFFER, UNREAD_FACTOR};
 use tokio::time::timeout;
 
 const MIB: usize = 1024 * 1024;
@@ -107,6 +107,74 @@
     assert_eq!(small.len(), ORDINARY);
 }
 
+/// Guards against parts that are lost or change places when a body is kept in several.
+#[tokio::test]
+async fn body_is_whole_however_it_arrives() {
+    let data: Vec<u8> = (0..LIMIT).map(|index| (index % 251) as u8).collect();
+    for (length, piece) in [(LIMIT, 1_460), (LIMIT, LIMIT), (ORDINARY, 70_000), (1, 1)] {
+        let budget = MemoryBudget::with_limit(8 * MIB);
+        let mut body = budget.body(None);
+        body.start_reading(READ_BUFFER).await.expect("room");
+        for piece in data[..length].chunks(piece) {
+            body.push(piece, LIMIT).await.expect("room");
+        }
+        assert_eq!(body.len(), length);
+        let payload = body.finish();
+        assert_eq!(payload.len(), length);
+        let parts: Vec<&[u8]> = payload.parts().collect();
+        assert!(parts.concat() == data[..length], "{length} in {piece}");
+        assert!(budget.used() < length + 32 * 1024, "{}", budget.used());
+        drop(payload);
+        assert_eq!(budget.used(), 0);
+    }
+}
+
+/// Guards against bodies that hold buffers of their connections without being counted.
+#[tokio::test]
+async fn buffers_from_which_bodies_are_read_count() {
+    let budget = MemoryBudget::with_limit(3 * READ_BUFFER);
+    let mut bodies = [(); 4].map(|()| budget.body(None));
+    for body in &mut bodies[..3] {
+        body.start_reading(READ_BUFFER).await.expect("room");
+    }
+    let [first, .., last] = &mut bodies;
+    let started = async { tokio::join!(last.start_reading(READ_BUFFER), first.refused()).0 };
+    let started = timeout(AT_ONCE, started).await;
+    assert_eq!(started, Ok(Err(BudgetExhausted)), "nothing was released");
+    drop(bodies);
+    assert_eq!(budget.used(), 0);
+}
+
+/// Guards against parts of the memory that add up to more than there is.
+#[test]
+fn what_clients_may_hold_is_less_than_the_memory() {
+    for memory_mb in [40, 48, 88, 110, 160, 260, 512, 4_000] {
+        for read_buffer in [16 * 1024, READ_BUFFER, 4 * READ_BUFFER] {
+            let plan = MemoryPlan::of_memory(memory_mb);
+            let port_bytes = |port: Port| {
+                let unaccepted = port.unaccepted_buffer() * UNREAD_FACTOR;
+                let accepted = match port {
+                    Port::Callers | Port::Nodes => RECEIVE_BUFFER * UNREAD_FACTOR,
+                    Port::Directory | Port::Internal => unaccepted,
+                };
+                plan.backlog(port) * unaccepted
+                    + plan.connections(port, read_buffer) * (read_buffer + accepted)
+            };
+            let ports = [
+                Port::Callers,
+                Port::Nodes,
+                Port::Directory,
+                Port::Internal,
+                Port::Internal,
+            ];
+            let held =
+                plan.bodies() + plan.wide_buffers() + ports.map(port_bytes).iter().sum::<usize>();
+            let memory = memory_mb as usize * 1_000_000;
+            assert!(held < memory * 9 / 10, "{held} of {memory} bytes");
+        }
+    }
+}
+
 /// A port with a bound of ten connections.
 fn ten_connections() -> ConnectionLimit {
     ConnectionLimit::of(Port::Internal, 200 + 10 * 32, 0)
