placement: a service that the configuration drops keeps its kind while it has endpoints

Cause: the kind of an unknown service was taken for that of a service without engines. Change: the services of earlier configurations are kept while an endpoint of theirs is listed.

--- a/crates/gateway/src/control/state.rs
+++ b/crates/gateway/src/control/state.rs
@@ -34,7 +34,7 @@
 use self::relay::RelayedUpdates;
 use self::streams::{BuildRecord, FormerMemory, StreamRecord};
 use self::suspects::{SuspectsRecord, UndecidedRun};
-use crate::catalog::Catalog;
+use crate::catalog::{Catalog, Service};
 use crate::clock::Millis;
 use crate::control::begun_streams::BegunStreams;
 use crate::control::cache_index::CacheIndex;
@@ -97,6 +97,8 @@
     view: Arc<ArcSwap<View>>,
     metrics: Arc<Metrics>,
     catalog: Option<Arc<Catalog>>,
+    /// Services that the configuration no longer lists, while they have endpoints.
+    dropped_services: BTreeMap<Arc<str>, Arc<Service>>,
     fleet: BTreeMap<EndpointKey, EndpointState>,
     wait_errors: WaitErrors,
     reach: Reach,
@@ -229,6 +231,7 @@
             view,
             metrics,
             catalog: None,
+            dropped_services: BTreeMap::new(),
             fleet: BTreeMap::new(),
             wait_errors: WaitErrors::default(),
             reach: Reach::default(),
--- a/crates/gateway/src/control/state/engine_memory.rs
+++ b/crates/gateway/src/control/state/engine_memory.rs
@@ -46,8 +46,7 @@
         if !self.settings.bounds_engine_memory {
             return Ok(());
         }
-        let catalog = self.catalog.as_ref();
-        let service = catalog.and_then(|catalog| catalog.services.get(&request.service));
+        let service = self.service(&request.service);
         let Some(ServiceKind::Engines(traits)) = service.map(|service| service.kind) else {
             return Ok(());
         };
--- a/crates/gateway/src/control/state/placement.rs
+++ b/crates/gateway/src/control/state/placement.rs
@@ -11,7 +11,7 @@
 use super::limits::PermitStep;
 use super::quota::QuotaStep;
 use super::{Control, QueuedRequest};
-use crate::catalog::ServiceKind;
+use crate::catalog::{Service, ServiceKind};
 use crate::clock::Millis;
 use crate::control::cache_index::{FetchSource, namespace, salt};
 use crate::control::fleet::{Estimate, EstimateContext};
@@ -358,10 +358,7 @@
         request: &PlacementRequest,
         now: Millis,
     ) -> Result<(EndpointKey, Estimate), Refusal> {
-        let service = self
-            .catalog
-            .as_ref()
-            .and_then(|catalog| catalog.services.get(&request.service));
+        let service = self.service(&request.service);
         let kind = service.map_or(ServiceKind::Plain, |service| service.kind);
         let model = request.model.as_deref();
         let context = EstimateContext {
@@ -555,13 +552,17 @@
         }
     }
 
+    /// A service of the configuration, or of an earlier one that listed it.
+    pub(super) fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        let catalog = self.catalog.as_ref();
+        let listed = catalog.and_then(|catalog| catalog.services.get(name));
+        listed.or_else(|| self.dropped_services.get(name))
+    }
+
     /// Maximum number of connections that this node may keep to each endpoint of a service.
     pub(super) fn max_connections(&self, service: &str, now: Millis) -> usize {
         let nodes = self.max_nodes_sharing(now) + STARTING_NODES;
-        let service = self
-            .catalog
-            .as_ref()
-            .and_then(|catalog| catalog.services.get(service));
+        let service = self.service(service);
         let connections = service.map_or(8.0, |service| {
             f64::from(service.max_conns) * CONNECTION_SHARE
         }) / nodes as f64;
--- a/crates/gateway/src/control/state/records.rs
+++ b/crates/gateway/src/control/state/records.rs
@@ -127,6 +127,7 @@
         let first = self.catalog.is_none();
         self.keep_stream_memory(now);
         self.dispatch.apply_catalog(&catalog);
+        self.keep_dropped_services(&catalog);
         self.catalog = Some(Arc::new(catalog));
         if let Some(kv_store) = kv_store.filter(|_| first) {
             self.query_cache(kv_store, None, now);
@@ -135,6 +136,23 @@
         true
     }
 
+    /// Keeps the services that a new configuration no longer lists: their streams go on at their
+    /// endpoints.
+    fn keep_dropped_services(&mut self, new: &Catalog) {
+        if let Some(current) = &self.catalog {
+            let services = current.services.iter();
+            let services = services.map(|(name, service)| (name.clone(), service.clone()));
+            self.dropped_services.extend(services);
+        }
+        let served: BTreeSet<&str> = self
+            .fleet
+            .values()
+            .map(|state| &*state.endpoint.service)
+            .collect();
+        self.dropped_services
+            .retain(|name, _| !new.services.contains_key(name) && served.contains(&**name));
+    }
+
     /// Applies all entries, as read from the store.
     pub(super) fn endpoints_read(&mut self, records: &[KeyedRecord], now: Millis) {
         let current_at = self.endpoints_copy.current_at();
--- a/crates/gateway/tests/test_isolation.rs
+++ b/crates/gateway/tests/test_isolation.rs
@@ -145,3 +145,20 @@
     assert_ne!(unlisted, salt(&mut harness, "a"));
     assert_ne!(unlisted, salt(&mut harness, "other"));
 }
+
+/// Guards against parts that anybody may find: streams of a service went on without a salt and
+/// at any weights once the newest configuration no longer listed it.
+#[test]
+fn service_that_is_no_longer_listed_keeps_its_salts() {
+    let mut harness = with_isolated(&["a", "b"], &["b"]);
+    let salts = ["a", "b"].map(|workspace| salt(&mut harness, workspace));
+    let workspaces = r#"{"Name":"a","ApiKeys":["a"]},{"Name":"b","ApiKeys":["b"],"Isolated":true}"#;
+    for version in [3, 4] {
+        harness.plain_catalog(version, workspaces, 20);
+        for (workspace, before) in ["a", "b"].into_iter().zip(&salts) {
+            let grant = grant(&mut harness, Some(workspace));
+            assert_eq!(grant.salt.as_ref(), Some(before), "{workspace}");
+            assert!(grant.weights.is_some(), "{workspace}");
+        }
+    }
+}
