connections: a refusal without an id keeps streams from its connection

Cause: only requests that may run once avoided a connection with such a refusal. A stream that may be resumed may run at one engine after the other, not at two. Change: only requests of the safe kind use such a connection again; at an engine, that closes it.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -143,8 +143,8 @@
             cause = end.as_str(); "endpoint did not run the request");
         let is_named = head.request_id.is_some();
         connection.record_refusal(&exchange.request_id, exchange.deadline, is_named);
-        // No other request that may run once could use it.
-        if is_named || exchange.route.is_retryable() {
+        // Else only requests that may run twice could use it, and there are no others here.
+        if is_named || exchange.route.may_run_twice() {
             drain_body(context, &grant, connection, body, &head).await;
         }
         guard.end(end.clone());
@@ -330,11 +330,10 @@
     grant: &Grant,
     resume_after: Option<u64>,
 ) -> Result<(http::Response<Incoming>, Connection), CallError> {
-    let is_retryable = exchange.route.is_retryable();
     let purpose = ConnectionUse {
         request_id: &exchange.request_id,
-        is_retryable,
-        idle_share: if is_retryable {
+        may_run_twice: exchange.route.may_run_twice(),
+        idle_share: if exchange.route.is_retryable() {
             1.0
         } else {
             NON_RETRYABLE_IDLE_SHARE
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// True if a request may run at two endpoints at the same time. A stream that may be resumed
+    /// may not: it runs at one engine after the other.
+    pub fn may_run_twice(&self) -> bool {
+        self.kind == RequestKind::Safe
+    }
+
     /// Selects a service by backend weight, given an evenly distributed number.
     pub fn select_service(&self, number: u64) -> Option<&Arc<str>> {
         let total: u64 = self.backends.iter().map(|b| u64::from(b.weight)).sum();
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -218,7 +218,7 @@
     let build = || build_request(exchange, context, node, possible_runs);
     let purpose = ConnectionUse {
         request_id: &exchange.request_id,
-        is_retryable: exchange.route.is_retryable(),
+        may_run_twice: exchange.route.may_run_twice(),
         idle_share: IDLE_SHARE,
     };
     if let Some(mut connection) = context.node_pool.take(node.incarnation, &purpose) {
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -264,7 +264,7 @@
             .refused
             .iter()
             .any(|(id, _)| **id == *purpose.request_id);
-        is_repeat || (self.has_unnamed_refusal && !purpose.is_retryable)
+        is_repeat || (self.has_unnamed_refusal && !purpose.may_run_twice)
     }
 
     /// True if the connection is open.
@@ -385,8 +385,8 @@
 pub struct ConnectionUse<'a> {
     /// Id of the request.
     pub request_id: &'a str,
-    /// True if the request may run more than once.
-    pub is_retryable: bool,
+    /// True if the request may run at two endpoints at the same time.
+    pub may_run_twice: bool,
     /// Fraction of its idle timeout for which the connection may have been idle.
     pub idle_share: f64,
 }
