connections: one type for connections that are observed

The receive buffer of clients' connections and the upload to endpoints each had a stream of its own that passed all calls on. Both are closures of one type now. No change of behaviour; test_early_responses, test_untrusted_clients, test_handover and test_repeated_responses pass.

--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -21,7 +21,7 @@
 use crate::clock::{Millis, now};
 use crate::endpoint::EndpointKey;
 use crate::payload::Payload;
-use crate::upload::{Upload, UploadBody, UploadStream};
+use crate::upload::{self, Upload, UploadBody};
 
 /// Maximum size of the buffers of a connection, in bytes; it also bounds the head of a response.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
@@ -173,7 +173,7 @@
             log::debug!(error:% = error; "cannot set TCP_USER_TIMEOUT");
         }
         let upload = Upload::default();
-        let stream = UploadStream::new(stream, upload.clone());
+        let stream = upload::observe(stream, upload.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod metrics;
 pub mod node;
 pub mod node_port;
+pub mod observed_stream;
 pub mod orders;
 pub mod packing;
 pub mod payload;
--- a/crates/gateway/src/node_port.rs
+++ b/crates/gateway/src/node_port.rs
@@ -17,7 +17,7 @@
 use crate::handover;
 use crate::metrics::Metrics;
 use crate::peer_sync::Transfers;
-use crate::receive_buffer::ClientStream;
+use crate::receive_buffer;
 use crate::server::{self, Client, ConnectionCount, ConnectionGuard};
 
 /// Time for the first byte of a connection.
@@ -86,7 +86,7 @@
     guard: ConnectionGuard,
 ) {
     let limits = server::caller_limits(&context);
-    let stream = ClientStream::new(stream, context.wide_buffers.clone());
+    let stream = receive_buffer::observe(stream, context.wide_buffers.clone());
     let handler = move |request: Request<Incoming>| {
         handover::receive(request, context.clone(), metrics.clone())
     };
--- a/crates/gateway/src/receive_buffer.rs
+++ b/crates/gateway/src/receive_buffer.rs
@@ -2,18 +2,15 @@
 //! the process, so a connection gets a wide one only for a large body, and only while there is
 //! memory for it.
 
-use std::io::{self, IoSlice};
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::limited_log::LimitedLog;
 use crate::memory_plan::{RECEIVE_BUFFER, UNREAD_FACTOR, WIDE_RECEIVE_BUFFER};
 use crate::metrics::{EventKind, Metrics};
+use crate::observed_stream::{IoEvent, ObservedStream};
 
 /// Bytes that a client sends without an answer after which its receive buffer is made wide.
 const LARGE_BYTES: usize = 16 * 1024;
@@ -81,37 +78,44 @@
     },
 }
 
-/// A connection whose receive buffer grows when its client sends a large body.
+/// The receive buffer of a connection.
 #[derive(Debug)]
-pub struct ClientStream {
-    stream: TcpStream,
+struct ReceiveBuffer {
     buffers: WideBuffers,
     width: Width,
     /// Bytes received since the last ones were sent.
     received: usize,
 }
 
-impl ClientStream {
-    /// Gives an accepted connection an ordinary receive buffer.
-    pub fn new(stream: TcpStream, buffers: WideBuffers) -> Self {
-        set_receive_buffer(&stream, RECEIVE_BUFFER);
-        Self {
-            stream,
-            buffers,
-            width: Width::Ordinary,
-            received: 0,
-        }
-    }
+/// Gives an accepted connection an ordinary receive buffer, and a wide one when its client sends a
+/// large body.
+pub fn observe(
+    stream: TcpStream,
+    buffers: WideBuffers,
+) -> ObservedStream<impl FnMut(&TcpStream, IoEvent)> {
+    set_receive_buffer(&stream, RECEIVE_BUFFER);
+    let mut buffer = ReceiveBuffer {
+        buffers,
+        width: Width::Ordinary,
+        received: 0,
+    };
+    ObservedStream::new(stream, move |stream: &TcpStream, event| match event {
+        IoEvent::Received(bytes) => buffer.note_received(stream, bytes),
+        IoEvent::Sending => buffer.note_sent(),
+        IoEvent::Flushed => {}
+    })
+}
 
-    /// Makes the buffer wide once the client has sent much, if there is memory for it.
-    fn note_received(&mut self, bytes: usize) {
+impl ReceiveBuffer {
+    /// Makes it wide once the client has sent much, if there is memory for it.
+    fn note_received(&mut self, stream: &TcpStream, bytes: usize) {
         self.received += bytes;
         if self.received < LARGE_BYTES || !matches!(self.width, Width::Ordinary) {
             return;
         }
         self.width = match self.buffers.take() {
             Some(memory) => {
-                set_receive_buffer(&self.stream, WIDE_RECEIVE_BUFFER);
+                set_receive_buffer(stream, WIDE_RECEIVE_BUFFER);
                 Width::Wide { _memory: memory }
             }
             None => Width::Narrow,
@@ -133,49 +137,3 @@
         log::debug!(error:% = error; "cannot set SO_RCVBUF");
     }
 }
-
-impl AsyncRead for ClientStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        let bytes = buffer.filled().len() - before;
-        self.note_received(bytes);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for ClientStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        data: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.note_sent();
-        Pin::new(&mut self.stream).poll_write(context, data)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.note_sent();
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -27,7 +28,7 @@
 use crate::limited_log::LimitedLog;
 use crate::memory_plan::{MemoryPlan, Port};
 use crate::metrics::{EventKind, Metrics};
-use crate::receive_buffer::ClientStream;
+use crate::receive_buffer;
 use crate::request_handler;
 use crate::response::{IncompleteBody, ResponseBody};
 
@@ -212,7 +213,7 @@
         let context = context.clone();
         let metrics = metrics.clone();
         let guard = connections.enter();
-        let stream = ClientStream::new(stream, context.wide_buffers.clone());
+        let stream = receive_buffer::observe(stream, context.wide_buffers.clone());
         let handler = move |request: Request<Incoming>| {
             let context = context.clone();
             let metrics = metrics.clone();
@@ -243,14 +244,15 @@
 
 /// Serves one connection until it is closed. Once `shutdown` is true, it is closed as soon
 /// as it is idle.
-pub async fn serve_connection<F, R>(
-    stream: ClientStream,
+pub async fn serve_connection<S, F, R>(
+    stream: S,
     client: Client,
     limits: CallerLimits,
     handler: F,
     mut shutdown: watch::Receiver<bool>,
     guard: ConnectionGuard,
 ) where
+    S: AsyncRead + AsyncWrite + Unpin,
     F: Fn(Request<Incoming>) -> R,
     R: Future<Output = Response<ResponseBody>>,
 {
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -1,8 +1,7 @@
-//! Whether a request has been written to its connection. A response that begins before may have been cut
-//! off together with the request, and its end does not tell.
+//! Whether a request has been written to its connection. A response that ends before may have
+//! been cut off together with the request, and its end does not tell.
 
 use std::convert::Infallible;
-use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -11,9 +10,9 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::observed_stream::{IoEvent, ObservedStream};
 use crate::payload::Payload;
 
 /// `TCP_NOTSENT_LOWAT`: bytes that the kernel takes beyond those that it has sent. Without it a large
@@ -92,63 +91,18 @@
     }
 }
 
-/// Connection to a server that notes when a request has been written.
-#[derive(Debug)]
-pub struct UploadStream {
+/// Notes in `upload` how far requests are written to a connection.
+pub fn observe(
     stream: TcpStream,
     upload: Upload,
-}
-
-impl UploadStream {
-    /// Notes in `upload` how far requests are written.
-    pub fn new(stream: TcpStream, upload: Upload) -> Self {
-        // Without the option, large requests count as written too early.
-        if let Err(error) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
-            log::debug!(error:% = error; "cannot set TCP_NOTSENT_LOWAT");
-        }
-        Self { stream, upload }
-    }
-}
-
-impl AsyncRead for UploadStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for UploadStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        data: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, data)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    /// Called once the buffers above are empty.
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        self.upload.advance(TAKEN, WRITTEN);
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+) -> ObservedStream<impl FnMut(&TcpStream, IoEvent)> {
+    // Without the option, large requests count as written too early.
+    if let Err(error) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!(error:% = error; "cannot set TCP_NOTSENT_LOWAT");
     }
+    ObservedStream::new(stream, move |_: &TcpStream, event| {
+        if event == IoEvent::Flushed {
+            upload.advance(TAKEN, WRITTEN);
+        }
+    })
 }
