attempt: verdicts and statements of endpoints in modules of their own

What the head of a response tells of its request (run_verdict.rs), and what endpoints state of themselves (endpoint_statements.rs), are apart now. No change of behaviour.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,16 +13,17 @@
 use crate::body_end::Witness;
 use crate::catalog::RequestKind;
 use crate::clock::{Millis, now};
-use crate::control::notices::Notice;
 use crate::control::{Event, Grant, RunEnd};
-use crate::dialect::{EndpointHead, LimitStatement, ResponseHead};
+use crate::dialect::{EndpointHead, ResponseHead};
 use crate::endpoint::Endpoint;
+use crate::endpoint_statements::{pass_on_leaving, pass_on_limits, pass_on_pause};
 use crate::exchange::{Exchange, ProxyContext};
 use crate::http_client::{BodyFraming, CallError, Connection, ConnectionUse};
 use crate::limited_log::LimitedLog;
 use crate::payload::Payload;
 use crate::response_body::{BodyError, discard, read_whole};
 use crate::run_guard::RunGuard;
+use crate::run_verdict::{doubt, not_run_reason, proves_not_run};
 
 /// Timeout for connecting to an endpoint.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -211,119 +212,6 @@
     AttemptOutcome::NoResponse(RunEnd::Expired)
 }
 
-/// True unless another endpoint at the address may have refused the request.
-fn is_own(grant: &Grant, status: StatusCode, head: &ResponseHead) -> bool {
-    status != StatusCode::MISDIRECTED_REQUEST
-        || head.instance.as_deref() == Some(&*grant.endpoint.id)
-}
-
-/// Tells the control thread that the endpoint wants a pause, if it does.
-fn pass_on_pause(context: &ProxyContext, grant: &Grant, status: StatusCode, head: &ResponseHead) {
-    if let Some(pause) = head
-        .retry_after
-        .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
-    {
-        let endpoint = grant.endpoint.clone();
-        context
-            .handle
-            .send(Event::Noticed(endpoint, Notice::Pause(pause)));
-    }
-}
-
-/// Tells the control thread that the endpoint is leaving, if it says so. It does in all its
-/// responses, also in one to another request.
-fn pass_on_leaving(context: &ProxyContext, grant: &Grant, status: StatusCode, head: &ResponseHead) {
-    if head.leaving && is_own(grant, status, head) {
-        let endpoint = grant.endpoint.clone();
-        context
-            .handle
-            .send(Event::Noticed(endpoint, Notice::Leaving));
-    }
-}
-
-/// Tells the control thread what the endpoint states about its limits. A response that
-/// states none counts only if the request was sent under a limit.
-fn pass_on_limits(
-    exchange: &Exchange,
-    context: &ProxyContext,
-    grant: &Grant,
-    status: StatusCode,
-    head: &ResponseHead,
-) {
-    if !is_own(grant, status, head) || !(head.signed || head.not_run) {
-        return;
-    }
-    let statements: [(_, _, fn(_, _) -> _); 2] = [
-        (head.limit, grant.limit.is_some(), Event::LimitStated),
-        (head.brittle, grant.is_brittle, Event::BrittlenessStated),
-    ];
-    for (statement, was_known, event) in statements {
-        let limit = match statement {
-            LimitStatement::PerSecond(limit) => Some(limit),
-            LimitStatement::Absent if was_known => None,
-            LimitStatement::Absent => continue,
-            LimitStatement::Unreadable => {
-                log::warn!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id; "endpoint states an unreadable limit; ignored");
-                continue;
-            }
-        };
-        context.handle.send(event(grant.endpoint.clone(), limit));
-    }
-}
-
-/// Why a response may belong to another request: faulty endpoints write some responses twice,
-/// the second time where the next response on the connection is expected. None if it belongs
-/// to this request.
-fn doubt(
-    exchange: &Exchange,
-    status: StatusCode,
-    head: &ResponseHead,
-    connection: &Connection,
-) -> Option<&'static str> {
-    match (&head.request_id, &exchange.head.request_id) {
-        (Some(found), Some(sent)) if found != sent => Some("it bears another id"),
-        (Some(_), None) if connection.is_reused() => Some("it bears an id"),
-        // Refusals bear none at times; `Connection::record_refusal` keeps their copies apart.
-        (None, Some(_)) if connection.is_reused() && !proves_not_run(status, head) => {
-            Some("it bears no id")
-        }
-        _ => None,
-    }
-}
-
-/// True if the response proves that the request did not run.
-fn proves_not_run(status: StatusCode, head: &ResponseHead) -> bool {
-    status == StatusCode::MISDIRECTED_REQUEST
-        || (head.not_run && matches!(status.as_u16(), 408 | 429 | 503))
-}
-
-fn not_run_reason(
-    status: StatusCode,
-    head: &ResponseHead,
-    grant: &Grant,
-    exchange: &Exchange,
-) -> RunEnd {
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        let same = head
-            .instance
-            .as_deref()
-            .is_none_or(|id| id == &*grant.endpoint.id);
-        return if same && grant.weights.is_some() {
-            RunEnd::WrongWeights(
-                head.weights
-                    .filter(|version| Some(*version) != grant.weights),
-            )
-        } else {
-            RunEnd::WrongInstance
-        };
-    }
-    if exchange.head.model.is_some() {
-        RunEnd::Reloading
-    } else {
-        RunEnd::Full
-    }
-}
-
 async fn send(
     exchange: &Exchange,
     context: &ProxyContext,
