Case 12: an engine that left gets requests after the store came back from a copy

A node lists an endpoint anew whose removal it has read when the store comes back from a copy that still holds the entry. Change: case 12 with its script.

--- a/review/standin-3/harness.rs
+++ b/review/standin-3/harness.rs
@@ -5,6 +5,7 @@
 //! environment it leaves the disruption out.
 
 mod clients;
+mod copies;
 mod engine;
 mod http;
 mod memory;
@@ -83,6 +84,7 @@
     record.say(format!("case {case}, disruption: {with_trouble}"));
     let outcome = match case.as_str() {
         "memory" => memory::play(record, with_trouble),
+        "copies" => copies::play(record, with_trouble),
         _ => Outcome::Impossible(format!("no case {case}")),
     };
     let code = match outcome {
