Case 13: half of an early answer is passed on as a complete one

Change: case 13 with its script; the stand-in of an engine can spoil answers, and no longer crashes, which no case uses now.

--- a/review/standin-3/clients.rs
+++ b/review/standin-3/clients.rs
@@ -80,6 +80,8 @@
     /// Events of a stream: id and the software version of the engine that made it.
     pub events: Vec<(u64, String)>,
     pub is_whole: bool,
+    /// Body of an answer that is no stream.
+    pub body: Vec<u8>,
     pub sent_ms: u64,
     pub ended_ms: u64,
 }
@@ -159,6 +161,7 @@
     if head.header("transfer-encoding").is_none() {
         read_body(&mut reader, &mut head);
         answer.is_whole = head.is_whole;
+        answer.body = head.body;
         return Some(());
     }
     let mut text = String::new();
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -12,6 +12,15 @@
 /// Model of all engines.
 pub const MODEL: &str = "daka510000";
 
+/// Time for which a connection with a spoilt answer stays open before it is closed, with bytes that
+/// were not read, and so is reset.
+const SPOILT_OPEN: Duration = Duration::from_millis(20);
+
+/// Body of the answer of an application server, 800 bytes.
+pub fn whole_body(request: &str) -> String {
+    format!("done {request} {:.<800}", "")[..800].to_owned()
+}
+
 /// A request that reached it.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -38,12 +47,14 @@
     born: u64,
     /// Version of its software.
     build: String,
-    is_up: bool,
     is_leaving: bool,
     heartbeat: u64,
     running: usize,
     arrivals: Vec<Arrival>,
-    open: Vec<TcpStream>,
+    /// While it is faulty, one of so many of its answers is spoilt.
+    spoils_each: Option<u64>,
+    answers: u64,
+    spoilt: Vec<String>,
 }
 
 /// An engine. Clones are the same one.
@@ -71,12 +82,13 @@
             id: id.to_owned(),
             born: 1_700_000_000_000,
             build: "v1".to_owned(),
-            is_up: true,
             is_leaving: false,
             heartbeat: 0,
             running: 0,
             arrivals: Vec::new(),
-            open: Vec::new(),
+            spoils_each: None,
+            answers: 0,
+            spoilt: Vec::new(),
         };
         let engine = Self {
             address,
@@ -103,42 +115,22 @@
         self.lock().is_leaving = true;
     }
 
-    /// Crashes: all its connections end and its port is closed.
-    pub fn crash(&self) {
+    /// Spoils one of so many answers from now on, or none.
+    pub fn spoil(&self, each: Option<u64>) {
         let mut state = self.lock();
-        self.record.say(format!("{} crashes", state.id));
-        state.is_up = false;
-        state.running = 0;
-        for stream in state.open.drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        drop(state);
-        // Its accepting thread closes the port meanwhile.
-        std::thread::sleep(Duration::from_millis(60));
+        state.spoils_each = each;
+        self.record
+            .say(format!("{} spoils one answer of {each:?}", state.id));
     }
 
-    /// Starts again under its id and at its address, with this version of its software.
-    pub fn start_again(&self, build: &str) {
-        let listener = TcpListener::bind(self.address).expect("its own port");
-        let mut state = self.lock();
-        state.is_up = true;
-        state.born += self.record.now_ms().max(1);
-        state.build = build.to_owned();
-        state.heartbeat = 0;
-        self.record.say(format!(
-            "{} has started again, version {build}, born {}",
-            state.id, state.born
-        ));
-        drop(state);
-        self.accept(listener);
+    /// Requests whose answers it has spoilt.
+    pub fn spoilt(&self) -> Vec<String> {
+        self.lock().spoilt.clone()
     }
 
     /// Writes its entry, as it does at each heartbeat.
     pub fn register(&self, store: &Store) {
         let mut state = self.lock();
-        if !state.is_up {
-            return;
-        }
         state.heartbeat += 1;
         let models = if self.work.events > 0 {
             format!("[{{\"Name\":\"{MODEL}\",\"Version\":1,\"Adapters\":[]}}]")
@@ -166,21 +158,11 @@
 
     fn accept(&self, listener: TcpListener) {
         let engine = self.clone();
-        listener.set_nonblocking(true).expect("a socket");
         std::thread::spawn(move || {
-            while engine.lock().is_up {
-                match listener.accept() {
-                    Ok((stream, _)) => {
-                        let _ = stream.set_nonblocking(false);
-                        let _ = stream.set_nodelay(true);
-                        if let Ok(open) = stream.try_clone() {
-                            engine.lock().open.push(open);
-                        }
-                        let engine = engine.clone();
-                        std::thread::spawn(move || engine.serve(stream));
-                    }
-                    Err(_) => std::thread::sleep(Duration::from_millis(1)),
-                }
+            for stream in listener.incoming().flatten() {
+                let _ = stream.set_nodelay(true);
+                let engine = engine.clone();
+                std::thread::spawn(move || engine.serve(stream));
             }
         });
     }
@@ -192,6 +174,10 @@
         let born = self.lock().born;
         let mut reader = BufReader::new(stream);
         while let Some(mut call) = read_head(&mut reader) {
+            if self.is_spoilt(&call) {
+                self.write_spoilt(&mut writer, &call);
+                return;
+            }
             read_body(&mut reader, &mut call);
             if !self.answer(&mut writer, &call, born) {
                 return;
@@ -199,6 +185,36 @@
         }
     }
 
+    /// True if the answer to this request is to be spoilt.
+    fn is_spoilt(&self, call: &Message) -> bool {
+        if !call.first.starts_with("POST /book/") {
+            return false;
+        }
+        let mut state = self.lock();
+        state.answers += 1;
+        state
+            .spoils_each
+            .is_some_and(|each| state.answers % each == 0)
+    }
+
+    /// Answers before it has read the body, without a length, and breaks the answer off: it ends
+    /// its side of the connection after a half, and the rest of the upload is never read.
+    fn write_spoilt(&self, writer: &mut TcpStream, call: &Message) {
+        let request = call.header("request-id").unwrap_or("").to_owned();
+        let body = whole_body(&request);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Signature: signed-by-{}\r\n\r\n",
+            self.id()
+        );
+        self.record
+            .write(format!("{} spoils the answer to {request}", self.id()));
+        self.lock().spoilt.push(request);
+        let _ = writer.write_all(head.as_bytes());
+        let _ = writer.write_all(&body.as_bytes()[..body.len() / 2]);
+        let _ = writer.shutdown(Shutdown::Write);
+        std::thread::sleep(SPOILT_OPEN);
+    }
+
     /// Headers that all its answers have.
     fn common_headers(&self) -> String {
         let state = self.lock();
@@ -238,10 +254,10 @@
             "/report" | "/order" => return respond(writer, 404, &common, b""),
             _ => {}
         }
-        self.run(writer, call, born, &common)
+        self.run(writer, call, &common)
     }
 
-    fn run(&self, writer: &mut TcpStream, call: &Message, born: u64, common: &str) -> bool {
+    fn run(&self, writer: &mut TcpStream, call: &Message, common: &str) -> bool {
         let request = call.header("request-id").unwrap_or("").to_owned();
         let id = self.id();
         let is_full = {
@@ -263,10 +279,7 @@
             return respond(writer, 503, &format!("{common}Not-Executed: 1\r\n"), b"");
         }
         let goes_on = self.write_response(writer, call, &request, common);
-        let mut state = self.lock();
-        if state.born == born {
-            state.running = state.running.saturating_sub(1);
-        }
+        self.lock().running -= 1;
         goes_on
     }
 
@@ -286,7 +299,7 @@
             "{common}Request-Id: {request}\r\nResponse-Signature: signed-by-{id}\r\nWeight-Versions: 1\r\n"
         );
         if self.work.events == 0 {
-            return respond(writer, 200, &headers, format!("done {request}").as_bytes());
+            return respond(writer, 200, &headers, whole_body(request).as_bytes());
         }
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{headers}\r\n"
--- a/review/standin-3/harness.rs
+++ b/review/standin-3/harness.rs
@@ -1,4 +1,5 @@
 //! Stand-ins of the platform's store, of engines and of clients, and the nodes of a case as
+//! processes. It uses the standard library alone, so `rustc` builds it without a network.
 //!
 //! `harness CASE FOLDER` plays a case and writes `record.txt` into its folder. It exits with 0 if
 //! the rule held, 1 if it was broken and 2 if the case could not run. With `TROUBLE=0` in its
@@ -6,6 +7,7 @@
 
 mod clients;
 mod copies;
+mod early;
 mod engine;
 mod http;
 mod memory;
@@ -85,6 +87,7 @@
     let outcome = match case.as_str() {
         "memory" => memory::play(record, with_trouble),
         "copies" => copies::play(record, with_trouble),
+        "early" => early::play(record, with_trouble),
         _ => Outcome::Impossible(format!("no case {case}")),
     };
     let code = match outcome {
