Case 14: a stream is sent to a second engine while the first still works on it

An attempt without a first byte is given up after 3.5 targets and made again at another engine, for resumable streams as well, though nothing shows that the first engine has ended the run.

--- a/review/standin-3/early.rs
+++ b/review/standin-3/early.rs
@@ -30,6 +30,7 @@
     store.put("keyed.op", "op/config", &configuration());
     let work = Work {
         first: Duration::from_millis(60),
+        tokens_per_ms: 0,
         events: 0,
         pause: Duration::ZERO,
         slots: 6,
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -28,11 +28,25 @@
     pub request: String,
 }
 
+/// What an engine made of a request.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub engine: String,
+    pub request: String,
+    pub arrived_ms: u64,
+    /// When its first token was made.
+    pub first_ms: u64,
+    /// When the engine was done with it, or dropped it.
+    pub ended_ms: u64,
+}
+
 /// How it works.
 #[derive(Clone, Debug)]
 pub struct Work {
     /// Time until the head of a response, or until the whole one of an application server.
     pub first: Duration,
+    /// Prompt tokens that it reads in a ms, one prompt after the other; 0 if that takes no time.
+    pub tokens_per_ms: u64,
     /// Events of a stream; 0 for an application server.
     pub events: u64,
     /// Time between two events.
@@ -55,6 +69,13 @@
     spoils_each: Option<u64>,
     answers: u64,
     spoilt: Vec<String>,
+    /// Factor by which it is slower than usual.
+    slowness: u32,
+    /// Time until which it is silent.
+    silent_until_ms: u64,
+    /// True if it goes on with requests whose connections have closed.
+    goes_on: bool,
+    runs: Vec<Run>,
 }
 
 /// An engine. Clones are the same one.
@@ -65,6 +86,8 @@
     zone: &'static str,
     work: Work,
     state: Arc<Mutex<State>>,
+    /// Held while a prompt is read.
+    reading: Arc<Mutex<()>>,
     record: &'static Record,
 }
 
@@ -89,6 +112,10 @@
             spoils_each: None,
             answers: 0,
             spoilt: Vec::new(),
+            slowness: 1,
+            silent_until_ms: 0,
+            goes_on: false,
+            runs: Vec::new(),
         };
         let engine = Self {
             address,
@@ -96,6 +123,7 @@
             zone,
             work,
             state: Arc::new(Mutex::new(state)),
+            reading: Arc::default(),
             record,
         };
         engine.accept(listener);
@@ -110,6 +138,54 @@
         self.lock().arrivals.clone()
     }
 
+    /// Makes it slower by a factor.
+    pub fn set_slowness(&self, slowness: u32) {
+        self.record
+            .say(format!("{} takes {slowness} times as long", self.id()));
+        self.lock().slowness = slowness;
+    }
+
+    /// Falls silent for a while, and goes on then.
+    pub fn fall_silent(&self, time: Duration) {
+        self.record
+            .say(format!("{} falls silent for {time:?}", self.id()));
+        self.lock().silent_until_ms = self.record.now_ms() + time.as_millis() as u64;
+    }
+
+    fn wait_while_silent(&self) {
+        loop {
+            let until_ms = self.lock().silent_until_ms;
+            if self.record.now_ms() >= until_ms {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Lets it go on with requests whose connections have closed.
+    pub fn go_on(&self) {
+        self.lock().goes_on = true;
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    /// Reads a prompt once those before it have been read.
+    fn read_prompt(&self, call: &Message) {
+        if self.work.tokens_per_ms == 0 {
+            return;
+        }
+        let parts = call.header("prefix-hash").unwrap_or_default();
+        let own = parts.rsplit_once(':').map_or("0", |(_, tokens)| tokens);
+        let own: u64 = own.parse().unwrap_or(0);
+        let _turn = self.reading.lock().expect("no panic");
+        let slowness = u64::from(self.lock().slowness);
+        let time = own * slowness / self.work.tokens_per_ms;
+        std::thread::sleep(Duration::from_millis(time));
+        self.wait_while_silent();
+    }
+
     /// States in all its answers that it is leaving.
     pub fn leave(&self) {
         self.lock().is_leaving = true;
@@ -290,10 +366,12 @@
         request: &str,
         common: &str,
     ) -> bool {
+        let arrived_ms = self.record.now_ms();
+        self.read_prompt(call);
         std::thread::sleep(self.work.first);
-        let (id, build) = {
+        let (id, build, goes_on) = {
             let state = self.lock();
-            (state.id.clone(), state.build.clone())
+            (state.id.clone(), state.build.clone(), state.goes_on)
         };
         let headers = format!(
             "{common}Request-Id: {request}\r\nResponse-Signature: signed-by-{id}\r\nWeight-Versions: 1\r\n"
@@ -301,25 +379,36 @@
         if self.work.events == 0 {
             return respond(writer, 200, &headers, whole_body(request).as_bytes());
         }
+        let first_ms = self.record.now_ms();
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n{headers}\r\n"
         );
-        if writer.write_all(head.as_bytes()).is_err() {
-            return false;
-        }
+        let mut is_open = writer.write_all(head.as_bytes()).is_ok();
         let after = call.header("last-event-id");
         let after: u64 = after.and_then(|after| after.parse().ok()).unwrap_or(0);
         for event in after + 1..=self.work.events {
             if event > after + 1 {
-                std::thread::sleep(self.work.pause);
+                let slowness = self.lock().slowness;
+                std::thread::sleep(self.work.pause * slowness);
+            }
+            self.wait_while_silent();
+            if !is_open && !goes_on {
+                break;
             }
             let text = format!("id: {event}\ndata: {id} {build} {event}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            if writer.write_all(chunk.as_bytes()).is_err() {
-                return false;
-            }
+            is_open &= writer.write_all(chunk.as_bytes()).is_ok();
         }
-        writer.write_all(b"0\r\n\r\n").is_ok()
+        let run = Run {
+            engine: id,
+            request: request.to_owned(),
+            arrived_ms,
+            first_ms,
+            ended_ms: self.record.now_ms(),
+        };
+        self.record.write(format!("{run:?}"));
+        self.lock().runs.push(run);
+        is_open && writer.write_all(b"0\r\n\r\n").is_ok()
     }
 }
 
--- a/review/standin-3/harness.rs
+++ b/review/standin-3/harness.rs
@@ -13,6 +13,7 @@
 mod memory;
 mod nodes;
 mod store;
+mod twice;
 
 use std::fmt::Display;
 use std::io::Write;
@@ -87,6 +88,7 @@
     let outcome = match case.as_str() {
         "memory" => memory::play(record, with_trouble),
         "copies" => copies::play(record, with_trouble),
+        "twice" => twice::play(record, with_trouble),
         "early" => early::play(record, with_trouble),
         _ => Outcome::Impossible(format!("no case {case}")),
     };
--- a/review/standin-3/memory.rs
+++ b/review/standin-3/memory.rs
@@ -39,6 +39,7 @@
     );
     let work = Work {
         first: Duration::from_millis(80),
+        tokens_per_ms: 0,
         events: 4,
         pause: Duration::from_millis(20),
         slots: 64,
