--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,6 +1,9 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0
+# it does the same without the disruption, and must exit with 0.
 cd "$(dirname "$0")/../.." || exit 2
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
 [ -x target/review-3/harness ] || exit 2
 target/review-3/harness early review/13 &
 harness=$!
