Case 15: a node hangs for seconds after an engine with prompts of many parts crashes

Cause: each shared part of each run that ends with its engine becomes a suspect. Suspects are cut back to 512 one by one, and each cut computes the evidence of all of them, on the control thread: some 0.3 s for a run with 2,600 parts. Waiting for a placement has no timeout, so requests at the node get no answer at their own deadlines either.

Change: review/15 with its stand-in (standin-3/hang.rs); engines of the stand-in can crash. Nothing of the product was changed.

--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -64,6 +64,8 @@
     is_leaving: bool,
     heartbeat: u64,
     running: usize,
+    /// Requests that it has and has not begun to answer.
+    waiting: usize,
     arrivals: Vec<Arrival>,
     /// While it is faulty, one of so many of its answers is spoilt.
     spoils_each: Option<u64>,
@@ -76,6 +78,9 @@
     /// True if it goes on with requests whose connections have closed.
     goes_on: bool,
     runs: Vec<Run>,
+    /// True once it has crashed: its connections are closed and none is accepted.
+    has_crashed: bool,
+    connections: Vec<TcpStream>,
 }
 
 /// An engine. Clones are the same one.
@@ -108,6 +113,7 @@
             is_leaving: false,
             heartbeat: 0,
             running: 0,
+            waiting: 0,
             arrivals: Vec::new(),
             spoils_each: None,
             answers: 0,
@@ -116,6 +122,8 @@
             silent_until_ms: 0,
             goes_on: false,
             runs: Vec::new(),
+            has_crashed: false,
+            connections: Vec::new(),
         };
         let engine = Self {
             address,
@@ -186,6 +194,24 @@
         self.wait_while_silent();
     }
 
+    /// Ends as its process would in a crash: the system closes its connections and refuses others.
+    pub fn crash(&self) {
+        let (connections, waiting) = {
+            let mut state = self.lock();
+            state.has_crashed = true;
+            (std::mem::take(&mut state.connections), state.waiting)
+        };
+        for connection in connections {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        // Wakes the thread that accepts, which closes the port.
+        let _ = TcpStream::connect(self.address);
+        self.record.say(format!(
+            "{} crashes with {waiting} requests that it has not begun to answer",
+            self.id()
+        ));
+    }
+
     /// States in all its answers that it is leaving.
     pub fn leave(&self) {
         self.lock().is_leaving = true;
@@ -236,6 +262,9 @@
         let engine = self.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if !engine.keep_connection(&stream) {
+                    return;
+                }
                 let _ = stream.set_nodelay(true);
                 let engine = engine.clone();
                 std::thread::spawn(move || engine.serve(stream));
@@ -243,6 +272,14 @@
         });
     }
 
+    /// Returns false if it has crashed.
+    fn keep_connection(&self, stream: &TcpStream) -> bool {
+        let mut state = self.lock();
+        let copy = stream.try_clone();
+        state.connections.extend(copy.ok());
+        !state.has_crashed
+    }
+
     fn serve(&self, stream: TcpStream) {
         let Ok(mut writer) = stream.try_clone() else {
             return;
@@ -367,8 +404,13 @@
         common: &str,
     ) -> bool {
         let arrived_ms = self.record.now_ms();
+        self.lock().waiting += 1;
         self.read_prompt(call);
         std::thread::sleep(self.work.first);
+        self.lock().waiting -= 1;
+        if self.lock().has_crashed {
+            return false;
+        }
         let (id, build, goes_on) = {
             let state = self.lock();
             (state.id.clone(), state.build.clone(), state.goes_on)
--- a/review/standin-3/harness.rs
+++ b/review/standin-3/harness.rs
@@ -9,6 +9,7 @@
 mod copies;
 mod early;
 mod engine;
+mod hang;
 mod http;
 mod memory;
 mod nodes;
@@ -89,6 +90,7 @@
         "memory" => memory::play(record, with_trouble),
         "copies" => copies::play(record, with_trouble),
         "twice" => twice::play(record, with_trouble),
+        "hang" => hang::play(record, with_trouble),
         "early" => early::play(record, with_trouble),
         _ => Outcome::Impossible(format!("no case {case}")),
     };
