gateway: logs tell how an endpoint left a connection that ended a response

The logs show a 200 with framing until_close and nothing else. They cannot tell these apart: the reset comes before the end of the response and the client loses it; it comes after the node has dropped the connection; the connection was closed whole and the bytes belong to another answer.

Change: a connection that ends during a request is kept until it is dropped, and connection_end finds out how its server left it: it looks for a reset, sends an empty line, ends its side, and takes the first reply of the server's system. A reset says closed, an acknowledgement half open. The line `response without a marked end has ended` and the counter `unmarked_end` name it, for requests with a body.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -378,7 +378,7 @@
     let UnreadResponse {
         parts,
         mut body,
-        mut connection,
+        connection,
         head,
         sent_at,
     } = response;
@@ -404,31 +404,29 @@
             return AttemptOutcome::DeadlineExceeded;
         }
     };
-    let has_written = connection.has_written();
-    if let Some(witness) = witness
-        && has_body
-        && let Err(cause) = witness
-            .check(
-                has_written,
-                context.dialect,
-                &grant.endpoint,
-                &context.handle,
-            )
-            .await
-    {
-        log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
-            fingerprint = exchange.fingerprint().as_str(), error:% = cause; "response body failed");
-        guard.broken();
-        return AttemptOutcome::NoResponse(RunEnd::Broken);
-    }
+    let reusable = match witness.filter(|_| has_body) {
+        None => Some(connection),
+        Some(witness) => {
+            let end = witness.check(exchange, context, &grant.endpoint, connection);
+            if let Err(cause) = end.await {
+                log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
+                    fingerprint = exchange.fingerprint().as_str(), error:% = cause; "response body failed");
+                guard.broken();
+                return AttemptOutcome::NoResponse(RunEnd::Broken);
+            }
+            None
+        }
+    };
     let buffered = BufferedResponse {
         status: parts.status,
         headers: parts.headers,
         body,
         endpoint: grant.endpoint.clone(),
     };
-    connection.set_keep_alive(head.keep_alive);
-    if !closes_connection(&buffered.headers) {
+    if let Some(mut connection) = reusable
+        && !closes_connection(&buffered.headers)
+    {
+        connection.set_keep_alive(head.keep_alive);
         context
             .pool
             .put(grant.endpoint.key(), connection, grant.max_connections);
--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -7,10 +7,10 @@
 use tokio::task::JoinHandle;
 
 use crate::clock::{Millis, now};
-use crate::control::Handle;
-use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
+use crate::exchange::{Exchange, ProxyContext};
 use crate::http_client::{BodyFraming, CallError, Connection};
+use crate::metrics::EventKind;
 use crate::orders::{self, Liveness};
 
 /// Timeout for opening a second connection to an endpoint.
@@ -74,62 +74,82 @@
         })
     }
 
-    /// Checks that the endpoint has outlived its response. `has_written` is true if the
-    /// request was written to its end before.
+    /// Checks that the endpoint has outlived its response, which came over `connection`.
     ///
     /// # Errors
     ///
     /// If it has not, or that cannot be told.
     pub async fn check(
         self,
-        has_written: bool,
-        dialect: &Dialect,
+        exchange: &Exchange,
+        context: &ProxyContext,
         endpoint: &Endpoint,
-        handle: &Handle,
+        connection: Connection,
     ) -> Result<(), EarlyEnd> {
-        if !has_written {
+        if !connection.has_written() {
             return Err(EarlyEnd::RequestUnwritten);
         }
-        let Ok(Ok(connection)) = self.connection.await else {
+        let Ok(Ok(witness)) = self.connection.await else {
             return Err(EarlyEnd::EndpointGone);
         };
-        match orders::liveness(dialect, endpoint, Some(connection)).await {
-            Liveness::Gone => Err(EarlyEnd::EndpointGone),
+        match orders::liveness(context.dialect, endpoint, Some(witness)).await {
+            Liveness::Gone => return Err(EarlyEnd::EndpointGone),
             // The connection may have been opened after a restart in these cases.
-            Liveness::Responds if self.is_late => Err(EarlyEnd::BegunLate),
-            Liveness::Responds if handle.may_have_stood_still(self.sent_at).await => {
-                Err(EarlyEnd::StoodStill)
+            Liveness::Responds if self.is_late => return Err(EarlyEnd::BegunLate),
+            Liveness::Responds if context.handle.may_have_stood_still(self.sent_at).await => {
+                return Err(EarlyEnd::StoodStill);
             }
-            Liveness::Same | Liveness::Responds => Ok(()),
+            Liveness::Same | Liveness::Responds => {}
         }
+        note_end(exchange, context, endpoint, connection).await;
+        Ok(())
     }
 }
 
-/// Checks that the body of a stream is whole, given the headers of its response, the number of
-/// bytes after its last complete event, and whether its request was written to its end.
+/// Checks that the body of a stream is whole, given the headers of its response and the number
+/// of bytes after its last complete event. Returns its connection unless the body ended with it.
 ///
 /// # Errors
 ///
-/// If it is not. A connection ends in the same way at the end of an unframed body and when
+/// If it is not whole. A connection ends in the same way at the end of an unframed body and when
 /// its endpoint crashes, so such a body needs an endpoint that still runs.
 pub async fn check(
-    dialect: &Dialect,
+    exchange: &Exchange,
+    context: &ProxyContext,
     endpoint: &Endpoint,
     headers: &HeaderMap,
     partial_bytes: usize,
-    has_written: bool,
-) -> Result<(), EarlyEnd> {
+    connection: Connection,
+) -> Result<Option<Connection>, EarlyEnd> {
     if partial_bytes > 0 {
         return Err(EarlyEnd::InsideEvent);
     }
     if BodyFraming::of(headers) != BodyFraming::UntilClose {
-        return Ok(());
+        return Ok(Some(connection));
     }
-    if !has_written {
+    if !connection.has_written() {
         return Err(EarlyEnd::RequestUnwritten);
     }
-    if !orders::still_runs(dialect, endpoint).await {
+    if !orders::still_runs(context.dialect, endpoint).await {
         return Err(EarlyEnd::EndpointGone);
     }
-    Ok(())
+    note_end(exchange, context, endpoint, connection).await;
+    Ok(None)
+}
+
+/// Notes how the endpoint left the connection that ended a response, if its request had a body.
+/// Callers have called the endpoint before: meanwhile the reset of one that closes it at once
+/// arrives.
+async fn note_end(
+    exchange: &Exchange,
+    context: &ProxyContext,
+    endpoint: &Endpoint,
+    connection: Connection,
+) {
+    let Some(end) = connection.end().await else {
+        return;
+    };
+    log::info!(request = &*exchange.request_id, endpoint = &*endpoint.id, end = end.as_str(),
+        sent_bytes = exchange.body.len(); "response without a marked end has ended");
+    context.metrics.count(EventKind::UnmarkedEnd, end.as_str());
 }
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -15,10 +15,11 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
 use crate::clock::{Millis, now};
+use crate::connection_end::ConnectionEnd;
 use crate::endpoint::EndpointKey;
 use crate::payload::Payload;
 use crate::upload::{self, Upload, UploadBody};
@@ -133,7 +134,10 @@
     sender: SendRequest<UploadBody>,
     /// How far the last request has been written.
     upload: Upload,
-    driver: AbortHandle,
+    /// Returns the stream if the server ended its side during a request.
+    driver: JoinHandle<Option<TcpStream>>,
+    /// True if the last request had a body.
+    has_upload: bool,
     idle_since: Millis,
     keep_alive_ms: Millis,
     /// Requests that the server refused over it, by id, with their deadlines.
@@ -179,14 +183,18 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(CallError::Broken)?;
+        let last_request = upload.clone();
         let driver = tokio::spawn(async move {
             // The error is also returned by the pending request.
-            let _ = connection.await;
+            let parts = connection.without_shutdown().await.ok()?;
+            let stream = parts.io.into_inner().into_inner();
+            (!last_request.is_idle()).then_some(stream)
         });
         Ok(Self {
             sender,
             upload,
-            driver: driver.abort_handle(),
+            driver,
+            has_upload: false,
             idle_since: now(),
             keep_alive_ms: DEFAULT_IDLE_MS,
             refused: Vec::new(),
@@ -210,6 +218,7 @@
             return Err(CallError::NotSent);
         }
         self.requests += 1;
+        self.has_upload = !request.body().is_empty();
         let request = request.map(|payload| self.upload.begin(payload));
         let response = self.sender.try_send_request(request).await;
         let response = response.map_err(|mut error| {
@@ -230,6 +239,24 @@
         self.upload.is_written()
     }
 
+    /// Finds out how the server left the connection with which a response has ended; none if its
+    /// request had no body that could have been left unread.
+    pub async fn end(mut self) -> Option<ConnectionEnd> {
+        if !self.has_upload {
+            return None;
+        }
+        match (&mut self.driver).await {
+            Ok(Some(stream)) => Some(ConnectionEnd::of(stream).await),
+            Ok(None) | Err(_) => Some(ConnectionEnd::Unknown),
+        }
+    }
+
+    /// Notes that no request is under way, so that the end of the connection closes it.
+    fn rest(&mut self) {
+        self.upload.finish();
+        self.idle_since = now();
+    }
+
     /// Sets the keep-alive timeout that the server stated, if any, less the margin.
     pub fn set_keep_alive(&mut self, keep_alive: Option<Duration>) {
         if let Some(keep_alive) = keep_alive {
@@ -294,13 +321,12 @@
     let mut received = 0;
     let whole = async {
         let head = timeout(limits.response, send(slot.take(), address, request, limits));
-        let (response, mut connection) = match head.await {
+        let (response, connection) = match head.await {
             Ok(sent) => sent?,
             Err(_) => return Err(CallError::Timeout { received: 0 }),
         };
-        let response = collect(response, &connection, limits, &mut received).await?;
-        connection.idle_since = now();
-        *slot = Some(connection);
+        let (response, reusable) = collect(response, connection, limits, &mut received).await?;
+        *slot = reusable;
         Ok(response)
     };
     match timeout(limits.whole, whole).await {
@@ -322,7 +348,8 @@
     let mut received = 0;
     let whole = async {
         let response = connection.send(request.map(Payload::from)).await?;
-        collect(response, &connection, limits, &mut received).await
+        let (response, _) = collect(response, connection, limits, &mut received).await?;
+        Ok(response)
     };
     match timeout(limits.whole, whole).await {
         Ok(response) => response,
@@ -345,13 +372,14 @@
     Ok((response, connection))
 }
 
-/// Reads a response to its end and counts the bytes of its body as they arrive.
+/// Reads a response to its end and counts the bytes of its body as they arrive. Returns its
+/// connection unless the body ended with it.
 async fn collect(
     response: Response<Incoming>,
-    connection: &Connection,
+    mut connection: Connection,
     limits: CallLimits,
     received: &mut usize,
-) -> Result<Response<Bytes>, CallError> {
+) -> Result<(Response<Bytes>, Option<Connection>), CallError> {
     let (parts, body) = response.into_parts();
     let has_body = !body.is_end_stream();
     let mut body = Limited::new(body, limits.bytes);
@@ -371,13 +399,16 @@
             *received = bytes.len();
         }
     }
-    let is_marked = BodyFraming::of(&parts.headers) != BodyFraming::UntilClose;
-    if has_body && !is_marked && !connection.has_written() {
-        return Err(CallError::Body(
-            "it ended before the request was written".to_owned(),
-        ));
+    let response = Response::from_parts(parts, bytes.freeze());
+    if !has_body || BodyFraming::of(response.headers()) != BodyFraming::UntilClose {
+        connection.rest();
+        return Ok((response, Some(connection)));
+    }
+    if !connection.has_written() {
+        let cause = "it ended before the request was written";
+        return Err(CallError::Body(cause.to_owned()));
     }
-    Ok(Response::from_parts(parts, bytes.freeze()))
+    Ok((response, None))
 }
 
 /// Request for which an idle connection is taken.
@@ -423,7 +454,7 @@
         if connection.has_unnamed_response {
             return;
         }
-        connection.idle_since = now();
+        connection.rest();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(key).or_default();
         connections
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod body_end;
 pub mod catalog;
 pub mod clock;
+pub mod connection_end;
 pub mod connection_limit;
 pub mod control;
 pub mod copies;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -72,6 +72,8 @@
     UnreadStream,
     /// A large body for whose connection there is no wide receive buffer.
     ReceiveBuffer,
+    /// How an endpoint left the connection that ended a response without a marked end.
+    UnmarkedEnd,
 }
 
 /// Labels of a counted event.
@@ -334,6 +336,7 @@
             EventKind::Connection => "connection",
             EventKind::UnreadStream => "unread_stream",
             EventKind::ReceiveBuffer => "receive_buffer",
+            EventKind::UnmarkedEnd => "unmarked_end",
         };
         self.events
             .get_or_create(&EventLabels { event, outcome })
--- a/crates/gateway/src/observed_stream.rs
+++ b/crates/gateway/src/observed_stream.rs
@@ -31,6 +31,11 @@
         Self { stream, observe }
     }
 
+    /// Returns the connection, which is no longer observed.
+    pub fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+
     fn report(&mut self, event: IoEvent) {
         (self.observe)(&self.stream, event);
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -306,20 +306,24 @@
     }
     let partial_bytes = splitter.partial_bytes();
     let end = body_end::check(
-        context.dialect,
+        exchange,
+        context,
         &grant.endpoint,
         &headers,
         partial_bytes,
-        connection.has_written(),
+        connection,
     );
-    if let Err(cause) = end.await {
-        log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
-            partial_bytes, error:% = cause; "stream ended early");
-        guard.broken();
-        return RelayEnd::Broken;
-    }
+    let reusable = match end.await {
+        Ok(connection) => connection.filter(|_| !closes_connection(&headers)),
+        Err(cause) => {
+            log::info!(request = &*exchange.request_id, endpoint = &*grant.endpoint.id,
+                partial_bytes, error:% = cause; "stream ended early");
+            guard.broken();
+            return RelayEnd::Broken;
+        }
+    };
     guard.end(RunEnd::Complete);
-    if !closes_connection(&headers) {
+    if let Some(connection) = reusable {
         context
             .pool
             .put(grant.endpoint.key(), connection, grant.max_connections);
--- a/crates/gateway/src/upload.rs
+++ b/crates/gateway/src/upload.rs
@@ -28,10 +28,19 @@
 /// The system has taken all of the request.
 const WRITTEN: u8 = 2;
 
+/// No request is under way.
+const IDLE: u8 = 3;
+
 /// How far the last request on a connection has been written. Clones share it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Upload(Arc<AtomicU8>);
 
+impl Default for Upload {
+    fn default() -> Self {
+        Self(Arc::new(AtomicU8::new(IDLE)))
+    }
+}
+
 impl Upload {
     /// Begins to write a request with this body.
     pub fn begin(&self, payload: Payload) -> UploadBody {
@@ -52,6 +61,16 @@
         self.0.load(Ordering::Relaxed) == WRITTEN
     }
 
+    /// Notes that the response to the last request has ended.
+    pub fn finish(&self) {
+        self.0.store(IDLE, Ordering::Relaxed);
+    }
+
+    /// True if no request is under way.
+    pub fn is_idle(&self) -> bool {
+        self.0.load(Ordering::Relaxed) == IDLE
+    }
+
     fn advance(&self, from: u8, to: u8) {
         // In any other state there is nothing to note.
         let _ = self
