gateway: half of an early response without a marked end is not complete

The server had read the head only, ended its side of the connection, and closed it 20 ms later with the upload unread.

Cause: the end of a response without a marked end was taken for that of the response once the system had taken the request (up to some 150 kB) and the endpoint answered a call. Neither says that the endpoint read the request.

Change: such a response to a request with a body counts only if the endpoint had closed the connection with nothing unread (connection_end). A reset or a half-open connection makes it a request that has perhaps run: 502, or another endpoint where it may be repeated; never 503. The same for streams, for resumed ones, and for the answers to orders and calls to the store. The probe waits 1 ms after the end, and leaves together with the end of our side. Responses with a length or chunks, and requests without a body, are as before.

Why it works: TCP resets a connection that is closed with bytes unread, at once. One that was closed whole resets what comes later, and one that is half open acknowledges it. The window tells of bytes that never left.

The endpoints of these tests read less of a request at once than before.

--- a/crates/cli/tests/entry_site/raw.rs
+++ b/crates/cli/tests/entry_site/raw.rs
@@ -19,14 +19,17 @@
     pub fn is_own_call(&self) -> bool {
         self.path.starts_with("/kv-") || self.path == "/report"
     }
+
+    /// Reads the body; false if the connection ends before.
+    pub fn read_body(&self, reader: &mut BufReader<TcpStream>) -> bool {
+        reader.read_exact(&mut vec![0; self.length]).is_ok()
+    }
 }
 
 /// Reads a request; none at the end of the connection.
 pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let request = read_head(reader)?;
-    let mut body = vec![0; request.length];
-    reader.read_exact(&mut body).ok()?;
-    Some(request)
+    request.read_body(reader).then_some(request)
 }
 
 /// Reads the head of a request; none at the end of the connection.
--- a/crates/cli/tests/test_early_responses.rs
+++ b/crates/cli/tests/test_early_responses.rs
@@ -25,6 +25,12 @@
 /// Sizes of uploads that the buffers of both sides hold unread, in bytes.
 const HELD_UPLOADS: [usize; 2] = [ORDINARY_BODY, 150_000];
 
+/// Sizes of uploads that also the window of a new connection holds unread, in bytes.
+const SMALL_UPLOADS: [usize; 2] = [700, 20_000];
+
+/// Bytes that an endpoint reads at once, so that it reads little beyond the head.
+const HEAD_PART: usize = 64;
+
 /// Times after the end of its part at which an endpoint resets the connection.
 const RESET_PAUSES: [Duration; 3] = [
     Duration::ZERO,
@@ -79,7 +85,7 @@
     let Ok(mut writer) = stream.try_clone() else {
         return;
     };
-    let mut reader = BufReader::new(stream);
+    let mut reader = BufReader::with_capacity(HEAD_PART, stream);
     while let Some(request) = read_head(&mut reader) {
         if !request.is_own_call() {
             respond(&request, writer);
@@ -104,6 +110,35 @@
     // Closing a connection with unread bytes resets it.
 }
 
+/// Reads the first request of a connection and answers it with a length, and answers the head of
+/// the second one with half of a response.
+fn serve_then_respond_early(stream: TcpStream, pause: Duration) {
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
+    let mut reader = BufReader::with_capacity(HEAD_PART, stream);
+    let mut has_answered = false;
+    while let Some(request) = read_head(&mut reader) {
+        let is_own = request.is_own_call();
+        if has_answered && !is_own {
+            respond_early(&request, writer, End::FinishThenReset, pause);
+            return;
+        }
+        if !request.read_body(&mut reader) {
+            return;
+        }
+        has_answered |= !is_own;
+        let whole = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nResponse-Signature: signed\r\n\
+             Content-Length: 4\r\n\r\nbody",
+            request.id
+        );
+        if writer.write_all(whole.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
 /// A node for whose requests with this path there is one endpoint, at this address.
 fn start(path: &str, address: SocketAddr) -> (Site, Node) {
     let site = Site::start(Duration::from_millis(5));
@@ -198,6 +233,34 @@
     }
 }
 
+/// Guards against the same where nothing shows how much of the upload was read.
+#[test]
+fn early_part_that_ends_regularly_before_its_small_upload_is_read_is_not_a_response() {
+    for path in ["/book/a", "/look/a", "/tag/a", "/draft/a"] {
+        check_uploads(path, End::FinishThenReset, &SMALL_UPLOADS);
+    }
+}
+
+/// Guards against taking the requests that a connection has carried before for this one.
+#[test]
+fn early_part_on_a_kept_connection_is_not_a_response() {
+    for path in ["/book/a", "/look/a"] {
+        for pause in RESET_PAUSES {
+            let address = listen(move |stream| serve_then_respond_early(stream, pause));
+            let (_site, node) = start(path, address);
+            for size in SMALL_UPLOADS.into_iter().chain(HELD_UPLOADS) {
+                let first = upload(&node, path, &format!("first{size}"), size);
+                assert_eq!((first.status, first.complete), (200, true), "{first:?}");
+                let answer = upload(&node, path, &format!("second{size}"), size);
+                assert_eq!(
+                    answer.status, 502,
+                    "{path}, {size} bytes after {pause:?}: {answer:?}"
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn early_part_that_is_reset_is_not_a_response() {
     check_early("/book/a", End::Reset);
--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -7,6 +7,7 @@
 use tokio::task::JoinHandle;
 
 use crate::clock::{Millis, now};
+use crate::connection_end::ConnectionEnd;
 use crate::endpoint::Endpoint;
 use crate::exchange::{Exchange, ProxyContext};
 use crate::http_client::{BodyFraming, CallError, Connection};
@@ -36,6 +37,13 @@
     /// Nothing marks its end, and the request had not been written to its end.
     #[error("its end is not marked and the request was not written to its end")]
     RequestUnwritten,
+    /// Nothing marks its end, and the endpoint closed the connection before it had read the
+    /// request.
+    #[error("its end is not marked and its endpoint did not read the request to its end")]
+    RequestUnread,
+    /// Nothing marks its end, and the endpoint may not have read the request.
+    #[error("its end is not marked and its endpoint may not have read the request to its end")]
+    RequestInDoubt,
     /// Nothing marks its end, and it began so late that the endpoint may have restarted
     /// before.
     #[error("its end is not marked and it began late")]
@@ -74,7 +82,8 @@
         })
     }
 
-    /// Checks that the endpoint has outlived its response, which came over `connection`.
+    /// Checks that the endpoint has read the request and has outlived its response, which came
+    /// over `connection`.
     ///
     /// # Errors
     ///
@@ -101,8 +110,7 @@
             }
             Liveness::Same | Liveness::Responds => {}
         }
-        note_end(exchange, context, endpoint, connection).await;
-        Ok(())
+        check_read(exchange, context, endpoint, connection).await
     }
 }
 
@@ -112,7 +120,8 @@
 /// # Errors
 ///
 /// If it is not whole. A connection ends in the same way at the end of an unframed body and when
-/// its endpoint crashes, so such a body needs an endpoint that still runs.
+/// its endpoint crashes or gives up, so such a body needs an endpoint that still runs and has
+/// read the request.
 pub async fn check(
     exchange: &Exchange,
     context: &ProxyContext,
@@ -133,23 +142,26 @@
     if !orders::still_runs(context.dialect, endpoint).await {
         return Err(EarlyEnd::EndpointGone);
     }
-    note_end(exchange, context, endpoint, connection).await;
+    check_read(exchange, context, endpoint, connection).await?;
     Ok(None)
 }
 
-/// Notes how the endpoint left the connection that ended a response, if its request had a body.
-/// Callers have called the endpoint before: meanwhile the reset of one that closes it at once
-/// arrives.
-async fn note_end(
+/// Checks that the endpoint had read the request when it closed the connection.
+async fn check_read(
     exchange: &Exchange,
     context: &ProxyContext,
     endpoint: &Endpoint,
     connection: Connection,
-) {
+) -> Result<(), EarlyEnd> {
     let Some(end) = connection.end().await else {
-        return;
+        return Ok(());
     };
     log::info!(request = &*exchange.request_id, endpoint = &*endpoint.id, end = end.as_str(),
         sent_bytes = exchange.body.len(); "response without a marked end has ended");
     context.metrics.count(EventKind::UnmarkedEnd, end.as_str());
+    match end {
+        ConnectionEnd::Closed => Ok(()),
+        ConnectionEnd::Reset => Err(EarlyEnd::RequestUnread),
+        ConnectionEnd::HalfOpen | ConnectionEnd::Unknown => Err(EarlyEnd::RequestInDoubt),
+    }
 }
--- a/crates/gateway/src/connection_end.rs
+++ b/crates/gateway/src/connection_end.rs
@@ -10,10 +10,16 @@
 use std::time::Duration;
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::net::{SendFlags, send};
 use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// Time within which the reset of a connection that its server closes right after its response
+/// arrives. A reset that comes just as the empty line is sent looks like the reply to it, so the
+/// line must not be sent when resets are likely.
+const RESET_TIME: Duration = Duration::from_millis(1);
 
 /// What is sent to learn whether the server has closed the connection. Servers ignore an empty
 /// line before a request (RFC 9112, 2.2).
@@ -49,29 +55,25 @@
         }
     }
 
-    /// Finds out how the server left a connection whose end has been read. Nothing can be sent
-    /// over it afterwards.
+    /// Finds out how the server left a connection whose end was read at `ended_at`.
     ///
     /// A server that closes the connection with bytes unread just as the empty line is under way
     /// is taken for one that had closed it before.
-    pub async fn of(stream: TcpStream) -> Self {
+    pub async fn of(stream: TcpStream, ended_at: Instant) -> Self {
+        sleep_until(ended_at + RESET_TIME).await;
         let socket = SockRef::from(&stream);
         if reset(&socket).is_ok() {
             return Self::Reset;
         }
-        match socket.send(EMPTY_LINE) {
-            Ok(_) => {}
-            // The server's buffer has no room for the rest of the request.
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Self::HalfOpen,
-            // A reset that has arrived since.
-            Err(_) => return Self::Reset,
-        }
         if !is_sent(&stream) {
             return Self::HalfOpen;
         }
-        // The server's system may put off the acknowledgement of the line, but not that of the
-        // end. This fails if the connection has been reset already.
-        let _ = socket.shutdown(Shutdown::Write);
+        // The line waits for the end of this side, so both leave as one: a reset until then is
+        // no reply to it. Its system acknowledges the end at once.
+        let sent = send(&stream, EMPTY_LINE, SendFlags::MORE);
+        if sent.is_err() || socket.shutdown(Shutdown::Write).is_err() {
+            return Self::Reset;
+        }
         reply(&stream).await
     }
 }
@@ -105,10 +107,9 @@
     }
 }
 
-/// True if nothing waits to be sent, as it does while the server's buffer has no room for it.
+/// True if all has been sent, which waits while the server's buffer has no room.
 fn is_sent(stream: &TcpStream) -> bool {
-    // With this limit, a connection is writable only while there is no such byte. Without it,
-    // the wait for the reply is what shows it.
+    // With this limit, a connection is writable only while there is no unsent byte.
     if let Err(error) = SockRef::from(stream).set_tcp_notsent_lowat(1) {
         log::debug!(error:% = error; "cannot set TCP_NOTSENT_LOWAT");
     }
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -34,6 +34,9 @@
 /// keep-alive timeout.
 const DEFAULT_IDLE_MS: Millis = 2_500;
 
+/// Time within which a connection has ended once the body that it ends has been read.
+const END_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Margin in ms by which a connection is dropped before the server's keep-alive
 /// timeout.
 const IDLE_MARGIN_MS: Millis = 700;
@@ -134,8 +137,8 @@
     sender: SendRequest<UploadBody>,
     /// How far the last request has been written.
     upload: Upload,
-    /// Returns the stream if the server ended its side during a request.
-    driver: JoinHandle<Option<TcpStream>>,
+    /// Returns the stream, and when it ended, if the server ended its side during a request.
+    driver: JoinHandle<Option<(TcpStream, Instant)>>,
     /// True if the last request had a body.
     has_upload: bool,
     idle_since: Millis,
@@ -188,7 +191,7 @@
             // The error is also returned by the pending request.
             let parts = connection.without_shutdown().await.ok()?;
             let stream = parts.io.into_inner().into_inner();
-            (!last_request.is_idle()).then_some(stream)
+            (!last_request.is_idle()).then_some((stream, Instant::now()))
         });
         Ok(Self {
             sender,
@@ -245,9 +248,9 @@
         if !self.has_upload {
             return None;
         }
-        match (&mut self.driver).await {
-            Ok(Some(stream)) => Some(ConnectionEnd::of(stream).await),
-            Ok(None) | Err(_) => Some(ConnectionEnd::Unknown),
+        match timeout(END_TIMEOUT, &mut self.driver).await {
+            Ok(Ok(Some((stream, at)))) => Some(ConnectionEnd::of(stream, at).await),
+            _ => Some(ConnectionEnd::Unknown),
         }
     }
 
@@ -408,7 +411,13 @@
         let cause = "it ended before the request was written";
         return Err(CallError::Body(cause.to_owned()));
     }
-    Ok((response, None))
+    match connection.end().await {
+        None | Some(ConnectionEnd::Closed) => Ok((response, None)),
+        Some(end) => Err(CallError::Body(format!(
+            "its connection ended as {}",
+            end.as_str()
+        ))),
+    }
 }
 
 /// Request for which an idle connection is taken.
