gateway: the pool of connections has a module, and sends in one place

Cause: http_client.rs held connections, calls and the pool, and the same four steps (take an idle connection, send, go on with a new one if nothing was sent) stood in attempt.rs and handover.rs. The timeout for connecting stood three times.

Change: connection_pool.rs with Pool::send, which both use; one CONNECT_TIMEOUT. The fields of a connection are private again. A connection that was put back after the time was read counts as not idle; before, the difference of the two times could be below zero. Nothing else changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,21 +13,19 @@
 use crate::body_end::Witness;
 use crate::catalog::RequestKind;
 use crate::clock::{Millis, now};
+use crate::connection_pool::ConnectionUse;
 use crate::control::{Event, Grant, RunEnd};
 use crate::dialect::{EndpointHead, ResponseHead};
 use crate::endpoint::Endpoint;
 use crate::endpoint_statements::{pass_on_leaving, pass_on_limits, pass_on_pause};
 use crate::exchange::{Exchange, ProxyContext};
-use crate::http_client::{BodyFraming, CallError, Connection, ConnectionUse};
+use crate::http_client::{BodyFraming, CallError, Connection};
 use crate::limited_log::LimitedLog;
 use crate::payload::Payload;
 use crate::response_body::{BodyError, discard, read_whole};
 use crate::run_guard::RunGuard;
 use crate::run_verdict::{doubt, not_run_reason, proves_not_run};
 
-/// Timeout for connecting to an endpoint.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Fraction of a connection's idle timeout after which it is no longer reused for
 /// requests that must not be retried: closer to the timeout, the endpoint may
 /// close the connection just as the request is sent.
@@ -227,25 +225,14 @@
             NON_RETRYABLE_IDLE_SHARE
         },
     };
-    if let Some(mut connection) = context.pool.take(grant.endpoint.key(), &purpose) {
-        match connection
-            .send(build_request(exchange, context, grant, resume_after))
-            .await
-        {
-            Ok(response) => return Ok((response, connection)),
-            Err(CallError::NotSent) => {}
-            Err(error) => return Err(error),
-        }
-    }
-    let mut connection = Connection::open(grant.endpoint.address, CONNECT_TIMEOUT).await?;
+    let key = grant.endpoint.key();
+    let build = || build_request(exchange, context, grant, resume_after);
     // The response says nothing of the path that a new connection would have by then.
+    let opened = || context.handle.send(Event::EndpointConnected(key));
     context
-        .handle
-        .send(Event::EndpointConnected(grant.endpoint.key()));
-    let response = connection
-        .send(build_request(exchange, context, grant, resume_after))
-        .await?;
-    Ok((response, connection))
+        .pool
+        .send(key, grant.endpoint.address, &purpose, build, opened)
+        .await
 }
 
 fn build_request(
--- a/crates/gateway/src/body_end.rs
+++ b/crates/gateway/src/body_end.rs
@@ -10,13 +10,10 @@
 use crate::connection_end::ConnectionEnd;
 use crate::endpoint::Endpoint;
 use crate::exchange::{Exchange, ProxyContext};
-use crate::http_client::{BodyFraming, CallError, Connection};
+use crate::http_client::{BodyFraming, CONNECT_TIMEOUT, CallError, Connection};
 use crate::metrics::EventKind;
 use crate::orders::{self, Liveness};
 
-/// Timeout for opening a second connection to an endpoint.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Multiple of the route's latency target from the sending of a request, after which the
 /// head of its response may have been held up until after a restart of the endpoint.
 const MAX_HEAD_TARGETS: f64 = 3.5;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,11 +9,11 @@
 use tokio::time::Instant;
 
 use crate::catalog::Route;
+use crate::connection_pool::Pool;
 use crate::control::Handle;
 use crate::control::suspects::RunSubjects;
 use crate::dialect::{Dialect, RequestHead};
 use crate::fingerprint::Fingerprints;
-use crate::http_client::Pool;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::payload::Payload;
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -16,15 +16,16 @@
 use hyper::body::{Body, Frame, Incoming};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-use crate::attempt::{CONNECT_TIMEOUT, closes_connection};
+use crate::attempt::closes_connection;
 use crate::catalog::RequestKind;
+use crate::connection_pool::ConnectionUse;
 use crate::control::handovers::OtherNode;
 use crate::control::{Event, Handle, View};
 use crate::dialect::Dialect;
 use crate::endpoint::Endpoint;
 use crate::exchange::{Exchange, Origin, ProxyContext};
 use crate::forward::elapsed_ms;
-use crate::http_client::{BodyFraming, CallError, Connection, ConnectionUse};
+use crate::http_client::{BodyFraming, CallError, Connection};
 use crate::metrics::{EventKind, Metrics};
 use crate::payload::Payload;
 use crate::request_handler;
@@ -221,16 +222,10 @@
         may_run_twice: exchange.route.may_run_twice(),
         idle_share: IDLE_SHARE,
     };
-    if let Some(mut connection) = context.node_pool.take(node.incarnation, &purpose) {
-        match connection.send(build()).await {
-            Ok(response) => return Ok((response, connection)),
-            Err(CallError::NotSent) => {}
-            Err(error) => return Err(error),
-        }
-    }
-    let mut connection = Connection::open(node.address, CONNECT_TIMEOUT).await?;
-    let response = connection.send(build()).await?;
-    Ok((response, connection))
+    context
+        .node_pool
+        .send(node.incarnation, node.address, &purpose, build, || {})
+        .await
 }
 
 fn build_request(
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -1,9 +1,8 @@
 //! HTTP/1.1 connections to endpoints and to the store.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -20,13 +19,16 @@
 
 use crate::clock::{Millis, now};
 use crate::connection_end::ConnectionEnd;
-use crate::endpoint::EndpointKey;
+use crate::connection_pool::ConnectionUse;
 use crate::payload::Payload;
 use crate::upload::{self, Upload, UploadBody};
 
 /// Maximum size of the buffers of a connection, in bytes; it also bounds the head of a response.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
+/// Timeout for connecting to an endpoint or another node.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// `TCP_USER_TIMEOUT`: time after which unacknowledged data closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -255,7 +257,7 @@
     }
 
     /// Notes that no request is under way, so that the end of the connection closes it.
-    fn rest(&mut self) {
+    pub(crate) fn rest(&mut self) {
         self.upload.finish();
         self.idle_since = now();
     }
@@ -276,6 +278,11 @@
         self.has_unnamed_refusal |= !is_named;
     }
 
+    /// True if the server sent a response over it, other than a refusal, that names no request.
+    pub(crate) fn has_unnamed_response(&self) -> bool {
+        self.has_unnamed_response
+    }
+
     /// Records that the server sent a response that names no request. Such a connection is
     /// not used again: nothing would tell a second copy from the next response.
     pub fn record_unnamed(&mut self) {
@@ -289,7 +296,7 @@
 
     /// True if a second copy of an earlier refusal, where the response to this request is
     /// expected, would be taken for that response.
-    fn may_mislead(&self, purpose: &ConnectionUse) -> bool {
+    pub(crate) fn may_mislead(&self, purpose: &ConnectionUse) -> bool {
         let is_repeat = self
             .refused
             .iter()
@@ -304,8 +311,9 @@
 
     /// True if the connection is open and has been idle for less than `share` of its
     /// idle timeout.
-    fn is_usable(&self, share: f64, now: Millis) -> bool {
-        self.is_open() && ((now - self.idle_since) as f64) < self.keep_alive_ms as f64 * share
+    pub(crate) fn is_usable(&self, share: f64, now: Millis) -> bool {
+        let idle_ms = now.saturating_sub(self.idle_since);
+        self.is_open() && (idle_ms as f64) < self.keep_alive_ms as f64 * share
     }
 }
 
@@ -419,57 +427,3 @@
         ))),
     }
 }
-
-/// Request for which an idle connection is taken.
-#[derive(Clone, Copy, Debug)]
-pub struct ConnectionUse<'a> {
-    /// Id of the request.
-    pub request_id: &'a str,
-    /// True if the request may run at two endpoints at the same time.
-    pub may_run_twice: bool,
-    /// Fraction of its idle timeout for which the connection may have been idle.
-    pub idle_share: f64,
-}
-
-/// Pool of idle connections to endpoints.
-#[derive(Clone, Debug, Default)]
-pub struct Pool {
-    idle: Arc<Mutex<BTreeMap<EndpointKey, Vec<Connection>>>>,
-}
-
-impl Pool {
-    /// Takes a connection for a request, unless none is suitable.
-    pub fn take(&self, key: EndpointKey, purpose: &ConnectionUse) -> Option<Connection> {
-        let now = now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.get_mut(&key)?;
-        connections.retain(|connection| connection.is_usable(1.0, now));
-        // The most recently used connection is the least likely to have been closed.
-        let place = connections.iter().rposition(|connection| {
-            connection.is_usable(purpose.idle_share, now) && !connection.may_mislead(purpose)
-        })?;
-        Some(connections.remove(place))
-    }
-
-    /// Drops all connections to the endpoint.
-    pub fn remove(&self, key: EndpointKey) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&key);
-    }
-
-    /// Returns a connection to the pool, unless it must not be used again or the pool already
-    /// holds `max_idle` usable connections to the endpoint.
-    pub fn put(&self, key: EndpointKey, mut connection: Connection, max_idle: usize) {
-        if connection.has_unnamed_response {
-            return;
-        }
-        connection.rest();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.entry(key).or_default();
-        connections
-            .retain(|connection| connection.is_usable(1.0, connection.idle_since.max(now())));
-        if connections.len() < max_idle {
-            connections.push(connection);
-        }
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod connection_end;
 pub mod connection_limit;
+pub mod connection_pool;
 pub mod control;
 pub mod copies;
 pub mod dialect;
--- a/crates/gateway/src/link_probe.rs
+++ b/crates/gateway/src/link_probe.rs
@@ -5,10 +5,10 @@
 
 use tokio::time::sleep;
 
-use crate::attempt::CONNECT_TIMEOUT;
+use crate::connection_pool::Pool;
 use crate::control::{Event, Handle};
 use crate::endpoint::Endpoint;
-use crate::http_client::{Connection, Pool};
+use crate::http_client::{CONNECT_TIMEOUT, Connection};
 
 /// Time for which a new connection must stay open: some paths accept connections and
 /// reset them at once.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,11 +11,11 @@
 use tokio::time::{Instant, sleep};
 
 use crate::connection_limit::ConnectionLimit;
+use crate::connection_pool::Pool;
 use crate::control::{self, Event, FollowedTopic, Handle};
 use crate::dialect::Dialect;
 use crate::exchange::{ProcessEnd, ProxyContext};
 use crate::gossip;
-use crate::http_client::Pool;
 use crate::memory_budget::MemoryBudget;
 use crate::memory_plan::{MemoryPlan, Port};
 use crate::metrics::Metrics;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -13,14 +13,11 @@
 use crate::control::{Event, Handle};
 use crate::dialect::{Dialect, EngineReport, OrderOutcome, WeightsOrder};
 use crate::endpoint::{Endpoint, EndpointKey};
-use crate::http_client::{CallError, CallLimits, Connection, call, call_over};
+use crate::http_client::{CONNECT_TIMEOUT, CallError, CallLimits, Connection, call, call_over};
 
 /// Timeout of a call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Timeout for connecting to an engine before an order.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024;
 
