--- a/crates/gateway/tests/test_connection_end.rs
+++ b/crates/gateway/tests/test_connection_end.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use flamingolock_gateway::connection_end::ConnectionEnd;
-use flamingolock_gateway::http_client::Connection;
+use flamingolock_gateway::http_client::{CallLimits, Connection, call};
 use flamingolock_gateway::payload::Payload;
 use http::Request;
 use http_body_util::BodyExt;
@@ -181,3 +181,24 @@
     let seen = upload(address, 0, Duration::ZERO).await;
     assert_eq!(seen, Seen::Ended(None));
 }
+
+/// Guards against taking a part of the answer to an order for the whole answer.
+#[tokio::test]
+async fn call_whose_response_ends_before_its_request_is_read_fails() {
+    for half_open in [Duration::ZERO, Duration::from_millis(200)] {
+        let address = start(Behavior {
+            reads_body: false,
+            half_open: Some(half_open),
+        });
+        let request = Request::post("/")
+            .header("content-length", UPLOADS[0])
+            .body(Bytes::from(vec![b'x'; UPLOADS[0]]))
+            .expect("a request");
+        let limits = CallLimits::within(TIMEOUT, 1_000);
+        let response = call(&mut None, address, request, limits).await;
+        assert!(
+            response.is_err(),
+            "half open for {half_open:?}: {response:?}"
+        );
+    }
+}
