rollout: an order on its way counts as a load whatever is known of an earlier one

What callers would see: fewer engines than half serve during a roll-out.

Cause: `has_failed` judges the load that is known of an engine. An engine that refused a request for want of room has one, of no version, that nobody ends. Eight times the usual duration later it counts as failed, so that the engine, once an order is on its way to it, does not count as loading until the answer, and each plan until then (one a ms) sends as many orders again.

Change: what is known of a load says nothing about an order that was sent later and has no answer (`is_ordered_since`); the same where concurrent loads are noted and where loads in progress teach their duration.

--- a/crates/gateway/src/control/engine_progress.rs
+++ b/crates/gateway/src/control/engine_progress.rs
@@ -1,5 +1,6 @@
 //! State of the orders to one engine to load weights.
 
+use super::load::Load;
 use crate::clock::Millis;
 
 /// Delay before an order is retried, in ms.
@@ -41,6 +42,12 @@
         self.failures = 0;
     }
 
+    /// True if an order that was sent after the load began has no answer. What is known of the
+    /// load then does not tell whether the engine loads.
+    pub fn is_ordered_since(&self, load: &Load) -> bool {
+        self.in_flight && self.ordered_at > load.ordered_at
+    }
+
     /// True if a report is due from the engine, which has answered so far.
     pub fn awaits_report(&self) -> bool {
         self.failures == 0 && (self.in_flight || self.confirm_at.is_some())
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -14,7 +14,7 @@
 use crate::control::named_weights::{NamedWeights, WriteTime, replaced_at};
 use crate::control::rollout_status::{ServiceStatus, StatusLog};
 use crate::control::service_loads::{
-    LoadCandidate, ServiceLoads, awaits_report, has_failed, is_loading,
+    LoadCandidate, ServiceLoads, awaits_report, has_failed, is_loading, load_in_progress,
 };
 use crate::dialect::{EngineReport, OrderOutcome, WeightsOrder};
 use crate::endpoint::{Endpoint, EndpointKey};
@@ -101,16 +101,6 @@
     }
 }
 
-/// Records at the loads in progress how many there are.
-fn note_concurrent(fleet: &mut Fleet, loading: &[EndpointKey]) {
-    for key in loading {
-        let load = fleet.get_mut(key).and_then(|state| state.load.as_mut());
-        if let Some(load) = load.filter(|load| !load.is_done()) {
-            load.concurrent = load.concurrent.max(loading.len());
-        }
-    }
-}
-
 /// State of the roll-out.
 #[derive(Debug, Default)]
 pub struct Rollout {
@@ -263,7 +253,7 @@
                     }
                 }
             }
-            note_concurrent(fleet, &loads.loading);
+            self.note_concurrent(fleet, &loads.loading);
         }
         tasks
     }
@@ -304,10 +294,25 @@
         }
     }
 
+    /// Records at the loads in progress how many there are.
+    fn note_concurrent(&self, fleet: &mut Fleet, loading: &[EndpointKey]) {
+        for key in loading {
+            let Some(state) = fleet.get_mut(key) else {
+                continue;
+            };
+            if load_in_progress(state, self.engines.get(key)).is_some()
+                && let Some(load) = state.load.as_mut()
+            {
+                load.concurrent = load.concurrent.max(loading.len());
+            }
+        }
+    }
+
     fn learn_from_progress(&mut self, service: &str, loads: &ServiceLoads, fleet: &Fleet) {
-        let states = loads.loading.iter().filter_map(|key| fleet.get(key));
-        let in_progress = states.filter_map(|state| state.load.as_ref());
-        let in_progress = in_progress.filter(|load| !load.is_done());
+        let in_progress = loads
+            .loading
+            .iter()
+            .filter_map(|key| load_in_progress(fleet.get(key)?, self.engines.get(key)));
         self.load_times.note_all_progress(service, in_progress);
     }
 
@@ -346,7 +351,7 @@
             let loads = services.entry(service.clone()).or_default();
             loads.status.engines += 1;
             if is_loading(state, self.engines.get(key), now) {
-                if !has_failed(state, failed_after, now) {
+                if !has_failed(state, self.engines.get(key), failed_after, now) {
                     loads.loading.push(*key);
                 }
                 continue;
--- a/crates/gateway/src/control/service_loads.rs
+++ b/crates/gateway/src/control/service_loads.rs
@@ -2,6 +2,7 @@
 
 use super::engine_progress::EngineProgress;
 use super::fleet::EndpointState;
+use super::load::Load;
 use super::rollout_status::ServiceStatus;
 use crate::clock::Millis;
 use crate::endpoint::EndpointKey;
@@ -66,17 +67,37 @@
         && progress.is_some_and(EngineProgress::awaits_report)
 }
 
+/// The engine's load that is in progress, as far as is known; none if a later order to it has no
+/// answer.
+pub fn load_in_progress<'a>(
+    state: &'a EndpointState,
+    progress: Option<&EngineProgress>,
+) -> Option<&'a Load> {
+    let load = state.load.as_ref().filter(|load| !load.is_done())?;
+    let is_superseded = progress.is_some_and(|progress| progress.is_ordered_since(load));
+    (!is_superseded).then_some(load)
+}
+
 /// True if the engine's load has not ended in time. Such an engine takes no part in the
 /// number of those that load.
-pub fn has_failed(state: &mut EndpointState, failed_after: Millis, now: Millis) -> bool {
-    let Some(load) = state.load.as_mut().filter(|load| !load.is_done()) else {
+pub fn has_failed(
+    state: &mut EndpointState,
+    progress: Option<&EngineProgress>,
+    failed_after: Millis,
+    now: Millis,
+) -> bool {
+    let Some(load) = load_in_progress(state, progress) else {
         return false;
     };
-    let failed = load.elapsed(now) > failed_after;
-    if failed && !load.failed {
+    let (elapsed, was_known) = (load.elapsed(now), load.failed);
+    let has_failed = elapsed > failed_after;
+    if has_failed
+        && !was_known
+        && let Some(load) = state.load.as_mut()
+    {
         load.failed = true;
-        log::warn!(engine = &*state.endpoint.id, elapsed_ms = load.elapsed(now), bound_ms = failed_after;
+        log::warn!(engine = &*state.endpoint.id, elapsed_ms = elapsed, bound_ms = failed_after;
             "engine does not finish loading weights");
     }
-    failed
+    has_failed
 }
--- a/crates/gateway/tests/test_rollout_refusals.rs
+++ b/crates/gateway/tests/test_rollout_refusals.rs
@@ -330,6 +330,29 @@
     }
 }
 
+/// Guards against orders that are sent because those on their way are not counted: engines that
+/// refused requests long ago were taken for ones whose loads had failed.
+#[test]
+fn orders_on_their_way_count_though_their_engines_refused_long_ago() {
+    for (deployment, rollout_ms) in slowing_loads() {
+        let bound = (2 * rollout_ms).max(MIN_BOUND_MS);
+        let mut simulation = started(deployment, bound);
+        simulation.set_refusals(1.0, 1.0);
+        simulation.run_until(simulation.now + 2_000);
+        simulation.set_refusals(0.0, 0.0);
+        simulation.set_rate(0);
+        // Longer than a load may take until it counts as failed.
+        simulation.run_until(simulation.now + 20 * deployment.load_ms);
+        simulation.most_loading = 0;
+        simulation.name_weights(3);
+        simulation.run_until(simulation.now + bound);
+        let (most, engines) = (simulation.most_loading, deployment.engines);
+        println!("{engines} engines: {most} loaded at once");
+        assert!(2 * most <= engines, "{most} of {engines} load");
+        assert_eq!(simulation.engines_before(3), 0);
+    }
+}
+
 const NEAR: Network = Network {
     delay_ms: 1,
     loss: 0.0,
