rollout: engines whose loads do not end count towards the half that does not serve

What callers would see: fewer engines than half serve during a roll-out.

Cause: a load that has not ended after eight times the usual duration takes no place, so that one that hangs does not stop a roll-out. But its engine does not serve either, and was left out of the half as well.

Evidence: in a trial that writes what the plan knows when half of the engines load, 7 of 13 load, the plan counts 5 and one that awaits its report; the seventh was told to load 9.2 s before, 9.0 s count as failed. Engines of this simulation begin their loads in the order of their keys, so that the last one waited for all others.

Change: `ServiceLoads::are_full` counts such engines towards the half. They leave as many places to others as a first roll-out has: a tenth of the engines, two at least. `state of the roll-out` tells their number, `failed`.

--- a/crates/gateway/src/control/load_times.rs
+++ b/crates/gateway/src/control/load_times.rs
@@ -66,6 +66,11 @@
     (engines / MIN_ENGINES_PER_LOAD).max(1)
 }
 
+/// Number of so many engines that may load at once while the duration of loads is not known.
+pub fn first_loads(engines: usize) -> usize {
+    MIN_FIRST_LOADS.max(engines / ENGINES_PER_FIRST_LOAD)
+}
+
 /// What is known of the loads of one service's engines.
 #[derive(Clone, Debug, PartialEq)]
 struct LoadTime {
@@ -178,10 +183,8 @@
     /// Number of engines of a service that may load at once. With two engines or more, at
     /// least half keep serving.
     pub fn max_concurrent(&self, service: &str, engines: usize) -> usize {
-        let window = self.services.get(service).map_or_else(
-            || MIN_FIRST_LOADS.max(engines / ENGINES_PER_FIRST_LOAD),
-            |known| known.window.size(),
-        );
+        let known = self.services.get(service);
+        let window = known.map_or_else(|| first_loads(engines), |known| known.window.size());
         window.min(most_at_once(engines))
     }
 
--- a/crates/gateway/src/control/rollout.rs
+++ b/crates/gateway/src/control/rollout.rs
@@ -9,7 +9,7 @@
 use crate::control::lease::LeaseStep;
 use crate::control::load::Load;
 use crate::control::load_report::{FIRST_REPORT_MS, Meaning, REPORT_AGE_MS, meaning};
-use crate::control::load_times::{FleetLoad, LoadTimes, most_at_once};
+use crate::control::load_times::{FleetLoad, LoadTimes};
 use crate::control::load_window::{Backlog, DueLoads};
 use crate::control::named_weights::{NamedWeights, WriteTime, replaced_at};
 use crate::control::rollout_status::{ServiceStatus, StatusLog};
@@ -241,9 +241,7 @@
                 let Some(state) = fleet.get_mut(&candidate.key) else {
                     continue;
                 };
-                let unsure = loads.loading.len() + loads.unreported;
-                let is_full = loads.loading.len() >= most || unsure >= most_at_once(engines);
-                match self.next_step(&candidate, state, is_full, reserve_ms, now) {
+                match self.next_step(&candidate, state, loads.are_full(most), reserve_ms, now) {
                     Step::Wait => {}
                     Step::Report => tasks.push(Task::Report(candidate.key)),
                     Step::Order(accepted) => {
@@ -351,7 +349,9 @@
             let loads = services.entry(service.clone()).or_default();
             loads.status.engines += 1;
             if is_loading(state, self.engines.get(key), now) {
-                if !has_failed(state, self.engines.get(key), failed_after, now) {
+                if has_failed(state, self.engines.get(key), failed_after, now) {
+                    loads.status.failed += 1;
+                } else {
                     loads.loading.push(*key);
                 }
                 continue;
--- a/crates/gateway/src/control/rollout_status.rs
+++ b/crates/gateway/src/control/rollout_status.rs
@@ -39,6 +39,8 @@
     pub candidates: usize,
     /// Engines that count as loading.
     pub loading: usize,
+    /// Engines whose loads have not ended in time.
+    pub failed: usize,
     /// Engines that get no requests, as they refused some, though no order to them is known.
     pub closed: usize,
     /// Engines with outdated weights that have not answered an order or a request for
@@ -84,7 +86,7 @@
             return;
         }
         log::info!(service = &**service, engines = status.engines, candidates = status.candidates,
-            loading = status.loading, closed = status.closed, in_flight = status.in_flight,
+            loading = status.loading, failed = status.failed, closed = status.closed, in_flight = status.in_flight,
             delayed = status.delayed, avoided = status.avoided, window = status.window,
             expected_ms = expected; "state of the roll-out");
         self.services.insert(service.clone(), (status, now));
--- a/crates/gateway/src/control/service_loads.rs
+++ b/crates/gateway/src/control/service_loads.rs
@@ -3,6 +3,7 @@
 use super::engine_progress::EngineProgress;
 use super::fleet::EndpointState;
 use super::load::Load;
+use super::load_times::{first_loads, most_at_once};
 use super::rollout_status::ServiceStatus;
 use crate::clock::Millis;
 use crate::endpoint::EndpointKey;
@@ -45,6 +46,19 @@
     pub status: ServiceStatus,
 }
 
+impl ServiceLoads {
+    /// True if no more engines may load now, of which the window lets `most` do so at once. Those
+    /// whose loads have not ended in time do not serve either; but however many they are, as many
+    /// others may load as in a first roll-out.
+    pub fn are_full(&self, most: usize) -> bool {
+        let (loading, engines) = (self.loading.len(), self.status.engines);
+        let half = most_at_once(engines);
+        let left = half.saturating_sub(self.status.failed);
+        let left = left.max(first_loads(engines).min(half));
+        loading >= most || loading + self.unreported >= left
+    }
+}
+
 /// True if the engine takes one of the places of those that load at once: an order to it is
 /// on its way, or it was sent one and is not known to be done. An engine that only refuses
 /// requests takes none.
@@ -78,8 +92,8 @@
     (!is_superseded).then_some(load)
 }
 
-/// True if the engine's load has not ended in time. Such an engine takes no part in the
-/// number of those that load.
+/// True if the engine's load has not ended in time. Such an engine takes none of the places of
+/// those that load at once, though it does not serve.
 pub fn has_failed(
     state: &mut EndpointState,
     progress: Option<&EngineProgress>,
--- a/crates/gateway/tests/test_rollout_refusals.rs
+++ b/crates/gateway/tests/test_rollout_refusals.rs
@@ -353,6 +353,49 @@
     }
 }
 
+/// Plays roll-outs by thirteen engines, the first `slow` of which do not end their loads. Returns
+/// the largest number of concurrent loads after these were given up.
+fn most_loading_beside_slow_loads(slow: usize) -> usize {
+    let deployment = Deployment {
+        engines: 13,
+        load_ms: 1_000,
+        loads_at_once: 13,
+        requests: 0,
+        ..SIXTY
+    };
+    let mut simulation = started(deployment, MIN_BOUND_MS);
+    (0..slow).for_each(|number| simulation.set_slow_loads(number, 1_000.0));
+    simulation.name_weights(3);
+    // Two at a time, each for longer than a load may take until it counts as failed.
+    simulation.run_until(simulation.now + 60 * deployment.load_ms);
+    simulation.most_loading = 0;
+    for version in 4..=6 {
+        simulation.name_weights(version);
+        simulation.run_until(simulation.now + 20 * deployment.load_ms);
+        assert_eq!(simulation.engines_before(version), slow, "{version}");
+    }
+    println!("{slow} slow: {} loaded at once", simulation.most_loading);
+    simulation.most_loading
+}
+
+/// Guards against loads that have not ended in time and count as serving engines.
+#[test]
+fn half_of_the_engines_serve_though_some_loads_do_not_end() {
+    for slow in 1..=4 {
+        let most = most_loading_beside_slow_loads(slow);
+        assert!(2 * most <= 13, "{most} of 13 load, {slow} without an end");
+    }
+}
+
+/// Guards against a roll-out that waits for engines that do not end their loads.
+#[test]
+fn two_engines_at_a_time_load_beside_any_number_of_loads_that_do_not_end() {
+    for slow in [6, 9] {
+        let most = most_loading_beside_slow_loads(slow);
+        assert_eq!(most, slow + 2);
+    }
+}
+
 const NEAR: Network = Network {
     delay_ms: 1,
     loss: 0.0,
