fleet: a load that was not heard of for long says nothing about a refusal

What callers would see: an engine that serves gets no requests for seconds, after it refused one for want of room.

Cause: a refusal closes an engine for an eighth of the time since its load began, as loads that go on are tried ever more rarely. A load whose end the node has not heard of goes on forever, though its engine serves: 60 s later a refusal closed it for 7.5 s, and there was no bound. Loads that only refusals told of lapse; loads that were ordered did not.

Change: all lapse, once nothing was heard of them, until the refusal, for eight times as long as they were seen or expected to last. One of which neither is known does not, and a load that its engine refuses requests for again and again is kept, as before.

--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -61,9 +61,9 @@
 /// seems.
 const RECHECKS_PER_UNKNOWN_LOAD: Millis = 2;
 
-/// Multiple of the time for which a load of no known version was seen, after which another
-/// refusal tells of another load.
-const UNKNOWN_LOAD_LAPSE: Millis = 8;
+/// Multiple of the time for which a load was seen or expected to last, after which another refusal
+/// tells of something else.
+const LOAD_LAPSE: Millis = 8;
 
 /// Multiple of the time since the start of a load for which an earlier refusal without one makes
 /// those during the load doubtful: one 7 s before the start does so from 1 s after it on.
@@ -424,12 +424,14 @@
         self.runs.values().filter(waits).count()
     }
 
-    /// True if nothing was heard for so long of a load of which only refusals told that it is
-    /// over.
-    fn has_lapsed(&self, load: &Load, now: Millis) -> bool {
-        let seen_ms = self.loading_until.saturating_sub(load.started_at);
-        let silent_ms = now.saturating_sub(self.loading_until);
-        load.version.is_none() && silent_ms > UNKNOWN_LOAD_LAPSE * seen_ms
+    /// True if nothing was heard of a load, until a refusal some time after its start, for several
+    /// times as long as it was seen or expected to last: the refusal tells of something else. A
+    /// load of which neither is known does not lapse.
+    fn has_lapsed(&self, load: &Load, refused_ms: Millis) -> bool {
+        let closed_ms = self.loading_until.saturating_sub(load.started_at);
+        let known_ms = closed_ms.max(load.sure_ms).max(load.busy_ms());
+        let silent_ms = refused_ms.saturating_sub(known_ms);
+        known_ms > 0 && silent_ms > LOAD_LAPSE * known_ms
     }
 
     /// Records that the engine refused a request as it would while it loads weights, `busy_ms`
@@ -439,8 +441,12 @@
         if busy_ms.is_some() && self.was_loading(now) {
             return 0;
         }
-        let known = self.load.take();
-        let known = known.filter(|load| !load.is_done() && !self.has_lapsed(load, now));
+        let refused_ms = |load: &Load| {
+            let elapsed = load.elapsed(now);
+            busy_ms.unwrap_or(elapsed).min(elapsed)
+        };
+        let known = self.load.take().filter(|load| !load.is_done());
+        let known = known.filter(|load| !self.has_lapsed(load, refused_ms(load)));
         let mut load = known.unwrap_or_else(|| Load::new(None, 0, now));
         let elapsed = load.elapsed(now);
         let rechecks = if load.version.is_none() {
@@ -450,7 +456,7 @@
             RECHECKS_PER_LOAD
         };
         if !self.refuses_idle(elapsed, now) {
-            load.saw_refusal(busy_ms.unwrap_or(elapsed).min(elapsed));
+            load.saw_refusal(refused_ms(&load));
         }
         let pause = (elapsed / rechecks).max(MIN_RECHECK_MS);
         self.load = Some(load);
--- a/crates/gateway/tests/test_stale_loads.rs
+++ b/crates/gateway/tests/test_stale_loads.rs
@@ -42,3 +42,18 @@
     let pause = loading().refused_while_loading(None, 61_000);
     assert!(pause < 900, "{pause} ms");
 }
+
+/// Guards against a load that its engine still refuses requests for being given up.
+#[test]
+fn refusals_without_a_break_close_an_engine_for_longer_and_longer() {
+    let mut state = loading();
+    let mut now = 1_000;
+    let mut pause = 0;
+    while now < 61_000 {
+        pause = state.refused_while_loading(None, now);
+        // The next request comes somewhat after the engine is open again.
+        now += pause + 300;
+    }
+    assert!(pause > 5_000, "{pause} ms");
+    assert_eq!(state.load.and_then(|load| load.version), Some(2));
+}
