fleet: late news of a refusal does not keep an old load alive

Cause: judges a load by the moment of the refusal.

Change: judged by the moment at which the news arrives, as before.

--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -424,13 +424,13 @@
         self.runs.values().filter(waits).count()
     }
 
-    /// True if nothing was heard of a load, until a refusal some time after its start, for several
-    /// times as long as it was seen or expected to last: the refusal tells of something else. A
-    /// load of which neither is known does not lapse.
-    fn has_lapsed(&self, load: &Load, refused_ms: Millis) -> bool {
+    /// True if nothing was heard of a load for several times as long as it was seen or expected to
+    /// last: a refusal then tells of something else. A load of which neither is known does not
+    /// lapse.
+    fn has_lapsed(&self, load: &Load, now: Millis) -> bool {
         let closed_ms = self.loading_until.saturating_sub(load.started_at);
         let known_ms = closed_ms.max(load.sure_ms).max(load.busy_ms());
-        let silent_ms = refused_ms.saturating_sub(known_ms);
+        let silent_ms = load.elapsed(now).saturating_sub(known_ms);
         known_ms > 0 && silent_ms > LOAD_LAPSE * known_ms
     }
 
@@ -441,12 +441,8 @@
         if busy_ms.is_some() && self.was_loading(now) {
             return 0;
         }
-        let refused_ms = |load: &Load| {
-            let elapsed = load.elapsed(now);
-            busy_ms.unwrap_or(elapsed).min(elapsed)
-        };
-        let known = self.load.take().filter(|load| !load.is_done());
-        let known = known.filter(|load| !self.has_lapsed(load, refused_ms(load)));
+        let known = self.load.take();
+        let known = known.filter(|load| !load.is_done() && !self.has_lapsed(load, now));
         let mut load = known.unwrap_or_else(|| Load::new(None, 0, now));
         let elapsed = load.elapsed(now);
         let rechecks = if load.version.is_none() {
@@ -456,7 +452,7 @@
             RECHECKS_PER_LOAD
         };
         if !self.refuses_idle(elapsed, now) {
-            load.saw_refusal(refused_ms(&load));
+            load.saw_refusal(busy_ms.unwrap_or(elapsed).min(elapsed));
         }
         let pause = (elapsed / rechecks).max(MIN_RECHECK_MS);
         self.load = Some(load);
