connection_end: a type for a connection whose server has ended its side

Cause: the stream and the time of its end went through the HTTP client as a pair without a name.

Change: `EndedConnection`; `ConnectionEnd::of` is its method `left`.

--- a/crates/gateway/src/connection_end.rs
+++ b/crates/gateway/src/connection_end.rs
@@ -54,27 +54,44 @@
             Self::Unknown => "unknown",
         }
     }
+}
+
+/// A connection whose server has ended its side.
+#[derive(Debug)]
+pub struct EndedConnection {
+    stream: TcpStream,
+    ended_at: Instant,
+}
 
-    /// Finds out how the server left a connection whose end was read at `ended_at`.
+impl EndedConnection {
+    /// The connection behind a stream whose end was read just now.
+    pub fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            ended_at: Instant::now(),
+        }
+    }
+
+    /// Finds out how the server left the connection.
     ///
     /// A server that closes the connection with bytes unread just as the empty line is under way
     /// is taken for one that had closed it before.
-    pub async fn of(stream: TcpStream, ended_at: Instant) -> Self {
-        sleep_until(ended_at + RESET_TIME).await;
-        let socket = SockRef::from(&stream);
+    pub async fn left(self) -> ConnectionEnd {
+        sleep_until(self.ended_at + RESET_TIME).await;
+        let socket = SockRef::from(&self.stream);
         if reset(&socket).is_ok() {
-            return Self::Reset;
+            return ConnectionEnd::Reset;
         }
-        if !is_sent(&stream) {
-            return Self::HalfOpen;
+        if !is_sent(&self.stream) {
+            return ConnectionEnd::HalfOpen;
         }
         // The line waits for the end of this side, so both leave as one: a reset until then is
         // no reply to it. Its system acknowledges the end at once.
-        let sent = send(&stream, EMPTY_LINE, SendFlags::MORE);
+        let sent = send(&self.stream, EMPTY_LINE, SendFlags::MORE);
         if sent.is_err() || socket.shutdown(Shutdown::Write).is_err() {
-            return Self::Reset;
+            return ConnectionEnd::Reset;
         }
-        reply(&stream).await
+        reply(&self.stream).await
     }
 }
 
--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::clock::{Millis, now};
-use crate::connection_end::ConnectionEnd;
+use crate::connection_end::{ConnectionEnd, EndedConnection};
 use crate::connection_pool::ConnectionUse;
 use crate::payload::Payload;
 use crate::upload::{self, Upload, UploadBody};
@@ -139,8 +139,8 @@
     sender: SendRequest<UploadBody>,
     /// How far the last request has been written.
     upload: Upload,
-    /// Returns the stream, and when it ended, if the server ended its side during a request.
-    driver: JoinHandle<Option<(TcpStream, Instant)>>,
+    /// Returns the connection if the server ended its side during a request.
+    driver: JoinHandle<Option<EndedConnection>>,
     /// True if the last request had a body.
     has_upload: bool,
     idle_since: Millis,
@@ -193,7 +193,7 @@
             // The error is also returned by the pending request.
             let parts = connection.without_shutdown().await.ok()?;
             let stream = parts.io.into_inner().into_inner();
-            (!last_request.is_idle()).then_some((stream, Instant::now()))
+            (!last_request.is_idle()).then(|| EndedConnection::new(stream))
         });
         Ok(Self {
             sender,
@@ -251,7 +251,7 @@
             return None;
         }
         match timeout(END_TIMEOUT, &mut self.driver).await {
-            Ok(Ok(Some((stream, at)))) => Some(ConnectionEnd::of(stream, at).await),
+            Ok(Ok(Some(ended))) => Some(ended.left().await),
             _ => Some(ConnectionEnd::Unknown),
         }
     }
